--- /dev/null
+++ b/config/document.go
@@ -0,0 +1,151 @@
+// Package config defines the configuration document that operators publish:
+// its types, the rules it must meet, and differences between two documents.
+package config
+
+import "time"
+
+// SchemaVersion is the version of the document's schema that this program writes and judges.
+const SchemaVersion = 1
+
+// Document is one whole configuration. It is a value: a published document never changes.
+type Document struct {
+	Schema       int           `yaml:"schema" json:"schema"`
+	Regions      []Region      `yaml:"regions" json:"regions"`
+	Accelerators []Accelerator `yaml:"accelerators" json:"accelerators"`
+	Links        []Link        `yaml:"links" json:"links"`
+	Models       []Model       `yaml:"models" json:"models"`
+	Services     []Service     `yaml:"services" json:"services"`
+	Servers      []Server      `yaml:"servers" json:"servers"`
+	Teams        []Team        `yaml:"teams" json:"teams"`
+	Objectives   []Objective   `yaml:"objectives" json:"objectives"`
+}
+
+// Region groups availability zones.
+type Region struct {
+	Name  string   `yaml:"name" json:"name"`
+	Zones []string `yaml:"zones" json:"zones"`
+}
+
+// Accelerator is a kind of hardware.
+type Accelerator struct {
+	Kind string `yaml:"kind" json:"kind"`
+	// MemoryBytes bounds weights and KV cache together.
+	MemoryBytes int64 `yaml:"memory_bytes" json:"memory_bytes"`
+	// LayerTokensPerSecond is the decode rate for one layer; an engine that
+	// holds n layers generates LayerTokensPerSecond/n tokens per second.
+	LayerTokensPerSecond float64 `yaml:"layer_tokens_per_second" json:"layer_tokens_per_second"`
+	// PrefillSpeedup is how many times faster prompt tokens are processed than generated ones.
+	PrefillSpeedup float64 `yaml:"prefill_speedup" json:"prefill_speedup"`
+}
+
+// Link is a directed network path between two availability zones. A link from
+// a zone to itself describes traffic inside the zone.
+type Link struct {
+	From           string        `yaml:"from" json:"from"`
+	To             string        `yaml:"to" json:"to"`
+	BytesPerSecond float64       `yaml:"bytes_per_second" json:"bytes_per_second"`
+	Latency        time.Duration `yaml:"latency" json:"latency"`
+}
+
+// Model is a model and its versions.
+type Model struct {
+	Name string `yaml:"name" json:"name"`
+	// Versions are listed from oldest to newest; Serving names the one in use.
+	Versions []string `yaml:"versions" json:"versions"`
+	Serving  string   `yaml:"serving" json:"serving"`
+	Adapters []string `yaml:"adapters,omitempty" json:"adapters,omitempty"`
+	Layers   int      `yaml:"layers" json:"layers"`
+	// BytesPerLayer is the size of one layer's weights.
+	BytesPerLayer int64 `yaml:"bytes_per_layer" json:"bytes_per_layer"`
+	// ActivationBytes is what one token sends from one stage to the next.
+	ActivationBytes int64 `yaml:"activation_bytes" json:"activation_bytes"`
+	// KVBytesPerTokenLayer is the KV cache that one token takes in one layer.
+	KVBytesPerTokenLayer int64 `yaml:"kv_bytes_per_token_layer" json:"kv_bytes_per_token_layer"`
+	ContextTokens        int   `yaml:"context_tokens" json:"context_tokens"`
+}
+
+// LogOutagePolicy says what happens to a keyed non-idempotent call while the log is down.
+type LogOutagePolicy string
+
+// The policies during a log outage.
+const (
+	RefuseDuringOutage LogOutagePolicy = "refuse"
+	RunDuringOutage    LogOutagePolicy = "run"
+)
+
+// Service is a plain service whose calls are passed through whole.
+type Service struct {
+	Name string `yaml:"name" json:"name"`
+	// Idempotent lists the calls that may be repeated; all others run at most once.
+	Idempotent []CallRule `yaml:"idempotent" json:"idempotent"`
+	// Timeout bounds one call.
+	Timeout time.Duration `yaml:"timeout" json:"timeout"`
+	// KeyWindow is how long an idempotency key is remembered.
+	KeyWindow    time.Duration   `yaml:"key_window" json:"key_window"`
+	OnLogOutage  LogOutagePolicy `yaml:"on_log_outage" json:"on_log_outage"`
+	MaxBodyBytes int64           `yaml:"max_body_bytes" json:"max_body_bytes"`
+}
+
+// CallRule matches calls by method and path prefix below the service's name.
+type CallRule struct {
+	Method     string `yaml:"method" json:"method"`
+	PathPrefix string `yaml:"path_prefix" json:"path_prefix"`
+}
+
+// Fencing says what a backend server does with an order's fencing number.
+type Fencing string
+
+// The kinds of fencing. An empty value counts as FencingIgnores.
+const (
+	FencingChecks  Fencing = "checks"
+	FencingIgnores Fencing = "ignores"
+)
+
+// Server is a backend server: an engine when Model is set, otherwise an instance of a plain service.
+type Server struct {
+	ID          string  `yaml:"id" json:"id"`
+	Zone        string  `yaml:"zone" json:"zone"`
+	Model       string  `yaml:"model,omitempty" json:"model,omitempty"`
+	Service     string  `yaml:"service,omitempty" json:"service,omitempty"`
+	Accelerator string  `yaml:"accelerator,omitempty" json:"accelerator,omitempty"`
+	Fencing     Fencing `yaml:"fencing,omitempty" json:"fencing,omitempty"`
+}
+
+// Team is a tenant.
+type Team struct {
+	Name string `yaml:"name" json:"name"`
+	// KeyHashes are hexadecimal SHA-256 hashes of the team's bearer keys.
+	KeyHashes []string `yaml:"key_hashes" json:"key_hashes"`
+	// Weight is the team's share relative to other teams of the same priority.
+	Weight float64 `yaml:"weight" json:"weight"`
+	// Priority orders teams under load; higher is served first.
+	Priority int      `yaml:"priority" json:"priority"`
+	Models   []string `yaml:"models" json:"models"`
+	Services []string `yaml:"services" json:"services"`
+	// RequestsPerSecond and Concurrency limit the team; 0 means no limit.
+	RequestsPerSecond float64 `yaml:"requests_per_second,omitempty" json:"requests_per_second,omitempty"`
+	Concurrency       int     `yaml:"concurrency,omitempty" json:"concurrency,omitempty"`
+}
+
+// Measure is what an objective bounds.
+type Measure string
+
+// The measures of objectives.
+const (
+	MeasureFirstToken   Measure = "first_token"
+	MeasureBetweenToken Measure = "between_tokens"
+	MeasureAvailability Measure = "availability"
+	MeasureLatency      Measure = "latency"
+)
+
+// Objective is a service-level objective. Target is the fraction of good events, below 1.
+type Objective struct {
+	Name    string  `yaml:"name" json:"name"`
+	Model   string  `yaml:"model,omitempty" json:"model,omitempty"`
+	Service string  `yaml:"service,omitempty" json:"service,omitempty"`
+	Team    string  `yaml:"team,omitempty" json:"team,omitempty"`
+	Measure Measure `yaml:"measure" json:"measure"`
+	// Threshold is the slowest good event; it is unused for availability.
+	Threshold time.Duration `yaml:"threshold,omitempty" json:"threshold,omitempty"`
+	Target    float64       `yaml:"target" json:"target"`
+}
--- /dev/null
+++ b/logevent/catalogue.go
@@ -0,0 +1,67 @@
+package logevent
+
+import "github.com/phuslu/log"
+
+// Numbers are grouped: 1xxx process, 2xxx entry, 3xxx sidecar, 4xxx
+// configuration and log service, 5xxx orders to engines, 6xxx service levels.
+const (
+	ProcessStarted       Event = 1001
+	ProcessDraining      Event = 1002
+	ProcessStopped       Event = 1003
+	ProcessCutOff        Event = 1004
+	SettingsRejected     Event = 1005
+	KeysReloaded         Event = 1006
+	KeysRejected         Event = 1007
+	RequestFinished      Event = 2001
+	RequestRefused       Event = 2002
+	StageLost            Event = 2003
+	StageReplaced        Event = 2004
+	SidecarConnected     Event = 2005
+	SidecarDisconnected  Event = 2006
+	ListDistrusted       Event = 2007
+	AttemptRefused       Event = 3001
+	EngineDown           Event = 3002
+	EngineUp             Event = 3003
+	RevisionInForce      Event = 4001
+	RevisionRejected     Event = 4002
+	LogUnavailable       Event = 4003
+	LogAvailable         Event = 4004
+	RevisionNotJudged    Event = 4005
+	RevisionFromPeer     Event = 4006
+	OrderGiven           Event = 5001
+	OrderRefused         Event = 5002
+	OrderDone            Event = 5003
+	ObjectiveBurning     Event = 6001
+	ObjectiveBurnStopped Event = 6002
+)
+
+var catalogue = []Definition{
+	{ProcessStarted, log.InfoLevel, "process started", ""},
+	{ProcessDraining, log.InfoLevel, "process is draining", ""},
+	{ProcessStopped, log.InfoLevel, "process stopped", ""},
+	{ProcessCutOff, log.WarnLevel, "process ended with requests in progress", "Check why the drain did not finish; the line counts what was cut off."},
+	{SettingsRejected, log.ErrorLevel, "settings rejected", "Correct the settings that the line names."},
+	{KeysReloaded, log.InfoLevel, "TLS keys reloaded", ""},
+	{KeysRejected, log.ErrorLevel, "TLS keys could not be reloaded", "The old keys stay in use; replace the files."},
+	{RequestFinished, log.DebugLevel, "request finished", ""},
+	{RequestRefused, log.InfoLevel, "request refused", ""},
+	{StageLost, log.WarnLevel, "pipeline stage lost", "Check the instance that the line names if it does not return."},
+	{StageReplaced, log.InfoLevel, "pipeline stage replaced", ""},
+	{SidecarConnected, log.InfoLevel, "sidecar connected", ""},
+	{SidecarDisconnected, log.WarnLevel, "sidecar disconnected", ""},
+	{ListDistrusted, log.WarnLevel, "instance list distrusted", "Check the platform's instance list; the last good list stays in use."},
+	{AttemptRefused, log.InfoLevel, "attempt refused", ""},
+	{EngineDown, log.ErrorLevel, "backend server does not answer", "Restart the backend server."},
+	{EngineUp, log.InfoLevel, "backend server answers", ""},
+	{RevisionInForce, log.InfoLevel, "configuration revision in force", ""},
+	{RevisionRejected, log.WarnLevel, "configuration proposal rejected", "Publish again on the current revision."},
+	{LogUnavailable, log.WarnLevel, "log service unavailable", "The revision in force stays; keyed calls may be refused."},
+	{LogAvailable, log.InfoLevel, "log service available", ""},
+	{RevisionNotJudged, log.ErrorLevel, "configuration record has a newer schema", "Upgrade this process."},
+	{RevisionFromPeer, log.InfoLevel, "configuration revision taken from a peer", ""},
+	{OrderGiven, log.InfoLevel, "order given to engine", ""},
+	{OrderRefused, log.WarnLevel, "order refused by engine", ""},
+	{OrderDone, log.InfoLevel, "order carried out by engine", ""},
+	{ObjectiveBurning, log.ErrorLevel, "service-level objective burns too fast", "See docs/operations.md, section on service levels."},
+	{ObjectiveBurnStopped, log.InfoLevel, "service-level objective no longer burns too fast", ""},
+}
