--- /dev/null
+++ b/attempt/attempt_test.go
@@ -0,0 +1,80 @@
+package attempt
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// Guards R3: a withdrawal that was answered with "no" must keep the attempt
+// from running, also when it arrives after the withdrawal.
+func TestWithdrawnAttemptNeverRuns(t *testing.T) {
+	l := NewLedger("inc")
+	assert.Equal(t, l.Withdraw(Key{"late", 1}, start), ExecutedNo)
+	assert.Equal(t, l.Open(Key{"late", 1}, "inc"), RefusalWithdrawn)
+
+	assert.Equal(t, l.Open(Key{"opened", 1}, "inc"), RefusalNone)
+	assert.Equal(t, l.Withdraw(Key{"opened", 1}, start), ExecutedNo)
+	assert.Assert(t, !l.Begin(Key{"opened", 1}))
+}
+
+// Guards R3: a withdrawal of a running attempt must not claim that it did not run.
+func TestWithdrawOfRunningAttemptIsUnknown(t *testing.T) {
+	l := NewLedger("inc")
+	l.Open(Key{"r", 1}, "inc")
+	assert.Assert(t, l.Begin(Key{"r", 1}))
+	assert.Equal(t, l.Withdraw(Key{"r", 1}, start), ExecutedUnknown)
+	l.Finish(Key{"r", 1}, start)
+	assert.Equal(t, l.Withdraw(Key{"r", 1}, start), ExecutedYes)
+}
+
+// Guards R4: repeated, stale and misaddressed attempts must be refused.
+func TestLedgerRefusals(t *testing.T) {
+	l := NewLedger("inc")
+	assert.Equal(t, l.Open(Key{"r", 1}, "old"), RefusalStaleIncarnation)
+	assert.Equal(t, l.Open(Key{"r", 2}, "inc"), RefusalNone)
+	assert.Equal(t, l.Open(Key{"r", 2}, "inc"), RefusalDuplicate)
+	assert.Equal(t, l.Open(Key{"r", 1}, "inc"), RefusalStaleAttempt)
+	assert.Assert(t, l.Begin(Key{"r", 2}))
+	assert.Assert(t, !l.Begin(Key{"r", 2}))
+	l.Drain()
+	assert.Equal(t, l.Open(Key{"new", 1}, "inc"), RefusalDraining)
+}
+
+// Guards against unbounded growth: ended attempts are forgotten, open ones are not.
+func TestLedgerExpire(t *testing.T) {
+	l := NewLedger("inc")
+	l.Open(Key{"open", 1}, "inc")
+	l.Withdraw(Key{"gone", 1}, start)
+	l.Expire(start.Add(TombstoneLife))
+	assert.Equal(t, len(l.records), 2)
+	l.Expire(start.Add(TombstoneLife + 1))
+	assert.Equal(t, len(l.records), 1)
+}
+
+// Guards R3 and R4 in the entry: a non-idempotent request is sent again only
+// after every earlier attempt certainly did not run.
+func TestRequestMaySend(t *testing.T) {
+	r := NewRequest(false)
+	assert.Equal(t, r.Executed(), ExecutedNo)
+	first := r.Send()
+	assert.Assert(t, !r.MaySend())
+	r.Observe(first, ExecutedNo)
+	assert.Assert(t, r.MaySend())
+	second := r.Send()
+	r.Observe(second, ExecutedUnknown)
+	assert.Assert(t, !r.MaySend())
+	assert.Equal(t, r.Executed(), ExecutedUnknown)
+	r.Observe(second, ExecutedYes)
+	r.Observe(second, ExecutedNo)
+	assert.Equal(t, r.Executed(), ExecutedYes)
+
+	idempotent := NewRequest(true)
+	idempotent.Send()
+	assert.Assert(t, idempotent.MaySend())
+	idempotent.Answering()
+	assert.Assert(t, !idempotent.MaySend())
+}
--- /dev/null
+++ b/attempt/ledger.go
@@ -0,0 +1,191 @@
+package attempt
+
+import "time"
+
+// Key names one attempt of one request.
+type Key struct {
+	Request string
+	Number  uint32
+}
+
+// Refusal tells why a ledger does not accept an attempt. A refused attempt was not run.
+type Refusal int
+
+// The refusals. RefusalNone means that the attempt is accepted.
+const (
+	RefusalNone Refusal = iota
+	RefusalDraining
+	RefusalStaleIncarnation
+	RefusalWithdrawn
+	RefusalStaleAttempt
+	// RefusalDuplicate is not answered: the first delivery of the attempt is.
+	RefusalDuplicate
+)
+
+type state int
+
+const (
+	stateOpened state = iota
+	stateRunning
+	stateDone
+	stateWithdrawn
+)
+
+type record struct {
+	number uint32
+	state  state
+	// closedAt is when the record reached a final state.
+	closedAt time.Time
+}
+
+// TombstoneLife is how long a finished or withdrawn attempt is remembered. It
+// must exceed the silence after which a connection is closed, because a frame
+// can arrive late only on a connection that is still open.
+const TombstoneLife = time.Minute
+
+// Ledger decides in a sidecar which attempts may run. The newest attempt of a
+// request replaces older ones; a withdrawn attempt is refused when it arrives
+// late. The zero value is not ready for use.
+type Ledger struct {
+	incarnation string
+	draining    bool
+	records     map[string]*record
+	running     int
+}
+
+// NewLedger returns an empty ledger for one start of a sidecar.
+func NewLedger(incarnation string) *Ledger {
+	return &Ledger{incarnation: incarnation, records: make(map[string]*record)}
+}
+
+// Drain makes the ledger refuse all new requests. New attempts of requests
+// that are already open are refused too: their caller can use another instance.
+func (l *Ledger) Drain() { l.draining = true }
+
+// Draining tells whether the ledger refuses new requests.
+func (l *Ledger) Draining() bool { return l.draining }
+
+// Open offers an attempt that was addressed to the given incarnation.
+func (l *Ledger) Open(key Key, incarnation string) Refusal {
+	if incarnation != l.incarnation {
+		return RefusalStaleIncarnation
+	}
+	known := l.records[key.Request]
+	if known != nil {
+		if refusal := refuseKnown(known, key); refusal != RefusalNone {
+			return refusal
+		}
+	}
+	if l.draining {
+		return RefusalDraining
+	}
+	if known != nil && known.state == stateRunning {
+		l.running--
+	}
+	l.records[key.Request] = &record{number: key.Number, state: stateOpened}
+	return RefusalNone
+}
+
+func refuseKnown(known *record, key Key) Refusal {
+	switch {
+	case key.Number < known.number:
+		return RefusalStaleAttempt
+	case key.Number > known.number:
+		return RefusalNone
+	case known.state == stateWithdrawn:
+		return RefusalWithdrawn
+	default:
+		return RefusalDuplicate
+	}
+}
+
+// Begin marks an opened attempt as running. It returns false when the attempt
+// must not run because it was withdrawn, replaced or already begun.
+func (l *Ledger) Begin(key Key) bool {
+	known := l.current(key)
+	if known == nil || known.state != stateOpened {
+		return false
+	}
+	known.state = stateRunning
+	l.running++
+	return true
+}
+
+// Current tells whether the attempt is the newest one of its request and is
+// neither finished nor withdrawn.
+func (l *Ledger) Current(key Key) bool {
+	known := l.current(key)
+	return known != nil && (known.state == stateOpened || known.state == stateRunning)
+}
+
+// Finish marks an attempt as done.
+func (l *Ledger) Finish(key Key, now time.Time) {
+	known := l.current(key)
+	if known == nil || known.state == stateWithdrawn || known.state == stateDone {
+		return
+	}
+	if known.state == stateRunning {
+		l.running--
+	}
+	known.state = stateDone
+	known.closedAt = now
+}
+
+// Withdraw asks that an attempt not run. The answer ExecutedNo is a promise:
+// the attempt did not run and is refused from now on.
+func (l *Ledger) Withdraw(key Key, now time.Time) Executed {
+	known := l.records[key.Request]
+	if known == nil || key.Number > known.number {
+		if known != nil && known.state == stateRunning {
+			l.running--
+		}
+		l.records[key.Request] = &record{number: key.Number, state: stateWithdrawn, closedAt: now}
+		return ExecutedNo
+	}
+	if key.Number < known.number {
+		// Only the newest attempt is remembered, so nothing certain can be said.
+		return ExecutedUnknown
+	}
+	switch known.state {
+	case stateOpened, stateWithdrawn:
+		known.state = stateWithdrawn
+		known.closedAt = now
+		return ExecutedNo
+	case stateDone:
+		return ExecutedYes
+	default:
+		return ExecutedUnknown
+	}
+}
+
+// Expire forgets attempts that ended more than TombstoneLife ago.
+func (l *Ledger) Expire(now time.Time) {
+	for request, r := range l.records {
+		ended := r.state == stateDone || r.state == stateWithdrawn
+		if ended && now.Sub(r.closedAt) > TombstoneLife {
+			delete(l.records, request)
+		}
+	}
+}
+
+// Running counts the attempts that are running.
+func (l *Ledger) Running() int { return l.running }
+
+// InProgress counts the attempts that are neither finished nor withdrawn.
+func (l *Ledger) InProgress() int {
+	n := 0
+	for _, r := range l.records {
+		if r.state == stateOpened || r.state == stateRunning {
+			n++
+		}
+	}
+	return n
+}
+
+func (l *Ledger) current(key Key) *record {
+	known := l.records[key.Request]
+	if known == nil || known.number != key.Number {
+		return nil
+	}
+	return known
+}
