--- a/logevent/logevent.go
+++ b/logevent/logevent.go
@@ -20,7 +20,8 @@
 	Action string
 }
 
-// Write starts a log line for the event. The caller adds fields and calls Send.
+// Write starts a log line for the event. The caller adds fields and ends the
+// line with Msg(""), because the message is already set.
 func Write(logger *log.Logger, event Event) *log.Entry {
 	def := definitions[event]
 	return logger.WithLevel(def.Level).Int("event", int(event)).Str("message", def.Message)
--- /dev/null
+++ b/sidecar/engine.go
@@ -0,0 +1,181 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sapphirefield/sapphirefield/logevent"
+	"github.com/sapphirefield/sapphirefield/wire"
+)
+
+const (
+	// maxQueuedSteps bounds the steps that wait for the engine.
+	maxQueuedSteps = 1 << 16
+	// maxBatchSteps bounds the steps of one iteration.
+	maxBatchSteps = 1024
+	// probeInterval is how often a backend server that failed is asked whether it is back.
+	probeInterval = 500 * time.Millisecond
+	cancelTimeout = time.Second
+	// maxEngineAnswerBytes bounds an engine's answer to one batch.
+	maxEngineAnswerBytes = 64 << 20
+)
+
+// backendClient returns the client for the backend server.
+func backendClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost:   4,
+		ResponseHeaderTimeout: 0,
+		IdleConnTimeout:       30 * time.Second,
+		DisableCompression:    true,
+	}}
+}
+
+// runBatches hands all waiting steps to the engine, one iteration at a time.
+func (s *Server) runBatches(ctx context.Context) error {
+	var waiting []*wire.EngineStep
+	for {
+		if len(waiting) == 0 {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-s.batch.Ready():
+			}
+		}
+		fresh, _ := s.batch.Take()
+		waiting = append(waiting, fresh...)
+		n := min(len(waiting), maxBatchSteps)
+		batch := waiting[:n]
+		waiting = waiting[n:]
+		if n > 0 {
+			s.runBatch(ctx, batch)
+		}
+	}
+}
+
+func (s *Server) runBatch(ctx context.Context, steps []*wire.EngineStep) {
+	results, err := s.postSteps(ctx, steps)
+	if err != nil {
+		s.engineFailed(ctx, steps, err)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, result := range results.Results {
+		s.finishStep(result)
+	}
+}
+
+func (s *Server) postSteps(ctx context.Context, steps []*wire.EngineStep) (*wire.EngineResults, error) {
+	body, err := proto.Marshal(&wire.EngineBatch{Steps: steps})
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.opts.StepTimeout)
+	defer cancel()
+	answer, err := s.post(ctx, "/v1/steps", "application/x-protobuf", body)
+	if err != nil {
+		return nil, err
+	}
+	results := new(wire.EngineResults)
+	if err := proto.Unmarshal(answer, results); err != nil {
+		return nil, errors.Wrap(err, "decode engine results")
+	}
+	return results, nil
+}
+
+func (s *Server) post(ctx context.Context, path, contentType string, body []byte) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.opts.Backend+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	req.Header.Set("Content-Type", contentType)
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxEngineAnswerBytes))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return nil, errors.Errorf("engine answered %s to %s", resp.Status, path)
+	}
+	return answer, nil
+}
+
+// engineFailed gives up all attempts of a batch and stays away from the engine
+// until it answers again.
+func (s *Server) engineFailed(ctx context.Context, steps []*wire.EngineStep, cause error) {
+	if ctx.Err() != nil {
+		return
+	}
+	s.setEngineUp(false, cause)
+	s.mu.Lock()
+	for _, step := range steps {
+		if a := s.current(step.Request, step.Attempt); a != nil {
+			s.fail(a, "engine does not answer", a.open.Position)
+		}
+	}
+	s.mu.Unlock()
+	go s.probeEngine(ctx)
+}
+
+func (s *Server) setEngineUp(up bool, cause error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.engineUp = up
+	event := logevent.EngineUp
+	if !up {
+		event = logevent.EngineDown
+	}
+	logevent.Write(s.opts.Logger, event).Str("id", s.opts.ID).AnErr("cause", cause).Msg("")
+	for _, e := range s.entries {
+		e.push(&wire.WorkDown{Body: &wire.WorkDown_Load{Load: s.load()}})
+	}
+}
+
+func (s *Server) probeEngine(ctx context.Context) {
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if s.engineAnswers(ctx) {
+				s.setEngineUp(true, nil)
+				return
+			}
+		}
+	}
+}
+
+// engineAnswers runs an empty batch, because an engine can answer simple
+// questions while its iterations hang.
+func (s *Server) engineAnswers(ctx context.Context) bool {
+	_, err := s.postSteps(ctx, nil)
+	return err == nil
+}
+
+// cancelInEngine frees the KV cache of a request. A lost cancel costs memory
+// until the engine evicts the request, never correctness.
+func (s *Server) cancelInEngine(request string) {
+	if !s.isEngine() {
+		return
+	}
+	body, err := json.Marshal(map[string][]string{"requests": {request}})
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.background, cancelTimeout)
+	defer cancel()
+	_, _ = s.post(ctx, "/v1/cancel", "application/json", body)
+}
--- /dev/null
+++ b/sidecar/stage.go
@@ -0,0 +1,200 @@
+package sidecar
+
+import (
+	"time"
+
+	"github.com/sapphirefield/sapphirefield/attempt"
+	"github.com/sapphirefield/sapphirefield/pipeline"
+	"github.com/sapphirefield/sapphirefield/wire"
+)
+
+// stageAttempt is one attempt for which this sidecar is a stage.
+type stageAttempt struct {
+	key   attempt.Key
+	entry string
+	open  *wire.Open
+	// tokens holds what the last stage generated, for an entry that reconnects.
+	tokens []*wire.Token
+}
+
+func (a *stageAttempt) isFirst() bool { return a.open.Position == 0 }
+
+func (a *stageAttempt) isLast() bool { return int(a.open.Position) == len(a.open.Chain)-1 }
+
+// next is the stage behind this one; a last stage has none.
+func (a *stageAttempt) next() *wire.Stage { return a.open.Chain[a.open.Position+1] }
+
+// The methods below must be called with the lock held.
+
+func (s *Server) handleOpen(entry string, open *wire.Open) {
+	key := attempt.Key{Request: open.Request, Number: open.Attempt}
+	if !s.holdsRange(open) {
+		s.refuse(entry, key, wire.RefusalReason_REFUSAL_WRONG_RANGE)
+		return
+	}
+	if !s.engineUp {
+		s.refuse(entry, key, wire.RefusalReason_REFUSAL_ENGINE_DOWN)
+		return
+	}
+	refusal := s.ledger.Open(key, open.Incarnation)
+	if refusal == attempt.RefusalDuplicate {
+		return
+	}
+	if refusal != attempt.RefusalNone {
+		s.refuse(entry, key, wireRefusal(refusal))
+		return
+	}
+	s.gate.Open(open.Request, open.Attempt, open.FirstIndex)
+	s.attempts[open.Request] = &stageAttempt{key: key, entry: entry, open: open}
+	s.toEntry(entry, &wire.WorkDown{Body: &wire.WorkDown_Opened{Opened: &wire.Opened{
+		Request: open.Request, Attempt: open.Attempt,
+	}}})
+}
+
+// holdsRange checks that the chain's place for this sidecar is the range that its engine holds.
+func (s *Server) holdsRange(open *wire.Open) bool {
+	if s.opts.Layers == nil || open.Model != s.opts.Model || int(open.Position) >= len(open.Chain) {
+		return false
+	}
+	layers := open.Chain[open.Position].GetLayers()
+	return layers.GetFirst() == s.opts.Layers.First && layers.GetLimit() == s.opts.Layers.Limit
+}
+
+func (s *Server) handleStart(entry string, start *wire.Start) {
+	a := s.current(start.Request, start.Attempt)
+	if a == nil || a.entry != entry || !a.isFirst() {
+		key := attempt.Key{Request: start.Request, Number: start.Attempt}
+		s.refuse(entry, key, wire.RefusalReason_REFUSAL_UNKNOWN_ATTEMPT)
+		return
+	}
+	step := s.engineStep(a, a.open.FirstIndex)
+	step.Prompt = start.Prompt
+	for _, token := range start.Generated {
+		step.Generated = append(step.Generated, token.Id)
+	}
+	s.offer(a, step)
+}
+
+func (s *Server) current(request string, number uint32) *stageAttempt {
+	a := s.attempts[request]
+	if a == nil || a.key.Number != number || !s.ledger.Current(a.key) {
+		return nil
+	}
+	return a
+}
+
+func (s *Server) engineStep(a *stageAttempt, index uint32) *wire.EngineStep {
+	return &wire.EngineStep{
+		Request: a.key.Request, Attempt: a.key.Number, Index: index,
+		Priority: a.open.Priority, MaxTokens: a.open.MaxTokens,
+	}
+}
+
+// offer passes a step through the gate to the engine. It returns the reason of a refusal.
+func (s *Server) offer(a *stageAttempt, step *wire.EngineStep) wire.RefusalReason {
+	verdict, kept := s.gate.Offer(pipeline.StepKey{Request: step.Request, Attempt: step.Attempt, Index: step.Index})
+	switch verdict {
+	case pipeline.StepRun:
+		s.ledger.Begin(a.key)
+		s.batch.Push(step)
+	case pipeline.StepRepeat:
+		s.forward(a, step.Index, kept)
+	case pipeline.StepStale:
+		return wire.RefusalReason_REFUSAL_STALE_ATTEMPT
+	case pipeline.StepOutOfOrder:
+		return wire.RefusalReason_REFUSAL_OUT_OF_ORDER
+	case pipeline.StepUnknown:
+		return wire.RefusalReason_REFUSAL_UNKNOWN_ATTEMPT
+	}
+	return wire.RefusalReason_REFUSAL_UNSPECIFIED
+}
+
+// finishStep acts on the engine's result of a step.
+func (s *Server) finishStep(result *wire.EngineResult) {
+	a := s.current(result.Request, result.Attempt)
+	if a == nil {
+		return
+	}
+	if result.Error != "" {
+		s.fail(a, result.Error, a.open.Position)
+		return
+	}
+	key := pipeline.StepKey{Request: result.Request, Attempt: result.Attempt, Index: result.Index}
+	if !s.gate.Done(key, result.Activation) {
+		return
+	}
+	if !a.isLast() {
+		s.forward(a, result.Index, result.Activation)
+		return
+	}
+	s.emitToken(a, &wire.Token{
+		Request: result.Request, Attempt: result.Attempt, Index: result.Index,
+		Value: &wire.TokenValue{Id: result.Token, Text: result.Text}, Finish: result.Finish,
+	})
+}
+
+// forward sends a step's output to the next stage. A repeat at the last stage
+// needs no answer: its token went to the entry, which can ask for it by Resume.
+func (s *Server) forward(a *stageAttempt, index uint32, activation []byte) {
+	if a.isLast() {
+		return
+	}
+	s.hopTo(a.next().Address).pushStep(&wire.Step{
+		Request: a.key.Request, Attempt: a.key.Number, Index: index, Activation: activation,
+	})
+}
+
+func (s *Server) emitToken(a *stageAttempt, token *wire.Token) {
+	a.tokens = append(a.tokens, token)
+	s.toEntry(a.entry, tokensFrame(token))
+	if token.Finish != "" {
+		return
+	}
+	if a.isFirst() {
+		s.continueWith(a, token)
+		return
+	}
+	s.hopTo(a.open.Chain[0].Address).pushToken(token)
+}
+
+func tokensFrame(tokens ...*wire.Token) *wire.WorkDown {
+	return &wire.WorkDown{Body: &wire.WorkDown_Tokens{Tokens: &wire.Tokens{Tokens: tokens}}}
+}
+
+// continueWith starts the next step at the first stage.
+func (s *Server) continueWith(a *stageAttempt, token *wire.Token) wire.RefusalReason {
+	step := s.engineStep(a, token.Index+1)
+	step.Token = token.Value.GetId()
+	return s.offer(a, step)
+}
+
+// handleResume sends the tokens again that an entry may have missed.
+func (s *Server) handleResume(entry string, r *wire.Resume) {
+	a := s.current(r.Request, r.Attempt)
+	if a == nil || a.entry != entry {
+		key := attempt.Key{Request: r.Request, Number: r.Attempt}
+		s.refuse(entry, key, wire.RefusalReason_REFUSAL_UNKNOWN_ATTEMPT)
+		return
+	}
+	for _, token := range a.tokens {
+		if token.Index >= r.NextIndex {
+			s.toEntry(entry, tokensFrame(token))
+		}
+	}
+}
+
+// fail tells the entry that the attempt cannot go on because of one stage.
+func (s *Server) fail(a *stageAttempt, reason string, stage uint32) {
+	s.toEntry(a.entry, &wire.WorkDown{Body: &wire.WorkDown_Failed{Failed: &wire.Failed{
+		Request: a.key.Request, Attempt: a.key.Number, Reason: reason, Stage: stage,
+		Executed: wire.Executed_EXECUTED_UNKNOWN,
+	}}})
+}
+
+// closeAttempt frees what an attempt holds here and in the engine.
+func (s *Server) closeAttempt(request string, a *stageAttempt, now time.Time) {
+	s.gate.Close(request, a.key.Number)
+	s.ledger.Finish(a.key, now)
+	delete(s.attempts, request)
+	go s.cancelInEngine(request)
+}
--- /dev/null
+++ b/sidecar/work.go
@@ -0,0 +1,237 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sapphirefield/sapphirefield/attempt"
+	"github.com/sapphirefield/sapphirefield/link"
+	"github.com/sapphirefield/sapphirefield/logevent"
+	"github.com/sapphirefield/sapphirefield/wire"
+)
+
+// maxQueuedFrames bounds what waits for one entry. An entry that reads nothing
+// for that long loses its stream and its attempts.
+const maxQueuedFrames = 1 << 16
+
+// entryLink is what the sidecar knows of one entry.
+type entryLink struct {
+	incarnation string
+	// queue leads to the entry's stream; nil while there is none.
+	queue  *link.Queue[*wire.WorkDown]
+	lostAt time.Time
+}
+
+func (e *entryLink) push(frame *wire.WorkDown) {
+	if e.queue != nil {
+		e.queue.Push(frame)
+	}
+}
+
+var errSilent = errors.New("stream was silent for longer than the limit")
+
+// Work serves the stream of one entry.
+func (s *Server) Work(stream wire.DRPCSidecar_WorkStream) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	hello := first.GetHello()
+	if hello == nil || hello.Id == "" {
+		return errors.New("the first frame of a work stream must be a hello with an id")
+	}
+	queue := link.NewQueue[*wire.WorkDown](maxQueuedFrames)
+	s.attachEntry(hello, queue)
+	defer s.detachEntry(hello.Id, queue)
+
+	group, ctx := errgroup.WithContext(stream.Context())
+	silence := link.NewSilence(time.Now(), link.SilenceLimit)
+	group.Go(func() error { return s.receiveWork(stream, hello, silence) })
+	group.Go(func() error { return s.sendWork(ctx, stream, queue, silence) })
+	return group.Wait()
+}
+
+func (s *Server) attachEntry(hello *wire.Hello, queue *link.Queue[*wire.WorkDown]) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.entries[hello.Id]
+	if known != nil && known.incarnation != hello.Incarnation {
+		s.freeEntry(hello.Id, time.Now())
+		known = nil
+	}
+	if known == nil {
+		known = &entryLink{incarnation: hello.Incarnation}
+		s.entries[hello.Id] = known
+	}
+	if known.queue != nil {
+		known.queue.Close()
+	}
+	known.queue = queue
+	known.push(&wire.WorkDown{Body: &wire.WorkDown_Hello{Hello: &wire.Hello{
+		Id: s.opts.ID, Incarnation: s.incarnation, Zone: s.opts.Zone, Service: s.opts.Service,
+		Model: s.opts.Model, Layers: s.opts.Layers, Draining: s.ledger.Draining(),
+	}}})
+	known.push(&wire.WorkDown{Body: &wire.WorkDown_Load{Load: s.load()}})
+	logevent.Write(s.opts.Logger, logevent.SidecarConnected).Str("id", s.opts.ID).Str("entry", hello.Id).Msg("")
+}
+
+func (s *Server) detachEntry(id string, queue *link.Queue[*wire.WorkDown]) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	queue.Close()
+	known := s.entries[id]
+	if known != nil && known.queue == queue {
+		known.queue = nil
+		known.lostAt = time.Now()
+	}
+}
+
+// receiveWork acts on the entry's frames until the stream ends.
+func (s *Server) receiveWork(stream wire.DRPCSidecar_WorkStream, hello *wire.Hello, silence *link.Silence) error {
+	for {
+		frame, err := stream.Recv()
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		now := time.Now()
+		if !silence.Frame(now) {
+			return errSilent
+		}
+		s.handleWork(hello.Id, frame, now)
+	}
+}
+
+// sendWork writes queued frames and heartbeats, and ends a silent stream.
+func (s *Server) sendWork(ctx context.Context, stream wire.DRPCSidecar_WorkStream, queue *link.Queue[*wire.WorkDown], silence *link.Silence) error {
+	ticker := time.NewTicker(link.HeartbeatInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-ticker.C:
+			if silence.Expired(now) {
+				return errSilent
+			}
+			s.mu.Lock()
+			load := s.load()
+			s.mu.Unlock()
+			if err := stream.Send(&wire.WorkDown{Body: &wire.WorkDown_Load{Load: load}}); err != nil {
+				return errors.WithStack(err)
+			}
+		case <-queue.Ready():
+			frames, open := queue.Take()
+			for _, frame := range mergeTokens(frames) {
+				if err := stream.Send(frame); err != nil {
+					return errors.WithStack(err)
+				}
+			}
+			if !open {
+				return errors.New("stream was replaced, or its entry reads too slowly")
+			}
+		}
+	}
+}
+
+// mergeTokens joins neighbouring token frames, so that an iteration with many
+// requests of one entry costs one frame.
+func mergeTokens(frames []*wire.WorkDown) []*wire.WorkDown {
+	merged := frames[:0]
+	var open *wire.Tokens
+	for _, frame := range frames {
+		tokens := frame.GetTokens()
+		if tokens != nil && open != nil {
+			open.Tokens = append(open.Tokens, tokens.Tokens...)
+			continue
+		}
+		open = tokens
+		merged = append(merged, frame)
+	}
+	return merged
+}
+
+func (s *Server) handleWork(entry string, frame *wire.WorkUp, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch body := frame.Body.(type) {
+	case *wire.WorkUp_Open:
+		s.handleOpen(entry, body.Open)
+	case *wire.WorkUp_Start:
+		s.handleStart(entry, body.Start)
+	case *wire.WorkUp_Call:
+		s.handleCall(entry, body.Call)
+	case *wire.WorkUp_CallBody:
+		s.handleCallBody(body.CallBody)
+	case *wire.WorkUp_Withdraw:
+		s.handleWithdraw(entry, body.Withdraw, now)
+	case *wire.WorkUp_Release:
+		s.handleRelease(body.Release, now)
+	case *wire.WorkUp_Resume:
+		s.handleResume(entry, body.Resume)
+	}
+}
+
+// toEntry queues a frame for an entry; it must be called with the lock held.
+func (s *Server) toEntry(id string, frame *wire.WorkDown) {
+	if e := s.entries[id]; e != nil {
+		e.push(frame)
+	}
+}
+
+func (s *Server) refuse(entry string, key attempt.Key, reason wire.RefusalReason) {
+	logevent.Write(s.opts.Logger, logevent.AttemptRefused).Str("id", s.opts.ID).Str("request", key.Request).
+		Uint32("attempt", key.Number).Str("reason", reason.String()).Msg("")
+	s.toEntry(entry, &wire.WorkDown{Body: &wire.WorkDown_Refused{Refused: &wire.Refused{
+		Request: key.Request, Attempt: key.Number, Reason: reason, Executed: wire.Executed_EXECUTED_NO,
+	}}})
+}
+
+func (s *Server) handleWithdraw(entry string, w *wire.Withdraw, now time.Time) {
+	key := attempt.Key{Request: w.Request, Number: w.Attempt}
+	executed := s.ledger.Withdraw(key, now)
+	if a := s.attempts[w.Request]; a != nil && a.key == key {
+		s.closeAttempt(w.Request, a, now)
+	}
+	if c := s.calls[key]; c != nil {
+		c.cancel()
+	}
+	s.toEntry(entry, &wire.WorkDown{Body: &wire.WorkDown_WithdrawAck{WithdrawAck: &wire.WithdrawAck{
+		Request: w.Request, Attempt: w.Attempt, Executed: wireExecuted(executed),
+	}}})
+	s.checkIdle()
+}
+
+func (s *Server) handleRelease(r *wire.Release, now time.Time) {
+	a := s.attempts[r.Request]
+	if a != nil && a.key.Number == r.Attempt {
+		s.closeAttempt(r.Request, a, now)
+	}
+	s.checkIdle()
+}
+
+func wireExecuted(e attempt.Executed) wire.Executed {
+	switch e {
+	case attempt.ExecutedNo:
+		return wire.Executed_EXECUTED_NO
+	case attempt.ExecutedYes:
+		return wire.Executed_EXECUTED_YES
+	default:
+		return wire.Executed_EXECUTED_UNKNOWN
+	}
+}
+
+func wireRefusal(r attempt.Refusal) wire.RefusalReason {
+	switch r {
+	case attempt.RefusalDraining:
+		return wire.RefusalReason_REFUSAL_DRAINING
+	case attempt.RefusalStaleIncarnation:
+		return wire.RefusalReason_REFUSAL_STALE_INCARNATION
+	case attempt.RefusalWithdrawn:
+		return wire.RefusalReason_REFUSAL_WITHDRAWN
+	default:
+		return wire.RefusalReason_REFUSAL_STALE_ATTEMPT
+	}
+}
--- /dev/null
+++ b/standin/engine.go
@@ -0,0 +1,384 @@
+package standin
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sapphirefield/sapphirefield/wire"
+)
+
+// EngineOptions describes a stand-in engine.
+type EngineOptions struct {
+	Model   string
+	Version string
+	// First and Limit are the range of layers held, out of Layers.
+	First, Limit, Layers uint32
+	// StepTime is what one iteration takes; StepTimePerToken is added for each step of the batch.
+	StepTime         time.Duration
+	StepTimePerToken time.Duration
+	// PrefillTimePerByte is added for each byte of a prompt that is not in the prefix cache.
+	PrefillTimePerByte time.Duration
+	// PrefixCacheEntries bounds the prefix cache.
+	PrefixCacheEntries int
+	// ChecksFencing makes the engine refuse orders with an old fencing number.
+	ChecksFencing bool
+	// LoadTimePerLayer is how long loading one layer takes after an order.
+	LoadTimePerLayer time.Duration
+}
+
+// EngineState is the state that orders change.
+type EngineState struct {
+	Model    string   `json:"model"`
+	Version  string   `json:"version"`
+	Adapters []string `json:"adapters"`
+	First    uint32   `json:"first"`
+	Limit    uint32   `json:"limit"`
+	Role     string   `json:"role"`
+	Fence    int64    `json:"fence"`
+	Loading  bool     `json:"loading"`
+}
+
+// CacheEvent tells that a prefix entered or left the cache.
+type CacheEvent struct {
+	Sequence int64  `json:"sequence"`
+	Prefix   uint64 `json:"prefix"`
+	Stored   bool   `json:"stored"`
+}
+
+type engineRequest struct {
+	attempt uint32
+	kv      *kvCache
+}
+
+// Engine is a stand-in for a model engine that holds a range of layers.
+type Engine struct {
+	opts EngineOptions
+
+	mu       sync.Mutex
+	state    EngineState
+	requests map[string]*engineRequest
+	prefixes []uint64
+	events   []CacheEvent
+	steps    int64
+	layerRun int64
+	hung     bool
+
+	// iteration is held while a batch runs; an engine runs one batch at a time.
+	iteration sync.Mutex
+}
+
+// NewEngine returns an engine that holds its range already.
+func NewEngine(opts EngineOptions) *Engine {
+	return &Engine{
+		opts:     opts,
+		state:    EngineState{Model: opts.Model, Version: opts.Version, First: opts.First, Limit: opts.Limit, Role: "serve"},
+		requests: make(map[string]*engineRequest),
+	}
+}
+
+// Handler serves the engine's interface.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/steps", e.serveSteps)
+	mux.HandleFunc("POST /v1/cancel", e.serveCancel)
+	mux.HandleFunc("GET /v1/kv/{request}", e.serveExportKV)
+	mux.HandleFunc("PUT /v1/kv/{request}", e.serveImportKV)
+	mux.HandleFunc("GET /v1/load", e.serveLoad)
+	mux.HandleFunc("GET /v1/cache-events", e.serveCacheEvents)
+	mux.HandleFunc("POST /v1/orders", e.serveOrder)
+	mux.HandleFunc("GET /v1/state", e.serveState)
+	return mux
+}
+
+// Hang makes the engine stop answering without closing connections.
+func (e *Engine) Hang() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.hung = true
+}
+
+// LayerRuns counts how often a layer ran for a position.
+func (e *Engine) LayerRuns() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.layerRun
+}
+
+func (e *Engine) serveSteps(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	batch := new(wire.EngineBatch)
+	if err := proto.Unmarshal(body, batch); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if e.isHung() {
+		<-r.Context().Done()
+		return
+	}
+	answer, err := proto.Marshal(e.run(batch))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/x-protobuf")
+	_, _ = w.Write(answer)
+}
+
+func (e *Engine) isHung() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.hung
+}
+
+// run is one iteration over all steps of a batch.
+func (e *Engine) run(batch *wire.EngineBatch) *wire.EngineResults {
+	e.iteration.Lock()
+	defer e.iteration.Unlock()
+	results := &wire.EngineResults{}
+	pause := e.opts.StepTime + time.Duration(len(batch.Steps))*e.opts.StepTimePerToken
+	for _, step := range batch.Steps {
+		result, prefill := e.runStep(step)
+		results.Results = append(results.Results, result)
+		pause += prefill
+	}
+	if pause > 0 {
+		time.Sleep(pause)
+	}
+	return results
+}
+
+func (e *Engine) runStep(step *wire.EngineStep) (*wire.EngineResult, time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	result := &wire.EngineResult{Request: step.Request, Attempt: step.Attempt, Index: step.Index}
+	inputs, err := e.inputs(step)
+	if err != nil {
+		result.Error = err.Error()
+		return result, 0
+	}
+	req := e.requests[step.Request]
+	if req == nil || req.attempt != step.Attempt {
+		req = &engineRequest{attempt: step.Attempt, kv: newKV(int(e.state.Limit - e.state.First))}
+		e.requests[step.Request] = req
+	}
+	if req.kv.Positions+uint32(len(inputs)) != step.Index+1 {
+		result.Error = fmt.Sprintf("step %d with %d inputs does not follow position %d", step.Index, len(inputs), req.kv.Positions)
+		return result, 0
+	}
+	outputs := make([]byte, 0, 8*len(inputs))
+	var last uint64
+	for _, x := range inputs {
+		last = req.kv.forward(e.state.First, x)
+		e.layerRun += int64(len(req.kv.Values))
+		outputs = binary.LittleEndian.AppendUint64(outputs, last)
+	}
+	e.steps++
+	if e.state.Limit < e.opts.Layers {
+		result.Activation = outputs
+	} else {
+		finishResult(result, step, last)
+	}
+	return result, e.prefillTime(step)
+}
+
+func finishResult(result *wire.EngineResult, step *wire.EngineStep, last uint64) {
+	id, text, stop := tokenOf(last)
+	result.Token, result.Text = id, text
+	switch {
+	case stop:
+		result.Finish = FinishStop
+	case step.Index+1 >= step.MaxTokens:
+		result.Finish = FinishLength
+	}
+}
+
+// inputs returns one value for each position that the step processes.
+func (e *Engine) inputs(step *wire.EngineStep) ([]uint64, error) {
+	if e.state.First > 0 {
+		return decodeActivation(step.Activation)
+	}
+	if step.Prompt == "" && len(step.Generated) == 0 {
+		return []uint64{tokenInput(step.Token)}, nil
+	}
+	inputs := []uint64{promptInput(step.Prompt)}
+	for _, token := range step.Generated {
+		inputs = append(inputs, tokenInput(token))
+	}
+	return inputs, nil
+}
+
+func decodeActivation(data []byte) ([]uint64, error) {
+	if len(data) == 0 || len(data)%8 != 0 {
+		return nil, fmt.Errorf("activation of %d bytes is not a whole number of positions", len(data))
+	}
+	inputs := make([]uint64, 0, len(data)/8)
+	for ; len(data) > 0; data = data[8:] {
+		inputs = append(inputs, binary.LittleEndian.Uint64(data))
+	}
+	return inputs, nil
+}
+
+// prefillTime charges for a prompt that is not cached and puts it into the cache.
+func (e *Engine) prefillTime(step *wire.EngineStep) time.Duration {
+	if step.Prompt == "" {
+		return 0
+	}
+	prefix := promptInput(step.Prompt)
+	for _, p := range e.prefixes {
+		if p == prefix {
+			return 0
+		}
+	}
+	e.storePrefix(prefix)
+	return time.Duration(len(step.Prompt)) * e.opts.PrefillTimePerByte
+}
+
+func (e *Engine) storePrefix(prefix uint64) {
+	if e.opts.PrefixCacheEntries == 0 {
+		return
+	}
+	if len(e.prefixes) == e.opts.PrefixCacheEntries {
+		e.event(e.prefixes[0], false)
+		e.prefixes = e.prefixes[1:]
+	}
+	e.prefixes = append(e.prefixes, prefix)
+	e.event(prefix, true)
+}
+
+func (e *Engine) event(prefix uint64, stored bool) {
+	e.events = append(e.events, CacheEvent{Sequence: int64(len(e.events)), Prefix: prefix, Stored: stored})
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Requests []string `json:"requests"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, request := range body.Requests {
+		delete(e.requests, request)
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) serveExportKV(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	req := e.requests[r.PathValue("request")]
+	if req == nil {
+		http.Error(w, "no KV cache for this request", http.StatusNotFound)
+		return
+	}
+	writeJSON(w, req.kv)
+}
+
+func (e *Engine) serveImportKV(w http.ResponseWriter, r *http.Request) {
+	kv := new(kvCache)
+	if err := json.NewDecoder(r.Body).Decode(kv); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	attempt, err := strconv.ParseUint(r.URL.Query().Get("attempt"), 10, 32)
+	if err != nil {
+		http.Error(w, "attempt is not a number", http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(kv.Values) != int(e.state.Limit-e.state.First) {
+		http.Error(w, "KV cache is of another layer range", http.StatusConflict)
+		return
+	}
+	e.requests[r.PathValue("request")] = &engineRequest{attempt: uint32(attempt), kv: kv}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	writeJSON(w, map[string]int64{"requests": int64(len(e.requests)), "steps": e.steps})
+}
+
+func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
+	from, _ := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	from = max(0, min(from, int64(len(e.events))))
+	writeJSON(w, map[string][]CacheEvent{"events": e.events[from:]})
+}
+
+// order is a wanted state with the fencing number of the plan behind it.
+type order struct {
+	Fence    int64    `json:"fence"`
+	Model    string   `json:"model"`
+	Version  string   `json:"version"`
+	Adapters []string `json:"adapters"`
+	First    uint32   `json:"first"`
+	Limit    uint32   `json:"limit"`
+	Role     string   `json:"role"`
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var o order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if o.First >= o.Limit || o.Limit > e.opts.Layers {
+		http.Error(w, "layer range is empty or outside the model", http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.opts.ChecksFencing && o.Fence < e.state.Fence {
+		http.Error(w, fmt.Sprintf("fencing number %d is older than %d", o.Fence, e.state.Fence), http.StatusConflict)
+		return
+	}
+	moved := o.First != e.state.First || o.Limit != e.state.Limit || o.Model != e.state.Model || o.Version != e.state.Version
+	e.state = EngineState{Model: o.Model, Version: o.Version, Adapters: o.Adapters, First: o.First, Limit: o.Limit, Role: o.Role, Fence: max(o.Fence, e.state.Fence)}
+	if moved {
+		e.requests = make(map[string]*engineRequest)
+		e.startLoading(o)
+	}
+	writeJSON(w, e.state)
+}
+
+// startLoading marks the engine as loading for as long as the weights take.
+func (e *Engine) startLoading(o order) {
+	if e.opts.LoadTimePerLayer == 0 {
+		return
+	}
+	e.state.Loading = true
+	time.AfterFunc(time.Duration(o.Limit-o.First)*e.opts.LoadTimePerLayer, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.state.Loading = false
+	})
+}
+
+func (e *Engine) serveState(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	writeJSON(w, e.state)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/standin/model.go
@@ -0,0 +1,86 @@
+// Package standin holds small stand-ins for the platform and its backend
+// servers. Tests, benchmarks and the development program use them; they are
+// not part of the daemon or the tool.
+package standin
+
+import (
+	"encoding/binary"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Generation of the stand-in model. A token depends on every layer and every
+// position before it, so a skipped, repeated or reordered layer changes the
+// text and a test sees it.
+
+// vocabulary is what token ids stand for.
+var vocabulary = strings.Fields(`the a flange billet die press hammer quote slot tender forging steel shift yard
+order sheet decal roundel kit livery scale number ship name paint gloss matt varnish water film club build stock
+post delay line heat batch crew week early late spare shop part ring shaft gear hub axle plate bar rod weld bolt
+blue red white gold black grey green yellow silver`)
+
+// stopOneIn is how seldom the model ends an answer by itself.
+const stopOneIn = 400
+
+// FinishStop and FinishLength are the reasons for the end of an answer.
+const (
+	FinishStop   = "stop"
+	FinishLength = "length"
+)
+
+// kvCache is what one engine keeps of one request: one value for each layer of its range.
+type kvCache struct {
+	Positions uint32   `json:"positions"`
+	Values    []uint64 `json:"values"`
+}
+
+func newKV(layers int) *kvCache {
+	return &kvCache{Values: make([]uint64, layers)}
+}
+
+// forward runs one position through the layers [first, first+len(Values)).
+func (kv *kvCache) forward(first uint32, x uint64) uint64 {
+	for i := range kv.Values {
+		kv.Values[i] = mix(kv.Values[i], x, uint64(first)+uint64(i))
+		x = mix(x, kv.Values[i], uint64(i))
+	}
+	kv.Positions++
+	return x
+}
+
+func mix(a, b, c uint64) uint64 {
+	var buf [24]byte
+	binary.LittleEndian.PutUint64(buf[0:], a)
+	binary.LittleEndian.PutUint64(buf[8:], b)
+	binary.LittleEndian.PutUint64(buf[16:], c)
+	return xxhash.Sum64(buf[:])
+}
+
+func promptInput(prompt string) uint64 { return xxhash.Sum64String(prompt) }
+
+func tokenInput(token uint32) uint64 { return mix(uint64(token), 1, 2) }
+
+// tokenOf turns the output of the last layer into a token.
+func tokenOf(x uint64) (id uint32, text string, stop bool) {
+	id = uint32(x % uint64(len(vocabulary)))
+	return id, " " + vocabulary[id], (x>>32)%stopOneIn == 0
+}
+
+// Generate returns the text and the reason for its end that a correct
+// pipeline must give for a prompt.
+func Generate(layers int, prompt string, maxTokens uint32) (texts []string, finish string) {
+	kv := newKV(layers)
+	x := promptInput(prompt)
+	for n := uint32(1); ; n++ {
+		id, text, stop := tokenOf(kv.forward(0, x))
+		texts = append(texts, text)
+		if stop {
+			return texts, FinishStop
+		}
+		if n == maxTokens {
+			return texts, FinishLength
+		}
+		x = tokenInput(id)
+	}
+}
--- /dev/null
+++ b/standin/plain.go
@@ -0,0 +1,84 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// PlainServer is a stand-in for an order book or a shop: POST books, GET reads
+// back. It counts how often each booking reference ran, so that a double run is seen.
+type PlainServer struct {
+	mu    sync.Mutex
+	runs  map[string]int
+	delay time.Duration
+	// truncate makes answers end before their declared length.
+	truncate bool
+}
+
+// NewPlainServer returns a server that answers after a delay.
+func NewPlainServer(delay time.Duration) *PlainServer {
+	return &PlainServer{runs: make(map[string]int), delay: delay}
+}
+
+// Truncate makes the server cut its answers short.
+func (s *PlainServer) Truncate(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.truncate = on
+}
+
+// Runs tells how often a booking ran.
+func (s *PlainServer) Runs(reference string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[reference]
+}
+
+// Handler serves POST /bookings with {"reference": "..."} and GET /bookings/{reference}.
+func (s *PlainServer) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /bookings", s.serveBook)
+	mux.HandleFunc("GET /bookings/{reference}", s.serveLookup)
+	mux.HandleFunc("GET /large", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("0123456789abcdef", 1<<14))
+	})
+	return mux
+}
+
+func (s *PlainServer) serveBook(w http.ResponseWriter, r *http.Request) {
+	var booking struct {
+		Reference string `json:"reference"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&booking); err != nil || booking.Reference == "" {
+		http.Error(w, "a booking needs a reference", http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	s.runs[booking.Reference]++
+	runs, truncate := s.runs[booking.Reference], s.truncate
+	s.mu.Unlock()
+	time.Sleep(s.delay)
+	answer := fmt.Sprintf("{\"reference\":%q,\"status\":\"booked\",\"runs\":%d}\n", booking.Reference, runs)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", fmt.Sprint(len(answer)))
+	w.WriteHeader(http.StatusCreated)
+	if truncate {
+		_, _ = io.WriteString(w, answer[:len(answer)/2])
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(w, answer)
+}
+
+func (s *PlainServer) serveLookup(w http.ResponseWriter, r *http.Request) {
+	reference := r.PathValue("reference")
+	if s.Runs(reference) == 0 {
+		http.Error(w, "no such booking", http.StatusNotFound)
+		return
+	}
+	writeJSON(w, map[string]string{"reference": reference, "status": "booked"})
+}
--- /dev/null
+++ b/standin/platform.go
@@ -0,0 +1,258 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// LogService is a stand-in for the platform's append-only log service. It can
+// be made unavailable, lose the answers of appends, and expire old records.
+type LogService struct {
+	mu      sync.Mutex
+	streams map[string]*logStream
+	outage  bool
+	// loseAnswers makes that many appends take effect without an answer.
+	loseAnswers int
+	appends     *rate.Limiter
+}
+
+type logStream struct {
+	first   int64
+	records [][]byte
+	changed chan struct{}
+}
+
+// LogRecord is one record of a stream.
+type LogRecord struct {
+	Offset int64  `json:"offset"`
+	Data   []byte `json:"data"`
+}
+
+// LogPage is the answer to a read.
+type LogPage struct {
+	First   int64       `json:"first"`
+	Next    int64       `json:"next"`
+	Records []LogRecord `json:"records"`
+}
+
+// appendsPerSecond is what the platform's log takes.
+const appendsPerSecond = 500
+
+// maxLogWait bounds a long poll.
+const maxLogWait = 30 * time.Second
+
+// maxPageRecords bounds the records of one answer.
+const maxPageRecords = 1000
+
+// NewLogService returns an empty log.
+func NewLogService() *LogService {
+	return &LogService{
+		streams: make(map[string]*logStream),
+		appends: rate.NewLimiter(appendsPerSecond, appendsPerSecond),
+	}
+}
+
+// Handler serves the log's interface.
+func (l *LogService) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /streams/{name}/records", l.serveAppend)
+	mux.HandleFunc("GET /streams/{name}/records", l.serveRead)
+	return mux
+}
+
+// SetOutage makes the log refuse all calls, or serve again.
+func (l *LogService) SetOutage(outage bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.outage = outage
+	for _, s := range l.streams {
+		s.wake()
+	}
+}
+
+// LoseAnswers makes the next n appends take effect without an answer.
+func (l *LogService) LoseAnswers(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.loseAnswers = n
+}
+
+// Expire drops all records before an offset.
+func (l *LogService) Expire(stream string, before int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(stream)
+	drop := min(max(before-s.first, 0), int64(len(s.records)))
+	s.records = s.records[drop:]
+	s.first += drop
+}
+
+func (l *LogService) stream(name string) *logStream {
+	s := l.streams[name]
+	if s == nil {
+		s = &logStream{changed: make(chan struct{})}
+		l.streams[name] = s
+	}
+	return s
+}
+
+func (s *logStream) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *logStream) next() int64 { return s.first + int64(len(s.records)) }
+
+func (l *LogService) serveAppend(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !l.appends.Allow() {
+		http.Error(w, "append rate exceeded", http.StatusTooManyRequests)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.outage {
+		http.Error(w, "log is unavailable", http.StatusServiceUnavailable)
+		return
+	}
+	s := l.stream(r.PathValue("name"))
+	offset := s.next()
+	s.records = append(s.records, data)
+	s.wake()
+	if l.loseAnswers > 0 {
+		l.loseAnswers--
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, map[string]int64{"offset": offset})
+}
+
+func (l *LogService) serveRead(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		http.Error(w, "from is not a number", http.StatusBadRequest)
+		return
+	}
+	wait, _ := time.ParseDuration(r.URL.Query().Get("wait"))
+	timer := time.NewTimer(min(wait, maxLogWait))
+	defer timer.Stop()
+	for expired := false; ; {
+		changed, done := l.read(w, r.PathValue("name"), from, expired || wait == 0)
+		if done {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			expired = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// read answers when there is something to say, otherwise it returns the channel to wait on.
+func (l *LogService) read(w http.ResponseWriter, stream string, from int64, answerEmpty bool) (<-chan struct{}, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.outage {
+		http.Error(w, "log is unavailable", http.StatusServiceUnavailable)
+		return nil, true
+	}
+	s := l.stream(stream)
+	if from < s.first {
+		w.WriteHeader(http.StatusGone)
+		writeJSON(w, LogPage{First: s.first, Next: s.next(), Records: []LogRecord{}})
+		return nil, true
+	}
+	if from >= s.next() && !answerEmpty {
+		return s.changed, false
+	}
+	page := LogPage{First: s.first, Next: s.next(), Records: []LogRecord{}}
+	for o := from; o < s.next() && len(page.Records) < maxPageRecords; o++ {
+		page.Records = append(page.Records, LogRecord{Offset: o, Data: s.records[o-s.first]})
+	}
+	writeJSON(w, page)
+	return nil, true
+}
+
+// Instance is one entry of the platform's instance list.
+type Instance struct {
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	Zone    string `json:"zone"`
+	Address string `json:"address"`
+	State   string `json:"state"`
+}
+
+// The states of an instance.
+const (
+	StateLive    = "live"
+	StateLeaving = "leaving"
+)
+
+// InstanceList is a stand-in for the platform's lagging instance list.
+type InstanceList struct {
+	mu        sync.Mutex
+	instances []Instance
+}
+
+// Set replaces the list.
+func (l *InstanceList) Set(instances []Instance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.instances = append([]Instance(nil), instances...)
+}
+
+// Handler serves the list.
+func (l *InstanceList) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /instances", func(w http.ResponseWriter, _ *http.Request) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		writeJSON(w, map[string][]Instance{"instances": l.instances})
+	})
+	return mux
+}
+
+// WeightStore is a stand-in for the rate-limited weight store.
+type WeightStore struct {
+	limiter *rate.Limiter
+}
+
+// NewWeightStore returns a store that hands out bytesPerSecond in all.
+func NewWeightStore(bytesPerSecond int) *WeightStore {
+	return &WeightStore{limiter: rate.NewLimiter(rate.Limit(bytesPerSecond), bytesPerSecond)}
+}
+
+// Handler serves GET /weights?bytes=N with that many zero bytes at the store's rate.
+func (s *WeightStore) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /weights", func(w http.ResponseWriter, r *http.Request) {
+		left, err := strconv.Atoi(r.URL.Query().Get("bytes"))
+		if err != nil || left < 0 {
+			http.Error(w, "bytes is not a size", http.StatusBadRequest)
+			return
+		}
+		chunk := make([]byte, 64<<10)
+		for left > 0 {
+			n := min(left, len(chunk), s.limiter.Burst())
+			if err := s.limiter.WaitN(r.Context(), n); err != nil {
+				return
+			}
+			if _, err := w.Write(chunk[:n]); err != nil {
+				return
+			}
+			left -= n
+		}
+	})
+	return mux
+}
