pipeline: add the Chooser and its inputs

The entry needs the API for choosing chains before the choice is tuned. The Chooser runs a shortest path over stages in layer order, so every chain tiles the layers by construction. Cost combines the lead over the planned share, reported load, cached prefixes and hop times.

--- /dev/null
+++ b/pipeline/chooser.go
@@ -0,0 +1,333 @@
+package pipeline
+
+import (
+	"math"
+	"math/rand/v2"
+	"sort"
+	"time"
+)
+
+// Options tune a Chooser. A zero value in a field means its default.
+type Options struct {
+	// Layers is the number of the model's layers.
+	Layers int
+	// ActivationBytes is what one token sends from one stage to the next.
+	ActivationBytes int64
+	// PrefillSpeedup is how many times faster prompt tokens run than generated ones.
+	PrefillSpeedup float64
+	// Rand spreads the first choices of different entries; nil means no spread.
+	Rand *rand.Rand
+}
+
+const (
+	// maxLead bounds how far a stage's past share of requests counts, in
+	// seconds of work. Without a bound, an engine that was slow for a while
+	// would be owed a burst of requests later.
+	maxLead = 2.0
+	// loadGain weighs reported load against planned share. Reports lag, so a
+	// gain of 1 would make all entries move to the same engine at once.
+	loadGain = 0.5
+	// loadHalfLife is the age at which a load report counts half.
+	loadHalfLife = 2 * time.Second
+	// defaultOutputTokens stands in when a request does not say its length.
+	defaultOutputTokens = 224
+	// defaultPrefillSpeedup stands in when the model does not say its speedup.
+	defaultPrefillSpeedup = 20
+)
+
+// Chooser picks a chain for each request. Stages are selected smoothly in
+// proportion to their weights; live load, cached prefixes and the time between
+// zones shift the selection. A Chooser is not safe for concurrent use.
+type Chooser struct {
+	opts     Options
+	revision int64
+	// stages are in descending order of First, so that each stage comes after
+	// all of its possible successors.
+	stages []*member
+	byName map[string]*member
+	zones  map[string]int
+	links  *Links
+	cache  *CacheIndex
+	// virtual is the time at which a stage that received exactly its share
+	// would stand, in seconds of work.
+	virtual float64
+	// meanWork is the mean load of a request in decode tokens.
+	meanWork float64
+}
+
+// member is what the Chooser knows about a stage.
+type member struct {
+	Stage
+	zone int
+	// pass is the work given to the stage divided by its weight, in seconds.
+	pass float64
+	load Load
+	// sent counts requests chosen and not done; atReport is its value at the last load report.
+	sent, atReport int
+}
+
+// NewChooser returns a Chooser without stages.
+func NewChooser(opts Options) *Chooser {
+	if opts.PrefillSpeedup <= 0 {
+		opts.PrefillSpeedup = defaultPrefillSpeedup
+	}
+	return &Chooser{
+		opts:     opts,
+		byName:   map[string]*member{},
+		zones:    map[string]int{},
+		links:    NewLinks(),
+		cache:    NewCacheIndex(),
+		meanWork: defaultOutputTokens,
+	}
+}
+
+// Update replaces the stages with those that are usable under a plan. Stages
+// that remain keep their load, cached prefixes and share of past requests.
+func (c *Chooser) Update(revision int64, stages []Stage) {
+	c.revision = revision
+	old := c.byName
+	c.byName = make(map[string]*member, len(stages))
+	c.stages = c.stages[:0]
+	for _, s := range stages {
+		if s.Weight <= 0 || s.Limit <= s.First || s.First < 0 || s.Limit > c.opts.Layers {
+			continue
+		}
+		m, known := old[s.Instance]
+		if !known {
+			m = &member{pass: c.virtual + c.spread(s.Weight)}
+		}
+		m.Stage = s
+		m.zone = c.zoneIndex(s.Zone)
+		c.byName[s.Instance] = m
+		c.stages = append(c.stages, m)
+	}
+	for name := range old {
+		if c.byName[name] == nil {
+			c.cache.Forget(name)
+		}
+	}
+	sort.SliceStable(c.stages, func(i, j int) bool { return c.stages[i].First > c.stages[j].First })
+}
+
+// Observe takes a load report. A report older than the last one is ignored.
+func (c *Chooser) Observe(load Load) {
+	m := c.byName[load.Instance]
+	if m == nil || load.At.Before(m.load.At) {
+		return
+	}
+	m.load = load
+	m.atReport = m.sent
+}
+
+// ObserveLink takes the transfer time of one frame between two zones.
+func (c *Chooser) ObserveLink(from, to string, bytes int64, took time.Duration) {
+	c.links.Observe(from, to, bytes, took)
+}
+
+// ObserveCache takes a cache event of an engine.
+func (c *Chooser) ObserveCache(event CacheEvent) {
+	c.cache.Observe(event)
+}
+
+// Done says that a chain returned by Choose is no longer in use.
+func (c *Chooser) Done(chain Chain) {
+	for _, s := range chain.Stages {
+		if m := c.byName[s.Instance]; m != nil && m.sent > 0 {
+			m.sent--
+		}
+	}
+}
+
+// label is the best way to finish a chain from a stage.
+type label struct {
+	cost float64
+	next *candidate
+}
+
+// candidate is a stage that may be part of the chain under construction.
+// Labels are kept apart by whether every later stage has the prompt's prefix
+// cached, because a stage can skip cached tokens only if no later stage needs
+// their activations.
+type candidate struct {
+	*member
+	allCached, someMissed label
+	saved                 float64
+}
+
+// Choose returns the chain with the least cost whose ranges tile the layers.
+// It never uses an instance in exclude. The cost of a stage is its lead over
+// its planned share plus its load, in seconds; the cost of a hop is the
+// transfer time of the request's tokens.
+func (c *Chooser) Choose(req Request, exclude map[string]bool) (Chain, error) {
+	if req.OutputTokens <= 0 {
+		req.OutputTokens = defaultOutputTokens
+	}
+	work := float64(req.OutputTokens) + float64(req.PromptTokens)/c.opts.PrefillSpeedup
+	hops := c.hopCosts(req)
+	heads := make([][]*candidate, c.opts.Layers+1)
+	for _, m := range c.stages {
+		if exclude[m.Instance] || m.load.Draining || m.load.Down {
+			continue
+		}
+		k := &candidate{member: m}
+		k.saved = c.cache.Saved(m.Instance, req) / c.opts.PrefillSpeedup
+		c.extend(k, heads[m.Limit], hops, work, req.At)
+		if math.IsInf(k.allCached.cost, 1) && math.IsInf(k.someMissed.cost, 1) {
+			continue
+		}
+		heads[m.First] = keepBest(heads[m.First], k)
+	}
+	return c.build(heads[0], hops, c.entryZone(req.Zone), work)
+}
+
+// extend sets the candidate's labels from the best candidates after it.
+func (c *Chooser) extend(k *candidate, after []*candidate, hops [][]float64, work float64, at time.Time) {
+	k.allCached.cost = math.Inf(1)
+	k.someMissed.cost = math.Inf(1)
+	own := c.stageCost(k.member, work, at)
+	cached := own - k.saved/k.Weight
+	if k.Limit == c.opts.Layers {
+		if k.saved > 0 {
+			k.allCached.cost = cached
+		} else {
+			k.someMissed.cost = own
+		}
+		return
+	}
+	for _, n := range after {
+		hop := hops[k.zone][n.zone]
+		if k.saved > 0 {
+			k.allCached.relax(cached+hop+n.allCached.cost, n)
+		} else {
+			k.someMissed.relax(own+hop+n.allCached.cost, n)
+		}
+		k.someMissed.relax(own+hop+n.someMissed.cost, n)
+	}
+}
+
+func (l *label) relax(cost float64, next *candidate) {
+	if cost < l.cost {
+		*l = label{cost: cost, next: next}
+	}
+}
+
+// keepBest keeps, for each zone, the candidates that are best for either label.
+func keepBest(heads []*candidate, k *candidate) []*candidate {
+	kept := heads[:0]
+	for _, h := range heads {
+		if h.beats(k) {
+			return heads
+		}
+		if !k.beats(h) {
+			kept = append(kept, h)
+		}
+	}
+	return append(kept, k)
+}
+
+func (k *candidate) beats(other *candidate) bool {
+	return k.zone == other.zone && k.allCached.cost <= other.allCached.cost && k.someMissed.cost <= other.someMissed.cost
+}
+
+// build follows the labels from the best first stage and charges its stages.
+func (c *Chooser) build(first []*candidate, hops [][]float64, zone int, work float64) (Chain, error) {
+	var best *candidate
+	bestCost := math.Inf(1)
+	for _, k := range first {
+		cost := min(k.allCached.cost, k.someMissed.cost)
+		if zone >= 0 {
+			cost += hops[zone][k.zone]
+		}
+		if cost < bestCost {
+			best, bestCost = k, cost
+		}
+	}
+	if best == nil {
+		return Chain{}, ErrNoChain
+	}
+	chain := Chain{Revision: c.revision}
+	cached := best.allCached.cost <= best.someMissed.cost
+	for k := best; k != nil; {
+		charged := work
+		way := k.someMissed
+		if cached {
+			charged -= k.saved
+			way = k.allCached
+		}
+		chain.Stages = append(chain.Stages, k.Stage)
+		chain.work = append(chain.work, charged)
+		c.charge(k.member, charged)
+		if way.next != nil && !cached {
+			// A stage without the prefix may be followed by stages that all have it.
+			cached = k.saved <= 0 && way.next.allCached.cost <= way.next.someMissed.cost
+		}
+		k = way.next
+	}
+	c.advance(work)
+	return chain, nil
+}
+
+// charge adds a request's work to the stage's share.
+func (c *Chooser) charge(m *member, work float64) {
+	m.pass = max(m.pass, c.virtual-maxLead) + work/m.Weight
+	m.pass = min(m.pass, c.virtual+maxLead)
+	m.sent++
+}
+
+// advance moves the virtual time by the time that the whole plan needs for a request's work.
+func (c *Chooser) advance(work float64) {
+	total := 0.0
+	for i := len(c.stages) - 1; i >= 0 && c.stages[i].First == 0; i-- {
+		total += c.stages[i].Weight
+	}
+	c.virtual += work / total
+	c.meanWork += (work - c.meanWork) / 64
+}
+
+// stageCost is the stage's lead over its share plus its load, in seconds of work.
+func (c *Chooser) stageCost(m *member, work float64, at time.Time) float64 {
+	lead := max(m.pass-c.virtual, -maxLead)
+	age := max(at.Sub(m.load.At), 0)
+	trust := 0.0
+	if !m.load.At.IsZero() {
+		trust = math.Exp2(-float64(age) / float64(loadHalfLife))
+	}
+	inFlight := max(0, m.load.Running+m.load.Queued+m.sent-m.atReport)
+	return lead + work/m.Weight + loadGain*trust*float64(inFlight)*c.meanWork/m.Weight
+}
+
+// hopCosts is the transfer time of all of a request's tokens between each two zones, in seconds.
+func (c *Chooser) hopCosts(req Request) [][]float64 {
+	costs := make([][]float64, len(c.zones))
+	for from, i := range c.zones {
+		costs[i] = make([]float64, len(c.zones))
+		for to, j := range c.zones {
+			costs[i][j] = c.links.Cost(from, to, c.opts.ActivationBytes) * float64(req.OutputTokens)
+		}
+	}
+	return costs
+}
+
+func (c *Chooser) zoneIndex(zone string) int {
+	i, known := c.zones[zone]
+	if !known {
+		i = len(c.zones)
+		c.zones[zone] = i
+	}
+	return i
+}
+
+func (c *Chooser) entryZone(zone string) int {
+	i, known := c.zones[zone]
+	if !known {
+		return -1
+	}
+	return i
+}
+
+func (c *Chooser) spread(weight float64) float64 {
+	if c.opts.Rand == nil {
+		return 0
+	}
+	return c.opts.Rand.Float64() * c.meanWork / weight
+}
