settings: load typed settings from YAML, environment and flags

Cause: the daemon needs one checked set of settings for both roles, and an operator needs all problems of a file in one run.

--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,274 @@
+// Package settings holds the typed settings of one daemon. They come from a
+// YAML file, environment variables and command-line flags, and all problems are
+// reported together with their place.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/phuslu/log"
+)
+
+// Role says which of the two processes the daemon is.
+type Role string
+
+// The roles of a daemon.
+const (
+	RoleEntry   Role = "entry"
+	RoleSidecar Role = "sidecar"
+)
+
+// BackendKind says what runs beside a sidecar.
+type BackendKind string
+
+// The kinds of backend servers.
+const (
+	BackendEngine BackendKind = "engine"
+	BackendPlain  BackendKind = "plain"
+)
+
+// Settings are the checked settings of one daemon.
+type Settings struct {
+	Role   Role
+	ID     string
+	Region string
+	Zone   string
+	Listen Listen
+	// LogURL and InstancesURL are the base addresses of the platform's log
+	// service and instance list.
+	LogURL       *url.URL
+	InstancesURL *url.URL
+	// Backend is used by a sidecar only.
+	Backend              Backend
+	TLS                  TLS
+	OperatorPasswordHash PasswordHash
+	Limits               Limits
+	LogLevel             log.Level
+	// CheckOnly is set by -check-settings: the caller reports that the settings
+	// are valid and ends.
+	CheckOnly bool
+}
+
+// Listen holds the addresses on which the daemon accepts connections.
+type Listen struct {
+	// Callers is used by an entry only.
+	Callers netip.AddrPort
+	// Peers is used by a sidecar, and by an entry that gives its revision to peers.
+	Peers     netip.AddrPort
+	Operators netip.AddrPort
+}
+
+// Backend describes the backend server beside a sidecar.
+type Backend struct {
+	Address netip.AddrPort
+	Kind    BackendKind
+	// Service is set for a plain server, Model for an engine.
+	Service string
+	Model   string
+	// Layers is the range of an engine that cannot change it; zero means that
+	// the plan decides.
+	Layers LayerRange
+}
+
+// LayerRange is the half-open range [First, Limit) of layers.
+type LayerRange struct {
+	First, Limit int
+}
+
+// TLS names the files with keys and certificates in PEM form.
+type TLS struct {
+	Callers   KeyPair
+	Operators KeyPair
+	Peers     KeyPair
+	// PeerCA signs the certificates of all processes.
+	PeerCA string
+	// PlainText turns TLS off. It is accepted on loopback addresses only.
+	PlainText bool
+}
+
+// KeyPair names the files of one certificate and its private key.
+type KeyPair struct {
+	Certificate, Key string
+}
+
+// IsSet tells whether both files are named.
+func (p KeyPair) IsSet() bool {
+	return p.Certificate != "" && p.Key != ""
+}
+
+// Limits bounds sizes and durations.
+type Limits struct {
+	MaxBodyBytes int64
+	// Heartbeat is the interval between heartbeats on a connection.
+	Heartbeat time.Duration
+	// Silence is how long a connection may stay without any frame.
+	Silence time.Duration
+	// Drain bounds a graceful shutdown; 0 waits until the last request has ended.
+	Drain time.Duration
+}
+
+// member is one setting: a flag, an environment variable and a scalar of the file.
+type member struct {
+	// name joins the names of the file's members with dots.
+	name  string
+	usage string
+	// initial is the default in the form in which an operator writes it.
+	initial string
+	set     func(s *Settings, value string) error
+}
+
+var members = []member{
+	{"role", "role of this process: entry or sidecar", "", func(s *Settings, v string) error { return setChoice(&s.Role, v, RoleEntry, RoleSidecar) }},
+	{"id", "instance name, as the instance list gives it", "", func(s *Settings, v string) error { return setName(&s.ID, v) }},
+	{"region", "region of this instance", "", func(s *Settings, v string) error { return setName(&s.Region, v) }},
+	{"zone", "availability zone of this instance", "", func(s *Settings, v string) error { return setName(&s.Zone, v) }},
+	{"listen.callers", "IP address and port for callers (entry)", "", func(s *Settings, v string) error { return setAddress(&s.Listen.Callers, v) }},
+	{"listen.peers", "IP address and port for other processes", "", func(s *Settings, v string) error { return setAddress(&s.Listen.Peers, v) }},
+	{"listen.operators", "IP address and port for operators", "", func(s *Settings, v string) error { return setAddress(&s.Listen.Operators, v) }},
+	{"platform.log", "URL of the log service", "", func(s *Settings, v string) error { return setURL(&s.LogURL, v) }},
+	{"platform.instances", "URL of the instance list", "", func(s *Settings, v string) error { return setURL(&s.InstancesURL, v) }},
+	{"backend.address", "IP address and port of the backend server (sidecar)", "", func(s *Settings, v string) error { return setAddress(&s.Backend.Address, v) }},
+	{"backend.kind", "kind of the backend server: engine or plain (sidecar)", "", func(s *Settings, v string) error {
+		return setChoice(&s.Backend.Kind, v, BackendEngine, BackendPlain)
+	}},
+	{"backend.service", "service of a plain backend server", "", func(s *Settings, v string) error { return setName(&s.Backend.Service, v) }},
+	{"backend.model", "model of an engine", "", func(s *Settings, v string) error { return setName(&s.Backend.Model, v) }},
+	{"backend.layers.first", "first layer of an engine with a fixed range", "", func(s *Settings, v string) error { return setLayer(&s.Backend.Layers.First, v) }},
+	{"backend.layers.limit", "layer after the last one of an engine with a fixed range", "", func(s *Settings, v string) error { return setLayer(&s.Backend.Layers.Limit, v) }},
+	{"tls.callers.certificate", "PEM file with the certificate for callers (entry)", "", func(s *Settings, v string) error { return setText(&s.TLS.Callers.Certificate, v) }},
+	{"tls.callers.key", "PEM file with the private key for callers (entry)", "", func(s *Settings, v string) error { return setText(&s.TLS.Callers.Key, v) }},
+	{"tls.operators.certificate", "PEM file with the certificate for operators", "", func(s *Settings, v string) error { return setText(&s.TLS.Operators.Certificate, v) }},
+	{"tls.operators.key", "PEM file with the private key for operators", "", func(s *Settings, v string) error { return setText(&s.TLS.Operators.Key, v) }},
+	{"tls.peers.certificate", "PEM file with this process's certificate for other processes", "", func(s *Settings, v string) error { return setText(&s.TLS.Peers.Certificate, v) }},
+	{"tls.peers.key", "PEM file with this process's private key for other processes", "", func(s *Settings, v string) error { return setText(&s.TLS.Peers.Key, v) }},
+	{"tls.peers.ca", "PEM file with the authority that signs the certificates of processes", "", func(s *Settings, v string) error { return setText(&s.TLS.PeerCA, v) }},
+	{"tls.plain_text", "turn TLS off; loopback addresses only", "false", func(s *Settings, v string) error { return setSwitch(&s.TLS.PlainText, v) }},
+	{"operators.password_hash", "hash of the operators' password, as sapphirectl prints it", "", func(s *Settings, v string) error { return s.OperatorPasswordHash.set(v) }},
+	{"limits.max_body", "largest body of a request, with a unit", "8MiB", func(s *Settings, v string) error { return setBytes(&s.Limits.MaxBodyBytes, v) }},
+	{"limits.heartbeat", "interval between heartbeats", "1s", func(s *Settings, v string) error { return setDuration(&s.Limits.Heartbeat, v) }},
+	{"limits.silence", "longest time without a frame before a connection is closed", "3s", func(s *Settings, v string) error { return setDuration(&s.Limits.Silence, v) }},
+	{"limits.drain", "longest graceful shutdown; 0s waits for the last request", "0s", func(s *Settings, v string) error { return setDuration(&s.Limits.Drain, v) }},
+	{"log.level", "lowest level of log lines: debug, info, warn or error", "info", func(s *Settings, v string) error { return setLevel(&s.LogLevel, v) }},
+}
+
+func setChoice[T ~string](to *T, value string, allowed ...T) error {
+	names := make([]string, len(allowed))
+	for i, a := range allowed {
+		if value == string(a) {
+			*to = a
+			return nil
+		}
+		names[i] = string(a)
+	}
+	return fmt.Errorf("%q is not one of %s", value, strings.Join(names, ", "))
+}
+
+// namePattern leaves out characters that need quoting in URLs, log lines and certificates.
+var namePattern = regexp.MustCompile(`^[a-zA-Z0-9][a-zA-Z0-9._-]{0,62}$`)
+
+func setName(to *string, value string) error {
+	if !namePattern.MatchString(value) {
+		return fmt.Errorf("%q is not a name of at most 63 letters, digits, dots, hyphens and underscores", value)
+	}
+	*to = value
+	return nil
+}
+
+func setText(to *string, value string) error {
+	*to = value
+	return nil
+}
+
+func setAddress(to *netip.AddrPort, value string) error {
+	parsed, err := netip.ParseAddrPort(value)
+	if err != nil {
+		return fmt.Errorf("%q is not an IP address with a port, such as 10.0.0.7:8443", value)
+	}
+	*to = parsed
+	return nil
+}
+
+func setURL(to **url.URL, value string) error {
+	parsed, err := url.Parse(value)
+	if err != nil {
+		return err
+	}
+	if parsed.Scheme != "http" && parsed.Scheme != "https" || parsed.Host == "" {
+		return fmt.Errorf("%q is not an http or https URL", value)
+	}
+	*to = parsed
+	return nil
+}
+
+func setLayer(to *int, value string) error {
+	n, err := strconv.Atoi(value)
+	if err != nil || n < 0 {
+		return fmt.Errorf("%q is not a layer number of at least 0", value)
+	}
+	*to = n
+	return nil
+}
+
+func setSwitch(to *bool, value string) error {
+	switch value {
+	case "true":
+		*to = true
+	case "false":
+		*to = false
+	default:
+		return fmt.Errorf("%q is neither true nor false", value)
+	}
+	return nil
+}
+
+// byteUnits is in descending order of the suffix length, because "B" ends the other units too.
+var byteUnits = []struct {
+	suffix string
+	bytes  int64
+}{
+	{"KiB", 1 << 10}, {"MiB", 1 << 20}, {"GiB", 1 << 30},
+	{"kB", 1e3}, {"MB", 1e6}, {"GB", 1e9}, {"B", 1},
+}
+
+func setBytes(to *int64, value string) error {
+	for _, unit := range byteUnits {
+		digits, ok := strings.CutSuffix(value, unit.suffix)
+		if !ok {
+			continue
+		}
+		n, err := strconv.ParseInt(strings.TrimSpace(digits), 10, 64)
+		if err != nil || n <= 0 || n > (1<<40)/unit.bytes {
+			break
+		}
+		*to = n * unit.bytes
+		return nil
+	}
+	return fmt.Errorf("%q is not a size between 1B and 1024GiB with a unit (B, kB, MB, GB, KiB, MiB, GiB)", value)
+}
+
+func setDuration(to *time.Duration, value string) error {
+	d, err := time.ParseDuration(value)
+	if err != nil || d < 0 || value == "0" {
+		return fmt.Errorf("%q is not a duration with a unit, such as 500ms, 3s or 10m", value)
+	}
+	*to = d
+	return nil
+}
+
+func setLevel(to *log.Level, value string) error {
+	levels := map[string]log.Level{
+		"debug": log.DebugLevel, "info": log.InfoLevel, "warn": log.WarnLevel, "error": log.ErrorLevel,
+	}
+	level, ok := levels[value]
+	if !ok {
+		return fmt.Errorf("%q is not one of debug, info, warn, error", value)
+	}
+	*to = level
+	return nil
+}
