--- /dev/null
+++ b/config/parse.go
@@ -0,0 +1,314 @@
+package config
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"math"
+	"reflect"
+	"regexp"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"gopkg.in/yaml.v3"
+
+	"github.com/sapphirefield/sapphirefield/finding"
+)
+
+// MaxDocumentBytes bounds a document's YAML text. A document for 4,600 teams
+// takes about 2 MB.
+const MaxDocumentBytes = 16 << 20
+
+// Parse reads a document from YAML, fills in defaults and validates it. The
+// findings carry name as their file, and the line, column and path of the
+// member. The document is nil when the text is not a YAML mapping; otherwise it
+// holds everything that could be read, even when there are findings.
+func Parse(name string, text []byte) (*Document, finding.List) {
+	d := decoder{file: name, places: map[string]place{}}
+	root, ok := d.root(text)
+	if !ok {
+		return nil, d.findings
+	}
+	doc := &Document{}
+	d.value(root, reflect.ValueOf(doc).Elem(), "")
+	doc.setDerivedDefaults()
+	d.addPlaced(doc.Validate())
+	sortByPlace(d.findings)
+	return doc, d.findings
+}
+
+func sortByPlace(list finding.List) {
+	sort.SliceStable(list, func(i, j int) bool {
+		if list[i].Line != list[j].Line {
+			return list[i].Line < list[j].Line
+		}
+		return list[i].Column < list[j].Column
+	})
+}
+
+type place struct{ line, column int }
+
+// decoder fills a Document from YAML nodes. yaml.v3 stops at the first error of
+// some kinds and gives no column or path, so the nodes are walked here.
+type decoder struct {
+	file     string
+	findings finding.List
+	places   map[string]place
+}
+
+func (d *decoder) root(text []byte) (*yaml.Node, bool) {
+	if len(text) > MaxDocumentBytes {
+		d.addAt(place{}, "", "the document has %d bytes; at most %d are allowed", len(text), MaxDocumentBytes)
+		return nil, false
+	}
+	reader := yaml.NewDecoder(bytes.NewReader(text))
+	var node yaml.Node
+	if err := reader.Decode(&node); err != nil {
+		d.addSyntax(err)
+		return nil, false
+	}
+	var second yaml.Node
+	if err := reader.Decode(&second); !errors.Is(err, io.EOF) {
+		d.addAt(place{second.Line, second.Column}, "", "the text holds a second YAML document; one is allowed")
+		return nil, false
+	}
+	root := node.Content[0]
+	if root.Kind != yaml.MappingNode {
+		d.addAt(place{root.Line, root.Column}, "", "the document must be a mapping of members")
+		return nil, false
+	}
+	return root, true
+}
+
+var syntaxLine = regexp.MustCompile(`line (\d+): `)
+
+func (d *decoder) addSyntax(err error) {
+	if errors.Is(err, io.EOF) {
+		d.addAt(place{1, 1}, "", "the document is empty")
+		return
+	}
+	message := strings.TrimPrefix(err.Error(), "yaml: ")
+	at := place{}
+	if m := syntaxLine.FindStringSubmatch(message); m != nil {
+		at.line, _ = strconv.Atoi(m[1])
+		at.column = 1
+		message = strings.Replace(message, m[0], "", 1)
+	}
+	d.addAt(at, "", "invalid YAML: %s", message)
+}
+
+func (d *decoder) addAt(at place, path, format string, args ...any) {
+	d.findings = append(d.findings, finding.Finding{
+		File: d.file, Line: at.line, Column: at.column, Path: path, Message: fmt.Sprintf(format, args...),
+	})
+}
+
+func (d *decoder) add(node *yaml.Node, path, format string, args ...any) {
+	d.addAt(place{node.Line, node.Column}, path, format, args...)
+}
+
+// addPlaced adds findings of Validate with their place in the text. A member
+// that could not be read already has a finding, so rules about it are left out.
+func (d *decoder) addPlaced(list finding.List) {
+	unread := map[string]bool{}
+	for _, f := range d.findings {
+		unread[f.Path] = true
+	}
+	for _, f := range list {
+		if hasUnreadPart(f.Path, unread) {
+			continue
+		}
+		at := d.placeOf(f.Path)
+		d.addAt(at, f.Path, "%s", f.Message)
+	}
+}
+
+func hasUnreadPart(path string, unread map[string]bool) bool {
+	for ; path != ""; path = parentPath(path) {
+		if unread[path] {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *decoder) placeOf(path string) place {
+	for {
+		if at, ok := d.places[path]; ok {
+			return at
+		}
+		if path == "" {
+			return place{}
+		}
+		path = parentPath(path)
+	}
+}
+
+// parentPath removes the last member name or index from a path.
+func parentPath(path string) string {
+	cut := strings.LastIndexAny(path, ".[")
+	if cut < 0 {
+		return ""
+	}
+	return path[:cut]
+}
+
+func (d *decoder) value(node *yaml.Node, v reflect.Value, path string) {
+	d.places[path] = place{node.Line, node.Column}
+	if node.Kind == yaml.AliasNode {
+		d.add(node, path, "YAML aliases are not allowed; write the value out")
+		return
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		d.structure(node, v, path)
+	case reflect.Slice:
+		d.list(node, v, path)
+	default:
+		d.scalar(node, v, path)
+	}
+}
+
+func (d *decoder) structure(node *yaml.Node, v reflect.Value, path string) {
+	if node.Kind != yaml.MappingNode {
+		d.add(node, path, "must be a mapping of members")
+		return
+	}
+	v.Set(defaultValue(v.Type()))
+	members := membersOf(v.Type())
+	seen := map[string]bool{}
+	for i := 0; i+1 < len(node.Content); i += 2 {
+		key := node.Content[i]
+		child := joinPath(path, key.Value)
+		index, known := members[key.Value]
+		switch {
+		case !known:
+			d.add(key, child, "unknown member; the members here are %s", strings.Join(memberNames(v.Type()), ", "))
+		case seen[key.Value]:
+			d.add(key, child, "member is given twice")
+		default:
+			seen[key.Value] = true
+			d.value(node.Content[i+1], v.Field(index), child)
+		}
+	}
+}
+
+func joinPath(path, member string) string {
+	if path == "" {
+		return member
+	}
+	return path + "." + member
+}
+
+func (d *decoder) list(node *yaml.Node, v reflect.Value, path string) {
+	if node.Kind == yaml.ScalarNode && node.Tag == "!!null" {
+		return
+	}
+	if node.Kind != yaml.SequenceNode {
+		d.add(node, path, "must be a list")
+		return
+	}
+	if len(node.Content) == 0 {
+		return
+	}
+	v.Set(reflect.MakeSlice(v.Type(), len(node.Content), len(node.Content)))
+	for i, item := range node.Content {
+		d.value(item, v.Index(i), fmt.Sprintf("%s[%d]", path, i))
+	}
+}
+
+func (d *decoder) scalar(node *yaml.Node, v reflect.Value, path string) {
+	if node.Kind != yaml.ScalarNode {
+		d.add(node, path, "must be %s", scalarForm(v.Type()))
+		return
+	}
+	if err := setScalar(node, v); err != nil {
+		d.add(node, path, "%q is not allowed; must be %s", node.Value, scalarForm(v.Type()))
+	}
+}
+
+var durationType = reflect.TypeFor[time.Duration]()
+
+func scalarForm(t reflect.Type) string {
+	switch {
+	case t == durationType:
+		return `a duration with a unit, such as "30s" or "250us"`
+	case t.Kind() == reflect.String:
+		return "text (put numbers, dates and true or false in quotes)"
+	case t.Kind() == reflect.Float64:
+		return "a finite number"
+	default:
+		return "a whole number"
+	}
+}
+
+var errForm = errors.New("scalar has another form")
+
+func setScalar(node *yaml.Node, v reflect.Value) error {
+	switch {
+	case v.Type() == durationType:
+		return setDuration(node, v)
+	case v.Kind() == reflect.String:
+		if node.Tag != "!!str" {
+			return errForm
+		}
+		v.SetString(node.Value)
+		return nil
+	case v.Kind() == reflect.Float64:
+		return setFloat(node, v)
+	default:
+		if node.Tag != "!!int" {
+			return errForm
+		}
+		return node.Decode(v.Addr().Interface())
+	}
+}
+
+func setDuration(node *yaml.Node, v reflect.Value) error {
+	duration, err := time.ParseDuration(node.Value)
+	if err != nil || node.Tag != "!!str" {
+		return errForm
+	}
+	v.SetInt(int64(duration))
+	return nil
+}
+
+func setFloat(node *yaml.Node, v reflect.Value) error {
+	if node.Tag != "!!float" && node.Tag != "!!int" {
+		return errForm
+	}
+	var f float64
+	if err := node.Decode(&f); err != nil {
+		return err
+	}
+	if math.IsNaN(f) || math.IsInf(f, 0) {
+		return errForm
+	}
+	v.SetFloat(f)
+	return nil
+}
+
+// membersOf maps the names of a structure's members to field indexes.
+func membersOf(t reflect.Type) map[string]int {
+	members := make(map[string]int, t.NumField())
+	for i := range t.NumField() {
+		members[memberName(t.Field(i))] = i
+	}
+	return members
+}
+
+func memberNames(t reflect.Type) []string {
+	names := make([]string, t.NumField())
+	for i := range names {
+		names[i] = memberName(t.Field(i))
+	}
+	return names
+}
+
+func memberName(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+	return name
+}
--- /dev/null
+++ b/config/validate.go
@@ -0,0 +1,412 @@
+package config
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/sapphirefield/sapphirefield/finding"
+)
+
+// Limits of single values. They lie well above the target size (3,100 engines,
+// 4,600 teams), so that they catch slips of a unit and never a real fleet.
+const (
+	maxNameBytes     = 64
+	maxLayers        = 10_000
+	maxContextTokens = 100_000_000
+	maxBytes         = 1 << 50
+	maxRate          = 1e15
+	maxLatency       = 10 * time.Second
+	minTimeout       = time.Millisecond
+	maxTimeout       = time.Hour
+	minKeyWindow     = time.Minute
+	// maxKeyWindow keeps windows below the shortest retention expected of the log service.
+	maxKeyWindow    = 7 * 24 * time.Hour
+	maxBodyBytes    = 1 << 30
+	maxWeight       = 1e6
+	maxPriority     = 1000
+	maxConcurrency  = 1_000_000
+	maxThreshold    = time.Hour
+	maxPrefillRatio = 1e6
+)
+
+var (
+	namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
+	hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+)
+
+// reservedServiceNames are path prefixes of the callers' interface.
+var reservedServiceNames = []string{"v1"}
+
+var callMethods = []string{"GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"}
+
+// Validate checks all rules that hold within one document and returns every
+// finding. Paths name entries by index, as in "teams[2].weight".
+func (doc *Document) Validate() finding.List {
+	c := newChecker(doc)
+	c.schema()
+	c.regions()
+	c.accelerators()
+	c.links()
+	c.models()
+	c.services()
+	c.servers()
+	c.teams()
+	c.objectives()
+	return c.findings
+}
+
+// checker holds the names that references are checked against.
+type checker struct {
+	doc          *Document
+	findings     finding.List
+	zones        map[string]bool
+	accelerator  map[string]*Accelerator
+	model        map[string]*Model
+	serviceNames map[string]bool
+	teamNames    map[string]bool
+}
+
+func newChecker(doc *Document) *checker {
+	c := &checker{
+		doc:          doc,
+		zones:        map[string]bool{},
+		accelerator:  map[string]*Accelerator{},
+		model:        map[string]*Model{},
+		serviceNames: map[string]bool{},
+		teamNames:    map[string]bool{},
+	}
+	for _, r := range doc.Regions {
+		for _, z := range r.Zones {
+			c.zones[z] = true
+		}
+	}
+	for i := range doc.Accelerators {
+		c.accelerator[doc.Accelerators[i].Kind] = &doc.Accelerators[i]
+	}
+	for i := range doc.Models {
+		c.model[doc.Models[i].Name] = &doc.Models[i]
+	}
+	for _, s := range doc.Services {
+		c.serviceNames[s.Name] = true
+	}
+	for _, t := range doc.Teams {
+		c.teamNames[t.Name] = true
+	}
+	return c
+}
+
+func (c *checker) add(path, format string, args ...any) { c.findings.Add(path, format, args...) }
+
+func (c *checker) schema() {
+	if c.doc.Schema != SchemaVersion {
+		c.add("schema", "is %d; this program judges schema %d", c.doc.Schema, SchemaVersion)
+	}
+}
+
+func (c *checker) name(path, value string) {
+	switch {
+	case value == "":
+		c.add(path, "must be set")
+	case len(value) > maxNameBytes:
+		c.add(path, "has %d bytes; at most %d are allowed", len(value), maxNameBytes)
+	case !namePattern.MatchString(value):
+		c.add(path, "%q must start with a letter or digit and hold only letters, digits, '.', '_' and '-'", value)
+	}
+}
+
+// names remembers where a name was first used, to report the second use.
+type names map[string]string
+
+func (c *checker) unique(seen names, path, value string) {
+	if value == "" {
+		return
+	}
+	if first, ok := seen[value]; ok {
+		c.add(path, "%q is already used at %s", shorten(value), first)
+		return
+	}
+	seen[value] = path
+}
+
+// shorten keeps whole key hashes out of messages.
+func shorten(value string) string {
+	if len(value) == 64 && hashPattern.MatchString(value) {
+		return value[:8] + "..."
+	}
+	return value
+}
+
+func (c *checker) newName(seen names, path, value string) {
+	c.name(path, value)
+	c.unique(seen, path, value)
+}
+
+// number checks that low <= value <= high; NaN is refused.
+func (c *checker) number(path string, value, low, high float64) {
+	if !(value >= low && value <= high) {
+		c.add(path, "is %v; must be from %v to %v", value, low, high)
+	}
+}
+
+func (c *checker) positive(path string, value, high float64) {
+	if !(value > 0 && value <= high) {
+		c.add(path, "is %v; must be above 0 and at most %v", value, high)
+	}
+}
+
+func (c *checker) whole(path string, value, low, high int64) {
+	if value < low || value > high {
+		c.add(path, "is %d; must be from %d to %d", value, low, high)
+	}
+}
+
+func (c *checker) duration(path string, value, low, high time.Duration) {
+	if value < low || value > high {
+		c.add(path, "is %v; must be from %v to %v", value, low, high)
+	}
+}
+
+func (c *checker) known(path, kind, value string, known bool) {
+	switch {
+	case value == "":
+		c.add(path, "must name a %s", kind)
+	case !known:
+		c.add(path, "there is no %s %q", kind, value)
+	}
+}
+
+func oneOf[T ~string](c *checker, path string, value T, allowed ...T) {
+	if slices.Contains(allowed, value) {
+		return
+	}
+	texts := make([]string, len(allowed))
+	for i, a := range allowed {
+		texts[i] = string(a)
+	}
+	c.add(path, "is %q; must be one of %s", string(value), strings.Join(texts, ", "))
+}
+
+func (c *checker) regions() {
+	if len(c.doc.Regions) == 0 {
+		c.add("regions", "must hold at least one region")
+	}
+	regions, zones := names{}, names{}
+	for i, r := range c.doc.Regions {
+		path := fmt.Sprintf("regions[%d]", i)
+		c.newName(regions, path+".name", r.Name)
+		if len(r.Zones) == 0 {
+			c.add(path+".zones", "must hold at least one availability zone")
+		}
+		for j, z := range r.Zones {
+			c.newName(zones, fmt.Sprintf("%s.zones[%d]", path, j), z)
+		}
+	}
+}
+
+func (c *checker) accelerators() {
+	seen := names{}
+	for i, a := range c.doc.Accelerators {
+		path := fmt.Sprintf("accelerators[%d]", i)
+		c.newName(seen, path+".kind", a.Kind)
+		c.whole(path+".memory_bytes", a.MemoryBytes, 1, maxBytes)
+		c.positive(path+".layer_tokens_per_second", a.LayerTokensPerSecond, maxRate)
+		c.number(path+".prefill_speedup", a.PrefillSpeedup, 1, maxPrefillRatio)
+	}
+}
+
+func (c *checker) links() {
+	seen := names{}
+	for i, l := range c.doc.Links {
+		path := fmt.Sprintf("links[%d]", i)
+		c.known(path+".from", "availability zone", l.From, c.zones[l.From])
+		c.known(path+".to", "availability zone", l.To, c.zones[l.To])
+		c.unique(seen, path, l.entryKey())
+		c.positive(path+".bytes_per_second", l.BytesPerSecond, maxRate)
+		c.duration(path+".latency", l.Latency, 0, maxLatency)
+	}
+}
+
+func (c *checker) models() {
+	seen := names{}
+	for i, m := range c.doc.Models {
+		path := fmt.Sprintf("models[%d]", i)
+		c.newName(seen, path+".name", m.Name)
+		c.versions(path, m)
+		c.uniqueNames(path+".adapters", m.Adapters)
+		c.whole(path+".layers", int64(m.Layers), 1, maxLayers)
+		c.whole(path+".bytes_per_layer", m.BytesPerLayer, 1, maxBytes)
+		c.whole(path+".activation_bytes", m.ActivationBytes, 1, maxBytes)
+		c.whole(path+".kv_bytes_per_token_layer", m.KVBytesPerTokenLayer, 1, maxBytes)
+		c.whole(path+".context_tokens", int64(m.ContextTokens), 1, maxContextTokens)
+	}
+}
+
+func (c *checker) versions(path string, m Model) {
+	if len(m.Versions) == 0 {
+		c.add(path+".versions", "must hold at least one version")
+	}
+	c.uniqueNames(path+".versions", m.Versions)
+	c.known(path+".serving", "version in versions", m.Serving, slices.Contains(m.Versions, m.Serving))
+}
+
+func (c *checker) uniqueNames(path string, values []string) {
+	seen := names{}
+	for i, v := range values {
+		c.newName(seen, fmt.Sprintf("%s[%d]", path, i), v)
+	}
+}
+
+func (c *checker) services() {
+	seen := names{}
+	for i, s := range c.doc.Services {
+		path := fmt.Sprintf("services[%d]", i)
+		c.newName(seen, path+".name", s.Name)
+		if slices.Contains(reservedServiceNames, s.Name) {
+			c.add(path+".name", "%q is a path of the callers' interface; choose another name", s.Name)
+		}
+		c.callRules(path+".idempotent", s.Idempotent)
+		c.duration(path+".timeout", s.Timeout, minTimeout, maxTimeout)
+		c.duration(path+".key_window", s.KeyWindow, minKeyWindow, maxKeyWindow)
+		if s.KeyWindow >= minKeyWindow && s.Timeout <= maxTimeout && s.KeyWindow < s.Timeout {
+			c.add(path+".key_window", "is %v; must not be shorter than the timeout of %v", s.KeyWindow, s.Timeout)
+		}
+		oneOf(c, path+".on_log_outage", s.OnLogOutage, RefuseDuringOutage, RunDuringOutage)
+		c.whole(path+".max_body_bytes", s.MaxBodyBytes, 1, maxBodyBytes)
+	}
+}
+
+func (c *checker) callRules(path string, rules []CallRule) {
+	seen := names{}
+	for i, r := range rules {
+		at := fmt.Sprintf("%s[%d]", path, i)
+		oneOf(c, at+".method", r.Method, callMethods...)
+		if !strings.HasPrefix(r.PathPrefix, "/") {
+			c.add(at+".path_prefix", "%q must start with '/'", r.PathPrefix)
+		}
+		c.unique(seen, at, r.Method+" "+r.PathPrefix)
+	}
+}
+
+func (c *checker) servers() {
+	seen := names{}
+	for i, s := range c.doc.Servers {
+		path := fmt.Sprintf("servers[%d]", i)
+		c.newName(seen, path+".id", s.ID)
+		c.known(path+".zone", "availability zone", s.Zone, c.zones[s.Zone])
+		switch {
+		case s.Model != "" && s.Service != "":
+			c.add(path, "must name either a model or a service, not both")
+		case s.Model != "":
+			c.engine(path, s)
+		case s.Service != "":
+			c.plainServer(path, s)
+		default:
+			c.add(path, "must name a model or a service")
+		}
+	}
+}
+
+func (c *checker) engine(path string, s Server) {
+	model, kind := c.model[s.Model], c.accelerator[s.Accelerator]
+	c.known(path+".model", "model", s.Model, model != nil)
+	c.known(path+".accelerator", "accelerator", s.Accelerator, kind != nil)
+	oneOf(c, path+".fencing", s.Fencing, FencingChecks, FencingIgnores)
+	if model != nil && kind != nil && model.BytesPerLayer > kind.MemoryBytes {
+		c.add(path+".accelerator", "%q has %d bytes of memory, too few for one layer of %q (%d bytes)",
+			s.Accelerator, kind.MemoryBytes, s.Model, model.BytesPerLayer)
+	}
+}
+
+func (c *checker) plainServer(path string, s Server) {
+	c.known(path+".service", "service", s.Service, c.serviceNames[s.Service])
+	if s.Accelerator != "" {
+		c.add(path+".accelerator", "applies to engines only; leave it out for a plain server")
+	}
+	if s.Fencing != "" {
+		c.add(path+".fencing", "applies to engines only; leave it out for a plain server")
+	}
+}
+
+func (c *checker) teams() {
+	seen, hashes := names{}, names{}
+	for i, t := range c.doc.Teams {
+		path := fmt.Sprintf("teams[%d]", i)
+		c.newName(seen, path+".name", t.Name)
+		c.keyHashes(hashes, path+".key_hashes", t.KeyHashes)
+		c.positive(path+".weight", t.Weight, maxWeight)
+		c.whole(path+".priority", int64(t.Priority), 0, maxPriority)
+		c.references(path+".models", "model", t.Models, func(n string) bool { return c.model[n] != nil })
+		c.references(path+".services", "service", t.Services, func(n string) bool { return c.serviceNames[n] })
+		c.number(path+".requests_per_second", t.RequestsPerSecond, 0, maxRate)
+		c.whole(path+".concurrency", int64(t.Concurrency), 0, maxConcurrency)
+	}
+}
+
+// keyHashes checks the form, and that no two teams share a key: a key has to
+// identify one team.
+func (c *checker) keyHashes(seen names, path string, hashes []string) {
+	for i, h := range hashes {
+		at := fmt.Sprintf("%s[%d]", path, i)
+		if !hashPattern.MatchString(h) {
+			c.add(at, "must be the SHA-256 hash of a key as 64 lower-case hexadecimal digits")
+			continue
+		}
+		c.unique(seen, at, h)
+	}
+}
+
+func (c *checker) references(path, kind string, values []string, known func(string) bool) {
+	seen := names{}
+	for i, v := range values {
+		at := fmt.Sprintf("%s[%d]", path, i)
+		c.known(at, kind, v, known(v))
+		c.unique(seen, at, v)
+	}
+}
+
+func (c *checker) objectives() {
+	seen := names{}
+	for i, o := range c.doc.Objectives {
+		path := fmt.Sprintf("objectives[%d]", i)
+		c.newName(seen, path+".name", o.Name)
+		c.objectiveSubject(path, o)
+		if o.Team != "" {
+			c.known(path+".team", "team", o.Team, c.teamNames[o.Team])
+		}
+		c.objectiveMeasure(path, o)
+		if !(o.Target > 0 && o.Target < 1) {
+			c.add(path+".target", "is %v; must be above 0 and below 1", o.Target)
+		}
+	}
+}
+
+func (c *checker) objectiveSubject(path string, o Objective) {
+	switch {
+	case o.Model != "" && o.Service != "":
+		c.add(path, "must name either a model or a service, not both")
+	case o.Model != "":
+		c.known(path+".model", "model", o.Model, c.model[o.Model] != nil)
+	case o.Service != "":
+		c.known(path+".service", "service", o.Service, c.serviceNames[o.Service])
+	default:
+		c.add(path, "must name a model or a service")
+	}
+}
+
+func (c *checker) objectiveMeasure(path string, o Objective) {
+	oneOf(c, path+".measure", o.Measure, MeasureFirstToken, MeasureBetweenToken, MeasureAvailability, MeasureLatency)
+	tokens := o.Measure == MeasureFirstToken || o.Measure == MeasureBetweenToken
+	if tokens && o.Service != "" {
+		c.add(path+".measure", "%q applies to models only", string(o.Measure))
+	}
+	if o.Measure == MeasureAvailability {
+		if o.Threshold != 0 {
+			c.add(path+".threshold", "is unused for availability; leave it out")
+		}
+		return
+	}
+	c.duration(path+".threshold", o.Threshold, time.Microsecond, maxThreshold)
+}
