--- /dev/null
+++ b/entry/call.go
@@ -0,0 +1,298 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/sapphirefield/sapphirefield/attempt"
+	"github.com/sapphirefield/sapphirefield/config"
+	"github.com/sapphirefield/sapphirefield/problem"
+	"github.com/sapphirefield/sapphirefield/wire"
+)
+
+const (
+	bodyChunkBytes = 32 << 10
+	// defaultCallTimeout bounds a call of a service that sets no timeout.
+	defaultCallTimeout = 30 * time.Second
+)
+
+// hopHeaders concern one connection only and are not passed on (RFC 9110).
+// Authorization is the team's key for sapphirefield, not for the backend server.
+var hopHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true, "Te": true,
+	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Authorization": true, "Host": true, "Content-Length": true,
+}
+
+// servePlain passes a call to a server of the service that the path begins with.
+func (s *Server) servePlain(w http.ResponseWriter, r *http.Request) {
+	s.meters.requests.Inc(1)
+	began := now()
+	defer func() { s.meters.calls.UpdateSince(began) }()
+	c, refused := s.prepareCall(w, r)
+	if refused != nil {
+		s.refuse(w, refused)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), c.timeout)
+	defer cancel()
+	answer, refused := c.run(ctx)
+	if refused != nil {
+		s.refuse(w, refused)
+		return
+	}
+	answer.write(w)
+}
+
+// plainCall is one call on its way to a plain server.
+type plainCall struct {
+	server     *Server
+	id         string
+	service    *config.Service
+	method     string
+	path       string
+	headers    []*wire.Header
+	body       []byte
+	timeout    time.Duration
+	idempotent bool
+	request    *attempt.Request
+	exclude    map[string]bool
+}
+
+func (s *Server) prepareCall(w http.ResponseWriter, r *http.Request) (*plainCall, *problem.Problem) {
+	doc, team, refused := s.authenticate(r)
+	if refused != nil {
+		return nil, refused
+	}
+	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	service, refused := teamService(doc, team, name)
+	if refused != nil {
+		return nil, refused
+	}
+	limit := s.opts.MaxBodyBytes
+	if service.MaxBodyBytes > 0 {
+		limit = min(limit, service.MaxBodyBytes)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err != nil {
+		return nil, bodyProblem(err)
+	}
+	path := strings.TrimPrefix(r.URL.EscapedPath(), "/"+name)
+	if path == "" {
+		path = "/"
+	}
+	c := &plainCall{
+		server: s, id: s.newRequestID(), service: service, method: r.Method, path: path, body: body,
+		headers: passedHeaders(r.Header), timeout: service.Timeout, idempotent: isIdempotent(service, r.Method, path),
+		exclude: make(map[string]bool),
+	}
+	if r.URL.RawQuery != "" {
+		c.path += "?" + r.URL.RawQuery
+	}
+	if c.timeout <= 0 {
+		c.timeout = defaultCallTimeout
+	}
+	return c, nil
+}
+
+func bodyProblem(err error) *problem.Problem {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return problem.Refuse(problem.BodyTooLarge, tooLarge.Error())
+	}
+	return problem.Refuse(problem.InvalidRequest, "the body ended early")
+}
+
+func passedHeaders(header http.Header) []*wire.Header {
+	var headers []*wire.Header
+	for name, values := range header {
+		if hopHeaders[name] {
+			continue
+		}
+		for _, value := range values {
+			headers = append(headers, &wire.Header{Name: name, Value: value})
+		}
+	}
+	return headers
+}
+
+// run sends the call to one server after another for as long as it certainly
+// was not run, or may be repeated.
+func (c *plainCall) run(ctx context.Context) (*plainAnswer, *problem.Problem) {
+	c.request = attempt.NewRequest(c.idempotent)
+	for c.request.MaySend() && c.request.Latest() < maxAttempts {
+		p := c.server.peers.pick(c.service.Name, c.exclude)
+		if p == nil {
+			return nil, c.giveUp(problem.NoBackend, "no server of the service is available")
+		}
+		c.exclude[p.id] = true
+		answer, refused := c.runAttempt(ctx, p)
+		if answer != nil || refused != nil {
+			return answer, refused
+		}
+	}
+	if c.request.Executed() == attempt.ExecutedNo {
+		return nil, c.giveUp(problem.NoBackend, "every server of the service refused the call")
+	}
+	return nil, c.giveUp(problem.BackendFailed, "the connection to the server was lost before its answer was whole")
+}
+
+func (c *plainCall) giveUp(code problem.Code, detail string) *problem.Problem {
+	p := problem.Refuse(code, detail)
+	p.Executed = problem.Executed(c.request.Executed().String())
+	p.Request = c.id
+	return p
+}
+
+// runAttempt returns nil, nil when the attempt failed and another may be tried.
+func (c *plainCall) runAttempt(ctx context.Context, p *peer) (*plainAnswer, *problem.Problem) {
+	number := c.request.Send()
+	ex := newExchange(attemptKey(c.id, number))
+	if !p.begin(ex, c.callFrame(number)) {
+		c.request.Observe(number, attempt.ExecutedNo)
+		return nil, nil
+	}
+	defer p.forget(ex.key)
+	c.sendBody(p, number)
+	answer := newPlainAnswer()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil, c.withdraw(p, ex)
+		case <-ex.events.Ready():
+			events, _ := ex.events.Take()
+			for _, event := range events {
+				over, whole := c.handle(event, number, answer)
+				if whole {
+					return answer, nil
+				}
+				if over {
+					return nil, nil
+				}
+			}
+		}
+	}
+}
+
+func (c *plainCall) callFrame(number uint32) func(string) *wire.WorkUp {
+	return func(incarnation string) *wire.WorkUp {
+		return &wire.WorkUp{Body: &wire.WorkUp_Call{Call: &wire.Call{
+			Request: c.id, Attempt: number, Incarnation: incarnation, Method: c.method, Path: c.path,
+			Headers: c.headers, HasBody: len(c.body) > 0, TimeoutMs: c.timeout.Milliseconds(),
+		}}}
+	}
+}
+
+func (c *plainCall) sendBody(p *peer, number uint32) {
+	var sequence uint64
+	for rest := c.body; len(rest) > 0; sequence++ {
+		n := min(len(rest), bodyChunkBytes)
+		p.push(&wire.WorkUp{Body: &wire.WorkUp_CallBody{CallBody: &wire.CallBody{
+			Request: c.id, Attempt: number, Sequence: sequence, Data: rest[:n], Last: n == len(rest),
+		}}})
+		rest = rest[n:]
+	}
+}
+
+// handle returns whether the attempt is over and whether its answer is whole.
+func (c *plainCall) handle(event peerEvent, number uint32, answer *plainAnswer) (over, whole bool) {
+	if event.lost {
+		return true, false
+	}
+	switch body := event.frame.Body.(type) {
+	case *wire.WorkDown_Refused:
+		c.request.Observe(number, executedFromWire(body.Refused.Executed))
+		return true, false
+	case *wire.WorkDown_Failed:
+		c.request.Observe(number, executedFromWire(body.Failed.Executed))
+		return true, false
+	case *wire.WorkDown_CallHead:
+		c.request.Observe(number, attempt.ExecutedYes)
+		answer.head = body.CallHead
+	case *wire.WorkDown_CallBody:
+		answer.add(body.CallBody)
+	case *wire.WorkDown_CallEnd:
+		return true, answer.isWhole(body.CallEnd)
+	}
+	return false, false
+}
+
+// withdrawTimeout bounds the wait for a sidecar's answer to a withdrawal.
+const withdrawTimeout = time.Second
+
+// withdraw ends an attempt whose caller waits no longer, and finds out whether it ran.
+func (c *plainCall) withdraw(p *peer, ex *exchange) *problem.Problem {
+	p.push(&wire.WorkUp{Body: &wire.WorkUp_Withdraw{Withdraw: &wire.Withdraw{
+		Request: ex.key.Request, Attempt: ex.key.Number,
+	}}})
+	timer := time.NewTimer(withdrawTimeout)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+			return c.giveUp(problem.DeadlineExceeded, "the call did not end in time")
+		case <-ex.events.Ready():
+			events, _ := ex.events.Take()
+			for _, event := range events {
+				ack := event.frame.GetWithdrawAck()
+				if ack == nil && !event.lost {
+					continue
+				}
+				c.request.Observe(ex.key.Number, executedFromWire(ack.GetExecuted()))
+				return c.giveUp(problem.DeadlineExceeded, "the call did not end in time")
+			}
+		}
+	}
+}
+
+func executedFromWire(e wire.Executed) attempt.Executed {
+	switch e {
+	case wire.Executed_EXECUTED_NO:
+		return attempt.ExecutedNo
+	case wire.Executed_EXECUTED_YES:
+		return attempt.ExecutedYes
+	default:
+		return attempt.ExecutedUnknown
+	}
+}
+
+// plainAnswer collects an answer until it is known to be whole, so that the
+// caller never gets a truncated one under a successful status.
+type plainAnswer struct {
+	head   *wire.CallHead
+	body   []byte
+	next   uint64
+	broken bool
+	digest *xxhash.Digest
+}
+
+func newPlainAnswer() *plainAnswer { return &plainAnswer{digest: xxhash.New()} }
+
+func (a *plainAnswer) add(part *wire.CallBody) {
+	if part.Sequence != a.next {
+		a.broken = true
+		return
+	}
+	a.next++
+	a.body = append(a.body, part.Data...)
+	_, _ = a.digest.Write(part.Data)
+}
+
+func (a *plainAnswer) isWhole(end *wire.CallEnd) bool {
+	return a.head != nil && !a.broken && uint64(len(a.body)) == end.Length && a.digest.Sum64() == end.Digest
+}
+
+func (a *plainAnswer) write(w http.ResponseWriter) {
+	for _, h := range a.head.Headers {
+		if !hopHeaders[h.Name] {
+			w.Header().Add(h.Name, h.Value)
+		}
+	}
+	w.WriteHeader(int(a.head.Status))
+	_, _ = w.Write(a.body)
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,219 @@
+// Package entry is the process that callers talk to. It authenticates a
+// request, picks a chain of engines or a plain server, drives the attempts,
+// and tells the caller honestly what happened.
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/sapphirefield/sapphirefield/attempt"
+	"github.com/sapphirefield/sapphirefield/config"
+	"github.com/sapphirefield/sapphirefield/link"
+	"github.com/sapphirefield/sapphirefield/logevent"
+)
+
+// Options describes an entry.
+type Options struct {
+	ID     string
+	Zone   string
+	Dialer link.Dialer
+	Logger *log.Logger
+	// Metrics receives counters and timers; nil means a registry of its own.
+	Metrics metrics.Registry
+	// Config returns the configuration in force, or nil before there is one.
+	Config func() *config.Document
+	// MaxBodyBytes bounds a request's body.
+	MaxBodyBytes int64
+	// RequestTimeout bounds a whole language request.
+	RequestTimeout time.Duration
+}
+
+const (
+	defaultMaxBodyBytes   = 8 << 20
+	defaultRequestTimeout = 2 * time.Minute
+	idBytes               = 8
+)
+
+// Server is a running entry.
+type Server struct {
+	opts        Options
+	incarnation string
+	peers       *peerSet
+	models      *modelSet
+	meters      meters
+	sequence    atomic.Uint64
+
+	mu         sync.Mutex
+	draining   bool
+	inProgress int
+	idle       chan struct{}
+}
+
+// New returns an entry without peers. Its connections end with ctx.
+func New(ctx context.Context, opts Options) *Server {
+	if opts.MaxBodyBytes == 0 {
+		opts.MaxBodyBytes = defaultMaxBodyBytes
+	}
+	if opts.RequestTimeout == 0 {
+		opts.RequestTimeout = defaultRequestTimeout
+	}
+	if opts.Metrics == nil {
+		opts.Metrics = metrics.NewRegistry()
+	}
+	s := &Server{
+		opts:        opts,
+		incarnation: randomName(),
+		meters:      newMeters(opts.Metrics),
+		idle:        make(chan struct{}),
+	}
+	s.models = newModelSet()
+	s.peers = newPeerSet(ctx, s)
+	return s
+}
+
+func randomName() string {
+	var b [idBytes]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+// newRequestID returns a name that no other request has: it joins this start
+// of the entry with a count.
+func (s *Server) newRequestID() string {
+	var count [4]byte
+	n := s.sequence.Add(1)
+	for i := range count {
+		count[i] = byte(n >> (8 * (len(count) - 1 - i)))
+	}
+	return s.incarnation + "-" + hex.EncodeToString(count[:])
+}
+
+// Handler serves callers.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/v1/chat/completions", s.tracked(s.serveChat))
+	mux.HandleFunc("/v1/completions", s.tracked(s.serveCompletion))
+	mux.HandleFunc("/v1/models", s.tracked(s.serveModels))
+	mux.HandleFunc("/", s.tracked(s.servePlain))
+	return mux
+}
+
+// tracked counts the request for a graceful shutdown and refuses it while draining.
+func (s *Server) tracked(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !s.begin() {
+			w.Header().Set("Connection", "close")
+			refuseDraining(w)
+			return
+		}
+		defer s.end()
+		next(w, r)
+	}
+}
+
+func (s *Server) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return false
+	}
+	s.inProgress++
+	return true
+}
+
+func (s *Server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inProgress--
+	s.checkIdle()
+}
+
+// checkIdle must be called with the lock held.
+func (s *Server) checkIdle() {
+	if !s.draining || s.inProgress > 0 {
+		return
+	}
+	select {
+	case <-s.idle:
+	default:
+		close(s.idle)
+	}
+}
+
+// Drain makes the entry refuse new requests; those in progress go on.
+func (s *Server) Drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return
+	}
+	s.draining = true
+	logevent.Write(s.opts.Logger, logevent.ProcessDraining).Str("id", s.opts.ID).Int("running", s.inProgress).Msg("")
+	s.checkIdle()
+}
+
+// Drained is closed once a draining entry has nothing in progress.
+func (s *Server) Drained() <-chan struct{} { return s.idle }
+
+// InProgress counts the requests in progress.
+func (s *Server) InProgress() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inProgress
+}
+
+// Draining tells whether the entry refuses new requests.
+func (s *Server) Draining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
+// Ready tells whether the entry has a configuration, reaches a backend server
+// and is not draining.
+func (s *Server) Ready() bool {
+	return s.opts.Config() != nil && !s.Draining() && s.peers.connected() > 0
+}
+
+// Instance is a sidecar that the entry may use.
+type Instance struct {
+	ID      string
+	Zone    string
+	Address string
+	Leaving bool
+}
+
+// SetInstances replaces the sidecars that the entry is connected to.
+func (s *Server) SetInstances(instances []Instance) { s.peers.set(instances) }
+
+// meters are the entry's metrics.
+type meters struct {
+	requests, refused, tokens, recoveries metrics.Counter
+	firstToken, betweenTokens, calls      metrics.Timer
+}
+
+func newMeters(r metrics.Registry) meters {
+	return meters{
+		requests:      metrics.GetOrRegisterCounter("entry.requests", r),
+		refused:       metrics.GetOrRegisterCounter("entry.refused", r),
+		tokens:        metrics.GetOrRegisterCounter("entry.tokens", r),
+		recoveries:    metrics.GetOrRegisterCounter("entry.stage_recoveries", r),
+		firstToken:    metrics.GetOrRegisterTimer("entry.first_token", r),
+		betweenTokens: metrics.GetOrRegisterTimer("entry.between_tokens", r),
+		calls:         metrics.GetOrRegisterTimer("entry.plain_calls", r),
+	}
+}
+
+// attemptKey names an attempt on the wire.
+func attemptKey(request string, number uint32) attempt.Key {
+	return attempt.Key{Request: request, Number: number}
+}
--- /dev/null
+++ b/entry/language.go
@@ -0,0 +1,182 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/sapphirefield/sapphirefield/config"
+	"github.com/sapphirefield/sapphirefield/logevent"
+	"github.com/sapphirefield/sapphirefield/problem"
+	"github.com/sapphirefield/sapphirefield/wire"
+)
+
+// languageForm is what differs between the two language endpoints.
+type languageForm struct {
+	object      string
+	chunkObject string
+	idPrefix    string
+	chat        bool
+}
+
+var (
+	chatForm       = languageForm{object: "chat.completion", chunkObject: "chat.completion.chunk", idPrefix: "chatcmpl-", chat: true}
+	completionForm = languageForm{object: "text_completion", chunkObject: "text_completion", idPrefix: "cmpl-"}
+)
+
+func (s *Server) serveChat(w http.ResponseWriter, r *http.Request) {
+	s.serveLanguage(w, r, chatForm)
+}
+
+func (s *Server) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	s.serveLanguage(w, r, completionForm)
+}
+
+func (s *Server) serveLanguage(w http.ResponseWriter, r *http.Request, form languageForm) {
+	s.meters.requests.Inc(1)
+	began := now()
+	answer := &languageAnswer{form: form, w: w, created: began.Unix()}
+	g, refused := s.prepareGeneration(w, r, form, answer)
+	if refused != nil {
+		s.refuse(w, refused)
+		return
+	}
+	answer.id = form.idPrefix + g.id
+	ctx, cancel := context.WithTimeout(r.Context(), s.opts.RequestTimeout)
+	defer cancel()
+	g.emit = s.timed(began, answer.token)
+	if p := g.run(ctx); p != nil {
+		s.failLanguage(answer, p)
+		return
+	}
+	answer.end(g.finish, len(g.tokens))
+	logevent.Write(s.opts.Logger, logevent.RequestFinished).Str("request", g.id).Int("tokens", len(g.tokens)).Msg("")
+}
+
+// timed measures the time to the first token and between tokens.
+func (s *Server) timed(began time.Time, emit func(*wire.Token) error) func(*wire.Token) error {
+	last := began
+	first := true
+	return func(token *wire.Token) error {
+		at := now()
+		if first {
+			s.meters.firstToken.Update(at.Sub(began))
+		} else {
+			s.meters.betweenTokens.Update(at.Sub(last))
+		}
+		first = false
+		last = at
+		s.meters.tokens.Inc(1)
+		return emit(token)
+	}
+}
+
+func (s *Server) refuse(w http.ResponseWriter, p *problem.Problem) {
+	s.meters.refused.Inc(1)
+	logevent.Write(s.opts.Logger, logevent.RequestRefused).Str("request", p.Request).
+		Str("code", string(p.Code)).Str("executed", string(p.Executed)).Msg("")
+	p.Write(w)
+}
+
+// failLanguage answers with the problem, or ends a stream that has begun with
+// an error event and without the closing mark.
+func (s *Server) failLanguage(answer *languageAnswer, p *problem.Problem) {
+	if !answer.streaming {
+		s.refuse(answer.w, p)
+		return
+	}
+	s.meters.refused.Inc(1)
+	answer.event(map[string]*problem.Problem{"error": p})
+}
+
+func (s *Server) prepareGeneration(w http.ResponseWriter, r *http.Request, form languageForm, answer *languageAnswer) (*generation, *problem.Problem) {
+	if r.Method != http.MethodPost {
+		return nil, methodNotAllowed(http.MethodPost)
+	}
+	doc, team, refused := s.authenticate(r)
+	if refused != nil {
+		return nil, refused
+	}
+	req, refused := decodeLanguage(http.MaxBytesReader(w, r.Body, s.opts.MaxBodyBytes), form)
+	if refused != nil {
+		return nil, refused
+	}
+	model, refused := teamModel(doc, team, req.Model)
+	if refused != nil {
+		return nil, refused
+	}
+	maxTokens, refused := req.tokenLimit(model)
+	if refused != nil {
+		return nil, refused
+	}
+	answer.model = model.Name
+	answer.stream = req.Stream
+	answer.usage = req.StreamOptions != nil && req.StreamOptions.IncludeUsage
+	return &generation{
+		server: s, id: s.newRequestID(), model: model.Name, layers: model.Layers,
+		prompt: req.promptText(), maxTokens: maxTokens, priority: int32(team.Priority), parameters: req.sampling(),
+	}, nil
+}
+
+func methodNotAllowed(allow ...string) *problem.Problem {
+	p := problem.Refuse(problem.MethodNotAllowed, "use "+strings.Join(allow, " or "))
+	p.Allow = allow
+	return p
+}
+
+// defaultMaxTokens bounds an answer whose request names no limit.
+const defaultMaxTokens = 512
+
+func (req *languageRequest) tokenLimit(model *config.Model) (uint32, *problem.Problem) {
+	limit := defaultMaxTokens
+	if req.MaxTokens != nil {
+		limit = *req.MaxTokens
+	}
+	if req.MaxCompletionTokens != nil {
+		limit = *req.MaxCompletionTokens
+	}
+	if model.ContextTokens > 0 && req.MaxTokens == nil && req.MaxCompletionTokens == nil {
+		limit = min(limit, model.ContextTokens)
+	}
+	if limit < 1 {
+		return 0, problem.Refuse(problem.InvalidRequest, "max_tokens must be at least 1")
+	}
+	if model.ContextTokens > 0 && limit > model.ContextTokens {
+		return 0, problem.Refuse(problem.InvalidRequest, "max_tokens is larger than the model's context")
+	}
+	return uint32(limit), nil
+}
+
+// serveModels lists the models that the team may use.
+func (s *Server) serveModels(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodGet {
+		s.refuse(w, methodNotAllowed(http.MethodGet))
+		return
+	}
+	doc, team, refused := s.authenticate(r)
+	if refused != nil {
+		s.refuse(w, refused)
+		return
+	}
+	list := modelList{Object: "list", Data: []modelEntry{}}
+	for _, name := range team.Models {
+		if findModel(doc, name) != nil {
+			list.Data = append(list.Data, modelEntry{ID: name, Object: "model", OwnedBy: "sapphirefield"})
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list)
+}
+
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
--- /dev/null
+++ b/entry/peer.go
@@ -0,0 +1,298 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sapphirefield/sapphirefield/attempt"
+	"github.com/sapphirefield/sapphirefield/link"
+	"github.com/sapphirefield/sapphirefield/logevent"
+	"github.com/sapphirefield/sapphirefield/wire"
+)
+
+const (
+	// maxQueuedFrames bounds what waits for one sidecar, and what waits for one request.
+	maxQueuedFrames = 1 << 16
+	// reconnectMin and reconnectMax bound the pause between two attempts to connect.
+	reconnectMin = 50 * time.Millisecond
+	reconnectMax = 2 * time.Second
+)
+
+// peerEvent is a frame for an exchange, or the loss of the peer.
+type peerEvent struct {
+	peer  *peer
+	frame *wire.WorkDown
+	lost  bool
+}
+
+// exchange receives the events of one attempt from all its peers.
+type exchange struct {
+	key    attempt.Key
+	events *link.Queue[peerEvent]
+}
+
+func newExchange(key attempt.Key) *exchange {
+	return &exchange{key: key, events: link.NewQueue[peerEvent](maxQueuedFrames)}
+}
+
+// peer is the connection to one sidecar.
+type peer struct {
+	server *Server
+	id     string
+	cancel context.CancelFunc
+
+	mu       sync.Mutex
+	address  string
+	zone     string
+	leaving  bool
+	queue    *link.Queue[*wire.WorkUp]
+	hello    *wire.Hello
+	load     *wire.Load
+	pending  map[attempt.Key]*exchange
+}
+
+// run keeps a stream to the sidecar until ctx ends.
+func (p *peer) run(ctx context.Context) {
+	pause := reconnectMin
+	for ctx.Err() == nil {
+		began := time.Now()
+		err := p.drive(ctx)
+		p.disconnected(ctx, err)
+		if time.Since(began) > reconnectMax {
+			pause = reconnectMin
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause/2 + rand.N(pause/2)):
+		}
+		pause = min(2*pause, reconnectMax)
+	}
+}
+
+func (p *peer) drive(ctx context.Context) error {
+	p.mu.Lock()
+	address := p.address
+	p.mu.Unlock()
+	conn, err := p.server.opts.Dialer.Dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	stream, err := wire.NewDRPCSidecarClient(conn).Work(ctx)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	queue := link.NewQueue[*wire.WorkUp](maxQueuedFrames)
+	silence := link.NewSilence(time.Now(), link.SilenceLimit)
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		// Closing the connection ends the receiving side as well.
+		defer func() { _ = conn.Close() }()
+		return p.send(ctx, stream, queue, silence)
+	})
+	group.Go(func() error { return p.receive(stream, queue, silence) })
+	return group.Wait()
+}
+
+var errSilent = errors.New("stream was silent for longer than the limit")
+
+func (p *peer) send(ctx context.Context, stream wire.DRPCSidecar_WorkClient, queue *link.Queue[*wire.WorkUp], silence *link.Silence) error {
+	hello := &wire.Hello{Id: p.server.opts.ID, Incarnation: p.server.incarnation, Zone: p.server.opts.Zone}
+	if err := stream.Send(&wire.WorkUp{Body: &wire.WorkUp_Hello{Hello: hello}}); err != nil {
+		return errors.WithStack(err)
+	}
+	ticker := time.NewTicker(link.HeartbeatInterval)
+	defer ticker.Stop()
+	var sequence uint64
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-ticker.C:
+			if silence.Expired(now) {
+				return errSilent
+			}
+			sequence++
+			beat := &wire.Heartbeat{Sequence: sequence}
+			if err := stream.Send(&wire.WorkUp{Body: &wire.WorkUp_Heartbeat{Heartbeat: beat}}); err != nil {
+				return errors.WithStack(err)
+			}
+		case <-queue.Ready():
+			frames, open := queue.Take()
+			for _, frame := range frames {
+				if err := stream.Send(frame); err != nil {
+					return errors.WithStack(err)
+				}
+			}
+			if !open {
+				return errors.New("too many frames wait for the sidecar")
+			}
+		}
+	}
+}
+
+func (p *peer) receive(stream wire.DRPCSidecar_WorkClient, queue *link.Queue[*wire.WorkUp], silence *link.Silence) error {
+	for {
+		frame, err := stream.Recv()
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		if !silence.Frame(time.Now()) {
+			return errSilent
+		}
+		p.handle(frame, queue)
+	}
+}
+
+func (p *peer) handle(frame *wire.WorkDown, queue *link.Queue[*wire.WorkUp]) {
+	switch body := frame.Body.(type) {
+	case *wire.WorkDown_Hello:
+		p.connected(body.Hello, queue)
+	case *wire.WorkDown_Load:
+		p.loaded(body.Load)
+	case *wire.WorkDown_Tokens:
+		p.deliverTokens(body.Tokens)
+	default:
+		p.deliver(frameKey(frame), frame)
+	}
+}
+
+func (p *peer) connected(hello *wire.Hello, queue *link.Queue[*wire.WorkUp]) {
+	p.mu.Lock()
+	p.hello = hello
+	p.queue = queue
+	p.load = &wire.Load{Draining: hello.Draining, EngineUp: true}
+	p.mu.Unlock()
+	logevent.Write(p.server.opts.Logger, logevent.SidecarConnected).Str("id", p.server.opts.ID).Str("peer", p.id).Msg("")
+	p.server.peersChanged()
+}
+
+func (p *peer) loaded(load *wire.Load) {
+	p.mu.Lock()
+	changed := p.load == nil || p.load.Draining != load.Draining || p.load.EngineUp != load.EngineUp
+	p.load = load
+	hello := p.hello
+	p.mu.Unlock()
+	if changed {
+		p.server.peersChanged()
+	}
+	if hello.GetModel() != "" {
+		p.server.models.observe(hello.Model, p.id, load)
+	}
+}
+
+// disconnected tells all exchanges that the peer is lost.
+func (p *peer) disconnected(ctx context.Context, cause error) {
+	p.mu.Lock()
+	wasConnected := p.queue != nil
+	if wasConnected {
+		p.queue.Close()
+	}
+	p.queue = nil
+	pending := p.pending
+	p.pending = make(map[attempt.Key]*exchange)
+	p.mu.Unlock()
+	for _, ex := range pending {
+		ex.events.Push(peerEvent{peer: p, lost: true})
+	}
+	if wasConnected && ctx.Err() == nil {
+		logevent.Write(p.server.opts.Logger, logevent.SidecarDisconnected).Str("id", p.server.opts.ID).Str("peer", p.id).AnErr("cause", cause).Msg("")
+	}
+	if wasConnected {
+		p.server.peersChanged()
+	}
+}
+
+// begin registers an exchange and sends its first frame. It returns false,
+// with nothing sent, when the peer is not connected.
+func (p *peer) begin(ex *exchange, frame func(incarnation string) *wire.WorkUp) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.queue == nil {
+		return false
+	}
+	p.pending[ex.key] = ex
+	if p.queue.Push(frame(p.hello.Incarnation)) {
+		return true
+	}
+	delete(p.pending, ex.key)
+	return false
+}
+
+// push sends a further frame of an exchange. A lost frame shows as the loss of the peer.
+func (p *peer) push(frame *wire.WorkUp) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.queue != nil {
+		p.queue.Push(frame)
+	}
+}
+
+func (p *peer) forget(key attempt.Key) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.pending, key)
+}
+
+func (p *peer) deliver(key attempt.Key, frame *wire.WorkDown) {
+	p.mu.Lock()
+	ex := p.pending[key]
+	p.mu.Unlock()
+	if ex != nil {
+		ex.events.Push(peerEvent{peer: p, frame: frame})
+	}
+}
+
+// deliverTokens splits a frame with the tokens of many requests.
+func (p *peer) deliverTokens(tokens *wire.Tokens) {
+	for _, token := range tokens.Tokens {
+		one := &wire.WorkDown{Body: &wire.WorkDown_Tokens{Tokens: &wire.Tokens{Tokens: []*wire.Token{token}}}}
+		p.deliver(attempt.Key{Request: token.Request, Number: token.Attempt}, one)
+	}
+}
+
+// usable tells whether new work may go to the peer.
+func (p *peer) usable() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.queue != nil && !p.leaving && !p.load.GetDraining() && p.load.GetEngineUp()
+}
+
+func (p *peer) isConnected() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.queue != nil
+}
+
+func (p *peer) info() (hello *wire.Hello, address, zone string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.hello, p.address, p.zone
+}
+
+func frameKey(frame *wire.WorkDown) attempt.Key {
+	switch body := frame.Body.(type) {
+	case *wire.WorkDown_Opened:
+		return attemptKey(body.Opened.Request, body.Opened.Attempt)
+	case *wire.WorkDown_Refused:
+		return attemptKey(body.Refused.Request, body.Refused.Attempt)
+	case *wire.WorkDown_CallHead:
+		return attemptKey(body.CallHead.Request, body.CallHead.Attempt)
+	case *wire.WorkDown_CallBody:
+		return attemptKey(body.CallBody.Request, body.CallBody.Attempt)
+	case *wire.WorkDown_CallEnd:
+		return attemptKey(body.CallEnd.Request, body.CallEnd.Attempt)
+	case *wire.WorkDown_WithdrawAck:
+		return attemptKey(body.WithdrawAck.Request, body.WithdrawAck.Attempt)
+	case *wire.WorkDown_Failed:
+		return attemptKey(body.Failed.Request, body.Failed.Attempt)
+	default:
+		return attempt.Key{}
+	}
+}
--- /dev/null
+++ b/entry/peers.go
@@ -0,0 +1,194 @@
+package entry
+
+import (
+	"context"
+	"sync"
+
+	"github.com/sapphirefield/sapphirefield/attempt"
+	"github.com/sapphirefield/sapphirefield/pipeline"
+	"github.com/sapphirefield/sapphirefield/wire"
+)
+
+// peerSet holds the connections to all sidecars in use.
+type peerSet struct {
+	ctx    context.Context
+	server *Server
+
+	mu    sync.Mutex
+	byID  map[string]*peer
+	round uint64
+}
+
+func newPeerSet(ctx context.Context, server *Server) *peerSet {
+	return &peerSet{ctx: ctx, server: server, byID: make(map[string]*peer)}
+}
+
+// set connects to new instances and drops those that are gone. A peer with
+// requests in progress stays until its connection ends.
+func (ps *peerSet) set(instances []Instance) {
+	ps.mu.Lock()
+	wanted := make(map[string]bool, len(instances))
+	for _, in := range instances {
+		wanted[in.ID] = true
+		ps.update(in)
+	}
+	for id, p := range ps.byID {
+		if !wanted[id] && !p.busy() {
+			p.cancel()
+			delete(ps.byID, id)
+		}
+	}
+	ps.mu.Unlock()
+	ps.server.peersChanged()
+}
+
+// update must be called with the lock held. An instance that returns at
+// another address is a new process, so its old connection is dropped.
+func (ps *peerSet) update(in Instance) {
+	known := ps.byID[in.ID]
+	if known != nil {
+		_, address, _ := known.info()
+		if address == in.Address {
+			known.mu.Lock()
+			known.leaving = in.Leaving
+			known.mu.Unlock()
+			return
+		}
+		known.cancel()
+	}
+	ctx, cancel := context.WithCancel(ps.ctx)
+	p := &peer{
+		server: ps.server, id: in.ID, address: in.Address, zone: in.Zone, leaving: in.Leaving,
+		cancel: cancel, pending: make(map[attempt.Key]*exchange),
+	}
+	ps.byID[in.ID] = p
+	go p.run(ctx)
+}
+
+func (p *peer) busy() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.pending) > 0
+}
+
+func (ps *peerSet) get(id string) *peer {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	return ps.byID[id]
+}
+
+func (ps *peerSet) all() []*peer {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	peers := make([]*peer, 0, len(ps.byID))
+	for _, p := range ps.byID {
+		peers = append(peers, p)
+	}
+	return peers
+}
+
+func (ps *peerSet) connected() int {
+	n := 0
+	for _, p := range ps.all() {
+		if p.isConnected() {
+			n++
+		}
+	}
+	return n
+}
+
+// pick returns the usable server of a plain service with the least calls in
+// progress, in the entry's availability zone before others.
+func (ps *peerSet) pick(service string, exclude map[string]bool) *peer {
+	var best *peer
+	var bestCost int
+	for _, p := range ps.all() {
+		hello, _, zone := p.info()
+		if hello.GetService() != service || exclude[p.id] || !p.usable() {
+			continue
+		}
+		cost := p.pendingCalls() * 2
+		if zone != ps.server.opts.Zone {
+			cost++
+		}
+		if best == nil || cost < bestCost || cost == bestCost && p.id < best.id {
+			best, bestCost = p, cost
+		}
+	}
+	return best
+}
+
+func (p *peer) pendingCalls() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.pending)
+}
+
+// modelSet holds one chooser for each model.
+type modelSet struct {
+	mu       sync.Mutex
+	choosers map[string]*pipeline.Chooser
+}
+
+func newModelSet() *modelSet {
+	return &modelSet{choosers: make(map[string]*pipeline.Chooser)}
+}
+
+func (m *modelSet) observe(model, instance string, load *wire.Load) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if c := m.choosers[model]; c != nil {
+		c.Observe(pipeline.Load{
+			Instance: instance, At: now(), Running: int(load.Running), Queued: int(load.Queued),
+			Draining: load.Draining, Down: !load.EngineUp,
+		})
+	}
+}
+
+func (m *modelSet) choose(model string, req pipeline.Request, exclude map[string]bool) (pipeline.Chain, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := m.choosers[model]
+	if c == nil {
+		return pipeline.Chain{}, pipeline.ErrNoChain
+	}
+	return c.Choose(req, exclude)
+}
+
+func (m *modelSet) done(model string, chain pipeline.Chain) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if c := m.choosers[model]; c != nil {
+		c.Done(chain)
+	}
+}
+
+// peersChanged rebuilds the choosers' stages from the peers that are usable.
+func (s *Server) peersChanged() {
+	doc := s.opts.Config()
+	if doc == nil {
+		return
+	}
+	stages := make(map[string][]pipeline.Stage)
+	for _, p := range s.peers.all() {
+		hello, address, zone := p.info()
+		if hello.GetLayers() == nil || !p.usable() {
+			continue
+		}
+		stages[hello.Model] = append(stages[hello.Model], pipeline.Stage{
+			Instance: p.id, Address: address, Zone: zone,
+			First: int(hello.Layers.First), Limit: int(hello.Layers.Limit), Weight: stageWeight(doc, p.id, hello.Layers),
+		})
+	}
+	s.models.mu.Lock()
+	defer s.models.mu.Unlock()
+	for i := range doc.Models {
+		model := &doc.Models[i]
+		c := s.models.choosers[model.Name]
+		if c == nil {
+			c = pipeline.NewChooser(pipeline.Options{Layers: model.Layers, ActivationBytes: model.ActivationBytes})
+			s.models.choosers[model.Name] = c
+		}
+		c.Update(0, stages[model.Name])
+	}
+}
--- a/sidecar/stage.go
+++ b/sidecar/stage.go
@@ -84,10 +84,14 @@
 }
 
 func (s *Server) engineStep(a *stageAttempt, index uint32) *wire.EngineStep {
-	return &wire.EngineStep{
+	step := &wire.EngineStep{
 		Request: a.key.Request, Attempt: a.key.Number, Index: index,
 		Priority: a.open.Priority, MaxTokens: a.open.MaxTokens,
 	}
+	if index == a.open.FirstIndex {
+		step.Parameters = a.open.Parameters
+	}
+	return step
 }
 
 // offer passes a step through the gate to the engine. It returns the reason of a refusal.
