Run a prompt and a booking through the whole path

Cause: main must run end to end before anything is tuned.

The stand-in model mixed a local layer index into its values, so a split model gave other tokens than a whole one; it now uses the model's layer number.

--- /dev/null
+++ b/cmd/sapphiredev/main.go
@@ -0,0 +1,51 @@
+// Command sapphiredev holds what developers need and users do not: the demo
+// with stand-ins, and experiments.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/sapphirefield/sapphirefield/demo"
+)
+
+func main() {
+	root := &ffcli.Command{
+		Name:        "sapphiredev",
+		ShortUsage:  "sapphiredev <subcommand> [flags]",
+		Subcommands: []*ffcli.Command{demoCommand()},
+		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+	}
+	err := root.ParseAndRun(context.Background(), os.Args[1:])
+	switch {
+	case errors.Is(err, flag.ErrHelp):
+		os.Exit(2)
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "sapphiredev:", err)
+		os.Exit(1)
+	}
+}
+
+func demoCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("sapphiredev demo", flag.ContinueOnError)
+	showLogs := flags.Bool("logs", false, "write the processes' log lines to standard error")
+	return &ffcli.Command{
+		Name:       "demo",
+		ShortUsage: "sapphiredev demo [-logs]",
+		ShortHelp:  "run all roles in one process and show a prompt, a booking and the loss of a stage",
+		FlagSet:    flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			var logs io.Writer
+			if *showLogs {
+				logs = os.Stderr
+			}
+			return demo.Run(ctx, os.Stdout, logs)
+		},
+	}
+}
--- /dev/null
+++ b/demo/client.go
@@ -0,0 +1,139 @@
+package demo
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Client calls an entry the way a caller does.
+type Client struct {
+	URL string
+	Key string
+	// HTTP is the client to use; nil means http.DefaultClient.
+	HTTP *http.Client
+}
+
+// Answer is a streamed completion.
+type Answer struct {
+	Text   string
+	Tokens int
+	Finish string
+	// Whole is set when the stream ended with its closing mark.
+	Whole bool
+	// FirstToken is the time to the first token, LongestGap the longest time between two.
+	FirstToken, LongestGap time.Duration
+}
+
+type streamChunk struct {
+	Choices []struct {
+		Text         string  `json:"text"`
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+	Error json.RawMessage `json:"error"`
+}
+
+func (c *Client) do(ctx context.Context, method, path string, body any) (*http.Response, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.URL+path, bytes.NewReader(data))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+c.Key)
+	req.Header.Set("Content-Type", "application/json")
+	client := c.HTTP
+	if client == nil {
+		client = http.DefaultClient
+	}
+	resp, err := client.Do(req)
+	return resp, errors.WithStack(err)
+}
+
+// Complete streams a completion; onToken is called after each token and may be nil.
+func (c *Client) Complete(ctx context.Context, model, prompt string, maxTokens int, onToken func(n int)) (*Answer, error) {
+	began := time.Now()
+	resp, err := c.do(ctx, http.MethodPost, "/v1/completions", map[string]any{
+		"model": model, "prompt": prompt, "max_tokens": maxTokens, "stream": true,
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(resp.Body)
+		return nil, errors.Errorf("entry answered %s: %s", resp.Status, text)
+	}
+	return readStream(resp.Body, began, onToken)
+}
+
+func readStream(body io.Reader, began time.Time, onToken func(n int)) (*Answer, error) {
+	answer := &Answer{}
+	last := began
+	scanner := bufio.NewScanner(body)
+	for scanner.Scan() {
+		data, found := strings.CutPrefix(scanner.Text(), "data: ")
+		if !found {
+			continue
+		}
+		if data == "[DONE]" {
+			answer.Whole = true
+			return answer, nil
+		}
+		if err := answer.add(data); err != nil {
+			return answer, err
+		}
+		at := time.Now()
+		if answer.Tokens == 1 {
+			answer.FirstToken = at.Sub(began)
+		} else {
+			answer.LongestGap = max(answer.LongestGap, at.Sub(last))
+		}
+		last = at
+		if onToken != nil {
+			onToken(answer.Tokens)
+		}
+	}
+	return answer, errors.WithStack(scanner.Err())
+}
+
+func (a *Answer) add(data string) error {
+	var chunk streamChunk
+	if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+		return errors.WithStack(err)
+	}
+	if chunk.Error != nil {
+		return errors.Errorf("stream ended with an error: %s", chunk.Error)
+	}
+	if len(chunk.Choices) == 0 {
+		return nil
+	}
+	choice := chunk.Choices[0]
+	if choice.FinishReason != nil {
+		a.Finish = *choice.FinishReason
+		return nil
+	}
+	a.Text += choice.Text
+	a.Tokens++
+	return nil
+}
+
+// Call sends a plain call and returns status and body.
+func (c *Client) Call(ctx context.Context, method, path string, body any) (int, string, error) {
+	resp, err := c.do(ctx, method, path, body)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text), errors.WithStack(err)
+}
--- /dev/null
+++ b/demo/cluster.go
@@ -0,0 +1,243 @@
+// Package demo runs all roles and stand-ins in one process over real sockets on
+// loopback. The demo command, the end-to-end tests and the benchmarks use it.
+package demo
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	"github.com/sapphirefield/sapphirefield/config"
+	"github.com/sapphirefield/sapphirefield/entry"
+	"github.com/sapphirefield/sapphirefield/sidecar"
+	"github.com/sapphirefield/sapphirefield/standin"
+	"github.com/sapphirefield/sapphirefield/wire"
+)
+
+// Names used by the demo.
+const (
+	Model   = "sapphire-llm"
+	Service = "orderbook-app"
+	Key     = "demo-key"
+	Layers  = 24
+)
+
+// ClusterOptions sizes a cluster.
+type ClusterOptions struct {
+	// Stages is the number of layer ranges, Copies how many engines hold each of them.
+	Stages, Copies int
+	PlainServers   int
+	// StepTime is what one iteration of a stand-in engine takes.
+	StepTime time.Duration
+	// PlainDelay is how long a stand-in plain server takes for a booking.
+	PlainDelay time.Duration
+	// Log receives the log lines of all processes; nil discards them.
+	Log io.Writer
+}
+
+// Node is one backend server with its sidecar.
+type Node struct {
+	ID      string
+	Engine  *standin.Engine
+	Plain   *standin.PlainServer
+	Sidecar *sidecar.Server
+	Address string
+	// BackendURL is where the backend server listens.
+	BackendURL string
+	stop       context.CancelFunc
+}
+
+// Kill ends the sidecar and its backend server at once.
+func (n *Node) Kill() { n.stop() }
+
+// Cluster is a set of processes in one.
+type Cluster struct {
+	Entry    *entry.Server
+	URL      string
+	Nodes    []*Node
+	opts     ClusterOptions
+	logger   *log.Logger
+	document *config.Document
+	wg       sync.WaitGroup
+	cancel   context.CancelFunc
+}
+
+// Start brings a cluster up and waits until every sidecar is connected.
+func Start(ctx context.Context, opts ClusterOptions) (*Cluster, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	c := &Cluster{opts: opts, logger: newLogger(opts.Log), document: document(), cancel: cancel}
+	if err := c.start(ctx); err != nil {
+		c.Stop()
+		return nil, err
+	}
+	return c, nil
+}
+
+func newLogger(w io.Writer) *log.Logger {
+	if w == nil {
+		w = io.Discard
+	}
+	return &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: w}}
+}
+
+func (c *Cluster) start(ctx context.Context) error {
+	per := Layers / c.opts.Stages
+	for stage := range c.opts.Stages {
+		for copyIndex := range c.opts.Copies {
+			id := fmt.Sprintf("engine-%d%c", stage, 'a'+copyIndex)
+			layers := &wire.LayerRange{First: uint32(stage * per), Limit: uint32((stage + 1) * per)}
+			if stage == c.opts.Stages-1 {
+				layers.Limit = Layers
+			}
+			if err := c.addEngine(ctx, id, layers); err != nil {
+				return err
+			}
+		}
+	}
+	for i := range c.opts.PlainServers {
+		if err := c.addPlain(ctx, fmt.Sprintf("orders-%d", i)); err != nil {
+			return err
+		}
+	}
+	if err := c.startEntry(ctx); err != nil {
+		return err
+	}
+	return c.waitReady(ctx)
+}
+
+func (c *Cluster) addEngine(ctx context.Context, id string, layers *wire.LayerRange) error {
+	engine := standin.NewEngine(standin.EngineOptions{
+		Model: Model, Version: "1", First: layers.First, Limit: layers.Limit, Layers: Layers, StepTime: c.opts.StepTime,
+	})
+	node := &Node{ID: id, Engine: engine}
+	return c.addNode(ctx, node, engine.Handler(), sidecar.Options{ID: id, Zone: "changwon-a", Model: Model, Layers: layers, Logger: c.logger})
+}
+
+func (c *Cluster) addPlain(ctx context.Context, id string) error {
+	plain := standin.NewPlainServer(c.opts.PlainDelay)
+	node := &Node{ID: id, Plain: plain}
+	return c.addNode(ctx, node, plain.Handler(), sidecar.Options{ID: id, Zone: "changwon-a", Service: Service, Logger: c.logger})
+}
+
+func (c *Cluster) addNode(ctx context.Context, node *Node, backend http.Handler, opts sidecar.Options) error {
+	ctx, node.stop = context.WithCancel(ctx)
+	url, err := c.serveHTTP(ctx, backend)
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	opts.Backend = url
+	node.BackendURL = url
+	node.Address = listener.Addr().String()
+	node.Sidecar = sidecar.New(opts)
+	c.Nodes = append(c.Nodes, node)
+	c.wg.Add(1)
+	go func() {
+		defer c.wg.Done()
+		_ = node.Sidecar.Serve(ctx, listener)
+	}()
+	return nil
+}
+
+// serveHTTP serves a handler until ctx ends and cuts its connections then, as the end of a process does.
+func (c *Cluster) serveHTTP(ctx context.Context, handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.WithStack(err)
+	}
+	server := &http.Server{Handler: handler}
+	c.wg.Add(2)
+	go func() {
+		defer c.wg.Done()
+		_ = server.Serve(listener)
+	}()
+	go func() {
+		defer c.wg.Done()
+		<-ctx.Done()
+		_ = server.Close()
+	}()
+	return "http://" + listener.Addr().String(), nil
+}
+
+func (c *Cluster) startEntry(ctx context.Context) error {
+	c.Entry = entry.New(ctx, entry.Options{
+		ID: "entry-0", Zone: "changwon-a", Logger: c.logger,
+		Config: func() *config.Document { return c.document },
+	})
+	c.Entry.SetInstances(c.Instances())
+	url, err := c.serveHTTP(ctx, c.Entry.Handler())
+	c.URL = url
+	return err
+}
+
+// Instances lists all nodes as the instance list would.
+func (c *Cluster) Instances() []entry.Instance {
+	var instances []entry.Instance
+	for _, n := range c.Nodes {
+		instances = append(instances, entry.Instance{ID: n.ID, Zone: "changwon-a", Address: n.Address})
+	}
+	return instances
+}
+
+// Node returns a node by its name.
+func (c *Cluster) Node(id string) *Node {
+	for _, n := range c.Nodes {
+		if n.ID == id {
+			return n
+		}
+	}
+	return nil
+}
+
+const (
+	readyTimeout = 10 * time.Second
+	readyPoll    = 5 * time.Millisecond
+)
+
+func (c *Cluster) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for c.Entry.Connected() < len(c.Nodes) {
+		select {
+		case <-ctx.Done():
+			return errors.Errorf("%d of %d sidecars connected in time", c.Entry.Connected(), len(c.Nodes))
+		case <-time.After(readyPoll):
+		}
+	}
+	return nil
+}
+
+// Stop ends all processes and waits for them.
+func (c *Cluster) Stop() {
+	c.cancel()
+	c.wg.Wait()
+}
+
+// document is a small configuration with one team.
+func document() *config.Document {
+	hash := sha256.Sum256([]byte(Key))
+	return &config.Document{
+		Schema: config.SchemaVersion,
+		Models: []config.Model{{Name: Model, Versions: []string{"1"}, Serving: "1", Layers: Layers, ActivationBytes: 8, ContextTokens: 4096}},
+		Services: []config.Service{{
+			Name: Service, Timeout: 5 * time.Second, KeyWindow: time.Hour, OnLogOutage: config.RefuseDuringOutage,
+			Idempotent: []config.CallRule{{Method: http.MethodGet, PathPrefix: "/"}},
+		}},
+		Teams: []config.Team{{
+			Name: "changwon-press", KeyHashes: []string{hex.EncodeToString(hash[:])}, Weight: 1,
+			Models: []string{Model}, Services: []string{Service},
+		}},
+	}
+}
--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,127 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sapphirefield/sapphirefield/standin"
+)
+
+// Sizes of the demo.
+const (
+	demoStages   = 3
+	demoCopies   = 2
+	demoPlain    = 3
+	demoStepTime = 2 * time.Millisecond
+	demoTokens   = 120
+	demoKillAt   = 40
+	demoTimeout  = 25 * time.Second
+)
+
+// Run shows the whole path and writes what it saw. It returns an error when
+// an answer is not exactly the one that a correct pipeline gives.
+func Run(ctx context.Context, out io.Writer, logs io.Writer) error {
+	ctx, cancel := context.WithTimeout(ctx, demoTimeout)
+	defer cancel()
+	cluster, err := Start(ctx, ClusterOptions{
+		Stages: demoStages, Copies: demoCopies, PlainServers: demoPlain, StepTime: demoStepTime, Log: logs,
+	})
+	if err != nil {
+		return err
+	}
+	defer cluster.Stop()
+	fmt.Fprintf(out, "started 1 entry, %d engines in %d stages of %d layers, %d plain servers\n",
+		demoStages*demoCopies, demoStages, Layers/demoStages, demoPlain)
+	client := &Client{URL: cluster.URL, Key: Key}
+	steps := []func(context.Context, io.Writer, *Cluster, *Client) error{showPrompt, showBooking, showStageLoss}
+	for _, step := range steps {
+		if err := step(ctx, out, cluster, client); err != nil {
+			return err
+		}
+	}
+	fmt.Fprintln(out, "all answers were whole and exact")
+	return nil
+}
+
+func showPrompt(ctx context.Context, out io.Writer, _ *Cluster, client *Client) error {
+	answer, err := complete(ctx, client, "Explain the delay on press line 4.", nil)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "prompt: %d tokens through %d stages, first token after %s, longest gap %s\n",
+		answer.Tokens, demoStages, answer.FirstToken.Round(time.Microsecond), answer.LongestGap.Round(time.Microsecond))
+	fmt.Fprintf(out, "  begins with: %.60s\n", strings.TrimSpace(answer.Text))
+	return nil
+}
+
+func showBooking(ctx context.Context, out io.Writer, cluster *Cluster, client *Client) error {
+	path := "/" + Service + "/bookings"
+	status, body, err := client.Call(ctx, http.MethodPost, path, map[string]string{"reference": "shift-7"})
+	if err != nil {
+		return err
+	}
+	runs := 0
+	for _, n := range cluster.Nodes {
+		if n.Plain != nil {
+			runs += n.Plain.Runs("shift-7")
+		}
+	}
+	fmt.Fprintf(out, "booking: status %d, ran %d time(s): %s\n", status, runs, strings.TrimSpace(body))
+	if status != http.StatusCreated || runs != 1 {
+		return errors.Errorf("booking got status %d and ran %d times", status, runs)
+	}
+	return nil
+}
+
+func showStageLoss(ctx context.Context, out io.Writer, cluster *Cluster, client *Client) error {
+	victim := ""
+	kill := func(n int) {
+		if n == demoKillAt {
+			victim = cluster.BusiestEngine(1)
+			cluster.Node(victim).Kill()
+		}
+	}
+	answer, err := complete(ctx, client, "Summarize the billet requirements of tender 12.", kill)
+	if err != nil {
+		return err
+	}
+	recoveries := cluster.Entry.Recoveries()
+	fmt.Fprintf(out, "stage loss: %s ended after token %d; %d recovery; the answer still has %d tokens, longest gap %s\n",
+		victim, demoKillAt, recoveries, answer.Tokens, answer.LongestGap.Round(time.Microsecond))
+	if recoveries == 0 {
+		return errors.New("the engine that ended was not part of the chain")
+	}
+	return nil
+}
+
+// BusiestEngine names the engine of a stage that has an attempt in progress.
+func (c *Cluster) BusiestEngine(stage int) string {
+	prefix := fmt.Sprintf("engine-%d", stage)
+	best := ""
+	for _, n := range c.Nodes {
+		if strings.HasPrefix(n.ID, prefix) && (best == "" || n.Sidecar.InProgress() > 0) {
+			best = n.ID
+		}
+	}
+	return best
+}
+
+// complete asks for a completion and compares it with the only correct one.
+func complete(ctx context.Context, client *Client, prompt string, onToken func(int)) (*Answer, error) {
+	answer, err := client.Complete(ctx, Model, prompt, demoTokens, onToken)
+	if err != nil {
+		return nil, err
+	}
+	texts, finish := standin.Generate(Layers, prompt, demoTokens)
+	if !answer.Whole || answer.Text != strings.Join(texts, "") || answer.Finish != finish {
+		return nil, errors.Errorf("answer to %q is not the expected one: whole=%t tokens=%d finish=%q",
+			prompt, answer.Whole, answer.Tokens, answer.Finish)
+	}
+	return answer, nil
+}
--- a/entry/chain.go
+++ b/entry/chain.go
@@ -91,6 +91,8 @@
 	ex     *exchange
 	peers  []*peer
 	opened int
+	// started is set once the prompt was sent; before that nothing can have run.
+	started bool
 }
 
 // runAttempt returns nil when the attempt finished or another one may follow.
@@ -99,7 +101,6 @@
 	run := &stageRun{g: g, ex: newExchange(attemptKey(g.id, number))}
 	defer run.release()
 	if !run.open(chain) {
-		g.request.Observe(number, attempt.ExecutedNo)
 		return nil
 	}
 	timer := time.NewTimer(openTimeout)
@@ -171,9 +172,6 @@
 		}
 	case *wire.WorkDown_Refused:
 		r.g.exclude[event.peer.id] = true
-		if r.opened < len(r.peers) {
-			r.g.request.Observe(r.ex.key.Number, attempt.ExecutedNo)
-		}
 		return true, nil
 	case *wire.WorkDown_Failed:
 		failed := event.peer.id
@@ -189,6 +187,7 @@
 }
 
 func (r *stageRun) start() {
+	r.started = true
 	r.peers[0].push(&wire.WorkUp{Body: &wire.WorkUp_Start{Start: &wire.Start{
 		Request: r.ex.key.Request, Attempt: r.ex.key.Number, Prompt: r.g.prompt,
 		Generated: r.g.tokens, MaxTokens: r.g.maxTokens,
@@ -237,8 +236,12 @@
 	g.lostAt = time.Time{}
 }
 
-// release tells every stage that the attempt is over.
+// release tells every stage that the attempt is over, and records that an
+// attempt without a start did not run.
 func (r *stageRun) release() {
+	if !r.started {
+		r.g.request.Observe(r.ex.key.Number, attempt.ExecutedNo)
+	}
 	for _, p := range r.peers {
 		p.forget(r.ex.key)
 		p.push(&wire.WorkUp{Body: &wire.WorkUp_Release{Release: &wire.Release{
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -217,3 +217,9 @@
 func attemptKey(request string, number uint32) attempt.Key {
 	return attempt.Key{Request: request, Number: number}
 }
+
+// Connected counts the sidecars that the entry has a stream to.
+func (s *Server) Connected() int { return s.peers.connected() }
+
+// Recoveries counts the stages that were lost while a request used them.
+func (s *Server) Recoveries() int64 { return s.meters.recoveries.Count() }
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -46,14 +46,14 @@
 	id     string
 	cancel context.CancelFunc
 
-	mu       sync.Mutex
-	address  string
-	zone     string
-	leaving  bool
-	queue    *link.Queue[*wire.WorkUp]
-	hello    *wire.Hello
-	load     *wire.Load
-	pending  map[attempt.Key]*exchange
+	mu      sync.Mutex
+	address string
+	zone    string
+	leaving bool
+	queue   *link.Queue[*wire.WorkUp]
+	hello   *wire.Hello
+	load    *wire.Load
+	pending map[attempt.Key]*exchange
 }
 
 // run keeps a stream to the sidecar until ctx ends.
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -14,9 +14,8 @@
 	ctx    context.Context
 	server *Server
 
-	mu    sync.Mutex
-	byID  map[string]*peer
-	round uint64
+	mu   sync.Mutex
+	byID map[string]*peer
 }
 
 func newPeerSet(ctx context.Context, server *Server) *peerSet {
--- a/standin/model.go
+++ b/standin/model.go
@@ -42,8 +42,9 @@
 // forward runs one position through the layers [first, first+len(Values)).
 func (kv *kvCache) forward(first uint32, x uint64) uint64 {
 	for i := range kv.Values {
-		kv.Values[i] = mix(kv.Values[i], x, uint64(first)+uint64(i))
-		x = mix(x, kv.Values[i], uint64(i))
+		layer := uint64(first) + uint64(i)
+		kv.Values[i] = mix(kv.Values[i], x, layer)
+		x = mix(x, kv.Values[i], layer)
 	}
 	kv.Positions++
 	return x
