Find hung stages by progress instead of silence

Cause: an engine that hung was given up after the fixed step timeout of 2 s, a sidecar that hung after 3 s of silence plus reconnection, and the replacement chain could include another engine that hung as well, so that a request paid for two replays. An engine that was busy with a long prompt for more than 2 s was given up although it was alive.

Change: the sidecar estimates an iteration from past ones (base and prefill rate). An iteration over 4 times the estimate (at least 100 ms) makes it ask the engine for its load; the engine is given up when the progress in the reports stands still for 200 ms. An engine that reports no progress gets 8 times the estimate. The entry asks all stages (Probe, Progress) when no token came for 4 usual gaps; a stage without an answer within max(200 ms, 8 round trips) is lost and gets no new work until its next frame. A probe, and an Open of a later attempt, make an idle engine run an empty iteration, so that a second engine that hangs is found before a replay starts on it. All attempts of a failed engine fail at once. An entry that comes back resumes its attempts by token index when no other chain is available; attempts that are not resumed are freed. A cancel names its attempt. The stand-ins have an in-memory network whose links can go silent, and Dialer takes a dial function, so that tests use synctest.

--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -18,6 +18,7 @@
 
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/entry"
+	"github.com/sapphirefield/sapphirefield/link"
 	"github.com/sapphirefield/sapphirefield/sidecar"
 	"github.com/sapphirefield/sapphirefield/standin"
 	"github.com/sapphirefield/sapphirefield/wire"
@@ -28,6 +29,7 @@
 	Model   = "sapphire-llm"
 	Service = "orderbook-app"
 	Key     = "demo-key"
+	EntryID = "entry-0"
 	Layers  = 24
 )
 
@@ -40,6 +42,10 @@
 	StepTime time.Duration
 	// PlainDelay is how long a stand-in plain server takes for a booking.
 	PlainDelay time.Duration
+	// PrefillTimePerByte is what an engine takes for each byte of a prompt.
+	PrefillTimePerByte time.Duration
+	// Network is the network to use; nil means TCP on loopback.
+	Network *standin.Network
 	// Log receives the log lines of all processes; nil discards them.
 	Log io.Writer
 }
@@ -117,6 +123,7 @@
 func (c *Cluster) addEngine(ctx context.Context, id string, layers *wire.LayerRange) error {
 	engine := standin.NewEngine(standin.EngineOptions{
 		Model: Model, Version: "1", First: layers.First, Limit: layers.Limit, Layers: Layers, StepTime: c.opts.StepTime,
+		PrefillTimePerByte: c.opts.PrefillTimePerByte,
 	})
 	node := &Node{ID: id, Engine: engine}
 	return c.addNode(ctx, node, engine.Handler(), sidecar.Options{ID: id, Zone: "changwon-a", Model: Model, Layers: layers, Logger: c.logger})
@@ -130,15 +137,17 @@
 
 func (c *Cluster) addNode(ctx context.Context, node *Node, backend http.Handler, opts sidecar.Options) error {
 	ctx, node.stop = context.WithCancel(ctx)
-	url, err := c.serveHTTP(ctx, backend)
+	url, err := c.serveHTTP(ctx, node.ID+backendSuffix, backend)
 	if err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := c.listen(node.ID)
 	if err != nil {
-		return errors.WithStack(err)
+		return err
 	}
 	opts.Backend = url
+	opts.Dialer.DialContext = c.dialer(node.ID)
+	opts.DialBackend = c.dialer(node.ID)
 	node.BackendURL = url
 	node.Address = listener.Addr().String()
 	node.Sidecar = sidecar.New(opts)
@@ -151,11 +160,29 @@
 	return nil
 }
 
-// serveHTTP serves a handler until ctx ends and cuts its connections then, as the end of a process does.
-func (c *Cluster) serveHTTP(ctx context.Context, handler http.Handler) (string, error) {
+// backendSuffix joined to a node's name is the address of its backend server on an in-memory network.
+const backendSuffix = ".backend"
+
+func (c *Cluster) listen(name string) (net.Listener, error) {
+	if c.opts.Network != nil {
+		return c.opts.Network.Listen(name), nil
+	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	return listener, errors.WithStack(err)
+}
+
+func (c *Cluster) dialer(name string) func(ctx context.Context, network, address string) (net.Conn, error) {
+	if c.opts.Network != nil {
+		return c.opts.Network.Dialer(name)
+	}
+	return nil
+}
+
+// serveHTTP serves a handler until ctx ends and cuts its connections then, as the end of a process does.
+func (c *Cluster) serveHTTP(ctx context.Context, name string, handler http.Handler) (string, error) {
+	listener, err := c.listen(name)
 	if err != nil {
-		return "", errors.WithStack(err)
+		return "", err
 	}
 	server := &http.Server{Handler: handler}
 	c.wg.Add(2)
@@ -173,11 +200,11 @@
 
 func (c *Cluster) startEntry(ctx context.Context) error {
 	c.Entry = entry.New(ctx, entry.Options{
-		ID: "entry-0", Zone: "changwon-a", Logger: c.logger,
+		ID: EntryID, Zone: "changwon-a", Logger: c.logger, Dialer: link.Dialer{DialContext: c.dialer(EntryID)},
 		Config: func() *config.Document { return c.document },
 	})
 	c.Entry.SetInstances(c.Instances())
-	url, err := c.serveHTTP(ctx, c.Entry.Handler())
+	url, err := c.serveHTTP(ctx, EntryID, c.Entry.Handler())
 	c.URL = url
 	return err
 }
@@ -219,10 +246,19 @@
 	return nil
 }
 
+// HTTPClient returns a client that reaches the cluster's network. Its caller
+// closes the idle connections.
+func (c *Cluster) HTTPClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: c.dialer("caller")}}
+}
+
 // Stop ends all processes and waits for them.
 func (c *Cluster) Stop() {
 	c.cancel()
 	c.wg.Wait()
+	if c.opts.Network != nil {
+		c.opts.Network.Close()
+	}
 }
 
 // document is a small configuration with one team.
--- a/entry/call.go
+++ b/entry/call.go
@@ -201,7 +201,7 @@
 
 // handle returns whether the attempt is over and whether its answer is whole.
 func (c *plainCall) handle(event peerEvent, number uint32, answer *plainAnswer) (over, whole bool) {
-	if event.lost {
+	if event.kind != peerFrame {
 		return true, false
 	}
 	switch body := event.frame.Body.(type) {
@@ -240,7 +240,7 @@
 			events, _ := ex.events.Take()
 			for _, event := range events {
 				ack := event.frame.GetWithdrawAck()
-				if ack == nil && !event.lost {
+				if ack == nil && event.kind == peerFrame {
 					continue
 				}
 				c.request.Observe(ex.key.Number, executedFromWire(ack.GetExecuted()))
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -23,11 +23,25 @@
 	reconnectMax = 2 * time.Second
 )
 
-// peerEvent is a frame for an exchange, or the loss of the peer.
+// peerEventKind tells what happened at a peer.
+type peerEventKind int
+
+const (
+	peerFrame peerEventKind = iota
+	// peerLost means that the connection is lost; peerBack or peerGone may follow.
+	peerLost
+	// peerBack means that the same incarnation is connected again.
+	peerBack
+	// peerGone means that the incarnation that had the attempt has ended, or is
+	// not looked for any more.
+	peerGone
+)
+
+// peerEvent is a frame for an exchange, or a change of the connection.
 type peerEvent struct {
+	kind  peerEventKind
 	peer  *peer
 	frame *wire.WorkDown
-	lost  bool
 }
 
 // exchange receives the events of one attempt from all its peers.
@@ -53,12 +67,26 @@
 	queue   *link.Queue[*wire.WorkUp]
 	hello   *wire.Hello
 	load    *wire.Load
-	pending map[attempt.Key]*exchange
+	pending map[attempt.Key]pendingExchange
+	// silent is set when the sidecar left a question unanswered, until its next frame.
+	silent bool
+	// beatAt is when the heartbeat with number beat was sent; rtt is the
+	// smoothed time until its answer.
+	beat   uint64
+	beatAt time.Time
+	rtt    time.Duration
+}
+
+// pendingExchange outlives a connection, so that it can go on with the next one.
+type pendingExchange struct {
+	*exchange
+	incarnation string
 }
 
 // run keeps a stream to the sidecar until ctx ends.
 func (p *peer) run(ctx context.Context) {
 	pause := reconnectMin
+	defer p.gone()
 	for ctx.Err() == nil {
 		began := time.Now()
 		err := p.drive(ctx)
@@ -114,11 +142,12 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case now := <-ticker.C:
-			if silence.Expired(now) {
+		case at := <-ticker.C:
+			if silence.Expired(at) {
 				return errSilent
 			}
 			sequence++
+			p.beatSent(sequence, at)
 			beat := &wire.Heartbeat{Sequence: sequence}
 			if err := stream.Send(&wire.WorkUp{Body: &wire.WorkUp_Heartbeat{Heartbeat: beat}}); err != nil {
 				return errors.WithStack(err)
@@ -151,9 +180,12 @@
 }
 
 func (p *peer) handle(frame *wire.WorkDown, queue *link.Queue[*wire.WorkUp]) {
+	p.answered()
 	switch body := frame.Body.(type) {
 	case *wire.WorkDown_Hello:
 		p.connected(body.Hello, queue)
+	case *wire.WorkDown_Heartbeat:
+		p.beatAnswered(body.Heartbeat.Sequence, time.Now())
 	case *wire.WorkDown_Load:
 		p.loaded(body.Load)
 	case *wire.WorkDown_Tokens:
@@ -168,6 +200,14 @@
 	p.hello = hello
 	p.queue = queue
 	p.load = &wire.Load{Draining: hello.Draining, EngineUp: true}
+	for key, ex := range p.pending {
+		kind := peerBack
+		if ex.incarnation != hello.Incarnation {
+			kind = peerGone
+			delete(p.pending, key)
+		}
+		ex.events.Push(peerEvent{kind: kind, peer: p})
+	}
 	p.mu.Unlock()
 	logevent.Write(p.server.opts.Logger, logevent.SidecarConnected).Str("id", p.server.opts.ID).Str("peer", p.id).Msg("")
 	p.server.peersChanged()
@@ -187,20 +227,18 @@
 	}
 }
 
-// disconnected tells all exchanges that the peer is lost.
+// disconnected tells all exchanges that the connection is lost.
 func (p *peer) disconnected(ctx context.Context, cause error) {
 	p.mu.Lock()
 	wasConnected := p.queue != nil
 	if wasConnected {
 		p.queue.Close()
+		for _, ex := range p.pending {
+			ex.events.Push(peerEvent{kind: peerLost, peer: p})
+		}
 	}
 	p.queue = nil
-	pending := p.pending
-	p.pending = make(map[attempt.Key]*exchange)
 	p.mu.Unlock()
-	for _, ex := range pending {
-		ex.events.Push(peerEvent{peer: p, lost: true})
-	}
 	if wasConnected && ctx.Err() == nil {
 		logevent.Write(p.server.opts.Logger, logevent.SidecarDisconnected).Str("id", p.server.opts.ID).Str("peer", p.id).AnErr("cause", cause).Msg("")
 	}
@@ -209,6 +247,62 @@
 	}
 }
 
+// gone tells all exchanges that nobody tries to reach the sidecar any more.
+func (p *peer) gone() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, ex := range p.pending {
+		ex.events.Push(peerEvent{kind: peerGone, peer: p})
+		delete(p.pending, key)
+	}
+}
+
+// suspect keeps new work away from a sidecar that left a question unanswered,
+// long before its connection counts as silent.
+func (p *peer) suspect() {
+	p.mu.Lock()
+	changed := !p.silent
+	p.silent = true
+	p.mu.Unlock()
+	if changed {
+		p.server.peersChanged()
+	}
+}
+
+func (p *peer) answered() {
+	p.mu.Lock()
+	changed := p.silent
+	p.silent = false
+	p.mu.Unlock()
+	if changed {
+		p.server.peersChanged()
+	}
+}
+
+func (p *peer) beatSent(sequence uint64, at time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.beat, p.beatAt = sequence, at
+}
+
+// roundTripGain is the weight of a new measurement of the round-trip time.
+const roundTripGain = 0.25
+
+func (p *peer) beatAnswered(sequence uint64, at time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if sequence != p.beat {
+		return
+	}
+	p.rtt += time.Duration(roundTripGain * float64(at.Sub(p.beatAt)-p.rtt))
+}
+
+func (p *peer) roundTrip() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rtt
+}
+
 // begin registers an exchange and sends its first frame. It returns false,
 // with nothing sent, when the peer is not connected.
 func (p *peer) begin(ex *exchange, frame func(incarnation string) *wire.WorkUp) bool {
@@ -217,7 +311,7 @@
 	if p.queue == nil {
 		return false
 	}
-	p.pending[ex.key] = ex
+	p.pending[ex.key] = pendingExchange{exchange: ex, incarnation: p.hello.Incarnation}
 	if p.queue.Push(frame(p.hello.Incarnation)) {
 		return true
 	}
@@ -242,9 +336,9 @@
 
 func (p *peer) deliver(key attempt.Key, frame *wire.WorkDown) {
 	p.mu.Lock()
-	ex := p.pending[key]
+	ex, found := p.pending[key]
 	p.mu.Unlock()
-	if ex != nil {
+	if found {
 		ex.events.Push(peerEvent{peer: p, frame: frame})
 	}
 }
@@ -261,7 +355,7 @@
 func (p *peer) usable() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.queue != nil && !p.leaving && !p.load.GetDraining() && p.load.GetEngineUp()
+	return p.queue != nil && !p.silent && !p.leaving && !p.load.GetDraining() && p.load.GetEngineUp()
 }
 
 func (p *peer) isConnected() bool {
@@ -292,6 +386,8 @@
 		return attemptKey(body.WithdrawAck.Request, body.WithdrawAck.Attempt)
 	case *wire.WorkDown_Failed:
 		return attemptKey(body.Failed.Request, body.Failed.Attempt)
+	case *wire.WorkDown_Progress:
+		return attemptKey(body.Progress.Request, body.Progress.Attempt)
 	default:
 		return attempt.Key{}
 	}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -58,7 +58,7 @@
 	ctx, cancel := context.WithCancel(ps.ctx)
 	p := &peer{
 		server: ps.server, id: in.ID, address: in.Address, zone: in.Zone, leaving: in.Leaving,
-		cancel: cancel, pending: make(map[attempt.Key]*exchange),
+		cancel: cancel, pending: make(map[attempt.Key]pendingExchange),
 	}
 	ps.byID[in.ID] = p
 	go p.run(ctx)
--- /dev/null
+++ b/entry/stagerun.go
@@ -0,0 +1,312 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/sapphirefield/sapphirefield/attempt"
+	"github.com/sapphirefield/sapphirefield/logevent"
+	"github.com/sapphirefield/sapphirefield/pipeline"
+	"github.com/sapphirefield/sapphirefield/problem"
+	"github.com/sapphirefield/sapphirefield/wire"
+)
+
+// resumeLimit is how long an attempt whose connection was lost waits for it
+// when no other chain is available. Sidecars keep attempts for as long.
+const resumeLimit = 10 * time.Second
+
+// stageRun is one attempt on one chain.
+type stageRun struct {
+	g      *generation
+	ex     *exchange
+	peers  []*peer
+	opened []bool
+	// started is set once the prompt was sent; before that nothing can have run.
+	started bool
+	watch   *progressWatch
+	// absent holds the stages without a connection and when it was lost.
+	absent map[*peer]time.Time
+	// resuming is set while tokens that were missed are on their way again.
+	resuming bool
+}
+
+// runAttempt returns nil when the attempt finished or another one may follow.
+func (g *generation) runAttempt(ctx context.Context, chain pipeline.Chain) *problem.Problem {
+	number := g.request.Send()
+	run := &stageRun{g: g, ex: newExchange(attemptKey(g.id, number)), absent: make(map[*peer]time.Time)}
+	defer run.release()
+	if !run.open(chain) {
+		return nil
+	}
+	run.watch = newProgressWatch(len(run.peers), now())
+	timer := time.NewTimer(minPatience)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return g.giveUp(problem.DeadlineExceeded, "the request ended before its answer was whole")
+		case <-timer.C:
+			over, next := run.tick(now())
+			if over {
+				return nil
+			}
+			timer.Reset(time.Until(next))
+		case <-run.ex.events.Ready():
+			over, refused := run.drainEvents()
+			if over || refused != nil {
+				return refused
+			}
+		}
+	}
+}
+
+func (r *stageRun) drainEvents() (bool, *problem.Problem) {
+	events, open := r.ex.events.Take()
+	for _, event := range events {
+		if over, refused := r.handle(event); over || refused != nil {
+			return over, refused
+		}
+	}
+	if !open {
+		return true, r.g.giveUp(problem.DeadlineExceeded, "the caller reads too slowly")
+	}
+	return false, nil
+}
+
+// open registers the attempt at every stage. It returns false when a stage could not be reached.
+func (r *stageRun) open(chain pipeline.Chain) bool {
+	if err := chain.Tiles(r.g.layers); err != nil {
+		return false
+	}
+	stages := make([]*wire.Stage, len(chain.Stages))
+	for i, s := range chain.Stages {
+		stages[i] = &wire.Stage{
+			Instance: s.Instance, Address: s.Address,
+			Layers: &wire.LayerRange{First: uint32(s.First), Limit: uint32(s.Limit)},
+		}
+	}
+	for i, s := range chain.Stages {
+		p := r.g.server.peers.get(s.Instance)
+		if p == nil || !p.begin(r.ex, r.openFrame(chain.Revision, stages, uint32(i))) {
+			r.g.exclude[s.Instance] = true
+			return false
+		}
+		r.peers = append(r.peers, p)
+	}
+	r.opened = make([]bool, len(r.peers))
+	return true
+}
+
+func (r *stageRun) openFrame(revision int64, stages []*wire.Stage, position uint32) func(string) *wire.WorkUp {
+	return func(incarnation string) *wire.WorkUp {
+		return &wire.WorkUp{Body: &wire.WorkUp_Open{Open: &wire.Open{
+			Request: r.ex.key.Request, Attempt: r.ex.key.Number, Incarnation: incarnation,
+			PlanRevision: revision, Chain: stages, Position: position, Model: r.g.model, Priority: r.g.priority,
+			FirstIndex: uint32(len(r.g.tokens)), MaxTokens: r.g.maxTokens, Parameters: r.g.parameters,
+		}}}
+	}
+}
+
+// handle acts on an event. It returns true when the attempt is over.
+func (r *stageRun) handle(event peerEvent) (bool, *problem.Problem) {
+	switch event.kind {
+	case peerLost:
+		return r.connectionLost(event.peer), nil
+	case peerBack:
+		r.connectionBack(event.peer)
+		return false, nil
+	case peerGone:
+		r.stageLost(event.peer.id, "restarted")
+		return true, nil
+	}
+	switch body := event.frame.Body.(type) {
+	case *wire.WorkDown_Opened:
+		r.stageOpened(event.peer)
+	case *wire.WorkDown_Refused:
+		r.g.exclude[event.peer.id] = true
+		if r.started {
+			r.stageLost(event.peer.id, body.Refused.Reason.String())
+		}
+		return true, nil
+	case *wire.WorkDown_Failed:
+		failed := event.peer.id
+		if int(body.Failed.Stage) < len(r.peers) {
+			failed = r.peers[body.Failed.Stage].id
+		}
+		r.stageLost(failed, body.Failed.Reason)
+		return true, nil
+	case *wire.WorkDown_Tokens:
+		return r.takeTokens(body.Tokens.Tokens)
+	case *wire.WorkDown_Progress:
+		return r.progress(event.peer, body.Progress), nil
+	}
+	return false, nil
+}
+
+func (r *stageRun) position(p *peer) int {
+	for i, other := range r.peers {
+		if other == p {
+			return i
+		}
+	}
+	return -1
+}
+
+func (r *stageRun) stageOpened(p *peer) {
+	if i := r.position(p); i >= 0 {
+		r.opened[i] = true
+	}
+	for _, opened := range r.opened {
+		if !opened {
+			return
+		}
+	}
+	if !r.started {
+		r.start()
+	}
+}
+
+func (r *stageRun) start() {
+	r.started = true
+	r.peers[0].push(&wire.WorkUp{Body: &wire.WorkUp_Start{Start: &wire.Start{
+		Request: r.ex.key.Request, Attempt: r.ex.key.Number, Prompt: r.g.prompt,
+		Generated: r.g.tokens, MaxTokens: r.g.maxTokens,
+	}}})
+}
+
+// tick asks the stages when nothing moves, and gives up the attempt when one
+// of them is lost. It returns when to call again.
+func (r *stageRun) tick(at time.Time) (over bool, next time.Time) {
+	if r.replaceAbsent(at) {
+		return true, at
+	}
+	limits := make([]time.Duration, len(r.peers))
+	for i, p := range r.peers {
+		if _, gone := r.absent[p]; !gone {
+			limits[i] = max(minProbeLimit, probeFactor*p.roundTrip())
+		}
+	}
+	action, next := r.watch.tick(at, limits)
+	if action.probe {
+		r.probe()
+	}
+	for _, i := range action.lost {
+		if action.silent {
+			r.peers[i].suspect()
+		}
+		r.stageLost(r.peers[i].id, "no progress")
+	}
+	return len(action.lost) > 0, next
+}
+
+func (r *stageRun) probe() {
+	for _, p := range r.peers {
+		p.push(&wire.WorkUp{Body: &wire.WorkUp_Probe{Probe: &wire.Probe{
+			Request: r.ex.key.Request, Attempt: r.ex.key.Number, Sequence: r.watch.round,
+		}}})
+	}
+}
+
+// progress takes a stage's answer. An attempt that the stage does not know is over.
+func (r *stageRun) progress(p *peer, answer *wire.Progress) bool {
+	r.watch.answer(r.position(p), answer)
+	if !answer.Known {
+		r.stageLost(p.id, "attempt is not open")
+	}
+	return !answer.Known
+}
+
+// connectionLost replaces the stage when another chain is available, and
+// otherwise waits for the connection. It returns whether the attempt is over.
+func (r *stageRun) connectionLost(p *peer) bool {
+	if !r.started {
+		r.g.exclude[p.id] = true
+		return true
+	}
+	r.absent[p] = now()
+	return r.replaceAbsent(now())
+}
+
+func (r *stageRun) replaceAbsent(at time.Time) bool {
+	for p, since := range r.absent {
+		r.g.exclude[p.id] = true
+		if r.g.plan() || at.Sub(since) > resumeLimit {
+			r.stageLost(p.id, "connection lost")
+			return true
+		}
+	}
+	return false
+}
+
+// connectionBack goes on with the attempt on a new connection to the same
+// incarnation. The sidecar frees attempts that are not resumed.
+func (r *stageRun) connectionBack(p *peer) {
+	delete(r.absent, p)
+	delete(r.g.exclude, p.id)
+	r.resume(p)
+}
+
+func (r *stageRun) resume(p *peer) {
+	r.resuming = true
+	p.push(&wire.WorkUp{Body: &wire.WorkUp_Resume{Resume: &wire.Resume{
+		Request: r.ex.key.Request, Attempt: r.ex.key.Number, NextIndex: uint32(len(r.g.tokens)),
+	}}})
+}
+
+// takeTokens passes tokens on in order. A token that the caller already has is
+// dropped. One from further ahead means a gap, so the missing ones are asked for.
+func (r *stageRun) takeTokens(tokens []*wire.Token) (bool, *problem.Problem) {
+	for _, token := range tokens {
+		next := uint32(len(r.g.tokens))
+		if token.Index < next {
+			continue
+		}
+		if token.Index > next {
+			if !r.resuming {
+				r.resume(r.peers[len(r.peers)-1])
+			}
+			continue
+		}
+		if over, refused := r.takeToken(token); over || refused != nil {
+			return over, refused
+		}
+	}
+	return false, nil
+}
+
+func (r *stageRun) takeToken(token *wire.Token) (bool, *problem.Problem) {
+	r.resuming = false
+	r.watch.token(now())
+	r.g.noteRecovered()
+	r.g.request.Observe(r.ex.key.Number, attempt.ExecutedYes)
+	r.g.tokens = append(r.g.tokens, token.Value)
+	if err := r.g.emit(token); err != nil {
+		return true, r.g.giveUp(problem.DeadlineExceeded, "the caller is gone")
+	}
+	r.g.finish = token.Finish
+	return token.Finish != "", nil
+}
+
+func (r *stageRun) stageLost(instance, reason string) {
+	r.g.exclude[instance] = true
+	if r.g.lostAt.IsZero() {
+		r.g.lostAt = now()
+	}
+	r.g.server.meters.recoveries.Inc(1)
+	logevent.Write(r.g.server.opts.Logger, logevent.StageLost).Str("request", r.g.id).
+		Uint32("attempt", r.ex.key.Number).Str("instance", instance).Str("reason", reason).Msg("")
+}
+
+// release tells every stage that the attempt is over, and records that an
+// attempt without a start did not run.
+func (r *stageRun) release() {
+	if !r.started {
+		r.g.request.Observe(r.ex.key.Number, attempt.ExecutedNo)
+	}
+	for _, p := range r.peers {
+		p.forget(r.ex.key)
+		p.push(&wire.WorkUp{Body: &wire.WorkUp_Release{Release: &wire.Release{
+			Request: r.ex.key.Request, Attempt: r.ex.key.Number,
+		}}})
+	}
+}
--- a/link/link.go
+++ b/link/link.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,23 +35,67 @@
 // plain text, which the settings allow on loopback only.
 type Dialer struct {
 	TLS *tls.Config
+	// DialContext opens the connection below TLS; nil means TCP. Tests put an
+	// in-memory network here.
+	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
+// Conn is a connection that carries one stream.
+type Conn struct {
+	drpc.Conn
+	written *atomic.Int64
+}
+
+// LastWrite returns when the peer last took data. It tells a slow link, which
+// moves, from one that is stuck.
+func (c *Conn) LastWrite() time.Time { return time.Unix(0, c.written.Load()) }
+
 // Dial opens a connection that carries one stream.
-func (d Dialer) Dial(ctx context.Context, address string) (drpc.Conn, error) {
-	netDialer := &net.Dialer{Timeout: dialTimeout}
-	var conn net.Conn
-	var err error
-	if d.TLS == nil {
-		conn, err = netDialer.DialContext(ctx, "tcp", address)
-	} else {
-		tlsDialer := &tls.Dialer{NetDialer: netDialer, Config: d.TLS}
-		conn, err = tlsDialer.DialContext(ctx, "tcp", address)
-	}
+func (d Dialer) Dial(ctx context.Context, address string) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := d.dial(ctx, address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "dial %s", address)
 	}
-	return drpcconn.NewWithOptions(deadlineConn{conn}, drpcconn.Options{Manager: managerOptions()}), nil
+	written := new(atomic.Int64)
+	written.Store(time.Now().UnixNano())
+	wrapped := deadlineConn{Conn: conn, written: written}
+	return &Conn{
+		Conn:    drpcconn.NewWithOptions(wrapped, drpcconn.Options{Manager: managerOptions()}),
+		written: written,
+	}, nil
+}
+
+func (d Dialer) dial(ctx context.Context, address string) (net.Conn, error) {
+	dial := d.DialContext
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	conn, err := dial(ctx, "tcp", address)
+	if err != nil || d.TLS == nil {
+		return conn, err
+	}
+	secured := tls.Client(conn, d.clientTLS(address))
+	if err := secured.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return secured, nil
+}
+
+// clientTLS names the server to verify, as tls.Dialer does.
+func (d Dialer) clientTLS(address string) *tls.Config {
+	if d.TLS.ServerName != "" {
+		return d.TLS
+	}
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		host = address
+	}
+	config := d.TLS.Clone()
+	config.ServerName = host
+	return config
 }
 
 // Serve answers calls on a listener until ctx ends. With a TLS configuration
@@ -76,15 +121,34 @@
 	if err != nil {
 		return nil, err
 	}
-	return deadlineConn{conn}, nil
+	return deadlineConn{Conn: conn, written: new(atomic.Int64)}, nil
 }
 
-type deadlineConn struct{ net.Conn }
+// writeChunkBytes is the part of a write that must pass within writeTimeout. A
+// frame of several megabytes may take longer than that on a slow link.
+const writeChunkBytes = 64 << 10
+
+type deadlineConn struct {
+	net.Conn
+	written *atomic.Int64
+}
 
 // Write fails when the peer takes no data for writeTimeout.
 func (c deadlineConn) Write(p []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return 0, err
+	total := 0
+	for {
+		n := min(len(p)-total, writeChunkBytes)
+		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return total, err
+		}
+		n, err := c.Conn.Write(p[total : total+n])
+		total += n
+		if err != nil {
+			return total, err
+		}
+		c.written.Store(time.Now().UnixNano())
+		if total == len(p) {
+			return total, nil
+		}
 	}
-	return c.Conn.Write(p)
 }
--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -57,7 +57,7 @@
 	c.ctx, c.cancel = context.WithTimeout(s.background, timeout)
 	s.calls[key] = c
 	if !head.HasBody {
-		go s.runCall(c)
+		s.start(func() { s.runCall(c) })
 	}
 }
 
@@ -75,7 +75,7 @@
 		return
 	}
 	if part.Last {
-		go s.runCall(c)
+		s.start(func() { s.runCall(c) })
 	}
 }
 
--- a/sidecar/engine.go
+++ b/sidecar/engine.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/sapphirefield/sapphirefield/attempt"
 	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/wire"
 )
@@ -28,8 +29,9 @@
 )
 
 // backendClient returns the client for the backend server.
-func backendClient() *http.Client {
+func backendClient(opts Options) *http.Client {
 	return &http.Client{Transport: &http.Transport{
+		DialContext:           opts.DialBackend,
 		MaxIdleConnsPerHost:   4,
 		ResponseHeaderTimeout: 0,
 		IdleConnTimeout:       30 * time.Second,
@@ -51,7 +53,7 @@
 		fresh, _ := s.batch.Take()
 		waiting = append(waiting, fresh...)
 		n := min(len(waiting), maxBatchSteps)
-		batch := waiting[:n]
+		batch := s.stillWanted(waiting[:n])
 		waiting = waiting[n:]
 		if n > 0 {
 			s.runBatch(ctx, batch)
@@ -59,10 +61,27 @@
 	}
 }
 
+// stillWanted drops the steps of attempts that ended or were replaced while
+// they waited. A step without a request only asks whether the engine runs.
+func (s *Server) stillWanted(steps []*wire.EngineStep) []*wire.EngineStep {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	wanted := make([]*wire.EngineStep, 0, len(steps))
+	for _, step := range steps {
+		if s.current(step.Request, step.Attempt) != nil {
+			wanted = append(wanted, step)
+		}
+	}
+	return wanted
+}
+
 func (s *Server) runBatch(ctx context.Context, steps []*wire.EngineStep) {
-	results, err := s.postSteps(ctx, steps)
+	if !s.isEngineUp() {
+		return
+	}
+	results, err := s.watched(ctx, steps)
 	if err != nil {
-		s.engineFailed(ctx, steps, err)
+		s.engineFailed(ctx, err)
 		return
 	}
 	s.mu.Lock()
@@ -77,8 +96,6 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, s.opts.StepTimeout)
-	defer cancel()
 	answer, err := s.post(ctx, "/v1/steps", "application/x-protobuf", body)
 	if err != nil {
 		return nil, err
@@ -111,21 +128,29 @@
 	return answer, nil
 }
 
-// engineFailed gives up all attempts of a batch and stays away from the engine
-// until it answers again.
-func (s *Server) engineFailed(ctx context.Context, steps []*wire.EngineStep, cause error) {
+// engineFailed gives up all attempts, because none can go on here, and stays
+// away from the engine until it answers again.
+func (s *Server) engineFailed(ctx context.Context, cause error) {
 	if ctx.Err() != nil {
 		return
 	}
 	s.setEngineUp(false, cause)
 	s.mu.Lock()
-	for _, step := range steps {
-		if a := s.current(step.Request, step.Attempt); a != nil {
-			s.fail(a, "engine does not answer", a.open.Position)
-		}
+	for _, a := range s.opening {
+		s.refuse(a.entry, a.key, wire.RefusalReason_REFUSAL_ENGINE_DOWN)
+	}
+	s.opening = nil
+	for _, a := range s.attempts {
+		s.fail(a, "engine does not answer", a.open.Position)
 	}
 	s.mu.Unlock()
-	go s.probeEngine(ctx)
+	s.start(func() { s.probeEngine(ctx) })
+}
+
+func (s *Server) isEngineUp() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.engineUp
 }
 
 func (s *Server) setEngineUp(up bool, cause error) {
@@ -161,17 +186,31 @@
 // engineAnswers runs an empty batch, because an engine can answer simple
 // questions while its iterations hang.
 func (s *Server) engineAnswers(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeInterval)
+	defer cancel()
 	_, err := s.postSteps(ctx, nil)
 	return err == nil
 }
 
+// cancelRequest is the body of a cancel. It names the attempt, because a cancel
+// may reach the engine after a later attempt of the request has begun there.
+type cancelRequest struct {
+	Requests []cancelled `json:"requests"`
+}
+
+type cancelled struct {
+	Request string `json:"request"`
+	// Attempt is the newest attempt that the engine may free.
+	Attempt uint32 `json:"attempt"`
+}
+
 // cancelInEngine frees the KV cache of a request. A lost cancel costs memory
 // until the engine evicts the request, never correctness.
-func (s *Server) cancelInEngine(request string) {
+func (s *Server) cancelInEngine(key attempt.Key) {
 	if !s.isEngine() {
 		return
 	}
-	body, err := json.Marshal(map[string][]string{"requests": {request}})
+	body, err := json.Marshal(cancelRequest{Requests: []cancelled{{Request: key.Request, Attempt: key.Number}}})
 	if err != nil {
 		return
 	}
--- a/sidecar/hop.go
+++ b/sidecar/hop.go
@@ -16,6 +16,32 @@
 type hop struct {
 	address string
 	queue   *link.Queue[*wire.HopFrame]
+	conn    *link.Conn
+	// sent and acked count frames; both are guarded by the server's lock.
+	sent, acked uint64
+	// ackedAt is when the peer last acknowledged a frame or was owed nothing.
+	ackedAt time.Time
+}
+
+// forwardPatience is how long a link may show no sign of transfer before what
+// waits on it counts as stuck. The peer acknowledges a frame before it acts on it.
+const forwardPatience = 250 * time.Millisecond
+
+// isForwarding tells whether a step's output is on its way over a link that moves.
+// It must be called with the lock held.
+func (s *Server) isForwarding(a *stageAttempt, now time.Time) bool {
+	if a.isLast() {
+		return false
+	}
+	h := s.hops[a.next().Address]
+	if h == nil || h.sent == h.acked {
+		return false
+	}
+	moved := h.ackedAt
+	if h.conn != nil && h.conn.LastWrite().After(moved) {
+		moved = h.conn.LastWrite()
+	}
+	return now.Sub(moved) < forwardPatience
 }
 
 func (h *hop) pushStep(step *wire.Step) {
@@ -33,7 +59,7 @@
 	if h == nil {
 		h = &hop{address: address, queue: link.NewQueue[*wire.HopFrame](maxQueuedSteps)}
 		s.hops[address] = h
-		go s.runHop(h)
+		s.start(func() { s.runHop(h) })
 	}
 	return h
 }
@@ -79,13 +105,14 @@
 		return err
 	}
 	defer func() { _ = conn.Close() }()
+	s.setHopConn(h, conn)
 	stream, err := wire.NewDRPCSidecarClient(conn).Hop(ctx)
 	if err != nil {
 		return errors.WithStack(err)
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	silence := link.NewSilence(time.Now(), link.SilenceLimit)
-	group.Go(func() error { return s.receiveAcks(stream, silence) })
+	group.Go(func() error { return s.receiveAcks(stream, h, silence) })
 	group.Go(func() error {
 		// Closing the connection ends the receiving side as well.
 		defer func() { _ = conn.Close() }()
@@ -119,13 +146,30 @@
 		}
 		sequence++
 		frame.Sequence = sequence
+		s.countSent(h, time.Now())
 		if err := stream.Send(frame); err != nil {
 			return errors.WithStack(err)
 		}
 	}
 }
 
-func (s *Server) receiveAcks(stream wire.DRPCSidecar_HopClient, silence *link.Silence) error {
+func (s *Server) setHopConn(h *hop, conn *link.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h.conn = conn
+}
+
+// countSent notes a frame that is about to be written.
+func (s *Server) countSent(h *hop, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if h.sent == h.acked {
+		h.ackedAt = now
+	}
+	h.sent++
+}
+
+func (s *Server) receiveAcks(stream wire.DRPCSidecar_HopClient, h *hop, silence *link.Silence) error {
 	for {
 		ack, err := stream.Recv()
 		if err != nil {
@@ -135,6 +179,8 @@
 			return errSilent
 		}
 		s.mu.Lock()
+		h.acked = ack.Sequence
+		h.ackedAt = time.Now()
 		for _, refusal := range ack.Refusals {
 			s.handleHopRefusal(refusal)
 		}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -36,8 +36,10 @@
 	// Backend is the base URL of the backend server.
 	Backend string
 	Dialer  link.Dialer
-	TLS     *tls.Config
-	Logger  *log.Logger
+	// DialBackend opens connections to the backend server; nil means TCP.
+	DialBackend func(ctx context.Context, network, address string) (net.Conn, error)
+	TLS         *tls.Config
+	Logger      *log.Logger
 	// StepTimeout bounds one iteration of the engine.
 	StepTimeout time.Duration
 	// MaxBodyBytes bounds the body of a plain request.
@@ -72,10 +74,18 @@
 	entries  map[string]*entryLink
 	hops     map[string]*hop
 	engineUp bool
+	pace     pace
+	// iteration is the batch that runs in the engine, nil while it is idle.
+	iteration     *iteration
+	lastIteration time.Time
+	// opening holds attempts that wait for proof that the engine runs.
+	opening []*stageAttempt
 	// idle is closed when the sidecar drains and nothing is in progress.
 	idle chan struct{}
 	// background runs hops and calls; it ends with Serve.
 	background context.Context
+	// tasks counts the goroutines that Serve waits for.
+	tasks sync.WaitGroup
 }
 
 // New returns a sidecar with a fresh incarnation.
@@ -90,7 +100,7 @@
 	return &Server{
 		opts:        opts,
 		incarnation: incarnation,
-		client:      backendClient(),
+		client:      backendClient(opts),
 		batch:       link.NewQueue[*wire.EngineStep](maxQueuedSteps),
 		ledger:      attempt.NewLedger(incarnation),
 		gate:        pipeline.NewStepGate(),
@@ -128,9 +138,15 @@
 	if s.isEngine() {
 		group.Go(func() error { return s.runBatches(ctx) })
 	}
-	return group.Wait()
+	err := group.Wait()
+	s.tasks.Wait()
+	s.client.CloseIdleConnections()
+	return err
 }
 
+// start runs a task that ends with Serve.
+func (s *Server) start(task func()) { s.tasks.Go(task) }
+
 func (s *Server) isEngine() bool { return s.opts.Layers != nil }
 
 // Drain makes the sidecar refuse new work and tells all entries.
@@ -197,6 +213,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ledger.Expire(now)
+	for request, a := range s.attempts {
+		if !a.unconfirmedAt.IsZero() && now.Sub(a.unconfirmedAt) > link.SilenceLimit {
+			s.closeAttempt(request, a, now)
+		}
+	}
 	for id, e := range s.entries {
 		if e.queue != nil || now.Sub(e.lostAt) < entryGrace {
 			continue
--- a/sidecar/stage.go
+++ b/sidecar/stage.go
@@ -15,6 +15,12 @@
 	open  *wire.Open
 	// tokens holds what the last stage generated, for an entry that reconnects.
 	tokens []*wire.Token
+	// nextIndex is the index of the next step that will be finished here.
+	nextIndex uint32
+	// inEngine is set while a step waits for or runs in the engine.
+	inEngine bool
+	// unconfirmedAt is when the entry came back without having resumed the attempt.
+	unconfirmedAt time.Time
 }
 
 func (a *stageAttempt) isFirst() bool { return a.open.Position == 0 }
@@ -26,7 +32,7 @@
 
 // The methods below must be called with the lock held.
 
-func (s *Server) handleOpen(entry string, open *wire.Open) {
+func (s *Server) handleOpen(entry string, open *wire.Open, now time.Time) {
 	key := attempt.Key{Request: open.Request, Number: open.Attempt}
 	if !s.holdsRange(open) {
 		s.refuse(entry, key, wire.RefusalReason_REFUSAL_WRONG_RANGE)
@@ -45,9 +51,21 @@
 		return
 	}
 	s.gate.Open(open.Request, open.Attempt, open.FirstIndex)
-	s.attempts[open.Request] = &stageAttempt{key: key, entry: entry, open: open}
-	s.toEntry(entry, &wire.WorkDown{Body: &wire.WorkDown_Opened{Opened: &wire.Opened{
-		Request: open.Request, Attempt: open.Attempt,
+	a := &stageAttempt{key: key, entry: entry, open: open, nextIndex: open.FirstIndex}
+	s.attempts[open.Request] = a
+	// A replay is expensive, so a later attempt starts only on engines that
+	// are proven to run.
+	if open.Attempt > 1 && !s.checkEngine(now) {
+		s.opening = append(s.opening, a)
+		return
+	}
+	s.opened(a)
+}
+
+// opened tells the entry that the attempt may start.
+func (s *Server) opened(a *stageAttempt) {
+	s.toEntry(a.entry, &wire.WorkDown{Body: &wire.WorkDown_Opened{Opened: &wire.Opened{
+		Request: a.key.Request, Attempt: a.key.Number,
 	}}})
 }
 
@@ -100,6 +118,7 @@
 	switch verdict {
 	case pipeline.StepRun:
 		s.ledger.Begin(a.key)
+		a.inEngine = true
 		s.batch.Push(step)
 	case pipeline.StepRepeat:
 		s.forward(a, step.Index, kept)
@@ -127,6 +146,8 @@
 	if !s.gate.Done(key, result.Activation) {
 		return
 	}
+	a.inEngine = false
+	a.nextIndex = result.Index + 1
 	if !a.isLast() {
 		s.forward(a, result.Index, result.Activation)
 		return
@@ -180,6 +201,7 @@
 		s.refuse(entry, key, wire.RefusalReason_REFUSAL_UNKNOWN_ATTEMPT)
 		return
 	}
+	a.unconfirmedAt = time.Time{}
 	for _, token := range a.tokens {
 		if token.Index >= r.NextIndex {
 			s.toEntry(entry, tokensFrame(token))
@@ -200,5 +222,5 @@
 	s.gate.Close(request, a.key.Number)
 	s.ledger.Finish(a.key, now)
 	delete(s.attempts, request)
-	go s.cancelInEngine(request)
+	s.start(func() { s.cancelInEngine(a.key) })
 }
--- a/sidecar/work.go
+++ b/sidecar/work.go
@@ -69,6 +69,7 @@
 	if known.queue != nil {
 		known.queue.Close()
 	}
+	s.awaitResume(hello.Id, time.Now())
 	known.queue = queue
 	known.push(&wire.WorkDown{Body: &wire.WorkDown_Hello{Hello: &wire.Hello{
 		Id: s.opts.ID, Incarnation: s.incarnation, Zone: s.opts.Zone, Service: s.opts.Service,
@@ -78,6 +79,16 @@
 	logevent.Write(s.opts.Logger, logevent.SidecarConnected).Str("id", s.opts.ID).Str("entry", hello.Id).Msg("")
 }
 
+// awaitResume marks the attempts of an entry that came back. A release that was
+// on the lost connection would otherwise leave its attempt open for ever.
+func (s *Server) awaitResume(id string, now time.Time) {
+	for _, a := range s.attempts {
+		if a.entry == id {
+			a.unconfirmedAt = now
+		}
+	}
+}
+
 func (s *Server) detachEntry(id string, queue *link.Queue[*wire.WorkDown]) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -158,7 +169,7 @@
 	defer s.mu.Unlock()
 	switch body := frame.Body.(type) {
 	case *wire.WorkUp_Open:
-		s.handleOpen(entry, body.Open)
+		s.handleOpen(entry, body.Open, now)
 	case *wire.WorkUp_Start:
 		s.handleStart(entry, body.Start)
 	case *wire.WorkUp_Call:
@@ -171,6 +182,11 @@
 		s.handleRelease(body.Release, now)
 	case *wire.WorkUp_Resume:
 		s.handleResume(entry, body.Resume)
+	case *wire.WorkUp_Heartbeat:
+		// The answer measures the connection's round-trip time.
+		s.toEntry(entry, &wire.WorkDown{Body: &wire.WorkDown_Heartbeat{Heartbeat: body.Heartbeat}})
+	case *wire.WorkUp_Probe:
+		s.handleProbe(entry, body.Probe, now)
 	}
 }
 
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"context"
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
@@ -69,7 +70,10 @@
 	events   []CacheEvent
 	steps    int64
 	layerRun int64
-	hung     bool
+	// progress counts parts of iterations. It moves while a long prompt runs.
+	progress int64
+	// hung is not nil while the engine hangs; it is closed when it goes on.
+	hung chan struct{}
 
 	// iteration is held while a batch runs; an engine runs one batch at a time.
 	iteration sync.Mutex
@@ -98,11 +102,40 @@
 	return mux
 }
 
-// Hang makes the engine stop answering without closing connections.
+// Hang makes the engine's iterations stop without closing connections. The
+// engine goes on answering questions about its load.
 func (e *Engine) Hang() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.hung = true
+	if e.hung == nil {
+		e.hung = make(chan struct{})
+	}
+}
+
+// Unhang lets a hung engine go on.
+func (e *Engine) Unhang() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.hung != nil {
+		close(e.hung)
+		e.hung = nil
+	}
+}
+
+// waitWhileHung returns false when the caller left before the engine went on.
+func (e *Engine) waitWhileHung(ctx context.Context) bool {
+	e.mu.Lock()
+	hung := e.hung
+	e.mu.Unlock()
+	if hung == nil {
+		return true
+	}
+	select {
+	case <-hung:
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // LayerRuns counts how often a layer ran for a position.
@@ -123,11 +156,14 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if e.isHung() {
-		<-r.Context().Done()
+	if !e.waitWhileHung(r.Context()) {
 		return
 	}
-	answer, err := proto.Marshal(e.run(batch))
+	results := e.run(r.Context(), batch)
+	if !e.waitWhileHung(r.Context()) {
+		return
+	}
+	answer, err := proto.Marshal(results)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
@@ -136,29 +172,39 @@
 	_, _ = w.Write(answer)
 }
 
-func (e *Engine) isHung() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.hung
-}
-
 // run is one iteration over all steps of a batch.
-func (e *Engine) run(batch *wire.EngineBatch) *wire.EngineResults {
+func (e *Engine) run(ctx context.Context, batch *wire.EngineBatch) *wire.EngineResults {
 	e.iteration.Lock()
 	defer e.iteration.Unlock()
 	results := &wire.EngineResults{}
+	if len(batch.Steps) == 0 {
+		return results
+	}
 	pause := e.opts.StepTime + time.Duration(len(batch.Steps))*e.opts.StepTimePerToken
 	for _, step := range batch.Steps {
 		result, prefill := e.runStep(step)
 		results.Results = append(results.Results, result)
 		pause += prefill
 	}
-	if pause > 0 {
-		time.Sleep(pause)
-	}
+	e.spend(ctx, pause)
 	return results
 }
 
+// progressInterval is how often a long iteration shows progress.
+const progressInterval = 20 * time.Millisecond
+
+// spend takes the time of an iteration in parts and counts each of them.
+func (e *Engine) spend(ctx context.Context, pause time.Duration) {
+	for pause > 0 && e.waitWhileHung(ctx) {
+		part := min(pause, progressInterval)
+		time.Sleep(part)
+		pause -= part
+		e.mu.Lock()
+		e.progress++
+		e.mu.Unlock()
+	}
+}
+
 func (e *Engine) runStep(step *wire.EngineStep) (*wire.EngineResult, time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -169,6 +215,10 @@
 		return result, 0
 	}
 	req := e.requests[step.Request]
+	if req != nil && step.Attempt < req.attempt {
+		result.Error = fmt.Sprintf("attempt %d is older than attempt %d", step.Attempt, req.attempt)
+		return result, 0
+	}
 	if req == nil || req.attempt != step.Attempt {
 		req = &engineRequest{attempt: step.Attempt, kv: newKV(int(e.state.Limit - e.state.First))}
 		e.requests[step.Request] = req
@@ -263,7 +313,10 @@
 
 func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
 	var body struct {
-		Requests []string `json:"requests"`
+		Requests []struct {
+			Request string `json:"request"`
+			Attempt uint32 `json:"attempt"`
+		} `json:"requests"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -271,8 +324,11 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, request := range body.Requests {
-		delete(e.requests, request)
+	for _, cancelled := range body.Requests {
+		req := e.requests[cancelled.Request]
+		if req != nil && req.attempt <= cancelled.Attempt {
+			delete(e.requests, cancelled.Request)
+		}
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
@@ -310,9 +366,17 @@
 }
 
 func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	load := map[string]int64{"requests": int64(len(e.requests)), "steps": e.steps, "progress": e.progress}
+	e.mu.Unlock()
+	writeJSON(w, load)
+}
+
+// Requests counts the requests whose KV cache the engine holds.
+func (e *Engine) Requests() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	writeJSON(w, map[string]int64{"requests": int64(len(e.requests)), "steps": e.steps})
+	return len(e.requests)
 }
 
 func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
