--- /dev/null
+++ b/claim/fold.go
@@ -0,0 +1,243 @@
+package claim
+
+import (
+	"time"
+)
+
+// Standing is the position of one claim in the fold.
+type Standing int
+
+// The standings.
+const (
+	// Absent means that the fold has not seen the claim.
+	Absent Standing = iota
+	// Won means that the claim was the first and may run.
+	Won
+	// Lost means that another claim on the key was first.
+	Lost
+	// Conflicting means that an earlier claim on the key has another digest.
+	Conflicting
+	// Released means that the owner gave the claim back.
+	Released
+)
+
+// String returns the standing's name.
+func (s Standing) String() string {
+	switch s {
+	case Won:
+		return "won"
+	case Lost:
+		return "lost"
+	case Conflicting:
+		return "conflicting"
+	case Released:
+		return "released"
+	default:
+		return "absent"
+	}
+}
+
+// Holder describes the claim that holds a key.
+type Holder struct {
+	Claim  string
+	Offset int64
+	Digest string
+	At     time.Time
+	// Outcome is nil until an outcome was recorded.
+	Outcome *Outcome
+}
+
+// Fold is the state that the claims stream describes. Every process that folds
+// the same records in offset order reaches the same state.
+type Fold struct {
+	first, next int64
+	keys        map[Key]*history
+	// order lists keys in offset order, so that expired records are found without a scan.
+	order []position
+}
+
+type position struct {
+	offset int64
+	key    Key
+}
+
+// history keeps what the log says about one key. The events stay because the
+// claim that holds the key may leave the log before later ones do, and a fresh
+// reader then sees a later claim first; both must agree on the holder.
+type history struct {
+	events []event
+	state  keyState
+}
+
+type event struct {
+	offset int64
+	record Record
+}
+
+// keyState is the result of applying a key's events in order.
+type keyState struct {
+	digest    string
+	hasDigest bool
+	holder    *Holder
+	standings map[string]Standing
+}
+
+// NewFold returns an empty fold that expects the record at offset next.
+func NewFold(next int64) *Fold {
+	return &Fold{first: next, next: next, keys: map[Key]*history{}}
+}
+
+// Next returns the offset that the fold expects.
+func (f *Fold) Next() int64 {
+	return f.next
+}
+
+// Keys returns the number of keys that the fold remembers.
+func (f *Fold) Keys() int {
+	return len(f.keys)
+}
+
+// Apply folds the record at an offset. It returns false, and changes nothing,
+// when the offset is not the one expected: a record that was delivered twice is
+// of no interest, and one after a gap must wait for the records between.
+func (f *Fold) Apply(offset int64, batch Batch) bool {
+	if offset != f.next {
+		return false
+	}
+	f.next++
+	for _, r := range batch.Records {
+		f.apply(offset, r)
+	}
+	return true
+}
+
+func (f *Fold) apply(offset int64, r Record) {
+	if r.Kind != KindClaim && r.Kind != KindOutcome && r.Kind != KindRelease {
+		return
+	}
+	h := f.keys[r.Key]
+	if h == nil {
+		h = &history{}
+		f.keys[r.Key] = h
+	}
+	h.events = append(h.events, event{offset: offset, record: r})
+	h.state.apply(offset, r)
+	f.order = append(f.order, position{offset: offset, key: r.Key})
+}
+
+// Trim forgets the records before first, the oldest offset that the log still
+// holds. A claim counts as absent once its record has left the log.
+func (f *Fold) Trim(first int64) {
+	if first <= f.first {
+		return
+	}
+	f.first = first
+	f.next = max(f.next, first)
+	n := 0
+	for n < len(f.order) && f.order[n].offset < first {
+		f.trimKey(f.order[n].key)
+		n++
+	}
+	f.order = append([]position(nil), f.order[n:]...)
+}
+
+func (f *Fold) trimKey(key Key) {
+	h := f.keys[key]
+	if h == nil || h.events[0].offset >= f.first {
+		return
+	}
+	n := 0
+	for n < len(h.events) && h.events[n].offset < f.first {
+		n++
+	}
+	if n == len(h.events) {
+		delete(f.keys, key)
+		return
+	}
+	h.events = append([]event(nil), h.events[n:]...)
+	h.state = keyState{}
+	for _, e := range h.events {
+		h.state.apply(e.offset, e.record)
+	}
+}
+
+// Standing returns the standing of a claim on a key.
+func (f *Fold) Standing(key Key, claim string) Standing {
+	h := f.keys[key]
+	if h == nil {
+		return Absent
+	}
+	return h.state.standings[claim]
+}
+
+// Holder returns the claim that holds a key.
+func (f *Fold) Holder(key Key) (Holder, bool) {
+	h := f.keys[key]
+	if h == nil || h.state.holder == nil {
+		return Holder{}, false
+	}
+	return *h.state.holder, true
+}
+
+// Digest returns the digest under which a key was first claimed.
+func (f *Fold) Digest(key Key) (string, bool) {
+	h := f.keys[key]
+	if h == nil || !h.state.hasDigest {
+		return "", false
+	}
+	return h.state.digest, true
+}
+
+func (s *keyState) apply(offset int64, r Record) {
+	if s.standings == nil {
+		s.standings = map[string]Standing{}
+	}
+	switch r.Kind {
+	case KindClaim:
+		s.claim(offset, r)
+	case KindOutcome:
+		s.outcome(r)
+	case KindRelease:
+		s.release(r)
+	}
+}
+
+// claim gives a claim its standing once. A copy of the record changes nothing.
+func (s *keyState) claim(offset int64, r Record) {
+	if _, known := s.standings[r.Claim]; known {
+		return
+	}
+	if s.hasDigest && s.digest != r.Digest {
+		s.standings[r.Claim] = Conflicting
+		return
+	}
+	s.digest, s.hasDigest = r.Digest, true
+	if s.holder != nil {
+		s.standings[r.Claim] = Lost
+		return
+	}
+	s.standings[r.Claim] = Won
+	s.holder = &Holder{Claim: r.Claim, Offset: offset, Digest: r.Digest, At: r.At}
+}
+
+// outcome keeps the first outcome of the holder. Outcomes of other claims have no effect.
+func (s *keyState) outcome(r Record) {
+	if s.holder == nil || s.holder.Claim != r.Claim || s.holder.Outcome != nil || r.Outcome == nil {
+		return
+	}
+	kept := r.Outcome.Kept()
+	s.holder.Outcome = &kept
+}
+
+// release frees the key when the holder gives it back. A release that arrives
+// before its claim, because the answer to the claim's append was lost and the
+// append took effect late, keeps that claim from ever winning.
+func (s *keyState) release(r Record) {
+	if s.holder != nil && s.holder.Claim == r.Claim {
+		if s.holder.Outcome != nil {
+			return
+		}
+		s.holder = nil
+	}
+	s.standings[r.Claim] = Released
+}
