--- a/admission/controller.go
+++ b/admission/controller.go
@@ -33,7 +33,6 @@
 }
 
 // DefaultOptions returns the options in use unless the settings state others.
-// The first token target of 0.67 s is the design target.
 func DefaultOptions() Options {
 	return Options{
 		Utilization:       0.95,
@@ -225,15 +224,27 @@
 // Next gives, so that each answer goes out as soon as it is certain.
 func (c *Controller) Tick(now time.Time) []Decision {
 	c.share.expire(now)
+	var decisions []Decision
+	for {
+		decisions = append(decisions, c.startFitting(now)...)
+		late := c.shedLate(now)
+		if len(late) == 0 {
+			return decisions
+		}
+		// A large request that was shed may have stood before smaller ones that fit.
+		decisions = append(decisions, late...)
+	}
+}
+
+func (c *Controller) startFitting(now time.Time) []Decision {
 	var decisions []Decision
 	for {
 		it := c.next()
 		if it == nil || !c.fits(now, it) {
-			break
+			return decisions
 		}
 		decisions = append(decisions, c.start(now, it))
 	}
-	return append(decisions, c.shedLate(now)...)
 }
 
 // Next returns when Tick should be called if no other event comes before, and
@@ -350,6 +361,10 @@
 	return p
 }
 
+// classDemandWindow is the time constant for the demand of a priority class. It is
+// longer than a burst, whose requests already count as queued cost.
+const classDemandWindow = 10 * time.Second
+
 // minDrainShare keeps the predicted wait finite when higher priorities offer more than the capacity.
 const minDrainShare = 0.02
 
@@ -412,7 +427,7 @@
 		priority: priority,
 		flows:    map[string]*flow{},
 		active:   map[string]*flow{},
-		offered:  rateEstimate{window: c.options.DemandWindow},
+		offered:  rateEstimate{window: classDemandWindow},
 	}
 	c.classes = append(c.classes, nil)
 	copy(c.classes[i+1:], c.classes[i:])
--- a/admission/share.go
+++ b/admission/share.go
@@ -29,9 +29,13 @@
 	refusalFactor = 0.95
 	// refusalPause is how often refusals may lower the limit; one overload causes many refusals.
 	refusalPause = 200 * time.Millisecond
-	// burstRoom is the part of the free capacity that one entry may take between two
-	// reports without regard to its share, so that single requests pass at once while there is room.
-	burstRoom = 0.25
+	// roomGain is the part of an entry's portion of the free capacity that it takes
+	// with each report; the reports lag, so the same room shows in several of them.
+	roomGain = 0.12
+	// Between burstFloor and burstFull free, as fractions of the capacity, an entry
+	// may run a few requests without regard to its share, so that requests pass at
+	// once on an idle system. With less room, many entries doing so would overload it.
+	burstFloor, burstFull = 0.2, 0.5
 )
 
 func (s *share) entries() int {
@@ -95,13 +99,13 @@
 // would grow while the load is light, and a burst on all entries at once would
 // overload the backend servers before the next report.
 func (s *share) withRoom(limit, room, used, own, demand float64) float64 {
-	others := max(used-own, 0)
 	part := 1 / float64(s.entries())
-	if demand+others > 0 {
-		part = max(part, demand/(demand+others))
+	if used > 0 {
+		part = max(part, own/used)
 	}
-	burst := min(room*burstRoom, 1+2*math.Sqrt(demand))
-	allowance := max(room*min(part, 1), burst)
+	free := (room/s.capacity.Units - burstFloor) / (burstFull - burstFloor)
+	burst := min(max(free, 0), 1) * (1 + math.Sqrt(demand))
+	allowance := max(roomGain*room*min(part, 1), burst)
 	most := own + allowance + growthPerReport*demand
 	return max(min(limit, most), own+allowance)
 }
--- a/membership/view.go
+++ b/membership/view.go
@@ -119,13 +119,16 @@
 
 // trusts judges one service's part of a list.
 func (v *View) trusts(now time.Time, service string, listed map[string]Instance) bool {
-	good, lost, alive, remaining := 0, 0, 0, 0
+	known, good, lost, alive, remaining := 0, 0, 0, 0, 0
 	for _, i := range listed {
 		if i.Service == service {
 			remaining++
 		}
 	}
 	for _, m := range v.of(service) {
+		if m.absent.IsZero() {
+			known++
+		}
 		if !m.absent.IsZero() || m.instance.Leaving || m.draining || m.down {
 			// The list cannot lose what direct evidence or an earlier list already took away.
 			continue
@@ -141,7 +144,7 @@
 		}
 	}
 	allowed := max(1, int(v.options.DistrustLoss*float64(good)))
-	if lost <= allowed && (remaining > 0 || good == 0) {
+	if lost <= allowed && (remaining > 0 || known == 0) {
 		delete(v.distrusted, service)
 		return true
 	}
--- /dev/null
+++ b/membership/view_test.go
@@ -0,0 +1,263 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func at(s float64) time.Time {
+	return start.Add(time.Duration(s * float64(time.Second)))
+}
+
+// fleet returns n instances of one service spread over three zones.
+func fleet(n int) []Instance {
+	list := make([]Instance, n)
+	for i := range list {
+		id := fmt.Sprintf("i%02d", i)
+		list[i] = Instance{ID: id, Service: "s", Zone: fmt.Sprint("z", i%3), Address: "10.0.0." + fmt.Sprint(i)}
+	}
+	return list
+}
+
+func newView(n int) *View {
+	v := New(DefaultOptions())
+	v.ObserveList(start, fleet(n))
+	return v
+}
+
+func find(v *View, now time.Time, id string) (Candidate, bool) {
+	for _, c := range v.Candidates(now, "s") {
+		if c.ID == id {
+			return c, true
+		}
+	}
+	return Candidate{}, false
+}
+
+func marked(list []Instance, n int) []Instance {
+	for i := range n {
+		list[i].Leaving = true
+	}
+	return list
+}
+
+// A list that fails must not empty the set, and a list that is right must get through.
+func TestListTrust(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		evidence Evidence
+		against  int
+		list     []Instance
+		at       float64
+		verdict  ListVerdict
+		left     int
+	}{
+		{"empty list", 0, 0, nil, 1, ListDistrusted, 12},
+		{"empty list stays distrusted", 0, 0, nil, 1000, ListDistrusted, 12},
+		{"many lost at once", 0, 0, fleet(12)[4:], 1, ListDistrusted, 12},
+		{"many marked leaving at once", 0, 0, marked(fleet(12), 4), 1, ListDistrusted, 12},
+		{"few lost", 0, 0, fleet(12)[3:], 1, ListAccepted, 9},
+		{"few marked leaving", 0, 0, marked(fleet(12), 3), 1, ListAccepted, 9},
+		{"loss confirmed by evidence", EndOfStream, 4, fleet(12)[4:], 1, ListAccepted, 8},
+		{"loss repeated without a sign of life", 0, 0, fleet(12)[4:], 100, ListAccepted, 8},
+		{"loss repeated but alive", Heartbeat, 4, fleet(12)[4:], 100, ListDistrusted, 12},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			v := newView(12)
+			v.ObserveList(at(0.5), test.list)
+			for i := range test.against {
+				v.Observe(at(test.at), fleet(12)[i].ID, test.evidence)
+			}
+			report := v.ObserveList(at(test.at), test.list)
+			assert.Equal(t, report.Verdict, test.verdict)
+			assert.Equal(t, len(v.Candidates(at(test.at), "s")), test.left)
+		})
+	}
+}
+
+// The loss of one service's lines must not stop changes to another service.
+func TestServicesAreJudgedApart(t *testing.T) {
+	v := newView(6)
+	report := v.ObserveList(at(1), []Instance{{ID: "o", Service: "other"}})
+	assert.DeepEqual(t, report.Distrusted, []string{"s"})
+	assert.Equal(t, len(v.Candidates(at(1), "other")), 1)
+}
+
+// An instance that still answers must outlive a list that is too early, but not for ever.
+func TestAbsentInstanceWithHeartbeats(t *testing.T) {
+	v := newView(6)
+	for s := range 15 {
+		v.Observe(at(float64(s)), "i00", Heartbeat)
+		v.ObserveList(at(float64(s)), fleet(6)[1:])
+		_, ok := find(v, at(float64(s)), "i00")
+		assert.Equal(t, ok, s < 10, "after %d s", s)
+	}
+}
+
+// A leaving instance must get no new work from the moment that it says so, also
+// when the list and its heartbeats say otherwise.
+func TestDrainingIsFinal(t *testing.T) {
+	v := newView(6)
+	v.Observe(at(1), "i00", RefusedDraining)
+	v.Observe(at(2), "i00", Heartbeat)
+	v.ObserveList(at(3), fleet(6))
+	_, ok := find(v, at(60), "i00")
+	assert.Assert(t, !ok)
+	v.Observe(at(61), "i00", Restarted)
+	c, ok := find(v, at(61), "i00")
+	assert.Assert(t, ok && c.Weight < 0.2, "a new incarnation warms up")
+}
+
+// A busy server must not be ejected: its load would move to the others.
+func TestOverloadIsNotFailure(t *testing.T) {
+	v := newView(4)
+	for i, want := range []bool{false, true} {
+		v.Observe(at(1), fmt.Sprintf("i%02d", i), Overloaded)
+		assert.Equal(t, v.SetOverloaded(at(1), "s"), want)
+	}
+	c, ok := find(v, at(1), "i00")
+	assert.Assert(t, ok && c.Overloaded && !c.Suspect)
+	assert.Equal(t, c.Weight, overloadedWeight)
+	c, _ = find(v, at(3), "i00")
+	assert.Equal(t, c.Weight, 1.0)
+}
+
+// A loss of sight of all instances, which is more likely the observer's own fault,
+// must not leave it without candidates.
+func TestEjectedFractionIsCapped(t *testing.T) {
+	v := newView(9)
+	for _, i := range fleet(9) {
+		v.Observe(at(1), i.ID, Silent)
+	}
+	candidates := v.Candidates(at(1), "s")
+	assert.Equal(t, len(candidates), 5)
+	assert.Assert(t, candidates[0].Suspect && candidates[0].Weight == suspectWeight)
+}
+
+// An instance that fails again and again must stay away longer each time, and one
+// that has been well for long must be forgiven.
+func TestFlappingIsDamped(t *testing.T) {
+	v := newView(6)
+	now := at(0)
+	var away []time.Duration
+	for range 8 {
+		v.Observe(now, "i00", EndOfStream)
+		v.Observe(now, "i00", RefusedConnection)
+		v.Observe(now, "i00", Heartbeat)
+		failed := now
+		for {
+			if _, ok := find(v, now, "i00"); ok {
+				break
+			}
+			now = now.Add(100 * time.Millisecond)
+		}
+		away = append(away, now.Sub(failed))
+	}
+	assert.Equal(t, away[0], time.Second)
+	for i := 1; i < 5; i++ {
+		assert.Assert(t, away[i] > away[i-1]*3/2, "%v", away)
+	}
+	assert.Assert(t, away[7] <= time.Minute, "%v", away)
+	now = now.Add(time.Hour)
+	v.Observe(now, "i00", Silent)
+	v.Observe(now, "i00", Heartbeat)
+	_, ok := find(v, now.Add(time.Second), "i00")
+	assert.Assert(t, ok)
+}
+
+// An instance that flaps in the list only must be damped as well.
+func TestListFlappingIsDamped(t *testing.T) {
+	v := newView(6)
+	for s := 1; s <= 4; s++ {
+		v.ObserveList(at(float64(2*s)), fleet(6)[1:])
+		v.ObserveList(at(float64(2*s+1)), fleet(6))
+	}
+	_, ok := find(v, at(13), "i00")
+	assert.Assert(t, !ok)
+	_, ok = find(v, at(30), "i00")
+	assert.Assert(t, ok)
+}
+
+// A new instance must not get a full share at once; the first list is not new.
+func TestWarmUp(t *testing.T) {
+	v := newView(6)
+	v.ObserveList(at(1), fleet(7))
+	c, _ := find(v, at(1), "i00")
+	assert.Equal(t, c.Weight, 1.0)
+	for s, want := range map[float64]float64{1: 0.1, 6: 0.55, 11: 1, 100: 1} {
+		c, _ = find(v, at(s), "i06")
+		assert.Assert(t, c.Weight > want-0.01 && c.Weight < want+0.01, "weight %.2f after %.0f s", c.Weight, s)
+	}
+}
+
+// A subset must prefer its own zone, keep some of another, change in one place
+// when one instance leaves, and cover the fleet over many processes.
+func TestSubset(t *testing.T) {
+	v := newView(30)
+	before := v.Subset(start, "s", "entry-1", "z1", 8)
+	zones := map[string]int{}
+	for _, i := range before {
+		zones[i.Zone]++
+	}
+	assert.Equal(t, zones["z1"], 6)
+	v.Observe(at(1), before[0].ID, RefusedDraining)
+	kept := 0
+	after := map[string]bool{}
+	for _, i := range v.Subset(at(1), "s", "entry-1", "z1", 8) {
+		after[i.ID] = true
+	}
+	for _, i := range before {
+		if after[i.ID] {
+			kept++
+		}
+	}
+	assert.Equal(t, len(after), 8)
+	assert.Equal(t, kept, 7)
+	watched := map[string]bool{}
+	for e := range 30 {
+		for _, i := range v.Subset(at(1), "s", fmt.Sprint("entry-", e), fmt.Sprint("z", e%3), 8) {
+			watched[i.ID] = true
+		}
+	}
+	assert.Equal(t, len(watched), 29)
+	assert.Equal(t, len(v.Subset(start, "s", "e", "nowhere", 100)), 29)
+}
+
+// Over any events: no draining instance is a candidate, the ejected fraction stays
+// under its cap, and overload alone removes nobody.
+func TestViewInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 9).Draw(t, "instances")
+		v := newView(n)
+		now := start
+		draining := map[string]bool{}
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "pass")) * time.Millisecond)
+			if rapid.IntRange(0, 9).Draw(t, "list") == 0 {
+				v.ObserveList(now, nil)
+			}
+			id := fleet(n)[rapid.IntRange(0, n-1).Draw(t, "instance")].ID
+			evidence := Evidence(rapid.IntRange(int(Heartbeat), int(Restarted)).Draw(t, "evidence"))
+			v.Observe(now, id, evidence)
+			switch evidence {
+			case RefusedDraining:
+				draining[id] = true
+			case Restarted:
+				delete(draining, id)
+			}
+			candidates := v.Candidates(now, "s")
+			for _, c := range candidates {
+				assert.Assert(t, !draining[c.ID], "%s is draining", c.ID)
+				assert.Assert(t, c.Weight > 0 && c.Weight <= 1)
+			}
+			staying := n - len(draining)
+			assert.Assert(t, len(candidates) >= staying-staying/2, "%d of %d", len(candidates), staying)
+		}
+	})
+}
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,81 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// Retries must not exceed the fraction of successes in the window, in any order of events.
+func TestBudgetInvariant(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		options := BudgetOptions{Fraction: 0.2, Minimum: 2, Window: 10 * time.Second}
+		b := NewBudget(options)
+		now := start
+		var successes, retries []time.Time
+		recent := func(times []time.Time, window time.Duration) (n float64) {
+			for _, at := range times {
+				if now.Sub(at) < window {
+					n++
+				}
+			}
+			return n
+		}
+		for range rapid.IntRange(1, 200).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "pass")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "success") {
+				b.Success(now)
+				successes = append(successes, now)
+				continue
+			}
+			if !b.Take(now, false) {
+				continue
+			}
+			retries = append(retries, now)
+			// The buckets may keep an event for one bucket less than the window.
+			allowed := options.Minimum + options.Fraction*recent(successes, options.Window)
+			assert.Assert(t, recent(retries, options.Window-time.Second) <= allowed+1e-9)
+		}
+	})
+}
+
+// A retry into an overloaded set would add to the load that caused the failure.
+func TestNoRetryIntoOverloadedSet(t *testing.T) {
+	b := NewBudget(DefaultBudget())
+	assert.Assert(t, !b.Take(start, true))
+	assert.Assert(t, b.Take(start, false))
+}
+
+// An old success must not pay for a retry, and a clock that steps back must not lose the tally.
+func TestBudgetForgets(t *testing.T) {
+	b := NewBudget(BudgetOptions{Fraction: 1, Window: 10 * time.Second})
+	b.Success(start)
+	assert.Equal(t, b.Left(start.Add(-time.Minute)), 1.0)
+	assert.Equal(t, b.Left(start.Add(5*time.Second)), 1.0)
+	assert.Equal(t, b.Left(start.Add(15*time.Second)), 0.0)
+}
+
+// Delays must stay within a doubling bound, spread over it, and repeat with the seed.
+func TestBackoff(t *testing.T) {
+	newBackoff := func() *Backoff {
+		return NewBackoff(100*time.Millisecond, 2*time.Second, rand.New(rand.NewPCG(7, 7)))
+	}
+	a, b := newBackoff(), newBackoff()
+	for retry, bound := range map[int]time.Duration{0: 100, 1: 100, 2: 200, 5: 1600, 6: 2000, 5000: 2000} {
+		assert.Equal(t, a.Bound(retry), bound*time.Millisecond)
+	}
+	var sum time.Duration
+	for range 1000 {
+		d := a.Delay(3)
+		assert.Equal(t, d, b.Delay(3))
+		assert.Assert(t, d > 0 && d <= a.Bound(3))
+		sum += d
+	}
+	mean := sum / 1000
+	assert.Assert(t, mean > 180*time.Millisecond && mean < 220*time.Millisecond, "mean delay %s of 400 ms", mean)
+}
