entry: admit requests before they run

Cause: without admission a burst queues in the engines, and one team can take all of them. Finding a team by a scan over all teams costs more with each team.

Shed requests get a problem answer at once. Teams, models and services are found through an index built once a document.

Conclusion: wired; the number of entries that share the capacity is still 1.

--- a/entry/call.go
+++ b/entry/call.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"github.com/sapphirefield/sapphirefield/admission"
 	"github.com/sapphirefield/sapphirefield/attempt"
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/problem"
@@ -41,7 +42,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), c.timeout)
 	defer cancel()
-	answer, refused := c.run(ctx)
+	answer, refused := c.admitAndRun(ctx)
 	if refused != nil {
 		s.refuse(w, refused)
 		return
@@ -49,6 +50,23 @@
 	answer.write(w)
 }
 
+// admitAndRun waits for capacity before the call runs.
+func (c *plainCall) admitAndRun(ctx context.Context) (*plainAnswer, *problem.Problem) {
+	release, refused := c.server.admitter.acquire(ctx, servicePool(c.service.Name), c.admission)
+	if refused != nil {
+		refused.Request = c.id
+		return nil, refused
+	}
+	began := now()
+	answer, refused := c.run(ctx)
+	outcome := admission.Outcome{Result: admission.Completed, FirstToken: time.Since(began)}
+	if refused != nil {
+		outcome.Result = admission.Failed
+	}
+	release(outcome)
+	return answer, refused
+}
+
 // plainCall is one call on its way to a plain server.
 type plainCall struct {
 	server     *Server
@@ -60,17 +78,18 @@
 	body       []byte
 	timeout    time.Duration
 	idempotent bool
+	admission  admission.Request
 	request    *attempt.Request
 	exclude    map[string]bool
 }
 
 func (s *Server) prepareCall(w http.ResponseWriter, r *http.Request) (*plainCall, *problem.Problem) {
-	doc, team, refused := s.authenticate(r)
+	x, team, refused := s.authenticate(r)
 	if refused != nil {
 		return nil, refused
 	}
 	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	service, refused := teamService(doc, team, name)
+	service, refused := x.teamService(team, name)
 	if refused != nil {
 		return nil, refused
 	}
@@ -97,6 +116,7 @@
 	if c.timeout <= 0 {
 		c.timeout = defaultCallTimeout
 	}
+	c.admission = admissionRequest(x.doc, team, c.id, "", service.Name)
 	return c, nil
 }
 
--- a/entry/chain.go
+++ b/entry/chain.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/sapphirefield/sapphirefield/admission"
 	"github.com/sapphirefield/sapphirefield/attempt"
 	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/pipeline"
@@ -28,6 +29,7 @@
 	maxTokens  uint32
 	priority   int32
 	parameters string
+	admission  admission.Request
 	// emit passes a token to the caller; an error means that the caller is gone.
 	emit func(token *wire.Token) error
 
--- a/entry/config.go
+++ b/entry/config.go
@@ -19,42 +19,68 @@
 // defaultStageRate stands in for engines that the configuration does not describe.
 const defaultStageRate = 1000.0
 
-// stageWeight is the rate at which an engine generates tokens with its range.
-func stageWeight(doc *config.Document, instance string, layers *wire.LayerRange) float64 {
-	rate := defaultStageRate
-	for i := range doc.Servers {
-		if doc.Servers[i].ID == instance {
-			rate = layerRate(doc, doc.Servers[i].Accelerator)
-		}
-	}
-	return rate / float64(layers.Limit-layers.First)
+// index finds the entries of one document by name. It is built once for each
+// document, because a scan over thousands of teams for each request would cost
+// more than the rest of the request's control.
+type index struct {
+	doc      *config.Document
+	teams    map[string]*config.Team
+	models   map[string]*config.Model
+	services map[string]*config.Service
+	rates    map[string]float64
 }
 
-func layerRate(doc *config.Document, kind string) float64 {
-	for _, a := range doc.Accelerators {
-		if a.Kind == kind {
-			return a.LayerTokensPerSecond
+func newIndex(doc *config.Document) *index {
+	x := &index{
+		doc:      doc,
+		teams:    make(map[string]*config.Team, len(doc.Teams)),
+		models:   make(map[string]*config.Model, len(doc.Models)),
+		services: make(map[string]*config.Service, len(doc.Services)),
+		rates:    make(map[string]float64, len(doc.Servers)),
+	}
+	for i := range doc.Teams {
+		for _, hash := range doc.Teams[i].KeyHashes {
+			x.teams[hash] = &doc.Teams[i]
 		}
 	}
-	return defaultStageRate
+	for i := range doc.Models {
+		x.models[doc.Models[i].Name] = &doc.Models[i]
+	}
+	for i := range doc.Services {
+		x.services[doc.Services[i].Name] = &doc.Services[i]
+	}
+	kinds := make(map[string]float64, len(doc.Accelerators))
+	for _, a := range doc.Accelerators {
+		kinds[a.Kind] = a.LayerTokensPerSecond
+	}
+	for _, server := range doc.Servers {
+		x.rates[server.ID] = kinds[server.Accelerator]
+	}
+	return x
 }
 
-func findModel(doc *config.Document, name string) *config.Model {
-	for i := range doc.Models {
-		if doc.Models[i].Name == name {
-			return &doc.Models[i]
-		}
+// index returns the index of the configuration in force, or nil before there is one.
+func (s *Server) index() *index {
+	doc := s.opts.Config()
+	if doc == nil {
+		return nil
 	}
-	return nil
+	known := s.indexed.Load()
+	if known != nil && known.doc == doc {
+		return known
+	}
+	fresh := newIndex(doc)
+	s.indexed.Store(fresh)
+	return fresh
 }
 
-func findService(doc *config.Document, name string) *config.Service {
-	for i := range doc.Services {
-		if doc.Services[i].Name == name {
-			return &doc.Services[i]
-		}
+// stageWeight is the rate at which an engine generates tokens with its range.
+func (x *index) stageWeight(instance string, layers *wire.LayerRange) float64 {
+	rate := x.rates[instance]
+	if rate <= 0 {
+		rate = defaultStageRate
 	}
-	return nil
+	return rate / float64(layers.Limit-layers.First)
 }
 
 // isIdempotent tells whether the configuration allows a call to be repeated.
@@ -68,9 +94,9 @@
 }
 
 // authenticate returns the team of a request's bearer key.
-func (s *Server) authenticate(r *http.Request) (*config.Document, *config.Team, *problem.Problem) {
-	doc := s.opts.Config()
-	if doc == nil {
+func (s *Server) authenticate(r *http.Request) (*index, *config.Team, *problem.Problem) {
+	x := s.index()
+	if x == nil {
 		return nil, nil, problem.Refuse(problem.NoBackend, "no configuration is in force yet")
 	}
 	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
@@ -78,27 +104,25 @@
 		return nil, nil, problem.Refuse(problem.Unauthorized, "the request needs an Authorization header with a bearer key")
 	}
 	hash := sha256.Sum256([]byte(strings.TrimSpace(key)))
-	wanted := hex.EncodeToString(hash[:])
-	for i := range doc.Teams {
-		if slices.Contains(doc.Teams[i].KeyHashes, wanted) {
-			return doc, &doc.Teams[i], nil
-		}
+	team := x.teams[hex.EncodeToString(hash[:])]
+	if team == nil {
+		return nil, nil, problem.Refuse(problem.Unauthorized, "the bearer key is not known")
 	}
-	return nil, nil, problem.Refuse(problem.Unauthorized, "the bearer key is not known")
+	return x, team, nil
 }
 
 // teamModel returns a model that the team may use. A model of other teams is
 // answered like one that does not exist.
-func teamModel(doc *config.Document, team *config.Team, name string) (*config.Model, *problem.Problem) {
-	model := findModel(doc, name)
+func (x *index) teamModel(team *config.Team, name string) (*config.Model, *problem.Problem) {
+	model := x.models[name]
 	if model == nil || !slices.Contains(team.Models, name) {
 		return nil, problem.Refuse(problem.UnknownModel, "the model is not known to this team")
 	}
 	return model, nil
 }
 
-func teamService(doc *config.Document, team *config.Team, name string) (*config.Service, *problem.Problem) {
-	service := findService(doc, name)
+func (x *index) teamService(team *config.Team, name string) (*config.Service, *problem.Problem) {
+	service := x.services[name]
 	if service == nil || !slices.Contains(team.Services, name) {
 		return nil, problem.Refuse(problem.UnknownService, "the service is not known to this team")
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -49,8 +49,10 @@
 	incarnation string
 	peers       *peerSet
 	models      *modelSet
+	admitter    *admitter
 	meters      meters
 	sequence    atomic.Uint64
+	indexed     atomic.Pointer[index]
 
 	mu         sync.Mutex
 	draining   bool
@@ -76,6 +78,7 @@
 		idle:        make(chan struct{}),
 	}
 	s.models = newModelSet()
+	s.admitter = newAdmitter(uint64(now().UnixNano()))
 	s.peers = newPeerSet(ctx, s)
 	return s
 }
--- a/entry/language.go
+++ b/entry/language.go
@@ -5,12 +5,10 @@
 	"encoding/json"
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/problem"
-	"github.com/sapphirefield/sapphirefield/wire"
 )
 
 // languageForm is what differs between the two language endpoints.
@@ -46,8 +44,17 @@
 	answer.id = form.idPrefix + g.id
 	ctx, cancel := context.WithTimeout(r.Context(), s.opts.RequestTimeout)
 	defer cancel()
-	g.emit = s.timed(began, answer.token)
-	if p := g.run(ctx); p != nil {
+	release, refused := s.admitter.acquire(ctx, modelPool(g.model), g.admission)
+	if refused != nil {
+		refused.Request = g.id
+		s.refuse(w, refused)
+		return
+	}
+	timing := newTokenTiming(s, began)
+	g.emit = timing.wrap(answer.token)
+	p := g.run(ctx)
+	release(timing.outcome(p))
+	if p != nil {
 		s.failLanguage(answer, p)
 		return
 	}
@@ -55,24 +62,6 @@
 	logevent.Write(s.opts.Logger, logevent.RequestFinished).Str("request", g.id).Int("tokens", len(g.tokens)).Msg("")
 }
 
-// timed measures the time to the first token and between tokens.
-func (s *Server) timed(began time.Time, emit func(*wire.Token) error) func(*wire.Token) error {
-	last := began
-	first := true
-	return func(token *wire.Token) error {
-		at := now()
-		if first {
-			s.meters.firstToken.Update(at.Sub(began))
-		} else {
-			s.meters.betweenTokens.Update(at.Sub(last))
-		}
-		first = false
-		last = at
-		s.meters.tokens.Inc(1)
-		return emit(token)
-	}
-}
-
 func (s *Server) refuse(w http.ResponseWriter, p *problem.Problem) {
 	s.meters.refused.Inc(1)
 	logevent.Write(s.opts.Logger, logevent.RequestRefused).Str("request", p.Request).
@@ -95,7 +84,7 @@
 	if r.Method != http.MethodPost {
 		return nil, methodNotAllowed(http.MethodPost)
 	}
-	doc, team, refused := s.authenticate(r)
+	x, team, refused := s.authenticate(r)
 	if refused != nil {
 		return nil, refused
 	}
@@ -103,7 +92,7 @@
 	if refused != nil {
 		return nil, refused
 	}
-	model, refused := teamModel(doc, team, req.Model)
+	model, refused := x.teamModel(team, req.Model)
 	if refused != nil {
 		return nil, refused
 	}
@@ -114,10 +103,12 @@
 	answer.model = model.Name
 	answer.stream = req.Stream
 	answer.usage = req.StreamOptions != nil && req.StreamOptions.IncludeUsage
-	return &generation{
+	g := &generation{
 		server: s, id: s.newRequestID(), model: model.Name, layers: model.Layers,
 		prompt: req.promptText(), maxTokens: maxTokens, priority: int32(team.Priority), parameters: req.sampling(),
-	}, nil
+	}
+	g.admission = admissionRequest(x.doc, team, g.id, model.Name, "")
+	return g, nil
 }
 
 func methodNotAllowed(allow ...string) *problem.Problem {
@@ -155,14 +146,14 @@
 		s.refuse(w, methodNotAllowed(http.MethodGet))
 		return
 	}
-	doc, team, refused := s.authenticate(r)
+	x, team, refused := s.authenticate(r)
 	if refused != nil {
 		s.refuse(w, refused)
 		return
 	}
 	list := modelList{Object: "list", Data: []modelEntry{}}
 	for _, name := range team.Models {
-		if findModel(doc, name) != nil {
+		if x.models[name] != nil {
 			list.Data = append(list.Data, modelEntry{ID: name, Object: "model", OwnedBy: "sapphirefield"})
 		}
 	}
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -182,9 +182,7 @@
 	if changed {
 		p.server.peersChanged()
 	}
-	if hello.GetModel() != "" {
-		p.server.models.observe(hello.Model, p.id, load)
-	}
+	p.server.observeLoad(p.id, hello, load)
 }
 
 // disconnected tells all exchanges that the peer is lost.
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -164,10 +164,11 @@
 
 // peersChanged rebuilds the choosers' stages from the peers that are usable.
 func (s *Server) peersChanged() {
-	doc := s.opts.Config()
-	if doc == nil {
+	x := s.index()
+	if x == nil {
 		return
 	}
+	doc := x.doc
 	stages := make(map[string][]pipeline.Stage)
 	for _, p := range s.peers.all() {
 		hello, address, zone := p.info()
@@ -176,7 +177,7 @@
 		}
 		stages[hello.Model] = append(stages[hello.Model], pipeline.Stage{
 			Instance: p.id, Address: address, Zone: zone,
-			First: int(hello.Layers.First), Limit: int(hello.Layers.Limit), Weight: stageWeight(doc, p.id, hello.Layers),
+			First: int(hello.Layers.First), Limit: int(hello.Layers.Limit), Weight: x.stageWeight(p.id, hello.Layers),
 		})
 	}
 	s.models.mu.Lock()
@@ -190,4 +191,5 @@
 		}
 		c.Update(0, stages[model.Name])
 	}
+	s.updateCapacity(doc, stages)
 }
