chart: interpret state charts from embedded YAML files

Change: chart.Load checks a file (unknown and duplicate names, unknown or unreachable states, events without a transition, two transitions for one event, dead ends, states from which no final state can be reached) and reports all findings with their places. The transitions are compiled into a table with the refusals made in advance. `sapphirectl charts` renders Mermaid diagrams and the page docs/state-charts.md, which a test compares.

Conclusion: other packages can follow their charts by chart.Next and compare their names with Chart.Expect at start.

--- /dev/null
+++ b/chart/chart_test.go
@@ -0,0 +1,111 @@
+package chart
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+	"testing/fstest"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+// Every embedded chart must load, because a program refuses to start otherwise.
+func TestEmbeddedChartsLoad(t *testing.T) {
+	names, err := Names(Files())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, names, []string{"attempt", "backend_server", "configuration_session", "connection",
+		"engine_order", "entry_shutdown", "request"})
+	for _, name := range names {
+		c, err := Load(Files(), name)
+		assert.NilError(t, err)
+		assert.Equal(t, c.Name(), name)
+	}
+}
+
+// The page must show the charts that the code interprets.
+func TestPageMatchesCharts(t *testing.T) {
+	page, err := Page(Files())
+	assert.NilError(t, err)
+	const file = "../docs/state-charts.md"
+	if os.Getenv("UPDATE_DOCS") != "" {
+		assert.NilError(t, os.WriteFile(file, []byte(page), 0o644))
+	}
+	written, err := os.ReadFile(file)
+	assert.NilError(t, err)
+	assert.Equal(t, string(written), page)
+}
+
+// Each rule must find its fault, and all faults must be reported with their places at once.
+func TestFindings(t *testing.T) {
+	for _, name := range []string{"broken", "undecodable", "endless"} {
+		_, err := Load(os.DirFS("testdata"), name)
+		assert.Assert(t, err != nil, name)
+		golden.Assert(t, err.Error()+"\n", name+".golden")
+	}
+	_, err := Load(os.DirFS("testdata"), "missing")
+	assert.ErrorIs(t, err, os.ErrNotExist)
+}
+
+// The lookup must agree with the list of transitions for every pair, and a
+// refused event must leave the state alone.
+func TestNextAgreesWithTransitions(t *testing.T) {
+	for name := range strings.FieldsSeq("attempt request engine_order") {
+		c, err := Load(Files(), name)
+		assert.NilError(t, err)
+		allowed := map[Transition]bool{}
+		for _, transition := range c.Transitions() {
+			allowed[transition] = true
+		}
+		for _, s := range c.States() {
+			for _, e := range c.Events() {
+				next, err := c.Next(s.Name, e.Name)
+				if err == nil {
+					assert.Assert(t, allowed[Transition{s.Name, e.Name, next}])
+					delete(allowed, Transition{s.Name, e.Name, next})
+					continue
+				}
+				assert.Equal(t, next, s.Name)
+				var refused *RefusedError
+				assert.Assert(t, errors.As(err, &refused))
+			}
+		}
+		assert.Equal(t, len(allowed), 0)
+		_, err = c.Next("nowhere", c.Events()[0].Name)
+		assert.ErrorContains(t, err, "nowhere")
+	}
+}
+
+// A program whose names differ from its chart must be refused at start.
+func TestExpect(t *testing.T) {
+	const file = "name: lamp\ninitial: off\nstates: [{name: off}, {name: on}]\nevents: [{name: flip}]\n" +
+		"transitions: [{from: off, event: flip, to: on}, {from: on, event: flip, to: off}]\n"
+	c, err := Load(fstest.MapFS{"lamp.yaml": {Data: []byte(file)}}, "lamp")
+	assert.NilError(t, err)
+	assert.NilError(t, c.Expect([]State{"on", "off"}, []Event{"flip"}))
+	err = c.Expect([]State{"on", "dim"}, []Event{"flip"})
+	assert.ErrorContains(t, err, "the program uses dim")
+	assert.ErrorContains(t, err, "the chart has off")
+}
+
+// A transition is looked up for every frame, so neither outcome may allocate.
+func TestNextDoesNotAllocate(t *testing.T) {
+	c, err := Load(Files(), "attempt")
+	assert.NilError(t, err)
+	assert.Equal(t, testing.AllocsPerRun(100, func() {
+		_, _ = c.Next("running", "step_done")
+		_, _ = c.Next("running", "open")
+	}), 0.0)
+}
+
+func BenchmarkNext(b *testing.B) {
+	c, err := Load(Files(), "attempt")
+	assert.NilError(b, err)
+	b.ReportAllocs()
+	state := State("waiting")
+	for b.Loop() {
+		state, _ = c.Next(state, "run")
+		state, _ = c.Next(state, "step_done")
+	}
+}
