--- /dev/null
+++ b/placement/replan_test.go
@@ -0,0 +1,161 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// TestReplanNeverUncovers guards against a change-over that leaves a layer
+// without an engine at any moment of any move, when engines come and go.
+func TestReplanNeverUncovers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := drawFleet(t)
+		plan, err := MakePlan(f, testModel, testOptions)
+		if err != nil {
+			return
+		}
+		for round := range 3 {
+			f = drawChange(t, f, round)
+			next, moves, err := Replan(plan, f, testModel, testOptions)
+			if err != nil {
+				return
+			}
+			replay(t, plan, f, next, moves)
+			plan = next
+		}
+	})
+}
+
+// drawChange removes some engines and adds some.
+func drawChange(t *rapid.T, f Fleet, round int) Fleet {
+	lose := rapid.IntRange(0, 4).Draw(t, "lose")
+	var engines []Engine
+	for i, e := range f.Engines {
+		if (i*7+round)%13 >= lose {
+			engines = append(engines, e)
+		}
+	}
+	fresh := randomFleet(rapid.Uint64().Draw(t, "fresh"), rapid.IntRange(0, 5).Draw(t, "join"), 4)
+	for i, e := range fresh.Engines {
+		e.Name = fmt.Sprintf("n%d-%d", round, i)
+		engines = append(engines, e)
+	}
+	return Fleet{Engines: engines, Links: f.Links}
+}
+
+// replay runs the moves on the old plan and compares the end with the new one.
+func replay(t *rapid.T, old Plan, f Fleet, next Plan, moves []Move) {
+	checkPlan(t, f, next)
+	left := map[string]bool{}
+	for _, e := range f.Engines {
+		left[e.Name] = true
+	}
+	serving := map[string]Range{}
+	for _, a := range old.Assignments {
+		if left[a.Engine] {
+			serving[a.Engine] = Range{First: a.First, Limit: a.Limit}
+		}
+	}
+	final := map[string]Range{}
+	for _, a := range next.Assignments {
+		final[a.Engine] = Range{First: a.First, Limit: a.Limit}
+	}
+	covered := tiled(serving)
+	check := func(what string, m Move) {
+		assert.Assert(t, tiled(serving) || !covered, "%s of %+v uncovers layers", what, m)
+		arrived := map[string]Range{}
+		for name, r := range serving {
+			if r == final[name] {
+				arrived[name] = r
+			}
+		}
+		covered = covered || tiled(arrived)
+	}
+	for i, m := range moves {
+		assert.Equal(t, serving[m.Engine], m.From)
+		if !m.KeepsOld {
+			delete(serving, m.Engine)
+			check("start", m)
+		}
+		if i+1 < len(moves) && moves[i+1].Step == m.Step {
+			continue
+		}
+		for _, done := range moves[:i+1] {
+			if done.Step == m.Step {
+				serving[done.Engine] = done.To
+			}
+		}
+		check("end", m)
+	}
+	for name, r := range final {
+		assert.Equal(t, serving[name], r, "engine %s", name)
+	}
+}
+
+func tiled(serving map[string]Range) bool {
+	var ranges []Range
+	for _, r := range serving {
+		ranges = append(ranges, r)
+	}
+	return checkTiling(ranges, testModel.Layers) == nil
+}
+
+// TestReplanAfterLoss guards against a low flow, or many bytes loaded, after an eighth of the engines is lost.
+func TestReplanAfterLoss(t *testing.T) {
+	for seed := range uint64(10) {
+		f := randomFleet(seed, 40, 3)
+		plan, err := MakePlan(f, testModel, testOptions)
+		assert.NilError(t, err)
+		r := rand.New(rand.NewPCG(seed, 2))
+		r.Shuffle(len(f.Engines), func(i, j int) { f.Engines[i], f.Engines[j] = f.Engines[j], f.Engines[i] })
+		f.Engines = f.Engines[5:]
+		next, moves, err := Replan(plan, f, testModel, testOptions)
+		assert.NilError(t, err)
+		fraction := next.Flow / Bound(f, testModel, testOptions)
+		var bytes int64
+		for _, m := range moves {
+			bytes += m.Bytes
+		}
+		t.Logf("seed %d: %.3f of the bound, %d moves, %d layers loaded", seed, fraction, len(moves), bytes/testModel.BytesPerLayer)
+		assert.Assert(t, fraction >= 0.85, "seed %d: %.3f of the bound", seed, fraction)
+	}
+}
+
+// TestUnchangedFleetMovesNothing guards against loads without a cause.
+func TestUnchangedFleetMovesNothing(t *testing.T) {
+	f := randomFleet(3, 40, 3)
+	plan, err := MakePlan(f, testModel, testOptions)
+	assert.NilError(t, err)
+	next, moves, err := Replan(plan, f, testModel, testOptions)
+	assert.NilError(t, err)
+	assert.Equal(t, len(moves), 0)
+	assert.DeepEqual(t, next, plan)
+}
+
+// TestFinish guards against loads that overlap at the rate-limited store.
+func TestFinish(t *testing.T) {
+	ends := Finish([]Move{{Bytes: 100}, {Bytes: 0}, {Bytes: 300}}, 100)
+	assert.DeepEqual(t, ends, []time.Duration{time.Second, time.Second, 4 * time.Second})
+}
+
+func BenchmarkReplan(b *testing.B) {
+	for _, size := range []int{40, 400, 3100} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			f := randomFleet(1, size, max(3, size*14/3100))
+			plan, err := MakePlan(f, testModel, testOptions)
+			assert.NilError(b, err)
+			smaller := Fleet{Engines: slices.Clone(f.Engines[max(1, size/50):]), Links: f.Links}
+			b.ReportAllocs()
+			for b.Loop() {
+				_, _, err := Replan(plan, smaller, testModel, testOptions)
+				assert.NilError(b, err)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/placement/search.go
@@ -0,0 +1,291 @@
+package placement
+
+import "slices"
+
+const (
+	// minGain is the least relative improvement that continues a search.
+	minGain = 1e-6
+	// maxSteps bounds a search; the improvements fall off well before.
+	maxSteps = 400
+	// stageCost is the loss of flow accepted for one stage less, because each
+	// stage adds a hop and an engine iteration to the time between tokens.
+	stageCost = 0.002
+	// maxCandidates bounds how many segment counts are tried.
+	maxCandidates = 12
+)
+
+// best finds a layout for the group, or nil if its engines cannot hold the model.
+func (p *problem) best() *layout {
+	var best *layout
+	bestCost := 0.0
+	for _, lengths := range p.candidates() {
+		l := p.construct(lengths)
+		l.climb()
+		if l.slowest() <= 0 {
+			continue
+		}
+		cost := l.shortfall() + stageCost*float64(len(l.lengths))
+		if best == nil || cost < bestCost {
+			best, bestCost = l, cost
+		}
+	}
+	return best
+}
+
+// candidates proposes divisions of the layers: equal ones with a growing number of
+// segments, and ones whose lengths follow the memory of the engines.
+func (p *problem) candidates() [][]int {
+	engines, largest := 0, 0
+	for c := range p.classes {
+		engines += p.size[c]
+		largest = max(largest, p.fit[c])
+	}
+	if largest == 0 {
+		return nil
+	}
+	fewest := (p.model.Layers + largest - 1) / largest
+	var list [][]int
+	for k := fewest; k <= min(engines, p.model.Layers) && len(list) < maxCandidates; k++ {
+		list = append(list, equalLengths(p.model.Layers, k))
+		if byMemory := p.lengthsByMemory(k); byMemory != nil {
+			list = append(list, byMemory)
+		}
+	}
+	return list
+}
+
+func equalLengths(layers, k int) []int {
+	lengths := make([]int, k)
+	for s := range lengths {
+		lengths[s] = layers*(s+1)/k - layers*s/k
+	}
+	return lengths
+}
+
+// lengthsByMemory makes k segments whose lengths follow the memory of the
+// engines that will fill them: each segment takes an equal part of the work,
+// in the order of memory.
+func (p *problem) lengthsByMemory(k int) []int {
+	order := make([]int, len(p.classes))
+	total := 0.0
+	for c := range order {
+		order[c] = c
+		total += float64(p.size[c]) * p.classes[c].rate
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return p.fit[a] - p.fit[b] })
+	fits := make([]int, k)
+	sum, done := 0, 0.0
+	s := 0
+	for _, c := range order {
+		done += float64(p.size[c]) * p.classes[c].rate
+		for ; s < k && done >= total*(float64(s)+0.5)/float64(k); s++ {
+			fits[s] = max(1, p.fit[c])
+			sum += fits[s]
+		}
+	}
+	if s < k || sum < p.model.Layers {
+		return nil
+	}
+	return scaleLengths(fits, sum, p.model.Layers)
+}
+
+// scaleLengths scales lengths down to a sum, each at least 1.
+func scaleLengths(fits []int, sum, layers int) []int {
+	lengths := make([]int, len(fits))
+	at, before := 0, 0
+	for s, fit := range fits {
+		at += fit
+		end := max(before+1, layers*at/sum)
+		lengths[s] = end - before
+		before = end
+	}
+	if before != layers {
+		return nil
+	}
+	return lengths
+}
+
+// construct fills segments greedily: the engines with the least choice first,
+// each into the segment with the least capacity.
+func (p *problem) construct(lengths []int) *layout {
+	l := p.empty(lengths)
+	order := make([]int, len(p.classes))
+	for c := range order {
+		order[c] = c
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		if p.fit[a] != p.fit[b] {
+			return p.fit[a] - p.fit[b]
+		}
+		return int(p.classes[b].rate - p.classes[a].rate)
+	})
+	for _, c := range order {
+		for range p.size[c] {
+			if s := l.neediest(c); s >= 0 {
+				l.place(c, s)
+			}
+		}
+	}
+	return l
+}
+
+// neediest is the segment with the least capacity that the class fits; among
+// equals it prefers the one with the least capacity in the class's own zone.
+func (l *layout) neediest(c int) int {
+	best := -1
+	zone := l.classes[c].zone
+	for s := range l.lengths {
+		if !l.fits(c, s) {
+			continue
+		}
+		if best < 0 || l.sum[s] < l.sum[best] || l.sum[s] == l.sum[best] && l.flow[s][zone] < l.flow[best][zone] {
+			best = s
+		}
+	}
+	return best
+}
+
+// change is one step of a search. From and to are segments; from -1 means an
+// idle engine. A swap has a second class that goes the other way. A shift
+// moves one layer from one segment to its neighbour and no engine.
+type change struct {
+	class, from, to int
+	swap            int
+	shift           bool
+}
+
+const noSwap = -1
+
+// apply changes the layout; calling it with the inverse undoes it.
+func (l *layout) apply(ch change) {
+	if ch.shift {
+		l.lengths[ch.from]--
+		l.lengths[ch.to]++
+		l.rebuild()
+		return
+	}
+	l.transfer(ch.class, ch.from, ch.to)
+	if ch.swap != noSwap {
+		l.transfer(ch.swap, ch.to, ch.from)
+	}
+}
+
+func (l *layout) transfer(c, from, to int) {
+	if from >= 0 {
+		l.add(c, from, -1)
+	} else {
+		l.idle[c]--
+	}
+	if to >= 0 {
+		l.add(c, to, 1)
+	} else {
+		l.idle[c]++
+	}
+}
+
+func (ch change) inverse() change {
+	if ch.swap != noSwap && !ch.shift {
+		return change{class: ch.class, from: ch.to, to: ch.from, swap: ch.swap}
+	}
+	ch.from, ch.to = ch.to, ch.from
+	return ch
+}
+
+// climb applies the best change until none improves the layout.
+func (l *layout) climb() {
+	for range maxSteps {
+		ch, gain := l.bestChange(func(change) float64 { return 1 }, true)
+		if gain < minGain {
+			return
+		}
+		l.apply(ch)
+	}
+}
+
+// bestChange returns the change with the highest gain divided by its cost, and the gain.
+func (l *layout) bestChange(cost func(change) float64, shifts bool) (change, float64) {
+	now := l.shortfall()
+	var best change
+	bestGain, bestRatio := 0.0, 0.0
+	try := func(ch change) {
+		l.apply(ch)
+		gain := now - l.shortfall()
+		l.apply(ch.inverse())
+		if gain <= minGain {
+			return
+		}
+		if ratio := gain / cost(ch); ratio > bestRatio {
+			best, bestGain, bestRatio = ch, gain, ratio
+		}
+	}
+	l.eachMove(try)
+	l.eachSwap(try)
+	if shifts {
+		l.eachShift(try)
+	}
+	l.rebuild()
+	return best, bestGain
+}
+
+func (l *layout) eachMove(try func(change)) {
+	for c := range l.classes {
+		for from := -1; from < len(l.lengths); from++ {
+			if from < 0 && l.idle[c] == 0 || from >= 0 && l.count[c][from] == 0 {
+				continue
+			}
+			for to := range l.lengths {
+				if to != from && l.fits(c, to) {
+					try(change{class: c, from: from, to: to, swap: noSwap})
+				}
+			}
+		}
+	}
+}
+
+// eachSwap tries to exchange engines of two classes between two segments.
+func (l *layout) eachSwap(try func(change)) {
+	for a := range l.classes {
+		for b := range l.classes {
+			if a == b || l.classes[a].rate == l.classes[b].rate && l.classes[a].zone == l.classes[b].zone {
+				continue
+			}
+			l.eachPair(a, b, try)
+		}
+	}
+}
+
+func (l *layout) eachPair(a, b int, try func(change)) {
+	for from := range l.lengths {
+		if l.count[a][from] == 0 || !l.fits(b, from) {
+			continue
+		}
+		for to := range l.lengths {
+			// A pair of classes is met in both orders, so one order of segments is enough.
+			if from < to && l.count[b][to] > 0 && l.fits(a, to) {
+				try(change{class: a, from: from, to: to, swap: b})
+			}
+		}
+	}
+}
+
+// eachShift tries to move one layer from one segment to another; the segments
+// between them keep their lengths and move by one layer.
+func (l *layout) eachShift(try func(change)) {
+	for from := range l.lengths {
+		for to := range l.lengths {
+			if from != to && l.lengths[from] > 1 && l.canGrow(to) {
+				try(change{from: from, to: to, swap: noSwap, shift: true})
+			}
+		}
+	}
+}
+
+// canGrow tells whether all engines of a segment have room for one more layer.
+func (l *layout) canGrow(segment int) bool {
+	for c := range l.classes {
+		if l.count[c][segment] > 0 && l.capacity[c][l.lengths[segment]+1] <= 0 {
+			return false
+		}
+	}
+	return true
+}
