--- /dev/null
+++ b/config/schema_test.go
@@ -0,0 +1,109 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+type object = map[string]any
+
+var enums = map[reflect.Type][]any{
+	reflect.TypeFor[LogOutagePolicy](): {RefuseDuringOutage, RunDuringOutage},
+	reflect.TypeFor[Fencing]():         {FencingChecks, FencingIgnores},
+	reflect.TypeFor[Measure]():         {MeasureFirstToken, MeasureBetweenToken, MeasureAvailability, MeasureLatency},
+}
+
+// requiredPaths are the members without which an otherwise empty entry has a finding.
+func requiredPaths() map[string]bool {
+	empty := &Document{
+		Regions: make([]Region, 1), Accelerators: []Accelerator{NewAccelerator()}, Links: make([]Link, 1),
+		Models: make([]Model, 1), Services: []Service{NewService()}, Servers: make([]Server, 1),
+		Teams: []Team{NewTeam()}, Objectives: make([]Objective, 1),
+	}
+	empty.Services[0].Idempotent = make([]CallRule, 1)
+	required := map[string]bool{"regions": true}
+	for _, f := range empty.Validate() {
+		if !strings.HasSuffix(f.Path, "]") {
+			required[strings.ReplaceAll(f.Path, "[0]", "")] = true
+		}
+	}
+	return required
+}
+
+func schemaOf(t reflect.Type, path, member string, required map[string]bool) object {
+	switch {
+	case t == durationType:
+		return object{"type": "string", "pattern": `^([0-9]+(\.[0-9]+)?(ns|us|µs|ms|s|m|h))+$|^0$`}
+	case enums[t] != nil:
+		return object{"type": "string", "enum": enums[t]}
+	case t.Kind() == reflect.Struct:
+		return schemaOfStruct(t, path, required)
+	case t.Kind() == reflect.Slice:
+		return object{"type": "array", "items": schemaOf(t.Elem(), path, member, required)}
+	case t.Kind() == reflect.String:
+		return object{"type": "string", "pattern": textPattern(member)}
+	case t.Kind() == reflect.Float64:
+		return object{"type": "number"}
+	default:
+		return object{"type": "integer"}
+	}
+}
+
+func textPattern(member string) string {
+	switch member {
+	case "key_hashes":
+		return hashPattern.String()
+	case "path_prefix":
+		return "^/"
+	case "method":
+		return "^(" + strings.Join(callMethods, "|") + ")$"
+	default:
+		return namePattern.String()
+	}
+}
+
+func schemaOfStruct(t reflect.Type, path string, required map[string]bool) object {
+	members, names := object{}, []string{}
+	for i := range t.NumField() {
+		f := t.Field(i)
+		name := memberName(f)
+		at := joinPath(path, name)
+		m := schemaOf(f.Type, at, name, required)
+		if value := defaultValue(t).Field(i); !value.IsZero() {
+			m["default"] = value.Interface()
+			if f.Type == durationType {
+				m["default"] = fmt.Sprint(value.Interface())
+			}
+		}
+		members[name] = m
+		if required[at] && !strings.HasSuffix(f.Tag.Get("yaml"), ",omitempty") {
+			names = append(names, name)
+		}
+	}
+	return object{"type": "object", "additionalProperties": false, "properties": members, "required": names}
+}
+
+// Guards against a published schema that lacks a member or differs from the
+// types and defaults. UPDATE_DOCS=1 rewrites the file.
+func TestSchemaMatchesTypes(t *testing.T) {
+	schema := schemaOf(reflect.TypeFor[Document](), "", "", requiredPaths())
+	schema["$schema"] = "https://json-schema.org/draft/2020-12/schema"
+	schema["title"] = "sapphirefield configuration document"
+	schema["properties"].(object)["schema"] = object{"const": SchemaVersion}
+	var text strings.Builder
+	encoder := json.NewEncoder(&text)
+	encoder.SetEscapeHTML(false)
+	encoder.SetIndent("", "  ")
+	assert.NilError(t, encoder.Encode(schema))
+	if os.Getenv("UPDATE_DOCS") != "" {
+		assert.NilError(t, os.WriteFile("schema.json", []byte(text.String()), 0o644))
+		return
+	}
+	assert.Equal(t, string(Schema), text.String())
+}
