--- a/entry/call.go
+++ b/entry/call.go
@@ -42,7 +42,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), c.timeout)
 	defer cancel()
-	answer, refused := c.admitAndRun(ctx)
+	answer, refused := c.runOnce(ctx)
 	if refused != nil {
 		s.refuse(w, refused)
 		return
@@ -50,6 +50,14 @@
 	answer.write(w)
 }
 
+// runOnce runs a call, after its claim where it has an idempotency key.
+func (c *plainCall) runOnce(ctx context.Context) (*plainAnswer, *problem.Problem) {
+	if c.keyed != nil {
+		return c.runKeyed(ctx, c.keyed)
+	}
+	return c.admitAndRun(ctx)
+}
+
 // admitAndRun waits for capacity before the call runs.
 func (c *plainCall) admitAndRun(ctx context.Context) (*plainAnswer, *problem.Problem) {
 	release, refused := c.server.admitter.acquire(ctx, servicePool(c.service.Name), c.admission)
@@ -79,6 +87,7 @@
 	timeout    time.Duration
 	idempotent bool
 	admission  admission.Request
+	keyed      *keyedCall
 	request    *attempt.Request
 	exclude    map[string]bool
 }
@@ -117,7 +126,8 @@
 		c.timeout = defaultCallTimeout
 	}
 	c.admission = admissionRequest(x.doc, team, c.id, "", service.Name)
-	return c, nil
+	c.keyed, refused = c.newKeyedCall(team.Name, r.Header.Get(keyHeader))
+	return c, refused
 }
 
 func bodyProblem(err error) *problem.Problem {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -31,6 +31,8 @@
 	Metrics metrics.Registry
 	// Config returns the configuration in force, or nil before there is one.
 	Config func() *config.Document
+	// Claims is the log for claims on idempotency keys; nil refuses calls with a key.
+	Claims ClaimLog
 	// MaxBodyBytes bounds a request's body.
 	MaxBodyBytes int64
 	// RequestTimeout bounds a whole language request.
@@ -50,6 +52,7 @@
 	peers       *peerSet
 	models      *modelSet
 	admitter    *admitter
+	claims      *claims
 	meters      meters
 	sequence    atomic.Uint64
 	indexed     atomic.Pointer[index]
@@ -80,6 +83,9 @@
 	s.models = newModelSet()
 	s.admitter = newAdmitter(uint64(now().UnixNano()))
 	s.peers = newPeerSet(ctx, s)
+	if opts.Claims != nil {
+		s.claims = newClaims(ctx, s, opts.Claims)
+	}
 	return s
 }
 
