pipeline, experiment/fleet: recovery, detection and a throughput experiment

The Detector probes the stages of a chain when a token is late, because heartbeats of 1 s with 3 s of silence cannot meet a recovery of 1 s.

--- /dev/null
+++ b/experiment/fleet/routers.go
@@ -0,0 +1,98 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/sapphirefield/sapphirefield/pipeline"
+)
+
+// roundRobin takes the stages of each range in turn.
+type roundRobin struct {
+	layers  int
+	byFirst map[int][]pipeline.Stage
+	next    map[int]int
+}
+
+func newRoundRobin(layers int, stages []pipeline.Stage) *roundRobin {
+	r := &roundRobin{layers: layers, byFirst: map[int][]pipeline.Stage{}, next: map[int]int{}}
+	for _, s := range stages {
+		r.byFirst[s.First] = append(r.byFirst[s.First], s)
+	}
+	return r
+}
+
+// Choose ignores the request.
+func (r *roundRobin) Choose(_ pipeline.Request, exclude map[string]bool) (pipeline.Chain, error) {
+	return tile(r.layers, func(first int) (pipeline.Stage, bool) {
+		for range r.byFirst[first] {
+			s := r.byFirst[first][r.next[first]%len(r.byFirst[first])]
+			r.next[first]++
+			if !exclude[s.Instance] {
+				return s, true
+			}
+		}
+		return pipeline.Stage{}, false
+	})
+}
+
+func (r *roundRobin) Done(pipeline.Chain)                              {}
+func (r *roundRobin) Observe(pipeline.Load)                            {}
+func (r *roundRobin) ObserveLink(string, string, int64, time.Duration) {}
+
+// leastLoaded takes the stage of each range with the fewest requests, as far
+// as load reports and its own requests tell.
+type leastLoaded struct {
+	layers  int
+	byFirst map[int][]pipeline.Stage
+	load    map[string]int
+}
+
+func newLeastLoaded(layers int, stages []pipeline.Stage) *leastLoaded {
+	l := &leastLoaded{layers: layers, byFirst: map[int][]pipeline.Stage{}, load: map[string]int{}}
+	for _, s := range stages {
+		l.byFirst[s.First] = append(l.byFirst[s.First], s)
+	}
+	return l
+}
+
+// Choose ignores the request's content.
+func (l *leastLoaded) Choose(_ pipeline.Request, exclude map[string]bool) (pipeline.Chain, error) {
+	return tile(l.layers, func(first int) (pipeline.Stage, bool) {
+		best, found := pipeline.Stage{}, false
+		for _, s := range l.byFirst[first] {
+			if !exclude[s.Instance] && (!found || l.load[s.Instance] < l.load[best.Instance]) {
+				best, found = s, true
+			}
+		}
+		l.load[best.Instance]++
+		return best, found
+	})
+}
+
+// Done counts the chain's requests as ended.
+func (l *leastLoaded) Done(chain pipeline.Chain) {
+	for _, s := range chain.Stages {
+		l.load[s.Instance]--
+	}
+}
+
+// Observe replaces the count by the report's.
+func (l *leastLoaded) Observe(load pipeline.Load) {
+	l.load[load.Instance] = load.Running
+}
+
+// ObserveLink is not used.
+func (l *leastLoaded) ObserveLink(string, string, int64, time.Duration) {}
+
+func tile(layers int, pick func(first int) (pipeline.Stage, bool)) (pipeline.Chain, error) {
+	var chain pipeline.Chain
+	for next := 0; next < layers; {
+		s, found := pick(next)
+		if !found {
+			return pipeline.Chain{}, pipeline.ErrNoChain
+		}
+		chain.Stages = append(chain.Stages, s)
+		next = s.Limit
+	}
+	return chain, nil
+}
--- a/pipeline/chooser.go
+++ b/pipeline/chooser.go
@@ -151,7 +151,8 @@
 type candidate struct {
 	*member
 	allCached, someMissed label
-	saved                 float64
+	// own is the stage's cost in seconds, saved the decode tokens' worth of cached prompt.
+	own, saved float64
 }
 
 // Choose returns the chain with the least cost whose ranges tile the layers.
@@ -159,49 +160,138 @@
 // its planned share plus its load, in seconds; the cost of a hop is the
 // transfer time of the request's tokens.
 func (c *Chooser) Choose(req Request, exclude map[string]bool) (Chain, error) {
-	if req.OutputTokens <= 0 {
-		req.OutputTokens = defaultOutputTokens
-	}
-	work := float64(req.OutputTokens) + float64(req.PromptTokens)/c.opts.PrefillSpeedup
-	hops := c.hopCosts(req)
-	heads := make([][]*candidate, c.opts.Layers+1)
+	req, work := c.sized(req)
+	s := c.newSearch(req)
 	for _, m := range c.stages {
 		if exclude[m.Instance] || m.load.Draining || m.load.Down {
 			continue
 		}
+		saved := c.cache.Saved(m.Instance, req) / c.opts.PrefillSpeedup
+		s.visit(&candidate{member: m, own: c.stageCost(m, work, req.At), saved: saved})
+	}
+	chain, err := c.build(s, req, work)
+	if err != nil {
+		return Chain{}, err
+	}
+	chain.Revision = c.revision
+	c.advance(work)
+	return chain, nil
+}
+
+// Repair returns a chain in place of one that has lost stages. Stages of the
+// broken chain that are not lost cost nothing, since they hold the request's
+// KV cache; every other stage also costs the seconds that restore gives. The
+// chain keeps the revision of the broken one: ranges of another plan are used
+// only where they fit between the ranges that remain.
+func (c *Chooser) Repair(req Request, broken Chain, lost map[string]bool, restore func(Stage) float64) (Chain, error) {
+	req, work := c.sized(req)
+	s := c.newSearch(req)
+	for _, m := range c.withKept(broken, lost) {
 		k := &candidate{member: m}
-		k.saved = c.cache.Saved(m.Instance, req) / c.opts.PrefillSpeedup
-		c.extend(k, heads[m.Limit], hops, work, req.At)
-		if math.IsInf(k.allCached.cost, 1) && math.IsInf(k.someMissed.cost, 1) {
+		if !broken.holds(m.Stage) {
+			if lost[m.Instance] || m.load.Draining || m.load.Down {
+				continue
+			}
+			k.own = c.stageCost(m, work, req.At) + restore(m.Stage)
+		}
+		s.visit(k)
+	}
+	chain, err := c.build(s, req, work)
+	if err != nil {
+		return Chain{}, err
+	}
+	chain.Revision = broken.Revision
+	c.Done(broken)
+	return chain, nil
+}
+
+// withKept returns the stages in descending order of First, together with the
+// kept stages of a broken chain whose ranges the current plan has changed.
+func (c *Chooser) withKept(broken Chain, lost map[string]bool) []*member {
+	kept := map[string]Stage{}
+	for _, s := range broken.Stages {
+		if !lost[s.Instance] {
+			kept[s.Instance] = s
+		}
+	}
+	var pool []*member
+	for _, m := range c.stages {
+		if s, was := kept[m.Instance]; was && (s.First != m.First || s.Limit != m.Limit) {
 			continue
 		}
-		heads[m.First] = keepBest(heads[m.First], k)
+		delete(kept, m.Instance)
+		pool = append(pool, m)
+	}
+	for _, s := range kept {
+		pool = append(pool, &member{Stage: s, zone: c.zoneIndex(s.Zone)})
+	}
+	sort.SliceStable(pool, func(i, j int) bool { return pool[i].First > pool[j].First })
+	return pool
+}
+
+// holds tells whether a stage with the same range is in the chain.
+func (c Chain) holds(stage Stage) bool {
+	for _, s := range c.Stages {
+		if s.Instance == stage.Instance && s.First == stage.First && s.Limit == stage.Limit {
+			return true
+		}
+	}
+	return false
+}
+
+// sized fills in the request's length and returns its work in decode tokens.
+func (c *Chooser) sized(req Request) (Request, float64) {
+	if req.OutputTokens <= 0 {
+		req.OutputTokens = defaultOutputTokens
 	}
-	return c.build(heads[0], hops, c.entryZone(req.Zone), work)
+	return req, float64(req.OutputTokens) + float64(req.PromptTokens)/c.opts.PrefillSpeedup
+}
+
+// search is a shortest path from the last layer to the first.
+type search struct {
+	layers int
+	hops   [][]float64
+	// heads are the best candidates by first layer.
+	heads [][]*candidate
+}
+
+func (c *Chooser) newSearch(req Request) *search {
+	return &search{layers: c.opts.Layers, hops: c.hopCosts(req), heads: make([][]*candidate, c.opts.Layers+1)}
+}
+
+// visit adds a candidate. Candidates must come in descending order of First.
+func (s *search) visit(k *candidate) {
+	s.extend(k)
+	if math.IsInf(k.allCached.cost, 1) && math.IsInf(k.someMissed.cost, 1) {
+		return
+	}
+	s.heads[k.First] = keepBest(s.heads[k.First], k)
 }
 
 // extend sets the candidate's labels from the best candidates after it.
-func (c *Chooser) extend(k *candidate, after []*candidate, hops [][]float64, work float64, at time.Time) {
+func (s *search) extend(k *candidate) {
 	k.allCached.cost = math.Inf(1)
 	k.someMissed.cost = math.Inf(1)
-	own := c.stageCost(k.member, work, at)
-	cached := own - k.saved/k.Weight
-	if k.Limit == c.opts.Layers {
+	cached := k.own
+	if k.saved > 0 {
+		cached -= k.saved / k.Weight
+	}
+	if k.Limit == s.layers {
 		if k.saved > 0 {
 			k.allCached.cost = cached
 		} else {
-			k.someMissed.cost = own
+			k.someMissed.cost = k.own
 		}
 		return
 	}
-	for _, n := range after {
-		hop := hops[k.zone][n.zone]
+	for _, n := range s.heads[k.Limit] {
+		hop := s.hops[k.zone][n.zone]
 		if k.saved > 0 {
 			k.allCached.relax(cached+hop+n.allCached.cost, n)
 		} else {
-			k.someMissed.relax(own+hop+n.allCached.cost, n)
+			k.someMissed.relax(k.own+hop+n.allCached.cost, n)
 		}
-		k.someMissed.relax(own+hop+n.someMissed.cost, n)
+		k.someMissed.relax(k.own+hop+n.someMissed.cost, n)
 	}
 }
 
@@ -230,13 +320,14 @@
 }
 
 // build follows the labels from the best first stage and charges its stages.
-func (c *Chooser) build(first []*candidate, hops [][]float64, zone int, work float64) (Chain, error) {
+func (c *Chooser) build(s *search, req Request, work float64) (Chain, error) {
+	zone := c.entryZone(req.Zone)
 	var best *candidate
 	bestCost := math.Inf(1)
-	for _, k := range first {
+	for _, k := range s.heads[0] {
 		cost := min(k.allCached.cost, k.someMissed.cost)
 		if zone >= 0 {
-			cost += hops[zone][k.zone]
+			cost += s.hops[zone][k.zone]
 		}
 		if cost < bestCost {
 			best, bestCost = k, cost
@@ -245,7 +336,7 @@
 	if best == nil {
 		return Chain{}, ErrNoChain
 	}
-	chain := Chain{Revision: c.revision}
+	var chain Chain
 	cached := best.allCached.cost <= best.someMissed.cost
 	for k := best; k != nil; {
 		charged := work
@@ -255,7 +346,6 @@
 			way = k.allCached
 		}
 		chain.Stages = append(chain.Stages, k.Stage)
-		chain.work = append(chain.work, charged)
 		c.charge(k.member, charged)
 		if way.next != nil && !cached {
 			// A stage without the prefix may be followed by stages that all have it.
@@ -263,7 +353,6 @@
 		}
 		k = way.next
 	}
-	c.advance(work)
 	return chain, nil
 }
 
@@ -296,7 +385,9 @@
 	return lead + work/m.Weight + loadGain*trust*float64(inFlight)*c.meanWork/m.Weight
 }
 
-// hopCosts is the transfer time of all of a request's tokens between each two zones, in seconds.
+// hopCosts is the transfer time of all generated tokens between each two zones,
+// in seconds. Prompt tokens are left out: they travel in a few large frames
+// that overlap with computing.
 func (c *Chooser) hopCosts(req Request) [][]float64 {
 	costs := make([][]float64, len(c.zones))
 	for from, i := range c.zones {
--- /dev/null
+++ b/pipeline/detector.go
@@ -0,0 +1,179 @@
+package pipeline
+
+import "time"
+
+// Detection says how fast a Detector decides. A zero value in a field means its default.
+//
+// Heartbeats once a second with three seconds of silence cannot meet a
+// recovery time of one second. The Detector therefore starts from the data
+// path: a token that is late makes it probe the stages of that chain only.
+type Detection struct {
+	// FirstToken and Token are how long a token may take before stages are probed.
+	FirstToken, Token time.Duration
+	// Probe is how long the answer to a probe may take. Sidecars answer
+	// probes themselves, so the engine's load does not delay the answer.
+	Probe time.Duration
+	// Engine is how long an engine with a pending step may go without
+	// finishing any iteration. Chunked prefill keeps iterations far shorter.
+	Engine time.Duration
+}
+
+const (
+	defaultFirstTokenWait = 300 * time.Millisecond
+	defaultTokenWait      = 120 * time.Millisecond
+	defaultProbeWait      = 150 * time.Millisecond
+	defaultEngineWait     = 350 * time.Millisecond
+	// probeEvery is the time between probes of a stage.
+	probeEvery = 50 * time.Millisecond
+)
+
+func (d Detection) withDefaults() Detection {
+	orDefault := func(v *time.Duration, standard time.Duration) {
+		if *v <= 0 {
+			*v = standard
+		}
+	}
+	orDefault(&d.FirstToken, defaultFirstTokenWait)
+	orDefault(&d.Token, defaultTokenWait)
+	orDefault(&d.Probe, defaultProbeWait)
+	orDefault(&d.Engine, defaultEngineWait)
+	return d
+}
+
+// LossReason says why a stage counts as lost.
+type LossReason string
+
+// The reasons.
+const (
+	LossClosed LossReason = "closed"
+	LossSilent LossReason = "silent"
+	LossEngine LossReason = "engine_stalled"
+)
+
+// ProbeReply is a sidecar's answer to a probe.
+type ProbeReply struct {
+	Instance string
+	// Iterations counts the engine's finished iterations.
+	Iterations uint64
+	// Pending tells whether a step of the request waits at or runs on the engine.
+	Pending bool
+}
+
+// Detector decides for one request which stages of its chain are lost. A stage
+// that answers probes and whose engine finishes iterations is busy, not lost,
+// no matter how late the token is.
+type Detector struct {
+	limits Detection
+	stages []*watched
+	// since is when the last token came or the chain was started.
+	since time.Time
+	wait  time.Duration
+}
+
+type watched struct {
+	instance string
+	lost     LossReason
+	reported bool
+	// asked is when the oldest unanswered probe was sent, probed when the last was.
+	asked, probed time.Time
+	iterations    uint64
+	// moved is when the engine was last known to progress or to have no step pending.
+	moved time.Time
+}
+
+// NewDetector watches a chain from when its first step is sent.
+func NewDetector(chain Chain, limits Detection, at time.Time) *Detector {
+	d := &Detector{limits: limits.withDefaults(), since: at}
+	d.wait = d.limits.FirstToken
+	for _, s := range chain.Stages {
+		d.stages = append(d.stages, &watched{instance: s.Instance, moved: at})
+	}
+	return d
+}
+
+// Token says that a token of the current attempt has come, so all stages have progressed.
+func (d *Detector) Token(at time.Time) {
+	d.since = at
+	d.wait = d.limits.Token
+	for _, w := range d.stages {
+		w.asked, w.moved = time.Time{}, at
+	}
+}
+
+// Reply takes the answer to a probe.
+func (d *Detector) Reply(reply ProbeReply, at time.Time) {
+	w := d.find(reply.Instance)
+	if w == nil {
+		return
+	}
+	w.asked = time.Time{}
+	if !reply.Pending || reply.Iterations != w.iterations {
+		w.moved = at
+	}
+	w.iterations = reply.Iterations
+}
+
+// Closed says that the connection to a stage ended or was refused.
+func (d *Detector) Closed(instance string) {
+	if w := d.find(instance); w != nil {
+		w.lost = LossClosed
+	}
+}
+
+func (d *Detector) find(instance string) *watched {
+	for _, w := range d.stages {
+		if w.instance == instance {
+			return w
+		}
+	}
+	return nil
+}
+
+// Finding is what Tick asks for.
+type Finding struct {
+	// Probe are the instances to probe now.
+	Probe []string
+	// Lost are the stages found lost since the last Tick.
+	Lost map[string]LossReason
+	// Next is when to call Tick again if nothing is observed before.
+	Next time.Time
+}
+
+// Tick returns the stages to probe and the stages that are lost.
+func (d *Detector) Tick(at time.Time) Finding {
+	f := Finding{Lost: map[string]LossReason{}, Next: d.since.Add(d.wait)}
+	late := !at.Before(f.Next)
+	if late {
+		f.Next = at.Add(probeEvery)
+	}
+	for _, w := range d.stages {
+		if late {
+			d.judge(w, at)
+		}
+		if w.lost != "" {
+			if !w.reported {
+				f.Lost[w.instance] = w.lost
+				w.reported = true
+			}
+			continue
+		}
+		if late && at.Sub(w.probed) >= probeEvery {
+			w.probed = at
+			if w.asked.IsZero() {
+				w.asked = at
+			}
+			f.Probe = append(f.Probe, w.instance)
+		}
+	}
+	return f
+}
+
+func (d *Detector) judge(w *watched, at time.Time) {
+	switch {
+	case w.lost != "":
+	case !w.asked.IsZero() && at.Sub(w.asked) >= d.limits.Probe:
+		w.lost = LossSilent
+	case w.asked.IsZero() && !w.probed.IsZero() && at.Sub(w.moved) >= d.limits.Engine:
+		w.lost = LossEngine
+	}
+}
--- a/pipeline/stage.go
+++ b/pipeline/stage.go
@@ -29,8 +29,6 @@
 	// plan must not be mixed into the chain.
 	Revision int64
 	Stages   []Stage
-	// work is the load in decode tokens that Choose charged to each stage.
-	work []float64
 }
 
 // Tiles returns nil if the chain's ranges run each of the layers once and in order.
