--- a/cmd/sapphiredev/main.go
+++ b/cmd/sapphiredev/main.go
@@ -13,13 +13,14 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/sapphirefield/sapphirefield/demo"
+	"github.com/sapphirefield/sapphirefield/experiment/fleet"
 )
 
 func main() {
 	root := &ffcli.Command{
 		Name:        "sapphiredev",
 		ShortUsage:  "sapphiredev <subcommand> [flags]",
-		Subcommands: []*ffcli.Command{demoCommand()},
+		Subcommands: []*ffcli.Command{demoCommand(), fleet.Command()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	err := root.ParseAndRun(context.Background(), os.Args[1:])
