--- a/claim/fold.go
+++ b/claim/fold.go
@@ -138,7 +138,10 @@
 		f.trimKey(f.order[n].key)
 		n++
 	}
-	f.order = append([]position(nil), f.order[n:]...)
+	// The slice is moved on and not copied: with a record expiring for each new
+	// one, a copy would make every trim as costly as the number of keys.
+	clear(f.order[:n])
+	f.order = f.order[n:]
 }
 
 func (f *Fold) trimKey(key Key) {
--- a/cmd/sapphiredev/main.go
+++ b/cmd/sapphiredev/main.go
@@ -13,6 +13,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/sapphirefield/sapphirefield/demo"
+	"github.com/sapphirefield/sapphirefield/experiment/capacity"
 	"github.com/sapphirefield/sapphirefield/experiment/fleet"
 )
 
@@ -20,7 +21,7 @@
 	root := &ffcli.Command{
 		Name:        "sapphiredev",
 		ShortUsage:  "sapphiredev <subcommand> [flags]",
-		Subcommands: []*ffcli.Command{demoCommand(), fleet.Command()},
+		Subcommands: []*ffcli.Command{demoCommand(), fleet.Command(), capacity.Command()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	err := root.ParseAndRun(context.Background(), os.Args[1:])
