--- a/attempt/attempt_test.go
+++ b/attempt/attempt_test.go
@@ -78,3 +78,51 @@
 	idempotent.Answering()
 	assert.Assert(t, !idempotent.MaySend())
 }
+
+// Guards R3: a late copy of an older attempt that ran must not be refused,
+// because a refusal says that it did not run; one that never began is refused.
+func TestLateCopyOfOlderAttempt(t *testing.T) {
+	l := NewLedger("inc")
+	l.Open(Key{"r", 1}, "inc")
+	assert.Assert(t, l.Begin(Key{"r", 1}))
+	l.Open(Key{"r", 2}, "inc")
+	assert.Equal(t, l.Withdraw(Key{"r", 3}, start), ExecutedNo)
+	assert.Equal(t, l.Open(Key{"r", 1}, "inc"), RefusalDuplicate)
+	assert.Equal(t, l.Open(Key{"r", 2}, "inc"), RefusalStaleAttempt)
+}
+
+// Guards R6: an attempt that could not be handed to the backend server must not
+// stay in progress, which would keep a draining sidecar from ending.
+func TestNotRunEndsAttempt(t *testing.T) {
+	l := NewLedger("inc")
+	l.Open(Key{"r", 1}, "inc")
+	assert.Assert(t, l.Begin(Key{"r", 1}))
+	l.NotRun(Key{"r", 1}, start)
+	assert.Equal(t, l.InProgress(), 0)
+	assert.Equal(t, l.Running(), 0)
+	assert.Equal(t, l.Open(Key{"r", 1}, "inc"), RefusalWithdrawn)
+}
+
+// Guards R3: a sidecar that was paused must not forget a withdrawn attempt whose
+// first frame still waits to be read.
+func TestPausedLedgerKeepsTombstone(t *testing.T) {
+	l := NewLedger("inc")
+	l.Expire(start)
+	assert.Equal(t, l.Withdraw(Key{"r", 1}, start), ExecutedNo)
+	resumed := start.Add(time.Hour)
+	l.Expire(resumed)
+	assert.Equal(t, l.Open(Key{"r", 1}, "inc"), RefusalWithdrawn)
+	for s := range 70 {
+		l.Expire(resumed.Add(time.Duration(s) * time.Second))
+	}
+	assert.Equal(t, len(l.records), 0)
+}
+
+// Guards R3: the "no" of a sidecar that may have forgotten the attempt proves nothing.
+func TestLateWithdrawalProvesNothing(t *testing.T) {
+	for after, want := range map[time.Duration]Executed{time.Second: ExecutedNo, TombstoneLife: ExecutedUnknown} {
+		r := NewRequest(false)
+		r.ObserveWithdrawal(r.Send(), ExecutedNo, start, start.Add(after))
+		assert.Equal(t, r.Executed(), want)
+	}
+}
--- a/attempt/ledger.go
+++ b/attempt/ledger.go
@@ -1,6 +1,9 @@
 package attempt
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Key names one attempt of one request.
 type Key struct {
@@ -36,6 +39,22 @@
 	state  state
 	// closedAt is when the record reached a final state.
 	closedAt time.Time
+	// begun lists the older attempts that were begun. A late copy of one of them
+	// must not be refused as "not run".
+	begun []uint32
+}
+
+// successor returns the record of a newer attempt that replaces this one.
+func (r *record) successor(number uint32) *record {
+	next := &record{number: number}
+	if r == nil {
+		return next
+	}
+	next.begun = r.begun
+	if r.state == stateRunning || r.state == stateDone {
+		next.begun = append(next.begun, r.number)
+	}
+	return next
 }
 
 // TombstoneLife is how long a finished or withdrawn attempt is remembered. It
@@ -51,8 +70,14 @@
 	draining    bool
 	records     map[string]*record
 	running     int
+	// swept is the time of the last Expire.
+	swept time.Time
 }
 
+// maxSweepGap is the longest time between two calls of Expire of a process that
+// runs; after a longer one the process was paused.
+const maxSweepGap = 10 * time.Second
+
 // NewLedger returns an empty ledger for one start of a sidecar.
 func NewLedger(incarnation string) *Ledger {
 	return &Ledger{incarnation: incarnation, records: make(map[string]*record)}
@@ -82,12 +107,14 @@
 	if known != nil && known.state == stateRunning {
 		l.running--
 	}
-	l.records[key.Request] = &record{number: key.Number, state: stateOpened}
+	l.records[key.Request] = known.successor(key.Number)
 	return RefusalNone
 }
 
 func refuseKnown(known *record, key Key) Refusal {
 	switch {
+	case key.Number < known.number && slices.Contains(known.begun, key.Number):
+		return RefusalDuplicate
 	case key.Number < known.number:
 		return RefusalStaleAttempt
 	case key.Number > known.number:
@@ -131,6 +158,21 @@
 	known.closedAt = now
 }
 
+// NotRun marks an attempt that was begun although it certainly did not reach the
+// backend server, for example because the connection was refused. It leaves a
+// tombstone, so that a late copy does not run either.
+func (l *Ledger) NotRun(key Key, now time.Time) {
+	known := l.current(key)
+	if known == nil || known.state != stateOpened && known.state != stateRunning {
+		return
+	}
+	if known.state == stateRunning {
+		l.running--
+	}
+	known.state = stateWithdrawn
+	known.closedAt = now
+}
+
 // Withdraw asks that an attempt not run. The answer ExecutedNo is a promise:
 // the attempt did not run and is refused from now on.
 func (l *Ledger) Withdraw(key Key, now time.Time) Executed {
@@ -139,7 +181,9 @@
 		if known != nil && known.state == stateRunning {
 			l.running--
 		}
-		l.records[key.Request] = &record{number: key.Number, state: stateWithdrawn, closedAt: now}
+		next := known.successor(key.Number)
+		next.state, next.closedAt = stateWithdrawn, now
+		l.records[key.Request] = next
 		return ExecutedNo
 	}
 	if key.Number < known.number {
@@ -158,8 +202,17 @@
 	}
 }
 
-// Expire forgets attempts that ended more than TombstoneLife ago.
+// Expire forgets attempts that ended more than TombstoneLife ago. Time in which
+// the process was paused does not count, because frames that arrived meanwhile
+// may still wait to be read. It is to be called every few seconds.
 func (l *Ledger) Expire(now time.Time) {
+	gap := now.Sub(l.swept)
+	if !l.swept.IsZero() && gap > maxSweepGap {
+		for _, r := range l.records {
+			r.closedAt = r.closedAt.Add(gap)
+		}
+	}
+	l.swept = now
 	for request, r := range l.records {
 		ended := r.state == stateDone || r.state == stateWithdrawn
 		if ended && now.Sub(r.closedAt) > TombstoneLife {
--- a/attempt/request.go
+++ b/attempt/request.go
@@ -1,5 +1,7 @@
 package attempt
 
+import "time"
+
 // Request decides in an entry whether a request may be sent to a further
 // backend server and what its caller may be told. One Request holds all
 // attempts of one request.
@@ -45,6 +47,17 @@
 	}
 }
 
+// ObserveWithdrawal records the answer to a withdrawal. Sent is when Send was
+// called. A sidecar forgets an ended attempt after TombstoneLife and then takes
+// it for one that it never saw, so its "no" proves nothing to an entry that was
+// paused and asks that late.
+func (r *Request) ObserveWithdrawal(number uint32, executed Executed, sent, now time.Time) {
+	if executed == ExecutedNo && now.Sub(sent) >= TombstoneLife {
+		executed = ExecutedUnknown
+	}
+	r.Observe(number, executed)
+}
+
 // Answering records that the caller has been sent a part of the answer.
 func (r *Request) Answering() { r.answering = true }
 
