--- a/fuzz/entry.go
+++ b/fuzz/entry.go
@@ -172,12 +172,15 @@
 	e.dispatch(c)
 }
 
-// dispatch sends a plain call to a sidecar that it has not tried, or tells the caller what is certain.
+// dispatch sends a plain call to a sidecar, one that it has not tried if possible, or tells the caller what is certain.
 func (e *entry) dispatch(c *call) {
 	if !c.request.MaySend() || c.request.Latest() >= maxAttempts {
 		e.tell(c)
 		return
 	}
+	if c.tried == [plainCount]bool{true, true, true} {
+		c.tried = [plainCount]bool{}
+	}
 	first := e.w.src.IntN(plainCount)
 	for i := range plainCount {
 		s := (first + i) % plainCount
--- a/fuzz/faults.go
+++ b/fuzz/faults.go
@@ -16,6 +16,7 @@
 // workEvents let requests make progress.
 var workEvents = []event{
 	{500, (*World).deliver},
+	{60, func(w *World) { w.busy(func(s *sidecar) int { return len(s.accepted) }).begin() }},
 	{160, func(w *World) { w.busy(func(s *sidecar) int { return len(s.queue) }).run() }},
 	{160, func(w *World) { w.busy(func(s *sidecar) int { return len(s.results) }).collect() }},
 	{100, func(w *World) { w.entryAct((*entry).flush) }},
--- a/fuzz/oracle.go
+++ b/fuzz/oracle.go
@@ -39,8 +39,9 @@
 
 // keyFacts is what really happened under one idempotency key.
 type keyFacts struct {
-	runs    int
-	answers map[uint64]bool
+	runs int
+	// answers holds, by answer, the body that it answers.
+	answers map[uint64]uint64
 }
 
 func newOracle() *oracle {
@@ -82,7 +83,7 @@
 	}
 	k := o.key(*f.key)
 	k.runs++
-	k.answers[answer] = true
+	k.answers[answer] = body
 	if k.runs > 1 && !f.idempotent {
 		o.fail("key %v ran %d times, last for request %s", *f.key, k.runs, id)
 	}
@@ -92,7 +93,7 @@
 func (o *oracle) key(key claim.Key) *keyFacts {
 	k := o.keys[key]
 	if k == nil {
-		k = &keyFacts{answers: map[uint64]bool{}}
+		k = &keyFacts{answers: map[uint64]uint64{}}
 		o.keys[key] = k
 	}
 	return k
@@ -175,9 +176,16 @@
 func (o *oracle) replayed(id string, value uint64) {
 	f := o.requests[id]
 	o.told(id, attempt.ExecutedYes)
-	if !o.key(*f.key).answers[value] && !f.unclaimed {
+	if f.unclaimed {
+		return
+	}
+	body, ran := o.key(*f.key).answers[value]
+	if !ran {
 		o.fail("request %s received an answer that no run under its key gave", id)
 	}
+	if ran && body != f.body {
+		o.fail("request %s received the answer to another body under its key", id)
+	}
 }
 
 // accepted checks that a draining sidecar takes no new work.
--- a/fuzz/sidecar.go
+++ b/fuzz/sidecar.go
@@ -25,6 +25,8 @@
 	gate     *pipeline.StepGate
 	calls    map[attempt.Key]*dispatch
 	attempts map[string]*dispatch
+	// accepted holds calls whose body has not arrived yet, so that they have not begun.
+	accepted []work
 	// queue holds the work that the backend server has accepted, results what it has done.
 	queue   []work
 	results []work
@@ -74,7 +76,7 @@
 func (s *sidecar) die() {
 	s.w.note("sidecar %s dies", s.incarnation)
 	s.alive = false
-	s.ledger, s.gate, s.calls, s.attempts = nil, nil, nil, nil
+	s.ledger, s.gate, s.calls, s.attempts, s.accepted = nil, nil, nil, nil, nil
 }
 
 // tick is the sidecar's sweep.
@@ -141,7 +143,7 @@
 			}
 		}
 		s.calls[m.key] = d
-		s.queueCall(d, m.value)
+		s.accepted = append(s.accepted, work{incarnation: s.incarnation, key: m.key, value: m.value})
 		return
 	}
 	s.gate.Open(m.key.Request, m.key.Number, m.index)
@@ -149,19 +151,32 @@
 	s.reply(d, message{kind: msgOpened})
 }
 
-// queueCall hands a call to the backend server. Only a failure to connect proves that nothing was sent.
-func (s *sidecar) queueCall(d *dispatch, body uint64) {
-	if !s.ledger.Begin(d.key) {
+// begin hands a call whose body has arrived to the backend server. Only a failure
+// to connect proves that nothing was sent.
+func (s *sidecar) begin() {
+	if !s.alive || s.paused || len(s.accepted) == 0 {
 		return
 	}
+	i := s.w.src.IntN(len(s.accepted))
+	t := s.accepted[i]
+	s.accepted = append(s.accepted[:i], s.accepted[i+1:]...)
+	if !s.ledger.Begin(t.key) {
+		return
+	}
+	s.w.note("sidecar %s begins %v", s.incarnation, t.key)
+	d := s.calls[t.key]
+	if d == nil {
+		d = &dispatch{key: t.key}
+	}
 	d.started = true
 	if !s.backendUp {
-		s.ledger.NotRun(d.key, s.w.now)
-		delete(s.calls, d.key)
+		s.ledger.NotRun(t.key, s.w.now)
+		delete(s.calls, t.key)
 		s.reply(d, message{kind: msgFailed, executed: attempt.ExecutedNo})
+		s.check()
 		return
 	}
-	s.queue = append(s.queue, work{incarnation: s.incarnation, key: d.key, value: body})
+	s.queue = append(s.queue, t)
 }
 
 func (s *sidecar) current(key attempt.Key) *dispatch {
@@ -311,6 +326,9 @@
 	}
 	for _, key := range sortedKeys(s.calls) {
 		d := s.calls[key]
+		if !d.started {
+			continue
+		}
 		delete(s.calls, key)
 		s.ledger.Finish(key, s.w.now)
 		s.reply(d, message{kind: msgFailed, executed: attempt.ExecutedUnknown})
