admission: correct the share of capacity by time, not by report

Cause: the entry passes on each sidecar's report as it arrives, about as many a second as there are sidecars, with loads that are up to a second old. The share applied its correction once per report, so ten sidecars made it oscillate: load reached 190.3 units of 80 at three times the capacity.

Change: correction, growth and use of free room are rates per second, below one over the age of the reports.

--- a/admission/share.go
+++ b/admission/share.go
@@ -19,19 +19,24 @@
 }
 
 const (
-	// correctionGain dampens the correction, because a report describes the load
-	// of some reports ago and a full correction would be applied several times.
-	correctionGain = 0.3
-	// growthPerReport is the part of the entry's demand that each report adds to the
-	// limit. With demand at three times the capacity it raises the load by 6%.
-	growthPerReport = 0.006
+	// The rates are per second and not per report, because every sidecar reports by
+	// itself and the number of sidecars differs. They are below one over the age
+	// of the reports, about a second; a faster correction would be applied several times for one load.
+
+	// correctionRate is the exponent of the ratio between wanted and reported load.
+	correctionRate = 0.6
+	// growthRate is the part of the entry's demand that is added to the limit. With
+	// demand at three times the capacity it raises the load by about a tenth
+	// before the correction balances it, which the wanted load must allow for.
+	growthRate = 0.02
+	// roomRate is the part of its portion of the free capacity that an entry takes.
+	roomRate = 0.6
+	// longestStep bounds the time that one report stands for.
+	longestStep = time.Second
 	// refusalFactor lowers the limit when a backend server refuses work for load.
 	refusalFactor = 0.95
 	// refusalPause is how often refusals may lower the limit; one overload causes many refusals.
 	refusalPause = 200 * time.Millisecond
-	// roomGain is the part of an entry's portion of the free capacity that it takes
-	// with each report; the reports lag, so the same room shows in several of them.
-	roomGain = 0.12
 	// Between burstFloor and burstFull free, as fractions of the capacity, an entry
 	// may run a few requests without regard to its share, so that requests pass at
 	// once on an idle system. With less room, many entries doing so would overload it.
@@ -73,41 +78,36 @@
 // observe corrects the limit by a load report. Own is the entry's running cost,
 // which is part of the reported load; demand is the cost it would run at once if it were not limited.
 func (s *share) observe(now time.Time, load Load, own, demand float64) {
+	step := 0.0
+	if !s.observed.IsZero() {
+		step = min(max(now.Sub(s.observed), 0), longestStep).Seconds()
+	}
 	s.observed = now
 	used := max(load.Running+load.Queued, own)
-	room := s.wanted() - used
-	limit := s.corrected(used, own, demand)
-	if room > 0 {
-		limit = s.withRoom(limit, room, used, own, demand)
+	// Long requests keep running after the limit fell. Scaling the limit again for
+	// the same load would bring it to nothing, so the running cost is the base.
+	limit := max(s.limit, own) + growthRate*step*demand
+	if room := s.wanted() - used; room > 0 {
+		limit = s.withRoom(limit, step, room, used, own, demand)
+	} else {
+		limit *= math.Pow(s.wanted()/used, correctionRate*step)
 	}
 	s.limit = min(max(limit, s.smallest()), s.capacity.Units)
 }
 
-// corrected scales the limit towards the wanted load. The base is the running
-// cost while it exceeds the limit: long requests keep running after the limit
-// fell, and scaling the limit again for the same load would bring it to nothing.
-func (s *share) corrected(used, own, demand float64) float64 {
-	base := max(s.limit, own)
-	ratio := 2.0
-	if used > 0 {
-		ratio = min(s.wanted()/used, ratio)
-	}
-	return base*math.Pow(max(ratio, 0), correctionGain) + growthPerReport*demand
-}
-
-// withRoom bounds the limit by the free capacity. Without the bound, limits
-// would grow while the load is light, and a burst on all entries at once would
-// overload the backend servers before the next report.
-func (s *share) withRoom(limit, room, used, own, demand float64) float64 {
+// withRoom raises the limit into the free capacity and bounds it by the entry's
+// portion of it. Without the bound, limits would grow while the load is light, and
+// a burst on all entries at once would overload the backend servers before the next report.
+func (s *share) withRoom(limit, step, room, used, own, demand float64) float64 {
 	part := 1 / float64(s.entries())
 	if used > 0 {
 		part = max(part, own/used)
 	}
+	portion := room * min(part, 1)
 	free := (room/s.capacity.Units - burstFloor) / (burstFull - burstFloor)
 	burst := min(max(free, 0), 1) * (1 + math.Sqrt(demand))
-	allowance := max(roomGain*room*min(part, 1), burst)
-	most := own + allowance + growthPerReport*demand
-	return max(min(limit, most), own+allowance)
+	grown := limit + roomRate*step*portion
+	return max(min(grown, own+portion+growthRate*longestStep.Seconds()*demand), own+burst)
 }
 
 // smallest keeps a limit from falling to nothing, from which no scaling would raise it.
