pipeline: estimate latency and time per byte of links apart; fix Repair

Repair kept a lost stage, because the broken chain still named it; the recovery experiment showed requests without end. Links took time per byte from small frames only, so prompts went over narrow links. Now small frames measure latency, large ones time per byte, and the configured speed is the start.

--- a/experiment/fleet/command.go
+++ b/experiment/fleet/command.go
@@ -41,6 +41,18 @@
 	add("throughput", "throughput as a fraction of the hardware's bound", func(ctx context.Context, c options) error {
 		return throughput(ctx, c.out, c.seed, c.fleets, c.counted)
 	})
+	add("latency", "time to the first token and between tokens under bursts", func(ctx context.Context, c options) error {
+		return latency(ctx, c.out, c.seed, c.fleets, c.counted)
+	})
+	add("recovery", "recovery time after the loss of stages", func(ctx context.Context, c options) error {
+		return recovery(ctx, c.out, c.seed, c.fleets)
+	})
+	add("planning", "time and memory of plans and re-plans", func(_ context.Context, c options) error {
+		return planning(c.out, c.seed)
+	})
+	add("cases", "slow link, busy engine, popular prefix, gaps in cache events", func(_ context.Context, c options) error {
+		return cases(c.out, c.seed, c.counted)
+	})
 	return root
 }
 
--- a/experiment/fleet/entry.go
+++ b/experiment/fleet/entry.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sapphirefield/sapphirefield/pipeline"
@@ -31,10 +32,13 @@
 	restart bool
 	copies  bool
 	active  map[*request]bool
+	// blind entries do not measure links, to compare with.
+	blind bool
 }
 
 // request is one request in progress.
 type request struct {
+	id             int
 	entry          *entry
 	wanted         pipeline.Request
 	prompt, output int
@@ -54,12 +58,16 @@
 // outage measures the recovery of one request.
 type outage struct {
 	began, detected, opened time.Duration
-	// goal is the count of tokens that ends the outage.
+	// goal is the count of tokens that ends the outage: one more than the
+	// entry had received when the loss was detected.
 	goal int
+	// attempts counts the attempts after the loss.
+	attempts int
 }
 
 func (e *entry) start(prompt int, prefixes []pipeline.Prefix) *request {
-	r := &request{entry: e, prompt: prompt, output: e.output(e.sim.rng), arrived: e.sim.now, attempt: 1}
+	e.sim.nextID++
+	r := &request{id: e.sim.nextID, entry: e, prompt: prompt, output: e.output(e.sim.rng), arrived: e.sim.now, attempt: 1}
 	r.wanted = pipeline.Request{
 		At: e.sim.time(), Zone: e.zone, PromptTokens: prompt, OutputTokens: meanOutputOf(e), Prefixes: prefixes,
 	}
@@ -127,12 +135,13 @@
 	if r.detector != nil {
 		r.detector.Token(s.time())
 	}
-	if r.outage != nil && r.receivedCount >= r.outage.goal {
+	if r.outage != nil && r.outage.detected > 0 && r.receivedCount >= r.outage.goal {
 		s.stats.outages = append(s.stats.outages, outageTimes{
 			detection: r.outage.detected - r.outage.began,
 			replace:   r.outage.opened - r.outage.detected,
 			replay:    s.now - r.outage.opened,
 			total:     s.now - r.outage.began,
+			attempts:  r.outage.attempts,
 		})
 		r.outage = nil
 	}
@@ -149,6 +158,9 @@
 	}
 	r.stages = r.stages[:0:0]
 	delete(e.active, r)
+	if r.outage != nil {
+		e.sim.stats.unaffected++
+	}
 	e.router.Done(r.chain)
 	if r.receivedCount == r.output {
 		e.sim.requestStats(r)
@@ -168,7 +180,7 @@
 		s.probe(r, attempt, s.engines[name])
 	}
 	if len(f.Lost) > 0 {
-		r.entry.recover(r, f.Lost)
+		r.entry.lose(f.Lost)
 		return
 	}
 	s.after(max(f.Next.Sub(s.time()), time.Millisecond), func() { s.watch(r, attempt) })
@@ -202,14 +214,38 @@
 	return false
 }
 
-// recover goes on with a request whose chain has lost stages.
-func (e *entry) recover(r *request, lost map[string]pipeline.LossReason) {
-	s := e.sim
+// lose takes note of lost stages and recovers all requests that use them.
+func (e *entry) lose(lost map[string]pipeline.LossReason) {
 	for name := range lost {
 		e.lost[name] = true
+		e.sim.stats.lossVerdicts++
+	}
+	for _, r := range e.using(e.lost) {
+		e.recover(r)
+	}
+}
+
+// using returns the requests that use any of the instances, oldest first.
+func (e *entry) using(instances map[string]bool) []*request {
+	var list []*request
+	for r := range e.active {
+		if slices.ContainsFunc(r.chain.Stages, func(s pipeline.Stage) bool { return instances[s.Instance] }) {
+			list = append(list, r)
+		}
 	}
-	if r.outage != nil && r.outage.detected == 0 {
-		r.outage.detected = s.now
+	slices.SortFunc(list, func(a, b *request) int { return a.id - b.id })
+	return list
+}
+
+// recover goes on with a request whose chain has lost stages.
+func (e *entry) recover(r *request) {
+	s := e.sim
+	if r.outage != nil {
+		r.outage.attempts++
+		if r.outage.detected == 0 {
+			r.outage.detected = s.now
+			r.outage.goal = r.receivedCount + 1
+		}
 	}
 	if e.restart {
 		e.beginAgain(r)
--- a/experiment/fleet/setup.go
+++ b/experiment/fleet/setup.go
@@ -77,7 +77,7 @@
 		s.order = append(s.order, e)
 	}
 	for i := range clientEntries {
-		s.entries = append(s.entries, s.newEntry(zoneName(i%3), stages, how, uint64(i), output))
+		s.entries = append(s.entries, s.newEntry(zoneName(i%fleetZones), stages, how, uint64(i), output))
 	}
 	for i, e := range s.order {
 		s.after(time.Duration(i)*loadEvery/time.Duration(len(s.order)), func() { e.report(loadEvery, loadLag) })
@@ -103,6 +103,9 @@
 			Rand: rand.New(rand.NewPCG(id, 400)),
 		})
 		e.chooser.Update(1, stages)
+		for key, p := range s.pipes {
+			e.chooser.SetLink(key[0], key[1], p.bytesPerSecond, p.delay)
+		}
 		e.router = e.chooser
 		e.recovery = pipeline.NewRecovery(e.chooser, pipeline.RecoveryOptions{
 			KVBytesPerTokenLayer: llm.KVBytesPerTokenLayer, ActivationBytes: llm.ActivationBytes,
--- a/experiment/fleet/sim.go
+++ b/experiment/fleet/sim.go
@@ -27,6 +27,9 @@
 	counting bool
 	// detect makes entries run a Detector for each request.
 	detect bool
+	// dropEvents is the fraction of cache events that are lost on the way.
+	dropEvents float64
+	nextID     int
 }
 
 type event struct {
@@ -76,6 +79,7 @@
 	bytesPerSecond float64 // 0 means unlimited
 	delay          time.Duration
 	free           time.Duration
+	sent           int64
 }
 
 // send delivers a frame after queueing, transmission and delay, and lets
@@ -85,6 +89,7 @@
 	if p == nil {
 		return
 	}
+	p.sent += bytes
 	start := max(s.now, p.free)
 	if p.bytesPerSecond > 0 {
 		p.free = start + time.Duration(float64(bytes)/p.bytesPerSecond*float64(time.Second))
@@ -95,7 +100,9 @@
 	s.after(took, deliver)
 	if from != to {
 		s.seq++
-		s.entries[s.seq%uint64(len(s.entries))].router.ObserveLink(from, to, bytes, took)
+		if e := s.entries[s.seq%uint64(len(s.entries))]; !e.blind {
+			e.router.ObserveLink(from, to, bytes, took)
+		}
 	}
 }
 
@@ -137,6 +144,7 @@
 	iterations uint64
 	running    int
 	cached     map[uint64]bool
+	cacheOrder []uint64
 	cacheSeq   int64
 }
 
@@ -242,6 +250,9 @@
 		return nil
 	}
 	st.pos++
+	if st.prompt > 0 && st.last {
+		e.store(r.wanted.Prefixes)
+	}
 	if st.pos == r.replayStages && st.pos < len(r.stages) && st.prompt > 0 {
 		if !st.last {
 			return nil
@@ -270,6 +281,40 @@
 	}
 }
 
+// cacheSize is the number of prefixes that an engine keeps.
+const cacheSize = 16
+
+// store keeps prefixes and sends cache events; events of evictions and stores
+// have numbers without gaps, but some are lost on the way.
+func (e *engine) store(prefixes []pipeline.Prefix) {
+	for _, p := range prefixes {
+		if e.cached[p.Hash] {
+			continue
+		}
+		if len(e.cacheOrder) == cacheSize {
+			oldest := e.cacheOrder[0]
+			e.cacheOrder = e.cacheOrder[1:]
+			delete(e.cached, oldest)
+			e.emit(oldest, true)
+		}
+		e.cached[p.Hash] = true
+		e.cacheOrder = append(e.cacheOrder, p.Hash)
+		e.emit(p.Hash, false)
+	}
+}
+
+func (e *engine) emit(hash uint64, evicted bool) {
+	e.cacheSeq++
+	event := pipeline.CacheEvent{
+		Instance: e.stage.Instance, Sequence: e.cacheSeq, At: e.sim.time(), Hash: hash, Evicted: evicted,
+	}
+	for _, entry := range e.sim.entries {
+		if entry.chooser != nil && e.sim.rng.Float64() >= e.sim.dropEvents {
+			e.sim.after(loadLag, func() { entry.chooser.ObserveCache(event) })
+		}
+	}
+}
+
 // report sends load reports of an engine to all entries, with a lag.
 func (e *engine) report(every, lag time.Duration) {
 	load := pipeline.Load{
--- a/experiment/fleet/stats.go
+++ b/experiment/fleet/stats.go
@@ -14,6 +14,11 @@
 	firsts, gaps, means []time.Duration
 	outages             []outageTimes
 	requests, refused   int
+	lossVerdicts        int
+	// unaffected counts requests that ended before the loss of a stage mattered.
+	unaffected int
+	// good counts finished requests that met both latency targets.
+	good int
 	// popularFirsts are the first-token times of requests with a popular prefix.
 	popularFirsts []time.Duration
 	cachedTokens  int
@@ -22,6 +27,7 @@
 // outageTimes are the parts of one request's recovery.
 type outageTimes struct {
 	detection, replace, replay, total time.Duration
+	attempts                          int
 }
 
 func (s *sim) tokenStats(r *request) {
@@ -46,7 +52,11 @@
 func (s *sim) requestStats(r *request) {
 	if s.counting && r.output > 1 {
 		s.stats.requests++
-		s.stats.means = append(s.stats.means, (s.now-r.first)/time.Duration(r.output-1))
+		mean := (s.now - r.first) / time.Duration(r.output-1)
+		s.stats.means = append(s.stats.means, mean)
+		if mean <= gapTarget && r.first-r.arrived <= firstTarget {
+			s.stats.good++
+		}
 	}
 }
 
--- a/pipeline/chooser.go
+++ b/pipeline/chooser.go
@@ -119,6 +119,11 @@
 	m.atReport = m.sent
 }
 
+// SetLink gives the configured speed of a link, which holds until it is measured.
+func (c *Chooser) SetLink(from, to string, bytesPerSecond float64, latency time.Duration) {
+	c.links.Set(from, to, bytesPerSecond, latency)
+}
+
 // ObserveLink takes the transfer time of one frame between two zones.
 func (c *Chooser) ObserveLink(from, to string, bytes int64, took time.Duration) {
 	c.links.Observe(from, to, bytes, took)
@@ -187,9 +192,12 @@
 	req, work := c.sized(req)
 	s := c.newSearch(req)
 	for _, m := range c.withKept(broken, lost) {
+		if lost[m.Instance] {
+			continue
+		}
 		k := &candidate{member: m}
 		if !broken.holds(m.Stage) {
-			if lost[m.Instance] || m.load.Draining || m.load.Down {
+			if m.load.Draining || m.load.Down {
 				continue
 			}
 			k.own = c.stageCost(m, work, req.At) + restore(m.Stage)
@@ -385,15 +393,16 @@
 	return lead + work/m.Weight + loadGain*trust*float64(inFlight)*c.meanWork/m.Weight
 }
 
-// hopCosts is the transfer time of all generated tokens between each two zones,
-// in seconds. Prompt tokens are left out: they travel in a few large frames
-// that overlap with computing.
+// hopCosts is the transfer time of a request's prompt and generated tokens
+// between each two zones, in seconds.
 func (c *Chooser) hopCosts(req Request) [][]float64 {
 	costs := make([][]float64, len(c.zones))
 	for from, i := range c.zones {
 		costs[i] = make([]float64, len(c.zones))
 		for to, j := range c.zones {
-			costs[i][j] = c.links.Cost(from, to, c.opts.ActivationBytes) * float64(req.OutputTokens)
+			token := c.links.Cost(from, to, c.opts.ActivationBytes)
+			prompt := c.links.Cost(from, to, c.opts.ActivationBytes*int64(req.PromptTokens))
+			costs[i][j] = token*float64(req.OutputTokens) + prompt
 		}
 	}
 	return costs
--- a/pipeline/links.go
+++ b/pipeline/links.go
@@ -6,6 +6,10 @@
 	// sameZoneSeconds and crossZoneSeconds are used for links not measured yet.
 	sameZoneSeconds  = 0.0001
 	crossZoneSeconds = 0.0005
+	// smallFrame bounds, in bytes, the frames that measure a link's latency.
+	// Larger ones measure its time per byte, so that a few bytes on a distant
+	// link do not look like a narrow link.
+	smallFrame = 64 << 10
 	// linkGain is the weight of a new measurement in the moving average.
 	linkGain = 0.1
 	// linkBand is the relative change that must last before the published
@@ -15,63 +19,83 @@
 )
 
 // Links estimates the transfer time between zones from real frames. The
-// estimate in use moves with hysteresis: only after a run of measurements
-// whose average is outside a band around it.
+// estimates in use move with hysteresis: only after a run of measurements
+// whose average is outside a band around them.
 type Links struct {
 	measured map[[2]string]*linkEstimate
 }
 
 type linkEstimate struct {
-	// average follows every measurement, published only lasting changes; both
-	// are the time of a frame in seconds plus seconds per byte times its size.
-	average, published linkTime
-	outside            int
+	// latency is in seconds, perByte in seconds per byte.
+	latency, perByte steadied
 }
 
-// linkTime is a transfer time per byte, in seconds.
-type linkTime float64
+// steadied is a moving average and the value that is published of it.
+type steadied struct {
+	average, published float64
+	outside            int
+}
 
 // NewLinks returns estimates without measurements.
 func NewLinks() *Links {
 	return &Links{measured: map[[2]string]*linkEstimate{}}
 }
 
+// Set gives the configured speed of a link, which holds until it is measured.
+func (l *Links) Set(from, to string, bytesPerSecond float64, latency time.Duration) {
+	e := &linkEstimate{}
+	e.latency.published, e.latency.average = latency.Seconds(), latency.Seconds()
+	if bytesPerSecond > 0 {
+		e.perByte.published, e.perByte.average = 1/bytesPerSecond, 1/bytesPerSecond
+	}
+	l.measured[[2]string{from, to}] = e
+}
+
 // Observe takes the transfer time of one frame.
 func (l *Links) Observe(from, to string, bytes int64, took time.Duration) {
 	if bytes <= 0 || took < 0 {
 		return
 	}
-	sample := linkTime(took.Seconds() / float64(bytes))
 	key := [2]string{from, to}
+	if l.measured[key] == nil {
+		e := &linkEstimate{}
+		e.latency.published = unmeasured(from, to)
+		e.latency.average = e.latency.published
+		l.measured[key] = e
+	}
 	e := l.measured[key]
-	if e == nil {
-		l.measured[key] = &linkEstimate{average: sample, published: sample}
-		return
+	if bytes <= smallFrame {
+		e.latency.observe(max(0, took.Seconds()-e.perByte.published*float64(bytes)))
+	} else {
+		e.perByte.observe(max(0, took.Seconds()-e.latency.published) / float64(bytes))
 	}
-	e.average += linkGain * (sample - e.average)
-	e.settle()
 }
 
-func (e *linkEstimate) settle() {
-	low, high := e.published*(1-linkBand), e.published*(1+linkBand)
-	if e.average >= low && e.average <= high {
-		e.outside = 0
+func (s *steadied) observe(sample float64) {
+	s.average += linkGain * (sample - s.average)
+	low, high := s.published*(1-linkBand), s.published*(1+linkBand)
+	if s.average >= low && s.average <= high {
+		s.outside = 0
 		return
 	}
-	e.outside++
-	if e.outside >= linkRun {
-		e.published = e.average
-		e.outside = 0
+	s.outside++
+	if s.outside >= linkRun {
+		s.published = s.average
+		s.outside = 0
 	}
 }
 
-// Cost returns the estimated seconds that a frame of the given size takes.
-func (l *Links) Cost(from, to string, bytes int64) float64 {
-	if e := l.measured[[2]string{from, to}]; e != nil && bytes > 0 {
-		return float64(e.published) * float64(bytes)
-	}
+func unmeasured(from, to string) float64 {
 	if from == to {
 		return sameZoneSeconds
 	}
 	return crossZoneSeconds
 }
+
+// Cost returns the estimated seconds that a frame of the given size takes.
+func (l *Links) Cost(from, to string, bytes int64) float64 {
+	if e := l.measured[[2]string{from, to}]; e != nil {
+		return e.latency.published + e.perByte.published*float64(bytes)
+	}
+	return unmeasured(from, to)
+}
--- a/pipeline/recovery.go
+++ b/pipeline/recovery.go
@@ -236,14 +236,16 @@
 }
 
 // chainReplayTime is the time for a number of tokens through the first stages
-// of a chain. Chunks overlap, so the slowest stage counts whole and each hop
-// once for one activation.
+// of a chain. Chunks overlap, so the slowest stage or link counts whole and
+// every other hop once for one activation.
 func (r *Recovery) chainReplayTime(chain Chain, stages, tokens int) float64 {
 	slowest, hops := 0.0, 0.0
 	for i := range stages {
 		slowest = max(slowest, r.replayTime(chain.Stages[i], tokens))
 		if i > 0 {
-			hops += r.chooser.links.Cost(chain.Stages[i-1].Zone, chain.Stages[i].Zone, r.opts.ActivationBytes)
+			from, to := chain.Stages[i-1].Zone, chain.Stages[i].Zone
+			hops += r.chooser.links.Cost(from, to, r.opts.ActivationBytes)
+			slowest = max(slowest, r.chooser.links.Cost(from, to, int64(tokens)*r.opts.ActivationBytes))
 		}
 	}
 	return slowest + hops
--- /dev/null
+++ b/pipeline/recovery_test.go
@@ -0,0 +1,157 @@
+package pipeline
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func testRecovery(t assert.TestingT, zones []string) (*Recovery, *Chooser, Chain) {
+	c := NewChooser(Options{Layers: 12, ActivationBytes: 16384})
+	c.Update(3, grid([]int{0, 4, 8, 12}, zones, func(int, int) float64 { return 1000 }))
+	chain, err := c.Choose(Request{At: start, Zone: "a", PromptTokens: 400}, nil)
+	assert.NilError(t, err)
+	return NewRecovery(c, RecoveryOptions{KVBytesPerTokenLayer: 4096, ActivationBytes: 16384, KVBytesPerSecond: 1e9}), c, chain
+}
+
+// TestResume guards against replacing stages that are not lost, a wrong next
+// index or attempt, and a choice of the slower way to restore the cache.
+func TestResume(t *testing.T) {
+	copyOf := func(position, tokens int) Copy {
+		return Copy{Holder: "copy", Zone: "a", First: position * 4, Limit: position*4 + 4, Tokens: tokens}
+	}
+	cases := []struct {
+		name         string
+		lost         []int
+		copies       []Copy
+		methods      []Method
+		replayFrom   int
+		replayStages int
+	}{
+		{"first", []int{0}, nil, []Method{Replay, Keep, Keep}, 0, 1},
+		{"middle", []int{1}, nil, []Method{Keep, Replay, Keep}, 0, 2},
+		{"last", []int{2}, nil, []Method{Keep, Keep, Replay}, 0, 3},
+		{"two", []int{0, 2}, nil, []Method{Replay, Keep, Replay}, 0, 3},
+		{"full copy", []int{1}, []Copy{copyOf(1, 410)}, []Method{Keep, Import, Keep}, 410, 0},
+		{"copy behind", []int{1}, []Copy{copyOf(1, 400)}, []Method{Keep, Import, Keep}, 400, 2},
+		{"copy of the later stage", []int{0, 2}, []Copy{copyOf(2, 410)}, []Method{Replay, Keep, Import}, 0, 1},
+		{"copy too old to help", []int{1}, []Copy{copyOf(1, 5)}, []Method{Keep, Replay, Keep}, 0, 2},
+		{"copy at a lost holder", []int{0, 1}, []Copy{{Holder: "e1-a", First: 4, Limit: 8, Tokens: 410}}, []Method{Replay, Replay, Keep}, 0, 2},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			r, _, chain := testRecovery(t, []string{"a", "b", "c"})
+			lost := map[string]bool{}
+			for _, i := range tc.lost {
+				lost[chain.Stages[i].Instance] = true
+			}
+			res, err := r.Resume(Broken{
+				Request: Request{At: start, Zone: "a", PromptTokens: 400}, Chain: chain, Attempt: 5, Received: 10, Lost: lost, Copies: tc.copies,
+			})
+			assert.NilError(t, err)
+			assert.NilError(t, res.Chain.Tiles(12))
+			assert.Equal(t, res.Chain.Revision, int64(3))
+			assert.Equal(t, res.Attempt, uint32(6))
+			assert.Equal(t, res.NextIndex, 10)
+			for i, s := range res.Chain.Stages {
+				assert.Equal(t, res.Restores[i].Method, tc.methods[i], "stage %d", i)
+				assert.Equal(t, s == chain.Stages[i], !lost[chain.Stages[i].Instance], "stage %d", i)
+			}
+			assert.Equal(t, res.ReplayFrom, tc.replayFrom)
+			assert.Equal(t, res.ReplayStages, tc.replayStages)
+		})
+	}
+}
+
+// TestBusyStageIsKept guards against a replacement without a loss.
+func TestBusyStageIsKept(t *testing.T) {
+	r, c, chain := testRecovery(t, []string{"a", "b"})
+	c.Observe(Load{Instance: chain.Stages[1].Instance, At: start, Queued: 10000})
+	_, err := r.Resume(Broken{Chain: chain, Lost: map[string]bool{"other": true}})
+	assert.ErrorIs(t, err, ErrNothingLost)
+}
+
+// TestRepairTiles guards against repaired chains that skip layers, use a lost
+// stage, or drop a stage that still fits, when the plan has changed since.
+func TestRepairTiles(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r, c, chain := testRecovery(t, []string{"a", "b", "c"})
+		if rapid.Bool().Draw(t, "changed") {
+			bounds := []int{0, rapid.IntRange(1, 6).Draw(t, "cut"), 8, 12}
+			c.Update(4, grid(bounds, []string{"a", "b", "c"}, func(int, int) float64 { return 1000 }))
+		}
+		lost := map[string]bool{}
+		for i, s := range chain.Stages {
+			if rapid.Bool().Draw(t, fmt.Sprint("lost", i)) {
+				lost[s.Instance] = true
+			}
+		}
+		res, err := r.Resume(Broken{Request: Request{At: start, PromptTokens: 10}, Chain: chain, Lost: lost})
+		if len(lost) == 0 {
+			assert.ErrorIs(t, err, ErrNothingLost)
+			return
+		}
+		assert.NilError(t, err)
+		assert.NilError(t, res.Chain.Tiles(12))
+		assert.Equal(t, res.Chain.Revision, chain.Revision)
+		for _, s := range res.Chain.Stages {
+			assert.Assert(t, !lost[s.Instance])
+		}
+	})
+}
+
+// TestDetector guards against slow detection, and against taking a busy stage for a lost one.
+func TestDetector(t *testing.T) {
+	const ms = time.Millisecond
+	chain := Chain{Stages: []Stage{{Instance: "p"}, {Instance: "q"}}}
+	cases := []struct {
+		name string
+		// reply answers a probe of q; nil means silence.
+		reply  func(elapsed time.Duration) *ProbeReply
+		closed bool
+		reason LossReason
+		within time.Duration
+	}{
+		{"closed", nil, true, LossClosed, 0},
+		{"silent", func(time.Duration) *ProbeReply { return nil }, false, LossSilent, 350 * ms},
+		{"engine stalled", func(time.Duration) *ProbeReply { return &ProbeReply{Iterations: 9, Pending: true} }, false, LossEngine, 600 * ms},
+		{"busy", func(d time.Duration) *ProbeReply {
+			return &ProbeReply{Iterations: uint64(d / (300 * ms)), Pending: true}
+		}, false, "", 0},
+		{"not its turn", func(time.Duration) *ProbeReply { return &ProbeReply{Iterations: 9} }, false, "", 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			d := NewDetector(chain, Detection{}, start)
+			d.Token(start)
+			if tc.closed {
+				d.Closed("q")
+			}
+			lostAt := time.Duration(-1)
+			for now := time.Duration(0); now < 5*time.Second && lostAt < 0; now += 10 * ms {
+				at := start.Add(now)
+				f := d.Tick(at)
+				if reason, lost := f.Lost["q"]; lost {
+					assert.Equal(t, reason, tc.reason)
+					lostAt = now
+				}
+				assert.Assert(t, f.Lost["p"] == "")
+				for _, name := range f.Probe {
+					reply := &ProbeReply{}
+					if name == "q" {
+						reply = tc.reply(now)
+					}
+					if reply != nil {
+						reply.Instance = name
+						d.Reply(*reply, at.Add(ms))
+					}
+				}
+			}
+			assert.Equal(t, lostAt >= 0, tc.reason != "")
+			assert.Assert(t, lostAt <= tc.within, "found after %v, want %v", lostAt, tc.within)
+		})
+	}
+}
