--- a/configlog/reader.go
+++ b/configlog/reader.go
@@ -69,10 +69,12 @@
 // InForce returns the highest revision seen, or nil.
 func (r *Reader) InForce() *Revision { return r.inForce }
 
-// NeedsPeers tells whether peers can help: there is no revision yet, or the
-// state cannot follow the log.
+// NeedsPeers tells whether peers can help: there is no revision yet, or no state
+// that can follow the log. A state that stopped at a newer schema waits for a
+// checkpoint in the log instead, because the states of newer peers are large and
+// mostly of the newer schema too.
 func (r *Reader) NeedsPeers() bool {
-	return r.inForce == nil || r.state == nil || r.state.unjudged
+	return r.inForce == nil || r.state == nil
 }
 
 // Unjudged tells whether a record or a peer's state has a newer schema, and the
