--- a/configsync/sync_test.go
+++ b/configsync/sync_test.go
@@ -86,6 +86,12 @@
 	change()
 }
 
+func (l *memoryLog) length() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return len(l.records)
+}
+
 // peersOf asks the given processes.
 type peersOf []*Sync
 
@@ -214,10 +220,10 @@
 			publish(t, all[0], edited(doc, float64(i+10)))
 			synctest.Wait()
 		}
-		assert.Equal(t, len(l.records), 10)
+		assert.Equal(t, l.length(), 10)
 		time.Sleep(DefaultCheckpointWindow)
 		synctest.Wait()
-		assert.Equal(t, len(l.records), 11)
+		assert.Equal(t, l.length(), 11)
 		l.set(func() { l.first = 10 })
 		fresh := start(ctx, l, 99, nil)
 		time.Sleep(time.Second)
