console: forms for operators

Cause: operators work through forms, and each session has to produce one document that takes effect everywhere or is rejected.

Change: console.Handler serves sign-in (PBKDF2 hash, session cookie, CSRF token, limited attempts), a form for each entry of each section, the difference and all findings before publishing, and carries an overtaken draft onto the revision in force. config.EntryName gives the name of an entry.

--- /dev/null
+++ b/console/console.go
@@ -0,0 +1,233 @@
+// Package console serves the operators' forms. A session gathers edits from
+// several forms in one draft document and publishes it as one revision.
+package console
+
+import (
+	"bytes"
+	"context"
+	"embed"
+	"fmt"
+	"html/template"
+	"net/http"
+	"time"
+
+	"github.com/sapphirefield/sapphirefield/configlog"
+	"github.com/sapphirefield/sapphirefield/configsync"
+)
+
+// Prefix is the path below which the console is served.
+const Prefix = "/console"
+
+const (
+	// maxFormBytes bounds a posted form; a team's form takes a few kilobytes.
+	maxFormBytes = 1 << 20
+	// pageEntries bounds the entries listed on one page.
+	pageEntries = 200
+	// publishTimeout bounds one publication, the log's outage included.
+	publishTimeout = 20 * time.Second
+	// settleTimeout is how long the console waits until its own process has the
+	// revision that was just accepted. The target is 3 s everywhere.
+	settleTimeout = 3 * time.Second
+	settlePause   = 20 * time.Millisecond
+)
+
+// Options configure the console. Current, Publish and PasswordHash are required.
+type Options struct {
+	// Current returns the revision in force, or nil before the first.
+	Current func() *configlog.Revision
+	// Publish brings a proposal to the log; (*configsync.Sync).Publish serves.
+	Publish func(context.Context, configsync.Proposal) (configsync.Report, error)
+	// PasswordHash is the operators' password as HashPassword writes it.
+	PasswordHash string
+	// SecureCookie marks the session cookie for TLS only.
+	SecureCookie bool
+	// Now defaults to time.Now.
+	Now func() time.Time
+}
+
+//go:embed templates/*.html
+var templateFiles embed.FS
+
+//go:embed style.css
+var stylesheet []byte
+
+type console struct {
+	options  Options
+	sessions *sessions
+	pages    map[string]*template.Template
+}
+
+// Handler returns the console. It serves the paths below Prefix.
+func Handler(options Options) http.Handler {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	c := &console{options: options, sessions: newSessions(options.Now), pages: map[string]*template.Template{}}
+	for _, name := range []string{"sign-in", "overview", "section", "entry"} {
+		c.pages[name] = template.Must(template.ParseFS(templateFiles, "templates/layout.html", "templates/"+name+".html"))
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+Prefix+"/style.css", serveStyle)
+	mux.HandleFunc("GET "+Prefix+"/sign-in", c.showSignIn)
+	mux.HandleFunc("POST "+Prefix+"/sign-in", c.signIn)
+	mux.HandleFunc("GET "+Prefix+"/{$}", c.withSession(c.showOverview))
+	mux.HandleFunc("GET "+Prefix+"/{section}", c.withSession(c.showSection))
+	mux.HandleFunc("GET "+Prefix+"/{section}/entry", c.withSession(c.showEntry))
+	mux.HandleFunc("POST "+Prefix+"/{section}/entry", c.withSession(c.saveEntry))
+	mux.HandleFunc("POST "+Prefix+"/{section}/remove", c.withSession(c.removeEntry))
+	mux.HandleFunc("POST "+Prefix+"/publish", c.withSession(c.publish))
+	mux.HandleFunc("POST "+Prefix+"/discard", c.withSession(c.discard))
+	mux.HandleFunc("POST "+Prefix+"/carry", c.withSession(c.carry))
+	mux.HandleFunc("POST "+Prefix+"/sign-out", c.withSession(c.signOut))
+	mux.Handle("GET "+Prefix, http.RedirectHandler(Prefix+"/", http.StatusSeeOther))
+	return secureHeaders(mux)
+}
+
+func secureHeaders(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h := w.Header()
+		h.Set("Content-Security-Policy", "default-src 'none'; style-src 'self'; form-action 'self'; frame-ancestors 'none'; base-uri 'none'")
+		h.Set("X-Content-Type-Options", "nosniff")
+		h.Set("Referrer-Policy", "same-origin")
+		h.Set("Cache-Control", "no-store")
+		r.Body = http.MaxBytesReader(w, r.Body, maxFormBytes)
+		next.ServeHTTP(w, r)
+	})
+}
+
+func serveStyle(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/css; charset=utf-8")
+	_, _ = w.Write(stylesheet)
+}
+
+// page is what the layout needs, with the content of one page.
+type page struct {
+	Title   string
+	Prefix  string
+	Author  string
+	CSRF    string
+	Nav     []navItem
+	Base    int64
+	Changes int
+	// Current is the revision in force; Overtaken tells that it is not the base.
+	Current   int64
+	Overtaken bool
+	Notice    notice
+	Content   any
+}
+
+type navItem struct {
+	Name, Title string
+	Count       int
+	Findings    int
+	Active      bool
+}
+
+func (c *console) render(w http.ResponseWriter, status int, name string, p page) {
+	p.Prefix = Prefix
+	var buffer bytes.Buffer
+	if err := c.pages[name].ExecuteTemplate(&buffer, "layout", p); err != nil {
+		http.Error(w, "the page could not be made", http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "text/html; charset=utf-8")
+	w.WriteHeader(status)
+	_, _ = w.Write(buffer.Bytes())
+}
+
+type sessionHandler func(w http.ResponseWriter, r *http.Request, s *session)
+
+// withSession requires a session, and for a POST its CSRF token. It holds the
+// session's lock, so that two tabs do not change one draft at once.
+func (c *console) withSession(next sessionHandler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s, _ := c.sessions.find(r)
+		if s == nil {
+			http.Redirect(w, r, Prefix+"/sign-in", http.StatusSeeOther)
+			return
+		}
+		if r.Method == http.MethodPost && !validPost(r, s) {
+			http.Error(w, "the form is too old or does not come from this console; load the page again", http.StatusForbidden)
+			return
+		}
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		if s.draft == nil || s.draft.unchanged() && s.draft.base != c.options.Current() {
+			s.draft = newDraft(c.options.Current())
+		}
+		next(w, r, s)
+	}
+}
+
+func validPost(r *http.Request, s *session) bool {
+	return r.ParseForm() == nil && sameToken(r.PostForm.Get("csrf"), s.csrf)
+}
+
+func (c *console) showSignIn(w http.ResponseWriter, _ *http.Request) {
+	c.render(w, http.StatusOK, "sign-in", page{Title: "Sign in"})
+}
+
+func (c *console) signIn(w http.ResponseWriter, r *http.Request) {
+	refuse := func(status int, text string) {
+		c.render(w, status, "sign-in", page{Title: "Sign in", Notice: notice{Kind: "bad", Text: text}})
+	}
+	if !c.sessions.limiter.Allow() {
+		refuse(http.StatusTooManyRequests, "Too many attempts; wait a few seconds.")
+		return
+	}
+	author := r.PostFormValue("author")
+	ok, err := CheckPassword(c.options.PasswordHash, r.PostFormValue("password"))
+	switch {
+	case err != nil:
+		refuse(http.StatusInternalServerError, "The settings hold no usable password hash: "+err.Error())
+	case !ok || author == "":
+		refuse(http.StatusForbidden, "Enter your name and the operators' password.")
+	default:
+		http.SetCookie(w, &http.Cookie{
+			Name: sessionCookie, Value: c.sessions.start(author), Path: Prefix,
+			HttpOnly: true, Secure: c.options.SecureCookie, SameSite: http.SameSiteStrictMode,
+		})
+		http.Redirect(w, r, Prefix+"/", http.StatusSeeOther)
+	}
+}
+
+func (c *console) signOut(w http.ResponseWriter, r *http.Request, _ *session) {
+	_, token := c.sessions.find(r)
+	c.sessions.end(token)
+	http.SetCookie(w, &http.Cookie{Name: sessionCookie, Path: Prefix, MaxAge: -1})
+	http.Redirect(w, r, Prefix+"/sign-in", http.StatusSeeOther)
+}
+
+// sessionPage fills in the layout and takes the session's notice.
+func (c *console) sessionPage(s *session, title, active string, content any) page {
+	findings := s.draft.findings()
+	p := page{
+		Title: title, Author: s.author, CSRF: s.csrf, Content: content, Notice: s.notice,
+		Base: numberOf(s.draft.base), Current: numberOf(c.options.Current()),
+		Changes: len(s.draft.changes()),
+	}
+	p.Overtaken = p.Current != p.Base
+	s.notice = notice{}
+	for _, section := range sections {
+		item := navItem{Name: section.Name, Title: section.Title, Active: section.Name == active}
+		item.Count = section.list(s.draft.doc).Len()
+		for _, f := range findings {
+			if inSection(f.Path, section.Name) {
+				item.Findings++
+			}
+		}
+		p.Nav = append(p.Nav, item)
+	}
+	return p
+}
+
+func redirect(w http.ResponseWriter, r *http.Request, path string) {
+	http.Redirect(w, r, Prefix+path, http.StatusSeeOther)
+}
+
+func plural(n int, one string) string {
+	if n == 1 {
+		return "1 " + one
+	}
+	return fmt.Sprintf("%d %ss", n, one)
+}
--- /dev/null
+++ b/console/form.go
@@ -0,0 +1,264 @@
+package console
+
+import (
+	"fmt"
+	"math"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sapphirefield/sapphirefield/config"
+	"github.com/sapphirefield/sapphirefield/finding"
+)
+
+// section is one list of the document.
+type section struct {
+	// Name is the member's name in the document.
+	Name string
+	// Title and Hint are shown to operators.
+	Title, Hint string
+	// new returns a pointer to an entry with all defaults.
+	new func() any
+}
+
+func pointerTo[T any](value T) any { return &value }
+
+var sections = []section{
+	{"regions", "Regions", "Groups of availability zones.", func() any { return pointerTo(config.Region{}) }},
+	{"accelerators", "Accelerators", "Kinds of hardware.", func() any { return pointerTo(config.NewAccelerator()) }},
+	{"links", "Links", "Directed network paths between availability zones.", func() any { return pointerTo(config.Link{}) }},
+	{"models", "Models", "Models and their versions.", func() any { return pointerTo(config.Model{}) }},
+	{"services", "Services", "Plain services whose calls are passed through whole.", func() any { return pointerTo(config.NewService()) }},
+	{"servers", "Servers", "Backend servers: engines and plain servers.", func() any { return pointerTo(config.Server{}) }},
+	{"teams", "Teams", "Tenants with their keys, shares and limits.", func() any { return pointerTo(config.NewTeam()) }},
+	{"objectives", "Objectives", "Service-level objectives.", func() any { return pointerTo(config.Objective{}) }},
+}
+
+func sectionNamed(name string) (section, bool) {
+	for _, s := range sections {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return section{}, false
+}
+
+// list returns the section's entries, addressable.
+func (s section) list(doc *config.Document) reflect.Value {
+	v := reflect.ValueOf(doc).Elem()
+	for i := range v.NumField() {
+		if memberName(v.Type().Field(i)) == s.Name {
+			return v.Field(i)
+		}
+	}
+	panic("console: the document has no section " + s.Name)
+}
+
+// find returns the index of the entry with a name, or -1.
+func (s section) find(doc *config.Document, name string) int {
+	list := s.list(doc)
+	for i := range list.Len() {
+		if config.EntryName(list.Index(i).Addr().Interface()) == name {
+			return i
+		}
+	}
+	return -1
+}
+
+func memberName(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+	return name
+}
+
+// field is one input of a form.
+type field struct {
+	Name, Label, Hint string
+	// Input is "text", "lines" or "select".
+	Input    string
+	Value    string
+	Choices  []string
+	ReadOnly bool
+	Findings []string
+}
+
+var choices = map[reflect.Type][]string{
+	reflect.TypeFor[config.LogOutagePolicy](): {string(config.RefuseDuringOutage), string(config.RunDuringOutage)},
+	reflect.TypeFor[config.Fencing]():         {"", string(config.FencingChecks), string(config.FencingIgnores)},
+	reflect.TypeFor[config.Measure](): {
+		string(config.MeasureFirstToken), string(config.MeasureBetweenToken),
+		string(config.MeasureAvailability), string(config.MeasureLatency),
+	},
+}
+
+var hints = map[string]string{
+	"latency":                 "one way, such as 250us",
+	"timeout":                 "such as 30s",
+	"key_window":              "such as 24h",
+	"threshold":               "such as 670ms; empty for availability",
+	"key_hashes":              "SHA-256 hashes, one on each line",
+	"idempotent":              "one call on each line, such as GET /stock",
+	"versions":                "oldest first, one on each line",
+	"target":                  "fraction of good events, below 1",
+	"priority":                "higher is served first",
+	"weight":                  "share among teams of the same priority",
+	"requests_per_second":     "0 means no limit",
+	"concurrency":             "0 means no limit",
+	"fencing":                 "for engines only",
+	"accelerator":             "for engines only",
+	"layer_tokens_per_second": "decode rate of one layer",
+}
+
+var keyMembers = map[string]bool{"id": true, "kind": true, "name": true, "from": true, "to": true}
+
+// fieldsOf returns the inputs for an entry. Members that name an existing entry
+// are read-only.
+func fieldsOf(entry reflect.Value, existing bool) []field {
+	fields := make([]field, entry.NumField())
+	for i := range fields {
+		name := memberName(entry.Type().Field(i))
+		f := field{Name: name, Label: strings.ReplaceAll(name, "_", " "), Hint: hints[name], Input: "text"}
+		f.Value = show(entry.Field(i))
+		f.Choices = choices[entry.Field(i).Type()]
+		f.ReadOnly = existing && keyMembers[name]
+		switch {
+		case f.Choices != nil:
+			f.Input = "select"
+		case entry.Field(i).Kind() == reflect.Slice:
+			f.Input = "lines"
+		}
+		fields[i] = f
+	}
+	return fields
+}
+
+// show formats a member for its input.
+func show(v reflect.Value) string {
+	switch value := v.Interface().(type) {
+	case time.Duration:
+		return value.String()
+	case []string:
+		return strings.Join(value, "\n")
+	case []config.CallRule:
+		lines := make([]string, len(value))
+		for i, r := range value {
+			lines[i] = r.Method + " " + r.PathPrefix
+		}
+		return strings.Join(lines, "\n")
+	case float64:
+		return strconv.FormatFloat(value, 'f', -1, 64)
+	}
+	return fmt.Sprint(v.Interface())
+}
+
+// read sets a member from the text of its input.
+func read(v reflect.Value, text string) error {
+	text = strings.TrimSpace(strings.ReplaceAll(text, "\r\n", "\n"))
+	switch v.Interface().(type) {
+	case time.Duration:
+		return readDuration(v, text)
+	case []string:
+		v.Set(reflect.ValueOf(emptyToNil(strings.Fields(text))))
+		return nil
+	case []config.CallRule:
+		return readCallRules(v, text)
+	}
+	switch v.Kind() {
+	case reflect.String:
+		v.SetString(text)
+		return nil
+	case reflect.Float64:
+		return readFloat(v, text)
+	default:
+		n, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || v.OverflowInt(n) {
+			return errors.Errorf("%q is not a whole number", text)
+		}
+		v.SetInt(n)
+		return nil
+	}
+}
+
+func emptyToNil(list []string) []string {
+	if len(list) == 0 {
+		return nil
+	}
+	return list
+}
+
+func readDuration(v reflect.Value, text string) error {
+	if text == "" {
+		v.SetInt(0)
+		return nil
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		return errors.Errorf("%q is not a duration with a unit, such as 30s or 250us", text)
+	}
+	v.SetInt(int64(d))
+	return nil
+}
+
+func readFloat(v reflect.Value, text string) error {
+	f, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) {
+		return errors.Errorf("%q is not a number", text)
+	}
+	v.SetFloat(f)
+	return nil
+}
+
+func readCallRules(v reflect.Value, text string) error {
+	var rules []config.CallRule
+	for line := range strings.Lines(text) {
+		parts := strings.Fields(line)
+		if len(parts) == 0 {
+			continue
+		}
+		if len(parts) != 2 {
+			return errors.Errorf("%q is not a method and a path prefix", strings.TrimSpace(line))
+		}
+		rules = append(rules, config.CallRule{Method: parts[0], PathPrefix: parts[1]})
+	}
+	v.Set(reflect.ValueOf(rules))
+	return nil
+}
+
+// addFindings puts findings of the document next to the fields of one entry.
+// Findings on the entry as a whole are returned.
+func addFindings(fields []field, list finding.List, entryPath string) (whole []string) {
+	for _, f := range list {
+		rest, ok := strings.CutPrefix(f.Path, entryPath)
+		if !ok {
+			continue
+		}
+		name, _, _ := strings.Cut(strings.TrimPrefix(rest, "."), "[")
+		placed := false
+		for i := range fields {
+			if fields[i].Name == name {
+				fields[i].Findings = append(fields[i].Findings, messageAt(rest, name, f.Message))
+				placed = true
+			}
+		}
+		if !placed {
+			whole = append(whole, f.Message)
+		}
+	}
+	return whole
+}
+
+// messageAt names the line of a list, counting from 1 as an operator does.
+func messageAt(rest, name, message string) string {
+	index, ok := strings.CutPrefix(rest, "."+name+"[")
+	if !ok {
+		return message
+	}
+	digits, _, _ := strings.Cut(index, "]")
+	n, err := strconv.Atoi(digits)
+	if err != nil {
+		return message
+	}
+	return fmt.Sprintf("line %d: %s", n+1, message)
+}
