--- a/config/validate.go
+++ b/config/validate.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -147,13 +148,16 @@
 // number checks that low <= value <= high; NaN is refused.
 func (c *checker) number(path string, value, low, high float64) {
 	if !(value >= low && value <= high) {
-		c.add(path, "is %v; must be from %v to %v", value, low, high)
+		c.add(path, "is %s; must be from %s to %s", plain(value), plain(low), plain(high))
 	}
 }
 
+// plain writes a number without an exponent.
+func plain(f float64) string { return strconv.FormatFloat(f, 'f', -1, 64) }
+
 func (c *checker) positive(path string, value, high float64) {
 	if !(value > 0 && value <= high) {
-		c.add(path, "is %v; must be above 0 and at most %v", value, high)
+		c.add(path, "is %s; must be above 0 and at most %s", plain(value), plain(high))
 	}
 }
 
--- a/configlog/history_test.go
+++ b/configlog/history_test.go
@@ -134,16 +134,28 @@
 	assert.Assert(w.t, !p.Conflict())
 }
 
+// checkAnchor checks a state that a process has just taken up: nothing after it
+// may have expired as far as the process knows, and it must lead further than
+// the state it replaces.
+func (w *world) checkAnchor(p *process, before *State) {
+	genesis := p.state.next == 0 && p.first <= 1
+	assert.Assert(w.t, p.state.next >= p.first || genesis, "anchored at offset %d, but records before %d have expired", p.state.next, p.first)
+	if before != nil && before.next > p.state.next {
+		w.t.Fatalf("the state went back from offset %d to %d", before.next, p.state.next)
+	}
+}
+
 func (w *world) stepProcess(p *process) {
-	anchored := p.Anchored()
+	before := p.state
 	switch {
 	case p.NeedsPeers() && w.chance(30):
 		w.askPeer(p)
 	case !w.down:
 		w.read(p.Reader)
 	}
-	if p.Anchored() && !anchored {
+	if p.state != nil && p.state != before {
 		w.seen["anchored"]++
+		w.checkAnchor(p, before)
 	}
 	if _, unjudged := p.Unjudged(); unjudged {
 		w.seen["unjudged"]++
--- a/configlog/reader.go
+++ b/configlog/reader.go
@@ -103,6 +103,8 @@
 		return nil
 	}
 	r.first = max(r.first, first)
+	// Records may expire behind a scan that started at the first one.
+	r.complete = r.complete && first <= 1
 	if r.probing {
 		r.probing, r.from = false, first
 		return nil
--- a/console/pages.go
+++ b/console/pages.go
@@ -67,7 +67,10 @@
 		return linkedFinding{Place: path, Message: message, Link: Prefix + "/" + name}
 	}
 	entry := config.EntryName(section.list(d.doc).Index(index).Addr().Interface())
-	member = strings.TrimPrefix(member, ".")
+	member, line, _ := strings.Cut(strings.TrimPrefix(member, "."), "[")
+	if line != "" {
+		message = messageAt("."+member+"["+line, member, message)
+	}
 	return linkedFinding{Place: strings.TrimSuffix(name+": "+entry+": "+member, ": "), Message: message, Link: entryLink(name, entry)}
 }
 
