burncmd: report burn rates of the whole fleet as a table and a page

Cause: operators need the burn rates of all processes together, on a terminal and as a page that can be passed on.

--- /dev/null
+++ b/ctl/burncmd/burncmd.go
@@ -0,0 +1,198 @@
+// Package burncmd is the subcommand of sapphirectl that reports how fast the
+// service-level objectives of all processes together burn their error budgets.
+package burncmd
+
+import (
+	"cmp"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
+
+	"github.com/sapphirefield/sapphirefield/burn"
+)
+
+// options are the flags of the subcommand.
+type options struct {
+	html         string
+	passwordFile string
+	caFile       string
+	timeout      time.Duration
+}
+
+// Command returns the subcommand "burn", which belongs below "report".
+func Command() *ffcli.Command {
+	return command(os.Stdout, os.Stderr, time.Now)
+}
+
+func command(out, problems io.Writer, clock func() time.Time) *ffcli.Command {
+	var o options
+	flags := flag.NewFlagSet("burn", flag.ContinueOnError)
+	flags.StringVar(&o.html, "html", "", "also write the report with plots to this HTML file")
+	flags.StringVar(&o.passwordFile, "password-file", "", "file with the operators' password")
+	flags.StringVar(&o.caFile, "ca", "", "PEM file with the authority of the operators' listeners; the system's authorities when empty")
+	flags.DurationVar(&o.timeout, "timeout", 5*time.Second, "longest time for one process to answer")
+	return &ffcli.Command{
+		Name:       "burn",
+		ShortUsage: "sapphirectl report burn [flags] URL ...",
+		ShortHelp:  "Report how fast service-level objectives burn their error budgets.",
+		LongHelp:   "Each URL is the operators' listener of one process, such as https://10.0.0.7:8445. The counts of all are merged.",
+		FlagSet:    flags,
+		Exec: func(ctx context.Context, urls []string) error {
+			return run(ctx, o, urls, out, problems, clock)
+		},
+	}
+}
+
+func run(ctx context.Context, o options, urls []string, out, problems io.Writer, clock func() time.Time) error {
+	if len(urls) == 0 {
+		return errors.New("name at least one operators' listener")
+	}
+	f, err := newFetcher(o)
+	if err != nil {
+		return err
+	}
+	exports, failures := f.all(ctx, urls)
+	for _, failure := range failures {
+		fmt.Fprintln(problems, failure)
+	}
+	if len(exports) == 0 {
+		return errors.New("no process has answered")
+	}
+	now := clock()
+	r := report{now: now, asked: len(urls), answered: len(exports), fleet: burn.Merge(now, exports...)}
+	if err := r.writeTable(out); err != nil {
+		return err
+	}
+	if o.html == "" {
+		return nil
+	}
+	return r.writeHTMLFile(o.html)
+}
+
+// report is what the table and the page show.
+type report struct {
+	now             time.Time
+	asked, answered int
+	fleet           *burn.Fleet
+}
+
+// rows lists objectives with alerts first, otherwise in the order of names.
+func (r report) rows() []burn.Row {
+	rows := r.fleet.Report(r.now)
+	slices.SortStableFunc(rows, func(a, b burn.Row) int {
+		return cmp.Compare(len(b.Alerts), len(a.Alerts))
+	})
+	return rows
+}
+
+func (r report) writeTable(out io.Writer) error {
+	rows := r.rows()
+	fmt.Fprintf(out, "Burn rates at %s, merged from %d of %d processes. Rate 1 uses up the budget in 30 days.\n",
+		r.now.UTC().Format(time.DateTime+" UTC"), r.answered, r.asked)
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprint(w, "OBJECTIVE\tMEASURE\tOF\tTARGET\tBAD/ALL 1h")
+	for _, window := range burn.Windows {
+		fmt.Fprintf(w, "\t%s", burn.WindowName(window))
+	}
+	fmt.Fprintln(w, "\tALERT")
+	for _, row := range rows {
+		writeRow(w, row)
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	for _, row := range rows {
+		for _, a := range row.Alerts {
+			fmt.Fprintf(out, "%s: %s: %s.\n", row.Objective.Name, a.Severity, a.Reason)
+		}
+	}
+	return nil
+}
+
+func writeRow(w io.Writer, row burn.Row) {
+	o := row.Objective
+	fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s", o.Name, measure(row), subject(row), percent(o.Target), lastHour(row))
+	for _, window := range row.Windows {
+		fmt.Fprintf(w, "\t%.2f", window.Rate)
+	}
+	fmt.Fprintf(w, "\t%s\n", severity(row))
+}
+
+func measure(row burn.Row) string {
+	if row.Objective.Threshold == 0 {
+		return string(row.Objective.Measure)
+	}
+	return fmt.Sprintf("%s <= %s", row.Objective.Measure, row.Objective.Threshold)
+}
+
+func subject(row burn.Row) string {
+	o := row.Objective
+	name := o.Model + o.Service
+	if o.Team != "" {
+		name += ", team " + o.Team
+	}
+	return name
+}
+
+func percent(target float64) string {
+	return strings.TrimSuffix(strings.TrimRight(fmt.Sprintf("%.4f", 100*target), "0"), ".") + "%"
+}
+
+func lastHour(row burn.Row) string {
+	for _, w := range row.Windows {
+		if w.Window == burn.WindowName(burn.Window1h) {
+			return fmt.Sprintf("%d/%d", w.Bad, w.Good+w.Bad)
+		}
+	}
+	return ""
+}
+
+// severity returns the severity of the first alert, which is the most urgent one.
+func severity(row burn.Row) string {
+	if len(row.Alerts) == 0 {
+		return "-"
+	}
+	return string(row.Alerts[0].Severity)
+}
+
+// fetcher reads exports from operators' listeners.
+type fetcher struct {
+	client   *http.Client
+	password string
+}
+
+func newFetcher(o options) (*fetcher, error) {
+	f := &fetcher{client: &http.Client{Timeout: o.timeout}}
+	if o.passwordFile != "" {
+		text, err := os.ReadFile(o.passwordFile)
+		if err != nil {
+			return nil, err
+		}
+		f.password = strings.TrimRight(string(text), "\r\n")
+	}
+	if o.caFile == "" {
+		return f, nil
+	}
+	pem, err := os.ReadFile(o.caFile)
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, errors.Errorf("%s holds no certificate", o.caFile)
+	}
+	f.client.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}}
+	return f, nil
+}
--- /dev/null
+++ b/ctl/burncmd/fetch.go
@@ -0,0 +1,77 @@
+package burncmd
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sapphirefield/sapphirefield/burn"
+)
+
+const (
+	// maxFetches bounds the connections at one time; a fleet has 400 entries.
+	maxFetches = 32
+	// maxExportBytes bounds one answer: an objective takes at most about 20 KB.
+	maxExportBytes = 64 << 20
+)
+
+// all reads the exports of all processes and keeps the failures apart, because
+// a report of the others is better than none.
+func (f *fetcher) all(ctx context.Context, urls []string) ([]burn.Export, []error) {
+	exports := make([]*burn.Export, len(urls))
+	failures := make([]error, len(urls))
+	var group errgroup.Group
+	group.SetLimit(maxFetches)
+	for i, url := range urls {
+		group.Go(func() error {
+			exports[i], failures[i] = f.one(ctx, url)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return present(exports, failures)
+}
+
+func present(exports []*burn.Export, failures []error) ([]burn.Export, []error) {
+	var good []burn.Export
+	var bad []error
+	for i := range exports {
+		if failures[i] != nil {
+			bad = append(bad, failures[i])
+			continue
+		}
+		good = append(good, *exports[i])
+	}
+	return good, bad
+}
+
+func (f *fetcher) one(ctx context.Context, url string) (*burn.Export, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimRight(url, "/")+"/burn", nil)
+	if err != nil {
+		return nil, err
+	}
+	if f.password != "" {
+		request.SetBasicAuth("operator", f.password)
+	}
+	response, err := f.client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("%s answered %s", url, response.Status)
+	}
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxExportBytes))
+	if err != nil {
+		return nil, errors.Wrap(err, url)
+	}
+	export, err := burn.Decode(data)
+	if err != nil {
+		return nil, errors.Wrap(err, url)
+	}
+	return &export, nil
+}
