--- a/settings/settings.go
+++ b/settings/settings.go
@@ -149,7 +149,7 @@
 	{"tls.peers.key", "PEM file with this process's private key for other processes", "", func(s *Settings, v string) error { return setText(&s.TLS.Peers.Key, v) }},
 	{"tls.peers.ca", "PEM file with the authority that signs the certificates of processes", "", func(s *Settings, v string) error { return setText(&s.TLS.PeerCA, v) }},
 	{"tls.plain_text", "turn TLS off; loopback addresses only", "false", func(s *Settings, v string) error { return setSwitch(&s.TLS.PlainText, v) }},
-	{"operators.password_hash", "hash of the operators' password, as sapphirectl prints it", "", func(s *Settings, v string) error { return s.OperatorPasswordHash.set(v) }},
+	{"operators.password_hash", "hash of the operators' password, as sapphirectl hash-password prints it", "", func(s *Settings, v string) error { return s.OperatorPasswordHash.set(v) }},
 	{"limits.max_body", "largest body of a request, with a unit", "8MiB", func(s *Settings, v string) error { return setBytes(&s.Limits.MaxBodyBytes, v) }},
 	{"limits.heartbeat", "interval between heartbeats", "1s", func(s *Settings, v string) error { return setDuration(&s.Limits.Heartbeat, v) }},
 	{"limits.silence", "longest time without a frame before a connection is closed", "3s", func(s *Settings, v string) error { return setDuration(&s.Limits.Silence, v) }},
