pipeline: count the replay of kept stages and the queue of links in the choice

After the loss of a late stage every earlier stage runs the replay, so keeping an early stage saves nothing; Repair kept it and sent all replays over one narrow link. Kept stages now cost their replay when a later stage is new. Prompts of chains chosen at once queue on a link before its delay is measured, so the Chooser counts them. The entry's hop carried a charge for activations although it sends text.

--- a/pipeline/chooser.go
+++ b/pipeline/chooser.go
@@ -48,6 +48,8 @@
 	zones  map[string]int
 	links  *Links
 	cache  *CacheIndex
+	// drained is when each link will have sent the prompts of the chains chosen so far.
+	drained map[[2]string]time.Time
 	// virtual is the time at which a stage that received exactly its share
 	// would stand, in seconds of work.
 	virtual float64
@@ -77,6 +79,7 @@
 		zones:    map[string]int{},
 		links:    NewLinks(),
 		cache:    NewCacheIndex(),
+		drained:  map[[2]string]time.Time{},
 		meanWork: defaultOutputTokens,
 	}
 }
@@ -184,30 +187,37 @@
 }
 
 // Repair returns a chain in place of one that has lost stages. Stages of the
-// broken chain that are not lost cost nothing, since they hold the request's
-// KV cache; every other stage also costs the seconds that restore gives. The
-// chain keeps the revision of the broken one: ranges of another plan are used
-// only where they fit between the ranges that remain.
-func (c *Chooser) Repair(req Request, broken Chain, lost map[string]bool, restore func(Stage) float64) (Chain, error) {
+// broken chain that are not lost cost nothing if all stages after them are kept
+// as well, since they hold the request's KV cache; if a later stage is new,
+// they run the replay. New stages cost the replay or what restore gives, and
+// their lead and load. The chain keeps the revision of the broken one: ranges
+// of another plan are used only where they fit between the ranges that remain.
+func (c *Chooser) Repair(req Request, broken Chain, lost map[string]bool, replay, restore func(Stage) float64) (Chain, error) {
 	req, work := c.sized(req)
 	s := c.newSearch(req)
 	for _, m := range c.withKept(broken, lost) {
 		if lost[m.Instance] {
 			continue
 		}
-		k := &candidate{member: m}
-		if !broken.holds(m.Stage) {
-			if m.load.Draining || m.load.Down {
-				continue
-			}
-			k.own = c.stageCost(m, work, req.At) + restore(m.Stage)
+		if broken.holds(m.Stage) {
+			again := replay(m.Stage)
+			s.visit(&candidate{member: m, own: again, saved: again * m.Weight})
+			continue
+		}
+		if !m.load.Draining && !m.load.Down {
+			s.visit(&candidate{member: m, own: c.stageCost(m, work, req.At) + restore(m.Stage)})
 		}
-		s.visit(k)
 	}
-	chain, err := c.build(s, req, work)
+	chain, err := c.build(s, req, 0)
 	if err != nil {
 		return Chain{}, err
 	}
+	for _, st := range chain.Stages {
+		if m := c.byName[st.Instance]; m != nil && !broken.holds(st) {
+			c.charge(m, work)
+			m.sent--
+		}
+	}
 	chain.Revision = broken.Revision
 	c.Done(broken)
 	return chain, nil
@@ -329,13 +339,13 @@
 
 // build follows the labels from the best first stage and charges its stages.
 func (c *Chooser) build(s *search, req Request, work float64) (Chain, error) {
-	zone := c.entryZone(req.Zone)
 	var best *candidate
 	bestCost := math.Inf(1)
 	for _, k := range s.heads[0] {
 		cost := min(k.allCached.cost, k.someMissed.cost)
-		if zone >= 0 {
-			cost += s.hops[zone][k.zone]
+		// The entry sends text, so only the latency of its link counts.
+		if req.Zone != "" {
+			cost += c.links.Cost(req.Zone, k.Zone, 0)
 		}
 		if cost < bestCost {
 			best, bestCost = k, cost
@@ -361,6 +371,7 @@
 		}
 		k = way.next
 	}
+	c.queuePrompt(chain, req)
 	return chain, nil
 }
 
@@ -401,26 +412,41 @@
 		costs[i] = make([]float64, len(c.zones))
 		for to, j := range c.zones {
 			token := c.links.Cost(from, to, c.opts.ActivationBytes)
-			prompt := c.links.Cost(from, to, c.opts.ActivationBytes*int64(req.PromptTokens))
-			costs[i][j] = token*float64(req.OutputTokens) + prompt
+			prompt := c.links.Cost(from, to, c.promptBytes(req))
+			queued := max(0, c.drained[[2]string{from, to}].Sub(req.At).Seconds())
+			costs[i][j] = token*float64(req.OutputTokens) + prompt + queued
 		}
 	}
 	return costs
 }
 
-func (c *Chooser) zoneIndex(zone string) int {
-	i, known := c.zones[zone]
-	if !known {
-		i = len(c.zones)
-		c.zones[zone] = i
+func (c *Chooser) promptBytes(req Request) int64 {
+	return c.opts.ActivationBytes * int64(req.PromptTokens)
+}
+
+// queuePrompt notes that a request's prompt takes up the links between the
+// stages' zones. Many requests chosen at once, as after the loss of a stage,
+// would otherwise all take the same link before its delay is measured.
+func (c *Chooser) queuePrompt(chain Chain, req Request) {
+	for i := 1; i < len(chain.Stages); i++ {
+		from, to := chain.Stages[i-1].Zone, chain.Stages[i].Zone
+		if from == to {
+			continue
+		}
+		took := c.links.Cost(from, to, c.promptBytes(req)) - c.links.Cost(from, to, 0)
+		key := [2]string{from, to}
+		if c.drained[key].Before(req.At) {
+			c.drained[key] = req.At
+		}
+		c.drained[key] = c.drained[key].Add(seconds(took))
 	}
-	return i
 }
 
-func (c *Chooser) entryZone(zone string) int {
+func (c *Chooser) zoneIndex(zone string) int {
 	i, known := c.zones[zone]
 	if !known {
-		return -1
+		i = len(c.zones)
+		c.zones[zone] = i
 	}
 	return i
 }
--- a/pipeline/recovery.go
+++ b/pipeline/recovery.go
@@ -98,13 +98,17 @@
 	if !r.affected(b) {
 		return Resumption{}, ErrNothingLost
 	}
-	chain, err := r.chooser.Repair(b.Request, b.Chain, b.Lost, func(s Stage) float64 {
-		cost := r.replayTime(s, b.held())
+	replay := func(s Stage) float64 { return r.replayTime(s, b.held()) }
+	restore := func(s Stage) float64 {
+		cost := replay(s)
 		if c, found := r.bestCopy(b, s); found {
 			cost = min(cost, r.importTime(c, s)+r.replayTime(s, b.held()-c.Tokens))
 		}
 		return cost
-	})
+	}
+	again := b.Request
+	again.PromptTokens = b.held()
+	chain, err := r.chooser.Repair(again, b.Chain, b.Lost, replay, restore)
 	if err != nil {
 		return Resumption{}, err
 	}
