placement, pipeline: prefer joint groups, keep link headroom, settle losses

A segment with a single engine takes its group down when it is lost; all chains then replay on what is left. Plans now give up a little flow (0.05 of the worst loss) for groups that lose less, and use 0.8 of a link's rate, since a full link queues every burst. Repair compared kept stages without load against new ones with load, which kept first stages behind narrow links. Stages that fail together are collected for 5 ms so that a request replays once. The detector probes after 100 ms without a token (was 120 ms).

--- a/experiment/fleet/sim.go
+++ b/experiment/fleet/sim.go
@@ -276,7 +276,7 @@
 		st.prompt = 0
 	}
 	if st.pos < len(r.stages) {
-		return r.stages[st.pos]
+		return r.forward(st)
 	}
 	if !st.last {
 		return nil
@@ -285,6 +285,17 @@
 	return nil
 }
 
+// forward returns the engine of a step's next stage, or nil if that stage has
+// the whole part of the prompt in its cache.
+func (r *request) forward(st *step) *engine {
+	wasPrompt := st.prompt > 0
+	r.skipCached(st)
+	if wasPrompt && st.prompt == 0 {
+		return nil
+	}
+	return r.stages[st.pos]
+}
+
 // token delivers a token to the entry and starts the next step.
 func (s *sim) token(e *engine, st *step) {
 	r, attempt, index := st.request, st.attempt, st.index
--- a/pipeline/chooser.go
+++ b/pipeline/chooser.go
@@ -188,9 +188,9 @@
 
 // Repair returns a chain in place of one that has lost stages. Stages of the
 // broken chain that are not lost cost nothing if all stages after them are kept
-// as well, since they hold the request's KV cache; if a later stage is new,
-// they run the replay. New stages cost the replay or what restore gives, and
-// their lead and load. The chain keeps the revision of the broken one: ranges
+// as well, since they hold the request's KV cache. If a later stage is new,
+// they run the replay and cost it together with their lead and load, as new
+// stages do; only the new ones also cost the request's work. The chain keeps the revision of the broken one: ranges
 // of another plan are used only where they fit between the ranges that remain.
 func (c *Chooser) Repair(req Request, broken Chain, lost map[string]bool, replay, restore func(Stage) float64) (Chain, error) {
 	req, work := c.sized(req)
@@ -200,7 +200,7 @@
 			continue
 		}
 		if broken.holds(m.Stage) {
-			again := replay(m.Stage)
+			again := c.stageCost(m, 0, req.At) + replay(m.Stage)
 			s.visit(&candidate{member: m, own: again, saved: again * m.Weight})
 			continue
 		}
@@ -241,7 +241,7 @@
 		pool = append(pool, m)
 	}
 	for _, s := range kept {
-		pool = append(pool, &member{Stage: s, zone: c.zoneIndex(s.Zone)})
+		pool = append(pool, &member{Stage: s, zone: c.zoneIndex(s.Zone), pass: c.virtual})
 	}
 	sort.SliceStable(pool, func(i, j int) bool { return pool[i].First > pool[j].First })
 	return pool
--- a/pipeline/detector.go
+++ b/pipeline/detector.go
@@ -16,13 +16,17 @@
 	// Engine is how long an engine with a pending step may go without
 	// finishing any iteration. Chunked prefill keeps iterations far shorter.
 	Engine time.Duration
+	// Settle is how long a closed connection is held back, so that stages
+	// that fail together are replaced together and replayed once.
+	Settle time.Duration
 }
 
 const (
 	defaultFirstTokenWait = 300 * time.Millisecond
-	defaultTokenWait      = 120 * time.Millisecond
+	defaultTokenWait      = 100 * time.Millisecond
 	defaultProbeWait      = 150 * time.Millisecond
 	defaultEngineWait     = 350 * time.Millisecond
+	defaultSettle         = 5 * time.Millisecond
 	// probeEvery is the time between probes of a stage.
 	probeEvery = 50 * time.Millisecond
 )
@@ -37,6 +41,7 @@
 	orDefault(&d.Token, defaultTokenWait)
 	orDefault(&d.Probe, defaultProbeWait)
 	orDefault(&d.Engine, defaultEngineWait)
+	orDefault(&d.Settle, defaultSettle)
 	return d
 }
 
@@ -68,6 +73,8 @@
 	// since is when the last token came or the chain was started.
 	since time.Time
 	wait  time.Duration
+	// report is when the stages that closed may be reported; zero if none closed.
+	report time.Time
 }
 
 type watched struct {
@@ -114,9 +121,14 @@
 }
 
 // Closed says that the connection to a stage ended or was refused.
-func (d *Detector) Closed(instance string) {
-	if w := d.find(instance); w != nil {
-		w.lost = LossClosed
+func (d *Detector) Closed(instance string, at time.Time) {
+	w := d.find(instance)
+	if w == nil || w.lost != "" {
+		return
+	}
+	w.lost = LossClosed
+	if d.report.IsZero() {
+		d.report = at.Add(d.limits.Settle)
 	}
 }
 
@@ -151,7 +163,7 @@
 			d.judge(w, at)
 		}
 		if w.lost != "" {
-			if !w.reported {
+			if !w.reported && !at.Before(d.report) {
 				f.Lost[w.instance] = w.lost
 				w.reported = true
 			}
@@ -165,6 +177,9 @@
 			f.Probe = append(f.Probe, w.instance)
 		}
 	}
+	if d.report.After(at) && d.report.Before(f.Next) {
+		f.Next = d.report
+	}
 	return f
 }
 
--- a/placement/flow.go
+++ b/placement/flow.go
@@ -13,6 +13,10 @@
 // that does not lower the flow.
 const crossingCost = 0.001
 
+// linkUse is the part of a link's rate that plans use. A link at its full rate
+// queues every burst, and the queue delays all chains that cross it.
+const linkUse = 0.8
+
 // routes is the flow of a layout: tokens/s through each segment in each zone,
 // and between zones at each boundary.
 type routes struct {
@@ -113,7 +117,7 @@
 		for _, to := range l.zones {
 			rate := l.net.rate[from][to]
 			if rate > 0 && !math.IsInf(rate, 1) {
-				add(rate*scale, func(h hop) float64 { return one(h.segment >= 0 && h.from == from && h.to == to) })
+				add(linkUse*rate*scale, func(h hop) float64 { return one(h.segment >= 0 && h.from == from && h.to == to) })
 			}
 		}
 	}
--- a/placement/layout.go
+++ b/placement/layout.go
@@ -178,7 +178,7 @@
 			out += max(0, step)
 			in += max(0, -step)
 		}
-		over += max(0, out-l.out[z]) + max(0, in-l.in[z])
+		over += max(0, out-linkUse*l.out[z]) + max(0, in-linkUse*l.in[z])
 	}
 	return over
 }
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -146,6 +146,19 @@
 	return g.routes.total
 }
 
+// worstLoss is the most flow that the group loses with one engine.
+func (g *groupPlan) worstLoss() float64 {
+	if g.layout == nil {
+		return 0
+	}
+	return min(g.routes.total, g.layout.worstLoss())
+}
+
+// value is the group's flow less the weighted loss of its worst engine.
+func (g *groupPlan) value() float64 {
+	return g.flowOf() - lossWeight*g.worstLoss()
+}
+
 // fullEnough is the fraction of a group's own bound above which joining it
 // with another group is not tried.
 const fullEnough = 0.99
@@ -164,7 +177,7 @@
 		zones := append(slices.Clone(first.zones), second.zones...)
 		slices.Sort(zones)
 		joint := planGroup(append(slices.Clone(first.engines), second.engines...), m, opts, w, zones)
-		if joint.flowOf() > (first.flowOf()+second.flowOf())*1.001 {
+		if joint.value() > (first.flowOf()+second.flowOf()-lossWeight*max(first.worstLoss(), second.worstLoss()))*1.001 {
 			groups[a] = joint
 			groups = slices.Delete(groups, b, b+1)
 		}
@@ -177,7 +190,7 @@
 	for i, g := range groups {
 		for j := i + 1; j < len(groups); j++ {
 			h := groups[j]
-			full := g.flowOf() > fullEnough*g.target && h.flowOf() > fullEnough*h.target
+			full := g.value() > fullEnough*g.target && h.value() > fullEnough*h.target
 			if full || tried[[2]*groupPlan{g, h}] {
 				continue
 			}
--- a/placement/search.go
+++ b/placement/search.go
@@ -10,6 +10,10 @@
 	// stageCost is the loss of flow accepted for one stage less, because each
 	// stage adds a hop and an engine iteration to the time between tokens.
 	stageCost = 0.002
+	// lossWeight is the part of a flow given up to lose less with one engine.
+	// A segment with a single engine takes its whole group down with it, and
+	// the requests of all its chains replay at once on what is left.
+	lossWeight = 0.05
 	// maxCandidates bounds how many segment counts are tried.
 	maxCandidates = 12
 )
@@ -24,7 +28,7 @@
 		if l.slowest() <= 0 {
 			continue
 		}
-		cost := l.shortfall() + stageCost*float64(len(l.lengths))
+		cost := l.shortfall() + stageCost*float64(len(l.lengths)) + lossWeight*l.worstLoss()/l.target
 		if best == nil || cost < bestCost {
 			best, bestCost = l, cost
 		}
@@ -32,6 +36,21 @@
 	return best
 }
 
+// worstLoss is the most that the slowest segment's capacity falls when any one
+// engine is lost.
+func (l *layout) worstLoss() float64 {
+	flow := l.slowest()
+	left := flow
+	for s, sum := range l.sum {
+		for c := range l.classes {
+			if l.count[c][s] > 0 {
+				left = min(left, sum-l.capacity[c][l.lengths[s]])
+			}
+		}
+	}
+	return flow - max(0, left)
+}
+
 // candidates proposes divisions of the layers: equal ones with a growing number of
 // segments, and ones whose lengths follow the memory of the engines.
 func (p *problem) candidates() [][]int {
