placement: stop searches that are close enough; judge like moves once

Joint plans were tried for groups that are already close to their bound, and each move of a re-plan was judged even if another of the same kind was. The engine model counted a finished batch as a pending step, so the detector took an idle engine for a stalled one once in the two-stage experiment.

--- a/experiment/fleet/entry.go
+++ b/experiment/fleet/entry.go
@@ -205,7 +205,11 @@
 }
 
 func (e *engine) holds(r *request) bool {
-	for _, list := range [][]*step{e.decodes, e.prompts, e.batch} {
+	lists := [][]*step{e.decodes, e.prompts}
+	if e.busy {
+		lists = append(lists, e.batch)
+	}
+	for _, list := range lists {
 		for _, st := range list {
 			if st.request == r && st.attempt == r.attempt {
 				return true
--- a/pipeline/chooser_test.go
+++ b/pipeline/chooser_test.go
@@ -92,3 +92,26 @@
 		assert.Assert(t, counts[name] > want-12 && counts[name] < want+12, "%s: %d, want %d", name, counts[name], want)
 	}
 }
+
+func BenchmarkChoose(b *testing.B) {
+	// 350 stages are one of 9 models on 3,100 engines.
+	c := NewChooser(Options{Layers: 80, ActivationBytes: 16384})
+	var zones []string
+	for i := range 14 {
+		zones = append(zones, fmt.Sprint("z", i))
+	}
+	var stages []Stage
+	for copies := range 5 {
+		for _, s := range grid([]int{0, 16, 32, 48, 64, 80}, zones, func(int, int) float64 { return 1000 }) {
+			s.Instance += fmt.Sprint("-", copies)
+			stages = append(stages, s)
+		}
+	}
+	c.Update(1, stages)
+	b.ReportAllocs()
+	for b.Loop() {
+		chain, err := c.Choose(Request{At: start, Zone: "z3", PromptTokens: 300}, nil)
+		assert.NilError(b, err)
+		c.Done(chain)
+	}
+}
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -159,9 +159,10 @@
 	return g.flowOf() - lossWeight*g.worstLoss()
 }
 
-// fullEnough is the fraction of a group's own bound above which joining it
-// with another group is not tried.
-const fullEnough = 0.99
+// fullEnough is the fraction of a group's own bound above which the value of
+// both groups makes joining them pointless. A group of about 60 engines gets
+// there alone, which keeps plans for large fleets fast.
+const fullEnough = 0.985
 
 // joinGroups joins pairs of groups, those with the fastest links first, while
 // the joint plan has a higher flow than the two plans together.
--- a/placement/replan.go
+++ b/placement/replan.go
@@ -162,8 +162,12 @@
 	kept := r.moves
 	r.moves, r.steps = nil, 0
 	engines := map[string]Engine{}
+	classes := map[class]int{}
 	for _, e := range f.Engines {
 		engines[e.Name] = e
+		if c := classOf(e, r.net); classes[c] == 0 {
+			classes[c] = len(classes) + 1
+		}
 	}
 	var wanted []Move
 	for _, a := range plan.Assignments {
@@ -174,7 +178,12 @@
 	}
 	c := r.coverage(f.Engines)
 	covered := c.tiles()
-	left := r.emit(wanted, c, func(Move) float64 { return 0 }, func(Move) {})
+	left := r.emit(wanted, emission{
+		coverage: c,
+		class:    func(m Move) int { return classes[classOf(engines[m.Engine], r.net)] },
+		gain:     func(Move) float64 { return 0 },
+		done:     func(Move) {},
+	})
 	if covered && len(left) > 0 && len(groups) > 0 {
 		return assemble(groups, r.net, r.model, r.opts), kept, nil
 	}
@@ -305,8 +314,9 @@
 		}
 		moves = append(moves, r.move(e, Range{First: bounds[s], Limit: bounds[s+1]}))
 	}
+	class := func(m Move) int { return l.classIndex(classOf(byName[m.Engine], l.net)) }
 	transfer := func(m Move, back bool) {
-		c := l.classIndex(classOf(byName[m.Engine], l.net))
+		c := class(m)
 		from, had := old[m.Engine]
 		if !had {
 			from = -1
@@ -324,7 +334,9 @@
 		transfer(m, true)
 		return (before - after) * l.target
 	}
-	rest := r.emit(moves, r.coverage(engines), gain, func(m Move) { transfer(m, false) })
+	rest := r.emit(moves, emission{
+		coverage: r.coverage(engines), class: class, gain: gain, done: func(m Move) { transfer(m, false) },
+	})
 	l.rebuild()
 	left := map[string]int{}
 	for _, m := range rest {
@@ -418,7 +430,10 @@
 	}
 	c := r.coverage(engines)
 	covered := c.tiles()
-	if rest := r.emit(moves, c, gain, func(m Move) { arrived.place(class(m), g.segment[m.Engine]) }); covered && len(rest) > 0 {
+	rest := r.emit(moves, emission{
+		coverage: c, class: class, gain: gain, done: func(m Move) { arrived.place(class(m), g.segment[m.Engine]) },
+	})
+	if covered && len(rest) > 0 {
 		return nil
 	}
 	return g
@@ -436,32 +451,31 @@
 	return m
 }
 
+// emission is what emit needs to know about moves.
+type emission struct {
+	coverage *coverage
+	// class is a number that moves of interchangeable engines share.
+	class func(Move) int
+	// gain is the capacity that a move adds now, done makes the move.
+	gain func(Move) float64
+	done func(Move)
+}
+
 // emit appends moves in the order of gain per byte, each only when the layers
 // stay covered, and returns the moves that cannot be made. If the layers were
 // not covered at the start, every move is allowed, because holding moves back
 // for a chance mixture of old and new ranges would delay the new plan.
-func (r *replanner) emit(moves []Move, c *coverage, gain func(Move) float64, done func(Move)) []Move {
-	covered := c.tiles()
+func (r *replanner) emit(moves []Move, e emission) []Move {
+	covered := e.coverage.tiles()
 	for len(moves) > 0 {
-		best, bestRatio := -1, 0.0
-		for i, m := range moves {
-			if covered && !c.safe(m) {
-				continue
-			}
-			g := cmp.Or(gain(m), m.Gain)
-			ratio := g / float64(max(1, m.Bytes))
-			if best < 0 || ratio > bestRatio {
-				best, bestRatio = i, ratio
-				moves[i].Gain = g
-			}
-		}
+		best := e.best(moves, covered)
 		if best < 0 {
 			return moves
 		}
 		m := moves[best]
 		moves = slices.Delete(moves, best, best+1)
-		c.finish(m)
-		done(m)
+		e.coverage.finish(m)
+		e.done(m)
 		if m.From != m.To {
 			r.steps++
 			m.Step = r.steps
@@ -471,6 +485,34 @@
 	return nil
 }
 
+// best is the index of the safe move with the most gain per byte, or -1. Moves
+// of the same class between the same ranges are judged once, since a zone that
+// returns brings hundreds of them.
+func (e emission) best(moves []Move, covered bool) int {
+	type likeness struct {
+		class    int
+		from, to Range
+	}
+	judged := map[likeness]bool{}
+	best, bestRatio := -1, 0.0
+	for i, m := range moves {
+		key := likeness{class: e.class(m), from: m.From, to: m.To}
+		if judged[key] {
+			continue
+		}
+		judged[key] = true
+		if covered && !e.coverage.safe(m) {
+			continue
+		}
+		gain := cmp.Or(e.gain(m), m.Gain)
+		if ratio := gain / float64(max(1, m.Bytes)); best < 0 || ratio > bestRatio {
+			best, bestRatio = i, ratio
+			moves[i].Gain = gain
+		}
+	}
+	return best
+}
+
 // coverage counts the engines that serve each range.
 type coverage struct {
 	layers int
--- a/placement/search.go
+++ b/placement/search.go
@@ -5,6 +5,8 @@
 const (
 	// minGain is the least relative improvement that continues a search.
 	minGain = 1e-6
+	// closeEnough is the shortfall at which a search from nothing stops.
+	closeEnough = 0.001
 	// maxSteps bounds a search; the improvements fall off well before.
 	maxSteps = 400
 	// stageCost is the loss of flow accepted for one stage less, because each
@@ -213,6 +215,9 @@
 // climb applies the best change until none improves the layout.
 func (l *layout) climb() {
 	for range maxSteps {
+		if l.shortfall() < closeEnough {
+			return
+		}
 		ch, gain := l.bestChange(func(change) float64 { return 1 }, true)
 		if gain < minGain {
 			return
