--- a/placement/search.go
+++ b/placement/search.go
@@ -5,11 +5,17 @@
 const (
 	// minGain is the least relative improvement that continues a search.
 	minGain = 1e-6
+	// closeEnough is the shortfall at which a search from nothing stops.
+	closeEnough = 0.001
 	// maxSteps bounds a search; the improvements fall off well before.
 	maxSteps = 400
 	// stageCost is the loss of flow accepted for one stage less, because each
 	// stage adds a hop and an engine iteration to the time between tokens.
 	stageCost = 0.002
+	// lossWeight is the part of a flow given up to lose less with one engine.
+	// A segment with a single engine takes its whole group down with it, and
+	// the requests of all its chains replay at once on what is left.
+	lossWeight = 0.05
 	// maxCandidates bounds how many segment counts are tried.
 	maxCandidates = 12
 )
@@ -24,7 +30,7 @@
 		if l.slowest() <= 0 {
 			continue
 		}
-		cost := l.shortfall() + stageCost*float64(len(l.lengths))
+		cost := l.shortfall() + stageCost*float64(len(l.lengths)) + lossWeight*l.worstLoss()/l.target
 		if best == nil || cost < bestCost {
 			best, bestCost = l, cost
 		}
@@ -32,6 +38,21 @@
 	return best
 }
 
+// worstLoss is the most that the slowest segment's capacity falls when any one
+// engine is lost.
+func (l *layout) worstLoss() float64 {
+	flow := l.slowest()
+	left := flow
+	for s, sum := range l.sum {
+		for c := range l.classes {
+			if l.count[c][s] > 0 {
+				left = min(left, sum-l.capacity[c][l.lengths[s]])
+			}
+		}
+	}
+	return flow - max(0, left)
+}
+
 // candidates proposes divisions of the layers: equal ones with a growing number of
 // segments, and ones whose lengths follow the memory of the engines.
 func (p *problem) candidates() [][]int {
@@ -194,6 +215,9 @@
 // climb applies the best change until none improves the layout.
 func (l *layout) climb() {
 	for range maxSteps {
+		if l.shortfall() < closeEnough {
+			return
+		}
 		ch, gain := l.bestChange(func(change) float64 { return 1 }, true)
 		if gain < minGain {
 			return
