--- a/admission/controller.go
+++ b/admission/controller.go
@@ -15,9 +15,13 @@
 	// InitialHold and InitialFirstToken stand in for measured values until requests complete.
 	InitialHold       time.Duration
 	InitialFirstToken time.Duration
-	// WaitMargin multiplies the predicted wait of a new request. A margin above 1
-	// sheds the doubtful request on arrival instead of queueing it and shedding it later.
+	// WaitMargin is added to the predicted wait of a new request, in standard
+	// deviations. It sheds the doubtful request on arrival instead of queueing it and shedding it later.
 	WaitMargin float64
+	// MaxWaitPart is the part of the time until its deadline that a request may wait.
+	// A request that has waited for longer is shed although it might still be
+	// served, so that no caller gets its refusal shortly before the deadline.
+	MaxWaitPart float64
 	// MaxQueue is the number of requests that may wait, which bounds memory when requests have no deadline.
 	MaxQueue int
 	// MinRetryAfter and MaxRetryAfter bound the time to come back.
@@ -38,7 +42,8 @@
 		Utilization:       0.95,
 		InitialHold:       time.Second,
 		InitialFirstToken: 100 * time.Millisecond,
-		WaitMargin:        1.25,
+		WaitMargin:        1,
+		MaxWaitPart:       0.5,
 		MaxQueue:          10000,
 		MinRetryAfter:     time.Second,
 		MaxRetryAfter:     30 * time.Second,
@@ -54,13 +59,14 @@
 	options  Options
 	random   *rand.Rand
 	share    share
+	reserve  reserve
 	items    map[string]*item
 	teams    map[string]*team
 	classes  []*class
 	queued   int
 	running  float64
 	hold     average
-	first    average
+	first    median
 	admitted time.Time
 }
 
@@ -73,7 +79,7 @@
 		items:   map[string]*item{},
 		teams:   map[string]*team{},
 		hold:    average{value: options.InitialHold.Seconds()},
-		first:   average{value: options.InitialFirstToken.Seconds()},
+		first:   median{value: options.InitialFirstToken.Seconds()},
 	}
 }
 
@@ -87,7 +93,22 @@
 
 // ObserveLoad takes the sum of the sidecars' latest load reports.
 func (c *Controller) ObserveLoad(now time.Time, load Load) {
-	c.share.observe(now, load, c.running, c.demand(now))
+	kept := c.kept()
+	// Capacity that is kept free counts as used. The other entries keep as much
+	// free, because the same teams flood them.
+	load.Running += kept * float64(c.share.entries())
+	c.share.observe(now, load, c.running+kept, c.demand(now))
+}
+
+// kept is the running cost that is kept free of flooding flows now.
+func (c *Controller) kept() float64 {
+	kept := 0.0
+	for _, k := range c.classes {
+		if k.flooded {
+			kept = max(kept, k.free(c.share.limit))
+		}
+	}
+	return min(kept, max(c.share.limit-c.running, 0))
 }
 
 // Limit returns how many cost units the entry may run at once now.
@@ -121,6 +142,9 @@
 	t := c.team(now, r)
 	k := c.class(r.Priority)
 	k.offered.add(now, r.Cost)
+	k.flow(t, r.Weight).offered.add(now, r.Cost)
+	c.reserve.offers++
+	c.reserve.refresh(now, c.classes, c.share.limit, c.hold.value)
 	if c.share.limit <= 0 {
 		return c.shed(r.ID, NoCapacity, 0)
 	}
@@ -129,6 +153,9 @@
 		return c.shed(r.ID, RateLimited, wait)
 	}
 	it := &item{request: r, team: t, class: k}
+	if !r.Deadline.IsZero() {
+		it.latest = now.Add(time.Duration(float64(r.Deadline.Sub(now)) * c.options.MaxWaitPart))
+	}
 	d := c.place(now, it)
 	if d.Verdict == Shed {
 		reservation.CancelAt(now)
@@ -159,13 +186,13 @@
 	c.dequeue(it)
 	p := prediction{reason: Overloaded, first: c.firstToken()}
 	probe := now.Sub(c.admitted) >= c.options.ProbeInterval && it.request.Deadline.After(now)
-	if !probe && p.late(now, it, 1) {
+	if !probe && p.late(now, it, 0) {
 		return c.shed(it.request.ID, Overloaded, p.excess(now, it))
 	}
 	it.running, it.admitted = true, now
-	it.charged = it.request.Cost * it.team.hold.valueOr(c.hold.value)
-	it.flow.charge(it.class, it.charged)
+	it.flow.charge(it.class, it.request.Cost*it.team.hold.valueOr(c.hold.value))
 	it.team.running++
+	it.flow.account(c.classes, it.class, it.request.Cost)
 	c.running += it.request.Cost
 	c.items[it.request.ID] = it
 	c.admitted = now
@@ -179,7 +206,7 @@
 	if it == nil || !it.running {
 		return
 	}
-	c.finish(now, it)
+	c.finish(it)
 	if outcome.FirstToken > 0 {
 		c.first.add(outcome.FirstToken.Seconds())
 	}
@@ -194,29 +221,28 @@
 }
 
 // Cancel ends a request that its caller gave up, whether it waits or runs.
-func (c *Controller) Cancel(now time.Time, id string) {
+func (c *Controller) Cancel(_ time.Time, id string) {
 	it := c.items[id]
 	if it == nil {
 		return
 	}
 	if it.running {
-		c.finish(now, it)
+		c.finish(it)
 		return
 	}
 	c.dequeue(it)
 }
 
-// finish frees an item's capacity and corrects what its team was charged for it.
-func (c *Controller) finish(now time.Time, it *item) {
+// finish frees an item's capacity.
+func (c *Controller) finish(it *item) {
 	delete(c.items, it.request.ID)
 	it.team.running--
+	it.flow.account(c.classes, it.class, -it.request.Cost)
 	c.running -= it.request.Cost
 	if len(c.items) == c.queued {
 		// Sums of fractions drift; nothing runs, so the exact value is known.
 		c.running = 0
 	}
-	used := it.request.Cost * now.Sub(it.admitted).Seconds()
-	it.flow.correct(used - it.charged)
 }
 
 // Tick returns the decisions on waiting requests that can be taken now. Call it
@@ -224,6 +250,7 @@
 // Next gives, so that each answer goes out as soon as it is certain.
 func (c *Controller) Tick(now time.Time) []Decision {
 	c.share.expire(now)
+	c.reserve.refresh(now, c.classes, c.share.limit, c.hold.value)
 	var decisions []Decision
 	for {
 		decisions = append(decisions, c.startFitting(now)...)
@@ -263,7 +290,7 @@
 // next returns the item that is served next, or nil.
 func (c *Controller) next() *item {
 	for _, k := range c.classes {
-		if f := k.next(); f != nil {
+		if f := k.next(c.share.limit, c.share.limit-c.running); f != nil {
 			return f.queue[0]
 		}
 	}
@@ -306,7 +333,7 @@
 			ahead := 0.0
 			for i, it := range f.queue {
 				p := c.predictAt(now, it, higher, ahead, i)
-				if p.late(now, it, 1) {
+				if p.late(now, it, 0) {
 					late, predictions = append(late, it), append(predictions, p)
 					continue
 				}
@@ -340,17 +367,25 @@
 	return c.predictAt(now, it, higher, ahead, position)
 }
 
-// predictAt estimates the wait of an item from the cost that is served before
-// it: higher priorities, its own team's earlier deadlines, and the other teams'
-// queues as far as their weight lets them pass.
+// predictAt estimates the wait of an item. A flow over its share waits for its own
+// queue at its share. Another flow waits for no more than all that is queued
+// before it, and passes what exceeds its share.
 func (c *Controller) predictAt(now time.Time, it *item, higher, ahead float64, position int) prediction {
 	k, f := it.class, it.flow
+	hold := max(c.hold.value, 1e-6)
 	own := ahead + it.request.Cost
-	others := min(k.cost-f.cost, own*(k.weight-f.weight)/f.weight)
-	free := max(c.share.limit-c.running, -c.running)
-	drain := c.drain(now, k)
-	wait := max(higher+own+others-free, 0) / drain
-	p := prediction{reason: Overloaded, first: c.firstToken(), wait: seconds(wait)}
+	spare := c.share.limit - c.running
+	rate := c.drain(now, k)
+	wait := max(higher+k.cost-f.cost+own-spare, 0) / rate
+	if share := k.shareByWeight * f.weight / hold; share > 0 {
+		atShare := max(higher-spare, 0)/rate + own/share
+		if f.modest {
+			wait = min(wait, atShare)
+		} else {
+			wait = c.waitOverShare(f, k, own, higher, spare, atShare)
+		}
+	}
+	p := prediction{reason: Overloaded, first: c.firstToken(), wait: seconds(wait), spread: spread(wait, own/it.request.Cost)}
 	if limit := it.team.limit(c.share.entries()); limit > 0 {
 		over := float64(position + 1 + it.team.running - limit)
 		blocked := seconds(max(over, 0) * it.team.hold.valueOr(c.hold.value) / float64(limit))
@@ -361,6 +396,23 @@
 	return p
 }
 
+// waitOverShare is 0 for a request that fits beside what is reserved and queued.
+func (c *Controller) waitOverShare(f *flow, k *class, own, higher, spare, atShare float64) float64 {
+	if f.flooding {
+		spare -= k.free(c.share.limit)
+	}
+	if spare >= higher+k.cost {
+		return 0
+	}
+	return atShare
+}
+
+// spread is the standard deviation of the time until a number of slots came free
+// that together take the given wait.
+func spread(wait, slots float64) time.Duration {
+	return seconds(wait / math.Sqrt(max(slots, 1)))
+}
+
 // classDemandWindow is the time constant for the demand of a priority class. It is
 // longer than a burst, whose requests already count as queued cost.
 const classDemandWindow = 10 * time.Second
@@ -386,21 +438,25 @@
 type prediction struct {
 	reason Reason
 	wait   time.Duration
+	// spread is the standard deviation of the wait.
+	spread time.Duration
 	first  time.Duration
 }
 
+// late reports whether the first token is expected after the deadline, with a
+// margin in standard deviations of the wait.
 func (p prediction) late(now time.Time, it *item, margin float64) bool {
 	if it.request.Deadline.IsZero() {
 		return false
 	}
-	wait := time.Duration(float64(p.wait) * margin)
-	return now.Add(wait + p.first).After(it.request.Deadline)
+	begin := now.Add(p.wait + time.Duration(float64(p.spread)*margin))
+	return begin.After(it.latest) || begin.Add(p.first).After(it.request.Deadline)
 }
 
 // excess is how much too late the first token would come, which is when the
 // same request could be served if the load stays as it is.
 func (p prediction) excess(now time.Time, it *item) time.Duration {
-	return now.Add(p.wait + p.first).Sub(it.request.Deadline)
+	return max(now.Add(p.wait+p.first).Sub(it.request.Deadline), now.Add(p.wait).Sub(it.latest))
 }
 
 func seconds(s float64) time.Duration {
--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -252,3 +252,81 @@
 		})
 	})
 }
+
+// A flooding team must leave room for teams below their share, so that they need
+// not wait for one of its requests to end, and only while there are such teams.
+func TestReserveForModestTeams(t *testing.T) {
+	c := newController(40, 1)
+	now := start
+	running := map[string]time.Time{}
+	serve := func(team string, id int, hold time.Duration) Verdict {
+		name := fmt.Sprint(team, id)
+		d := c.Offer(now, Request{ID: name, Team: team, Deadline: now.Add(time.Second)})
+		if d.Verdict == Admit {
+			running[name] = now.Add(hold)
+		}
+		return d.Verdict
+	}
+	waited := 0
+	for i := range 3000 {
+		now = now.Add(10 * time.Millisecond)
+		for id, end := range running {
+			if !end.After(now) {
+				delete(running, id)
+				c.Done(now, id, Outcome{Result: Completed, FirstToken: 50 * time.Millisecond})
+			}
+		}
+		for _, d := range c.Tick(now) {
+			if d.Verdict == Admit {
+				running[d.ID] = now.Add(time.Second)
+			}
+		}
+		serve("flood", i, time.Second)
+		if i%10 == 0 && serve("quiet", i, time.Second) != Admit && i > 1000 {
+			waited++
+		}
+	}
+	assert.Assert(t, waited < 5, "%d of 200 requests of the quiet team waited", waited)
+	assert.Assert(t, c.Running() > 28, "only %.0f of 40 in use", c.Running())
+	now = now.Add(3 * time.Minute)
+	for id := range running {
+		c.Done(now, id, Outcome{Result: Completed})
+	}
+	c.Tick(now)
+	for i := range 100 {
+		serve("alone", i, time.Hour)
+	}
+	assert.Assert(t, c.Running() > 39, "a team alone uses %.0f of 40", c.Running())
+}
+
+// No answer may be held back until near the deadline, whatever the controller hoped for.
+func TestRefusalComesInTime(t *testing.T) {
+	c := newController(1, 1)
+	fill(t, c, "x", 1)
+	c.hold.value = 0.01
+	deadline := start.Add(10 * time.Second)
+	assert.Equal(t, c.Offer(start, Request{ID: "r", Team: "a", Deadline: deadline}).Verdict, Queue)
+	assert.Equal(t, len(c.Tick(start.Add(4900*time.Millisecond))), 0)
+	assert.Equal(t, c.Tick(start.Add(5001 * time.Millisecond))[0].Verdict, Shed)
+}
+
+// The target size has 4,600 teams and 21 requests a second at each entry.
+func BenchmarkOfferDone(b *testing.B) {
+	for _, teams := range []int{46, 460, 4600} {
+		b.Run(fmt.Sprint(teams), func(b *testing.B) {
+			c := newController(200, 1)
+			names := make([]string, teams)
+			for i := range names {
+				names[i] = fmt.Sprint("team-", i)
+			}
+			for i := range b.N {
+				now := start.Add(time.Duration(i) * time.Second / 21)
+				id := names[i%teams]
+				if c.Offer(now, Request{ID: id, Team: id, Deadline: now.Add(time.Second)}).Verdict == Admit {
+					c.Done(now, id, Outcome{Result: Completed})
+				}
+				c.Tick(now)
+			}
+		})
+	}
+}
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -16,8 +16,8 @@
 	flow     *flow
 	running  bool
 	admitted time.Time
-	// charged is the cost times seconds that the team was charged on admission.
-	charged float64
+	// latest is when the request must have been admitted.
+	latest time.Time
 }
 
 // team holds what limits a team over all priorities.
@@ -93,6 +93,15 @@
 	weight  float64
 	virtual float64
 	offered rateEstimate
+	// reserved is the running cost to allow for higher priorities and for the
+	// flows below their share; protectedRunning is what they run.
+	reserved         float64
+	protectedRunning float64
+	// shareByWeight is the running cost for each unit of weight that a flow over
+	// its share gets; 0 while no flow asks for more than its share.
+	shareByWeight float64
+	// flooded is set while any flow of the class floods.
+	flooded bool
 }
 
 // flow is one team at one priority. Flows are served by start-time fair queueing
@@ -106,12 +115,19 @@
 	start float64
 	queue []*item
 	cost  float64
+	// offered and running are the flow's demand and running cost. A modest flow
+	// asks for less than its share, a flooding one for much more.
+	offered rateEstimate
+	running float64
+	modest  bool
+	// flooding flows may not use what is reserved for modest ones.
+	flooding bool
 }
 
 func (k *class) flow(t *team, weight float64) *flow {
 	f := k.flows[t.name]
 	if f == nil {
-		f = &flow{team: t, weight: weight}
+		f = &flow{team: t, weight: weight, modest: true, offered: rateEstimate{window: classDemandWindow}}
 		k.flows[t.name] = f
 	}
 	if f.weight != weight {
@@ -123,13 +139,19 @@
 	return f
 }
 
-// next returns the flow with the earliest virtual start among those whose team is below its concurrency limit.
-func (k *class) next() *flow {
+// next returns the flow with the earliest virtual start among those whose team is
+// below its concurrency limit. Flooding flows are passed over while the spare
+// capacity, which is less than the limit by the running cost, is reserved.
+func (k *class) next(limit, spare float64) *flow {
 	var best *flow
+	free := k.free(limit)
 	for _, f := range k.active {
 		if f.limit > 0 && f.team.running >= f.limit {
 			continue
 		}
+		if f.flooding && f.queue[0].request.Cost > spare-free && spare < limit {
+			continue
+		}
 		if best == nil || f.before(best) {
 			best = f
 		}
@@ -214,15 +236,14 @@
 	return cost, len(f.queue)
 }
 
+// charge moves a flow's virtual time by the cost times the seconds that its team's
+// requests hold it on average. The real time of each request would be more exact
+// but would make the wait of the team's next request depend on it.
 func (f *flow) charge(k *class, amount float64) {
 	k.virtual = max(k.virtual, f.start)
 	f.start += amount / f.weight
 }
 
-func (f *flow) correct(amount float64) {
-	f.start += amount / f.weight
-}
-
 // average is an exponentially weighted mean.
 type average struct {
 	value float64
@@ -246,6 +267,26 @@
 	return a.value
 }
 
+// median follows the median of a series of times.
+type median struct {
+	value float64
+	known bool
+}
+
+// medianStep is the relative step towards each new value.
+const medianStep = 0.03
+
+func (m *median) add(v float64) {
+	switch {
+	case !m.known:
+		m.value, m.known = v, true
+	case v > m.value:
+		m.value *= 1 + medianStep
+	default:
+		m.value /= 1 + medianStep
+	}
+}
+
 // rateEstimate is an exponentially weighted rate per second.
 type rateEstimate struct {
 	window time.Duration
--- a/admission/share.go
+++ b/admission/share.go
@@ -16,6 +16,10 @@
 	demand   rateEstimate
 	observed time.Time
 	reduced  time.Time
+	// usual is the entry's running cost averaged over usualWindow.
+	usual float64
+	// offset lowers the wanted load, as the logarithm of a ratio.
+	offset float64
 }
 
 const (
@@ -24,13 +28,23 @@
 	// of the reports, about a second; a faster correction would be applied several times for one load.
 
 	// correctionRate is the exponent of the ratio between wanted and reported load.
-	correctionRate = 0.6
-	// growthRate is the part of the entry's demand that is added to the limit. With
-	// demand at three times the capacity it raises the load by about a tenth
-	// before the correction balances it, which the wanted load must allow for.
-	growthRate = 0.02
-	// roomRate is the part of its portion of the free capacity that an entry takes.
+	correctionRate = 0.8
+	// growthRate is the part of the entry's demand that is added to the limit. It
+	// draws the limits towards shares in proportion to demand, within about half
+	// a minute when demand is three times the capacity.
+	growthRate = 0.03
+	// offsetRate and offsetWindow take back what the growth adds to the load. All
+	// entries see the same load, so their offsets agree and do not disturb the shares.
+	offsetRate   = 0.1
+	offsetWindow = time.Minute
+	maxOffset    = 0.3
+	// roomRate is the part of an equal portion of the free capacity that an entry
+	// takes besides the correction, which is small for an entry with a small limit.
 	roomRate = 0.6
+	// maxRatio bounds the ratio of wanted to reported load when there is almost no load.
+	maxRatio = 2
+	// usualWindow is the time constant for the entry's usual running cost.
+	usualWindow = 2 * time.Second
 	// longestStep bounds the time that one report stands for.
 	longestStep = time.Second
 	// refusalFactor lowers the limit when a backend server refuses work for load.
@@ -83,31 +97,47 @@
 		step = min(max(now.Sub(s.observed), 0), longestStep).Seconds()
 	}
 	s.observed = now
+	s.usual += (own - s.usual) * (1 - math.Exp(-step/usualWindow.Seconds()))
 	used := max(load.Running+load.Queued, own)
 	// Long requests keep running after the limit fell. Scaling the limit again for
 	// the same load would bring it to nothing, so the running cost is the base.
 	limit := max(s.limit, own) + growthRate*step*demand
+	limit *= math.Pow(s.ratio(used, step), correctionRate*step)
 	if room := s.wanted() - used; room > 0 {
 		limit = s.withRoom(limit, step, room, used, own, demand)
-	} else {
-		limit *= math.Pow(s.wanted()/used, correctionRate*step)
 	}
 	s.limit = min(max(limit, s.smallest()), s.capacity.Units)
 }
 
+// ratio compares the wanted with the reported load.
+func (s *share) ratio(used, step float64) float64 {
+	ratio := maxRatio * 1.0
+	if used > 0 {
+		ratio = min(s.wanted()/used, ratio)
+	}
+	if ratio <= 0 {
+		return 0
+	}
+	excess := -math.Log(ratio)
+	s.offset += step * (offsetRate*excess - s.offset/offsetWindow.Seconds())
+	s.offset = min(max(s.offset, 0), maxOffset)
+	return ratio * math.Exp(-s.offset)
+}
+
 // withRoom raises the limit into the free capacity and bounds it by the entry's
 // portion of it. Without the bound, limits would grow while the load is light, and
-// a burst on all entries at once would overload the backend servers before the next report.
+// a burst on all entries at once would overload the backend servers before the next
+// report. An entry whose running cost varies keeps what it usually runs.
 func (s *share) withRoom(limit, step, room, used, own, demand float64) float64 {
 	part := 1 / float64(s.entries())
+	limit += roomRate * step * room * part
 	if used > 0 {
 		part = max(part, own/used)
 	}
-	portion := room * min(part, 1)
 	free := (room/s.capacity.Units - burstFloor) / (burstFull - burstFloor)
 	burst := min(max(free, 0), 1) * (1 + math.Sqrt(demand))
-	grown := limit + roomRate*step*portion
-	return max(min(grown, own+portion+growthRate*longestStep.Seconds()*demand), own+burst)
+	most := max(own, s.usual) + room*min(part, 1) + growthRate*longestStep.Seconds()*demand
+	return max(min(limit, most), own+burst)
 }
 
 // smallest keeps a limit from falling to nothing, from which no scaling would raise it.
