experiment/overload: set the length of requests, route by the last report

A server's eight slots come free only every 0.8 s then, and entries that know only their own attempts hit full servers although others have room.

Change: flag -hold. Of the servers with equally few own attempts an entry compares three random ones by the load that they last reported.

Conclusion: admission alone does not hold the 95th percentile; routing must use the reported load where requests are long.

--- a/experiment/overload/command.go
+++ b/experiment/overload/command.go
@@ -17,27 +17,28 @@
 	seed := flags.Uint64("seed", 1, "seed of arrivals and service times")
 	only := flags.String("table", "", "the one table to write: flood, alone, levels, shares or storm; empty for all")
 	length := flags.Duration("length", 2*time.Minute, "virtual time of each run after its warm-up")
+	hold := flags.Duration("hold", time.Second, "mean time for which a request holds a slot of a server")
 	return &ffcli.Command{
 		Name:       "overload",
-		ShortUsage: "overload [-seed N] [-length DURATION] [-table NAME]",
+		ShortUsage: "overload [-seed N] [-length DURATION] [-hold DURATION] [-table NAME]",
 		ShortHelp:  "measure fairness, shedding, shared capacity and retries in virtual time",
 		FlagSet:    flags,
 		Exec: func(context.Context, []string) error {
-			return Run(os.Stdout, *seed, *length, *only)
+			return Run(os.Stdout, Setup{Seed: *seed, Length: *length, Hold: *hold}, *only)
 		},
 	}
 }
 
 // Run writes all tables, or the one that is named.
-func Run(out io.Writer, seed uint64, length time.Duration, only string) error {
+func Run(out io.Writer, setup Setup, only string) error {
 	tables := []struct {
 		name  string
-		write func(io.Writer, uint64, time.Duration)
+		write func(io.Writer, Setup)
 	}{{"flood", Flood}, {"alone", Alone}, {"levels", Levels}, {"shares", Shares}, {"storm", Storm}}
 	known := only == ""
 	for _, t := range tables {
 		if only == "" || only == t.name {
-			t.write(out, seed, length)
+			t.write(out, setup)
 			known = true
 		}
 	}
--- a/experiment/overload/sim.go
+++ b/experiment/overload/sim.go
@@ -15,11 +15,10 @@
 )
 
 const (
-	// meanHold is the mean time for which a request holds a slot of a server.
-	meanHold = time.Second
-	// firstTokenFixed and firstTokenPart give a request's first token after its start on a server.
+	// A request's first token follows its start on a server after firstTokenFixed
+	// and a time that varies with the length of the request, firstTokenMean on average.
 	firstTokenFixed = 20 * time.Millisecond
-	firstTokenPart  = 0.1
+	firstTokenMean  = 100 * time.Millisecond
 	// firstTokenTarget is the design's target and the deadline of each request.
 	firstTokenTarget = 670 * time.Millisecond
 	// patience is how long a caller waits for an answer before it leaves.
@@ -27,8 +26,8 @@
 	// reportInterval and hopDelay make the load reports lag.
 	reportInterval = time.Second
 	hopDelay       = 500 * time.Microsecond
-	// warmUp is left out of all figures.
-	warmUp = 20 * time.Second
+	// warmUpHolds is the time, in mean holds, that is left out of all figures.
+	warmUpHolds = 20
 )
 
 // team is a source of requests.
@@ -44,6 +43,8 @@
 	entries, servers, slots int
 	teams                   []team
 	length                  time.Duration
+	// hold is the mean time for which a request holds a slot of a server.
+	hold time.Duration
 	// fifo replaces the controller by a queue without fairness, shedding or shared capacity.
 	fifo bool
 	// fixedShare keeps each entry at an equal share, as without load reports.
@@ -62,6 +63,10 @@
 	return float64(s.servers * s.slots)
 }
 
+func (s scenario) warmUp() time.Duration {
+	return warmUpHolds * s.hold
+}
+
 type sim struct {
 	scenario
 	now     time.Time
@@ -81,7 +86,7 @@
 	m := &sim{
 		scenario: s,
 		now:      start,
-		end:      start.Add(warmUp + s.length),
+		end:      start.Add(s.warmUp() + s.length),
 		random:   rand.New(rand.NewPCG(seed, 0)),
 		result:   newResult(s),
 	}
@@ -138,7 +143,7 @@
 }
 
 func (m *sim) measured() bool {
-	return m.now.Sub(start) >= warmUp
+	return m.now.Sub(start) >= m.warmUp()
 }
 
 func (m *sim) after(d time.Duration, act func()) {
@@ -146,9 +151,9 @@
 	heap.Push(&m.events, event{at: m.now.Add(d), order: m.serial, act: act})
 }
 
-// hold draws a slot time: the sum of two exponential times, which has a moderate spread.
-func (m *sim) hold() time.Duration {
-	return exponential(m.random, meanHold/2) + exponential(m.random, meanHold/2)
+// drawHold draws a slot time: the sum of two exponential times, which has a moderate spread.
+func (m *sim) drawHold() time.Duration {
+	return exponential(m.random, m.hold/2) + exponential(m.random, m.hold/2)
 }
 
 func exponential(random *rand.Rand, mean time.Duration) time.Duration {
@@ -179,6 +184,7 @@
 	queue      []*request
 	running    int
 	pending    []int
+	others     []int
 	loads      []admission.Load
 	ticking    bool
 }
@@ -191,6 +197,7 @@
 		backoff:    retry.NewBackoff(50*time.Millisecond, time.Second, random),
 		waiting:    map[string]*request{},
 		pending:    make([]int, m.scenario.servers),
+		others:     make([]int, m.scenario.servers),
 		loads:      make([]admission.Load, m.scenario.servers),
 	}
 	e.controller.SetCapacity(m.now, admission.Capacity{Units: m.capacity(), Entries: m.scenario.entries})
@@ -272,15 +279,25 @@
 	e.try(r)
 }
 
-// pick returns the server with the fewest of this entry's attempts, a random one
-// among equals. The load reports are too old for single requests: all entries
-// would send to the server that was idle a second ago.
+// pickChoices is the number of servers with equally few own attempts that an entry compares.
+const pickChoices = 3
+
+// pick returns a server with the fewest of this entry's attempts. Among some
+// random ones of these it takes the one that was least busy with the attempts of others by
+// the last report; comparing all would send every entry's requests to the same server.
 func (e *entry) pick() int {
 	first := e.random.IntN(len(e.pending))
-	best := first
+	best, compared := first, 0
 	for i := range e.pending {
-		if s := (first + i) % len(e.pending); e.pending[s] < e.pending[best] {
-			best = s
+		s := (first + i) % len(e.pending)
+		switch {
+		case e.pending[s] < e.pending[best]:
+			best, compared = s, 1
+		case e.pending[s] == e.pending[best] && compared < pickChoices:
+			compared++
+			if e.others[s] < e.others[best] {
+				best = s
+			}
 		}
 	}
 	return best
@@ -364,6 +381,7 @@
 
 func (e *entry) observe(server int, load admission.Load) {
 	e.loads[server] = load
+	e.others[server] = max(int(load.Running+load.Queued)-e.pending[server], 0)
 	if e.m.fifo || e.m.fixedShare {
 		return
 	}
@@ -418,11 +436,11 @@
 
 func (s *server) start(j *job) {
 	s.running++
-	hold := s.m.hold()
+	hold := s.m.drawHold()
 	if s.id < s.m.slow {
 		hold = time.Duration(float64(hold) * s.m.slowFactor)
 	}
-	first := firstTokenFixed + time.Duration(float64(hold)*firstTokenPart)
+	first := firstTokenFixed + time.Duration(float64(hold)/float64(s.m.hold)*float64(firstTokenMean))
 	e := j.request.entry
 	s.m.after(first+hopDelay, func() { e.firstToken(j.request, j.number) })
 	s.m.after(max(hold, first), func() {
--- a/experiment/overload/tables.go
+++ b/experiment/overload/tables.go
@@ -9,21 +9,35 @@
 )
 
 // The scenarios have 40 servers with 8 slots each, like the smaller of the
-// users' fleets, and four entries. With a mean hold of a second the capacity is 320 requests a second.
+// users' fleets, and four entries.
 const (
 	serverCount = 40
 	slotCount   = 8
 	entryCount  = 4
-	capacityRPS = serverCount * slotCount
 	quietTeams  = 9
-	// quietRPS is what the nine quiet teams offer together: about half of the capacity.
-	quietRPS = 153
-	// floodRPS is what the flooding team offers: three times the capacity.
-	floodRPS = 3 * capacityRPS
+	// quietLevel and floodLevel are what the quiet teams and the flooding team
+	// offer, as a multiple of the capacity.
+	quietLevel = 0.48
+	floodLevel = 3.0
 )
 
-func base(length time.Duration) scenario {
-	return scenario{entries: entryCount, servers: serverCount, slots: slotCount, length: length}
+// Setup is what all tables of a run have in common.
+type Setup struct {
+	// Seed sets arrivals and service times.
+	Seed uint64
+	// Length is the virtual time of each run after its warm-up.
+	Length time.Duration
+	// Hold is the mean time for which a request holds a slot of a server.
+	Hold time.Duration
+}
+
+// rate is a load level in requests a second.
+func (u Setup) rate(level float64) float64 {
+	return level * serverCount * slotCount / u.Hold.Seconds()
+}
+
+func (u Setup) base() scenario {
+	return scenario{entries: entryCount, servers: serverCount, slots: slotCount, length: u.Length, hold: u.Hold}
 }
 
 // evenly spreads a rate over the entries.
@@ -39,10 +53,10 @@
 	return rates
 }
 
-func quiet() []team {
+func (u Setup) quiet() []team {
 	teams := make([]team, quietTeams)
 	for i := range teams {
-		teams[i] = team{name: fmt.Sprint("quiet-", i), weight: 1, perSecond: evenly(quietRPS / quietTeams)}
+		teams[i] = team{name: fmt.Sprint("quiet-", i), weight: 1, perSecond: evenly(u.rate(quietLevel) / quietTeams)}
 	}
 	return teams
 }
@@ -62,6 +76,10 @@
 	fmt.Fprintln(out)
 }
 
+func (u Setup) title(text string) string {
+	return fmt.Sprintf("%s (capacity %.1f/s, mean hold %s, seed %d)", text, u.rate(1), u.Hold, u.Seed)
+}
+
 func millis(d time.Duration) string {
 	return fmt.Sprintf("%.0f ms", float64(d.Microseconds())/1000)
 }
@@ -71,18 +89,18 @@
 func perSecond(n int, r *result) string { return fmt.Sprintf("%.1f", float64(n)/r.seconds) }
 
 // Flood shows what a flooding team does to the others, without and with the controller.
-func Flood(out io.Writer, seed uint64, length time.Duration) {
+func Flood(out io.Writer, u Setup) {
 	rows := [][]string{{"admission", "flood", "others' p50", "others' p95", "p95 moved", "others shed", "others left", "flood served/s", "busy"}}
 	for _, fifo := range []bool{true, false} {
 		calm := time.Duration(0)
 		for _, flooded := range []bool{false, true} {
-			s := base(length)
+			s := u.base()
 			s.fifo = fifo
-			s.teams = quiet()
+			s.teams = u.quiet()
 			if flooded {
-				s.teams = append(s.teams, team{name: "flood", weight: 1, perSecond: evenly(floodRPS)})
+				s.teams = append(s.teams, team{name: "flood", weight: 1, perSecond: evenly(u.rate(floodLevel))})
 			}
-			r := run(seed, s)
+			r := run(u.Seed, s)
 			q := r.sum(isQuiet)
 			p95 := q.quantile(95)
 			moved := "-"
@@ -97,7 +115,7 @@
 			})
 		}
 	}
-	table(out, "Flood: nine teams offer 153/s, one floods with 960/s, capacity 320/s", rows)
+	table(out, u.title("Flood: nine teams offer 48% of the capacity, one floods with 300%"), rows)
 }
 
 func name(fifo bool) string {
@@ -108,25 +126,25 @@
 }
 
 // Alone shows how much of the capacity one large team without others gets.
-func Alone(out io.Writer, seed uint64, length time.Duration) {
+func Alone(out io.Writer, u Setup) {
 	rows := [][]string{{"offered/s", "served/s", "busy"}}
-	s := base(length)
-	s.teams = []team{{name: "large", weight: 1, perSecond: evenly(1.5 * capacityRPS)}}
-	r := run(seed, s)
+	s := u.base()
+	s.teams = []team{{name: "large", weight: 1, perSecond: evenly(u.rate(1.5))}}
+	r := run(u.Seed, s)
 	t := r.sum(everyTeam)
 	rows = append(rows, []string{perSecond(t.offered(), r), perSecond(t.completed, r), percent(100 * mean(r.busies))})
-	table(out, "One large team alone at 150% of the capacity", rows)
+	table(out, u.title("One large team alone at 150% of the capacity"), rows)
 }
 
 var loadLevels = []float64{0.5, 1, 1.5, 3}
 
 // Levels shows what is served at several levels of load.
-func Levels(out io.Writer, seed uint64, length time.Duration) {
+func Levels(out io.Writer, u Setup) {
 	rows := [][]string{{"admission", "load", "offered/s", "goodput/s", "of that at 100%", "shed", "left", "p95", "shed answer p95", "busy", "peak load"}}
 	for _, fifo := range []bool{true, false} {
 		full := 0.0
 		for _, level := range loadLevels {
-			r := run(seed, atLevel(level, fifo, length))
+			r := run(u.Seed, u.atLevel(level, fifo))
 			t := r.sum(everyTeam)
 			goodput := float64(t.good) / r.seconds
 			if level == 1 {
@@ -144,31 +162,31 @@
 			})
 		}
 	}
-	table(out, "Load levels: ten equal teams, capacity 320/s; goodput counts first tokens within 0.67 s", rows)
+	table(out, u.title("Load levels: ten equal teams; goodput counts first tokens within 0.67 s"), rows)
 }
 
-func atLevel(level float64, fifo bool, length time.Duration) scenario {
-	s := base(length)
+func (u Setup) atLevel(level float64, fifo bool) scenario {
+	s := u.base()
 	s.fifo = fifo
 	for i := range 10 {
-		s.teams = append(s.teams, team{name: fmt.Sprint("team-", i), weight: 1, perSecond: evenly(level * capacityRPS / 10)})
+		s.teams = append(s.teams, team{name: fmt.Sprint("team-", i), weight: 1, perSecond: evenly(u.rate(level) / 10)})
 	}
 	return s
 }
 
 // Shares shows how four entries with unlike demand divide the capacity.
-func Shares(out io.Writer, seed uint64, length time.Duration) {
+func Shares(out io.Writer, u Setup) {
 	rows := [][]string{{"share", "load", "entry", "demand", "running", "goodput/s in all", "busy", "peak load"}}
 	parts := []float64{0.5, 0.25, 0.125, 0.125}
 	for _, level := range []float64{0.9, 3} {
 		for _, fixed := range []bool{true, false} {
-			s := base(length)
+			s := u.base()
 			s.fixedShare = fixed
-			s.teams = []team{{name: "all", weight: 1, perSecond: split(level*capacityRPS, parts...)}}
-			rows = append(rows, shareRows(run(seed, s), level, fixed, parts)...)
+			s.teams = []team{{name: "all", weight: 1, perSecond: split(u.rate(level), parts...)}}
+			rows = append(rows, shareRows(run(u.Seed, s), level, fixed, parts)...)
 		}
 	}
-	table(out, "Four entries share the capacity; only load reports pass, one a second from each server", rows)
+	table(out, u.title("Four entries share the capacity; only load reports pass, one a second from each server"), rows)
 }
 
 func shareRows(r *result, level float64, fixed bool, parts []float64) [][]string {
@@ -194,28 +212,28 @@
 
 // Storm shows retries while a third of the servers is slow. The others carry
 // about 69% of the full capacity.
-func Storm(out io.Writer, seed uint64, length time.Duration) {
+func Storm(out io.Writer, u Setup) {
 	rows := [][]string{{"admission", "load", "retries", "attempts a request", "completed", "goodput/s", "p95", "shed", "busy", "peak load"}}
 	for _, fifo := range []bool{true, false} {
 		for _, level := range []float64{0.6, 0.75} {
 			for _, kind := range []string{"none", "without budget", "with budget"} {
-				rows = append(rows, stormRow(seed, length, fifo, level, kind))
+				rows = append(rows, stormRow(u, fifo, level, kind))
 			}
 		}
 	}
-	table(out, "Retry storm: 13 of 40 servers take 20 times as long, attempts time out after 1 s and go on at the server", rows)
+	table(out, u.title("Retry storm: 13 of 40 servers take 20 times as long, attempts time out after 1 s and go on at the server"), rows)
 }
 
-func stormRow(seed uint64, length time.Duration, fifo bool, level float64, kind string) []string {
-	s := base(length)
+func stormRow(u Setup, fifo bool, level float64, kind string) []string {
+	s := u.base()
 	s.fifo = fifo
-	s.teams = []team{{name: "all", weight: 1, perSecond: evenly(level * capacityRPS)}}
+	s.teams = []team{{name: "all", weight: 1, perSecond: evenly(u.rate(level))}}
 	s.slow, s.slowFactor = serverCount/3, 20
 	s.attempts, s.budget = 4, kind == "with budget"
 	if kind == "none" {
 		s.attempts = 1
 	}
-	r := run(seed, s)
+	r := run(u.Seed, s)
 	t := r.sum(everyTeam)
 	began := max(t.completed+t.failed, 1)
 	return []string{
