Keep calls and answers through lost and silent connections

Cause: a plain call whose connection was lost was answered "unknown" at once, although its sidecar knew the outcome. A silent stream was found by a check once a second, up to 4 s after its last frame; the sidecar's side of it never ended, because Recv stayed blocked, so that the attempts of an entry that was gone were never freed. An answer that ends where its connection ends passed as whole. A peer could connect and say nothing for ever, and an answer of any size was read into memory as fast as the backend server gave it.

Change: after a reconnection to the same incarnation the entry asks for the call (Recall). The sidecar keeps answers until the entry releases them, for 10 s and 32 MiB at most; a call that never arrived is refused for good and may go elsewhere. Another incarnation means unknown. Idempotent calls go elsewhere at once. Plain calls use a transport without kept connections and a body that cannot be sent again. Answers with neither length nor chunks are failed with executed yes. A silent stream ends exactly 3 s after its last frame, on both sides; the sidecar closes the transport. An unanswered probe makes the entry redial: when another stage proves that the chain goes on, or when there is no other chain, the attempt resumes by token index. A hop without acknowledgements for 250 ms, or 4 times what frames of its size take, is replaced. A first frame must come within 3 s. An answer waits while 256 frames wait for its entry.

A call on a silent link still waits for the 3 s limit, because a call has no progress to watch.

--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -59,7 +59,12 @@
 	Address string
 	// BackendURL is where the backend server listens.
 	BackendURL string
-	stop       context.CancelFunc
+	options    sidecar.Options
+	// stop ends the node, stopSidecar its sidecar only.
+	stop, stopSidecar context.CancelFunc
+	restart           func() error
+	// ended is closed when the sidecar has ended.
+	ended <-chan struct{}
 }
 
 // Kill ends the sidecar and its backend server at once.
@@ -141,25 +146,47 @@
 	if err != nil {
 		return err
 	}
-	listener, err := c.listen(node.ID)
-	if err != nil {
-		return err
-	}
 	opts.Backend = url
 	opts.Dialer.DialContext = c.dialer(node.ID)
 	opts.DialBackend = c.dialer(node.ID)
 	node.BackendURL = url
-	node.Address = listener.Addr().String()
-	node.Sidecar = sidecar.New(opts)
+	node.options = opts
 	c.Nodes = append(c.Nodes, node)
+	return c.startSidecar(ctx, node)
+}
+
+// startSidecar starts a sidecar that ends by itself or with its node.
+func (c *Cluster) startSidecar(ctx context.Context, node *Node) error {
+	listener, err := c.listen(node.ID)
+	if err != nil {
+		return err
+	}
+	parent := ctx
+	ctx, node.stopSidecar = context.WithCancel(parent)
+	node.restart = func() error { return c.startSidecar(parent, node) }
+	node.Address = listener.Addr().String()
+	server := sidecar.New(node.options)
+	node.Sidecar = server
+	ended := make(chan struct{})
+	node.ended = ended
 	c.wg.Add(1)
 	go func() {
 		defer c.wg.Done()
-		_ = node.Sidecar.Serve(ctx, listener)
+		defer close(ended)
+		_ = server.Serve(ctx, listener)
 	}()
 	return nil
 }
 
+// Restart ends a node's sidecar and starts a new incarnation. The backend
+// server goes on. It needs an in-memory network, where the address stays.
+func (c *Cluster) Restart(id string) error {
+	node := c.Node(id)
+	node.stopSidecar()
+	<-node.ended
+	return node.restart()
+}
+
 // backendSuffix joined to a node's name is the address of its backend server on an in-memory network.
 const backendSuffix = ".backend"
 
@@ -184,7 +211,12 @@
 	if err != nil {
 		return "", err
 	}
-	server := &http.Server{Handler: handler}
+	var handlers sync.WaitGroup
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		handlers.Add(1)
+		defer handlers.Done()
+		handler.ServeHTTP(w, r)
+	})}
 	c.wg.Add(2)
 	go func() {
 		defer c.wg.Done()
@@ -194,6 +226,7 @@
 		defer c.wg.Done()
 		<-ctx.Done()
 		_ = server.Close()
+		handlers.Wait()
 	}()
 	return "http://" + listener.Addr().String(), nil
 }
--- a/entry/call.go
+++ b/entry/call.go
@@ -7,7 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/sapphirefield/sapphirefield/admission"
@@ -189,22 +188,31 @@
 	}
 	defer p.forget(ex.key)
 	c.sendBody(p, number)
-	answer := newPlainAnswer()
+	run := &callRun{call: c, peer: p, ex: ex, answer: newPlainAnswer()}
+	timer := time.NewTimer(c.timeout)
+	defer timer.Stop()
+	run.timer = timer
 	for {
 		select {
 		case <-ctx.Done():
 			return nil, c.withdraw(p, ex)
+		case <-timer.C:
+			return nil, nil
 		case <-ex.events.Ready():
-			events, _ := ex.events.Take()
+			events, open := ex.events.Take()
 			for _, event := range events {
-				over, whole := c.handle(event, number, answer)
+				over, whole := run.handle(event)
 				if whole {
-					return answer, nil
+					run.release()
+					return run.answer, nil
 				}
 				if over {
 					return nil, nil
 				}
 			}
+			if !open {
+				return nil, nil
+			}
 		}
 	}
 }
@@ -229,29 +237,6 @@
 	}
 }
 
-// handle returns whether the attempt is over and whether its answer is whole.
-func (c *plainCall) handle(event peerEvent, number uint32, answer *plainAnswer) (over, whole bool) {
-	if event.kind != peerFrame {
-		return true, false
-	}
-	switch body := event.frame.Body.(type) {
-	case *wire.WorkDown_Refused:
-		c.request.Observe(number, executedFromWire(body.Refused.Executed))
-		return true, false
-	case *wire.WorkDown_Failed:
-		c.request.Observe(number, executedFromWire(body.Failed.Executed))
-		return true, false
-	case *wire.WorkDown_CallHead:
-		c.request.Observe(number, attempt.ExecutedYes)
-		answer.head = body.CallHead
-	case *wire.WorkDown_CallBody:
-		answer.add(body.CallBody)
-	case *wire.WorkDown_CallEnd:
-		return true, answer.isWhole(body.CallEnd)
-	}
-	return false, false
-}
-
 // withdrawTimeout bounds the wait for a sidecar's answer to a withdrawal.
 const withdrawTimeout = time.Second
 
@@ -290,39 +275,3 @@
 		return attempt.ExecutedUnknown
 	}
 }
-
-// plainAnswer collects an answer until it is known to be whole, so that the
-// caller never gets a truncated one under a successful status.
-type plainAnswer struct {
-	head   *wire.CallHead
-	body   []byte
-	next   uint64
-	broken bool
-	digest *xxhash.Digest
-}
-
-func newPlainAnswer() *plainAnswer { return &plainAnswer{digest: xxhash.New()} }
-
-func (a *plainAnswer) add(part *wire.CallBody) {
-	if part.Sequence != a.next {
-		a.broken = true
-		return
-	}
-	a.next++
-	a.body = append(a.body, part.Data...)
-	_, _ = a.digest.Write(part.Data)
-}
-
-func (a *plainAnswer) isWhole(end *wire.CallEnd) bool {
-	return a.head != nil && !a.broken && uint64(len(a.body)) == end.Length && a.digest.Sum64() == end.Digest
-}
-
-func (a *plainAnswer) write(w http.ResponseWriter) {
-	for _, h := range a.head.Headers {
-		if !hopHeaders[h.Name] {
-			w.Header().Add(h.Name, h.Value)
-		}
-	}
-	w.WriteHeader(int(a.head.Status))
-	_, _ = w.Write(a.body)
-}
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -68,6 +68,8 @@
 	hello   *wire.Hello
 	load    *wire.Load
 	pending map[attempt.Key]pendingExchange
+	// drop ends the present connection.
+	drop context.CancelCauseFunc
 	// silent is set when the sidecar left a question unanswered, until its next frame.
 	silent bool
 	// beatAt is when the heartbeat with number beat was sent; rtt is the
@@ -107,6 +109,11 @@
 	p.mu.Lock()
 	address := p.address
 	p.mu.Unlock()
+	ctx, drop := context.WithCancelCause(ctx)
+	defer drop(nil)
+	p.mu.Lock()
+	p.drop = drop
+	p.mu.Unlock()
 	conn, err := p.server.opts.Dialer.Dial(ctx, address)
 	if err != nil {
 		return err
@@ -122,15 +129,14 @@
 	group.Go(func() error {
 		// Closing the connection ends the receiving side as well.
 		defer func() { _ = conn.Close() }()
-		return p.send(ctx, stream, queue, silence)
+		return p.send(ctx, stream, queue)
 	})
+	group.Go(func() error { return silence.Watch(ctx) })
 	group.Go(func() error { return p.receive(stream, queue, silence) })
 	return group.Wait()
 }
 
-var errSilent = errors.New("stream was silent for longer than the limit")
-
-func (p *peer) send(ctx context.Context, stream wire.DRPCSidecar_WorkClient, queue *link.Queue[*wire.WorkUp], silence *link.Silence) error {
+func (p *peer) send(ctx context.Context, stream wire.DRPCSidecar_WorkClient, queue *link.Queue[*wire.WorkUp]) error {
 	hello := &wire.Hello{Id: p.server.opts.ID, Incarnation: p.server.incarnation, Zone: p.server.opts.Zone}
 	if err := stream.Send(&wire.WorkUp{Body: &wire.WorkUp_Hello{Hello: hello}}); err != nil {
 		return errors.WithStack(err)
@@ -143,9 +149,6 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case at := <-ticker.C:
-			if silence.Expired(at) {
-				return errSilent
-			}
 			sequence++
 			p.beatSent(sequence, at)
 			beat := &wire.Heartbeat{Sequence: sequence}
@@ -173,7 +176,7 @@
 			return errors.WithStack(err)
 		}
 		if !silence.Frame(time.Now()) {
-			return errSilent
+			return link.ErrSilent
 		}
 		p.handle(frame, queue)
 	}
@@ -267,6 +270,15 @@
 	}
 }
 
+// redial replaces a connection on which questions stay unanswered.
+func (p *peer) redial() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.silent && p.drop != nil {
+		p.drop(link.ErrSilent)
+	}
+}
+
 func (p *peer) answered() {
 	p.mu.Lock()
 	changed := p.silent
--- a/entry/progress.go
+++ b/entry/progress.go
@@ -71,6 +71,11 @@
 		w.gap += gapGain * (gap - w.gap)
 	}
 	w.lastToken = at
+	w.restart(at)
+}
+
+// restart begins a new wait, after stages were lost that the attempt still waits for.
+func (w *progressWatch) restart(at time.Time) {
 	w.quietSince = at
 	w.probedAt = time.Time{}
 	w.previous = nil
@@ -127,6 +132,17 @@
 	return true
 }
 
+// movesWithout tells whether the chain generates tokens that do not arrive: a
+// stage that finished the step after the next token proves that the token exists.
+func (w *progressWatch) movesWithout(received uint32) bool {
+	for _, s := range w.stages {
+		if s.answered && s.next > received+1 {
+			return true
+		}
+	}
+	return false
+}
+
 // unknown lists stages that hold the attempt no longer.
 func (w *progressWatch) unknown() []int {
 	var lost []int
--- a/entry/stagerun.go
+++ b/entry/stagerun.go
@@ -15,6 +15,9 @@
 // when no other chain is available. Sidecars keep attempts for as long.
 const resumeLimit = 10 * time.Second
 
+// redialLimit is how long a new connection to a stage that works may take.
+const redialLimit = 400 * time.Millisecond
+
 // stageRun is one attempt on one chain.
 type stageRun struct {
 	g      *generation
@@ -26,6 +29,8 @@
 	watch   *progressWatch
 	// absent holds the stages without a connection and when it was lost.
 	absent map[*peer]time.Time
+	// holdUntil keeps absent stages from being replaced while they are known to work.
+	holdUntil time.Time
 	// resuming is set while tokens that were missed are on their way again.
 	resuming bool
 }
@@ -119,6 +124,8 @@
 		r.stageLost(event.peer.id, "restarted")
 		return true, nil
 	}
+	// A stage that was only slow to answer takes part again.
+	delete(r.absent, event.peer)
 	switch body := event.frame.Body.(type) {
 	case *wire.WorkDown_Opened:
 		r.stageOpened(event.peer)
@@ -190,13 +197,38 @@
 	if action.probe {
 		r.probe()
 	}
+	if len(action.lost) == 0 {
+		return false, next
+	}
+	if action.silent {
+		return r.stagesSilent(action.lost, at), at.Add(minPatience)
+	}
 	for _, i := range action.lost {
-		if action.silent {
-			r.peers[i].suspect()
-		}
 		r.stageLost(r.peers[i].id, "no progress")
 	}
-	return len(action.lost) > 0, next
+	return true, at
+}
+
+// stagesSilent replaces stages that do not answer. When there is no other
+// chain, the attempt waits for new connections to them.
+func (r *stageRun) stagesSilent(positions []int, at time.Time) (over bool) {
+	for _, i := range positions {
+		p := r.peers[i]
+		p.suspect()
+		r.absent[p] = at
+	}
+	if r.watch.movesWithout(uint32(len(r.g.tokens))) {
+		// Only the link is silent. A new connection is cheaper than a replay.
+		r.holdUntil = at.Add(redialLimit)
+	}
+	if r.replaceAbsent(at) || !r.started {
+		return true
+	}
+	for _, i := range positions {
+		r.peers[i].redial()
+	}
+	r.watch.restart(at)
+	return false
 }
 
 func (r *stageRun) probe() {
@@ -228,14 +260,21 @@
 }
 
 func (r *stageRun) replaceAbsent(at time.Time) bool {
+	if len(r.absent) == 0 || r.started && at.Before(r.holdUntil) {
+		return false
+	}
+	expired := false
 	for p, since := range r.absent {
 		r.g.exclude[p.id] = true
-		if r.g.plan() || at.Sub(since) > resumeLimit {
-			r.stageLost(p.id, "connection lost")
-			return true
-		}
+		expired = expired || at.Sub(since) > resumeLimit
 	}
-	return false
+	if !expired && !r.g.plan() {
+		return false
+	}
+	for p := range r.absent {
+		r.stageLost(p.id, "connection lost")
+	}
+	return true
 }
 
 // connectionBack goes on with the attempt on a new connection to the same
--- a/link/link.go
+++ b/link/link.go
@@ -6,12 +6,14 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcctx"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -98,30 +100,78 @@
 	return config
 }
 
+// acceptPause is the wait after a failed Accept, for example for lack of file descriptors.
+const acceptPause = 100 * time.Millisecond
+
 // Serve answers calls on a listener until ctx ends. With a TLS configuration
 // the listener requires the peer's certificate.
 func Serve(ctx context.Context, listener net.Listener, tlsConfig *tls.Config, mux *drpcmux.Mux) error {
-	var wrapped net.Listener = deadlineListener{listener}
-	if tlsConfig != nil {
-		wrapped = tls.NewListener(wrapped, tlsConfig)
-	}
 	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
-	return errors.WithStack(server.Serve(ctx, wrapped))
+	ctx, cancel := context.WithCancel(ctx)
+	var streams sync.WaitGroup
+	defer streams.Wait()
+	defer cancel()
+	streams.Go(func() {
+		<-ctx.Done()
+		_ = listener.Close()
+	})
+	for {
+		conn, err := listener.Accept()
+		switch {
+		case err == nil:
+			transport := accepted(conn, tlsConfig)
+			streams.Go(func() { _ = server.ServeOne(drpcctx.WithTransport(ctx, transport), transport) })
+		case ctx.Err() != nil:
+			return nil
+		case errors.Is(err, net.ErrClosed):
+			return errors.WithStack(err)
+		default:
+			time.Sleep(acceptPause)
+		}
+	}
 }
 
-func managerOptions() drpcmanager.Options {
-	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxFrameBytes}}
+func accepted(conn net.Conn, tlsConfig *tls.Config) net.Conn {
+	wrapped := net.Conn(&firstReadConn{Conn: deadlineConn{Conn: conn, written: new(atomic.Int64)}})
+	if tlsConfig == nil {
+		return wrapped
+	}
+	return tls.Server(wrapped, tlsConfig)
 }
 
-type deadlineListener struct{ net.Listener }
+// Abort closes the connection of the call that a handler serves, so that a
+// blocked Recv returns.
+func Abort(ctx context.Context) {
+	if transport, found := drpcctx.Transport(ctx); found {
+		_ = transport.Close()
+	}
+}
 
-// Accept wraps the connection so that writes have a deadline.
-func (l deadlineListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
+// firstReadConn bounds the wait for a peer's first data. A peer that connects
+// and says nothing would otherwise keep the connection for ever.
+type firstReadConn struct {
+	net.Conn
+	begun bool
+}
+
+// Read is called by one goroutine.
+func (c *firstReadConn) Read(p []byte) (int, error) {
+	if c.begun {
+		return c.Conn.Read(p)
+	}
+	if err := c.SetReadDeadline(time.Now().Add(SilenceLimit)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(p)
 	if err != nil {
-		return nil, err
+		return n, err
 	}
-	return deadlineConn{Conn: conn, written: new(atomic.Int64)}, nil
+	c.begun = true
+	return n, c.SetReadDeadline(time.Time{})
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxFrameBytes}}
 }
 
 // writeChunkBytes is the part of a write that must pass within writeTimeout. A
--- a/link/queue.go
+++ b/link/queue.go
@@ -1,6 +1,9 @@
 package link
 
-import "sync"
+import (
+	"context"
+	"sync"
+)
 
 // Queue hands frames from many goroutines to the one that writes a stream. It
 // never blocks a producer; the consumer takes all waiting frames at once, so
@@ -11,6 +14,8 @@
 	closed bool
 	limit  int
 	ready  chan struct{}
+	// taken is closed by the next Take; nil while nobody waits for it.
+	taken chan struct{}
 }
 
 // NewQueue returns a queue that closes itself when more than limit items wait.
@@ -42,14 +47,46 @@
 	defer q.mu.Unlock()
 	items := q.items
 	q.items = nil
+	q.release()
 	return items, !q.closed
 }
 
+// WaitBelow blocks while limit or more items wait in an open queue. It slows a
+// producer of bulk data down to the speed of the consumer.
+func (q *Queue[T]) WaitBelow(ctx context.Context, limit int) error {
+	for {
+		q.mu.Lock()
+		if q.closed || len(q.items) < limit {
+			q.mu.Unlock()
+			return nil
+		}
+		if q.taken == nil {
+			q.taken = make(chan struct{})
+		}
+		taken := q.taken
+		q.mu.Unlock()
+		select {
+		case <-taken:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// release must be called with the lock held.
+func (q *Queue[T]) release() {
+	if q.taken != nil {
+		close(q.taken)
+		q.taken = nil
+	}
+}
+
 // Close makes further pushes fail.
 func (q *Queue[T]) Close() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.closed = true
+	q.release()
 	q.signal()
 }
 
--- a/link/silence.go
+++ b/link/silence.go
@@ -1,10 +1,16 @@
 package link
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
+// ErrSilent ends a stream that carried nothing for longer than the limit.
+var ErrSilent = errors.New("stream was silent for longer than the limit")
+
 // Silence tells when a stream last carried a frame from the peer. It is safe
 // for concurrent use.
 type Silence struct {
@@ -34,3 +40,22 @@
 func (s *Silence) Expired(now time.Time) bool {
 	return now.UnixNano()-s.last.Load() > int64(s.limit)
 }
+
+// Watch returns ErrSilent as soon as the stream has been silent for the limit,
+// or nil when ctx ends first.
+func (s *Silence) Watch(ctx context.Context) error {
+	timer := time.NewTimer(s.limit)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+		}
+		left := time.Until(time.Unix(0, s.last.Load()).Add(s.limit))
+		if left <= 0 {
+			return ErrSilent
+		}
+		timer.Reset(left)
+	}
+}
--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sapphirefield/sapphirefield/attempt"
+	"github.com/sapphirefield/sapphirefield/link"
 	"github.com/sapphirefield/sapphirefield/wire"
 )
 
@@ -24,13 +25,18 @@
 
 // call is one plain request in progress.
 type call struct {
-	key    attempt.Key
-	entry  string
-	head   *wire.Call
-	body   []byte
-	next   uint64
-	ctx    context.Context
-	cancel context.CancelFunc
+	key   attempt.Key
+	entry string
+	head  *wire.Call
+	body  []byte
+	next  uint64
+	// begun is set once the call is handed to the backend server.
+	begun bool
+	// bodyWhole is set once the last part of the request's body has arrived.
+	bodyWhole bool
+	kept      keptAnswer
+	ctx       context.Context
+	cancel    context.CancelFunc
 }
 
 // The handle methods must be called with the lock held.
@@ -61,36 +67,48 @@
 	}
 }
 
-func (s *Server) handleCallBody(part *wire.CallBody) {
+func (s *Server) handleCallBody(entry string, part *wire.CallBody, now time.Time) {
 	key := attempt.Key{Request: part.Request, Number: part.Attempt}
 	c := s.calls[key]
-	if c == nil || part.Sequence != c.next {
+	if c == nil || c.entry != entry || c.bodyWhole || part.Sequence != c.next {
 		return
 	}
 	c.next++
 	c.body = append(c.body, part.Data...)
 	if len(c.body) > s.opts.MaxBodyBytes {
-		s.endCall(c, attempt.ExecutedNo)
+		s.endCall(c, attempt.ExecutedNo, now)
 		s.refuse(c.entry, key, wire.RefusalReason_REFUSAL_OVERLOADED)
 		return
 	}
 	if part.Last {
+		c.bodyWhole = true
 		s.start(func() { s.runCall(c) })
 	}
 }
 
 // endCall frees a call; it must be called with the lock held.
-func (s *Server) endCall(c *call, executed attempt.Executed) {
+func (s *Server) endCall(c *call, executed attempt.Executed, now time.Time) {
 	c.cancel()
 	delete(s.calls, c.key)
 	if executed == attempt.ExecutedNo {
-		s.ledger.Withdraw(c.key, time.Now())
+		s.ledger.Withdraw(c.key, now)
+		s.dropKept(&c.kept)
 	} else {
-		s.ledger.Finish(c.key, time.Now())
+		s.ledger.Finish(c.key, now)
+		s.keep(c, now)
 	}
 	s.checkIdle()
 }
 
+// endUnfinishedUploads frees calls whose body did not arrive in their time.
+func (s *Server) endUnfinishedUploads(now time.Time) {
+	for _, c := range s.calls {
+		if !c.begun && c.ctx.Err() != nil {
+			s.endCall(c, attempt.ExecutedNo, now)
+		}
+	}
+}
+
 // runCall hands a call to the backend server once, and its answer to the entry.
 func (s *Server) runCall(c *call) {
 	if !s.beginCall(c) {
@@ -105,18 +123,15 @@
 	if err := s.relayAnswer(c, resp); err != nil {
 		// The backend server began to answer, so the call did run.
 		s.failCall(c, attempt.ExecutedYes, err)
-		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.endCall(c, attempt.ExecutedYes)
 }
 
 // beginCall returns false when the call was withdrawn before it could run.
 func (s *Server) beginCall(c *call) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.ledger.Begin(c.key) {
+	if s.calls[c.key] == c && s.ledger.Begin(c.key) {
+		c.begun = true
 		return true
 	}
 	c.cancel()
@@ -127,20 +142,29 @@
 
 // sendCall uses a fresh connection for each call: the HTTP client repeats a
 // request on a second connection when a kept one turns out to be closed, also
-// a POST that carries an Idempotency-Key, and that could run it twice.
+// a POST that carries an Idempotency-Key, and that could run it twice. The body
+// is given as a plain reader, so that the client could not send it again.
 func (s *Server) sendCall(c *call) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(c.ctx, c.head.Method, s.opts.Backend+c.head.Path, bytes.NewReader(c.body))
+	req, err := http.NewRequestWithContext(c.ctx, c.head.Method, s.opts.Backend+c.head.Path, requestBody(c))
 	if err != nil {
 		return nil, &notSentError{err}
 	}
+	req.ContentLength = int64(len(c.body))
 	req.Close = true
 	for _, h := range c.head.Headers {
 		req.Header.Add(h.Name, h.Value)
 	}
-	resp, err := s.client.Transport.RoundTrip(req)
+	resp, err := s.caller.RoundTrip(req)
 	return resp, errors.WithStack(err)
 }
 
+func requestBody(c *call) io.Reader {
+	if len(c.body) == 0 {
+		return nil
+	}
+	return io.NopCloser(bytes.NewReader(c.body))
+}
+
 // notSentError marks a failure before anything reached the backend server.
 type notSentError struct{ error }
 
@@ -161,15 +185,26 @@
 func (s *Server) failCall(c *call, executed attempt.Executed, cause error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.endCall(c, executed)
-	s.toEntry(c.entry, &wire.WorkDown{Body: &wire.WorkDown_Failed{Failed: &wire.Failed{
-		Request: c.key.Request, Attempt: c.key.Number, Executed: wireExecuted(executed), Reason: cause.Error(),
-	}}})
+	s.answer(c, failedFrame(c.key, executed, cause.Error()))
+	s.endCall(c, executed, time.Now())
+}
+
+var errNoLength = errors.New("answer of the backend server has neither a length nor chunks, so that it cannot be known to be whole")
+
+// checkDelimited refuses an answer that ends where the connection ends.
+func checkDelimited(resp *http.Response) error {
+	if resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Request.Method == http.MethodHead {
+		return nil
+	}
+	return errNoLength
 }
 
 // relayAnswer passes an answer on in parts, closed by its length and digest.
 func (s *Server) relayAnswer(c *call, resp *http.Response) error {
-	s.sendDown(c.entry, &wire.WorkDown{Body: &wire.WorkDown_CallHead{CallHead: &wire.CallHead{
+	if err := checkDelimited(resp); err != nil {
+		return err
+	}
+	s.sendAnswer(c, &wire.WorkDown{Body: &wire.WorkDown_CallHead{CallHead: &wire.CallHead{
 		Request: c.key.Request, Attempt: c.key.Number, Status: int32(resp.StatusCode), Headers: answerHeaders(resp.Header),
 	}}})
 	digest := xxhash.New()
@@ -180,7 +215,10 @@
 		if n > 0 {
 			_, _ = digest.Write(buffer[:n])
 			length += uint64(n)
-			s.sendDown(c.entry, &wire.WorkDown{Body: &wire.WorkDown_CallBody{CallBody: &wire.CallBody{
+			if err := s.waitForEntry(c); err != nil {
+				return err
+			}
+			s.sendAnswer(c, &wire.WorkDown{Body: &wire.WorkDown_CallBody{CallBody: &wire.CallBody{
 				Request: c.key.Request, Attempt: c.key.Number, Sequence: sequence, Data: bytes.Clone(buffer[:n]),
 			}}})
 			sequence++
@@ -192,16 +230,41 @@
 			return errors.Wrap(err, "answer of the backend server is not whole")
 		}
 	}
-	s.sendDown(c.entry, &wire.WorkDown{Body: &wire.WorkDown_CallEnd{CallEnd: &wire.CallEnd{
-		Request: c.key.Request, Attempt: c.key.Number, Length: length, Digest: digest.Sum64(),
-	}}})
+	s.finishCall(c, length, digest.Sum64())
 	return nil
 }
 
-func (s *Server) sendDown(entry string, frame *wire.WorkDown) {
+func (s *Server) finishCall(c *call, length, digest uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answer(c, &wire.WorkDown{Body: &wire.WorkDown_CallEnd{CallEnd: &wire.CallEnd{
+		Request: c.key.Request, Attempt: c.key.Number, Length: length, Digest: digest,
+	}}})
+	s.endCall(c, attempt.ExecutedYes, time.Now())
+}
+
+// maxWaitingParts is how many frames may wait for an entry before a call's
+// answer is read further. It bounds the memory that a slow link costs.
+const maxWaitingParts = 256
+
+// waitForEntry holds an answer back while its entry does not keep up.
+func (s *Server) waitForEntry(c *call) error {
+	s.mu.Lock()
+	var queue *link.Queue[*wire.WorkDown]
+	if e := s.entries[c.entry]; e != nil {
+		queue = e.queue
+	}
+	s.mu.Unlock()
+	if queue == nil {
+		return nil
+	}
+	return queue.WaitBelow(c.ctx, maxWaitingParts)
+}
+
+func (s *Server) sendAnswer(c *call, frame *wire.WorkDown) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.toEntry(entry, frame)
+	s.answer(c, frame)
 }
 
 func answerHeaders(header http.Header) []*wire.Header {
--- a/sidecar/engine.go
+++ b/sidecar/engine.go
@@ -28,8 +28,8 @@
 	maxEngineAnswerBytes = 64 << 20
 )
 
-// backendClient returns the client for the backend server.
-func backendClient(opts Options) *http.Client {
+// engineClient returns the client for the engine. Its requests may be repeated.
+func engineClient(opts Options) *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext:           opts.DialBackend,
 		MaxIdleConnsPerHost:   4,
@@ -39,6 +39,15 @@
 	}}
 }
 
+// callTransport returns the transport for plain calls, which uses each connection once.
+func callTransport(opts Options) *http.Transport {
+	return &http.Transport{
+		DialContext:        opts.DialBackend,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+	}
+}
+
 // runBatches hands all waiting steps to the engine, one iteration at a time.
 func (s *Server) runBatches(ctx context.Context) error {
 	var waiting []*wire.EngineStep
--- a/sidecar/hop.go
+++ b/sidecar/hop.go
@@ -17,31 +17,98 @@
 	address string
 	queue   *link.Queue[*wire.HopFrame]
 	conn    *link.Conn
-	// sent and acked count frames; both are guarded by the server's lock.
-	sent, acked uint64
-	// ackedAt is when the peer last acknowledged a frame or was owed nothing.
+	// The fields below are guarded by the server's lock. sent holds the frames
+	// that wait for an acknowledgement, ackedAt is when the last one came.
+	sent    []sentFrame
 	ackedAt time.Time
+	// perByte is the average time until an acknowledgement, in seconds per byte.
+	perByte float64
+	writing bool
 }
 
-// forwardPatience is how long a link may show no sign of transfer before what
-// waits on it counts as stuck. The peer acknowledges a frame before it acts on it.
-const forwardPatience = 250 * time.Millisecond
+const (
+	// ackPatience is how long a peer may take to acknowledge a frame on a link
+	// that moves nothing. The peer acknowledges a frame before it acts on it.
+	ackPatience = 250 * time.Millisecond
+	// ackFactor bounds it in the time that frames of that size usually take.
+	ackFactor        = 4
+	ackWatchInterval = 50 * time.Millisecond
+	ackGain          = 0.125
+)
+
+var errUnacknowledged = errors.New("the next stage does not acknowledge frames")
+
+// sentFrame is a frame that waits for its acknowledgement.
+type sentFrame struct {
+	sequence uint64
+	bytes    int
+	at       time.Time
+}
+
+// The methods of hop below must be called with the server's lock held.
+
+// unacknowledged tells whether frames wait for the peer, and whether they wait
+// for longer than a link that moves explains.
+func (h *hop) unacknowledged(now time.Time) (waiting, stuck bool) {
+	if len(h.sent) == 0 {
+		return false, false
+	}
+	bytes := 0
+	for _, f := range h.sent {
+		bytes += f.bytes
+	}
+	since := h.sent[0].at
+	if h.ackedAt.After(since) {
+		since = h.ackedAt
+	}
+	if h.writing && h.conn.LastWrite().After(since) {
+		since = h.conn.LastWrite()
+	}
+	usual := time.Duration(h.perByte * float64(bytes) * float64(time.Second))
+	return true, now.Sub(since) > max(ackPatience, ackFactor*usual)
+}
+
+func (h *hop) acknowledge(sequence uint64, now time.Time) {
+	for len(h.sent) > 0 && h.sent[0].sequence <= sequence {
+		f := h.sent[0]
+		h.sent = h.sent[1:]
+		took := now.Sub(f.at).Seconds() / float64(max(f.bytes, 1))
+		h.perByte += ackGain * (took - h.perByte)
+	}
+	h.ackedAt = now
+}
 
 // isForwarding tells whether a step's output is on its way over a link that moves.
-// It must be called with the lock held.
 func (s *Server) isForwarding(a *stageAttempt, now time.Time) bool {
 	if a.isLast() {
 		return false
 	}
 	h := s.hops[a.next().Address]
-	if h == nil || h.sent == h.acked {
+	if h == nil {
 		return false
 	}
-	moved := h.ackedAt
-	if h.conn != nil && h.conn.LastWrite().After(moved) {
-		moved = h.conn.LastWrite()
+	waiting, stuck := h.unacknowledged(now)
+	return waiting && !stuck
+}
+
+// watchAcks ends a hop whose peer takes frames but does not act on them, long
+// before the connection counts as silent.
+func (s *Server) watchAcks(ctx context.Context, h *hop) error {
+	ticker := time.NewTicker(ackWatchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			s.mu.Lock()
+			_, stuck := h.unacknowledged(now)
+			s.mu.Unlock()
+			if stuck {
+				return errUnacknowledged
+			}
+		}
 	}
-	return now.Sub(moved) < forwardPatience
 }
 
 func (h *hop) pushStep(step *wire.Step) {
@@ -116,12 +183,14 @@
 	group.Go(func() error {
 		// Closing the connection ends the receiving side as well.
 		defer func() { _ = conn.Close() }()
-		return s.sendHop(ctx, stream, h, silence)
+		return s.sendHop(ctx, stream, h)
 	})
+	group.Go(func() error { return silence.Watch(ctx) })
+	group.Go(func() error { return s.watchAcks(ctx, h) })
 	return group.Wait()
 }
 
-func (s *Server) sendHop(ctx context.Context, stream wire.DRPCSidecar_HopClient, h *hop, silence *link.Silence) error {
+func (s *Server) sendHop(ctx context.Context, stream wire.DRPCSidecar_HopClient, h *hop) error {
 	ticker := time.NewTicker(link.HeartbeatInterval)
 	defer ticker.Stop()
 	var sequence uint64
@@ -130,10 +199,7 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case now := <-ticker.C:
-			if silence.Expired(now) {
-				return errSilent
-			}
+		case <-ticker.C:
 		case <-h.queue.Ready():
 			queued, open := h.queue.Take()
 			if !open {
@@ -146,9 +212,8 @@
 		}
 		sequence++
 		frame.Sequence = sequence
-		s.countSent(h, time.Now())
-		if err := stream.Send(frame); err != nil {
-			return errors.WithStack(err)
+		if err := s.writeFrame(stream, h, frame); err != nil {
+			return err
 		}
 	}
 }
@@ -159,14 +224,27 @@
 	h.conn = conn
 }
 
-// countSent notes a frame that is about to be written.
-func (s *Server) countSent(h *hop, now time.Time) {
+// writeFrame sends a frame and notes that its acknowledgement is awaited.
+func (s *Server) writeFrame(stream wire.DRPCSidecar_HopClient, h *hop, frame *wire.HopFrame) error {
+	sent := sentFrame{sequence: frame.Sequence, bytes: frameBytes(frame), at: time.Now()}
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if h.sent == h.acked {
-		h.ackedAt = now
+	h.sent = append(h.sent, sent)
+	h.writing = true
+	s.mu.Unlock()
+	err := stream.Send(frame)
+	s.mu.Lock()
+	h.writing = false
+	s.mu.Unlock()
+	return errors.WithStack(err)
+}
+
+// frameBytes is the size of a frame's activations, which make up large frames.
+func frameBytes(frame *wire.HopFrame) int {
+	total := 0
+	for _, step := range frame.Steps {
+		total += len(step.Activation)
 	}
-	h.sent++
+	return total
 }
 
 func (s *Server) receiveAcks(stream wire.DRPCSidecar_HopClient, h *hop, silence *link.Silence) error {
@@ -176,11 +254,10 @@
 			return errors.WithStack(err)
 		}
 		if !silence.Frame(time.Now()) {
-			return errSilent
+			return link.ErrSilent
 		}
 		s.mu.Lock()
-		h.acked = ack.Sequence
-		h.ackedAt = time.Now()
+		h.acknowledge(ack.Sequence, time.Now())
 		for _, refusal := range ack.Refusals {
 			s.handleHopRefusal(refusal)
 		}
@@ -207,7 +284,9 @@
 	group, ctx := errgroup.WithContext(stream.Context())
 	silence := link.NewSilence(time.Now(), link.SilenceLimit)
 	group.Go(func() error { return s.receiveHop(stream, silence) })
-	group.Go(func() error { return watchSilence(ctx, silence) })
+	group.Go(func() error { return silence.Watch(ctx) })
+	// A blocked Recv returns only once the connection is closed.
+	group.Go(func() error { <-ctx.Done(); link.Abort(stream.Context()); return nil })
 	return group.Wait()
 }
 
@@ -218,7 +297,7 @@
 			return errors.WithStack(err)
 		}
 		if !silence.Frame(time.Now()) {
-			return errSilent
+			return link.ErrSilent
 		}
 		ack := s.handleHopFrame(frame)
 		if err := stream.Send(ack); err != nil {
@@ -266,19 +345,3 @@
 	}
 	return s.continueWith(a, token)
 }
-
-// watchSilence ends a stream on which the peer shows no sign of life.
-func watchSilence(ctx context.Context, silence *link.Silence) error {
-	ticker := time.NewTicker(link.HeartbeatInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			if silence.Expired(now) {
-				return errSilent
-			}
-		}
-	}
-}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -64,6 +64,7 @@
 	opts        Options
 	incarnation string
 	client      *http.Client
+	caller      *http.Transport
 	batch       *link.Queue[*wire.EngineStep]
 
 	mu       sync.Mutex
@@ -71,10 +72,13 @@
 	gate     *pipeline.StepGate
 	attempts map[string]*stageAttempt
 	calls    map[attempt.Key]*call
-	entries  map[string]*entryLink
-	hops     map[string]*hop
-	engineUp bool
-	pace     pace
+	// ended holds calls whose answers are kept, keptBytes what all answers take.
+	ended     map[attempt.Key]*call
+	keptBytes int
+	entries   map[string]*entryLink
+	hops      map[string]*hop
+	engineUp  bool
+	pace      pace
 	// iteration is the batch that runs in the engine, nil while it is idle.
 	iteration     *iteration
 	lastIteration time.Time
@@ -100,12 +104,14 @@
 	return &Server{
 		opts:        opts,
 		incarnation: incarnation,
-		client:      backendClient(opts),
+		client:      engineClient(opts),
+		caller:      callTransport(opts),
 		batch:       link.NewQueue[*wire.EngineStep](maxQueuedSteps),
 		ledger:      attempt.NewLedger(incarnation),
 		gate:        pipeline.NewStepGate(),
 		attempts:    make(map[string]*stageAttempt),
 		calls:       make(map[attempt.Key]*call),
+		ended:       make(map[attempt.Key]*call),
 		entries:     make(map[string]*entryLink),
 		hops:        make(map[string]*hop),
 		engineUp:    true,
@@ -176,7 +182,7 @@
 
 // checkIdle must be called with the lock held.
 func (s *Server) checkIdle() {
-	if !s.ledger.Draining() || s.ledger.InProgress() > 0 {
+	if !s.ledger.Draining() || s.ledger.InProgress() > 0 || s.answersOnTheWay() {
 		return
 	}
 	select {
@@ -186,6 +192,10 @@
 	}
 }
 
+// answersOnTheWay tells whether an entry has yet to take an answer: a process
+// that ended earlier would cut off the last frames.
+func (s *Server) answersOnTheWay() bool { return len(s.ended) > 0 }
+
 // load must be called with the lock held.
 func (s *Server) load() *wire.Load {
 	return &wire.Load{
@@ -213,6 +223,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ledger.Expire(now)
+	s.expireKept(now)
+	s.endUnfinishedUploads(now)
 	for request, a := range s.attempts {
 		if !a.unconfirmedAt.IsZero() && now.Sub(a.unconfirmedAt) > link.SilenceLimit {
 			s.closeAttempt(request, a, now)
--- a/sidecar/work.go
+++ b/sidecar/work.go
@@ -31,8 +31,6 @@
 	}
 }
 
-var errSilent = errors.New("stream was silent for longer than the limit")
-
 // Work serves the stream of one entry.
 func (s *Server) Work(stream wire.DRPCSidecar_WorkStream) error {
 	first, err := stream.Recv()
@@ -50,7 +48,10 @@
 	group, ctx := errgroup.WithContext(stream.Context())
 	silence := link.NewSilence(time.Now(), link.SilenceLimit)
 	group.Go(func() error { return s.receiveWork(stream, hello, silence) })
-	group.Go(func() error { return s.sendWork(ctx, stream, queue, silence) })
+	group.Go(func() error { return s.sendWork(ctx, stream, queue) })
+	group.Go(func() error { return silence.Watch(ctx) })
+	// A blocked Recv returns only once the connection is closed.
+	group.Go(func() error { <-ctx.Done(); link.Abort(stream.Context()); return nil })
 	return group.Wait()
 }
 
@@ -109,24 +110,21 @@
 		}
 		now := time.Now()
 		if !silence.Frame(now) {
-			return errSilent
+			return link.ErrSilent
 		}
 		s.handleWork(hello.Id, frame, now)
 	}
 }
 
-// sendWork writes queued frames and heartbeats, and ends a silent stream.
-func (s *Server) sendWork(ctx context.Context, stream wire.DRPCSidecar_WorkStream, queue *link.Queue[*wire.WorkDown], silence *link.Silence) error {
+// sendWork writes queued frames and heartbeats.
+func (s *Server) sendWork(ctx context.Context, stream wire.DRPCSidecar_WorkStream, queue *link.Queue[*wire.WorkDown]) error {
 	ticker := time.NewTicker(link.HeartbeatInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case now := <-ticker.C:
-			if silence.Expired(now) {
-				return errSilent
-			}
+		case <-ticker.C:
 			s.mu.Lock()
 			load := s.load()
 			s.mu.Unlock()
@@ -175,7 +173,7 @@
 	case *wire.WorkUp_Call:
 		s.handleCall(entry, body.Call)
 	case *wire.WorkUp_CallBody:
-		s.handleCallBody(body.CallBody)
+		s.handleCallBody(entry, body.CallBody, now)
 	case *wire.WorkUp_Withdraw:
 		s.handleWithdraw(entry, body.Withdraw, now)
 	case *wire.WorkUp_Release:
@@ -185,6 +183,8 @@
 	case *wire.WorkUp_Heartbeat:
 		// The answer measures the connection's round-trip time.
 		s.toEntry(entry, &wire.WorkDown{Body: &wire.WorkDown_Heartbeat{Heartbeat: body.Heartbeat}})
+	case *wire.WorkUp_Recall:
+		s.handleRecall(entry, body.Recall, now)
 	case *wire.WorkUp_Probe:
 		s.handleProbe(entry, body.Probe, now)
 	}
@@ -225,6 +225,9 @@
 	if a != nil && a.key.Number == r.Attempt {
 		s.closeAttempt(r.Request, a, now)
 	}
+	if c := s.ended[attempt.Key{Request: r.Request, Number: r.Attempt}]; c != nil {
+		s.forgetKept(c)
+	}
 	s.checkIdle()
 }
 
--- a/standin/network.go
+++ b/standin/network.go
@@ -100,6 +100,12 @@
 	}
 }
 
+// CutBetween closes the connections that one process opened to another. New
+// connections work.
+func (n *Network) CutBetween(owner, address string) {
+	n.closeWhere(func(c *memoryConn) bool { return c.address == address && c.owner == owner })
+}
+
 // Hang silences a process and lets nobody in any more: new connections open
 // but carry nothing, as with a process that is stopped.
 func (n *Network) Hang(name string) {
@@ -113,13 +119,19 @@
 
 // Close cuts all connections, silent ones too.
 func (n *Network) Close() {
+	n.closeWhere(func(*memoryConn) bool { return true })
+}
+
+func (n *Network) closeWhere(match func(*memoryConn) bool) {
 	n.mu.Lock()
-	var open []*memoryConn
+	var matching []*memoryConn
 	for c := range n.conns {
-		open = append(open, c)
+		if match(c) {
+			matching = append(matching, c)
+		}
 	}
 	n.mu.Unlock()
-	for _, c := range open {
+	for _, c := range matching {
 		_ = c.Close()
 	}
 }
--- a/standin/plain.go
+++ b/standin/plain.go
@@ -16,6 +16,8 @@
 	mu    sync.Mutex
 	runs  map[string]int
 	delay time.Duration
+	// lookupDelay is how long reading a booking takes.
+	lookupDelay time.Duration
 	// truncate makes answers end before their declared length.
 	truncate bool
 }
@@ -32,6 +34,13 @@
 	s.truncate = on
 }
 
+// SetLookupDelay sets how long reading a booking takes.
+func (s *PlainServer) SetLookupDelay(delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lookupDelay = delay
+}
+
 // Runs tells how often a booking ran.
 func (s *PlainServer) Runs(reference string) int {
 	s.mu.Lock()
@@ -76,6 +85,10 @@
 
 func (s *PlainServer) serveLookup(w http.ResponseWriter, r *http.Request) {
 	reference := r.PathValue("reference")
+	s.mu.Lock()
+	delay := s.lookupDelay
+	s.mu.Unlock()
+	time.Sleep(delay)
 	if s.Runs(reference) == 0 {
 		http.Error(w, "no such booking", http.StatusNotFound)
 		return
