--- /dev/null
+++ b/demo/drain_test.go
@@ -0,0 +1,96 @@
+package demo
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// Guards R6: stages that drain in the middle of an answer go on with it, refuse
+// the next request for certain, and are drained only afterwards.
+func TestStageDrains(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster, client := testCluster(t, ClusterOptions{Stages: 2, Copies: 1, StepTime: 2 * time.Millisecond})
+		_, err := complete(t.Context(), client, testPrompt, func(n int) {
+			if n != hangAt {
+				return
+			}
+			for _, node := range cluster.Nodes {
+				node.Sidecar.Drain()
+				assert.Assert(t, !isClosed(node.Sidecar.Drained()))
+				assert.Equal(t, len(node.Sidecar.Unfinished()), 1)
+			}
+		})
+		assert.NilError(t, err)
+		synctest.Wait()
+		for _, node := range cluster.Nodes {
+			assert.Assert(t, isClosed(node.Sidecar.Drained()), node.ID)
+		}
+		_, err = client.Complete(t.Context(), Model, testPrompt, 5, nil)
+		assert.ErrorContains(t, err, `"executed":"no"`)
+		assert.Equal(t, cluster.Entry.Recoveries(), int64(0))
+	})
+}
+
+// Guards R5 and R6 for plain servers: the booking in progress is answered, the
+// sidecar is drained only once the entry has the whole answer, and the next
+// booking goes to another server.
+func TestPlainServerDrains(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster, client := callCluster(t, 2)
+		var draining *Node
+		status, body, _ := during(t, client, 100*time.Millisecond, func() {
+			for _, n := range cluster.Nodes {
+				if n.Plain != nil && n.Sidecar.InProgress() > 0 {
+					draining = n
+					n.Sidecar.Drain()
+					assert.Check(t, !isClosed(n.Sidecar.Drained()))
+				}
+			}
+		})
+		assert.Equal(t, status, http.StatusCreated, body)
+		synctest.Wait()
+		assert.Assert(t, isClosed(draining.Sidecar.Drained()))
+		status, body, err := client.Call(t.Context(), http.MethodPost, bookingPath, map[string]string{"reference": "shift-8"})
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusCreated, body)
+		assert.Equal(t, draining.Plain.Runs("shift-8"), 0)
+		assert.Equal(t, cluster.runs("shift-8"), 1)
+	})
+}
+
+// Guards R6 at the entry: the call in progress is answered and asks its caller
+// to close the connection, and a new call is refused as not run.
+func TestEntryDrains(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster, client := callCluster(t, 1)
+		time.AfterFunc(100*time.Millisecond, func() {
+			assert.Check(t, len(cluster.Entry.Unfinished()) == 1)
+			cluster.Entry.Drain()
+			assert.Check(t, !isClosed(cluster.Entry.Drained()))
+		})
+		resp, err := client.do(t.Context(), http.MethodPost, bookingPath, map[string]string{"reference": "shift-7"})
+		assert.NilError(t, err)
+		defer func() { _ = resp.Body.Close() }()
+		assert.Equal(t, resp.StatusCode, http.StatusCreated)
+		assert.Assert(t, resp.Close, "the caller is not asked to close its connection")
+		synctest.Wait()
+		assert.Assert(t, isClosed(cluster.Entry.Drained()))
+		status, body, err := client.Call(t.Context(), http.MethodPost, bookingPath, map[string]string{"reference": "shift-8"})
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusServiceUnavailable, body)
+		assert.Equal(t, cluster.runs("shift-8"), 0)
+	})
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -55,6 +55,7 @@
 	claims      *claims
 	meters      meters
 	sequence    atomic.Uint64
+	unfinished  unfinished
 	indexed     atomic.Pointer[index]
 
 	mu         sync.Mutex
@@ -119,12 +120,14 @@
 // tracked counts the request for a graceful shutdown and refuses it while draining.
 func (s *Server) tracked(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		w = &drainWriter{ResponseWriter: w, server: s}
 		if !s.begin() {
-			w.Header().Set("Connection", "close")
 			refuseDraining(w)
 			return
 		}
 		defer s.end()
+		s.unfinished.add(r)
+		defer s.unfinished.remove(r)
 		next(w, r)
 	}
 }
--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -35,6 +35,8 @@
 	// bodyWhole is set once the last part of the request's body has arrived.
 	bodyWhole bool
 	kept      keptAnswer
+	// withdrawn is set once the entry wants no answer any more.
+	withdrawn bool
 	ctx       context.Context
 	cancel    context.CancelFunc
 }
@@ -92,9 +94,12 @@
 	delete(s.calls, c.key)
 	if executed == attempt.ExecutedNo {
 		s.ledger.Withdraw(c.key, now)
-		s.dropKept(&c.kept)
 	} else {
 		s.ledger.Finish(c.key, now)
+	}
+	if executed == attempt.ExecutedNo || c.withdrawn {
+		s.dropKept(&c.kept)
+	} else {
 		s.keep(c, now)
 	}
 	s.checkIdle()
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -8,8 +8,10 @@
 	"crypto/rand"
 	"crypto/tls"
 	"encoding/hex"
+	"fmt"
 	"net"
 	"net/http"
+	"sort"
 	"sync"
 	"time"
 
@@ -180,6 +182,21 @@
 	return s.ledger.InProgress()
 }
 
+// Unfinished names the attempts that are open or running.
+func (s *Server) Unfinished() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []string
+	for _, a := range s.attempts {
+		names = append(names, fmt.Sprintf("%s attempt %d", a.key.Request, a.key.Number))
+	}
+	for _, c := range s.calls {
+		names = append(names, fmt.Sprintf("%s attempt %d: %s %s", c.key.Request, c.key.Number, c.head.Method, c.head.Path))
+	}
+	sort.Strings(names)
+	return names
+}
+
 // checkIdle must be called with the lock held.
 func (s *Server) checkIdle() {
 	if !s.ledger.Draining() || s.ledger.InProgress() > 0 || s.answersOnTheWay() {
--- a/sidecar/work.go
+++ b/sidecar/work.go
@@ -212,7 +212,11 @@
 		s.closeAttempt(w.Request, a, now)
 	}
 	if c := s.calls[key]; c != nil {
+		c.withdrawn = true
 		c.cancel()
+		if !c.begun {
+			s.endCall(c, attempt.ExecutedNo, now)
+		}
 	}
 	s.toEntry(entry, &wire.WorkDown{Body: &wire.WorkDown_WithdrawAck{WithdrawAck: &wire.WithdrawAck{
 		Request: w.Request, Attempt: w.Attempt, Executed: wireExecuted(executed),
