Bound what slow callers, large bodies and long prompts cost

Cause: a caller that took no part of its answer, or never finished its body, held its request for ever and so a drain. An activation above 16 MiB, as of a long prompt, or one iteration's steps together, broke the connection between two stages. An engine's answer above 64 MiB was cut silently. Nothing bounded the attempts and calls open at a sidecar.

Change: each write to a caller and each read of its body has a deadline of 30 s. Hop frames hold at most 4 MiB of activations; a larger one is sent in parts (Step.more). A sidecar refuses more than 16,384 open attempts or calls as overloaded, not run. An engine's answer is bounded at 512 MiB with an error. The demo's configuration names its engines, so that admission knows their rate.

Conclusion: a caller costs its request at most 30 s of silence.

--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -95,7 +95,7 @@
 // Start brings a cluster up and waits until every sidecar is connected.
 func Start(ctx context.Context, opts ClusterOptions) (*Cluster, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	c := &Cluster{opts: opts, logger: newLogger(opts.Log), document: document(), cancel: cancel}
+	c := &Cluster{opts: opts, logger: newLogger(opts.Log), document: document(opts), cancel: cancel}
 	if err := c.start(ctx); err != nil {
 		c.Stop()
 		return nil, err
@@ -110,11 +110,13 @@
 	return &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: w}}
 }
 
+func engineID(stage, copyIndex int) string { return fmt.Sprintf("engine-%d%c", stage, 'a'+copyIndex) }
+
 func (c *Cluster) start(ctx context.Context) error {
 	per := Layers / c.opts.Stages
 	for stage := range c.opts.Stages {
 		for copyIndex := range c.opts.Copies {
-			id := fmt.Sprintf("engine-%d%c", stage, 'a'+copyIndex)
+			id := engineID(stage, copyIndex)
 			layers := &wire.LayerRange{First: uint32(stage * per), Limit: uint32((stage + 1) * per)}
 			if stage == c.opts.Stages-1 {
 				layers.Limit = Layers
@@ -328,12 +330,26 @@
 	}
 }
 
+const (
+	accelerator = "standin"
+	// layerRate is high enough that admission lets benchmarks load the path.
+	layerRate = 1e6
+)
+
 // document is a small configuration with one team.
-func document() *config.Document {
+func document(opts ClusterOptions) *config.Document {
 	hash := sha256.Sum256([]byte(Key))
+	var servers []config.Server
+	for stage := range opts.Stages {
+		for copyIndex := range opts.Copies {
+			servers = append(servers, config.Server{ID: engineID(stage, copyIndex), Accelerator: accelerator})
+		}
+	}
 	return &config.Document{
-		Schema: config.SchemaVersion,
-		Models: []config.Model{{Name: Model, Versions: []string{"1"}, Serving: "1", Layers: Layers, ActivationBytes: 8, ContextTokens: 4096}},
+		Accelerators: []config.Accelerator{{Kind: accelerator, LayerTokensPerSecond: layerRate}},
+		Servers:      servers,
+		Schema:       config.SchemaVersion,
+		Models:       []config.Model{{Name: Model, Versions: []string{"1"}, Serving: "1", Layers: Layers, ActivationBytes: 8, ContextTokens: 4096}},
 		Services: []config.Service{{
 			Name: Service, Timeout: 5 * time.Second, KeyWindow: time.Hour, OnLogOutage: config.RefuseDuringOutage,
 			Idempotent: []config.CallRule{{Method: http.MethodGet, PathPrefix: "/"}},
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -120,12 +120,16 @@
 // tracked counts the request for a graceful shutdown and refuses it while draining.
 func (s *Server) tracked(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		w = &drainWriter{ResponseWriter: w, server: s}
+		caller := newCallerWriter(s, w)
+		w = caller
 		if !s.begin() {
 			refuseDraining(w)
 			return
 		}
 		defer s.end()
+		if r.Body != http.NoBody {
+			r.Body = &callerBody{ReadCloser: r.Body, control: caller.control}
+		}
 		s.unfinished.add(r)
 		defer s.unfinished.remove(r)
 		next(w, r)
--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -49,6 +49,10 @@
 		s.refuse(entry, key, wire.RefusalReason_REFUSAL_WRONG_RANGE)
 		return
 	}
+	if len(s.calls) >= maxOpen {
+		s.refuse(entry, key, wire.RefusalReason_REFUSAL_OVERLOADED)
+		return
+	}
 	refusal := s.ledger.Open(key, head.Incarnation)
 	if refusal == attempt.RefusalDuplicate {
 		return
--- a/sidecar/engine.go
+++ b/sidecar/engine.go
@@ -25,7 +25,7 @@
 	probeInterval = 500 * time.Millisecond
 	cancelTimeout = time.Second
 	// maxEngineAnswerBytes bounds an engine's answer to one batch.
-	maxEngineAnswerBytes = 64 << 20
+	maxEngineAnswerBytes = 512 << 20
 )
 
 // engineClient returns the client for the engine. Its requests may be repeated.
@@ -143,7 +143,7 @@
 		return nil, errors.WithStack(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxEngineAnswerBytes))
+	answer, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxEngineAnswerBytes))
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
--- a/sidecar/hop.go
+++ b/sidecar/hop.go
@@ -195,7 +195,8 @@
 	defer ticker.Stop()
 	var sequence uint64
 	for {
-		frame := &wire.HopFrame{From: s.opts.ID}
+		// Without steps and tokens the frame is a heartbeat.
+		frames := []*wire.HopFrame{{From: s.opts.ID}}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -205,17 +206,58 @@
 			if !open {
 				return errors.New("too many steps wait for the next stage")
 			}
-			for _, q := range queued {
-				frame.Steps = append(frame.Steps, q.Steps...)
-				frame.Tokens = append(frame.Tokens, q.Tokens...)
+			frames = hopFrames(s.opts.ID, queued)
+		}
+		for _, frame := range frames {
+			sequence++
+			frame.Sequence = sequence
+			if err := s.writeFrame(stream, h, frame); err != nil {
+				return err
 			}
 		}
-		sequence++
-		frame.Sequence = sequence
-		if err := s.writeFrame(stream, h, frame); err != nil {
-			return err
+	}
+}
+
+// maxFrameActivation bounds the activations in one frame, well below what the
+// peer accepts as one message. A long prompt's activation exceeds it.
+const maxFrameActivation = 4 << 20
+
+// hopFrames joins what waits into as few frames as the bound allows.
+func hopFrames(from string, queued []*wire.HopFrame) []*wire.HopFrame {
+	frame := &wire.HopFrame{From: from}
+	frames := []*wire.HopFrame{frame}
+	size := 0
+	for _, q := range queued {
+		frame.Tokens = append(frame.Tokens, q.Tokens...)
+		for _, step := range q.Steps {
+			for _, part := range splitStep(step) {
+				if size > 0 && size+len(part.Activation) > maxFrameActivation {
+					frame = &wire.HopFrame{From: from}
+					frames = append(frames, frame)
+					size = 0
+				}
+				frame.Steps = append(frame.Steps, part)
+				size += len(part.Activation)
+			}
 		}
 	}
+	return frames
+}
+
+// splitStep cuts a step whose activation does not fit into one frame.
+func splitStep(step *wire.Step) []*wire.Step {
+	if len(step.Activation) <= maxFrameActivation {
+		return []*wire.Step{step}
+	}
+	var parts []*wire.Step
+	for rest := step.Activation; len(rest) > 0; {
+		n := min(len(rest), maxFrameActivation)
+		parts = append(parts, &wire.Step{
+			Request: step.Request, Attempt: step.Attempt, Index: step.Index, Activation: rest[:n], More: n < len(rest),
+		})
+		rest = rest[n:]
+	}
+	return parts
 }
 
 func (s *Server) setHopConn(h *hop, conn *link.Conn) {
@@ -333,11 +375,27 @@
 	if a == nil {
 		return wire.RefusalReason_REFUSAL_UNKNOWN_ATTEMPT
 	}
+	if step.More || len(a.partial) > 0 {
+		if len(a.partial)+len(step.Activation) > maxActivationBytes {
+			return wire.RefusalReason_REFUSAL_OVERLOADED
+		}
+		a.partial = append(a.partial, step.Activation...)
+	}
+	if step.More {
+		return wire.RefusalReason_REFUSAL_UNSPECIFIED
+	}
 	engineStep := s.engineStep(a, step.Index)
 	engineStep.Activation = step.Activation
+	if len(a.partial) > 0 {
+		engineStep.Activation = a.partial
+		a.partial = nil
+	}
 	return s.offer(a, engineStep)
 }
 
+// maxActivationBytes bounds the activation of one step that arrives in parts.
+const maxActivationBytes = 256 << 20
+
 func (s *Server) handleHopToken(token *wire.Token) wire.RefusalReason {
 	a := s.current(token.Request, token.Attempt)
 	if a == nil {
--- a/sidecar/stage.go
+++ b/sidecar/stage.go
@@ -22,6 +22,8 @@
 	// kvAttempt is the attempt under which the engine holds the KV cache; 0 when there is none.
 	kvAttempt uint32
 	history   history
+	// partial is the part of a step's activation that has arrived.
+	partial []byte
 	// unconfirmedAt is when the entry came back without having resumed the attempt.
 	unconfirmedAt time.Time
 }
@@ -35,6 +37,9 @@
 
 // The methods below must be called with the lock held.
 
+// maxOpen bounds the attempts and the calls that are open at the same time.
+const maxOpen = 1 << 14
+
 func (s *Server) handleOpen(entry string, open *wire.Open, now time.Time) {
 	key := attempt.Key{Request: open.Request, Number: open.Attempt}
 	if !s.holdsRange(open) {
@@ -45,6 +50,10 @@
 		s.refuse(entry, key, wire.RefusalReason_REFUSAL_ENGINE_DOWN)
 		return
 	}
+	if len(s.attempts) >= maxOpen && s.attempts[open.Request] == nil {
+		s.refuse(entry, key, wire.RefusalReason_REFUSAL_OVERLOADED)
+		return
+	}
 	old := s.attempts[open.Request]
 	if keeps(open) {
 		if old != nil && old.inEngine {
