--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -47,6 +47,8 @@
 	PrefillTimePerByte time.Duration
 	// HistoryBytes bounds the activations that sidecars keep; 0 means their default.
 	HistoryBytes int
+	// Trace is passed to the entry.
+	Trace func(peer string, up *wire.WorkUp, down *wire.WorkDown)
 	// Network is the network to use; nil means TCP on loopback.
 	Network *standin.Network
 	// Log receives the log lines of all processes; nil discards them.
@@ -242,7 +244,7 @@
 func (c *Cluster) startEntry(ctx context.Context) error {
 	c.Entry = entry.New(ctx, entry.Options{
 		ID: EntryID, Zone: "changwon-a", Logger: c.logger, Dialer: link.Dialer{DialContext: c.dialer(EntryID)},
-		Config: func() *config.Document { return c.document },
+		Config: func() *config.Document { return c.document }, Trace: c.opts.Trace,
 	})
 	c.Entry.SetInstances(c.Instances())
 	url, err := c.serveHTTP(ctx, EntryID, c.Entry.Handler())
--- a/entry/call.go
+++ b/entry/call.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -137,13 +139,25 @@
 	return problem.Refuse(problem.InvalidRequest, "the body ended early")
 }
 
+// connectionHeaders are those that the caller's connection header names as its own.
+func connectionHeaders(header http.Header) map[string]bool {
+	nominated := make(map[string]bool)
+	for _, value := range header["Connection"] {
+		for _, name := range strings.Split(value, ",") {
+			nominated[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return nominated
+}
+
 func passedHeaders(header http.Header) []*wire.Header {
 	var headers []*wire.Header
-	for name, values := range header {
-		if hopHeaders[name] {
+	nominated := connectionHeaders(header)
+	for _, name := range slices.Sorted(maps.Keys(header)) {
+		if hopHeaders[name] || nominated[name] {
 			continue
 		}
-		for _, value := range values {
+		for _, value := range header[name] {
 			headers = append(headers, &wire.Header{Name: name, Value: value})
 		}
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/link"
 	"github.com/sapphirefield/sapphirefield/logevent"
+	"github.com/sapphirefield/sapphirefield/wire"
 )
 
 // Options describes an entry.
@@ -33,6 +34,9 @@
 	Config func() *config.Document
 	// Claims is the log for claims on idempotency keys; nil refuses calls with a key.
 	Claims ClaimLog
+	// Trace sees each frame to and from a sidecar; one of them is nil. Tests
+	// record sessions with it.
+	Trace func(peer string, up *wire.WorkUp, down *wire.WorkDown)
 	// MaxBodyBytes bounds a request's body.
 	MaxBodyBytes int64
 	// RequestTimeout bounds a whole language request.
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -158,6 +158,7 @@
 		case <-queue.Ready():
 			frames, open := queue.Take()
 			for _, frame := range frames {
+				p.trace(frame, nil)
 				if err := stream.Send(frame); err != nil {
 					return errors.WithStack(err)
 				}
@@ -182,7 +183,14 @@
 	}
 }
 
+func (p *peer) trace(up *wire.WorkUp, down *wire.WorkDown) {
+	if p.server.opts.Trace != nil {
+		p.server.opts.Trace(p.id, up, down)
+	}
+}
+
 func (p *peer) handle(frame *wire.WorkDown, queue *link.Queue[*wire.WorkUp]) {
+	p.trace(nil, frame)
 	p.answered()
 	switch body := frame.Body.(type) {
 	case *wire.WorkDown_Hello:
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync"
 
 	"github.com/sapphirefield/sapphirefield/attempt"
@@ -13,6 +15,8 @@
 type peerSet struct {
 	ctx    context.Context
 	server *Server
+	// changing is held while the choosers' stages are rebuilt.
+	changing sync.Mutex
 
 	mu   sync.Mutex
 	byID map[string]*peer
@@ -175,6 +179,9 @@
 
 // peersChanged rebuilds the choosers' stages from the peers that are usable.
 func (s *Server) peersChanged() {
+	// Two changes at once must not leave the choosers with the older stages.
+	s.peers.changing.Lock()
+	defer s.peers.changing.Unlock()
 	x := s.index()
 	if x == nil {
 		return
@@ -191,6 +198,10 @@
 			First: int(hello.Layers.First), Limit: int(hello.Layers.Limit), Weight: x.stageWeight(p.id, hello.Layers),
 		})
 	}
+	// The chooser breaks ties by order, which must not depend on the map's.
+	for _, list := range stages {
+		slices.SortFunc(list, func(a, b pipeline.Stage) int { return strings.Compare(a.Instance, b.Instance) })
+	}
 	s.models.mu.Lock()
 	defer s.models.mu.Unlock()
 	for i := range doc.Models {
--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -278,8 +280,8 @@
 
 func answerHeaders(header http.Header) []*wire.Header {
 	var headers []*wire.Header
-	for name, values := range header {
-		for _, value := range values {
+	for _, name := range slices.Sorted(maps.Keys(header)) {
+		for _, value := range header[name] {
 			headers = append(headers, &wire.Header{Name: name, Value: value})
 		}
 	}
