Benchmark the path against direct calls and a bare forwarder

Cause: no figure stood behind the path's cost.

Change: benchmarks in one package for latency against direct calls, a step on a sidecar, a token on the entry, throughput on one core and memory of 1,000 streams, each next to a bare net/http forwarder where one applies.

Before: not measured.

--- /dev/null
+++ b/demo/bench_path_test.go
@@ -0,0 +1,532 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/sapphirefield/sapphirefield/config"
+	"github.com/sapphirefield/sapphirefield/entry"
+	"github.com/sapphirefield/sapphirefield/link"
+	"github.com/sapphirefield/sapphirefield/wire"
+)
+
+// The benchmarks of the path are in one package, so that one run takes them on
+// the same state of the machine:
+//
+//	go test ./demo -run xxx -bench 'Path|SidecarStep|Entry' -benchtime 2s -benchmem
+
+// BenchmarkPathLatency compares the time to the first token and between tokens
+// with direct calls to the same engines.
+func BenchmarkPathLatency(b *testing.B) {
+	for _, step := range []time.Duration{2 * time.Millisecond, 9 * time.Millisecond} {
+		b.Run(fmt.Sprintf("step=%s", step), func(b *testing.B) {
+			cluster, err := Start(b.Context(), ClusterOptions{Stages: 3, Copies: 1, StepTime: step})
+			assert.NilError(b, err)
+			defer cluster.Stop()
+			client := &Client{URL: cluster.URL, Key: Key, HTTP: cluster.HTTPClient()}
+			defer client.HTTP.CloseIdleConnections()
+			const tokens = 50
+			var path, direct streamTimes
+			for range b.N {
+				path.add(b, func(onToken func(int)) error {
+					_, err := client.Complete(b.Context(), Model, testPrompt, tokens, onToken)
+					return err
+				})
+				direct.add(b, func(onToken func(int)) error {
+					return cluster.generateDirectly(b.Context(), tokens, onToken)
+				})
+			}
+			b.ReportMetric(path.first.Seconds()/direct.first.Seconds(), "first-ratio")
+			b.ReportMetric(path.gaps.Seconds()/direct.gaps.Seconds(), "between-ratio")
+			b.ReportMetric(1000*path.first.Seconds()/float64(b.N), "first-ms")
+			b.ReportMetric(1000*path.gaps.Seconds()/float64(b.N*(tokens-1)), "between-ms")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+type streamTimes struct{ first, gaps time.Duration }
+
+func (s *streamTimes) add(b *testing.B, generate func(onToken func(int)) error) {
+	b.Helper()
+	began := time.Now()
+	var first time.Time
+	err := generate(func(n int) {
+		if n == 1 {
+			first = time.Now()
+		}
+	})
+	assert.NilError(b, err)
+	s.first += first.Sub(began)
+	s.gaps += time.Since(first)
+}
+
+// generateDirectly calls the engines one after another for each token.
+func (c *Cluster) generateDirectly(ctx context.Context, tokens int, onToken func(int)) error {
+	client := c.HTTPClient()
+	defer client.CloseIdleConnections()
+	last := uint32(0)
+	for n := range tokens {
+		step := &wire.EngineStep{Request: "direct", Attempt: 1, Index: uint32(n), MaxTokens: uint32(tokens)}
+		step.Token = last
+		if n == 0 {
+			step.Prompt = testPrompt
+		}
+		for _, node := range c.Nodes {
+			result, err := postStep(ctx, client, node.BackendURL, step)
+			if err != nil {
+				return err
+			}
+			last = result.Token
+			step = &wire.EngineStep{Request: "direct", Attempt: 1, Index: uint32(n), MaxTokens: uint32(tokens), Activation: result.Activation}
+		}
+		onToken(n + 1)
+	}
+	for _, node := range c.Nodes {
+		resp, err := client.Post(node.BackendURL+"/v1/cancel", "application/json", strings.NewReader(`{"requests":[{"request":"direct","attempt":1}]}`))
+		if err != nil {
+			return err
+		}
+		_ = resp.Body.Close()
+	}
+	return nil
+}
+
+func postStep(ctx context.Context, client *http.Client, url string, step *wire.EngineStep) (*wire.EngineResult, error) {
+	body, err := proto.Marshal(&wire.EngineBatch{Steps: []*wire.EngineStep{step}})
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/steps", bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, err
+	}
+	results := new(wire.EngineResults)
+	if err := proto.Unmarshal(answer, results); err != nil {
+		return nil, err
+	}
+	if len(results.Results) != 1 || results.Results[0].Error != "" {
+		return nil, fmt.Errorf("unexpected results %v", results)
+	}
+	return results.Results[0], nil
+}
+
+// BenchmarkSidecarStep is the cost of one step on a sidecar, with the stand-in
+// engine's share (it takes no time of its own) and the test's own stream.
+func BenchmarkSidecarStep(b *testing.B) {
+	for _, batch := range []int{1, 16, 128} {
+		b.Run(fmt.Sprintf("batch=%d", batch), func(b *testing.B) {
+			cluster, err := Start(b.Context(), ClusterOptions{Stages: 1, Copies: 1})
+			assert.NilError(b, err)
+			defer cluster.Stop()
+			conn, err := link.Dialer{}.Dial(b.Context(), cluster.Nodes[0].Address)
+			assert.NilError(b, err)
+			defer func() { _ = conn.Close() }()
+			stream, err := wire.NewDRPCSidecarClient(conn).Work(b.Context())
+			assert.NilError(b, err)
+			send := func(frame *wire.WorkUp) { assert.NilError(b, stream.Send(frame)) }
+			send(&wire.WorkUp{Body: &wire.WorkUp_Hello{Hello: &wire.Hello{Id: "bench", Incarnation: "1"}}})
+			b.ReportAllocs()
+			b.ResetTimer()
+			for done := 0; done < b.N; {
+				done += runSteps(b, cluster, stream, send, batch, (b.N-done+batch-1)/batch, done)
+			}
+		})
+	}
+}
+
+// runSteps lets a batch of requests generate some tokens each and returns the steps run.
+func runSteps(b *testing.B, c *Cluster, stream wire.DRPCSidecar_WorkClient, send func(*wire.WorkUp), batch, tokens, offset int) int {
+	b.Helper()
+	tokens = min(tokens, 200)
+	chain := []*wire.Stage{{Instance: "engine-0a", Address: c.Nodes[0].Address, Layers: &wire.LayerRange{Limit: Layers}}}
+	for i := range batch {
+		request := fmt.Sprintf("%d-%d", offset, i)
+		send(&wire.WorkUp{Body: &wire.WorkUp_Open{Open: &wire.Open{
+			Request: request, Attempt: 1, Incarnation: c.Nodes[0].Sidecar.Incarnation(), Chain: chain, Model: Model, MaxTokens: uint32(tokens),
+		}}})
+		send(&wire.WorkUp{Body: &wire.WorkUp_Start{Start: &wire.Start{Request: request, Attempt: 1, Prompt: request}}})
+	}
+	steps := 0
+	for finished := 0; finished < batch; {
+		frame, err := stream.Recv()
+		assert.NilError(b, err)
+		for _, token := range frame.GetTokens().GetTokens() {
+			steps++
+			if token.Finish != "" {
+				finished++
+				send(&wire.WorkUp{Body: &wire.WorkUp_Release{Release: &wire.Release{Request: token.Request, Attempt: 1}}})
+			}
+		}
+	}
+	return steps
+}
+
+// fakeSidecar gives tokens as fast as its stream takes them, one for each open
+// request in a frame, as an iteration of an engine does.
+type fakeSidecar struct {
+	wire.DRPCSidecarUnimplementedServer
+	// hold stops each request after its first token.
+	hold bool
+}
+
+type fakeRequest struct {
+	request string
+	next    uint32
+	limit   uint32
+}
+
+func (f *fakeSidecar) Work(stream wire.DRPCSidecar_WorkStream) error {
+	var mu sync.Mutex
+	active := make(map[string]*fakeRequest)
+	work := make(chan struct{}, 1)
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-work:
+			}
+			for f.iterate(&mu, active, stream) {
+			}
+		}
+	}()
+	for {
+		frame, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		var answer *wire.WorkDown
+		switch body := frame.Body.(type) {
+		case *wire.WorkUp_Hello:
+			answer = &wire.WorkDown{Body: &wire.WorkDown_Hello{Hello: &wire.Hello{
+				Id: "engine-0a", Incarnation: "fake", Model: Model, Layers: &wire.LayerRange{Limit: Layers},
+			}}}
+		case *wire.WorkUp_Heartbeat:
+			answer = &wire.WorkDown{Body: &wire.WorkDown_Heartbeat{Heartbeat: body.Heartbeat}}
+		case *wire.WorkUp_Probe:
+			answer = &wire.WorkDown{Body: &wire.WorkDown_Progress{Progress: &wire.Progress{
+				Request: body.Probe.Request, Attempt: 1, Sequence: body.Probe.Sequence, Known: true, Busy: true,
+			}}}
+		case *wire.WorkUp_Open:
+			answer = &wire.WorkDown{Body: &wire.WorkDown_Opened{Opened: &wire.Opened{Request: body.Open.Request, Attempt: 1}}}
+		case *wire.WorkUp_Start:
+			mu.Lock()
+			active[body.Start.Request] = &fakeRequest{request: body.Start.Request, limit: body.Start.MaxTokens}
+			mu.Unlock()
+			select {
+			case work <- struct{}{}:
+			default:
+			}
+		}
+		if answer != nil {
+			if err := stream.Send(answer); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// iterate sends one frame and returns whether requests are left.
+func (f *fakeSidecar) iterate(mu *sync.Mutex, active map[string]*fakeRequest, stream wire.DRPCSidecar_WorkStream) bool {
+	tokens := &wire.Tokens{}
+	mu.Lock()
+	for _, r := range active {
+		token := &wire.Token{Request: r.request, Attempt: 1, Index: r.next, Value: fakeToken}
+		r.next++
+		if r.next == r.limit {
+			token.Finish = "length"
+		}
+		if r.next == r.limit || f.hold {
+			delete(active, r.request)
+		}
+		tokens.Tokens = append(tokens.Tokens, token)
+	}
+	mu.Unlock()
+	if len(tokens.Tokens) == 0 {
+		return false
+	}
+	return stream.Send(&wire.WorkDown{Body: &wire.WorkDown_Tokens{Tokens: tokens}}) == nil
+}
+
+var fakeToken = &wire.TokenValue{Id: 7, Text: " billet"}
+
+// fakePath is an entry in front of a fake sidecar.
+func fakePath(b *testing.B, hold bool) (server *entry.Server, stop func()) {
+	b.Helper()
+	ctx, cancel := context.WithCancel(b.Context())
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	mux := drpcmux.New()
+	assert.NilError(b, wire.DRPCRegisterSidecar(mux, &fakeSidecar{hold: hold}))
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = link.Serve(ctx, listener, nil, mux) })
+	doc := document(ClusterOptions{Stages: 1, Copies: 1})
+	server = entry.New(ctx, entry.Options{
+		ID: EntryID, Logger: newLogger(nil), Config: func() *config.Document { return doc }, RequestTimeout: time.Hour,
+	})
+	server.SetInstances([]entry.Instance{{ID: "engine-0a", Address: listener.Addr().String()}})
+	for server.Connected() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	return server, func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
+func streamBody(tokens int) string {
+	return fmt.Sprintf(`{"model":%q,"prompt":"p","max_tokens":%d,"stream":true}`, Model, tokens)
+}
+
+// discardWriter takes an answer without a connection.
+type discardWriter struct{ header http.Header }
+
+func (w *discardWriter) Header() http.Header         { return w.header }
+func (w *discardWriter) Write(p []byte) (int, error) { return len(p), nil }
+func (w *discardWriter) WriteHeader(int)             {}
+func (w *discardWriter) Flush()                      {}
+
+// BenchmarkEntryToken is the cost of one token on the entry, from the sidecar's
+// frame to the caller's event, without the caller's connection. The fake
+// sidecar's share is in it.
+func BenchmarkEntryToken(b *testing.B) {
+	for _, streams := range []int{1, 64} {
+		b.Run(fmt.Sprintf("streams=%d", streams), func(b *testing.B) {
+			server, stop := fakePath(b, false)
+			defer stop()
+			handler := server.Handler()
+			const tokens = 500
+			b.ReportAllocs()
+			b.ResetTimer()
+			var wg sync.WaitGroup
+			var left atomic.Int64
+			left.Store(int64(b.N))
+			for range streams {
+				wg.Go(func() {
+					for left.Add(-tokens) > -tokens {
+						req, _ := http.NewRequest(http.MethodPost, "/v1/completions", strings.NewReader(streamBody(tokens)))
+						req.Header.Set("Authorization", "Bearer "+Key)
+						handler.ServeHTTP(&discardWriter{header: make(http.Header)}, req)
+					}
+				})
+			}
+			wg.Wait()
+		})
+	}
+}
+
+const eventLine = `data: {"id":"cmpl-0011223344556677-00000001","object":"text_completion","created":1700000000,"model":"sapphire-llm","choices":[{"index":0,"text":" billet","finish_reason":null}]}` + "\n\n"
+
+// forwarder passes requests on to a backend that gives the same events.
+func forwarder(b *testing.B, client *http.Client, backend string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		req, err := http.NewRequestWithContext(r.Context(), r.Method, backend, r.Body)
+		if err != nil {
+			b.Error(err)
+			return
+		}
+		req.ContentLength = r.ContentLength
+		resp, err := client.Do(req)
+		if err != nil {
+			return
+		}
+		defer func() { _ = resp.Body.Close() }()
+		w.Header().Set("Content-Type", resp.Header.Get("Content-Type"))
+		control := http.NewResponseController(w)
+		buffer := make([]byte, 4096)
+		for {
+			n, err := resp.Body.Read(buffer)
+			_, _ = w.Write(buffer[:n])
+			_ = control.Flush()
+			if err != nil {
+				return
+			}
+		}
+	})
+}
+
+func eventBackend(tokens int) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Type", "text/event-stream")
+		control := http.NewResponseController(w)
+		for range tokens {
+			_, _ = io.WriteString(w, eventLine)
+			_ = control.Flush()
+		}
+	})
+}
+
+// serveBench serves a handler on loopback.
+func serveBench(b *testing.B, handler http.Handler) (url string, stop func()) {
+	b.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(listener) }()
+	return "http://" + listener.Addr().String(), func() { _ = server.Close() }
+}
+
+// BenchmarkEntryThroughput is the rate of requests and tokens through the entry
+// and through a bare forwarder, on one core for the whole process: callers,
+// fake sidecar and the forwarder's backend share it.
+func BenchmarkEntryThroughput(b *testing.B) {
+	const tokens = 224
+	b.Run("entry", func(b *testing.B) {
+		server, stop := fakePath(b, false)
+		defer stop()
+		url, stopHTTP := serveBench(b, server.Handler())
+		defer stopHTTP()
+		loadPath(b, url, tokens)
+	})
+	b.Run("forwarder", func(b *testing.B) {
+		backend, stopBackend := serveBench(b, eventBackend(tokens))
+		defer stopBackend()
+		transport := &http.Transport{MaxIdleConnsPerHost: 64}
+		defer transport.CloseIdleConnections()
+		url, stop := serveBench(b, forwarder(b, &http.Client{Transport: transport}, backend))
+		defer stop()
+		loadPath(b, url, tokens)
+	})
+}
+
+func loadPath(b *testing.B, url string, tokens int) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	const callers = 32
+	transport := &http.Transport{MaxIdleConnsPerHost: callers}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport}
+	var left atomic.Int64
+	left.Store(int64(b.N))
+	var wg sync.WaitGroup
+	b.ResetTimer()
+	for range callers {
+		wg.Go(func() {
+			for left.Add(-1) >= 0 {
+				req, _ := http.NewRequest(http.MethodPost, url+"/v1/completions", strings.NewReader(streamBody(tokens)))
+				req.Header.Set("Authorization", "Bearer "+Key)
+				resp, err := client.Do(req)
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				n, _ := io.Copy(io.Discard, resp.Body)
+				_ = resp.Body.Close()
+				if n < int64(tokens*100) {
+					b.Errorf("answer of %d bytes, status %d", n, resp.StatusCode)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	seconds := b.Elapsed().Seconds()
+	b.ReportMetric(float64(b.N)/seconds, "requests/s")
+	b.ReportMetric(float64(b.N*tokens)/seconds, "tokens/s")
+}
+
+// BenchmarkEntryMemory is the memory of 1,000 open streams. The callers are
+// bare connections, so that their side costs next to nothing.
+func BenchmarkEntryMemory(b *testing.B) {
+	const streams = 1000
+	b.Run("entry", func(b *testing.B) {
+		server, stop := fakePath(b, true)
+		defer stop()
+		url, stopHTTP := serveBench(b, server.Handler())
+		defer stopHTTP()
+		for range b.N {
+			b.ReportMetric(memoryOf(b, url, streams), "bytes/stream")
+		}
+	})
+	b.Run("forwarder", func(b *testing.B) {
+		backend, stopBackend := holdingBackend(b)
+		defer stopBackend()
+		transport := &http.Transport{}
+		url, stop := serveBench(b, forwarder(b, &http.Client{Transport: transport}, backend))
+		defer stop()
+		for range b.N {
+			b.ReportMetric(memoryOf(b, url, streams), "bytes/stream")
+		}
+	})
+}
+
+// holdingBackend answers each connection with one event and keeps it open
+// without a goroutine.
+func holdingBackend(b *testing.B) (url string, stop func()) {
+	b.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	go func() {
+		buffer := make([]byte, 4096)
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Read(buffer)
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(eventLine), eventLine)
+			b.Cleanup(func() { _ = conn.Close() })
+		}
+	}()
+	return "http://" + listener.Addr().String(), func() { _ = listener.Close() }
+}
+
+// memoryOf opens streams and returns what each takes in this process.
+func memoryOf(b *testing.B, url string, streams int) float64 {
+	b.Helper()
+	before := memoryInUse()
+	conns := make([]net.Conn, streams)
+	body := streamBody(100)
+	request := fmt.Sprintf("POST /v1/completions HTTP/1.1\r\nHost: e\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", Key, len(body), body)
+	buffer := make([]byte, 4096)
+	for i := range conns {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+		assert.NilError(b, err)
+		conns[i] = conn
+		_, err = io.WriteString(conn, request)
+		assert.NilError(b, err)
+		for got := ""; !strings.Contains(got, "billet"); {
+			n, err := conn.Read(buffer)
+			assert.NilError(b, err, got)
+			got += string(buffer[:n])
+		}
+	}
+	used := memoryInUse() - before
+	for _, conn := range conns {
+		_ = conn.Close()
+	}
+	return float64(used) / float64(streams)
+}
+
+func memoryInUse() int64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapInuse + stats.StackInuse)
+}
