--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/link"
 	"github.com/sapphirefield/sapphirefield/logevent"
+	"github.com/sapphirefield/sapphirefield/wire"
 )
 
 // Options describes an entry.
@@ -33,6 +34,9 @@
 	Config func() *config.Document
 	// Claims is the log for claims on idempotency keys; nil refuses calls with a key.
 	Claims ClaimLog
+	// Trace sees each frame to and from a sidecar; one of them is nil. Tests
+	// record sessions with it.
+	Trace func(peer string, up *wire.WorkUp, down *wire.WorkDown)
 	// MaxBodyBytes bounds a request's body.
 	MaxBodyBytes int64
 	// RequestTimeout bounds a whole language request.
@@ -55,6 +59,7 @@
 	claims      *claims
 	meters      meters
 	sequence    atomic.Uint64
+	unfinished  unfinished
 	indexed     atomic.Pointer[index]
 
 	mu         sync.Mutex
@@ -119,12 +124,18 @@
 // tracked counts the request for a graceful shutdown and refuses it while draining.
 func (s *Server) tracked(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		caller := newCallerWriter(s, w)
+		w = caller
 		if !s.begin() {
-			w.Header().Set("Connection", "close")
 			refuseDraining(w)
 			return
 		}
 		defer s.end()
+		if r.Body != http.NoBody {
+			r.Body = &callerBody{ReadCloser: r.Body, control: caller.control}
+		}
+		s.unfinished.add(r)
+		defer s.unfinished.remove(r)
 		next(w, r)
 	}
 }
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync"
 
 	"github.com/sapphirefield/sapphirefield/attempt"
@@ -13,6 +15,8 @@
 type peerSet struct {
 	ctx    context.Context
 	server *Server
+	// changing is held while the choosers' stages are rebuilt.
+	changing sync.Mutex
 
 	mu   sync.Mutex
 	byID map[string]*peer
@@ -154,6 +158,17 @@
 	return c.Choose(req, exclude)
 }
 
+// resume repairs a chain that lost stages.
+func (m *modelSet) resume(model string, broken pipeline.Broken) (pipeline.Resumption, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := m.choosers[model]
+	if c == nil {
+		return pipeline.Resumption{}, pipeline.ErrNoChain
+	}
+	return pipeline.NewRecovery(c, pipeline.RecoveryOptions{}).Resume(broken)
+}
+
 func (m *modelSet) done(model string, chain pipeline.Chain) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -164,6 +179,9 @@
 
 // peersChanged rebuilds the choosers' stages from the peers that are usable.
 func (s *Server) peersChanged() {
+	// Two changes at once must not leave the choosers with the older stages.
+	s.peers.changing.Lock()
+	defer s.peers.changing.Unlock()
 	x := s.index()
 	if x == nil {
 		return
@@ -180,6 +198,10 @@
 			First: int(hello.Layers.First), Limit: int(hello.Layers.Limit), Weight: x.stageWeight(p.id, hello.Layers),
 		})
 	}
+	// The chooser breaks ties by order, which must not depend on the map's.
+	for _, list := range stages {
+		slices.SortFunc(list, func(a, b pipeline.Stage) int { return strings.Compare(a.Instance, b.Instance) })
+	}
 	s.models.mu.Lock()
 	defer s.models.mu.Unlock()
 	for i := range doc.Models {
--- a/entry/stagerun.go
+++ b/entry/stagerun.go
@@ -6,7 +6,6 @@
 
 	"github.com/sapphirefield/sapphirefield/attempt"
 	"github.com/sapphirefield/sapphirefield/logevent"
-	"github.com/sapphirefield/sapphirefield/pipeline"
 	"github.com/sapphirefield/sapphirefield/problem"
 	"github.com/sapphirefield/sapphirefield/wire"
 )
@@ -15,26 +14,41 @@
 // when no other chain is available. Sidecars keep attempts for as long.
 const resumeLimit = 10 * time.Second
 
+// redialLimit is how long a new connection to a stage that works may take.
+const redialLimit = 400 * time.Millisecond
+
 // stageRun is one attempt on one chain.
 type stageRun struct {
-	g      *generation
-	ex     *exchange
-	peers  []*peer
-	opened []bool
+	g     *generation
+	ex    *exchange
+	chain *plannedChain
+	// counted is set while the chooser counts the chain as in use.
+	counted bool
+	// delivered is set once the attempt gave a token.
+	delivered bool
+	// repairs counts the repaired chains that came after this attempt.
+	repairs int
+	peers   []*peer
+	opened  []bool
 	// started is set once the prompt was sent; before that nothing can have run.
 	started bool
 	watch   *progressWatch
 	// absent holds the stages without a connection and when it was lost.
 	absent map[*peer]time.Time
+	// holdUntil keeps absent stages from being replaced while they are known to work.
+	holdUntil time.Time
 	// resuming is set while tokens that were missed are on their way again.
 	resuming bool
 }
 
 // runAttempt returns nil when the attempt finished or another one may follow.
-func (g *generation) runAttempt(ctx context.Context, chain pipeline.Chain) *problem.Problem {
+func (g *generation) runAttempt(ctx context.Context, chain *plannedChain) *problem.Problem {
 	number := g.request.Send()
-	run := &stageRun{g: g, ex: newExchange(attemptKey(g.id, number)), absent: make(map[*peer]time.Time)}
-	defer run.release()
+	run := &stageRun{
+		g: g, ex: newExchange(attemptKey(g.id, number)), chain: chain, counted: true,
+		absent: make(map[*peer]time.Time),
+	}
+	defer run.end()
 	if !run.open(chain) {
 		return nil
 	}
@@ -74,7 +88,7 @@
 }
 
 // open registers the attempt at every stage. It returns false when a stage could not be reached.
-func (r *stageRun) open(chain pipeline.Chain) bool {
+func (r *stageRun) open(chain *plannedChain) bool {
 	if err := chain.Tiles(r.g.layers); err != nil {
 		return false
 	}
@@ -83,11 +97,12 @@
 		stages[i] = &wire.Stage{
 			Instance: s.Instance, Address: s.Address,
 			Layers: &wire.LayerRange{First: uint32(s.First), Limit: uint32(s.Limit)},
+			Keeps:  chain.keeps != nil && chain.keeps[i],
 		}
 	}
 	for i, s := range chain.Stages {
 		p := r.g.server.peers.get(s.Instance)
-		if p == nil || !p.begin(r.ex, r.openFrame(chain.Revision, stages, uint32(i))) {
+		if p == nil || !p.begin(r.ex, r.openFrame(chain, stages, uint32(i))) {
 			r.g.exclude[s.Instance] = true
 			return false
 		}
@@ -97,11 +112,11 @@
 	return true
 }
 
-func (r *stageRun) openFrame(revision int64, stages []*wire.Stage, position uint32) func(string) *wire.WorkUp {
+func (r *stageRun) openFrame(chain *plannedChain, stages []*wire.Stage, position uint32) func(string) *wire.WorkUp {
 	return func(incarnation string) *wire.WorkUp {
 		return &wire.WorkUp{Body: &wire.WorkUp_Open{Open: &wire.Open{
 			Request: r.ex.key.Request, Attempt: r.ex.key.Number, Incarnation: incarnation,
-			PlanRevision: revision, Chain: stages, Position: position, Model: r.g.model, Priority: r.g.priority,
+			PlanRevision: chain.Revision, Chain: stages, KeepsFrom: chain.keepsFrom, Position: position, Model: r.g.model, Priority: r.g.priority,
 			FirstIndex: uint32(len(r.g.tokens)), MaxTokens: r.g.maxTokens, Parameters: r.g.parameters,
 		}}}
 	}
@@ -119,10 +134,16 @@
 		r.stageLost(event.peer.id, "restarted")
 		return true, nil
 	}
+	// A stage that was only slow to answer takes part again.
+	delete(r.absent, event.peer)
 	switch body := event.frame.Body.(type) {
 	case *wire.WorkDown_Opened:
 		r.stageOpened(event.peer)
 	case *wire.WorkDown_Refused:
+		if body.Refused.Reason == wire.RefusalReason_REFUSAL_NOT_KEPT {
+			r.g.base = nil
+			return true, nil
+		}
 		r.g.exclude[event.peer.id] = true
 		if r.started {
 			r.stageLost(event.peer.id, body.Refused.Reason.String())
@@ -134,6 +155,7 @@
 			failed = r.peers[body.Failed.Stage].id
 		}
 		r.stageLost(failed, body.Failed.Reason)
+		r.excludeDoubtful(now())
 		return true, nil
 	case *wire.WorkDown_Tokens:
 		return r.takeTokens(body.Tokens.Tokens)
@@ -143,6 +165,14 @@
 	return false, nil
 }
 
+// excludeDoubtful leaves out stages that owe an answer when another stage is
+// lost, so that a second loss at the same time does not cost a second replay.
+func (r *stageRun) excludeDoubtful(at time.Time) {
+	for _, i := range r.watch.doubtful(at) {
+		r.g.exclude[r.peers[i].id] = true
+	}
+}
+
 func (r *stageRun) position(p *peer) int {
 	for i, other := range r.peers {
 		if other == p {
@@ -168,6 +198,9 @@
 
 func (r *stageRun) start() {
 	r.started = true
+	if r.chain.keeps == nil {
+		r.g.base = r
+	}
 	r.peers[0].push(&wire.WorkUp{Body: &wire.WorkUp_Start{Start: &wire.Start{
 		Request: r.ex.key.Request, Attempt: r.ex.key.Number, Prompt: r.g.prompt,
 		Generated: r.g.tokens, MaxTokens: r.g.maxTokens,
@@ -190,13 +223,38 @@
 	if action.probe {
 		r.probe()
 	}
+	if len(action.lost) == 0 {
+		return false, next
+	}
+	if action.silent {
+		return r.stagesSilent(action.lost, at), at.Add(minPatience)
+	}
 	for _, i := range action.lost {
-		if action.silent {
-			r.peers[i].suspect()
-		}
 		r.stageLost(r.peers[i].id, "no progress")
 	}
-	return len(action.lost) > 0, next
+	return true, at
+}
+
+// stagesSilent replaces stages that do not answer. When there is no other
+// chain, the attempt waits for new connections to them.
+func (r *stageRun) stagesSilent(positions []int, at time.Time) (over bool) {
+	for _, i := range positions {
+		p := r.peers[i]
+		p.suspect()
+		r.absent[p] = at
+	}
+	if r.watch.movesWithout(uint32(len(r.g.tokens))) {
+		// Only the link is silent. A new connection is cheaper than a replay.
+		r.holdUntil = at.Add(redialLimit)
+	}
+	if r.replaceAbsent(at) || !r.started {
+		return true
+	}
+	for _, i := range positions {
+		r.peers[i].redial()
+	}
+	r.watch.restart(at)
+	return false
 }
 
 func (r *stageRun) probe() {
@@ -228,14 +286,21 @@
 }
 
 func (r *stageRun) replaceAbsent(at time.Time) bool {
+	if len(r.absent) == 0 || r.started && at.Before(r.holdUntil) {
+		return false
+	}
+	expired := false
 	for p, since := range r.absent {
 		r.g.exclude[p.id] = true
-		if r.g.plan() || at.Sub(since) > resumeLimit {
-			r.stageLost(p.id, "connection lost")
-			return true
-		}
+		expired = expired || at.Sub(since) > resumeLimit
 	}
-	return false
+	if !expired && !r.g.plan() {
+		return false
+	}
+	for p := range r.absent {
+		r.stageLost(p.id, "connection lost")
+	}
+	return true
 }
 
 // connectionBack goes on with the attempt on a new connection to the same
@@ -276,6 +341,8 @@
 
 func (r *stageRun) takeToken(token *wire.Token) (bool, *problem.Problem) {
 	r.resuming = false
+	r.delivered = true
+	r.g.base = r
 	r.watch.token(now())
 	r.g.noteRecovered()
 	r.g.request.Observe(r.ex.key.Number, attempt.ExecutedYes)
@@ -297,16 +364,25 @@
 		Uint32("attempt", r.ex.key.Number).Str("instance", instance).Str("reason", reason).Msg("")
 }
 
-// release tells every stage that the attempt is over, and records that an
-// attempt without a start did not run.
-func (r *stageRun) release() {
+// maxRepairs bounds the repaired chains after an attempt that gave no token.
+// After them the whole chain is replayed.
+const maxRepairs = 2
+
+// mayBeKept tells whether the next attempt may go on with the stages' state.
+func (r *stageRun) mayBeKept() bool { return r.started && r.repairs < maxRepairs }
+
+// end records that an attempt without a start did not run, and holds what it
+// left at the stages until it is known whether the next attempt keeps it.
+func (r *stageRun) end() {
 	if !r.started {
 		r.g.request.Observe(r.ex.key.Number, attempt.ExecutedNo)
 	}
 	for _, p := range r.peers {
 		p.forget(r.ex.key)
-		p.push(&wire.WorkUp{Body: &wire.WorkUp_Release{Release: &wire.Release{
-			Request: r.ex.key.Request, Attempt: r.ex.key.Number,
-		}}})
+		r.g.held[p] = r.ex.key
+	}
+	if r.counted {
+		r.counted = false
+		r.g.server.models.done(r.g.model, r.chain.Chain)
 	}
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -8,8 +8,10 @@
 	"crypto/rand"
 	"crypto/tls"
 	"encoding/hex"
+	"fmt"
 	"net"
 	"net/http"
+	"sort"
 	"sync"
 	"time"
 
@@ -42,6 +44,8 @@
 	Logger      *log.Logger
 	// StepTimeout bounds one iteration of the engine.
 	StepTimeout time.Duration
+	// HistoryBytes bounds the activations that are kept for replaced stages.
+	HistoryBytes int
 	// MaxBodyBytes bounds the body of a plain request.
 	MaxBodyBytes int
 	// Revision answers peers that ask for the configuration in force; nil means none.
@@ -64,6 +68,7 @@
 	opts        Options
 	incarnation string
 	client      *http.Client
+	caller      *http.Transport
 	batch       *link.Queue[*wire.EngineStep]
 
 	mu       sync.Mutex
@@ -71,13 +76,20 @@
 	gate     *pipeline.StepGate
 	attempts map[string]*stageAttempt
 	calls    map[attempt.Key]*call
-	entries  map[string]*entryLink
-	hops     map[string]*hop
-	engineUp bool
-	pace     pace
+	// ended holds calls whose answers are kept, keptBytes what all answers take.
+	ended     map[attempt.Key]*call
+	keptBytes int
+	entries   map[string]*entryLink
+	hops      map[string]*hop
+	engineUp  bool
+	pace      pace
 	// iteration is the batch that runs in the engine, nil while it is idle.
 	iteration     *iteration
 	lastIteration time.Time
+	// deferred holds attempts that wait for a step of the attempt before them.
+	deferred []deferredOpen
+	// historyBytes is what the histories of all attempts take.
+	historyBytes int
 	// opening holds attempts that wait for proof that the engine runs.
 	opening []*stageAttempt
 	// idle is closed when the sidecar drains and nothing is in progress.
@@ -96,16 +108,21 @@
 	if opts.MaxBodyBytes == 0 {
 		opts.MaxBodyBytes = defaultMaxBodyBytes
 	}
+	if opts.HistoryBytes == 0 {
+		opts.HistoryBytes = defaultHistoryBytes
+	}
 	incarnation := newIncarnation()
 	return &Server{
 		opts:        opts,
 		incarnation: incarnation,
-		client:      backendClient(opts),
+		client:      engineClient(opts),
+		caller:      callTransport(opts),
 		batch:       link.NewQueue[*wire.EngineStep](maxQueuedSteps),
 		ledger:      attempt.NewLedger(incarnation),
 		gate:        pipeline.NewStepGate(),
 		attempts:    make(map[string]*stageAttempt),
 		calls:       make(map[attempt.Key]*call),
+		ended:       make(map[attempt.Key]*call),
 		entries:     make(map[string]*entryLink),
 		hops:        make(map[string]*hop),
 		engineUp:    true,
@@ -174,9 +191,24 @@
 	return s.ledger.InProgress()
 }
 
+// Unfinished names the attempts that are open or running.
+func (s *Server) Unfinished() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []string
+	for _, a := range s.attempts {
+		names = append(names, fmt.Sprintf("%s attempt %d", a.key.Request, a.key.Number))
+	}
+	for _, c := range s.calls {
+		names = append(names, fmt.Sprintf("%s attempt %d: %s %s", c.key.Request, c.key.Number, c.head.Method, c.head.Path))
+	}
+	sort.Strings(names)
+	return names
+}
+
 // checkIdle must be called with the lock held.
 func (s *Server) checkIdle() {
-	if !s.ledger.Draining() || s.ledger.InProgress() > 0 {
+	if !s.ledger.Draining() || s.ledger.InProgress() > 0 || s.answersOnTheWay() {
 		return
 	}
 	select {
@@ -186,6 +218,10 @@
 	}
 }
 
+// answersOnTheWay tells whether an entry has yet to take an answer: a process
+// that ended earlier would cut off the last frames.
+func (s *Server) answersOnTheWay() bool { return len(s.ended) > 0 }
+
 // load must be called with the lock held.
 func (s *Server) load() *wire.Load {
 	return &wire.Load{
@@ -213,6 +249,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ledger.Expire(now)
+	s.expireKept(now)
+	s.endUnfinishedUploads(now)
 	for request, a := range s.attempts {
 		if !a.unconfirmedAt.IsZero() && now.Sub(a.unconfirmedAt) > link.SilenceLimit {
 			s.closeAttempt(request, a, now)
