entry: choose instances by list and evidence together

Cause: the entry believed the instance list as it was; an empty list would have stopped service, and a draining instance stayed a candidate.

Change: the entry feeds the membership view with the list and with what its connections show, connects to a subset of each service's sidecars, and weights engines and plain servers by the view.

--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -73,6 +73,14 @@
 	ended <-chan struct{}
 }
 
+// service is what the instance list names the node's service.
+func (n *Node) service() string {
+	if n.Engine != nil {
+		return Model
+	}
+	return Service
+}
+
 // Kill ends the sidecar and its backend server at once.
 func (n *Node) Kill() {
 	n.killed.Store(true)
@@ -256,7 +264,7 @@
 func (c *Cluster) Instances() []entry.Instance {
 	var instances []entry.Instance
 	for _, n := range c.Nodes {
-		instances = append(instances, entry.Instance{ID: n.ID, Zone: "changwon-a", Address: n.Address})
+		instances = append(instances, entry.Instance{ID: n.ID, Service: n.service(), Zone: "changwon-a", Address: n.Address})
 	}
 	return instances
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -37,6 +37,8 @@
 	// Trace sees each frame to and from a sidecar; one of them is nil. Tests
 	// record sessions with it.
 	Trace func(peer string, up *wire.WorkUp, down *wire.WorkDown)
+	// Watched bounds the sidecars of each service that the entry is connected to.
+	Watched int
 	// MaxBodyBytes bounds a request's body.
 	MaxBodyBytes int64
 	// RequestTimeout bounds a whole language request.
@@ -54,6 +56,7 @@
 	opts        Options
 	incarnation string
 	peers       *peerSet
+	members     *members
 	models      *modelSet
 	admitter    *admitter
 	claims      *claims
@@ -73,6 +76,9 @@
 	if opts.MaxBodyBytes == 0 {
 		opts.MaxBodyBytes = defaultMaxBodyBytes
 	}
+	if opts.Watched == 0 {
+		opts.Watched = defaultWatched
+	}
 	if opts.RequestTimeout == 0 {
 		opts.RequestTimeout = defaultRequestTimeout
 	}
@@ -86,6 +92,7 @@
 		idle:        make(chan struct{}),
 	}
 	s.models = newModelSet()
+	s.members = newMembers()
 	s.admitter = newAdmitter(uint64(now().UnixNano()))
 	s.peers = newPeerSet(ctx, s)
 	if opts.Claims != nil {
@@ -204,17 +211,6 @@
 	return s.opts.Config() != nil && !s.Draining() && s.peers.connected() > 0
 }
 
-// Instance is a sidecar that the entry may use.
-type Instance struct {
-	ID      string
-	Zone    string
-	Address string
-	Leaving bool
-}
-
-// SetInstances replaces the sidecars that the entry is connected to.
-func (s *Server) SetInstances(instances []Instance) { s.peers.set(instances) }
-
 // meters are the entry's metrics.
 type meters struct {
 	requests, refused, tokens, recoveries metrics.Counter
--- /dev/null
+++ b/entry/members.go
@@ -0,0 +1,166 @@
+package entry
+
+import (
+	"errors"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/sapphirefield/sapphirefield/config"
+	"github.com/sapphirefield/sapphirefield/link"
+	"github.com/sapphirefield/sapphirefield/logevent"
+	"github.com/sapphirefield/sapphirefield/membership"
+	"github.com/sapphirefield/sapphirefield/pipeline"
+)
+
+// defaultWatched is how many sidecars of each service an entry is connected to
+// at most. All entries together must reach every sidecar, and each entry needs
+// several engines for every layer range.
+const defaultWatched = 64
+
+// members joins the instance list with the evidence of the connections.
+type members struct {
+	mu   sync.Mutex
+	view *membership.View
+	// services are those that the list names.
+	services map[string]bool
+	// incarnations are the last ones that greeted, by instance.
+	incarnations map[string]string
+}
+
+func newMembers() *members {
+	return &members{view: membership.New(membership.DefaultOptions()), services: make(map[string]bool), incarnations: make(map[string]string)}
+}
+
+// Instance is a sidecar as the platform's list describes it.
+type Instance struct {
+	ID string
+	// Service is the plain service, or the model that the engine serves.
+	Service string
+	Zone    string
+	Address string
+	Leaving bool
+}
+
+// SetInstances takes the platform's list. It must be called again every few
+// seconds also when the list has not changed, because a loss in the list counts
+// only after it has been seen for a while.
+func (s *Server) SetInstances(list []Instance) {
+	instances := make([]membership.Instance, len(list))
+	for i, in := range list {
+		instances[i] = membership.Instance(in)
+	}
+	s.members.mu.Lock()
+	for _, in := range list {
+		s.members.services[in.Service] = true
+	}
+	report := s.members.view.ObserveList(now(), instances)
+	subset := s.members.subset(s.opts)
+	s.members.mu.Unlock()
+	if report.Verdict == membership.ListDistrusted {
+		logevent.Write(s.opts.Logger, logevent.ListDistrusted).Str("id", s.opts.ID).
+			Strs("services", report.Distrusted).Int("lost", report.Lost).Msg("")
+	}
+	s.peers.set(subset)
+}
+
+// subset returns the sidecars that this entry watches; the lock must be held.
+func (m *members) subset(opts Options) []Instance {
+	var watched []Instance
+	for service := range m.services {
+		for _, in := range m.view.Subset(now(), service, opts.ID, opts.Zone, opts.Watched) {
+			watched = append(watched, Instance(in))
+		}
+	}
+	return watched
+}
+
+// observe takes evidence from a connection.
+func (s *Server) observe(instance string, evidence membership.Evidence) {
+	s.members.mu.Lock()
+	defer s.members.mu.Unlock()
+	s.members.view.Observe(now(), instance, evidence)
+}
+
+// observeHello takes the greeting of a sidecar. A new incarnation is a new
+// process, which knows nothing of the old one's drain.
+func (s *Server) observeHello(instance, incarnation string) {
+	s.members.mu.Lock()
+	defer s.members.mu.Unlock()
+	evidence := membership.Heartbeat
+	if known := s.members.incarnations[instance]; known != "" && known != incarnation {
+		evidence = membership.Restarted
+	}
+	s.members.incarnations[instance] = incarnation
+	s.members.view.Observe(now(), instance, evidence)
+}
+
+// observeLost takes the end of a connection, or a failure to open one.
+func (s *Server) observeLost(instance string, connected bool, cause error) {
+	var op *net.OpError
+	switch {
+	case errors.Is(cause, link.ErrSilent):
+		s.observe(instance, membership.Silent)
+	case connected:
+		s.observe(instance, membership.EndOfStream)
+	case errors.As(cause, &op) && op.Op == "dial":
+		s.observe(instance, membership.RefusedConnection)
+	}
+}
+
+// candidates returns the weights of the instances of a service that may
+// receive work: below 1 during the warm-up, after a failure or while busy.
+func (m *members) candidates(service string) map[string]float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	weights := make(map[string]float64)
+	for _, c := range m.view.Candidates(now(), service) {
+		weights[c.ID] = c.Weight
+	}
+	return weights
+}
+
+// stages returns the usable engines of each model, weighted by their rate and
+// by what the evidence says about them.
+func (s *Server) stages(x *index) map[string][]pipeline.Stage {
+	stages := make(map[string][]pipeline.Stage)
+	weights := make(map[string]map[string]float64)
+	for _, p := range s.peers.all() {
+		hello, address, zone := p.info()
+		if hello.GetLayers() == nil || !p.usable() {
+			continue
+		}
+		if weights[p.service] == nil {
+			weights[p.service] = s.members.candidates(p.service)
+		}
+		weight := weights[p.service][p.id]
+		if weight <= 0 {
+			continue
+		}
+		stages[hello.Model] = append(stages[hello.Model], pipeline.Stage{
+			Instance: p.id, Address: address, Zone: zone,
+			First: int(hello.Layers.First), Limit: int(hello.Layers.Limit), Weight: weight * x.stageWeight(p.id, hello.Layers),
+		})
+	}
+	// The chooser breaks ties by order, which must not depend on the map's.
+	for _, list := range stages {
+		slices.SortFunc(list, func(a, b pipeline.Stage) int { return strings.Compare(a.Instance, b.Instance) })
+	}
+	return stages
+}
+
+// updateStages gives the choosers the engines that are usable now.
+func (m *modelSet) updateStages(doc *config.Document, stages map[string][]pipeline.Stage) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for i := range doc.Models {
+		model := &doc.Models[i]
+		c := m.choosers[model.Name]
+		if c == nil {
+			c = pipeline.NewChooser(pipeline.Options{Layers: model.Layers, ActivationBytes: model.ActivationBytes})
+			m.choosers[model.Name] = c
+		}
+		c.Update(0, stages[model.Name])
+	}
+}
--- /dev/null
+++ b/entry/members_test.go
@@ -0,0 +1,47 @@
+package entry
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sapphirefield/sapphirefield/membership"
+)
+
+func list(ids ...string) []membership.Instance {
+	var instances []membership.Instance
+	for _, id := range ids {
+		instances = append(instances, membership.Instance{ID: id, Service: "orders", Zone: "z", Address: "127.0.0.1:1"})
+	}
+	return instances
+}
+
+// Guards against a stop of service when the platform's list goes empty by mistake.
+func TestEmptyListKeepsLastGoodSet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := testServer(t, testDocument())
+		s.members.view.ObserveList(now(), list("a", "b", "c"))
+		s.members.view.ObserveList(now(), nil)
+		time.Sleep(time.Minute)
+		s.members.view.ObserveList(now(), nil)
+		assert.Equal(t, len(s.members.candidates("orders")), 3)
+	})
+}
+
+// Guards R5 from the entry's side: an instance that says that it drains is no
+// candidate, whatever the lagging list says, until a new process greets.
+func TestDrainingInstanceIsNoCandidate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := testServer(t, testDocument())
+		s.members.view.ObserveList(now(), list("a", "b", "c"))
+		s.observeHello("a", "first")
+		s.observe("a", membership.RefusedDraining)
+		_, candidate := s.members.candidates("orders")["a"]
+		assert.Assert(t, !candidate)
+		s.observeHello("a", "second")
+		weight := s.members.candidates("orders")["a"]
+		assert.Assert(t, weight > 0 && weight < 1, "a new process is warmed up, weight %v", weight)
+	})
+}
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -12,6 +12,7 @@
 	"github.com/sapphirefield/sapphirefield/attempt"
 	"github.com/sapphirefield/sapphirefield/link"
 	"github.com/sapphirefield/sapphirefield/logevent"
+	"github.com/sapphirefield/sapphirefield/membership"
 	"github.com/sapphirefield/sapphirefield/wire"
 )
 
@@ -58,7 +59,9 @@
 type peer struct {
 	server *Server
 	id     string
-	cancel context.CancelFunc
+	// service is what the instance list says.
+	service string
+	cancel  context.CancelFunc
 
 	mu      sync.Mutex
 	address string
@@ -221,6 +224,7 @@
 	}
 	p.mu.Unlock()
 	logevent.Write(p.server.opts.Logger, logevent.SidecarConnected).Str("id", p.server.opts.ID).Str("peer", p.id).Msg("")
+	p.server.observeHello(p.id, hello.Incarnation)
 	p.server.peersChanged()
 }
 
@@ -230,6 +234,11 @@
 	p.load = load
 	hello := p.hello
 	p.mu.Unlock()
+	if load.Draining {
+		p.server.observe(p.id, membership.RefusedDraining)
+	} else {
+		p.server.observe(p.id, membership.Heartbeat)
+	}
 	if changed {
 		p.server.peersChanged()
 	}
@@ -248,6 +257,9 @@
 	}
 	p.queue = nil
 	p.mu.Unlock()
+	if ctx.Err() == nil {
+		p.server.observeLost(p.id, wasConnected, cause)
+	}
 	if wasConnected && ctx.Err() == nil {
 		logevent.Write(p.server.opts.Logger, logevent.SidecarDisconnected).Str("id", p.server.opts.ID).Str("peer", p.id).AnErr("cause", cause).Msg("")
 	}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
 	"sync"
 
 	"github.com/sapphirefield/sapphirefield/attempt"
@@ -61,7 +59,7 @@
 	}
 	ctx, cancel := context.WithCancel(ps.ctx)
 	p := &peer{
-		server: ps.server, id: in.ID, address: in.Address, zone: in.Zone, leaving: in.Leaving,
+		server: ps.server, id: in.ID, service: in.Service, address: in.Address, zone: in.Zone, leaving: in.Leaving,
 		cancel: cancel, pending: make(map[attempt.Key]pendingExchange),
 	}
 	ps.byID[in.ID] = p
@@ -100,19 +98,24 @@
 	return n
 }
 
+// otherZoneCost is what a call into another availability zone counts as much
+// as, in calls in progress.
+const otherZoneCost = 0.5
+
 // pick returns the usable server of a plain service with the least calls in
 // progress, in the entry's availability zone before others.
 func (ps *peerSet) pick(service string, exclude map[string]bool) *peer {
 	var best *peer
-	var bestCost int
+	var bestCost float64
+	weights := ps.server.members.candidates(service)
 	for _, p := range ps.all() {
 		hello, _, zone := p.info()
-		if hello.GetService() != service || exclude[p.id] || !p.usable() {
+		if hello.GetService() != service || exclude[p.id] || !p.usable() || weights[p.id] <= 0 {
 			continue
 		}
-		cost := p.pendingCalls() * 2
+		cost := float64(p.pendingCalls()+1) / weights[p.id]
 		if zone != ps.server.opts.Zone {
-			cost++
+			cost += otherZoneCost
 		}
 		if best == nil || cost < bestCost || cost == bestCost && p.id < best.id {
 			best, bestCost = p, cost
@@ -177,7 +180,7 @@
 	}
 }
 
-// peersChanged rebuilds the choosers' stages from the peers that are usable.
+// peersChanged gives the decisions the backend servers that are usable now.
 func (s *Server) peersChanged() {
 	// Two changes at once must not leave the choosers with the older stages.
 	s.peers.changing.Lock()
@@ -186,32 +189,7 @@
 	if x == nil {
 		return
 	}
-	doc := x.doc
-	stages := make(map[string][]pipeline.Stage)
-	for _, p := range s.peers.all() {
-		hello, address, zone := p.info()
-		if hello.GetLayers() == nil || !p.usable() {
-			continue
-		}
-		stages[hello.Model] = append(stages[hello.Model], pipeline.Stage{
-			Instance: p.id, Address: address, Zone: zone,
-			First: int(hello.Layers.First), Limit: int(hello.Layers.Limit), Weight: x.stageWeight(p.id, hello.Layers),
-		})
-	}
-	// The chooser breaks ties by order, which must not depend on the map's.
-	for _, list := range stages {
-		slices.SortFunc(list, func(a, b pipeline.Stage) int { return strings.Compare(a.Instance, b.Instance) })
-	}
-	s.models.mu.Lock()
-	defer s.models.mu.Unlock()
-	for i := range doc.Models {
-		model := &doc.Models[i]
-		c := s.models.choosers[model.Name]
-		if c == nil {
-			c = pipeline.NewChooser(pipeline.Options{Layers: model.Layers, ActivationBytes: model.ActivationBytes})
-			s.models.choosers[model.Name] = c
-		}
-		c.Update(0, stages[model.Name])
-	}
-	s.updateCapacity(doc, stages)
+	stages := s.stages(x)
+	s.models.updateStages(x.doc, stages)
+	s.updateCapacity(x.doc, stages)
 }
