Lower the entry's cost of a token

Cause: the profile of the throughput benchmark showed a wrapping frame for each token of a shared frame, a whole JSON object encoded for each event, a write to the caller's connection for each token even when several were waiting, and a new slice for each Take of a queue. FuzzWorkDown found that a sidecar that sends a token for a plain call would have ended the entry with a nil pointer once tokens were no longer wrapped.

Change: tokens go to their exchanges unwrapped; an event is encoded once for an answer and only the text is filled in; events that wait together leave in one write; a queue uses the slice of the last Take again. A token for a plain call is ignored.

--- a/entry/callrun.go
+++ b/entry/callrun.go
@@ -39,6 +39,10 @@
 	case peerGone:
 		return true, false
 	}
+	if event.frame == nil {
+		// A token has no place in a plain call.
+		return false, false
+	}
 	request, number := r.call.request, r.ex.key.Number
 	switch body := event.frame.Body.(type) {
 	case *wire.WorkDown_Refused:
--- a/entry/chain.go
+++ b/entry/chain.go
@@ -33,6 +33,8 @@
 	admission  admission.Request
 	// emit passes a token to the caller; an error means that the caller is gone.
 	emit func(token *wire.Token) error
+	// flush sends what emit has passed on; nil when emit does so itself.
+	flush func()
 
 	request *attempt.Request
 	tokens  []*wire.TokenValue
--- a/entry/language.go
+++ b/entry/language.go
@@ -52,6 +52,7 @@
 	}
 	timing := newTokenTiming(s, began)
 	g.emit = timing.wrap(answer.token)
+	g.flush = answer.flush
 	p := g.run(ctx)
 	release(timing.outcome(p))
 	if p != nil {
--- a/entry/language_answer.go
+++ b/entry/language_answer.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"strings"
@@ -21,6 +22,10 @@
 	// streaming is set once the first event was written.
 	streaming bool
 	text      strings.Builder
+	// prefix and suffix stand around a token's text in its event.
+	prefix, suffix []byte
+	buffer         bytes.Buffer
+	encoder        *json.Encoder
 }
 
 type completionChoice struct {
@@ -60,7 +65,52 @@
 	if !a.streaming {
 		a.begin()
 	}
-	return a.event(a.chunk(token.Value.GetText(), nil))
+	return a.tokenEvent(token.Value.GetText())
+}
+
+// placeholder marks the place of a token's text in an event.
+const placeholder = "TEXT"
+
+// tokenEvent writes the event of a token without sending it yet. All events of
+// an answer differ only in the text, so the rest is encoded once.
+func (a *languageAnswer) tokenEvent(text string) error {
+	if text == "" {
+		return a.write(a.chunk("", nil))
+	}
+	if a.encoder == nil {
+		if err := a.makeTemplate(); err != nil {
+			return err
+		}
+	}
+	a.buffer.Reset()
+	a.buffer.Write(a.prefix)
+	if err := a.encoder.Encode(text); err != nil {
+		return err
+	}
+	// The encoder ends each value with a line break.
+	a.buffer.Truncate(a.buffer.Len() - 1)
+	a.buffer.Write(a.suffix)
+	_, err := a.w.Write(a.buffer.Bytes())
+	return err
+}
+
+func (a *languageAnswer) makeTemplate() error {
+	data, err := json.Marshal(a.chunk(placeholder, nil))
+	if err != nil {
+		return err
+	}
+	i := bytes.LastIndex(data, []byte(`"`+placeholder+`"`))
+	a.prefix = append([]byte("data: "), data[:i]...)
+	a.suffix = append(data[i+len(placeholder)+2:], "\n\n"...)
+	a.encoder = json.NewEncoder(&a.buffer)
+	return nil
+}
+
+// flush sends the events that were written.
+func (a *languageAnswer) flush() {
+	if a.streaming {
+		_ = http.NewResponseController(a.w).Flush()
+	}
 }
 
 func (a *languageAnswer) begin() {
@@ -90,13 +140,21 @@
 	return &completion{ID: a.id, Object: a.form.chunkObject, Created: a.created, Model: a.model, Choices: []completionChoice{choice}}
 }
 
-// event writes one server-sent event and flushes it.
+// event writes one server-sent event and sends it.
 func (a *languageAnswer) event(value any) error {
+	if err := a.write(value); err != nil {
+		return err
+	}
+	return http.NewResponseController(a.w).Flush()
+}
+
+func (a *languageAnswer) write(value any) error {
 	data, err := json.Marshal(value)
 	if err != nil {
 		return err
 	}
-	return a.line(string(data))
+	_, err = a.w.Write([]byte("data: " + string(data) + "\n\n"))
+	return err
 }
 
 func (a *languageAnswer) line(data string) error {
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -42,6 +42,8 @@
 	kind  peerEventKind
 	peer  *peer
 	frame *wire.WorkDown
+	// token is set instead of frame for one token out of a frame with many.
+	token *wire.Token
 }
 
 // exchange receives the events of one attempt from all its peers.
@@ -363,9 +365,12 @@
 
 // deliverTokens splits a frame with the tokens of many requests.
 func (p *peer) deliverTokens(tokens *wire.Tokens) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for _, token := range tokens.Tokens {
-		one := &wire.WorkDown{Body: &wire.WorkDown_Tokens{Tokens: &wire.Tokens{Tokens: []*wire.Token{token}}}}
-		p.deliver(attempt.Key{Request: token.Request, Number: token.Attempt}, one)
+		if ex, found := p.pending[attemptKey(token.Request, token.Attempt)]; found {
+			ex.events.Push(peerEvent{peer: p, token: token})
+		}
 	}
 }
 
--- a/entry/stagerun.go
+++ b/entry/stagerun.go
@@ -81,6 +81,9 @@
 			return over, refused
 		}
 	}
+	if r.g.flush != nil {
+		r.g.flush()
+	}
 	if !open {
 		return true, r.g.giveUp(problem.DeadlineExceeded, "the caller reads too slowly")
 	}
@@ -136,6 +139,9 @@
 	}
 	// A stage that was only slow to answer takes part again.
 	delete(r.absent, event.peer)
+	if event.token != nil {
+		return r.takeToken(event.token)
+	}
 	switch body := event.frame.Body.(type) {
 	case *wire.WorkDown_Opened:
 		r.stageOpened(event.peer)
@@ -157,8 +163,6 @@
 		r.stageLost(failed, body.Failed.Reason)
 		r.excludeDoubtful(now())
 		return true, nil
-	case *wire.WorkDown_Tokens:
-		return r.takeTokens(body.Tokens.Tokens)
 	case *wire.WorkDown_Progress:
 		return r.progress(event.peer, body.Progress), nil
 	}
@@ -318,28 +322,19 @@
 	}}})
 }
 
-// takeTokens passes tokens on in order. A token that the caller already has is
+// takeToken passes a token on in order. A token that the caller already has is
 // dropped. One from further ahead means a gap, so the missing ones are asked for.
-func (r *stageRun) takeTokens(tokens []*wire.Token) (bool, *problem.Problem) {
-	for _, token := range tokens {
-		next := uint32(len(r.g.tokens))
-		if token.Index < next {
-			continue
-		}
-		if token.Index > next {
-			if !r.resuming {
-				r.resume(r.peers[len(r.peers)-1])
-			}
-			continue
-		}
-		if over, refused := r.takeToken(token); over || refused != nil {
-			return over, refused
+func (r *stageRun) takeToken(token *wire.Token) (bool, *problem.Problem) {
+	next := uint32(len(r.g.tokens))
+	if token.Index < next {
+		return false, nil
+	}
+	if token.Index > next {
+		if !r.resuming {
+			r.resume(r.peers[len(r.peers)-1])
 		}
+		return false, nil
 	}
-	return false, nil
-}
-
-func (r *stageRun) takeToken(token *wire.Token) (bool, *problem.Problem) {
 	r.resuming = false
 	r.delivered = true
 	r.g.base = r
--- a/link/queue.go
+++ b/link/queue.go
@@ -9,8 +9,10 @@
 // never blocks a producer; the consumer takes all waiting frames at once, so
 // that they leave in one batch.
 type Queue[T any] struct {
-	mu     sync.Mutex
-	items  []T
+	mu    sync.Mutex
+	items []T
+	// spare is the slice that the last Take returned.
+	spare  []T
 	closed bool
 	limit  int
 	ready  chan struct{}
@@ -41,12 +43,22 @@
 	return true
 }
 
+// maxSpareItems bounds the slice that is used again, so that one burst does not
+// hold its memory for ever.
+const maxSpareItems = 1024
+
 // Take returns all waiting items, in order, and whether the queue is still open.
+// The slice is valid until the next Take.
 func (q *Queue[T]) Take() ([]T, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	items := q.items
-	q.items = nil
+	clear(q.spare)
+	q.items = q.spare[:0]
+	q.spare = nil
+	if cap(items) <= maxSpareItems {
+		q.spare = items
+	}
 	q.release()
 	return items, !q.closed
 }
