order: count chains by range and not by engine

Change: Chains joins the engines of one range into one edge and pushes the narrowest number of units along each path. A test compares the result with a brute-force count.

--- a/order/chains.go
+++ b/order/chains.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 )
 
@@ -11,50 +12,89 @@
 // from the first to the last layer with one unit for each engine.
 func Chains(fleet []Holder, version string, layers int) int {
 	var edges []edge
-	for i, e := range fleet {
-		if e.serves(version) {
-			edges = append(edges, edge{e.Layers.First, e.Layers.Limit, i})
+	index := map[LayerRange]int{}
+	for _, e := range fleet {
+		if !e.serves(version) {
+			continue
+		}
+		i, known := index[e.Layers]
+		if !known {
+			i = len(edges)
+			index[e.Layers] = i
+			edges = append(edges, edge{from: e.Layers.First, to: e.Layers.Limit})
 		}
+		edges[i].free++
 	}
-	used := make([]bool, len(edges))
-	n := 0
-	for augment(edges, used, layers) {
-		n++
+	total := 0
+	for {
+		n := augment(edges, layers)
+		if n == 0 {
+			return total
+		}
+		total += n
 	}
-	return n
 }
 
-// edge is an engine as an edge between two layer boundaries.
-type edge struct{ from, to, engine int }
+// edge stands for all engines of one range, between two layer boundaries.
+type edge struct {
+	from, to int
+	// free and used count the engines outside and inside the flow.
+	free, used int
+}
+
+// way is how a boundary was reached: by an edge, forward or against its flow.
+type way struct {
+	edge, from int
+	back       bool
+}
 
-// augment finds one more unit of flow by a breadth-first search over the
-// residual graph and marks its edges.
-func augment(edges []edge, used []bool, layers int) bool {
-	type step struct{ edge, from int }
-	reached := map[int]step{0: {edge: -1}}
+// augment finds one more path by a breadth-first search over the residual graph
+// and returns how many units of flow it adds.
+func augment(edges []edge, layers int) int {
+	reached := map[int]way{0: {edge: -1}}
 	queue := []int{0}
 	for len(queue) > 0 {
 		at := queue[0]
 		queue = queue[1:]
 		for i, e := range edges {
-			from, to := e.from, e.to
-			if used[i] {
-				from, to = e.to, e.from
+			w, to := way{edge: i, from: at}, e.to
+			if e.to == at {
+				w.back, to = true, e.from
 			}
-			if _, seen := reached[to]; from != at || seen {
+			usable := !w.back && e.from == at && e.free > 0 || w.back && e.used > 0
+			if _, seen := reached[to]; !usable || seen {
 				continue
 			}
-			reached[to] = step{edge: i, from: at}
+			reached[to] = w
 			queue = append(queue, to)
 		}
 	}
 	if _, ok := reached[layers]; !ok {
-		return false
+		return 0
+	}
+	return push(edges, reached, layers)
+}
+
+// push moves as many units along the path as its narrowest edge allows.
+func push(edges []edge, reached map[int]way, layers int) int {
+	units := math.MaxInt
+	for at := layers; at != 0; at = reached[at].from {
+		w := reached[at]
+		if w.back {
+			units = min(units, edges[w.edge].used)
+		} else {
+			units = min(units, edges[w.edge].free)
+		}
 	}
 	for at := layers; at != 0; at = reached[at].from {
-		used[reached[at].edge] = !used[reached[at].edge]
+		w, n := reached[at], units
+		if w.back {
+			n = -units
+		}
+		edges[w.edge].free -= n
+		edges[w.edge].used += n
 	}
-	return true
+	return units
 }
 
 // chainBeside returns the engines of the cheapest chain of target that leaves a
--- a/order/rollout_test.go
+++ b/order/rollout_test.go
@@ -210,6 +210,33 @@
 	})
 }
 
+// mostDisjoint is the oracle of Chains.
+func mostDisjoint(chains [][]int) int {
+	most := 0
+	for i, chain := range chains {
+		var rest [][]int
+		for _, other := range chains[i+1:] {
+			if disjoint(chain, other) {
+				rest = append(rest, other)
+			}
+		}
+		most = max(most, 1+mostDisjoint(rest))
+	}
+	return most
+}
+
+// The number of chains decides what may be loaded, so it must be exact.
+func TestChainsAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const layers = 4
+		fleet := drawFleet(t, 10, layers)
+		all := chainsOf(fleet, layers, func(h Holder) bool { return h.serves("v1") })
+		if got, want := Chains(fleet, "v1", layers), mostDisjoint(all); got != want {
+			t.Fatalf("%d chains, oracle %d", got, want)
+		}
+	})
+}
+
 // Whatever fails and whichever way the rollout goes, no step may take the last
 // whole version away, and an undisturbed rollout that is not blocked must end.
 func TestRolloutKeepsAVersionWhole(t *testing.T) {
