order: test that counting chains takes a chain apart again

Cause: a trial that left out the backward edges of the flow passed all tests, because the drawn fleets are too small to need them.

Change: one fleet of seven engines whose first chain blocks two others.

Conclusion: the residual graph of Chains is covered.

--- a/order/rollout_test.go
+++ b/order/rollout_test.go
@@ -237,6 +237,15 @@
 	})
 }
 
+// The first chain that the search finds, 0-2-3-5, blocks both others, so it must be taken apart again.
+func TestChainsTakeAChainApart(t *testing.T) {
+	var fleet []Holder
+	for i, r := range []LayerRange{{0, 2}, {2, 3}, {3, 5}, {0, 1}, {1, 3}, {2, 4}, {4, 5}} {
+		fleet = append(fleet, Holder{ID: fmt.Sprint("e", i), Layers: r, Version: "v1"})
+	}
+	assert.Equal(t, Chains(fleet, "v1", 5), 2)
+}
+
 // Whatever fails and whichever way the rollout goes, no step may take the last
 // whole version away, and an undisturbed rollout that is not blocked must end.
 func TestRolloutKeepsAVersionWhole(t *testing.T) {
