configlog: test an expired first record and a peer of another log

Benchmarks measure the propagation of a change to ten processes and the pages of the console at the target size. The console compares revisions before it computes a difference.

--- /dev/null
+++ b/configlog/reader_test.go
@@ -0,0 +1,61 @@
+package configlog
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func entryOf(t *testing.T, offset int64, r Record) Entry {
+	data, err := r.Encode()
+	assert.NilError(t, err)
+	return Entry{Offset: offset, Data: data}
+}
+
+// Guards against a log whose record 0 has expired being taken for one that
+// numbers its records from 1, where nothing has expired.
+func TestExpiredFirstRecordIsNotAFreshLog(t *testing.T) {
+	expired := NewReader(versionRules(1))
+	expired.OnExpired(1)
+	expired.OnRecords(1, []Entry{entryOf(t, 1, revision(t, "a", nil, 1))})
+	expired.OnRecords(1, nil)
+	assert.Assert(t, !expired.Anchored())
+
+	fresh := NewReader(versionRules(1))
+	fresh.OnRecords(1, []Entry{entryOf(t, 1, revision(t, "a", nil, 1))})
+	fresh.OnRecords(1, nil)
+	fresh.OnRecords(1, []Entry{entryOf(t, 1, revision(t, "a", nil, 1))})
+	assert.Equal(t, fresh.InForce().Number, int64(1))
+}
+
+// follower is a reader that has folded the given records from offset 0.
+func follower(t *testing.T, records ...Record) *Reader {
+	r := NewReader(versionRules(1))
+	r.OnRecords(0, nil)
+	for i, record := range records {
+		r.OnRecords(0, []Entry{entryOf(t, int64(i), record)})
+	}
+	return r
+}
+
+// Guards against a peer that saw another log: a state that is behind must not
+// replace this one, and another document under the same number is reported.
+func TestPeerOfAnotherLog(t *testing.T) {
+	first := revision(t, "a", nil, 1)
+	base := &Revision{Number: 1, Document: document(1)}
+	mine := follower(t, first, revision(t, "x", nil, 9), revision(t, "y", nil, 9), revision(t, "b", base, 2))
+	other := follower(t, first, revision(t, "c", base, 3), revision(t, "d", &Revision{Number: 2, Document: document(3)}, 4))
+	data, err := other.State().Checkpoint().Encode()
+	assert.NilError(t, err)
+	state := mine.State()
+	assert.NilError(t, mine.OnPeer(data))
+	assert.Assert(t, mine.State() == state, "a state that is behind was taken up")
+
+	same := follower(t, first, revision(t, "e", base, 5))
+	assert.Equal(t, same.InForce().Number, int64(2))
+	conflicting := follower(t, first, revision(t, "x", nil, 9), revision(t, "f", base, 6))
+	data, err = conflicting.State().Checkpoint().Encode()
+	assert.NilError(t, err)
+	assert.NilError(t, same.OnPeer(data))
+	assert.Assert(t, same.Conflict())
+}
--- a/configsync/sync_test.go
+++ b/configsync/sync_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"sync"
@@ -254,3 +255,38 @@
 		assert.Equal(t, publish(t, a, edited(doc, 42)).Result, configlog.ResultNotSent)
 	})
 }
+
+// BenchmarkPropagation measures the time from the call of Publish until ten
+// other processes have the revision in force, with a log in memory.
+func BenchmarkPropagation(b *testing.B) {
+	for _, teams := range configtest.Sizes {
+		b.Run(fmt.Sprint(teams), func(b *testing.B) {
+			ctx, cancel := context.WithCancel(b.Context())
+			defer cancel()
+			l := newMemoryLog()
+			all := make([]*Sync, 11)
+			for i := range all {
+				all[i] = start(ctx, l, uint64(i), nil)
+			}
+			doc := configtest.Document(teams)
+			for i := 0; b.Loop(); i++ {
+				report, err := all[0].Publish(ctx, Proposal{Base: all[0].Current(), Document: edited(doc, float64(i+10))})
+				assert.NilError(b, err)
+				assert.Equal(b, report.Result, configlog.ResultAccepted)
+				for _, s := range all {
+					waitFor(s, report.Number)
+				}
+			}
+		})
+	}
+}
+
+func waitFor(s *Sync, number int64) {
+	for {
+		changed := s.Changed()
+		if current := s.Current(); current != nil && current.Number >= number {
+			return
+		}
+		<-changed
+	}
+}
--- a/console/console.go
+++ b/console/console.go
@@ -152,7 +152,7 @@
 		}
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
-		if s.draft == nil || s.draft.unchanged() && s.draft.base != c.options.Current() {
+		if s.draft == nil || s.draft.base != c.options.Current() && s.draft.unchanged() {
 			s.draft = newDraft(c.options.Current())
 		}
 		next(w, r, s)
--- a/console/console_test.go
+++ b/console/console_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/sapphirefield/sapphirefield/config"
+	"github.com/sapphirefield/sapphirefield/config/configtest"
 	"github.com/sapphirefield/sapphirefield/configlog"
 	"github.com/sapphirefield/sapphirefield/configsync"
 )
@@ -284,3 +285,15 @@
 		assert.Assert(t, err != nil, bad)
 	}
 }
+
+// BenchmarkPages measures the pages of a draft with one change at the target size.
+func BenchmarkPages(b *testing.B) {
+	doc := configtest.Document(4600)
+	changed := doc.Canonical()
+	changed.Teams[7].Weight = 77
+	c := &console{options: Options{Current: func() *configlog.Revision { return nil }}}
+	s := &session{draft: &draft{base: &configlog.Revision{Number: 1, Document: doc}, doc: changed}}
+	for b.Loop() {
+		c.sessionPage(s, "Overview", "", c.overviewOf(s))
+	}
+}
