configsync: say why the last append failed

Cause: a rejected append was reported as "the record was not found in the log".

Change: the report of a proposal that was not sent names the last append's error.

Conclusion: operators see the platform's reason.

--- a/configsync/publish.go
+++ b/configsync/publish.go
@@ -88,21 +88,25 @@
 		return Report{}, err
 	}
 	publisher := configlog.NewPublisher(record, reader.State())
+	var appendErr error
 	for publisher.Step() != configlog.StepDone {
 		switch {
 		case ctx.Err() != nil:
 			publisher.OnDeadline()
 		case publisher.Step() == configlog.StepAppend:
-			appendOnce(ctx, log, publisher, data)
+			appendErr = appendOnce(ctx, log, publisher, data)
 		default:
 			readBack(ctx, log, publisher, reader)
 		}
 	}
 	result, number, reason := publisher.Result()
+	if result == configlog.ResultNotSent && appendErr != nil {
+		reason += "; the last append failed: " + appendErr.Error()
+	}
 	return Report{Result: result, Number: number, Reason: reason}, nil
 }
 
-func appendOnce(ctx context.Context, log Log, publisher *configlog.Publisher, data []byte) {
+func appendOnce(ctx context.Context, log Log, publisher *configlog.Publisher, data []byte) error {
 	_, err := log.Append(ctx, configlog.Stream, data)
 	switch {
 	case err == nil:
@@ -114,6 +118,7 @@
 		publisher.OnAppendLost()
 		sleep(ctx, publishPause)
 	}
+	return err
 }
 
 func readBack(ctx context.Context, log Log, publisher *configlog.Publisher, reader *configlog.Reader) {
--- a/ctl/configcmd/configcmd_test.go
+++ b/ctl/configcmd/configcmd_test.go
@@ -26,12 +26,18 @@
 	records []platform.Record
 	// onAppend, when set, answers the next append.
 	onAppend http.HandlerFunc
+	// refuse makes the log reject every append.
+	refuse bool
 }
 
 func (l *logService) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if r.Method == http.MethodPost {
+		if l.refuse {
+			http.Error(w, "too large", http.StatusRequestEntityTooLarge)
+			return
+		}
 		if answer := l.onAppend; answer != nil {
 			l.onAppend = nil
 			answer(w, r)
@@ -126,6 +132,9 @@
 	}
 	third := s.file("third.yaml", strings.Replace(string(config.Examples()["orderbook.yaml"]), "timeout: 8s", "timeout: 7s", 1))
 	s.expect(ExitOvertaken, "overtaken by revision 2", "publish", "--log", s.url, third)
+	s.log.refuse = true
+	s.expect(ExitUnavailable, "status 413: too large", "publish", "--log", s.url, third)
+	s.log.refuse = false
 	s.log.onAppend = func(w http.ResponseWriter, r *http.Request) {
 		fmt.Fprint(w, `{"offset": 99}`)
 		s.log.onAppend = func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) }
