placement: find a layout whenever one exists; number flow nodes without gaps

A brute-force check of small fleets found two faults. Bound panicked when an engine had no use, because MaxFlowDinic needs node numbers without gaps. MakePlan refused fleets whose engines differ so much that neither equal lengths nor lengths by class fit; it now also tries one segment for each of the fewest engines that hold the model. The Chooser keeps link estimates by zone index.

--- a/pipeline/chooser.go
+++ b/pipeline/chooser.go
@@ -48,8 +48,9 @@
 	zones  map[string]int
 	links  *Links
 	cache  *CacheIndex
-	// drained is when each link will have sent the prompts of the chains chosen so far.
-	drained map[[2]string]time.Time
+	// paths are the links between zones by index, as of pathsVersion.
+	paths        [][]path
+	pathsVersion int
 	// virtual is the time at which a stage that received exactly its share
 	// would stand, in seconds of work.
 	virtual float64
@@ -57,6 +58,14 @@
 	meanWork float64
 }
 
+// path is a link as the Chooser sees it.
+type path struct {
+	// latency is in seconds, perByte in seconds per byte.
+	latency, perByte float64
+	// drained is when the link will have sent the prompts of the chains chosen so far.
+	drained time.Time
+}
+
 // member is what the Chooser knows about a stage.
 type member struct {
 	Stage
@@ -79,7 +88,6 @@
 		zones:    map[string]int{},
 		links:    NewLinks(),
 		cache:    NewCacheIndex(),
-		drained:  map[[2]string]time.Time{},
 		meanWork: defaultOutputTokens,
 	}
 }
@@ -169,13 +177,13 @@
 // transfer time of the request's tokens.
 func (c *Chooser) Choose(req Request, exclude map[string]bool) (Chain, error) {
 	req, work := c.sized(req)
-	s := c.newSearch(req)
+	s := c.newSearch(req, len(c.stages))
 	for _, m := range c.stages {
 		if exclude[m.Instance] || m.load.Draining || m.load.Down {
 			continue
 		}
 		saved := c.cache.Saved(m.Instance, req) / c.opts.PrefillSpeedup
-		s.visit(&candidate{member: m, own: c.stageCost(m, work, req.At), saved: saved})
+		s.visit(candidate{member: m, own: c.stageCost(m, work, req.At), saved: saved})
 	}
 	chain, err := c.build(s, req, work)
 	if err != nil {
@@ -194,18 +202,19 @@
 // of another plan are used only where they fit between the ranges that remain.
 func (c *Chooser) Repair(req Request, broken Chain, lost map[string]bool, replay, restore func(Stage) float64) (Chain, error) {
 	req, work := c.sized(req)
-	s := c.newSearch(req)
-	for _, m := range c.withKept(broken, lost) {
+	pool := c.withKept(broken, lost)
+	s := c.newSearch(req, len(pool))
+	for _, m := range pool {
 		if lost[m.Instance] {
 			continue
 		}
 		if broken.holds(m.Stage) {
 			again := c.stageCost(m, 0, req.At) + replay(m.Stage)
-			s.visit(&candidate{member: m, own: again, saved: again * m.Weight})
+			s.visit(candidate{member: m, own: again, saved: again * m.Weight})
 			continue
 		}
 		if !m.load.Draining && !m.load.Down {
-			s.visit(&candidate{member: m, own: c.stageCost(m, work, req.At) + restore(m.Stage)})
+			s.visit(candidate{member: m, own: c.stageCost(m, work, req.At) + restore(m.Stage)})
 		}
 	}
 	chain, err := c.build(s, req, 0)
@@ -271,14 +280,21 @@
 	hops   [][]float64
 	// heads are the best candidates by first layer.
 	heads [][]*candidate
+	// pool has room for all candidates, so that pointers into it stay valid.
+	pool []candidate
 }
 
-func (c *Chooser) newSearch(req Request) *search {
-	return &search{layers: c.opts.Layers, hops: c.hopCosts(req), heads: make([][]*candidate, c.opts.Layers+1)}
+func (c *Chooser) newSearch(req Request, stages int) *search {
+	return &search{
+		layers: c.opts.Layers, hops: c.hopCosts(req),
+		heads: make([][]*candidate, c.opts.Layers+1), pool: make([]candidate, 0, stages),
+	}
 }
 
 // visit adds a candidate. Candidates must come in descending order of First.
-func (s *search) visit(k *candidate) {
+func (s *search) visit(of candidate) {
+	s.pool = append(s.pool, of)
+	k := &s.pool[len(s.pool)-1]
 	s.extend(k)
 	if math.IsInf(k.allCached.cost, 1) && math.IsInf(k.someMissed.cost, 1) {
 		return
@@ -407,38 +423,58 @@
 // hopCosts is the transfer time of a request's prompt and generated tokens
 // between each two zones, in seconds.
 func (c *Chooser) hopCosts(req Request) [][]float64 {
-	costs := make([][]float64, len(c.zones))
-	for from, i := range c.zones {
-		costs[i] = make([]float64, len(c.zones))
-		for to, j := range c.zones {
-			token := c.links.Cost(from, to, c.opts.ActivationBytes)
-			prompt := c.links.Cost(from, to, c.promptBytes(req))
-			queued := max(0, c.drained[[2]string{from, to}].Sub(req.At).Seconds())
-			costs[i][j] = token*float64(req.OutputTokens) + prompt + queued
+	c.refreshPaths()
+	frames := float64(req.OutputTokens + 1)
+	bytes := float64(c.opts.ActivationBytes) * float64(req.OutputTokens+req.PromptTokens)
+	costs := make([][]float64, len(c.paths))
+	cells := make([]float64, len(c.paths)*len(c.paths))
+	for i, row := range c.paths {
+		costs[i] = cells[i*len(row) : (i+1)*len(row)]
+		for j, p := range row {
+			costs[i][j] = p.latency*frames + p.perByte*bytes
+			if p.drained.After(req.At) {
+				costs[i][j] += p.drained.Sub(req.At).Seconds()
+			}
 		}
 	}
 	return costs
 }
 
-func (c *Chooser) promptBytes(req Request) int64 {
-	return c.opts.ActivationBytes * int64(req.PromptTokens)
+// refreshPaths copies the estimates of links when they or the zones have changed.
+func (c *Chooser) refreshPaths() {
+	if c.pathsVersion == c.links.version && len(c.paths) == len(c.zones) {
+		return
+	}
+	old := c.paths
+	c.paths = make([][]path, len(c.zones))
+	for from, i := range c.zones {
+		c.paths[i] = make([]path, len(c.zones))
+		for to, j := range c.zones {
+			p := &c.paths[i][j]
+			p.latency, p.perByte = c.links.Estimate(from, to)
+			if i < len(old) && j < len(old) {
+				p.drained = old[i][j].drained
+			}
+		}
+	}
+	c.pathsVersion = c.links.version
 }
 
 // queuePrompt notes that a request's prompt takes up the links between the
 // stages' zones. Many requests chosen at once, as after the loss of a stage,
 // would otherwise all take the same link before its delay is measured.
 func (c *Chooser) queuePrompt(chain Chain, req Request) {
+	bytes := float64(c.opts.ActivationBytes) * float64(req.PromptTokens)
 	for i := 1; i < len(chain.Stages); i++ {
-		from, to := chain.Stages[i-1].Zone, chain.Stages[i].Zone
+		from, to := c.zones[chain.Stages[i-1].Zone], c.zones[chain.Stages[i].Zone]
 		if from == to {
 			continue
 		}
-		took := c.links.Cost(from, to, c.promptBytes(req)) - c.links.Cost(from, to, 0)
-		key := [2]string{from, to}
-		if c.drained[key].Before(req.At) {
-			c.drained[key] = req.At
+		p := &c.paths[from][to]
+		if p.drained.Before(req.At) {
+			p.drained = req.At
 		}
-		c.drained[key] = c.drained[key].Add(seconds(took))
+		p.drained = p.drained.Add(seconds(p.perByte * bytes))
 	}
 }
 
--- a/pipeline/links.go
+++ b/pipeline/links.go
@@ -23,6 +23,8 @@
 // whose average is outside a band around them.
 type Links struct {
 	measured map[[2]string]*linkEstimate
+	// version changes with every published estimate.
+	version int
 }
 
 type linkEstimate struct {
@@ -49,6 +51,7 @@
 		e.perByte.published, e.perByte.average = 1/bytesPerSecond, 1/bytesPerSecond
 	}
 	l.measured[[2]string{from, to}] = e
+	l.version++
 }
 
 // Observe takes the transfer time of one frame.
@@ -64,25 +67,32 @@
 		l.measured[key] = e
 	}
 	e := l.measured[key]
+	moved := false
 	if bytes <= smallFrame {
-		e.latency.observe(max(0, took.Seconds()-e.perByte.published*float64(bytes)))
+		moved = e.latency.observe(max(0, took.Seconds()-e.perByte.published*float64(bytes)))
 	} else {
-		e.perByte.observe(max(0, took.Seconds()-e.latency.published) / float64(bytes))
+		moved = e.perByte.observe(max(0, took.Seconds()-e.latency.published) / float64(bytes))
+	}
+	if moved {
+		l.version++
 	}
 }
 
-func (s *steadied) observe(sample float64) {
+// observe takes a sample and tells whether the published value has moved.
+func (s *steadied) observe(sample float64) bool {
 	s.average += linkGain * (sample - s.average)
 	low, high := s.published*(1-linkBand), s.published*(1+linkBand)
 	if s.average >= low && s.average <= high {
 		s.outside = 0
-		return
+		return false
 	}
 	s.outside++
-	if s.outside >= linkRun {
-		s.published = s.average
-		s.outside = 0
+	if s.outside < linkRun {
+		return false
 	}
+	s.published = s.average
+	s.outside = 0
+	return true
 }
 
 func unmeasured(from, to string) float64 {
@@ -92,10 +102,16 @@
 	return crossZoneSeconds
 }
 
-// Cost returns the estimated seconds that a frame of the given size takes.
-func (l *Links) Cost(from, to string, bytes int64) float64 {
+// Estimate returns the published latency in seconds and time in seconds per byte.
+func (l *Links) Estimate(from, to string) (latency, perByte float64) {
 	if e := l.measured[[2]string{from, to}]; e != nil {
-		return e.latency.published + e.perByte.published*float64(bytes)
+		return e.latency.published, e.perByte.published
 	}
-	return unmeasured(from, to)
+	return unmeasured(from, to), 0
+}
+
+// Cost returns the estimated seconds that a frame of the given size takes.
+func (l *Links) Cost(from, to string, bytes int64) float64 {
+	latency, perByte := l.Estimate(from, to)
+	return latency + perByte*float64(bytes)
 }
--- a/placement/bound.go
+++ b/placement/bound.go
@@ -46,17 +46,20 @@
 func executions(w topology, m Model, held []int, work map[class]float64) float64 {
 	g := simple.NewWeightedDirectedGraph(0, 0)
 	source, sink := simple.Node(0), simple.Node(1)
-	g.AddNode(source)
-	g.AddNode(sink)
+	// MaxFlowDinic needs nodes numbered from 0 without gaps, so a zone whose
+	// engines are of no use is a node as well.
+	for id := range 2 + len(w.zones) {
+		g.AddNode(simple.Node(id))
+	}
 	total := 0.0
 	next := int64(2 + len(w.zones))
 	for _, c := range sortedClasses(work) {
-		zone := simple.Node(2 + c.zone)
-		node := simple.Node(next)
-		next++
 		if work[c] <= 0 {
 			continue
 		}
+		zone := simple.Node(2 + c.zone)
+		node := simple.Node(next)
+		next++
 		total += work[c]
 		g.SetWeightedEdge(simple.WeightedEdge{F: source, T: node, W: work[c]})
 		g.SetWeightedEdge(simple.WeightedEdge{F: node, T: zone, W: work[c]})
--- a/placement/layout.go
+++ b/placement/layout.go
@@ -39,7 +39,8 @@
 	zones   []int
 	classes []class
 	size    []int
-	fit     []int
+	// fit is the most layers with which an engine of the class has any capacity.
+	fit []int
 	// capacity is indexed by class and number of layers.
 	capacity [][]float64
 	// target is the bound on the group's flow.
@@ -57,11 +58,15 @@
 	for _, c := range p.classes {
 		e := Engine{MemoryBytes: c.memory, LayerTokensPerSecond: c.rate}
 		p.size = append(p.size, members[c])
-		p.fit = append(p.fit, maxLayers(e, m))
 		rates := make([]float64, m.Layers+1)
+		fit := 0
 		for n := 1; n <= m.Layers; n++ {
 			rates[n] = Capacity(e, m, opts, n)
+			if rates[n] > 0 {
+				fit = n
+			}
 		}
+		p.fit = append(p.fit, fit)
 		p.capacity = append(p.capacity, rates)
 		p.target += float64(members[c]) * bestWork(e, m, opts) / float64(m.Layers)
 	}
--- a/placement/plan_test.go
+++ b/placement/plan_test.go
@@ -8,6 +8,8 @@
 	"os"
 	"testing"
 
+	"gonum.org/v1/gonum/graph/network"
+	"gonum.org/v1/gonum/graph/simple"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 )
@@ -108,3 +110,62 @@
 		})
 	}
 }
+
+// TestBoundHolds guards against a bound below what some plan reaches: it tries
+// every assignment of ranges to a few engines in one zone.
+func TestBoundHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := Model{Layers: rapid.IntRange(1, 4).Draw(t, "layers"), BytesPerLayer: 10, KVBytesPerTokenLayer: 1}
+		opts := Options{StreamTokens: 0.1, StreamTokensPerSecond: 10}
+		var f Fleet
+		for i := range rapid.IntRange(1, 3).Draw(t, "engines") {
+			f.Engines = append(f.Engines, Engine{
+				Name: fmt.Sprint("e", i), Zone: "z", MemoryBytes: int64(rapid.IntRange(5, 50).Draw(t, "memory")),
+				LayerTokensPerSecond: float64(rapid.IntRange(1, 1000).Draw(t, "rate")),
+			})
+		}
+		best := bestFlow(f, m, opts, make([]Range, len(f.Engines)), 0)
+		bound := Bound(f, m, opts)
+		assert.Assert(t, best <= bound*(1+1e-9), "an assignment reaches %g, bound %g", best, bound)
+		plan, err := MakePlan(f, m, opts)
+		if best <= 0 {
+			assert.ErrorIs(t, err, ErrCannotHold)
+			return
+		}
+		assert.NilError(t, err)
+		assert.Assert(t, plan.Flow > 0 && plan.Flow <= best*(1+1e-6), "plan %g, best %g", plan.Flow, best)
+	})
+}
+
+// bestFlow tries all ranges for the engines from index i on.
+func bestFlow(f Fleet, m Model, opts Options, ranges []Range, i int) float64 {
+	if i == len(ranges) {
+		return layerFlow(f, m, opts, ranges)
+	}
+	best := 0.0
+	for first := range m.Layers {
+		for limit := first + 1; limit <= m.Layers; limit++ {
+			ranges[i] = Range{First: first, Limit: limit}
+			best = max(best, bestFlow(f, m, opts, ranges, i+1))
+		}
+	}
+	return best
+}
+
+// layerFlow is the maximum flow from layer 0 to the last through the engines.
+func layerFlow(f Fleet, m Model, opts Options, ranges []Range) float64 {
+	g := simple.NewWeightedDirectedGraph(0, 0)
+	for layer := range m.Layers + 1 {
+		g.AddNode(simple.Node(layer))
+	}
+	for i, r := range ranges {
+		rate := Capacity(f.Engines[i], m, opts, r.layers())
+		if w, exists := g.Weight(int64(r.First), int64(r.Limit)); exists {
+			rate += w
+		}
+		if rate > 0 {
+			g.SetWeightedEdge(simple.WeightedEdge{F: simple.Node(r.First), T: simple.Node(r.Limit), W: rate})
+		}
+	}
+	return network.MaxFlowDinic(g, simple.Node(0), simple.Node(m.Layers), 1e-9)
+}
--- a/placement/search.go
+++ b/placement/search.go
@@ -66,6 +66,9 @@
 	}
 	fewest := (p.model.Layers + largest - 1) / largest
 	var list [][]int
+	if byEngine := p.lengthsByEngine(); byEngine != nil {
+		list = append(list, byEngine)
+	}
 	for k := fewest; k <= min(engines, p.model.Layers) && len(list) < maxCandidates; k++ {
 		list = append(list, equalLengths(p.model.Layers, k))
 		if byMemory := p.lengthsByMemory(k); byMemory != nil {
@@ -75,6 +78,33 @@
 	return list
 }
 
+// lengthsByEngine makes one segment for each of the fewest engines that hold
+// the model, no longer than that engine's memory. It makes sure that a layout
+// is found whenever one exists.
+func (p *problem) lengthsByEngine() []int {
+	var fits []int
+	for c := range p.classes {
+		for range p.size[c] {
+			fits = append(fits, p.fit[c])
+		}
+	}
+	slices.SortFunc(fits, func(a, b int) int { return b - a })
+	sum := 0
+	for k, fit := range fits {
+		sum += fit
+		if sum < p.model.Layers {
+			continue
+		}
+		lengths := fits[:k+1]
+		for ; sum > p.model.Layers; sum-- {
+			lengths[slices.Index(lengths, slices.Max(lengths))]--
+		}
+		slices.Sort(lengths)
+		return lengths
+	}
+	return nil
+}
+
 func equalLengths(layers, k int) []int {
 	lengths := make([]int, k)
 	for s := range lengths {
