experiment/fleet: measure at once after a loss, and the loss of a zone

The figure after a re-plan holds only once the weights are loaded. The table now also gives the throughput on the ranges that are left.

--- a/experiment/fleet/throughput.go
+++ b/experiment/fleet/throughput.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -31,15 +32,29 @@
 	seed    uint64
 	bound   float64
 	planned float64
-	by      map[scheme]float64
-	moves   int
-	bytes   int64
-	reload  time.Duration
+	// atOnce is the throughput on the ranges that are left, before any load of weights.
+	atOnce float64
+	by     map[scheme]float64
+	moves  int
+	bytes  int64
+	reload time.Duration
+}
+
+// shrink is a way in which a fleet loses engines.
+type shrink struct {
+	name string
+	loss func(w world, seed uint64) placement.Fleet
+}
+
+var shrinks = []shrink{
+	{"steady", nil},
+	{"an eighth of the engines lost", func(w world, seed uint64) placement.Fleet { return w.without(seed, fleetEngines/8) }},
+	{"a zone lost", func(w world, _ uint64) placement.Fleet { return w.withoutZone(zoneName(1)) }},
 }
 
 // throughput prints the fraction of the bound for each fleet and scheme.
 func throughput(ctx context.Context, out io.Writer, seed uint64, fleets int, counted time.Duration) error {
-	for _, lost := range []int{0, fleetEngines / 8} {
+	for _, lost := range shrinks {
 		results := make([]fractions, fleets)
 		g, _ := errgroup.WithContext(ctx)
 		g.SetLimit(workers)
@@ -57,7 +72,7 @@
 	return nil
 }
 
-func fleetThroughput(seed uint64, lost int, counted time.Duration) (fractions, error) {
+func fleetThroughput(seed uint64, lost shrink, counted time.Duration) (fractions, error) {
 	w := makeWorld(seed, fleetEngines, fleetZones, fleetKinds)
 	m := planModel(throughputOutput)
 	plan, err := placement.MakePlan(w.fleet, m, planOptions)
@@ -66,8 +81,11 @@
 	}
 	f := w.fleet
 	r := fractions{seed: seed, by: map[scheme]float64{}}
-	if lost > 0 {
-		f = w.without(seed, lost)
+	r.bound = placement.Bound(f, m, planOptions)
+	if lost.loss != nil {
+		f = lost.loss(w, seed)
+		r.bound = placement.Bound(f, m, planOptions)
+		r.atOnce = saturated(w, f, remaining(stagesOf(plan), f), ours, seed, r.bound, counted) / r.bound
 		var moves []placement.Move
 		plan, moves, err = placement.Replan(plan, f, m, planOptions)
 		if err != nil {
@@ -81,7 +99,6 @@
 			r.reload = ends[len(ends)-1]
 		}
 	}
-	r.bound = placement.Bound(f, m, planOptions)
 	r.planned = plan.Flow / r.bound
 	for _, how := range []scheme{ours, equalRR, equalLeast} {
 		stages := stagesOf(plan)
@@ -93,6 +110,15 @@
 	return r, nil
 }
 
+// remaining are the stages whose engines are in the fleet.
+func remaining(stages []pipeline.Stage, f placement.Fleet) []pipeline.Stage {
+	left := map[string]bool{}
+	for _, e := range f.Engines {
+		left[e.Name] = true
+	}
+	return slices.DeleteFunc(stages, func(s pipeline.Stage) bool { return !left[s.Instance] })
+}
+
 // saturated returns the work per second under a closed loop.
 func saturated(w world, f placement.Fleet, stages []pipeline.Stage, how scheme, seed uint64, bound float64, counted time.Duration) float64 {
 	s := newSim(w, f, stages, how, seed, throughputOutput)
@@ -101,16 +127,16 @@
 	return s.stats.work / counted.Seconds()
 }
 
-func printFractions(out io.Writer, lost int, results []fractions) {
-	fmt.Fprintf(out, "throughput as a fraction of the bound, %d engines, %d lost\n", fleetEngines, lost)
+func printFractions(out io.Writer, lost shrink, results []fractions) {
+	fmt.Fprintf(out, "throughput as a fraction of the bound, %d engines, %s\n", fleetEngines, lost.name)
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "seed\tbound tokens/s\tplanned\tflow\tequal+round-robin\tequal+least-loaded\tmoves\tGB loaded\treload s\t")
+	fmt.Fprintln(t, "seed\tbound tokens/s\tplanned\tflow\tequal+round-robin\tequal+least-loaded\tat once\tmoves\tGB loaded\treload s\t")
 	worst := results[0]
 	sum := map[scheme]float64{}
 	least := map[scheme]float64{ours: math.Inf(1), equalRR: math.Inf(1), equalLeast: math.Inf(1)}
 	for _, r := range results {
-		fmt.Fprintf(t, "%d\t%.0f\t%.3f\t%.3f\t%.3f\t%.3f\t%d\t%.0f\t%.0f\t\n", r.seed, r.bound, r.planned,
-			r.by[ours], r.by[equalRR], r.by[equalLeast], r.moves, float64(r.bytes)/1e9, r.reload.Seconds())
+		fmt.Fprintf(t, "%d\t%.0f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%d\t%.0f\t%.0f\t\n", r.seed, r.bound, r.planned,
+			r.by[ours], r.by[equalRR], r.by[equalLeast], r.atOnce, r.moves, float64(r.bytes)/1e9, r.reload.Seconds())
 		if r.by[ours] < worst.by[ours] {
 			worst = r
 		}
@@ -119,8 +145,8 @@
 			least[how] = min(least[how], v)
 		}
 	}
-	fmt.Fprintf(t, "mean\t\t\t%.3f\t%.3f\t%.3f\t\t\t\t\n", sum[ours], sum[equalRR], sum[equalLeast])
-	fmt.Fprintf(t, "least\t\t\t%.3f\t%.3f\t%.3f\t\t\t\t\n", least[ours], least[equalRR], least[equalLeast])
+	fmt.Fprintf(t, "mean\t\t\t%.3f\t%.3f\t%.3f\t\t\t\t\t\n", sum[ours], sum[equalRR], sum[equalLeast])
+	fmt.Fprintf(t, "least\t\t\t%.3f\t%.3f\t%.3f\t\t\t\t\t\n", least[ours], least[equalRR], least[equalLeast])
 	t.Flush()
 	fmt.Fprintf(out, "worst fleet: seed %d, %.3f\n\n", worst.seed, worst.by[ours])
 }
--- a/placement/replan_test.go
+++ b/placement/replan_test.go
@@ -159,3 +159,31 @@
 		})
 	}
 }
+
+// TestMovesOrderedByGainPerByte guards against loading weights that help little
+// before weights that help much.
+func TestMovesOrderedByGainPerByte(t *testing.T) {
+	m := Model{Layers: 4, BytesPerLayer: 1}
+	engine := func(name string, rate float64) Engine {
+		return Engine{Name: name, Zone: "z", MemoryBytes: 4, LayerTokensPerSecond: rate}
+	}
+	old := Plan{
+		Groups: []Group{{Zones: []string{"z"}, Bounds: []int{0, 2, 4}}},
+		Assignments: []Assignment{
+			{Engine: "a", Zone: "z", First: 0, Limit: 2},
+			{Engine: "b", Zone: "z", First: 2, Limit: 4},
+			{Engine: "gone", Zone: "z", First: 2, Limit: 4},
+		},
+	}
+	f := Fleet{Engines: []Engine{engine("a", 1000), engine("b", 100), engine("small", 200), engine("large", 700)}}
+	next, moves, err := Replan(old, f, m, Options{})
+	assert.NilError(t, err)
+	assert.Equal(t, len(moves), 2)
+	for i, name := range []string{"large", "small"} {
+		assert.Equal(t, moves[i].Engine, name)
+		assert.Equal(t, moves[i].From, Range{})
+		assert.Equal(t, moves[i].To, Range{First: 2, Limit: 4})
+		assert.Equal(t, moves[i].Bytes, int64(2))
+	}
+	assert.Equal(t, next.Flow, 500.0)
+}
