daemon: run both roles from their settings

Cause: sapphired had no program yet.

The dialler checks which sidecar it reached, and a sidecar takes work only from entries and activations only from sidecars.

--- /dev/null
+++ b/daemon/entry.go
@@ -0,0 +1,134 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sapphirefield/sapphirefield/console"
+	"github.com/sapphirefield/sapphirefield/entry"
+	"github.com/sapphirefield/sapphirefield/ops"
+	"github.com/sapphirefield/sapphirefield/platform"
+)
+
+// entryRole runs the process that callers talk to.
+type entryRole struct {
+	*process
+	server *entry.Server
+	// started is closed once server is set.
+	started chan struct{}
+}
+
+func newEntryRole(p *process) *entryRole {
+	return &entryRole{process: p, started: make(chan struct{})}
+}
+
+func (r *entryRole) serve(ctx context.Context) error {
+	r.server = entry.New(ctx, entry.Options{
+		ID: r.settings.ID, Zone: r.settings.Zone, Dialer: r.dialer(), Logger: r.logger, Metrics: r.registry,
+		Config: r.document, Claims: claimLog{r.log}, Observe: r.burn.Observe, MaxBodyBytes: r.settings.Limits.MaxBodyBytes,
+	})
+	close(r.started)
+	return r.serveHTTP(ctx, r.settings.Listen.Callers.String(), r.tls.callers(), r.server.Handler())
+}
+
+// entry returns the server, or nil before it has started.
+func (r *entryRole) entry() *entry.Server {
+	select {
+	case <-r.started:
+		return r.server
+	default:
+		return nil
+	}
+}
+
+func (r *entryRole) instances(list []platform.Instance) {
+	<-r.started
+	instances := make([]entry.Instance, len(list))
+	for i, in := range list {
+		instances[i] = entry.Instance{
+			ID: in.ID, Service: in.Service, Zone: in.Zone, Address: in.Address, Leaving: in.State == platform.Leaving,
+		}
+	}
+	r.server.SetInstances(instances)
+}
+
+func (r *entryRole) changed() {
+	<-r.started
+	r.server.ConfigChanged()
+}
+
+func (r *entryRole) ready() error {
+	server := r.entry()
+	if server == nil || !server.Ready() {
+		return errors.New("no backend server is connected")
+	}
+	return nil
+}
+
+func (r *entryRole) status() ops.Status {
+	server := r.entry()
+	if server == nil {
+		return r.baseStatus("")
+	}
+	status := r.baseStatus(server.Incarnation())
+	status.Draining = server.Draining()
+	status.Running = server.InProgress()
+	return status
+}
+
+func (r *entryRole) mount(h *ops.Handler) {
+	if !r.settings.OperatorPasswordHash.IsSet() {
+		return
+	}
+	h.Mount(console.Prefix+"/", console.Handler(console.Options{
+		Current: r.sync.Current, Publish: r.sync.Publish, PasswordHash: r.settings.OperatorPasswordHash.String(),
+		SecureCookie: r.tls.operators() != nil,
+	}))
+}
+
+// Drain, Drained and InProgress implement worker.
+func (r *entryRole) Drain() {
+	<-r.started
+	r.server.Drain()
+}
+
+func (r *entryRole) Drained() <-chan struct{} {
+	<-r.started
+	return r.server.Drained()
+}
+
+func (r *entryRole) InProgress() int {
+	server := r.entry()
+	if server == nil {
+		return 0
+	}
+	return server.InProgress()
+}
+
+// claimLog gives an entry the claims stream of the log service.
+type claimLog struct{ log *platform.Log }
+
+// Append implements entry.ClaimLog.
+func (l claimLog) Append(ctx context.Context, stream string, data []byte) error {
+	_, err := l.log.Append(ctx, stream, data)
+	return err
+}
+
+// Read implements entry.ClaimLog. Expired records are an empty page that
+// begins at the first readable one.
+func (l claimLog) Read(ctx context.Context, stream string, from int64, wait time.Duration) (entry.LogPage, error) {
+	batch, err := l.log.Read(ctx, stream, from, wait)
+	var expired *platform.ExpiredError
+	if errors.As(err, &expired) && expired.First > from {
+		return entry.LogPage{First: expired.First, Next: expired.First}, nil
+	}
+	if err != nil {
+		return entry.LogPage{}, err
+	}
+	page := entry.LogPage{First: batch.First, Next: batch.Next}
+	for _, record := range batch.Records {
+		page.Records = append(page.Records, entry.LogRecord{Offset: record.Offset, Data: record.Data})
+	}
+	return page, nil
+}
--- /dev/null
+++ b/daemon/peers.go
@@ -0,0 +1,93 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sapphirefield/sapphirefield/configsync"
+	"github.com/sapphirefield/sapphirefield/link"
+	"github.com/sapphirefield/sapphirefield/platform"
+	"github.com/sapphirefield/sapphirefield/wire"
+)
+
+// askedPeers is how many peers are asked for their revision at once. The
+// highest revision among a few is taken, and the log corrects what is missing.
+const askedPeers = 4
+
+// peerStates asks sidecars for the configuration while the log cannot help.
+type peerStates struct {
+	self   string
+	dialer link.Dialer
+
+	mu   sync.Mutex
+	list []platform.Instance
+}
+
+func (p *peerStates) set(list []platform.Instance) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.list = list
+}
+
+// some returns a few random instances.
+func (p *peerStates) some() []platform.Instance {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var chosen []platform.Instance
+	for _, i := range rand.Perm(len(p.list)) {
+		if p.list[i].ID == p.self {
+			continue
+		}
+		chosen = append(chosen, p.list[i])
+		if len(chosen) == askedPeers {
+			break
+		}
+	}
+	return chosen
+}
+
+// States implements configsync.Peers.
+func (p *peerStates) States(ctx context.Context, after int64) [][]byte {
+	var mu sync.Mutex
+	var states [][]byte
+	var group errgroup.Group
+	for _, peer := range p.some() {
+		group.Go(func() error {
+			if state := p.ask(ctx, peer, after); len(state) > 0 {
+				mu.Lock()
+				defer mu.Unlock()
+				states = append(states, state)
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return states
+}
+
+func (p *peerStates) ask(ctx context.Context, peer platform.Instance, after int64) []byte {
+	conn, err := p.dialer.Dial(ctx, peer.ID, peer.Address)
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = conn.Close() }()
+	reply, err := wire.NewDRPCSidecarClient(conn).Revision(ctx, &wire.RevisionRequest{After: after})
+	if err != nil {
+		return nil
+	}
+	return reply.State
+}
+
+// revisionReply answers a peer from the configuration of this process.
+func revisionReply(sync *configsync.Sync) func(after int64) *wire.RevisionReply {
+	return func(after int64) *wire.RevisionReply {
+		revision, digest, state, err := sync.State(after)
+		if err != nil {
+			return &wire.RevisionReply{}
+		}
+		return &wire.RevisionReply{Revision: revision, Digest: digest, State: state}
+	}
+}
--- /dev/null
+++ b/daemon/sidecar.go
@@ -0,0 +1,63 @@
+package daemon
+
+import (
+	"context"
+	"net"
+
+	"github.com/pkg/errors"
+
+	"github.com/sapphirefield/sapphirefield/ops"
+	"github.com/sapphirefield/sapphirefield/platform"
+	"github.com/sapphirefield/sapphirefield/settings"
+	"github.com/sapphirefield/sapphirefield/sidecar"
+	"github.com/sapphirefield/sapphirefield/wire"
+)
+
+// sidecarRole runs the process beside one backend server.
+type sidecarRole struct {
+	*process
+	*sidecar.Server
+}
+
+func newSidecarRole(p *process) *sidecarRole {
+	s := p.settings
+	options := sidecar.Options{
+		ID: s.ID, Zone: s.Zone, Service: s.Backend.Service, Model: s.Backend.Model,
+		Backend: "http://" + s.Backend.Address.String(), Dialer: p.dialer(), TLS: p.tls.peers(),
+		Authorize: p.tls.authorize(), Logger: p.logger, MaxBodyBytes: int(s.Limits.MaxBodyBytes),
+		Revision: revisionReply(p.sync),
+	}
+	if s.Backend.Kind == settings.BackendEngine {
+		options.Layers = &wire.LayerRange{First: uint32(s.Backend.Layers.First), Limit: uint32(s.Backend.Layers.Limit)}
+	}
+	return &sidecarRole{process: p, Server: sidecar.New(options)}
+}
+
+func (r *sidecarRole) serve(ctx context.Context) error {
+	listener, err := net.Listen("tcp", r.settings.Listen.Peers.String())
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	return r.Serve(ctx, countedListener{Listener: listener, counters: r.net})
+}
+
+func (r *sidecarRole) instances([]platform.Instance) {}
+
+func (r *sidecarRole) changed() {}
+
+func (r *sidecarRole) ready() error {
+	if !r.BackendUp() {
+		return errors.New("the backend server does not answer")
+	}
+	return nil
+}
+
+func (r *sidecarRole) status() ops.Status {
+	status := r.baseStatus(r.Incarnation())
+	status.Service = r.settings.Backend.Service
+	status.Draining = r.Draining()
+	status.Running = r.InProgress()
+	return status
+}
+
+func (r *sidecarRole) mount(*ops.Handler) {}
--- a/demo/bench_path_test.go
+++ b/demo/bench_path_test.go
@@ -142,7 +142,7 @@
 			cluster, err := Start(b.Context(), ClusterOptions{Stages: 1, Copies: 1})
 			assert.NilError(b, err)
 			defer cluster.Stop()
-			conn, err := link.Dialer{}.Dial(b.Context(), cluster.Nodes[0].Address)
+			conn, err := link.Dialer{}.Dial(b.Context(), cluster.Nodes[0].ID, cluster.Nodes[0].Address)
 			assert.NilError(b, err)
 			defer func() { _ = conn.Close() }()
 			stream, err := wire.NewDRPCSidecarClient(conn).Work(b.Context())
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,6 +16,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/sapphirefield/sapphirefield/attempt"
+	"github.com/sapphirefield/sapphirefield/burn"
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/link"
 	"github.com/sapphirefield/sapphirefield/logevent"
@@ -37,6 +38,8 @@
 	// Trace sees each frame to and from a sidecar; one of them is nil. Tests
 	// record sessions with it.
 	Trace func(peer string, up *wire.WorkUp, down *wire.WorkDown)
+	// Observe counts an event for the service-level objectives; nil counts nothing.
+	Observe func(now time.Time, sample burn.Sample)
 	// Watched bounds the sidecars of each service that the entry is connected to.
 	Watched int
 	// MaxBodyBytes bounds a request's body.
@@ -82,6 +85,9 @@
 	if opts.RequestTimeout == 0 {
 		opts.RequestTimeout = defaultRequestTimeout
 	}
+	if opts.Observe == nil {
+		opts.Observe = func(time.Time, burn.Sample) {}
+	}
 	if opts.Metrics == nil {
 		opts.Metrics = metrics.NewRegistry()
 	}
@@ -239,3 +245,9 @@
 
 // Recoveries counts the stages that were lost while a request used them.
 func (s *Server) Recoveries() int64 { return s.meters.recoveries.Count() }
+
+// Incarnation names this start of the process.
+func (s *Server) Incarnation() string { return s.incarnation }
+
+// ConfigChanged tells that another configuration or plan is in force.
+func (s *Server) ConfigChanged() { s.peersChanged() }
--- a/entry/language.go
+++ b/entry/language.go
@@ -50,7 +50,7 @@
 		s.refuse(w, refused)
 		return
 	}
-	timing := newTokenTiming(s, began)
+	timing := newTokenTiming(g, began)
 	g.emit = timing.wrap(answer.token)
 	g.flush = answer.flush
 	p := g.run(ctx)
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -119,7 +119,7 @@
 	p.mu.Lock()
 	p.drop = drop
 	p.mu.Unlock()
-	conn, err := p.server.opts.Dialer.Dial(ctx, address)
+	conn, err := p.server.opts.Dialer.Dial(ctx, p.id, address)
 	if err != nil {
 		return err
 	}
--- a/entry/timing.go
+++ b/entry/timing.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/sapphirefield/sapphirefield/admission"
+	"github.com/sapphirefield/sapphirefield/burn"
+	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/problem"
 	"github.com/sapphirefield/sapphirefield/wire"
 )
@@ -11,14 +13,16 @@
 // tokenTiming measures the time to the first token and between tokens of one request.
 type tokenTiming struct {
 	server     *Server
+	model      string
+	team       string
 	began      time.Time
 	admitted   time.Time
 	last       time.Time
 	firstToken time.Duration
 }
 
-func newTokenTiming(server *Server, began time.Time) *tokenTiming {
-	return &tokenTiming{server: server, began: began, admitted: now()}
+func newTokenTiming(g *generation, began time.Time) *tokenTiming {
+	return &tokenTiming{server: g.server, model: g.model, team: g.admission.Team, began: began, admitted: now()}
 }
 
 // wrap measures each token before it is passed on.
@@ -28,8 +32,10 @@
 		if t.last.IsZero() {
 			t.firstToken = at.Sub(t.admitted)
 			t.server.meters.firstToken.Update(at.Sub(t.began))
+			t.observe(at, config.MeasureFirstToken, at.Sub(t.began))
 		} else {
 			t.server.meters.betweenTokens.Update(at.Sub(t.last))
+			t.observe(at, config.MeasureBetweenToken, at.Sub(t.last))
 		}
 		t.last = at
 		t.server.meters.tokens.Inc(1)
@@ -37,6 +43,10 @@
 	}
 }
 
+func (t *tokenTiming) observe(at time.Time, measure config.Measure, duration time.Duration) {
+	t.server.opts.Observe(at, burn.Sample{Measure: measure, Model: t.model, Team: t.team, Duration: duration})
+}
+
 // outcome tells the admission controller how the request ended.
 func (t *tokenTiming) outcome(p *problem.Problem) admission.Outcome {
 	if p == nil {
--- a/link/link.go
+++ b/link/link.go
@@ -33,10 +33,12 @@
 	maxFrameBytes = 16 << 20
 )
 
-// Dialer opens connections to other processes. A nil TLS configuration means
-// plain text, which the settings allow on loopback only.
+// Dialer opens connections to other processes. A nil TLS means plain text,
+// which the settings allow on loopback only.
 type Dialer struct {
-	TLS *tls.Config
+	// TLS returns the configuration for connections to one sidecar, which checks
+	// that the peer's certificate names it.
+	TLS func(instance string) *tls.Config
 	// DialContext opens the connection below TLS; nil means TCP. Tests put an
 	// in-memory network here.
 	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
@@ -53,10 +55,10 @@
 func (c *Conn) LastWrite() time.Time { return time.Unix(0, c.written.Load()) }
 
 // Dial opens a connection that carries one stream.
-func (d Dialer) Dial(ctx context.Context, address string) (*Conn, error) {
+func (d Dialer) Dial(ctx context.Context, instance, address string) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := d.dial(ctx, address)
+	conn, err := d.dial(ctx, instance, address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "dial %s", address)
 	}
@@ -69,7 +71,7 @@
 	}, nil
 }
 
-func (d Dialer) dial(ctx context.Context, address string) (net.Conn, error) {
+func (d Dialer) dial(ctx context.Context, instance, address string) (net.Conn, error) {
 	dial := d.DialContext
 	if dial == nil {
 		dial = new(net.Dialer).DialContext
@@ -78,7 +80,7 @@
 	if err != nil || d.TLS == nil {
 		return conn, err
 	}
-	secured := tls.Client(conn, d.clientTLS(address))
+	secured := tls.Client(conn, d.TLS(instance))
 	if err := secured.HandshakeContext(ctx); err != nil {
 		_ = conn.Close()
 		return nil, err
@@ -86,20 +88,6 @@
 	return secured, nil
 }
 
-// clientTLS names the server to verify, as tls.Dialer does.
-func (d Dialer) clientTLS(address string) *tls.Config {
-	if d.TLS.ServerName != "" {
-		return d.TLS
-	}
-	host, _, err := net.SplitHostPort(address)
-	if err != nil {
-		host = address
-	}
-	config := d.TLS.Clone()
-	config.ServerName = host
-	return config
-}
-
 // acceptPause is the wait after a failed Accept, for example for lack of file descriptors.
 const acceptPause = 100 * time.Millisecond
 
@@ -147,6 +135,17 @@
 	}
 }
 
+// PeerState returns the TLS state of the call that a handler serves; found is
+// false on a connection in plain text.
+func PeerState(ctx context.Context) (state tls.ConnectionState, found bool) {
+	transport, _ := drpcctx.Transport(ctx)
+	secured, found := transport.(*tls.Conn)
+	if !found {
+		return tls.ConnectionState{}, false
+	}
+	return secured.ConnectionState(), true
+}
+
 // firstReadConn bounds the wait for a peer's first data. A peer that connects
 // and says nothing would otherwise keep the connection for ever.
 type firstReadConn struct {
--- a/sidecar/hop.go
+++ b/sidecar/hop.go
@@ -14,9 +14,10 @@
 // hop is the outgoing stream to one other stage. All steps and tokens that
 // wait are sent in one frame.
 type hop struct {
-	address string
-	queue   *link.Queue[*wire.HopFrame]
-	conn    *link.Conn
+	instance string
+	address  string
+	queue    *link.Queue[*wire.HopFrame]
+	conn     *link.Conn
 	// The fields below are guarded by the server's lock. sent holds the frames
 	// that wait for an acknowledgement, ackedAt is when the last one came.
 	sent    []sentFrame
@@ -119,12 +120,13 @@
 	h.queue.Push(&wire.HopFrame{Tokens: []*wire.Token{token}})
 }
 
-// hopTo returns the hop to an address, opening it at first use. It must be
+// hopTo returns the hop to a stage, opening it at first use. It must be
 // called with the lock held.
-func (s *Server) hopTo(address string) *hop {
+func (s *Server) hopTo(stage *wire.Stage) *hop {
+	address := stage.Address
 	h := s.hops[address]
 	if h == nil {
-		h = &hop{address: address, queue: link.NewQueue[*wire.HopFrame](maxQueuedSteps)}
+		h = &hop{instance: stage.Instance, address: address, queue: link.NewQueue[*wire.HopFrame](maxQueuedSteps)}
 		s.hops[address] = h
 		s.start(func() { s.runHop(h) })
 	}
@@ -167,7 +169,7 @@
 }
 
 func (s *Server) driveHop(ctx context.Context, h *hop) error {
-	conn, err := s.opts.Dialer.Dial(ctx, h.address)
+	conn, err := s.opts.Dialer.Dial(ctx, h.instance, h.address)
 	if err != nil {
 		return err
 	}
@@ -323,6 +325,9 @@
 
 // Hop serves the incoming stream of the stage before, or of the last stage.
 func (s *Server) Hop(stream wire.DRPCSidecar_HopStream) error {
+	if err := s.authorize(stream.Context(), "sidecar", ""); err != nil {
+		return err
+	}
 	group, ctx := errgroup.WithContext(stream.Context())
 	silence := link.NewSilence(time.Now(), link.SilenceLimit)
 	group.Go(func() error { return s.receiveHop(stream, silence) })
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -48,6 +48,9 @@
 	HistoryBytes int
 	// MaxBodyBytes bounds the body of a plain request.
 	MaxBodyBytes int
+	// Authorize checks that the other end of a call has a role, and a name unless
+	// the name is empty; nil accepts everyone, which suits loopback only.
+	Authorize func(ctx context.Context, role, id string) error
 	// Revision answers peers that ask for the configuration in force; nil means none.
 	Revision func(after int64) *wire.RevisionReply
 }
@@ -166,6 +169,14 @@
 
 func (s *Server) isEngine() bool { return s.opts.Layers != nil }
 
+// authorize keeps anyone but the system's own processes from giving work.
+func (s *Server) authorize(ctx context.Context, role, id string) error {
+	if s.opts.Authorize == nil {
+		return nil
+	}
+	return s.opts.Authorize(ctx, role, id)
+}
+
 // Drain makes the sidecar refuse new work and tells all entries.
 func (s *Server) Drain() {
 	s.mu.Lock()
@@ -299,3 +310,17 @@
 	}
 	return s.opts.Revision(req.After), nil
 }
+
+// BackendUp tells whether the backend server answered when it was last used.
+func (s *Server) BackendUp() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.engineUp
+}
+
+// Draining tells whether the sidecar refuses new work.
+func (s *Server) Draining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ledger.Draining()
+}
--- a/sidecar/stage.go
+++ b/sidecar/stage.go
@@ -217,7 +217,7 @@
 		s.fail(a, "outputs for a new stage are no longer kept", a.open.Position)
 		return
 	}
-	s.hopTo(a.next().Address).pushStep(&wire.Step{
+	s.hopTo(a.next()).pushStep(&wire.Step{
 		Request: a.key.Request, Attempt: a.key.Number, Index: index, Activation: output,
 	})
 }
@@ -236,7 +236,7 @@
 		s.continueWith(a, token)
 		return
 	}
-	s.hopTo(a.open.Chain[0].Address).pushToken(token)
+	s.hopTo(a.open.Chain[0]).pushToken(token)
 }
 
 func tokensFrame(tokens ...*wire.Token) *wire.WorkDown {
--- a/sidecar/work.go
+++ b/sidecar/work.go
@@ -42,6 +42,9 @@
 	if hello == nil || hello.Id == "" {
 		return errors.New("the first frame of a work stream must be a hello with an id")
 	}
+	if err := s.authorize(stream.Context(), "entry", hello.Id); err != nil {
+		return err
+	}
 	queue := link.NewQueue[*wire.WorkDown](maxQueuedFrames)
 	s.attachEntry(hello, queue)
 	defer s.detachEntry(hello.Id, queue)
