experiment/control: measure real processes; read long instance lists less often

Cause: the cost of control and the time of a change need real processes. An entry read the whole instance list every 2 s, which at 3,100 instances would be 155 KB/s.

Change: sapphiredev control starts sapphired processes with stand-ins and reports processor, memory and bytes at rest, and the time from publication to in force. The list is read at most every 2 s by entries and 30 s by sidecars, and never for more than 2 KB/s.

--- a/cmd/sapphiredev/main.go
+++ b/cmd/sapphiredev/main.go
@@ -14,6 +14,7 @@
 
 	"github.com/sapphirefield/sapphirefield/demo"
 	"github.com/sapphirefield/sapphirefield/experiment/capacity"
+	"github.com/sapphirefield/sapphirefield/experiment/control"
 	"github.com/sapphirefield/sapphirefield/experiment/fleet"
 )
 
@@ -21,7 +22,7 @@
 	root := &ffcli.Command{
 		Name:        "sapphiredev",
 		ShortUsage:  "sapphiredev <subcommand> [flags]",
-		Subcommands: []*ffcli.Command{demoCommand(), fleet.Command(), capacity.Command()},
+		Subcommands: []*ffcli.Command{demoCommand(), fleet.Command(), capacity.Command(), control.Command()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	err := root.ParseAndRun(context.Background(), os.Args[1:])
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -27,9 +27,13 @@
 )
 
 const (
-	// listPoll is how often the instance list is read. The list lags anyway, and
-	// direct evidence is faster.
-	listPoll = 2 * time.Second
+	// listPoll is how often an entry reads the instance list at most, and
+	// listPollSidecar how often a sidecar does, which needs only some peers.
+	listPoll        = 2 * time.Second
+	listPollSidecar = 30 * time.Second
+	// listBytesPerSecond bounds what reading the list costs: a long list is read
+	// less often. It lags anyway, and direct evidence is faster.
+	listBytesPerSecond = 2048
 	// burnInterval is the width of the finest buckets of the burn report.
 	burnInterval = 10 * time.Second
 	// keyPoll is how often the files with TLS keys are looked at.
@@ -237,22 +241,35 @@
 }
 
 // followList reads the instance list. While it cannot be read, the last one
-// stays in use, and it is passed on again because its age counts.
+// stays in use.
 func (p *process) followList(ctx context.Context, r role) error {
-	ticker := time.NewTicker(listPoll)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+		}
 		list, err := p.list.Instances(ctx)
 		if err == nil {
 			p.peers.set(list)
 			r.instances(list)
 		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+		timer.Reset(p.listPause(len(list)))
+	}
+}
+
+// instanceBytes is about what one instance takes in the list.
+const instanceBytes = 100
+
+// listPause is the time until the list is read again.
+func (p *process) listPause(instances int) time.Duration {
+	least := listPoll
+	if p.settings.Role == settings.RoleSidecar {
+		least = listPollSidecar
 	}
+	return max(least, time.Duration(instances*instanceBytes)*time.Second/listBytesPerSecond)
 }
 
 // tick does what is due from time to time.
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -256,3 +256,14 @@
 	})
 	return mux
 }
+
+// Bytes returns the size of the records that a stream holds.
+func (l *LogService) Bytes(stream string) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var total int64
+	for _, record := range l.stream(stream).records {
+		total += int64(len(record))
+	}
+	return total
+}
