fuzz: check what a sidecar accepts, repeat tried sidecars

Cause: two faults put in on purpose, an older attempt that is accepted and a missing incarnation check, were found late or not at all, and a coverage check looked at one world only.

Change: the oracle checks that no attempt is accepted twice, after a newer one or by another incarnation than it addresses. Calls may go to a sidecar again. The coverage check sums five worlds.

--- a/fuzz/entry.go
+++ b/fuzz/entry.go
@@ -172,13 +172,14 @@
 	e.dispatch(c)
 }
 
-// dispatch sends a plain call to a sidecar, one that it has not tried if possible, or tells the caller what is certain.
+// dispatch sends a plain call to a sidecar, at times to one that it has tried
+// before, or tells the caller what is certain.
 func (e *entry) dispatch(c *call) {
 	if !c.request.MaySend() || c.request.Latest() >= maxAttempts {
 		e.tell(c)
 		return
 	}
-	if c.tried == [plainCount]bool{true, true, true} {
+	if c.tried == [plainCount]bool{true, true, true} || e.w.chance(500) {
 		c.tried = [plainCount]bool{}
 	}
 	first := e.w.src.IntN(plainCount)
--- a/fuzz/fuzz_test.go
+++ b/fuzz/fuzz_test.go
@@ -36,9 +36,14 @@
 func TestWorldFromSeed(t *testing.T) {
 	var out strings.Builder
 	assert.NilError(t, Run(t.Context(), &out, 20261, 100_000, 20_000), out.String())
-	stats, err := runWorld(20261, 0, 20_000, nil)
-	assert.NilError(t, err)
-	again, _ := runWorld(20261, 0, 20_000, nil)
+	var stats, again Stats
+	for world := range uint64(5) {
+		for _, total := range []*Stats{&stats, &again} {
+			one, err := runWorld(20261, world, 20_000, nil)
+			assert.NilError(t, err)
+			total.add(one)
+		}
+	}
 	assert.Equal(t, stats, again)
 	for name, n := range map[string]int{
 		"runs": stats.Runs, "tokens": stats.Tokens, "yes": stats.Yes, "no": stats.No, "unknown": stats.Unknown,
--- a/fuzz/oracle.go
+++ b/fuzz/oracle.go
@@ -14,8 +14,12 @@
 	requests  map[string]*facts
 	keys      map[claim.Key]*keyFacts
 	drained   map[string]bool
+	// newest holds, by sidecar incarnation and request, the newest attempt that was accepted.
+	newest map[acceptedKey]uint32
 }
 
+type acceptedKey struct{ incarnation, request string }
+
 // facts is what really happened to one request.
 type facts struct {
 	key        *claim.Key
@@ -45,7 +49,7 @@
 }
 
 func newOracle() *oracle {
-	return &oracle{requests: map[string]*facts{}, keys: map[claim.Key]*keyFacts{}, drained: map[string]bool{}}
+	return &oracle{requests: map[string]*facts{}, keys: map[claim.Key]*keyFacts{}, drained: map[string]bool{}, newest: map[acceptedKey]uint32{}}
 }
 
 func (o *oracle) fail(format string, args ...any) {
@@ -188,9 +192,18 @@
 	}
 }
 
-// accepted checks that a draining sidecar takes no new work.
-func (o *oracle) accepted(incarnation string, key attempt.Key) {
+// accepted checks that a draining sidecar takes no new work, and that a sidecar takes
+// no attempt that was meant for another incarnation, none twice and none that is older than another.
+func (o *oracle) accepted(incarnation, addressed string, key attempt.Key) {
+	if incarnation != addressed {
+		o.fail("sidecar %s accepted attempt %v, which was addressed to %s", incarnation, key, addressed)
+	}
 	if o.drained[incarnation] {
 		o.fail("sidecar %s accepted attempt %v after it was drained", incarnation, key)
 	}
+	k := acceptedKey{incarnation, key.Request}
+	if newest := o.newest[k]; key.Number <= newest {
+		o.fail("sidecar %s accepted attempt %v after attempt %d", incarnation, key, newest)
+	}
+	o.newest[k] = key.Number
 }
--- a/fuzz/sidecar.go
+++ b/fuzz/sidecar.go
@@ -133,7 +133,7 @@
 		}
 		return
 	}
-	s.w.oracle.accepted(s.incarnation, m.key)
+	s.w.oracle.accepted(s.incarnation, m.incarnation, m.key)
 	d := &dispatch{key: m.key, owner: m.owner, entry: m.entry, chain: m.chain, place: m.position, first: m.index}
 	if m.kind == msgCall {
 		for key := range s.calls {
