claim: keep less for each key

Cause: every entry holds the keys of the whole window, and a node has 32 MB for control.

Change: events without their key, standings in a slice instead of a map, the holder by value, and positions that point to the key's history.

--- a/claim/fold.go
+++ b/claim/fold.go
@@ -48,7 +48,8 @@
 }
 
 // Fold is the state that the claims stream describes. Every process that folds
-// the same records in offset order reaches the same state.
+// the same records in offset order reaches the same state. It is kept small,
+// because every entry holds the keys of the whole window in memory.
 type Fold struct {
 	first, next int64
 	keys        map[Key]*history
@@ -57,29 +58,42 @@
 }
 
 type position struct {
-	offset int64
-	key    Key
+	offset  int64
+	history *history
 }
 
 // history keeps what the log says about one key. The events stay because the
 // claim that holds the key may leave the log before later ones do, and a fresh
 // reader then sees a later claim first; both must agree on the holder.
 type history struct {
+	key    Key
 	events []event
 	state  keyState
 }
 
+// event is a record without its key.
 type event struct {
-	offset int64
-	record Record
+	offset  int64
+	kind    Kind
+	claim   string
+	digest  string
+	at      time.Time
+	outcome *Outcome
 }
 
 // keyState is the result of applying a key's events in order.
 type keyState struct {
 	digest    string
 	hasDigest bool
-	holder    *Holder
-	standings map[string]Standing
+	held      bool
+	holder    Holder
+	// standings has one entry for each claim; a key rarely has more than one.
+	standings []claimStanding
+}
+
+type claimStanding struct {
+	claim    string
+	standing Standing
 }
 
 // NewFold returns an empty fold that expects the record at offset next.
@@ -117,12 +131,17 @@
 	}
 	h := f.keys[r.Key]
 	if h == nil {
-		h = &history{}
+		h = &history{key: r.Key}
 		f.keys[r.Key] = h
 	}
-	h.events = append(h.events, event{offset: offset, record: r})
-	h.state.apply(offset, r)
-	f.order = append(f.order, position{offset: offset, key: r.Key})
+	e := event{offset: offset, kind: r.Kind, claim: r.Claim, digest: r.Digest, at: r.At}
+	if r.Outcome != nil {
+		kept := r.Outcome.Kept()
+		e.outcome = &kept
+	}
+	h.events = append(h.events, e)
+	h.state.apply(e)
+	f.order = append(f.order, position{offset: offset, history: h})
 }
 
 // Trim forgets the records before first, the oldest offset that the log still
@@ -135,7 +154,7 @@
 	f.next = max(f.next, first)
 	n := 0
 	for n < len(f.order) && f.order[n].offset < first {
-		f.trimKey(f.order[n].key)
+		f.trimKey(f.order[n].history)
 		n++
 	}
 	// The slice is moved on and not copied: with a record expiring for each new
@@ -144,23 +163,22 @@
 	f.order = f.order[n:]
 }
 
-func (f *Fold) trimKey(key Key) {
-	h := f.keys[key]
-	if h == nil || h.events[0].offset >= f.first {
-		return
-	}
+func (f *Fold) trimKey(h *history) {
 	n := 0
 	for n < len(h.events) && h.events[n].offset < f.first {
 		n++
 	}
-	if n == len(h.events) {
-		delete(f.keys, key)
+	if n == 0 {
 		return
 	}
 	h.events = append([]event(nil), h.events[n:]...)
+	if len(h.events) == 0 {
+		delete(f.keys, h.key)
+		return
+	}
 	h.state = keyState{}
 	for _, e := range h.events {
-		h.state.apply(e.offset, e.record)
+		h.state.apply(e)
 	}
 }
 
@@ -170,16 +188,17 @@
 	if h == nil {
 		return Absent
 	}
-	return h.state.standings[claim]
+	standing, _ := h.state.standing(claim)
+	return standing
 }
 
 // Holder returns the claim that holds a key.
 func (f *Fold) Holder(key Key) (Holder, bool) {
 	h := f.keys[key]
-	if h == nil || h.state.holder == nil {
+	if h == nil || !h.state.held {
 		return Holder{}, false
 	}
-	return *h.state.holder, true
+	return h.state.holder, true
 }
 
 // Digest returns the digest under which a key was first claimed.
@@ -191,56 +210,72 @@
 	return h.state.digest, true
 }
 
-func (s *keyState) apply(offset int64, r Record) {
-	if s.standings == nil {
-		s.standings = map[string]Standing{}
-	}
-	switch r.Kind {
+func (s *keyState) apply(e event) {
+	switch e.kind {
 	case KindClaim:
-		s.claim(offset, r)
+		s.claim(e)
 	case KindOutcome:
-		s.outcome(r)
+		s.outcome(e)
 	case KindRelease:
-		s.release(r)
+		s.release(e)
+	}
+}
+
+func (s *keyState) standing(claim string) (Standing, bool) {
+	for _, c := range s.standings {
+		if c.claim == claim {
+			return c.standing, true
+		}
+	}
+	return Absent, false
+}
+
+func (s *keyState) setStanding(claim string, standing Standing) {
+	for i := range s.standings {
+		if s.standings[i].claim == claim {
+			s.standings[i].standing = standing
+			return
+		}
 	}
+	s.standings = append(s.standings, claimStanding{claim, standing})
 }
 
 // claim gives a claim its standing once. A copy of the record changes nothing.
-func (s *keyState) claim(offset int64, r Record) {
-	if _, known := s.standings[r.Claim]; known {
+func (s *keyState) claim(e event) {
+	if _, known := s.standing(e.claim); known {
 		return
 	}
-	if s.hasDigest && s.digest != r.Digest {
-		s.standings[r.Claim] = Conflicting
+	if s.hasDigest && s.digest != e.digest {
+		s.setStanding(e.claim, Conflicting)
 		return
 	}
-	s.digest, s.hasDigest = r.Digest, true
-	if s.holder != nil {
-		s.standings[r.Claim] = Lost
+	s.digest, s.hasDigest = e.digest, true
+	if s.held {
+		s.setStanding(e.claim, Lost)
 		return
 	}
-	s.standings[r.Claim] = Won
-	s.holder = &Holder{Claim: r.Claim, Offset: offset, Digest: r.Digest, At: r.At}
+	s.setStanding(e.claim, Won)
+	s.held = true
+	s.holder = Holder{Claim: e.claim, Offset: e.offset, Digest: e.digest, At: e.at}
 }
 
 // outcome keeps the first outcome of the holder. Outcomes of other claims have no effect.
-func (s *keyState) outcome(r Record) {
-	if s.holder == nil || s.holder.Claim != r.Claim || s.holder.Outcome != nil || r.Outcome == nil {
+func (s *keyState) outcome(e event) {
+	if !s.held || s.holder.Claim != e.claim || s.holder.Outcome != nil {
 		return
 	}
-	kept := r.Outcome.Kept()
-	s.holder.Outcome = &kept
+	s.holder.Outcome = e.outcome
 }
 
 // release frees the key when the holder gives it back. A release that arrives
 // before its claim, because the answer to the claim's append was lost and the
 // append took effect late, keeps that claim from ever winning.
-func (s *keyState) release(r Record) {
-	if s.holder != nil && s.holder.Claim == r.Claim {
+func (s *keyState) release(e event) {
+	if s.held && s.holder.Claim == e.claim {
 		if s.holder.Outcome != nil {
 			return
 		}
-		s.holder = nil
+		s.held, s.holder = false, Holder{}
 	}
-	s.standings[r.Claim] = Released
+	s.setStanding(e.claim, Released)
 }
