--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -44,6 +45,10 @@
 	PlainDelay time.Duration
 	// PrefillTimePerByte is what an engine takes for each byte of a prompt.
 	PrefillTimePerByte time.Duration
+	// HistoryBytes bounds the activations that sidecars keep; 0 means their default.
+	HistoryBytes int
+	// Trace is passed to the entry.
+	Trace func(peer string, up *wire.WorkUp, down *wire.WorkDown)
 	// Network is the network to use; nil means TCP on loopback.
 	Network *standin.Network
 	// Log receives the log lines of all processes; nil discards them.
@@ -59,11 +64,31 @@
 	Address string
 	// BackendURL is where the backend server listens.
 	BackendURL string
-	stop       context.CancelFunc
+	options    sidecar.Options
+	// stop ends the node, stopSidecar its sidecar only.
+	stop, stopSidecar context.CancelFunc
+	restart           func() error
+	killed            atomic.Bool
+	// ended is closed when the sidecar has ended.
+	ended <-chan struct{}
+}
+
+// service is what the instance list names the node's service.
+func (n *Node) service() string {
+	if n.Engine != nil {
+		return Model
+	}
+	return Service
 }
 
 // Kill ends the sidecar and its backend server at once.
-func (n *Node) Kill() { n.stop() }
+func (n *Node) Kill() {
+	n.killed.Store(true)
+	n.stop()
+}
+
+// dead tells whether the node was killed.
+func (n *Node) dead() bool { return n.killed.Load() }
 
 // Cluster is a set of processes in one.
 type Cluster struct {
@@ -80,7 +105,7 @@
 // Start brings a cluster up and waits until every sidecar is connected.
 func Start(ctx context.Context, opts ClusterOptions) (*Cluster, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	c := &Cluster{opts: opts, logger: newLogger(opts.Log), document: document(), cancel: cancel}
+	c := &Cluster{opts: opts, logger: newLogger(opts.Log), document: document(opts), cancel: cancel}
 	if err := c.start(ctx); err != nil {
 		c.Stop()
 		return nil, err
@@ -95,11 +120,13 @@
 	return &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: w}}
 }
 
+func engineID(stage, copyIndex int) string { return fmt.Sprintf("engine-%d%c", stage, 'a'+copyIndex) }
+
 func (c *Cluster) start(ctx context.Context) error {
 	per := Layers / c.opts.Stages
 	for stage := range c.opts.Stages {
 		for copyIndex := range c.opts.Copies {
-			id := fmt.Sprintf("engine-%d%c", stage, 'a'+copyIndex)
+			id := engineID(stage, copyIndex)
 			layers := &wire.LayerRange{First: uint32(stage * per), Limit: uint32((stage + 1) * per)}
 			if stage == c.opts.Stages-1 {
 				layers.Limit = Layers
@@ -126,7 +153,7 @@
 		PrefillTimePerByte: c.opts.PrefillTimePerByte,
 	})
 	node := &Node{ID: id, Engine: engine}
-	return c.addNode(ctx, node, engine.Handler(), sidecar.Options{ID: id, Zone: "changwon-a", Model: Model, Layers: layers, Logger: c.logger})
+	return c.addNode(ctx, node, engine.Handler(), sidecar.Options{ID: id, Zone: "changwon-a", Model: Model, Layers: layers, Logger: c.logger, HistoryBytes: c.opts.HistoryBytes})
 }
 
 func (c *Cluster) addPlain(ctx context.Context, id string) error {
@@ -141,25 +168,47 @@
 	if err != nil {
 		return err
 	}
-	listener, err := c.listen(node.ID)
-	if err != nil {
-		return err
-	}
 	opts.Backend = url
 	opts.Dialer.DialContext = c.dialer(node.ID)
 	opts.DialBackend = c.dialer(node.ID)
 	node.BackendURL = url
-	node.Address = listener.Addr().String()
-	node.Sidecar = sidecar.New(opts)
+	node.options = opts
 	c.Nodes = append(c.Nodes, node)
+	return c.startSidecar(ctx, node)
+}
+
+// startSidecar starts a sidecar that ends by itself or with its node.
+func (c *Cluster) startSidecar(ctx context.Context, node *Node) error {
+	listener, err := c.listen(node.ID)
+	if err != nil {
+		return err
+	}
+	parent := ctx
+	ctx, node.stopSidecar = context.WithCancel(parent)
+	node.restart = func() error { return c.startSidecar(parent, node) }
+	node.Address = listener.Addr().String()
+	server := sidecar.New(node.options)
+	node.Sidecar = server
+	ended := make(chan struct{})
+	node.ended = ended
 	c.wg.Add(1)
 	go func() {
 		defer c.wg.Done()
-		_ = node.Sidecar.Serve(ctx, listener)
+		defer close(ended)
+		_ = server.Serve(ctx, listener)
 	}()
 	return nil
 }
 
+// Restart ends a node's sidecar and starts a new incarnation. The backend
+// server goes on. It needs an in-memory network, where the address stays.
+func (c *Cluster) Restart(id string) error {
+	node := c.Node(id)
+	node.stopSidecar()
+	<-node.ended
+	return node.restart()
+}
+
 // backendSuffix joined to a node's name is the address of its backend server on an in-memory network.
 const backendSuffix = ".backend"
 
@@ -184,7 +233,8 @@
 	if err != nil {
 		return "", err
 	}
-	server := &http.Server{Handler: handler}
+	handlers := &handlerGroup{handler: handler}
+	server := &http.Server{Handler: handlers}
 	c.wg.Add(2)
 	go func() {
 		defer c.wg.Done()
@@ -194,6 +244,7 @@
 		defer c.wg.Done()
 		<-ctx.Done()
 		_ = server.Close()
+		handlers.close()
 	}()
 	return "http://" + listener.Addr().String(), nil
 }
@@ -201,7 +252,7 @@
 func (c *Cluster) startEntry(ctx context.Context) error {
 	c.Entry = entry.New(ctx, entry.Options{
 		ID: EntryID, Zone: "changwon-a", Logger: c.logger, Dialer: link.Dialer{DialContext: c.dialer(EntryID)},
-		Config: func() *config.Document { return c.document },
+		Config: func() *config.Document { return c.document }, Trace: c.opts.Trace,
 	})
 	c.Entry.SetInstances(c.Instances())
 	url, err := c.serveHTTP(ctx, EntryID, c.Entry.Handler())
@@ -213,7 +264,7 @@
 func (c *Cluster) Instances() []entry.Instance {
 	var instances []entry.Instance
 	for _, n := range c.Nodes {
-		instances = append(instances, entry.Instance{ID: n.ID, Zone: "changwon-a", Address: n.Address})
+		instances = append(instances, entry.Instance{ID: n.ID, Service: n.service(), Zone: "changwon-a", Address: n.Address})
 	}
 	return instances
 }
@@ -246,6 +297,34 @@
 	return nil
 }
 
+// handlerGroup waits for its requests at the end, which http.Server.Close does not do.
+type handlerGroup struct {
+	handler http.Handler
+	mu      sync.Mutex
+	closed  bool
+	running sync.WaitGroup
+}
+
+// ServeHTTP passes a request on.
+func (g *handlerGroup) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.mu.Lock()
+	if g.closed {
+		g.mu.Unlock()
+		return
+	}
+	g.running.Add(1)
+	g.mu.Unlock()
+	defer g.running.Done()
+	g.handler.ServeHTTP(w, r)
+}
+
+func (g *handlerGroup) close() {
+	g.mu.Lock()
+	g.closed = true
+	g.mu.Unlock()
+	g.running.Wait()
+}
+
 // HTTPClient returns a client that reaches the cluster's network. Its caller
 // closes the idle connections.
 func (c *Cluster) HTTPClient() *http.Client {
@@ -261,12 +340,26 @@
 	}
 }
 
+const (
+	accelerator = "standin"
+	// layerRate is high enough that admission lets benchmarks load the path.
+	layerRate = 1e6
+)
+
 // document is a small configuration with one team.
-func document() *config.Document {
+func document(opts ClusterOptions) *config.Document {
 	hash := sha256.Sum256([]byte(Key))
+	var servers []config.Server
+	for stage := range opts.Stages {
+		for copyIndex := range opts.Copies {
+			servers = append(servers, config.Server{ID: engineID(stage, copyIndex), Accelerator: accelerator})
+		}
+	}
 	return &config.Document{
-		Schema: config.SchemaVersion,
-		Models: []config.Model{{Name: Model, Versions: []string{"1"}, Serving: "1", Layers: Layers, ActivationBytes: 8, ContextTokens: 4096}},
+		Accelerators: []config.Accelerator{{Kind: accelerator, LayerTokensPerSecond: layerRate}},
+		Servers:      servers,
+		Schema:       config.SchemaVersion,
+		Models:       []config.Model{{Name: Model, Versions: []string{"1"}, Serving: "1", Layers: Layers, ActivationBytes: 8, ContextTokens: 4096}},
 		Services: []config.Service{{
 			Name: Service, Timeout: 5 * time.Second, KeyWindow: time.Hour, OnLogOutage: config.RefuseDuringOutage,
 			Idempotent: []config.CallRule{{Method: http.MethodGet, PathPrefix: "/"}},
--- a/entry/language.go
+++ b/entry/language.go
@@ -50,8 +50,9 @@
 		s.refuse(w, refused)
 		return
 	}
-	timing := newTokenTiming(s, began)
+	timing := newTokenTiming(g, began)
 	g.emit = timing.wrap(answer.token)
+	g.flush = answer.flush
 	p := g.run(ctx)
 	release(timing.outcome(p))
 	if p != nil {
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -12,6 +12,7 @@
 	"github.com/sapphirefield/sapphirefield/attempt"
 	"github.com/sapphirefield/sapphirefield/link"
 	"github.com/sapphirefield/sapphirefield/logevent"
+	"github.com/sapphirefield/sapphirefield/membership"
 	"github.com/sapphirefield/sapphirefield/wire"
 )
 
@@ -42,6 +43,8 @@
 	kind  peerEventKind
 	peer  *peer
 	frame *wire.WorkDown
+	// token is set instead of frame for one token out of a frame with many.
+	token *wire.Token
 }
 
 // exchange receives the events of one attempt from all its peers.
@@ -58,7 +61,9 @@
 type peer struct {
 	server *Server
 	id     string
-	cancel context.CancelFunc
+	// service is what the instance list says.
+	service string
+	cancel  context.CancelFunc
 
 	mu      sync.Mutex
 	address string
@@ -68,6 +73,8 @@
 	hello   *wire.Hello
 	load    *wire.Load
 	pending map[attempt.Key]pendingExchange
+	// drop ends the present connection.
+	drop context.CancelCauseFunc
 	// silent is set when the sidecar left a question unanswered, until its next frame.
 	silent bool
 	// beatAt is when the heartbeat with number beat was sent; rtt is the
@@ -107,7 +114,12 @@
 	p.mu.Lock()
 	address := p.address
 	p.mu.Unlock()
-	conn, err := p.server.opts.Dialer.Dial(ctx, address)
+	ctx, drop := context.WithCancelCause(ctx)
+	defer drop(nil)
+	p.mu.Lock()
+	p.drop = drop
+	p.mu.Unlock()
+	conn, err := p.server.opts.Dialer.Dial(ctx, p.id, address)
 	if err != nil {
 		return err
 	}
@@ -122,15 +134,14 @@
 	group.Go(func() error {
 		// Closing the connection ends the receiving side as well.
 		defer func() { _ = conn.Close() }()
-		return p.send(ctx, stream, queue, silence)
+		return p.send(ctx, stream, queue)
 	})
+	group.Go(func() error { return silence.Watch(ctx) })
 	group.Go(func() error { return p.receive(stream, queue, silence) })
 	return group.Wait()
 }
 
-var errSilent = errors.New("stream was silent for longer than the limit")
-
-func (p *peer) send(ctx context.Context, stream wire.DRPCSidecar_WorkClient, queue *link.Queue[*wire.WorkUp], silence *link.Silence) error {
+func (p *peer) send(ctx context.Context, stream wire.DRPCSidecar_WorkClient, queue *link.Queue[*wire.WorkUp]) error {
 	hello := &wire.Hello{Id: p.server.opts.ID, Incarnation: p.server.incarnation, Zone: p.server.opts.Zone}
 	if err := stream.Send(&wire.WorkUp{Body: &wire.WorkUp_Hello{Hello: hello}}); err != nil {
 		return errors.WithStack(err)
@@ -143,9 +154,6 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case at := <-ticker.C:
-			if silence.Expired(at) {
-				return errSilent
-			}
 			sequence++
 			p.beatSent(sequence, at)
 			beat := &wire.Heartbeat{Sequence: sequence}
@@ -155,6 +163,7 @@
 		case <-queue.Ready():
 			frames, open := queue.Take()
 			for _, frame := range frames {
+				p.trace(frame, nil)
 				if err := stream.Send(frame); err != nil {
 					return errors.WithStack(err)
 				}
@@ -173,13 +182,20 @@
 			return errors.WithStack(err)
 		}
 		if !silence.Frame(time.Now()) {
-			return errSilent
+			return link.ErrSilent
 		}
 		p.handle(frame, queue)
 	}
 }
 
+func (p *peer) trace(up *wire.WorkUp, down *wire.WorkDown) {
+	if p.server.opts.Trace != nil {
+		p.server.opts.Trace(p.id, up, down)
+	}
+}
+
 func (p *peer) handle(frame *wire.WorkDown, queue *link.Queue[*wire.WorkUp]) {
+	p.trace(nil, frame)
 	p.answered()
 	switch body := frame.Body.(type) {
 	case *wire.WorkDown_Hello:
@@ -210,6 +226,7 @@
 	}
 	p.mu.Unlock()
 	logevent.Write(p.server.opts.Logger, logevent.SidecarConnected).Str("id", p.server.opts.ID).Str("peer", p.id).Msg("")
+	p.server.observeHello(p.id, hello.Incarnation)
 	p.server.peersChanged()
 }
 
@@ -219,6 +236,11 @@
 	p.load = load
 	hello := p.hello
 	p.mu.Unlock()
+	if load.Draining {
+		p.server.observe(p.id, membership.RefusedDraining)
+	} else {
+		p.server.observe(p.id, membership.Heartbeat)
+	}
 	if changed {
 		p.server.peersChanged()
 	}
@@ -237,6 +259,9 @@
 	}
 	p.queue = nil
 	p.mu.Unlock()
+	if ctx.Err() == nil {
+		p.server.observeLost(p.id, wasConnected, cause)
+	}
 	if wasConnected && ctx.Err() == nil {
 		logevent.Write(p.server.opts.Logger, logevent.SidecarDisconnected).Str("id", p.server.opts.ID).Str("peer", p.id).AnErr("cause", cause).Msg("")
 	}
@@ -267,6 +292,15 @@
 	}
 }
 
+// redial replaces a connection on which questions stay unanswered.
+func (p *peer) redial() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.silent && p.drop != nil {
+		p.drop(link.ErrSilent)
+	}
+}
+
 func (p *peer) answered() {
 	p.mu.Lock()
 	changed := p.silent
@@ -343,9 +377,12 @@
 
 // deliverTokens splits a frame with the tokens of many requests.
 func (p *peer) deliverTokens(tokens *wire.Tokens) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for _, token := range tokens.Tokens {
-		one := &wire.WorkDown{Body: &wire.WorkDown_Tokens{Tokens: &wire.Tokens{Tokens: []*wire.Token{token}}}}
-		p.deliver(attempt.Key{Request: token.Request, Number: token.Attempt}, one)
+		if ex, found := p.pending[attemptKey(token.Request, token.Attempt)]; found {
+			ex.events.Push(peerEvent{peer: p, token: token})
+		}
 	}
 }
 
--- a/link/link.go
+++ b/link/link.go
@@ -6,12 +6,14 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcctx"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -31,10 +33,12 @@
 	maxFrameBytes = 16 << 20
 )
 
-// Dialer opens connections to other processes. A nil TLS configuration means
-// plain text, which the settings allow on loopback only.
+// Dialer opens connections to other processes. A nil TLS means plain text,
+// which the settings allow on loopback only.
 type Dialer struct {
-	TLS *tls.Config
+	// TLS returns the configuration for connections to one sidecar, which checks
+	// that the peer's certificate names it.
+	TLS func(instance string) *tls.Config
 	// DialContext opens the connection below TLS; nil means TCP. Tests put an
 	// in-memory network here.
 	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
@@ -51,10 +55,10 @@
 func (c *Conn) LastWrite() time.Time { return time.Unix(0, c.written.Load()) }
 
 // Dial opens a connection that carries one stream.
-func (d Dialer) Dial(ctx context.Context, address string) (*Conn, error) {
+func (d Dialer) Dial(ctx context.Context, instance, address string) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := d.dial(ctx, address)
+	conn, err := d.dial(ctx, instance, address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "dial %s", address)
 	}
@@ -67,7 +71,7 @@
 	}, nil
 }
 
-func (d Dialer) dial(ctx context.Context, address string) (net.Conn, error) {
+func (d Dialer) dial(ctx context.Context, instance, address string) (net.Conn, error) {
 	dial := d.DialContext
 	if dial == nil {
 		dial = new(net.Dialer).DialContext
@@ -76,7 +80,7 @@
 	if err != nil || d.TLS == nil {
 		return conn, err
 	}
-	secured := tls.Client(conn, d.clientTLS(address))
+	secured := tls.Client(conn, d.TLS(instance))
 	if err := secured.HandshakeContext(ctx); err != nil {
 		_ = conn.Close()
 		return nil, err
@@ -84,44 +88,89 @@
 	return secured, nil
 }
 
-// clientTLS names the server to verify, as tls.Dialer does.
-func (d Dialer) clientTLS(address string) *tls.Config {
-	if d.TLS.ServerName != "" {
-		return d.TLS
-	}
-	host, _, err := net.SplitHostPort(address)
-	if err != nil {
-		host = address
-	}
-	config := d.TLS.Clone()
-	config.ServerName = host
-	return config
-}
+// acceptPause is the wait after a failed Accept, for example for lack of file descriptors.
+const acceptPause = 100 * time.Millisecond
 
 // Serve answers calls on a listener until ctx ends. With a TLS configuration
 // the listener requires the peer's certificate.
 func Serve(ctx context.Context, listener net.Listener, tlsConfig *tls.Config, mux *drpcmux.Mux) error {
-	var wrapped net.Listener = deadlineListener{listener}
-	if tlsConfig != nil {
-		wrapped = tls.NewListener(wrapped, tlsConfig)
-	}
 	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
-	return errors.WithStack(server.Serve(ctx, wrapped))
+	ctx, cancel := context.WithCancel(ctx)
+	var streams sync.WaitGroup
+	defer streams.Wait()
+	defer cancel()
+	streams.Go(func() {
+		<-ctx.Done()
+		_ = listener.Close()
+	})
+	for {
+		conn, err := listener.Accept()
+		switch {
+		case err == nil:
+			transport := accepted(conn, tlsConfig)
+			streams.Go(func() { _ = server.ServeOne(drpcctx.WithTransport(ctx, transport), transport) })
+		case ctx.Err() != nil:
+			return nil
+		case errors.Is(err, net.ErrClosed):
+			return errors.WithStack(err)
+		default:
+			time.Sleep(acceptPause)
+		}
+	}
 }
 
-func managerOptions() drpcmanager.Options {
-	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxFrameBytes}}
+func accepted(conn net.Conn, tlsConfig *tls.Config) net.Conn {
+	wrapped := net.Conn(&firstReadConn{Conn: deadlineConn{Conn: conn, written: new(atomic.Int64)}})
+	if tlsConfig == nil {
+		return wrapped
+	}
+	return tls.Server(wrapped, tlsConfig)
 }
 
-type deadlineListener struct{ net.Listener }
+// Abort closes the connection of the call that a handler serves, so that a
+// blocked Recv returns.
+func Abort(ctx context.Context) {
+	if transport, found := drpcctx.Transport(ctx); found {
+		_ = transport.Close()
+	}
+}
 
-// Accept wraps the connection so that writes have a deadline.
-func (l deadlineListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
+// PeerState returns the TLS state of the call that a handler serves; found is
+// false on a connection in plain text.
+func PeerState(ctx context.Context) (state tls.ConnectionState, found bool) {
+	transport, _ := drpcctx.Transport(ctx)
+	secured, found := transport.(*tls.Conn)
+	if !found {
+		return tls.ConnectionState{}, false
+	}
+	return secured.ConnectionState(), true
+}
+
+// firstReadConn bounds the wait for a peer's first data. A peer that connects
+// and says nothing would otherwise keep the connection for ever.
+type firstReadConn struct {
+	net.Conn
+	begun bool
+}
+
+// Read is called by one goroutine.
+func (c *firstReadConn) Read(p []byte) (int, error) {
+	if c.begun {
+		return c.Conn.Read(p)
+	}
+	if err := c.SetReadDeadline(time.Now().Add(SilenceLimit)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(p)
 	if err != nil {
-		return nil, err
+		return n, err
 	}
-	return deadlineConn{Conn: conn, written: new(atomic.Int64)}, nil
+	c.begun = true
+	return n, c.SetReadDeadline(time.Time{})
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxFrameBytes}}
 }
 
 // writeChunkBytes is the part of a write that must pass within writeTimeout. A
--- a/pipeline/chooser.go
+++ b/pipeline/chooser.go
@@ -48,6 +48,9 @@
 	zones  map[string]int
 	links  *Links
 	cache  *CacheIndex
+	// paths are the links between zones by index, as of pathsVersion.
+	paths        [][]path
+	pathsVersion int
 	// virtual is the time at which a stage that received exactly its share
 	// would stand, in seconds of work.
 	virtual float64
@@ -55,6 +58,14 @@
 	meanWork float64
 }
 
+// path is a link as the Chooser sees it.
+type path struct {
+	// latency is in seconds, perByte in seconds per byte.
+	latency, perByte float64
+	// drained is when the link will have sent the prompts of the chains chosen so far.
+	drained time.Time
+}
+
 // member is what the Chooser knows about a stage.
 type member struct {
 	Stage
@@ -166,13 +177,13 @@
 // transfer time of the request's tokens.
 func (c *Chooser) Choose(req Request, exclude map[string]bool) (Chain, error) {
 	req, work := c.sized(req)
-	s := c.newSearch(req)
+	s := c.newSearch(req, len(c.stages))
 	for _, m := range c.stages {
 		if exclude[m.Instance] || m.load.Draining || m.load.Down {
 			continue
 		}
 		saved := c.cache.Saved(m.Instance, req) / c.opts.PrefillSpeedup
-		s.visit(&candidate{member: m, own: c.stageCost(m, work, req.At), saved: saved})
+		s.visit(candidate{member: m, own: c.stageCost(m, work, req.At), saved: saved})
 	}
 	chain, err := c.build(s, req, work)
 	if err != nil {
@@ -184,30 +195,38 @@
 }
 
 // Repair returns a chain in place of one that has lost stages. Stages of the
-// broken chain that are not lost cost nothing, since they hold the request's
-// KV cache; every other stage also costs the seconds that restore gives. The
-// chain keeps the revision of the broken one: ranges of another plan are used
-// only where they fit between the ranges that remain.
-func (c *Chooser) Repair(req Request, broken Chain, lost map[string]bool, restore func(Stage) float64) (Chain, error) {
+// broken chain that are not lost cost nothing if all stages after them are kept
+// as well, since they hold the request's KV cache. If a later stage is new,
+// they run the replay and cost it together with their lead and load, as new
+// stages do; only the new ones also cost the request's work. The chain keeps the revision of the broken one: ranges
+// of another plan are used only where they fit between the ranges that remain.
+func (c *Chooser) Repair(req Request, broken Chain, lost map[string]bool, replay, restore func(Stage) float64) (Chain, error) {
 	req, work := c.sized(req)
-	s := c.newSearch(req)
-	for _, m := range c.withKept(broken, lost) {
+	pool := c.withKept(broken, lost)
+	s := c.newSearch(req, len(pool))
+	for _, m := range pool {
 		if lost[m.Instance] {
 			continue
 		}
-		k := &candidate{member: m}
-		if !broken.holds(m.Stage) {
-			if m.load.Draining || m.load.Down {
-				continue
-			}
-			k.own = c.stageCost(m, work, req.At) + restore(m.Stage)
+		if broken.holds(m.Stage) {
+			again := c.stageCost(m, 0, req.At) + replay(m.Stage)
+			s.visit(candidate{member: m, own: again, saved: again * m.Weight})
+			continue
+		}
+		if !m.load.Draining && !m.load.Down {
+			s.visit(candidate{member: m, own: c.stageCost(m, work, req.At) + restore(m.Stage)})
 		}
-		s.visit(k)
 	}
-	chain, err := c.build(s, req, work)
+	chain, err := c.build(s, req, 0)
 	if err != nil {
 		return Chain{}, err
 	}
+	for _, st := range chain.Stages {
+		if m := c.byName[st.Instance]; m != nil && !broken.holds(st) {
+			c.charge(m, work)
+			m.sent--
+		}
+	}
 	chain.Revision = broken.Revision
 	c.Done(broken)
 	return chain, nil
@@ -231,7 +250,7 @@
 		pool = append(pool, m)
 	}
 	for _, s := range kept {
-		pool = append(pool, &member{Stage: s, zone: c.zoneIndex(s.Zone)})
+		pool = append(pool, &member{Stage: s, zone: c.zoneIndex(s.Zone), pass: c.virtual})
 	}
 	sort.SliceStable(pool, func(i, j int) bool { return pool[i].First > pool[j].First })
 	return pool
@@ -261,14 +280,21 @@
 	hops   [][]float64
 	// heads are the best candidates by first layer.
 	heads [][]*candidate
+	// pool has room for all candidates, so that pointers into it stay valid.
+	pool []candidate
 }
 
-func (c *Chooser) newSearch(req Request) *search {
-	return &search{layers: c.opts.Layers, hops: c.hopCosts(req), heads: make([][]*candidate, c.opts.Layers+1)}
+func (c *Chooser) newSearch(req Request, stages int) *search {
+	return &search{
+		layers: c.opts.Layers, hops: c.hopCosts(req),
+		heads: make([][]*candidate, c.opts.Layers+1), pool: make([]candidate, 0, stages),
+	}
 }
 
 // visit adds a candidate. Candidates must come in descending order of First.
-func (s *search) visit(k *candidate) {
+func (s *search) visit(of candidate) {
+	s.pool = append(s.pool, of)
+	k := &s.pool[len(s.pool)-1]
 	s.extend(k)
 	if math.IsInf(k.allCached.cost, 1) && math.IsInf(k.someMissed.cost, 1) {
 		return
@@ -329,13 +355,13 @@
 
 // build follows the labels from the best first stage and charges its stages.
 func (c *Chooser) build(s *search, req Request, work float64) (Chain, error) {
-	zone := c.entryZone(req.Zone)
 	var best *candidate
 	bestCost := math.Inf(1)
 	for _, k := range s.heads[0] {
 		cost := min(k.allCached.cost, k.someMissed.cost)
-		if zone >= 0 {
-			cost += s.hops[zone][k.zone]
+		// The entry sends text, so only the latency of its link counts.
+		if req.Zone != "" {
+			cost += c.links.Cost(req.Zone, k.Zone, 0)
 		}
 		if cost < bestCost {
 			best, bestCost = k, cost
@@ -361,6 +387,7 @@
 		}
 		k = way.next
 	}
+	c.queuePrompt(chain, req)
 	return chain, nil
 }
 
@@ -396,31 +423,66 @@
 // hopCosts is the transfer time of a request's prompt and generated tokens
 // between each two zones, in seconds.
 func (c *Chooser) hopCosts(req Request) [][]float64 {
-	costs := make([][]float64, len(c.zones))
+	c.refreshPaths()
+	frames := float64(req.OutputTokens + 1)
+	bytes := float64(c.opts.ActivationBytes) * float64(req.OutputTokens+req.PromptTokens)
+	costs := make([][]float64, len(c.paths))
+	cells := make([]float64, len(c.paths)*len(c.paths))
+	for i, row := range c.paths {
+		costs[i] = cells[i*len(row) : (i+1)*len(row)]
+		for j, p := range row {
+			costs[i][j] = p.latency*frames + p.perByte*bytes
+			if p.drained.After(req.At) {
+				costs[i][j] += p.drained.Sub(req.At).Seconds()
+			}
+		}
+	}
+	return costs
+}
+
+// refreshPaths copies the estimates of links when they or the zones have changed.
+func (c *Chooser) refreshPaths() {
+	if c.pathsVersion == c.links.version && len(c.paths) == len(c.zones) {
+		return
+	}
+	old := c.paths
+	c.paths = make([][]path, len(c.zones))
 	for from, i := range c.zones {
-		costs[i] = make([]float64, len(c.zones))
+		c.paths[i] = make([]path, len(c.zones))
 		for to, j := range c.zones {
-			token := c.links.Cost(from, to, c.opts.ActivationBytes)
-			prompt := c.links.Cost(from, to, c.opts.ActivationBytes*int64(req.PromptTokens))
-			costs[i][j] = token*float64(req.OutputTokens) + prompt
+			p := &c.paths[i][j]
+			p.latency, p.perByte = c.links.Estimate(from, to)
+			if i < len(old) && j < len(old) {
+				p.drained = old[i][j].drained
+			}
 		}
 	}
-	return costs
+	c.pathsVersion = c.links.version
 }
 
-func (c *Chooser) zoneIndex(zone string) int {
-	i, known := c.zones[zone]
-	if !known {
-		i = len(c.zones)
-		c.zones[zone] = i
+// queuePrompt notes that a request's prompt takes up the links between the
+// stages' zones. Many requests chosen at once, as after the loss of a stage,
+// would otherwise all take the same link before its delay is measured.
+func (c *Chooser) queuePrompt(chain Chain, req Request) {
+	bytes := float64(c.opts.ActivationBytes) * float64(req.PromptTokens)
+	for i := 1; i < len(chain.Stages); i++ {
+		from, to := c.zones[chain.Stages[i-1].Zone], c.zones[chain.Stages[i].Zone]
+		if from == to {
+			continue
+		}
+		p := &c.paths[from][to]
+		if p.drained.Before(req.At) {
+			p.drained = req.At
+		}
+		p.drained = p.drained.Add(seconds(p.perByte * bytes))
 	}
-	return i
 }
 
-func (c *Chooser) entryZone(zone string) int {
+func (c *Chooser) zoneIndex(zone string) int {
 	i, known := c.zones[zone]
 	if !known {
-		return -1
+		i = len(c.zones)
+		c.zones[zone] = i
 	}
 	return i
 }
--- a/placement/search.go
+++ b/placement/search.go
@@ -5,11 +5,17 @@
 const (
 	// minGain is the least relative improvement that continues a search.
 	minGain = 1e-6
+	// closeEnough is the shortfall at which a search from nothing stops.
+	closeEnough = 0.001
 	// maxSteps bounds a search; the improvements fall off well before.
 	maxSteps = 400
 	// stageCost is the loss of flow accepted for one stage less, because each
 	// stage adds a hop and an engine iteration to the time between tokens.
 	stageCost = 0.002
+	// lossWeight is the part of a flow given up to lose less with one engine.
+	// A segment with a single engine takes its whole group down with it, and
+	// the requests of all its chains replay at once on what is left.
+	lossWeight = 0.05
 	// maxCandidates bounds how many segment counts are tried.
 	maxCandidates = 12
 )
@@ -24,7 +30,7 @@
 		if l.slowest() <= 0 {
 			continue
 		}
-		cost := l.shortfall() + stageCost*float64(len(l.lengths))
+		cost := l.shortfall() + stageCost*float64(len(l.lengths)) + lossWeight*l.worstLoss()/l.target
 		if best == nil || cost < bestCost {
 			best, bestCost = l, cost
 		}
@@ -32,6 +38,21 @@
 	return best
 }
 
+// worstLoss is the most that the slowest segment's capacity falls when any one
+// engine is lost.
+func (l *layout) worstLoss() float64 {
+	flow := l.slowest()
+	left := flow
+	for s, sum := range l.sum {
+		for c := range l.classes {
+			if l.count[c][s] > 0 {
+				left = min(left, sum-l.capacity[c][l.lengths[s]])
+			}
+		}
+	}
+	return flow - max(0, left)
+}
+
 // candidates proposes divisions of the layers: equal ones with a growing number of
 // segments, and ones whose lengths follow the memory of the engines.
 func (p *problem) candidates() [][]int {
@@ -45,6 +66,9 @@
 	}
 	fewest := (p.model.Layers + largest - 1) / largest
 	var list [][]int
+	if byEngine := p.lengthsByEngine(); byEngine != nil {
+		list = append(list, byEngine)
+	}
 	for k := fewest; k <= min(engines, p.model.Layers) && len(list) < maxCandidates; k++ {
 		list = append(list, equalLengths(p.model.Layers, k))
 		if byMemory := p.lengthsByMemory(k); byMemory != nil {
@@ -54,6 +78,33 @@
 	return list
 }
 
+// lengthsByEngine makes one segment for each of the fewest engines that hold
+// the model, no longer than that engine's memory. It makes sure that a layout
+// is found whenever one exists.
+func (p *problem) lengthsByEngine() []int {
+	var fits []int
+	for c := range p.classes {
+		for range p.size[c] {
+			fits = append(fits, p.fit[c])
+		}
+	}
+	slices.SortFunc(fits, func(a, b int) int { return b - a })
+	sum := 0
+	for k, fit := range fits {
+		sum += fit
+		if sum < p.model.Layers {
+			continue
+		}
+		lengths := fits[:k+1]
+		for ; sum > p.model.Layers; sum-- {
+			lengths[slices.Index(lengths, slices.Max(lengths))]--
+		}
+		slices.Sort(lengths)
+		return lengths
+	}
+	return nil
+}
+
 func equalLengths(layers, k int) []int {
 	lengths := make([]int, k)
 	for s := range lengths {
@@ -194,6 +245,9 @@
 // climb applies the best change until none improves the layout.
 func (l *layout) climb() {
 	for range maxSteps {
+		if l.shortfall() < closeEnough {
+			return
+		}
 		ch, gain := l.bestChange(func(change) float64 { return 1 }, true)
 		if gain < minGain {
 			return
--- a/sidecar/engine.go
+++ b/sidecar/engine.go
@@ -25,11 +25,11 @@
 	probeInterval = 500 * time.Millisecond
 	cancelTimeout = time.Second
 	// maxEngineAnswerBytes bounds an engine's answer to one batch.
-	maxEngineAnswerBytes = 64 << 20
+	maxEngineAnswerBytes = 512 << 20
 )
 
-// backendClient returns the client for the backend server.
-func backendClient(opts Options) *http.Client {
+// engineClient returns the client for the engine. Its requests may be repeated.
+func engineClient(opts Options) *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext:           opts.DialBackend,
 		MaxIdleConnsPerHost:   4,
@@ -39,6 +39,15 @@
 	}}
 }
 
+// callTransport returns the transport for plain calls, which uses each connection once.
+func callTransport(opts Options) *http.Transport {
+	return &http.Transport{
+		DialContext:        opts.DialBackend,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+	}
+}
+
 // runBatches hands all waiting steps to the engine, one iteration at a time.
 func (s *Server) runBatches(ctx context.Context) error {
 	var waiting []*wire.EngineStep
@@ -89,6 +98,22 @@
 	for _, result := range results.Results {
 		s.finishStep(result)
 	}
+	s.openDeferred(time.Now())
+}
+
+// deferredOpen is an attempt that waits for a step of the attempt before it.
+type deferredOpen struct {
+	entry string
+	open  *wire.Open
+}
+
+// openDeferred must be called with the lock held.
+func (s *Server) openDeferred(now time.Time) {
+	waiting := s.deferred
+	s.deferred = nil
+	for _, d := range waiting {
+		s.handleOpen(d.entry, d.open, now)
+	}
 }
 
 func (s *Server) postSteps(ctx context.Context, steps []*wire.EngineStep) (*wire.EngineResults, error) {
@@ -118,7 +143,7 @@
 		return nil, errors.WithStack(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxEngineAnswerBytes))
+	answer, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxEngineAnswerBytes))
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
@@ -140,7 +165,9 @@
 		s.refuse(a.entry, a.key, wire.RefusalReason_REFUSAL_ENGINE_DOWN)
 	}
 	s.opening = nil
+	s.openDeferred(time.Now())
 	for _, a := range s.attempts {
+		a.inEngine = false
 		s.fail(a, "engine does not answer", a.open.Position)
 	}
 	s.mu.Unlock()
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -8,8 +8,10 @@
 	"crypto/rand"
 	"crypto/tls"
 	"encoding/hex"
+	"fmt"
 	"net"
 	"net/http"
+	"sort"
 	"sync"
 	"time"
 
@@ -42,8 +44,13 @@
 	Logger      *log.Logger
 	// StepTimeout bounds one iteration of the engine.
 	StepTimeout time.Duration
+	// HistoryBytes bounds the activations that are kept for replaced stages.
+	HistoryBytes int
 	// MaxBodyBytes bounds the body of a plain request.
 	MaxBodyBytes int
+	// Authorize checks that the other end of a call has a role, and a name unless
+	// the name is empty; nil accepts everyone, which suits loopback only.
+	Authorize func(ctx context.Context, role, id string) error
 	// Revision answers peers that ask for the configuration in force; nil means none.
 	Revision func(after int64) *wire.RevisionReply
 }
@@ -64,6 +71,7 @@
 	opts        Options
 	incarnation string
 	client      *http.Client
+	caller      *http.Transport
 	batch       *link.Queue[*wire.EngineStep]
 
 	mu       sync.Mutex
@@ -71,13 +79,20 @@
 	gate     *pipeline.StepGate
 	attempts map[string]*stageAttempt
 	calls    map[attempt.Key]*call
-	entries  map[string]*entryLink
-	hops     map[string]*hop
-	engineUp bool
-	pace     pace
+	// ended holds calls whose answers are kept, keptBytes what all answers take.
+	ended     map[attempt.Key]*call
+	keptBytes int
+	entries   map[string]*entryLink
+	hops      map[string]*hop
+	engineUp  bool
+	pace      pace
 	// iteration is the batch that runs in the engine, nil while it is idle.
 	iteration     *iteration
 	lastIteration time.Time
+	// deferred holds attempts that wait for a step of the attempt before them.
+	deferred []deferredOpen
+	// historyBytes is what the histories of all attempts take.
+	historyBytes int
 	// opening holds attempts that wait for proof that the engine runs.
 	opening []*stageAttempt
 	// idle is closed when the sidecar drains and nothing is in progress.
@@ -96,16 +111,21 @@
 	if opts.MaxBodyBytes == 0 {
 		opts.MaxBodyBytes = defaultMaxBodyBytes
 	}
+	if opts.HistoryBytes == 0 {
+		opts.HistoryBytes = defaultHistoryBytes
+	}
 	incarnation := newIncarnation()
 	return &Server{
 		opts:        opts,
 		incarnation: incarnation,
-		client:      backendClient(opts),
+		client:      engineClient(opts),
+		caller:      callTransport(opts),
 		batch:       link.NewQueue[*wire.EngineStep](maxQueuedSteps),
 		ledger:      attempt.NewLedger(incarnation),
 		gate:        pipeline.NewStepGate(),
 		attempts:    make(map[string]*stageAttempt),
 		calls:       make(map[attempt.Key]*call),
+		ended:       make(map[attempt.Key]*call),
 		entries:     make(map[string]*entryLink),
 		hops:        make(map[string]*hop),
 		engineUp:    true,
@@ -149,6 +169,14 @@
 
 func (s *Server) isEngine() bool { return s.opts.Layers != nil }
 
+// authorize keeps anyone but the system's own processes from giving work.
+func (s *Server) authorize(ctx context.Context, role, id string) error {
+	if s.opts.Authorize == nil {
+		return nil
+	}
+	return s.opts.Authorize(ctx, role, id)
+}
+
 // Drain makes the sidecar refuse new work and tells all entries.
 func (s *Server) Drain() {
 	s.mu.Lock()
@@ -174,9 +202,24 @@
 	return s.ledger.InProgress()
 }
 
+// Unfinished names the attempts that are open or running.
+func (s *Server) Unfinished() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []string
+	for _, a := range s.attempts {
+		names = append(names, fmt.Sprintf("%s attempt %d", a.key.Request, a.key.Number))
+	}
+	for _, c := range s.calls {
+		names = append(names, fmt.Sprintf("%s attempt %d: %s %s", c.key.Request, c.key.Number, c.head.Method, c.head.Path))
+	}
+	sort.Strings(names)
+	return names
+}
+
 // checkIdle must be called with the lock held.
 func (s *Server) checkIdle() {
-	if !s.ledger.Draining() || s.ledger.InProgress() > 0 {
+	if !s.ledger.Draining() || s.ledger.InProgress() > 0 || s.answersOnTheWay() {
 		return
 	}
 	select {
@@ -186,6 +229,10 @@
 	}
 }
 
+// answersOnTheWay tells whether an entry has yet to take an answer: a process
+// that ended earlier would cut off the last frames.
+func (s *Server) answersOnTheWay() bool { return len(s.ended) > 0 }
+
 // load must be called with the lock held.
 func (s *Server) load() *wire.Load {
 	return &wire.Load{
@@ -213,6 +260,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ledger.Expire(now)
+	s.expireKept(now)
+	s.endUnfinishedUploads(now)
 	for request, a := range s.attempts {
 		if !a.unconfirmedAt.IsZero() && now.Sub(a.unconfirmedAt) > link.SilenceLimit {
 			s.closeAttempt(request, a, now)
@@ -261,3 +310,17 @@
 	}
 	return s.opts.Revision(req.After), nil
 }
+
+// BackendUp tells whether the backend server answered when it was last used.
+func (s *Server) BackendUp() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.engineUp
+}
+
+// Draining tells whether the sidecar refuses new work.
+func (s *Server) Draining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ledger.Draining()
+}
--- a/sidecar/work.go
+++ b/sidecar/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -31,8 +32,6 @@
 	}
 }
 
-var errSilent = errors.New("stream was silent for longer than the limit")
-
 // Work serves the stream of one entry.
 func (s *Server) Work(stream wire.DRPCSidecar_WorkStream) error {
 	first, err := stream.Recv()
@@ -43,6 +42,9 @@
 	if hello == nil || hello.Id == "" {
 		return errors.New("the first frame of a work stream must be a hello with an id")
 	}
+	if err := s.authorize(stream.Context(), "entry", hello.Id); err != nil {
+		return err
+	}
 	queue := link.NewQueue[*wire.WorkDown](maxQueuedFrames)
 	s.attachEntry(hello, queue)
 	defer s.detachEntry(hello.Id, queue)
@@ -50,7 +52,10 @@
 	group, ctx := errgroup.WithContext(stream.Context())
 	silence := link.NewSilence(time.Now(), link.SilenceLimit)
 	group.Go(func() error { return s.receiveWork(stream, hello, silence) })
-	group.Go(func() error { return s.sendWork(ctx, stream, queue, silence) })
+	group.Go(func() error { return s.sendWork(ctx, stream, queue) })
+	group.Go(func() error { return silence.Watch(ctx) })
+	// A blocked Recv returns only once the connection is closed.
+	group.Go(func() error { <-ctx.Done(); link.Abort(stream.Context()); return nil })
 	return group.Wait()
 }
 
@@ -109,24 +114,21 @@
 		}
 		now := time.Now()
 		if !silence.Frame(now) {
-			return errSilent
+			return link.ErrSilent
 		}
 		s.handleWork(hello.Id, frame, now)
 	}
 }
 
-// sendWork writes queued frames and heartbeats, and ends a silent stream.
-func (s *Server) sendWork(ctx context.Context, stream wire.DRPCSidecar_WorkStream, queue *link.Queue[*wire.WorkDown], silence *link.Silence) error {
+// sendWork writes queued frames and heartbeats.
+func (s *Server) sendWork(ctx context.Context, stream wire.DRPCSidecar_WorkStream, queue *link.Queue[*wire.WorkDown]) error {
 	ticker := time.NewTicker(link.HeartbeatInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case now := <-ticker.C:
-			if silence.Expired(now) {
-				return errSilent
-			}
+		case <-ticker.C:
 			s.mu.Lock()
 			load := s.load()
 			s.mu.Unlock()
@@ -175,16 +177,18 @@
 	case *wire.WorkUp_Call:
 		s.handleCall(entry, body.Call)
 	case *wire.WorkUp_CallBody:
-		s.handleCallBody(body.CallBody)
+		s.handleCallBody(entry, body.CallBody, now)
 	case *wire.WorkUp_Withdraw:
 		s.handleWithdraw(entry, body.Withdraw, now)
 	case *wire.WorkUp_Release:
-		s.handleRelease(body.Release, now)
+		s.handleRelease(entry, body.Release, now)
 	case *wire.WorkUp_Resume:
 		s.handleResume(entry, body.Resume)
 	case *wire.WorkUp_Heartbeat:
 		// The answer measures the connection's round-trip time.
 		s.toEntry(entry, &wire.WorkDown{Body: &wire.WorkDown_Heartbeat{Heartbeat: body.Heartbeat}})
+	case *wire.WorkUp_Recall:
+		s.handleRecall(entry, body.Recall, now)
 	case *wire.WorkUp_Probe:
 		s.handleProbe(entry, body.Probe, now)
 	}
@@ -212,7 +216,11 @@
 		s.closeAttempt(w.Request, a, now)
 	}
 	if c := s.calls[key]; c != nil {
+		c.withdrawn = true
 		c.cancel()
+		if !c.begun {
+			s.endCall(c, attempt.ExecutedNo, now)
+		}
 	}
 	s.toEntry(entry, &wire.WorkDown{Body: &wire.WorkDown_WithdrawAck{WithdrawAck: &wire.WithdrawAck{
 		Request: w.Request, Attempt: w.Attempt, Executed: wireExecuted(executed),
@@ -220,11 +228,17 @@
 	s.checkIdle()
 }
 
-func (s *Server) handleRelease(r *wire.Release, now time.Time) {
+func (s *Server) handleRelease(entry string, r *wire.Release, now time.Time) {
 	a := s.attempts[r.Request]
-	if a != nil && a.key.Number == r.Attempt {
+	if a != nil && a.entry == entry && a.key.Number <= r.Attempt {
 		s.closeAttempt(r.Request, a, now)
 	}
+	s.deferred = slices.DeleteFunc(s.deferred, func(d deferredOpen) bool {
+		return d.entry == entry && d.open.Request == r.Request && d.open.Attempt <= r.Attempt
+	})
+	if c := s.ended[attempt.Key{Request: r.Request, Number: r.Attempt}]; c != nil {
+		s.forgetKept(c)
+	}
 	s.checkIdle()
 }
 
