--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,6 +16,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/sapphirefield/sapphirefield/attempt"
+	"github.com/sapphirefield/sapphirefield/burn"
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/link"
 	"github.com/sapphirefield/sapphirefield/logevent"
@@ -37,6 +38,10 @@
 	// Trace sees each frame to and from a sidecar; one of them is nil. Tests
 	// record sessions with it.
 	Trace func(peer string, up *wire.WorkUp, down *wire.WorkDown)
+	// Observe counts an event for the service-level objectives; nil counts nothing.
+	Observe func(now time.Time, sample burn.Sample)
+	// Watched bounds the sidecars of each service that the entry is connected to.
+	Watched int
 	// MaxBodyBytes bounds a request's body.
 	MaxBodyBytes int64
 	// RequestTimeout bounds a whole language request.
@@ -54,6 +59,7 @@
 	opts        Options
 	incarnation string
 	peers       *peerSet
+	members     *members
 	models      *modelSet
 	admitter    *admitter
 	claims      *claims
@@ -73,9 +79,15 @@
 	if opts.MaxBodyBytes == 0 {
 		opts.MaxBodyBytes = defaultMaxBodyBytes
 	}
+	if opts.Watched == 0 {
+		opts.Watched = defaultWatched
+	}
 	if opts.RequestTimeout == 0 {
 		opts.RequestTimeout = defaultRequestTimeout
 	}
+	if opts.Observe == nil {
+		opts.Observe = func(time.Time, burn.Sample) {}
+	}
 	if opts.Metrics == nil {
 		opts.Metrics = metrics.NewRegistry()
 	}
@@ -86,6 +98,7 @@
 		idle:        make(chan struct{}),
 	}
 	s.models = newModelSet()
+	s.members = newMembers()
 	s.admitter = newAdmitter(uint64(now().UnixNano()))
 	s.peers = newPeerSet(ctx, s)
 	if opts.Claims != nil {
@@ -204,17 +217,6 @@
 	return s.opts.Config() != nil && !s.Draining() && s.peers.connected() > 0
 }
 
-// Instance is a sidecar that the entry may use.
-type Instance struct {
-	ID      string
-	Zone    string
-	Address string
-	Leaving bool
-}
-
-// SetInstances replaces the sidecars that the entry is connected to.
-func (s *Server) SetInstances(instances []Instance) { s.peers.set(instances) }
-
 // meters are the entry's metrics.
 type meters struct {
 	requests, refused, tokens, recoveries metrics.Counter
@@ -243,3 +245,9 @@
 
 // Recoveries counts the stages that were lost while a request used them.
 func (s *Server) Recoveries() int64 { return s.meters.recoveries.Count() }
+
+// Incarnation names this start of the process.
+func (s *Server) Incarnation() string { return s.incarnation }
+
+// ConfigChanged tells that another configuration or plan is in force.
+func (s *Server) ConfigChanged() { s.peersChanged() }
