daemon: ask peers once the instance list is known

Cause: a process that starts while the log is down asked its peers for the revision before it had read the instance list, asked nobody, and asked again only after configsync's pause of 5 s. Change: the first question waits for the list, bounded by the question's own limit of 1 s.

--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -22,14 +22,24 @@
 	self   string
 	dialer link.Dialer
 
+	// listed is closed once an instance list was read.
+	listed chan struct{}
+
 	mu   sync.Mutex
 	list []platform.Instance
 }
 
+func newPeerStates(self string, dialer link.Dialer) *peerStates {
+	return &peerStates{self: self, dialer: dialer, listed: make(chan struct{})}
+}
+
 func (p *peerStates) set(list []platform.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.list = list
+	if p.list == nil {
+		close(p.listed)
+	}
+	p.list = append([]platform.Instance{}, list...)
 }
 
 // some returns a few random instances.
@@ -49,8 +59,15 @@
 	return chosen
 }
 
-// States implements configsync.Peers.
+// States implements configsync.Peers. The first question waits for the instance
+// list; without peers to ask, a fresh process would stay without a revision
+// until the next question.
 func (p *peerStates) States(ctx context.Context, after int64) [][]byte {
+	select {
+	case <-p.listed:
+	case <-ctx.Done():
+		return nil
+	}
 	var mu sync.Mutex
 	var states [][]byte
 	var group errgroup.Group
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -142,7 +142,7 @@
 	client := p.platformClient()
 	p.log = platform.NewLog(s.LogURL.String(), client)
 	p.list = platform.NewInstanceList(s.InstancesURL.String(), client)
-	p.peers = &peerStates{self: s.ID, dialer: p.dialer()}
+	p.peers = newPeerStates(s.ID, p.dialer())
 	p.burn = ops.NewBurnMeter(s.ID, p.logger)
 	p.sync = configsync.New(configsync.Options{
 		Log: p.log, Peers: p.peers, Logger: p.logger,
