entry: settle keyed calls at once after a start or an outage; be ready once all sidecars were tried

Cause: the claims reader counted the log as up only after its first read, a long poll of 20 s on a stream without new records. For that time every keyed call was refused with log_unavailable, at each start and after each outage. Also, an entry was ready at its first connection, before a chain was whole. Change: a log that has not answered yet is read without a wait. Readiness waits until every sidecar of the first list was connected or tried in vain.

--- a/entry/claims.go
+++ b/entry/claims.go
@@ -82,10 +82,8 @@
 func (c *claims) read(ctx context.Context) {
 	pause := claimRetryMin
 	for ctx.Err() == nil {
-		c.mu.Lock()
-		from := c.fold.Next()
-		c.mu.Unlock()
-		page, err := c.log.Read(ctx, claimStream, from, claimWait)
+		from, wait := c.nextRead()
+		page, err := c.log.Read(ctx, claimStream, from, wait)
 		if err != nil {
 			c.setLogUp(ctx, false, err)
 			sleep(ctx, pause/2+rand.N(pause/2))
@@ -98,6 +96,18 @@
 	}
 }
 
+// nextRead returns where and how long to read. A log that has not answered yet
+// is asked without a wait: a long poll would keep keyed calls refused for its
+// whole length after a start or an outage.
+func (c *claims) nextRead() (from int64, wait time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.logUp {
+		return c.fold.Next(), 0
+	}
+	return c.fold.Next(), claimWait
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -211,10 +211,10 @@
 	return s.draining
 }
 
-// Ready tells whether the entry has a configuration, reaches a backend server
-// and is not draining.
+// Ready tells whether the entry has a configuration, has tried every sidecar,
+// reaches one of them and is not draining.
 func (s *Server) Ready() bool {
-	return s.opts.Config() != nil && !s.Draining() && s.peers.connected() > 0
+	return s.opts.Config() != nil && !s.Draining() && s.peers.settled() && s.peers.connected() > 0
 }
 
 // meters are the entry's metrics.
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -69,6 +69,8 @@
 	address string
 	zone    string
 	leaving bool
+	// tried is set once an attempt to connect has ended.
+	tried   bool
 	queue   *link.Queue[*wire.WorkUp]
 	hello   *wire.Hello
 	load    *wire.Load
@@ -98,6 +100,7 @@
 		began := time.Now()
 		err := p.drive(ctx)
 		p.disconnected(ctx, err)
+		p.setTried()
 		if time.Since(began) > reconnectMax {
 			pause = reconnectMin
 		}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -18,6 +18,8 @@
 
 	mu   sync.Mutex
 	byID map[string]*peer
+	// started is set once every sidecar of the first list was tried.
+	started bool
 }
 
 func newPeerSet(ctx context.Context, server *Server) *peerSet {
@@ -98,6 +100,36 @@
 	return n
 }
 
+// settled tells whether every sidecar was tried since the entry's start. An
+// entry that is ready at its first connection would refuse prompts for want of
+// a whole chain.
+func (ps *peerSet) settled() bool {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	if ps.started {
+		return true
+	}
+	for _, p := range ps.byID {
+		if !p.isConnected() && !p.wasTried() {
+			return false
+		}
+	}
+	ps.started = len(ps.byID) > 0
+	return ps.started
+}
+
+func (p *peer) setTried() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tried = true
+}
+
+func (p *peer) wasTried() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tried
+}
+
 // otherZoneCost is what a call into another availability zone counts as much
 // as, in calls in progress.
 const otherZoneCost = 0.5
