daemon: test whole processes over loopback; make the notice of a shutdown a setting

Cause: nothing tested settings, keys, listeners, log, configuration and both roles together. The time that an entry reports itself unready was fixed at 3 s, while load balancers differ. Change: TestSystem runs entries and sidecars with mutual TLS against the stand-ins; limits.notice (default 3 s, as before) takes the place of the constant. Conclusion: keyed calls, log outage, peers' certificates, console and graceful shutdown are checked on whole processes.

--- a/daemon/process.go
+++ b/daemon/process.go
@@ -38,8 +38,6 @@
 	burnInterval = 10 * time.Second
 	// keyPoll is how often the files with TLS keys are looked at.
 	keyPoll = 30 * time.Second
-	// unreadyNotice is how long the load balancer needs to see that an entry is unready.
-	unreadyNotice = 3 * time.Second
 	// headerTimeout bounds the wait for a request's header, so that idle
 	// connections cannot use up an instance.
 	headerTimeout = 10 * time.Second
@@ -182,7 +180,7 @@
 	if p.settings.Role == settings.RoleSidecar {
 		return 0
 	}
-	return unreadyNotice
+	return p.settings.Limits.Notice
 }
 
 func (p *process) newRole() (role, error) {
--- /dev/null
+++ b/daemon/system_test.go
@@ -0,0 +1,647 @@
+package daemon_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/pbkdf2"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/base64"
+	"encoding/hex"
+	"encoding/json"
+	"encoding/pem"
+	"fmt"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+	"net/http/cookiejar"
+	"net/http/httptest"
+	"net/url"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sapphirefield/sapphirefield/config"
+	"github.com/sapphirefield/sapphirefield/configlog"
+	"github.com/sapphirefield/sapphirefield/configsync"
+	"github.com/sapphirefield/sapphirefield/daemon"
+	"github.com/sapphirefield/sapphirefield/demo"
+	"github.com/sapphirefield/sapphirefield/keys"
+	"github.com/sapphirefield/sapphirefield/link"
+	"github.com/sapphirefield/sapphirefield/ops"
+	"github.com/sapphirefield/sapphirefield/platform"
+	"github.com/sapphirefield/sapphirefield/settings"
+	"github.com/sapphirefield/sapphirefield/standin"
+	"github.com/sapphirefield/sapphirefield/wire"
+)
+
+const (
+	model    = "sapphire-llm"
+	service  = "orderbook-app"
+	team     = "press"
+	teamKey  = "press-key"
+	layers   = 24
+	engines  = 3
+	bookings = "/" + service + "/bookings"
+	password = "open sesame for operators"
+
+	// stepTime makes a long prompt outlast the notice of a shutdown.
+	stepTime = 5 * time.Millisecond
+	notice   = 200 * time.Millisecond
+	// waitLimit bounds every wait for an event.
+	waitLimit = 10 * time.Second
+	pollPause = 10 * time.Millisecond
+)
+
+// Ports of every process on an address of its own, so that no outgoing
+// connection of another process can hold them.
+const (
+	operatorsPort = 7101
+	peersPort     = 7102
+	callersPort   = 7103
+)
+
+// consoleEntry is the one process with a password, because each process takes
+// long to check one.
+const consoleEntry = "entry-1"
+
+// passwordHash uses the fewest iterations that the settings allow.
+func passwordHash(t testing.TB) string {
+	const iterations = 100_000
+	salt := []byte("0123456789abcdef")
+	key, err := pbkdf2.Key(sha256.New, password, salt, iterations, sha256.Size)
+	assert.NilError(t, err)
+	encode := base64.RawStdEncoding.EncodeToString
+	return fmt.Sprintf("pbkdf2-sha256$%d$%s$%s", iterations, encode(salt), encode(key))
+}
+
+// authority signs the certificates of a test.
+type authority struct {
+	t           testing.TB
+	dir         string
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+	roots       *x509.CertPool
+}
+
+func newAuthority(t testing.TB) *authority {
+	a := &authority{t: t, dir: t.TempDir(), roots: x509.NewCertPool()}
+	var err error
+	a.key, err = ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "ca"}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &a.key.PublicKey, a.key)
+	assert.NilError(t, err)
+	a.certificate, err = x509.ParseCertificate(der)
+	assert.NilError(t, err)
+	a.roots.AddCert(a.certificate)
+	a.write("ca.pem", "CERTIFICATE", der)
+	return a
+}
+
+func (a *authority) write(name, kind string, der []byte) {
+	text := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+	assert.NilError(a.t, os.WriteFile(filepath.Join(a.dir, name), text, 0o600))
+}
+
+// issue writes a certificate and its key. Without uris it is that of a caller
+// or of a listener for callers.
+func (a *authority) issue(name string, ip net.IP, uris ...*url.URL) settings.KeyPair {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(a.t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: name}, URIs: uris, IPAddresses: []net.IP{ip},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
+	assert.NilError(a.t, err)
+	a.write(name+".pem", "CERTIFICATE", der)
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	assert.NilError(a.t, err)
+	a.write(name+".key", "PRIVATE KEY", keyDER)
+	return settings.KeyPair{Certificate: filepath.Join(a.dir, name+".pem"), Key: filepath.Join(a.dir, name+".key")}
+}
+
+// process is one running daemon.
+type process struct {
+	id, host string
+	signals  chan os.Signal
+	// done is closed when the process has ended; err is set then.
+	done chan struct{}
+	err  error
+}
+
+func (p *process) address(port int) string { return fmt.Sprintf("%s:%d", p.host, port) }
+
+// system is a set of processes with the platform's stand-ins.
+type system struct {
+	t               testing.TB
+	ctx             context.Context
+	ca              *authority
+	log             *standin.LogService
+	list            *standin.InstanceList
+	logURL, listURL string
+	instances       []standin.Instance
+	plain           *standin.PlainServer
+	processes       []*process
+	logs            *logBuffer
+}
+
+// logBuffer collects log lines and shows them when a test fails.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+func newSystem(t testing.TB) *system {
+	ctx, cancel := context.WithCancel(t.Context())
+	s := &system{
+		t: t, ctx: ctx, ca: newAuthority(t), log: standin.NewLogService(), list: &standin.InstanceList{},
+		plain: standin.NewPlainServer(0), logs: &logBuffer{},
+	}
+	t.Cleanup(func() {
+		cancel()
+		for _, p := range s.processes {
+			<-p.done
+		}
+		if t.Failed() {
+			t.Log(s.logs.String())
+		}
+	})
+	s.logURL, s.listURL = s.serve(s.log.Handler()), s.serve(s.list.Handler())
+	return s
+}
+
+func (s *system) serve(handler http.Handler) string {
+	server := httptest.NewServer(handler)
+	s.t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return server.URL
+}
+
+// host gives each process an address of its own. The third byte keeps test
+// programs that run at the same time apart.
+func (s *system) host() string {
+	const perByte = 250
+	return fmt.Sprintf("127.83.%d.%d", os.Getpid()%perByte, len(s.processes)+1)
+}
+
+// start runs a daemon with its settings read from a file, as the command does.
+func (s *system) start(id string, role settings.Role, more func(host string) string) *process {
+	host := s.host()
+	p := &process{id: id, host: host, signals: make(chan os.Signal, 2), done: make(chan struct{})}
+	ip := net.ParseIP(host)
+	peers := s.ca.issue(id, ip, keys.Identity{Role: role, ID: id}.URI())
+	text := fmt.Sprintf(`
+role: %s
+id: %s
+region: kr-south
+zone: changwon-a
+platform: {log: %s, instances: %s}
+limits: {notice: %s}
+%s`, role, id, s.logURL, s.listURL, notice, more(host))
+	text = strings.ReplaceAll(text, "PEERS", fmt.Sprintf("{certificate: %s, key: %s, ca: %s}", peers.Certificate, peers.Key, s.ca.dir+"/ca.pem"))
+	file := filepath.Join(s.ca.dir, id+".yaml")
+	assert.NilError(s.t, os.WriteFile(file, []byte(text), 0o600))
+	loaded, err := settings.Load([]string{"-settings", file}, nil)
+	assert.NilError(s.t, err)
+	s.processes = append(s.processes, p)
+	go func() {
+		defer close(p.done)
+		p.err = daemon.Run(s.ctx, loaded, daemon.Options{Logs: s.logs, Signals: p.signals})
+	}()
+	return p
+}
+
+func (s *system) startEntry(id string) *process {
+	return s.start(id, settings.RoleEntry, func(host string) string {
+		callers := s.ca.issue(id+"-callers", net.ParseIP(host))
+		text := fmt.Sprintf("listen: {callers: %s:%d, operators: %s:%d}\ntls:\n  callers: {certificate: %s, key: %s}\n  peers: PEERS\n",
+			host, callersPort, host, operatorsPort, callers.Certificate, callers.Key)
+		if id == consoleEntry {
+			text += "operators: {password_hash: " + passwordHash(s.t) + "}\n"
+		}
+		return text
+	})
+}
+
+func (s *system) startSidecar(id, serves, backend, url string) *process {
+	p := s.start(id, settings.RoleSidecar, func(host string) string {
+		return fmt.Sprintf("listen: {peers: %s:%d, operators: %s:%d}\ntls:\n  peers: PEERS\nbackend:\n  address: %s\n%s",
+			host, peersPort, host, operatorsPort, strings.TrimPrefix(url, "http://"), backend)
+	})
+	s.instances = append(s.instances, standin.Instance{
+		ID: id, Service: serves, Zone: "changwon-a", Address: p.address(peersPort), State: standin.StateLive,
+	})
+	s.list.Set(s.instances)
+	return p
+}
+
+func (s *system) startSidecars() {
+	for i := range engines {
+		first, limit := i*layers/engines, (i+1)*layers/engines
+		engine := standin.NewEngine(standin.EngineOptions{
+			Model: model, Version: "1", First: uint32(first), Limit: uint32(limit), Layers: layers, StepTime: stepTime,
+		})
+		s.startSidecar(fmt.Sprintf("engine-%d", i), model,
+			fmt.Sprintf("  kind: engine\n  model: %s\n  layers: {first: %d, limit: %d}\n", model, first, limit), s.serve(engine.Handler()))
+	}
+	s.startSidecar("orders-0", service, "  kind: plain\n  service: "+service+"\n", s.serve(s.plain.Handler()))
+}
+
+func document() *config.Document {
+	hash := sha256.Sum256([]byte(teamKey))
+	orders := config.NewService()
+	orders.Name = service
+	orders.KeyWindow = time.Hour
+	press := config.NewTeam()
+	press.Name, press.KeyHashes = team, []string{hex.EncodeToString(hash[:])}
+	press.Models, press.Services = []string{model}, []string{service}
+	doc := &config.Document{
+		Schema:       config.SchemaVersion,
+		Regions:      []config.Region{{Name: "kr-south", Zones: []string{"changwon-a"}}},
+		Accelerators: []config.Accelerator{{Kind: "standin", MemoryBytes: 1 << 30, LayerTokensPerSecond: 1e6, PrefillSpeedup: config.DefaultPrefillSpeedup}},
+		Models:       []config.Model{{Name: model, Versions: []string{"1"}, Serving: "1", Layers: layers, BytesPerLayer: 1, ActivationBytes: 8, KVBytesPerTokenLayer: 1, ContextTokens: 4096}},
+		Services:     []config.Service{orders},
+		Servers:      []config.Server{{ID: "orders-0", Zone: "changwon-a", Service: service}},
+		Teams:        []config.Team{press},
+	}
+	for i := range engines {
+		doc.Servers = append(doc.Servers, config.Server{
+			ID: fmt.Sprintf("engine-%d", i), Zone: "changwon-a", Model: model, Accelerator: "standin", Fencing: config.FencingIgnores,
+		})
+	}
+	return doc.Canonical()
+}
+
+// publish brings a document to the log as sapphirectl does.
+func (s *system) publish(doc *config.Document) {
+	log := platform.NewLog(s.logURL, http.DefaultClient)
+	reader, err := configsync.Fetch(s.ctx, log, nil, nil)
+	assert.NilError(s.t, err)
+	report, err := configsync.Publish(s.ctx, log, reader, configsync.Proposal{Base: reader.InForce(), Document: doc})
+	assert.NilError(s.t, err)
+	assert.Equal(s.t, report.Result, configlog.ResultAccepted, report.Reason)
+}
+
+// eventually polls a condition; what it returns last is shown on failure.
+func (s *system) eventually(what string, condition func() (bool, string)) {
+	s.t.Helper()
+	limit := time.Now().Add(waitLimit)
+	for {
+		ok, last := condition()
+		if ok {
+			return
+		}
+		assert.Assert(s.t, time.Now().Before(limit), "%s: %s", what, last)
+		time.Sleep(pollPause)
+	}
+}
+
+func (s *system) get(p *process, path string) (int, string) {
+	request, err := http.NewRequestWithContext(s.ctx, http.MethodGet, "http://"+p.address(operatorsPort)+path, nil)
+	assert.NilError(s.t, err)
+	request.SetBasicAuth("operator", password)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(s.t, err)
+	return response.StatusCode, string(body)
+}
+
+func (s *system) waitReady(processes ...*process) {
+	s.t.Helper()
+	for _, p := range processes {
+		s.eventually(p.id+" becomes ready", func() (bool, string) {
+			status, body := s.get(p, "/readyz")
+			return status == http.StatusOK, body
+		})
+	}
+}
+
+// inForce waits until processes have a revision, and returns its digest.
+func (s *system) inForce(revision int64, processes ...*process) (digest string) {
+	s.t.Helper()
+	for _, p := range processes {
+		s.eventually(fmt.Sprintf("%s has revision %d", p.id, revision), func() (bool, string) {
+			status, body := s.get(p, "/status")
+			var reported ops.Status
+			if status != http.StatusOK || json.Unmarshal([]byte(body), &reported) != nil {
+				return false, body
+			}
+			if digest == "" {
+				digest = reported.Digest
+			}
+			return reported.Revision == revision && reported.Digest == digest, body
+		})
+	}
+	return digest
+}
+
+// caller is a client with the team's key that trusts the test's authority.
+func (s *system) caller(p *process) *demo.Client {
+	transport := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: s.ca.roots}, ForceAttemptHTTP2: true}
+	s.t.Cleanup(transport.CloseIdleConnections)
+	return &demo.Client{URL: "https://" + p.address(callersPort), Key: teamKey, HTTP: &http.Client{Transport: transport, Timeout: 3 * waitLimit}}
+}
+
+// exact streams a prompt and checks every token of its answer.
+func (s *system) exact(p *process, prompt string, tokens int) {
+	s.t.Helper()
+	assert.NilError(s.t, s.stream(p, prompt, tokens, nil))
+}
+
+func (s *system) stream(p *process, prompt string, tokens int, onToken func(int)) error {
+	answer, err := s.caller(p).Complete(s.ctx, model, prompt, tokens, onToken)
+	if err != nil {
+		return err
+	}
+	texts, finish := standin.Generate(layers, prompt, uint32(tokens))
+	if want := strings.Join(texts, ""); answer.Text != want || answer.Finish != finish || !answer.Whole {
+		return fmt.Errorf("the answer is %+v, want %q and finish %q", answer, want, finish)
+	}
+	return nil
+}
+
+// answer is what a caller sees of a booking.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	problem
+}
+
+type problem struct {
+	Code     string `json:"code"`
+	Executed string `json:"executed"`
+}
+
+func (s *system) book(p *process, key, reference string) answer {
+	s.t.Helper()
+	client := s.caller(p)
+	request, err := http.NewRequestWithContext(s.ctx, http.MethodPost, client.URL+bookings, strings.NewReader(fmt.Sprintf("{\"reference\":%q}", reference)))
+	assert.NilError(s.t, err)
+	request.Header.Set("Authorization", "Bearer "+client.Key)
+	request.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
+	response, err := client.HTTP.Do(request)
+	assert.NilError(s.t, err)
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(s.t, err)
+	a := answer{status: response.StatusCode, header: response.Header, body: string(body)}
+	if a.status >= http.StatusBadRequest {
+		assert.NilError(s.t, json.Unmarshal(body, &a.problem), a.body)
+	}
+	return a
+}
+
+// Guards what only whole processes together show: settings, keys, listeners,
+// the log, the configuration, both roles and the graceful shutdown.
+func TestSystem(t *testing.T) {
+	s := newSystem(t)
+	s.startSidecars()
+	first, second := s.startEntry(consoleEntry), s.startEntry("entry-2")
+	s.eventually("entry-1 answers", func() (bool, string) {
+		status, body := s.get(first, "/readyz")
+		return status == http.StatusServiceUnavailable, body
+	})
+	doc := document()
+	s.publish(doc)
+	s.waitReady(s.processes...)
+	s.inForce(1, s.processes...)
+
+	s.exact(first, "Explain the delay on press line 4.", 40)
+	s.exact(second, "Quote 300 flanges.", 40)
+	s.checkKeys(first, second)
+	s.checkOutage(first)
+	s.checkPeerCertificates()
+	s.checkConsole(first)
+	s.checkShutdown(second)
+}
+
+// checkKeys makes bookings with idempotency keys through two entries.
+func (s *system) checkKeys(first, second *process) {
+	s.t.Helper()
+	booked := s.book(first, "key-1", "shift-7")
+	assert.Equal(s.t, booked.status, http.StatusCreated, booked.body)
+	assert.Equal(s.t, booked.header.Get("Idempotency-Replayed"), "")
+	again := s.book(second, "key-1", "shift-7")
+	assert.Equal(s.t, again.status, http.StatusCreated, again.body)
+	assert.Equal(s.t, again.header.Get("Idempotency-Replayed"), "true")
+	assert.Equal(s.t, again.body, booked.body)
+	assert.Equal(s.t, s.plain.Runs("shift-7"), 1)
+
+	other := s.book(second, "key-1", "shift-8")
+	assert.Equal(s.t, other.status, http.StatusConflict)
+	assert.Equal(s.t, other.problem, problem{"key_conflict", "no"})
+	assert.Equal(s.t, s.plain.Runs("shift-8"), 0)
+}
+
+// checkOutage makes the log unavailable. A process that starts meanwhile takes
+// the revision from a peer.
+func (s *system) checkOutage(first *process) {
+	s.t.Helper()
+	s.log.SetOutage(true)
+	refused := s.book(first, "key-2", "shift-9")
+	assert.Equal(s.t, refused.status, http.StatusServiceUnavailable)
+	assert.Equal(s.t, refused.problem, problem{"log_unavailable", "no"})
+	assert.Assert(s.t, refused.header.Get("Retry-After") != "")
+	assert.Equal(s.t, s.plain.Runs("shift-9"), 0)
+	s.exact(first, "Which die is free?", 20)
+
+	fresh := s.startEntry("entry-3")
+	s.waitReady(fresh)
+	s.inForce(1, fresh, first)
+	s.exact(fresh, "Which hammer is idle?", 20)
+
+	s.log.SetOutage(false)
+	s.eventually("keyed bookings work again", func() (bool, string) {
+		a := s.book(first, "key-2", "shift-9")
+		return a.status == http.StatusCreated, a.body
+	})
+	assert.Equal(s.t, s.plain.Runs("shift-9"), 1)
+}
+
+// checkPeerCertificates connects to a sidecar with certificates that must not
+// give it work.
+func (s *system) checkPeerCertificates() {
+	s.t.Helper()
+	target := s.processes[0]
+	ip := net.IPv4(127, 0, 0, 1)
+	cases := []struct {
+		name    string
+		uris    []*url.URL
+		refused bool
+	}{
+		{"entry", []*url.URL{keys.Identity{Role: settings.RoleEntry, ID: "entry-9"}.URI()}, false},
+		{"caller", nil, true},
+		{"caller role", []*url.URL{keys.Identity{Role: "caller", ID: "entry-9"}.URI()}, true},
+		{"another role", []*url.URL{keys.Identity{Role: settings.RoleSidecar, ID: "entry-9"}.URI()}, true},
+		{"another entry", []*url.URL{keys.Identity{Role: settings.RoleEntry, ID: "entry-8"}.URI()}, true},
+	}
+	for _, test := range cases {
+		pair := s.ca.issue("peer "+test.name, ip, test.uris...)
+		err := s.openWork(target, pair)
+		assert.Equal(s.t, err != nil, test.refused, "%s: %v", test.name, err)
+	}
+}
+
+// openWork opens a work stream as entry-9 and waits for the sidecar's hello.
+func (s *system) openWork(target *process, pair settings.KeyPair) error {
+	certificate, err := tls.LoadX509KeyPair(pair.Certificate, pair.Key)
+	assert.NilError(s.t, err)
+	dialer := link.Dialer{TLS: func(string) *tls.Config {
+		return &tls.Config{MinVersion: tls.VersionTLS13, InsecureSkipVerify: true, Certificates: []tls.Certificate{certificate}}
+	}}
+	ctx, cancel := context.WithTimeout(s.ctx, waitLimit)
+	defer cancel()
+	conn, err := dialer.Dial(ctx, target.id, target.address(peersPort))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	stream, err := wire.NewDRPCSidecarClient(conn).Work(ctx)
+	if err != nil {
+		return err
+	}
+	hello := &wire.WorkUp{Body: &wire.WorkUp_Hello{Hello: &wire.Hello{Id: "entry-9", Incarnation: "test"}}}
+	if err := stream.Send(hello); err != nil {
+		return err
+	}
+	_, err = stream.Recv()
+	assert.NilError(s.t, ctx.Err(), "the sidecar neither answers nor refuses")
+	return err
+}
+
+var (
+	csrfInput   = regexp.MustCompile(`name="csrf" value="([^"]+)"`)
+	digestInput = regexp.MustCompile(`name="digest" value="([^"]+)"`)
+)
+
+// checkConsole changes a team's weight through the forms of an entry's console.
+func (s *system) checkConsole(p *process) {
+	s.t.Helper()
+	jar, err := cookiejar.New(nil)
+	assert.NilError(s.t, err)
+	client := &http.Client{Jar: jar}
+	send := func(method, path string, form url.Values) string {
+		s.t.Helper()
+		request, err := http.NewRequestWithContext(s.ctx, method, "http://"+p.address(operatorsPort)+"/console"+path, strings.NewReader(form.Encode()))
+		assert.NilError(s.t, err)
+		request.SetBasicAuth("operator", password)
+		request.Header.Set("Content-Type", "application/x-www-form-urlencoded")
+		response, err := client.Do(request)
+		assert.NilError(s.t, err)
+		defer func() { _ = response.Body.Close() }()
+		body, err := io.ReadAll(response.Body)
+		assert.NilError(s.t, err)
+		assert.Equal(s.t, response.StatusCode, http.StatusOK, "%s", body)
+		return string(body)
+	}
+	input := func(pattern *regexp.Regexp, page string) string {
+		s.t.Helper()
+		found := pattern.FindStringSubmatch(page)
+		assert.Assert(s.t, found != nil, page)
+		return found[1]
+	}
+	send(http.MethodPost, "/sign-in", url.Values{"author": {"mina"}, "password": {password}})
+	csrf := input(csrfInput, send(http.MethodGet, "/teams/entry?name="+team, nil))
+	send(http.MethodPost, "/teams/entry", url.Values{"csrf": {csrf}, "entry": {team}, "weight": {"5"}})
+	page := send(http.MethodGet, "/", nil)
+	send(http.MethodPost, "/publish", url.Values{"csrf": {csrf}, "digest": {input(digestInput, page)}, "note": {"busy week"}})
+
+	want := document()
+	want.Teams[0].Weight = 5
+	digest := s.inForce(2, s.processes...)
+	assert.Equal(s.t, digest, want.Digest())
+}
+
+// longPrompt returns a prompt whose answer has that many tokens.
+func longPrompt(t testing.TB, tokens int) string {
+	for i := range 100 {
+		prompt := fmt.Sprintf("Plan press shift %d.", i)
+		if texts, _ := standin.Generate(layers, prompt, uint32(tokens)); len(texts) == tokens {
+			return prompt
+		}
+	}
+	t.Fatal("no prompt with a long answer")
+	return ""
+}
+
+// checkShutdown sends an entry SIGTERM while a prompt streams. The prompt must
+// end whole, and once the notice has passed new ones must be refused.
+func (s *system) checkShutdown(p *process) {
+	s.t.Helper()
+	const tokens = 150
+	started := make(chan struct{})
+	streamed := make(chan error, 1)
+	prompt := longPrompt(s.t, tokens)
+	go func() {
+		streamed <- s.stream(p, prompt, tokens, func(n int) {
+			if n == 1 {
+				close(started)
+			}
+		})
+	}()
+	select {
+	case <-started:
+	case err := <-streamed:
+		s.t.Fatalf("the prompt ended before its first token was seen: %v", err)
+	}
+	p.signals <- syscall.SIGTERM
+	s.eventually("a new prompt is refused", func() (bool, string) {
+		_, err := s.caller(p).Complete(s.ctx, model, "Late.", 1, nil)
+		if err == nil {
+			return false, "the prompt was taken"
+		}
+		text := err.Error()
+		assert.Assert(s.t, strings.Contains(text, `"code":"draining"`) && strings.Contains(text, `"executed":"no"`), text)
+		return true, ""
+	})
+	select {
+	case err := <-streamed:
+		s.t.Fatalf("the prompt ended before the refusal: %v", err)
+	default:
+	}
+	assert.NilError(s.t, <-streamed)
+	<-p.done
+	assert.NilError(s.t, p.err)
+}
