--- a/cmd/sapphirectl/main.go
+++ b/cmd/sapphirectl/main.go
@@ -6,6 +6,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 
@@ -17,30 +18,39 @@
 	"github.com/sapphirefield/sapphirefield/ctl/passwordcmd"
 )
 
-func main() {
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+// run returns the exit code of the process.
+func run(args []string, stdout, stderr io.Writer) int {
 	root := &ffcli.Command{
 		Name:       "sapphirectl",
 		ShortUsage: "sapphirectl <subcommand> [flags]",
 		Subcommands: []*ffcli.Command{
-			configcmd.Command(configcmd.Options{Stdout: os.Stdout, Client: http.DefaultClient}),
+			configcmd.Command(configcmd.Options{Stdout: stdout, Client: http.DefaultClient}),
 			reportCommand(),
 			chartcmd.Command(),
 			passwordcmd.Command(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
-	err := root.ParseAndRun(context.Background(), os.Args[1:])
+	// A flag that cannot be read must not look like findings of a document.
+	if err := root.Parse(args); err != nil {
+		fmt.Fprintln(stderr, "sapphirectl:", err)
+		return configcmd.ExitUsage
+	}
+	err := root.Run(context.Background())
 	var exit *configcmd.ExitError
 	switch {
+	case err == nil:
+		return configcmd.ExitOK
 	case errors.Is(err, flag.ErrHelp):
-		os.Exit(configcmd.ExitUsage)
-	case errors.As(err, &exit):
-		fmt.Fprintln(os.Stderr, "sapphirectl:", err)
-		os.Exit(exit.Code)
-	case err != nil:
-		fmt.Fprintln(os.Stderr, "sapphirectl:", err)
-		os.Exit(1)
+		return configcmd.ExitUsage
+	}
+	fmt.Fprintln(stderr, "sapphirectl:", err)
+	if errors.As(err, &exit) {
+		return exit.Code
 	}
+	return configcmd.ExitFindings
 }
 
 func reportCommand() *ffcli.Command {
--- a/cmd/sapphired/main.go
+++ b/cmd/sapphired/main.go
@@ -6,6 +6,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -14,23 +15,32 @@
 	"github.com/sapphirefield/sapphirefield/settings"
 )
 
-func main() {
-	s, err := settings.Load(os.Args[1:], os.Environ())
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+func main() { os.Exit(run(os.Args[1:], os.Environ(), os.Stdout, os.Stderr)) }
+
+// run returns the exit code of the process.
+func run(args, environ []string, stdout, stderr io.Writer) int {
+	s, err := settings.Load(args, environ)
 	switch {
 	case errors.Is(err, flag.ErrHelp):
-		fmt.Print(settings.Usage())
-		return
+		fmt.Fprint(stdout, settings.Usage())
+		return 0
 	case err != nil:
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(2)
+		fmt.Fprintln(stderr, err)
+		return exitSettings
 	case s.CheckOnly:
-		fmt.Println("settings are valid")
-		return
+		fmt.Fprintln(stdout, "settings are valid")
+		return 0
 	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	if err := daemon.Run(context.Background(), s, daemon.Options{Logs: os.Stderr, Signals: signals}); err != nil {
-		fmt.Fprintln(os.Stderr, "sapphired:", err)
-		os.Exit(1)
+	if err := daemon.Run(context.Background(), s, daemon.Options{Logs: stderr, Signals: signals}); err != nil {
+		fmt.Fprintln(stderr, "sapphired:", err)
+		return exitFailed
 	}
+	return 0
 }
