docs: complete the page for operators and check it against the code

Cause: the page had no full settings for sidecars, no table of metrics, no way to read log events and nothing on the error codes. Conclusion: the page cannot fall behind these parts of the code unnoticed.

--- a/daemon/system_test.go
+++ b/daemon/system_test.go
@@ -466,6 +466,7 @@
 
 	s.exact(first, "Explain the delay on press line 4.", 40)
 	s.exact(second, "Quote 300 flanges.", 40)
+	s.checkMetrics(second, s.processes[0])
 	s.checkKeys(first, second)
 	s.checkOutage(first)
 	s.checkPeerCertificates()
@@ -473,6 +474,29 @@
 	s.checkShutdown(second)
 }
 
+// checkMetrics compares the metrics of both roles with the table for operators.
+func (s *system) checkMetrics(processes ...*process) {
+	s.t.Helper()
+	names := map[string]bool{}
+	for _, p := range processes {
+		_, body := s.get(p, "/metrics")
+		var metrics map[string]json.RawMessage
+		assert.NilError(s.t, json.Unmarshal([]byte(body), &metrics), body)
+		for name := range metrics {
+			names[name] = true
+		}
+	}
+	page, err := os.ReadFile("../docs/operations.md")
+	assert.NilError(s.t, err)
+	_, rest, _ := strings.Cut(string(page), "\n## Metrics\n")
+	table, _, _ := strings.Cut(rest, "\n## ")
+	listed := map[string]bool{}
+	for _, row := range regexp.MustCompile("(?m)^\\| `([a-z_.]+)` \\|").FindAllStringSubmatch(table, -1) {
+		listed[row[1]] = true
+	}
+	assert.DeepEqual(s.t, names, listed)
+}
+
 // checkKeys makes bookings with idempotency keys through two entries.
 func (s *system) checkKeys(first, second *process) {
 	s.t.Helper()
--- /dev/null
+++ b/problem/docs_test.go
@@ -0,0 +1,23 @@
+package problem
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a code that operators' page does not explain, or explains with
+// another status.
+func TestOperationsExplainEveryCode(t *testing.T) {
+	page, err := os.ReadFile("../docs/operations.md")
+	assert.NilError(t, err)
+	_, table, _ := strings.Cut(string(page), "## Error codes")
+	for code := range kinds {
+		row := fmt.Sprintf("| `%s` | %d | ", code, code.Status())
+		assert.Assert(t, strings.Contains(table, row), row)
+	}
+	assert.Equal(t, strings.Count(table, "\n| `"), len(kinds))
+}
