daemon: keep a draining sidecar for a second after it is idle

Cause: an idle sidecar ended at the moment of SIGTERM. A call that an entry had sent just before was lost with the connection, and its caller was told backend_failed instead of being served by another server. Change: a draining sidecar stays at least 1 s and refuses late work, which the entry then gives to another server. Conclusion: a drain cuts off no call that entries send while they hear of it, as long as the word takes less than 1 s.

--- a/daemon/lifecycle_test.go
+++ b/daemon/lifecycle_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/sapphirefield/sapphirefield/chart"
+	"github.com/sapphirefield/sapphirefield/sidecar"
 )
 
 type fakeWorker struct {
@@ -88,3 +89,21 @@
 		assert.ErrorContains(t, <-done, "cut off")
 	})
 }
+
+// Guards against a sidecar that ends while entries that have not heard of the
+// drain still send it work, which their callers would then hear "unknown" of.
+func TestIdleSidecarLingers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+		r := &sidecarRole{Server: sidecar.New(sidecar.Options{ID: "orders-0", Logger: logger}), drained: make(chan struct{})}
+		r.Drain()
+		<-r.Server.Drained()
+		synctest.Wait()
+		select {
+		case <-r.Drained():
+			t.Fatal("the sidecar ends at once")
+		default:
+		}
+		<-r.Drained()
+	})
+}
--- a/daemon/sidecar.go
+++ b/daemon/sidecar.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -13,12 +14,31 @@
 	"github.com/sapphirefield/sapphirefield/wire"
 )
 
+// drainLinger is how long a sidecar stays at least once it drains. Entries may
+// have sent it work before they heard of the drain; it must be refused with a
+// certain "not run", and not be lost with the connection.
+const drainLinger = time.Second
+
 // sidecarRole runs the process beside one backend server.
 type sidecarRole struct {
 	*process
 	*sidecar.Server
+	// drained is closed when nothing is in progress and the linger has passed.
+	drained chan struct{}
+}
+
+// Drain implements worker. The lifecycle calls it once.
+func (r *sidecarRole) Drain() {
+	r.Server.Drain()
+	time.AfterFunc(drainLinger, func() {
+		<-r.Server.Drained()
+		close(r.drained)
+	})
 }
 
+// Drained implements worker.
+func (r *sidecarRole) Drained() <-chan struct{} { return r.drained }
+
 func newSidecarRole(p *process) *sidecarRole {
 	s := p.settings
 	options := sidecar.Options{
@@ -30,7 +50,7 @@
 	if s.Backend.Kind == settings.BackendEngine {
 		options.Layers = &wire.LayerRange{First: uint32(s.Backend.Layers.First), Limit: uint32(s.Backend.Layers.Limit)}
 	}
-	return &sidecarRole{process: p, Server: sidecar.New(options)}
+	return &sidecarRole{process: p, Server: sidecar.New(options), drained: make(chan struct{})}
 }
 
 func (r *sidecarRole) serve(ctx context.Context) error {
