Keep stages that hold a request's cache when a chain is repaired

Chooser.Repair counts a stage that stays as free, but a copy of it that has had less than its share of work has a negative cost and wins. The test also had a race of its own: a token that is on its way when the last stage ends may reach the first stage and not the entry, and then the whole chain has to be replayed.

Change: the entry leaves out other copies of the stages that stay before it asks Recovery, and asks without this only when that gives no chain. The test ends stages in the middle of a known iteration, and now covers the moments before and during the stage's own step.

--- a/demo/keep_test.go
+++ b/demo/keep_test.go
@@ -15,10 +15,14 @@
 		name string
 		hangCase
 		kill []int
+		// during is the stage whose iteration runs at that moment.
+		during time.Duration
 	}{
 		{name: "first ends", kill: []int{0}},
-		{name: "middle ends", kill: []int{1}},
-		{name: "last ends", kill: []int{2}},
+		{name: "middle ends during its step", kill: []int{1}, during: 1},
+		{name: "middle ends before its step", kill: []int{1}},
+		{name: "last ends during its step", kill: []int{2}, during: 2},
+		{name: "last ends before its step", kill: []int{2}, during: 1},
 		{name: "middle engine hangs", hangCase: hangCase{engines: []int{1}}},
 		{name: "last sidecar hangs", hangCase: hangCase{sidecars: []int{2}}},
 		{name: "first and last end", kill: []int{0, 2}},
@@ -27,15 +31,22 @@
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				cluster, client := testCluster(t, hangOptions())
+				opts := hangOptions()
+				cluster, client := testCluster(t, opts)
 				answer, err := complete(t.Context(), client, testPrompt, func(n int) {
 					if n != hangAt {
 						return
 					}
-					test.apply(cluster)
-					for _, stage := range test.kill {
-						cluster.Node(cluster.BusiestEngine(stage)).Kill()
-					}
+					// A token that is on its way when its stage ends may reach the first
+					// stage and not the entry; then the whole chain is replayed. In the
+					// middle of an iteration nothing is on its way.
+					middle := test.during*opts.StepTime + opts.StepTime/2
+					time.AfterFunc(middle, func() {
+						test.apply(cluster)
+						for _, stage := range test.kill {
+							cluster.Node(cluster.BusiestEngine(stage)).Kill()
+						}
+					})
 				})
 				assert.NilError(t, err)
 				lost := len(test.kill) + len(test.engines) + len(test.sidecars)
--- a/entry/members.go
+++ b/entry/members.go
@@ -154,6 +154,7 @@
 func (m *modelSet) updateStages(doc *config.Document, stages map[string][]pipeline.Stage) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.stages = stages
 	for i := range doc.Models {
 		model := &doc.Models[i]
 		c := m.choosers[model.Name]
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 
 	"github.com/sapphirefield/sapphirefield/attempt"
@@ -134,6 +135,8 @@
 type modelSet struct {
 	mu       sync.Mutex
 	choosers map[string]*pipeline.Chooser
+	// stages are those that the choosers know.
+	stages map[string][]pipeline.Stage
 }
 
 func newModelSet() *modelSet {
@@ -161,7 +164,9 @@
 	return c.Choose(req, exclude)
 }
 
-// resume repairs a chain that lost stages.
+// resume repairs a chain that lost stages. Other copies of the stages that
+// remain are left out first: the chooser may find one of them cheaper for new
+// work, but only the stage of the broken chain holds the request's KV cache.
 func (m *modelSet) resume(model string, broken pipeline.Broken) (pipeline.Resumption, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -169,7 +174,30 @@
 	if c == nil {
 		return pipeline.Resumption{}, pipeline.ErrNoChain
 	}
-	return pipeline.NewRecovery(c, pipeline.RecoveryOptions{}).Resume(broken)
+	recovery := pipeline.NewRecovery(c, pipeline.RecoveryOptions{})
+	narrow := broken
+	narrow.Lost = withoutRivals(broken, m.stages[model])
+	if resumption, err := recovery.Resume(narrow); err == nil {
+		return resumption, nil
+	}
+	return recovery.Resume(broken)
+}
+
+// withoutRivals adds to the lost instances those that hold layers of a stage
+// that remains.
+func withoutRivals(broken pipeline.Broken, stages []pipeline.Stage) map[string]bool {
+	lost := maps.Clone(broken.Lost)
+	for _, kept := range broken.Chain.Stages {
+		if broken.Lost[kept.Instance] {
+			continue
+		}
+		for _, s := range stages {
+			if s.Instance != kept.Instance && s.First < kept.Limit && kept.First < s.Limit {
+				lost[s.Instance] = true
+			}
+		}
+	}
+	return lost
 }
 
 func (m *modelSet) done(model string, chain pipeline.Chain) {
