entry, sidecar: budget repeats, share capacity by entries, break ties by load

Cause: the fuzzing and overload work named five faults in the drivers: a call that could not be handed over stayed in progress; a late no was believed after a pause; each entry counted the whole capacity as its own; ties between servers went to the lowest name; repeats had no budget.

--- a/cmd/sapphiredev/main.go
+++ b/cmd/sapphiredev/main.go
@@ -16,13 +16,15 @@
 	"github.com/sapphirefield/sapphirefield/experiment/capacity"
 	"github.com/sapphirefield/sapphirefield/experiment/control"
 	"github.com/sapphirefield/sapphirefield/experiment/fleet"
+	"github.com/sapphirefield/sapphirefield/experiment/overload"
+	"github.com/sapphirefield/sapphirefield/fuzz"
 )
 
 func main() {
 	root := &ffcli.Command{
 		Name:        "sapphiredev",
 		ShortUsage:  "sapphiredev <subcommand> [flags]",
-		Subcommands: []*ffcli.Command{demoCommand(), fleet.Command(), capacity.Command(), control.Command()},
+		Subcommands: []*ffcli.Command{demoCommand(), fleet.Command(), capacity.Command(), control.Command(), overload.Command(), fuzz.Command()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	err := root.ParseAndRun(context.Background(), os.Args[1:])
--- a/entry/admit.go
+++ b/entry/admit.go
@@ -210,18 +210,36 @@
 		for _, stage := range stages[model.Name] {
 			usable[stage.Instance] = true
 		}
-		s.admitter.setPool(modelPool(model.Name), streams, usable)
+		s.admitter.setPool(modelPool(model.Name), streams, usable, s.sharingEntries(usable))
 	}
 	servers := s.usableServers()
 	for i := range doc.Services {
 		name := doc.Services[i].Name
-		s.admitter.setPool(servicePool(name), float64(len(servers[name])*callsPerServer), servers[name])
+		units := float64(len(servers[name]) * callsPerServer)
+		s.admitter.setPool(servicePool(name), units, servers[name], s.sharingEntries(servers[name]))
 	}
 }
 
-func (a *admitter) setPool(name string, units float64, usable map[string]bool) {
+func (a *admitter) setPool(name string, units float64, usable map[string]bool, entries int) {
 	a.retain(name, usable)
-	a.setCapacity(name, units, 1)
+	a.setCapacity(name, units, entries)
+}
+
+// sharingEntries is how many entries share the usable instances, on average.
+// Each entry counts only the capacity that it is connected to, so the entries
+// connected to the same instances are those it shares with.
+func (s *Server) sharingEntries(usable map[string]bool) int {
+	total, reports := 0, 0
+	for _, p := range s.peers.all() {
+		if n := p.entries(); usable[p.id] && n > 0 {
+			total += n
+			reports++
+		}
+	}
+	if reports == 0 {
+		return 1
+	}
+	return (total + reports/2) / reports
 }
 
 // usableServers returns the instances of each plain service that take work.
--- a/entry/call.go
+++ b/entry/call.go
@@ -169,6 +169,9 @@
 func (c *plainCall) run(ctx context.Context) (*plainAnswer, *problem.Problem) {
 	c.request = attempt.NewRequest(c.idempotent)
 	for c.request.MaySend() && c.request.Latest() < maxAttempts {
+		if c.request.Executed() != attempt.ExecutedNo && !c.server.mayRepeat(c.service.Name) {
+			return nil, c.giveUp(problem.BackendFailed, "the call failed, and too many calls are being repeated already")
+		}
 		p := c.server.peers.pick(c.service.Name, c.exclude)
 		if p == nil {
 			return nil, c.giveUp(problem.NoBackend, "no server of the service is available")
@@ -196,20 +199,21 @@
 func (c *plainCall) runAttempt(ctx context.Context, p *peer) (*plainAnswer, *problem.Problem) {
 	number := c.request.Send()
 	ex := newExchange(attemptKey(c.id, number))
+	sent := now()
 	if !p.begin(ex, c.callFrame(number)) {
 		c.request.Observe(number, attempt.ExecutedNo)
 		return nil, nil
 	}
 	defer p.forget(ex.key)
 	c.sendBody(p, number)
-	run := &callRun{call: c, peer: p, ex: ex, answer: newPlainAnswer()}
+	run := &callRun{call: c, peer: p, ex: ex, answer: newPlainAnswer(), sent: sent}
 	timer := time.NewTimer(c.timeout)
 	defer timer.Stop()
 	run.timer = timer
 	for {
 		select {
 		case <-ctx.Done():
-			return nil, c.withdraw(p, ex)
+			return nil, c.withdraw(p, ex, sent)
 		case <-timer.C:
 			return nil, nil
 		case <-ex.events.Ready():
@@ -218,6 +222,7 @@
 				over, whole := run.handle(event)
 				if whole {
 					run.release()
+					c.server.succeeded(c.service.Name)
 					return run.answer, nil
 				}
 				if over {
@@ -255,7 +260,7 @@
 const withdrawTimeout = time.Second
 
 // withdraw ends an attempt whose caller waits no longer, and finds out whether it ran.
-func (c *plainCall) withdraw(p *peer, ex *exchange) *problem.Problem {
+func (c *plainCall) withdraw(p *peer, ex *exchange, sent time.Time) *problem.Problem {
 	p.push(&wire.WorkUp{Body: &wire.WorkUp_Withdraw{Withdraw: &wire.Withdraw{
 		Request: ex.key.Request, Attempt: ex.key.Number,
 	}}})
@@ -272,7 +277,7 @@
 				if ack == nil && event.kind == peerFrame {
 					continue
 				}
-				c.request.Observe(ex.key.Number, executedFromWire(ack.GetExecuted()))
+				c.request.ObserveWithdrawal(ex.key.Number, executedFromWire(ack.GetExecuted()), sent, now())
 				return c.giveUp(problem.DeadlineExceeded, "the call did not end in time")
 			}
 		}
--- a/entry/callrun.go
+++ b/entry/callrun.go
@@ -24,6 +24,8 @@
 	peer   *peer
 	ex     *exchange
 	answer *plainAnswer
+	// sent is when the call was handed to the connection.
+	sent time.Time
 	// timer ends the wait for a lost connection.
 	timer *time.Timer
 }
@@ -46,7 +48,8 @@
 	request, number := r.call.request, r.ex.key.Number
 	switch body := event.frame.Body.(type) {
 	case *wire.WorkDown_Refused:
-		request.Observe(number, executedFromWire(body.Refused.Executed))
+		// An entry that was paused may hear "no" from a sidecar that has forgotten the call.
+		request.ObserveWithdrawal(number, executedFromWire(body.Refused.Executed), r.sent, now())
 		if body.Refused.Reason == wire.RefusalReason_REFUSAL_WITHDRAWN {
 			// The server itself is in order; only the call never reached it.
 			delete(r.call.exclude, r.peer.id)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -60,6 +60,7 @@
 	incarnation string
 	peers       *peerSet
 	members     *members
+	retries     *retries
 	models      *modelSet
 	admitter    *admitter
 	claims      *claims
@@ -99,6 +100,7 @@
 	}
 	s.models = newModelSet()
 	s.members = newMembers()
+	s.retries = newRetries()
 	s.admitter = newAdmitter(uint64(now().UnixNano()))
 	s.peers = newPeerSet(ctx, s)
 	if opts.Claims != nil {
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -232,7 +232,7 @@
 
 func (p *peer) loaded(load *wire.Load) {
 	p.mu.Lock()
-	changed := p.load == nil || p.load.Draining != load.Draining || p.load.EngineUp != load.EngineUp
+	changed := p.load == nil || p.load.Draining != load.Draining || p.load.EngineUp != load.EngineUp || p.load.Entries != load.Entries
 	p.load = load
 	hello := p.hello
 	p.mu.Unlock()
@@ -427,3 +427,17 @@
 		return attempt.Key{}
 	}
 }
+
+// entries is how many entries the sidecar has a stream to, as it last reported.
+func (p *peer) entries() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return int(p.load.GetEntries())
+}
+
+// running is the work in progress that the sidecar last reported.
+func (p *peer) running() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return int(p.load.GetRunning())
+}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 
 	"github.com/sapphirefield/sapphirefield/attempt"
@@ -102,10 +103,28 @@
 // as, in calls in progress.
 const otherZoneCost = 0.5
 
-// pick returns the usable server of a plain service with the least calls in
-// progress, in the entry's availability zone before others.
+// comparedLoads is among how many equal servers the reported load decides. More
+// would send the calls of all entries to the same server until its next report.
+const comparedLoads = 3
+
+// pick returns the usable server of a plain service with the least calls of
+// this entry in progress, in the entry's availability zone before others. Among
+// a few random ones of those that are equal, the least loaded is taken.
 func (ps *peerSet) pick(service string, exclude map[string]bool) *peer {
-	var best *peer
+	best := ps.leastCalls(service, exclude)
+	rand.Shuffle(len(best), func(i, j int) { best[i], best[j] = best[j], best[i] })
+	var chosen *peer
+	for _, p := range best[:min(len(best), comparedLoads)] {
+		if chosen == nil || p.running() < chosen.running() {
+			chosen = p
+		}
+	}
+	return chosen
+}
+
+// leastCalls returns the servers that share the lowest cost.
+func (ps *peerSet) leastCalls(service string, exclude map[string]bool) []*peer {
+	var best []*peer
 	var bestCost float64
 	weights := ps.server.members.candidates(service)
 	for _, p := range ps.all() {
@@ -117,8 +136,11 @@
 		if zone != ps.server.opts.Zone {
 			cost += otherZoneCost
 		}
-		if best == nil || cost < bestCost || cost == bestCost && p.id < best.id {
-			best, bestCost = p, cost
+		switch {
+		case len(best) == 0 || cost < bestCost:
+			best, bestCost = append(best[:0], p), cost
+		case cost == bestCost:
+			best = append(best, p)
 		}
 	}
 	return best
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -239,9 +239,21 @@
 		Running:  uint32(s.ledger.InProgress()),
 		Draining: s.ledger.Draining(),
 		EngineUp: s.engineUp,
+		Entries:  uint32(s.connectedEntries()),
 	}
 }
 
+// connectedEntries must be called with the lock held.
+func (s *Server) connectedEntries() int {
+	n := 0
+	for _, e := range s.entries {
+		if e.queue != nil {
+			n++
+		}
+	}
+	return n
+}
+
 // sweep frees attempts of entries that went away and forgets old tombstones.
 func (s *Server) sweep(ctx context.Context) error {
 	ticker := time.NewTicker(sweepInterval)
