pipeline: scale the lead by the entry's share; take link times as reports

The Chooser now estimates its share of all requests from load reports and scales its lead by it. Link times come as reports of many frames to every entry, because one entry alone measures too few.

--- a/experiment/fleet/setup.go
+++ b/experiment/fleet/setup.go
@@ -79,6 +79,9 @@
 	for i := range clientEntries {
 		s.entries = append(s.entries, s.newEntry(zoneName(i%fleetZones), stages, how, uint64(i), output))
 	}
+	for _, l := range f.Links {
+		s.after(linkEvery, func() { s.reportLink(l.From, l.To, s.pipes[[2]string{l.From, l.To}]) })
+	}
 	for i, e := range s.order {
 		s.after(time.Duration(i)*loadEvery/time.Duration(len(s.order)), func() { e.report(loadEvery, loadLag) })
 	}
--- a/experiment/fleet/sim.go
+++ b/experiment/fleet/sim.go
@@ -81,10 +81,10 @@
 	delay          time.Duration
 	free           time.Duration
 	sent           int64
+	small, large   frames
 }
 
-// send delivers a frame after queueing, transmission and delay, and lets
-// entries measure the transfer.
+// send delivers a frame after queueing, transmission and delay, and measures it.
 func (s *sim) send(from, to string, bytes int64, deliver func()) {
 	p := s.pipes[[2]string{from, to}]
 	if p == nil {
@@ -99,12 +99,49 @@
 	}
 	took := p.free + p.delay - s.now
 	s.after(took, deliver)
-	if from != to {
-		s.seq++
-		if e := s.entries[s.seq%uint64(len(s.entries))]; !e.blind {
-			e.router.ObserveLink(from, to, bytes, took)
+	if bytes <= smallFrame {
+		p.small.add(bytes, took)
+	} else {
+		p.large.add(bytes, took)
+	}
+}
+
+// smallFrame separates frames that tell a link's latency from those that tell its bandwidth.
+const smallFrame = 64 << 10
+
+// frames sums the transfers of a link since its last report.
+type frames struct {
+	count int
+	bytes int64
+	took  time.Duration
+}
+
+func (f *frames) add(bytes int64, took time.Duration) {
+	f.count++
+	f.bytes += bytes
+	f.took += took
+}
+
+const linkEvery = 100 * time.Millisecond
+
+// reportLink sends the mean transfer times of a link to all entries, as
+// sidecars would beside their load reports.
+func (s *sim) reportLink(from, to string, p *pipe) {
+	for _, f := range []*frames{&p.small, &p.large} {
+		if f.count == 0 {
+			continue
 		}
+		bytes, took := f.bytes/int64(f.count), f.took/time.Duration(f.count)
+		*f = frames{}
+		s.after(loadLag, func() {
+			for _, e := range s.entries {
+				if !e.blind {
+					e.router.ObserveLink(from, to, bytes, took)
+				}
+			}
+		})
 	}
+	s.after(linkEvery, func() { s.reportLink(from, to, p) })
 }
 
 // step is one decode token, or a part of a prompt, on its way through a chain.
--- a/pipeline/chooser.go
+++ b/pipeline/chooser.go
@@ -24,6 +24,13 @@
 	// seconds of work. Without a bound, an engine that was slow for a while
 	// would be owed a burst of requests later.
 	maxLead = 2.0
+	// leadGain weighs the lead over the planned share. The lead is divided by
+	// the Chooser's share of all requests, because all entries act alike: with
+	// 40 entries one request too many at each is 40 too many at the engine.
+	leadGain = 0.25
+	// shareGain is the weight of a load report in the estimate of the own share.
+	shareGain  = 0.01
+	leastShare = 0.001
 	// loadGain weighs reported load against planned share. Reports lag, so a
 	// gain of 1 would make all entries move to the same engine at once.
 	loadGain = 0.5
@@ -56,6 +63,9 @@
 	virtual float64
 	// meanWork is the mean load of a request in decode tokens.
 	meanWork float64
+	// ownRunning and allRunning are moving averages of the requests on a stage
+	// that are this Chooser's, and of all entries' requests.
+	ownRunning, allRunning float64
 }
 
 // path is a link as the Chooser sees it.
@@ -89,6 +99,8 @@
 		links:    NewLinks(),
 		cache:    NewCacheIndex(),
 		meanWork: defaultOutputTokens,
+		// Equal averages mean a share of 1 until load reports tell otherwise.
+		ownRunning: 1, allRunning: 1,
 	}
 }
 
@@ -128,6 +140,13 @@
 	}
 	m.load = load
 	m.atReport = m.sent
+	c.ownRunning += shareGain * (float64(m.sent) - c.ownRunning)
+	c.allRunning += shareGain * (float64(load.Running+load.Queued) - c.allRunning)
+}
+
+// share is the part of all requests that this Chooser places.
+func (c *Chooser) share() float64 {
+	return min(1, max(leastShare, c.ownRunning/c.allRunning))
 }
 
 // SetLink gives the configured speed of a link, which holds until it is measured.
@@ -167,8 +186,11 @@
 type candidate struct {
 	*member
 	allCached, someMissed label
-	// own is the stage's cost in seconds, saved the decode tokens' worth of cached prompt.
-	own, saved float64
+	// own is the stage's cost in seconds, and saving the part of it that goes
+	// if every later stage has the prefix cached as well.
+	own, saving float64
+	// saved is the cached prompt in decode tokens of work.
+	saved float64
 }
 
 // Choose returns the chain with the least cost whose ranges tile the layers.
@@ -183,7 +205,9 @@
 			continue
 		}
 		saved := c.cache.Saved(m.Instance, req) / c.opts.PrefillSpeedup
-		s.visit(candidate{member: m, own: c.stageCost(m, work, req.At), saved: saved})
+		s.visit(candidate{
+			member: m, own: c.stageCost(m, work, req.At), saved: saved, saving: c.leadScale() * saved / m.Weight,
+		})
 	}
 	chain, err := c.build(s, req, work)
 	if err != nil {
@@ -210,7 +234,7 @@
 		}
 		if broken.holds(m.Stage) {
 			again := c.stageCost(m, 0, req.At) + replay(m.Stage)
-			s.visit(candidate{member: m, own: again, saved: again * m.Weight})
+			s.visit(candidate{member: m, own: again, saving: again})
 			continue
 		}
 		if !m.load.Draining && !m.load.Down {
@@ -306,12 +330,9 @@
 func (s *search) extend(k *candidate) {
 	k.allCached.cost = math.Inf(1)
 	k.someMissed.cost = math.Inf(1)
-	cached := k.own
-	if k.saved > 0 {
-		cached -= k.saved / k.Weight
-	}
+	cached := k.own - k.saving
 	if k.Limit == s.layers {
-		if k.saved > 0 {
+		if k.saving > 0 {
 			k.allCached.cost = cached
 		} else {
 			k.someMissed.cost = k.own
@@ -320,7 +341,7 @@
 	}
 	for _, n := range s.heads[k.Limit] {
 		hop := s.hops[k.zone][n.zone]
-		if k.saved > 0 {
+		if k.saving > 0 {
 			k.allCached.relax(cached+hop+n.allCached.cost, n)
 		} else {
 			k.someMissed.relax(k.own+hop+n.allCached.cost, n)
@@ -383,7 +404,7 @@
 		c.charge(k.member, charged)
 		if way.next != nil && !cached {
 			// A stage without the prefix may be followed by stages that all have it.
-			cached = k.saved <= 0 && way.next.allCached.cost <= way.next.someMissed.cost
+			cached = k.saving <= 0 && way.next.allCached.cost <= way.next.someMissed.cost
 		}
 		k = way.next
 	}
@@ -393,8 +414,10 @@
 
 // charge adds a request's work to the stage's share.
 func (c *Chooser) charge(m *member, work float64) {
-	m.pass = max(m.pass, c.virtual-maxLead) + work/m.Weight
-	m.pass = min(m.pass, c.virtual+maxLead)
+	own := work / m.Weight
+	bound := max(maxLead, 2*own)
+	m.pass = max(m.pass, c.virtual-bound) + own
+	m.pass = min(m.pass, c.virtual+bound)
 	m.sent++
 }
 
@@ -408,16 +431,23 @@
 	c.meanWork += (work - c.meanWork) / 64
 }
 
-// stageCost is the stage's lead over its share plus its load, in seconds of work.
+// stageCost is the stage's lead over its share once it has taken the work,
+// plus its load, in seconds of work.
 func (c *Chooser) stageCost(m *member, work float64, at time.Time) float64 {
-	lead := max(m.pass-c.virtual, -maxLead)
+	own := work / m.Weight
+	lead := max(m.pass-c.virtual, -max(maxLead, 2*own)) + own
 	age := max(at.Sub(m.load.At), 0)
 	trust := 0.0
 	if !m.load.At.IsZero() {
 		trust = math.Exp2(-float64(age) / float64(loadHalfLife))
 	}
 	inFlight := max(0, m.load.Running+m.load.Queued+m.sent-m.atReport)
-	return lead + work/m.Weight + loadGain*trust*float64(inFlight)*c.meanWork/m.Weight
+	return c.leadScale()*lead + loadGain*trust*float64(inFlight)*c.meanWork/m.Weight
+}
+
+// leadScale converts a lead of this Chooser to one of all entries together.
+func (c *Chooser) leadScale() float64 {
+	return leadGain / c.share()
 }
 
 // hopCosts is the transfer time of a request's prompt and generated tokens
--- a/pipeline/links.go
+++ b/pipeline/links.go
@@ -10,12 +10,13 @@
 	// Larger ones measure its time per byte, so that a few bytes on a distant
 	// link do not look like a narrow link.
 	smallFrame = 64 << 10
-	// linkGain is the weight of a new measurement in the moving average.
-	linkGain = 0.1
+	// linkGain is the weight of a new measurement in the moving average. A
+	// measurement stands for a report of many frames, about ten a second.
+	linkGain = 0.3
 	// linkBand is the relative change that must last before the published
 	// estimate moves, and linkRun how many measurements in a row it must last.
 	linkBand = 0.25
-	linkRun  = 8
+	linkRun  = 4
 )
 
 // Links estimates the transfer time between zones from real frames. The
@@ -54,7 +55,7 @@
 	l.version++
 }
 
-// Observe takes the transfer time of one frame.
+// Observe takes the mean size and transfer time of frames of similar size.
 func (l *Links) Observe(from, to string, bytes int64, took time.Duration) {
 	if bytes <= 0 || took < 0 {
 		return
