experiment/fleet: number of entries as a flag

The target size has 400 entries, and the choice of chains depends on how many entries act independently, so the figures are needed for more than four.

--- a/experiment/fleet/command.go
+++ b/experiment/fleet/command.go
@@ -32,6 +32,7 @@
 		c := options{out: out}
 		fs.Uint64Var(&c.seed, "seed", 1, "seed of the first fleet")
 		fs.IntVar(&c.fleets, "fleets", 10, "number of fleets")
+		fs.IntVar(&c.entries, "entries", defaultEntries, "number of entries (throughput and latency)")
 		fs.DurationVar(&c.counted, "counted", 8*time.Second, "virtual time that is counted")
 		root.Subcommands = append(root.Subcommands, &ffcli.Command{
 			Name: name, ShortUsage: "fleet " + name + " [flags]", ShortHelp: help, FlagSet: fs,
@@ -39,10 +40,10 @@
 		})
 	}
 	add("throughput", "throughput as a fraction of the hardware's bound", func(ctx context.Context, c options) error {
-		return throughput(ctx, c.out, c.seed, c.fleets, c.counted)
+		return throughput(ctx, c)
 	})
 	add("latency", "time to the first token and between tokens under bursts", func(ctx context.Context, c options) error {
-		return latency(ctx, c.out, c.seed, c.fleets, c.counted)
+		return latency(ctx, c)
 	})
 	add("recovery", "recovery time after the loss of stages", func(ctx context.Context, c options) error {
 		return recovery(ctx, c.out, c.seed, c.fleets)
@@ -61,5 +62,6 @@
 	out     io.Writer
 	seed    uint64
 	fleets  int
+	entries int
 	counted time.Duration
 }
--- a/experiment/fleet/fleet_test.go
+++ b/experiment/fleet/fleet_test.go
@@ -13,9 +13,10 @@
 // TestThroughputOrder guards against a model in which planning and routing make no difference,
 // and against results that depend on more than the seed.
 func TestThroughputOrder(t *testing.T) {
-	first, err := fleetThroughput(2, shrinks[0], time.Second)
+	c := options{entries: defaultEntries, counted: time.Second}
+	first, err := fleetThroughput(c, 2, shrinks[0])
 	assert.NilError(t, err)
-	again, err := fleetThroughput(2, shrinks[0], time.Second)
+	again, err := fleetThroughput(c, 2, shrinks[0])
 	assert.NilError(t, err)
 	assert.DeepEqual(t, first.by, again.by)
 	assert.Assert(t, first.by[ours] > 0.9 && first.by[ours] <= 1.05, "%v", first.by)
--- a/experiment/fleet/latency.go
+++ b/experiment/fleet/latency.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"text/tabwriter"
 	"time"
 
@@ -30,21 +29,21 @@
 }
 
 // latency prints the 95th percentiles of the time to the first token and between tokens under bursts.
-func latency(ctx context.Context, out io.Writer, seed uint64, fleets int, counted time.Duration) error {
-	results := make([]latencyResult, fleets)
+func latency(ctx context.Context, c options) error {
+	results := make([]latencyResult, c.fleets)
 	g, _ := errgroup.WithContext(ctx)
 	g.SetLimit(workers)
 	for i := range results {
 		g.Go(func() (err error) {
-			results[i], err = fleetLatency(seed+uint64(i), counted)
+			results[i], err = fleetLatency(c, c.seed+uint64(i))
 			return err
 		})
 	}
 	if err := g.Wait(); err != nil {
 		return err
 	}
-	fmt.Fprintf(out, "latency at %.0f%% of the bound, bursts of ±%.0f%% every %v\n", 100*offered, 100*burstSize, burstPeriod)
-	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(c.out, "latency at %.0f%% of the bound, bursts of ±%.0f%% every %v\n", 100*offered, 100*burstSize, burstPeriod)
+	t := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(t, "seed\trequests\tfirst token p95 ms\tmean gap p95 ms\tsingle gap p95 ms\trequests in target\t")
 	for _, r := range results {
 		fmt.Fprintf(t, "%d\t%d\t%.1f\t%.1f\t%.1f\t%.3f\t\n", r.seed, r.requests,
@@ -53,8 +52,9 @@
 	return t.Flush()
 }
 
-func fleetLatency(seed uint64, counted time.Duration) (latencyResult, error) {
+func fleetLatency(c options, seed uint64) (latencyResult, error) {
 	w := makeWorld(seed, fleetEngines, fleetZones, fleetKinds)
+	w.entries = c.entries
 	m := planModel(meanOutput)
 	plan, err := placement.MakePlan(w.fleet, m, planOptions)
 	if err != nil {
@@ -64,7 +64,7 @@
 	s := newSim(w, w.fleet, stagesOf(plan), ours, seed, meanOutput)
 	rate := offered * bound / requestWork(meanPrompt, meanOutput)
 	s.arrivals(rate, burstSize, burstPeriod, func(e *entry) { e.start(drawPrompt(s.rng), nil) })
-	s.measure(10*time.Second, counted)
+	s.measure(10*time.Second, c.counted)
 	r := latencyResult{seed: seed, requests: s.stats.requests}
 	r.first = percentile(s.stats.firsts, 0.95)
 	r.mean = percentile(s.stats.means, 0.95)
--- a/experiment/fleet/setup.go
+++ b/experiment/fleet/setup.go
@@ -76,7 +76,7 @@
 		s.engines[st.Instance] = e
 		s.order = append(s.order, e)
 	}
-	for i := range clientEntries {
+	for i := range w.entries {
 		s.entries = append(s.entries, s.newEntry(zoneName(i%fleetZones), stages, how, uint64(i), output))
 	}
 	for _, l := range f.Links {
--- a/experiment/fleet/throughput.go
+++ b/experiment/fleet/throughput.go
@@ -53,27 +53,28 @@
 }
 
 // throughput prints the fraction of the bound for each fleet and scheme.
-func throughput(ctx context.Context, out io.Writer, seed uint64, fleets int, counted time.Duration) error {
+func throughput(ctx context.Context, c options) error {
 	for _, lost := range shrinks {
-		results := make([]fractions, fleets)
+		results := make([]fractions, c.fleets)
 		g, _ := errgroup.WithContext(ctx)
 		g.SetLimit(workers)
 		for i := range results {
 			g.Go(func() (err error) {
-				results[i], err = fleetThroughput(seed+uint64(i), lost, counted)
+				results[i], err = fleetThroughput(c, c.seed+uint64(i), lost)
 				return err
 			})
 		}
 		if err := g.Wait(); err != nil {
 			return err
 		}
-		printFractions(out, lost, results)
+		printFractions(c.out, lost, results)
 	}
 	return nil
 }
 
-func fleetThroughput(seed uint64, lost shrink, counted time.Duration) (fractions, error) {
+func fleetThroughput(c options, seed uint64, lost shrink) (fractions, error) {
 	w := makeWorld(seed, fleetEngines, fleetZones, fleetKinds)
+	w.entries = c.entries
 	m := planModel(throughputOutput)
 	plan, err := placement.MakePlan(w.fleet, m, planOptions)
 	if err != nil {
@@ -85,7 +86,7 @@
 	if lost.loss != nil {
 		f = lost.loss(w, seed)
 		r.bound = placement.Bound(f, m, planOptions)
-		r.atOnce = saturated(w, f, remaining(stagesOf(plan), f), ours, seed, r.bound, counted) / r.bound
+		r.atOnce = saturated(w, f, remaining(stagesOf(plan), f), ours, seed, r.bound, c.counted) / r.bound
 		var moves []placement.Move
 		plan, moves, err = placement.Replan(plan, f, m, planOptions)
 		if err != nil {
@@ -105,7 +106,7 @@
 		if how != ours {
 			stages = equalSplit(f, llm)
 		}
-		r.by[how] = saturated(w, f, stages, how, seed, r.bound, counted) / r.bound
+		r.by[how] = saturated(w, f, stages, how, seed, r.bound, c.counted) / r.bound
 	}
 	return r, nil
 }
--- a/experiment/fleet/world.go
+++ b/experiment/fleet/world.go
@@ -46,7 +46,6 @@
 	meanOutput     = 224
 	// sameZoneDelay is one way.
 	sameZoneDelay = 100 * time.Microsecond
-	clientEntries = 4
 	// storeRate is the weight store's rate in bytes/s.
 	storeRate = 4e9
 )
@@ -69,17 +68,22 @@
 	return float64(output) + float64(prompt)/prefillSpeedup
 }
 
+// defaultEntries is the number of entries of the users' fleets.
+const defaultEntries = 4
+
 // world is a seeded fleet.
 type world struct {
 	fleet  placement.Fleet
 	kinds  map[string]kind
 	delays map[[2]string]time.Duration
+	// entries is the number of entries that choose chains independently.
+	entries int
 }
 
 // makeWorld draws engines of several kinds in zones joined by links between 20 MB/s and 2 GB/s.
 func makeWorld(seed uint64, engines, zones, kindCount int) world {
 	r := rand.New(rand.NewPCG(seed, 100))
-	w := world{kinds: map[string]kind{}, delays: map[[2]string]time.Duration{}}
+	w := world{kinds: map[string]kind{}, delays: map[[2]string]time.Duration{}, entries: defaultEntries}
 	chosen := r.Perm(len(kinds))[:kindCount]
 	for i := range engines {
 		k := kinds[chosen[r.IntN(kindCount)]]
