--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -31,6 +31,8 @@
 	OrderGiven           Event = 5001
 	OrderRefused         Event = 5002
 	OrderDone            Event = 5003
+	PlanNotMade          Event = 5004
+	RolloutBlocked       Event = 5005
 	ObjectiveBurning     Event = 6001
 	ObjectiveBurnStopped Event = 6002
 )
@@ -62,6 +64,8 @@
 	{OrderGiven, log.InfoLevel, "order given to engine", ""},
 	{OrderRefused, log.WarnLevel, "order refused by engine", ""},
 	{OrderDone, log.InfoLevel, "order carried out by engine", ""},
+	{PlanNotMade, log.WarnLevel, "no placement plan could be made", "Add engines or memory for the model that the line names; the plan in force stays."},
+	{RolloutBlocked, log.WarnLevel, "rollout of a version is blocked", "Remove the reason that the line names; the old version goes on serving."},
 	{ObjectiveBurning, log.ErrorLevel, "service-level objective burns too fast", "See docs/operations.md, section on service levels."},
 	{ObjectiveBurnStopped, log.InfoLevel, "service-level objective no longer burns too fast", ""},
 }
--- a/order/machine.go
+++ b/order/machine.go
@@ -208,6 +208,9 @@
 	return m.stands
 }
 
+// NeedsCurrent tells whether the machine waits for a PlanCurrent.
+func (m *Machine) NeedsCurrent() bool { return m.plan.Offset > 0 && !m.current }
+
 // WakeAt returns when the next Tick must be passed in at the latest, or the
 // zero time.
 func (m *Machine) WakeAt() time.Time {
--- a/pipeline/chooser.go
+++ b/pipeline/chooser.go
@@ -205,7 +205,7 @@
 	pool := c.withKept(broken, lost)
 	s := c.newSearch(req, len(pool))
 	for _, m := range pool {
-		if lost[m.Instance] {
+		if lost[m.Instance] || m.Version != broken.version() {
 			continue
 		}
 		if broken.holds(m.Stage) {
@@ -259,7 +259,7 @@
 // holds tells whether a stage with the same range is in the chain.
 func (c Chain) holds(stage Stage) bool {
 	for _, s := range c.Stages {
-		if s.Instance == stage.Instance && s.First == stage.First && s.Limit == stage.Limit {
+		if s.Instance == stage.Instance && s.First == stage.First && s.Limit == stage.Limit && s.Version == stage.Version {
 			return true
 		}
 	}
--- a/pipeline/stage.go
+++ b/pipeline/stage.go
@@ -19,6 +19,8 @@
 	Zone string
 	// First and Limit bound the layers [First, Limit).
 	First, Limit int
+	// Version is the model's version that the engine serves.
+	Version string
 	// Weight is the flow that the plan gives the stage, in tokens/s.
 	Weight float64
 }
@@ -35,6 +37,9 @@
 func (c Chain) Tiles(layers int) error {
 	next := 0
 	for _, s := range c.Stages {
+		if s.Version != c.Stages[0].Version {
+			return errors.Errorf("stage %s serves version %q, the chain began with %q", s.Instance, s.Version, c.Stages[0].Version)
+		}
 		if s.First != next || s.Limit <= s.First {
 			return errors.Errorf("stage %s holds layers [%d, %d), want a range from %d", s.Instance, s.First, s.Limit, next)
 		}
@@ -46,6 +51,14 @@
 	return nil
 }
 
+// version is the model's version that the chain's stages serve.
+func (c Chain) version() string {
+	if len(c.Stages) == 0 {
+		return ""
+	}
+	return c.Stages[0].Version
+}
+
 // Load is a load report of one engine. Reports arrive with a lag.
 type Load struct {
 	Instance string
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -8,6 +8,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/sapphirefield/sapphirefield/placement"
@@ -17,6 +18,9 @@
 type Holding struct {
 	Engine string          `json:"engine"`
 	Range  placement.Range `json:"range"`
+	// Version is set while the engine is to serve another version than that of
+	// the directive.
+	Version string `json:"version,omitempty"`
 }
 
 // Directive is the content of a placement plan record: what each engine holds
@@ -33,21 +37,28 @@
 
 // Holding returns what the directive wants an engine to hold.
 func (d *Directive) Holding(engine string) (placement.Range, bool) {
-	i, found := slices.BinarySearchFunc(d.Wanted, engine, func(h Holding, name string) int {
-		switch {
-		case h.Engine < name:
-			return -1
-		case h.Engine > name:
-			return 1
-		}
-		return 0
-	})
+	i, found := d.find(engine)
 	if !found {
 		return placement.Range{}, false
 	}
 	return d.Wanted[i].Range, true
 }
 
+func (d *Directive) find(engine string) (int, bool) {
+	return slices.BinarySearchFunc(d.Wanted, engine, func(h Holding, name string) int {
+		return strings.Compare(h.Engine, name)
+	})
+}
+
+// VersionOf returns the version that the directive wants an engine to serve.
+func (d *Directive) VersionOf(engine string) string {
+	i, found := d.find(engine)
+	if !found || d.Wanted[i].Version == "" {
+		return d.Version
+	}
+	return d.Wanted[i].Version
+}
+
 // Input is what a decision depends on.
 type Input struct {
 	// Fleet holds the engines of the model that are configured and live.
@@ -59,6 +70,8 @@
 	Current *Directive
 	// Standing is what live engines hold now, by engine.
 	Standing map[string]placement.Range
+	// Versions are those that the standing engines serve.
+	Versions map[string]string
 }
 
 // Waiting times before a plan changes.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -35,6 +35,9 @@
 	Service string
 	Model   string
 	Layers  *wire.LayerRange
+	// Placed is set instead of Layers for an engine whose range and version come
+	// from placement plans; see Hold.
+	Placed bool
 	// Backend is the base URL of the backend server.
 	Backend string
 	Dialer  link.Dialer
@@ -82,7 +85,9 @@
 	entries   map[string]*entryLink
 	hops      map[string]*hop
 	engineUp  bool
-	pace      pace
+	// held is what the engine serves.
+	held Holding
+	pace pace
 	// iteration is the batch that runs in the engine, nil while it is idle.
 	iteration     *iteration
 	lastIteration time.Time
@@ -126,6 +131,7 @@
 		entries:     make(map[string]*entryLink),
 		hops:        make(map[string]*hop),
 		engineUp:    true,
+		held:        Holding{Layers: opts.Layers},
 		idle:        make(chan struct{}),
 		background:  context.Background(),
 	}
@@ -164,7 +170,7 @@
 // start runs a task that ends with Serve.
 func (s *Server) start(task func()) { s.tasks.Go(task) }
 
-func (s *Server) isEngine() bool { return s.opts.Layers != nil }
+func (s *Server) isEngine() bool { return s.opts.Layers != nil || s.opts.Placed }
 
 // Drain makes the sidecar refuse new work and tells all entries.
 func (s *Server) Drain() {
--- a/sidecar/stage.go
+++ b/sidecar/stage.go
@@ -101,11 +101,11 @@
 
 // holdsRange checks that the chain's place for this sidecar is the range that its engine holds.
 func (s *Server) holdsRange(open *wire.Open) bool {
-	if s.opts.Layers == nil || open.Model != s.opts.Model || int(open.Position) >= len(open.Chain) {
+	if s.held.Layers == nil || open.Model != s.opts.Model || open.Version != s.held.Version || int(open.Position) >= len(open.Chain) {
 		return false
 	}
 	layers := open.Chain[open.Position].GetLayers()
-	return layers.GetFirst() == s.opts.Layers.First && layers.GetLimit() == s.opts.Layers.Limit
+	return layers.GetFirst() == s.held.Layers.First && layers.GetLimit() == s.held.Layers.Limit
 }
 
 func (s *Server) handleStart(entry string, start *wire.Start) {
--- a/sidecar/work.go
+++ b/sidecar/work.go
@@ -73,10 +73,7 @@
 	}
 	s.awaitResume(hello.Id, time.Now())
 	known.queue = queue
-	known.push(&wire.WorkDown{Body: &wire.WorkDown_Hello{Hello: &wire.Hello{
-		Id: s.opts.ID, Incarnation: s.incarnation, Zone: s.opts.Zone, Service: s.opts.Service,
-		Model: s.opts.Model, Layers: s.opts.Layers, Draining: s.ledger.Draining(),
-	}}})
+	known.push(s.hello())
 	known.push(&wire.WorkDown{Body: &wire.WorkDown_Load{Load: s.load()}})
 	logevent.Write(s.opts.Logger, logevent.SidecarConnected).Str("id", s.opts.ID).Str("entry", hello.Id).Msg("")
 }
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -35,7 +35,7 @@
 	LoadTimePerLayer time.Duration
 }
 
-// EngineState is the state that orders change.
+// EngineState is the state that orders change, as GET /v1/state returns it.
 type EngineState struct {
 	Model    string   `json:"model"`
 	Version  string   `json:"version"`
@@ -43,8 +43,12 @@
 	First    uint32   `json:"first"`
 	Limit    uint32   `json:"limit"`
 	Role     string   `json:"role"`
-	Fence    int64    `json:"fence"`
-	Loading  bool     `json:"loading"`
+	// Fence is the highest fencing number obeyed; 0 for an engine that ignores it.
+	Fence int64 `json:"fence"`
+	// Busy is set while weights are loaded; the engine holds no layers meanwhile.
+	Busy bool `json:"busy"`
+	// Target is what a busy engine will hold.
+	Target *EngineState `json:"target,omitempty"`
 }
 
 // CacheEvent tells that a prefix entered or left the cache.
@@ -70,6 +74,8 @@
 	events   []CacheEvent
 	steps    int64
 	layerRun int64
+	// orders counts the orders obeyed, loads the loads of weights begun.
+	orders, loads int
 	// progress counts parts of iterations. It moves while a long prompt runs.
 	progress int64
 	// hung is not nil while the engine hangs; it is closed when it goes on.
@@ -79,7 +85,8 @@
 	iteration sync.Mutex
 }
 
-// NewEngine returns an engine that holds its range already.
+// NewEngine returns an engine that holds its range already; a range without
+// layers makes it an empty engine that waits for an order.
 func NewEngine(opts EngineOptions) *Engine {
 	return &Engine{
 		opts:     opts,
@@ -209,6 +216,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	result := &wire.EngineResult{Request: step.Request, Attempt: step.Attempt, Index: step.Index}
+	if e.state.Limit == 0 {
+		result.Error = "engine holds no layers"
+		return result, 0
+	}
 	inputs, err := e.inputs(step)
 	if err != nil {
 		result.Error = err.Error()
@@ -428,28 +439,61 @@
 		http.Error(w, fmt.Sprintf("fencing number %d is older than %d", o.Fence, e.state.Fence), http.StatusConflict)
 		return
 	}
-	moved := o.First != e.state.First || o.Limit != e.state.Limit || o.Model != e.state.Model || o.Version != e.state.Version
-	e.state = EngineState{Model: o.Model, Version: o.Version, Adapters: o.Adapters, First: o.First, Limit: o.Limit, Role: o.Role, Fence: max(o.Fence, e.state.Fence)}
-	if moved {
-		e.requests = make(map[string]*engineRequest)
-		e.startLoading(o)
-	}
+	e.orders++
+	e.obey(o)
 	writeJSON(w, e.state)
 }
 
-// startLoading marks the engine as loading for as long as the weights take.
-func (e *Engine) startLoading(o order) {
+// obey brings the engine to the wanted state, after the time that loading takes.
+func (e *Engine) obey(o order) {
+	wanted := EngineState{Model: o.Model, Version: o.Version, Adapters: o.Adapters, First: o.First, Limit: o.Limit, Role: o.Role}
+	if e.opts.ChecksFencing {
+		wanted.Fence = o.Fence
+	}
+	held := e.state
+	if held.Busy {
+		held = *held.Target
+	}
+	moved := wanted.First != held.First || wanted.Limit != held.Limit || wanted.Model != held.Model || wanted.Version != held.Version
+	if !moved && e.state.Busy {
+		e.state.Fence, e.state.Target = wanted.Fence, &wanted
+		return
+	}
+	e.state = wanted
+	if !moved {
+		return
+	}
+	e.requests = make(map[string]*engineRequest)
 	if e.opts.LoadTimePerLayer == 0 {
 		return
 	}
-	e.state.Loading = true
+	e.state = EngineState{Model: o.Model, Fence: wanted.Fence, Busy: true, Target: &wanted}
+	e.loads++
+	load := e.loads
 	time.AfterFunc(time.Duration(o.Limit-o.First)*e.opts.LoadTimePerLayer, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		e.state.Loading = false
+		// A later order that needs other weights replaces this load.
+		if e.loads == load {
+			e.state = *e.state.Target
+		}
 	})
 }
 
+// Orders counts the orders that the engine has obeyed.
+func (e *Engine) Orders() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.orders
+}
+
+// State returns what the engine holds.
+func (e *Engine) State() EngineState {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state
+}
+
 func (e *Engine) serveState(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
