--- a/configsync/sync.go
+++ b/configsync/sync.go
@@ -321,7 +321,8 @@
 	revision := s.reader.InForce()
 	state := s.reader.State()
 	s.mutex.Lock()
-	changed := revision != s.revision
+	revised := revision != s.revision
+	changed := revised
 	s.revision = revision
 	s.anchored = state != nil
 	if state != nil {
@@ -340,7 +341,7 @@
 		s.changed = make(chan struct{})
 	}
 	s.mutex.Unlock()
-	if changed && revision != nil {
+	if revised && revision != nil {
 		logevent.Write(s.options.Logger, logevent.RevisionInForce).Int64("revision", revision.Number).Str("digest", revision.Digest).Msg("")
 	}
 	if unjudged && !unjudgedBefore {
--- a/entry/members.go
+++ b/entry/members.go
@@ -140,12 +140,13 @@
 		}
 		stages[hello.Model] = append(stages[hello.Model], pipeline.Stage{
 			Instance: p.id, Address: address, Zone: zone,
-			First: int(hello.Layers.First), Limit: int(hello.Layers.Limit), Weight: weight * x.stageWeight(p.id, hello.Layers),
+			First: int(hello.Layers.First), Limit: int(hello.Layers.Limit), Version: hello.Version, Weight: weight * x.stageWeight(p.id, hello.Layers),
 		})
 	}
 	// The chooser breaks ties by order, which must not depend on the map's.
-	for _, list := range stages {
+	for model, list := range stages {
 		slices.SortFunc(list, func(a, b pipeline.Stage) int { return strings.Compare(a.Instance, b.Instance) })
+		stages[model] = ofOneVersion(x.models[model], list)
 	}
 	return stages
 }
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -199,7 +199,7 @@
 	p.answered()
 	switch body := frame.Body.(type) {
 	case *wire.WorkDown_Hello:
-		p.connected(body.Hello, queue)
+		p.greeted(body.Hello, queue)
 	case *wire.WorkDown_Heartbeat:
 		p.beatAnswered(body.Heartbeat.Sequence, time.Now())
 	case *wire.WorkDown_Load:
--- a/orders/driver.go
+++ b/orders/driver.go
@@ -270,8 +270,13 @@
 			return
 		}
 		d.ordered = true
-		d.held, d.leaving = nil, false
-		d.call(ctx, func() order.Input { return d.give(ctx, a) })
+		// Each plan raises the fencing number of all engines. An order for the
+		// state that the engine is in leaves its attempts alone.
+		moves := d.held == nil || !a.Wanted.Equal(*d.held)
+		if moves {
+			d.held, d.leaving = nil, false
+		}
+		d.call(ctx, func() order.Input { return d.give(ctx, a, moves) })
 	}
 }
 
@@ -283,11 +288,13 @@
 	return order.ReadDone{ID: r.ID, Observed: seen}
 }
 
-// give frees the engine and sends the order. An order that could not be sent in
+// give sends the order, after freeing the engine if it moves. An order that could not be sent in
 // time is dropped: after a pause of the process its plan may be an old one.
-func (d *Driver) give(ctx context.Context, g order.Give) order.Input {
+func (d *Driver) give(ctx context.Context, g order.Give, moves bool) order.Input {
 	began := time.Now()
-	d.opts.Worker.Vacate(ctx, attemptGrace)
+	if moves {
+		d.opts.Worker.Vacate(ctx, attemptGrace)
+	}
 	if ctx.Err() != nil || time.Since(began) > attemptGrace+pauseLimit || d.overtaken(g) {
 		return order.OrderRejected{ID: g.ID}
 	}
@@ -316,10 +323,10 @@
 	case d.released:
 		d.serve(nil)
 	case d.machine.Standing():
-		if d.ordered {
+		if _, read := input.(order.ReadDone); read && d.ordered {
+			d.ordered = false
 			d.write(logevent.OrderDone, wanted.Offset, wanted.Wanted).Msg("")
 		}
-		d.ordered = false
 		d.serve(&wanted.Wanted)
 	case d.held == nil:
 	case d.machine.NeedsCurrent(), !d.servesStill(input):
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -74,8 +74,8 @@
 	events   []CacheEvent
 	steps    int64
 	layerRun int64
-	// orders counts the orders obeyed, loads the loads of weights begun.
-	orders, loads int
+	// moves counts the orders that changed what the engine holds.
+	moves int
 	// progress counts parts of iterations. It moves while a long prompt runs.
 	progress int64
 	// hung is not nil while the engine hangs; it is closed when it goes on.
@@ -439,7 +439,6 @@
 		http.Error(w, fmt.Sprintf("fencing number %d is older than %d", o.Fence, e.state.Fence), http.StatusConflict)
 		return
 	}
-	e.orders++
 	e.obey(o)
 	writeJSON(w, e.state)
 }
@@ -463,28 +462,28 @@
 	if !moved {
 		return
 	}
+	e.moves++
 	e.requests = make(map[string]*engineRequest)
 	if e.opts.LoadTimePerLayer == 0 {
 		return
 	}
 	e.state = EngineState{Model: o.Model, Fence: wanted.Fence, Busy: true, Target: &wanted}
-	e.loads++
-	load := e.loads
+	move := e.moves
 	time.AfterFunc(time.Duration(o.Limit-o.First)*e.opts.LoadTimePerLayer, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		// A later order that needs other weights replaces this load.
-		if e.loads == load {
+		if e.moves == move {
 			e.state = *e.state.Target
 		}
 	})
 }
 
-// Orders counts the orders that the engine has obeyed.
-func (e *Engine) Orders() int {
+// Moves counts the orders that changed what the engine holds.
+func (e *Engine) Moves() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.orders
+	return e.moves
 }
 
 // State returns what the engine holds.
