planner: measure the bytes of plan records

Cause: every process reads every plan record, so its size counts against the 4 KB/s that a node may spend on control.

Change: BenchmarkRecord reports the sizes of a first plan and of the one after the loss of an eighth, and a test guards the way through the log.

--- /dev/null
+++ b/planner/encode_test.go
@@ -0,0 +1,93 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sapphirefield/sapphirefield/configlog"
+	"github.com/sapphirefield/sapphirefield/placement"
+)
+
+var sizedModel = placement.Model{Layers: 80, BytesPerLayer: 1600 << 20, ActivationBytes: 16 << 10, KVBytesPerTokenLayer: 4 << 10}
+
+// sizedFleet has engines of 8 kinds in zones of about 220 engines, as at the
+// target size, but at least 3.
+func sizedFleet(engines int) placement.Fleet {
+	zones := max(3, engines/220)
+	var f placement.Fleet
+	for i := range engines {
+		kind := i % 8
+		f.Engines = append(f.Engines, placement.Engine{
+			Name: fmt.Sprintf("engine-%04d", i), Zone: fmt.Sprintf("zone-%02d", i%zones),
+			MemoryBytes: int64(24+8*kind) << 30, LayerTokensPerSecond: float64(10_000 + 5_000*kind),
+		})
+	}
+	for i := range zones {
+		for j := range zones {
+			if i != j {
+				f.Links = append(f.Links, placement.Link{
+					From: fmt.Sprintf("zone-%02d", i), To: fmt.Sprintf("zone-%02d", j), BytesPerSecond: 20e6 * float64(1+(i*7+j*3)%100),
+				})
+			}
+		}
+	}
+	return f
+}
+
+// afterLoss returns the first directive of a fleet and the one after the loss
+// of an eighth of its engines.
+func afterLoss(t testing.TB, engines int) (first, next *Directive) {
+	in := Input{Fleet: sizedFleet(engines), Model: sizedModel, Version: "2026-11-30", Standing: map[string]placement.Range{}}
+	first, err := propose(in)
+	assert.NilError(t, err)
+	in.Current = first
+	in.Fleet.Engines = in.Fleet.Engines[engines/8:]
+	for _, e := range in.Fleet.Engines {
+		in.Standing[e.Name], _ = first.Holding(e.Name)
+	}
+	next, err = propose(in)
+	assert.NilError(t, err)
+	return first, next
+}
+
+func recordBytes(t testing.TB, d *Directive) int {
+	data, err := Encode(d)
+	assert.NilError(t, err)
+	record, err := configlog.NewPlan("0123456789ABCDEFGHIJKLMNOP", configlog.PlanProposal{Model: "sapphire-llm", Base: 1, Revision: 1, Data: data}).Encode()
+	assert.NilError(t, err)
+	return len(record)
+}
+
+// Guards a plan's way through the log: what is read is what was written.
+func TestDirectiveSurvivesTheLog(t *testing.T) {
+	first, next := afterLoss(t, 40)
+	next.Wanted[0].Version = "2026-10-01"
+	for _, d := range []*Directive{first, next} {
+		data, err := Encode(d)
+		assert.NilError(t, err)
+		again, err := Decode(data)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, again, d)
+	}
+}
+
+// BenchmarkRecord reports the bytes of the first plan's record and of the one
+// after the loss of an eighth of the engines.
+func BenchmarkRecord(b *testing.B) {
+	for _, engines := range []int{40, 344, 400, 3100} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			first, next := afterLoss(b, engines)
+			b.ResetTimer()
+			for range b.N {
+				data, err := Encode(next)
+				assert.NilError(b, err)
+				_, err = Decode(data)
+				assert.NilError(b, err)
+			}
+			b.ReportMetric(float64(recordBytes(b, first)), "first-bytes")
+			b.ReportMetric(float64(recordBytes(b, next)), "replan-bytes")
+		})
+	}
+}
