--- a/planner/encode_test.go
+++ b/planner/encode_test.go
@@ -91,3 +91,23 @@
 		})
 	}
 }
+
+// Guards against a record that makes the decoder panic, or that is read as
+// another plan once it is written again.
+func FuzzDecode(f *testing.F) {
+	data, err := Encode(&Directive{Version: "1", Wanted: []Holding{{Engine: "e", Range: placement.Range{Limit: 3}}}})
+	assert.NilError(f, err)
+	f.Add(data)
+	f.Add([]byte(`{"gzip":"H4sIAAAAAAAA/w=="}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		d, err := Decode(data)
+		if err != nil {
+			return
+		}
+		data, err = Encode(d)
+		assert.NilError(t, err)
+		again, err := Decode(data)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, again, d)
+	})
+}
--- a/plans/plans_test.go
+++ b/plans/plans_test.go
@@ -17,7 +17,7 @@
 // engine gets a range or no entry learns of it.
 func TestFirstPlacementServes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 1, 6, even)
+		w := newWorld(t, 1, 1, 6, even)
 		t.Log("settled after", w.wait("first placement", time.Minute, func() bool { return w.settled("1") }))
 		assert.NilError(t, w.complete("entry-0", "a flange", 40))
 	})
@@ -26,7 +26,7 @@
 // Guards answers in progress while a lost engine's layers move to others.
 func TestLossMovesLayersUnderLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 1, 8, all)
+		w := newWorld(t, 1, 1, 8, all)
 		w.wait("first placement", time.Minute, func() bool { return w.settled("1") })
 		stop := w.load(6, 80)
 		time.Sleep(5 * time.Second)
@@ -59,7 +59,7 @@
 // Guards against two planners that undo each other's plans.
 func TestTwoPlannersAgree(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 3, 6, all)
+		w := newWorld(t, 1, 3, 6, all)
 		w.wait("first placement", time.Minute, func() bool { return w.settled("1") })
 		w.nodes[2].stop()
 		time.Sleep(2 * time.Minute)
@@ -80,7 +80,7 @@
 // inexact answer.
 func TestVersionForwardAndBackUnderLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 1, 8, even)
+		w := newWorld(t, 1, 1, 8, even)
 		w.wait("first placement", time.Minute, func() bool { return w.settled("1") })
 		// These answers outlast the grace before an order.
 		stop := w.load(3, 100)
@@ -94,3 +94,22 @@
 		assert.Equal(t, w.mixed.Load(), int64(0), "an engine of another version took part in a chain")
 	})
 }
+
+// Guards against proposals without contact to the log, and against engines that
+// stop serving because it is down.
+func TestNoProposalsDuringOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, 2, 6, even)
+		w.wait("first placement", time.Minute, func() bool { return w.settled("1") })
+		w.log.SetOutage(true)
+		time.Sleep(time.Second)
+		sent := w.tried.Load()
+		_, before := w.directive(0)
+		w.nodes[0].stop()
+		time.Sleep(time.Minute)
+		assert.Equal(t, w.tried.Load(), sent)
+		assert.NilError(t, w.complete("entry-0", "a hammer", 20))
+		w.log.SetOutage(false)
+		w.wait("plan after the outage", time.Minute, func() bool { _, now := w.directive(0); return now > before })
+	})
+}
--- a/plans/world_test.go
+++ b/plans/world_test.go
@@ -53,8 +53,9 @@
 	entries []*entry.Server
 	syncs   []*configsync.Sync
 	nodes   []*node
-	// appends counts the records of plans that reached the log.
-	appends atomic.Int64
+	// appends counts the records of plans that reached the log, tried those that
+	// were sent to it.
+	appends, tried atomic.Int64
 	// mixed counts the attempts at engines of another version than the chain's.
 	mixed atomic.Int64
 }
@@ -66,8 +67,8 @@
 }
 
 // newWorld starts entries and engines, of which those that fences accepts check
-// fencing numbers.
-func newWorld(t *testing.T, entries, engines int, fences func(i int) bool) *world {
+// fencing numbers. The seed decides when the entries propose.
+func newWorld(t *testing.T, seed uint64, entries, engines int, fences func(i int) bool) *world {
 	ctx, cancel := context.WithCancel(t.Context())
 	w := &world{
 		t: t, ctx: ctx, network: standin.NewNetwork(), log: standin.NewLogService(),
@@ -84,7 +85,7 @@
 		w.addNode(fmt.Sprintf("e%02d", i), fences(i))
 	}
 	for i := range entries {
-		w.addEntry(fmt.Sprintf("entry-%d", i), uint64(i))
+		w.addEntry(fmt.Sprintf("entry-%d", i), 100*seed+uint64(i))
 	}
 	w.publish(func(d *config.Document) { *d = *doc })
 	return w
@@ -132,7 +133,7 @@
 func (w *world) sync(ctx context.Context, id string, seed uint64) *configsync.Sync {
 	transport := &http.Transport{DialContext: w.network.Dialer(id), DisableKeepAlives: true}
 	s := configsync.New(configsync.Options{
-		Log:    platform.NewLog("http://log", &http.Client{Transport: transport}),
+		Log:    countedLog{platform.NewLog("http://log", &http.Client{Transport: transport}), &w.tried},
 		Random: rand.New(rand.NewPCG(seed, 9)), Logger: w.logger,
 	})
 	go s.Run(ctx)
@@ -224,6 +225,17 @@
 	return err
 }
 
+// countedLog counts the records that were sent to the log.
+type countedLog struct {
+	*platform.Log
+	tried *atomic.Int64
+}
+
+func (c countedLog) Append(ctx context.Context, stream string, data []byte) (int64, error) {
+	c.tried.Add(1)
+	return c.Log.Append(ctx, stream, data)
+}
+
 func (w *world) instances() []entry.Instance {
 	var list []entry.Instance
 	for _, n := range w.nodes {
