--- a/plans/measure_test.go
+++ b/plans/measure_test.go
@@ -9,7 +9,8 @@
 )
 
 // TestMeasureReplanning prints the times from a loss to the new plan in force
-// for docs/measurements-plans.md. The clock is fake, so each seed repeats exactly.
+// for docs/measurements-plans.md. The clock is fake. Only the pauses before a
+// new connection are random beside the seed.
 func TestMeasureReplanning(t *testing.T) {
 	if os.Getenv("MEASURE") == "" {
 		t.Skip("set MEASURE=1 to print the times of docs/measurements-plans.md")
