--- a/entry/peer.go
+++ b/entry/peer.go
@@ -69,6 +69,8 @@
 	address string
 	zone    string
 	leaving bool
+	// tried is set once an attempt to connect has ended.
+	tried   bool
 	queue   *link.Queue[*wire.WorkUp]
 	hello   *wire.Hello
 	load    *wire.Load
@@ -98,6 +100,7 @@
 		began := time.Now()
 		err := p.drive(ctx)
 		p.disconnected(ctx, err)
+		p.setTried()
 		if time.Since(began) > reconnectMax {
 			pause = reconnectMin
 		}
@@ -199,7 +202,7 @@
 	p.answered()
 	switch body := frame.Body.(type) {
 	case *wire.WorkDown_Hello:
-		p.connected(body.Hello, queue)
+		p.greeted(body.Hello, queue)
 	case *wire.WorkDown_Heartbeat:
 		p.beatAnswered(body.Heartbeat.Sequence, time.Now())
 	case *wire.WorkDown_Load:
