--- /dev/null
+++ b/cmd/sapphired/main.go
@@ -0,0 +1,46 @@
+// Command sapphired is the daemon: an entry or a sidecar, as its settings say.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sapphirefield/sapphirefield/daemon"
+	"github.com/sapphirefield/sapphirefield/settings"
+)
+
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+func main() { os.Exit(run(os.Args[1:], os.Environ(), os.Stdout, os.Stderr)) }
+
+// run returns the exit code of the process.
+func run(args, environ []string, stdout, stderr io.Writer) int {
+	s, err := settings.Load(args, environ)
+	switch {
+	case errors.Is(err, flag.ErrHelp):
+		fmt.Fprint(stdout, settings.Usage())
+		return 0
+	case err != nil:
+		fmt.Fprintln(stderr, err)
+		return exitSettings
+	case s.CheckOnly:
+		fmt.Fprintln(stdout, "settings are valid")
+		return 0
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	if err := daemon.Run(context.Background(), s, daemon.Options{Logs: stderr, Signals: signals}); err != nil {
+		fmt.Fprintln(stderr, "sapphired:", err)
+		return exitFailed
+	}
+	return 0
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,6 +16,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/sapphirefield/sapphirefield/attempt"
+	"github.com/sapphirefield/sapphirefield/burn"
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/link"
 	"github.com/sapphirefield/sapphirefield/logevent"
@@ -37,6 +38,8 @@
 	// Trace sees each frame to and from a sidecar; one of them is nil. Tests
 	// record sessions with it.
 	Trace func(peer string, up *wire.WorkUp, down *wire.WorkDown)
+	// Observe counts an event for the service-level objectives; nil counts nothing.
+	Observe func(now time.Time, sample burn.Sample)
 	// Watched bounds the sidecars of each service that the entry is connected to.
 	Watched int
 	// MaxBodyBytes bounds a request's body.
@@ -57,6 +60,7 @@
 	incarnation string
 	peers       *peerSet
 	members     *members
+	retries     *retries
 	models      *modelSet
 	admitter    *admitter
 	claims      *claims
@@ -82,6 +86,9 @@
 	if opts.RequestTimeout == 0 {
 		opts.RequestTimeout = defaultRequestTimeout
 	}
+	if opts.Observe == nil {
+		opts.Observe = func(time.Time, burn.Sample) {}
+	}
 	if opts.Metrics == nil {
 		opts.Metrics = metrics.NewRegistry()
 	}
@@ -93,6 +100,7 @@
 	}
 	s.models = newModelSet()
 	s.members = newMembers()
+	s.retries = newRetries()
 	s.admitter = newAdmitter(uint64(now().UnixNano()))
 	s.peers = newPeerSet(ctx, s)
 	if opts.Claims != nil {
@@ -205,10 +213,10 @@
 	return s.draining
 }
 
-// Ready tells whether the entry has a configuration, reaches a backend server
-// and is not draining.
+// Ready tells whether the entry has a configuration, has tried every sidecar,
+// reaches one of them and is not draining.
 func (s *Server) Ready() bool {
-	return s.opts.Config() != nil && !s.Draining() && s.peers.connected() > 0
+	return s.opts.Config() != nil && !s.Draining() && s.peers.settled() && s.peers.connected() > 0
 }
 
 // meters are the entry's metrics.
@@ -239,3 +247,9 @@
 
 // Recoveries counts the stages that were lost while a request used them.
 func (s *Server) Recoveries() int64 { return s.meters.recoveries.Count() }
+
+// Incarnation names this start of the process.
+func (s *Server) Incarnation() string { return s.incarnation }
+
+// ConfigChanged tells that another configuration or plan is in force.
+func (s *Server) ConfigChanged() { s.peersChanged() }
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -69,6 +69,8 @@
 	address string
 	zone    string
 	leaving bool
+	// tried is set once an attempt to connect has ended.
+	tried   bool
 	queue   *link.Queue[*wire.WorkUp]
 	hello   *wire.Hello
 	load    *wire.Load
@@ -98,6 +100,7 @@
 		began := time.Now()
 		err := p.drive(ctx)
 		p.disconnected(ctx, err)
+		p.setTried()
 		if time.Since(began) > reconnectMax {
 			pause = reconnectMin
 		}
@@ -119,7 +122,7 @@
 	p.mu.Lock()
 	p.drop = drop
 	p.mu.Unlock()
-	conn, err := p.server.opts.Dialer.Dial(ctx, address)
+	conn, err := p.server.opts.Dialer.Dial(ctx, p.id, address)
 	if err != nil {
 		return err
 	}
@@ -232,7 +235,7 @@
 
 func (p *peer) loaded(load *wire.Load) {
 	p.mu.Lock()
-	changed := p.load == nil || p.load.Draining != load.Draining || p.load.EngineUp != load.EngineUp
+	changed := p.load == nil || p.load.Draining != load.Draining || p.load.EngineUp != load.EngineUp || p.load.Entries != load.Entries
 	p.load = load
 	hello := p.hello
 	p.mu.Unlock()
@@ -427,3 +430,17 @@
 		return attempt.Key{}
 	}
 }
+
+// entries is how many entries the sidecar has a stream to, as it last reported.
+func (p *peer) entries() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return int(p.load.GetEntries())
+}
+
+// running is the work in progress that the sidecar last reported.
+func (p *peer) running() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return int(p.load.GetRunning())
+}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"math/rand/v2"
 	"sync"
 
 	"github.com/sapphirefield/sapphirefield/attempt"
@@ -18,6 +20,8 @@
 
 	mu   sync.Mutex
 	byID map[string]*peer
+	// started is set once every sidecar of the first list was tried.
+	started bool
 }
 
 func newPeerSet(ctx context.Context, server *Server) *peerSet {
@@ -98,14 +102,62 @@
 	return n
 }
 
+// settled tells whether every sidecar was tried since the entry's start. An
+// entry that is ready at its first connection would refuse prompts for want of
+// a whole chain.
+func (ps *peerSet) settled() bool {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	if ps.started {
+		return true
+	}
+	for _, p := range ps.byID {
+		if !p.isConnected() && !p.wasTried() {
+			return false
+		}
+	}
+	ps.started = len(ps.byID) > 0
+	return ps.started
+}
+
+func (p *peer) setTried() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tried = true
+}
+
+func (p *peer) wasTried() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tried
+}
+
 // otherZoneCost is what a call into another availability zone counts as much
 // as, in calls in progress.
 const otherZoneCost = 0.5
 
-// pick returns the usable server of a plain service with the least calls in
-// progress, in the entry's availability zone before others.
+// comparedLoads is among how many equal servers the reported load decides. More
+// would send the calls of all entries to the same server until its next report.
+const comparedLoads = 3
+
+// pick returns the usable server of a plain service with the least calls of
+// this entry in progress, in the entry's availability zone before others. Among
+// a few random ones of those that are equal, the least loaded is taken.
 func (ps *peerSet) pick(service string, exclude map[string]bool) *peer {
-	var best *peer
+	best := ps.leastCalls(service, exclude)
+	rand.Shuffle(len(best), func(i, j int) { best[i], best[j] = best[j], best[i] })
+	var chosen *peer
+	for _, p := range best[:min(len(best), comparedLoads)] {
+		if chosen == nil || p.running() < chosen.running() {
+			chosen = p
+		}
+	}
+	return chosen
+}
+
+// leastCalls returns the servers that share the lowest cost.
+func (ps *peerSet) leastCalls(service string, exclude map[string]bool) []*peer {
+	var best []*peer
 	var bestCost float64
 	weights := ps.server.members.candidates(service)
 	for _, p := range ps.all() {
@@ -117,8 +169,11 @@
 		if zone != ps.server.opts.Zone {
 			cost += otherZoneCost
 		}
-		if best == nil || cost < bestCost || cost == bestCost && p.id < best.id {
-			best, bestCost = p, cost
+		switch {
+		case len(best) == 0 || cost < bestCost:
+			best, bestCost = append(best[:0], p), cost
+		case cost == bestCost:
+			best = append(best, p)
 		}
 	}
 	return best
@@ -134,6 +189,8 @@
 type modelSet struct {
 	mu       sync.Mutex
 	choosers map[string]*pipeline.Chooser
+	// stages are those that the choosers know.
+	stages map[string][]pipeline.Stage
 }
 
 func newModelSet() *modelSet {
@@ -161,7 +218,9 @@
 	return c.Choose(req, exclude)
 }
 
-// resume repairs a chain that lost stages.
+// resume repairs a chain that lost stages. Other copies of the stages that
+// remain are left out first: the chooser may find one of them cheaper for new
+// work, but only the stage of the broken chain holds the request's KV cache.
 func (m *modelSet) resume(model string, broken pipeline.Broken) (pipeline.Resumption, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -169,7 +228,30 @@
 	if c == nil {
 		return pipeline.Resumption{}, pipeline.ErrNoChain
 	}
-	return pipeline.NewRecovery(c, pipeline.RecoveryOptions{}).Resume(broken)
+	recovery := pipeline.NewRecovery(c, pipeline.RecoveryOptions{})
+	narrow := broken
+	narrow.Lost = withoutRivals(broken, m.stages[model])
+	if resumption, err := recovery.Resume(narrow); err == nil {
+		return resumption, nil
+	}
+	return recovery.Resume(broken)
+}
+
+// withoutRivals adds to the lost instances those that hold layers of a stage
+// that remains.
+func withoutRivals(broken pipeline.Broken, stages []pipeline.Stage) map[string]bool {
+	lost := maps.Clone(broken.Lost)
+	for _, kept := range broken.Chain.Stages {
+		if broken.Lost[kept.Instance] {
+			continue
+		}
+		for _, s := range stages {
+			if s.Instance != kept.Instance && s.First < kept.Limit && kept.First < s.Limit {
+				lost[s.Instance] = true
+			}
+		}
+	}
+	return lost
 }
 
 func (m *modelSet) done(model string, chain pipeline.Chain) {
