entry: let a few entries watch all engines of a large model

Cause: an entry watches 64 sidecars of a service, while a model has 344 engines at the target size. No entry would have planned such a model, because a planner takes engines that it does not watch for lost.

Conclusion: planning no longer depends on the size of a model; the cost of the further connections is not measured.

--- a/entry/engines.go
+++ b/entry/engines.go
@@ -47,9 +47,6 @@
 	return engines
 }
 
-// Watched is how many engines of one model the entry is connected to at most.
-func (s *Server) Watched() int { return s.opts.Watched }
-
 // ofOneVersion keeps the stages of the version that new chains use: the one
 // that the configuration serves once its engines cover all layers, until then
 // the newest one that does.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -68,6 +68,7 @@
 	sequence    atomic.Uint64
 	unfinished  unfinished
 	indexed     atomic.Pointer[index]
+	planning    planning
 
 	mu         sync.Mutex
 	draining   bool
@@ -100,6 +101,7 @@
 	}
 	s.models = newModelSet()
 	s.members = newMembers()
+	s.planning.since = make(map[string]time.Time)
 	s.retries = newRetries()
 	s.admitter = newAdmitter(uint64(now().UnixNano()))
 	s.peers = newPeerSet(ctx, s)
--- a/entry/members.go
+++ b/entry/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"net"
 	"slices"
 	"strings"
@@ -51,12 +52,13 @@
 	for i, in := range list {
 		instances[i] = membership.Instance(in)
 	}
+	planned := s.plannedModels()
 	s.members.mu.Lock()
 	for _, in := range list {
 		s.members.services[in.Service] = true
 	}
 	report := s.members.view.ObserveList(now(), instances)
-	subset := s.members.subset(s.opts)
+	subset := s.members.subset(s.opts, planned)
 	s.members.mu.Unlock()
 	if report.Verdict == membership.ListDistrusted {
 		logevent.Write(s.opts.Logger, logevent.ListDistrusted).Str("id", s.opts.ID).
@@ -66,10 +68,14 @@
 }
 
 // subset returns the sidecars that this entry watches; the lock must be held.
-func (m *members) subset(opts Options) []Instance {
+func (m *members) subset(opts Options, planned map[string]bool) []Instance {
 	var watched []Instance
 	for service := range m.services {
-		for _, in := range m.view.Subset(now(), service, opts.ID, opts.Zone, opts.Watched) {
+		limit := opts.Watched
+		if planned[service] {
+			limit = math.MaxInt32
+		}
+		for _, in := range m.view.Subset(now(), service, opts.ID, opts.Zone, limit) {
 			watched = append(watched, Instance(in))
 		}
 	}
--- a/plans/driver.go
+++ b/plans/driver.go
@@ -47,16 +47,16 @@
 	ProposePlan(ctx context.Context, model string, base int64, data []byte) error
 }
 
-// Options describe a Driver. All members but Placement and Watched are required.
+// Options describe a Driver. All members but Placement and WatchesAll are required.
 type Options struct {
 	Source Source
 	// Engines returns the live engines of all models that take orders.
 	Engines func() []Engine
-	// Watched is how many engines of one model Engines can name at most; 0 means
-	// all. A model with more engines gets no plans from this entry, which would
-	// take those that it doesn't watch for lost.
-	Watched   int
-	Placement placement.Options
+	// WatchesAll tells whether Engines names all live engines of a model with a
+	// number of configured ones; nil means always. Otherwise this entry makes no
+	// plans for the model, because it would take engines for lost.
+	WatchesAll func(model string, configured int) bool
+	Placement  placement.Options
 	// Random spreads the proposals of entries. Only Run uses it.
 	Random *rand.Rand
 	Logger *log.Logger
@@ -118,7 +118,7 @@
 
 func (d *Driver) decideModel(ctx context.Context, doc *config.Document, model *config.Model, engines []Engine) {
 	in, configured := input(doc, model, engines)
-	if len(in.Fleet.Engines) == 0 || d.opts.Watched > 0 && configured > d.opts.Watched {
+	if len(in.Fleet.Engines) == 0 || d.opts.WatchesAll != nil && !d.opts.WatchesAll(model.Name, configured) {
 		return
 	}
 	in.Options = d.opts.Placement
--- a/plans/plans_test.go
+++ b/plans/plans_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/sapphirefield/sapphirefield/config"
+	"github.com/sapphirefield/sapphirefield/entry"
 )
 
 func all(int) bool    { return true }
@@ -113,3 +114,16 @@
 		w.wait("plan after the outage", time.Minute, func() bool { _, now := w.directive(0); return now > before })
 	})
 }
+
+// Guards a model with more engines than an entry watches: an entry that sees a
+// part of them must not take the others for lost.
+func TestEntryThatWatchesAPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, 2, 8, all, func(o *entry.Options) { o.Watched = 4 })
+		w.wait("first placement", time.Minute, func() bool { return w.settled("1") })
+		time.Sleep(time.Minute)
+		assert.Equal(t, w.appends.Load(), int64(1), "plans follow without a loss")
+		d, _ := w.directive(0)
+		assert.Equal(t, len(d.Wanted), 8)
+	})
+}
--- a/plans/world_test.go
+++ b/plans/world_test.go
@@ -68,7 +68,7 @@
 
 // newWorld starts entries and engines, of which those that fences accepts check
 // fencing numbers. The seed decides when the entries propose.
-func newWorld(t *testing.T, seed uint64, entries, engines int, fences func(i int) bool) *world {
+func newWorld(t *testing.T, seed uint64, entries, engines int, fences func(i int) bool, tune ...func(*entry.Options)) *world {
 	ctx, cancel := context.WithCancel(t.Context())
 	w := &world{
 		t: t, ctx: ctx, network: standin.NewNetwork(), log: standin.NewLogService(),
@@ -85,7 +85,7 @@
 		w.addNode(fmt.Sprintf("e%02d", i), fences(i))
 	}
 	for i := range entries {
-		w.addEntry(fmt.Sprintf("entry-%d", i), 100*seed+uint64(i))
+		w.addEntry(fmt.Sprintf("entry-%d", i), 100*seed+uint64(i), tune)
 	}
 	w.publish(func(d *config.Document) { *d = *doc })
 	return w
@@ -161,10 +161,10 @@
 	go func() { _ = driver.Run(ctx) }()
 }
 
-func (w *world) addEntry(id string, seed uint64) {
+func (w *world) addEntry(id string, seed uint64, tune []func(*entry.Options)) {
 	s := w.sync(w.ctx, id, seed)
 	w.syncs = append(w.syncs, s)
-	e := entry.New(w.ctx, entry.Options{
+	options := entry.Options{
 		Trace: w.checkVersion(),
 		ID:    id, Zone: zone, Logger: w.logger, Dialer: link.Dialer{DialContext: w.network.Dialer(id)},
 		Config: func() *config.Document {
@@ -173,7 +173,11 @@
 			}
 			return nil
 		},
-	})
+	}
+	for _, change := range tune {
+		change(&options)
+	}
+	e := entry.New(w.ctx, options)
 	w.entries = append(w.entries, e)
 	w.serve(w.ctx, id, e.Handler())
 	go func() {
@@ -183,7 +187,7 @@
 		}
 	}()
 	driver := plans.New(plans.Options{
-		Source: counted{s, &w.appends}, Engines: e.Engines, Watched: e.Watched(), Random: rand.New(rand.NewPCG(seed, 7)), Logger: w.logger,
+		Source: counted{s, &w.appends}, Engines: e.Engines, WatchesAll: e.WatchesAll, Random: rand.New(rand.NewPCG(seed, 7)), Logger: w.logger,
 	})
 	go func() { _ = driver.Run(w.ctx) }()
 }
