entry: keep an answer on its version

Cause: once the new version covered all layers, an answer whose engine was taken for the rollout went on with the new version although the old one was still whole.

Change: the entry keeps a chooser for each model and version. An answer that has tokens prefers its version and goes on with the serving one only when its own is not whole any more.

Conclusion: done; at the end of a rollout the answers on the last engines of the old version can still change.

--- a/entry/chain.go
+++ b/entry/chain.go
@@ -38,6 +38,8 @@
 
 	request *attempt.Request
 	tokens  []*wire.TokenValue
+	// version is the model's version that gave the first token.
+	version string
 	exclude map[string]bool
 	// planned is a chain that was chosen ahead for the next attempt.
 	planned *plannedChain
@@ -74,6 +76,9 @@
 		}
 		g.releaseHeld(chain)
 		refused = g.runAttempt(ctx, chain)
+		if len(g.tokens) > 0 && g.version == "" {
+			g.version = chain.Version()
+		}
 		if refused != nil || g.finish != "" {
 			return refused
 		}
@@ -110,7 +115,7 @@
 	if g.planRepair() {
 		return true
 	}
-	chain, err := g.server.models.choose(g.model, g.chainRequest(), g.exclude)
+	chain, err := g.server.models.choose(g.model, g.version, g.chainRequest(), g.exclude)
 	if err != nil {
 		return false
 	}
--- a/entry/engines.go
+++ b/entry/engines.go
@@ -47,12 +47,40 @@
 	return engines
 }
 
-// ofOneVersion keeps the stages of the version that new chains use: the one
-// that the configuration serves once its engines cover all layers, until then
-// the newest one that does.
-func ofOneVersion(model *config.Model, stages []pipeline.Stage) []pipeline.Stage {
+// updateModel gives each version's chooser its engines; the lock must be held.
+func (m *modelSet) updateModel(model *config.Model, stages []pipeline.Stage) {
+	m.serving[model.Name] = versionInUse(model, stages)
+	choosers := m.choosers[model.Name]
+	if choosers == nil {
+		choosers = make(map[string]*pipeline.Chooser)
+		m.choosers[model.Name] = choosers
+	}
+	for _, s := range stages {
+		if choosers[s.Version] == nil {
+			choosers[s.Version] = pipeline.NewChooser(pipeline.Options{Layers: model.Layers, ActivationBytes: model.ActivationBytes})
+		}
+	}
+	for version, c := range choosers {
+		c.Update(0, ofVersion(stages, version))
+	}
+}
+
+func ofVersion(stages []pipeline.Stage, version string) []pipeline.Stage {
+	var list []pipeline.Stage
+	for _, s := range stages {
+		if s.Version == version {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// versionInUse is the version that new requests use: the one that the
+// configuration serves once its engines cover all layers, until then the newest
+// one that does.
+func versionInUse(model *config.Model, stages []pipeline.Stage) string {
 	if model == nil {
-		return stages
+		return ""
 	}
 	var fleet []order.Holder
 	for _, s := range stages {
@@ -60,14 +88,12 @@
 			ID: s.Instance, Version: s.Version, Layers: order.LayerRange{First: s.First, Limit: s.Limit},
 		})
 	}
-	chosen := model.Serving
 	for _, version := range preferred(model, stages) {
 		if order.Chains(fleet, version, model.Layers) > 0 {
-			chosen = version
-			break
+			return version
 		}
 	}
-	return slices.DeleteFunc(stages, func(s pipeline.Stage) bool { return s.Version != chosen })
+	return model.Serving
 }
 
 // preferred lists the versions in the order in which entries use them. Engines
--- a/entry/members.go
+++ b/entry/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"math"
 	"net"
 	"slices"
@@ -150,9 +151,8 @@
 		})
 	}
 	// The chooser breaks ties by order, which must not depend on the map's.
-	for model, list := range stages {
+	for _, list := range stages {
 		slices.SortFunc(list, func(a, b pipeline.Stage) int { return strings.Compare(a.Instance, b.Instance) })
-		stages[model] = ofOneVersion(x.models[model], list)
 	}
 	return stages
 }
@@ -161,14 +161,8 @@
 func (m *modelSet) updateStages(doc *config.Document, stages map[string][]pipeline.Stage) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.stages = stages
+	m.stages = maps.Clone(stages)
 	for i := range doc.Models {
-		model := &doc.Models[i]
-		c := m.choosers[model.Name]
-		if c == nil {
-			c = pipeline.NewChooser(pipeline.Options{Layers: model.Layers, ActivationBytes: model.ActivationBytes})
-			m.choosers[model.Name] = c
-		}
-		c.Update(0, stages[model.Name])
+		m.updateModel(&doc.Models[i], stages[doc.Models[i].Name])
 	}
 }
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -187,20 +187,23 @@
 
 // modelSet holds one chooser for each model.
 type modelSet struct {
-	mu       sync.Mutex
-	choosers map[string]*pipeline.Chooser
+	mu sync.Mutex
+	// choosers are by model and version.
+	choosers map[string]map[string]*pipeline.Chooser
+	// serving is the version of each model that new requests use.
+	serving map[string]string
 	// stages are those that the choosers know.
 	stages map[string][]pipeline.Stage
 }
 
 func newModelSet() *modelSet {
-	return &modelSet{choosers: make(map[string]*pipeline.Chooser)}
+	return &modelSet{choosers: make(map[string]map[string]*pipeline.Chooser), serving: make(map[string]string)}
 }
 
 func (m *modelSet) observe(model, instance string, load *wire.Load) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if c := m.choosers[model]; c != nil {
+	for _, c := range m.choosers[model] {
 		c.Observe(pipeline.Load{
 			Instance: instance, At: now(), Running: int(load.Running), Queued: int(load.Queued),
 			Draining: load.Draining, Down: !load.EngineUp,
@@ -208,10 +211,17 @@
 	}
 }
 
-func (m *modelSet) choose(model string, req pipeline.Request, exclude map[string]bool) (pipeline.Chain, error) {
+// choose prefers the version with which an answer has begun. When its engines
+// are gone the answer goes on with another version rather than fail.
+func (m *modelSet) choose(model, begun string, req pipeline.Request, exclude map[string]bool) (pipeline.Chain, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c := m.choosers[model]
+	if c := m.choosers[model][begun]; c != nil {
+		if chain, err := c.Choose(req, exclude); err == nil {
+			return chain, nil
+		}
+	}
+	c := m.choosers[model][m.serving[model]]
 	if c == nil {
 		return pipeline.Chain{}, pipeline.ErrNoChain
 	}
@@ -224,7 +234,7 @@
 func (m *modelSet) resume(model string, broken pipeline.Broken) (pipeline.Resumption, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c := m.choosers[model]
+	c := m.choosers[model][broken.Chain.Version()]
 	if c == nil {
 		return pipeline.Resumption{}, pipeline.ErrNoChain
 	}
@@ -257,7 +267,7 @@
 func (m *modelSet) done(model string, chain pipeline.Chain) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if c := m.choosers[model]; c != nil {
+	if c := m.choosers[model][chain.Version()]; c != nil {
 		c.Done(chain)
 	}
 }
@@ -273,5 +283,8 @@
 	}
 	stages := s.stages(x)
 	s.models.updateStages(x.doc, stages)
+	for model, list := range stages {
+		stages[model] = ofVersion(list, versionInUse(x.models[model], list))
+	}
 	s.updateCapacity(x.doc, stages)
 }
--- a/entry/stagerun.go
+++ b/entry/stagerun.go
@@ -119,7 +119,7 @@
 	return func(incarnation string) *wire.WorkUp {
 		return &wire.WorkUp{Body: &wire.WorkUp_Open{Open: &wire.Open{
 			Request: r.ex.key.Request, Attempt: r.ex.key.Number, Incarnation: incarnation,
-			PlanRevision: chain.Revision, Chain: stages, KeepsFrom: chain.keepsFrom, Position: position, Model: r.g.model, Version: chain.Stages[0].Version, Priority: r.g.priority,
+			PlanRevision: chain.Revision, Chain: stages, KeepsFrom: chain.keepsFrom, Position: position, Model: r.g.model, Version: chain.Version(), Priority: r.g.priority,
 			FirstIndex: uint32(len(r.g.tokens)), MaxTokens: r.g.maxTokens, Parameters: r.g.parameters,
 		}}}
 	}
--- a/pipeline/chooser.go
+++ b/pipeline/chooser.go
@@ -229,7 +229,7 @@
 	pool := c.withKept(broken, lost)
 	s := c.newSearch(req, len(pool))
 	for _, m := range pool {
-		if lost[m.Instance] || m.Version != broken.version() {
+		if lost[m.Instance] || m.Version != broken.Version() {
 			continue
 		}
 		if broken.holds(m.Stage) {
--- a/pipeline/stage.go
+++ b/pipeline/stage.go
@@ -51,8 +51,8 @@
 	return nil
 }
 
-// version is the model's version that the chain's stages serve.
-func (c Chain) version() string {
+// Version is the model's version that the chain's stages serve.
+func (c Chain) Version() string {
 	if len(c.Stages) == 0 {
 		return ""
 	}
--- a/plans/plans_test.go
+++ b/plans/plans_test.go
@@ -90,7 +90,7 @@
 			t.Log("version", version, "after", w.wait("rollout", 5*time.Minute, func() bool { return w.settled(version) }))
 		}
 		exact, failed := stop()
-		t.Log("exact answers", exact, "recoveries", w.entries[0].Recoveries())
+		t.Log("exact answers", exact, "recoveries", w.entries[0].Recoveries(), "changes of version", w.switched.Load())
 		assert.Equal(t, len(failed), 0, "%v", failed)
 		assert.Equal(t, w.mixed.Load(), int64(0), "an engine of another version took part in a chain")
 	})
--- a/plans/world_test.go
+++ b/plans/world_test.go
@@ -58,6 +58,8 @@
 	appends, tried atomic.Int64
 	// mixed counts the attempts at engines of another version than the chain's.
 	mixed atomic.Int64
+	// switched counts the changes of version between two attempts of a request.
+	switched atomic.Int64
 }
 
 type node struct {
@@ -202,6 +204,10 @@
 		defer mu.Unlock()
 		if open := up.GetOpen(); open != nil {
 			versions[name(open.Request, open.Attempt)] = open.Version
+			if before := versions[open.Request]; before != "" && before != open.Version {
+				w.switched.Add(1)
+			}
+			versions[open.Request] = open.Version
 		}
 		opened := down.GetOpened()
 		if opened == nil {
