--- a/demo/bench_path_test.go
+++ b/demo/bench_path_test.go
@@ -21,6 +21,7 @@
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/entry"
 	"github.com/sapphirefield/sapphirefield/link"
+	"github.com/sapphirefield/sapphirefield/standin"
 	"github.com/sapphirefield/sapphirefield/wire"
 )
 
@@ -185,97 +186,6 @@
 	return steps
 }
 
-// fakeSidecar gives tokens as fast as its stream takes them, one for each open
-// request in a frame, as an iteration of an engine does.
-type fakeSidecar struct {
-	wire.DRPCSidecarUnimplementedServer
-	// hold stops each request after its first token.
-	hold bool
-}
-
-type fakeRequest struct {
-	request string
-	next    uint32
-	limit   uint32
-}
-
-func (f *fakeSidecar) Work(stream wire.DRPCSidecar_WorkStream) error {
-	var mu sync.Mutex
-	active := make(map[string]*fakeRequest)
-	work := make(chan struct{}, 1)
-	ctx, cancel := context.WithCancel(stream.Context())
-	defer cancel()
-	go func() {
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-work:
-			}
-			for f.iterate(&mu, active, stream) {
-			}
-		}
-	}()
-	for {
-		frame, err := stream.Recv()
-		if err != nil {
-			return err
-		}
-		var answer *wire.WorkDown
-		switch body := frame.Body.(type) {
-		case *wire.WorkUp_Hello:
-			answer = &wire.WorkDown{Body: &wire.WorkDown_Hello{Hello: &wire.Hello{
-				Id: "engine-0a", Incarnation: "fake", Model: Model, Layers: &wire.LayerRange{Limit: Layers},
-			}}}
-		case *wire.WorkUp_Heartbeat:
-			answer = &wire.WorkDown{Body: &wire.WorkDown_Heartbeat{Heartbeat: body.Heartbeat}}
-		case *wire.WorkUp_Probe:
-			answer = &wire.WorkDown{Body: &wire.WorkDown_Progress{Progress: &wire.Progress{
-				Request: body.Probe.Request, Attempt: 1, Sequence: body.Probe.Sequence, Known: true, Busy: true,
-			}}}
-		case *wire.WorkUp_Open:
-			answer = &wire.WorkDown{Body: &wire.WorkDown_Opened{Opened: &wire.Opened{Request: body.Open.Request, Attempt: 1}}}
-		case *wire.WorkUp_Start:
-			mu.Lock()
-			active[body.Start.Request] = &fakeRequest{request: body.Start.Request, limit: body.Start.MaxTokens}
-			mu.Unlock()
-			select {
-			case work <- struct{}{}:
-			default:
-			}
-		}
-		if answer != nil {
-			if err := stream.Send(answer); err != nil {
-				return err
-			}
-		}
-	}
-}
-
-// iterate sends one frame and returns whether requests are left.
-func (f *fakeSidecar) iterate(mu *sync.Mutex, active map[string]*fakeRequest, stream wire.DRPCSidecar_WorkStream) bool {
-	tokens := &wire.Tokens{}
-	mu.Lock()
-	for _, r := range active {
-		token := &wire.Token{Request: r.request, Attempt: 1, Index: r.next, Value: fakeToken}
-		r.next++
-		if r.next == r.limit {
-			token.Finish = "length"
-		}
-		if r.next == r.limit || f.hold {
-			delete(active, r.request)
-		}
-		tokens.Tokens = append(tokens.Tokens, token)
-	}
-	mu.Unlock()
-	if len(tokens.Tokens) == 0 {
-		return false
-	}
-	return stream.Send(&wire.WorkDown{Body: &wire.WorkDown_Tokens{Tokens: tokens}}) == nil
-}
-
-var fakeToken = &wire.TokenValue{Id: 7, Text: " billet"}
-
 // fakePath is an entry in front of a fake sidecar.
 func fakePath(b *testing.B, hold bool) (server *entry.Server, stop func()) {
 	b.Helper()
@@ -283,7 +193,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(b, err)
 	mux := drpcmux.New()
-	assert.NilError(b, wire.DRPCRegisterSidecar(mux, &fakeSidecar{hold: hold}))
+	assert.NilError(b, wire.DRPCRegisterSidecar(mux, &standin.FastSidecar{ID: "engine-0a", Model: Model, Layers: Layers, Hold: hold}))
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = link.Serve(ctx, listener, nil, mux) })
 	doc := document(ClusterOptions{Stages: 1, Copies: 1})
@@ -341,48 +251,6 @@
 	}
 }
 
-const eventLine = `data: {"id":"cmpl-0011223344556677-00000001","object":"text_completion","created":1700000000,"model":"sapphire-llm","choices":[{"index":0,"text":" billet","finish_reason":null}]}` + "\n\n"
-
-// forwarder passes requests on to a backend that gives the same events.
-func forwarder(b *testing.B, client *http.Client, backend string) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		req, err := http.NewRequestWithContext(r.Context(), r.Method, backend, r.Body)
-		if err != nil {
-			b.Error(err)
-			return
-		}
-		req.ContentLength = r.ContentLength
-		resp, err := client.Do(req)
-		if err != nil {
-			return
-		}
-		defer func() { _ = resp.Body.Close() }()
-		w.Header().Set("Content-Type", resp.Header.Get("Content-Type"))
-		control := http.NewResponseController(w)
-		buffer := make([]byte, 4096)
-		for {
-			n, err := resp.Body.Read(buffer)
-			_, _ = w.Write(buffer[:n])
-			_ = control.Flush()
-			if err != nil {
-				return
-			}
-		}
-	})
-}
-
-func eventBackend(tokens int) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(io.Discard, r.Body)
-		w.Header().Set("Content-Type", "text/event-stream")
-		control := http.NewResponseController(w)
-		for range tokens {
-			_, _ = io.WriteString(w, eventLine)
-			_ = control.Flush()
-		}
-	})
-}
-
 // serveBench serves a handler on loopback.
 func serveBench(b *testing.B, handler http.Handler) (url string, stop func()) {
 	b.Helper()
@@ -406,11 +274,11 @@
 		loadPath(b, url, tokens)
 	})
 	b.Run("forwarder", func(b *testing.B) {
-		backend, stopBackend := serveBench(b, eventBackend(tokens))
+		backend, stopBackend := serveBench(b, standin.EventBackend(tokens))
 		defer stopBackend()
 		transport := &http.Transport{MaxIdleConnsPerHost: 64}
 		defer transport.CloseIdleConnections()
-		url, stop := serveBench(b, forwarder(b, &http.Client{Transport: transport}, backend))
+		url, stop := serveBench(b, standin.Forwarder(&http.Client{Transport: transport}, backend))
 		defer stop()
 		loadPath(b, url, tokens)
 	})
@@ -464,10 +332,13 @@
 		}
 	})
 	b.Run("forwarder", func(b *testing.B) {
-		backend, stopBackend := holdingBackend(b)
-		defer stopBackend()
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(b, err)
+		defer func() { _ = listener.Close() }()
+		go standin.ServeHeldEvents(listener)
+		backend := "http://" + listener.Addr().String()
 		transport := &http.Transport{}
-		url, stop := serveBench(b, forwarder(b, &http.Client{Transport: transport}, backend))
+		url, stop := serveBench(b, standin.Forwarder(&http.Client{Transport: transport}, backend))
 		defer stop()
 		for range b.N {
 			b.ReportMetric(memoryOf(b, url, streams), "bytes/stream")
@@ -475,27 +346,6 @@
 	})
 }
 
-// holdingBackend answers each connection with one event and keeps it open
-// without a goroutine.
-func holdingBackend(b *testing.B) (url string, stop func()) {
-	b.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(b, err)
-	go func() {
-		buffer := make([]byte, 4096)
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = conn.Read(buffer)
-			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(eventLine), eventLine)
-			b.Cleanup(func() { _ = conn.Close() })
-		}
-	}()
-	return "http://" + listener.Addr().String(), func() { _ = listener.Close() }
-}
-
 // memoryOf opens streams and returns what each takes in this process.
 func memoryOf(b *testing.B, url string, streams int) float64 {
 	b.Helper()
