Let draining stages go on in a repaired chain; replace suspect connections

Cause: a stage that drains refused the next attempt of a request that it served, so that the loss of another stage cost a replay of the whole chain, or found no chain at all. A connection on which a probe stayed unanswered was replaced after 3 s even when its sidecar was the only copy left and new connections worked.

Change: Ledger.Continue accepts the next attempt of a request in progress while draining; the sidecar uses it for stages that keep their state. A sidecar that left a probe unanswered and sends nothing for 1.25 s, more than the interval of its load reports, gets a new connection.

--- a/attempt/attempt_test.go
+++ b/attempt/attempt_test.go
@@ -44,6 +44,21 @@
 	assert.Equal(t, l.Open(Key{"new", 1}, "inc"), RefusalDraining)
 }
 
+// Guards R5 and R6 together: a draining sidecar goes on with a request that is
+// in progress and takes no other.
+func TestContinueWhileDraining(t *testing.T) {
+	l := NewLedger("inc")
+	l.Open(Key{"r", 1}, "inc")
+	l.Open(Key{"done", 1}, "inc")
+	l.Finish(Key{"done", 1}, start)
+	l.Drain()
+	assert.Equal(t, l.Open(Key{"r", 2}, "inc"), RefusalDraining)
+	assert.Equal(t, l.Continue(Key{"r", 2}, "inc"), RefusalNone)
+	assert.Equal(t, l.Continue(Key{"r", 1}, "inc"), RefusalStaleAttempt)
+	assert.Equal(t, l.Continue(Key{"done", 2}, "inc"), RefusalDraining)
+	assert.Equal(t, l.Continue(Key{"new", 1}, "inc"), RefusalDraining)
+}
+
 // Guards against unbounded growth: ended attempts are forgotten, open ones are not.
 func TestLedgerExpire(t *testing.T) {
 	l := NewLedger("inc")
--- a/attempt/ledger.go
+++ b/attempt/ledger.go
@@ -83,8 +83,9 @@
 	return &Ledger{incarnation: incarnation, records: make(map[string]*record)}
 }
 
-// Drain makes the ledger refuse all new requests. New attempts of requests
-// that are already open are refused too: their caller can use another instance.
+// Drain makes the ledger refuse all new requests. New attempts of requests that
+// are already open are refused too, except by Continue: a request whose state
+// here is of no use any more can go to another instance.
 func (l *Ledger) Drain() { l.draining = true }
 
 // Draining tells whether the ledger refuses new requests.
@@ -92,6 +93,19 @@
 
 // Open offers an attempt that was addressed to the given incarnation.
 func (l *Ledger) Open(key Key, incarnation string) Refusal {
+	return l.open(key, incarnation, l.draining)
+}
+
+// Continue offers the next attempt of a request whose state here goes on. While
+// draining it is accepted as long as the request is in progress, because a
+// graceful shutdown cuts off nothing that is in progress.
+func (l *Ledger) Continue(key Key, incarnation string) Refusal {
+	known := l.records[key.Request]
+	inProgress := known != nil && (known.state == stateOpened || known.state == stateRunning)
+	return l.open(key, incarnation, l.draining && !inProgress)
+}
+
+func (l *Ledger) open(key Key, incarnation string, draining bool) Refusal {
 	if incarnation != l.incarnation {
 		return RefusalStaleIncarnation
 	}
@@ -101,7 +115,7 @@
 			return refusal
 		}
 	}
-	if l.draining {
+	if draining {
 		return RefusalDraining
 	}
 	if known != nil && known.state == stateRunning {
--- a/demo/keep_test.go
+++ b/demo/keep_test.go
@@ -92,3 +92,27 @@
 		}
 	})
 }
+
+// Guards R6 for a stage that drains: it goes on serving its request also when
+// another stage of the chain has to be replaced.
+func TestDrainingStageServesRepairedChain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		opts := ClusterOptions{Stages: 2, Copies: 2, StepTime: 2 * time.Millisecond}
+		cluster, client := testCluster(t, opts)
+		var draining *Node
+		answer, err := complete(t.Context(), client, testPrompt, func(n int) {
+			if n != hangAt {
+				return
+			}
+			draining = cluster.Node(cluster.BusiestEngine(0))
+			draining.Sidecar.Drain()
+			lost := cluster.Node(cluster.BusiestEngine(1))
+			time.AfterFunc(opts.StepTime/2, lost.Kill)
+		})
+		assert.NilError(t, err)
+		again := cluster.layerRuns() - int64(Layers*answer.Tokens)
+		assert.Assert(t, again <= Layers/2*(hangAt+1), "%d layers ran again", again)
+		synctest.Wait()
+		assert.Assert(t, isClosed(draining.Sidecar.Drained()))
+	})
+}
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -291,10 +291,15 @@
 	p.silent = true
 	p.mu.Unlock()
 	if changed {
+		time.AfterFunc(suspectLimit, p.redial)
 		p.server.peersChanged()
 	}
 }
 
+// suspectLimit is how long a sidecar that left a question unanswered may send
+// nothing before its connection is replaced. It sends its load every second.
+const suspectLimit = link.HeartbeatInterval * 5 / 4
+
 // redial replaces a connection on which questions stay unanswered.
 func (p *peer) redial() {
 	p.mu.Lock()
--- a/sidecar/stage.go
+++ b/sidecar/stage.go
@@ -66,7 +66,11 @@
 			return
 		}
 	}
-	refusal := s.ledger.Open(key, open.Incarnation)
+	offer := s.ledger.Open
+	if keeps(open) {
+		offer = s.ledger.Continue
+	}
+	refusal := offer(key, open.Incarnation)
 	if refusal == attempt.RefusalDuplicate {
 		return
 	}
