experiment/control: spread sidecars over nine models; read the list at 1 KB/s

Cause: the effect of slower idle heartbeats shows only with more streams than one model's subset, and the list took half of an entry's bytes.

Change: the engines serve nine models; the instance list is read for at most 1 KB/s.

--- a/daemon/process.go
+++ b/daemon/process.go
@@ -33,7 +33,7 @@
 	listPollSidecar = 30 * time.Second
 	// listBytesPerSecond bounds what reading the list costs: a long list is read
 	// less often. It lags anyway, and direct evidence is faster.
-	listBytesPerSecond = 2048
+	listBytesPerSecond = 1024
 	// burnInterval is the width of the finest buckets of the burn report.
 	burnInterval = 10 * time.Second
 	// keyPoll is how often the files with TLS keys are looked at.
--- a/experiment/control/processes.go
+++ b/experiment/control/processes.go
@@ -55,6 +55,9 @@
 	callersPort   = 7003
 )
 
+// models is the number of models that the engines serve.
+const models = 9
+
 // host returns the loopback address of the n-th process. Each process has an
 // address of its own, because a free port of a shared one can be taken by an
 // outgoing connection before the process listens on it.
@@ -101,21 +104,23 @@
 
 // addSidecar starts an engine stand-in and a sidecar beside it.
 func (f *fleet) addSidecar(ctx context.Context, i int) error {
-	engine := standin.NewEngine(standin.EngineOptions{Model: "model", Version: "1", First: 0, Limit: 1, Layers: 1})
+	// An entry watches a bounded number of sidecars of each model.
+	model := fmt.Sprintf("model-%d", i%models)
+	engine := standin.NewEngine(standin.EngineOptions{Model: model, Version: "1", First: 0, Limit: 1, Layers: 1})
 	url, err := f.serve(engine.Handler())
 	if err != nil {
 		return err
 	}
 	peers := address(len(f.processes), peersPort)
 	id := fmt.Sprintf("engine-%d", i)
-	f.instances = append(f.instances, standin.Instance{ID: id, Service: "model", Zone: "z", Address: peers, State: standin.StateLive})
+	f.instances = append(f.instances, standin.Instance{ID: id, Service: model, Zone: "z", Address: peers, State: standin.StateLive})
 	f.list.Set(f.instances)
 	return f.start(ctx, spec{id: id, role: "sidecar", zone: "z", lines: []string{
 		"  peers: " + peers,
 		"backend:",
 		"  address: " + strings.TrimPrefix(url, "http://"),
 		"  kind: engine",
-		"  model: model",
+		"  model: " + model,
 		"  layers:",
 		"    first: 0",
 		"    limit: 1",
