pipeline: give engines with long iterations more time before they are stalled

An engine that is busy with long iterations, for instance while it loads weights, is not dead. Probe replies now carry the longest recent iteration, and an engine may take three of them without finishing one.

--- a/experiment/fleet/entry.go
+++ b/experiment/fleet/entry.go
@@ -195,7 +195,7 @@
 		if e.hung || e.dead {
 			return
 		}
-		reply := pipeline.ProbeReply{Instance: e.stage.Instance, Iterations: e.iterations, Pending: e.holds(r)}
+		reply := pipeline.ProbeReply{Instance: e.stage.Instance, Iterations: e.iterations, Pending: e.holds(r), Iteration: e.longest}
 		s.after(back, func() {
 			if r.attempt == attempt {
 				r.detector.Reply(reply, s.time())
--- a/pipeline/detector.go
+++ b/pipeline/detector.go
@@ -27,6 +27,8 @@
 	defaultProbeWait      = 150 * time.Millisecond
 	defaultEngineWait     = 350 * time.Millisecond
 	defaultSettle         = 5 * time.Millisecond
+	// longIterations is how many of its longest iterations an engine may take for one.
+	longIterations = 3
 	// probeEvery is the time between probes of a stage.
 	probeEvery = 50 * time.Millisecond
 )
@@ -62,6 +64,9 @@
 	Iterations uint64
 	// Pending tells whether a step of the request waits at or runs on the engine.
 	Pending bool
+	// Iteration is the time of the engine's longest recent iteration. An
+	// engine whose iterations are long gets more time before it counts as stalled.
+	Iteration time.Duration
 }
 
 // Detector decides for one request which stages of its chain are lost. A stage
@@ -84,6 +89,7 @@
 	// asked is when the oldest unanswered probe was sent, probed when the last was.
 	asked, probed time.Time
 	iterations    uint64
+	iteration     time.Duration
 	// moved is when the engine was last known to progress or to have no step pending.
 	moved time.Time
 }
@@ -118,6 +124,7 @@
 		w.moved = at
 	}
 	w.iterations = reply.Iterations
+	w.iteration = reply.Iteration
 }
 
 // Closed says that the connection to a stage ended or was refused.
@@ -188,7 +195,7 @@
 	case w.lost != "":
 	case !w.asked.IsZero() && at.Sub(w.asked) >= d.limits.Probe:
 		w.lost = LossSilent
-	case w.asked.IsZero() && !w.probed.IsZero() && at.Sub(w.moved) >= d.limits.Engine:
+	case w.asked.IsZero() && !w.probed.IsZero() && at.Sub(w.moved) >= max(d.limits.Engine, longIterations*w.iteration):
 		w.lost = LossEngine
 	}
 }
--- a/pipeline/recovery_test.go
+++ b/pipeline/recovery_test.go
@@ -139,6 +139,9 @@
 		{"busy", func(d time.Duration) *ProbeReply {
 			return &ProbeReply{Iterations: uint64(d / (300 * ms)), Pending: true}
 		}, false, "", 0},
+		{"slow iterations", func(d time.Duration) *ProbeReply {
+			return &ProbeReply{Iterations: uint64(d / (800 * ms)), Pending: true, Iteration: 400 * ms}
+		}, false, "", 0},
 		{"not its turn", func(time.Duration) *ProbeReply { return &ProbeReply{Iterations: 9} }, false, "", 0},
 	}
 	for _, tc := range cases {
