--- a/entry/members.go
+++ b/entry/members.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"maps"
+	"math"
 	"net"
 	"slices"
 	"strings"
@@ -51,12 +53,13 @@
 	for i, in := range list {
 		instances[i] = membership.Instance(in)
 	}
+	planned := s.plannedModels()
 	s.members.mu.Lock()
 	for _, in := range list {
 		s.members.services[in.Service] = true
 	}
 	report := s.members.view.ObserveList(now(), instances)
-	subset := s.members.subset(s.opts)
+	subset := s.members.subset(s.opts, planned)
 	s.members.mu.Unlock()
 	if report.Verdict == membership.ListDistrusted {
 		logevent.Write(s.opts.Logger, logevent.ListDistrusted).Str("id", s.opts.ID).
@@ -66,10 +69,14 @@
 }
 
 // subset returns the sidecars that this entry watches; the lock must be held.
-func (m *members) subset(opts Options) []Instance {
+func (m *members) subset(opts Options, planned map[string]bool) []Instance {
 	var watched []Instance
 	for service := range m.services {
-		for _, in := range m.view.Subset(now(), service, opts.ID, opts.Zone, opts.Watched) {
+		limit := opts.Watched
+		if planned[service] {
+			limit = math.MaxInt32
+		}
+		for _, in := range m.view.Subset(now(), service, opts.ID, opts.Zone, limit) {
 			watched = append(watched, Instance(in))
 		}
 	}
@@ -144,9 +151,8 @@
 		})
 	}
 	// The chooser breaks ties by order, which must not depend on the map's.
-	for model, list := range stages {
+	for _, list := range stages {
 		slices.SortFunc(list, func(a, b pipeline.Stage) int { return strings.Compare(a.Instance, b.Instance) })
-		stages[model] = ofOneVersion(x.models[model], list)
 	}
 	return stages
 }
@@ -155,14 +161,8 @@
 func (m *modelSet) updateStages(doc *config.Document, stages map[string][]pipeline.Stage) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.stages = stages
+	m.stages = maps.Clone(stages)
 	for i := range doc.Models {
-		model := &doc.Models[i]
-		c := m.choosers[model.Name]
-		if c == nil {
-			c = pipeline.NewChooser(pipeline.Options{Layers: model.Layers, ActivationBytes: model.ActivationBytes})
-			m.choosers[model.Name] = c
-		}
-		c.Update(0, stages[model.Name])
+		m.updateModel(&doc.Models[i], stages[doc.Models[i].Name])
 	}
 }
--- a/orders/driver_test.go
+++ b/orders/driver_test.go
@@ -144,6 +144,8 @@
 				assert.Equal(t, p.serves(), 0)
 
 				p.running.Lock()
+				// The loop takes one more input before it stops.
+				time.Sleep(time.Second)
 				p.setAtEnd(false)
 				moved, err := d.engine.give(t.Context(), order.Give{ID: 1, Fence: 2, Wanted: order.State{
 					Model: "m", Version: "1", Layers: order.LayerRange{First: 6, Limit: 12}, Role: roleServe,
