daemon: run placement plans and engine orders

Cause: engines without a fixed range had no one to place them in a real process.

Change: an entry runs the planning driver; a sidecar whose settings name no layers takes its range from the plan through the order driver.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -5,9 +5,12 @@
 	"errors"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/sapphirefield/sapphirefield/console"
 	"github.com/sapphirefield/sapphirefield/entry"
 	"github.com/sapphirefield/sapphirefield/ops"
+	"github.com/sapphirefield/sapphirefield/plans"
 	"github.com/sapphirefield/sapphirefield/platform"
 )
 
@@ -29,7 +32,15 @@
 		Config: r.document, Claims: claimLog{r.log}, Observe: r.burn.Observe, MaxBodyBytes: r.settings.Limits.MaxBodyBytes,
 	})
 	close(r.started)
-	return r.serveHTTP(ctx, r.settings.Listen.Callers.String(), r.tls.callers(), r.server.Handler())
+	planning := plans.New(plans.Options{
+		Source: r.sync, Engines: r.server.Engines, WatchesAll: r.server.WatchesAll, Random: seededRandom(), Logger: r.logger,
+	})
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return planning.Run(ctx) })
+	group.Go(func() error {
+		return r.serveHTTP(ctx, r.settings.Listen.Callers.String(), r.tls.callers(), r.server.Handler())
+	})
+	return group.Wait()
 }
 
 // entry returns the server, or nil before it has started.
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -144,12 +144,17 @@
 	p.burn = ops.NewBurnMeter(s.ID, p.logger)
 	p.sync = configsync.New(configsync.Options{
 		Log: p.log, Peers: p.peers, Logger: p.logger,
-		Random:            mathrand.New(mathrand.NewPCG(uint64(time.Now().UnixNano()), uint64(os.Getpid()))),
+		Random:            seededRandom(),
 		CheckpointRecords: configsync.DefaultCheckpointRecords,
 	})
 	return p, nil
 }
 
+// seededRandom differs between processes, so that they do not act at the same moment.
+func seededRandom() *mathrand.Rand {
+	return mathrand.New(mathrand.NewPCG(uint64(time.Now().UnixNano()), uint64(os.Getpid())))
+}
+
 // platformClient counts the bytes of calls to the platform.
 func (p *process) platformClient() *http.Client {
 	dialer := &net.Dialer{Timeout: time.Second}
--- a/daemon/sidecar.go
+++ b/daemon/sidecar.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/sapphirefield/sapphirefield/ops"
+	"github.com/sapphirefield/sapphirefield/orders"
 	"github.com/sapphirefield/sapphirefield/platform"
 	"github.com/sapphirefield/sapphirefield/settings"
 	"github.com/sapphirefield/sapphirefield/sidecar"
@@ -23,6 +25,8 @@
 type sidecarRole struct {
 	*process
 	*sidecar.Server
+	// orders drives an engine whose range comes from plans; nil for others.
+	orders *orders.Driver
 	// drained is closed when nothing is in progress and the linger has passed.
 	drained chan struct{}
 }
@@ -47,10 +51,20 @@
 		Authorize: p.tls.authorize(), Logger: p.logger, MaxBodyBytes: int(s.Limits.MaxBodyBytes),
 		Revision: revisionReply(p.sync),
 	}
-	if s.Backend.Kind == settings.BackendEngine {
+	fixed := s.Backend.Layers != settings.LayerRange{}
+	switch {
+	case s.Backend.Kind == settings.BackendEngine && fixed:
 		options.Layers = &wire.LayerRange{First: uint32(s.Backend.Layers.First), Limit: uint32(s.Backend.Layers.Limit)}
+	case s.Backend.Kind == settings.BackendEngine:
+		options.Placed = true
 	}
-	return &sidecarRole{process: p, Server: sidecar.New(options), drained: make(chan struct{})}
+	r := &sidecarRole{process: p, Server: sidecar.New(options), drained: make(chan struct{})}
+	if options.Placed {
+		r.orders = orders.New(orders.Options{
+			ID: s.ID, Model: s.Backend.Model, Backend: options.Backend, Source: p.sync, Worker: r.Server, Logger: p.logger,
+		})
+	}
+	return r
 }
 
 func (r *sidecarRole) serve(ctx context.Context) error {
@@ -58,7 +72,12 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	return r.Serve(ctx, countedListener{Listener: listener, counters: r.net})
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return r.Serve(ctx, countedListener{Listener: listener, counters: r.net}) })
+	if r.orders != nil {
+		group.Go(func() error { return r.orders.Run(ctx) })
+	}
+	return group.Wait()
 }
 
 func (r *sidecarRole) instances([]platform.Instance) {}
