--- a/experiment/fleet/cases.go
+++ b/experiment/fleet/cases.go
@@ -51,7 +51,7 @@
 			return err
 		}
 		for _, e := range s.entries {
-			e.blind = variant == "links not measured"
+			e.ignoreLinks = variant == "links not measured"
 		}
 		s.arrivals(rate, 0, time.Second, func(e *entry) { e.start(drawPrompt(s.rng), nil) })
 		s.runUntil(5 * time.Second)
--- a/experiment/fleet/entry.go
+++ b/experiment/fleet/entry.go
@@ -32,8 +32,8 @@
 	restart bool
 	copies  bool
 	active  map[*request]bool
-	// blind entries do not measure links, to compare with.
-	blind bool
+	// ignoreLinks leaves measured link times unused, to compare with.
+	ignoreLinks bool
 }
 
 // request is one request in progress.
--- a/experiment/fleet/fleet_test.go
+++ b/experiment/fleet/fleet_test.go
@@ -14,9 +14,9 @@
 // and against results that depend on more than the seed.
 func TestThroughputOrder(t *testing.T) {
 	c := options{entries: defaultEntries, counted: time.Second}
-	first, err := fleetThroughput(c, 2, shrinks[0])
+	first, err := fleetThroughput(c, 2, lossCases[0])
 	assert.NilError(t, err)
-	again, err := fleetThroughput(c, 2, shrinks[0])
+	again, err := fleetThroughput(c, 2, lossCases[0])
 	assert.NilError(t, err)
 	assert.DeepEqual(t, first.by, again.by)
 	assert.Assert(t, first.by[ours] > 0.9 && first.by[ours] <= 1.05, "%v", first.by)
--- a/experiment/fleet/recovery.go
+++ b/experiment/fleet/recovery.go
@@ -131,10 +131,10 @@
 // lose kills stages of a request in progress and marks all requests that use
 // them. It returns their number.
 func (s *sim) lose(l loss) int {
-	victim := s.oldest()
+	request := s.oldest()
 	gone := map[string]bool{}
-	for _, pos := range l.pick(len(victim.stages)) {
-		e := victim.stages[max(0, pos)]
+	for _, pos := range l.pick(len(request.stages)) {
+		e := request.stages[max(0, pos)]
 		l.kill(e)
 		gone[e.stage.Instance] = true
 	}
--- a/experiment/fleet/sim.go
+++ b/experiment/fleet/sim.go
@@ -135,7 +135,7 @@
 		*f = frames{}
 		s.after(loadLag, func() {
 			for _, e := range s.entries {
-				if !e.blind {
+				if !e.ignoreLinks {
 					e.router.ObserveLink(from, to, bytes, took)
 				}
 			}
@@ -206,7 +206,7 @@
 			e.decodes = append(e.decodes, st)
 		}
 	}
-	e.kick()
+	e.startIteration()
 }
 
 // queuePrompt puts replays before prompts of new requests.
@@ -223,8 +223,8 @@
 
 func (e *engine) stopped() bool { return e.dead || e.hung || e.stalled }
 
-// kick starts an iteration if the engine is idle and has work.
-func (e *engine) kick() {
+// startIteration starts an iteration if the engine is idle and has work.
+func (e *engine) startIteration() {
 	if e.busy || e.stopped() || len(e.decodes)+len(e.prompts) == 0 {
 		return
 	}
@@ -293,7 +293,7 @@
 		}
 		e.sim.send(e.stage.Zone, next.stage.Zone, bytes, func() { next.arrive(steps) })
 	}
-	e.kick()
+	e.startIteration()
 }
 
 // pass moves a finished step on. It returns the engine of the next stage; at
--- a/experiment/fleet/throughput.go
+++ b/experiment/fleet/throughput.go
@@ -40,13 +40,13 @@
 	reload time.Duration
 }
 
-// shrink is a way in which a fleet loses engines.
-type shrink struct {
+// lossCase is a way in which a fleet loses engines.
+type lossCase struct {
 	name string
 	loss func(w world, seed uint64) placement.Fleet
 }
 
-var shrinks = []shrink{
+var lossCases = []lossCase{
 	{"steady", nil},
 	{"an eighth of the engines lost", func(w world, seed uint64) placement.Fleet { return w.without(seed, fleetEngines/8) }},
 	{"a zone lost", func(w world, _ uint64) placement.Fleet { return w.withoutZone(zoneName(1)) }},
@@ -54,7 +54,7 @@
 
 // throughput prints the fraction of the bound for each fleet and scheme.
 func throughput(ctx context.Context, c options) error {
-	for _, lost := range shrinks {
+	for _, lost := range lossCases {
 		results := make([]fractions, c.fleets)
 		g, _ := errgroup.WithContext(ctx)
 		g.SetLimit(workers)
@@ -72,7 +72,7 @@
 	return nil
 }
 
-func fleetThroughput(c options, seed uint64, lost shrink) (fractions, error) {
+func fleetThroughput(c options, seed uint64, lost lossCase) (fractions, error) {
 	w := makeWorld(seed, fleetEngines, fleetZones, fleetKinds)
 	w.entries = c.entries
 	m := planModel(throughputOutput)
@@ -128,7 +128,7 @@
 	return s.stats.work / counted.Seconds()
 }
 
-func printFractions(out io.Writer, lost shrink, results []fractions) {
+func printFractions(out io.Writer, lost lossCase, results []fractions) {
 	fmt.Fprintf(out, "throughput as a fraction of the bound, %d engines, %s\n", fleetEngines, lost.name)
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(t, "seed\tbound tokens/s\tplanned\tflow\tequal+round-robin\tequal+least-loaded\tat once\tmoves\tGB loaded\treload s\t")
--- a/pipeline/detector.go
+++ b/pipeline/detector.go
@@ -148,8 +148,8 @@
 	return nil
 }
 
-// Finding is what Tick asks for.
-type Finding struct {
+// Assessment is what Tick asks for.
+type Assessment struct {
 	// Probe are the instances to probe now.
 	Probe []string
 	// Lost are the stages found lost since the last Tick.
@@ -159,8 +159,8 @@
 }
 
 // Tick returns the stages to probe and the stages that are lost.
-func (d *Detector) Tick(at time.Time) Finding {
-	f := Finding{Lost: map[string]LossReason{}, Next: d.since.Add(d.wait)}
+func (d *Detector) Tick(at time.Time) Assessment {
+	f := Assessment{Lost: map[string]LossReason{}, Next: d.since.Add(d.wait)}
 	late := !at.Before(f.Next)
 	if late {
 		f.Next = at.Add(probeEvery)
--- a/pipeline/links.go
+++ b/pipeline/links.go
@@ -30,11 +30,11 @@
 
 type linkEstimate struct {
 	// latency is in seconds, perByte in seconds per byte.
-	latency, perByte steadied
+	latency, perByte smoothed
 }
 
-// steadied is a moving average and the value that is published of it.
-type steadied struct {
+// smoothed is a moving average and the value that is published of it.
+type smoothed struct {
 	average, published float64
 	outside            int
 }
@@ -80,7 +80,7 @@
 }
 
 // observe takes a sample and tells whether the published value has moved.
-func (s *steadied) observe(sample float64) bool {
+func (s *smoothed) observe(sample float64) bool {
 	s.average += linkGain * (sample - s.average)
 	low, high := s.published*(1-linkBand), s.published*(1+linkBand)
 	if s.average >= low && s.average <= high {
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -89,13 +89,13 @@
 func planGroup(engines []Engine, m Model, opts Options, w topology, zones []int) *groupPlan {
 	p := newProblem(engines, m, opts, w, zones)
 	g := &groupPlan{zones: zones, engines: engines, target: p.target}
-	g.settle(p.best(), nil)
+	g.setLayout(p.best(), nil)
 	return g
 }
 
-// settle takes a layout, its flow, and the engines' segments, keeping engines
+// setLayout takes a layout, its flow, and the engines' segments, keeping engines
 // in the segment that old names where the layout allows it.
-func (g *groupPlan) settle(l *layout, old map[string]int) {
+func (g *groupPlan) setLayout(l *layout, old map[string]int) {
 	if l == nil {
 		return
 	}
--- a/placement/replan.go
+++ b/placement/replan.go
@@ -65,17 +65,17 @@
 	}
 	members, zones := r.members(f)
 	var groups []*groupPlan
-	var homeless []Engine
+	var unplaced []Engine
 	for i := range members {
 		g := r.group(i, members[i], zones[i])
 		if g.layout == nil {
-			homeless = append(homeless, members[i]...)
+			unplaced = append(unplaced, members[i]...)
 			continue
 		}
 		groups = append(groups, g)
 	}
-	if len(homeless) > 0 {
-		return r.rescue(f, groups)
+	if len(unplaced) > 0 {
+		return r.replanAll(f, groups)
 	}
 	if len(groups) == 0 {
 		return Plan{}, nil, ErrCannotHold
@@ -145,9 +145,9 @@
 	return best
 }
 
-// rescue replaces the whole plan, for the case that a group cannot hold the
+// replanAll replaces the whole plan, for the case that a group cannot hold the
 // model any more and its engines have to join others.
-func (r *replanner) rescue(f Fleet, groups []*groupPlan) (Plan, []Move, error) {
+func (r *replanner) replanAll(f Fleet, groups []*groupPlan) (Plan, []Move, error) {
 	plan, err := MakePlan(f, r.model, r.opts)
 	if err != nil {
 		return Plan{}, nil, err
@@ -228,7 +228,7 @@
 	l := p.empty(lengths)
 	segment := r.oldSegments(l, engines, bounds)
 	start := l.clone()
-	l.climbByBytes()
+	l.hillClimbByBytes()
 	wanted := l.match(engines, segment)
 	left := r.emitSegments(start, engines, segment, wanted)
 	for name, s := range left {
@@ -241,7 +241,7 @@
 	l = start
 	r.shiftBoundaries(l, engines, wanted)
 	if l.slowest() > 0 {
-		g.settle(l, wanted)
+		g.setLayout(l, wanted)
 	}
 	return g
 }
@@ -273,9 +273,9 @@
 	return c
 }
 
-// climbByBytes applies the changes with the highest gain per byte loaded. An
+// hillClimbByBytes applies the changes with the highest gain per byte loaded. An
 // idle engine is used for any gain, since it has to load something anyway.
-func (l *layout) climbByBytes() {
+func (l *layout) hillClimbByBytes() {
 	cost := func(ch change) float64 {
 		bytes := float64(l.lengths[ch.to])
 		if ch.swap != noSwap {
@@ -406,7 +406,7 @@
 		return nil
 	}
 	g := &groupPlan{zones: zones, engines: engines, target: p.target}
-	g.settle(l, nil)
+	g.setLayout(l, nil)
 	if g.layout == nil {
 		return nil
 	}
--- a/placement/search.go
+++ b/placement/search.go
@@ -26,7 +26,7 @@
 	bestCost := 0.0
 	for _, lengths := range p.candidates() {
 		l := p.construct(lengths)
-		l.climb()
+		l.hillClimb()
 		if l.slowest() <= 0 {
 			continue
 		}
@@ -172,7 +172,7 @@
 	})
 	for _, c := range order {
 		for range p.size[c] {
-			if s := l.neediest(c); s >= 0 {
+			if s := l.leastCovered(c); s >= 0 {
 				l.place(c, s)
 			}
 		}
@@ -180,9 +180,9 @@
 	return l
 }
 
-// neediest is the segment with the least capacity that the class fits; among
+// leastCovered is the segment with the least capacity that the class fits; among
 // equals it prefers the one with the least capacity in the class's own zone.
-func (l *layout) neediest(c int) int {
+func (l *layout) leastCovered(c int) int {
 	best := -1
 	zone := l.classes[c].zone
 	for s := range l.lengths {
@@ -242,8 +242,8 @@
 	return ch
 }
 
-// climb applies the best change until none improves the layout.
-func (l *layout) climb() {
+// hillClimb applies the best change until none improves the layout.
+func (l *layout) hillClimb() {
 	for range maxSteps {
 		if l.shortfall() < closeEnough {
 			return
