settings: drop the heartbeat settings that nothing read

Cause: limits.heartbeat and limits.silence were checked and then ignored; both sides of a stream must agree on them, so they are constants of package link.

--- a/settings/check.go
+++ b/settings/check.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"time"
 )
 
 // check applies the rules that concern more than one member.
@@ -16,7 +15,6 @@
 	}
 	l.checkTLS()
 	l.checkOperators()
-	l.checkLimits()
 }
 
 func (l *loader) checkEntry() {
@@ -96,20 +94,6 @@
 	}
 }
 
-func (l *loader) checkLimits() {
-	limits := l.settings.Limits
-	if l.bad["limits.heartbeat"] || l.bad["limits.silence"] {
-		return
-	}
-	if limits.Heartbeat < 10*time.Millisecond {
-		l.reject("limits.heartbeat", "must be at least 10ms")
-	}
-	// One lost heartbeat must not close a connection.
-	if limits.Silence < 2*limits.Heartbeat {
-		l.reject("limits.silence", "must be at least twice limits.heartbeat (%s)", limits.Heartbeat)
-	}
-}
-
 func (l *loader) require(names ...string) {
 	for _, name := range names {
 		if !l.values[name].given {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -105,10 +105,6 @@
 // Limits bounds sizes and durations.
 type Limits struct {
 	MaxBodyBytes int64
-	// Heartbeat is the interval between heartbeats on a connection.
-	Heartbeat time.Duration
-	// Silence is how long a connection may stay without any frame.
-	Silence time.Duration
 	// Notice is how long an entry that shuts down reports itself unready before
 	// it refuses requests. The platform's load balancer needs that long to see it.
 	Notice time.Duration
@@ -154,8 +150,6 @@
 	{"tls.plain_text", "turn TLS off; loopback addresses only", "false", func(s *Settings, v string) error { return setSwitch(&s.TLS.PlainText, v) }},
 	{"operators.password_hash", "hash of the operators' password, as sapphirectl hash-password prints it", "", func(s *Settings, v string) error { return s.OperatorPasswordHash.set(v) }},
 	{"limits.max_body", "largest body of a request, with a unit", "8MiB", func(s *Settings, v string) error { return setBytes(&s.Limits.MaxBodyBytes, v) }},
-	{"limits.heartbeat", "interval between heartbeats", "1s", func(s *Settings, v string) error { return setDuration(&s.Limits.Heartbeat, v) }},
-	{"limits.silence", "longest time without a frame before a connection is closed", "3s", func(s *Settings, v string) error { return setDuration(&s.Limits.Silence, v) }},
 	{"limits.notice", "how long an entry that shuts down reports itself unready before it refuses requests", "3s", func(s *Settings, v string) error { return setDuration(&s.Limits.Notice, v) }},
 	{"limits.drain", "longest graceful shutdown; 0s waits for the last request", "0s", func(s *Settings, v string) error { return setDuration(&s.Limits.Drain, v) }},
 	{"log.level", "lowest level of log lines: debug, info, warn or error", "info", func(s *Settings, v string) error { return setLevel(&s.LogLevel, v) }},
