experiment/fleet: report closed connections in a fixed order

The order of a map decided which of two losses an entry saw first, so a run could depend on more than its seed.

--- a/experiment/fleet/recovery.go
+++ b/experiment/fleet/recovery.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"text/tabwriter"
 	"time"
@@ -152,7 +153,7 @@
 // close tells an entry that connections to dead engines have ended. The entry
 // excludes them from new chains at once and leaves the rest to the detectors.
 func (s *sim) close(entry *entry, gone map[string]bool) {
-	for name := range gone {
+	for _, name := range slices.Sorted(maps.Keys(gone)) {
 		e := s.engines[name]
 		if !e.dead {
 			continue
