--- a/entry/language.go
+++ b/entry/language.go
@@ -47,6 +47,7 @@
 	release, refused := s.admitter.acquire(ctx, modelPool(g.model), g.admission)
 	if refused != nil {
 		refused.Request = g.id
+		s.observeEnd(g.model, "", g.admission.Team, began, refused)
 		s.refuse(w, refused)
 		return
 	}
@@ -55,6 +56,7 @@
 	g.flush = answer.flush
 	p := g.run(ctx)
 	release(timing.outcome(p))
+	s.observeEnd(g.model, "", g.admission.Team, began, p)
 	if p != nil {
 		s.failLanguage(answer, p)
 		return
--- a/entry/timing.go
+++ b/entry/timing.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/sapphirefield/sapphirefield/admission"
@@ -57,3 +58,16 @@
 	}
 	return admission.Outcome{Result: admission.Failed, FirstToken: t.firstToken}
 }
+
+// observeEnd counts a request for the objectives on availability and latency.
+// An answer that is the caller's own mistake, or the limit of its team, is no
+// failure of the service.
+func (s *Server) observeEnd(model, service, team string, began time.Time, p *problem.Problem) {
+	at := now()
+	failed := p != nil && p.Code.Status() >= http.StatusInternalServerError
+	for _, measure := range []config.Measure{config.MeasureAvailability, config.MeasureLatency} {
+		s.opts.Observe(at, burn.Sample{
+			Measure: measure, Model: model, Service: service, Team: team, Duration: at.Sub(began), Failed: failed,
+		})
+	}
+}
