attempt: one place for the conversions of executed

Cause: entry and sidecar each converted the value between its three forms.

Change: attempt.FromWire, Executed.Wire and ParseExecuted replace three copies.

--- a/attempt/executed.go
+++ b/attempt/executed.go
@@ -2,6 +2,8 @@
 // may be told about it. It performs no I/O and reads no clock.
 package attempt
 
+import "github.com/sapphirefield/sapphirefield/wire"
+
 // Executed tells whether a request was run by a backend server.
 type Executed int
 
@@ -23,3 +25,37 @@
 		return "unknown"
 	}
 }
+
+// ParseExecuted reads what String writes. Any other text counts as unknown.
+func ParseExecuted(text string) Executed {
+	for _, e := range []Executed{ExecutedNo, ExecutedYes} {
+		if e.String() == text {
+			return e
+		}
+	}
+	return ExecutedUnknown
+}
+
+// FromWire returns the value of a message.
+func FromWire(e wire.Executed) Executed {
+	switch e {
+	case wire.Executed_EXECUTED_NO:
+		return ExecutedNo
+	case wire.Executed_EXECUTED_YES:
+		return ExecutedYes
+	default:
+		return ExecutedUnknown
+	}
+}
+
+// Wire returns the value for a message.
+func (e Executed) Wire() wire.Executed {
+	switch e {
+	case ExecutedNo:
+		return wire.Executed_EXECUTED_NO
+	case ExecutedYes:
+		return wire.Executed_EXECUTED_YES
+	default:
+		return wire.Executed_EXECUTED_UNKNOWN
+	}
+}
--- a/entry/call.go
+++ b/entry/call.go
@@ -278,20 +278,9 @@
 				if ack == nil && event.kind == peerFrame {
 					continue
 				}
-				c.request.ObserveWithdrawal(ex.key.Number, executedFromWire(ack.GetExecuted()), sent, now())
+				c.request.ObserveWithdrawal(ex.key.Number, attempt.FromWire(ack.GetExecuted()), sent, now())
 				return c.giveUp(problem.DeadlineExceeded, "the call did not end in time")
 			}
 		}
 	}
 }
-
-func executedFromWire(e wire.Executed) attempt.Executed {
-	switch e {
-	case wire.Executed_EXECUTED_NO:
-		return attempt.ExecutedNo
-	case wire.Executed_EXECUTED_YES:
-		return attempt.ExecutedYes
-	default:
-		return attempt.ExecutedUnknown
-	}
-}
--- a/entry/callrun.go
+++ b/entry/callrun.go
@@ -49,14 +49,14 @@
 	switch body := event.frame.Body.(type) {
 	case *wire.WorkDown_Refused:
 		// An entry that was paused may hear "no" from a sidecar that has forgotten the call.
-		request.ObserveWithdrawal(number, executedFromWire(body.Refused.Executed), r.sent, now())
+		request.ObserveWithdrawal(number, attempt.FromWire(body.Refused.Executed), r.sent, now())
 		if body.Refused.Reason == wire.RefusalReason_REFUSAL_WITHDRAWN {
 			// The server itself is in order; only the call never reached it.
 			delete(r.call.exclude, r.peer.id)
 		}
 		return true, false
 	case *wire.WorkDown_Failed:
-		request.Observe(number, executedFromWire(body.Failed.Executed))
+		request.Observe(number, attempt.FromWire(body.Failed.Executed))
 		r.release()
 		return true, false
 	case *wire.WorkDown_CallHead:
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -89,7 +89,7 @@
 
 func claimOutcome(answer *plainAnswer, refused *problem.Problem) claim.Outcome {
 	if answer == nil {
-		return claim.Outcome{Executed: executedOf(refused.Executed)}
+		return claim.Outcome{Executed: attempt.ParseExecuted(string(refused.Executed))}
 	}
 	return claim.Outcome{
 		Executed: attempt.ExecutedYes, Status: int(answer.head.Status),
@@ -97,17 +97,6 @@
 	}
 }
 
-func executedOf(e problem.Executed) attempt.Executed {
-	switch e {
-	case problem.ExecutedNo:
-		return attempt.ExecutedNo
-	case problem.ExecutedYes:
-		return attempt.ExecutedYes
-	default:
-		return attempt.ExecutedUnknown
-	}
-}
-
 func (a *plainAnswer) header(name string) string {
 	for _, h := range a.head.Headers {
 		if h.Name == name {
--- a/sidecar/kept.go
+++ b/sidecar/kept.go
@@ -119,6 +119,6 @@
 
 func failedFrame(key attempt.Key, executed attempt.Executed, reason string) *wire.WorkDown {
 	return &wire.WorkDown{Body: &wire.WorkDown_Failed{Failed: &wire.Failed{
-		Request: key.Request, Attempt: key.Number, Executed: wireExecuted(executed), Reason: reason,
+		Request: key.Request, Attempt: key.Number, Executed: executed.Wire(), Reason: reason,
 	}}}
 }
--- a/sidecar/work.go
+++ b/sidecar/work.go
@@ -232,7 +232,7 @@
 		}
 	}
 	s.toEntry(entry, &wire.WorkDown{Body: &wire.WorkDown_WithdrawAck{WithdrawAck: &wire.WithdrawAck{
-		Request: w.Request, Attempt: w.Attempt, Executed: wireExecuted(executed),
+		Request: w.Request, Attempt: w.Attempt, Executed: executed.Wire(),
 	}}})
 	s.checkIdle()
 }
@@ -251,17 +251,6 @@
 	s.checkIdle()
 }
 
-func wireExecuted(e attempt.Executed) wire.Executed {
-	switch e {
-	case attempt.ExecutedNo:
-		return wire.Executed_EXECUTED_NO
-	case attempt.ExecutedYes:
-		return wire.Executed_EXECUTED_YES
-	default:
-		return wire.Executed_EXECUTED_UNKNOWN
-	}
-}
-
 func wireRefusal(r attempt.Refusal) wire.RefusalReason {
 	switch r {
 	case attempt.RefusalDraining:
