--- a/daemon/process.go
+++ b/daemon/process.go
@@ -33,7 +33,7 @@
 	listPollSidecar = 30 * time.Second
 	// listBytesPerSecond bounds what reading the list costs: a long list is read
 	// less often. It lags anyway, and direct evidence is faster.
-	listBytesPerSecond = 2048
+	listBytesPerSecond = 1024
 	// burnInterval is the width of the finest buckets of the burn report.
 	burnInterval = 10 * time.Second
 	// keyPoll is how often the files with TLS keys are looked at.
@@ -144,12 +144,17 @@
 	p.burn = ops.NewBurnMeter(s.ID, p.logger)
 	p.sync = configsync.New(configsync.Options{
 		Log: p.log, Peers: p.peers, Logger: p.logger,
-		Random:            mathrand.New(mathrand.NewPCG(uint64(time.Now().UnixNano()), uint64(os.Getpid()))),
+		Random:            seededRandom(),
 		CheckpointRecords: configsync.DefaultCheckpointRecords,
 	})
 	return p, nil
 }
 
+// seededRandom differs between processes, so that they do not act at the same moment.
+func seededRandom() *mathrand.Rand {
+	return mathrand.New(mathrand.NewPCG(uint64(time.Now().UnixNano()), uint64(os.Getpid())))
+}
+
 // platformClient counts the bytes of calls to the platform.
 func (p *process) platformClient() *http.Client {
 	dialer := &net.Dialer{Timeout: time.Second}
--- a/daemon/sidecar.go
+++ b/daemon/sidecar.go
@@ -3,22 +3,46 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/sapphirefield/sapphirefield/ops"
+	"github.com/sapphirefield/sapphirefield/orders"
 	"github.com/sapphirefield/sapphirefield/platform"
 	"github.com/sapphirefield/sapphirefield/settings"
 	"github.com/sapphirefield/sapphirefield/sidecar"
 	"github.com/sapphirefield/sapphirefield/wire"
 )
 
+// drainLinger is how long a sidecar stays at least once it drains. Entries may
+// have sent it work before they heard of the drain; it must be refused with a
+// certain "not run", and not be lost with the connection.
+const drainLinger = time.Second
+
 // sidecarRole runs the process beside one backend server.
 type sidecarRole struct {
 	*process
 	*sidecar.Server
+	// orders drives an engine whose range comes from plans; nil for others.
+	orders *orders.Driver
+	// drained is closed when nothing is in progress and the linger has passed.
+	drained chan struct{}
+}
+
+// Drain implements worker. The lifecycle calls it once.
+func (r *sidecarRole) Drain() {
+	r.Server.Drain()
+	time.AfterFunc(drainLinger, func() {
+		<-r.Server.Drained()
+		close(r.drained)
+	})
 }
 
+// Drained implements worker.
+func (r *sidecarRole) Drained() <-chan struct{} { return r.drained }
+
 func newSidecarRole(p *process) *sidecarRole {
 	s := p.settings
 	options := sidecar.Options{
@@ -27,10 +51,20 @@
 		Authorize: p.tls.authorize(), Logger: p.logger, MaxBodyBytes: int(s.Limits.MaxBodyBytes),
 		Revision: revisionReply(p.sync),
 	}
-	if s.Backend.Kind == settings.BackendEngine {
+	fixed := s.Backend.Layers != settings.LayerRange{}
+	switch {
+	case s.Backend.Kind == settings.BackendEngine && fixed:
 		options.Layers = &wire.LayerRange{First: uint32(s.Backend.Layers.First), Limit: uint32(s.Backend.Layers.Limit)}
+	case s.Backend.Kind == settings.BackendEngine:
+		options.Placed = true
+	}
+	r := &sidecarRole{process: p, Server: sidecar.New(options), drained: make(chan struct{})}
+	if options.Placed {
+		r.orders = orders.New(orders.Options{
+			ID: s.ID, Model: s.Backend.Model, Backend: options.Backend, Source: p.sync, Worker: r.Server, Logger: p.logger,
+		})
 	}
-	return &sidecarRole{process: p, Server: sidecar.New(options)}
+	return r
 }
 
 func (r *sidecarRole) serve(ctx context.Context) error {
@@ -38,7 +72,12 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	return r.Serve(ctx, countedListener{Listener: listener, counters: r.net})
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return r.Serve(ctx, countedListener{Listener: listener, counters: r.net}) })
+	if r.orders != nil {
+		group.Go(func() error { return r.orders.Run(ctx) })
+	}
+	return group.Wait()
 }
 
 func (r *sidecarRole) instances([]platform.Instance) {}
--- a/experiment/fleet/entry.go
+++ b/experiment/fleet/entry.go
@@ -32,8 +32,8 @@
 	restart bool
 	copies  bool
 	active  map[*request]bool
-	// blind entries do not measure links, to compare with.
-	blind bool
+	// ignoreLinks leaves measured link times unused, to compare with.
+	ignoreLinks bool
 }
 
 // request is one request in progress.
@@ -195,7 +195,7 @@
 		if e.hung || e.dead {
 			return
 		}
-		reply := pipeline.ProbeReply{Instance: e.stage.Instance, Iterations: e.iterations, Pending: e.holds(r)}
+		reply := pipeline.ProbeReply{Instance: e.stage.Instance, Iterations: e.iterations, Pending: e.holds(r), Iteration: e.longest}
 		s.after(back, func() {
 			if r.attempt == attempt {
 				r.detector.Reply(reply, s.time())
