Report transfer times of links; take the configured speeds

Cause: the chooser can follow links that slow down, but nothing told it: it used fixed values for all links.

Change: a sidecar reports the mean time of small and large frames to each availability zone once a second with its load; the entry passes them, and the speeds of the configuration, to its choosers.

Not measured on real links.

--- a/entry/admit.go
+++ b/entry/admit.go
@@ -281,7 +281,7 @@
 	case hello.GetService() != "":
 		s.admitter.observe(servicePool(hello.Service), instance, report)
 	case hello.GetModel() != "":
-		s.models.observe(hello.Model, instance, load)
+		s.models.observe(hello.Model, instance, hello.Zone, load)
 		// Every request runs once on a first stage, so these engines count each request once.
 		if hello.GetLayers().GetFirst() == 0 {
 			s.admitter.observe(modelPool(hello.Model), instance, report)
--- a/entry/members.go
+++ b/entry/members.go
@@ -162,7 +162,28 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.stages = maps.Clone(stages)
+	m.updateLinks(doc.Links)
 	for i := range doc.Models {
 		m.updateModel(&doc.Models[i], stages[doc.Models[i].Name])
 	}
 }
+
+// updateLinks gives the choosers the configured speeds, which hold until they
+// are measured. A change of the configuration starts the measurement again.
+func (m *modelSet) updateLinks(links []config.Link) {
+	if slices.Equal(m.links, links) {
+		return
+	}
+	m.links = slices.Clone(links)
+	for _, versions := range m.choosers {
+		for _, c := range versions {
+			m.setLinks(c)
+		}
+	}
+}
+
+func (m *modelSet) setLinks(c *pipeline.Chooser) {
+	for _, l := range m.links {
+		c.SetLink(l.From, l.To, l.BytesPerSecond, l.Latency)
+	}
+}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -5,8 +5,10 @@
 	"maps"
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"github.com/sapphirefield/sapphirefield/attempt"
+	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/pipeline"
 	"github.com/sapphirefield/sapphirefield/wire"
 )
@@ -201,13 +203,17 @@
 	serving map[string]string
 	// stages are those that the choosers know.
 	stages map[string][]pipeline.Stage
+	// links are those of the configuration that the choosers know.
+	links []config.Link
 }
 
 func newModelSet() *modelSet {
 	return &modelSet{choosers: make(map[string]map[string]*pipeline.Chooser), serving: make(map[string]string)}
 }
 
-func (m *modelSet) observe(model, instance string, load *wire.Load) {
+// observe takes a sidecar's report on its load and on the links from its
+// availability zone.
+func (m *modelSet) observe(model, instance, zone string, load *wire.Load) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, c := range m.choosers[model] {
@@ -215,6 +221,9 @@
 			Instance: instance, At: now(), Running: int(load.Running), Queued: int(load.Queued),
 			Draining: load.Draining, Down: !load.EngineUp,
 		})
+		for _, l := range load.Links {
+			c.ObserveLink(zone, l.Zone, int64(l.Bytes), time.Duration(l.Microseconds)*time.Microsecond)
+		}
 	}
 }
 
--- a/entry/stagerun.go
+++ b/entry/stagerun.go
@@ -98,7 +98,7 @@
 	stages := make([]*wire.Stage, len(chain.Stages))
 	for i, s := range chain.Stages {
 		stages[i] = &wire.Stage{
-			Instance: s.Instance, Address: s.Address,
+			Instance: s.Instance, Address: s.Address, Zone: s.Zone,
 			Layers: &wire.LayerRange{First: uint32(s.First), Limit: uint32(s.Limit)},
 			Keeps:  chain.keeps != nil && chain.keeps[i],
 		}
--- a/sidecar/hop.go
+++ b/sidecar/hop.go
@@ -16,6 +16,7 @@
 type hop struct {
 	instance string
 	address  string
+	zone     string
 	queue    *link.Queue[*wire.HopFrame]
 	conn     *link.Conn
 	// The fields below are guarded by the server's lock. sent holds the frames
@@ -25,6 +26,7 @@
 	// perByte is the average time until an acknowledgement, in seconds per byte.
 	perByte float64
 	writing bool
+	times   frameTimes
 }
 
 const (
@@ -75,6 +77,7 @@
 		h.sent = h.sent[1:]
 		took := now.Sub(f.at).Seconds() / float64(max(f.bytes, 1))
 		h.perByte += ackGain * (took - h.perByte)
+		h.times.add(f.bytes, now.Sub(f.at))
 	}
 	h.ackedAt = now
 }
@@ -126,7 +129,7 @@
 	address := stage.Address
 	h := s.hops[address]
 	if h == nil {
-		h = &hop{instance: stage.Instance, address: address, queue: link.NewQueue[*wire.HopFrame](maxQueuedSteps)}
+		h = &hop{instance: stage.Instance, address: address, zone: stage.Zone, queue: link.NewQueue[*wire.HopFrame](maxQueuedSteps)}
 		s.hops[address] = h
 		s.start(func() { s.runHop(h) })
 	}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -87,6 +87,8 @@
 	keptBytes int
 	entries   map[string]*entryLink
 	hops      map[string]*hop
+	// linkTimes is the report on the links of the last second.
+	linkTimes []*wire.LinkTime
 	engineUp  bool
 	// held is what the engine serves.
 	held Holding
@@ -246,6 +248,7 @@
 		Draining: s.ledger.Draining(),
 		EngineUp: s.engineUp,
 		Entries:  uint32(s.connectedEntries()),
+		Links:    s.linkTimes,
 	}
 }
 
@@ -278,6 +281,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ledger.Expire(now)
+	s.refreshLinkTimes()
 	s.expireKept(now)
 	s.endUnfinishedUploads(now)
 	for request, a := range s.attempts {
