--- a/experiment/control/processes.go
+++ b/experiment/control/processes.go
@@ -31,8 +31,6 @@
 	role      string
 	operators string
 	command   *exec.Cmd
-	// events receives the numbered log events.
-	events chan logLine
 }
 
 // logLine is the part of a log line that the measurement needs.
