--- a/cmd/sapphiredev/main.go
+++ b/cmd/sapphiredev/main.go
@@ -13,16 +13,18 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/sapphirefield/sapphirefield/demo"
+	"github.com/sapphirefield/sapphirefield/demo/local"
 	"github.com/sapphirefield/sapphirefield/experiment/capacity"
 	"github.com/sapphirefield/sapphirefield/experiment/control"
 	"github.com/sapphirefield/sapphirefield/experiment/fleet"
+	"github.com/sapphirefield/sapphirefield/experiment/load"
 )
 
 func main() {
 	root := &ffcli.Command{
 		Name:        "sapphiredev",
 		ShortUsage:  "sapphiredev <subcommand> [flags]",
-		Subcommands: []*ffcli.Command{demoCommand(), fleet.Command(), capacity.Command(), control.Command()},
+		Subcommands: []*ffcli.Command{demoCommand(), fleet.Command(), capacity.Command(), control.Command(), local.Command(), load.Command()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	err := root.ParseAndRun(context.Background(), os.Args[1:])
--- a/demo/client.go
+++ b/demo/client.go
@@ -17,6 +17,8 @@
 type Client struct {
 	URL string
 	Key string
+	// IdempotencyKey is sent with every request unless it is empty.
+	IdempotencyKey string
 	// HTTP is the client to use; nil means http.DefaultClient.
 	HTTP *http.Client
 }
@@ -32,6 +34,26 @@
 	FirstToken, LongestGap time.Duration
 }
 
+// ProblemError is an error answer of an entry.
+type ProblemError struct {
+	// Code is the code of the problem, or empty when the answer has none.
+	Code string
+	text string
+}
+
+// Error implements error.
+func (e *ProblemError) Error() string { return e.text }
+
+// NewProblemError reads the code from the body of an error answer.
+func NewProblemError(what string, body []byte) error {
+	var problem struct {
+		Code string `json:"code"`
+	}
+	// An answer in another form has no code.
+	_ = json.Unmarshal(body, &problem)
+	return errors.WithStack(&ProblemError{Code: problem.Code, text: what + ": " + string(body)})
+}
+
 type streamChunk struct {
 	Choices []struct {
 		Text         string  `json:"text"`
@@ -51,6 +73,9 @@
 	}
 	req.Header.Set("Authorization", "Bearer "+c.Key)
 	req.Header.Set("Content-Type", "application/json")
+	if c.IdempotencyKey != "" {
+		req.Header.Set("Idempotency-Key", c.IdempotencyKey)
+	}
 	client := c.HTTP
 	if client == nil {
 		client = http.DefaultClient
@@ -71,7 +96,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
 		text, _ := io.ReadAll(resp.Body)
-		return nil, errors.Errorf("entry answered %s: %s", resp.Status, text)
+		return nil, NewProblemError("entry answered "+resp.Status, text)
 	}
 	return readStream(resp.Body, began, onToken)
 }
@@ -89,9 +114,13 @@
 			answer.Whole = true
 			return answer, nil
 		}
+		before := answer.Tokens
 		if err := answer.add(data); err != nil {
 			return answer, err
 		}
+		if answer.Tokens == before {
+			continue
+		}
 		at := time.Now()
 		if answer.Tokens == 1 {
 			answer.FirstToken = at.Sub(began)
@@ -112,7 +141,7 @@
 		return errors.WithStack(err)
 	}
 	if chunk.Error != nil {
-		return errors.Errorf("stream ended with an error: %s", chunk.Error)
+		return NewProblemError("stream ended with an error", chunk.Error)
 	}
 	if len(chunk.Choices) == 0 {
 		return nil
--- /dev/null
+++ b/demo/local/local_test.go
@@ -0,0 +1,42 @@
+package local
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sapphirefield/sapphirefield/config"
+	"github.com/sapphirefield/sapphirefield/settings"
+)
+
+// Guards a newcomer's first steps: what the command writes must be accepted by
+// the daemon and by the configuration, whatever the number of engines.
+func TestFilesAreValid(t *testing.T) {
+	for _, engines := range []int{1, 3, maxEngines} {
+		o := Options{Engines: engines, Plain: 2, Dir: t.TempDir(), Network: "127.84.0"}
+		assert.NilError(t, o.check())
+		assert.NilError(t, o.writeFiles(&bytes.Buffer{}))
+		files, err := filepath.Glob(filepath.Join(o.Dir, "*-*.yaml"))
+		assert.NilError(t, err)
+		assert.Equal(t, len(files), engines+3)
+		for _, file := range files {
+			_, err := settings.Load([]string{"-settings", file}, nil)
+			assert.NilError(t, err)
+		}
+		text, err := os.ReadFile(filepath.Join(o.Dir, "document.yaml"))
+		assert.NilError(t, err)
+		doc, findings := config.Parse("document.yaml", text)
+		assert.NilError(t, findings.Err())
+		assert.NilError(t, doc.Validate().Err())
+	}
+}
+
+// Guards against stand-ins that others than local users can reach.
+func TestStandinsStayOnLoopback(t *testing.T) {
+	err := Run(context.Background(), &bytes.Buffer{}, Options{Engines: 1, Dir: t.TempDir(), Network: "10.0.0"})
+	assert.ErrorContains(t, err, "not on loopback")
+}
--- /dev/null
+++ b/experiment/load/load.go
@@ -0,0 +1,300 @@
+// Package load sends requests to a running entry at a steady rate and reports
+// latencies, error codes and whether every answer was whole.
+package load
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"os/signal"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+
+	"github.com/sapphirefield/sapphirefield/demo"
+	"github.com/sapphirefield/sapphirefield/standin"
+)
+
+// Options describe the load.
+type Options struct {
+	URL, Key, Model, Service string
+	// Rate is in requests per second, Concurrency bounds the requests in progress.
+	Rate        float64
+	Concurrency int
+	// Duration and Requests bound the run; the first to be reached ends it.
+	Duration time.Duration
+	Requests int
+	// PromptMin and PromptMax bound the bytes of a prompt.
+	PromptMin, PromptMax int
+	Tokens               int
+	// Keyed is the share of requests that are bookings with an idempotency key.
+	Keyed float64
+	// Layers of the stand-in model; 0 turns the check of the text off.
+	Layers int
+	Seed   uint64
+}
+
+const (
+	maxRate        = 10_000
+	maxConcurrency = 1000
+	maxDuration    = 10 * time.Minute
+	maxRequests    = 1_000_000
+	maxPromptBytes = 1 << 20
+	maxTokens      = 100_000
+	// requestTimeout bounds one request, so that a run ends soon after its last one.
+	requestTimeout = time.Minute
+	// maxLatency bounds what a histogram holds, in microseconds.
+	maxLatency = int64(2 * requestTimeout / time.Microsecond)
+)
+
+// Command returns the subcommand "load".
+func Command() *ffcli.Command {
+	var o Options
+	flags := flag.NewFlagSet("sapphiredev load", flag.ContinueOnError)
+	flags.StringVar(&o.URL, "url", "http://127.84.0.2:8443", "address of the entry for callers; loopback only")
+	flags.StringVar(&o.Key, "key", demo.Key, "bearer key of the team")
+	flags.StringVar(&o.Model, "model", demo.Model, "model of the prompts")
+	flags.StringVar(&o.Service, "service", demo.Service, "service of the bookings")
+	flags.Float64Var(&o.Rate, "rate", 10, "requests per second")
+	flags.IntVar(&o.Concurrency, "concurrency", 32, "most requests in progress")
+	flags.DurationVar(&o.Duration, "duration", 10*time.Second, "time for which requests are sent")
+	flags.IntVar(&o.Requests, "requests", 10_000, "most requests to send")
+	flags.IntVar(&o.PromptMin, "prompt-min", 20, "fewest bytes of a prompt")
+	flags.IntVar(&o.PromptMax, "prompt-max", 200, "most bytes of a prompt")
+	flags.IntVar(&o.Tokens, "tokens", 50, "most tokens of an answer")
+	flags.Float64Var(&o.Keyed, "keyed", 0.1, "share of bookings with an idempotency key, from 0 to 1")
+	flags.IntVar(&o.Layers, "layers", demo.Layers, "layers of the stand-in model, to check every token; 0 turns the check off")
+	flags.Uint64Var(&o.Seed, "seed", 1, "seed of the prompts and of their order")
+	return &ffcli.Command{
+		Name:       "load",
+		ShortUsage: "sapphiredev load [-url URL] [-rate N] [-concurrency N] [-duration D] [-requests N] [-keyed SHARE] ...",
+		ShortHelp:  "load a running entry on loopback and report latencies and errors",
+		FlagSet:    flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+			defer stop()
+			return Run(ctx, os.Stdout, o)
+		},
+	}
+}
+
+func (o Options) check() error {
+	target, err := url.Parse(o.URL)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	ip := net.ParseIP(target.Hostname())
+	switch {
+	case target.Scheme != "http" && target.Scheme != "https":
+		return errors.Errorf("-url %s is neither http nor https", o.URL)
+	case ip == nil || !ip.IsLoopback():
+		return errors.Errorf("-url %s is not a loopback address", o.URL)
+	case !(o.Rate > 0 && o.Rate <= maxRate):
+		return errors.Errorf("-rate must be above 0 and at most %d", maxRate)
+	case o.Concurrency < 1 || o.Concurrency > maxConcurrency:
+		return errors.Errorf("-concurrency must be from 1 to %d", maxConcurrency)
+	case o.Duration <= 0 || o.Duration > maxDuration:
+		return errors.Errorf("-duration must be above 0 and at most %s", maxDuration)
+	case o.Requests < 1 || o.Requests > maxRequests:
+		return errors.Errorf("-requests must be from 1 to %d", maxRequests)
+	case o.PromptMin < 1 || o.PromptMax < o.PromptMin || o.PromptMax > maxPromptBytes:
+		return errors.Errorf("-prompt-min and -prompt-max must be in order and from 1 to %d", maxPromptBytes)
+	case o.Tokens < 1 || o.Tokens > maxTokens:
+		return errors.Errorf("-tokens must be from 1 to %d", maxTokens)
+	case !(o.Keyed >= 0 && o.Keyed <= 1):
+		return errors.New("-keyed must be from 0 to 1")
+	case o.Layers < 0:
+		return errors.New("-layers must be at least 0")
+	}
+	return nil
+}
+
+// result gathers what all requests saw.
+type result struct {
+	mu                              sync.Mutex
+	prompts, bookings, tokens, late int
+	firstToken, between, booking    *hdrhistogram.Histogram
+	// errors counts by code, broken holds answers that were not whole.
+	errors map[string]int
+	broken []string
+}
+
+func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, maxLatency, 3) }
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(min(max(d.Microseconds(), 1), maxLatency))
+}
+
+// Run sends the load and writes the report. An answer that is not whole is an error.
+func Run(ctx context.Context, out io.Writer, o Options) error {
+	if err := o.check(); err != nil {
+		return err
+	}
+	transport := &http.Transport{MaxIdleConnsPerHost: o.Concurrency}
+	defer transport.CloseIdleConnections()
+	client := &demo.Client{URL: o.URL, Key: o.Key, HTTP: &http.Client{Transport: transport, Timeout: requestTimeout}}
+	r := &result{firstToken: newHistogram(), between: newHistogram(), booking: newHistogram(), errors: map[string]int{}}
+	began := time.Now()
+	o.send(ctx, client, r)
+	if err := r.write(out, time.Since(began)); err != nil {
+		return err
+	}
+	if len(r.broken) > 0 {
+		return errors.Errorf("%d answers were not whole, the first: %s", len(r.broken), r.broken[0])
+	}
+	return nil
+}
+
+// send starts requests at the rate and waits for the last answer. While all
+// slots are taken the next request waits, and counts as late.
+func (o Options) send(ctx context.Context, client *demo.Client, r *result) {
+	sending, cancel := context.WithTimeout(ctx, o.Duration)
+	defer cancel()
+	random := rand.New(rand.NewPCG(o.Seed, o.Seed))
+	limiter := rate.NewLimiter(rate.Limit(o.Rate), 1)
+	slots := make(chan struct{}, o.Concurrency)
+	var requests sync.WaitGroup
+	defer requests.Wait()
+	// Keys of an earlier run must not be met again.
+	run := time.Now().UnixNano()
+	for i := range o.Requests {
+		if limiter.Wait(sending) != nil {
+			return
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			r.late++
+			select {
+			case slots <- struct{}{}:
+			case <-sending.Done():
+				return
+			}
+		}
+		request := o.promptRequest(random)
+		if random.Float64() < o.Keyed {
+			request = o.bookingRequest(fmt.Sprintf("load-%d-%d", run, i))
+		}
+		requests.Go(func() {
+			defer func() { <-slots }()
+			request(ctx, client, r)
+		})
+	}
+}
+
+type request func(ctx context.Context, client *demo.Client, r *result)
+
+func (o Options) promptRequest(random *rand.Rand) request {
+	length := o.PromptMin + random.IntN(o.PromptMax-o.PromptMin+1)
+	var b strings.Builder
+	for b.Len() < length {
+		fmt.Fprintf(&b, "%x ", random.Uint64())
+	}
+	prompt := b.String()[:length]
+	return func(ctx context.Context, client *demo.Client, r *result) {
+		last := time.Now()
+		answer, err := client.Complete(ctx, o.Model, prompt, o.Tokens, func(n int) {
+			at := time.Now()
+			r.token(n, at.Sub(last))
+			last = at
+		})
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.prompts++
+		switch {
+		case err != nil:
+			r.failed(err)
+		case !answer.Whole || answer.Finish == "":
+			r.broken = append(r.broken, fmt.Sprintf("prompt %q ended without its mark", prompt))
+		case o.Layers > 0 && !o.exact(prompt, answer):
+			r.broken = append(r.broken, fmt.Sprintf("prompt %q got another text", prompt))
+		}
+	}
+}
+
+func (o Options) exact(prompt string, answer *demo.Answer) bool {
+	texts, finish := standin.Generate(o.Layers, prompt, uint32(o.Tokens))
+	return answer.Text == strings.Join(texts, "") && answer.Finish == finish
+}
+
+func (o Options) bookingRequest(key string) request {
+	return func(ctx context.Context, client *demo.Client, r *result) {
+		keyed := *client
+		keyed.IdempotencyKey = key
+		began := time.Now()
+		status, body, err := keyed.Call(ctx, http.MethodPost, "/"+o.Service+"/bookings", map[string]string{"reference": key})
+		took := time.Since(began)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.bookings++
+		switch {
+		case err != nil:
+			r.failed(err)
+		case status >= http.StatusBadRequest:
+			r.failed(demo.NewProblemError(fmt.Sprintf("status %d", status), []byte(body)))
+		case !strings.Contains(body, key):
+			r.broken = append(r.broken, fmt.Sprintf("booking %s got %q", key, body))
+		default:
+			record(r.booking, took)
+		}
+	}
+}
+
+func (r *result) token(n int, gap time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tokens++
+	if n == 1 {
+		record(r.firstToken, gap)
+		return
+	}
+	record(r.between, gap)
+}
+
+// failed must be called with the lock held.
+func (r *result) failed(err error) {
+	var problem *demo.ProblemError
+	code := "connection"
+	if errors.As(err, &problem) {
+		code = problem.Code
+	}
+	r.errors[code]++
+}
+
+func (r *result) write(out io.Writer, took time.Duration) error {
+	fmt.Fprintf(out, "%d prompts, %d bookings and %d tokens in %s; %d requests started late for want of a slot\n",
+		r.prompts, r.bookings, r.tokens, took.Round(time.Millisecond), r.late)
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "latency\tcount\tp50 ms\tp95 ms\tp99 ms\tmax ms")
+	for _, row := range []struct {
+		name string
+		h    *hdrhistogram.Histogram
+	}{{"first token", r.firstToken}, {"between tokens", r.between}, {"keyed booking", r.booking}} {
+		millis := func(p float64) float64 { return float64(row.h.ValueAtQuantile(p)) / 1000 }
+		fmt.Fprintf(w, "%s\t%d\t%.2f\t%.2f\t%.2f\t%.2f\n", row.name, row.h.TotalCount(), millis(50), millis(95), millis(99), float64(row.h.Max())/1000)
+	}
+	codes := make([]string, 0, len(r.errors))
+	for code := range r.errors {
+		codes = append(codes, code)
+	}
+	slices.Sort(codes)
+	for _, code := range codes {
+		fmt.Fprintf(w, "error %s\t%d\n", code, r.errors[code])
+	}
+	fmt.Fprintf(w, "answers not whole\t%d\n", len(r.broken))
+	return errors.WithStack(w.Flush())
+}
