--- a/cmd/sapphiredev/main.go
+++ b/cmd/sapphiredev/main.go
@@ -13,19 +13,24 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/sapphirefield/sapphirefield/demo"
+	"github.com/sapphirefield/sapphirefield/demo/local"
 	"github.com/sapphirefield/sapphirefield/experiment/capacity"
 	"github.com/sapphirefield/sapphirefield/experiment/control"
 	"github.com/sapphirefield/sapphirefield/experiment/fleet"
+	"github.com/sapphirefield/sapphirefield/experiment/load"
 	"github.com/sapphirefield/sapphirefield/experiment/overload"
 	"github.com/sapphirefield/sapphirefield/fuzz"
 )
 
 func main() {
 	root := &ffcli.Command{
-		Name:        "sapphiredev",
-		ShortUsage:  "sapphiredev <subcommand> [flags]",
-		Subcommands: []*ffcli.Command{demoCommand(), fleet.Command(), capacity.Command(), control.Command(), overload.Command(), fuzz.Command()},
-		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+		Name:       "sapphiredev",
+		ShortUsage: "sapphiredev <subcommand> [flags]",
+		Subcommands: []*ffcli.Command{
+			demoCommand(), local.Command(), load.Command(),
+			fleet.Command(), overload.Command(), fuzz.Command(), capacity.Command(), control.Command(),
+		},
+		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	err := root.ParseAndRun(context.Background(), os.Args[1:])
 	switch {
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -37,6 +37,7 @@
 	})
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return planning.Run(ctx) })
+	group.Go(func() error { return r.servePeers(ctx) })
 	group.Go(func() error {
 		return r.serveHTTP(ctx, r.settings.Listen.Callers.String(), r.tls.callers(), r.server.Handler())
 	})
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcmux"
 
 	"github.com/sapphirefield/sapphirefield/configsync"
 	"github.com/sapphirefield/sapphirefield/link"
@@ -108,3 +111,32 @@
 		return &wire.RevisionReply{Revision: revision, Digest: digest, State: state}
 	}
 }
+
+// peerServer answers other processes on an entry's listener for peers, so that
+// an entry can give its revision while the log is down.
+type peerServer struct {
+	wire.DRPCSidecarUnimplementedServer
+	revision func(after int64) *wire.RevisionReply
+}
+
+// Revision implements the drpc service.
+func (p *peerServer) Revision(_ context.Context, req *wire.RevisionRequest) (*wire.RevisionReply, error) {
+	return p.revision(req.After), nil
+}
+
+// servePeers serves the listener for peers, if the settings name one.
+func (p *process) servePeers(ctx context.Context) error {
+	address := p.settings.Listen.Peers
+	if !address.IsValid() {
+		return nil
+	}
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterSidecar(mux, &peerServer{revision: revisionReply(p.sync)}); err != nil {
+		return errors.WithStack(err)
+	}
+	return link.Serve(ctx, countedListener{Listener: listener, counters: p.net}, p.tls.peers(), mux)
+}
