ctl: one client for operators' listeners

Cause: config status could not give the operators' password nor trust their authority, so it worked on loopback only; report burn refused an address without a scheme.

Change: package ctl/opsclient serves both, with the same flags; the password is sent over https or to loopback only.

Conclusion: both commands take the same addresses and secrets.

--- a/ctl/burncmd/burncmd.go
+++ b/ctl/burncmd/burncmd.go
@@ -5,12 +5,9 @@
 import (
 	"cmp"
 	"context"
-	"crypto/tls"
-	"crypto/x509"
 	"flag"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"slices"
 	"strings"
@@ -21,14 +18,13 @@
 	"github.com/pkg/errors"
 
 	"github.com/sapphirefield/sapphirefield/burn"
+	"github.com/sapphirefield/sapphirefield/ctl/opsclient"
 )
 
 // options are the flags of the subcommand.
 type options struct {
-	html         string
-	passwordFile string
-	caFile       string
-	timeout      time.Duration
+	html string
+	ops  opsclient.Flags
 }
 
 // Command returns the subcommand "burn", which belongs below "report".
@@ -40,9 +36,7 @@
 	var o options
 	flags := flag.NewFlagSet("burn", flag.ContinueOnError)
 	flags.StringVar(&o.html, "html", "", "also write the report with plots to this HTML file")
-	flags.StringVar(&o.passwordFile, "password-file", "", "file with the operators' password")
-	flags.StringVar(&o.caFile, "ca", "", "PEM file with the authority of the operators' listeners; the system's authorities when empty")
-	flags.DurationVar(&o.timeout, "timeout", 5*time.Second, "longest time for one process to answer")
+	o.ops.Register(flags)
 	return &ffcli.Command{
 		Name:       "burn",
 		ShortUsage: "sapphirectl report burn [flags] URL ...",
@@ -59,10 +53,11 @@
 	if len(urls) == 0 {
 		return errors.New("name at least one operators' listener")
 	}
-	f, err := newFetcher(o)
+	client, err := opsclient.New(o.ops)
 	if err != nil {
 		return err
 	}
+	f := &fetcher{client: client}
 	exports, failures := f.all(ctx, urls)
 	for _, failure := range failures {
 		fmt.Fprintln(problems, failure)
@@ -168,31 +163,4 @@
 }
 
 // fetcher reads exports from operators' listeners.
-type fetcher struct {
-	client   *http.Client
-	password string
-}
-
-func newFetcher(o options) (*fetcher, error) {
-	f := &fetcher{client: &http.Client{Timeout: o.timeout}}
-	if o.passwordFile != "" {
-		text, err := os.ReadFile(o.passwordFile)
-		if err != nil {
-			return nil, err
-		}
-		f.password = strings.TrimRight(string(text), "\r\n")
-	}
-	if o.caFile == "" {
-		return f, nil
-	}
-	pem, err := os.ReadFile(o.caFile)
-	if err != nil {
-		return nil, err
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return nil, errors.Errorf("%s holds no certificate", o.caFile)
-	}
-	f.client.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}}
-	return f, nil
-}
+type fetcher struct{ client *opsclient.Client }
--- a/ctl/burncmd/fetch.go
+++ b/ctl/burncmd/fetch.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"net/http"
-	"strings"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
@@ -50,25 +47,10 @@
 }
 
 func (f *fetcher) one(ctx context.Context, url string) (*burn.Export, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimRight(url, "/")+"/burn", nil)
+	data, err := f.client.Get(ctx, url, "/burn", maxExportBytes)
 	if err != nil {
 		return nil, err
 	}
-	if f.password != "" {
-		request.SetBasicAuth("operator", f.password)
-	}
-	response, err := f.client.Do(request)
-	if err != nil {
-		return nil, err
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("%s answered %s", url, response.Status)
-	}
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxExportBytes))
-	if err != nil {
-		return nil, errors.Wrap(err, url)
-	}
 	export, err := burn.Decode(data)
 	if err != nil {
 		return nil, errors.Wrap(err, url)
--- a/ctl/configcmd/status.go
+++ b/ctl/configcmd/status.go
@@ -4,15 +4,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
-	"net/http"
-	"strings"
 	"text/tabwriter"
-	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/sapphirefield/sapphirefield/ctl/opsclient"
 )
 
 // Status is the answer of a process's operators' listener to GET /status.
@@ -30,14 +28,16 @@
 }
 
 const (
-	statusTimeout  = 5 * time.Second
 	statusParallel = 16
 	maxStatusBytes = 64 << 10
 )
 
 func statusCommand(o Options) *ffcli.Command {
+	flags := flagSet("status")
+	var ops opsclient.Flags
+	ops.Register(flags)
 	return &ffcli.Command{
-		Name: "status", ShortUsage: "sapphirectl config status ADDRESS...", FlagSet: flagSet("status"),
+		Name: "status", ShortUsage: "sapphirectl config status [flags] ADDRESS...", FlagSet: flags,
 		ShortHelp: "show which revision processes have in force",
 		LongHelp: "ADDRESS is the host and port, or the URL, of a process's operators' listener.\n" +
 			"Exits with 1 when processes have different revisions or cannot judge a record, and with 4 when one does not answer.\n" + exitCodesHelp,
@@ -45,7 +45,11 @@
 			if len(addresses) == 0 {
 				return exit(ExitUsage, "name at least one address")
 			}
-			return o.status(ctx, addresses)
+			client, err := opsclient.New(ops)
+			if err != nil {
+				return exit(ExitUsage, "%v", err)
+			}
+			return o.status(ctx, client, addresses)
 		},
 	}
 }
@@ -55,13 +59,13 @@
 	err error
 }
 
-func (o Options) status(ctx context.Context, addresses []string) error {
+func (o Options) status(ctx context.Context, client *opsclient.Client, addresses []string) error {
 	answers := make([]statusAnswer, len(addresses))
 	var group errgroup.Group
 	group.SetLimit(statusParallel)
 	for i, address := range addresses {
 		group.Go(func() error {
-			answers[i].Status, answers[i].err = o.askStatus(ctx, address)
+			answers[i].Status, answers[i].err = askStatus(ctx, client, address)
 			return nil
 		})
 	}
@@ -72,27 +76,13 @@
 	return judgeStatus(answers)
 }
 
-func (o Options) askStatus(ctx context.Context, address string) (Status, error) {
-	if !strings.Contains(address, "://") {
-		address = "http://" + address
-	}
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimSuffix(address, "/")+"/status", nil)
+func askStatus(ctx context.Context, client *opsclient.Client, address string) (Status, error) {
+	data, err := client.Get(ctx, address, "/status", maxStatusBytes)
 	if err != nil {
 		return Status{}, err
 	}
-	response, err := o.Client.Do(request)
-	if err != nil {
-		return Status{}, err
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return Status{}, errors.Errorf("status %d", response.StatusCode)
-	}
 	var s Status
-	err = json.NewDecoder(io.LimitReader(response.Body, maxStatusBytes)).Decode(&s)
-	return s, err
+	return s, errors.WithStack(json.Unmarshal(data, &s))
 }
 
 func (o Options) printStatus(addresses []string, answers []statusAnswer) error {
--- /dev/null
+++ b/ctl/opsclient/opsclient_test.go
@@ -0,0 +1,53 @@
+package opsclient
+
+import (
+	"context"
+	"flag"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func client(t *testing.T, args ...string) *Client {
+	var f Flags
+	set := flag.NewFlagSet("test", flag.ContinueOnError)
+	f.Register(set)
+	assert.NilError(t, set.Parse(args))
+	c, err := New(f)
+	assert.NilError(t, err)
+	return c
+}
+
+// Guards operators against a listener that asks for the password, and against
+// an address without a scheme, which is how the settings write it.
+func TestGet(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, password, _ := r.BasicAuth(); password != "open sesame" {
+			w.WriteHeader(http.StatusUnauthorized)
+			return
+		}
+		_, _ = w.Write([]byte(r.URL.Path))
+	}))
+	defer server.Close()
+	file := filepath.Join(t.TempDir(), "password")
+	assert.NilError(t, os.WriteFile(file, []byte("open sesame\n"), 0o600))
+
+	data, err := client(t, "-password-file", file).Get(context.Background(), strings.TrimPrefix(server.URL, "http://"), "/status", 100)
+	assert.NilError(t, err)
+	assert.Equal(t, string(data), "/status")
+	_, err = client(t).Get(context.Background(), server.URL, "/status", 100)
+	assert.ErrorContains(t, err, "401")
+}
+
+// Guards the password against being sent in plain text over a network.
+func TestPasswordStaysOnSecuredConnections(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "password")
+	assert.NilError(t, os.WriteFile(file, []byte("x"), 0o600))
+	_, err := client(t, "-password-file", file).Get(context.Background(), "192.0.2.1:8445", "/status", 100)
+	assert.ErrorContains(t, err, "https or to a loopback address only")
+}
