link, entry, sidecar: watch for silence with a timer, not a goroutine

Cause: the goroutine profile of an entry with 120 idle streams shows 747 goroutines, six for each stream, and 3.5 MB of stacks, about a third of what the streams take. Two of the six only wait: one for silence, one for the end of the others.

Change: Silence.Start calls a function from a timer, and Watch is built on it. The goroutine of the connection receives frames itself instead of waiting in an errgroup. An entry holds four goroutines for each stream instead of six and a sidecar three fewer. The first failure remains the cause of the end. A redial names its own cause, so that membership counts it as an end of stream as before and not as silence.

--- a/entry/peer.go
+++ b/entry/peer.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/sapphirefield/sapphirefield/attempt"
 	"github.com/sapphirefield/sapphirefield/link"
@@ -137,15 +136,17 @@
 	p.mu.Lock()
 	p.silence = silence
 	p.mu.Unlock()
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error {
+	stopWatch := silence.Start(func() { drop(link.ErrSilent) })
+	defer stopWatch()
+	var sending sync.WaitGroup
+	sending.Go(func() {
 		// Closing the connection ends the receiving side as well.
 		defer func() { _ = conn.Close() }()
-		return p.send(ctx, stream, queue, silence)
+		drop(p.send(ctx, stream, queue, silence))
 	})
-	group.Go(func() error { return silence.Watch(ctx) })
-	group.Go(func() error { return p.receive(stream, queue, silence) })
-	return group.Wait()
+	drop(p.receive(stream, queue, silence))
+	sending.Wait()
+	return context.Cause(ctx)
 }
 
 func (p *peer) send(ctx context.Context, stream wire.DRPCSidecar_WorkClient, queue *link.Queue[*wire.WorkUp], silence *link.Silence) error {
@@ -310,12 +311,16 @@
 // nothing before its connection is replaced. It sends its load every second.
 const suspectLimit = link.HeartbeatInterval * 5 / 4
 
+// errUnanswered ends a connection on which a question stayed unanswered. It
+// differs from link.ErrSilent: membership counts it as an end of stream.
+var errUnanswered = errors.New("the sidecar left a question unanswered")
+
 // redial replaces a connection on which questions stay unanswered.
 func (p *peer) redial() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.silent && p.drop != nil {
-		p.drop(link.ErrSilent)
+		p.drop(errUnanswered)
 	}
 }
 
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -68,3 +68,23 @@
 		assert.Assert(t, !open)
 	})
 }
+
+// A stopped watch must not end a stream that has been replaced, and a changed
+// limit must move the timer in both directions.
+func TestSilenceStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		ended := make(chan time.Duration, 1)
+		silence := link.NewSilence(began, 30*time.Second)
+		stop := silence.Start(func() { ended <- time.Since(began) })
+		time.Sleep(5 * time.Second)
+		silence.SetLimit(time.Now(), link.SilenceLimit)
+		assert.Equal(t, <-ended, 5*time.Second+link.SilenceLimit)
+		stop()
+
+		stop = silence.Start(func() { t.Error("a stopped watch reported silence") })
+		stop()
+		silence.SetLimit(time.Now(), time.Second)
+		time.Sleep(time.Minute)
+	})
+}
--- a/link/silence.go
+++ b/link/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,13 +17,16 @@
 type Silence struct {
 	limit atomic.Int64
 	last  atomic.Int64
-	// changed wakes Watch after a change of the limit.
-	changed chan struct{}
+
+	mu sync.Mutex
+	// timer is set between Start and the end of the watch.
+	timer  *time.Timer
+	silent func()
 }
 
 // NewSilence returns a watch that starts now.
 func NewSilence(now time.Time, limit time.Duration) *Silence {
-	s := &Silence{changed: make(chan struct{}, 1)}
+	s := &Silence{}
 	s.limit.Store(int64(limit))
 	s.last.Store(now.UnixNano())
 	return s
@@ -35,9 +39,10 @@
 		return
 	}
 	s.last.Store(now.UnixNano())
-	select {
-	case s.changed <- struct{}{}:
-	default:
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.timer != nil {
+		s.timer.Reset(limit)
 	}
 }
 
@@ -60,19 +65,55 @@
 // Watch returns ErrSilent as soon as the stream has been silent for the limit,
 // or nil when ctx ends first.
 func (s *Silence) Watch(ctx context.Context) error {
-	timer := time.NewTimer(time.Duration(s.limit.Load()))
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-timer.C:
-		case <-s.changed:
-		}
-		left := time.Until(time.Unix(0, s.last.Load()+s.limit.Load()))
-		if left <= 0 {
-			return ErrSilent
-		}
-		timer.Reset(left)
+	expired := make(chan struct{})
+	stop := s.Start(func() { close(expired) })
+	defer stop()
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-expired:
+		return ErrSilent
+	}
+}
+
+// Start calls silent once when the limit has passed without a frame, unless
+// stop is called before. It holds a timer and no goroutine, because a process
+// with hundreds of idle streams pays for the stack of each goroutine.
+func (s *Silence) Start(silent func()) (stop func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+	s.timer = time.AfterFunc(time.Duration(s.limit.Load()), s.check)
+	return s.stop
+}
+
+func (s *Silence) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.timer != nil {
+		s.timer.Stop()
+		s.timer = nil
+	}
+}
+
+// check ends the watch when the limit has passed, and otherwise waits for the rest.
+func (s *Silence) check() {
+	if s.ended() {
+		s.silent()
 	}
 }
+
+func (s *Silence) ended() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.timer == nil {
+		return false
+	}
+	left := time.Until(time.Unix(0, s.last.Load()+s.limit.Load()))
+	if left > 0 {
+		s.timer.Reset(left)
+		return false
+	}
+	s.timer = nil
+	return true
+}
--- a/sidecar/work.go
+++ b/sidecar/work.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/sapphirefield/sapphirefield/attempt"
 	"github.com/sapphirefield/sapphirefield/link"
@@ -50,16 +50,23 @@
 	s.attachEntry(hello, queue)
 	defer s.detachEntry(hello.Id, queue)
 
-	group, ctx := errgroup.WithContext(stream.Context())
+	ctx, cancel := context.WithCancelCause(stream.Context())
+	defer cancel(nil)
+	// A blocked Recv returns only once the connection is closed.
+	stopAbort := context.AfterFunc(ctx, func() { link.Abort(stream.Context()) })
+	defer stopAbort()
 	silence := link.NewSilence(time.Now(), link.SilenceLimit)
+	stopWatch := silence.Start(func() { cancel(link.ErrSilent) })
+	defer stopWatch()
 	interval := new(atomic.Int64)
 	interval.Store(int64(link.HeartbeatInterval))
-	group.Go(func() error { return s.receiveWork(stream, hello, silence, interval) })
-	group.Go(func() error { return s.sendWork(ctx, stream, queue, interval) })
-	group.Go(func() error { return silence.Watch(ctx) })
-	// A blocked Recv returns only once the connection is closed.
-	group.Go(func() error { <-ctx.Done(); link.Abort(stream.Context()); return nil })
-	return group.Wait()
+	var sending sync.WaitGroup
+	sending.Go(func() { cancel(s.sendWork(ctx, stream, queue, interval)) })
+	cancel(s.receiveWork(stream, hello, silence, interval))
+	// The connection is closed before this returns, also when the function above has not run yet.
+	link.Abort(stream.Context())
+	sending.Wait()
+	return context.Cause(ctx)
 }
 
 func (s *Server) attachEntry(hello *wire.Hello, queue *link.Queue[*wire.WorkDown]) {
