link: begin with a write buffer of 512 bytes instead of 4 KB

Cause: drpc allocates a write buffer of 4 KB for each connection, while an idle stream writes heartbeats and reports of load of about 30 bytes each.

Change: WriterBufferSize is 512. The buffer still grows to the largest frame, and each message is flushed, so the number of writes stays the same.

--- a/link/link.go
+++ b/link/link.go
@@ -29,6 +29,10 @@
 	// writeTimeout bounds one write, so that a peer that stopped reading cannot block a sender.
 	writeTimeout = SilenceLimit
 	dialTimeout  = time.Second
+	// writerBufferBytes is the first size of a connection's write buffer, which
+	// grows to the largest frame. Heartbeats and reports of load take about 30 bytes,
+	// and each message is flushed, so that a larger buffer saves no write.
+	writerBufferBytes = 512
 	// maxFrameBytes bounds one message from a peer.
 	maxFrameBytes = 16 << 20
 )
@@ -170,7 +174,10 @@
 }
 
 func managerOptions() drpcmanager.Options {
-	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxFrameBytes}}
+	return drpcmanager.Options{
+		WriterBufferSize: writerBufferBytes,
+		Reader:           drpcwire.ReaderOptions{MaximumBufferSize: maxFrameBytes},
+	}
 }
 
 // writeChunkBytes is the part of a write that must pass within writeTimeout. A
