attempt: take the transitions of the ledger from its state chart

Cause: the page of state charts said that programs interpret all of them, but only two were. The chart of an attempt had states that the ledger does not know.

Change: the chart names the ledger's states and events and the ledger moves by it; each chart says which package follows it, and the page shows it.

--- a/attempt/ledger.go
+++ b/attempt/ledger.go
@@ -2,7 +2,10 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
+
+	"github.com/sapphirefield/sapphirefield/chart"
 )
 
 // Key names one attempt of one request.
@@ -25,18 +28,38 @@
 	RefusalDuplicate
 )
 
-type state int
-
+// The states and events of the chart attempt.
 const (
-	stateOpened state = iota
-	stateRunning
-	stateDone
-	stateWithdrawn
+	stateOpened    chart.State = "opened"
+	stateRunning   chart.State = "running"
+	stateDone      chart.State = "done"
+	stateWithdrawn chart.State = "withdrawn"
+
+	eventBegin    chart.Event = "begin"
+	eventFinish   chart.Event = "finish"
+	eventNotRun   chart.Event = "not_run"
+	eventWithdraw chart.Event = "withdraw"
 )
 
+// lifecycle is the chart that all attempts follow. It is embedded in the
+// program, so a chart that does not fit is a fault of the build.
+var lifecycle = sync.OnceValue(func() *chart.Chart {
+	c, err := chart.Load(chart.Files(), "attempt")
+	if err == nil {
+		err = c.Expect(
+			[]chart.State{stateOpened, stateRunning, stateDone, stateWithdrawn},
+			[]chart.Event{eventBegin, eventFinish, eventNotRun, eventWithdraw},
+		)
+	}
+	if err != nil {
+		panic(err)
+	}
+	return c
+})
+
 type record struct {
 	number uint32
-	state  state
+	state  chart.State
 	// closedAt is when the record reached a final state.
 	closedAt time.Time
 	// begun lists the older attempts that were begun. A late copy of one of them
@@ -46,7 +69,7 @@
 
 // successor returns the record of a newer attempt that replaces this one.
 func (r *record) successor(number uint32) *record {
-	next := &record{number: number}
+	next := &record{number: number, state: lifecycle().Initial()}
 	if r == nil {
 		return next
 	}
@@ -57,6 +80,9 @@
 	return next
 }
 
+// open tells whether the attempt is neither finished nor withdrawn.
+func (r *record) open() bool { return !lifecycle().IsFinal(r.state) }
+
 // TombstoneLife is how long a finished or withdrawn attempt is remembered. It
 // must exceed the silence after which a connection is closed, because a frame
 // can arrive late only on a connection that is still open.
@@ -101,7 +127,7 @@
 // graceful shutdown cuts off nothing that is in progress.
 func (l *Ledger) Continue(key Key, incarnation string) Refusal {
 	known := l.records[key.Request]
-	inProgress := known != nil && (known.state == stateOpened || known.state == stateRunning)
+	inProgress := known != nil && known.open()
 	return l.open(key, incarnation, l.draining && !inProgress)
 }
 
@@ -140,6 +166,29 @@
 	}
 }
 
+// move takes an event of an open attempt. It returns false, and changes
+// nothing, when the chart does not allow the event.
+func (l *Ledger) move(r *record, event chart.Event, now time.Time) bool {
+	if !r.open() {
+		return false
+	}
+	next, err := lifecycle().Next(r.state, event)
+	if err != nil {
+		return false
+	}
+	if r.state == stateRunning {
+		l.running--
+	}
+	r.state = next
+	if r.state == stateRunning {
+		l.running++
+	}
+	if !r.open() {
+		r.closedAt = now
+	}
+	return true
+}
+
 // Begin marks an opened attempt as running. It returns false when the attempt
 // must not run because it was withdrawn, replaced or already begun.
 func (l *Ledger) Begin(key Key) bool {
@@ -147,44 +196,30 @@
 	if known == nil || known.state != stateOpened {
 		return false
 	}
-	known.state = stateRunning
-	l.running++
-	return true
+	return l.move(known, eventBegin, time.Time{})
 }
 
 // Current tells whether the attempt is the newest one of its request and is
 // neither finished nor withdrawn.
 func (l *Ledger) Current(key Key) bool {
 	known := l.current(key)
-	return known != nil && (known.state == stateOpened || known.state == stateRunning)
+	return known != nil && known.open()
 }
 
 // Finish marks an attempt as done.
 func (l *Ledger) Finish(key Key, now time.Time) {
-	known := l.current(key)
-	if known == nil || known.state == stateWithdrawn || known.state == stateDone {
-		return
-	}
-	if known.state == stateRunning {
-		l.running--
+	if known := l.current(key); known != nil {
+		l.move(known, eventFinish, now)
 	}
-	known.state = stateDone
-	known.closedAt = now
 }
 
 // NotRun marks an attempt that was begun although it certainly did not reach the
 // backend server, for example because the connection was refused. It leaves a
 // tombstone, so that a late copy does not run either.
 func (l *Ledger) NotRun(key Key, now time.Time) {
-	known := l.current(key)
-	if known == nil || known.state != stateOpened && known.state != stateRunning {
-		return
-	}
-	if known.state == stateRunning {
-		l.running--
+	if known := l.current(key); known != nil {
+		l.move(known, eventNotRun, now)
 	}
-	known.state = stateWithdrawn
-	known.closedAt = now
 }
 
 // Withdraw asks that an attempt not run. The answer ExecutedNo is a promise:
@@ -204,9 +239,9 @@
 		// Only the newest attempt is remembered, so nothing certain can be said.
 		return ExecutedUnknown
 	}
+	l.move(known, eventWithdraw, now)
 	switch known.state {
-	case stateOpened, stateWithdrawn:
-		known.state = stateWithdrawn
+	case stateWithdrawn:
 		known.closedAt = now
 		return ExecutedNo
 	case stateDone:
@@ -228,8 +263,7 @@
 	}
 	l.swept = now
 	for request, r := range l.records {
-		ended := r.state == stateDone || r.state == stateWithdrawn
-		if ended && now.Sub(r.closedAt) > TombstoneLife {
+		if !r.open() && now.Sub(r.closedAt) > TombstoneLife {
 			delete(l.records, request)
 		}
 	}
@@ -242,7 +276,7 @@
 func (l *Ledger) InProgress() int {
 	n := 0
 	for _, r := range l.records {
-		if r.state == stateOpened || r.state == stateRunning {
+		if r.open() {
 			n++
 		}
 	}
--- a/chart/chart.go
+++ b/chart/chart.go
@@ -46,6 +46,7 @@
 type Chart struct {
 	name        string
 	about       string
+	followedBy  string
 	initial     State
 	states      []StateInfo
 	events      []EventInfo
@@ -132,6 +133,10 @@
 // About describes what the chart governs.
 func (c *Chart) About() string { return c.about }
 
+// FollowedBy names the package that takes its transitions from the chart; it is
+// empty for a chart that only describes behaviour.
+func (c *Chart) FollowedBy() string { return c.followedBy }
+
 // States returns all states in the order of the file.
 func (c *Chart) States() []StateInfo { return append([]StateInfo(nil), c.states...) }
 
--- a/chart/check.go
+++ b/chart/check.go
@@ -160,7 +160,7 @@
 // chart builds the chart from a document without findings.
 func (k *checker) chart() *Chart {
 	d := k.document
-	c := &Chart{name: d.Name.value, about: d.About, initial: State(d.Initial.value)}
+	c := &Chart{name: d.Name.value, about: d.About, followedBy: d.FollowedBy, initial: State(d.Initial.value)}
 	for _, s := range d.States {
 		c.states = append(c.states, StateInfo{State(s.Name.value), s.About, s.Final})
 	}
--- a/chart/mermaid.go
+++ b/chart/mermaid.go
@@ -49,6 +49,11 @@
 func (c *Chart) Markdown() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "## %s\n\n%s\n\n", c.name, strings.TrimSpace(c.about))
+	if c.followedBy != "" {
+		fmt.Fprintf(&b, "Package `%s` takes its transitions from this chart.\n\n", c.followedBy)
+	} else {
+		b.WriteString("This chart describes the behaviour; no package takes its transitions from it yet.\n\n")
+	}
 	fmt.Fprintf(&b, "```mermaid\n%s```\n\n", c.Mermaid())
 	b.WriteString("| state | meaning |\n| --- | --- |\n")
 	for _, s := range c.states {
@@ -73,7 +78,7 @@
 	}
 	var b strings.Builder
 	b.WriteString("# State charts\n\nThis page is generated from `chart/charts/*.yaml` by `sapphirectl charts -format markdown`; a test holds it equal\n" +
-		"to the files. The programs interpret the same files, so a diagram shows what the code does.\n")
+		"to the files. Each section says whether a package interprets the file, so that the diagram is what the code does.\n")
 	for _, name := range names {
 		c, err := Load(files, name)
 		if err != nil {
--- a/chart/parse.go
+++ b/chart/parse.go
@@ -18,6 +18,7 @@
 type document struct {
 	Name        text                 `yaml:"name"`
 	About       string               `yaml:"about"`
+	FollowedBy  string               `yaml:"followed_by"`
 	Initial     text                 `yaml:"initial"`
 	States      []documentState      `yaml:"states"`
 	Events      []documentEvent      `yaml:"events"`
