planner, orders: a change of adapters alone reaches the engines

Cause: orders took the adapters from the document at the time that a plan was folded, so a change of adapters waited for the next plan, and two processes could give orders for different adapters under one fencing number.

Change: the directive names the adapters, and a change of them makes a new directive with the same ranges.

Conclusion: plan and order agree on the whole wanted state.

--- a/orders/driver.go
+++ b/orders/driver.go
@@ -183,20 +183,12 @@
 		return nil
 	}
 	d.step(ctx, order.PlanFolded{Plan: order.Plan{Offset: plan.Offset, Wanted: order.State{
-		Model: d.opts.Model, Version: directive.VersionOf(d.opts.ID), Adapters: adapters(revision.Document, d.opts.Model),
+		Model: d.opts.Model, Version: directive.VersionOf(d.opts.ID), Adapters: directive.Adapters,
 		Layers: order.LayerRange{First: layers.First, Limit: layers.Limit}, Role: roleServe,
 	}}})
 	return nil
 }
 
-func adapters(doc *config.Document, model string) []string {
-	i := slices.IndexFunc(doc.Models, func(m config.Model) bool { return m.Name == model })
-	if i < 0 {
-		return nil
-	}
-	return doc.Models[i].Adapters
-}
-
 // prepare makes the machine. A change of the engine's fencing needs a new one,
 // which waits until no call of the old one is open.
 func (d *Driver) prepare(doc *config.Document) error {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -27,8 +27,10 @@
 // now, on the way to a goal.
 type Directive struct {
 	// Version is the model's version that the engines load.
-	Version string         `json:"version"`
-	Goal    placement.Plan `json:"goal"`
+	Version string `json:"version"`
+	// Adapters are those that every engine loads.
+	Adapters []string       `json:"adapters,omitempty"`
+	Goal     placement.Plan `json:"goal"`
 	// Wanted is sorted by engine and stands until the next directive.
 	Wanted []Holding `json:"wanted"`
 	// Moves are those that are not in Wanted yet. Moves of one step start together.
@@ -65,7 +67,9 @@
 	Fleet   placement.Fleet
 	Model   placement.Model
 	Version string
-	Options placement.Options
+	// Adapters are those that the configuration wants.
+	Adapters []string
+	Options  placement.Options
 	// Current is the directive in force, or nil.
 	Current *Directive
 	// Standing is what live engines hold now, by engine.
@@ -105,6 +109,7 @@
 	reasonLost
 	reasonJoined
 	reasonVersion
+	reasonAdapters
 	reasonStep
 )
 
@@ -131,10 +136,16 @@
 	}
 	p.since = now
 	p.redraw()
-	if why == reasonStep {
+	switch why {
+	case reasonStep:
 		return nextStep(in.Current), nil
+	case reasonAdapters:
+		next := *in.Current
+		next.Adapters = in.Adapters
+		return &next, nil
+	default:
+		return propose(in)
 	}
-	return propose(in)
 }
 
 func (r reason) wait() time.Duration {
@@ -157,6 +168,8 @@
 		return reasonNoPlan
 	case in.Current.Version != in.Version:
 		return reasonVersion
+	case !slices.Equal(in.Current.Adapters, in.Adapters):
+		return reasonAdapters
 	}
 	lost, joined := compare(in)
 	switch {
@@ -244,13 +257,13 @@
 		if err != nil {
 			return nil, err
 		}
-		return &Directive{Version: in.Version, Goal: goal, Wanted: goalHoldings(goal)}, nil
+		return &Directive{Version: in.Version, Adapters: in.Adapters, Goal: goal, Wanted: goalHoldings(goal)}, nil
 	}
 	goal, moves, err := placement.Replan(standingPlan(in), in.Fleet, in.Model, in.Options)
 	if err != nil {
 		return nil, err
 	}
-	next := &Directive{Version: in.Version, Goal: goal, Wanted: liveHoldings(in), Moves: moves}
+	next := &Directive{Version: in.Version, Adapters: in.Adapters, Goal: goal, Wanted: liveHoldings(in), Moves: moves}
 	if len(moves) > 0 {
 		next = nextStep(next)
 	}
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -131,3 +131,17 @@
 	}
 	assert.Assert(t, len(first) > 1)
 }
+
+// Guards adapters: a change of them alone must reach the engines, and move no weights.
+func TestChangeOfAdapters(t *testing.T) {
+	w := newWorld(t, names(6)...)
+	w.run(10)
+	before := w.in.Current
+	w.in.Adapters = []string{"marine"}
+	w.run(10)
+	assert.Equal(t, w.steps, 2)
+	assert.DeepEqual(t, w.in.Current.Adapters, []string{"marine"})
+	assert.DeepEqual(t, w.in.Current.Wanted, before.Wanted)
+	w.run(30)
+	assert.Equal(t, w.steps, 2, "planning does not come to rest")
+}
--- a/plans/driver.go
+++ b/plans/driver.go
@@ -236,6 +236,7 @@
 			Layers: model.Layers, BytesPerLayer: model.BytesPerLayer,
 			ActivationBytes: model.ActivationBytes, KVBytesPerTokenLayer: model.KVBytesPerTokenLayer,
 		},
+		Adapters: model.Adapters,
 		Standing: make(map[string]placement.Range),
 		Versions: make(map[string]string),
 	}
