entry: log streams that fail; leave callers' departures out of availability

Cause: a stream that failed after it began wrote no event, and a caller that went away counted as a failure of the service.

Change: both refusals and broken streams go through noteRefused; a request whose caller is gone is not counted for the objectives.

Conclusion: every refusal leaves event 2002.

--- a/entry/call.go
+++ b/entry/call.go
@@ -44,7 +44,9 @@
 	ctx, cancel := context.WithTimeout(r.Context(), c.timeout)
 	defer cancel()
 	answer, refused := c.runOnce(ctx)
-	s.observeEnd("", c.service.Name, c.admission.Team, began, refused)
+	if r.Context().Err() == nil {
+		s.observeEnd("", c.service.Name, c.admission.Team, began, refused)
+	}
 	if refused != nil {
 		s.refuse(w, refused)
 		return
--- a/entry/language.go
+++ b/entry/language.go
@@ -56,7 +56,10 @@
 	g.flush = answer.flush
 	p := g.run(ctx)
 	release(timing.outcome(p))
-	s.observeEnd(g.model, "", g.admission.Team, began, p)
+	if r.Context().Err() == nil {
+		// A caller that goes away says nothing about the service.
+		s.observeEnd(g.model, "", g.admission.Team, began, p)
+	}
 	if p != nil {
 		s.failLanguage(answer, p)
 		return
@@ -66,10 +69,14 @@
 }
 
 func (s *Server) refuse(w http.ResponseWriter, p *problem.Problem) {
+	s.noteRefused(p)
+	p.Write(w)
+}
+
+func (s *Server) noteRefused(p *problem.Problem) {
 	s.meters.refused.Inc(1)
 	logevent.Write(s.opts.Logger, logevent.RequestRefused).Str("request", p.Request).
 		Str("code", string(p.Code)).Str("executed", string(p.Executed)).Msg("")
-	p.Write(w)
 }
 
 // failLanguage answers with the problem, or ends a stream that has begun with
@@ -79,7 +86,7 @@
 		s.refuse(answer.w, p)
 		return
 	}
-	s.meters.refused.Inc(1)
+	s.noteRefused(p)
 	answer.event(map[string]*problem.Problem{"error": p})
 }
 
--- a/entry/timing_test.go
+++ b/entry/timing_test.go
@@ -1,14 +1,19 @@
 package entry
 
 import (
+	"bytes"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 
 	"github.com/sapphirefield/sapphirefield/burn"
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/problem"
+	"github.com/sapphirefield/sapphirefield/wire"
 )
 
 // Guards the service-level objectives: a failure of the service counts as bad,
@@ -34,3 +39,18 @@
 		assert.Equal(t, samples[0].Failed, c.want)
 	}
 }
+
+// Guards operators against failures that leave no trace: a stream that fails
+// after it began must write event 2002 and end without the closing mark.
+func TestFailedStreamIsLogged(t *testing.T) {
+	s := testServer(t, testDocument())
+	var logs bytes.Buffer
+	s.opts.Logger = &log.Logger{Writer: &log.IOWriter{Writer: &logs}}
+	w := httptest.NewRecorder()
+	answer := &languageAnswer{form: completionForm, w: w, stream: true}
+	assert.NilError(t, answer.token(&wire.Token{Value: &wire.TokenValue{Text: "a"}}))
+	s.failLanguage(answer, problem.Refuse(problem.StageLost, "stages failed"))
+	assert.Assert(t, strings.Contains(logs.String(), `"event":2002`), logs.String())
+	assert.Assert(t, strings.Contains(w.Body.String(), `"code":"stage_lost"`), w.Body.String())
+	assert.Assert(t, !strings.Contains(w.Body.String(), "[DONE]"))
+}
