entry: gather changes in the number of entries

Cause: each report of a new number of connected entries rebuilt the stages of all models. While a fleet of 400 entries starts, 576 sidecars report up to 74 numbers each, and every rebuild looks at all of them.

Change: such changes are gathered for a second; drains, failures and connections still act at once.

Figures: by arithmetic 42,000 rebuilds at the start of an entry become one a second; not measured at that size.

--- a/entry/peer.go
+++ b/entry/peer.go
@@ -246,7 +246,8 @@
 
 func (p *peer) loaded(load *wire.Load) {
 	p.mu.Lock()
-	changed := p.load == nil || p.load.Draining != load.Draining || p.load.EngineUp != load.EngineUp || p.load.Entries != load.Entries
+	changed := p.load == nil || p.load.Draining != load.Draining || p.load.EngineUp != load.EngineUp
+	shared := p.load.GetEntries() != load.Entries
 	p.load = load
 	hello := p.hello
 	p.mu.Unlock()
@@ -255,8 +256,11 @@
 	} else {
 		p.server.observe(p.id, membership.Heartbeat)
 	}
-	if changed {
+	switch {
+	case changed:
 		p.server.peersChanged()
+	case shared:
+		p.server.peersChangeSoon()
 	}
 	p.server.observeLoad(p.id, hello, load)
 }
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sapphirefield/sapphirefield/attempt"
@@ -19,6 +20,8 @@
 	server *Server
 	// changing is held while the choosers' stages are rebuilt.
 	changing sync.Mutex
+	// changeDue is set while a rebuild waits.
+	changeDue atomic.Bool
 
 	mu   sync.Mutex
 	byID map[string]*peer
@@ -288,6 +291,21 @@
 	}
 }
 
+// changeDelay gathers changes that are not urgent. While a fleet starts, each
+// of hundreds of sidecars reports a new number of entries again and again.
+const changeDelay = time.Second
+
+// peersChangeSoon gives the decisions the new state within changeDelay.
+func (s *Server) peersChangeSoon() {
+	if s.peers.changeDue.Swap(true) {
+		return
+	}
+	time.AfterFunc(changeDelay, func() {
+		s.peers.changeDue.Store(false)
+		s.peersChanged()
+	})
+}
+
 // peersChanged gives the decisions the backend servers that are usable now.
 func (s *Server) peersChanged() {
 	// Two changes at once must not leave the choosers with the older stages.
