sidecar: split the handling of Open

Cause: handleOpen was the one long function of the drivers; it checked, offered and took over in 54 lines.

Change: cannotServe, offerAttempt and acceptOpen; the order of the checks is the same.

Conclusion: behaviour unchanged.

--- a/sidecar/stage.go
+++ b/sidecar/stage.go
@@ -42,54 +42,64 @@
 
 func (s *Server) handleOpen(entry string, open *wire.Open, now time.Time) {
 	key := attempt.Key{Request: open.Request, Number: open.Attempt}
-	if !s.holdsRange(open) {
-		s.refuse(entry, key, wire.RefusalReason_REFUSAL_WRONG_RANGE)
-		return
-	}
-	if !s.engineUp {
-		s.refuse(entry, key, wire.RefusalReason_REFUSAL_ENGINE_DOWN)
+	old := s.attempts[open.Request]
+	if reason := s.cannotServe(old, open); reason != wire.RefusalReason_REFUSAL_UNSPECIFIED {
+		s.refuse(entry, key, reason)
 		return
 	}
-	if len(s.attempts) >= maxOpen && s.attempts[open.Request] == nil {
-		s.refuse(entry, key, wire.RefusalReason_REFUSAL_OVERLOADED)
+	if keeps(open) && old != nil && old.inEngine {
+		// The step that runs decides where the new attempt begins.
+		s.deferred = append(s.deferred, deferredOpen{entry: entry, open: open})
 		return
 	}
-	old := s.attempts[open.Request]
-	if keeps(open) {
-		if old != nil && old.inEngine {
-			// The step that runs decides where the new attempt begins.
-			s.deferred = append(s.deferred, deferredOpen{entry: entry, open: open})
-			return
-		}
-		if !s.canTakeOver(old, open) {
-			s.refuse(entry, key, wire.RefusalReason_REFUSAL_NOT_KEPT)
-			return
-		}
-	}
-	offer := s.ledger.Open
-	if keeps(open) {
-		offer = s.ledger.Continue
-	}
-	refusal := offer(key, open.Incarnation)
-	if refusal == attempt.RefusalDuplicate {
+	if keeps(open) && !s.canTakeOver(old, open) {
+		s.refuse(entry, key, wire.RefusalReason_REFUSAL_NOT_KEPT)
 		return
 	}
-	if refusal != attempt.RefusalNone {
+	switch refusal := s.offerAttempt(key, open); refusal {
+	case attempt.RefusalNone:
+		s.acceptOpen(&stageAttempt{key: key, entry: entry, open: open, nextIndex: open.FirstIndex}, old, now)
+	case attempt.RefusalDuplicate:
+		// The first delivery of the attempt is answered.
+	default:
 		s.refuse(entry, key, wireRefusal(refusal))
-		return
 	}
-	s.gate.Open(open.Request, open.Attempt, open.FirstIndex)
-	a := &stageAttempt{key: key, entry: entry, open: open, nextIndex: open.FirstIndex}
+}
+
+// cannotServe returns why the engine cannot serve an attempt, whatever the ledger says.
+func (s *Server) cannotServe(old *stageAttempt, open *wire.Open) wire.RefusalReason {
+	switch {
+	case !s.holdsRange(open):
+		return wire.RefusalReason_REFUSAL_WRONG_RANGE
+	case !s.engineUp:
+		return wire.RefusalReason_REFUSAL_ENGINE_DOWN
+	case len(s.attempts) >= maxOpen && old == nil:
+		return wire.RefusalReason_REFUSAL_OVERLOADED
+	default:
+		return wire.RefusalReason_REFUSAL_UNSPECIFIED
+	}
+}
+
+func (s *Server) offerAttempt(key attempt.Key, open *wire.Open) attempt.Refusal {
 	if keeps(open) {
+		return s.ledger.Continue(key, open.Incarnation)
+	}
+	return s.ledger.Open(key, open.Incarnation)
+}
+
+// acceptOpen puts an attempt that the ledger accepted in place of the old one.
+func (s *Server) acceptOpen(a, old *stageAttempt, now time.Time) {
+	s.gate.Open(a.open.Request, a.open.Attempt, a.open.FirstIndex)
+	if keeps(a.open) {
 		s.takeOver(a, old)
 	}
 	if old != nil {
 		s.dropHistory(old)
 	}
-	s.attempts[open.Request] = a
+	s.attempts[a.open.Request] = a
 	// A replay is expensive, so a later attempt starts only on engines that
 	// are proven to run.
-	if open.Attempt > 1 && !s.checkEngine(now) {
+	if a.open.Attempt > 1 && !s.checkEngine(now) {
 		s.opening = append(s.opening, a)
 		return
 	}
