--- a/attempt/ledger.go
+++ b/attempt/ledger.go
@@ -44,13 +44,10 @@
 // lifecycle is the chart that all attempts follow. It is embedded in the
 // program, so a chart that does not fit is a fault of the build.
 var lifecycle = sync.OnceValue(func() *chart.Chart {
-	c, err := chart.Load(chart.Files(), "attempt")
-	if err == nil {
-		err = c.Expect(
-			[]chart.State{stateOpened, stateRunning, stateDone, stateWithdrawn},
-			[]chart.Event{eventBegin, eventFinish, eventNotRun, eventWithdraw},
-		)
-	}
+	c, err := chart.LoadEmbedded("attempt",
+		[]chart.State{stateOpened, stateRunning, stateDone, stateWithdrawn},
+		[]chart.Event{eventBegin, eventFinish, eventNotRun, eventWithdraw},
+	)
 	if err != nil {
 		panic(err)
 	}
--- a/chart/chart.go
+++ b/chart/chart.go
@@ -137,6 +137,16 @@
 // empty for a chart that only describes behaviour.
 func (c *Chart) FollowedBy() string { return c.followedBy }
 
+// LoadEmbedded loads a chart of this module and compares it with the names that
+// the calling package knows.
+func LoadEmbedded(name string, states []State, events []Event) (*Chart, error) {
+	c, err := Load(Files(), name)
+	if err != nil {
+		return nil, err
+	}
+	return c, c.Expect(states, events)
+}
+
 // States returns all states in the order of the file.
 func (c *Chart) States() []StateInfo { return append([]StateInfo(nil), c.states...) }
 
--- a/configsync/publish.go
+++ b/configsync/publish.go
@@ -113,10 +113,10 @@
 		publisher.OnAppended()
 	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrRejected):
 		publisher.OnAppendRefused()
-		sleep(ctx, publishPause)
+		platform.Pause(ctx, publishPause)
 	default:
 		publisher.OnAppendLost()
-		sleep(ctx, publishPause)
+		platform.Pause(ctx, publishPause)
 	}
 	return err
 }
@@ -125,7 +125,7 @@
 	state := reader.State()
 	judgements, _, err := readOnce(ctx, log, reader)
 	if err != nil {
-		sleep(ctx, publishPause)
+		platform.Pause(ctx, publishPause)
 		return
 	}
 	for _, j := range judgements {
--- a/configsync/sync.go
+++ b/configsync/sync.go
@@ -191,15 +191,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // askPeers asks at start as well, because a peer's state is had sooner than one
 // folded from the log.
 func (s *Sync) askPeers(ctx context.Context) {
@@ -257,7 +248,7 @@
 	}
 	s.update()
 	if err == nil && !s.reader.Anchored() && len(batch.Records) == 0 {
-		sleep(ctx, scanPause)
+		platform.Pause(ctx, scanPause)
 	}
 }
 
@@ -288,7 +279,7 @@
 // backOff pauses with jitter, so that processes do not return to the log together.
 func (s *Sync) backOff(ctx context.Context) {
 	s.pause = min(max(2*s.pause, retryMin), s.options.RetryMax)
-	sleep(ctx, s.pause/2+time.Duration(s.options.Random.Int64N(int64(s.pause/2)+1)))
+	platform.Pause(ctx, s.pause/2+time.Duration(s.options.Random.Int64N(int64(s.pause/2)+1)))
 }
 
 func (s *Sync) setAvailable(err error) {
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -29,7 +28,7 @@
 func (r *entryRole) serve(ctx context.Context) error {
 	r.server = entry.New(ctx, entry.Options{
 		ID: r.settings.ID, Zone: r.settings.Zone, Dialer: r.dialer(), Logger: r.logger, Metrics: r.registry,
-		Config: r.document, Claims: claimLog{r.log}, Observe: r.burn.Observe, MaxBodyBytes: r.settings.Limits.MaxBodyBytes,
+		Config: r.document, Claims: r.log, Observe: r.burn.Observe, MaxBodyBytes: r.settings.Limits.MaxBodyBytes,
 	})
 	close(r.started)
 	planning := plans.New(plans.Options{
@@ -117,30 +116,3 @@
 	}
 	return server.InProgress()
 }
-
-// claimLog gives an entry the claims stream of the log service.
-type claimLog struct{ log *platform.Log }
-
-// Append implements entry.ClaimLog.
-func (l claimLog) Append(ctx context.Context, stream string, data []byte) error {
-	_, err := l.log.Append(ctx, stream, data)
-	return err
-}
-
-// Read implements entry.ClaimLog. Expired records are an empty page that
-// begins at the first readable one.
-func (l claimLog) Read(ctx context.Context, stream string, from int64, wait time.Duration) (entry.LogPage, error) {
-	batch, err := l.log.Read(ctx, stream, from, wait)
-	var expired *platform.ExpiredError
-	if errors.As(err, &expired) && expired.First > from {
-		return entry.LogPage{First: expired.First, Next: expired.First}, nil
-	}
-	if err != nil {
-		return entry.LogPage{}, err
-	}
-	page := entry.LogPage{First: batch.First, Next: batch.Next}
-	for _, record := range batch.Records {
-		page.Records = append(page.Records, entry.LogRecord{Offset: record.Offset, Data: record.Data})
-	}
-	return page, nil
-}
--- a/daemon/lifecycle.go
+++ b/daemon/lifecycle.go
@@ -61,15 +61,14 @@
 }
 
 func newLifecycle() (*lifecycle, error) {
-	c, err := chart.Load(chart.Files(), "entry_shutdown")
-	if err != nil {
-		return nil, err
-	}
-	err = c.Expect(
+	c, err := chart.LoadEmbedded("entry_shutdown",
 		[]chart.State{stateStarting, stateServing, stateUnready, stateDraining, stateClosing, stateStopped, stateCutOff},
 		[]chart.Event{eventRevision, eventSignal, eventNoticePassed, eventIdle, eventClosed, eventSecondSignal, eventDrainLimit},
 	)
-	return &lifecycle{chart: c, state: c.Initial(), onState: func(chart.State) {}}, err
+	if err != nil {
+		return nil, err
+	}
+	return &lifecycle{chart: c, state: c.Initial(), onState: func(chart.State) {}}, nil
 }
 
 // run returns when the process must end: nil after a drain that cut off
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -6,9 +6,12 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/sapphirefield/sapphirefield/claim"
 	"github.com/sapphirefield/sapphirefield/link"
 	"github.com/sapphirefield/sapphirefield/logevent"
+	"github.com/sapphirefield/sapphirefield/platform"
 )
 
 // claimStream is the log stream with claims on idempotency keys.
@@ -26,26 +29,14 @@
 	maxQueuedClaims = 1 << 14
 )
 
-// LogPage is a part of a log stream.
-type LogPage struct {
-	// First is the oldest offset that the log still holds, Next the one that the next record will get.
-	First, Next int64
-	Records     []LogRecord
-}
-
-// LogRecord is one record of a log stream.
-type LogRecord struct {
-	Offset int64
-	Data   []byte
-}
-
-// ClaimLog is the part of the log service that claims need.
+// ClaimLog is the part of the log service that claims need. *platform.Log
+// implements it.
 type ClaimLog interface {
 	// Append adds a record. After an error the record may be on the log all the same.
-	Append(ctx context.Context, stream string, data []byte) error
+	Append(ctx context.Context, stream string, data []byte) (int64, error)
 	// Read returns records from an offset on, waiting for the first for as long
-	// as wait. A page whose First lies above from says that records expired.
-	Read(ctx context.Context, stream string, from int64, wait time.Duration) (LogPage, error)
+	// as wait. A *platform.ExpiredError says that records expired.
+	Read(ctx context.Context, stream string, from int64, wait time.Duration) (platform.Batch, error)
 }
 
 // claims drives the claims of all keyed calls of an entry: it keeps the fold
@@ -84,9 +75,14 @@
 	for ctx.Err() == nil {
 		from, wait := c.nextRead()
 		page, err := c.log.Read(ctx, claimStream, from, wait)
+		var expired *platform.ExpiredError
+		if errors.As(err, &expired) && expired.First > from {
+			// A page without records moves the fold to the first readable one.
+			page, err = platform.Batch{First: expired.First}, nil
+		}
 		if err != nil {
 			c.setLogUp(ctx, false, err)
-			sleep(ctx, pause/2+rand.N(pause/2))
+			platform.Pause(ctx, pause/2+rand.N(pause/2))
 			pause = min(2*pause, claimRetryMax)
 			continue
 		}
@@ -108,18 +104,9 @@
 	return c.fold.Next(), claimWait
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // apply folds a page. A record that cannot be read has no effect, but its
 // offset counts, so that all readers stay at the same offset.
-func (c *claims) apply(page LogPage) {
+func (c *claims) apply(page platform.Batch) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.fold.Trim(page.First)
@@ -183,7 +170,7 @@
 	}
 	data, err := batch.Encode()
 	if err == nil {
-		err = c.log.Append(ctx, claimStream, data)
+		_, err = c.log.Append(ctx, claimStream, data)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/entry/members.go
+++ b/entry/members.go
@@ -35,30 +35,20 @@
 	return &members{view: membership.New(membership.DefaultOptions()), services: make(map[string]bool), incarnations: make(map[string]string)}
 }
 
-// Instance is a sidecar as the platform's list describes it.
-type Instance struct {
-	ID string
-	// Service is the plain service, or the model that the engine serves.
-	Service string
-	Zone    string
-	Address string
-	Leaving bool
-}
+// Instance is a sidecar as the platform's list describes it. Its service is the
+// plain service, or the model that the engine serves.
+type Instance = membership.Instance
 
 // SetInstances takes the platform's list. It must be called again every few
 // seconds also when the list has not changed, because a loss in the list counts
 // only after it has been seen for a while.
 func (s *Server) SetInstances(list []Instance) {
-	instances := make([]membership.Instance, len(list))
-	for i, in := range list {
-		instances[i] = membership.Instance(in)
-	}
 	planned := s.plannedModels()
 	s.members.mu.Lock()
 	for _, in := range list {
 		s.members.services[in.Service] = true
 	}
-	report := s.members.view.ObserveList(now(), instances)
+	report := s.members.view.ObserveList(now(), list)
 	subset := s.members.subset(s.opts, planned)
 	s.members.mu.Unlock()
 	if report.Verdict == membership.ListDistrusted {
@@ -76,9 +66,7 @@
 		if planned[service] {
 			limit = math.MaxInt32
 		}
-		for _, in := range m.view.Subset(now(), service, opts.ID, opts.Zone, limit) {
-			watched = append(watched, Instance(in))
-		}
+		watched = append(watched, m.view.Subset(now(), service, opts.ID, opts.Zone, limit)...)
 	}
 	return watched
 }
--- a/order/names.go
+++ b/order/names.go
@@ -8,11 +8,7 @@
 
 // loadChart loads the chart once, because it never changes.
 var loadChart = sync.OnceValues(func() (*chart.Chart, error) {
-	c, err := chart.Load(chart.Files(), "engine_order")
-	if err != nil {
-		return nil, err
-	}
-	return c, c.Expect(allStates, allEvents)
+	return chart.LoadEmbedded("engine_order", allStates, allEvents)
 })
 
 // The states of the chart engine_order.
