Rename package platform to logservice

The folder platform/ is to hold the adapter to the operators' platform. The clients of the log service and of the instance list that the stand-ins serve keep their interface under a name that says what they are.

--- a/configsync/plan.go
+++ b/configsync/plan.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sapphirefield/sapphirefield/configlog"
-	"github.com/sapphirefield/sapphirefield/platform"
+	"github.com/sapphirefield/sapphirefield/logservice"
 )
 
 // ErrOvertaken is returned for a plan that was made from an old state or
@@ -30,7 +30,7 @@
 	switch {
 	case err == nil:
 		return len(batch.Records) == 0 && batch.Next <= state.Next
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, logservice.ErrUnavailable):
 		return s.agreedByPeers(ctx, state)
 	default:
 		return false
--- a/configsync/publish.go
+++ b/configsync/publish.go
@@ -8,7 +8,7 @@
 
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/configlog"
-	"github.com/sapphirefield/sapphirefield/platform"
+	"github.com/sapphirefield/sapphirefield/logservice"
 )
 
 // publishPause separates calls while the log is unavailable.
@@ -60,7 +60,7 @@
 
 func readOnce(ctx context.Context, log Log, reader *configlog.Reader) (judgements []configlog.Judgement, empty bool, err error) {
 	batch, err := log.Read(ctx, configlog.Stream, reader.From(), 0)
-	var expired *platform.ExpiredError
+	var expired *logservice.ExpiredError
 	if errors.As(err, &expired) {
 		reader.OnExpired(expired.First)
 		return nil, false, nil
@@ -111,12 +111,12 @@
 	switch {
 	case err == nil:
 		publisher.OnAppended()
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrRejected):
+	case errors.Is(err, logservice.ErrUnavailable), errors.Is(err, logservice.ErrRejected):
 		publisher.OnAppendRefused()
-		platform.Pause(ctx, publishPause)
+		logservice.Pause(ctx, publishPause)
 	default:
 		publisher.OnAppendLost()
-		platform.Pause(ctx, publishPause)
+		logservice.Pause(ctx, publishPause)
 	}
 	return err
 }
@@ -125,7 +125,7 @@
 	state := reader.State()
 	judgements, _, err := readOnce(ctx, log, reader)
 	if err != nil {
-		platform.Pause(ctx, publishPause)
+		logservice.Pause(ctx, publishPause)
 		return
 	}
 	for _, j := range judgements {
--- a/configsync/sync.go
+++ b/configsync/sync.go
@@ -15,13 +15,13 @@
 
 	"github.com/sapphirefield/sapphirefield/configlog"
 	"github.com/sapphirefield/sapphirefield/logevent"
-	"github.com/sapphirefield/sapphirefield/platform"
+	"github.com/sapphirefield/sapphirefield/logservice"
 )
 
-// Log is the log service. *platform.Log implements it.
+// Log is the log service. *logservice.Log implements it.
 type Log interface {
 	Append(ctx context.Context, stream string, data []byte) (int64, error)
-	Read(ctx context.Context, stream string, from int64, wait time.Duration) (platform.Batch, error)
+	Read(ctx context.Context, stream string, from int64, wait time.Duration) (logservice.Batch, error)
 }
 
 // Peers asks other processes for their state.
@@ -234,7 +234,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	var expired *platform.ExpiredError
+	var expired *logservice.ExpiredError
 	switch {
 	case errors.As(err, &expired):
 		s.setAvailable(nil)
@@ -248,11 +248,11 @@
 	}
 	s.update()
 	if err == nil && !s.reader.Anchored() && len(batch.Records) == 0 {
-		platform.Pause(ctx, scanPause)
+		logservice.Pause(ctx, scanPause)
 	}
 }
 
-func entries(batch platform.Batch) []configlog.Entry {
+func entries(batch logservice.Batch) []configlog.Entry {
 	list := make([]configlog.Entry, len(batch.Records))
 	for i, r := range batch.Records {
 		list[i] = configlog.Entry{Offset: r.Offset, Data: r.Data}
@@ -279,7 +279,7 @@
 // backOff pauses with jitter, so that processes do not return to the log together.
 func (s *Sync) backOff(ctx context.Context) {
 	s.pause = min(max(2*s.pause, retryMin), s.options.RetryMax)
-	platform.Pause(ctx, s.pause/2+time.Duration(s.options.Random.Int64N(int64(s.pause/2)+1)))
+	logservice.Pause(ctx, s.pause/2+time.Duration(s.options.Random.Int64N(int64(s.pause/2)+1)))
 }
 
 func (s *Sync) setAvailable(err error) {
--- a/configsync/sync_test.go
+++ b/configsync/sync_test.go
@@ -16,14 +16,14 @@
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/config/configtest"
 	"github.com/sapphirefield/sapphirefield/configlog"
-	"github.com/sapphirefield/sapphirefield/platform"
+	"github.com/sapphirefield/sapphirefield/logservice"
 )
 
 // memoryLog is a log service in memory. It honours the wait of a read.
 type memoryLog struct {
 	mutex   sync.Mutex
 	first   int64
-	records []platform.Record
+	records []logservice.Record
 	grown   chan struct{}
 	down    bool
 	// lose makes the next append take effect without an answer.
@@ -36,20 +36,20 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if l.down {
-		return 0, platform.ErrUnavailable
+		return 0, logservice.ErrUnavailable
 	}
 	offset := int64(len(l.records))
-	l.records = append(l.records, platform.Record{Offset: offset, Data: data})
+	l.records = append(l.records, logservice.Record{Offset: offset, Data: data})
 	close(l.grown)
 	l.grown = make(chan struct{})
 	if l.lose {
 		l.lose = false
-		return 0, platform.ErrUnknownOutcome
+		return 0, logservice.ErrUnknownOutcome
 	}
 	return offset, nil
 }
 
-func (l *memoryLog) Read(ctx context.Context, _ string, from int64, wait time.Duration) (platform.Batch, error) {
+func (l *memoryLog) Read(ctx context.Context, _ string, from int64, wait time.Duration) (logservice.Batch, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -65,20 +65,20 @@
 		case <-timer.C:
 			return batch, nil
 		case <-ctx.Done():
-			return batch, platform.ErrUnavailable
+			return batch, logservice.ErrUnavailable
 		}
 	}
 }
 
-func (l *memoryLog) readNow(from int64) (platform.Batch, error) {
+func (l *memoryLog) readNow(from int64) (logservice.Batch, error) {
 	switch {
 	case l.down:
-		return platform.Batch{}, platform.ErrUnavailable
+		return logservice.Batch{}, logservice.ErrUnavailable
 	case from < l.first:
-		return platform.Batch{}, &platform.ExpiredError{First: l.first}
+		return logservice.Batch{}, &logservice.ExpiredError{First: l.first}
 	}
 	from = min(from, int64(len(l.records)))
-	return platform.Batch{First: l.first, Next: int64(len(l.records)), Records: l.records[from:]}, nil
+	return logservice.Batch{First: l.first, Next: int64(len(l.records)), Records: l.records[from:]}, nil
 }
 
 func (l *memoryLog) set(change func()) {
--- a/ctl/configcmd/configcmd.go
+++ b/ctl/configcmd/configcmd.go
@@ -18,7 +18,7 @@
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/configlog"
 	"github.com/sapphirefield/sapphirefield/configsync"
-	"github.com/sapphirefield/sapphirefield/platform"
+	"github.com/sapphirefield/sapphirefield/logservice"
 )
 
 // The exit codes of the subcommands.
@@ -202,7 +202,7 @@
 	return nil
 }
 
-func (o Options) log(url string) *platform.Log { return platform.NewLog(url, o.Client) }
+func (o Options) log(url string) *logservice.Log { return logservice.NewLog(url, o.Client) }
 
 // fetch folds the log to its end.
 func (o Options) fetch(ctx context.Context, log configsync.Log) (*configlog.Reader, error) {
--- a/ctl/configcmd/configcmd_test.go
+++ b/ctl/configcmd/configcmd_test.go
@@ -17,13 +17,13 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/sapphirefield/sapphirefield/config"
-	"github.com/sapphirefield/sapphirefield/platform"
+	"github.com/sapphirefield/sapphirefield/logservice"
 )
 
 // logService is the log service over HTTP, in memory.
 type logService struct {
 	mutex   sync.Mutex
-	records []platform.Record
+	records []logservice.Record
 	// onAppend, when set, answers the next append.
 	onAppend http.HandlerFunc
 	// refuse makes the log reject every append.
@@ -44,13 +44,13 @@
 			return
 		}
 		data, _ := io.ReadAll(r.Body)
-		l.records = append(l.records, platform.Record{Offset: int64(len(l.records)), Data: data})
+		l.records = append(l.records, logservice.Record{Offset: int64(len(l.records)), Data: data})
 		fmt.Fprintf(w, `{"offset": %d}`, len(l.records)-1)
 		return
 	}
 	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
 	from = min(from, len(l.records))
-	_ = json.NewEncoder(w).Encode(platform.Batch{Next: int64(len(l.records)), Records: l.records[from:]})
+	_ = json.NewEncoder(w).Encode(logservice.Batch{Next: int64(len(l.records)), Records: l.records[from:]})
 }
 
 type setup struct {
--- a/ctl/configcmd/history.go
+++ b/ctl/configcmd/history.go
@@ -10,7 +10,7 @@
 
 	"github.com/sapphirefield/sapphirefield/configlog"
 	"github.com/sapphirefield/sapphirefield/configsync"
-	"github.com/sapphirefield/sapphirefield/platform"
+	"github.com/sapphirefield/sapphirefield/logservice"
 )
 
 func historyCommand(o Options) *ffcli.Command {
@@ -37,7 +37,7 @@
 
 type summary struct{ time, author, note, change string }
 
-func (l recordingLog) Read(ctx context.Context, stream string, from int64, wait time.Duration) (platform.Batch, error) {
+func (l recordingLog) Read(ctx context.Context, stream string, from int64, wait time.Duration) (logservice.Batch, error) {
 	batch, err := l.Log.Read(ctx, stream, from, wait)
 	for _, r := range batch.Records {
 		record := configlog.Decode(r.Data, configlog.DefaultRules().Schema)
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -8,9 +8,9 @@
 
 	"github.com/sapphirefield/sapphirefield/console"
 	"github.com/sapphirefield/sapphirefield/entry"
+	"github.com/sapphirefield/sapphirefield/logservice"
 	"github.com/sapphirefield/sapphirefield/ops"
 	"github.com/sapphirefield/sapphirefield/plans"
-	"github.com/sapphirefield/sapphirefield/platform"
 )
 
 // entryRole runs the process that callers talk to.
@@ -53,12 +53,12 @@
 	}
 }
 
-func (r *entryRole) instances(list []platform.Instance) {
+func (r *entryRole) instances(list []logservice.Instance) {
 	<-r.started
 	instances := make([]entry.Instance, len(list))
 	for i, in := range list {
 		instances[i] = entry.Instance{
-			ID: in.ID, Service: in.Service, Zone: in.Zone, Address: in.Address, Leaving: in.State == platform.Leaving,
+			ID: in.ID, Service: in.Service, Zone: in.Zone, Address: in.Address, Leaving: in.State == logservice.Leaving,
 		}
 	}
 	r.server.SetInstances(instances)
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -12,7 +12,7 @@
 
 	"github.com/sapphirefield/sapphirefield/configsync"
 	"github.com/sapphirefield/sapphirefield/link"
-	"github.com/sapphirefield/sapphirefield/platform"
+	"github.com/sapphirefield/sapphirefield/logservice"
 	"github.com/sapphirefield/sapphirefield/wire"
 )
 
@@ -29,27 +29,27 @@
 	listed chan struct{}
 
 	mu   sync.Mutex
-	list []platform.Instance
+	list []logservice.Instance
 }
 
 func newPeerStates(self string, dialer link.Dialer) *peerStates {
 	return &peerStates{self: self, dialer: dialer, listed: make(chan struct{})}
 }
 
-func (p *peerStates) set(list []platform.Instance) {
+func (p *peerStates) set(list []logservice.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.list == nil {
 		close(p.listed)
 	}
-	p.list = append([]platform.Instance{}, list...)
+	p.list = append([]logservice.Instance{}, list...)
 }
 
 // some returns a few random instances.
-func (p *peerStates) some() []platform.Instance {
+func (p *peerStates) some() []logservice.Instance {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var chosen []platform.Instance
+	var chosen []logservice.Instance
 	for _, i := range rand.Perm(len(p.list)) {
 		if p.list[i].ID == p.self {
 			continue
@@ -88,7 +88,7 @@
 	return states
 }
 
-func (p *peerStates) ask(ctx context.Context, peer platform.Instance, after int64) []byte {
+func (p *peerStates) ask(ctx context.Context, peer logservice.Instance, after int64) []byte {
 	conn, err := p.dialer.Dial(ctx, peer.ID, peer.Address)
 	if err != nil {
 		return nil
--- a/daemon/peers_test.go
+++ b/daemon/peers_test.go
@@ -12,7 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/sapphirefield/sapphirefield/link"
-	"github.com/sapphirefield/sapphirefield/platform"
+	"github.com/sapphirefield/sapphirefield/logservice"
 )
 
 // Guards against a fresh process that asks for the revision before it knows
@@ -32,7 +32,7 @@
 			peers.States(ctx, 0)
 		}()
 		synctest.Wait()
-		peers.set([]platform.Instance{{ID: "engine-0", Address: "127.0.0.1:1"}})
+		peers.set([]logservice.Instance{{ID: "engine-0", Address: "127.0.0.1:1"}})
 		<-done
 		assert.Equal(t, asked.Load(), int32(1))
 		peers.set(nil)
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -21,8 +21,8 @@
 	"github.com/sapphirefield/sapphirefield/configsync"
 	"github.com/sapphirefield/sapphirefield/link"
 	"github.com/sapphirefield/sapphirefield/logevent"
+	"github.com/sapphirefield/sapphirefield/logservice"
 	"github.com/sapphirefield/sapphirefield/ops"
-	"github.com/sapphirefield/sapphirefield/platform"
 	"github.com/sapphirefield/sapphirefield/settings"
 )
 
@@ -61,8 +61,8 @@
 	registry metrics.Registry
 	tls      *tlsMaterial
 	sync     *configsync.Sync
-	log      *platform.Log
-	list     *platform.InstanceList
+	log      *logservice.Log
+	list     *logservice.InstanceList
 	peers    *peerStates
 	burn     *ops.BurnMeter
 	net      *netCounters
@@ -77,7 +77,7 @@
 	// serve runs the role until ctx ends.
 	serve(ctx context.Context) error
 	// instances takes the instance list.
-	instances(list []platform.Instance)
+	instances(list []logservice.Instance)
 	// changed takes a change of the configuration or of a plan.
 	changed()
 	ready() error
@@ -138,8 +138,8 @@
 		return nil, err
 	}
 	client := p.platformClient()
-	p.log = platform.NewLog(s.LogURL.String(), client)
-	p.list = platform.NewInstanceList(s.InstancesURL.String(), client)
+	p.log = logservice.NewLog(s.LogURL.String(), client)
+	p.list = logservice.NewInstanceList(s.InstancesURL.String(), client)
 	p.peers = newPeerStates(s.ID, p.dialer())
 	p.burn = ops.NewBurnMeter(s.ID, p.logger)
 	p.sync = configsync.New(configsync.Options{
--- a/daemon/sidecar.go
+++ b/daemon/sidecar.go
@@ -8,9 +8,9 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/sapphirefield/sapphirefield/logservice"
 	"github.com/sapphirefield/sapphirefield/ops"
 	"github.com/sapphirefield/sapphirefield/orders"
-	"github.com/sapphirefield/sapphirefield/platform"
 	"github.com/sapphirefield/sapphirefield/settings"
 	"github.com/sapphirefield/sapphirefield/sidecar"
 	"github.com/sapphirefield/sapphirefield/wire"
@@ -80,7 +80,7 @@
 	return group.Wait()
 }
 
-func (r *sidecarRole) instances([]platform.Instance) {}
+func (r *sidecarRole) instances([]logservice.Instance) {}
 
 func (r *sidecarRole) changed() {}
 
--- a/daemon/system_test.go
+++ b/daemon/system_test.go
@@ -41,8 +41,8 @@
 	"github.com/sapphirefield/sapphirefield/demo"
 	"github.com/sapphirefield/sapphirefield/keys"
 	"github.com/sapphirefield/sapphirefield/link"
+	"github.com/sapphirefield/sapphirefield/logservice"
 	"github.com/sapphirefield/sapphirefield/ops"
-	"github.com/sapphirefield/sapphirefield/platform"
 	"github.com/sapphirefield/sapphirefield/settings"
 	"github.com/sapphirefield/sapphirefield/standin"
 	"github.com/sapphirefield/sapphirefield/wire"
@@ -316,7 +316,7 @@
 
 // publish brings a document to the log as sapphirectl does.
 func (s *system) publish(doc *config.Document) {
-	log := platform.NewLog(s.logURL, http.DefaultClient)
+	log := logservice.NewLog(s.logURL, http.DefaultClient)
 	reader, err := configsync.Fetch(s.ctx, log, nil, nil)
 	assert.NilError(s.t, err)
 	report, err := configsync.Publish(s.ctx, log, reader, configsync.Proposal{Base: reader.InForce(), Document: doc})
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -11,7 +11,7 @@
 	"github.com/sapphirefield/sapphirefield/claim"
 	"github.com/sapphirefield/sapphirefield/link"
 	"github.com/sapphirefield/sapphirefield/logevent"
-	"github.com/sapphirefield/sapphirefield/platform"
+	"github.com/sapphirefield/sapphirefield/logservice"
 )
 
 // claimStream is the log stream with claims on idempotency keys.
@@ -29,14 +29,14 @@
 	maxQueuedClaims = 1 << 14
 )
 
-// ClaimLog is the part of the log service that claims need. *platform.Log
+// ClaimLog is the part of the log service that claims need. *logservice.Log
 // implements it.
 type ClaimLog interface {
 	// Append adds a record. After an error the record may be on the log all the same.
 	Append(ctx context.Context, stream string, data []byte) (int64, error)
 	// Read returns records from an offset on, waiting for the first for as long
-	// as wait. A *platform.ExpiredError says that records expired.
-	Read(ctx context.Context, stream string, from int64, wait time.Duration) (platform.Batch, error)
+	// as wait. A *logservice.ExpiredError says that records expired.
+	Read(ctx context.Context, stream string, from int64, wait time.Duration) (logservice.Batch, error)
 }
 
 // claims drives the claims of all keyed calls of an entry: it keeps the fold
@@ -75,14 +75,14 @@
 	for ctx.Err() == nil {
 		from, wait := c.nextRead()
 		page, err := c.log.Read(ctx, claimStream, from, wait)
-		var expired *platform.ExpiredError
+		var expired *logservice.ExpiredError
 		if errors.As(err, &expired) && expired.First > from {
 			// A page without records moves the fold to the first readable one.
-			page, err = platform.Batch{First: expired.First}, nil
+			page, err = logservice.Batch{First: expired.First}, nil
 		}
 		if err != nil {
 			c.setLogUp(ctx, false, err)
-			platform.Pause(ctx, pause/2+rand.N(pause/2))
+			logservice.Pause(ctx, pause/2+rand.N(pause/2))
 			pause = min(2*pause, claimRetryMax)
 			continue
 		}
@@ -106,7 +106,7 @@
 
 // apply folds a page. A record that cannot be read has no effect, but its
 // offset counts, so that all readers stay at the same offset.
-func (c *claims) apply(page platform.Batch) {
+func (c *claims) apply(page logservice.Batch) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.fold.Trim(page.First)
--- a/experiment/control/run.go
+++ b/experiment/control/run.go
@@ -18,7 +18,7 @@
 	"github.com/sapphirefield/sapphirefield/configlog"
 	"github.com/sapphirefield/sapphirefield/configsync"
 	"github.com/sapphirefield/sapphirefield/logevent"
-	"github.com/sapphirefield/sapphirefield/platform"
+	"github.com/sapphirefield/sapphirefield/logservice"
 )
 
 // Options size a measurement.
@@ -86,7 +86,7 @@
 
 // publish brings a document to the log the way sapphirectl does.
 func (f *fleet) publish(ctx context.Context, doc *config.Document) error {
-	log := platform.NewLog(f.logURL, http.DefaultClient)
+	log := logservice.NewLog(f.logURL, http.DefaultClient)
 	reader, err := configsync.Fetch(ctx, log, nil, nil)
 	if err != nil {
 		return err
--- a/platform/log.go
+++ b/logservice/log.go
@@ -1,6 +1,6 @@
-// Package platform holds the clients of the platform's log service and of its
+// Package logservice holds the clients of the platform's log service and of its
 // instance list.
-package platform
+package logservice
 
 import (
 	"bytes"
--- a/plans/world_test.go
+++ b/plans/world_test.go
@@ -25,10 +25,10 @@
 	"github.com/sapphirefield/sapphirefield/configsync"
 	"github.com/sapphirefield/sapphirefield/entry"
 	"github.com/sapphirefield/sapphirefield/link"
+	"github.com/sapphirefield/sapphirefield/logservice"
 	"github.com/sapphirefield/sapphirefield/orders"
 	"github.com/sapphirefield/sapphirefield/planner"
 	"github.com/sapphirefield/sapphirefield/plans"
-	"github.com/sapphirefield/sapphirefield/platform"
 	"github.com/sapphirefield/sapphirefield/sidecar"
 	"github.com/sapphirefield/sapphirefield/standin"
 	"github.com/sapphirefield/sapphirefield/wire"
@@ -135,7 +135,7 @@
 func (w *world) sync(ctx context.Context, id string, seed uint64) *configsync.Sync {
 	transport := &http.Transport{DialContext: w.network.Dialer(id), DisableKeepAlives: true}
 	s := configsync.New(configsync.Options{
-		Log:    countedLog{platform.NewLog("http://log", &http.Client{Transport: transport}), &w.tried},
+		Log:    countedLog{logservice.NewLog("http://log", &http.Client{Transport: transport}), &w.tried},
 		Random: rand.New(rand.NewPCG(seed, 9)), Logger: w.logger,
 	})
 	go s.Run(ctx)
@@ -237,7 +237,7 @@
 
 // countedLog counts the records that were sent to the log.
 type countedLog struct {
-	*platform.Log
+	*logservice.Log
 	tried *atomic.Int64
 }
 
