config: add routes and what describes engines that relay by themselves

Entries that pass requests through unchanged need to know which host and path belong to which model or service, and what may be repeated. A route states it, with targets by weight, time limits and rank. Accelerators and models gain the optional times of engines that relay between stages by themselves. The digest of a document without routes stays as it was, because processes of two program versions compare it.

--- a/config/defaults.go
+++ b/config/defaults.go
@@ -16,6 +16,7 @@
 	DefaultMaxBodyBytes   = 1 << 20
 	DefaultWeight         = 1.0
 	DefaultFencing        = FencingIgnores
+	DefaultMaxAttempts    = 1
 )
 
 // NewAccelerator returns an accelerator with all defaults.
@@ -34,10 +35,14 @@
 // NewTeam returns a team with all defaults.
 func NewTeam() Team { return Team{Weight: DefaultWeight} }
 
+// NewRoute returns a route with all defaults.
+func NewRoute() Route { return Route{Timeout: DefaultTimeout, MaxAttempts: DefaultMaxAttempts} }
+
 var defaultValues = map[reflect.Type]reflect.Value{
 	reflect.TypeFor[Accelerator](): reflect.ValueOf(NewAccelerator()),
 	reflect.TypeFor[Service]():     reflect.ValueOf(NewService()),
 	reflect.TypeFor[Team]():        reflect.ValueOf(NewTeam()),
+	reflect.TypeFor[Route]():       reflect.ValueOf(NewRoute()),
 }
 
 func defaultValue(t reflect.Type) reflect.Value {
--- a/config/diff.go
+++ b/config/diff.go
@@ -73,7 +73,10 @@
 	return strings.Trim(op.Section+"/"+op.Entry+"/"+op.Member, "/")
 }
 
-const schemaMember = "schema"
+const (
+	schemaMember  = "schema"
+	routesSection = "routes"
+)
 
 // applyOp changes doc. owned holds the sections whose lists doc does not share
 // with the old document.
@@ -133,6 +136,7 @@
 	sectionOf[Server, *Server]{"servers", func(d *Document) *[]Server { return &d.Servers }, []string{"id"}},
 	sectionOf[Team, *Team]{"teams", func(d *Document) *[]Team { return &d.Teams }, []string{"name"}},
 	sectionOf[Objective, *Objective]{"objectives", func(d *Document) *[]Objective { return &d.Objectives }, []string{"name"}},
+	sectionOf[Route, *Route]{routesSection, func(d *Document) *[]Route { return &d.Routes }, []string{"name"}},
 }
 
 func (doc *Document) isCanonical() bool {
--- a/config/digest.go
+++ b/config/digest.go
@@ -19,6 +19,7 @@
 func (s *Server) entryKey() string      { return s.ID }
 func (t *Team) entryKey() string        { return t.Name }
 func (o *Objective) entryKey() string   { return o.Name }
+func (r *Route) entryKey() string       { return r.Name }
 
 type keyed interface{ entryKey() string }
 
@@ -36,6 +37,7 @@
 		Servers:      canonical(doc.Servers),
 		Teams:        canonical(doc.Teams),
 		Objectives:   canonical(doc.Objectives),
+		Routes:       canonical(doc.Routes),
 	}
 }
 
@@ -47,6 +49,7 @@
 func (s *Server) dropEmpty()      {}
 func (t *Team) dropEmpty()        { dropEmpty(&t.KeyHashes); dropEmpty(&t.Models); dropEmpty(&t.Services) }
 func (o *Objective) dropEmpty()   {}
+func (r *Route) dropEmpty()       { dropEmpty(&r.Targets) }
 
 func dropEmpty[T any](list *[]T) {
 	if len(*list) == 0 {
@@ -90,6 +93,10 @@
 	// and Validate refuse; what was written until then still gives a digest.
 	_ = lines.Encode(doc.Schema)
 	for _, s := range sections {
+		// A document without routes keeps the digest that programs without this section compute.
+		if s.title() == routesSection && len(doc.Routes) == 0 {
+			continue
+		}
 		_ = lines.Encode(s.title())
 		s.encode(doc, lines)
 	}
--- a/config/document.go
+++ b/config/document.go
@@ -18,6 +18,7 @@
 	Servers      []Server      `yaml:"servers" json:"servers"`
 	Teams        []Team        `yaml:"teams" json:"teams"`
 	Objectives   []Objective   `yaml:"objectives" json:"objectives"`
+	Routes       []Route       `yaml:"routes,omitempty" json:"routes,omitempty"`
 }
 
 // Region groups availability zones.
@@ -36,6 +37,10 @@
 	LayerTokensPerSecond float64 `yaml:"layer_tokens_per_second" json:"layer_tokens_per_second"`
 	// PrefillSpeedup is how many times faster prompt tokens are processed than generated ones.
 	PrefillSpeedup float64 `yaml:"prefill_speedup" json:"prefill_speedup"`
+	// StepFactor multiplies the model's step times on this hardware and
+	// PromptFactor the time for prompt tokens; 0 counts as 1.
+	StepFactor   float64 `yaml:"step_factor,omitempty" json:"step_factor,omitempty"`
+	PromptFactor float64 `yaml:"prompt_factor,omitempty" json:"prompt_factor,omitempty"`
 }
 
 // Link is a directed network path between two availability zones. A link from
@@ -62,6 +67,27 @@
 	// KVBytesPerTokenLayer is the KV cache that one token takes in one layer.
 	KVBytesPerTokenLayer int64 `yaml:"kv_bytes_per_token_layer" json:"kv_bytes_per_token_layer"`
 	ContextTokens        int   `yaml:"context_tokens" json:"context_tokens"`
+	// The members below describe engines that relay between stages by
+	// themselves. They are optional; times hold for all layers on an
+	// accelerator with factor 1.
+	//
+	// Slots is the number of requests that an engine receives from callers at once.
+	Slots int `yaml:"slots,omitempty" json:"slots,omitempty"`
+	// StepTime is the time of one decode step, RequestStepTime what each
+	// request in the batch adds, and ContextStepTime what each 1,000 tokens of
+	// their context add.
+	StepTime        time.Duration `yaml:"step_time,omitempty" json:"step_time,omitempty"`
+	RequestStepTime time.Duration `yaml:"request_step_time,omitempty" json:"request_step_time,omitempty"`
+	ContextStepTime time.Duration `yaml:"context_step_time,omitempty" json:"context_step_time,omitempty"`
+	// PromptTokensPerSecond is the rate at which prompts are processed.
+	PromptTokensPerSecond float64 `yaml:"prompt_tokens_per_second,omitempty" json:"prompt_tokens_per_second,omitempty"`
+	// LoadTime is the time to load the weights of all layers.
+	LoadTime time.Duration `yaml:"load_time,omitempty" json:"load_time,omitempty"`
+	// ConcurrentLoads is the number of loads that the weight store serves at full speed.
+	ConcurrentLoads int `yaml:"concurrent_loads,omitempty" json:"concurrent_loads,omitempty"`
+	// PromptTokens and AnswerTokens are the means over requests.
+	PromptTokens float64 `yaml:"prompt_tokens,omitempty" json:"prompt_tokens,omitempty"`
+	AnswerTokens float64 `yaml:"answer_tokens,omitempty" json:"answer_tokens,omitempty"`
 }
 
 // LogOutagePolicy says what happens to a keyed non-idempotent call while the log is down.
@@ -84,6 +110,8 @@
 	KeyWindow    time.Duration   `yaml:"key_window" json:"key_window"`
 	OnLogOutage  LogOutagePolicy `yaml:"on_log_outage" json:"on_log_outage"`
 	MaxBodyBytes int64           `yaml:"max_body_bytes" json:"max_body_bytes"`
+	// MaxConnections is the number of connections that a server accepts from all callers; 0 means no limit.
+	MaxConnections int `yaml:"max_connections,omitempty" json:"max_connections,omitempty"`
 }
 
 // CallRule matches calls by method and path prefix below the service's name.
@@ -149,3 +177,46 @@
 	Threshold time.Duration `yaml:"threshold,omitempty" json:"threshold,omitempty"`
 	Target    float64       `yaml:"target" json:"target"`
 }
+
+// CallKind says how often a request may be run.
+type CallKind string
+
+// The kinds of requests.
+const (
+	// CallIdempotent requests may run more than once.
+	CallIdempotent CallKind = "idempotent"
+	// CallAtMostOnce requests run at most once.
+	CallAtMostOnce CallKind = "at_most_once"
+	// CallStream requests are answered with a stream of events.
+	CallStream CallKind = "stream"
+)
+
+// Route sends requests to the backend servers of models or services, for
+// entries that pass requests through unchanged.
+type Route struct {
+	Name string `yaml:"name" json:"name"`
+	// Host and PathPrefix select the requests; the longest prefix of a host wins.
+	Host       string        `yaml:"host" json:"host"`
+	PathPrefix string        `yaml:"path_prefix" json:"path_prefix"`
+	Targets    []RouteTarget `yaml:"targets" json:"targets"`
+	Call       CallKind      `yaml:"call" json:"call"`
+	// Resumable streams go on at another backend server after the last event.
+	Resumable bool `yaml:"resumable,omitempty" json:"resumable,omitempty"`
+	// Anonymous routes need no key.
+	Anonymous bool `yaml:"anonymous,omitempty" json:"anonymous,omitempty"`
+	// Timeout is the longest time that a request may be kept.
+	Timeout time.Duration `yaml:"timeout" json:"timeout"`
+	// TargetLatency bounds the answer, or the first event of a stream; TargetPause the time between events.
+	TargetLatency time.Duration `yaml:"target_latency,omitempty" json:"target_latency,omitempty"`
+	TargetPause   time.Duration `yaml:"target_pause,omitempty" json:"target_pause,omitempty"`
+	// Rank orders routes under load; 0 is served first.
+	Rank int `yaml:"rank" json:"rank"`
+	// MaxAttempts is the number of backend servers to which one request may be sent.
+	MaxAttempts int `yaml:"max_attempts" json:"max_attempts"`
+}
+
+// RouteTarget is a model or service with its share of a route's requests.
+type RouteTarget struct {
+	Backend string  `yaml:"backend" json:"backend"`
+	Weight  float64 `yaml:"weight" json:"weight"`
+}
--- a/config/parse.go
+++ b/config/parse.go
@@ -240,6 +240,8 @@
 		return "text (put numbers, dates and true or false in quotes)"
 	case t.Kind() == reflect.Float64:
 		return "a finite number"
+	case t.Kind() == reflect.Bool:
+		return "true or false"
 	default:
 		return "a whole number"
 	}
@@ -259,12 +261,18 @@
 		return nil
 	case v.Kind() == reflect.Float64:
 		return setFloat(node, v)
+	case v.Kind() == reflect.Bool:
+		return decodeTagged(node, v, "!!bool")
 	default:
-		if node.Tag != "!!int" {
-			return errForm
-		}
-		return node.Decode(v.Addr().Interface())
+		return decodeTagged(node, v, "!!int")
+	}
+}
+
+func decodeTagged(node *yaml.Node, v reflect.Value, tag string) error {
+	if node.Tag != tag {
+		return errForm
 	}
+	return node.Decode(v.Addr().Interface())
 }
 
 func setDuration(node *yaml.Node, v reflect.Value) error {
--- a/config/parse_test.go
+++ b/config/parse_test.go
@@ -59,7 +59,7 @@
 		`f.yaml:6:60: accelerators[0].layer_tokens_per_second: ".nan" is not allowed; must be a finite number`,
 		`f.yaml:8:11: services[0].name: "v1" is a path of the callers' interface; choose another name`,
 		`f.yaml:9:14: services[0].timeout: "30" is not allowed; must be a duration with a unit, such as "30s" or "250us"`,
-		`f.yaml:10:5: services[0].retries: unknown member; the members here are name, idempotent, timeout, key_window, on_log_outage, max_body_bytes`,
+		`f.yaml:10:5: services[0].retries: unknown member; the members here are name, idempotent, timeout, key_window, on_log_outage, max_body_bytes, max_connections`,
 		`f.yaml:12:20: servers[0].zone: there is no availability zone "b"`,
 		`f.yaml:12:32: servers[0].service: there is no service "nowhere"`,
 		`f.yaml:13:5: servers[1]: must name a model or a service`,
--- a/config/schema_test.go
+++ b/config/schema_test.go
@@ -19,6 +19,7 @@
 	reflect.TypeFor[LogOutagePolicy](): {RefuseDuringOutage, RunDuringOutage},
 	reflect.TypeFor[Fencing]():         {FencingChecks, FencingIgnores},
 	reflect.TypeFor[Measure]():         {MeasureFirstToken, MeasureBetweenToken, MeasureAvailability, MeasureLatency},
+	reflect.TypeFor[CallKind]():        {CallIdempotent, CallAtMostOnce, CallStream},
 }
 
 // requiredPaths are the members without which an otherwise empty entry has a finding.
@@ -27,7 +28,9 @@
 		Regions: make([]Region, 1), Accelerators: []Accelerator{NewAccelerator()}, Links: make([]Link, 1),
 		Models: make([]Model, 1), Services: []Service{NewService()}, Servers: make([]Server, 1),
 		Teams: []Team{NewTeam()}, Objectives: make([]Objective, 1),
+		Routes: []Route{NewRoute()},
 	}
+	empty.Routes[0].Targets = make([]RouteTarget, 1)
 	empty.Services[0].Idempotent = make([]CallRule, 1)
 	required := map[string]bool{"regions": true}
 	for _, f := range empty.Validate() {
@@ -52,6 +55,8 @@
 		return object{"type": "string", "pattern": textPattern(member)}
 	case t.Kind() == reflect.Float64:
 		return object{"type": "number"}
+	case t.Kind() == reflect.Bool:
+		return object{"type": "boolean"}
 	default:
 		return object{"type": "integer"}
 	}
--- a/config/summary.go
+++ b/config/summary.go
@@ -54,6 +54,12 @@
 			short[i] = shorten(s)
 		}
 		return "[" + strings.Join(short, ", ") + "]"
+	case []RouteTarget:
+		targets := make([]string, len(value))
+		for i, t := range value {
+			targets[i] = t.String()
+		}
+		return "[" + strings.Join(targets, ", ") + "]"
 	case []CallRule:
 		rules := make([]string, len(value))
 		for i, r := range value {
--- a/config/validate.go
+++ b/config/validate.go
@@ -78,6 +78,7 @@
 	c.servers()
 	c.teams()
 	c.objectives()
+	c.routes()
 	return c.findings
 }
 
@@ -242,6 +243,8 @@
 		c.whole(path.in("memory_bytes"), a.MemoryBytes, 1, maxBytes)
 		c.positive(path.in("layer_tokens_per_second"), a.LayerTokensPerSecond, maxRate)
 		c.number(path.in("prefill_speedup"), a.PrefillSpeedup, 1, maxPrefillRatio)
+		c.number(path.in("step_factor"), a.StepFactor, 0, maxPrefillRatio)
+		c.number(path.in("prompt_factor"), a.PromptFactor, 0, maxPrefillRatio)
 	}
 }
 
@@ -269,9 +272,23 @@
 		c.whole(path.in("activation_bytes"), m.ActivationBytes, 1, maxBytes)
 		c.whole(path.in("kv_bytes_per_token_layer"), m.KVBytesPerTokenLayer, 1, maxBytes)
 		c.whole(path.in("context_tokens"), int64(m.ContextTokens), 1, maxContextTokens)
+		c.relaying(path, m)
 	}
 }
 
+// relaying checks the optional members about engines that relay by themselves.
+func (c *checker) relaying(path docPath, m Model) {
+	c.whole(path.in("slots"), int64(m.Slots), 0, maxConcurrency)
+	c.duration(path.in("step_time"), m.StepTime, 0, maxTimeout)
+	c.duration(path.in("request_step_time"), m.RequestStepTime, 0, maxTimeout)
+	c.duration(path.in("context_step_time"), m.ContextStepTime, 0, maxTimeout)
+	c.number(path.in("prompt_tokens_per_second"), m.PromptTokensPerSecond, 0, maxRate)
+	c.duration(path.in("load_time"), m.LoadTime, 0, maxTimeout)
+	c.whole(path.in("concurrent_loads"), int64(m.ConcurrentLoads), 0, maxConcurrency)
+	c.number(path.in("prompt_tokens"), m.PromptTokens, 0, maxContextTokens)
+	c.number(path.in("answer_tokens"), m.AnswerTokens, 0, maxContextTokens)
+}
+
 func (c *checker) versions(path docPath, m Model) {
 	if len(m.Versions) == 0 {
 		c.add(path.in("versions"), "must hold at least one version")
@@ -303,6 +320,7 @@
 		}
 		oneOf(c, path.in("on_log_outage"), s.OnLogOutage, RefuseDuringOutage, RunDuringOutage)
 		c.whole(path.in("max_body_bytes"), s.MaxBodyBytes, 1, maxBodyBytes)
+		c.whole(path.in("max_connections"), int64(s.MaxConnections), 0, maxConcurrency)
 	}
 }
 
--- a/console/form.go
+++ b/console/form.go
@@ -35,6 +35,7 @@
 	{"servers", "Servers", "Backend servers: engines and plain servers.", func() any { return pointerTo(config.Server{}) }},
 	{"teams", "Teams", "Tenants with their keys, shares and limits.", func() any { return pointerTo(config.NewTeam()) }},
 	{"objectives", "Objectives", "Service-level objectives.", func() any { return pointerTo(config.Objective{}) }},
+	{"routes", "Routes", "Requests that entries pass through unchanged, by host and path.", func() any { return pointerTo(config.NewRoute()) }},
 }
 
 func sectionNamed(name string) (section, bool) {
@@ -91,6 +92,10 @@
 		string(config.MeasureFirstToken), string(config.MeasureBetweenToken),
 		string(config.MeasureAvailability), string(config.MeasureLatency),
 	},
+	reflect.TypeFor[config.CallKind](): {
+		string(config.CallIdempotent), string(config.CallAtMostOnce), string(config.CallStream),
+	},
+	reflect.TypeFor[bool](): {"false", "true"},
 }
 
 var hints = map[string]string{
@@ -109,6 +114,11 @@
 	"fencing":                 "for engines only",
 	"accelerator":             "for engines only",
 	"layer_tokens_per_second": "decode rate of one layer",
+	"targets":                 "one model or service on each line with its weight, such as stock 90",
+	"rank":                    "0 is served first",
+	"max_attempts":            "backend servers to which one request may be sent",
+	"step_factor":             "for engines that relay by themselves; 0 counts as 1",
+	"prompt_factor":           "for engines that relay by themselves; 0 counts as 1",
 }
 
 var keyMembers = map[string]bool{"id": true, "kind": true, "name": true, "from": true, "to": true}
@@ -147,6 +157,12 @@
 			lines[i] = r.Method + " " + r.PathPrefix
 		}
 		return strings.Join(lines, "\n")
+	case []config.RouteTarget:
+		lines := make([]string, len(value))
+		for i, t := range value {
+			lines[i] = t.String()
+		}
+		return strings.Join(lines, "\n")
 	case float64:
 		return strconv.FormatFloat(value, 'f', -1, 64)
 	}
@@ -164,6 +180,8 @@
 		return nil
 	case []config.CallRule:
 		return readCallRules(v, text)
+	case []config.RouteTarget:
+		return readTargets(v, text)
 	}
 	switch v.Kind() {
 	case reflect.String:
@@ -171,6 +189,9 @@
 		return nil
 	case reflect.Float64:
 		return readFloat(v, text)
+	case reflect.Bool:
+		v.SetBool(text == "true")
+		return nil
 	default:
 		n, err := strconv.ParseInt(text, 10, 64)
 		if err != nil || v.OverflowInt(n) {
@@ -226,6 +247,26 @@
 	return nil
 }
 
+func readTargets(v reflect.Value, text string) error {
+	var targets []config.RouteTarget
+	for line := range strings.Lines(text) {
+		parts := strings.Fields(line)
+		if len(parts) == 0 {
+			continue
+		}
+		if len(parts) != 2 {
+			return errors.Errorf("%q is not a model or service and a weight", strings.TrimSpace(line))
+		}
+		target := config.RouteTarget{Backend: parts[0]}
+		if err := readFloat(reflect.ValueOf(&target.Weight).Elem(), parts[1]); err != nil {
+			return err
+		}
+		targets = append(targets, target)
+	}
+	v.Set(reflect.ValueOf(targets))
+	return nil
+}
+
 // addFindings puts findings of the document next to the fields of one entry.
 // Findings on the entry as a whole are returned.
 func addFindings(fields []field, list finding.List, entryPath string) (whole []string) {
