--- /dev/null
+++ b/pipeline/relay.go
@@ -0,0 +1,289 @@
+package pipeline
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+// RelayModel is what the choice of a path needs to know about a model whose
+// engines relay between stages by themselves. Times hold for all layers on an
+// accelerator with factor 1.
+type RelayModel struct {
+	Layers          int
+	ActivationBytes int64
+	// StepTime is the time of one decode step, RequestStepTime what each
+	// request in the batch adds, ContextStepTime what each 1,000 tokens of
+	// context add.
+	StepTime, RequestStepTime, ContextStepTime time.Duration
+	// PromptTokensPerSecond is the rate at which prompts are processed.
+	PromptTokensPerSecond float64
+}
+
+// RelayEngine is one engine that holds layers, as the choice of a path sees it.
+type RelayEngine struct {
+	Name, Address, Zone string
+	// First and Limit bound the layers [First, Limit).
+	First, Limit int
+	// StepFactor and PromptFactor multiply the model's times.
+	StepFactor, PromptFactor float64
+	// Slowdown is the measured time of a step divided by the expected one.
+	Slowdown float64
+	// Capacity and Used are tokens times layers that the engine's memory holds
+	// besides the weights.
+	Capacity, Used float64
+	// Running is the number of requests that use the engine, and Context their tokens.
+	Running, Context float64
+	// Slots and Heads are the number of requests that the engine can receive
+	// and has received as the first engine of their paths.
+	Slots, Heads int
+}
+
+// Hop is one part of a path: an engine and the layers that it runs.
+type Hop struct {
+	Engine, Address string
+	First, Limit    int
+}
+
+// RelayLink is the way between two zones.
+type RelayLink struct {
+	Latency        time.Duration
+	BytesPerSecond float64
+	// Load is the part of the link's rate that is in use.
+	Load float64
+}
+
+// RelayRequest is what a request will need.
+type RelayRequest struct {
+	PromptTokens, AnswerTokens float64
+	// Avoid holds engines that the path may not use.
+	Avoid map[string]bool
+	// Head is the engine that must come first, or empty.
+	Head string
+}
+
+const (
+	// maxLinkLoad bounds the load that the wait for a link is computed from.
+	maxLinkLoad = 0.95
+	// reserve is the part of an engine's memory that stays free for answers
+	// that grow beyond their estimate.
+	reserve = 0.05
+	// crowdingWeight is the wait, in steps, that a full engine adds to a free one's step.
+	crowdingWeight = 1.0
+)
+
+// Pathfinder chooses the quickest path for requests over engines that relay by
+// themselves. A path may leave an engine at any layer at which another one
+// begins, so engines of different plans complete each other when one is lost.
+//
+// It answers steady load near the capacity of the fastest engines: their
+// batches and memory fill up, their expected times grow, and further requests
+// go to slower engines before the fast ones are full.
+type Pathfinder struct {
+	model RelayModel
+	links map[[2]string]RelayLink
+}
+
+// NewPathfinder returns a Pathfinder. Links are keyed by zones; zones without
+// a link are reached at once.
+func NewPathfinder(model RelayModel, links map[[2]string]RelayLink) *Pathfinder {
+	return &Pathfinder{model: model, links: links}
+}
+
+// pathState is the quickest way to run the layers below a boundary and end in a zone.
+type pathState struct {
+	seconds float64
+	engine  int
+	// from is the boundary and fromZone the zone of the state before.
+	from, fromZone int
+	known          bool
+}
+
+// Find returns the quickest path and its expected time, or ErrNoChain.
+func (p *Pathfinder) Find(engines []RelayEngine, r RelayRequest) ([]Hop, time.Duration, error) {
+	s := newPathSearch(p, engines, r)
+	s.run()
+	hops, seconds := s.best()
+	if hops == nil {
+		return nil, 0, ErrNoChain
+	}
+	return hops, time.Duration(seconds * float64(time.Second)), nil
+}
+
+type pathSearch struct {
+	*Pathfinder
+	request    RelayRequest
+	engines    []RelayEngine
+	boundaries []int
+	zones      []string
+	zoneOf     []int
+	// table holds the states by boundary and zone.
+	table [][]pathState
+}
+
+func newPathSearch(p *Pathfinder, engines []RelayEngine, r RelayRequest) *pathSearch {
+	s := &pathSearch{Pathfinder: p, request: r, engines: engines, zoneOf: make([]int, len(engines))}
+	seen := map[int]bool{0: true, p.model.Layers: true}
+	index := map[string]int{}
+	for i, e := range engines {
+		z, known := index[e.Zone]
+		if !known {
+			z = len(s.zones)
+			index[e.Zone] = z
+			s.zones = append(s.zones, e.Zone)
+		}
+		s.zoneOf[i] = z
+		seen[min(max(e.First, 0), p.model.Layers)] = true
+		seen[min(max(e.Limit, 0), p.model.Layers)] = true
+	}
+	for b := range seen {
+		s.boundaries = append(s.boundaries, b)
+	}
+	sort.Ints(s.boundaries)
+	s.table = make([][]pathState, len(s.boundaries))
+	for i := range s.table {
+		s.table[i] = make([]pathState, len(s.zones))
+	}
+	return s
+}
+
+func (s *pathSearch) run() {
+	for at := range s.boundaries[:len(s.boundaries)-1] {
+		for i := range s.engines {
+			if s.usable(i, at) {
+				s.extend(i, at)
+			}
+		}
+	}
+}
+
+func (s *pathSearch) usable(engine, at int) bool {
+	e := &s.engines[engine]
+	b := s.boundaries[at]
+	if e.First > b || e.Limit <= b || s.request.Avoid[e.Name] {
+		return false
+	}
+	if b > 0 {
+		return true
+	}
+	if s.request.Head != "" {
+		return e.Name == s.request.Head
+	}
+	return e.Slots == 0 || e.Heads < e.Slots
+}
+
+// extend takes an engine from a boundary to each later one that it reaches.
+func (s *pathSearch) extend(engine, at int) {
+	e := &s.engines[engine]
+	for next := at + 1; next < len(s.boundaries) && s.boundaries[next] <= e.Limit; next++ {
+		work, fits := s.work(e, s.boundaries[next]-s.boundaries[at])
+		if !fits {
+			return
+		}
+		s.offer(engine, at, next, work)
+	}
+}
+
+func (s *pathSearch) offer(engine, at, next int, work float64) {
+	zone := s.zoneOf[engine]
+	target := &s.table[next][zone]
+	if at == 0 {
+		if !target.known || work < target.seconds {
+			*target = pathState{seconds: work, engine: engine, known: true}
+		}
+		return
+	}
+	for z := range s.zones {
+		before := s.table[at][z]
+		if !before.known || before.engine == engine {
+			continue
+		}
+		seconds := before.seconds + s.transfer(s.zones[z], s.zones[zone]) + work
+		if !target.known || seconds < target.seconds {
+			*target = pathState{seconds: seconds, engine: engine, from: at, fromZone: z, known: true}
+		}
+	}
+}
+
+// work returns the expected seconds that a number of layers take at an engine,
+// and whether the request fits its memory.
+func (s *pathSearch) work(e *RelayEngine, layers int) (float64, bool) {
+	tokens := s.request.PromptTokens + s.request.AnswerTokens
+	need := tokens * float64(layers)
+	free := e.Capacity*(1-reserve) - e.Used
+	if need > free {
+		return 0, false
+	}
+	share := float64(layers) / float64(s.model.Layers)
+	slowdown := math.Max(e.Slowdown, 1)
+	step := s.model.StepTime.Seconds() +
+		s.model.RequestStepTime.Seconds()*(e.Running+1) +
+		s.model.ContextStepTime.Seconds()*(e.Context+tokens)/1000
+	crowding := 1 + crowdingWeight*(e.Used+need)/e.Capacity
+	decode := s.request.AnswerTokens * step * e.StepFactor * crowding
+	prompt := 0.0
+	if s.model.PromptTokensPerSecond > 0 {
+		prompt = s.request.PromptTokens / s.model.PromptTokensPerSecond * e.PromptFactor
+	}
+	return (decode + prompt) * share * slowdown, true
+}
+
+// transfer returns the expected seconds that the link between two zones adds.
+func (s *pathSearch) transfer(from, to string) float64 {
+	link, known := s.links[[2]string{from, to}]
+	if !known {
+		return 0
+	}
+	seconds := s.request.AnswerTokens * link.Latency.Seconds()
+	if link.BytesPerSecond > 0 {
+		tokens := s.request.PromptTokens + s.request.AnswerTokens
+		sending := tokens * float64(s.model.ActivationBytes) / link.BytesPerSecond
+		seconds += sending / (1 - math.Min(link.Load, maxLinkLoad))
+	}
+	return seconds
+}
+
+// best follows the quickest state at the last boundary back to the first layer.
+func (s *pathSearch) best() ([]Hop, float64) {
+	last := len(s.boundaries) - 1
+	zone, seconds := -1, math.Inf(1)
+	for z, st := range s.table[last] {
+		if st.known && st.seconds < seconds {
+			zone, seconds = z, st.seconds
+		}
+	}
+	if zone < 0 {
+		return nil, 0
+	}
+	var hops []Hop
+	for at := last; at > 0; {
+		st := s.table[at][zone]
+		e := &s.engines[st.engine]
+		hops = append(hops, Hop{Engine: e.Name, Address: e.Address, First: s.boundaries[st.from], Limit: s.boundaries[at]})
+		at, zone = st.from, st.fromZone
+	}
+	for i, j := 0, len(hops)-1; i < j; i, j = i+1, j-1 {
+		hops[i], hops[j] = hops[j], hops[i]
+	}
+	return mergeHops(hops), seconds
+}
+
+// mergeHops lets an engine that appears twice run all layers between, because
+// a path may name an engine only once. Its range covers them.
+func mergeHops(hops []Hop) []Hop {
+	merged := hops[:0:0]
+	for _, h := range hops {
+		for i := range merged {
+			if merged[i].Engine == h.Engine {
+				merged = merged[:i+1]
+				merged[i].Limit = h.Limit
+				break
+			}
+		}
+		if n := len(merged); n > 0 && merged[n-1].Engine == h.Engine {
+			continue
+		}
+		merged = append(merged, h)
+	}
+	return merged
+}
--- /dev/null
+++ b/pipeline/relay_test.go
@@ -0,0 +1,128 @@
+package pipeline
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func relayModel() RelayModel {
+	return RelayModel{
+		Layers: 80, ActivationBytes: 29500, StepTime: 850 * time.Microsecond, RequestStepTime: 3820 * time.Nanosecond,
+		ContextStepTime: 5120 * time.Nanosecond, PromptTokensPerSecond: 196000,
+	}
+}
+
+func relayEngine(name, zone string, first, limit int, factor float64) RelayEngine {
+	return RelayEngine{
+		Name: name, Address: name + ":1", Zone: zone, First: first, Limit: limit,
+		StepFactor: factor, PromptFactor: factor, Slowdown: 1, Capacity: 50000 * float64(limit-first),
+	}
+}
+
+func checkHops(t interface {
+	Helper()
+	Errorf(string, ...any)
+}, engines []RelayEngine, hops []Hop, layers int) {
+	t.Helper()
+	byName := map[string]RelayEngine{}
+	for _, e := range engines {
+		byName[e.Name] = e
+	}
+	at, seen := 0, map[string]bool{}
+	for _, h := range hops {
+		e := byName[h.Engine]
+		if h.First != at || h.Limit <= h.First || h.First < e.First || h.Limit > e.Limit || seen[h.Engine] {
+			t.Errorf("hop %+v of %+v at layer %d", h, hops, at)
+		}
+		seen[h.Engine] = true
+		at = h.Limit
+	}
+	if at != layers {
+		t.Errorf("path %+v ends at layer %d", hops, at)
+	}
+}
+
+// Guards against a path that skips or repeats a layer, leaves an engine's
+// range, or names an engine twice.
+func TestPathRunsEveryLayerOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var engines []RelayEngine
+		for i := range rapid.IntRange(1, 14).Draw(t, "engines") {
+			first := rapid.IntRange(0, 79).Draw(t, "first")
+			limit := rapid.IntRange(first+1, 80).Draw(t, "limit")
+			zone := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone")
+			engines = append(engines, relayEngine(fmt.Sprint(i), zone, first, limit, rapid.Float64Range(1, 16).Draw(t, "factor")))
+		}
+		hops, _, err := NewPathfinder(relayModel(), nil).Find(engines, RelayRequest{PromptTokens: 700, AnswerTokens: 170})
+		if err == nil {
+			checkHops(t, engines, hops, 80)
+		}
+	})
+}
+
+// Guards against a lost engine that takes its whole chain out of service: an
+// engine of another chain runs the missing layers.
+func TestPathFillsGapFromAnotherChain(t *testing.T) {
+	engines := []RelayEngine{
+		relayEngine("a0", "a", 0, 40, 2), relayEngine("a2", "a", 60, 80, 2),
+		relayEngine("b0", "b", 0, 30, 15), relayEngine("b1", "b", 30, 70, 15), relayEngine("b2", "b", 70, 80, 15),
+	}
+	hops, _, err := NewPathfinder(relayModel(), nil).Find(engines, RelayRequest{PromptTokens: 700, AnswerTokens: 170})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, hops, []Hop{{"a0", "a0:1", 0, 40}, {"b1", "b1:1", 40, 60}, {"a2", "a2:1", 60, 80}})
+	_, _, err = NewPathfinder(relayModel(), nil).Find(engines, RelayRequest{
+		PromptTokens: 700, AnswerTokens: 170, Avoid: map[string]bool{"b1": true},
+	})
+	assert.Equal(t, err, ErrNoChain)
+}
+
+// Guards against requests that all go to the fastest engines when their memory
+// is full, which preempts answers in progress.
+func TestPathLeavesFullEngine(t *testing.T) {
+	fast, slow := relayEngine("fast", "a", 0, 80, 1.4), relayEngine("slow", "a", 0, 80, 15)
+	find := func() string {
+		hops, _, err := NewPathfinder(relayModel(), nil).Find([]RelayEngine{fast, slow}, RelayRequest{PromptTokens: 700, AnswerTokens: 170})
+		assert.NilError(t, err)
+		return hops[0].Engine
+	}
+	assert.Equal(t, find(), "fast")
+	fast.Used = fast.Capacity * 0.95
+	assert.Equal(t, find(), "slow")
+}
+
+// Guards against a crowded link between zones that goes on taking requests
+// while a slower path stays inside one zone.
+func TestPathAvoidsCrowdedLink(t *testing.T) {
+	engines := []RelayEngine{
+		relayEngine("x", "a", 0, 40, 2), relayEngine("y", "b", 40, 80, 2), relayEngine("z", "a", 40, 80, 8),
+	}
+	r := RelayRequest{PromptTokens: 700, AnswerTokens: 170}
+	links := map[[2]string]RelayLink{{"a", "b"}: {Latency: 400 * time.Microsecond, BytesPerSecond: 1.125e9}}
+	hops, _, err := NewPathfinder(relayModel(), links).Find(engines, r)
+	assert.NilError(t, err)
+	assert.Equal(t, hops[1].Engine, "y")
+	links[[2]string{"a", "b"}] = RelayLink{Latency: 400 * time.Microsecond, BytesPerSecond: 1.125e8, Load: 0.9}
+	hops, _, err = NewPathfinder(relayModel(), links).Find(engines, r)
+	assert.NilError(t, err)
+	assert.Equal(t, hops[1].Engine, "z")
+}
+
+// Guards against a choice of paths that takes a noticeable part of an entry's processor.
+func BenchmarkPathfinder(b *testing.B) {
+	var engines []RelayEngine
+	for c := range 4 {
+		for i := range 10 {
+			engines = append(engines, relayEngine(fmt.Sprintf("%d-%d", c, i), fmt.Sprint(c%3), i*8, i*8+8, float64(1+c*4)))
+		}
+	}
+	p := NewPathfinder(relayModel(), nil)
+	for b.Loop() {
+		if _, _, err := p.Find(engines, RelayRequest{PromptTokens: 700, AnswerTokens: 170}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
