--- a/cmd/sapphired/main.go
+++ b/cmd/sapphired/main.go
@@ -1,4 +1,5 @@
 // Command sapphired is the daemon: an entry or a sidecar, as its settings say.
+// "sapphired relay" is the entry on the operators' platform.
 package main
 
 import (
@@ -24,6 +25,9 @@
 
 // run returns the exit code of the process.
 func run(args, environ []string, stdout, stderr io.Writer) int {
+	if len(args) > 0 && args[0] == "relay" {
+		return runRelay(args[1:], stdout, stderr)
+	}
 	s, err := settings.Load(args, environ)
 	switch {
 	case errors.Is(err, flag.ErrHelp):
--- /dev/null
+++ b/cmd/sapphired/relay.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sapphirefield/sapphirefield/daemon"
+	"github.com/sapphirefield/sapphirefield/platform"
+)
+
+// runRelay runs the entry on the operators' platform.
+func runRelay(args []string, stdout, stderr io.Writer) int {
+	flags := flag.NewFlagSet("sapphired relay", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	path := flags.String("settings", os.Getenv(platform.SettingsVariable), "path of the platform's settings file")
+	check := flags.Bool("check-settings", false, "check the settings and end")
+	if err := flags.Parse(args); err != nil {
+		return exitSettings
+	}
+	s, err := platform.LoadSettings(*path)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitSettings
+	}
+	if *check {
+		fmt.Fprintln(stdout, "settings are valid")
+		return 0
+	}
+	signals, reloads := make(chan os.Signal, 2), make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reloads, syscall.SIGHUP)
+	client := platform.New(s.Store)
+	err = daemon.RunRelay(context.Background(), daemon.RelayOptions{
+		Settings: s.Entry, Store: client, Engines: client, Wire: platform.Wire{}, ReadyPath: platform.Ready,
+		Logs: stdout, Signals: signals, Reloads: reloads,
+	})
+	if err != nil {
+		fmt.Fprintln(stderr, "sapphired relay:", err)
+		return exitFailed
+	}
+	return 0
+}
--- a/entry/config.go
+++ b/entry/config.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"net/http"
 	"slices"
 	"strings"
@@ -24,7 +22,7 @@
 // more than the rest of the request's control.
 type index struct {
 	doc      *config.Document
-	teams    map[string]*config.Team
+	keys     *config.KeyTable
 	models   map[string]*config.Model
 	services map[string]*config.Service
 	rates    map[string]float64
@@ -33,16 +31,11 @@
 func newIndex(doc *config.Document) *index {
 	x := &index{
 		doc:      doc,
-		teams:    make(map[string]*config.Team, len(doc.Teams)),
+		keys:     config.NewKeyTable(doc),
 		models:   make(map[string]*config.Model, len(doc.Models)),
 		services: make(map[string]*config.Service, len(doc.Services)),
 		rates:    make(map[string]float64, len(doc.Servers)),
 	}
-	for i := range doc.Teams {
-		for _, hash := range doc.Teams[i].KeyHashes {
-			x.teams[hash] = &doc.Teams[i]
-		}
-	}
 	for i := range doc.Models {
 		x.models[doc.Models[i].Name] = &doc.Models[i]
 	}
@@ -103,8 +96,7 @@
 	if !strings.EqualFold(scheme, "bearer") || key == "" {
 		return nil, nil, problem.Refuse(problem.Unauthorized, "the request needs an Authorization header with a bearer key")
 	}
-	hash := sha256.Sum256([]byte(strings.TrimSpace(key)))
-	team := x.teams[hex.EncodeToString(hash[:])]
+	team := x.keys.Team(strings.TrimSpace(key))
 	if team == nil {
 		return nil, nil, problem.Refuse(problem.Unauthorized, "the bearer key is not known")
 	}
--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -5,29 +5,42 @@
 // Numbers are grouped: 1xxx process, 2xxx entry, 3xxx sidecar, 4xxx
 // configuration and log service, 5xxx orders to engines, 6xxx service levels.
 const (
-	ProcessStarted       Event = 1001
-	ProcessDraining      Event = 1002
-	ProcessStopped       Event = 1003
-	ProcessCutOff        Event = 1004
-	SettingsRejected     Event = 1005
-	KeysReloaded         Event = 1006
-	KeysRejected         Event = 1007
-	RequestFinished      Event = 2001
-	RequestRefused       Event = 2002
-	StageLost            Event = 2003
-	StageReplaced        Event = 2004
-	SidecarConnected     Event = 2005
-	SidecarDisconnected  Event = 2006
-	ListDistrusted       Event = 2007
-	AttemptRefused       Event = 3001
-	EngineDown           Event = 3002
-	EngineUp             Event = 3003
-	RevisionInForce      Event = 4001
-	RevisionRejected     Event = 4002
-	LogUnavailable       Event = 4003
-	LogAvailable         Event = 4004
-	RevisionNotJudged    Event = 4005
-	RevisionFromPeer     Event = 4006
+	ProcessStarted      Event = 1001
+	ProcessDraining     Event = 1002
+	ProcessStopped      Event = 1003
+	ProcessCutOff       Event = 1004
+	SettingsRejected    Event = 1005
+	KeysReloaded        Event = 1006
+	KeysRejected        Event = 1007
+	SettingsUnchanged   Event = 1008
+	RequestFinished     Event = 2001
+	RequestRefused      Event = 2002
+	StageLost           Event = 2003
+	StageReplaced       Event = 2004
+	SidecarConnected    Event = 2005
+	SidecarDisconnected Event = 2006
+	ListDistrusted      Event = 2007
+	RelayFinished       Event = 2008
+	StreamRepaired      Event = 2009
+	ServerChanged       Event = 2010
+	ServerGone          Event = 2011
+	ServerUnreadable    Event = 2012
+	LinesSkipped        Event = 2013
+	AttemptRefused      Event = 3001
+	EngineDown          Event = 3002
+	EngineUp            Event = 3003
+	RevisionInForce     Event = 4001
+	RevisionRejected    Event = 4002
+	LogUnavailable      Event = 4003
+	LogAvailable        Event = 4004
+	RevisionNotJudged   Event = 4005
+	RevisionFromPeer    Event = 4006
+	StoreLost           Event = 4007
+	StoreRegained       Event = 4008
+
+	ConfigurationUnreadable Event = 4009
+
+	LeaseTaken           Event = 4010
 	OrderGiven           Event = 5001
 	OrderRefused         Event = 5002
 	OrderDone            Event = 5003
@@ -45,6 +58,7 @@
 	{SettingsRejected, log.ErrorLevel, "settings rejected", "Correct the settings that the line names."},
 	{KeysReloaded, log.InfoLevel, "TLS keys reloaded", ""},
 	{KeysRejected, log.ErrorLevel, "TLS keys could not be reloaded", "The old keys stay in use; replace the files."},
+	{SettingsUnchanged, log.InfoLevel, "reload asked for; nothing to change in a running process", ""},
 	{RequestFinished, log.DebugLevel, "request finished", ""},
 	{RequestRefused, log.InfoLevel, "request refused", ""},
 	{StageLost, log.WarnLevel, "pipeline stage lost", "Check the instance that the line names if it does not return."},
@@ -52,6 +66,12 @@
 	{SidecarConnected, log.InfoLevel, "sidecar connected", ""},
 	{SidecarDisconnected, log.WarnLevel, "sidecar disconnected", ""},
 	{ListDistrusted, log.WarnLevel, "instance list distrusted", "Check the platform's instance list; the last good list stays in use."},
+	{RelayFinished, log.InfoLevel, "passed request finished", ""},
+	{StreamRepaired, log.WarnLevel, "stream goes on along another path", "Check the engines that the line names if they do not return."},
+	{ServerChanged, log.InfoLevel, "backend server changed", ""},
+	{ServerGone, log.InfoLevel, "backend server's record is gone", ""},
+	{ServerUnreadable, log.WarnLevel, "backend server's record cannot be read", "Find out which program writes the record."},
+	{LinesSkipped, log.InfoLevel, "log lines of requests left out", ""},
 	{AttemptRefused, log.InfoLevel, "attempt refused", ""},
 	{EngineDown, log.ErrorLevel, "backend server does not answer", "Restart the backend server."},
 	{EngineUp, log.InfoLevel, "backend server answers", ""},
@@ -61,6 +81,10 @@
 	{LogAvailable, log.InfoLevel, "log service available", ""},
 	{RevisionNotJudged, log.ErrorLevel, "configuration record has a newer schema", "Upgrade this process."},
 	{RevisionFromPeer, log.InfoLevel, "configuration revision taken from a peer", ""},
+	{StoreLost, log.WarnLevel, "store does not answer", "What was read last stays in force; check the store if it does not return."},
+	{StoreRegained, log.InfoLevel, "store answers again", ""},
+	{ConfigurationUnreadable, log.ErrorLevel, "configuration record cannot be read", "Publish a configuration that this program version can read."},
+	{LeaseTaken, log.InfoLevel, "lease for placing layers taken", ""},
 	{OrderGiven, log.InfoLevel, "order given to engine", ""},
 	{OrderRefused, log.WarnLevel, "order refused by engine", ""},
 	{OrderDone, log.InfoLevel, "order carried out by engine", ""},
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -20,6 +20,7 @@
 	Unauthorized     Code = "unauthorized"
 	UnknownModel     Code = "unknown_model"
 	UnknownService   Code = "unknown_service"
+	UnknownRoute     Code = "unknown_route"
 	InvalidRequest   Code = "invalid_request"
 	BodyTooLarge     Code = "body_too_large"
 	MethodNotAllowed Code = "method_not_allowed"
@@ -48,6 +49,7 @@
 	Unauthorized:     {status: http.StatusUnauthorized},
 	UnknownModel:     {status: http.StatusNotFound},
 	UnknownService:   {status: http.StatusNotFound},
+	UnknownRoute:     {status: http.StatusNotFound},
 	InvalidRequest:   {status: http.StatusBadRequest},
 	BodyTooLarge:     {status: http.StatusRequestEntityTooLarge},
 	MethodNotAllowed: {status: http.StatusMethodNotAllowed},
@@ -96,8 +98,10 @@
 	Detail string
 	// Executed counts as unknown when it is empty.
 	Executed Executed
-	// RetryAfter is rounded up to whole seconds.
+	// RetryAfter is rounded up to whole seconds, or to milliseconds when Precise is set.
 	RetryAfter time.Duration
+	// Precise is for callers that understand fractions of a second.
+	Precise bool
 	// Request is the identity of the request in log lines.
 	Request string
 	// Allow lists the methods that a MethodNotAllowed answer names.
@@ -160,6 +164,14 @@
 	return int((after + time.Second - 1) / time.Second)
 }
 
+func (p *Problem) retryText(seconds int) string {
+	if !p.Precise || p.RetryAfter <= 0 {
+		return strconv.Itoa(seconds)
+	}
+	milliseconds := (p.RetryAfter + time.Millisecond - 1) / time.Millisecond
+	return strconv.FormatFloat(float64(milliseconds)/1000, 'f', -1, 64)
+}
+
 // Write sends the answer.
 func (p *Problem) Write(w http.ResponseWriter) {
 	header := w.Header()
@@ -168,7 +180,7 @@
 	header.Set("X-Content-Type-Options", "nosniff")
 	header.Del("Content-Length")
 	if seconds := p.retrySeconds(); seconds > 0 {
-		header.Set("Retry-After", strconv.Itoa(seconds))
+		header.Set("Retry-After", p.retryText(seconds))
 	}
 	if p.Code == Unauthorized {
 		header.Set("WWW-Authenticate", "Bearer")
--- /dev/null
+++ b/relay/fleet.go
@@ -0,0 +1,310 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sapphirefield/sapphirefield/config"
+	"github.com/sapphirefield/sapphirefield/membership"
+	"github.com/sapphirefield/sapphirefield/pipeline"
+	"github.com/sapphirefield/sapphirefield/placement"
+)
+
+// membershipOptions trust the servers' own records, which the store keeps
+// without loss: a server that is marked as leaving or whose record is gone gets
+// no more work.
+func membershipOptions() membership.Options {
+	options := membership.DefaultOptions()
+	options.DistrustLoss = 1
+	options.AbsentGrace = time.Second
+	options.Fresh = 2 * time.Second
+	options.EjectBase = 500 * time.Millisecond
+	options.EjectLimit = 8 * time.Second
+	options.PenaltyHalfLife = 5 * time.Second
+	options.WarmUp = time.Second
+	return options
+}
+
+// revision is a configuration with its tables.
+type revision struct {
+	Configuration
+	routes       *config.RouteTable
+	keys         *config.KeyTable
+	models       map[string]*config.Model
+	accelerators map[string]*config.Accelerator
+	finders      map[string]*pipeline.Pathfinder
+}
+
+func newRevision(c Configuration) *revision {
+	r := &revision{
+		Configuration: c,
+		routes:        config.NewRouteTable(c.Document),
+		keys:          config.NewKeyTable(c.Document),
+		models:        map[string]*config.Model{},
+		accelerators:  map[string]*config.Accelerator{},
+		finders:       map[string]*pipeline.Pathfinder{},
+	}
+	for i := range c.Document.Accelerators {
+		r.accelerators[c.Document.Accelerators[i].Kind] = &c.Document.Accelerators[i]
+	}
+	links := map[[2]string]pipeline.RelayLink{}
+	for _, l := range c.Document.Links {
+		links[[2]string{l.From, l.To}] = pipeline.RelayLink{Latency: l.Latency, BytesPerSecond: l.BytesPerSecond}
+	}
+	for i := range c.Document.Models {
+		m := &c.Document.Models[i]
+		r.models[m.Name] = m
+		r.finders[m.Name] = pipeline.NewPathfinder(relayModel(m), links)
+	}
+	return r
+}
+
+func relayModel(m *config.Model) pipeline.RelayModel {
+	return pipeline.RelayModel{
+		Layers: m.Layers, ActivationBytes: m.ActivationBytes,
+		StepTime: m.StepTime, RequestStepTime: m.RequestStepTime, ContextStepTime: m.ContextStepTime,
+		PromptTokensPerSecond: m.PromptTokensPerSecond,
+	}
+}
+
+func placementModel(m *config.Model) placement.Model {
+	return placement.Model{
+		Layers: m.Layers, BytesPerLayer: m.BytesPerLayer, ActivationBytes: m.ActivationBytes,
+		KVBytesPerTokenLayer: m.KVBytesPerTokenLayer,
+	}
+}
+
+// usage is what this entry has in progress on a server.
+type usage struct {
+	// requests counts requests, heads those for which the engine comes first.
+	requests, heads int
+	// tokens are the requests' tokens, layerTokens the same times their layers.
+	tokens, layerTokens float64
+}
+
+func (u *usage) add(o usage, sign int) {
+	u.requests += sign * o.requests
+	u.heads += sign * o.heads
+	u.tokens += float64(sign) * o.tokens
+	u.layerTokens += float64(sign) * o.layerTokens
+}
+
+// fleet is what an entry knows of the backend servers. It is safe for concurrent use.
+type fleet struct {
+	mu      sync.Mutex
+	view    *membership.View
+	servers map[string]Server
+	own     map[string]*usage
+	// slowdowns are the engines' last reported ones.
+	slowdowns map[string]float64
+	random    *rand.Rand
+	// entries is the number of entries that share the servers.
+	entries int
+}
+
+func newFleet(random *rand.Rand) *fleet {
+	return &fleet{
+		view: membership.New(membershipOptions()), servers: map[string]Server{}, own: map[string]*usage{},
+		slowdowns: map[string]float64{}, random: random, entries: 1,
+	}
+}
+
+// replace takes a complete set of servers.
+func (f *fleet) replace(now time.Time, servers map[string]Server) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := make([]membership.Instance, 0, len(servers))
+	for id, s := range servers {
+		list = append(list, s.Instance)
+		old, known := f.servers[id]
+		switch {
+		case known && s.Born != old.Born:
+			delete(f.slowdowns, id)
+		case known && s.Beat != old.Beat:
+			defer f.view.Observe(now, id, membership.Heartbeat)
+		}
+	}
+	f.view.ObserveList(now, list)
+	f.servers = servers
+}
+
+// observe takes direct evidence about a server.
+func (f *fleet) observe(now time.Time, id string, e membership.Evidence) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.view.Observe(now, id, e)
+}
+
+func (f *fleet) setEntries(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entries = max(n, 1)
+}
+
+func (f *fleet) setSlowdown(id string, slowdown float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.slowdowns[id] = slowdown
+}
+
+// snapshot returns the servers.
+func (f *fleet) snapshot() map[string]Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.servers
+}
+
+// byAddress returns the server at an address.
+func (f *fleet) byAddress(address string) (Server, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.servers {
+		if s.Address == address {
+			return s, true
+		}
+	}
+	return Server{}, false
+}
+
+// reservation is work that counts against servers until it is released.
+type reservation struct {
+	fleet    *fleet
+	held     map[string]usage
+	released bool
+}
+
+func (f *fleet) reserve(held map[string]usage) *reservation {
+	for id, u := range held {
+		if f.own[id] == nil {
+			f.own[id] = &usage{}
+		}
+		f.own[id].add(u, 1)
+	}
+	return &reservation{fleet: f, held: held}
+}
+
+func (r *reservation) release() {
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	if r.released {
+		return
+	}
+	r.released = true
+	for id, u := range r.held {
+		r.fleet.own[id].add(u, -1)
+		if r.fleet.own[id].requests == 0 {
+			delete(r.fleet.own, id)
+		}
+	}
+}
+
+// choosePath picks a path for a request and reserves it.
+func (f *fleet) choosePath(now time.Time, rev *revision, model string, r pipeline.RelayRequest) ([]pipeline.Hop, time.Duration, *reservation, error) {
+	finder := rev.finders[model]
+	if finder == nil {
+		return nil, 0, nil, pipeline.ErrNoChain
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	hops, expected, err := finder.Find(f.engines(now, rev, model), r)
+	if err != nil {
+		return nil, 0, nil, err
+	}
+	tokens := r.PromptTokens + r.AnswerTokens
+	held := make(map[string]usage, len(hops))
+	for i, h := range hops {
+		u := usage{requests: 1, tokens: tokens, layerTokens: tokens * float64(h.Limit-h.First)}
+		if i == 0 {
+			u.heads = 1
+		}
+		held[h.Engine] = u
+	}
+	return hops, expected, f.reserve(held), nil
+}
+
+// engines returns the engines of a model that may receive work. Suspects count
+// only when no other engine holds layers.
+func (f *fleet) engines(now time.Time, rev *revision, model string) []pipeline.RelayEngine {
+	m := placementModel(rev.models[model])
+	var engines []pipeline.RelayEngine
+	for _, c := range f.view.Candidates(now, model) {
+		s, known := f.servers[c.ID]
+		layers := s.Holds.Limit - s.Holds.First
+		if !known || c.Suspect || layers <= 0 {
+			continue
+		}
+		kind := rev.accelerators[s.Accelerator]
+		if kind == nil {
+			continue
+		}
+		engines = append(engines, f.relayEngine(s, kind, m))
+	}
+	return engines
+}
+
+func (f *fleet) relayEngine(s Server, kind *config.Accelerator, m placement.Model) pipeline.RelayEngine {
+	layers := s.Holds.Limit - s.Holds.First
+	e := pipeline.RelayEngine{
+		Name: s.ID, Address: s.Address, Zone: s.Zone, First: s.Holds.First, Limit: s.Holds.Limit,
+		StepFactor: factor(kind.StepFactor), PromptFactor: factor(kind.PromptFactor), Slowdown: f.slowdowns[s.ID],
+		Capacity: placement.TokenCapacity(kind.MemoryBytes, layers, m) * float64(layers),
+		Slots:    s.Slots,
+	}
+	if u := f.own[s.ID]; u != nil {
+		// The other entries are assumed to do as this one does.
+		n := float64(f.entries)
+		e.Used, e.Running, e.Context = u.layerTokens*n, float64(u.requests)*n, u.tokens*n
+		e.Heads = u.heads * f.entries
+	}
+	return e
+}
+
+// factor treats a factor that is not stated as 1.
+func factor(x float64) float64 {
+	if x <= 0 {
+		return 1
+	}
+	return x
+}
+
+// point returns a random point in [0, 1).
+func (f *fleet) point() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.Float64()
+}
+
+// chooseServer picks the server of a plain service with the least work in
+// progress and reserves a place.
+func (f *fleet) chooseServer(now time.Time, service string, avoid map[string]bool) (Server, *reservation, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var best Server
+	bestLoad, found := 0.0, false
+	for _, c := range f.view.Candidates(now, service) {
+		s, known := f.servers[c.ID]
+		if !known || avoid[c.ID] {
+			continue
+		}
+		load := f.serverLoad(s, c)
+		if !found || load < bestLoad {
+			best, bestLoad, found = s, load, true
+		}
+	}
+	if !found {
+		return Server{}, nil, false
+	}
+	return best, f.reserve(map[string]usage{best.ID: {requests: 1}}), true
+}
+
+// spreadLoad keeps idle servers from being chosen in the order of their names.
+const spreadLoad = 0.5
+
+func (f *fleet) serverLoad(s Server, c membership.Candidate) float64 {
+	load := f.random.Float64() * spreadLoad
+	if u := f.own[s.ID]; u != nil {
+		load += float64(u.requests)
+	}
+	return (load + 1) / max(c.Weight, 0.01)
+}
--- /dev/null
+++ b/relay/front.go
@@ -0,0 +1,192 @@
+package relay
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sapphirefield/sapphirefield/config"
+	"github.com/sapphirefield/sapphirefield/logevent"
+	"github.com/sapphirefield/sapphirefield/problem"
+)
+
+// request is one request of a caller.
+type request struct {
+	*Entry
+	w        http.ResponseWriter
+	r        *http.Request
+	call     Call
+	revision *revision
+	route    *config.Route
+	team     string
+	target   string
+	body     []byte
+	started  time.Time
+	// deadline is when the caller stops waiting or the route's timeout passes.
+	deadline time.Time
+	// attempts counts the servers to which the request was sent.
+	attempts int
+	// ranBefore is set once an earlier server may have run the request.
+	ranBefore bool
+	// avoid holds servers that failed this request.
+	avoid map[string]bool
+	// outcome, status and detail go to the log line of the request.
+	outcome outcome
+	status  int
+	detail  string
+	path    string
+	// firstByte is when the first byte of the answer went to the caller.
+	firstByte time.Time
+}
+
+// outcome says how a request ended.
+type outcome string
+
+const (
+	outcomeAnswered   outcome = "answered"
+	outcomeRefused    outcome = "refused"
+	outcomeFailed     outcome = "failed"
+	outcomeCallerGone outcome = "caller_gone"
+	outcomeBrokenOff  outcome = "broken_off"
+)
+
+// ServeHTTP handles one request of a caller.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	q := &request{Entry: e, w: w, r: r, call: e.wire.Call(r.Header), started: time.Now(), avoid: map[string]bool{}}
+	e.running.add(1)
+	defer e.running.add(-1)
+	defer q.finished()
+	if e.isDraining() {
+		w.Header().Set("Connection", "close")
+	}
+	if p := q.admit(); p != nil {
+		q.refuse(p)
+		return
+	}
+	if q.route.Call == config.CallStream {
+		q.stream()
+		return
+	}
+	q.plain()
+}
+
+// admit finds the route and the team and reads the body.
+func (q *request) admit() *problem.Problem {
+	q.revision = q.current.Load()
+	rev := q.revision
+	if rev == nil {
+		return q.retryLater(problem.NoBackend, "no configuration is in force yet", noConfigurationRetry)
+	}
+	path := q.r.URL.EscapedPath()
+	q.route = rev.routes.Find(q.r.Host, path)
+	if q.route == nil {
+		return problem.Refuse(problem.UnknownRoute, "no route leads to this host and path")
+	}
+	team := rev.keys.Team(strings.TrimSpace(q.call.Key))
+	if team == nil && !q.route.Anonymous {
+		return problem.Refuse(problem.Unauthorized, "the key is not known")
+	}
+	if team != nil {
+		q.team = team.Name
+	}
+	q.deadline = q.started.Add(q.route.Budget(q.call.Budget))
+	q.target = q.route.Pick(q.fleet.point())
+	return q.readBody(rev.Limits.BodyBytes)
+}
+
+// noConfigurationRetry is about the time that a new process takes to read the configuration.
+const noConfigurationRetry = 500 * time.Millisecond
+
+func (q *request) readBody(limit int64) *problem.Problem {
+	if limit > 0 {
+		q.r.Body = http.MaxBytesReader(q.w, q.r.Body, limit)
+	}
+	body, err := io.ReadAll(q.r.Body)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return problem.Refuse(problem.BodyTooLarge, "the body is larger than allowed")
+	case err != nil:
+		return problem.Refuse(problem.InvalidRequest, "the body could not be read")
+	}
+	q.body = body
+	return nil
+}
+
+// retryLater refuses a request that has not run and names a time to come back.
+func (q *request) retryLater(code problem.Code, detail string, after time.Duration) *problem.Problem {
+	p := problem.Refuse(code, detail)
+	p.RetryAfter, p.Precise = after, true
+	return p
+}
+
+// refuse gives an own answer that says that the request has not run.
+func (q *request) refuse(p *problem.Problem) {
+	q.own(outcomeRefused, p)
+}
+
+// fail gives an own answer that promises nothing.
+func (q *request) fail(code problem.Code, detail string) {
+	q.own(outcomeFailed, &problem.Problem{Code: code, Detail: detail, Executed: problem.ExecutedUnknown})
+}
+
+func (q *request) own(how outcome, p *problem.Problem) {
+	if q.r.Context().Err() != nil {
+		q.outcome, q.detail = outcomeCallerGone, p.Detail
+		return
+	}
+	p.Request = q.call.ID
+	q.outcome, q.status, q.detail = how, p.Code.Status(), string(p.Code)+": "+p.Detail
+	p.Write(q.w)
+}
+
+// outbound returns the request for a server.
+func (q *request) outbound(send Send) *outbound {
+	header := passedHeader(q.r.Header)
+	send.Team = q.team
+	send.Left = time.Until(q.deadline)
+	q.wire.Prepare(header, send)
+	return &outbound{
+		method: q.r.Method, target: q.r.RequestURI, host: q.r.Host, header: header, body: q.body, id: q.call.ID,
+	}
+}
+
+// passHeader copies the header of a server's answer.
+func (q *request) passHeader(x *exchange) {
+	header := q.w.Header()
+	for name, values := range passedHeader(x.response.Header) {
+		header[name] = values
+	}
+	if _, stated := header["Date"]; !stated {
+		header["Date"] = nil
+	}
+}
+
+func (q *request) finished() {
+	q.counters.finished(q)
+	if !q.logGate.allow(time.Now()) {
+		return
+	}
+	line := logevent.Write(q.logger, logevent.RelayFinished).
+		Str("request", q.call.ID).Str("outcome", string(q.outcome)).Int("status", q.status).
+		Int("attempts", q.attempts).Dur("took_ms", time.Since(q.started))
+	if q.route != nil {
+		line = line.Str("route", q.route.Name).Str("target", q.target).Int64("revision", q.revision.Revision)
+	}
+	if !q.firstByte.IsZero() {
+		line = line.Dur("first_ms", q.firstByte.Sub(q.started))
+	}
+	if q.path != "" {
+		line = line.Str("path", q.path)
+	}
+	if q.detail != "" {
+		line = line.Str("detail", q.detail)
+	}
+	line.Msg("")
+}
+
+func setLength(h http.Header, n int64) { h.Set("Content-Length", strconv.FormatInt(n, 10)) }
--- /dev/null
+++ b/relay/placer.go
@@ -0,0 +1,227 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sapphirefield/sapphirefield/config"
+	"github.com/sapphirefield/sapphirefield/lease"
+	"github.com/sapphirefield/sapphirefield/logevent"
+	"github.com/sapphirefield/sapphirefield/placement"
+)
+
+const (
+	// placeInterval is how often the holder of the lease looks for engines that need layers.
+	placeInterval = 250 * time.Millisecond
+	// leaseInterval is how often the lease is looked at.
+	leaseInterval = 500 * time.Millisecond
+	// leaseWait is how long a read of the lease waits for a change.
+	leaseWait = 2 * time.Second
+	// settleLimit bounds the wait for all engines to appear before the first plan.
+	settleLimit = 4 * time.Second
+	// concurrentOrders is the number of orders given at once.
+	concurrentOrders = 8
+	// orderMargin is added to the time of a load before an order counts as lost.
+	orderMargin = 3 * time.Second
+	// leaseKey is the key of the only record in the topic of the lease.
+	leaseKey = "placer"
+)
+
+// placer gives engines their layers while this entry holds the lease.
+type placer struct {
+	*Entry
+	machine *lease.Machine
+	// pending are the orders whose effect the servers' records do not show yet, by server.
+	pending map[string]pendingOrder
+	// seen is the number of engines when it last changed, at settled.
+	seen           int
+	settled, first time.Time
+}
+
+type pendingOrder struct {
+	born   int64
+	layers placement.Range
+	until  time.Time
+}
+
+// keepLease holds or waits for the lease, and places layers while it is held.
+func (e *Entry) keepLease(ctx context.Context) error {
+	p := &placer{
+		Entry: e, machine: lease.New(e.settings.Instance, lease.DefaultOptions()), pending: map[string]pendingOrder{},
+	}
+	next := int64(-1)
+	for ctx.Err() == nil {
+		next = p.stepLease(ctx, next)
+		if !p.machine.Holds(time.Now()) {
+			continue
+		}
+		p.place(ctx)
+		sleep(ctx, placeInterval)
+	}
+	return ctx.Err()
+}
+
+// stepLease reads the topic unless the lease is held, and appends a claim when
+// one is due. It returns the offset to read from, or -1 to begin anew.
+func (p *placer) stepLease(ctx context.Context, next int64) int64 {
+	if !p.machine.Holds(time.Now()) {
+		changes, err := p.readTopic(ctx, TopicLease, next, leaseWait)
+		if errors.Is(err, ErrExpired) {
+			return -1
+		}
+		if err != nil {
+			sleep(ctx, leaseInterval)
+			return next
+		}
+		next = changes.Next
+		p.machine.Observe(time.Now(), next, lastClaim(changes.Records))
+	}
+	claim, at, due := p.machine.Due(time.Now())
+	if !due {
+		return next
+	}
+	return p.claim(ctx, claim, at, next)
+}
+
+func lastClaim(records []Record) *lease.Claim {
+	for i := len(records) - 1; i >= 0; i-- {
+		var claim lease.Claim
+		if json.Unmarshal(records[i].Value, &claim) == nil && claim.Holder != "" {
+			return &claim
+		}
+	}
+	return nil
+}
+
+// claim appends a claim and returns the offset to read from.
+func (p *placer) claim(ctx context.Context, claim lease.Claim, at, next int64) int64 {
+	value, err := json.Marshal(claim)
+	if err != nil {
+		return next
+	}
+	began := time.Now()
+	end, err := p.store.Append(ctx, TopicLease, Record{Key: leaseKey, Value: value}, at)
+	if err != nil {
+		if !errors.Is(err, ErrUnavailable) {
+			p.machine.Refused()
+			return -1
+		}
+		sleep(ctx, leaseInterval)
+		return next
+	}
+	if claim.Term != p.machine.Term() {
+		logevent.Write(p.logger, logevent.LeaseTaken).Int64("term", claim.Term).Int64("offset", at).Msg("")
+	}
+	p.machine.Appended(began, claim, end)
+	return end
+}
+
+// place orders engines that hold nothing to take layers.
+func (p *placer) place(ctx context.Context) {
+	rev := p.current.Load()
+	if rev == nil {
+		return
+	}
+	for name, model := range rev.models {
+		p.placeModel(ctx, rev, name, model)
+	}
+}
+
+func (p *placer) placeModel(ctx context.Context, rev *revision, name string, model *config.Model) {
+	now := time.Now()
+	servers := p.fleet.snapshot()
+	engines, holding := p.relayEngines(now, rev, name, servers)
+	if !holding && !p.hasSettled(now, len(engines)) {
+		return
+	}
+	orders, err := placement.RelayOrders(engines, placementModel(model), relayOptions(model))
+	if err != nil {
+		logevent.Write(p.logger, logevent.PlanNotMade).Str("model", name).Int("engines", len(engines)).Str("cause", err.Error()).Msg("")
+		sleep(ctx, leaseInterval)
+		return
+	}
+	group := errgroup.Group{}
+	group.SetLimit(concurrentOrders)
+	for _, o := range orders {
+		server := servers[o.Engine]
+		until := now.Add(loadTime(model, o.Range, len(orders)) + orderMargin)
+		p.pending[server.ID] = pendingOrder{born: server.Born, layers: o.Range, until: until}
+		group.Go(func() error {
+			p.order(ctx, server, o.Range)
+			return nil
+		})
+	}
+	_ = group.Wait() // orders report their own failures
+}
+
+func relayOptions(m *config.Model) placement.RelayOptions {
+	return placement.RelayOptions{RequestTokens: m.PromptTokens + m.AnswerTokens}
+}
+
+// loadTime is how long a load takes when a number of them run at once.
+func loadTime(m *config.Model, r placement.Range, loads int) time.Duration {
+	share := float64(r.Limit-r.First) / float64(m.Layers)
+	crowd := max(float64(loads)/float64(max(m.ConcurrentLoads, 1)), 1)
+	return time.Duration(m.LoadTime.Seconds() * share * crowd * float64(time.Second))
+}
+
+// relayEngines returns a model's engines as placement sees them, with pending
+// orders as if they were carried out, and whether any engine holds layers.
+func (p *placer) relayEngines(now time.Time, rev *revision, model string, servers map[string]Server) (engines []placement.RelayEngine, holding bool) {
+	for id, s := range servers {
+		kind := rev.accelerators[s.Accelerator]
+		if s.Service != model || s.Leaving || kind == nil {
+			continue
+		}
+		layers := s.Holds
+		if o, ordered := p.pending[id]; ordered {
+			if o.born != s.Born || layers == o.layers || now.After(o.until) {
+				delete(p.pending, id)
+			} else {
+				layers = o.layers
+			}
+		}
+		holding = holding || layers != (placement.Range{})
+		engines = append(engines, placement.RelayEngine{
+			Name: id, Zone: s.Zone, MemoryBytes: kind.MemoryBytes, StepFactor: factor(kind.StepFactor), Holds: layers,
+		})
+	}
+	return engines, holding
+}
+
+// hasSettled tells whether the number of engines has stayed the same for longer
+// than they take to register, so that the first plan covers all of them.
+func (p *placer) hasSettled(now time.Time, engines int) bool {
+	if engines == 0 {
+		return false
+	}
+	if p.first.IsZero() {
+		p.first = now
+	}
+	if engines != p.seen {
+		p.seen, p.settled = engines, now
+	}
+	quiet := now.Sub(p.settled) >= p.settings.Heartbeat*5/4
+	return quiet || now.Sub(p.first) >= settleLimit
+}
+
+// order gives one order. It names the number of orders that the engine has
+// begun, so that the engine refuses it if it arrives after a newer one.
+func (p *placer) order(ctx context.Context, server Server, r placement.Range) {
+	outcome := OrderUnknown
+	report, err := p.engines.Report(ctx, server.Address)
+	if err == nil {
+		outcome, err = p.engines.Place(ctx, server, r, report.Orders)
+	}
+	line := logevent.Write(p.logger, logevent.OrderGiven).Str("server", server.ID).Int64("born", server.Born).
+		Int("first", r.First).Int("limit", r.Limit).Int64("orders", report.Orders).Int64("term", p.machine.Term()).
+		Str("outcome", string(outcome))
+	if err != nil {
+		line = line.Str("cause", err.Error())
+	}
+	line.Msg("")
+}
--- /dev/null
+++ b/relay/plain.go
@@ -0,0 +1,240 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sapphirefield/sapphirefield/config"
+	"github.com/sapphirefield/sapphirefield/membership"
+	"github.com/sapphirefield/sapphirefield/problem"
+)
+
+const (
+	// bufferedAnswer is the size up to which an answer is read whole before its
+	// first byte is passed on, so that a broken one can be replaced.
+	bufferedAnswer = 256 << 10
+	// busyRetry is when a caller may come back to busy servers: about the time
+	// in which a place becomes free.
+	busyRetry = 100 * time.Millisecond
+	// noServerRetry is when a caller may come back while no server is known.
+	noServerRetry = 500 * time.Millisecond
+	// maxUnsent bounds the servers that are tried without a byte sent to them.
+	maxUnsent = 3
+)
+
+// verdict says how a request goes on after one server.
+type verdict int
+
+const (
+	// answered means that the caller has its answer.
+	answered verdict = iota
+	// notRun means that the server has not run the request and never will.
+	notRun
+	// mayHaveRun means that the request may have run without an answer.
+	mayHaveRun
+)
+
+// plain sends a call to a server of a plain service, and to another one where
+// that is allowed: always when the request has certainly not run, otherwise only
+// when the route allows it to be repeated.
+func (q *request) plain() {
+	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
+	defer cancel()
+	budget := q.budget(q.target)
+	budget.Success(time.Now())
+	unsent := 0
+	for {
+		server, place, found := q.fleet.chooseServer(time.Now(), q.target, q.avoid)
+		if !found {
+			q.refuseOrFail(q.ranBefore, "no server is available", noServerRetry)
+			return
+		}
+		v, sent, err := q.tryServer(ctx, server)
+		place.release()
+		if v == answered {
+			return
+		}
+		q.avoid[server.ID] = true
+		if !sent {
+			unsent++
+		}
+		q.ranBefore = q.ranBefore || v == mayHaveRun
+		if ctx.Err() != nil {
+			q.timedOut()
+			return
+		}
+		if !q.mayRepeat(v, sent, unsent) {
+			q.refuseOrFail(q.ranBefore, detailOf(err), busyRetry)
+			return
+		}
+	}
+}
+
+func detailOf(err error) string {
+	if err == nil {
+		return "the server refused the request"
+	}
+	return err.Error()
+}
+
+// mayRepeat decides whether another server is tried.
+func (q *request) mayRepeat(v verdict, sent bool, unsent int) bool {
+	if !sent {
+		return unsent < maxUnsent
+	}
+	if v == mayHaveRun && q.route.Call == config.CallAtMostOnce {
+		return false
+	}
+	if q.attempts >= q.route.MaxAttempts {
+		return false
+	}
+	return q.budget(q.target).Take(time.Now(), false)
+}
+
+// refuseOrFail gives the final answer when no server answered.
+func (q *request) refuseOrFail(ran bool, detail string, after time.Duration) {
+	if ran {
+		q.fail(problem.OutcomeUnknown, detail)
+		return
+	}
+	q.refuse(q.retryLater(problem.NoBackend, detail, after))
+}
+
+// timedOut answers when the time is over or the caller has left.
+func (q *request) timedOut() {
+	if q.r.Context().Err() != nil {
+		q.outcome = outcomeCallerGone
+		return
+	}
+	q.fail(problem.DeadlineExceeded, "the time for this request is over")
+}
+
+// tryServer sends the request to one server and passes its answer on.
+func (q *request) tryServer(ctx context.Context, server Server) (v verdict, sent bool, err error) {
+	q.path = server.ID
+	x, err := q.pool.send(ctx, q.wire, server.Address, q.outbound(Send{Instance: server.ID, LastEvent: -1}))
+	if errors.Is(err, errNotSent) {
+		q.fleet.observe(time.Now(), server.ID, membership.RefusedConnection)
+		return notRun, false, err
+	}
+	q.attempts++
+	if err != nil {
+		if ctx.Err() == nil {
+			q.fleet.observe(time.Now(), server.ID, membership.EndOfStream)
+		}
+		return mayHaveRun, true, err
+	}
+	if x.answer.NotRun {
+		q.drop(x)
+		q.observeRefusal(server, x)
+		return notRun, true, errors.Errorf("server answered %d", x.response.StatusCode)
+	}
+	v, err = q.passAnswer(x)
+	if v == answered {
+		q.fleet.observe(time.Now(), server.ID, membership.Heartbeat)
+	}
+	return v, true, err
+}
+
+// observeRefusal takes a refusal as evidence: another server at the address, or load.
+func (q *request) observeRefusal(server Server, x *exchange) {
+	if x.response.StatusCode == http.StatusMisdirectedRequest {
+		q.fleet.observe(time.Now(), server.ID, membership.RefusedConnection)
+		return
+	}
+	q.fleet.observe(time.Now(), server.ID, membership.Overloaded)
+}
+
+// maxRefusalBytes bounds the body of a refusal that is read to keep its connection.
+const maxRefusalBytes = 16 << 10
+
+// drop reads the rest of an answer that is not passed on.
+func (q *request) drop(x *exchange) {
+	if _, err := io.CopyN(io.Discard, x.response.Body, maxRefusalBytes); !errors.Is(err, io.EOF) {
+		x.abandon()
+		return
+	}
+	x.finish()
+}
+
+// promisesNotRun are the statuses that tell a caller that its request has not
+// run. A server's answer with one of them, but without the server's promise, may
+// come from a request that ran.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// passAnswer reads an answer and passes it on whole. An answer that breaks off
+// before its first byte was passed on leaves the caller without an answer.
+func (q *request) passAnswer(x *exchange) (verdict, error) {
+	if promisesNotRun(x.response.StatusCode) || !x.answer.Signed {
+		q.drop(x)
+		return mayHaveRun, errors.Errorf("server answered %d without a promise or signature", x.response.StatusCode)
+	}
+	body, err := io.ReadAll(io.LimitReader(x.response.Body, bufferedAnswer+1))
+	if err != nil {
+		x.abandon()
+		return mayHaveRun, errors.Wrap(err, "answer broke off")
+	}
+	if x.response.StatusCode >= http.StatusInternalServerError && q.mayTryAgain() {
+		x.finish()
+		return mayHaveRun, errors.Errorf("server answered %d", x.response.StatusCode)
+	}
+	q.passHeader(x)
+	q.outcome, q.status, q.firstByte = outcomeAnswered, x.response.StatusCode, time.Now()
+	if len(body) > bufferedAnswer {
+		return answered, q.passLong(x, body)
+	}
+	x.finish()
+	q.writeWhole(x.response, body)
+	return answered, nil
+}
+
+// mayTryAgain tells whether a failure that the server reports leads to another
+// server instead of the caller.
+func (q *request) mayTryAgain() bool {
+	if q.route.Call != config.CallIdempotent || q.attempts >= q.route.MaxAttempts {
+		return false
+	}
+	return q.budget(q.target).Left(time.Now()) >= 1
+}
+
+func (q *request) writeWhole(response *http.Response, body []byte) {
+	if q.r.Method == http.MethodHead && response.ContentLength >= 0 {
+		q.w.Header().Set("Content-Length", response.Header.Get("Content-Length"))
+	} else {
+		setLength(q.w.Header(), int64(len(body)))
+	}
+	q.w.WriteHeader(response.StatusCode)
+	if _, err := q.w.Write(body); err != nil {
+		q.outcome = outcomeCallerGone
+	}
+}
+
+// passLong passes a long answer on as it arrives. When it breaks off, the
+// caller's connection is closed, so that the answer does not look complete.
+func (q *request) passLong(x *exchange, begin []byte) error {
+	if x.response.ContentLength >= 0 {
+		setLength(q.w.Header(), x.response.ContentLength)
+	}
+	q.w.WriteHeader(x.response.StatusCode)
+	_, err := q.w.Write(begin)
+	if err == nil {
+		_, err = io.Copy(q.w, x.response.Body)
+	}
+	if err != nil {
+		x.abandon()
+		q.outcome, q.detail = outcomeBrokenOff, err.Error()
+		panic(http.ErrAbortHandler)
+	}
+	x.finish()
+	return nil
+}
