--- a/relay/stream.go
+++ b/relay/stream.go
@@ -14,7 +14,6 @@
 	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/membership"
 	"github.com/sapphirefield/sapphirefield/pipeline"
-	"github.com/sapphirefield/sapphirefield/problem"
 )
 
 const (
