--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -71,6 +71,7 @@
 	{ServerChanged, log.InfoLevel, "backend server changed", ""},
 	{ServerGone, log.InfoLevel, "backend server's record is gone", ""},
 	{ServerUnreadable, log.WarnLevel, "backend server's record cannot be read", "Find out which program writes the record."},
+	{EntryUnreadable, log.WarnLevel, "another entry's record cannot be read", "Find out which program writes the record."},
 	{LinesSkipped, log.InfoLevel, "log lines of requests left out", ""},
 	{AttemptRefused, log.InfoLevel, "attempt refused", ""},
 	{EngineDown, log.ErrorLevel, "backend server does not answer", "Restart the backend server."},
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -69,6 +69,7 @@
 	group.Go(func() error { return e.followConfiguration(ctx) })
 	group.Go(func() error { return e.followServers(ctx) })
 	group.Go(func() error { return e.keepLease(ctx) })
+	group.Go(func() error { return e.exchangeUsage(ctx) })
 	group.Go(func() error { return e.housekeep(ctx) })
 	return group.Wait()
 }
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -75,21 +75,6 @@
 	}
 }
 
-// usage is what this entry has in progress on a server.
-type usage struct {
-	// requests counts requests, heads those for which the engine comes first.
-	requests, heads int
-	// tokens are the requests' tokens, layerTokens the same times their layers.
-	tokens, layerTokens float64
-}
-
-func (u *usage) add(o usage, sign int) {
-	u.requests += sign * o.requests
-	u.heads += sign * o.heads
-	u.tokens += float64(sign) * o.tokens
-	u.layerTokens += float64(sign) * o.layerTokens
-}
-
 // fleet is what an entry knows of the backend servers. It is safe for concurrent use.
 type fleet struct {
 	mu      sync.Mutex
@@ -99,14 +84,13 @@
 	// slowdowns are the engines' last reported ones.
 	slowdowns map[string]float64
 	random    *rand.Rand
-	// entries is the number of entries that share the servers.
-	entries int
+	others    *others
 }
 
 func newFleet(random *rand.Rand) *fleet {
 	return &fleet{
 		view: membership.New(membershipOptions()), servers: map[string]Server{}, own: map[string]*usage{},
-		slowdowns: map[string]float64{}, random: random, entries: 1,
+		slowdowns: map[string]float64{}, random: random, others: newOthers(),
 	}
 }
 
@@ -136,10 +120,30 @@
 	f.view.Observe(now, id, e)
 }
 
-func (f *fleet) setEntries(n int) {
+func (f *fleet) observeOther(now time.Time, m usageMessage) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.others.observe(now, m)
+}
+
+// ownUsage returns what this entry has in progress.
+func (f *fleet) ownUsage() map[uint64]usage {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.entries = max(n, 1)
+	servers := make(map[uint64]usage, len(f.own))
+	for id, u := range f.own {
+		servers[serverHash(id)] = *u
+	}
+	return servers
+}
+
+// inProgress returns what all entries have in progress on a server.
+func (f *fleet) inProgress(now time.Time, id string) usage {
+	total := f.others.of(now, id)
+	if u := f.own[id]; u != nil {
+		total.add(*u, 1)
+	}
+	return total
 }
 
 func (f *fleet) setSlowdown(id string, slowdown float64) {
@@ -238,12 +242,12 @@
 		if kind == nil {
 			continue
 		}
-		engines = append(engines, f.relayEngine(s, kind, m))
+		engines = append(engines, f.relayEngine(now, s, kind, m))
 	}
 	return engines
 }
 
-func (f *fleet) relayEngine(s Server, kind *config.Accelerator, m placement.Model) pipeline.RelayEngine {
+func (f *fleet) relayEngine(now time.Time, s Server, kind *config.Accelerator, m placement.Model) pipeline.RelayEngine {
 	layers := s.Holds.Limit - s.Holds.First
 	e := pipeline.RelayEngine{
 		Name: s.ID, Address: s.Address, Zone: s.Zone, First: s.Holds.First, Limit: s.Holds.Limit,
@@ -251,12 +255,8 @@
 		Capacity: placement.TokenCapacity(kind.MemoryBytes, layers, m) * float64(layers),
 		Slots:    s.Slots,
 	}
-	if u := f.own[s.ID]; u != nil {
-		// The other entries are assumed to do as this one does.
-		n := float64(f.entries)
-		e.Used, e.Running, e.Context = u.layerTokens*n, float64(u.requests)*n, u.tokens*n
-		e.Heads = u.heads * f.entries
-	}
+	u := f.inProgress(now, s.ID)
+	e.Used, e.Running, e.Context, e.Heads = u.layerTokens, float64(u.requests), u.tokens, u.heads
 	return e
 }
 
@@ -287,7 +287,7 @@
 		if !known || avoid[c.ID] {
 			continue
 		}
-		load := f.serverLoad(s, c)
+		load := f.serverLoad(now, c)
 		if !found || load < bestLoad {
 			best, bestLoad, found = s, load, true
 		}
@@ -301,10 +301,7 @@
 // spreadLoad keeps idle servers from being chosen in the order of their names.
 const spreadLoad = 0.5
 
-func (f *fleet) serverLoad(s Server, c membership.Candidate) float64 {
-	load := f.random.Float64() * spreadLoad
-	if u := f.own[s.ID]; u != nil {
-		load += float64(u.requests)
-	}
+func (f *fleet) serverLoad(now time.Time, c membership.Candidate) float64 {
+	load := f.random.Float64()*spreadLoad + float64(f.inProgress(now, c.ID).requests)
 	return (load + 1) / max(c.Weight, 0.01)
 }
--- /dev/null
+++ b/relay/usage_test.go
@@ -0,0 +1,54 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against a message that arrives with other figures than were sent, and
+// against a torn or foreign datagram that stops the process.
+func TestUsageMessageRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := usageMessage{
+			entry: rapid.StringMatching(`[a-z0-9-]{1,30}`).Draw(t, "entry"), born: rapid.Int64().Draw(t, "born"),
+			sequence: rapid.Int64().Draw(t, "sequence"), servers: map[uint64]usage{},
+		}
+		for range rapid.IntRange(0, 50).Draw(t, "servers") {
+			m.servers[rapid.Uint64().Draw(t, "hash")] = usage{
+				requests: rapid.IntRange(0, 500).Draw(t, "requests"), heads: rapid.IntRange(0, 500).Draw(t, "heads"),
+				tokens: float64(rapid.IntRange(0, 1<<30).Draw(t, "tokens")), layerTokens: float64(rapid.IntRange(0, 1<<40).Draw(t, "layerTokens")),
+			}
+		}
+		text := m.encode()
+		got, err := decodeUsage(text)
+		assert.NilError(t, err)
+		assert.Equal(t, got.entry, m.entry)
+		assert.Equal(t, len(got.servers), len(m.servers))
+		for hash, u := range m.servers {
+			assert.Equal(t, got.servers[hash], u)
+		}
+		_, _ = decodeUsage(text[:rapid.IntRange(0, len(text)).Draw(t, "cut")])
+		_, _ = decodeUsage(rapid.SliceOf(rapid.Byte()).Draw(t, "noise"))
+	})
+}
+
+// Guards against requests of an entry that is gone, or of its earlier run,
+// which count as if they still held places.
+func TestOthersForgetSilentEntries(t *testing.T) {
+	now := time.Unix(0, 0)
+	o := newOthers()
+	message := func(born, sequence int64, requests int) usageMessage {
+		return usageMessage{entry: "e", born: born, sequence: sequence, servers: map[uint64]usage{serverHash("s"): {requests: requests}}}
+	}
+	o.observe(now, message(1, 5, 7))
+	assert.Equal(t, o.of(now, "s").requests, 7)
+	o.observe(now, message(1, 4, 9))
+	assert.Equal(t, o.of(now, "s").requests, 7)
+	o.observe(now, message(2, 1, 3))
+	assert.Equal(t, o.of(now, "s").requests, 3)
+	assert.Equal(t, o.of(now.Add(usageFresh), "s").requests, 3)
+	assert.Equal(t, o.of(now.Add(usageFresh+time.Millisecond), "s").requests, 0)
+}
