--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -26,6 +26,7 @@
 	ServerGone          Event = 2011
 	ServerUnreadable    Event = 2012
 	LinesSkipped        Event = 2013
+	EntryUnreadable     Event = 2014
 	AttemptRefused      Event = 3001
 	EngineDown          Event = 3002
 	EngineUp            Event = 3003
