daemon: end kept connections when a relaying entry is asked to stop

Change: kept connections end with their current request from SIGTERM on, and the listener closes after the notice.

--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -26,7 +26,7 @@
 	// relayNotice is how long an entry that stops reports itself unready before
 	// its end depends on requests alone: the load balancer asks once a second and
 	// takes an entry out after two misses.
-	relayNotice = 2500 * time.Millisecond
+	relayNotice = 2800 * time.Millisecond
 	// relayMargin is the part of the grace period that is left for the end itself.
 	relayMargin = 300 * time.Millisecond
 	// defaultIdleTimeout and defaultHeaderTimeout hold until a configuration is known.
@@ -52,6 +52,7 @@
 	logger   *log.Logger
 	registry metrics.Registry
 	entry    *relay.Entry
+	callers  *http.Server
 }
 
 // RunRelay runs a relaying entry until it has shut down.
@@ -62,6 +63,7 @@
 		Settings: o.Settings, Store: o.Store, Engines: o.Engines, Wire: o.Wire,
 		Logger: logger, Metrics: p.registry, Random: seededRandom(),
 	})
+	p.callers = &http.Server{Handler: p.entry, ReadHeaderTimeout: headerTimeout, IdleTimeout: defaultIdleTimeout}
 	life, err := newLifecycle()
 	if err != nil {
 		return err
@@ -74,7 +76,7 @@
 	life.onState = p.changedState
 
 	group.Go(func() error { return p.entry.Run(ctx) })
-	group.Go(func() error { return p.serveCallers(ctx) })
+	group.Go(func() error { return p.listen(ctx, o.Settings.Callers, p.callers) })
 	group.Go(func() error { return p.serve(ctx, o.Settings.Ready, p.readyHandler()) })
 	group.Go(func() error { return p.serve(ctx, o.Settings.Metrics, p.operatorsHandler()) })
 	group.Go(func() error { return p.followReloads(ctx) })
@@ -90,11 +92,19 @@
 	return err
 }
 
+// changedState acts on a step of the shutdown. At first connections end with
+// their current request, while new ones are still served. Once the load balancer
+// has noticed, no connection is accepted any more.
 func (p *relayProcess) changedState(state chart.State) {
-	if state == stateUnready {
+	switch state {
+	case stateUnready:
 		p.entry.Leave()
+		p.callers.SetKeepAlivesEnabled(false)
 		logevent.Write(p.logger, logevent.ProcessDraining).Str("id", p.options.Settings.Instance).
 			Int("running", p.entry.InProgress()).Msg("")
+	case stateDraining:
+		// Shutdown returns when the last request has ended, which Drained tells too.
+		go func() { _ = p.callers.Shutdown(context.Background()) }()
 	}
 }
 
@@ -141,12 +151,6 @@
 	return p.listen(ctx, address, &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout})
 }
 
-// serveCallers answers callers. The limits of the configuration hold once there is one.
-func (p *relayProcess) serveCallers(ctx context.Context) error {
-	server := &http.Server{Handler: p.entry, ReadHeaderTimeout: headerTimeout, IdleTimeout: defaultIdleTimeout}
-	return p.listen(ctx, p.options.Settings.Callers, server)
-}
-
 func (p *relayProcess) listen(ctx context.Context, address netip.AddrPort, server *http.Server) error {
 	var config net.ListenConfig
 	config.KeepAlive = -1
--- /dev/null
+++ b/daemon/relay_test.go
@@ -0,0 +1,134 @@
+package daemon
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sapphirefield/sapphirefield/config"
+	"github.com/sapphirefield/sapphirefield/pipeline"
+	"github.com/sapphirefield/sapphirefield/placement"
+	"github.com/sapphirefield/sapphirefield/relay"
+)
+
+// silentPlatform is a platform that has an empty configuration and nothing else to say.
+type silentPlatform struct{}
+
+func (silentPlatform) Newest(ctx context.Context, topic relay.Topic) (relay.Changes, error) {
+	if topic == relay.TopicConfiguration {
+		return relay.Changes{Records: []relay.Record{{Key: "c", Value: []byte("{}")}}, Next: 1}, nil
+	}
+	<-ctx.Done()
+	return relay.Changes{}, ctx.Err()
+}
+
+func (silentPlatform) Read(ctx context.Context, _ relay.Topic, _ int64, _ time.Duration) (relay.Changes, error) {
+	<-ctx.Done()
+	return relay.Changes{}, ctx.Err()
+}
+
+func (silentPlatform) Append(ctx context.Context, _ relay.Topic, _ relay.Record, _ int64) (int64, error) {
+	<-ctx.Done()
+	return 0, ctx.Err()
+}
+
+func (silentPlatform) Configuration([]byte) (relay.Configuration, error) {
+	return relay.Configuration{Revision: 1, Document: &config.Document{}}, nil
+}
+
+func (silentPlatform) Server(string, []byte) (relay.Server, error) {
+	return relay.Server{}, relay.ErrUnavailable
+}
+
+func (silentPlatform) Report(context.Context, string) (relay.Report, error) {
+	return relay.Report{}, relay.ErrUnavailable
+}
+
+func (silentPlatform) Place(context.Context, relay.Server, placement.Range, int64) (relay.OrderOutcome, error) {
+	return relay.OrderRefused, relay.ErrUnavailable
+}
+
+func (silentPlatform) Reroute(context.Context, relay.Server, string, []pipeline.Hop) (relay.OrderOutcome, error) {
+	return relay.OrderRefused, relay.ErrUnavailable
+}
+
+type plainWire struct{}
+
+func (plainWire) Call(http.Header) relay.Call     { return relay.Call{} }
+func (plainWire) Prepare(http.Header, relay.Send) {}
+func (plainWire) Answer(http.Header) relay.Answer { return relay.Answer{} }
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// Guards against an entry that keeps idle connections after it was asked to
+// stop, and cuts off the requests that callers then send on them.
+func TestRelayClosesIdleConnectionsWhenAskedToStop(t *testing.T) {
+	signals := make(chan os.Signal, 1)
+	s := relay.Settings{
+		Instance: "e", Zone: "a", Callers: freeAddress(t), Ready: freeAddress(t), Metrics: freeAddress(t), Peers: freeAddress(t),
+		Grace: 8 * time.Second, RetryWindow: 10 * time.Second,
+	}
+	ended := make(chan error, 1)
+	go func() {
+		ended <- RunRelay(t.Context(), RelayOptions{
+			Settings: s, Store: silentPlatform{}, Engines: silentPlatform{}, Wire: plainWire{}, ReadyPath: "/ready",
+			Logs: io.Discard, Signals: signals,
+		})
+	}()
+	conn := dialUntil(t, s.Callers)
+	ask := func() *http.Response {
+		_, err := conn.Write([]byte("GET /x HTTP/1.1\r\nHost: h\r\n\r\n"))
+		assert.NilError(t, err)
+		return readResponse(t, conn)
+	}
+	for ask().StatusCode == http.StatusServiceUnavailable {
+	}
+	signals <- syscall.SIGTERM
+	_, err := conn.Read(make([]byte, 1))
+	assert.Equal(t, err, io.EOF)
+
+	later := dialUntil(t, s.Callers)
+	conn = later
+	response := ask()
+	assert.Equal(t, response.StatusCode, http.StatusNotFound)
+	assert.Assert(t, response.Close)
+	assert.NilError(t, <-ended)
+}
+
+// dialUntil connects as soon as the listener is open.
+func dialUntil(t *testing.T, address netip.AddrPort) net.Conn {
+	t.Helper()
+	for range 1000 {
+		conn, err := net.Dial("tcp4", address.String())
+		if err == nil {
+			t.Cleanup(func() { conn.Close() })
+			return conn
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the listener does not open")
+	return nil
+}
+
+func readResponse(t *testing.T, conn net.Conn) *http.Response {
+	t.Helper()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, response.Body)
+	assert.NilError(t, err)
+	return response
+}
