relay: change paths around lost engines; place layers for engines that come empty

Cause: a stream whose engine stalls waited 2 s, and no engine took the layers of one that was replaced. Change: streams look for stalls after 100 ms through one shared question per first engine, keep their run and change the further path; engines that come empty take what is short, and wait while nothing is.

--- a/pipeline/relay.go
+++ b/pipeline/relay.go
@@ -58,8 +58,9 @@
 	PromptTokens, AnswerTokens float64
 	// Avoid holds engines that the path may not use.
 	Avoid map[string]bool
-	// Head is the engine that must come first, or empty.
-	Head string
+	// Begin is the part with which the path must begin, when the request already
+	// runs and only its further parts may change.
+	Begin *Hop
 }
 
 const (
@@ -124,6 +125,9 @@
 func newPathSearch(p *Pathfinder, engines []RelayEngine, r RelayRequest) *pathSearch {
 	s := &pathSearch{Pathfinder: p, request: r, engines: engines, zoneOf: make([]int, len(engines))}
 	seen := map[int]bool{0: true, p.model.Layers: true}
+	if r.Begin != nil {
+		seen[min(max(r.Begin.Limit, 0), p.model.Layers)] = true
+	}
 	index := map[string]int{}
 	for i, e := range engines {
 		z, known := index[e.Zone]
@@ -166,8 +170,8 @@
 	if b > 0 {
 		return true
 	}
-	if s.request.Head != "" {
-		return e.Name == s.request.Head
+	if s.request.Begin != nil {
+		return e.Name == s.request.Begin.Engine
 	}
 	return e.Slots == 0 || e.Heads < e.Slots
 }
@@ -176,6 +180,13 @@
 func (s *pathSearch) extend(engine, at int) {
 	e := &s.engines[engine]
 	for next := at + 1; next < len(s.boundaries) && s.boundaries[next] <= e.Limit; next++ {
+		if at == 0 && s.request.Begin != nil {
+			if s.boundaries[next] == s.request.Begin.Limit {
+				// What the request already holds there needs no room.
+				s.offer(engine, at, next, 0)
+			}
+			continue
+		}
 		work, fits := s.work(e, s.boundaries[next]-s.boundaries[at])
 		if !fits {
 			return
@@ -265,7 +276,11 @@
 	for i, j := 0, len(hops)-1; i < j; i, j = i+1, j-1 {
 		hops[i], hops[j] = hops[j], hops[i]
 	}
-	return mergeHops(hops), seconds
+	merged := mergeHops(hops)
+	if s.request.Begin != nil && merged[0].Limit != s.request.Begin.Limit {
+		return nil, 0
+	}
+	return merged, seconds
 }
 
 // mergeHops lets an engine that appears twice run all layers between, because
--- a/pipeline/relay_test.go
+++ b/pipeline/relay_test.go
@@ -80,6 +80,25 @@
 	assert.Equal(t, err, ErrNoChain)
 }
 
+// Guards against a repaired path that changes its first part, where the request
+// itself is.
+func TestRepairedPathKeepsItsBegin(t *testing.T) {
+	engines := []RelayEngine{
+		relayEngine("a0", "a", 0, 40, 2), relayEngine("a1", "a", 40, 80, 2),
+		relayEngine("b0", "b", 0, 50, 15), relayEngine("b1", "b", 50, 80, 15), relayEngine("c", "a", 20, 60, 1),
+	}
+	begin := Hop{"a0", "a0:1", 0, 40}
+	hops, _, err := NewPathfinder(relayModel(), nil).Find(engines, RelayRequest{
+		PromptTokens: 700, AnswerTokens: 170, Begin: &begin, Avoid: map[string]bool{"a1": true},
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, hops[0], begin)
+	checkHops(t, engines, hops, 80)
+	for _, h := range hops {
+		assert.Assert(t, h.Engine != "a1")
+	}
+}
+
 // Guards against requests that all go to the fastest engines when their memory
 // is full, which preempts answers in progress.
 func TestPathLeavesFullEngine(t *testing.T) {
--- a/placement/relaychains.go
+++ b/placement/relaychains.go
@@ -322,19 +322,7 @@
 // fewest tokens. An engine that restarted empty so takes the range that it left,
 // and a new engine relieves the tightest layers.
 func FillRelay(empty RelayEngine, others []RelayEngine, m Model, opts RelayOptions) (Range, bool) {
-	held := make([]float64, m.Layers)
-	for _, e := range others {
-		if e.Holds == (Range{}) {
-			continue
-		}
-		// Engines that hold enough count the same, so that a lost copy of a layer
-		// weighs more than uneven memory.
-		tokens := TokenCapacity(e.MemoryBytes, e.Holds.Limit-e.Holds.First, m)
-		tokens = math.Min(math.Max(tokens, 0), enoughPart*opts.minTokens())
-		for l := max(e.Holds.First, 0); l < min(e.Holds.Limit, m.Layers); l++ {
-			held[l] += tokens
-		}
-	}
+	held := copies(others, m, opts)
 	n := layersForTokens(empty.MemoryBytes, m, opts.minTokens())
 	if n == 0 {
 		return Range{}, false
@@ -345,18 +333,36 @@
 			first, least = at, need
 		}
 	}
-	return Range{first, first + n}, true
+	r := Range{first, first + n}
+	return stretch(r, held, layersForTokens(empty.MemoryBytes, m, enoughPart*opts.minTokens())), true
+}
+
+// stretch adds neighbouring layers that are short while an engine has memory
+// for them, so that no single layer is left for another engine to load.
+func stretch(r Range, held []float64, most int) Range {
+	enough := median(held) - shortBy
+	for r.Limit-r.First < most {
+		switch {
+		case r.First > 0 && held[r.First-1] <= enough:
+			r.First--
+		case r.Limit < len(held) && held[r.Limit] <= enough:
+			r.Limit++
+		default:
+			return r
+		}
+	}
+	return r
 }
 
-// enoughPart is the part of a chain's least tokens from which on an engine holds enough.
-const enoughPart = 0.5
+// uncoveredWeight lets one layer that no engine holds count more than many that
+// are merely tight.
+const uncoveredWeight = 0.05
 
-// windowNeed is low for layers that hold few tokens. The logarithm lets one
-// uncovered layer count more than several that are merely tight.
+// windowNeed is low for layers of which there are few copies.
 func windowNeed(held []float64) float64 {
 	sum := 0.0
-	for _, tokens := range held {
-		sum += math.Log1p(tokens)
+	for _, copies := range held {
+		sum += math.Log(copies + uncoveredWeight)
 	}
 	return sum / float64(len(held))
 }
--- a/placement/relaychains_test.go
+++ b/placement/relaychains_test.go
@@ -124,3 +124,90 @@
 	engines := []RelayEngine{{Holds: Range{10, 20}}, {Holds: Range{30, 80}}, {}}
 	assert.DeepEqual(t, Uncovered(engines, 80), []Range{{0, 10}, {20, 30}})
 }
+
+// settle applies orders until there are none, as a fleet does that carries them out.
+func settle(t *testing.T, engines []RelayEngine, m Model) ([]RelayEngine, int) {
+	t.Helper()
+	given := 0
+	for range 50 {
+		orders, err := RelayOrders(engines, RelayTiming{MayMove: true}, m, relayTestOptions)
+		assert.NilError(t, err)
+		if len(orders) == 0 {
+			return engines, given
+		}
+		given += len(orders)
+		engines = applyPlan(t, engines, orders, m)
+	}
+	t.Fatal("orders never end")
+	return nil, 0
+}
+
+func without(engines []RelayEngine, name string) []RelayEngine {
+	var rest []RelayEngine
+	for _, e := range engines {
+		if e.Name != name {
+			rest = append(rest, e)
+		}
+	}
+	return rest
+}
+
+// Guards against layers that stay short after a release: each engine is replaced
+// by a new one that starts before the old one leaves, and waits for that.
+func TestReleaseLeavesNoLayerShort(t *testing.T) {
+	m := relayTestModel()
+	engines, _ := settle(t, mixedFleet(), m)
+	for _, old := range mixedFleet() {
+		fresh := old
+		fresh.Name = "new-" + old.Name
+		fresh.Holds = Range{}
+		var given int
+		engines, given = settle(t, append(without(engines, old.Name), fresh), m)
+		assert.Equal(t, given, 1, "%s", old.Name)
+		held := copies(engines, m, relayTestOptions)
+		assert.Check(t, !isShort(held), "after %s: %v", old.Name, held)
+	}
+}
+
+// Guards against a new engine that takes a range before the engine that it
+// replaces has left, and has to load a second time.
+func TestNewEngineWaitsWhileNothingIsShort(t *testing.T) {
+	m := relayTestModel()
+	engines, _ := settle(t, mixedFleet(), m)
+	fresh := RelayEngine{Name: "new", Zone: "a", MemoryBytes: 14400 * megabyte, StepFactor: 15}
+	orders, err := RelayOrders(append(engines, fresh), RelayTiming{Waiting: map[string]bool{"new": true}}, m, relayTestOptions)
+	assert.NilError(t, err)
+	assert.Equal(t, len(orders), 0)
+	orders, err = RelayOrders(append(without(engines, "tiny-a-1"), fresh), RelayTiming{Waiting: map[string]bool{"new": true}}, m, relayTestOptions)
+	assert.NilError(t, err)
+	assert.Equal(t, len(orders), 1)
+	assert.Equal(t, orders[0].Engine, "new")
+}
+
+// Guards against engines that move although their layers are merely short: a
+// move takes an engine out of service for as long as its requests last.
+func TestShortLayersMoveNoEngine(t *testing.T) {
+	m := relayTestModel()
+	engines, _ := settle(t, mixedFleet(), m)
+	for _, lost := range mixedFleet() {
+		orders, err := RelayOrders(without(engines, lost.Name), RelayTiming{MayMove: true}, m, relayTestOptions)
+		assert.NilError(t, err)
+		assert.Equal(t, len(orders), 0, "without %s", lost.Name)
+	}
+}
+
+// Guards against layers that no engine holds after many losses, and against
+// moves to and fro.
+func TestLossOfManyEnginesSettles(t *testing.T) {
+	m := relayTestModel()
+	rapid.Check(t, func(rt *rapid.T) {
+		engines, _ := settle(t, mixedFleet(), m)
+		lost := rapid.IntRange(1, 12).Draw(rt, "lost")
+		for range lost {
+			i := rapid.IntRange(0, len(engines)-1).Draw(rt, "i")
+			engines = without(engines, engines[i].Name)
+		}
+		engines, _ = settle(t, engines, m)
+		assert.Equal(t, len(Uncovered(engines, m.Layers)), 0)
+	})
+}
--- a/placement/relayorders.go
+++ b/placement/relayorders.go
@@ -1,13 +1,30 @@
 package placement
 
+import (
+	"math"
+	"slices"
+)
+
+// RelayTiming says what may be ordered now.
+type RelayTiming struct {
+	// Waiting holds engines that may stay empty for a while longer.
+	Waiting map[string]bool
+	// MayMove allows an engine that holds layers to take others.
+	MayMove bool
+}
+
 // RelayOrders returns the ranges that engines should be told to hold now.
 // Holds of an engine that is loading is the range that it will hold.
 //
-// It answers two patterns: a fleet that starts empty, which is planned as a
-// whole, and engines that come empty later, because they are new or have
-// restarted. Each of these takes what the others lack most, so that nothing
-// that serves has to move.
-func RelayOrders(engines []RelayEngine, m Model, opts RelayOptions) ([]RelayAssignment, error) {
+// It answers three patterns. A fleet that starts empty is planned as a whole.
+// An engine that comes empty later, because it is new or has restarted, takes
+// what the others lack most, so that nothing that serves has to move; while
+// nothing is short it may wait, because in a release the engine that it replaces
+// leaves shortly after. When layers are almost lost and no engine is empty, the
+// engine that can best be spared moves to them. A move is the last resort: the
+// engine serves neither range until what passes through it has ended and the
+// new layers are loaded, and paths lead around layers that are merely short.
+func RelayOrders(engines []RelayEngine, when RelayTiming, m Model, opts RelayOptions) ([]RelayAssignment, error) {
 	var empty, holding []RelayEngine
 	for _, e := range engines {
 		if e.Holds == (Range{}) {
@@ -24,6 +41,9 @@
 	}
 	var orders []RelayAssignment
 	for _, e := range sortedBySpeed(empty) {
+		if when.Waiting[e.Name] && !isShort(copies(holding, m, opts)) {
+			continue
+		}
 		r, ok := FillRelay(e, holding, m, opts)
 		if !ok {
 			continue
@@ -32,5 +52,127 @@
 		e.Holds = r
 		holding = append(holding, e)
 	}
-	return orders, nil
+	if len(orders) > 0 || !when.MayMove {
+		return orders, nil
+	}
+	if move, ok := spareEngine(holding, m, opts); ok {
+		return []RelayAssignment{move}, nil
+	}
+	return nil, nil
+}
+
+// copies returns, for each layer, how many engines hold it with enough memory
+// for requests; an engine with less counts in part.
+func copies(engines []RelayEngine, m Model, opts RelayOptions) []float64 {
+	held := make([]float64, m.Layers)
+	for _, e := range engines {
+		n := copyOf(e, m, opts)
+		for l := max(e.Holds.First, 0); l < min(e.Holds.Limit, m.Layers); l++ {
+			held[l] += n
+		}
+	}
+	return held
+}
+
+// enoughPart is the part of a chain's least tokens from which on an engine
+// counts as a whole copy, so that a lost copy weighs more than uneven memory.
+const enoughPart = 0.5
+
+func copyOf(e RelayEngine, m Model, opts RelayOptions) float64 {
+	layers := e.Holds.Limit - e.Holds.First
+	if layers <= 0 {
+		return 0
+	}
+	tokens := TokenCapacity(e.MemoryBytes, layers, m)
+	return math.Min(math.Max(tokens, 0)/(enoughPart*opts.minTokens()), 1)
+}
+
+// shortBy is how many copies a layer may lack against the median layer before it is short.
+const shortBy = 0.75
+
+// isShort tells whether some layer is held by fewer engines than most layers are.
+func isShort(held []float64) bool {
+	least := math.Inf(1)
+	for _, n := range held {
+		least = math.Min(least, n)
+	}
+	return median(held)-least >= shortBy
+}
+
+// almostLost is the number of copies of a layer from which on none moves to it:
+// with one copy left, the next loss leaves the model without the layer.
+const almostLost = 1.5
+
+// AlmostLost tells whether some layer has at most one copy.
+func AlmostLost(engines []RelayEngine, m Model, opts RelayOptions) bool {
+	least, _ := leastHeld(copies(engines, m, opts))
+	return least < almostLost
+}
+
+// minRise is the number of copies by which a move must raise the least-held
+// layer. It keeps engines from moving to and fro.
+const minRise = 0.5
+
+// spareEngine returns the move that raises the least-held layers most without
+// making other layers as short, if there is one. Of equal moves it takes the one
+// with the fewest layers to load.
+func spareEngine(holding []RelayEngine, m Model, opts RelayOptions) (RelayAssignment, bool) {
+	held := copies(holding, m, opts)
+	before, _ := leastHeld(held)
+	if !isShort(held) || before >= almostLost {
+		return RelayAssignment{}, false
+	}
+	var best RelayAssignment
+	bestLeast, bestCount, found := 0.0, 0, false
+	for i, e := range holding {
+		others := append(append([]RelayEngine(nil), holding[:i]...), holding[i+1:]...)
+		empty := e
+		empty.Holds = Range{}
+		r, ok := FillRelay(empty, others, m, opts)
+		if !ok || r == e.Holds {
+			continue
+		}
+		empty.Holds = r
+		least, count := leastHeld(copies(append(others, empty), m, opts))
+		if least < before+minRise && !(least >= before && improves(held, copies(append(others, empty), m, opts), before)) {
+			continue
+		}
+		if !found || least > bestLeast || least == bestLeast && count < bestCount {
+			best, bestLeast, bestCount, found = RelayAssignment{e.Name, r}, least, count, true
+		}
+	}
+	return best, found
+}
+
+// leastHeld returns the fewest copies of any layer and the number of layers that have so few.
+func leastHeld(held []float64) (least float64, count int) {
+	least = math.Inf(1)
+	for _, n := range held {
+		least = math.Min(least, n)
+	}
+	for _, n := range held {
+		if n < least+minRise {
+			count++
+		}
+	}
+	return least, count
+}
+
+// improves tells whether fewer layers are held by so few copies than before.
+func improves(before, after []float64, least float64) bool {
+	count := func(held []float64) (n int) {
+		for _, c := range held {
+			if c < least+minRise {
+				n++
+			}
+		}
+		return n
+	}
+	return count(after) < count(before)
+}
+
+func median(values []float64) float64 {
+	sorted := slices.Clone(values)
+	slices.Sort(sorted)
+	return sorted[len(sorted)/2]
 }
--- a/relay/connection.go
+++ b/relay/connection.go
@@ -186,11 +186,13 @@
 	errNoAnswer = errors.New("no answer")
 )
 
-// exchange is a request that a server has answered with a header.
+// exchange is a request that a server has received.
 type exchange struct {
-	pool     *pool
-	address  string
-	conn     *connection
+	pool    *pool
+	address string
+	conn    *connection
+	request *outbound
+	// response and answer are set once the header of the answer has arrived.
 	response *http.Response
 	answer   Answer
 	// odd is set when the connection carried something unexpected.
@@ -200,35 +202,50 @@
 	writing   chan error
 }
 
-// send performs a request up to the header of its answer. The error is, or
-// wraps, errNotSent or errNoAnswer. When ctx ends the connection is closed at once.
-func (p *pool) send(ctx context.Context, wire Wire, address string, o *outbound) (*exchange, error) {
+// open connects to a server and writes a request. The error wraps errNotSent
+// when no byte has left, otherwise errNoAnswer. When ctx ends the connection is
+// closed at once.
+func (p *pool) open(ctx context.Context, address string, o *outbound) (*exchange, error) {
 	conn, _, err := p.get(ctx, address)
 	if err != nil {
 		return nil, errors.Wrap(errNotSent, err.Error())
 	}
-	x := &exchange{pool: p, address: address, conn: conn}
+	x := &exchange{pool: p, address: address, conn: conn, request: o}
 	x.stopWatch = context.AfterFunc(ctx, func() { conn.Close() })
-	if err := x.exchange(wire, o); err != nil {
+	if err := conn.SetDeadline(time.Time{}); err != nil {
 		x.abandon()
-		return nil, err
+		return nil, errors.Wrap(errNotSent, err.Error())
+	}
+	if err := x.write(o); err != nil {
+		x.abandon()
+		return nil, errors.Wrap(errNoAnswer, err.Error())
 	}
 	return x, nil
 }
 
-func (x *exchange) exchange(wire Wire, o *outbound) error {
-	if deadlined := x.conn.SetDeadline(time.Time{}); deadlined != nil {
-		return errors.Wrap(errNotSent, deadlined.Error())
+// send opens an exchange and reads the header of the answer. After an error the
+// connection is closed.
+func (p *pool) send(ctx context.Context, wire Wire, address string, o *outbound) (*exchange, error) {
+	x, err := p.open(ctx, address, o)
+	if err != nil {
+		return nil, err
 	}
-	if err := x.write(o); err != nil {
-		return errors.Wrap(errNoAnswer, err.Error())
+	if err := x.header(wire); err != nil {
+		x.abandon()
+		return nil, err
 	}
-	request := &http.Request{Method: o.method}
+	return x, nil
+}
+
+// header reads the header of the answer. Answers to other requests may come
+// before it and are passed over.
+func (x *exchange) header(wire Wire) error {
+	request := &http.Request{Method: x.request.method}
 	for range maxForeignAnswers + 1 {
 		if err := x.readHeader(wire, request); err != nil {
 			return errors.Wrap(errNoAnswer, err.Error())
 		}
-		if x.answer.ID == o.id {
+		if x.answer.ID == x.request.id {
 			return nil
 		}
 		x.odd = true
@@ -288,7 +305,7 @@
 }
 
 // ended tells whether the answer has no body, so that nothing is to be waited for.
-func (x *exchange) ended() bool { return x.response.ContentLength == 0 }
+func (x *exchange) ended() bool { return x.response != nil && x.response.ContentLength == 0 }
 
 // finish returns the connection to the pool after the whole body was read, if
 // it may carry another request.
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -38,6 +38,7 @@
 	counters *counters
 	fleet    *fleet
 	pool     *pool
+	stalls   *stalls
 	backoff  func() *retry.Backoff
 
 	// current is the configuration in force, nil before there is one.
@@ -57,7 +58,7 @@
 func New(o Options) *Entry {
 	return &Entry{
 		settings: o.Settings, store: o.Store, engines: o.Engines, wire: o.Wire, logger: o.Logger,
-		logGate: newLogGate(), counters: newCounters(o.Metrics), fleet: newFleet(o.Random), pool: newPool(),
+		logGate: newLogGate(), counters: newCounters(o.Metrics), fleet: newFleet(o.Random), pool: newPool(), stalls: newStalls(o.Engines),
 		backoff: func() *retry.Backoff { return retry.NewBackoff(storeRetryBase, storeRetryLimit, o.Random) },
 		inForce: make(chan struct{}), budgets: map[string]*lockedBudget{}, running: newInProgress(),
 	}
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sapphirefield/sapphirefield/config"
@@ -75,6 +76,13 @@
 	}
 }
 
+// departure is the mark of a server that leaves.
+type departure struct {
+	at time.Time
+	// due is set once streams are to go elsewhere.
+	due bool
+}
+
 // fleet is what an entry knows of the backend servers. It is safe for concurrent use.
 type fleet struct {
 	mu      sync.Mutex
@@ -85,12 +93,22 @@
 	slowdowns map[string]float64
 	random    *rand.Rand
 	others    *others
+	// lost are engines that work was seen to wait for, with the time of that.
+	lost map[string]time.Time
+	// leaving are servers that are marked as leaving.
+	leaving map[string]departure
+	// avoided are engines that refused a part of a path, until a time.
+	avoided map[string]time.Time
+	// changes counts changes of lost and leaving, so that streams need not look
+	// for them at each event.
+	changes atomic.Int64
 }
 
 func newFleet(random *rand.Rand) *fleet {
 	return &fleet{
 		view: membership.New(membershipOptions()), servers: map[string]Server{}, own: map[string]*usage{},
 		slowdowns: map[string]float64{}, random: random, others: newOthers(),
+		lost: map[string]time.Time{}, leaving: map[string]departure{}, avoided: map[string]time.Time{},
 	}
 }
 
@@ -101,16 +119,63 @@
 	list := make([]membership.Instance, 0, len(servers))
 	for id, s := range servers {
 		list = append(list, s.Instance)
-		old, known := f.servers[id]
-		switch {
-		case known && s.Born != old.Born:
-			delete(f.slowdowns, id)
-		case known && s.Beat != old.Beat:
-			defer f.view.Observe(now, id, membership.Heartbeat)
-		}
+		f.observeRecord(now, f.servers[id], s)
 	}
 	f.view.ObserveList(now, list)
 	f.servers = servers
+	f.observeDepartures(now)
+}
+
+// leaveNotice is how long streams stay with an engine that is leaving. Most end
+// by themselves meanwhile, and the engine serves for longer than this.
+const leaveNotice = 1200 * time.Millisecond
+
+func (f *fleet) observeDepartures(now time.Time) {
+	for id, d := range f.leaving {
+		switch {
+		case f.servers[id].ID == "":
+			delete(f.leaving, id)
+		case !d.due && now.Sub(d.at) >= leaveNotice:
+			d.due = true
+			f.leaving[id] = d
+			f.changes.Add(1)
+		}
+	}
+}
+
+// staleBeat is how long after an engine was lost its records may still be from
+// before: they are written about every second and read a little later.
+const staleBeat = 1800 * time.Millisecond
+
+// observeRecord takes what a server's record shows about its life.
+func (f *fleet) observeRecord(now time.Time, old, s Server) {
+	if _, marked := f.leaving[s.ID]; s.Leaving && !marked {
+		f.leaving[s.ID] = departure{at: now}
+	}
+	switch {
+	case old.ID == "":
+	case s.Born != old.Born:
+		delete(f.slowdowns, s.ID)
+		delete(f.lost, s.ID)
+		f.view.Observe(now, s.ID, membership.Restarted)
+	case s.Beat != old.Beat:
+		if at, lost := f.lost[s.ID]; lost && now.Sub(at) < staleBeat {
+			return
+		}
+		delete(f.lost, s.ID)
+		f.view.Observe(now, s.ID, membership.Heartbeat)
+	}
+}
+
+// lose takes evidence that an engine does not work, which ends the paths through it.
+func (f *fleet) lose(now time.Time, id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.view.Observe(now, id, membership.Silent)
+	if _, known := f.lost[id]; !known {
+		f.lost[id] = now
+		f.changes.Add(1)
+	}
 }
 
 // observe takes direct evidence about a server.
@@ -120,6 +185,41 @@
 	f.view.Observe(now, id, e)
 }
 
+// lostFor returns how long an engine has been lost, or 0.
+func (f *fleet) lostFor(now time.Time, id string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at, lost := f.lost[id]
+	if !lost {
+		return 0
+	}
+	return now.Sub(at)
+}
+
+// refusedPart is how long an engine that refused a part of a path is avoided: it
+// holds other layers than its record says, or has no memory left.
+const refusedPart = 400 * time.Millisecond
+
+func (f *fleet) avoid(now time.Time, id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.avoided[id] = now.Add(refusedPart)
+}
+
+// unusable returns the engines of a path that are lost, and those that leave soon.
+func (f *fleet) unusable(hops []pipeline.Hop) (lost, leaving []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, h := range hops {
+		if _, known := f.lost[h.Engine]; known {
+			lost = append(lost, h.Engine)
+		} else if f.leaving[h.Engine].due {
+			leaving = append(leaving, h.Engine)
+		}
+	}
+	return lost, leaving
+}
+
 func (f *fleet) observeOther(now time.Time, m usageMessage) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -204,16 +304,16 @@
 }
 
 // choosePath picks a path for a request and reserves it.
-func (f *fleet) choosePath(now time.Time, rev *revision, model string, r pipeline.RelayRequest) ([]pipeline.Hop, time.Duration, *reservation, error) {
+func (f *fleet) choosePath(now time.Time, rev *revision, model string, r pipeline.RelayRequest) ([]pipeline.Hop, *reservation, error) {
 	finder := rev.finders[model]
 	if finder == nil {
-		return nil, 0, nil, pipeline.ErrNoChain
+		return nil, nil, pipeline.ErrNoChain
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	hops, expected, err := finder.Find(f.engines(now, rev, model), r)
+	hops, _, err := finder.Find(f.engines(now, rev, model), r)
 	if err != nil {
-		return nil, 0, nil, err
+		return nil, nil, err
 	}
 	tokens := r.PromptTokens + r.AnswerTokens
 	held := make(map[string]usage, len(hops))
@@ -224,7 +324,7 @@
 		}
 		held[h.Engine] = u
 	}
-	return hops, expected, f.reserve(held), nil
+	return hops, f.reserve(held), nil
 }
 
 // engines returns the engines of a model that may receive work. Suspects count
@@ -235,7 +335,8 @@
 	for _, c := range f.view.Candidates(now, model) {
 		s, known := f.servers[c.ID]
 		layers := s.Holds.Limit - s.Holds.First
-		if !known || c.Suspect || layers <= 0 {
+		_, lost := f.lost[c.ID]
+		if !known || c.Suspect || lost || layers <= 0 || now.Before(f.avoided[c.ID]) {
 			continue
 		}
 		kind := rev.accelerators[s.Accelerator]
--- a/relay/placer.go
+++ b/relay/placer.go
@@ -40,6 +40,10 @@
 	// seen is the number of engines when it last changed, at settled.
 	seen           int
 	settled, first time.Time
+	// emptySince is when an engine was first seen without layers.
+	emptySince map[string]time.Time
+	// shortSince is since when some layers are almost lost.
+	shortSince time.Time
 }
 
 type pendingOrder struct {
@@ -52,6 +56,7 @@
 func (e *Entry) keepLease(ctx context.Context) error {
 	p := &placer{
 		Entry: e, machine: lease.New(e.settings.Instance, lease.DefaultOptions()), pending: map[string]pendingOrder{},
+		emptySince: map[string]time.Time{},
 	}
 	next := int64(-1)
 	for ctx.Err() == nil {
@@ -138,7 +143,7 @@
 	if !holding && !p.hasSettled(now, len(engines)) {
 		return
 	}
-	orders, err := placement.RelayOrders(engines, placementModel(model), relayOptions(model))
+	orders, err := placement.RelayOrders(engines, p.timing(now, engines, model), placementModel(model), relayOptions(model))
 	if err != nil {
 		logevent.Write(p.logger, logevent.PlanNotMade).Str("model", name).Int("engines", len(engines)).Str("cause", err.Error()).Msg("")
 		sleep(ctx, leaseInterval)
@@ -174,7 +179,7 @@
 func (p *placer) relayEngines(now time.Time, rev *revision, model string, servers map[string]Server) (engines []placement.RelayEngine, holding bool) {
 	for id, s := range servers {
 		kind := rev.accelerators[s.Accelerator]
-		if s.Service != model || s.Leaving || kind == nil {
+		if s.Service != model || s.Leaving || kind == nil || p.fleet.lostFor(now, id) >= lostForGood {
 			continue
 		}
 		layers := s.Holds
@@ -193,6 +198,49 @@
 	return engines, holding
 }
 
+// moveAfter is how long layers must be almost lost before another engine moves to
+// them. Engines that crash often come back sooner.
+const moveAfter = 3 * time.Second
+
+// timing says which orders may be given now. One move must be done before the next.
+func (p *placer) timing(now time.Time, engines []placement.RelayEngine, model *config.Model) placement.RelayTiming {
+	if !placement.AlmostLost(engines, placementModel(model), relayOptions(model)) {
+		p.shortSince = time.Time{}
+	} else if p.shortSince.IsZero() {
+		p.shortSince = now
+	}
+	return placement.RelayTiming{
+		Waiting: p.waiting(now, engines),
+		MayMove: !p.shortSince.IsZero() && now.Sub(p.shortSince) >= moveAfter && len(p.pending) == 0,
+	}
+}
+
+// emptyWait is how long a new engine stays empty while no layers are short. In a
+// release the engine that it replaces is marked as leaving within this time.
+const emptyWait = 2500 * time.Millisecond
+
+// waiting returns the engines that may stay empty for now.
+func (p *placer) waiting(now time.Time, engines []placement.RelayEngine) map[string]bool {
+	waiting := map[string]bool{}
+	since := map[string]time.Time{}
+	for _, e := range engines {
+		if e.Holds != (placement.Range{}) {
+			continue
+		}
+		at, known := p.emptySince[e.Name]
+		if !known {
+			at = now
+		}
+		since[e.Name] = at
+		waiting[e.Name] = now.Sub(at) < emptyWait
+	}
+	p.emptySince = since
+	return waiting
+}
+
+// lostForGood is how long an engine must be lost before others take its layers.
+const lostForGood = 3 * time.Second
+
 // hasSettled tells whether the number of engines has stayed the same for longer
 // than they take to register, so that the first plan covers all of them.
 func (p *placer) hasSettled(now time.Time, engines int) bool {
@@ -214,7 +262,9 @@
 func (p *placer) order(ctx context.Context, server Server, r placement.Range) {
 	outcome := OrderUnknown
 	report, err := p.engines.Report(ctx, server.Address)
-	if err == nil {
+	if err == nil && report.Busy {
+		outcome = OrderBusy
+	} else if err == nil {
 		outcome, err = p.engines.Place(ctx, server, r, report.Orders)
 	}
 	line := logevent.Write(p.logger, logevent.OrderGiven).Str("server", server.ID).Int64("born", server.Born).
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -208,7 +208,9 @@
 	OrderHolds    OrderOutcome = "holds"
 	OrderConflict OrderOutcome = "conflict"
 	OrderRefused  OrderOutcome = "refused"
-	OrderUnknown  OrderOutcome = "unknown"
+	// OrderBusy means that the order was not given, because another one is in progress.
+	OrderBusy    OrderOutcome = "busy"
+	OrderUnknown OrderOutcome = "unknown"
 )
 
 // Engines is how engines take orders and report.
--- /dev/null
+++ b/relay/stalls.go
@@ -0,0 +1,73 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	// stallFresh is how long an engine's answer about what it waits for counts.
+	// All streams that begin at the engine share it.
+	stallFresh = 80 * time.Millisecond
+	// stallTimeout bounds the wait for that answer. An engine that works answers
+	// within a few milliseconds.
+	stallTimeout = 150 * time.Millisecond
+)
+
+// stalls asks engines which other engines their work waits for.
+type stalls struct {
+	engines Engines
+	mu      sync.Mutex
+	byHead  map[string]*stallAnswer
+}
+
+// stallAnswer is an engine's last answer. done is closed once it is there.
+type stallAnswer struct {
+	at      time.Time
+	done    chan struct{}
+	stalled []string
+	err     error
+}
+
+func newStalls(engines Engines) *stalls {
+	return &stalls{engines: engines, byHead: map[string]*stallAnswer{}}
+}
+
+// ask returns the engines for which work that begins at an address waits. Calls
+// for the same address share one question.
+func (s *stalls) ask(ctx context.Context, address string) ([]string, error) {
+	s.mu.Lock()
+	a := s.byHead[address]
+	if a == nil || time.Since(a.at) > stallFresh && isClosed(a.done) {
+		a = &stallAnswer{at: time.Now(), done: make(chan struct{})}
+		s.byHead[address] = a
+		go s.question(a, address)
+	}
+	s.mu.Unlock()
+	select {
+	case <-a.done:
+		return a.stalled, a.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// question ends by itself after stallTimeout; it is not tied to one stream,
+// because several wait for it.
+func (s *stalls) question(a *stallAnswer, address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), stallTimeout)
+	defer cancel()
+	report, err := s.engines.Report(ctx, address)
+	a.stalled, a.err = report.Stalled, err
+	close(a.done)
+}
+
+func isClosed(done chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	default:
+		return false
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -23,15 +24,25 @@
 	noPathRetry = 300 * time.Millisecond
 	// defaultAnswerTokens stands in when neither request nor configuration says a length.
 	defaultAnswerTokens = 200
-	// silence is how long a stream may stop before its engines are asked what
-	// they wait for.
-	silence = 400 * time.Millisecond
+	// pause is how long a stream may stop before its engines are looked at.
+	// Events are 10 to 50 ms apart.
+	pause = 100 * time.Millisecond
 	// maxSilence is how long a stream may stop in all. Callers leave after 2 s.
-	maxSilence = 1200 * time.Millisecond
+	maxSilence = 1500 * time.Millisecond
+	// maxRefusals bounds the paths that are tried while none runs the request.
+	maxRefusals = 3
+	// rerouteTimeout bounds the order that changes the path of a stream.
+	rerouteTimeout = 300 * time.Millisecond
+	// maxReroutes bounds how often one run changes its path.
+	maxReroutes = 6
 )
 
-// errSilent means that events stopped.
-var errSilent = errors.New("events stopped")
+var (
+	// errSilent means that events stopped without a known cause.
+	errSilent = errors.New("events stopped")
+	// errPathLost means that an engine of the path is lost or leaves.
+	errPathLost = errors.New("an engine of the path is lost")
+)
 
 // streaming is the state of one stream over all its runs.
 type streaming struct {
@@ -40,6 +51,8 @@
 	last int64
 	// begun tells whether the header has gone to the caller.
 	begun bool
+	// refusals counts engines that did not run the request.
+	refusals int
 	// delivered counts events that went to the caller.
 	delivered int
 }
@@ -59,8 +72,7 @@
 			s.giveUp("no path of engines has room", noPathRetry)
 			return
 		}
-		v, sent, err := s.run(ctx, hops)
-		place.release()
+		v, sent, err := s.start(ctx, hops, place)
 		if v == answered {
 			return
 		}
@@ -82,8 +94,7 @@
 
 // choose picks a path for what is left of the request.
 func (s *streaming) choose() ([]pipeline.Hop, *reservation, error) {
-	hops, _, place, err := s.fleet.choosePath(time.Now(), s.revision, s.target, s.need())
-	return hops, place, err
+	return s.fleet.choosePath(time.Now(), s.revision, s.target, s.need())
 }
 
 func (s *streaming) need() pipeline.RelayRequest {
@@ -107,10 +118,14 @@
 	if !sent {
 		return unsent < maxUnsent
 	}
-	if v == mayHaveRun && !s.route.Resumable {
+	if v == notRun {
+		s.refusals++
+		return s.refusals <= maxRefusals && s.budget(s.target).Take(time.Now(), false)
+	}
+	if !s.route.Resumable {
 		return false
 	}
-	if s.attempts >= s.route.MaxAttempts {
+	if s.attempts-s.refusals >= s.route.MaxAttempts {
 		return false
 	}
 	return s.budget(s.target).Take(time.Now(), false)
@@ -142,37 +157,163 @@
 	panic(http.ErrAbortHandler)
 }
 
-// run sends the request along one path and passes its events on.
-func (s *streaming) run(ctx context.Context, hops []pipeline.Hop) (v verdict, sent bool, err error) {
+// run is one run of a stream along a path.
+type run struct {
+	*streaming
+	x    *exchange
+	hops []pipeline.Hop
+	// place is what the run holds of the engines' memory.
+	place *reservation
+	// changes is the fleet's count of changes that the run has looked at.
+	changes  int64
+	reroutes int
+}
+
+// start sends the request along a path and passes its events on.
+func (s *streaming) start(ctx context.Context, hops []pipeline.Hop, place *reservation) (v verdict, sent bool, err error) {
+	r := &run{streaming: s, hops: hops, place: place, changes: s.fleet.changes.Load()}
+	defer func() { r.place.release() }()
 	s.path = describe(hops)
 	head := hops[0]
-	x, err := s.pool.send(ctx, s.wire, head.Address, s.outbound(Send{Instance: head.Engine, Path: hops, LastEvent: s.last}))
+	r.x, err = s.pool.open(ctx, head.Address, s.outbound(Send{Instance: head.Engine, Path: hops, LastEvent: s.last}))
 	if errors.Is(err, errNotSent) {
-		s.distrust(head.Engine, membership.RefusedConnection)
+		s.distrust(head.Engine)
 		return notRun, false, err
 	}
 	s.attempts++
+	if err == nil {
+		err = r.awaitHeader(ctx)
+	}
 	if err != nil {
-		if ctx.Err() == nil {
-			s.distrust(head.Engine, membership.EndOfStream)
+		return r.broken(ctx, err)
+	}
+	if r.x.answer.NotRun {
+		s.drop(r.x)
+		s.blame(r.x, head)
+		return notRun, true, errors.Errorf("engine answered %d for %q", r.x.response.StatusCode, r.x.answer.Culprit)
+	}
+	if r.x.response.StatusCode != http.StatusOK {
+		return s.passFailure(r.x)
+	}
+	return r.copy(ctx)
+}
+
+func (r *run) awaitHeader(ctx context.Context) error {
+	if err := r.await(ctx); err != nil {
+		return err
+	}
+	return r.x.header(r.wire)
+}
+
+// broken ends a run without a whole answer.
+func (r *run) broken(ctx context.Context, err error) (verdict, bool, error) {
+	if r.x != nil {
+		r.x.abandon()
+	}
+	if ctx.Err() == nil && !errors.Is(err, errPathLost) {
+		r.avoid[r.hops[0].Engine] = true
+	}
+	return mayHaveRun, true, errors.Wrap(err, "stream broke off")
+}
+
+// await waits for bytes of the answer. While none come it finds out which engine
+// the work waits for, and changes the path around engines that are lost.
+func (r *run) await(ctx context.Context) error {
+	for waited := time.Duration(0); waited < maxSilence; waited += pause {
+		if err := r.checkPath(ctx); err != nil {
+			return err
+		}
+		err := r.x.await(pause)
+		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+		if err := r.findStalled(ctx); err != nil {
+			return err
 		}
-		return mayHaveRun, true, err
 	}
-	if x.answer.NotRun {
-		s.drop(x)
-		s.blame(x, head)
-		return notRun, true, errors.Errorf("engine answered %d for %q", x.response.StatusCode, x.answer.Culprit)
+	return errSilent
+}
+
+// findStalled asks the first engine for the engines that it waits for.
+func (r *run) findStalled(ctx context.Context) error {
+	stalled, err := r.stalls.ask(ctx, r.hops[0].Address)
+	if err != nil {
+		r.distrust(r.hops[0].Engine)
+		return errPathLost
+	}
+	for _, id := range stalled {
+		r.fleet.lose(time.Now(), id)
 	}
-	if x.response.StatusCode != http.StatusOK {
-		return s.passFailure(x)
+	return nil
+}
+
+// checkPath changes the path when an engine of it is lost or leaves. The first
+// engine cannot be replaced within a run: when it is lost the run ends, and while
+// it leaves the run goes on.
+func (r *run) checkPath(ctx context.Context) error {
+	changes := r.fleet.changes.Load()
+	if changes == r.changes {
+		return nil
+	}
+	r.changes = changes
+	lost, leaving := r.fleet.unusable(r.hops)
+	for _, id := range append(lost, leaving...) {
+		r.avoid[id] = true
 	}
-	return s.copy(ctx, x, hops)
+	switch head := r.hops[0].Engine; {
+	case slices.Contains(lost, head):
+		return errPathLost
+	case len(lost) > 0:
+		return r.reroute(ctx)
+	case slices.ContainsFunc(leaving, func(id string) bool { return id != head }):
+		// A path that cannot be changed goes on until the engine is gone.
+		_ = r.reroute(ctx)
+	}
+	return nil
 }
 
-// distrust records evidence against an engine and keeps this request away from it.
-func (s *streaming) distrust(engine string, e membership.Evidence) {
+// reroute replaces the parts of the path after the first one.
+func (r *run) reroute(ctx context.Context) error {
+	if r.reroutes++; r.reroutes > maxReroutes {
+		return errPathLost
+	}
+	need := r.need()
+	need.Begin = &r.hops[0]
+	hops, place, err := r.fleet.choosePath(time.Now(), r.revision, r.target, need)
+	if err != nil {
+		return errPathLost
+	}
+	ctx, cancel := context.WithTimeout(ctx, rerouteTimeout)
+	defer cancel()
+	head := Server{Instance: membership.Instance{ID: hops[0].Engine, Address: hops[0].Address}}
+	outcome, err := r.engines.Reroute(ctx, head, r.call.ID, hops)
+	r.logReroute(hops, outcome, err)
+	if outcome != OrderBegun && outcome != OrderHolds {
+		place.release()
+		return errPathLost
+	}
+	r.place.release()
+	r.place, r.hops = place, hops
+	r.path += ";" + describe(hops)
+	return nil
+}
+
+func (r *run) logReroute(hops []pipeline.Hop, outcome OrderOutcome, err error) {
+	if !r.logGate.allow(time.Now()) {
+		return
+	}
+	line := logevent.Write(r.logger, logevent.StreamRerouted).Str("request", r.call.ID).Str("outcome", string(outcome)).
+		Str("from", r.path).Str("to", describe(hops)).Int64("last_event", r.last)
+	if err != nil {
+		line = line.Str("cause", err.Error())
+	}
+	line.Msg("")
+}
+
+// distrust records that an engine does not answer and keeps this request away from it.
+func (s *streaming) distrust(engine string) {
 	s.avoid[engine] = true
-	s.fleet.observe(time.Now(), engine, e)
+	s.fleet.lose(time.Now(), engine)
 }
 
 // blame avoids the engine that an answer names, or the first one.
@@ -184,6 +325,7 @@
 		}
 	}
 	s.avoid[engine] = true
+	s.fleet.avoid(time.Now(), engine)
 }
 
 func (s *streaming) logRecovery(cause error) {
@@ -203,67 +345,32 @@
 }
 
 // copy passes events on until the stream ends or breaks off.
-func (s *streaming) copy(ctx context.Context, x *exchange, hops []pipeline.Hop) (verdict, bool, error) {
+func (r *run) copy(ctx context.Context) (verdict, bool, error) {
 	var splitter eventstream.Splitter
 	buffer := make([]byte, streamBuffer)
-	flusher := http.NewResponseController(s.w)
+	flusher := http.NewResponseController(r.w)
 	for {
-		n, err := s.read(x, buffer, hops)
+		n, err := r.read(ctx, buffer)
 		splitter.Write(buffer[:n])
-		if passed := s.passEvents(&splitter, x, flusher); passed != nil {
-			x.abandon()
-			return mayHaveRun, true, passed
+		if passed := r.passEvents(&splitter, r.x, flusher); passed != nil {
+			return r.broken(ctx, passed)
 		}
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF) && splitter.Pending() == 0:
-			return s.complete(x)
+			return r.complete(r.x)
 		default:
-			x.abandon()
-			if ctx.Err() == nil && !errors.Is(err, errSilent) {
-				s.avoid[hops[0].Engine] = true
-			}
-			return mayHaveRun, true, errors.Wrap(err, "stream broke off")
-		}
-	}
-}
-
-// read waits for bytes of the stream. When none come for a while it asks the
-// first engine which one its work waits for.
-func (s *streaming) read(x *exchange, buffer []byte, hops []pipeline.Hop) (int, error) {
-	for waited := time.Duration(0); waited < maxSilence; waited += silence {
-		err := x.await(silence)
-		if err == nil {
-			return x.response.Body.Read(buffer)
-		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			return 0, err
-		}
-		if s.findStalled(hops) {
-			return 0, errSilent
+			return r.broken(ctx, err)
 		}
 	}
-	s.avoid[hops[0].Engine] = true
-	return 0, errSilent
 }
 
-// findStalled asks the first engine for the engines that it waits for.
-func (s *streaming) findStalled(hops []pipeline.Hop) bool {
-	ctx, cancel := context.WithTimeout(s.r.Context(), silence/2)
-	defer cancel()
-	report, err := s.engines.Report(ctx, hops[0].Address)
-	if err != nil {
-		s.distrust(hops[0].Engine, membership.Silent)
-		return true
-	}
-	found := false
-	for _, id := range report.Stalled {
-		s.distrust(id, membership.Silent)
-		for _, h := range hops {
-			found = found || h.Engine == id
-		}
+// read waits for bytes of the stream and reads them.
+func (r *run) read(ctx context.Context, buffer []byte) (int, error) {
+	if err := r.await(ctx); err != nil {
+		return 0, err
 	}
-	return found
+	return r.x.response.Body.Read(buffer)
 }
 
 // passEvents passes whole events on, each of them once and in order.
