--- a/pipeline/relay.go
+++ b/pipeline/relay.go
@@ -37,12 +37,17 @@
 	// Slots and Heads are the number of requests that the engine can receive
 	// and has received as the first engine of their paths.
 	Slots, Heads int
+	// PromptLoad is the part of the engine's time that prompts take.
+	PromptLoad float64
 }
 
 // Hop is one part of a path: an engine and the layers that it runs.
 type Hop struct {
 	Engine, Address string
 	First, Limit    int
+	// Zone is the engine's zone, and PromptTime how long it takes for the request's prompt.
+	Zone       string
+	PromptTime time.Duration
 }
 
 // RelayLink is the way between two zones.
@@ -64,8 +69,10 @@
 }
 
 const (
-	// maxLinkLoad bounds the load that the wait for a link is computed from.
-	maxLinkLoad = 0.95
+	// maxLinkLoad and maxPromptLoad are the loads of links and of engines above
+	// which they take no further requests. Beyond them queues grow without end.
+	maxLinkLoad   = 0.85
+	maxPromptLoad = 0.7
 	// reserve is the part of an engine's memory that stays free for answers
 	// that grow beyond their estimate.
 	reserve = 0.05
@@ -82,13 +89,11 @@
 // go to slower engines before the fast ones are full.
 type Pathfinder struct {
 	model RelayModel
-	links map[[2]string]RelayLink
 }
 
-// NewPathfinder returns a Pathfinder. Links are keyed by zones; zones without
-// a link are reached at once.
-func NewPathfinder(model RelayModel, links map[[2]string]RelayLink) *Pathfinder {
-	return &Pathfinder{model: model, links: links}
+// NewPathfinder returns a Pathfinder.
+func NewPathfinder(model RelayModel) *Pathfinder {
+	return &Pathfinder{model: model}
 }
 
 // pathState is the quickest way to run the layers below a boundary and end in a zone.
@@ -100,9 +105,11 @@
 	known          bool
 }
 
-// Find returns the quickest path and its expected time, or ErrNoChain.
-func (p *Pathfinder) Find(engines []RelayEngine, r RelayRequest) ([]Hop, time.Duration, error) {
+// Find returns the quickest path and its expected time, or ErrNoChain. Links are
+// keyed by zones; zones without a link are reached at once.
+func (p *Pathfinder) Find(engines []RelayEngine, links map[[2]string]RelayLink, r RelayRequest) ([]Hop, time.Duration, error) {
 	s := newPathSearch(p, engines, r)
+	s.links = links
 	s.run()
 	hops, seconds := s.best()
 	if hops == nil {
@@ -115,6 +122,7 @@
 	*Pathfinder
 	request    RelayRequest
 	engines    []RelayEngine
+	links      map[[2]string]RelayLink
 	boundaries []int
 	zones      []string
 	zoneOf     []int
@@ -209,7 +217,11 @@
 		if !before.known || before.engine == engine {
 			continue
 		}
-		seconds := before.seconds + s.transfer(s.zones[z], s.zones[zone]) + work
+		sending, open := s.transfer(s.zones[z], s.zones[zone])
+		if !open {
+			continue
+		}
+		seconds := before.seconds + sending + work
 		if !target.known || seconds < target.seconds {
 			*target = pathState{seconds: seconds, engine: engine, from: at, fromZone: z, known: true}
 		}
@@ -222,7 +234,7 @@
 	tokens := s.request.PromptTokens + s.request.AnswerTokens
 	need := tokens * float64(layers)
 	free := e.Capacity*(1-reserve) - e.Used
-	if need > free {
+	if need > free || e.PromptLoad > maxPromptLoad {
 		return 0, false
 	}
 	share := float64(layers) / float64(s.model.Layers)
@@ -231,27 +243,39 @@
 		s.model.RequestStepTime.Seconds()*(e.Running+1) +
 		s.model.ContextStepTime.Seconds()*(e.Context+tokens)/1000
 	crowding := 1 + crowdingWeight*(e.Used+need)/e.Capacity
-	decode := s.request.AnswerTokens * step * e.StepFactor * crowding
-	prompt := 0.0
-	if s.model.PromptTokensPerSecond > 0 {
-		prompt = s.request.PromptTokens / s.model.PromptTokensPerSecond * e.PromptFactor
+	decode := s.request.AnswerTokens * step * e.StepFactor * crowding * share * slowdown
+	return (decode + s.promptSeconds(e, layers)) / (1 - e.PromptLoad), true
+}
+
+// promptSeconds returns how long an engine works on the request's prompt.
+func (s *pathSearch) promptSeconds(e *RelayEngine, layers int) float64 {
+	if s.model.PromptTokensPerSecond <= 0 {
+		return 0
 	}
-	return (decode + prompt) * share * slowdown, true
+	share := float64(layers) / float64(s.model.Layers)
+	return s.request.PromptTokens / s.model.PromptTokensPerSecond * e.PromptFactor * share * math.Max(e.Slowdown, 1)
 }
 
-// transfer returns the expected seconds that the link between two zones adds.
-func (s *pathSearch) transfer(from, to string) float64 {
+// transfer returns the expected seconds that the link between two zones adds,
+// and whether it has room.
+func (s *pathSearch) transfer(from, to string) (float64, bool) {
 	link, known := s.links[[2]string{from, to}]
 	if !known {
-		return 0
+		return 0, true
+	}
+	if link.Load > maxLinkLoad {
+		return 0, false
 	}
 	seconds := s.request.AnswerTokens * link.Latency.Seconds()
 	if link.BytesPerSecond > 0 {
-		tokens := s.request.PromptTokens + s.request.AnswerTokens
-		sending := tokens * float64(s.model.ActivationBytes) / link.BytesPerSecond
-		seconds += sending / (1 - math.Min(link.Load, maxLinkLoad))
+		seconds += s.model.PassedBytes(s.request) / link.BytesPerSecond / (1 - link.Load)
 	}
-	return seconds
+	return seconds, true
+}
+
+// PassedBytes is what a request sends from one engine to the next.
+func (m RelayModel) PassedBytes(r RelayRequest) float64 {
+	return (r.PromptTokens + r.AnswerTokens) * float64(m.ActivationBytes)
 }
 
 // best follows the quickest state at the last boundary back to the first layer.
@@ -270,7 +294,11 @@
 	for at := last; at > 0; {
 		st := s.table[at][zone]
 		e := &s.engines[st.engine]
-		hops = append(hops, Hop{Engine: e.Name, Address: e.Address, First: s.boundaries[st.from], Limit: s.boundaries[at]})
+		layers := s.boundaries[at] - s.boundaries[st.from]
+		hops = append(hops, Hop{
+			Engine: e.Name, Address: e.Address, Zone: e.Zone, First: s.boundaries[st.from], Limit: s.boundaries[at],
+			PromptTime: time.Duration(s.promptSeconds(e, layers) * float64(time.Second)),
+		})
 		at, zone = st.from, st.fromZone
 	}
 	for i, j := 0, len(hops)-1; i < j; i, j = i+1, j-1 {
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -35,6 +35,8 @@
 	models       map[string]*config.Model
 	accelerators map[string]*config.Accelerator
 	finders      map[string]*pipeline.Pathfinder
+	// links are keyed by the zones that they join.
+	links map[[2]string]pipeline.RelayLink
 }
 
 func newRevision(c Configuration) *revision {
@@ -49,14 +51,14 @@
 	for i := range c.Document.Accelerators {
 		r.accelerators[c.Document.Accelerators[i].Kind] = &c.Document.Accelerators[i]
 	}
-	links := map[[2]string]pipeline.RelayLink{}
+	r.links = map[[2]string]pipeline.RelayLink{}
 	for _, l := range c.Document.Links {
-		links[[2]string{l.From, l.To}] = pipeline.RelayLink{Latency: l.Latency, BytesPerSecond: l.BytesPerSecond}
+		r.links[[2]string{l.From, l.To}] = pipeline.RelayLink{Latency: l.Latency, BytesPerSecond: l.BytesPerSecond}
 	}
 	for i := range c.Document.Models {
 		m := &c.Document.Models[i]
 		r.models[m.Name] = m
-		r.finders[m.Name] = pipeline.NewPathfinder(relayModel(m), links)
+		r.finders[m.Name] = pipeline.NewPathfinder(relayModel(m))
 	}
 	return r
 }
@@ -311,20 +313,48 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	hops, _, err := finder.Find(f.engines(now, rev, model), r)
+	hops, expected, err := finder.Find(f.engines(now, rev, model), f.links(now, rev), r)
 	if err != nil {
 		return nil, nil, err
 	}
+	return hops, f.reserve(pathUsage(hops, r, expected, relayModel(rev.models[model]))), nil
+}
+
+// shortestRun keeps the rate of short requests from being counted too high.
+const shortestRun = 300 * time.Millisecond
+
+// pathUsage is what a request takes of the engines and links of its path.
+func pathUsage(hops []pipeline.Hop, r pipeline.RelayRequest, expected time.Duration, m pipeline.RelayModel) map[string]usage {
+	seconds := max(expected, shortestRun).Seconds()
 	tokens := r.PromptTokens + r.AnswerTokens
 	held := make(map[string]usage, len(hops))
 	for i, h := range hops {
-		u := usage{requests: 1, tokens: tokens, layerTokens: tokens * float64(h.Limit-h.First)}
+		u := usage{
+			requests: 1, tokens: tokens, layerTokens: tokens * float64(h.Limit-h.First),
+			rate: h.PromptTime.Seconds() / seconds,
+		}
 		if i == 0 {
 			u.heads = 1
+		} else if before := hops[i-1].Zone; before != h.Zone {
+			crossing := held[linkID(before, h.Zone)]
+			crossing.add(usage{requests: 1, rate: m.PassedBytes(r) / seconds}, 1)
+			held[linkID(before, h.Zone)] = crossing
 		}
 		held[h.Engine] = u
 	}
-	return hops, f.reserve(held), nil
+	return held
+}
+
+// links returns the links between zones with their present load.
+func (f *fleet) links(now time.Time, rev *revision) map[[2]string]pipeline.RelayLink {
+	links := make(map[[2]string]pipeline.RelayLink, len(rev.links))
+	for zones, link := range rev.links {
+		if link.BytesPerSecond > 0 {
+			link.Load = f.inProgress(now, linkID(zones[0], zones[1])).rate / link.BytesPerSecond
+		}
+		links[zones] = link
+	}
+	return links
 }
 
 // engines returns the engines of a model that may receive work. Suspects count
@@ -357,7 +387,7 @@
 		Slots:    s.Slots,
 	}
 	u := f.inProgress(now, s.ID)
-	e.Used, e.Running, e.Context, e.Heads = u.layerTokens, float64(u.requests), u.tokens, u.heads
+	e.Used, e.Running, e.Context, e.Heads, e.PromptLoad = u.layerTokens, float64(u.requests), u.tokens, u.heads, u.rate
 	return e
 }
 
--- a/relay/usage.go
+++ b/relay/usage.go
@@ -2,18 +2,22 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 )
 
-// usage is what an entry has in progress on a server.
+// usage is what an entry has in progress on a server or on a link between zones.
 type usage struct {
 	// requests counts requests, heads those for which the engine comes first.
 	requests, heads int
 	// tokens are the requests' tokens, layerTokens the same times their layers.
 	tokens, layerTokens float64
+	// rate is the part of an engine's time that prompts take, or the bytes per
+	// second that cross a link, as a mean over each request's time.
+	rate float64
 }
 
 func (u *usage) add(o usage, sign int) {
@@ -21,6 +25,7 @@
 	u.heads += sign * o.heads
 	u.tokens += float64(sign) * o.tokens
 	u.layerTokens += float64(sign) * o.layerTokens
+	u.rate += float64(sign) * o.rate
 }
 
 // usageMessage is one entry's usage of all servers, as entries tell each other
@@ -39,6 +44,10 @@
 
 func serverHash(id string) uint64 { return xxhash.Sum64String(id) }
 
+// linkID stands for a link where a server's name is expected. No server's name
+// has a space.
+func linkID(from, to string) string { return "link " + from + " " + to }
+
 func (m usageMessage) encode() []byte {
 	out := []byte{usageVersion, byte(len(m.entry))}
 	out = append(out, m.entry...)
@@ -49,6 +58,7 @@
 		for _, n := range []uint64{uint64(u.requests), uint64(u.heads), uint64(u.tokens), uint64(u.layerTokens)} {
 			out = binary.AppendUvarint(out, n)
 		}
+		out = binary.BigEndian.AppendUint32(out, math.Float32bits(float32(u.rate)))
 	}
 	return out
 }
@@ -100,10 +110,15 @@
 		}
 		numbers[i], text = n, text[size:]
 	}
+	const rateBytes = 4
+	if len(text) < rateBytes {
+		return nil, false
+	}
 	m.servers[hash] = usage{
 		requests: int(numbers[0]), heads: int(numbers[1]), tokens: float64(numbers[2]), layerTokens: float64(numbers[3]),
+		rate: float64(math.Float32frombits(binary.BigEndian.Uint32(text))),
 	}
-	return text, true
+	return text[rateBytes:], true
 }
 
 // others is what the other entries have in progress, as far as their messages
