relay: count links by the bytes sent, both directions together, and price crossings

The mean rate over an expected time counted too little, and each direction by itself. Change: a meter of the bytes of the last second for each pair of zones; a crossing is priced by what it costs all others.

--- a/cmd/sapphired/relay.go
+++ b/cmd/sapphired/relay.go
@@ -9,6 +9,8 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/phuslu/log"
+
 	"github.com/sapphirefield/sapphirefield/daemon"
 	"github.com/sapphirefield/sapphirefield/platform"
 )
@@ -18,6 +20,7 @@
 	flags := flag.NewFlagSet("sapphired relay", flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	path := flags.String("settings", os.Getenv(platform.SettingsVariable), "path of the platform's settings file")
+	level := flags.String("log-level", "info", "lowest level of log lines: debug, info, warn or error")
 	check := flags.Bool("check-settings", false, "check the settings and end")
 	if err := flags.Parse(args); err != nil {
 		return exitSettings
@@ -37,7 +40,7 @@
 	client := platform.New(s.Store)
 	err = daemon.RunRelay(context.Background(), daemon.RelayOptions{
 		Settings: s.Entry, Store: client, Engines: client, Wire: platform.Wire{}, ReadyPath: platform.Ready,
-		Logs: stdout, Signals: signals, Reloads: reloads,
+		Logs: stdout, LogLevel: log.ParseLevel(*level), Signals: signals, Reloads: reloads,
 	})
 	if err != nil {
 		fmt.Fprintln(stderr, "sapphired relay:", err)
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -42,6 +42,7 @@
 	// ReadyPath is what the load balancer asks.
 	ReadyPath string
 	Logs      io.Writer
+	LogLevel  log.Level
 	// Signals ask for a shutdown, Reloads say that the settings file has changed.
 	Signals, Reloads <-chan os.Signal
 }
@@ -57,7 +58,7 @@
 
 // RunRelay runs a relaying entry until it has shut down.
 func RunRelay(ctx context.Context, o RelayOptions) error {
-	logger := &log.Logger{Level: log.InfoLevel, TimeFormat: time.RFC3339Nano, Writer: &log.IOWriter{Writer: o.Logs}}
+	logger := &log.Logger{Level: o.LogLevel, TimeFormat: time.RFC3339Nano, Writer: &log.IOWriter{Writer: o.Logs}}
 	p := &relayProcess{options: o, logger: logger, registry: metrics.NewRegistry()}
 	p.entry = relay.New(relay.Options{
 		Settings: o.Settings, Store: o.Store, Engines: o.Engines, Wire: o.Wire,
--- a/daemon/relay_test.go
+++ b/daemon/relay_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 
 	"github.com/sapphirefield/sapphirefield/config"
@@ -86,7 +87,7 @@
 	go func() {
 		ended <- RunRelay(t.Context(), RelayOptions{
 			Settings: s, Store: silentPlatform{}, Engines: silentPlatform{}, Wire: plainWire{}, ReadyPath: "/ready",
-			Logs: io.Discard, Signals: signals,
+			Logs: io.Discard, LogLevel: log.InfoLevel, Signals: signals,
 		})
 	}()
 	conn := dialUntil(t, s.Callers)
--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -47,6 +47,8 @@
 	OrderRefused         Event = 5002
 	OrderDone            Event = 5003
 	PlanNotMade          Event = 5004
+	EngineReported       Event = 5006
+	ReportMissing        Event = 5007
 	RolloutBlocked       Event = 5005
 	ObjectiveBurning     Event = 6001
 	ObjectiveBurnStopped Event = 6002
@@ -92,6 +94,8 @@
 	{OrderGiven, log.InfoLevel, "order given to engine", ""},
 	{OrderRefused, log.WarnLevel, "order refused by engine", ""},
 	{OrderDone, log.InfoLevel, "order carried out by engine", ""},
+	{EngineReported, log.DebugLevel, "engine reported its state", ""},
+	{ReportMissing, log.InfoLevel, "engine did not report its state", "Check the engine if it stays silent."},
 	{PlanNotMade, log.WarnLevel, "no placement plan could be made", "Add engines or memory for the model that the line names; the plan in force stays."},
 	{RolloutBlocked, log.WarnLevel, "rollout of a version is blocked", "Remove the reason that the line names; the old version goes on serving."},
 	{ObjectiveBurning, log.ErrorLevel, "service-level objective burns too fast", "See docs/operations.md, section on service levels."},
--- a/pipeline/relay.go
+++ b/pipeline/relay.go
@@ -71,11 +71,15 @@
 const (
 	// maxLinkLoad and maxPromptLoad are the loads of links and of engines above
 	// which they take no further requests. Beyond them queues grow without end.
-	maxLinkLoad   = 0.85
+	maxLinkLoad   = 0.8
 	maxPromptLoad = 0.7
 	// reserve is the part of an engine's memory that stays free for answers
 	// that grow beyond their estimate.
 	reserve = 0.05
+	// crossingWeight is how many requests a crossing delays besides the one that
+	// crosses: all requests between two zones share one link, and a path that
+	// crosses for a small gain of its own costs the others more.
+	crossingWeight = 10.0
 	// crowdingWeight is the wait, in steps, that a full engine adds to a free one's step.
 	crowdingWeight = 1.0
 )
@@ -268,7 +272,8 @@
 	}
 	seconds := s.request.AnswerTokens * link.Latency.Seconds()
 	if link.BytesPerSecond > 0 {
-		seconds += s.model.PassedBytes(s.request) / link.BytesPerSecond / (1 - link.Load)
+		sending := s.model.PassedBytes(s.request) / link.BytesPerSecond
+		seconds += sending * crossingWeight / (1 - link.Load)
 	}
 	return seconds, true
 }
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -95,6 +95,8 @@
 	slowdowns map[string]float64
 	random    *rand.Rand
 	others    *others
+	// crossings are the bytes that this entry's requests send over links between zones.
+	crossings map[string]*rateMeter
 	// lost are engines that work was seen to wait for, with the time of that.
 	lost map[string]time.Time
 	// leaving are servers that are marked as leaving.
@@ -110,7 +112,7 @@
 	return &fleet{
 		view: membership.New(membershipOptions()), servers: map[string]Server{}, own: map[string]*usage{},
 		slowdowns: map[string]float64{}, random: random, others: newOthers(),
-		lost: map[string]time.Time{}, leaving: map[string]departure{}, avoided: map[string]time.Time{},
+		crossings: map[string]*rateMeter{}, lost: map[string]time.Time{}, leaving: map[string]departure{}, avoided: map[string]time.Time{},
 	}
 }
 
@@ -229,13 +231,16 @@
 }
 
 // ownUsage returns what this entry has in progress.
-func (f *fleet) ownUsage() map[uint64]usage {
+func (f *fleet) ownUsage(now time.Time) map[uint64]usage {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	servers := make(map[uint64]usage, len(f.own))
+	servers := make(map[uint64]usage, len(f.own)+len(f.crossings))
 	for id, u := range f.own {
 		servers[serverHash(id)] = *u
 	}
+	for id, m := range f.crossings {
+		servers[serverHash(id)] = usage{rate: m.value(now)}
+	}
 	return servers
 }
 
@@ -317,14 +322,29 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	return hops, f.reserve(pathUsage(hops, r, expected, relayModel(rev.models[model]))), nil
+	f.countCrossings(now, hops, relayModel(rev.models[model]).PassedBytes(r))
+	return hops, f.reserve(pathUsage(hops, r, expected)), nil
+}
+
+// countCrossings counts what a request sends over the links of its path.
+func (f *fleet) countCrossings(now time.Time, hops []pipeline.Hop, bytes float64) {
+	for i := 1; i < len(hops); i++ {
+		if hops[i-1].Zone == hops[i].Zone {
+			continue
+		}
+		id := linkID(hops[i-1].Zone, hops[i].Zone)
+		if f.crossings[id] == nil {
+			f.crossings[id] = &rateMeter{}
+		}
+		f.crossings[id].add(now, bytes)
+	}
 }
 
 // shortestRun keeps the rate of short requests from being counted too high.
 const shortestRun = 300 * time.Millisecond
 
-// pathUsage is what a request takes of the engines and links of its path.
-func pathUsage(hops []pipeline.Hop, r pipeline.RelayRequest, expected time.Duration, m pipeline.RelayModel) map[string]usage {
+// pathUsage is what a request takes of the engines of its path.
+func pathUsage(hops []pipeline.Hop, r pipeline.RelayRequest, expected time.Duration) map[string]usage {
 	seconds := max(expected, shortestRun).Seconds()
 	tokens := r.PromptTokens + r.AnswerTokens
 	held := make(map[string]usage, len(hops))
@@ -335,10 +355,6 @@
 		}
 		if i == 0 {
 			u.heads = 1
-		} else if before := hops[i-1].Zone; before != h.Zone {
-			crossing := held[linkID(before, h.Zone)]
-			crossing.add(usage{requests: 1, rate: m.PassedBytes(r) / seconds}, 1)
-			held[linkID(before, h.Zone)] = crossing
 		}
 		held[h.Engine] = u
 	}
@@ -350,13 +366,22 @@
 	links := make(map[[2]string]pipeline.RelayLink, len(rev.links))
 	for zones, link := range rev.links {
 		if link.BytesPerSecond > 0 {
-			link.Load = f.inProgress(now, linkID(zones[0], zones[1])).rate / link.BytesPerSecond
+			link.Load = f.crossingRate(now, linkID(zones[0], zones[1])) / link.BytesPerSecond
 		}
 		links[zones] = link
 	}
 	return links
 }
 
+// crossingRate is the bytes per second that all entries send over a link.
+func (f *fleet) crossingRate(now time.Time, id string) float64 {
+	rate := f.others.of(now, id).rate
+	if m := f.crossings[id]; m != nil {
+		rate += m.value(now)
+	}
+	return rate
+}
+
 // engines returns the engines of a model that may receive work. Suspects count
 // only when no other engine holds layers.
 func (f *fleet) engines(now time.Time, rev *revision, model string) []pipeline.RelayEngine {
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -130,7 +130,9 @@
 			return ctx.Err()
 		case <-ticker.C:
 		}
-		m := usageMessage{entry: p.settings.Instance, born: p.born, sequence: sequence, servers: p.fleet.ownUsage()}
+		m := usageMessage{
+			entry: p.settings.Instance, born: p.born, sequence: sequence, servers: p.fleet.ownUsage(time.Now()),
+		}
 		p.tell(m.encode())
 	}
 }
--- a/relay/placer.go
+++ b/relay/placer.go
@@ -42,6 +42,8 @@
 	settled, first time.Time
 	// emptySince is when an engine was first seen without layers.
 	emptySince map[string]time.Time
+	// surveyed is when the engines were last asked for their state.
+	surveyed time.Time
 	// shortSince is since when some layers are almost lost.
 	shortSince time.Time
 }
@@ -65,6 +67,7 @@
 			continue
 		}
 		p.place(ctx)
+		p.survey(ctx)
 		sleep(ctx, placeInterval)
 	}
 	return ctx.Err()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -191,6 +191,8 @@
 	// Orders counts the orders that the engine has begun since its start.
 	Orders int64
 	Busy   bool
+	// Waiting and Running count requests.
+	Waiting, Running int
 	// UsedTokens and TotalTokens are tokens times layers.
 	UsedTokens, TotalTokens float64
 	// Slowdown is the measured time of a step divided by the expected one.
--- /dev/null
+++ b/relay/survey.go
@@ -0,0 +1,57 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sapphirefield/sapphirefield/logevent"
+)
+
+const (
+	// surveyInterval is how often the holder of the lease asks all engines for
+	// their state. Each question has a price, so only one entry asks.
+	surveyInterval = time.Second
+	// concurrentReports is the number of engines asked at once.
+	concurrentReports = 8
+)
+
+// survey asks all engines for their state while this entry holds the lease, and
+// passes what differs from the configuration on with the messages about usage.
+func (p *placer) survey(ctx context.Context) {
+	now := time.Now()
+	if now.Sub(p.surveyed) < surveyInterval {
+		return
+	}
+	p.surveyed = now
+	rev := p.current.Load()
+	if rev == nil {
+		return
+	}
+	group := errgroup.Group{}
+	group.SetLimit(concurrentReports)
+	for id, s := range p.fleet.snapshot() {
+		if rev.models[s.Service] == nil || p.fleet.lostFor(now, id) > 0 {
+			continue
+		}
+		group.Go(func() error {
+			p.surveyOne(ctx, s)
+			return nil
+		})
+	}
+	_ = group.Wait() // reports log their own failures
+}
+
+func (p *placer) surveyOne(ctx context.Context, s Server) {
+	report, err := p.engines.Report(ctx, s.Address)
+	if err != nil {
+		logevent.Write(p.logger, logevent.ReportMissing).Str("server", s.ID).Str("cause", err.Error()).Msg("")
+		return
+	}
+	p.fleet.setSlowdown(s.ID, report.Slowdown)
+	logevent.Write(p.logger, logevent.EngineReported).Str("server", s.ID).Int("first", report.Holds.First).
+		Int("limit", report.Holds.Limit).Bool("busy", report.Busy).Int("waiting", report.Waiting).Int("running", report.Running).
+		Float64("used", report.UsedTokens).Float64("total", report.TotalTokens).Float64("slowdown", report.Slowdown).
+		Strs("stalled", report.Stalled).Msg("")
+}
--- a/relay/usage.go
+++ b/relay/usage.go
@@ -15,8 +15,8 @@
 	requests, heads int
 	// tokens are the requests' tokens, layerTokens the same times their layers.
 	tokens, layerTokens float64
-	// rate is the part of an engine's time that prompts take, or the bytes per
-	// second that cross a link, as a mean over each request's time.
+	// rate is the part of an engine's time that prompts take, as a mean over each
+	// request's time, or the bytes per second that cross a link.
 	rate float64
 }
 
@@ -44,9 +44,35 @@
 
 func serverHash(id string) uint64 { return xxhash.Sum64String(id) }
 
-// linkID stands for a link where a server's name is expected. No server's name
-// has a space.
-func linkID(from, to string) string { return "link " + from + " " + to }
+// linkID stands for the link between two zones where a server's name is
+// expected; no server's name has a space. Both directions share a link.
+func linkID(from, to string) string {
+	if to < from {
+		from, to = to, from
+	}
+	return "link " + from + " " + to
+}
+
+// linkMemory is the time constant over which the bytes on a link are averaged.
+const linkMemory = time.Second
+
+// rateMeter is a moving average of bytes per second.
+type rateMeter struct {
+	rate float64
+	at   time.Time
+}
+
+func (m *rateMeter) add(now time.Time, bytes float64) {
+	m.rate = m.value(now) + bytes/linkMemory.Seconds()
+	m.at = now
+}
+
+func (m *rateMeter) value(now time.Time) float64 {
+	if m.at.IsZero() {
+		return 0
+	}
+	return m.rate * math.Exp(-now.Sub(m.at).Seconds()/linkMemory.Seconds())
+}
 
 func (m usageMessage) encode() []byte {
 	out := []byte{usageVersion, byte(len(m.entry))}
