relay: share slowdowns, let begun streams wait for a path, log the longest pause

Change: a stream that has begun may use the room that is kept free of new requests and waits up to 1 s for a path.

--- a/pipeline/relay.go
+++ b/pipeline/relay.go
@@ -63,6 +63,9 @@
 	PromptTokens, AnswerTokens float64
 	// Avoid holds engines that the path may not use.
 	Avoid map[string]bool
+	// Begun is set for a request whose answer has begun. It may take the room that
+	// is kept free of new requests.
+	Begun bool
 	// Begin is the part with which the path must begin, when the request already
 	// runs and only its further parts may change.
 	Begin *Hop
@@ -73,6 +76,8 @@
 	// which they take no further requests. Beyond them queues grow without end.
 	maxLinkLoad   = 0.8
 	maxPromptLoad = 0.7
+	// begunLoad is added to both for requests whose answer has begun.
+	begunLoad = 0.15
 	// reserve is the part of an engine's memory that stays free for answers
 	// that grow beyond their estimate.
 	reserve = 0.05
@@ -238,7 +243,7 @@
 	tokens := s.request.PromptTokens + s.request.AnswerTokens
 	need := tokens * float64(layers)
 	free := e.Capacity*(1-reserve) - e.Used
-	if need > free || e.PromptLoad > maxPromptLoad {
+	if need > free || e.PromptLoad > s.limit(maxPromptLoad) {
 		return 0, false
 	}
 	share := float64(layers) / float64(s.model.Layers)
@@ -251,6 +256,14 @@
 	return (decode + s.promptSeconds(e, layers)) / (1 - e.PromptLoad), true
 }
 
+// limit returns the load up to which the request may use an engine or a link.
+func (s *pathSearch) limit(load float64) float64 {
+	if s.request.Begun {
+		return load + begunLoad
+	}
+	return load
+}
+
 // promptSeconds returns how long an engine works on the request's prompt.
 func (s *pathSearch) promptSeconds(e *RelayEngine, layers int) float64 {
 	if s.model.PromptTokensPerSecond <= 0 {
@@ -267,7 +280,7 @@
 	if !known {
 		return 0, true
 	}
-	if link.Load > maxLinkLoad {
+	if link.Load > s.limit(maxLinkLoad) {
 		return 0, false
 	}
 	seconds := s.request.AnswerTokens * link.Latency.Seconds()
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -91,7 +91,7 @@
 	view    *membership.View
 	servers map[string]Server
 	own     map[string]*usage
-	// slowdowns are the engines' last reported ones.
+	// slowdowns are those that this entry's own survey found.
 	slowdowns map[string]float64
 	random    *rand.Rand
 	others    *others
@@ -241,6 +241,11 @@
 	for id, m := range f.crossings {
 		servers[serverHash(id)] = usage{rate: m.value(now)}
 	}
+	for id, slowdown := range f.slowdowns {
+		u := servers[serverHash(id)]
+		u.slowdown = slowdown
+		servers[serverHash(id)] = u
+	}
 	return servers
 }
 
@@ -256,9 +261,20 @@
 func (f *fleet) setSlowdown(id string, slowdown float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if slowdown <= 1 {
+		delete(f.slowdowns, id)
+		return
+	}
 	f.slowdowns[id] = slowdown
 }
 
+// forgetSlowdowns is for an entry that no longer surveys the engines.
+func (f *fleet) forgetSlowdowns() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(f.slowdowns)
+}
+
 // snapshot returns the servers.
 func (f *fleet) snapshot() map[string]Server {
 	f.mu.Lock()
@@ -412,6 +428,7 @@
 		Slots:    s.Slots,
 	}
 	u := f.inProgress(now, s.ID)
+	e.Slowdown = max(e.Slowdown, u.slowdown)
 	e.Used, e.Running, e.Context, e.Heads, e.PromptLoad = u.layerTokens, float64(u.requests), u.tokens, u.heads, u.rate
 	return e
 }
--- a/relay/front.go
+++ b/relay/front.go
@@ -41,6 +41,8 @@
 	path    string
 	// firstByte is when the first byte of the answer went to the caller.
 	firstByte time.Time
+	// longestPause is the longest time between two events of a stream.
+	longestPause time.Duration
 }
 
 // outcome says how a request ended.
@@ -180,6 +182,9 @@
 	if !q.firstByte.IsZero() {
 		line = line.Dur("first_ms", q.firstByte.Sub(q.started))
 	}
+	if q.longestPause > 0 {
+		line = line.Dur("longest_pause_ms", q.longestPause)
+	}
 	if q.path != "" {
 		line = line.Str("path", q.path)
 	}
--- a/relay/placer.go
+++ b/relay/placer.go
@@ -64,6 +64,7 @@
 	for ctx.Err() == nil {
 		next = p.stepLease(ctx, next)
 		if !p.machine.Holds(time.Now()) {
+			p.fleet.forgetSlowdowns()
 			continue
 		}
 		p.place(ctx)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -24,6 +24,10 @@
 	noPathRetry = 300 * time.Millisecond
 	// defaultAnswerTokens stands in when neither request nor configuration says a length.
 	defaultAnswerTokens = 200
+	// choosePatience is how long a stream that has begun waits for a path, and
+	// choosePause the time between two looks.
+	choosePatience = time.Second
+	choosePause    = 50 * time.Millisecond
 	// pause is how long a stream may stop before its engines are looked at.
 	// Events are 10 to 50 ms apart.
 	pause = 100 * time.Millisecond
@@ -51,6 +55,8 @@
 	last int64
 	// begun tells whether the header has gone to the caller.
 	begun bool
+	// at is when the last event went to the caller.
+	at time.Time
 	// refusals counts engines that did not run the request.
 	refusals int
 	// delivered counts events that went to the caller.
@@ -67,7 +73,7 @@
 	q.budget(q.target).Success(time.Now())
 	unsent := 0
 	for {
-		hops, place, err := s.choose()
+		hops, place, err := s.choose(ctx)
 		if err != nil {
 			s.giveUp("no path of engines has room", noPathRetry)
 			return
@@ -92,9 +98,18 @@
 	}
 }
 
-// choose picks a path for what is left of the request.
-func (s *streaming) choose() ([]pipeline.Hop, *reservation, error) {
-	return s.fleet.choosePath(time.Now(), s.revision, s.target, s.need())
+// choose picks a path for what is left of the request. A stream that has begun
+// waits for one: its caller stays for a while, and what is done would be lost.
+func (s *streaming) choose(ctx context.Context) ([]pipeline.Hop, *reservation, error) {
+	need := s.need()
+	need.Begun = s.begun
+	for waited := time.Duration(0); ; waited += choosePause {
+		hops, place, err := s.fleet.choosePath(time.Now(), s.revision, s.target, need)
+		if err == nil || !s.begun || waited >= choosePatience {
+			return hops, place, err
+		}
+		sleep(ctx, choosePause)
+	}
 }
 
 func (s *streaming) need() pipeline.RelayRequest {
@@ -278,7 +293,7 @@
 		return errPathLost
 	}
 	need := r.need()
-	need.Begin = &r.hops[0]
+	need.Begin, need.Begun = &r.hops[0], true
 	hops, place, err := r.fleet.choosePath(time.Now(), r.revision, r.target, need)
 	if err != nil {
 		return errPathLost
@@ -388,6 +403,7 @@
 			return err
 		}
 		s.delivered++
+		s.measurePause()
 		wrote = true
 		if e.ID >= 0 {
 			s.last = e.ID
@@ -399,6 +415,15 @@
 	return flusher.Flush()
 }
 
+// measurePause keeps the longest time between two events.
+func (s *streaming) measurePause() {
+	now := time.Now()
+	if !s.at.IsZero() {
+		s.longestPause = max(s.longestPause, now.Sub(s.at))
+	}
+	s.at = now
+}
+
 // begin sends the header of the first run's answer.
 func (s *streaming) begin(x *exchange) {
 	if s.begun {
--- a/relay/usage.go
+++ b/relay/usage.go
@@ -18,6 +18,8 @@
 	// rate is the part of an engine's time that prompts take, as a mean over each
 	// request's time, or the bytes per second that cross a link.
 	rate float64
+	// slowdown is set by the entry that surveys the engines, where an engine is slower than it should be.
+	slowdown float64
 }
 
 func (u *usage) add(o usage, sign int) {
@@ -26,6 +28,7 @@
 	u.tokens += float64(sign) * o.tokens
 	u.layerTokens += float64(sign) * o.layerTokens
 	u.rate += float64(sign) * o.rate
+	u.slowdown = max(u.slowdown, o.slowdown)
 }
 
 // usageMessage is one entry's usage of all servers, as entries tell each other
@@ -85,6 +88,7 @@
 			out = binary.AppendUvarint(out, n)
 		}
 		out = binary.BigEndian.AppendUint32(out, math.Float32bits(float32(u.rate)))
+		out = binary.BigEndian.AppendUint32(out, math.Float32bits(float32(u.slowdown)))
 	}
 	return out
 }
@@ -136,15 +140,16 @@
 		}
 		numbers[i], text = n, text[size:]
 	}
-	const rateBytes = 4
-	if len(text) < rateBytes {
+	const floatBytes = 4
+	if len(text) < 2*floatBytes {
 		return nil, false
 	}
 	m.servers[hash] = usage{
 		requests: int(numbers[0]), heads: int(numbers[1]), tokens: float64(numbers[2]), layerTokens: float64(numbers[3]),
-		rate: float64(math.Float32frombits(binary.BigEndian.Uint32(text))),
+		rate:     float64(math.Float32frombits(binary.BigEndian.Uint32(text))),
+		slowdown: float64(math.Float32frombits(binary.BigEndian.Uint32(text[floatBytes:]))),
 	}
-	return text[rateBytes:], true
+	return text[2*floatBytes:], true
 }
 
 // others is what the other entries have in progress, as far as their messages
