demo, daemon: wait for usable servers; take the digest of the wanted revision

Cause: the demo counted a server as up when it was connected; one whose first connection was refused is held back by membership for a while, and the first booking got 503 (no_backend).

--- a/daemon/system_test.go
+++ b/daemon/system_test.go
@@ -372,7 +372,7 @@
 			if status != http.StatusOK || json.Unmarshal([]byte(body), &reported) != nil {
 				return false, body
 			}
-			if digest == "" {
+			if digest == "" && reported.Revision == revision {
 				digest = reported.Digest
 			}
 			return reported.Revision == revision && reported.Digest == digest, body
--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -102,7 +102,7 @@
 	cancel   context.CancelFunc
 }
 
-// Start brings a cluster up and waits until every sidecar is connected.
+// Start brings a cluster up and waits until every sidecar may receive work.
 func Start(ctx context.Context, opts ClusterOptions) (*Cluster, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	c := &Cluster{opts: opts, logger: newLogger(opts.Log), document: document(opts), cancel: cancel}
@@ -287,10 +287,10 @@
 func (c *Cluster) waitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	for c.Entry.Connected() < len(c.Nodes) {
+	for c.Entry.Usable() < len(c.Nodes) {
 		select {
 		case <-ctx.Done():
-			return errors.Errorf("%d of %d sidecars connected in time", c.Entry.Connected(), len(c.Nodes))
+			return errors.Errorf("%d of %d sidecars usable in time", c.Entry.Usable(), len(c.Nodes))
 		case <-time.After(readyPoll):
 		}
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -247,6 +247,9 @@
 // Connected counts the sidecars that the entry has a stream to.
 func (s *Server) Connected() int { return s.peers.connected() }
 
+// Usable counts the sidecars that may receive work now.
+func (s *Server) Usable() int { return s.peers.ready(s.members) }
+
 // Recoveries counts the stages that were lost while a request used them.
 func (s *Server) Recoveries() int64 { return s.meters.recoveries.Count() }
 
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -114,6 +114,22 @@
 	return n
 }
 
+// ready counts the sidecars that may receive work: a sidecar whose first
+// connection was refused is connected before membership admits it again.
+func (ps *peerSet) ready(members *members) int {
+	weights := map[string]map[string]float64{}
+	n := 0
+	for _, p := range ps.all() {
+		if weights[p.service] == nil {
+			weights[p.service] = members.candidates(p.service)
+		}
+		if p.usable() && weights[p.service][p.id] > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // settled tells whether every sidecar was tried since the entry's start. An
 // entry that is ready at its first connection would refuse prompts for want of
 // a whole chain.
--- a/entry/peers_test.go
+++ b/entry/peers_test.go
@@ -6,6 +6,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/sapphirefield/sapphirefield/link"
+	"github.com/sapphirefield/sapphirefield/membership"
 	"github.com/sapphirefield/sapphirefield/wire"
 )
 
@@ -23,3 +24,21 @@
 	ps.byID["new"] = &peer{}
 	assert.Assert(t, ps.settled(), "unsettled by a new instance")
 }
+
+// Guards against an entry that counts as ready while servers that it is
+// connected to may not receive work yet, and refuses the first calls. Three
+// servers are needed, because membership never ejects more than a part.
+func TestRefusedServerIsConnectedBeforeItIsUsable(t *testing.T) {
+	ps, m := newPeerSet(t.Context(), nil), newMembers()
+	var list []membership.Instance
+	for _, id := range []string{"orders-0", "orders-1", "orders-2"} {
+		ps.byID[id] = &peer{id: id, service: "orders", queue: link.NewQueue[*wire.WorkUp](1), load: &wire.Load{EngineUp: true}}
+		list = append(list, membership.Instance{ID: id, Service: "orders"})
+	}
+	m.view.ObserveList(now(), list)
+	assert.Equal(t, ps.ready(m), 3)
+	m.view.Observe(now(), "orders-1", membership.RefusedConnection)
+	m.view.Observe(now(), "orders-1", membership.Heartbeat)
+	assert.Equal(t, ps.connected(), 3)
+	assert.Equal(t, ps.ready(m), 2)
+}
