--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -133,7 +133,18 @@
 	return mux
 }
 
+// operatorsHandler serves what scrapers need. Profiles stay out, because this
+// listener has no password.
 func (p *relayProcess) operatorsHandler() http.Handler {
+	mux := http.NewServeMux()
+	handler := p.operatorsPages()
+	for _, path := range []string{"/metrics", "/status", "/healthz", "/readyz"} {
+		mux.Handle("GET "+path, handler)
+	}
+	return mux
+}
+
+func (p *relayProcess) operatorsPages() http.Handler {
 	return ops.New(ops.Options{
 		Registry: p.registry,
 		Ready:    p.entry.Ready,
--- a/daemon/system_test.go
+++ b/daemon/system_test.go
@@ -486,7 +486,7 @@
 			names[name] = true
 		}
 	}
-	page, err := os.ReadFile("../docs/operations.md")
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
 	assert.NilError(s.t, err)
 	_, rest, _ := strings.Cut(string(page), "\n## Metrics\n")
 	table, _, _ := strings.Cut(rest, "\n## ")
--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -98,6 +98,6 @@
 	{ReportMissing, log.InfoLevel, "engine did not report its state", "Check the engine if it stays silent."},
 	{PlanNotMade, log.WarnLevel, "no placement plan could be made", "Add engines or memory for the model that the line names; the plan in force stays."},
 	{RolloutBlocked, log.WarnLevel, "rollout of a version is blocked", "Remove the reason that the line names; the old version goes on serving."},
-	{ObjectiveBurning, log.ErrorLevel, "service-level objective burns too fast", "See docs/operations.md, section on service levels."},
+	{ObjectiveBurning, log.ErrorLevel, "service-level objective burns too fast", "See docs/OPERATIONS.md, section on service levels."},
 	{ObjectiveBurnStopped, log.InfoLevel, "service-level objective no longer burns too fast", ""},
 }
--- a/problem/docs_test.go
+++ b/problem/docs_test.go
@@ -12,7 +12,7 @@
 // Guards against a code that operators' page does not explain, or explains with
 // another status.
 func TestOperationsExplainEveryCode(t *testing.T) {
-	page, err := os.ReadFile("../docs/operations.md")
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
 	assert.NilError(t, err)
 	_, table, _ := strings.Cut(string(page), "## Error codes")
 	for code := range kinds {
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -13,6 +13,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/retry"
 )
 
@@ -137,10 +138,19 @@
 			return ctx.Err()
 		case now := <-ticker.C:
 			e.pool.expire(now)
+			e.reportSkipped()
 		}
 	}
 }
 
+// reportSkipped says how many lines for requests were left out.
+func (e *Entry) reportSkipped() {
+	if n := e.logGate.takeSkipped(); n > 0 {
+		logevent.Write(e.logger, logevent.LinesSkipped).Int64("lines", n).Msg("")
+		e.counters.skipped.Inc(n)
+	}
+}
+
 // lockedBudget is a retry budget for concurrent use.
 type lockedBudget struct {
 	mu     sync.Mutex
--- a/relay/observe.go
+++ b/relay/observe.go
@@ -61,6 +61,8 @@
 	first    metrics.Histogram
 	whole    metrics.Histogram
 	repeats  metrics.Counter
+	// skipped counts log lines that were left out.
+	skipped metrics.Counter
 }
 
 func newCounters(registry metrics.Registry) *counters {
@@ -75,6 +77,7 @@
 		first:    histogram("relay.first_byte_ms"),
 		whole:    histogram("relay.request_ms"),
 		repeats:  metrics.GetOrRegisterCounter("relay.repeats", registry),
+		skipped:  metrics.GetOrRegisterCounter("relay.log_lines_skipped", registry),
 	}
 }
 
--- /dev/null
+++ b/relay/observe_test.go
@@ -0,0 +1,30 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against log lines that grow with the load, and against lines that are
+// left out without a trace.
+func TestLogGateBoundsLines(t *testing.T) {
+	g, now := newLogGate(), time.Unix(0, 0)
+	written := 0
+	for range 10 * int(logBurst) {
+		if g.allow(now) {
+			written++
+		}
+	}
+	assert.Equal(t, written, int(logBurst))
+	assert.Equal(t, g.takeSkipped(), int64(9*logBurst))
+	assert.Equal(t, g.takeSkipped(), int64(0))
+	now = now.Add(time.Second)
+	for range 10 * int(logBurst) {
+		if g.allow(now) {
+			written++
+		}
+	}
+	assert.Equal(t, written, int(logBurst+logRate))
+}
--- a/settings/docs_test.go
+++ b/settings/docs_test.go
@@ -11,7 +11,7 @@
 
 // Guards against examples for operators that the daemon would refuse.
 func TestExamplesOfOperationsLoad(t *testing.T) {
-	page, err := os.ReadFile("../docs/operations.md")
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
 	assert.NilError(t, err)
 	dir := t.TempDir()
 	for _, name := range []string{"callers", "operators", "peer"} {
