daemon: end idle connections without cutting off a request; own random sources

Change: connections know when bytes of a request have arrived; idle ones end by an expired read deadline.

--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -54,17 +54,20 @@
 	registry metrics.Registry
 	entry    *relay.Entry
 	callers  *http.Server
+	idle     *idleConns
 }
 
 // RunRelay runs a relaying entry until it has shut down.
 func RunRelay(ctx context.Context, o RelayOptions) error {
 	logger := &log.Logger{Level: o.LogLevel, TimeFormat: time.RFC3339Nano, Writer: &log.IOWriter{Writer: o.Logs}}
-	p := &relayProcess{options: o, logger: logger, registry: metrics.NewRegistry()}
+	p := &relayProcess{options: o, logger: logger, registry: metrics.NewRegistry(), idle: newIdleConns()}
 	p.entry = relay.New(relay.Options{
 		Settings: o.Settings, Store: o.Store, Engines: o.Engines, Wire: o.Wire,
 		Logger: logger, Metrics: p.registry, Random: seededRandom(),
 	})
-	p.callers = &http.Server{Handler: p.entry, ReadHeaderTimeout: headerTimeout, IdleTimeout: defaultIdleTimeout}
+	p.callers = &http.Server{
+		Handler: p.entry, ReadHeaderTimeout: headerTimeout, IdleTimeout: defaultIdleTimeout, ConnState: p.idle.observe,
+	}
 	life, err := newLifecycle()
 	if err != nil {
 		return err
@@ -100,7 +103,7 @@
 	switch state {
 	case stateUnready:
 		p.entry.Leave()
-		p.callers.SetKeepAlivesEnabled(false)
+		p.idle.leave()
 		logevent.Write(p.logger, logevent.ProcessDraining).Str("id", p.options.Settings.Instance).
 			Int("running", p.entry.InProgress()).Msg("")
 	case stateDraining:
@@ -170,12 +173,11 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
+	if server == p.callers {
+		listener = p.idle.listener(listener)
+	}
 	server.ErrorLog = stdlog.New(io.Discard, "", 0)
-	stop := context.AfterFunc(ctx, func() {
-		limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
-		defer cancel()
-		_ = server.Shutdown(limit) // what is still open ends with the process
-	})
+	stop := context.AfterFunc(ctx, func() { shutdown(ctx, server) })
 	defer stop()
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "serve")
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -51,20 +51,37 @@
 	budgetsMu sync.Mutex
 	budgets   map[string]*lockedBudget
 
+	// registered is the number of entries that the store names, 0 while it is unknown.
+	registered atomic.Int64
+
 	running  *inProgress
 	draining atomic.Bool
 }
 
 // New returns an entry that is not running yet.
 func New(o Options) *Entry {
+	seeds := &seeds{random: o.Random}
 	return &Entry{
 		settings: o.Settings, store: o.Store, engines: o.Engines, wire: o.Wire, logger: o.Logger,
-		logGate: newLogGate(), counters: newCounters(o.Metrics), fleet: newFleet(o.Random), pool: newPool(), stalls: newStalls(o.Engines),
-		backoff: func() *retry.Backoff { return retry.NewBackoff(storeRetryBase, storeRetryLimit, o.Random) },
+		logGate: newLogGate(), counters: newCounters(o.Metrics), fleet: newFleet(seeds.next()), pool: newPool(), stalls: newStalls(o.Engines),
+		backoff: func() *retry.Backoff { return retry.NewBackoff(storeRetryBase, storeRetryLimit, seeds.next()) },
 		inForce: make(chan struct{}), budgets: map[string]*lockedBudget{}, running: newInProgress(),
 	}
 }
 
+// seeds gives each user of random numbers a source of its own, because a source
+// is not safe for concurrent use.
+type seeds struct {
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+func (s *seeds) next() *rand.Rand {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return rand.New(rand.NewPCG(s.random.Uint64(), s.random.Uint64()))
+}
+
 // Run follows the store and places layers until ctx ends.
 func (e *Entry) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -182,28 +199,41 @@
 	// budgetPart is the part of the permitted repeats that entries use. The rest
 	// covers windows that do not begin where the budget's do.
 	budgetPart = 0.7
-	// mostEntries is the number of entries among which the fixed part of the
-	// repeats is divided. It is above the number that run at once, because
-	// entries that cannot reach each other cannot share what one leaves unused.
-	mostEntries = 8
+	// leastEntries is the number of entries among which the fixed part of the
+	// repeats is divided until the store has named them.
+	leastEntries = 8
 )
 
-// budget returns the budget for repeats to a service.
+// budget returns the budget for repeats to a service. The fixed part is divided
+// by the number of entries that the store names, those that are gone included.
 func (e *Entry) budget(service string) *lockedBudget {
 	e.budgetsMu.Lock()
 	defer e.budgetsMu.Unlock()
 	b := e.budgets[service]
 	if b == nil {
 		b = &lockedBudget{budget: retry.NewBudget(retry.BudgetOptions{
-			Fraction: e.settings.RetryRatio * budgetPart,
-			Minimum:  e.settings.RetryExtra * budgetPart / mostEntries,
-			Window:   e.settings.RetryWindow,
+			Fraction: e.settings.RetryRatio * budgetPart, Window: e.settings.RetryWindow,
 		})}
 		e.budgets[service] = b
 	}
+	b.setMinimum(e.settings.RetryExtra * budgetPart / float64(e.entries()))
 	return b
 }
 
+func (b *lockedBudget) setMinimum(minimum float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget.SetMinimum(minimum)
+}
+
+// entries returns the number of entries that may repeat requests.
+func (e *Entry) entries() int {
+	if n := int(e.registered.Load()); n > 0 {
+		return n
+	}
+	return leastEntries
+}
+
 // inProgress counts requests and tells when the last has ended.
 type inProgress struct {
 	mu       sync.Mutex
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -85,6 +85,8 @@
 		for _, r := range records {
 			p.applyEntry(r)
 		}
+		// This entry counts whether or not its own record has been written.
+		p.registered.Store(int64(len(p.addresses) + 1))
 	})
 }
 
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -54,6 +54,9 @@
 	return &Budget{fraction: max(options.Fraction, 0), minimum: max(options.Minimum, 0), bucket: bucket}
 }
 
+// SetMinimum changes the number of retries that need no success.
+func (b *Budget) SetMinimum(minimum float64) { b.minimum = max(minimum, 0) }
+
 // Success counts one successful request.
 func (b *Budget) Success(now time.Time) {
 	b.advance(now)
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -79,3 +79,15 @@
 	mean := sum / 1000
 	assert.Assert(t, mean > 180*time.Millisecond && mean < 220*time.Millisecond, "mean delay %s of 400 ms", mean)
 }
+
+// Guards against a budget that keeps the share of a number of callers that has changed.
+func TestMinimumMayChange(t *testing.T) {
+	now := time.Unix(0, 0)
+	b := NewBudget(BudgetOptions{Minimum: 2, Window: 10 * time.Second})
+	assert.Equal(t, b.Left(now), 2.0)
+	b.SetMinimum(1)
+	assert.Assert(t, b.Take(now, false))
+	assert.Assert(t, !b.Take(now, false))
+	b.SetMinimum(3)
+	assert.Equal(t, b.Left(now), 2.0)
+}
