relay: one entry watches the servers' records and tells the others

Change: the holder of the lease reads often and sends what has changed with the messages about usage, each change four times; others read every 3 s while they hear it, and often while they hear no watcher or wait for a lost engine to show life. Messages name the sender's revision, and a newer one ends a waiting read.

--- /dev/null
+++ b/relay/directory_test.go
@@ -0,0 +1,192 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/sapphirefield/sapphirefield/config"
+	"github.com/sapphirefield/sapphirefield/membership"
+)
+
+// scriptedStore keeps topics in memory. Reads that wait hang while silent is set.
+type scriptedStore struct {
+	mu     sync.Mutex
+	topics map[Topic][]Record
+	silent bool
+	reads  int
+}
+
+func newScriptedStore() *scriptedStore { return &scriptedStore{topics: map[Topic][]Record{}} }
+
+func (s *scriptedStore) add(topic Topic, key string, value any) {
+	text, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topics[topic] = append(s.topics[topic], Record{Key: key, Value: text})
+}
+
+func (s *scriptedStore) Newest(_ context.Context, topic Topic) (Changes, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Changes{Records: append([]Record(nil), s.topics[topic]...), Next: int64(len(s.topics[topic]))}, nil
+}
+
+func (s *scriptedStore) Read(ctx context.Context, topic Topic, from int64, _ time.Duration) (Changes, error) {
+	s.mu.Lock()
+	s.reads++
+	silent := s.silent
+	rest := append([]Record(nil), s.topics[topic][from:]...)
+	s.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return Changes{}, ctx.Err()
+	}
+	return Changes{Records: rest, Next: from + int64(len(rest))}, nil
+}
+
+func (s *scriptedStore) Append(_ context.Context, topic Topic, r Record, at int64) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at != AnyOffset && at != int64(len(s.topics[topic])) {
+		return 0, ErrConflict
+	}
+	s.topics[topic] = append(s.topics[topic], r)
+	return int64(len(s.topics[topic])), nil
+}
+
+func (s *scriptedStore) Configuration(value []byte) (Configuration, error) {
+	var revision int64
+	err := json.Unmarshal(value, &revision)
+	return Configuration{Revision: revision, Document: &config.Document{}}, err
+}
+
+func (s *scriptedStore) Server(id string, value []byte) (Server, error) {
+	var server Server
+	err := json.Unmarshal(value, &server)
+	server.ID = id
+	return server, err
+}
+
+func storeEntry(store Store) *Entry {
+	return New(Options{
+		Settings: Settings{Instance: "e", RetryWindow: 10 * time.Second}, Store: store, Engines: &testEngines{}, Wire: testWire{},
+		Logger: &log.Logger{Level: log.PanicLevel}, Random: rand.New(rand.NewPCG(1, 2)),
+	})
+}
+
+func record(t *testing.T, s Server) Record {
+	text, err := json.Marshal(s)
+	assert.NilError(t, err)
+	return Record{Key: s.ID, Value: text}
+}
+
+// Guards against a server that is known to one entry as leaving and to the
+// others as ready, and against an older record that replaces a newer one.
+func TestChangesAreHeard(t *testing.T) {
+	watcher, other := storeEntry(newScriptedStore()), storeEntry(newScriptedStore())
+	s := Server{Instance: membership.Instance{ID: "s", Service: "app", Address: "a:1"}, Born: 5, Beat: 1}
+	other.directory.apply([]Record{record(t, s)}, true)
+	s.Leaving, s.Beat = true, 2
+	watcher.directory.apply([]Record{record(t, s)}, true)
+	changes := watcher.directory.outgoing()
+	assert.Equal(t, len(changes), 1)
+	other.directory.hear(changes)
+	assert.Assert(t, other.fleet.snapshot()["s"].Leaving)
+
+	s.Leaving, s.Beat = false, 1
+	other.directory.hear([]Record{record(t, s)})
+	assert.Assert(t, other.fleet.snapshot()["s"].Leaving)
+	other.directory.hear([]Record{{Key: "s"}})
+	assert.Equal(t, len(other.fleet.snapshot()), 0)
+}
+
+// Guards against a change that is lost with one datagram, and against changes
+// that are sent for ever.
+func TestChangesAreRepeated(t *testing.T) {
+	e := storeEntry(newScriptedStore())
+	e.directory.apply([]Record{record(t, Server{Instance: membership.Instance{ID: "s"}, Beat: 1})}, true)
+	for range changeRepeats {
+		assert.Equal(t, len(e.directory.outgoing()), 1)
+	}
+	assert.Equal(t, len(e.directory.outgoing()), 0)
+	e.directory.apply([]Record{record(t, Server{Instance: membership.Instance{ID: "s"}, Beat: 2})}, false)
+	assert.Equal(t, len(e.directory.outgoing()), 0, "a beat alone is no change")
+}
+
+// Guards against an entry that relies on a watcher that cannot reach the store
+// or is gone itself.
+func TestWatcherMustBeFresh(t *testing.T) {
+	e, now := storeEntry(newScriptedStore()), time.Now()
+	hear := func(sequence int64, age time.Duration) bool {
+		e.fleet.observeOther(now, message{entry: "w", born: 1, sequence: sequence, term: 1, watchAge: age})
+		return e.hearsWatcher()
+	}
+	assert.Assert(t, !e.hearsWatcher())
+	assert.Assert(t, hear(1, watchFresh))
+	assert.Assert(t, !hear(2, watchFresh+time.Millisecond))
+	assert.Assert(t, !hear(3, noWatch))
+}
+
+// Guards against an old configuration that stays in force for as long as a
+// read hangs on a connection that went silent, while other entries have a newer one.
+func TestNewerRevisionElsewhereWakesRead(t *testing.T) {
+	store := newScriptedStore()
+	store.add(TopicConfiguration, "c", 1)
+	e := storeEntry(store)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- e.followConfiguration(ctx) }()
+	<-e.InForce()
+	store.mu.Lock()
+	store.silent = true
+	store.mu.Unlock()
+	for reading := false; !reading; {
+		time.Sleep(time.Millisecond)
+		store.mu.Lock()
+		reading = store.reads > 0
+		store.mu.Unlock()
+	}
+	store.add(TopicConfiguration, "c", 2)
+	store.mu.Lock()
+	store.silent = false
+	store.mu.Unlock()
+	p := &peers{Entry: e, addresses: map[string]netip.AddrPort{}}
+	p.hear(message{entry: "o", born: 1, sequence: 1, revision: 2, watchAge: noWatch}, netip.AddrPort{})
+	for e.Revision() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	store.add(TopicConfiguration, "c", 1)
+	cancel()
+	assert.ErrorIs(t, <-ended, context.Canceled)
+	assert.Equal(t, e.Revision(), int64(2))
+}
+
+// Guards against two entries that place layers at once, and against none that does.
+func TestOneEntryHoldsTheLease(t *testing.T) {
+	store := newScriptedStore()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	entries := []*Entry{storeEntry(store), storeEntry(store)}
+	entries[1].settings.Instance = "other"
+	var group sync.WaitGroup
+	for _, e := range entries {
+		group.Go(func() { _ = e.keepLease(ctx) })
+	}
+	for entries[0].term.Load()+entries[1].term.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	group.Wait()
+	assert.Assert(t, !entries[0].watches() || !entries[1].watches())
+}
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -54,6 +54,12 @@
 	// registered is the number of entries that the store names, 0 while it is unknown.
 	registered atomic.Int64
 
+	directory *directory
+	// term is the lease that this entry holds, or 0.
+	term atomic.Int64
+	// newer wakes the read of the configuration.
+	newer chan struct{}
+
 	running  *inProgress
 	draining atomic.Bool
 }
@@ -61,12 +67,15 @@
 // New returns an entry that is not running yet.
 func New(o Options) *Entry {
 	seeds := &seeds{random: o.Random}
-	return &Entry{
+	e := &Entry{
 		settings: o.Settings, store: o.Store, engines: o.Engines, wire: o.Wire, logger: o.Logger,
 		logGate: newLogGate(), counters: newCounters(o.Metrics), fleet: newFleet(seeds.next()), pool: newPool(), stalls: newStalls(o.Engines),
 		backoff: func() *retry.Backoff { return retry.NewBackoff(storeRetryBase, storeRetryLimit, seeds.next()) },
 		inForce: make(chan struct{}), budgets: map[string]*lockedBudget{}, running: newInProgress(),
+		newer: make(chan struct{}, 1),
 	}
+	e.directory = newDirectory(e)
+	return e
 }
 
 // seeds gives each user of random numbers a source of its own, because a source
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -128,6 +128,18 @@
 	f.view.ObserveList(now, list)
 	f.servers = servers
 	f.observeDepartures(now)
+	for id := range f.lost {
+		if _, known := servers[id]; !known {
+			delete(f.lost, id)
+		}
+	}
+}
+
+// hasLost tells whether some engine is lost whose record is still there.
+func (f *fleet) hasLost() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.lost) > 0
 }
 
 // leaveNotice is how long streams stay with an engine that is leaving. Most end
@@ -224,10 +236,18 @@
 	return lost, leaving
 }
 
-func (f *fleet) observeOther(now time.Time, m usageMessage) {
+// observeOther takes another entry's message and tells whether it is a new one.
+func (f *fleet) observeOther(now time.Time, m message) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.others.observe(now, m)
+}
+
+// heard returns the last messages of the other entries that can be heard.
+func (f *fleet) heard(now time.Time) []message {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.others.observe(now, m)
+	return f.others.heard(now)
 }
 
 // ownUsage returns what this entry has in progress.
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,40 +17,82 @@
 	// configurationWait is how long a read waits for a change. A connection that
 	// went silent is found out this long after it did.
 	configurationWait = 900 * time.Millisecond
-	// serversInterval is how often the servers' records are read. Each server
-	// writes one about every second, so a read that waits for one would return at once.
-	serversInterval = 400 * time.Millisecond
+	// relaxedWait is the same while another entry would name a newer revision.
+	relaxedWait = 5 * time.Second
 )
 
+// following says how a topic is followed.
+type following struct {
+	topic Topic
+	// wait returns how long a read waits for a change.
+	wait func() time.Duration
+	// pause returns when the next read is due; nil means at once.
+	pause func(context.Context)
+	// wake ends a read that waits, so that the topic is read anew.
+	wake <-chan struct{}
+	// apply takes all records at first and single ones afterwards.
+	apply func(records []Record, all bool)
+}
+
 // follow keeps a topic's records up to date: it reads the newest record of each
-// key, then the changes, and begins anew when changes have expired. apply takes
-// all records at first and single ones afterwards.
-func (e *Entry) follow(ctx context.Context, topic Topic, wait, pause time.Duration, apply func(records []Record, all bool)) error {
+// key, then the changes, and begins anew when changes have expired.
+func (e *Entry) follow(ctx context.Context, f following) error {
 	backoff := e.backoff()
 	next, failures := int64(-1), 0
 	for ctx.Err() == nil {
-		changes, err := e.readTopic(ctx, topic, next, wait)
+		changes, err := e.readUntilWoken(ctx, f, next)
 		switch {
 		case errors.Is(err, ErrExpired):
 			next = -1
 			continue
+		case errors.Is(err, errWoken):
+			continue
 		case err != nil:
 			failures++
-			e.storeFailed(topic, failures, err)
+			e.storeFailed(f.topic, failures, err)
 			sleep(ctx, backoff.Delay(failures))
 			continue
 		}
-		e.storeAnswered(topic, failures)
+		e.storeAnswered(f.topic, failures)
 		failures = 0
 		if next < 0 || len(changes.Records) > 0 {
-			apply(changes.Records, next < 0)
+			f.apply(changes.Records, next < 0)
 		}
 		next = changes.Next
-		sleep(ctx, pause)
+		if f.pause != nil {
+			f.pause(ctx)
+		}
 	}
 	return ctx.Err()
 }
 
+// errWoken means that a read was given up because another entry knows more.
+var errWoken = errors.New("read anew")
+
+// readUntilWoken reads a topic. A read that is woken was waiting on a connection
+// that may have gone silent.
+func (e *Entry) readUntilWoken(ctx context.Context, f following, next int64) (Changes, error) {
+	if f.wake == nil {
+		return e.readTopic(ctx, f.topic, next, f.wait())
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		select {
+		case <-f.wake:
+			cancel(errWoken)
+		case <-done:
+		}
+	}()
+	changes, err := e.readTopic(ctx, f.topic, next, f.wait())
+	if err != nil && errors.Is(context.Cause(ctx), errWoken) {
+		return changes, errWoken
+	}
+	return changes, err
+}
+
 func (e *Entry) readTopic(ctx context.Context, topic Topic, next int64, wait time.Duration) (Changes, error) {
 	if next < 0 {
 		return e.store.Newest(ctx, topic)
@@ -85,13 +126,26 @@
 }
 
 func (e *Entry) followConfiguration(ctx context.Context) error {
-	return e.follow(ctx, TopicConfiguration, configurationWait, 0, func(records []Record, _ bool) {
-		for _, r := range records {
-			e.applyConfiguration(r)
-		}
+	return e.follow(ctx, following{
+		topic: TopicConfiguration, wait: e.configurationWait, wake: e.newer,
+		apply: func(records []Record, _ bool) {
+			for _, r := range records {
+				e.applyConfiguration(r)
+			}
+		},
 	})
 }
 
+// configurationWait returns how long a read waits for a new configuration. A
+// connection that went silent is found when the wait ends, or when another entry
+// names a newer revision; only one that is heard of waits long.
+func (e *Entry) configurationWait() time.Duration {
+	if !e.watches() && e.hearsWatcher() {
+		return relaxedWait
+	}
+	return configurationWait
+}
+
 // applyConfiguration puts a newer configuration in force; an older one never replaces it.
 func (e *Entry) applyConfiguration(r Record) {
 	if r.Value == nil {
@@ -111,42 +165,35 @@
 		Int("routes", len(c.Document.Routes)).Int("teams", len(c.Document.Teams)).Msg("")
 }
 
+// followServers reads the servers' records often while this entry watches for
+// the others, while it hears of no watcher, or while it waits for a lost engine
+// to show life, and otherwise now and then.
 func (e *Entry) followServers(ctx context.Context) error {
-	known := map[string]Server{}
-	return e.follow(ctx, TopicServers, 0, serversInterval, func(records []Record, all bool) {
-		if all {
-			known = map[string]Server{}
-		}
-		for _, r := range records {
-			e.applyServer(known, r)
-		}
-		e.fleet.replace(time.Now(), maps.Clone(known))
+	return e.follow(ctx, following{
+		topic: TopicServers, wait: func() time.Duration { return 0 },
+		pause: func(ctx context.Context) {
+			e.directory.answered(time.Now())
+			for rested := time.Duration(0); rested < checkInterval && ctx.Err() == nil; rested += watchInterval {
+				sleep(ctx, watchInterval)
+				if e.watches() || !e.hearsWatcher() || e.fleet.hasLost() {
+					return
+				}
+			}
+		},
+		apply: e.directory.apply,
 	})
 }
 
-// applyServer takes a server's record. A record that is older than the known
-// one, or that cannot be read, changes nothing.
-func (e *Entry) applyServer(known map[string]Server, r Record) {
-	old, present := known[r.Key]
-	if r.Value == nil {
-		delete(known, r.Key)
-		if present {
-			logevent.Write(e.logger, logevent.ServerGone).Str("server", r.Key).Int64("beat", old.Beat).Msg("")
+// watches tells whether this entry reads the servers' records for the others.
+func (e *Entry) watches() bool { return e.term.Load() > 0 }
+
+// hearsWatcher tells whether another entry reads the servers' records often and
+// tells of changes.
+func (e *Entry) hearsWatcher() bool {
+	for _, m := range e.fleet.heard(time.Now()) {
+		if m.watchAge <= watchFresh {
+			return true
 		}
-		return
-	}
-	s, err := e.store.Server(r.Key, r.Value)
-	if err != nil {
-		logevent.Write(e.logger, logevent.ServerUnreadable).Str("server", r.Key).Str("cause", err.Error()).Msg("")
-		return
-	}
-	if present && (s.Born < old.Born || s.Born == old.Born && s.Beat < old.Beat) {
-		return
-	}
-	known[r.Key] = s
-	if !present || s.Born != old.Born || s.Leaving != old.Leaving || s.Holds != old.Holds || s.Address != old.Address {
-		logevent.Write(e.logger, logevent.ServerChanged).Str("server", s.ID).Str("service", s.Service).Str("zone", s.Zone).
-			Str("address", s.Address).Bool("leaving", s.Leaving).Int("first", s.Holds.First).Int("limit", s.Holds.Limit).
-			Int64("born", s.Born).Int64("beat", s.Beat).Msg("")
 	}
+	return false
 }
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -18,7 +18,7 @@
 	// usageInterval is how often entries tell each other what they have in progress.
 	usageInterval = 100 * time.Millisecond
 	// entriesWait is how long a read of the entries' records waits for a change.
-	entriesWait = 5 * time.Second
+	entriesWait = 20 * time.Second
 	// maxDatagram bounds a message.
 	maxDatagram = 60 << 10
 	// registerRetry is the pause after an entry could not write its record.
@@ -76,20 +76,24 @@
 }
 
 func (p *peers) followEntries(ctx context.Context) error {
-	return p.follow(ctx, TopicEntries, entriesWait, 0, func(records []Record, all bool) {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		if all {
-			p.addresses = map[string]netip.AddrPort{}
-		}
-		for _, r := range records {
-			p.applyEntry(r)
-		}
-		// This entry counts whether or not its own record has been written.
-		p.registered.Store(int64(len(p.addresses) + 1))
+	return p.follow(ctx, following{
+		topic: TopicEntries, wait: func() time.Duration { return entriesWait }, apply: p.applyEntries,
 	})
 }
 
+func (p *peers) applyEntries(records []Record, all bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if all {
+		p.addresses = map[string]netip.AddrPort{}
+	}
+	for _, r := range records {
+		p.applyEntry(r)
+	}
+	// This entry counts whether or not its own record has been written.
+	p.registered.Store(int64(len(p.addresses) + 1))
+}
+
 func (p *peers) applyEntry(r Record) {
 	if r.Value == nil {
 		delete(p.addresses, r.Key)
@@ -108,7 +112,7 @@
 func (p *peers) receive(ctx context.Context) error {
 	buffer := make([]byte, maxDatagram)
 	for {
-		n, err := p.conn.Read(buffer)
+		n, from, err := p.conn.ReadFromUDPAddrPort(buffer)
 		switch {
 		case ctx.Err() != nil:
 			return ctx.Err()
@@ -117,12 +121,38 @@
 			continue
 		}
 		// Datagrams that are no messages come from programs that are no entries.
-		if m, err := decodeUsage(buffer[:n]); err == nil {
-			p.fleet.observeOther(time.Now(), m)
+		if m, err := decodeMessage(buffer[:n]); err == nil {
+			p.hear(m, from)
+		}
+	}
+}
+
+// hear takes another entry's message.
+func (p *peers) hear(m message, from netip.AddrPort) {
+	p.learn(m.entry, from)
+	if !p.fleet.observeOther(time.Now(), m) {
+		return
+	}
+	p.directory.hear(m.changes)
+	if m.revision > p.Revision() {
+		select {
+		case p.newer <- struct{}{}:
+		default:
 		}
 	}
 }
 
+// learn keeps the address of an entry whose record was not read yet.
+func (p *peers) learn(entry string, from netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, known := p.addresses[entry]; known || entry == p.settings.Instance {
+		return
+	}
+	p.addresses[entry] = from
+	p.registered.Store(int64(len(p.addresses) + 1))
+}
+
 func (p *peers) send(ctx context.Context) error {
 	ticker := time.NewTicker(usageInterval)
 	defer ticker.Stop()
@@ -132,11 +162,20 @@
 			return ctx.Err()
 		case <-ticker.C:
 		}
-		m := usageMessage{
-			entry: p.settings.Instance, born: p.born, sequence: sequence, servers: p.fleet.ownUsage(time.Now()),
-		}
-		p.tell(m.encode())
+		p.tell(p.message(sequence).encode())
+	}
+}
+
+func (p *peers) message(sequence int64) message {
+	now := time.Now()
+	m := message{
+		entry: p.settings.Instance, born: p.born, sequence: sequence, revision: p.Revision(), term: p.term.Load(),
+		watchAge: noWatch, servers: p.fleet.ownUsage(now),
+	}
+	if p.watches() {
+		m.watchAge, m.changes = p.directory.age(now), p.directory.outgoing()
 	}
+	return m
 }
 
 // tell sends a message to all other entries. A message that does not go out is
--- a/relay/placer.go
+++ b/relay/placer.go
@@ -64,9 +64,11 @@
 	for ctx.Err() == nil {
 		next = p.stepLease(ctx, next)
 		if !p.machine.Holds(time.Now()) {
+			p.term.Store(0)
 			p.fleet.forgetSlowdowns()
 			continue
 		}
+		p.term.Store(p.machine.Term())
 		p.place(ctx)
 		p.survey(ctx)
 		sleep(ctx, placeInterval)
@@ -77,6 +79,10 @@
 // stepLease reads the topic unless the lease is held, and appends a claim when
 // one is due. It returns the offset to read from, or -1 to begin anew.
 func (p *placer) stepLease(ctx context.Context, next int64) int64 {
+	if p.hearsHolder() {
+		sleep(ctx, leaseInterval)
+		return next
+	}
 	if !p.machine.Holds(time.Now()) {
 		changes, err := p.readTopic(ctx, TopicLease, next, leaseWait)
 		if errors.Is(err, ErrExpired) {
@@ -96,6 +102,20 @@
 	return p.claim(ctx, claim, at, next)
 }
 
+// hearsHolder tells whether another entry says that it holds the lease. While it
+// does, the topic need not be read.
+func (p *placer) hearsHolder() bool {
+	if p.machine.Holds(time.Now()) {
+		return false
+	}
+	for _, m := range p.fleet.heard(time.Now()) {
+		if m.term > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func lastClaim(records []Record) *lease.Claim {
 	for i := len(records) - 1; i >= 0; i-- {
 		var claim lease.Claim
--- a/relay/usage_test.go
+++ b/relay/usage_test.go
@@ -10,9 +10,9 @@
 
 // Guards against a message that arrives with other figures than were sent, and
 // against a torn or foreign datagram that stops the process.
-func TestUsageMessageRoundTrip(t *testing.T) {
+func TestMessageRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := usageMessage{
+		m := message{
 			entry: rapid.StringMatching(`[a-z0-9-]{1,30}`).Draw(t, "entry"), born: rapid.Int64().Draw(t, "born"),
 			sequence: rapid.Int64().Draw(t, "sequence"), servers: map[uint64]usage{},
 		}
@@ -24,16 +24,29 @@
 				slowdown: float64(rapid.Float32Range(0, 100).Draw(t, "slowdown")),
 			}
 		}
+		m.revision, m.term = rapid.Int64().Draw(t, "revision"), rapid.Int64().Draw(t, "term")
+		m.watchAge = time.Duration(rapid.IntRange(0, 10000).Draw(t, "age")) * time.Millisecond
+		for range rapid.IntRange(0, 4).Draw(t, "changes") {
+			r := Record{Key: rapid.String().Draw(t, "key")}
+			if value := rapid.SliceOf(rapid.Byte()).Draw(t, "value"); len(value) > 0 {
+				r.Value = value
+			}
+			m.changes = append(m.changes, r)
+		}
 		text := m.encode()
-		got, err := decodeUsage(text)
+		got, err := decodeMessage(text)
 		assert.NilError(t, err)
 		assert.Equal(t, got.entry, m.entry)
+		assert.DeepEqual(t, []int64{got.born, got.sequence, got.revision, got.term}, []int64{m.born, m.sequence, m.revision, m.term})
+		assert.Equal(t, got.watchAge, m.watchAge)
+		assert.DeepEqual(t, got.changes, m.changes)
 		assert.Equal(t, len(got.servers), len(m.servers))
 		for hash, u := range m.servers {
 			assert.Equal(t, got.servers[hash], u)
 		}
-		_, _ = decodeUsage(text[:rapid.IntRange(0, len(text)).Draw(t, "cut")])
-		_, _ = decodeUsage(rapid.SliceOf(rapid.Byte()).Draw(t, "noise"))
+		_, err = decodeMessage(text[:rapid.IntRange(0, len(text)-1).Draw(t, "cut")])
+		assert.Assert(t, err != nil)
+		_, _ = decodeMessage(rapid.SliceOf(rapid.Byte()).Draw(t, "noise"))
 	})
 }
 
@@ -42,8 +55,8 @@
 func TestOthersForgetSilentEntries(t *testing.T) {
 	now := time.Unix(0, 0)
 	o := newOthers()
-	message := func(born, sequence int64, requests int) usageMessage {
-		return usageMessage{entry: "e", born: born, sequence: sequence, servers: map[uint64]usage{serverHash("s"): {requests: requests}}}
+	message := func(born, sequence int64, requests int) message {
+		return message{entry: "e", born: born, sequence: sequence, servers: map[uint64]usage{serverHash("s"): {requests: requests}}}
 	}
 	o.observe(now, message(1, 5, 7))
 	assert.Equal(t, o.of(now, "s").requests, 7)
