--- a/relay/directory_test.go
+++ b/relay/directory_test.go
@@ -162,8 +162,8 @@
 	store.silent = false
 	store.mu.Unlock()
 	p := &peers{Entry: e, addresses: map[string]netip.AddrPort{}}
-	p.hear(message{entry: "o", born: 1, sequence: 1, revision: 2, watchAge: noWatch}, netip.AddrPort{})
-	for e.Revision() < 2 {
+	for sequence := int64(1); e.Revision() < 2; sequence++ {
+		p.hear(message{entry: "o", born: 1, sequence: sequence, revision: 2, watchAge: noWatch}, netip.AddrPort{})
 		time.Sleep(time.Millisecond)
 	}
 	store.add(TopicConfiguration, "c", 1)
@@ -172,6 +172,17 @@
 	assert.Equal(t, e.Revision(), int64(2))
 }
 
+// Guards against a read that is ended again and again by entries that all name
+// the newer revision, and never returns it.
+func TestReadReturnsWhileOthersNameNewerRevision(t *testing.T) {
+	wake, done := make(chan struct{}, 1), make(chan struct{})
+	woken := make(chan bool, 1)
+	go func() { woken <- awaitWake(wake, done) }()
+	wake <- struct{}{}
+	close(done)
+	assert.Assert(t, !<-woken)
+}
+
 // Guards against two entries that place layers at once, and against none that does.
 func TestOneEntryHoldsTheLease(t *testing.T) {
 	store := newScriptedStore()
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -69,6 +69,33 @@
 // errWoken means that a read was given up because another entry knows more.
 var errWoken = errors.New("read anew")
 
+// fairTime is what a read gets before it can be woken. All entries name a newer
+// revision several times a second, and a read that is ended by each of them would
+// never return.
+const fairTime = 400 * time.Millisecond
+
+// awaitWake waits for a wake-up that comes after the fair time, or for the end of the read.
+func awaitWake(wake <-chan struct{}, done <-chan struct{}) bool {
+	timer := time.NewTimer(fairTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-done:
+		return false
+	}
+	// What was said during the fair time may be what the read is about to return.
+	select {
+	case <-wake:
+	default:
+	}
+	select {
+	case <-wake:
+		return true
+	case <-done:
+		return false
+	}
+}
+
 // readUntilWoken reads a topic. A read that is woken was waiting on a connection
 // that may have gone silent.
 func (e *Entry) readUntilWoken(ctx context.Context, f following, next int64) (Changes, error) {
@@ -80,10 +107,8 @@
 	done := make(chan struct{})
 	defer close(done)
 	go func() {
-		select {
-		case <-f.wake:
+		if awaitWake(f.wake, done) {
 			cancel(errWoken)
-		case <-done:
 		}
 	}()
 	changes, err := e.readTopic(ctx, f.topic, next, f.wait())
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -17,6 +17,10 @@
 const (
 	// usageInterval is how often entries tell each other what they have in progress.
 	usageInterval = 100 * time.Millisecond
+	// manyEntries is the number of entries from which on they do so less often, and
+	// maxUsageInterval the longest time between two messages.
+	manyEntries      = 10
+	maxUsageInterval = 300 * time.Millisecond
 	// entriesWait is how long a read of the entries' records waits for a change.
 	entriesWait = 20 * time.Second
 	// maxDatagram bounds a message.
@@ -154,16 +158,17 @@
 }
 
 func (p *peers) send(ctx context.Context) error {
-	ticker := time.NewTicker(usageInterval)
-	defer ticker.Stop()
-	for sequence := int64(1); ; sequence++ {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
+	for sequence := int64(1); ctx.Err() == nil; sequence++ {
+		sleep(ctx, messageInterval(int(p.registered.Load())))
 		p.tell(p.message(sequence).encode())
 	}
+	return ctx.Err()
+}
+
+// messageInterval keeps what an entry receives bounded while there are more
+// entries: each of them tells all others.
+func messageInterval(entries int) time.Duration {
+	return min(usageInterval*time.Duration(max(entries, manyEntries))/manyEntries, maxUsageInterval)
 }
 
 func (p *peers) message(sequence int64) message {
