--- a/placement/relaychains.go
+++ b/placement/relaychains.go
@@ -25,6 +25,10 @@
 	// MinRequests is the number of requests that a chain must hold at once to be
 	// worth its weights; 0 means the default.
 	MinRequests float64
+	// CrossingRate is the number of requests per second that a link between zones
+	// carries; 0 means no limit. RunTime is how long a request runs on the fastest
+	// hardware, in seconds.
+	CrossingRate, RunTime float64
 }
 
 // defaultMinRequests keeps chains few enough that their memory, not their
@@ -132,7 +136,7 @@
 				rest = append(rest, e)
 			}
 		}
-		if !p.holds(fast) {
+		if !p.holds(fast) || !p.worthCrossing(fast) {
 			return engines
 		}
 		chain, spare := p.takeNearest(fast)
@@ -142,6 +146,24 @@
 	return engines
 }
 
+// leastCrossing is the part of what a chain could serve that the links between
+// zones must carry for a chain across zones.
+const leastCrossing = 0.1
+
+// worthCrossing tells whether links between zones carry enough of what engines
+// could serve as one chain. Otherwise fast engines do more within their zones.
+func (p *relayPlan) worthCrossing(engines []RelayEngine) bool {
+	if p.opts.CrossingRate <= 0 || p.opts.RunTime <= 0 || len(zonesOf(engines)) == 1 {
+		return true
+	}
+	factor := 0.0
+	for _, e := range engines {
+		factor += e.StepFactor / float64(len(engines))
+	}
+	served := chainTokens(engines, p.model) / p.opts.RequestTokens / (p.opts.RunTime * factor)
+	return p.opts.CrossingRate >= leastCrossing*served
+}
+
 // takeNearest takes as few engines as make a chain, first those in the zones
 // where most memory is, so that few transfers cross zones.
 func (p *relayPlan) takeNearest(engines []RelayEngine) (chain, spare []RelayEngine) {
@@ -240,7 +262,7 @@
 // mixedChains makes chains across zones of engines that fill no chain in their
 // own. When there is no chain at all yet it accepts one that holds few requests.
 func (p *relayPlan) mixedChains(engines []RelayEngine) (rest []RelayEngine) {
-	for len(engines) > 0 && p.holds(engines) {
+	for len(engines) > 0 && p.holds(engines) && p.worthCrossing(engines) {
 		var chain []RelayEngine
 		chain, engines = p.takeNearest(engines)
 		p.chains = append(p.chains, chain)
--- a/placement/relaychains_test.go
+++ b/placement/relaychains_test.go
@@ -211,3 +211,39 @@
 		assert.Equal(t, len(Uncovered(engines, m.Layers)), 0)
 	})
 }
+
+// Guards against a chain across zones whose links carry a small part of what its
+// engines could serve, and that takes these engines from their zones.
+func TestThinLinksKeepChainsInZones(t *testing.T) {
+	m, opts := relayTestModel(), relayTestOptions
+	opts.RunTime = 0.146
+	zonesOfChain := func(rate float64) int {
+		opts.CrossingRate = rate
+		plan, err := PlanRelay(mixedFleet(), m, opts)
+		assert.NilError(t, err)
+		held := applyPlan(t, mixedFleet(), plan, m)
+		assert.Equal(t, len(Uncovered(held, m.Layers)), 0)
+		complete := 0
+		for _, zone := range []string{"a", "b", "c"} {
+			var local []RelayEngine
+			for _, e := range held {
+				if e.Zone == zone {
+					local = append(local, e)
+				}
+			}
+			if len(Uncovered(local, m.Layers)) == 0 {
+				complete++
+			}
+		}
+		fast := 0
+		for _, e := range held {
+			if e.StepFactor < 4 {
+				fast += e.Holds.Limit - e.Holds.First
+			}
+		}
+		assert.Equal(t, fast >= m.Layers, rate > 10)
+		return complete
+	}
+	assert.Equal(t, zonesOfChain(40), 3)
+	assert.Equal(t, zonesOfChain(8), 3)
+}
--- a/relay/placer.go
+++ b/relay/placer.go
@@ -167,7 +167,7 @@
 	if !holding && !p.hasSettled(now, len(engines)) {
 		return
 	}
-	orders, err := placement.RelayOrders(engines, p.timing(now, engines, model), placementModel(model), relayOptions(model))
+	orders, err := placement.RelayOrders(engines, p.timing(now, engines, rev, model), placementModel(model), rev.relayOptions(model))
 	if err != nil {
 		logevent.Write(p.logger, logevent.PlanNotMade).Str("model", name).Int("engines", len(engines)).Str("cause", err.Error()).Msg("")
 		sleep(ctx, leaseInterval)
@@ -187,8 +187,22 @@
 	_ = group.Wait() // orders report their own failures
 }
 
-func relayOptions(m *config.Model) placement.RelayOptions {
-	return placement.RelayOptions{RequestTokens: m.PromptTokens + m.AnswerTokens}
+// relayOptions says what a model's requests need, and what the thinnest link
+// between zones carries of them.
+func (rev *revision) relayOptions(m *config.Model) placement.RelayOptions {
+	o := placement.RelayOptions{
+		RequestTokens: m.PromptTokens + m.AnswerTokens, RunTime: m.AnswerTokens * m.StepTime.Seconds(),
+	}
+	passed := o.RequestTokens * float64(m.ActivationBytes)
+	for zones, l := range rev.links {
+		if zones[0] == zones[1] || l.BytesPerSecond <= 0 || passed <= 0 {
+			continue
+		}
+		if rate := l.BytesPerSecond / passed; o.CrossingRate == 0 || rate < o.CrossingRate {
+			o.CrossingRate = rate
+		}
+	}
+	return o
 }
 
 // loadTime is how long a load takes when a number of them run at once.
@@ -227,8 +241,8 @@
 const moveAfter = 3 * time.Second
 
 // timing says which orders may be given now. One move must be done before the next.
-func (p *placer) timing(now time.Time, engines []placement.RelayEngine, model *config.Model) placement.RelayTiming {
-	if !placement.AlmostLost(engines, placementModel(model), relayOptions(model)) {
+func (p *placer) timing(now time.Time, engines []placement.RelayEngine, rev *revision, model *config.Model) placement.RelayTiming {
+	if !placement.AlmostLost(engines, placementModel(model), rev.relayOptions(model)) {
 		p.shortSince = time.Time{}
 	} else if p.shortSince.IsZero() {
 		p.shortSince = now
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -20,8 +20,11 @@
 const (
 	// streamBuffer is read at once from an engine.
 	streamBuffer = 8 << 10
-	// noPathRetry is when a caller may come back while no path has room.
+	// noPathRetry is when a caller may come back after engines refused its request.
 	noPathRetry = 300 * time.Millisecond
+	// minRoomRetry and maxRoomRetry bound the time to come back while no path has room.
+	minRoomRetry = time.Second
+	maxRoomRetry = 4 * time.Second
 	// defaultAnswerTokens stands in when neither request nor configuration says a length.
 	defaultAnswerTokens = 200
 	// choosePatience is how long a stream that has begun waits for a path, and
@@ -31,6 +34,8 @@
 	// pause is how long a stream may stop before its engines are looked at.
 	// Events are 10 to 50 ms apart.
 	pause = 100 * time.Millisecond
+	// maxPause bounds the time between two looks at a stream that is merely slow.
+	maxPause = 400 * time.Millisecond
 	// maxSilence is how long a stream may stop in all. Callers leave after 2 s.
 	maxSilence = 1500 * time.Millisecond
 	// maxRefusals bounds the paths that are tried while none runs the request.
@@ -75,7 +80,7 @@
 	for {
 		hops, place, err := s.choose(ctx)
 		if err != nil {
-			s.giveUp("no path of engines has room", noPathRetry)
+			s.giveUp("no path of engines has room", s.roomRetry())
 			return
 		}
 		v, sent, err := s.start(ctx, hops, place)
@@ -98,6 +103,13 @@
 	}
 }
 
+// roomRetry is when a caller may come back while no path has room. Streams last
+// a few seconds and end one after another, so callers come back spread over such
+// a time; a caller that came back sooner would be refused again.
+func (s *streaming) roomRetry() time.Duration {
+	return minRoomRetry + time.Duration(s.fleet.point()*float64(maxRoomRetry-minRoomRetry))
+}
+
 // choose picks a path for what is left of the request. A stream that has begun
 // waits for one: its caller stays for a while, and what is done would be lost.
 func (s *streaming) choose(ctx context.Context) ([]pipeline.Hop, *reservation, error) {
@@ -182,11 +194,14 @@
 	// changes is the fleet's count of changes that the run has looked at.
 	changes  int64
 	reroutes int
+	// pause is how long the run may stop before its engines are looked at. It grows
+	// with each look that finds nothing, because each question has a price.
+	pause time.Duration
 }
 
 // start sends the request along a path and passes its events on.
 func (s *streaming) start(ctx context.Context, hops []pipeline.Hop, place *reservation) (v verdict, sent bool, err error) {
-	r := &run{streaming: s, hops: hops, place: place, changes: s.fleet.changes.Load()}
+	r := &run{streaming: s, hops: hops, place: place, changes: s.fleet.changes.Load(), pause: pause}
 	defer func() { r.place.release() }()
 	s.path = describe(hops)
 	head := hops[0]
@@ -234,17 +249,19 @@
 // await waits for bytes of the answer. While none come it finds out which engine
 // the work waits for, and changes the path around engines that are lost.
 func (r *run) await(ctx context.Context) error {
-	for waited := time.Duration(0); waited < maxSilence; waited += pause {
+	for waited := time.Duration(0); waited < maxSilence; {
 		if err := r.checkPath(ctx); err != nil {
 			return err
 		}
-		err := r.x.await(pause)
+		err := r.x.await(r.pause)
 		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return err
 		}
+		waited += r.pause
 		if err := r.findStalled(ctx); err != nil {
 			return err
 		}
+		r.pause = min(2*r.pause, maxPause)
 	}
 	return errSilent
 }
