placement: neighbours complete a zone that lacks a few layers

Change: the engines before and after a gap in a zone take its layers when they keep room for 24 requests, and go on serving meanwhile; an engine that comes empty looks at what its own zone lacks; an engine counts as gone after 0.6 s.

--- a/placement/relaychains.go
+++ b/placement/relaychains.go
@@ -341,17 +341,21 @@
 
 // FillRelay chooses the range for an engine that holds nothing: as many layers
 // as leave it the tokens that the other engines hold, where they can hold the
-// fewest tokens. An engine that restarted empty so takes the range that it left,
-// and a new engine relieves the tightest layers.
+// fewest tokens, in the engine's zone and in all. An engine that restarted empty
+// so takes the range that it left, and a new engine relieves the tightest layers.
 func FillRelay(empty RelayEngine, others []RelayEngine, m Model, opts RelayOptions) (Range, bool) {
-	held := copies(others, m, opts)
+	held, local := copies(others, m, opts), copies(inZone(others, empty.Zone), m, opts)
+	for l := range local {
+		// In a zone it matters whether a layer is there; further copies serve all zones.
+		local[l] = math.Min(local[l], 1)
+	}
 	n := layersForTokens(empty.MemoryBytes, m, opts.minTokens())
 	if n == 0 {
 		return Range{}, false
 	}
 	first, least := 0, math.Inf(1)
 	for at := 0; at+n <= m.Layers; at++ {
-		if need := windowNeed(held[at : at+n]); need < least {
+		if need := windowNeed(held[at:at+n]) + windowNeed(local[at:at+n]); need < least {
 			first, least = at, need
 		}
 	}
@@ -359,6 +363,15 @@
 	return stretch(r, held, layersForTokens(empty.MemoryBytes, m, enoughPart*opts.minTokens())), true
 }
 
+func inZone(engines []RelayEngine, zone string) (local []RelayEngine) {
+	for _, e := range engines {
+		if e.Zone == zone {
+			local = append(local, e)
+		}
+	}
+	return local
+}
+
 // stretch adds neighbouring layers that are short while an engine has memory
 // for them, so that no single layer is left for another engine to load.
 func stretch(r Range, held []float64, most int) Range {
--- a/placement/relayorders.go
+++ b/placement/relayorders.go
@@ -20,7 +20,8 @@
 // An engine that comes empty later, because it is new or has restarted, takes
 // what the others lack most, so that nothing that serves has to move; while
 // nothing is short it may wait, because in a release the engine that it replaces
-// leaves shortly after. When layers are almost lost and no engine is empty, the
+// leaves shortly after. Layers that a zone has lost are added to their neighbours
+// there, which go on serving meanwhile. When layers are almost lost and no engine is empty, the
 // engine that can best be spared moves to them. A move is the last resort: the
 // engine serves neither range until what passes through it has ended and the
 // new layers are loaded, and paths lead around layers that are merely short.
@@ -52,6 +53,9 @@
 		e.Holds = r
 		holding = append(holding, e)
 	}
+	if len(orders) == 0 {
+		orders = extensions(holding, m, opts)
+	}
 	if len(orders) > 0 || !when.MayMove {
 		return orders, nil
 	}
@@ -176,3 +180,87 @@
 	slices.Sort(sorted)
 	return sorted[len(sorted)/2]
 }
+
+const (
+	// mostMissing is the part of the layers that a zone may lack and still be
+	// completed by its other engines.
+	mostMissing = 0.25
+	// leastExtended is the number of requests that an engine must still hold when
+	// it takes further layers.
+	leastExtended = 24.0
+)
+
+// extensions completes zones that lack a few layers: engines that hold the layers
+// before and after a gap share it. A path that leaves the zone for the missing
+// layers crosses two links.
+func extensions(holding []RelayEngine, m Model, opts RelayOptions) (orders []RelayAssignment) {
+	for _, zone := range zonesOf(holding) {
+		local := inZone(holding, zone)
+		gaps := Uncovered(local, m.Layers)
+		missing := 0
+		for _, g := range gaps {
+			missing += g.Limit - g.First
+		}
+		if float64(missing) > mostMissing*float64(m.Layers) {
+			continue
+		}
+		for _, g := range gaps {
+			orders = append(orders, extend(local, g, m, opts)...)
+		}
+	}
+	return onePerEngine(orders)
+}
+
+// extend divides a gap between an engine that ends before it and one that begins
+// after it, so that the tighter of the two holds as many tokens as possible.
+func extend(local []RelayEngine, gap Range, m Model, opts RelayOptions) []RelayAssignment {
+	best, bestTokens := []RelayAssignment(nil), leastExtended*opts.RequestTokens
+	for cut := gap.First; cut <= gap.Limit; cut++ {
+		before, tokensBefore := roomiest(local, m, func(e RelayEngine) (Range, bool) {
+			return Range{e.Holds.First, cut}, e.Holds.Limit == gap.First
+		})
+		after, tokensAfter := roomiest(local, m, func(e RelayEngine) (Range, bool) {
+			return Range{cut, e.Holds.Limit}, e.Holds.First == gap.Limit
+		})
+		var orders []RelayAssignment
+		tokens := math.Inf(1)
+		if cut > gap.First {
+			orders, tokens = append(orders, before), math.Min(tokens, tokensBefore)
+		}
+		if cut < gap.Limit {
+			orders, tokens = append(orders, after), math.Min(tokens, tokensAfter)
+		}
+		if tokens > bestTokens {
+			best, bestTokens = orders, tokens
+		}
+	}
+	return best
+}
+
+// roomiest returns the engine that holds the most tokens with the range that is
+// offered to it.
+func roomiest(engines []RelayEngine, m Model, offer func(RelayEngine) (Range, bool)) (RelayAssignment, float64) {
+	best, most := RelayAssignment{}, math.Inf(-1)
+	for _, e := range engines {
+		r, ok := offer(e)
+		if !ok {
+			continue
+		}
+		if tokens := TokenCapacity(e.MemoryBytes, r.Limit-r.First, m); tokens > most {
+			best, most = RelayAssignment{e.Name, r}, tokens
+		}
+	}
+	return best, most
+}
+
+// onePerEngine keeps the first order of each engine.
+func onePerEngine(orders []RelayAssignment) (kept []RelayAssignment) {
+	seen := map[string]bool{}
+	for _, o := range orders {
+		if !seen[o.Engine] {
+			seen[o.Engine] = true
+			kept = append(kept, o)
+		}
+	}
+	return kept
+}
--- a/relay/placer.go
+++ b/relay/placer.go
@@ -277,7 +277,8 @@
 }
 
 // lostForGood is how long an engine must be lost before others take its layers.
-const lostForGood = 3 * time.Second
+// An engine that is back by then has lost them anyway, unless it merely paused.
+const lostForGood = 600 * time.Millisecond
 
 // hasSettled tells whether the number of engines has stayed the same for longer
 // than they take to register, so that the first plan covers all of them.
