--- a/relay/stream.go
+++ b/relay/stream.go
@@ -160,6 +160,10 @@
 
 // giveUp ends a request that no path serves.
 func (s *streaming) giveUp(detail string, after time.Duration) {
+	if s.r.Context().Err() != nil {
+		s.outcome, s.detail = outcomeCallerGone, detail
+		return
+	}
 	if s.begun {
 		s.breakOff(detail)
 	}
