--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -21,6 +21,7 @@
 	SidecarDisconnected Event = 2006
 	ListDistrusted      Event = 2007
 	RelayFinished       Event = 2008
+	StallAsked          Event = 2016
 	StreamRerouted      Event = 2015
 	StreamRepaired      Event = 2009
 	ServerChanged       Event = 2010
@@ -72,6 +73,7 @@
 	{ListDistrusted, log.WarnLevel, "instance list distrusted", "Check the platform's instance list; the last good list stays in use."},
 	{RelayFinished, log.InfoLevel, "passed request finished", ""},
 	{StreamRepaired, log.WarnLevel, "stream goes on along another path", "Check the engines that the line names if they do not return."},
+	{StallAsked, log.DebugLevel, "engine asked what its work waits for", ""},
 	{StreamRerouted, log.InfoLevel, "stream's path changed", ""},
 	{ServerChanged, log.InfoLevel, "backend server changed", ""},
 	{ServerGone, log.InfoLevel, "backend server's record is gone", ""},
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -69,7 +69,7 @@
 	seeds := &seeds{random: o.Random}
 	e := &Entry{
 		settings: o.Settings, store: o.Store, engines: o.Engines, wire: o.Wire, logger: o.Logger,
-		logGate: newLogGate(), counters: newCounters(o.Metrics), fleet: newFleet(seeds.next()), pool: newPool(), stalls: newStalls(o.Engines),
+		logGate: newLogGate(), counters: newCounters(o.Metrics), fleet: newFleet(seeds.next()), pool: newPool(), stalls: newStalls(o.Engines, o.Logger),
 		backoff: func() *retry.Backoff { return retry.NewBackoff(storeRetryBase, storeRetryLimit, seeds.next()) },
 		inForce: make(chan struct{}), budgets: map[string]*lockedBudget{}, running: newInProgress(),
 		newer: make(chan struct{}, 1),
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -197,8 +197,15 @@
 	UsedTokens, TotalTokens float64
 	// Slowdown is the measured time of a step divided by the expected one.
 	Slowdown float64
-	// Stalled are the engines for which work on this engine waits.
-	Stalled []string
+	// Stalled are the requests that began at this engine and wait for another one.
+	Stalled []Stall
+}
+
+// Stall is a request that waits for an engine on its path.
+type Stall struct {
+	Request string
+	// Address is that of the engine for which the request waits.
+	Address string
 }
 
 // OrderOutcome says what became of an order.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -51,7 +51,7 @@
 // testEngines answers reports from a script and counts reroutes.
 type testEngines struct {
 	mu       sync.Mutex
-	stalled  []string
+	stalled  []Stall
 	rerouted [][]pipeline.Hop
 	onRoute  func()
 }
@@ -467,15 +467,19 @@
 	})
 	e := newTestEntry(t, streamRoute(true), head)
 	servers := map[string]Server{}
+	dead := "127.0.0.1:1"
 	for id, layers := range map[string]placement.Range{"head": {First: 0, Limit: 4}, "dead": {First: 4, Limit: 8}, "spare": {First: 4, Limit: 8}} {
 		servers[id] = Server{
 			Instance: membership.Instance{ID: id, Service: "llm", Zone: "a", Address: head.address()},
 			Slots:    10, Accelerator: "gpu", Holds: layers,
 		}
 	}
+	lost := servers["dead"]
+	lost.Address = dead
+	servers["dead"] = lost
 	e.fleet.replace(time.Now(), servers)
 	e.fleet.reserve(map[string]usage{"spare": {requests: 5, tokens: 1e6}})
-	e.engines.stalled = []string{"dead"}
+	e.engines.stalled = []Stall{{Request: "id-1", Address: dead}}
 	e.engines.onRoute = func() { close(goOn) }
 	_, body, err := e.ask(t, http.MethodPost)
 	assert.NilError(t, err)
--- a/relay/stalls.go
+++ b/relay/stalls.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/pkg/errors"
+
+	"github.com/sapphirefield/sapphirefield/logevent"
 )
 
 const (
@@ -26,6 +30,7 @@
 // stalls asks engines which other engines their work waits for.
 type stalls struct {
 	engines Engines
+	logger  *log.Logger
 	mu      sync.Mutex
 	byHead  map[string]*stallAnswer
 }
@@ -34,15 +39,15 @@
 type stallAnswer struct {
 	at      time.Time
 	done    chan struct{}
-	stalled []string
+	stalled []string // addresses, each once
 	err     error
 }
 
-func newStalls(engines Engines) *stalls {
-	return &stalls{engines: engines, byHead: map[string]*stallAnswer{}}
+func newStalls(engines Engines, logger *log.Logger) *stalls {
+	return &stalls{engines: engines, logger: logger, byHead: map[string]*stallAnswer{}}
 }
 
-// ask returns the engines for which work that begins at an address waits. Calls
+// ask returns the addresses of engines for which work that begins at an address waits. Calls
 // for the same address share one question.
 func (s *stalls) ask(ctx context.Context, address string) ([]string, error) {
 	s.mu.Lock()
@@ -67,11 +72,23 @@
 	ctx, cancel := context.WithTimeout(context.Background(), stallTimeout)
 	defer cancel()
 	report, err := s.engines.Report(ctx, address)
-	a.stalled, a.err = report.Stalled, err
+	a.stalled, a.err = stalledAddresses(report), err
 	if err != nil && time.Since(a.at) > stallTimeout+ownDelay {
 		a.err = errInconclusive
 	}
 	close(a.done)
+	logevent.Write(s.logger, logevent.StallAsked).Str("address", address).Strs("stalled", a.stalled).
+		Dur("took_ms", time.Since(a.at)).AnErr("cause", a.err).Msg("")
+}
+
+// stalledAddresses returns the engines that requests wait for.
+func stalledAddresses(report Report) (addresses []string) {
+	for _, s := range report.Stalled {
+		if !slices.Contains(addresses, s.Address) {
+			addresses = append(addresses, s.Address)
+		}
+	}
+	return addresses
 }
 
 func isClosed(done chan struct{}) bool {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -280,8 +280,10 @@
 		r.distrust(r.hops[0].Engine)
 		return errPathLost
 	}
-	for _, id := range stalled {
-		r.fleet.lose(time.Now(), id)
+	for _, address := range stalled {
+		if server, known := r.fleet.byAddress(address); known {
+			r.fleet.lose(time.Now(), server.ID)
+		}
 	}
 	return nil
 }
--- a/relay/survey.go
+++ b/relay/survey.go
@@ -53,5 +53,5 @@
 	logevent.Write(p.logger, logevent.EngineReported).Str("server", s.ID).Int("first", report.Holds.First).
 		Int("limit", report.Holds.Limit).Bool("busy", report.Busy).Int("waiting", report.Waiting).Int("running", report.Running).
 		Float64("used", report.UsedTokens).Float64("total", report.TotalTokens).Float64("slowdown", report.Slowdown).
-		Strs("stalled", report.Stalled).Msg("")
+		Strs("stalled", stalledAddresses(report)).Msg("")
 }
