lease, relay: hand the lease over sooner; take silence in the survey as a loss

Change: a claim is renewed every second and lapses after 3.5 s; when the holder itself says for 0.7 s that it no longer acts, another takes over at once.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -28,7 +28,7 @@
 
 // DefaultOptions returns the options in use.
 func DefaultOptions() Options {
-	return Options{Renew: 2 * time.Second, Lapse: 5 * time.Second, Hold: 4 * time.Second}
+	return Options{Renew: time.Second, Lapse: 3500 * time.Millisecond, Hold: 2500 * time.Millisecond}
 }
 
 // Machine is one process's part in a lease. Times must come from a clock that
@@ -78,6 +78,17 @@
 	return Claim{}, 0, false
 }
 
+// Released takes the word of the holder itself that it no longer acts, because it
+// could not renew its claim. Others need not wait then.
+func (m *Machine) Released(holder string) {
+	if holder == m.claim.Holder && holder != m.self {
+		m.claim.Holder = ""
+	}
+}
+
+// Holder returns the process that the last claim names.
+func (m *Machine) Holder() string { return m.claim.Holder }
+
 // Appended takes the acceptance of a claim whose append began at a time.
 func (m *Machine) Appended(began time.Time, claim Claim, next int64) {
 	m.claim, m.next, m.renewed, m.seen = claim, next, began, began
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -100,3 +100,19 @@
 	assert.Equal(t, claim.Term, int64(2))
 	assert.Assert(t, !again.Holds(now))
 }
+
+// Guards against a lease that nobody holds for as long as its holder is known
+// to be unable to renew it, and against a release in another's name.
+func TestReleasedLeaseIsTakenAtOnce(t *testing.T) {
+	now := time.Unix(100, 0)
+	m := New("b", DefaultOptions())
+	m.Observe(now, 1, &Claim{Holder: "a", Term: 1})
+	m.Released("c")
+	_, _, due := m.Due(now)
+	assert.Assert(t, !due)
+	m.Released("a")
+	claim, at, due := m.Due(now)
+	assert.Assert(t, due)
+	assert.Equal(t, claim, Claim{Holder: "b", Term: 2})
+	assert.Equal(t, at, int64(1))
+}
--- a/relay/placer.go
+++ b/relay/placer.go
@@ -20,7 +20,7 @@
 	// leaseInterval is how often the lease is looked at.
 	leaseInterval = 500 * time.Millisecond
 	// leaseWait is how long a read of the lease waits for a change.
-	leaseWait = 2 * time.Second
+	leaseWait = 500 * time.Millisecond
 	// settleLimit bounds the wait for all engines to appear before the first plan.
 	settleLimit = 4 * time.Second
 	// concurrentOrders is the number of orders given at once.
@@ -42,6 +42,9 @@
 	settled, first time.Time
 	// emptySince is when an engine was first seen without layers.
 	emptySince map[string]time.Time
+	// releasing is the holder that says that it no longer acts, since a time.
+	releasing      string
+	releasingSince time.Time
 	// surveyed is when the engines were last asked for their state.
 	surveyed time.Time
 	// shortSince is since when some layers are almost lost.
@@ -94,6 +97,7 @@
 		}
 		next = changes.Next
 		p.machine.Observe(time.Now(), next, lastClaim(changes.Records))
+		p.observeRelease(time.Now())
 	}
 	claim, at, due := p.machine.Due(time.Now())
 	if !due {
@@ -102,6 +106,27 @@
 	return p.claim(ctx, claim, at, next)
 }
 
+// releaseAfter is how long the holder must say that it no longer acts before it
+// is believed. A message may be older than the claim.
+const releaseAfter = 700 * time.Millisecond
+
+// observeRelease looks whether the holder itself says that it no longer acts.
+func (p *placer) observeRelease(now time.Time) {
+	for _, m := range p.fleet.heard(now) {
+		if m.entry != p.machine.Holder() || m.term > 0 {
+			continue
+		}
+		if p.releasing != m.entry {
+			p.releasing, p.releasingSince = m.entry, now
+		} else if now.Sub(p.releasingSince) >= releaseAfter {
+			p.machine.Released(m.entry)
+			p.releasing = ""
+		}
+		return
+	}
+	p.releasing = ""
+}
+
 // hearsHolder tells whether another entry says that it holds the lease. While it
 // does, the topic need not be read.
 func (p *placer) hearsHolder() bool {
--- a/relay/survey.go
+++ b/relay/survey.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -31,27 +32,55 @@
 	}
 	group := errgroup.Group{}
 	group.SetLimit(concurrentReports)
+	var silent silentEngines
+	asked := 0
 	for id, s := range p.fleet.snapshot() {
 		if rev.models[s.Service] == nil || p.fleet.lostFor(now, id) > 0 {
 			continue
 		}
+		asked++
 		group.Go(func() error {
-			p.surveyOne(ctx, s)
+			if !p.surveyOne(ctx, s) {
+				silent.add(id)
+			}
 			return nil
 		})
 	}
 	_ = group.Wait() // reports log their own failures
+	if ctx.Err() == nil && float64(len(silent.ids)) <= mostSilent*float64(asked) {
+		for _, id := range silent.ids {
+			p.fleet.lose(time.Now(), id)
+		}
+	}
+}
+
+// mostSilent is the part of the engines up to which silence is taken as theirs.
+// When more are silent at once, this entry is more likely cut off itself.
+const mostSilent = 0.25
+
+// silentEngines collects engines from several goroutines.
+type silentEngines struct {
+	mu  sync.Mutex
+	ids []string
+}
+
+func (s *silentEngines) add(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ids = append(s.ids, id)
 }
 
-func (p *placer) surveyOne(ctx context.Context, s Server) {
+// surveyOne asks one engine and tells whether it answered.
+func (p *placer) surveyOne(ctx context.Context, s Server) bool {
 	report, err := p.engines.Report(ctx, s.Address)
 	if err != nil {
 		logevent.Write(p.logger, logevent.ReportMissing).Str("server", s.ID).Str("cause", err.Error()).Msg("")
-		return
+		return false
 	}
 	p.fleet.setSlowdown(s.ID, report.Slowdown)
 	logevent.Write(p.logger, logevent.EngineReported).Str("server", s.ID).Int("first", report.Holds.First).
 		Int("limit", report.Holds.Limit).Bool("busy", report.Busy).Int("waiting", report.Waiting).Int("running", report.Running).
 		Float64("used", report.UsedTokens).Float64("total", report.TotalTokens).Float64("slowdown", report.Slowdown).
 		Strs("stalled", stalledAddresses(report)).Msg("")
+	return true
 }
