--- a/decisions_test.go
+++ b/decisions_test.go
@@ -24,7 +24,7 @@
 // sessions, fuzzing and experiments in virtual time rest on it.
 func TestDecisionsArePure(t *testing.T) {
 	decisions := []string{
-		"admission", "attempt", "burn", "claim", "configlog", "membership", "order", "pipeline", "placement", "planner", "retry",
+		"admission", "attempt", "burn", "claim", "configlog", "eventstream", "lease", "membership", "order", "pipeline", "placement", "planner", "retry",
 	}
 	for _, dir := range decisions {
 		files, err := filepath.Glob(dir + "/*.go")
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -27,57 +27,6 @@
 	return options
 }
 
-// revision is a configuration with its tables.
-type revision struct {
-	Configuration
-	routes       *config.RouteTable
-	keys         *config.KeyTable
-	models       map[string]*config.Model
-	accelerators map[string]*config.Accelerator
-	finders      map[string]*pipeline.Pathfinder
-	// links are keyed by the zones that they join.
-	links map[[2]string]pipeline.RelayLink
-}
-
-func newRevision(c Configuration) *revision {
-	r := &revision{
-		Configuration: c,
-		routes:        config.NewRouteTable(c.Document),
-		keys:          config.NewKeyTable(c.Document),
-		models:        map[string]*config.Model{},
-		accelerators:  map[string]*config.Accelerator{},
-		finders:       map[string]*pipeline.Pathfinder{},
-	}
-	for i := range c.Document.Accelerators {
-		r.accelerators[c.Document.Accelerators[i].Kind] = &c.Document.Accelerators[i]
-	}
-	r.links = map[[2]string]pipeline.RelayLink{}
-	for _, l := range c.Document.Links {
-		r.links[[2]string{l.From, l.To}] = pipeline.RelayLink{Latency: l.Latency, BytesPerSecond: l.BytesPerSecond}
-	}
-	for i := range c.Document.Models {
-		m := &c.Document.Models[i]
-		r.models[m.Name] = m
-		r.finders[m.Name] = pipeline.NewPathfinder(relayModel(m))
-	}
-	return r
-}
-
-func relayModel(m *config.Model) pipeline.RelayModel {
-	return pipeline.RelayModel{
-		Layers: m.Layers, ActivationBytes: m.ActivationBytes,
-		StepTime: m.StepTime, RequestStepTime: m.RequestStepTime, ContextStepTime: m.ContextStepTime,
-		PromptTokensPerSecond: m.PromptTokensPerSecond,
-	}
-}
-
-func placementModel(m *config.Model) placement.Model {
-	return placement.Model{
-		Layers: m.Layers, BytesPerLayer: m.BytesPerLayer, ActivationBytes: m.ActivationBytes,
-		KVBytesPerTokenLayer: m.KVBytesPerTokenLayer,
-	}
-}
-
 // departure is the mark of a server that leaves.
 type departure struct {
 	at time.Time
--- a/relay/front.go
+++ b/relay/front.go
@@ -97,7 +97,7 @@
 	}
 	q.deadline = q.started.Add(q.route.Budget(q.call.Budget))
 	q.target = q.route.Pick(q.fleet.point())
-	return q.readBody(rev.Limits.BodyBytes)
+	return q.readBody(rev.MaxBodyBytes)
 }
 
 // noConfigurationRetry is about the time that a new process takes to read the configuration.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -21,40 +21,29 @@
 
 // Settings are the checked settings of one entry.
 type Settings struct {
-	Instance, Zone, Region string
+	Instance, Zone string
 	// Callers takes requests, Ready answers the load balancer, Metrics serves
 	// metrics to operators.
 	Callers, Ready, Metrics netip.AddrPort
 	// Peers takes datagrams of other entries.
 	Peers netip.AddrPort
-	// MemoryBytes bounds the process.
-	MemoryBytes int64
 	// Heartbeat is the interval at which servers renew their records.
 	Heartbeat time.Duration
 	// Grace is the time between the request to stop and the end by force.
 	Grace time.Duration
-	// Stall is how long engines wait for a dead engine on their path.
-	Stall time.Duration
 	// RetryRatio and RetryExtra bound the repeats of all entries in RetryWindow:
 	// the ratio to a service's requests, and a number on top.
 	RetryRatio, RetryExtra float64
 	RetryWindow            time.Duration
 }
 
-// CallerLimits bound what callers send and how long they may take.
-type CallerLimits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
-}
-
 // Configuration is one revision of what operators configure.
 type Configuration struct {
 	// Revision grows with each change, in uneven steps.
 	Revision int64
 	Document *config.Document
-	Limits   CallerLimits
+	// MaxBodyBytes bounds the body of a caller's request; 0 means no bound.
+	MaxBodyBytes int64
 }
 
 // Server is a backend server as its record in the store describes it.
@@ -108,15 +97,10 @@
 	ID string
 	// NotRun is the server's promise that it has not run the request and never will.
 	NotRun bool
-	// Instance is the server that answered, if it says so.
-	Instance string
 	// Culprit is the address of the engine on the path that is at fault.
 	Culprit string
 	// Signed tells whether the answer carries a server's signature.
 	Signed bool
-	// Running, Waiting and Slots are the server's load when HasLoad is set.
-	Running, Waiting, Slots int
-	HasLoad                 bool
 }
 
 // Wire translates headers between the platform and the product.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
-	"os"
-	"slices"
 	"strings"
 	"time"
 
@@ -13,15 +10,14 @@
 
 	"github.com/sapphirefield/sapphirefield/eventstream"
 	"github.com/sapphirefield/sapphirefield/logevent"
-	"github.com/sapphirefield/sapphirefield/membership"
 	"github.com/sapphirefield/sapphirefield/pipeline"
 )
 
 const (
-	// streamBuffer is read at once from an engine.
-	streamBuffer = 8 << 10
 	// noPathRetry is when a caller may come back after engines refused its request.
 	noPathRetry = 300 * time.Millisecond
+	// maxRefusals bounds the paths that are tried while none runs the request.
+	maxRefusals = 3
 	// minRoomRetry and maxRoomRetry bound the time to come back while no path has room.
 	minRoomRetry = time.Second
 	maxRoomRetry = 4 * time.Second
@@ -31,26 +27,6 @@
 	// choosePause the time between two looks.
 	choosePatience = time.Second
 	choosePause    = 50 * time.Millisecond
-	// pause is how long a stream may stop before its engines are looked at.
-	// Events are 10 to 50 ms apart.
-	pause = 100 * time.Millisecond
-	// maxPause bounds the time between two looks at a stream that is merely slow.
-	maxPause = 400 * time.Millisecond
-	// maxSilence is how long a stream may stop in all. Callers leave after 2 s.
-	maxSilence = 1500 * time.Millisecond
-	// maxRefusals bounds the paths that are tried while none runs the request.
-	maxRefusals = 3
-	// rerouteTimeout bounds the order that changes the path of a stream.
-	rerouteTimeout = 300 * time.Millisecond
-	// maxReroutes bounds how often one run changes its path.
-	maxReroutes = 6
-)
-
-var (
-	// errSilent means that events stopped without a known cause.
-	errSilent = errors.New("events stopped")
-	// errPathLost means that an engine of the path is lost or leaves.
-	errPathLost = errors.New("an engine of the path is lost")
 )
 
 // streaming is the state of one stream over all its runs.
@@ -188,169 +164,6 @@
 	panic(http.ErrAbortHandler)
 }
 
-// run is one run of a stream along a path.
-type run struct {
-	*streaming
-	x    *exchange
-	hops []pipeline.Hop
-	// place is what the run holds of the engines' memory.
-	place *reservation
-	// changes is the fleet's count of changes that the run has looked at.
-	changes  int64
-	reroutes int
-	// pause is how long the run may stop before its engines are looked at. It grows
-	// with each look that finds nothing, because each question has a price.
-	pause time.Duration
-}
-
-// start sends the request along a path and passes its events on.
-func (s *streaming) start(ctx context.Context, hops []pipeline.Hop, place *reservation) (v verdict, sent bool, err error) {
-	r := &run{streaming: s, hops: hops, place: place, changes: s.fleet.changes.Load(), pause: pause}
-	defer func() { r.place.release() }()
-	s.path = describe(hops)
-	head := hops[0]
-	r.x, err = s.pool.open(ctx, head.Address, s.outbound(Send{Instance: head.Engine, Path: hops, LastEvent: s.last}))
-	if errors.Is(err, errNotSent) {
-		s.distrust(head.Engine)
-		return notRun, false, err
-	}
-	s.attempts++
-	if err == nil {
-		err = r.awaitHeader(ctx)
-	}
-	if err != nil {
-		return r.broken(ctx, err)
-	}
-	if r.x.answer.NotRun {
-		s.drop(r.x)
-		s.blame(r.x, head)
-		return notRun, true, errors.Errorf("engine answered %d for %q", r.x.response.StatusCode, r.x.answer.Culprit)
-	}
-	if r.x.response.StatusCode != http.StatusOK {
-		return s.passFailure(r.x)
-	}
-	return r.copy(ctx)
-}
-
-func (r *run) awaitHeader(ctx context.Context) error {
-	if err := r.await(ctx); err != nil {
-		return err
-	}
-	return r.x.header(r.wire)
-}
-
-// broken ends a run without a whole answer.
-func (r *run) broken(ctx context.Context, err error) (verdict, bool, error) {
-	if r.x != nil {
-		r.x.abandon()
-	}
-	if ctx.Err() == nil && !errors.Is(err, errPathLost) {
-		r.avoid[r.hops[0].Engine] = true
-	}
-	return mayHaveRun, true, errors.Wrap(err, "stream broke off")
-}
-
-// await waits for bytes of the answer. While none come it finds out which engine
-// the work waits for, and changes the path around engines that are lost.
-func (r *run) await(ctx context.Context) error {
-	for waited := time.Duration(0); waited < maxSilence; {
-		if err := r.checkPath(ctx); err != nil {
-			return err
-		}
-		err := r.x.await(r.pause)
-		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
-			return err
-		}
-		waited += r.pause
-		if err := r.findStalled(ctx); err != nil {
-			return err
-		}
-		r.pause = min(2*r.pause, maxPause)
-	}
-	return errSilent
-}
-
-// findStalled asks the first engine for the engines that it waits for.
-func (r *run) findStalled(ctx context.Context) error {
-	stalled, err := r.stalls.ask(ctx, r.hops[0].Address)
-	if errors.Is(err, errInconclusive) || ctx.Err() != nil {
-		return nil
-	}
-	if err != nil {
-		r.distrust(r.hops[0].Engine)
-		return errPathLost
-	}
-	for _, address := range stalled {
-		if server, known := r.fleet.byAddress(address); known {
-			r.fleet.lose(time.Now(), server.ID)
-		}
-	}
-	return nil
-}
-
-// checkPath changes the path when an engine of it is lost or leaves. The first
-// engine cannot be replaced within a run: when it is lost the run ends, and while
-// it leaves the run goes on.
-func (r *run) checkPath(ctx context.Context) error {
-	changes := r.fleet.changes.Load()
-	if changes == r.changes {
-		return nil
-	}
-	r.changes = changes
-	lost, leaving := r.fleet.unusable(r.hops)
-	for _, id := range append(lost, leaving...) {
-		r.avoid[id] = true
-	}
-	switch head := r.hops[0].Engine; {
-	case slices.Contains(lost, head):
-		return errPathLost
-	case len(lost) > 0:
-		return r.reroute(ctx)
-	case slices.ContainsFunc(leaving, func(id string) bool { return id != head }):
-		// A path that cannot be changed goes on until the engine is gone.
-		_ = r.reroute(ctx)
-	}
-	return nil
-}
-
-// reroute replaces the parts of the path after the first one.
-func (r *run) reroute(ctx context.Context) error {
-	if r.reroutes++; r.reroutes > maxReroutes {
-		return errPathLost
-	}
-	need := r.need()
-	need.Begin, need.Begun = &r.hops[0], true
-	hops, place, err := r.fleet.choosePath(time.Now(), r.revision, r.target, need)
-	if err != nil {
-		return errPathLost
-	}
-	ctx, cancel := context.WithTimeout(ctx, rerouteTimeout)
-	defer cancel()
-	head := Server{Instance: membership.Instance{ID: hops[0].Engine, Address: hops[0].Address}}
-	outcome, err := r.engines.Reroute(ctx, head, r.call.ID, hops)
-	r.logReroute(hops, outcome, err)
-	if outcome != OrderBegun && outcome != OrderHolds {
-		place.release()
-		return errPathLost
-	}
-	r.place.release()
-	r.place, r.hops = place, hops
-	r.path += ";" + describe(hops)
-	return nil
-}
-
-func (r *run) logReroute(hops []pipeline.Hop, outcome OrderOutcome, err error) {
-	if !r.logGate.allow(time.Now()) {
-		return
-	}
-	line := logevent.Write(r.logger, logevent.StreamRerouted).Str("request", r.call.ID).Str("outcome", string(outcome)).
-		Str("from", r.path).Str("to", describe(hops)).Int64("last_event", r.last)
-	if err != nil {
-		line = line.Str("cause", err.Error())
-	}
-	line.Msg("")
-}
-
 // distrust records that an engine does not answer and keeps this request away from it.
 func (s *streaming) distrust(engine string) {
 	s.avoid[engine] = true
@@ -385,35 +198,6 @@
 	return v, true, err
 }
 
-// copy passes events on until the stream ends or breaks off.
-func (r *run) copy(ctx context.Context) (verdict, bool, error) {
-	var splitter eventstream.Splitter
-	buffer := make([]byte, streamBuffer)
-	flusher := http.NewResponseController(r.w)
-	for {
-		n, err := r.read(ctx, buffer)
-		splitter.Write(buffer[:n])
-		if passed := r.passEvents(&splitter, r.x, flusher); passed != nil {
-			return r.broken(ctx, passed)
-		}
-		switch {
-		case err == nil:
-		case errors.Is(err, io.EOF) && splitter.Pending() == 0:
-			return r.complete(r.x)
-		default:
-			return r.broken(ctx, err)
-		}
-	}
-}
-
-// read waits for bytes of the stream and reads them.
-func (r *run) read(ctx context.Context, buffer []byte) (int, error) {
-	if err := r.await(ctx); err != nil {
-		return 0, err
-	}
-	return r.x.response.Body.Read(buffer)
-}
-
 // passEvents passes whole events on, each of them once and in order.
 func (s *streaming) passEvents(splitter *eventstream.Splitter, x *exchange, flusher *http.ResponseController) error {
 	wrote := false
