relay: observe each model's engines by themselves

Cause, found in reading: how long an engine has been empty and layers have been short was kept for all models together, so with two models an empty engine's wait began anew at each look. Change: one set of observations for each model; models without described weights are not placed.

--- a/relay/placer.go
+++ b/relay/placer.go
@@ -37,20 +37,36 @@
 	machine *lease.Machine
 	// pending are the orders whose effect the servers' records do not show yet, by server.
 	pending map[string]pendingOrder
-	// seen is the number of engines when it last changed, at settled.
-	seen           int
-	settled, first time.Time
-	// emptySince is when an engine was first seen without layers.
-	emptySince map[string]time.Time
+	// models are the observations of each model's engines.
+	models map[string]*modelWatch
 	// releasing is the holder that says that it no longer acts, since a time.
 	releasing      string
 	releasingSince time.Time
 	// surveyed is when the engines were last asked for their state.
 	surveyed time.Time
+}
+
+// modelWatch is what was seen of one model's engines over time.
+type modelWatch struct {
+	// seen is the number of engines when it last changed, at settled.
+	seen           int
+	settled, first time.Time
+	// emptySince is when an engine was first seen without layers.
+	emptySince map[string]time.Time
 	// shortSince is since when some layers are almost lost.
 	shortSince time.Time
 }
 
+// watch returns the observations of a model's engines.
+func (p *placer) watch(model string) *modelWatch {
+	w := p.models[model]
+	if w == nil {
+		w = &modelWatch{emptySince: map[string]time.Time{}}
+		p.models[model] = w
+	}
+	return w
+}
+
 type pendingOrder struct {
 	born   int64
 	layers placement.Range
@@ -61,7 +77,7 @@
 func (e *Entry) keepLease(ctx context.Context) error {
 	p := &placer{
 		Entry: e, machine: lease.New(e.settings.Instance, lease.DefaultOptions()), pending: map[string]pendingOrder{},
-		emptySince: map[string]time.Time{},
+		models: map[string]*modelWatch{},
 	}
 	next := int64(-1)
 	for ctx.Err() == nil {
@@ -181,7 +197,10 @@
 		return
 	}
 	for name, model := range rev.models {
-		p.placeModel(ctx, rev, name, model)
+		// A model whose weights are not described cannot be divided.
+		if model.Layers > 0 && model.BytesPerLayer > 0 && model.KVBytesPerTokenLayer > 0 {
+			p.placeModel(ctx, rev, name, model)
+		}
 	}
 }
 
@@ -189,10 +208,17 @@
 	now := time.Now()
 	servers := p.fleet.snapshot()
 	engines, holding := p.relayEngines(now, rev, name, servers)
-	if !holding && !p.hasSettled(now, len(engines)) {
+	watch := p.watch(name)
+	if !holding && !watch.hasSettled(now, len(engines), p.settings.Heartbeat) {
 		return
 	}
-	orders, err := placement.RelayOrders(engines, p.timing(now, engines, rev, model), placementModel(model), rev.relayOptions(model))
+	options := rev.relayOptions(model)
+	almostLost := placement.AlmostLost(engines, placementModel(model), options)
+	timing := placement.RelayTiming{
+		Waiting: watch.waiting(now, engines),
+		MayMove: watch.shortFor(now, almostLost) >= moveAfter && len(p.pending) == 0,
+	}
+	orders, err := placement.RelayOrders(engines, timing, placementModel(model), options)
 	if err != nil {
 		logevent.Write(p.logger, logevent.PlanNotMade).Str("model", name).Int("engines", len(engines)).Str("cause", err.Error()).Msg("")
 		sleep(ctx, leaseInterval)
@@ -265,17 +291,17 @@
 // them. Engines that crash often come back sooner.
 const moveAfter = 3 * time.Second
 
-// timing says which orders may be given now. One move must be done before the next.
-func (p *placer) timing(now time.Time, engines []placement.RelayEngine, rev *revision, model *config.Model) placement.RelayTiming {
-	if !placement.AlmostLost(engines, placementModel(model), rev.relayOptions(model)) {
-		p.shortSince = time.Time{}
-	} else if p.shortSince.IsZero() {
-		p.shortSince = now
+// shortFor returns how long some layers have been almost lost. One move must be
+// done before the next, so callers look for pending orders as well.
+func (w *modelWatch) shortFor(now time.Time, almostLost bool) time.Duration {
+	if !almostLost {
+		w.shortSince = time.Time{}
+		return 0
 	}
-	return placement.RelayTiming{
-		Waiting: p.waiting(now, engines),
-		MayMove: !p.shortSince.IsZero() && now.Sub(p.shortSince) >= moveAfter && len(p.pending) == 0,
+	if w.shortSince.IsZero() {
+		w.shortSince = now
 	}
+	return now.Sub(w.shortSince)
 }
 
 // emptyWait is how long a new engine stays empty while no layers are short. In a
@@ -283,21 +309,21 @@
 const emptyWait = 2500 * time.Millisecond
 
 // waiting returns the engines that may stay empty for now.
-func (p *placer) waiting(now time.Time, engines []placement.RelayEngine) map[string]bool {
+func (w *modelWatch) waiting(now time.Time, engines []placement.RelayEngine) map[string]bool {
 	waiting := map[string]bool{}
 	since := map[string]time.Time{}
 	for _, e := range engines {
 		if e.Holds != (placement.Range{}) {
 			continue
 		}
-		at, known := p.emptySince[e.Name]
+		at, known := w.emptySince[e.Name]
 		if !known {
 			at = now
 		}
 		since[e.Name] = at
 		waiting[e.Name] = now.Sub(at) < emptyWait
 	}
-	p.emptySince = since
+	w.emptySince = since
 	return waiting
 }
 
@@ -307,18 +333,18 @@
 
 // hasSettled tells whether the number of engines has stayed the same for longer
 // than they take to register, so that the first plan covers all of them.
-func (p *placer) hasSettled(now time.Time, engines int) bool {
+func (w *modelWatch) hasSettled(now time.Time, engines int, heartbeat time.Duration) bool {
 	if engines == 0 {
 		return false
 	}
-	if p.first.IsZero() {
-		p.first = now
+	if w.first.IsZero() {
+		w.first = now
 	}
-	if engines != p.seen {
-		p.seen, p.settled = engines, now
+	if engines != w.seen {
+		w.seen, w.settled = engines, now
 	}
-	quiet := now.Sub(p.settled) >= p.settings.Heartbeat*5/4
-	return quiet || now.Sub(p.first) >= settleLimit
+	quiet := now.Sub(w.settled) >= heartbeat*5/4
+	return quiet || now.Sub(w.first) >= settleLimit
 }
 
 // order gives one order. It names the number of orders that the engine has
--- /dev/null
+++ b/relay/placer_test.go
@@ -0,0 +1,54 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sapphirefield/sapphirefield/placement"
+)
+
+// Guards against a first plan that leaves out engines that register a moment
+// later, and against a fleet that never stops changing and is never planned.
+func TestFirstPlanWaitsForEngines(t *testing.T) {
+	now, beat := time.Unix(100, 0), 1200*time.Millisecond
+	w := &modelWatch{}
+	assert.Assert(t, !w.hasSettled(now, 0, beat))
+	assert.Assert(t, !w.hasSettled(now, 5, beat))
+	now = now.Add(time.Second)
+	assert.Assert(t, !w.hasSettled(now, 6, beat))
+	assert.Assert(t, !w.hasSettled(now.Add(beat), 6, beat))
+	assert.Assert(t, w.hasSettled(now.Add(beat*5/4), 6, beat))
+
+	w, now = &modelWatch{}, time.Unix(100, 0)
+	for n := 1; n <= 8; n++ {
+		assert.Equal(t, w.hasSettled(now, n, beat), now.Sub(time.Unix(100, 0)) >= settleLimit)
+		now = now.Add(600 * time.Millisecond)
+	}
+}
+
+// Guards against an empty engine whose wait begins anew whenever the engines of
+// another model are looked at.
+func TestEmptyEngineWaitsOnce(t *testing.T) {
+	now := time.Unix(100, 0)
+	p := &placer{models: map[string]*modelWatch{}}
+	a, b := []placement.RelayEngine{{Name: "a"}}, []placement.RelayEngine{{Name: "b"}}
+	for range 10 {
+		p.watch("one").waiting(now, a)
+		p.watch("two").waiting(now, b)
+		now = now.Add(emptyWait / 10)
+	}
+	assert.Assert(t, !p.watch("one").waiting(now, a)["a"])
+	assert.Assert(t, p.watch("one").waiting(now, []placement.RelayEngine{{Name: "c"}})["c"])
+}
+
+// Guards against a move at the first sign of a short layer, which often is a
+// crash that ends by itself.
+func TestMoveWaitsUntilShortForAWhile(t *testing.T) {
+	now, w := time.Unix(100, 0), &modelWatch{}
+	assert.Equal(t, w.shortFor(now, true), time.Duration(0))
+	assert.Equal(t, w.shortFor(now.Add(time.Second), true), time.Second)
+	assert.Equal(t, w.shortFor(now.Add(2*time.Second), false), time.Duration(0))
+	assert.Equal(t, w.shortFor(now.Add(3*time.Second), true), time.Duration(0))
+}
