relay: requests of the tests have IDs of their own

Cause: all requests of the test had one ID, so an extra answer that arrives after the next request was sent could not be told from its own; callers' attempts each have their own ID, by which the entry passes such an answer over. Change: each request of the tests has an ID, and the extra answer bears that of the request before; the check itself is as it was.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -191,6 +191,8 @@
 	*Entry
 	server  *httptest.Server
 	engines *testEngines
+	// asked counts requests: each has an ID of its own, as callers' attempts have.
+	asked int
 }
 
 func newTestEntry(t *testing.T, route config.Route, backends ...*backend) *testEntry {
@@ -211,7 +213,7 @@
 	e.fleet.replace(time.Now(), servers)
 	server := httptest.NewServer(e)
 	t.Cleanup(server.Close)
-	return &testEntry{e, server, engines}
+	return &testEntry{Entry: e, server: server, engines: engines}
 }
 
 func (e *Entry) applyTest(route config.Route) {
@@ -243,7 +245,8 @@
 	request, err := http.NewRequestWithContext(t.Context(), method, e.server.URL+"/x?q=1", strings.NewReader("body"))
 	assert.NilError(t, err)
 	request.Host = "h"
-	request.Header.Set("Id", "id-1")
+	e.asked++
+	request.Header.Set("Id", fmt.Sprintf("id-%d", e.asked))
 	request.Header.Set("Key", testKey)
 	response, err := e.server.Client().Do(request)
 	if err != nil {
@@ -338,7 +341,8 @@
 func TestConnectionWithExtraBytesIsNotUsedAgain(t *testing.T) {
 	b := newBackend(t, func(b *backend, r *http.Request, conn net.Conn) bool {
 		whole(200, "mine")(b, r, conn)
-		write(conn, "HTTP/1.1 200 OK\nId: id-1\nSigned: 1\nContent-Length: 5\n\nstale")
+		// They may arrive before or after the next request was sent.
+		write(conn, "HTTP/1.1 200 OK\nId: %s\nSigned: 1\nContent-Length: 5\n\nstale", r.Header.Get("Id"))
 		return true
 	})
 	e := newTestEntry(t, plainRoute(config.CallAtMostOnce), b)
