relay: log what kept a request from a path

Cause: a refusal only said that no path had room. Change: the search returns a NoPathError with the layer and what its engines lack; the line of a request names it and counts crossings of zones, the line of an order names the zone.

--- /dev/null
+++ b/pipeline/nopath.go
@@ -0,0 +1,61 @@
+package pipeline
+
+import "fmt"
+
+// NoPathError says where the search for a path ended and what kept the engines
+// that hold the next layer from running it.
+type NoPathError struct {
+	// Layer is the first layer that no path reaches.
+	Layer int
+	// Holding counts the engines that hold the layer. The others count those of
+	// them that could not take the request, by what they lack.
+	Holding, Avoided, Slots, Memory, PromptTime int
+	// Links tells that links between zones without room kept paths from the layer.
+	Links bool
+}
+
+func (e *NoPathError) Error() string {
+	return fmt.Sprintf("no path past layer %d: of %d engines %d avoided, %d without a slot, %d without memory, %d busy with prompts, links full: %t",
+		e.Layer, e.Holding, e.Avoided, e.Slots, e.Memory, e.PromptTime, e.Links)
+}
+
+// Is makes the error an ErrNoChain.
+func (e *NoPathError) Is(target error) bool { return target == ErrNoChain }
+
+// blocked says why the search has no path.
+func (s *pathSearch) blocked() *NoPathError {
+	at := 0
+	for b := range s.boundaries {
+		for _, st := range s.table[b] {
+			if st.known {
+				at = b
+			}
+		}
+	}
+	e := &NoPathError{Layer: s.boundaries[at]}
+	for i := range s.engines {
+		s.count(e, i, at)
+	}
+	e.Links = e.Holding > e.Avoided+e.Slots+e.Memory+e.PromptTime
+	return e
+}
+
+func (s *pathSearch) count(e *NoPathError, engine, at int) {
+	held := &s.engines[engine]
+	if held.First > e.Layer || held.Limit <= e.Layer {
+		return
+	}
+	e.Holding++
+	switch {
+	case s.request.Avoid[held.Name]:
+		e.Avoided++
+	case !s.usable(engine, at):
+		e.Slots++
+	case held.PromptLoad > s.limit(maxPromptLoad):
+		e.PromptTime++
+	default:
+		if _, fits := s.work(held, 1); !fits {
+			e.Memory++
+		}
+	}
+}
--- a/pipeline/relay.go
+++ b/pipeline/relay.go
@@ -114,7 +114,7 @@
 	known          bool
 }
 
-// Find returns the quickest path and its expected time, or ErrNoChain. Links are
+// Find returns the quickest path and its expected time, or a NoPathError. Links are
 // keyed by zones; zones without a link are reached at once.
 func (p *Pathfinder) Find(engines []RelayEngine, links map[[2]string]RelayLink, r RelayRequest) ([]Hop, time.Duration, error) {
 	s := newPathSearch(p, engines, r)
@@ -122,7 +122,7 @@
 	s.run()
 	hops, seconds := s.best()
 	if hops == nil {
-		return nil, 0, ErrNoChain
+		return nil, 0, s.blocked()
 	}
 	return hops, time.Duration(seconds * float64(time.Second)), nil
 }
--- a/pipeline/relay_test.go
+++ b/pipeline/relay_test.go
@@ -1,6 +1,7 @@
 package pipeline
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 	"testing"
@@ -86,7 +87,7 @@
 	_, _, err = NewPathfinder(relayModel()).Find(engines, nil, RelayRequest{
 		PromptTokens: 700, AnswerTokens: 170, Avoid: map[string]bool{"b1": true},
 	})
-	assert.Equal(t, err, ErrNoChain)
+	assert.ErrorIs(t, err, ErrNoChain)
 }
 
 // Guards against a repaired path that changes its first part, where the request
@@ -149,7 +150,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, hops[0].Engine, "other")
 	_, _, err = NewPathfinder(relayModel()).Find([]RelayEngine{busy}, nil, r)
-	assert.Equal(t, err, ErrNoChain)
+	assert.ErrorIs(t, err, ErrNoChain)
 }
 
 // Guards against a choice of paths that takes a noticeable part of an entry's processor.
@@ -167,3 +168,22 @@
 		}
 	}
 }
+
+// Guards against a refusal whose log line does not tell what was missing.
+func TestNoPathNamesWhatIsMissing(t *testing.T) {
+	full := relayEngine("b", "a", 40, 80, 1)
+	full.Used = full.Capacity
+	busy := relayEngine("c", "a", 40, 60, 1)
+	busy.PromptLoad = 0.9
+	engines := []RelayEngine{relayEngine("a", "a", 0, 40, 1), full, busy}
+	_, _, err := NewPathfinder(relayModel()).Find(engines, nil, RelayRequest{PromptTokens: 700, AnswerTokens: 170})
+	var missing *NoPathError
+	assert.Assert(t, errors.As(err, &missing))
+	assert.DeepEqual(t, *missing, NoPathError{Layer: 40, Holding: 2, Memory: 1, PromptTime: 1})
+
+	links := map[[2]string]RelayLink{{"a", "b"}: {BytesPerSecond: 1, Load: 1}}
+	engines = []RelayEngine{relayEngine("a", "a", 0, 40, 1), relayEngine("b", "b", 40, 80, 1)}
+	_, _, err = NewPathfinder(relayModel()).Find(engines, links, RelayRequest{PromptTokens: 700, AnswerTokens: 170})
+	assert.Assert(t, errors.As(err, &missing))
+	assert.DeepEqual(t, *missing, NoPathError{Layer: 40, Holding: 1, Links: true})
+}
--- a/relay/front.go
+++ b/relay/front.go
@@ -39,6 +39,10 @@
 	status  int
 	detail  string
 	path    string
+	// crossings counts the changes of zone on the path.
+	crossings int
+	// cause says what kept the request from a path.
+	cause string
 	// firstByte is when the first byte of the answer went to the caller.
 	firstByte time.Time
 	// longestPause is the longest time between two events of a stream.
@@ -186,11 +190,14 @@
 		line = line.Dur("longest_pause_ms", q.longestPause)
 	}
 	if q.path != "" {
-		line = line.Str("path", q.path)
+		line = line.Str("path", q.path).Int("crossings", q.crossings)
 	}
 	if q.detail != "" {
 		line = line.Str("detail", q.detail)
 	}
+	if q.cause != "" {
+		line = line.Str("cause", q.cause)
+	}
 	line.Msg("")
 }
 
--- a/relay/placer.go
+++ b/relay/placer.go
@@ -357,7 +357,7 @@
 	} else if err == nil {
 		outcome, err = p.engines.Place(ctx, server, r, report.Orders)
 	}
-	line := logevent.Write(p.logger, logevent.OrderGiven).Str("server", server.ID).Int64("born", server.Born).
+	line := logevent.Write(p.logger, logevent.OrderGiven).Str("server", server.ID).Str("zone", server.Zone).Int64("born", server.Born).
 		Int("first", r.First).Int("limit", r.Limit).Int64("orders", report.Orders).Int64("term", p.machine.Term()).
 		Str("outcome", string(outcome))
 	if err != nil {
--- a/relay/run.go
+++ b/relay/run.go
@@ -58,7 +58,7 @@
 func (s *streaming) start(ctx context.Context, hops []pipeline.Hop, place *reservation) (v verdict, sent bool, err error) {
 	r := &run{streaming: s, hops: hops, place: place, changes: s.fleet.changes.Load(), pause: pause}
 	defer func() { r.place.release() }()
-	s.path = describe(hops)
+	s.path, s.crossings = describe(hops), crossings(hops)
 	head := hops[0]
 	r.x, err = s.pool.open(ctx, head.Address, s.outbound(Send{Instance: head.Engine, Path: hops, LastEvent: s.last}))
 	if errors.Is(err, errNotSent) {
@@ -187,6 +187,7 @@
 	r.place.release()
 	r.place, r.hops = place, hops
 	r.path += ";" + describe(hops)
+	r.crossings = crossings(hops)
 	return nil
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -56,6 +56,7 @@
 	for {
 		hops, place, err := s.choose(ctx)
 		if err != nil {
+			s.cause = err.Error()
 			s.giveUp("no path of engines has room", s.roomRetry())
 			return
 		}
@@ -252,6 +253,16 @@
 	return answered, true, nil
 }
 
+// crossings counts the links between zones that a path uses.
+func crossings(hops []pipeline.Hop) (n int) {
+	for i := 1; i < len(hops); i++ {
+		if hops[i].Zone != hops[i-1].Zone {
+			n++
+		}
+	}
+	return n
+}
+
 func describe(hops []pipeline.Hop) string {
 	var b strings.Builder
 	for i, h := range hops {
