placement: hold second copies of layers where links are thin

Ruled out: full heads, prompts (none in the causes logged). Change: where links carry little, the chain of a zone takes the engines that hold all layers with room for 128 requests, and the others hold second copies.

--- a/placement/relaychains.go
+++ b/placement/relaychains.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 )
 
@@ -42,6 +43,13 @@
 	return defaultMinRequests * o.RequestTokens
 }
 
+// roomyPart is how many times the least tokens of a chain an engine keeps room
+// for when its memory allows a choice between room and layers.
+const roomyPart = 2
+
+// roomyTokens is the room of an engine that may serve its layers alone in its zone.
+func (o RelayOptions) roomyTokens() float64 { return roomyPart * o.minTokens() }
+
 // RelayAssignment is the range that an engine is to hold.
 type RelayAssignment struct {
 	Engine string
@@ -53,28 +61,35 @@
 // speeds waits for the slowest and holds the memory of the fast ones all the
 // while. Chains stay within a zone where the zone has enough memory. Inside a
 // chain the layers are divided so that all engines hold the same number of
-// tokens: the least of them limits the chain.
+// tokens: the least of them limits the chain. Engines that a zone's chain can
+// spare hold second copies, so that the loss of an engine rarely leaves the zone
+// without a layer.
 func PlanRelay(engines []RelayEngine, m Model, opts RelayOptions) ([]RelayAssignment, error) {
-	p := &relayPlan{model: m, opts: opts}
+	p := &relayPlan{model: m, opts: opts, thinLinks: hasThinLinks(engines, m, opts)}
 	rest := p.fastChains(sortedBySpeed(engines))
 	rest = p.zoneChains(rest)
 	rest = p.mixedChains(rest)
 	if len(p.chains) == 0 {
 		return nil, ErrCannotHold
 	}
-	p.spread(rest)
 	var all []RelayAssignment
 	for _, chain := range p.chains {
-		all = append(all, divideLayers(chain, m)...)
+		core, spare := p.core(chain)
+		all = append(all, divideLayers(core, m)...)
+		rest = append(rest, spare...)
 	}
+	all = append(all, p.secondCopies(engines, all, rest)...)
 	sort.Slice(all, func(i, j int) bool { return all[i].Engine < all[j].Engine })
 	return all, nil
 }
 
 type relayPlan struct {
-	model  Model
-	opts   RelayOptions
-	chains [][]RelayEngine
+	model Model
+	opts  RelayOptions
+	// thinLinks is set where the links between zones carry little of what the
+	// engines could serve.
+	thinLinks bool
+	chains    [][]RelayEngine
 }
 
 // fastRatio bounds the speeds of one chain: the slowest engine takes at most
@@ -97,6 +112,13 @@
 	return sorted
 }
 
+// sortedByMemory returns the engines with the largest first.
+func sortedByMemory(engines []RelayEngine) []RelayEngine {
+	sorted := append([]RelayEngine(nil), engines...)
+	sort.SliceStable(sorted, func(i, j int) bool { return sorted[i].MemoryBytes > sorted[j].MemoryBytes })
+	return sorted
+}
+
 // holds tells whether engines together hold all layers and enough requests.
 func (p *relayPlan) holds(engines []RelayEngine) bool {
 	return fits(engines, p.model) && chainTokens(engines, p.model) >= p.opts.minTokens()
@@ -136,7 +158,7 @@
 				rest = append(rest, e)
 			}
 		}
-		if !p.holds(fast) || !p.worthCrossing(fast) {
+		if !p.holds(fast) || !worthCrossing(fast, p.model, p.opts) {
 			return engines
 		}
 		chain, spare := p.takeNearest(fast)
@@ -152,16 +174,32 @@
 
 // worthCrossing tells whether links between zones carry enough of what engines
 // could serve as one chain. Otherwise fast engines do more within their zones.
-func (p *relayPlan) worthCrossing(engines []RelayEngine) bool {
-	if p.opts.CrossingRate <= 0 || p.opts.RunTime <= 0 || len(zonesOf(engines)) == 1 {
+func worthCrossing(engines []RelayEngine, m Model, opts RelayOptions) bool {
+	return len(zonesOf(engines)) == 1 || linksCarry(engines, m, opts)
+}
+
+// linksCarry tells whether a link between zones carries enough of what engines
+// could serve as one chain.
+func linksCarry(engines []RelayEngine, m Model, opts RelayOptions) bool {
+	if opts.CrossingRate <= 0 || opts.RunTime <= 0 {
 		return true
 	}
 	factor := 0.0
 	for _, e := range engines {
 		factor += e.StepFactor / float64(len(engines))
 	}
-	served := chainTokens(engines, p.model) / p.opts.RequestTokens / (p.opts.RunTime * factor)
-	return p.opts.CrossingRate >= leastCrossing*served
+	served := chainTokens(engines, m) / opts.RequestTokens / (opts.RunTime * factor)
+	return opts.CrossingRate >= leastCrossing*served
+}
+
+// hasThinLinks tells whether some zone's engines could serve far more than a
+// link carries. Such a zone must hold all layers by itself.
+func hasThinLinks(engines []RelayEngine, m Model, opts RelayOptions) bool {
+	zones := zonesOf(engines)
+	if len(zones) == 1 {
+		return false
+	}
+	return slices.ContainsFunc(zones, func(zone string) bool { return !linksCarry(inZone(engines, zone), m, opts) })
 }
 
 // takeNearest takes as few engines as make a chain, first those in the zones
@@ -243,8 +281,7 @@
 
 // deal gives the engines, largest first, to the chain with the least memory.
 func deal(engines []RelayEngine, n int) [][]RelayEngine {
-	sorted := append([]RelayEngine(nil), engines...)
-	sort.SliceStable(sorted, func(i, j int) bool { return sorted[i].MemoryBytes > sorted[j].MemoryBytes })
+	sorted := sortedByMemory(engines)
 	chains, memory := make([][]RelayEngine, n), make([]int64, n)
 	for _, e := range sorted {
 		least := 0
@@ -262,7 +299,7 @@
 // mixedChains makes chains across zones of engines that fill no chain in their
 // own. When there is no chain at all yet it accepts one that holds few requests.
 func (p *relayPlan) mixedChains(engines []RelayEngine) (rest []RelayEngine) {
-	for len(engines) > 0 && p.holds(engines) && p.worthCrossing(engines) {
+	for len(engines) > 0 && p.holds(engines) && worthCrossing(engines, p.model, p.opts) {
 		var chain []RelayEngine
 		chain, engines = p.takeNearest(engines)
 		p.chains = append(p.chains, chain)
@@ -274,35 +311,55 @@
 	return engines
 }
 
-// spread adds engines that are left over to the chain that holds the fewest
-// tokens, of those in the engine's zone where there is one.
-func (p *relayPlan) spread(engines []RelayEngine) {
-	for _, e := range engines {
-		best, bestTokens := -1, math.Inf(1)
-		for _, sameZone := range []bool{true, false} {
-			for i, chain := range p.chains {
-				if sameZone && !hasZone(chain, e.Zone) {
-					continue
-				}
-				if tokens := chainTokens(chain, p.model); tokens < bestTokens {
-					best, bestTokens = i, tokens
-				}
-			}
-			if best >= 0 {
-				break
-			}
+// leastSecond is the part of the layers of which a zone must be able to hold
+// second copies. For fewer, more room for requests is worth more.
+const leastSecond = 0.25
+
+// core divides the engines of a zone's chain into those that hold all layers
+// with room for many requests, the largest first so that paths are short, and
+// those that the chain can spare. Where links between zones carry much, and in a
+// chain across zones, all engines are needed for the room that they add.
+func (p *relayPlan) core(chain []RelayEngine) (core, spare []RelayEngine) {
+	if len(zonesOf(chain)) > 1 || !p.thinLinks {
+		return chain, nil
+	}
+	sorted := sortedByMemory(chain)
+	inCore, layers := 0, 0
+	for _, e := range sorted {
+		if layers < p.model.Layers {
+			inCore++
 		}
-		p.chains[best] = append(p.chains[best], e)
+		layers += layersForTokens(e.MemoryBytes, p.model, p.opts.roomyTokens())
 	}
+	if float64(layers) < (1+leastSecond)*float64(p.model.Layers) {
+		return chain, nil
+	}
+	return sorted[:inCore], sorted[inCore:]
 }
 
-func hasZone(chain []RelayEngine, zone string) bool {
-	for _, e := range chain {
-		if e.Zone == zone {
-			return true
+// secondCopies lets engines that no chain needs hold what their zone and the
+// others have least of.
+func (p *relayPlan) secondCopies(engines []RelayEngine, placed []RelayAssignment, spare []RelayEngine) (added []RelayAssignment) {
+	byName := map[string]RelayEngine{}
+	for _, e := range engines {
+		byName[e.Name] = e
+	}
+	var holding []RelayEngine
+	for _, a := range placed {
+		e := byName[a.Engine]
+		e.Holds = a.Range
+		holding = append(holding, e)
+	}
+	for _, e := range sortedByMemory(spare) {
+		r, ok := fillRelay(e, holding, p.opts.roomyTokens(), p.model, p.opts)
+		if !ok {
+			continue
 		}
+		e.Holds = r
+		holding = append(holding, e)
+		added = append(added, RelayAssignment{e.Name, r})
 	}
-	return false
+	return added
 }
 
 // divideLayers gives each engine of a chain a range. Each next layer goes to
@@ -344,12 +401,17 @@
 // fewest tokens, in the engine's zone and in all. An engine that restarted empty
 // so takes the range that it left, and a new engine relieves the tightest layers.
 func FillRelay(empty RelayEngine, others []RelayEngine, m Model, opts RelayOptions) (Range, bool) {
+	return fillRelay(empty, others, opts.minTokens(), m, opts)
+}
+
+// fillRelay is FillRelay for an engine that keeps room for a number of tokens.
+func fillRelay(empty RelayEngine, others []RelayEngine, tokens float64, m Model, opts RelayOptions) (Range, bool) {
 	held, local := copies(others, m, opts), copies(inZone(others, empty.Zone), m, opts)
+	useful := zoneCopies(append([]RelayEngine{empty}, others...), m, opts)
 	for l := range local {
-		// In a zone it matters whether a layer is there; further copies serve all zones.
-		local[l] = math.Min(local[l], 1)
+		local[l] = math.Min(local[l], useful)
 	}
-	n := layersForTokens(empty.MemoryBytes, m, opts.minTokens())
+	n := layersForTokens(empty.MemoryBytes, m, tokens)
 	if n == 0 {
 		return Range{}, false
 	}
@@ -363,6 +425,16 @@
 	return stretch(r, held, layersForTokens(empty.MemoryBytes, m, enoughPart*opts.minTokens())), true
 }
 
+// zoneCopies is the number of copies of a layer up to which a zone gains by one
+// more; further ones serve all zones. Where links carry little, a zone needs a
+// second copy in case of a loss.
+func zoneCopies(engines []RelayEngine, m Model, opts RelayOptions) float64 {
+	if hasThinLinks(engines, m, opts) {
+		return 2
+	}
+	return 1
+}
+
 func inZone(engines []RelayEngine, zone string) (local []RelayEngine) {
 	for _, e := range engines {
 		if e.Zone == zone {
--- a/placement/relaychains_test.go
+++ b/placement/relaychains_test.go
@@ -281,3 +281,82 @@
 		}
 	}
 }
+
+// thinLinkedFleet is a fleet of four zones whose memory holds nearly two copies
+// of all layers each, and whose links carry little.
+func thinLinkedFleet() ([]RelayEngine, Model, RelayOptions) {
+	var engines []RelayEngine
+	add := func(zone string, mb int64, factor float64, n int) {
+		for i := range n {
+			engines = append(engines, RelayEngine{
+				Name: fmt.Sprintf("%s-%d-%02d", zone, mb, i), Zone: zone, MemoryBytes: mb * megabyte, StepFactor: factor,
+			})
+		}
+	}
+	for zone, n := range map[string][4]int{"a": {0, 2, 5, 8}, "b": {1, 0, 6, 7}, "c": {0, 1, 10, 4}, "d": {0, 2, 5, 7}} {
+		add(zone, 72000, 1.4, n[0])
+		add(zone, 36000, 3.1, n[1])
+		add(zone, 21600, 16, n[2])
+		add(zone, 14400, 15, n[3])
+	}
+	m := Model{Layers: 80, BytesPerLayer: 1750 * megabyte, ActivationBytes: 16400, KVBytesPerTokenLayer: 4100}
+	return sortedBySpeed(engines), m, RelayOptions{RequestTokens: 900, RunTime: 0.12, CrossingRate: 8}
+}
+
+// Guards against memory that lies idle beside one copy of each layer while the
+// loss of one engine takes a whole zone out of use.
+func TestPlanUsesSpareMemoryForSecondCopies(t *testing.T) {
+	engines, m, opts := thinLinkedFleet()
+	plan, err := PlanRelay(engines, m, opts)
+	assert.NilError(t, err)
+	held := applyPlan(t, engines, plan, m)
+	for _, zone := range zonesOf(held) {
+		local := inZone(held, zone)
+		assert.Equal(t, len(Uncovered(local, m.Layers)), 0, "zone %s", zone)
+		twice := 0
+		for _, n := range copies(local, m, opts) {
+			if n >= 2 {
+				twice++
+			}
+		}
+		assert.Check(t, twice >= m.Layers*2/5, "zone %s holds %d layers twice", zone, twice)
+	}
+	for _, e := range held {
+		tokens := TokenCapacity(e.MemoryBytes, e.Holds.Limit-e.Holds.First, m)
+		assert.Check(t, tokens >= defaultMinRequests*opts.RequestTokens, "%s holds %.0f tokens in %v", e.Name, tokens, e.Holds)
+	}
+}
+
+// Guards against a zone that stays without layers after the loss of an engine
+// although it holds others twice.
+func TestZoneCompletesItselfAfterALoss(t *testing.T) {
+	engines, m, opts := thinLinkedFleet()
+	plan, err := PlanRelay(engines, m, opts)
+	assert.NilError(t, err)
+	held := applyPlan(t, engines, plan, m)
+	for _, lost := range held {
+		rest := without(held, lost.Name)
+		orders, err := RelayOrders(rest, RelayTiming{}, m, opts)
+		assert.NilError(t, err)
+		assert.Check(t, len(orders) <= 6, "after %s: %v", lost.Name, orders)
+		after := applyPlan(t, rest, orders, m)
+		for _, zone := range zonesOf(after) {
+			assert.Check(t, len(Uncovered(inZone(after, zone), m.Layers)) == 0, "after %s in zone %s: %v", lost.Name, zone, orders)
+		}
+		for _, o := range orders {
+			assert.Equal(t, zoneOf(after, o.Engine), lost.Zone)
+		}
+		again, err := RelayOrders(after, RelayTiming{}, m, opts)
+		assert.NilError(t, err)
+		assert.Equal(t, len(again), 0, "after %s and %v", lost.Name, orders)
+	}
+}
+
+func zoneOf(engines []RelayEngine, name string) string {
+	for _, e := range engines {
+		if e.Name == name {
+			return e.Zone
+		}
+	}
+	return ""
+}
