placement: a zone that lacks layers moves engines that it can spare

Cause: a zone that lost an engine with single-held layers stayed out of use until the engine was back and loaded. Also a reading of spareEngine: one trial is counted once.

--- a/placement/relayorders.go
+++ b/placement/relayorders.go
@@ -21,10 +21,11 @@
 // what the others lack most, so that nothing that serves has to move; while
 // nothing is short it may wait, because in a release the engine that it replaces
 // leaves shortly after. Layers that a zone has lost are added to their neighbours
-// there, which go on serving meanwhile. When layers are almost lost and no engine is empty, the
-// engine that can best be spared moves to them. A move is the last resort: the
-// engine serves neither range until what passes through it has ended and the
-// new layers are loaded, and paths lead around layers that are merely short.
+// there, which go on serving meanwhile, or to engines whose layers the zone holds
+// twice. When layers are almost lost in all zones and no engine is empty, the
+// engine that can best be spared moves to them. Other layers that are merely short
+// move no engine: it serves neither range until what passes through it has ended
+// and the new layers are loaded.
 func RelayOrders(engines []RelayEngine, when RelayTiming, m Model, opts RelayOptions) ([]RelayAssignment, error) {
 	var empty, holding []RelayEngine
 	for _, e := range engines {
@@ -54,7 +55,7 @@
 		holding = append(holding, e)
 	}
 	if len(orders) == 0 {
-		orders = extensions(holding, m, opts)
+		orders = repairs(holding, m, opts)
 	}
 	if len(orders) > 0 || !when.MayMove {
 		return orders, nil
@@ -96,11 +97,7 @@
 
 // isShort tells whether some layer is held by fewer engines than most layers are.
 func isShort(held []float64) bool {
-	least := math.Inf(1)
-	for _, n := range held {
-		least = math.Min(least, n)
-	}
-	return median(held)-least >= shortBy
+	return median(held)-slices.Min(held) >= shortBy
 }
 
 // almostLost is the number of copies of a layer from which on none moves to it:
@@ -119,41 +116,37 @@
 
 // spareEngine returns the move that raises the least-held layers most without
 // making other layers as short, if there is one. Of equal moves it takes the one
-// with the fewest layers to load.
+// that leaves the fewest layers least held.
 func spareEngine(holding []RelayEngine, m Model, opts RelayOptions) (RelayAssignment, bool) {
 	held := copies(holding, m, opts)
-	before, _ := leastHeld(held)
+	before, countBefore := leastHeld(held)
 	if !isShort(held) || before >= almostLost {
 		return RelayAssignment{}, false
 	}
 	var best RelayAssignment
 	bestLeast, bestCount, found := 0.0, 0, false
 	for i, e := range holding {
-		others := append(append([]RelayEngine(nil), holding[:i]...), holding[i+1:]...)
-		empty := e
-		empty.Holds = Range{}
-		r, ok := FillRelay(empty, others, m, opts)
+		others := slices.Delete(slices.Clone(holding), i, i+1)
+		moved := e
+		moved.Holds = Range{}
+		r, ok := FillRelay(moved, others, m, opts)
 		if !ok || r == e.Holds {
 			continue
 		}
-		empty.Holds = r
-		least, count := leastHeld(copies(append(others, empty), m, opts))
-		if least < before+minRise && !(least >= before && improves(held, copies(append(others, empty), m, opts), before)) {
-			continue
-		}
-		if !found || least > bestLeast || least == bestLeast && count < bestCount {
+		moved.Holds = r
+		least, count := leastHeld(copies(append(others, moved), m, opts))
+		rises := least >= before+minRise || least >= before && least < before+minRise && count < countBefore
+		if rises && (!found || least > bestLeast || least == bestLeast && count < bestCount) {
 			best, bestLeast, bestCount, found = RelayAssignment{e.Name, r}, least, count, true
 		}
 	}
 	return best, found
 }
 
-// leastHeld returns the fewest copies of any layer and the number of layers that have so few.
+// leastHeld returns the fewest copies of any layer and the number of layers that
+// have about so few.
 func leastHeld(held []float64) (least float64, count int) {
-	least = math.Inf(1)
-	for _, n := range held {
-		least = math.Min(least, n)
-	}
+	least = slices.Min(held)
 	for _, n := range held {
 		if n < least+minRise {
 			count++
@@ -162,19 +155,6 @@
 	return least, count
 }
 
-// improves tells whether fewer layers are held by so few copies than before.
-func improves(before, after []float64, least float64) bool {
-	count := func(held []float64) (n int) {
-		for _, c := range held {
-			if c < least+minRise {
-				n++
-			}
-		}
-		return n
-	}
-	return count(after) < count(before)
-}
-
 func median(values []float64) float64 {
 	sorted := slices.Clone(values)
 	slices.Sort(sorted)
@@ -184,31 +164,110 @@
 const (
 	// mostMissing is the part of the layers that a zone may lack and still be
 	// completed by its other engines.
-	mostMissing = 0.25
+	mostMissing = 0.5
 	// leastExtended is the number of requests that an engine must still hold when
 	// it takes further layers.
 	leastExtended = 24.0
 )
 
-// extensions completes zones that lack a few layers: engines that hold the layers
-// before and after a gap share it. A path that leaves the zone for the missing
-// layers crosses two links.
-func extensions(holding []RelayEngine, m Model, opts RelayOptions) (orders []RelayAssignment) {
+// repairs completes zones that lack layers. A path that leaves the zone for them
+// crosses two links. Engines that hold the layers before and after a gap share
+// it where they have room, because they go on serving meanwhile. Where links carry
+// little, engines whose layers the zone holds twice move to what is still missing.
+func repairs(holding []RelayEngine, m Model, opts RelayOptions) (orders []RelayAssignment) {
+	thinLinks := hasThinLinks(holding, m, opts)
 	for _, zone := range zonesOf(holding) {
-		local := inZone(holding, zone)
-		gaps := Uncovered(local, m.Layers)
-		missing := 0
-		for _, g := range gaps {
-			missing += g.Limit - g.First
+		orders = append(orders, repairZone(inZone(holding, zone), thinLinks, m, opts)...)
+	}
+	return orders
+}
+
+func repairZone(local []RelayEngine, mayMove bool, m Model, opts RelayOptions) (orders []RelayAssignment) {
+	gaps := Uncovered(local, m.Layers)
+	if float64(layersIn(gaps)) > mostMissing*float64(m.Layers) {
+		return nil
+	}
+	for _, g := range gaps {
+		orders = append(orders, extend(local, g, m, opts)...)
+	}
+	orders = onePerEngine(orders)
+	after := withOrders(local, orders)
+	if !mayMove {
+		return orders
+	}
+	for gaps = Uncovered(after, m.Layers); len(gaps) > 0; gaps = Uncovered(after, m.Layers) {
+		move, found := moveIntoGap(after, gaps, orders, m, opts)
+		if !found {
+			break
+		}
+		orders = append(orders, move)
+		after = withOrders(after, orders)
+	}
+	return orders
+}
+
+func layersIn(ranges []Range) (n int) {
+	for _, r := range ranges {
+		n += r.Limit - r.First
+	}
+	return n
+}
+
+// withOrders returns the engines as they are once orders are carried out.
+func withOrders(engines []RelayEngine, orders []RelayAssignment) []RelayEngine {
+	after := slices.Clone(engines)
+	for i := range after {
+		for _, o := range orders {
+			if o.Engine == after[i].Name {
+				after[i].Holds = o.Range
+			}
 		}
-		if float64(missing) > mostMissing*float64(m.Layers) {
+	}
+	return after
+}
+
+// moveIntoGap returns the order that leaves a zone the fewest missing layers. Of
+// equal ones it takes the one that gives up the fewest layers, because an engine
+// that gives up layers takes no new requests for them, and then the one with the
+// fewest layers to load. Engines that have an order already stay as they are.
+func moveIntoGap(local []RelayEngine, gaps []Range, ordered []RelayAssignment, m Model, opts RelayOptions) (RelayAssignment, bool) {
+	var best RelayAssignment
+	bestCost, found := [3]int{layersIn(gaps)}, false
+	for i, e := range local {
+		if slices.ContainsFunc(ordered, func(o RelayAssignment) bool { return o.Engine == e.Name }) {
 			continue
 		}
-		for _, g := range gaps {
-			orders = append(orders, extend(local, g, m, opts)...)
+		missing := make([]bool, m.Layers)
+		for _, g := range Uncovered(slices.Delete(slices.Clone(local), i, i+1), m.Layers) {
+			for l := g.First; l < g.Limit; l++ {
+				missing[l] = true
+			}
+		}
+		size := min(max(layersForTokens(e.MemoryBytes, m, opts.minTokens()), 1), m.Layers)
+		for first := 0; first+size <= m.Layers; first++ {
+			r := Range{first, first + size}
+			kept := max(0, min(r.Limit, e.Holds.Limit)-max(r.First, e.Holds.First))
+			cost := [3]int{countOutside(missing, r), e.Holds.Limit - e.Holds.First - kept, size - kept}
+			if e.Holds.First == 0 && r.First > 0 {
+				// Streams that begin at an engine cannot leave it, and the move waits for them.
+				cost[1] += m.Layers
+			}
+			if slices.Compare(cost[:], bestCost[:]) < 0 && (found || cost[0] < bestCost[0]) {
+				best, bestCost, found = RelayAssignment{e.Name, r}, cost, true
+			}
+		}
+	}
+	return best, found
+}
+
+// countOutside counts marked layers outside a range.
+func countOutside(marked []bool, r Range) (n int) {
+	for l, is := range marked {
+		if is && (l < r.First || l >= r.Limit) {
+			n++
 		}
 	}
-	return onePerEngine(orders)
+	return n
 }
 
 // extend divides a gap between an engine that ends before it and one that begins
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -117,6 +117,9 @@
 	if _, marked := f.leaving[s.ID]; s.Leaving && !marked {
 		f.leaving[s.ID] = departure{at: now}
 	}
+	if s.Born == old.Born && givesUp(old, s) {
+		f.changes.Add(1)
+	}
 	switch {
 	case old.ID == "":
 	case s.Born != old.Born:
@@ -171,14 +174,27 @@
 	f.avoided[id] = now.Add(refusedPart)
 }
 
-// unusable returns the engines of a path that are lost, and those that leave soon.
+// givesUp tells whether an engine no longer holds some of its layers.
+func givesUp(old, s Server) bool {
+	return old.Holds.Limit > old.Holds.First && (s.Holds.First > old.Holds.First || s.Holds.Limit < old.Holds.Limit)
+}
+
+// holds tells whether an engine's record still shows the layers of a hop. An
+// engine that gives layers up waits for what passes through them.
+func (f *fleet) holds(h pipeline.Hop) bool {
+	s, known := f.servers[h.Engine]
+	return !known || s.Holds.First <= h.First && s.Holds.Limit >= h.Limit
+}
+
+// unusable returns the engines of a path that are lost, and those that leave soon
+// or give up their part of it.
 func (f *fleet) unusable(hops []pipeline.Hop) (lost, leaving []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, h := range hops {
 		if _, known := f.lost[h.Engine]; known {
 			lost = append(lost, h.Engine)
-		} else if f.leaving[h.Engine].due {
+		} else if f.leaving[h.Engine].due || !f.holds(h) {
 			leaving = append(leaving, h.Engine)
 		}
 	}
--- /dev/null
+++ b/relay/fleet_test.go
@@ -0,0 +1,40 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sapphirefield/sapphirefield/membership"
+	"github.com/sapphirefield/sapphirefield/pipeline"
+	"github.com/sapphirefield/sapphirefield/placement"
+)
+
+func testFleetServer(id string, first, limit int) Server {
+	return Server{
+		Instance: membership.Instance{ID: id, Service: "model", Zone: "a", Address: id + ":1"}, Born: 1,
+		Holds: placement.Range{First: first, Limit: limit},
+	}
+}
+
+// Guards against streams that stay with an engine that gives up their layers:
+// the engine waits for them before it loads others.
+func TestStreamsLeaveEngineThatGivesUpLayers(t *testing.T) {
+	f := newFleet(rand.New(rand.NewPCG(1, 2)))
+	now := time.Now()
+	f.replace(now, map[string]Server{"x": testFleetServer("x", 0, 10), "y": testFleetServer("y", 10, 20)})
+	hops := []pipeline.Hop{{Engine: "x", First: 0, Limit: 10}, {Engine: "y", First: 12, Limit: 20}}
+	lost, leaving := f.unusable(hops)
+	assert.Equal(t, len(lost)+len(leaving), 0)
+	before := f.changes.Load()
+	f.replace(now, map[string]Server{"x": testFleetServer("x", 0, 10), "y": testFleetServer("y", 11, 20)})
+	lost, leaving = f.unusable(hops)
+	assert.Equal(t, len(lost)+len(leaving), 0)
+	f.replace(now, map[string]Server{"x": testFleetServer("x", 0, 10), "y": testFleetServer("y", 15, 20)})
+	lost, leaving = f.unusable(hops)
+	assert.Equal(t, len(lost), 0)
+	assert.DeepEqual(t, leaving, []string{"y"})
+	assert.Assert(t, f.changes.Load() > before)
+}
