pipeline: links take less load the longer a prompt occupies them

Ruled out: one pipe for all zones, since the total passes 4 times a pipe's rate; stalls, since no path changed.

--- a/pipeline/relay.go
+++ b/pipeline/relay.go
@@ -16,8 +16,9 @@
 	// request in the batch adds, ContextStepTime what each 1,000 tokens of
 	// context add.
 	StepTime, RequestStepTime, ContextStepTime time.Duration
-	// PromptTokensPerSecond is the rate at which prompts are processed.
-	PromptTokensPerSecond float64
+	// PromptTokensPerSecond is the rate at which prompts are processed, and
+	// UsualPrompt the mean number of tokens of a prompt.
+	PromptTokensPerSecond, UsualPrompt float64
 }
 
 // RelayEngine is one engine that holds layers, as the choice of a path sees it.
@@ -76,6 +77,11 @@
 	// which they take no further requests. Beyond them queues grow without end.
 	maxLinkLoad   = 0.8
 	maxPromptLoad = 0.7
+	// closingPrompt is the time, in seconds, that a usual prompt takes on a link that
+	// takes no requests at all. Tokens wait behind prompts, longer than a time t with
+	// a chance of about exp(-(1-load) t/prompt), and a stream is late after a pause of
+	// 200 to 300 ms.
+	closingPrompt = 0.075
 	// begunLoad is added to both for requests whose answer has begun.
 	begunLoad = 0.15
 	// reserve is the part of an engine's memory that stays free for answers
@@ -280,7 +286,7 @@
 	if !known {
 		return 0, true
 	}
-	if link.Load > s.limit(maxLinkLoad) {
+	if link.Load > s.limit(s.model.openLoad(link)) {
 		return 0, false
 	}
 	seconds := s.request.AnswerTokens * link.Latency.Seconds()
@@ -291,6 +297,16 @@
 	return seconds, true
 }
 
+// openLoad returns the load up to which a link takes further requests: the longer
+// it is occupied by a prompt, the lower.
+func (m RelayModel) openLoad(link RelayLink) float64 {
+	if link.BytesPerSecond <= 0 {
+		return maxLinkLoad
+	}
+	prompt := m.UsualPrompt * float64(m.ActivationBytes) / link.BytesPerSecond
+	return math.Min(maxLinkLoad, 1-prompt/closingPrompt)
+}
+
 // PassedBytes is what a request sends from one engine to the next.
 func (m RelayModel) PassedBytes(r RelayRequest) float64 {
 	return (r.PromptTokens + r.AnswerTokens) * float64(m.ActivationBytes)
--- a/pipeline/relay_test.go
+++ b/pipeline/relay_test.go
@@ -187,3 +187,22 @@
 	assert.Assert(t, errors.As(err, &missing))
 	assert.DeepEqual(t, *missing, NoPathError{Layer: 40, Holding: 1, Links: true})
 }
+
+// Guards against streams that are late on a thin link: each prompt occupies it
+// for long, and tokens of other streams wait behind several of them.
+func TestThinLinkTakesLessLoad(t *testing.T) {
+	m := relayModel()
+	m.UsualPrompt = 700
+	engines := []RelayEngine{relayEngine("a", "a", 0, 40, 1), relayEngine("b", "b", 40, 80, 1)}
+	find := func(rate, load float64) error {
+		links := map[[2]string]RelayLink{{"a", "b"}: {BytesPerSecond: rate, Load: load}}
+		_, _, err := NewPathfinder(m).Find(engines, links, RelayRequest{PromptTokens: 700, AnswerTokens: 170})
+		return err
+	}
+	const thin, wide = 220e6, 4000e6
+	assert.NilError(t, find(wide, 0.7))
+	const slim = 600e6
+	assert.NilError(t, find(slim, 0.4))
+	assert.ErrorIs(t, find(slim, 0.7), ErrNoChain)
+	assert.ErrorIs(t, find(thin, 0.1), ErrNoChain)
+}
