relay: streams change paths without room that they have, lease passes on sooner

Then a holder of the lease that was cut off gave no orders for 4 s. Change: parts of a path that stay need no room, no prompt time and no load of their links; a path around a leaving engine is looked for again after 200 ms; the lease is renewed every 0.6 s and lapses after 2.4 s (3.5 s before).

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -28,7 +28,7 @@
 
 // DefaultOptions returns the options in use.
 func DefaultOptions() Options {
-	return Options{Renew: time.Second, Lapse: 3500 * time.Millisecond, Hold: 2500 * time.Millisecond}
+	return Options{Renew: 600 * time.Millisecond, Lapse: 2400 * time.Millisecond, Hold: 1600 * time.Millisecond}
 }
 
 // Machine is one process's part in a lease. Times must come from a clock that
--- a/pipeline/relay.go
+++ b/pipeline/relay.go
@@ -67,9 +67,9 @@
 	// Begun is set for a request whose answer has begun. It may take the room that
 	// is kept free of new requests.
 	Begun bool
-	// Begin is the part with which the path must begin, when the request already
-	// runs and only its further parts may change.
-	Begin *Hop
+	// Held is the path along which the request already runs. The new path must begin
+	// with its first part; parts that stay need no further room and read no prompt.
+	Held []Hop
 }
 
 const (
@@ -148,8 +148,9 @@
 func newPathSearch(p *Pathfinder, engines []RelayEngine, r RelayRequest) *pathSearch {
 	s := &pathSearch{Pathfinder: p, request: r, engines: engines, zoneOf: make([]int, len(engines))}
 	seen := map[int]bool{0: true, p.model.Layers: true}
-	if r.Begin != nil {
-		seen[min(max(r.Begin.Limit, 0), p.model.Layers)] = true
+	for _, h := range r.Held {
+		seen[min(max(h.First, 0), p.model.Layers)] = true
+		seen[min(max(h.Limit, 0), p.model.Layers)] = true
 	}
 	index := map[string]int{}
 	for i, e := range engines {
@@ -193,8 +194,8 @@
 	if b > 0 {
 		return true
 	}
-	if s.request.Begin != nil {
-		return e.Name == s.request.Begin.Engine
+	if len(s.request.Held) > 0 {
+		return e.Name == s.request.Held[0].Engine
 	}
 	return e.Slots == 0 || e.Heads < e.Slots
 }
@@ -203,14 +204,16 @@
 func (s *pathSearch) extend(engine, at int) {
 	e := &s.engines[engine]
 	for next := at + 1; next < len(s.boundaries) && s.boundaries[next] <= e.Limit; next++ {
-		if at == 0 && s.request.Begin != nil {
-			if s.boundaries[next] == s.request.Begin.Limit {
-				// What the request already holds there needs no room.
+		if at == 0 && len(s.request.Held) > 0 {
+			if s.boundaries[next] == s.request.Held[0].Limit {
 				s.offer(engine, at, next, 0)
 			}
 			continue
 		}
 		work, fits := s.work(e, s.boundaries[next]-s.boundaries[at])
+		if s.isHeld(e, at, next) {
+			work, fits = s.decodeSeconds(e, s.boundaries[next]-s.boundaries[at]), true
+		}
 		if !fits {
 			return
 		}
@@ -233,6 +236,9 @@
 			continue
 		}
 		sending, open := s.transfer(s.zones[z], s.zones[zone])
+		if s.isHeld(&s.engines[engine], at, next) && s.isHeld(&s.engines[before.engine], before.from, at) {
+			open = true
+		}
 		if !open {
 			continue
 		}
@@ -252,14 +258,31 @@
 	if need > free || e.PromptLoad > s.limit(maxPromptLoad) {
 		return 0, false
 	}
+	decode := s.decodeSeconds(e, layers)
+	return (decode + s.promptSeconds(e, layers)) / (1 - e.PromptLoad), true
+}
+
+// isHeld tells whether the request already runs the layers between two boundaries at an engine.
+func (s *pathSearch) isHeld(e *RelayEngine, at, next int) bool {
+	for _, h := range s.request.Held {
+		if h.Engine == e.Name && h.First <= s.boundaries[at] && h.Limit >= s.boundaries[next] {
+			return true
+		}
+	}
+	return false
+}
+
+// decodeSeconds returns how long an engine works on the request's answer.
+func (s *pathSearch) decodeSeconds(e *RelayEngine, layers int) float64 {
+	tokens := s.request.PromptTokens + s.request.AnswerTokens
+	need := tokens * float64(layers)
 	share := float64(layers) / float64(s.model.Layers)
 	slowdown := math.Max(e.Slowdown, 1)
 	step := s.model.StepTime.Seconds() +
 		s.model.RequestStepTime.Seconds()*(e.Running+1) +
 		s.model.ContextStepTime.Seconds()*(e.Context+tokens)/1000
 	crowding := 1 + crowdingWeight*(e.Used+need)/e.Capacity
-	decode := s.request.AnswerTokens * step * e.StepFactor * crowding * share * slowdown
-	return (decode + s.promptSeconds(e, layers)) / (1 - e.PromptLoad), true
+	return s.request.AnswerTokens * step * e.StepFactor * crowding * share * slowdown
 }
 
 // limit returns the load up to which the request may use an engine or a link.
@@ -292,7 +315,7 @@
 	seconds := s.request.AnswerTokens * link.Latency.Seconds()
 	if link.BytesPerSecond > 0 {
 		sending := s.model.PassedBytes(s.request) / link.BytesPerSecond
-		seconds += sending * crossingWeight / (1 - link.Load)
+		seconds += sending * crossingWeight / (1 - math.Min(link.Load, maxLinkLoad))
 	}
 	return seconds, true
 }
@@ -339,7 +362,7 @@
 		hops[i], hops[j] = hops[j], hops[i]
 	}
 	merged := mergeHops(hops)
-	if s.request.Begin != nil && merged[0].Limit != s.request.Begin.Limit {
+	if held := s.request.Held; len(held) > 0 && merged[0].Limit != held[0].Limit {
 		return nil, 0
 	}
 	return merged, seconds
--- a/pipeline/relay_test.go
+++ b/pipeline/relay_test.go
@@ -99,7 +99,7 @@
 	}
 	begin := Hop{Engine: "a0", Address: "a0:1", First: 0, Limit: 40}
 	hops, _, err := NewPathfinder(relayModel()).Find(engines, nil, RelayRequest{
-		PromptTokens: 700, AnswerTokens: 170, Begin: &begin, Avoid: map[string]bool{"a1": true},
+		PromptTokens: 700, AnswerTokens: 170, Held: []Hop{begin}, Avoid: map[string]bool{"a1": true},
 	})
 	assert.NilError(t, err)
 	assert.Equal(t, describeHops(hops[:1]), "a0=0-40")
@@ -206,3 +206,28 @@
 	assert.ErrorIs(t, find(slim, 0.7), ErrNoChain)
 	assert.ErrorIs(t, find(thin, 0.1), ErrNoChain)
 }
+
+// Guards against a stream that cannot leave an engine because the engines that
+// it stays with are counted as if they had to take it anew.
+func TestHeldPartsNeedNoFurtherRoom(t *testing.T) {
+	full := func(e RelayEngine) RelayEngine {
+		e.Used, e.PromptLoad = e.Capacity, 0.9
+		return e
+	}
+	engines := []RelayEngine{
+		full(relayEngine("a", "a", 0, 20, 1)), full(relayEngine("b", "a", 20, 40, 1)),
+		relayEngine("c", "a", 40, 60, 1), relayEngine("d", "a", 40, 60, 1), full(relayEngine("e", "b", 60, 80, 1)),
+	}
+	request := RelayRequest{PromptTokens: 700, AnswerTokens: 170, Avoid: map[string]bool{"c": true}}
+	links := map[[2]string]RelayLink{{"a", "b"}: {BytesPerSecond: 1e9, Load: 0.5}}
+	find := NewPathfinder(relayModel()).Find
+	_, _, err := find(engines, links, request)
+	assert.ErrorIs(t, err, ErrNoChain)
+	request.Held = []Hop{
+		{Engine: "a", First: 0, Limit: 20}, {Engine: "b", First: 20, Limit: 40},
+		{Engine: "c", First: 40, Limit: 60}, {Engine: "e", First: 60, Limit: 80},
+	}
+	hops, _, err := find(engines, links, request)
+	assert.NilError(t, err)
+	assert.Equal(t, describeHops(hops), "a=0-20 b=20-40 d=40-60 e=60-80")
+}
--- a/relay/run.go
+++ b/relay/run.go
@@ -28,6 +28,8 @@
 	maxSilence = 1500 * time.Millisecond
 	// rerouteTimeout bounds the order that changes the path of a stream.
 	rerouteTimeout = 300 * time.Millisecond
+	// rerouteRetry is when a path around an engine that leaves is looked for again.
+	rerouteRetry = 200 * time.Millisecond
 	// maxReroutes bounds how often one run changes its path.
 	maxReroutes = 6
 )
@@ -46,9 +48,11 @@
 	hops []pipeline.Hop
 	// place is what the run holds of the engines' memory.
 	place *reservation
-	// changes is the fleet's count of changes that the run has looked at.
-	changes  int64
-	reroutes int
+	// changes is the fleet's count of changes that the run has looked at, and
+	// lookAgain when it looks again without one.
+	changes   int64
+	lookAgain time.Time
+	reroutes  int
 	// pause is how long the run may stop before its engines are looked at. It grows
 	// with each look that finds nothing, because each question has a price.
 	pause time.Duration
@@ -144,10 +148,10 @@
 // it leaves the run goes on.
 func (r *run) checkPath(ctx context.Context) error {
 	changes := r.fleet.changes.Load()
-	if changes == r.changes {
+	if changes == r.changes && (r.lookAgain.IsZero() || time.Now().Before(r.lookAgain)) {
 		return nil
 	}
-	r.changes = changes
+	r.changes, r.lookAgain = changes, time.Time{}
 	lost, leaving := r.fleet.unusable(r.hops)
 	for _, id := range append(lost, leaving...) {
 		r.avoid[id] = true
@@ -158,23 +162,26 @@
 	case len(lost) > 0:
 		return r.reroute(ctx)
 	case slices.ContainsFunc(leaving, func(id string) bool { return id != head }):
-		// A path that cannot be changed goes on until the engine is gone.
-		_ = r.reroute(ctx)
+		// A path that cannot be changed now goes on until it can or the engine is gone.
+		if r.reroute(ctx) != nil {
+			r.lookAgain = time.Now().Add(rerouteRetry)
+		}
 	}
 	return nil
 }
 
 // reroute replaces the parts of the path after the first one.
 func (r *run) reroute(ctx context.Context) error {
-	if r.reroutes++; r.reroutes > maxReroutes {
+	if r.reroutes >= maxReroutes {
 		return errPathLost
 	}
 	need := r.need()
-	need.Begin, need.Begun = &r.hops[0], true
+	need.Held, need.Begun = r.hops, true
 	hops, place, err := r.fleet.choosePath(time.Now(), r.revision, r.target, need)
 	if err != nil {
 		return errPathLost
 	}
+	r.reroutes++
 	ctx, cancel := context.WithTimeout(ctx, rerouteTimeout)
 	defer cancel()
 	head := Server{Instance: membership.Instance{ID: hops[0].Engine, Address: hops[0].Address}}
