placement: engines that stand alone in a zone keep room for its requests

A move of an engine that held the first layers took 8 s, because streams cannot leave their first engine. Change: where links are thin, engines that are filled or moved keep room for 128 requests and are stretched to 64 at least; first engines move last; an order that an engine did not take is planned anew.

--- a/placement/relaychains.go
+++ b/placement/relaychains.go
@@ -43,12 +43,23 @@
 	return defaultMinRequests * o.RequestTokens
 }
 
-// roomyPart is how many times the least tokens of a chain an engine keeps room
-// for when its memory allows a choice between room and layers.
-const roomyPart = 2
+// room is the number of tokens that an engine keeps memory for beside its layers.
+type room struct {
+	// wanted is kept where the number of layers is free, least where further layers
+	// would otherwise be missing.
+	wanted, least float64
+}
 
-// roomyTokens is the room of an engine that may serve its layers alone in its zone.
-func (o RelayOptions) roomyTokens() float64 { return roomyPart * o.minTokens() }
+// roomWide holds where a zone without some layers can send requests to others.
+func roomWide(opts RelayOptions) room {
+	return room{wanted: opts.minTokens(), least: enoughPart * opts.minTokens()}
+}
+
+// roomThin holds where links between zones carry little: an engine that is the
+// only one of its zone with some layers must take all requests of the zone.
+func roomThin(opts RelayOptions) room {
+	return room{wanted: 2 * opts.minTokens(), least: opts.minTokens()}
+}
 
 // RelayAssignment is the range that an engine is to hold.
 type RelayAssignment struct {
@@ -329,7 +340,7 @@
 		if layers < p.model.Layers {
 			inCore++
 		}
-		layers += layersForTokens(e.MemoryBytes, p.model, p.opts.roomyTokens())
+		layers += layersForTokens(e.MemoryBytes, p.model, roomThin(p.opts).wanted)
 	}
 	if float64(layers) < (1+leastSecond)*float64(p.model.Layers) {
 		return chain, nil
@@ -351,7 +362,7 @@
 		holding = append(holding, e)
 	}
 	for _, e := range sortedByMemory(spare) {
-		r, ok := fillRelay(e, holding, p.opts.roomyTokens(), p.model, p.opts)
+		r, ok := FillRelay(e, holding, p.model, p.opts)
 		if !ok {
 			continue
 		}
@@ -401,17 +412,16 @@
 // fewest tokens, in the engine's zone and in all. An engine that restarted empty
 // so takes the range that it left, and a new engine relieves the tightest layers.
 func FillRelay(empty RelayEngine, others []RelayEngine, m Model, opts RelayOptions) (Range, bool) {
-	return fillRelay(empty, others, opts.minTokens(), m, opts)
-}
-
-// fillRelay is FillRelay for an engine that keeps room for a number of tokens.
-func fillRelay(empty RelayEngine, others []RelayEngine, tokens float64, m Model, opts RelayOptions) (Range, bool) {
 	held, local := copies(others, m, opts), copies(inZone(others, empty.Zone), m, opts)
-	useful := zoneCopies(append([]RelayEngine{empty}, others...), m, opts)
+	useful, room := 1.0, roomWide(opts)
+	if hasThinLinks(append([]RelayEngine{empty}, others...), m, opts) {
+		useful, room = 2, roomThin(opts)
+	}
 	for l := range local {
+		// Further copies serve all zones.
 		local[l] = math.Min(local[l], useful)
 	}
-	n := layersForTokens(empty.MemoryBytes, m, tokens)
+	n := layersForTokens(empty.MemoryBytes, m, room.wanted)
 	if n == 0 {
 		return Range{}, false
 	}
@@ -422,17 +432,7 @@
 		}
 	}
 	r := Range{first, first + n}
-	return stretch(r, held, layersForTokens(empty.MemoryBytes, m, enoughPart*opts.minTokens())), true
-}
-
-// zoneCopies is the number of copies of a layer up to which a zone gains by one
-// more; further ones serve all zones. Where links carry little, a zone needs a
-// second copy in case of a loss.
-func zoneCopies(engines []RelayEngine, m Model, opts RelayOptions) float64 {
-	if hasThinLinks(engines, m, opts) {
-		return 2
-	}
-	return 1
+	return stretch(r, held, layersForTokens(empty.MemoryBytes, m, room.least)), true
 }
 
 func inZone(engines []RelayEngine, zone string) (local []RelayEngine) {
--- a/placement/relayorders.go
+++ b/placement/relayorders.go
@@ -187,8 +187,12 @@
 	if float64(layersIn(gaps)) > mostMissing*float64(m.Layers) {
 		return nil
 	}
+	least := leastExtended * opts.RequestTokens
+	if mayMove {
+		least = roomThin(opts).least
+	}
 	for _, g := range gaps {
-		orders = append(orders, extend(local, g, m, opts)...)
+		orders = append(orders, extend(local, g, least, m)...)
 	}
 	orders = onePerEngine(orders)
 	after := withOrders(local, orders)
@@ -226,13 +230,16 @@
 	return after
 }
 
-// moveIntoGap returns the order that leaves a zone the fewest missing layers. Of
-// equal ones it takes the one that gives up the fewest layers, because an engine
-// that gives up layers takes no new requests for them, and then the one with the
-// fewest layers to load. Engines that have an order already stay as they are.
+// moveIntoGap returns the order that leaves a zone the fewest missing layers. An
+// engine that holds the first layers moves only when no other helps: streams
+// that begin at an engine cannot leave it, and the move waits for them. Of equal
+// orders it takes the one that gives up the fewest layers, because the engine
+// takes no new requests for them, and then the one with the fewest layers to
+// load. Engines that have an order already stay as they are.
 func moveIntoGap(local []RelayEngine, gaps []Range, ordered []RelayAssignment, m Model, opts RelayOptions) (RelayAssignment, bool) {
 	var best RelayAssignment
-	bestCost, found := [3]int{layersIn(gaps)}, false
+	lacking := layersIn(gaps)
+	bestCost, found := [4]int{}, false
 	for i, e := range local {
 		if slices.ContainsFunc(ordered, func(o RelayAssignment) bool { return o.Engine == e.Name }) {
 			continue
@@ -243,16 +250,15 @@
 				missing[l] = true
 			}
 		}
-		size := min(max(layersForTokens(e.MemoryBytes, m, opts.minTokens()), 1), m.Layers)
+		size := min(max(layersForTokens(e.MemoryBytes, m, roomThin(opts).wanted), 1), m.Layers)
 		for first := 0; first+size <= m.Layers; first++ {
 			r := Range{first, first + size}
 			kept := max(0, min(r.Limit, e.Holds.Limit)-max(r.First, e.Holds.First))
-			cost := [3]int{countOutside(missing, r), e.Holds.Limit - e.Holds.First - kept, size - kept}
+			cost := [4]int{0, countOutside(missing, r), e.Holds.Limit - e.Holds.First - kept, size - kept}
 			if e.Holds.First == 0 && r.First > 0 {
-				// Streams that begin at an engine cannot leave it, and the move waits for them.
-				cost[1] += m.Layers
+				cost[0] = 1
 			}
-			if slices.Compare(cost[:], bestCost[:]) < 0 && (found || cost[0] < bestCost[0]) {
+			if cost[1] < lacking && (!found || slices.Compare(cost[:], bestCost[:]) < 0) {
 				best, bestCost, found = RelayAssignment{e.Name, r}, cost, true
 			}
 		}
@@ -271,9 +277,10 @@
 }
 
 // extend divides a gap between an engine that ends before it and one that begins
-// after it, so that the tighter of the two holds as many tokens as possible.
-func extend(local []RelayEngine, gap Range, m Model, opts RelayOptions) []RelayAssignment {
-	best, bestTokens := []RelayAssignment(nil), leastExtended*opts.RequestTokens
+// after it, so that the tighter of the two holds as many tokens as possible, and
+// more than the least.
+func extend(local []RelayEngine, gap Range, least float64, m Model) []RelayAssignment {
+	best, bestTokens := []RelayAssignment(nil), least
 	for cut := gap.First; cut <= gap.Limit; cut++ {
 		before, tokensBefore := roomiest(local, m, func(e RelayEngine) (Range, bool) {
 			return Range{e.Holds.First, cut}, e.Holds.Limit == gap.First
--- a/relay/placer.go
+++ b/relay/placer.go
@@ -226,16 +226,22 @@
 	}
 	group := errgroup.Group{}
 	group.SetLimit(concurrentOrders)
+	var undone serverSet
 	for _, o := range orders {
 		server := servers[o.Engine]
 		until := now.Add(loadTime(model, o.Range, len(orders)) + orderMargin)
 		p.pending[server.ID] = pendingOrder{born: server.Born, layers: o.Range, until: until}
 		group.Go(func() error {
-			p.order(ctx, server, o.Range)
+			if !p.order(ctx, server, o.Range) {
+				undone.add(server.ID)
+			}
 			return nil
 		})
 	}
 	_ = group.Wait() // orders report their own failures
+	for _, id := range undone.ids {
+		delete(p.pending, id)
+	}
 }
 
 // relayOptions says what a model's requests need, and what the thinnest link
@@ -347,9 +353,10 @@
 	return quiet || now.Sub(w.first) >= settleLimit
 }
 
-// order gives one order. It names the number of orders that the engine has
-// begun, so that the engine refuses it if it arrives after a newer one.
-func (p *placer) order(ctx context.Context, server Server, r placement.Range) {
+// order gives one order and tells whether the engine may carry it out. It names
+// the number of orders that the engine has begun, so that the engine refuses it
+// if it arrives after a newer one.
+func (p *placer) order(ctx context.Context, server Server, r placement.Range) bool {
 	outcome := OrderUnknown
 	report, err := p.engines.Report(ctx, server.Address)
 	if err == nil && report.Busy {
@@ -364,4 +371,5 @@
 		line = line.Str("cause", err.Error())
 	}
 	line.Msg("")
+	return outcome == OrderBegun || outcome == OrderHolds || outcome == OrderUnknown
 }
--- a/relay/survey.go
+++ b/relay/survey.go
@@ -32,7 +32,7 @@
 	}
 	group := errgroup.Group{}
 	group.SetLimit(concurrentReports)
-	var silent silentEngines
+	var silent serverSet
 	asked := 0
 	for id, s := range p.fleet.snapshot() {
 		if rev.models[s.Service] == nil || p.fleet.lostFor(now, id) > 0 {
@@ -58,13 +58,13 @@
 // When more are silent at once, this entry is more likely cut off itself.
 const mostSilent = 0.25
 
-// silentEngines collects engines from several goroutines.
-type silentEngines struct {
+// serverSet collects servers from several goroutines.
+type serverSet struct {
 	mu  sync.Mutex
 	ids []string
 }
 
-func (s *silentEngines) add(id string) {
+func (s *serverSet) add(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ids = append(s.ids, id)
