--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -84,11 +84,20 @@
 	}
 }
 
-// hasLost tells whether some engine is lost whose record is still there.
-func (f *fleet) hasLost() bool {
+// returnLimit is how long a lost engine is expected to show life. One that is
+// silent for longer has ended; what comes in its place has a record of its own.
+const returnLimit = 6 * time.Second
+
+// hasLost tells whether some engine is lost that may be back soon.
+func (f *fleet) hasLost(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.lost) > 0
+	for _, at := range f.lost {
+		if now.Sub(at) < returnLimit {
+			return true
+		}
+	}
+	return false
 }
 
 // leaveNotice is how long streams stay with an engine that is leaving. Most end
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -38,3 +38,15 @@
 	assert.DeepEqual(t, leaving, []string{"y"})
 	assert.Assert(t, f.changes.Load() > before)
 }
+
+// Guards against entries that read the store often for as long as the record of
+// an engine that has ended stays there.
+func TestLostEngineIsAwaitedForAWhile(t *testing.T) {
+	f := newFleet(rand.New(rand.NewPCG(1, 2)))
+	now := time.Now()
+	f.replace(now, map[string]Server{"x": testFleetServer("x", 0, 10)})
+	assert.Assert(t, !f.hasLost(now))
+	f.lose(now, "x")
+	assert.Assert(t, f.hasLost(now.Add(time.Second)))
+	assert.Assert(t, !f.hasLost(now.Add(returnLimit)))
+}
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -198,9 +198,9 @@
 		topic: TopicServers, wait: func() time.Duration { return 0 },
 		pause: func(ctx context.Context) {
 			e.directory.answered(time.Now())
-			for rested := time.Duration(0); rested < checkInterval && ctx.Err() == nil; rested += watchInterval {
+			for rested := watchInterval; rested < checkInterval && ctx.Err() == nil; rested += watchInterval {
 				sleep(ctx, watchInterval)
-				if e.watches() || !e.hearsWatcher() || e.fleet.hasLost() {
+				if e.watches() || !e.hearsWatcher() || e.awaitsLife(rested) {
 					return
 				}
 			}
@@ -209,6 +209,12 @@
 	})
 }
 
+// awaitsLife tells whether a read is due for the sake of an engine that is lost: its
+// next record shows that it works.
+func (e *Entry) awaitsLife(rested time.Duration) bool {
+	return rested >= e.settings.Heartbeat && e.fleet.hasLost(time.Now())
+}
+
 // watches tells whether this entry reads the servers' records for the others.
 func (e *Entry) watches() bool { return e.term.Load() > 0 }
 
