relay: streams leave dead engines that refusals name, and avoid thin links

Traced with debug lines: engines tell of a stall after 0.3 s, while new requests are refused at once with the dead engine's name; changed paths led through the second dead engine (409); and 80 streams that moved to one thin link waited for each other's prompts. Change: an engine that a refusal names although it should have room is told to all entries at once, and streams that stand still for 60 ms leave it; a 409 names the next engine to avoid; streams that may run anew use no thin link when they change their path, nor first for a new run.

--- a/pipeline/relay.go
+++ b/pipeline/relay.go
@@ -67,6 +67,10 @@
 	// Begun is set for a request whose answer has begun. It may take the room that
 	// is kept free of new requests.
 	Begun bool
+	// NoThinLinks closes links that a usual prompt occupies for long, except between
+	// parts that stay. Many streams that change their paths at once would wait there
+	// for each other's prompts.
+	NoThinLinks bool
 	// Held is the path along which the request already runs. The new path must begin
 	// with its first part; parts that stay need no further room and read no prompt.
 	Held []Hop
@@ -82,6 +86,8 @@
 	// a chance of about exp(-(1-load) t/prompt), and a stream is late after a pause of
 	// 200 to 300 ms.
 	closingPrompt = 0.075
+	// thinLinkLoad is the permitted load below which a link counts as thin.
+	thinLinkLoad = 0.5
 	// begunLoad is added to both for requests whose answer has begun.
 	begunLoad = 0.15
 	// reserve is the part of an engine's memory that stays free for answers
@@ -309,7 +315,8 @@
 	if !known {
 		return 0, true
 	}
-	if link.Load > s.limit(s.model.openLoad(link)) {
+	open := s.model.openLoad(link)
+	if link.Load > s.limit(open) || s.request.NoThinLinks && open < thinLinkLoad {
 		return 0, false
 	}
 	seconds := s.request.AnswerTokens * link.Latency.Seconds()
--- a/pipeline/relay_test.go
+++ b/pipeline/relay_test.go
@@ -231,3 +231,21 @@
 	assert.NilError(t, err)
 	assert.Equal(t, describeHops(hops), "a=0-20 b=20-40 d=40-60 e=60-80")
 }
+
+// Guards against many streams that change their paths at once onto a thin link
+// and wait there for each other's prompts.
+func TestStreamsThatMayRunAnewAvoidThinLinks(t *testing.T) {
+	m := relayModel()
+	m.UsualPrompt = 700
+	engines := []RelayEngine{relayEngine("a", "a", 0, 40, 1), relayEngine("b", "b", 40, 60, 1), relayEngine("c", "b", 60, 80, 1)}
+	links := map[[2]string]RelayLink{{"a", "b"}: {BytesPerSecond: 400e6}}
+	request := RelayRequest{PromptTokens: 700, AnswerTokens: 170, Held: []Hop{{Engine: "a", First: 0, Limit: 40}}}
+	_, _, err := NewPathfinder(m).Find(engines, links, request)
+	assert.NilError(t, err)
+	request.NoThinLinks = true
+	_, _, err = NewPathfinder(m).Find(engines, links, request)
+	assert.ErrorIs(t, err, ErrNoChain)
+	request.Held = append(request.Held, Hop{Engine: "b", First: 40, Limit: 60})
+	_, _, err = NewPathfinder(m).Find(engines, links, request)
+	assert.NilError(t, err)
+}
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -59,6 +59,8 @@
 	term atomic.Int64
 	// newer wakes the read of the configuration.
 	newer chan struct{}
+	// alarm asks for a message to the other entries at once.
+	alarm alarm
 
 	running  *inProgress
 	draining atomic.Bool
@@ -72,7 +74,7 @@
 		logGate: newLogGate(), counters: newCounters(o.Metrics), fleet: newFleet(seeds.next()), pool: newPool(), stalls: newStalls(o.Engines, o.Logger),
 		backoff: func() *retry.Backoff { return retry.NewBackoff(storeRetryBase, storeRetryLimit, seeds.next()) },
 		inForce: make(chan struct{}), budgets: map[string]*lockedBudget{}, running: newInProgress(),
-		newer: make(chan struct{}, 1),
+		newer: make(chan struct{}, 1), alarm: make(alarm, 1),
 	}
 	e.directory = newDirectory(e)
 	return e
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,6 +53,9 @@
 	leaving map[string]departure
 	// avoided are engines that refused a part of a path, until a time.
 	avoided map[string]time.Time
+	// suspects are engines that refusals named although they should have room, with
+	// the time of the last one.
+	suspects map[string]time.Time
 	// changes counts changes of lost and leaving, so that streams need not look
 	// for them at each event.
 	changes atomic.Int64
@@ -61,7 +65,7 @@
 	return &fleet{
 		view: membership.New(membershipOptions()), servers: map[string]Server{}, own: map[string]*usage{},
 		slowdowns: map[string]float64{}, random: random, others: newOthers(),
-		crossings: map[string]*rateMeter{}, lost: map[string]time.Time{}, leaving: map[string]departure{}, avoided: map[string]time.Time{},
+		crossings: map[string]*rateMeter{}, lost: map[string]time.Time{}, leaving: map[string]departure{}, avoided: map[string]time.Time{}, suspects: map[string]time.Time{},
 	}
 }
 
@@ -183,6 +187,64 @@
 	f.avoided[id] = now.Add(refusedPart)
 }
 
+// suspect takes that a refusal named an engine. One that should have room is taken
+// as dead, and suspect returns true: the other entries are to know at once.
+func (f *fleet) suspect(now time.Time, id string, capacity float64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.avoided[id] = now.Add(refusedPart)
+	if f.inProgress(now, id).layerTokens > fullPart*capacity {
+		return false
+	}
+	_, known := f.suspects[id]
+	f.suspects[id] = now
+	return !known
+}
+
+// fullPart is the part of an engine's memory in use from which on a refusal may
+// come from a lack of it.
+const fullPart = 0.7
+
+// suspectHashes returns the engines that other entries are to know as suspects.
+func (f *fleet) suspectHashes(now time.Time) (hashes []uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, at := range f.suspects {
+		if now.Sub(at) > refusedPart {
+			delete(f.suspects, id)
+			continue
+		}
+		hashes = append(hashes, serverHash(id))
+	}
+	return hashes
+}
+
+// hearSuspects takes the suspects of another entry.
+func (f *fleet) hearSuspects(now time.Time, hashes []uint64) {
+	if len(hashes) == 0 {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id := range f.servers {
+		if slices.Contains(hashes, serverHash(id)) {
+			f.avoided[id] = now.Add(refusedPart)
+		}
+	}
+}
+
+// avoidedOn returns the engines of a path, except the first, that are avoided.
+func (f *fleet) avoidedOn(now time.Time, hops []pipeline.Hop) (ids []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, h := range hops[1:] {
+		if now.Before(f.avoided[h.Engine]) {
+			ids = append(ids, h.Engine)
+		}
+	}
+	return ids
+}
+
 // givesUp tells whether an engine no longer holds some of its layers.
 func givesUp(old, s Server) bool {
 	return old.Holds.Limit > old.Holds.First && (s.Holds.First > old.Holds.First || s.Holds.Limit < old.Holds.Limit)
--- a/relay/message.go
+++ b/relay/message.go
@@ -23,6 +23,9 @@
 	// servers is what the sender has in progress, by the hash of the server's
 	// name, which is shorter.
 	servers map[uint64]usage
+	// suspects are servers that were just named as the cause of a refusal, by the
+	// hash of their names.
+	suspects []uint64
 	// changes are servers' records that have changed in a way that matters. Each is
 	// sent several times.
 	changes []Record
@@ -32,7 +35,7 @@
 const noWatch = time.Hour
 
 // messageVersion begins every message; a program version that does not know it ignores the message.
-const messageVersion = 2
+const messageVersion = 3
 
 var errMessage = errors.New("not a message of another entry")
 
@@ -46,6 +49,10 @@
 	for hash, u := range m.servers {
 		out = appendUsage(binary.BigEndian.AppendUint64(out, hash), u)
 	}
+	out = binary.AppendUvarint(out, uint64(len(m.suspects)))
+	for _, hash := range m.suspects {
+		out = binary.BigEndian.AppendUint64(out, hash)
+	}
 	out = binary.AppendUvarint(out, uint64(len(m.changes)))
 	for _, r := range m.changes {
 		out = appendText(appendText(out, []byte(r.Key)), r.Value)
@@ -77,6 +84,9 @@
 		hash := r.uint64()
 		m.servers[hash] = r.usage()
 	}
+	for n := r.count(); n > 0 && !r.bad; n-- {
+		m.suspects = append(m.suspects, r.uint64())
+	}
 	for n := r.count(); n > 0 && !r.bad; n-- {
 		record := Record{Key: string(r.text())}
 		if value := r.text(); len(value) > 0 {
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -138,6 +138,7 @@
 		return
 	}
 	p.directory.hear(m.changes)
+	p.fleet.hearSuspects(time.Now(), m.suspects)
 	if m.revision > p.Revision() {
 		select {
 		case p.newer <- struct{}{}:
@@ -159,12 +160,37 @@
 
 func (p *peers) send(ctx context.Context) error {
 	for sequence := int64(1); ctx.Err() == nil; sequence++ {
-		sleep(ctx, messageInterval(int(p.registered.Load())))
+		sleep(ctx, leastMessageInterval)
+		p.alarm.await(ctx, messageInterval(int(p.registered.Load()))-leastMessageInterval)
 		p.tell(p.message(sequence).encode())
 	}
 	return ctx.Err()
 }
 
+// leastMessageInterval bounds how often an entry tells the others of suspects.
+const leastMessageInterval = 30 * time.Millisecond
+
+// alarm asks for a message before the next one is due.
+type alarm chan struct{}
+
+func (a alarm) raise() {
+	select {
+	case a <- struct{}{}:
+	default:
+	}
+}
+
+// await waits for an alarm, for at most a time.
+func (a alarm) await(ctx context.Context, limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-a:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // messageInterval keeps what an entry receives bounded while there are more
 // entries: each of them tells all others.
 func messageInterval(entries int) time.Duration {
@@ -175,7 +201,7 @@
 	now := time.Now()
 	m := message{
 		entry: p.settings.Instance, born: p.born, sequence: sequence, revision: p.Revision(), term: p.term.Load(),
-		watchAge: noWatch, servers: p.fleet.ownUsage(now),
+		watchAge: noWatch, servers: p.fleet.ownUsage(now), suspects: p.fleet.suspectHashes(now),
 	}
 	if p.watches() {
 		m.watchAge, m.changes = p.directory.age(now), p.directory.outgoing()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -206,11 +206,17 @@
 	OrderUnknown OrderOutcome = "unknown"
 )
 
+// PartMissingError says which engine cannot run its part of a path.
+type PartMissingError struct{ Address string }
+
+func (e *PartMissingError) Error() string { return "engine " + e.Address + " cannot run its part" }
+
 // Engines is how engines take orders and report.
 type Engines interface {
 	Report(ctx context.Context, address string) (Report, error)
 	// Place orders an engine to hold a range if it has begun a number of orders.
 	Place(ctx context.Context, server Server, r placement.Range, orders int64) (OrderOutcome, error)
-	// Reroute changes the path of a request in progress at its first engine.
+	// Reroute changes the path of a request in progress at its first engine. When an
+	// engine of the path cannot run its part the error is a PartMissingError.
 	Reroute(ctx context.Context, head Server, id string, path []pipeline.Hop) (OrderOutcome, error)
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -53,7 +53,9 @@
 	mu       sync.Mutex
 	stalled  []Stall
 	rerouted [][]pipeline.Hop
-	onRoute  func()
+	// missing are engines that cannot run their part of a path, by address.
+	missing map[string]bool
+	onRoute func()
 }
 
 func (e *testEngines) Report(context.Context, string) (Report, error) {
@@ -69,6 +71,11 @@
 func (e *testEngines) Reroute(_ context.Context, _ Server, _ string, path []pipeline.Hop) (OrderOutcome, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	for _, h := range path {
+		if e.missing[h.Address] {
+			return OrderConflict, &PartMissingError{h.Address}
+		}
+	}
 	e.rerouted = append(e.rerouted, path)
 	if e.onRoute != nil {
 		e.onRoute()
@@ -460,18 +467,54 @@
 // Guards against a stream that waits for a dead engine on its path instead of
 // taking another one.
 func TestStreamIsReroutedAroundStalledEngine(t *testing.T) {
+	testReroute(t, func(e *testEntry, dead string) {
+		e.engines.mu.Lock()
+		defer e.engines.mu.Unlock()
+		e.engines.stalled = []Stall{{Request: "id-1", Address: dead}}
+	})
+}
+
+// Guards against a stream that stands still until its engine names what it waits
+// for, while refusals of other requests have named the dead engine already.
+func TestStreamLeavesEngineThatRefusalsName(t *testing.T) {
+	testReroute(t, func(e *testEntry, _ string) {
+		e.fleet.hearSuspects(time.Now().Add(time.Minute), []uint64{serverHash("dead")})
+	})
+}
+
+// Guards against a stream whose new path leads through a second dead engine.
+func TestRerouteGoesAroundMissingPart(t *testing.T) {
+	testReroute(t, func(e *testEntry, dead string) {
+		second := testFleetServer("second", 4, 8)
+		second.Service, second.Accelerator, second.Slots = "llm", "gpu", 10
+		servers := e.fleet.snapshot()
+		servers["second"] = second
+		e.fleet.replace(time.Now(), servers)
+		e.engines.mu.Lock()
+		defer e.engines.mu.Unlock()
+		e.engines.missing = map[string]bool{second.Address: true}
+		e.engines.stalled = []Stall{{Request: "id-1", Address: dead}}
+	})
+}
+
+// testReroute runs a stream whose second engine stops, and expects it to go on
+// along another path once prepare tells the entry about the engine.
+func testReroute(t *testing.T, prepare func(e *testEntry, dead string)) {
+	t.Helper()
 	goOn := make(chan struct{})
+	const dead = "127.0.0.1:1"
+	var e *testEntry
 	head := newBackend(t, func(_ *backend, r *http.Request, conn net.Conn) bool {
 		write(conn, streamHead, r.Header.Get("Id"))
 		writeChunk(conn, event(1))
+		prepare(e, dead)
 		<-goOn
 		writeChunk(conn, event(2))
 		_, _ = io.WriteString(conn, "0\r\n\r\n")
 		return true
 	})
-	e := newTestEntry(t, streamRoute(true), head)
+	e = newTestEntry(t, streamRoute(true), head)
 	servers := map[string]Server{}
-	dead := "127.0.0.1:1"
 	for id, layers := range map[string]placement.Range{"head": {First: 0, Limit: 4}, "dead": {First: 4, Limit: 8}, "spare": {First: 4, Limit: 8}} {
 		servers[id] = Server{
 			Instance: membership.Instance{ID: id, Service: "llm", Zone: "a", Address: head.address()},
@@ -483,7 +526,6 @@
 	servers["dead"] = lost
 	e.fleet.replace(time.Now(), servers)
 	e.fleet.reserve(map[string]usage{"spare": {requests: 5, tokens: 1e6}})
-	e.engines.stalled = []Stall{{Request: "id-1", Address: dead}}
 	e.engines.onRoute = func() { close(goOn) }
 	_, body, err := e.ask(t, http.MethodPost)
 	assert.NilError(t, err)
--- a/relay/run.go
+++ b/relay/run.go
@@ -22,6 +22,9 @@
 	// pause is how long a stream may stop before its engines are looked at.
 	// Events are 10 to 50 ms apart.
 	pause = 100 * time.Millisecond
+	// glance is how long a stream may stop before it leaves engines that other
+	// requests have found dead.
+	glance = 60 * time.Millisecond
 	// maxPause bounds the time between two looks at a stream that is merely slow.
 	maxPause = 400 * time.Millisecond
 	// maxSilence is how long a stream may stop in all. Callers leave after 2 s.
@@ -112,7 +115,14 @@
 		if err := r.checkPath(ctx); err != nil {
 			return err
 		}
-		err := r.x.await(r.pause)
+		err := r.x.await(glance)
+		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+		if err := r.leaveSuspects(ctx); err != nil {
+			return err
+		}
+		err = r.x.await(r.pause - glance)
 		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return err
 		}
@@ -125,6 +135,23 @@
 	return errSilent
 }
 
+// leaveSuspects changes the path of a stream that stands still around engines that
+// refusals have named.
+func (r *run) leaveSuspects(ctx context.Context) error {
+	ids := r.fleet.avoidedOn(time.Now(), r.hops)
+	if len(ids) == 0 {
+		return nil
+	}
+	for _, id := range ids {
+		r.avoid[id] = true
+	}
+	if r.reroute(ctx) != nil && r.mayRestart() {
+		return errPathLost
+	}
+	// A stream that can neither leave nor run anew waits.
+	return nil
+}
+
 // findStalled asks the first engine for the engines that it waits for.
 func (r *run) findStalled(ctx context.Context) error {
 	stalled, err := r.stalls.ask(ctx, r.hops[0].Address)
@@ -170,18 +197,52 @@
 	return nil
 }
 
-// reroute replaces the parts of the path after the first one.
+// reroute replaces the parts of the path after the first one. An engine that
+// proves unable to run its part is replaced as well.
 func (r *run) reroute(ctx context.Context) error {
-	if r.reroutes >= maxReroutes {
-		return errPathLost
+	for r.reroutes < maxReroutes {
+		hops, place, err := r.chooseOther()
+		if err != nil {
+			return errPathLost
+		}
+		r.reroutes++
+		err = r.rerouteTo(ctx, hops, place)
+		if err == nil {
+			return nil
+		}
+		var missing *PartMissingError
+		if !errors.As(err, &missing) {
+			return errPathLost
+		}
+		server, known := r.fleet.byAddress(missing.Address)
+		if !known || r.avoid[server.ID] {
+			return errPathLost
+		}
+		r.suspect(server.ID)
 	}
+	return errPathLost
+}
+
+// chooseOther picks another path that begins with the same part. A stream that
+// may run anew elsewhere uses no thin links for it.
+func (r *run) chooseOther() ([]pipeline.Hop, *reservation, error) {
 	need := r.need()
-	need.Held, need.Begun = r.hops, true
+	need.Held, need.Begun, need.NoThinLinks = r.hops, true, true
 	hops, place, err := r.fleet.choosePath(time.Now(), r.revision, r.target, need)
-	if err != nil {
-		return errPathLost
+	if err == nil || r.mayRestart() {
+		return hops, place, err
 	}
-	r.reroutes++
+	need.NoThinLinks = false
+	return r.fleet.choosePath(time.Now(), r.revision, r.target, need)
+}
+
+// mayRestart tells whether the stream may go on with another run.
+func (r *run) mayRestart() bool {
+	return r.route.Resumable && r.attempts-r.refusals < r.route.MaxAttempts && r.budget(r.target).Left(time.Now()) >= 1
+}
+
+// rerouteTo orders the first engine to use a path.
+func (r *run) rerouteTo(ctx context.Context, hops []pipeline.Hop, place *reservation) error {
 	ctx, cancel := context.WithTimeout(ctx, rerouteTimeout)
 	defer cancel()
 	head := Server{Instance: membership.Instance{ID: hops[0].Engine, Address: hops[0].Address}}
@@ -189,7 +250,10 @@
 	r.logReroute(hops, outcome, err)
 	if outcome != OrderBegun && outcome != OrderHolds {
 		place.release()
-		return errPathLost
+		if err == nil {
+			err = errPathLost
+		}
+		return err
 	}
 	r.place.release()
 	r.place, r.hops = place, hops
--- a/relay/stalls.go
+++ b/relay/stalls.go
@@ -21,7 +21,7 @@
 	stallTimeout = 60 * time.Millisecond
 	// ownDelay is how much later than planned a question may end before the delay
 	// counts as this process's own, which says nothing about the engine.
-	ownDelay = 60 * time.Millisecond
+	ownDelay = 15 * time.Millisecond
 )
 
 // errInconclusive means that this process was too slow to judge an engine.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -11,6 +11,7 @@
 	"github.com/sapphirefield/sapphirefield/eventstream"
 	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/pipeline"
+	"github.com/sapphirefield/sapphirefield/placement"
 )
 
 const (
@@ -88,12 +89,19 @@
 }
 
 // choose picks a path for what is left of the request. A stream that has begun
-// waits for one: its caller stays for a while, and what is done would be lost.
+// waits for one: its caller stays for a while, and what is done would be lost. It
+// uses thin links only when there is no path without: after a loss many streams
+// look for a path at once.
 func (s *streaming) choose(ctx context.Context) ([]pipeline.Hop, *reservation, error) {
 	need := s.need()
 	need.Begun = s.begun
 	for waited := time.Duration(0); ; waited += choosePause {
+		need.NoThinLinks = s.begun
 		hops, place, err := s.fleet.choosePath(time.Now(), s.revision, s.target, need)
+		if err != nil && s.begun {
+			need.NoThinLinks = false
+			hops, place, err = s.fleet.choosePath(time.Now(), s.revision, s.target, need)
+		}
 		if err == nil || !s.begun || waited >= choosePatience {
 			return hops, place, err
 		}
@@ -179,10 +187,34 @@
 			engine = server.ID
 		}
 	}
+	if x.response.StatusCode == http.StatusServiceUnavailable && engine != head.Engine {
+		s.suspect(engine)
+		return
+	}
 	s.avoid[engine] = true
 	s.fleet.avoid(time.Now(), engine)
 }
 
+// suspect avoids an engine that cannot run its part, and tells the other entries
+// at once when it should be able to.
+func (s *streaming) suspect(engine string) {
+	s.avoid[engine] = true
+	if s.fleet.suspect(time.Now(), engine, s.capacity(engine)) {
+		s.alarm.raise()
+	}
+}
+
+// capacity returns the tokens times layers that an engine has memory for.
+func (s *streaming) capacity(engine string) float64 {
+	server := s.fleet.snapshot()[engine]
+	kind, model := s.revision.accelerators[server.Accelerator], s.revision.models[s.target]
+	if kind == nil || model == nil {
+		return 0
+	}
+	layers := server.Holds.Limit - server.Holds.First
+	return placement.TokenCapacity(kind.MemoryBytes, layers, placementModel(model)) * float64(layers)
+}
+
 func (s *streaming) logRecovery(cause error) {
 	logevent.Write(s.logger, logevent.StreamRepaired).Str("request", s.call.ID).Str("path", s.path).
 		Int64("last_event", s.last).Int("attempts", s.attempts).Str("cause", detailOf(cause)).Msg("")
--- a/relay/usage.go
+++ b/relay/usage.go
@@ -85,7 +85,7 @@
 	if known && (m.born < old.born || m.born == old.born && m.sequence <= old.sequence) {
 		return false
 	}
-	m.changes = nil
+	m.changes, m.suspects = nil, nil
 	o.byEntry[m.entry] = otherEntry{m, now}
 	o.total = nil
 	return true
--- a/relay/usage_test.go
+++ b/relay/usage_test.go
@@ -26,6 +26,9 @@
 		}
 		m.revision, m.term = rapid.Int64().Draw(t, "revision"), rapid.Int64().Draw(t, "term")
 		m.watchAge = time.Duration(rapid.IntRange(0, 10000).Draw(t, "age")) * time.Millisecond
+		for range rapid.IntRange(0, 4).Draw(t, "suspects") {
+			m.suspects = append(m.suspects, rapid.Uint64().Draw(t, "suspect"))
+		}
 		for range rapid.IntRange(0, 4).Draw(t, "changes") {
 			r := Record{Key: rapid.String().Draw(t, "key")}
 			if value := rapid.SliceOf(rapid.Byte()).Draw(t, "value"); len(value) > 0 {
@@ -40,6 +43,7 @@
 		assert.DeepEqual(t, []int64{got.born, got.sequence, got.revision, got.term}, []int64{m.born, m.sequence, m.revision, m.term})
 		assert.Equal(t, got.watchAge, m.watchAge)
 		assert.DeepEqual(t, got.changes, m.changes)
+		assert.DeepEqual(t, got.suspects, m.suspects)
 		assert.Equal(t, len(got.servers), len(m.servers))
 		for hash, u := range m.servers {
 			assert.Equal(t, got.servers[hash], u)
