relay: a stream that cannot run anew is not given up for its silence

Ruled out: an engine that broke off; the time budget. The caller leaves by itself when nothing comes.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -545,3 +545,22 @@
 	e.server.Close()
 	assert.Equal(t, len(e.fleet.own), 0)
 }
+
+// Guards against a stream that is broken off after its last permitted run has been
+// silent for a while: nothing better can follow, and its engine may still go on.
+func TestLastRunIsNotGivenUpForItsSilence(t *testing.T) {
+	first := newBackend(t, events(2, false))
+	second := newBackend(t, func(_ *backend, r *http.Request, conn net.Conn) bool {
+		write(conn, streamHead, r.Header.Get("Id"))
+		writeChunk(conn, event(3))
+		time.Sleep(maxSilence + maxPause + 200*time.Millisecond)
+		writeChunk(conn, event(4))
+		_, _ = io.WriteString(conn, "0\r\n\r\n")
+		return true
+	})
+	e := newTestEntry(t, streamRoute(true), first, second)
+	e.order()
+	_, body, err := e.ask(t, http.MethodPost)
+	assert.NilError(t, err)
+	assert.Equal(t, body, ids(4))
+}
--- a/relay/run.go
+++ b/relay/run.go
@@ -109,30 +109,51 @@
 }
 
 // await waits for bytes of the answer. While none come it finds out which engine
-// the work waits for, and changes the path around engines that are lost.
+// the work waits for, and changes the path around engines that are lost. It gives
+// the run up only when something better can follow: a stream that cannot run anew
+// may still go on, and its caller leaves by itself when it does not.
 func (r *run) await(ctx context.Context) error {
-	for waited := time.Duration(0); waited < maxSilence; {
-		if err := r.checkPath(ctx); err != nil {
-			return err
-		}
-		err := r.x.await(glance)
-		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
-			return err
-		}
-		if err := r.leaveSuspects(ctx); err != nil {
-			return err
-		}
-		err = r.x.await(r.pause - glance)
-		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+	for waited := time.Duration(0); ; waited += r.pause {
+		silent, err := r.awaitOnce(ctx)
+		switch {
+		case err != nil && !errors.Is(err, errPathLost):
 			return err
+		case err == nil && !silent:
+			return nil
+		case err == nil && waited >= maxSilence:
+			err = errSilent
 		}
-		waited += r.pause
-		if err := r.findStalled(ctx); err != nil {
+		if err != nil && r.mayGiveUp() {
 			return err
 		}
-		r.pause = min(2*r.pause, maxPause)
 	}
-	return errSilent
+}
+
+// mayGiveUp tells whether the run may be ended without its engine's doing.
+func (r *run) mayGiveUp() bool { return !r.begun || r.mayRestart() }
+
+// awaitOnce waits for bytes, looks at the path while none come, and tells whether
+// none have come.
+func (r *run) awaitOnce(ctx context.Context) (silent bool, err error) {
+	if err := r.checkPath(ctx); err != nil && r.mayGiveUp() {
+		return false, err
+	}
+	err = r.x.await(glance)
+	if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false, err
+	}
+	if err := r.leaveSuspects(ctx); err != nil {
+		return true, err
+	}
+	err = r.x.await(r.pause - glance)
+	if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false, err
+	}
+	if err := r.findStalled(ctx); err != nil {
+		return true, err
+	}
+	r.pause = min(2*r.pause, maxPause)
+	return true, nil
 }
 
 // leaveSuspects changes the path of a stream that stands still around engines that
@@ -187,7 +208,11 @@
 	case slices.Contains(lost, head):
 		return errPathLost
 	case len(lost) > 0:
-		return r.reroute(ctx)
+		err := r.reroute(ctx)
+		if err != nil {
+			r.lookAgain = time.Now().Add(rerouteRetry)
+		}
+		return err
 	case slices.ContainsFunc(leaving, func(id string) bool { return id != head }):
 		// A path that cannot be changed now goes on until it can or the engine is gone.
 		if r.reroute(ctx) != nil {
