soak: run real entries with injected faults and check the promises

A verb of sapphiredev: the real program in processes of its own, stand-ins of the platform's store, engines and application servers in platform/platformtest, loopback proxies that delay, reset, silence and cut one way, signals that stop, pause, kill and restart, a store that refuses, is slow, loses answers and forgets. Faults come in the order of the seed and overlap; callers keep their connections until they end. Checked while it runs: the right answer, at most once, not run is true, order of events, unchanged requests, team and key, layers, memory, attempts, draining, configuration in force and never back, the end after SIGTERM, recovery.

--- a/cmd/sapphiredev/main.go
+++ b/cmd/sapphiredev/main.go
@@ -20,6 +20,7 @@
 	"github.com/sapphirefield/sapphirefield/experiment/load"
 	"github.com/sapphirefield/sapphirefield/experiment/overload"
 	"github.com/sapphirefield/sapphirefield/fuzz"
+	"github.com/sapphirefield/sapphirefield/soak"
 )
 
 func main() {
@@ -28,7 +29,7 @@
 		ShortUsage: "sapphiredev <subcommand> [flags]",
 		Subcommands: []*ffcli.Command{
 			demoCommand(), local.Command(), load.Command(),
-			fleet.Command(), overload.Command(), fuzz.Command(), capacity.Command(), control.Command(),
+			fleet.Command(), overload.Command(), fuzz.Command(), capacity.Command(), control.Command(), soak.Command(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
--- /dev/null
+++ b/soak/command.go
@@ -0,0 +1,65 @@
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
+)
+
+// Command returns the soak as a subcommand of sapphiredev.
+func Command() *ffcli.Command {
+	flags := flag.NewFlagSet("sapphiredev soak", flag.ContinueOnError)
+	o := Options{}
+	flags.StringVar(&o.Program, "program", "target/sapphired", "path of sapphired")
+	flags.Uint64Var(&o.Seed, "seed", 1, "first seed")
+	seeds := flags.Int("seeds", 1, "number of seeds")
+	flags.IntVar(&o.Entries, "entries", 4, "number of entries, each a process")
+	flags.IntVar(&o.Engines, "engines", 18, "number of stand-in engines")
+	flags.IntVar(&o.Callers, "callers", 24, "number of callers")
+	flags.DurationVar(&o.Faults, "faults", 15*time.Second, "how long faults are injected")
+	flags.DurationVar(&o.Calm, "calm", 6*time.Second, "how long the soak watches the service after its recovery")
+	flags.IntVar(&o.Lane, "lane", 0, "lane of loopback addresses, one for each soak that runs at the same time")
+	return &ffcli.Command{
+		Name:       "soak",
+		ShortUsage: "sapphiredev soak [-seed N] [-seeds N] [flags]",
+		ShortHelp:  "run real entries with injected faults and check the product's promises",
+		FlagSet:    flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			return runSeeds(ctx, o, *seeds)
+		},
+	}
+}
+
+// runSeeds runs soaks one after another. The folder of a soak that broke a
+// promise is kept.
+func runSeeds(ctx context.Context, o Options, seeds int) error {
+	failed := 0
+	for ; seeds > 0 && ctx.Err() == nil; seeds-- {
+		folder, err := NewFolder()
+		if err != nil {
+			return err
+		}
+		o.Folder = folder
+		report, err := Run(ctx, o)
+		if err != nil {
+			return errors.Wrapf(err, "seed %d", o.Seed)
+		}
+		fmt.Println(report)
+		if len(report.Broken()) > 0 {
+			failed++
+			fmt.Printf("  logs are in %s\n", folder)
+		} else if err := os.RemoveAll(folder); err != nil {
+			return err
+		}
+		o.Seed++
+	}
+	if failed > 0 {
+		return errors.Errorf("%d soaks broke promises", failed)
+	}
+	return nil
+}
