relay: limits of the configuration, one rule for repeats

The operators' limits for headers and idle connections hold now (10 s and a minute were fixed before); a larger header is answered 431. Whether another attempt may follow is one pure decision, retry.Limits.Allow, for plain calls and streams. Servers are found by address in an index. A restarted entry whose clock was set back is heard once its earlier run is silent.

--- a/daemon/idle.go
+++ b/daemon/idle.go
@@ -13,17 +13,23 @@
 // header of the next request, so its own way of closing idle connections can cut
 // off a request that is passed on a moment later.
 type idleConns struct {
+	// limits returns how long the header of a request may take, and how long a
+	// connection may stay idle; 0 leaves the server's own limit.
+	limits  func() (header, idle time.Duration)
 	mu      sync.Mutex
 	conns   map[*idleConn]struct{}
 	leaving bool
 }
 
-func newIdleConns() *idleConns { return &idleConns{conns: map[*idleConn]struct{}{}} }
+func newIdleConns(limits func() (header, idle time.Duration)) *idleConns {
+	return &idleConns{limits: limits, conns: map[*idleConn]struct{}{}}
+}
 
 // idleConn knows whether its connection has begun to carry a request.
 type idleConn struct {
 	net.Conn
-	mu sync.Mutex
+	limits func() (header, idle time.Duration)
+	mu     sync.Mutex
 	// active is set from the first byte of a request until its answer has ended.
 	active bool
 	// used is set once the connection has carried a request.
@@ -45,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &idleConn{Conn: conn}
+	c := &idleConn{Conn: conn, limits: l.conns.limits}
 	l.conns.mu.Lock()
 	defer l.conns.mu.Unlock()
 	l.conns.conns[c] = struct{}{}
@@ -118,16 +124,30 @@
 	return n, err
 }
 
-// SetReadDeadline leaves the deadline of an expired idle connection as it is.
+// SetReadDeadline leaves the deadline of an expired idle connection as it is. The
+// server sets deadlines for headers and idle connections only, by limits that
+// hold for its whole life; those in force now are shorter or longer.
 func (c *idleConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.expired && !c.active {
 		return nil
 	}
+	if limit := c.limit(); limit > 0 && t.After(time.Now()) {
+		t = time.Now().Add(limit)
+	}
 	return c.Conn.SetReadDeadline(t)
 }
 
+// limit returns the limit that holds for what the connection waits for.
+func (c *idleConn) limit() time.Duration {
+	header, idle := c.limits()
+	if c.used && !c.active {
+		return idle
+	}
+	return header
+}
+
 // SetDeadline leaves the read deadline of an expired idle connection as it is.
 func (c *idleConn) SetDeadline(t time.Time) error {
 	if err := c.SetReadDeadline(t); err != nil {
--- a/daemon/idle_test.go
+++ b/daemon/idle_test.go
@@ -11,15 +11,17 @@
 	"gotest.tools/v3/assert"
 )
 
+func noLimits() (header, idle time.Duration) { return 0, 0 }
+
 func pipeConn() (*idleConn, net.Conn) {
 	server, client := net.Pipe()
-	return &idleConn{Conn: server}, client
+	return &idleConn{Conn: server, limits: noLimits}, client
 }
 
 // Guards against a kept connection that is closed while the next request is
 // arriving: the request would be passed on and its answer lost.
 func TestRequestThatHasBegunIsNotCutOff(t *testing.T) {
-	s := newIdleConns()
+	s := newIdleConns(noLimits)
 	c, client := pipeConn()
 	s.conns[c] = struct{}{}
 	s.observe(c, http.StateIdle)
@@ -39,7 +41,7 @@
 // process was asked to stop: an idle one ends at once, a busy one with its
 // request, and a new one is kept for its first request.
 func TestIdleConnectionsEnd(t *testing.T) {
-	s := newIdleConns()
+	s := newIdleConns(noLimits)
 	idle, _ := pipeConn()
 	busy, busyClient := pipeConn()
 	fresh, freshClient := pipeConn()
@@ -65,3 +67,24 @@
 	_, err = fresh.Read(make([]byte, 1))
 	assert.NilError(t, err)
 }
+
+// Guards against operators' limits for headers and idle connections that are read
+// and never applied.
+func TestOperatorsLimitsHold(t *testing.T) {
+	c, client := pipeConn()
+	c.limits = func() (header, idle time.Duration) { return time.Millisecond, time.Hour }
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(time.Hour)))
+	_, err := c.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+
+	c.setIdle()
+	c.limits = func() (header, idle time.Duration) { return time.Hour, time.Millisecond }
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(time.Hour)))
+	_, err = c.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+
+	assert.NilError(t, c.SetReadDeadline(time.Time{}))
+	go func() { _, _ = io.WriteString(client, "x") }()
+	_, err = c.Read(make([]byte, 1))
+	assert.NilError(t, err)
+}
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -60,11 +60,15 @@
 // RunRelay runs a relaying entry until it has shut down.
 func RunRelay(ctx context.Context, o RelayOptions) error {
 	logger := &log.Logger{Level: o.LogLevel, TimeFormat: time.RFC3339Nano, Writer: &log.IOWriter{Writer: o.Logs}}
-	p := &relayProcess{options: o, logger: logger, registry: metrics.NewRegistry(), idle: newIdleConns()}
+	p := &relayProcess{options: o, logger: logger, registry: metrics.NewRegistry()}
 	p.entry = relay.New(relay.Options{
 		Settings: o.Settings, Store: o.Store, Engines: o.Engines, Wire: o.Wire,
 		Logger: logger, Metrics: p.registry, Random: seededRandom(),
 	})
+	p.idle = newIdleConns(func() (header, idle time.Duration) {
+		limits := p.entry.Limits()
+		return limits.HeaderTime, limits.IdleTime
+	})
 	p.callers = &http.Server{
 		Handler: p.entry, ReadHeaderTimeout: headerTimeout, IdleTimeout: defaultIdleTimeout, ConnState: p.idle.observe,
 	}
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -23,6 +23,7 @@
 	UnknownRoute     Code = "unknown_route"
 	InvalidRequest   Code = "invalid_request"
 	BodyTooLarge     Code = "body_too_large"
+	HeaderTooLarge   Code = "header_too_large"
 	MethodNotAllowed Code = "method_not_allowed"
 	Overloaded       Code = "overloaded"
 	RateLimited      Code = "rate_limited"
@@ -52,6 +53,7 @@
 	UnknownRoute:     {status: http.StatusNotFound},
 	InvalidRequest:   {status: http.StatusBadRequest},
 	BodyTooLarge:     {status: http.StatusRequestEntityTooLarge},
+	HeaderTooLarge:   {status: http.StatusRequestHeaderFieldsTooLarge},
 	MethodNotAllowed: {status: http.StatusMethodNotAllowed},
 	Overloaded:       {status: http.StatusServiceUnavailable, retry: true},
 	RateLimited:      {status: http.StatusTooManyRequests, retry: true},
--- a/relay/connection.go
+++ b/relay/connection.go
@@ -64,19 +64,19 @@
 	}
 }
 
-// get returns an idle connection or opens one. opened tells which.
-func (p *pool) get(ctx context.Context, address string) (c *connection, opened bool, err error) {
-	for c = p.takeIdle(address); c != nil; c = p.takeIdle(address) {
+// get returns an idle connection or opens one.
+func (p *pool) get(ctx context.Context, address string) (*connection, error) {
+	for c := p.takeIdle(address); c != nil; c = p.takeIdle(address) {
 		if time.Now().Before(c.expires) && c.isQuiet() {
-			return c, false, nil
+			return c, nil
 		}
 		c.Close()
 	}
 	conn, err := p.dial(ctx, address)
 	if err != nil {
-		return nil, true, err
+		return nil, err
 	}
-	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBuffer)}, true, nil
+	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBuffer)}, nil
 }
 
 // takeIdle returns the connection that was used last, so that the others reach their end.
@@ -206,7 +206,7 @@
 // when no byte has left, otherwise errNoAnswer. When ctx ends the connection is
 // closed at once.
 func (p *pool) open(ctx context.Context, address string, o *outbound) (*exchange, error) {
-	conn, _, err := p.get(ctx, address)
+	conn, err := p.get(ctx, address)
 	if err != nil {
 		return nil, errors.Wrap(errNotSent, err.Error())
 	}
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -115,6 +115,14 @@
 	return 0
 }
 
+// Limits returns the limits of the configuration in force.
+func (e *Entry) Limits() Limits {
+	if rev := e.current.Load(); rev != nil {
+		return rev.Limits
+	}
+	return Limits{}
+}
+
 // Errors of Ready.
 var (
 	errNoConfiguration = errors.New("no configuration is in force yet")
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -40,7 +40,9 @@
 	mu      sync.Mutex
 	view    *membership.View
 	servers map[string]Server
-	own     map[string]*usage
+	// byAddr holds the names of the servers by address.
+	byAddr map[string]string
+	own    map[string]*usage
 	// slowdowns are those that this entry's own survey found.
 	slowdowns map[string]float64
 	random    *rand.Rand
@@ -80,6 +82,13 @@
 	}
 	f.view.ObserveList(now, list)
 	f.servers = servers
+	f.byAddr = make(map[string]string, len(servers))
+	for id, s := range servers {
+		// An address may be used again while the record of its earlier server is there.
+		if other, taken := f.byAddr[s.Address]; !taken || servers[other].Born < s.Born {
+			f.byAddr[s.Address] = id
+		}
+	}
 	f.observeDepartures(now)
 	for id := range f.lost {
 		if _, known := servers[id]; !known {
@@ -342,12 +351,8 @@
 func (f *fleet) byAddress(address string) (Server, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, s := range f.servers {
-		if s.Address == address {
-			return s, true
-		}
-	}
-	return Server{}, false
+	s, known := f.servers[f.byAddr[address]]
+	return s, known
 }
 
 // reservation is work that counts against servers until it is released.
@@ -454,8 +459,7 @@
 	return rate
 }
 
-// engines returns the engines of a model that may receive work. Suspects count
-// only when no other engine holds layers.
+// engines returns the engines of a model that may receive work.
 func (f *fleet) engines(now time.Time, rev *revision, model string) []pipeline.RelayEngine {
 	m := placementModel(rev.models[model])
 	var engines []pipeline.RelayEngine
--- a/relay/front.go
+++ b/relay/front.go
@@ -12,6 +12,7 @@
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/problem"
+	"github.com/sapphirefield/sapphirefield/retry"
 )
 
 // request is one request of a caller.
@@ -28,8 +29,10 @@
 	started  time.Time
 	// deadline is when the caller stops waiting or the route's timeout passes.
 	deadline time.Time
-	// attempts counts the servers to which the request was sent.
-	attempts int
+	// attempts counts the attempts that ended without an answer, sends the servers
+	// to which the request was sent.
+	attempts retry.Attempts
+	sends    int
 	// ranBefore is set once an earlier server may have run the request.
 	ranBefore bool
 	// avoid holds servers that failed this request.
@@ -87,6 +90,9 @@
 	if rev == nil {
 		return q.retryLater(problem.NoBackend, "no configuration is in force yet", noConfigurationRetry)
 	}
+	if limit := rev.Limits.HeaderBytes; limit > 0 && headerBytes(q.r) > limit {
+		return problem.Refuse(problem.HeaderTooLarge, "the header is larger than allowed")
+	}
 	path := q.r.URL.EscapedPath()
 	q.route = rev.routes.Find(q.r.Host, path)
 	if q.route == nil {
@@ -101,12 +107,24 @@
 	}
 	q.deadline = q.started.Add(q.route.Budget(q.call.Budget))
 	q.target = q.route.Pick(q.fleet.point())
-	return q.readBody(rev.MaxBodyBytes)
+	return q.readBody(rev.Limits.BodyBytes)
 }
 
 // noConfigurationRetry is about the time that a new process takes to read the configuration.
 const noConfigurationRetry = 500 * time.Millisecond
 
+// headerBytes is the size of a request's first line and header, as a caller writes them.
+func headerBytes(r *http.Request) int64 {
+	const lineEnd, separators = 2, 2
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + separators + lineEnd + len("Host: ") + len(r.Host) + lineEnd
+	for name, values := range r.Header {
+		for _, value := range values {
+			n += len(name) + len(": ") + len(value) + lineEnd
+		}
+	}
+	return int64(n + lineEnd)
+}
+
 func (q *request) readBody(limit int64) *problem.Problem {
 	if limit > 0 {
 		q.r.Body = http.MaxBytesReader(q.w, q.r.Body, limit)
@@ -179,7 +197,7 @@
 	}
 	line := logevent.Write(q.logger, logevent.RelayFinished).
 		Str("request", q.call.ID).Str("outcome", string(q.outcome)).Int("status", q.status).
-		Int("attempts", q.attempts).Dur("took_ms", time.Since(q.started))
+		Int("attempts", q.sends).Dur("took_ms", time.Since(q.started))
 	if q.route != nil {
 		line = line.Str("route", q.route.Name).Str("target", q.target).Int64("revision", q.revision.Revision)
 	}
--- a/relay/observe.go
+++ b/relay/observe.go
@@ -87,7 +87,7 @@
 	if !q.firstByte.IsZero() {
 		c.first.Update(q.firstByte.Sub(q.started).Milliseconds())
 	}
-	if q.attempts > 1 {
-		c.repeats.Inc(int64(q.attempts - 1))
+	if q.sends > 1 {
+		c.repeats.Inc(int64(q.sends - 1))
 	}
 }
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -11,6 +11,7 @@
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/membership"
 	"github.com/sapphirefield/sapphirefield/problem"
+	"github.com/sapphirefield/sapphirefield/retry"
 )
 
 const (
@@ -32,6 +33,8 @@
 const (
 	// answered means that the caller has its answer.
 	answered verdict = iota
+	// notSent means that the server could not be reached.
+	notSent
 	// notRun means that the server has not run the request and never will.
 	notRun
 	// mayHaveRun means that the request may have run without an answer.
@@ -46,28 +49,24 @@
 	defer cancel()
 	budget := q.budget(q.target)
 	budget.Success(time.Now())
-	unsent := 0
 	for {
 		server, place, found := q.fleet.chooseServer(time.Now(), q.target, q.avoid)
 		if !found {
 			q.refuseOrFail(q.ranBefore, "no server is available", noServerRetry)
 			return
 		}
-		v, sent, err := q.tryServer(ctx, server)
+		v, err := q.tryServer(ctx, server)
 		place.release()
 		if v == answered {
 			return
 		}
 		q.avoid[server.ID] = true
-		if !sent {
-			unsent++
-		}
-		q.ranBefore = q.ranBefore || v == mayHaveRun
 		if ctx.Err() != nil {
+			q.ranBefore = q.ranBefore || v == mayHaveRun
 			q.timedOut()
 			return
 		}
-		if !q.mayRepeat(v, sent, unsent) {
+		if !q.mayRepeat(v, q.plainLimits(), q.route.Call != config.CallAtMostOnce) {
 			q.refuseOrFail(q.ranBefore, detailOf(err), busyRetry)
 			return
 		}
@@ -81,18 +80,20 @@
 	return err.Error()
 }
 
-// mayRepeat decides whether another server is tried.
-func (q *request) mayRepeat(v verdict, sent bool, unsent int) bool {
-	if !sent {
-		return unsent < maxUnsent
-	}
-	if v == mayHaveRun && q.route.Call == config.CallAtMostOnce {
-		return false
-	}
-	if q.attempts >= q.route.MaxAttempts {
+func (q *request) plainLimits() retry.Limits {
+	return retry.Limits{Attempts: q.route.MaxAttempts, Unsent: maxUnsent}
+}
+
+// mayRepeat counts an attempt and decides whether another one follows.
+func (q *request) mayRepeat(v verdict, limits retry.Limits, repeatable bool) bool {
+	outcome := map[verdict]retry.Outcome{notSent: retry.Unsent, notRun: retry.Refused, mayHaveRun: retry.Unknown}[v]
+	q.attempts.Count(outcome)
+	q.ranBefore = q.ranBefore || v == mayHaveRun
+	if !limits.Allow(q.attempts, outcome, repeatable) {
 		return false
 	}
-	return q.budget(q.target).Take(time.Now(), false)
+	// Nothing was asked of a server that could not be reached.
+	return v == notSent || q.budget(q.target).Take(time.Now(), false)
 }
 
 // refuseOrFail gives the final answer when no server answered.
@@ -114,30 +115,30 @@
 }
 
 // tryServer sends the request to one server and passes its answer on.
-func (q *request) tryServer(ctx context.Context, server Server) (v verdict, sent bool, err error) {
+func (q *request) tryServer(ctx context.Context, server Server) (verdict, error) {
 	q.path = server.ID
 	x, err := q.pool.send(ctx, q.wire, server.Address, q.outbound(Send{Instance: server.ID, LastEvent: -1}))
 	if errors.Is(err, errNotSent) {
 		q.fleet.observe(time.Now(), server.ID, membership.RefusedConnection)
-		return notRun, false, err
+		return notSent, err
 	}
-	q.attempts++
+	q.sends++
 	if err != nil {
 		if ctx.Err() == nil {
 			q.fleet.observe(time.Now(), server.ID, membership.EndOfStream)
 		}
-		return mayHaveRun, true, err
+		return mayHaveRun, err
 	}
 	if x.answer.NotRun {
 		q.drop(x)
 		q.observeRefusal(server, x)
-		return notRun, true, errors.Errorf("server answered %d", x.response.StatusCode)
+		return notRun, errors.Errorf("server answered %d", x.response.StatusCode)
 	}
-	v, err = q.passAnswer(x)
+	v, err := q.passAnswer(x)
 	if v == answered {
 		q.fleet.observe(time.Now(), server.ID, membership.Heartbeat)
 	}
-	return v, true, err
+	return v, err
 }
 
 // observeRefusal takes a refusal as evidence: another server at the address, or load.
@@ -201,7 +202,8 @@
 // mayTryAgain tells whether a failure that the server reports leads to another
 // server instead of the caller.
 func (q *request) mayTryAgain() bool {
-	if q.route.Call != config.CallIdempotent || q.attempts >= q.route.MaxAttempts {
+	// The present attempt is not counted yet.
+	if q.route.Call != config.CallIdempotent || q.attempts.Sent+1 >= q.route.MaxAttempts {
 		return false
 	}
 	return q.budget(q.target).Left(time.Now()) >= 1
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -42,8 +42,15 @@
 	// Revision grows with each change, in uneven steps.
 	Revision int64
 	Document *config.Document
-	// MaxBodyBytes bounds the body of a caller's request; 0 means no bound.
-	MaxBodyBytes int64
+	Limits   Limits
+}
+
+// Limits bound what a caller may send, and how long it may take or stay idle; 0
+// means no bound of the operators'.
+type Limits struct {
+	HeaderBytes, BodyBytes int64
+	// HeaderTime is for the header of a request, IdleTime between two requests.
+	HeaderTime, IdleTime time.Duration
 }
 
 // Server is a backend server as its record in the store describes it.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -395,6 +395,12 @@
 		response.Body.Close()
 		assert.Equal(t, response.StatusCode, want)
 	}
+	rev := *e.current.Load()
+	rev.Limits.HeaderBytes = 50
+	e.current.Store(&rev)
+	response, _, err = e.ask(t, http.MethodGet)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
 	e.current.Store(nil)
 	response, _, err = e.ask(t, http.MethodGet)
 	assert.NilError(t, err)
--- a/relay/run.go
+++ b/relay/run.go
@@ -14,6 +14,7 @@
 	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/membership"
 	"github.com/sapphirefield/sapphirefield/pipeline"
+	"github.com/sapphirefield/sapphirefield/retry"
 )
 
 const (
@@ -62,7 +63,7 @@
 }
 
 // start sends the request along a path and passes its events on.
-func (s *streaming) start(ctx context.Context, hops []pipeline.Hop, place *reservation) (v verdict, sent bool, err error) {
+func (s *streaming) start(ctx context.Context, hops []pipeline.Hop, place *reservation) (v verdict, err error) {
 	r := &run{streaming: s, hops: hops, place: place, changes: s.fleet.changes.Load(), pause: pause}
 	defer func() { r.place.release() }()
 	s.path, s.crossings = describe(hops), crossings(hops)
@@ -70,9 +71,9 @@
 	r.x, err = s.pool.open(ctx, head.Address, s.outbound(Send{Instance: head.Engine, Path: hops, LastEvent: s.last}))
 	if errors.Is(err, errNotSent) {
 		s.distrust(head.Engine)
-		return notRun, false, err
+		return notSent, err
 	}
-	s.attempts++
+	s.sends++
 	if err == nil {
 		err = r.awaitHeader(ctx)
 	}
@@ -82,7 +83,7 @@
 	if r.x.answer.NotRun {
 		s.drop(r.x)
 		s.blame(r.x, head)
-		return notRun, true, errors.Errorf("engine answered %d for %q", r.x.response.StatusCode, r.x.answer.Culprit)
+		return notRun, errors.Errorf("engine answered %d for %q", r.x.response.StatusCode, r.x.answer.Culprit)
 	}
 	if r.x.response.StatusCode != http.StatusOK {
 		return s.passFailure(r.x)
@@ -98,14 +99,14 @@
 }
 
 // broken ends a run without a whole answer.
-func (r *run) broken(ctx context.Context, err error) (verdict, bool, error) {
+func (r *run) broken(ctx context.Context, err error) (verdict, error) {
 	if r.x != nil {
 		r.x.abandon()
 	}
 	if ctx.Err() == nil && !errors.Is(err, errPathLost) {
 		r.avoid[r.hops[0].Engine] = true
 	}
-	return mayHaveRun, true, errors.Wrap(err, "stream broke off")
+	return mayHaveRun, errors.Wrap(err, "stream broke off")
 }
 
 // await waits for bytes of the answer. While none come it finds out which engine
@@ -261,9 +262,11 @@
 	return r.fleet.choosePath(time.Now(), r.revision, r.target, need)
 }
 
-// mayRestart tells whether the stream may go on with another run.
+// mayRestart tells whether the stream may go on with another run after this one.
 func (r *run) mayRestart() bool {
-	return r.route.Resumable && r.attempts-r.refusals < r.route.MaxAttempts && r.budget(r.target).Left(time.Now()) >= 1
+	after := r.attempts
+	after.Count(retry.Unknown)
+	return r.streamLimits().Allow(after, retry.Unknown, r.route.Resumable) && r.budget(r.target).Left(time.Now()) >= 1
 }
 
 // rerouteTo orders the first engine to use a path.
@@ -300,7 +303,7 @@
 }
 
 // copy passes events on until the stream ends or breaks off.
-func (r *run) copy(ctx context.Context) (verdict, bool, error) {
+func (r *run) copy(ctx context.Context) (verdict, error) {
 	var splitter eventstream.Splitter
 	buffer := make([]byte, streamBuffer)
 	flusher := http.NewResponseController(r.w)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -12,6 +12,7 @@
 	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/pipeline"
 	"github.com/sapphirefield/sapphirefield/placement"
+	"github.com/sapphirefield/sapphirefield/retry"
 )
 
 const (
@@ -39,8 +40,6 @@
 	begun bool
 	// at is when the last event went to the caller.
 	at time.Time
-	// refusals counts engines that did not run the request.
-	refusals int
 	// delivered counts events that went to the caller.
 	delivered int
 }
@@ -53,7 +52,6 @@
 	defer cancel()
 	s := &streaming{request: q, last: q.call.LastEvent}
 	q.budget(q.target).Success(time.Now())
-	unsent := 0
 	for {
 		hops, place, err := s.choose(ctx)
 		if err != nil {
@@ -61,19 +59,16 @@
 			s.giveUp("no path of engines has room", s.roomRetry())
 			return
 		}
-		v, sent, err := s.start(ctx, hops, place)
+		v, err := s.start(ctx, hops, place)
 		if v == answered {
 			return
 		}
-		if !sent {
-			unsent++
-		}
-		q.ranBefore = q.ranBefore || v == mayHaveRun
 		if ctx.Err() != nil {
+			q.ranBefore = q.ranBefore || v == mayHaveRun
 			s.over()
 			return
 		}
-		if !s.mayGoOn(v, sent, unsent) {
+		if !q.mayRepeat(v, q.streamLimits(), q.route.Resumable) {
 			s.giveUp(detailOf(err), noPathRetry)
 			return
 		}
@@ -125,22 +120,8 @@
 	return need
 }
 
-// mayGoOn decides whether the request is sent along another path.
-func (s *streaming) mayGoOn(v verdict, sent bool, unsent int) bool {
-	if !sent {
-		return unsent < maxUnsent
-	}
-	if v == notRun {
-		s.refusals++
-		return s.refusals <= maxRefusals && s.budget(s.target).Take(time.Now(), false)
-	}
-	if !s.route.Resumable {
-		return false
-	}
-	if s.attempts-s.refusals >= s.route.MaxAttempts {
-		return false
-	}
-	return s.budget(s.target).Take(time.Now(), false)
+func (q *request) streamLimits() retry.Limits {
+	return retry.Limits{Attempts: q.route.MaxAttempts, Unsent: maxUnsent, Refusals: maxRefusals}
 }
 
 // giveUp ends a request that no path serves.
@@ -217,18 +198,17 @@
 
 func (s *streaming) logRecovery(cause error) {
 	logevent.Write(s.logger, logevent.StreamRepaired).Str("request", s.call.ID).Str("path", s.path).
-		Int64("last_event", s.last).Int("attempts", s.attempts).Str("cause", detailOf(cause)).Msg("")
+		Int64("last_event", s.last).Int("attempts", s.sends).Str("cause", detailOf(cause)).Msg("")
 }
 
 // passFailure passes an answer on that is no stream. Once events have gone to
 // the caller, a failure can only lead to another run.
-func (s *streaming) passFailure(x *exchange) (verdict, bool, error) {
+func (s *streaming) passFailure(x *exchange) (verdict, error) {
 	if s.begun {
 		s.drop(x)
-		return mayHaveRun, true, errors.Errorf("engine answered %d", x.response.StatusCode)
+		return mayHaveRun, errors.Errorf("engine answered %d", x.response.StatusCode)
 	}
-	v, err := s.passAnswer(x)
-	return v, true, err
+	return s.passAnswer(x)
 }
 
 // passEvents passes whole events on, each of them once and in order.
@@ -278,11 +258,11 @@
 }
 
 // complete ends a stream that the engine ended.
-func (s *streaming) complete(x *exchange) (verdict, bool, error) {
+func (s *streaming) complete(x *exchange) (verdict, error) {
 	x.finish()
 	s.begin(x)
 	s.outcome = outcomeAnswered
-	return answered, true, nil
+	return answered, nil
 }
 
 // crossings counts the links between zones that a path uses.
--- a/relay/usage.go
+++ b/relay/usage.go
@@ -82,7 +82,10 @@
 // observe takes a message and tells whether it is newer than the last one.
 func (o *others) observe(now time.Time, m message) bool {
 	old, known := o.byEntry[m.entry]
-	if known && (m.born < old.born || m.born == old.born && m.sequence <= old.sequence) {
+	// A restarted process may have begun earlier by a clock that was set back. Once
+	// the earlier run is silent, its order no longer matters.
+	outdated := m.born < old.born && now.Sub(old.at) <= usageFresh || m.born == old.born && m.sequence <= old.sequence
+	if known && outdated {
 		return false
 	}
 	m.changes, m.suspects = nil, nil
--- a/relay/usage_test.go
+++ b/relay/usage_test.go
@@ -69,5 +69,8 @@
 	o.observe(now, message(2, 1, 3))
 	assert.Equal(t, o.of(now, "s").requests, 3)
 	assert.Equal(t, o.of(now.Add(usageFresh), "s").requests, 3)
-	assert.Equal(t, o.of(now.Add(usageFresh+time.Millisecond), "s").requests, 0)
+	later := now.Add(usageFresh + time.Millisecond)
+	assert.Equal(t, o.of(later, "s").requests, 0)
+	o.observe(later, message(1, 1, 4))
+	assert.Equal(t, o.of(later, "s").requests, 4)
 }
