relay: entries learn of each other without waiting at the store

Change: the records of entries are read every 12 s, three times at the start; an entry that starts tells those that it finds there. Servers' records are checked every 5 s while a watcher is heard (3 s before).

--- a/relay/directory.go
+++ b/relay/directory.go
@@ -13,7 +13,7 @@
 	// servers' records, and checkInterval how often one does that hears of changes
 	// from a watcher.
 	watchInterval = 400 * time.Millisecond
-	checkInterval = 3 * time.Second
+	checkInterval = 5 * time.Second
 	// watchFresh is the age of a watcher's last read up to which others rely on it.
 	watchFresh = 900 * time.Millisecond
 	// changeRepeats is how many messages carry a change.
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -21,8 +21,13 @@
 	// maxUsageInterval the longest time between two messages.
 	manyEntries      = 10
 	maxUsageInterval = 300 * time.Millisecond
-	// entriesWait is how long a read of the entries' records waits for a change.
-	entriesWait = 20 * time.Second
+	// entriesInterval is how often the entries' records are read. An entry that starts
+	// makes itself known to those that it finds there, so a change is not waited for.
+	entriesInterval = 12 * time.Second
+	// earlyReads is the number of reads after the start that come every earlyInterval,
+	// because entries start at the same time.
+	earlyReads    = 3
+	earlyInterval = time.Second
 	// maxDatagram bounds a message.
 	maxDatagram = 60 << 10
 	// registerRetry is the pause after an entry could not write its record.
@@ -56,8 +61,14 @@
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return p.register(ctx) })
-	group.Go(func() error { return p.followEntries(ctx) })
+	group.Go(func() error {
+		// Of two entries that start at once, the one that reads after the other's
+		// record was written makes itself known to it.
+		if p.writeRecord(ctx) != nil {
+			group.Go(func() error { return p.register(ctx) })
+		}
+		return p.followEntries(ctx)
+	})
 	group.Go(func() error { return p.receive(ctx) })
 	group.Go(func() error { return p.send(ctx) })
 	return group.Wait()
@@ -65,23 +76,34 @@
 
 // register writes this entry's record until the store has taken it.
 func (p *peers) register(ctx context.Context) error {
-	value, err := json.Marshal(entryRecord{p.settings.Peers, p.settings.Zone})
-	if err != nil {
-		return err
-	}
-	for ctx.Err() == nil {
-		_, err := p.store.Append(ctx, TopicEntries, Record{Key: p.settings.Instance, Value: value}, AnyOffset)
-		if err == nil {
+	for sleep(ctx, registerRetry); ctx.Err() == nil; sleep(ctx, registerRetry) {
+		if p.writeRecord(ctx) == nil {
 			return nil
 		}
-		sleep(ctx, registerRetry)
 	}
 	return ctx.Err()
 }
 
+func (p *peers) writeRecord(ctx context.Context) error {
+	value, err := json.Marshal(entryRecord{p.settings.Peers, p.settings.Zone})
+	if err != nil {
+		return err
+	}
+	_, err = p.store.Append(ctx, TopicEntries, Record{Key: p.settings.Instance, Value: value}, AnyOffset)
+	return err
+}
+
 func (p *peers) followEntries(ctx context.Context) error {
+	reads := 0
 	return p.follow(ctx, following{
-		topic: TopicEntries, wait: func() time.Duration { return entriesWait }, apply: p.applyEntries,
+		topic: TopicEntries, wait: func() time.Duration { return 0 }, apply: p.applyEntries,
+		pause: func(ctx context.Context) {
+			interval := entriesInterval
+			if reads++; reads <= earlyReads {
+				interval = earlyInterval
+			}
+			sleep(ctx, interval)
+		},
 	})
 }
 
