--- a/relay/run.go
+++ b/relay/run.go
@@ -24,8 +24,8 @@
 	// Events are 10 to 50 ms apart.
 	pause = 100 * time.Millisecond
 	// glance is how long a stream may stop before it leaves engines that other
-	// requests have found dead.
-	glance = 60 * time.Millisecond
+	// requests have found dead, and how often it looks for them from then on.
+	glance = 50 * time.Millisecond
 	// maxPause bounds the time between two looks at a stream that is merely slow.
 	maxPause = 400 * time.Millisecond
 	// maxSilence is how long a stream may stop in all. Callers leave after 2 s.
@@ -139,16 +139,14 @@
 	if err := r.checkPath(ctx); err != nil && r.mayGiveUp() {
 		return false, err
 	}
-	err = r.x.await(glance)
-	if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
-		return false, err
-	}
-	if err := r.leaveSuspects(ctx); err != nil {
-		return true, err
-	}
-	err = r.x.await(r.pause - glance)
-	if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
-		return false, err
+	for rest := r.pause; rest > 0; rest -= glance {
+		err := r.x.await(min(glance, rest))
+		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return false, err
+		}
+		if err := r.leaveSuspects(ctx); err != nil {
+			return true, err
+		}
 	}
 	if err := r.findStalled(ctx); err != nil {
 		return true, err
