--- a/soak/command.go
+++ b/soak/command.go
@@ -5,6 +5,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -30,6 +32,9 @@
 		ShortHelp:  "run real entries with injected faults and check the product's promises",
 		FlagSet:    flags,
 		Exec: func(ctx context.Context, _ []string) error {
+			// A soak that is asked to stop ends the processes that it started.
+			ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+			defer stop()
 			return runSeeds(ctx, o, *seeds)
 		},
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -106,6 +106,7 @@
 	r := &run{Options: o, report: newReport(o.Seed), balancer: &balancer{misses: make([]int, o.Entries)}}
 	r.store = platformtest.NewStore(r.seeded(1))
 	r.fleet = platformtest.NewFleet(r.store, heartbeat, func(promise, detail string) { r.report.broken(promise, "%s", detail) })
+	outer := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer r.stop()
@@ -119,6 +120,9 @@
 	r.injectAll(ctx)
 	recovered := time.Now().Add(recoverLimit)
 	sleep(ctx, recoverLimit+o.Calm)
+	if outer.Err() != nil {
+		return nil, errors.Wrap(outer.Err(), "soak")
+	}
 	r.checkRecovery(recovered)
 	cancel()
 	group.Wait()
