--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -49,8 +49,7 @@
 func answer(status int, id string) *http.Response {
 	header := http.Header{}
 	if id != "" {
-		header.Set("X-Attempt-Id", id)
-		header.Set("X-Response-Signature", "signed "+id)
+		platformtest.Sign(header, id)
 	}
 	return &http.Response{StatusCode: status, Header: header}
 }
