relay: a stream that has begun is not given up without another path

Change: a run is ended by the entry only while another path can be found; streams that have begun wait up to 3 s for a path or the budget, since their callers leave by themselves after 2 s and more.

--- a/relay/plain.go
+++ b/relay/plain.go
@@ -66,7 +66,7 @@
 			q.timedOut()
 			return
 		}
-		if !q.mayRepeat(v, q.plainLimits(), q.route.Call != config.CallAtMostOnce) {
+		if !q.mayRepeat(ctx, v, q.plainLimits(), q.route.Call != config.CallAtMostOnce, 0) {
 			q.refuseOrFail(q.ranBefore, detailOf(err), busyRetry)
 			return
 		}
@@ -84,16 +84,26 @@
 	return retry.Limits{Attempts: q.route.MaxAttempts, Unsent: maxUnsent}
 }
 
-// mayRepeat counts an attempt and decides whether another one follows.
-func (q *request) mayRepeat(v verdict, limits retry.Limits, repeatable bool) bool {
+// mayRepeat counts an attempt and decides whether another one follows. It waits
+// with patience for room in the budget for repeats.
+func (q *request) mayRepeat(ctx context.Context, v verdict, limits retry.Limits, repeatable bool, patience time.Duration) bool {
 	outcome := map[verdict]retry.Outcome{notSent: retry.Unsent, notRun: retry.Refused, mayHaveRun: retry.Unknown}[v]
 	q.attempts.Count(outcome)
 	q.ranBefore = q.ranBefore || v == mayHaveRun
 	if !limits.Allow(q.attempts, outcome, repeatable) {
 		return false
 	}
-	// Nothing was asked of a server that could not be reached.
-	return v == notSent || q.budget(q.target).Take(time.Now(), false)
+	if v == notSent {
+		// Nothing was asked of a server that could not be reached.
+		return true
+	}
+	for waited := time.Duration(0); !q.budget(q.target).Take(time.Now(), false); waited += choosePause {
+		if waited >= patience || ctx.Err() != nil {
+			return false
+		}
+		sleep(ctx, choosePause)
+	}
+	return true
 }
 
 // refuseOrFail gives the final answer when no server answered.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -570,3 +570,41 @@
 	assert.NilError(t, err)
 	assert.Equal(t, body, ids(4))
 }
+
+// Guards against a run that is given up for another one that finds no path: the
+// engine was silent for a while and would have gone on.
+func TestRunIsNotGivenUpWithoutAnotherPath(t *testing.T) {
+	only := newBackend(t, func(_ *backend, r *http.Request, conn net.Conn) bool {
+		write(conn, streamHead, r.Header.Get("Id"))
+		writeChunk(conn, event(1))
+		time.Sleep(maxSilence + maxPause + 200*time.Millisecond)
+		writeChunk(conn, event(2))
+		_, _ = io.WriteString(conn, "0\r\n\r\n")
+		return true
+	})
+	e := newTestEntry(t, streamRoute(true), only)
+	_, body, err := e.ask(t, http.MethodPost)
+	assert.NilError(t, err)
+	assert.Equal(t, body, ids(2))
+	assert.Equal(t, only.count(), 1)
+}
+
+// Guards against a stream that is broken off because the budget for repeats has
+// no room at that moment.
+func TestBegunStreamWaitsForTheBudget(t *testing.T) {
+	first, second := newBackend(t, events(2, false)), newBackend(t, events(1, true))
+	e := newTestEntry(t, streamRoute(true), first, second)
+	e.order()
+	budget := e.budget("llm")
+	for budget.Take(time.Now(), false) {
+	}
+	go func() {
+		time.Sleep(4 * choosePause)
+		for range 20 {
+			budget.Success(time.Now())
+		}
+	}()
+	_, body, err := e.ask(t, http.MethodPost)
+	assert.NilError(t, err)
+	assert.Equal(t, body, ids(3))
+}
--- a/relay/run.go
+++ b/relay/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"os"
 	"slices"
@@ -131,7 +132,22 @@
 }
 
 // mayGiveUp tells whether the run may be ended without its engine's doing.
-func (r *run) mayGiveUp() bool { return !r.begun || r.mayRestart() }
+func (r *run) mayGiveUp() bool { return !r.begun || r.mayRestart() && r.hasOtherPath() }
+
+// hasOtherPath tells whether another run would find a path now. Without one the
+// present run is all that the caller has.
+func (r *run) hasOtherPath() bool {
+	need := r.need()
+	need.Begun = true
+	need.Avoid = maps.Clone(r.avoid)
+	need.Avoid[r.hops[0].Engine] = true
+	_, place, err := r.fleet.choosePath(time.Now(), r.revision, r.target, need)
+	if err != nil {
+		return false
+	}
+	place.release()
+	return true
+}
 
 // awaitOnce waits for bytes, looks at the path while none come, and tells whether
 // none have come.
@@ -144,7 +160,7 @@
 		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return false, err
 		}
-		if err := r.leaveSuspects(ctx); err != nil {
+		if err := r.leaveSuspects(ctx); err != nil && r.mayGiveUp() {
 			return true, err
 		}
 	}
@@ -165,10 +181,9 @@
 	for _, id := range ids {
 		r.avoid[id] = true
 	}
-	if r.reroute(ctx) != nil && r.mayRestart() {
+	if r.reroute(ctx) != nil {
 		return errPathLost
 	}
-	// A stream that can neither leave nor run anew waits.
 	return nil
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -25,9 +25,10 @@
 	maxRoomRetry = 4 * time.Second
 	// defaultAnswerTokens stands in when neither request nor configuration says a length.
 	defaultAnswerTokens = 200
-	// choosePatience is how long a stream that has begun waits for a path, and
-	// choosePause the time between two looks.
-	choosePatience = time.Second
+	// choosePatience is how long a stream that has begun waits for a path or for the
+	// budget of another run, and choosePause the time between two looks. Callers leave by themselves after 2 s
+	// and more without an event; until then the stream may go on.
+	choosePatience = 3 * time.Second
 	choosePause    = 50 * time.Millisecond
 )
 
@@ -68,7 +69,7 @@
 			s.over()
 			return
 		}
-		if !q.mayRepeat(v, q.streamLimits(), q.route.Resumable) {
+		if !q.mayRepeat(ctx, v, q.streamLimits(), q.route.Resumable, s.patience()) {
 			s.giveUp(detailOf(err), noPathRetry)
 			return
 		}
@@ -97,7 +98,7 @@
 			need.NoThinLinks = false
 			hops, place, err = s.fleet.choosePath(time.Now(), s.revision, s.target, need)
 		}
-		if err == nil || !s.begun || waited >= choosePatience {
+		if err == nil || waited >= s.patience() {
 			return hops, place, err
 		}
 		sleep(ctx, choosePause)
@@ -120,6 +121,14 @@
 	return need
 }
 
+// patience is how long the stream waits for what it needs to go on.
+func (s *streaming) patience() time.Duration {
+	if s.begun {
+		return choosePatience
+	}
+	return 0
+}
+
 func (q *request) streamLimits() retry.Limits {
 	return retry.Limits{Attempts: q.route.MaxAttempts, Unsent: maxUnsent, Refusals: maxRefusals}
 }
