soak, relay: one piece of code for what stood twice

Engines and application servers of the soak start, crash, are replaced and are picked by one set of generic functions; links misbehave by one; the question whether an entry is ready is asked in one place. The capacity of an engine's memory is computed by kvCapacity alone, and zoneChains calls inZone. Draws of random numbers keep their order. No behaviour is meant to change; no check is.

--- a/placement/relaychains.go
+++ b/placement/relaychains.go
@@ -240,12 +240,7 @@
 // zoneChains makes as many chains in each zone as its memory allows.
 func (p *relayPlan) zoneChains(engines []RelayEngine) (rest []RelayEngine) {
 	for _, zone := range zonesOf(engines) {
-		var local []RelayEngine
-		for _, e := range engines {
-			if e.Zone == zone {
-				local = append(local, e)
-			}
-		}
+		local := inZone(engines, zone)
 		chains := p.split(local)
 		if chains == nil {
 			rest = append(rest, local...)
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -480,11 +480,10 @@
 }
 
 func (f *fleet) relayEngine(now time.Time, s Server, kind *config.Accelerator, m placement.Model) pipeline.RelayEngine {
-	layers := s.Holds.Limit - s.Holds.First
 	e := pipeline.RelayEngine{
 		Name: s.ID, Address: s.Address, Zone: s.Zone, First: s.Holds.First, Limit: s.Holds.Limit,
 		StepFactor: factor(kind.StepFactor), PromptFactor: factor(kind.PromptFactor), Slowdown: f.slowdowns[s.ID],
-		Capacity: placement.TokenCapacity(kind.MemoryBytes, layers, m) * float64(layers),
+		Capacity: kvCapacity(s, kind, m),
 		Slots:    s.Slots,
 	}
 	u := f.inProgress(now, s.ID)
@@ -493,6 +492,13 @@
 	return e
 }
 
+// kvCapacity returns the tokens times layers that an engine's memory holds beside
+// its layers.
+func kvCapacity(s Server, kind *config.Accelerator, m placement.Model) float64 {
+	layers := s.Holds.Limit - s.Holds.First
+	return placement.TokenCapacity(kind.MemoryBytes, layers, m) * float64(layers)
+}
+
 // factor treats a factor that is not stated as 1.
 func factor(x float64) float64 {
 	if x <= 0 {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -11,7 +11,6 @@
 	"github.com/sapphirefield/sapphirefield/eventstream"
 	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/pipeline"
-	"github.com/sapphirefield/sapphirefield/placement"
 	"github.com/sapphirefield/sapphirefield/retry"
 )
 
@@ -26,8 +25,9 @@
 	// defaultAnswerTokens stands in when neither request nor configuration says a length.
 	defaultAnswerTokens = 200
 	// choosePatience is how long a stream that has begun waits for a path or for the
-	// budget of another run, and choosePause the time between two looks. Callers leave by themselves after 2 s
-	// and more without an event; until then the stream may go on.
+	// budget of another run, and choosePause the time between two looks. Callers
+	// leave by themselves after 2 s and more without an event; until then the stream
+	// may go on.
 	choosePatience = 3 * time.Second
 	choosePause    = 50 * time.Millisecond
 )
@@ -201,8 +201,7 @@
 	if kind == nil || model == nil {
 		return 0
 	}
-	layers := server.Holds.Limit - server.Holds.First
-	return placement.TokenCapacity(kind.MemoryBytes, layers, placementModel(model)) * float64(layers)
+	return kvCapacity(server, kind, placementModel(model))
 }
 
 func (s *streaming) logRecovery(cause error) {
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -35,11 +35,7 @@
 func (b *balancer) watch(ctx context.Context, i int, e *entry) {
 	client := &http.Client{Timeout: readyInterval, Transport: &http.Transport{DisableKeepAlives: true}}
 	for ctx.Err() == nil {
-		response, err := client.Get(e.settings.ReadyURL())
-		ready := err == nil && response.StatusCode == http.StatusOK
-		if err == nil {
-			response.Body.Close()
-		}
+		ready := e.isReady(client)
 		b.mu.Lock()
 		b.misses[i]++
 		if ready {
@@ -142,10 +138,9 @@
 // check compares an answer with what the request's servers did, and tells
 // whether the request was served.
 func (c *caller) check(call platformtest.Call, response *http.Response, body string, cut error) bool {
-	runs := c.fleet.Runs(call.ID)
-	own := !platformtest.AnswersRequest(response.Header, call.ID)
+	signed := platformtest.AnswersRequest(response.Header, call.ID)
 	switch status := response.StatusCode; {
-	case status == http.StatusOK && own:
+	case status == http.StatusOK && !signed:
 		c.report.broken("right answer", "%s: a success without a server's signature", call.ID)
 	case status == http.StatusOK && cut == nil:
 		want := platformtest.AppAnswer(call.ID)
@@ -162,7 +157,7 @@
 			c.report.broken("order of events", "%s: %.80q", call.ID, body)
 		}
 	case platformtest.PromisesNotRun(status) && call.Method == http.MethodPost && call.Events == 0:
-		c.later(call.ID, status, len(runs))
+		c.later(call.ID, status, len(c.fleet.Runs(call.ID)))
 	case status == http.StatusUnauthorized || status == http.StatusForbidden || status == http.StatusNotFound:
 		c.report.broken("proper requests", "%s: answered %d", call.ID, status)
 	}
--- a/soak/command.go
+++ b/soak/command.go
@@ -45,7 +45,7 @@
 func runSeeds(ctx context.Context, o Options, seeds int) error {
 	failed := 0
 	for ; seeds > 0 && ctx.Err() == nil; seeds-- {
-		folder, err := NewFolder()
+		folder, err := os.MkdirTemp("", "sapphirefield-soak-")
 		if err != nil {
 			return err
 		}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -50,42 +50,24 @@
 	{"store loses answers", storeFault(platformtest.StoreFault{Lose: 0.4})},
 	{"store forgets history", func(r *run, _ context.Context, _ *rand.Rand, _ time.Duration) { r.store.Compact() }},
 	{"engine crashes", func(r *run, ctx context.Context, random *rand.Rand, d time.Duration) {
-		m := r.takeEngine(random)
-		m.Crash()
-		sleep(ctx, d)
-		m.proxy.close()
-		r.must(r.startEngine(m.zone, m.kind))
+		crash(ctx, r, take(r, &r.engines, random), d)
 	}},
 	{"engine silent", func(r *run, ctx context.Context, random *rand.Rand, d time.Duration) {
-		m := r.anyEngine(random)
-		m.SetDark(true)
+		engine := pick(r, &r.engines, random).server
+		engine.SetDark(true)
 		sleep(ctx, d)
-		m.SetDark(false)
+		engine.SetDark(false)
 	}},
 	{"engine replaced", func(r *run, ctx context.Context, random *rand.Rand, d time.Duration) {
-		m := r.takeEngine(random)
-		r.must(r.startEngine(m.zone, m.kind))
-		m.Leave()
-		sleep(ctx, drainTime+d)
-		m.Crash()
-		m.proxy.close()
+		replace(ctx, r, take(r, &r.engines, random), d)
 	}},
 	{"engine link reset", engineLink(modeReset)}, {"engine link delayed", engineLink(modeDelay)},
 	{"engine link silent", engineLink(modeSilent)},
 	{"application server crashes", func(r *run, ctx context.Context, random *rand.Rand, d time.Duration) {
-		m := r.takeApp(random)
-		m.Crash()
-		sleep(ctx, d)
-		m.proxy.close()
-		r.must(r.startApp(m.service, m.zone))
+		crash(ctx, r, take(r, &r.apps, random), d)
 	}},
 	{"application server replaced", func(r *run, ctx context.Context, random *rand.Rand, d time.Duration) {
-		m := r.takeApp(random)
-		r.must(r.startApp(m.service, m.zone))
-		m.Leave()
-		sleep(ctx, drainTime+d)
-		m.Crash()
-		m.proxy.close()
+		replace(ctx, r, take(r, &r.apps, random), d)
 	}},
 	{"application loses answers", appFault(platformtest.AppFault{Lose: 0.3})},
 	{"application cuts answers", appFault(platformtest.AppFault{Cut: 0.3})},
@@ -149,26 +131,22 @@
 	}
 }
 
-func callerLink(mode proxyMode) func(*run, context.Context, *rand.Rand, time.Duration) {
+// entryLink lets a proxy of an entry misbehave.
+func entryLink(link func(*entry) *proxy, mode proxyMode) func(*run, context.Context, *rand.Rand, time.Duration) {
 	return func(r *run, ctx context.Context, random *rand.Rand, d time.Duration) {
 		e := r.anyEntry(random)
 		e.begin()
 		defer e.end()
-		e.callers.setMode(mode)
-		sleep(ctx, d)
-		e.callers.setMode(modePass)
+		link(e).misbehave(ctx, mode, d)
 	}
 }
 
+func callerLink(mode proxyMode) func(*run, context.Context, *rand.Rand, time.Duration) {
+	return entryLink(func(e *entry) *proxy { return e.callers }, mode)
+}
+
 func storeLink(mode proxyMode) func(*run, context.Context, *rand.Rand, time.Duration) {
-	return func(r *run, ctx context.Context, random *rand.Rand, d time.Duration) {
-		e := r.anyEntry(random)
-		e.begin()
-		defer e.end()
-		e.store.setMode(mode)
-		sleep(ctx, d)
-		e.store.setMode(modePass)
-	}
+	return entryLink(func(e *entry) *proxy { return e.store }, mode)
 }
 
 func storeFault(f platformtest.StoreFault) func(*run, context.Context, *rand.Rand, time.Duration) {
@@ -185,49 +163,15 @@
 
 func engineLink(mode proxyMode) func(*run, context.Context, *rand.Rand, time.Duration) {
 	return func(r *run, ctx context.Context, random *rand.Rand, d time.Duration) {
-		m := r.anyEngine(random)
-		m.proxy.setMode(mode)
-		sleep(ctx, d)
-		m.proxy.setMode(modePass)
+		pick(r, &r.engines, random).proxy.misbehave(ctx, mode, d)
 	}
 }
 
 func appFault(f platformtest.AppFault) func(*run, context.Context, *rand.Rand, time.Duration) {
 	return func(r *run, ctx context.Context, random *rand.Rand, d time.Duration) {
-		r.mu.Lock()
-		m := r.apps[random.IntN(len(r.apps))]
-		r.mu.Unlock()
-		m.SetFault(f)
+		app := pick(r, &r.apps, random).server
+		app.SetFault(f)
 		sleep(ctx, d)
-		m.SetFault(platformtest.AppFault{})
-	}
-}
-
-func (r *run) anyEngine(random *rand.Rand) *member {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.engines[random.IntN(len(r.engines))]
-}
-
-// takeEngine removes an engine from those that further faults may choose.
-func (r *run) takeEngine(random *rand.Rand) *member {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	i := random.IntN(len(r.engines))
-	m := r.engines[i]
-	if len(r.engines) > 1 {
-		r.engines = append(r.engines[:i:i], r.engines[i+1:]...)
-	}
-	return m
-}
-
-func (r *run) takeApp(random *rand.Rand) *appMember {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	i := random.IntN(len(r.apps))
-	m := r.apps[i]
-	if len(r.apps) > 1 {
-		r.apps = append(r.apps[:i:i], r.apps[i+1:]...)
+		app.SetFault(platformtest.AppFault{})
 	}
-	return m
 }
--- a/soak/process.go
+++ b/soak/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -91,6 +92,16 @@
 	return false
 }
 
+// isReady tells whether the entry says that it can serve callers.
+func (e *entry) isReady(client *http.Client) bool {
+	response, err := client.Get(e.settings.ReadyURL())
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
 // begin and end bound a fault on the entry.
 func (e *entry) begin() {
 	e.mu.Lock()
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"io"
 	"net"
 	"sync"
@@ -47,10 +48,8 @@
 	caller, server *net.TCPConn
 }
 
-func newProxy(target string) (*proxy, error) { return newProxyAt("127.0.0.1:0", target) }
-
-func newProxyAt(address, target string) (*proxy, error) {
-	listener, err := net.Listen("tcp4", address)
+func newProxy(target string) (*proxy, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "proxy")
 	}
@@ -70,6 +69,13 @@
 	}
 }
 
+// misbehave sets a mode for a time.
+func (p *proxy) misbehave(ctx context.Context, mode proxyMode, d time.Duration) {
+	p.setMode(mode)
+	sleep(ctx, d)
+	p.setMode(modePass)
+}
+
 func (p *proxy) current() proxyMode {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -79,23 +78,8 @@
 	seeds    atomic.Uint64
 
 	mu      sync.Mutex
-	engines []*member
-	apps    []*appMember
-}
-
-// member is an engine with the proxy through which entries reach it.
-type member struct {
-	*platformtest.Engine
-	proxy *proxy
-	zone  string
-	kind  platformtest.Kind
-}
-
-// appMember is an application server with its proxy.
-type appMember struct {
-	*platformtest.App
-	proxy         *proxy
-	service, zone string
+	engines members[*platformtest.Engine]
+	apps    members[*platformtest.App]
 }
 
 // Run runs a soak and returns what it has seen.
@@ -193,12 +177,8 @@
 	deadline := time.Now().Add(startLimit)
 	for _, e := range r.entries {
 		for {
-			response, err := client.Get(e.settings.ReadyURL())
-			if err == nil {
-				response.Body.Close()
-				if response.StatusCode == http.StatusOK {
-					break
-				}
+			if e.isReady(client) {
+				break
 			}
 			if time.Now().After(deadline) || ctx.Err() != nil {
 				return errors.Errorf("%s is not ready after %s; its log is in %s", e.settings.Name, startLimit, r.Folder)
@@ -210,39 +190,15 @@
 }
 
 func (r *run) startEngine(zone string, kind platformtest.Kind) error {
-	var p *proxy
-	var failed error
-	e, err := r.fleet.StartEngine(platformtest.ModelService, zone, kind, r.nextSeeded(), func(address string) string {
-		if p, failed = newProxy(address); failed != nil {
-			return address
-		}
-		return p.address()
+	return startMember(r, &r.engines, func(public func(string) string) (*platformtest.Engine, error) {
+		return r.fleet.StartEngine(platformtest.ModelService, zone, kind, r.nextSeeded(), public)
 	})
-	if err != nil || failed != nil {
-		return errors.Errorf("engine: %v %v", err, failed)
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.engines = append(r.engines, &member{Engine: e, proxy: p, zone: zone, kind: kind})
-	return nil
 }
 
 func (r *run) startApp(service, zone string) error {
-	var p *proxy
-	var failed error
-	a, err := r.fleet.StartApp(service, zone, r.nextSeeded(), func(address string) string {
-		if p, failed = newProxy(address); failed != nil {
-			return address
-		}
-		return p.address()
+	return startMember(r, &r.apps, func(public func(string) string) (*platformtest.App, error) {
+		return r.fleet.StartApp(service, zone, r.nextSeeded(), public)
 	})
-	if err != nil || failed != nil {
-		return errors.Errorf("application server: %v %v", err, failed)
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.apps = append(r.apps, &appMember{App: a, proxy: p, service: service, zone: zone})
-	return nil
 }
 
 // stop ends what the soak has started.
@@ -252,14 +208,8 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, e := range r.engines {
-		e.Crash()
-		e.proxy.close()
-	}
-	for _, a := range r.apps {
-		a.Crash()
-		a.proxy.close()
-	}
+	r.engines.stop()
+	r.apps.stop()
 }
 
 // checkRecovery looks whether callers are served again after the last fault.
@@ -287,6 +237,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// NewFolder returns a folder for settings and logs.
-func NewFolder() (string, error) { return os.MkdirTemp("", "sapphirefield-soak-") }
