--- a/eventstream/eventstream.go
+++ b/eventstream/eventstream.go
@@ -7,8 +7,10 @@
 	"strconv"
 )
 
-// MaxEventBytes is the size limit of an event.
-const MaxEventBytes = 1 << 20
+// MaxEventBytes is the size limit of an event. A caller of Splitter must stop
+// once more than that is pending, because a broken engine may send an event
+// without end.
+const MaxEventBytes = 64 << 10
 
 // Event is a complete event including the empty line that ends it.
 type Event struct {
@@ -21,6 +23,8 @@
 // middle of an event; incomplete events are never returned.
 type Splitter struct {
 	pending []byte
+	// scanned is the number of pending bytes that are known not to end an event.
+	scanned int
 }
 
 // Write appends a copy of p to the buffer.
@@ -32,18 +36,24 @@
 // Next returns the next complete event, or false if there is none. Its bytes are
 // valid until the next Write.
 func (s *Splitter) Next() (Event, bool) {
-	end := eventEnd(s.pending)
+	end := eventEnd(s.pending, s.scanned)
 	if end < 0 {
+		s.scanned = max(len(s.pending)-maxEventEnd, 0)
 		return Event{}, false
 	}
+	s.scanned = 0
 	e := Event{Bytes: s.pending[:end], ID: eventID(s.pending[:end])}
 	s.pending = s.pending[end:]
 	return e, true
 }
 
-// eventEnd returns the length of the first complete event, or -1 if there is none.
-func eventEnd(p []byte) int {
-	for offset := 0; ; {
+// maxEventEnd is the length of the longest sequence that ends an event, "\n\r\n".
+const maxEventEnd = 3
+
+// eventEnd returns the length of the first complete event, or -1 if there is
+// none. No event ends in the first from bytes.
+func eventEnd(p []byte, from int) int {
+	for offset := from; ; {
 		i := bytes.IndexByte(p[offset:], '\n')
 		if i < 0 {
 			return -1
@@ -59,6 +69,17 @@
 	}
 }
 
+// IsComment reports whether the event has only comments and empty lines. Servers
+// send such events to keep a connection open.
+func (e Event) IsComment() bool {
+	for line := range bytes.Lines(e.Bytes) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // eventID returns the number in the last id field that holds one, or -1.
 func eventID(event []byte) int64 {
 	id := int64(-1)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -5,7 +5,6 @@
 	"io"
 	"maps"
 	"net/http"
-	"os"
 	"slices"
 	"time"
 
@@ -21,19 +20,6 @@
 const (
 	// streamBufferSize is the size of one read from an engine.
 	streamBufferSize = 8 << 10
-	// stallCheckDelay is how long a stream may be silent before its engines are
-	// checked. Events are 10 to 50 ms apart.
-	stallCheckDelay = 100 * time.Millisecond
-	// suspectCheckInterval is how long a stream may be silent before it is rerouted
-	// around engines that other requests found dead, and the interval of the checks
-	// after that.
-	suspectCheckInterval = 50 * time.Millisecond
-	// maxStallCheckDelay bounds the time between two checks of a stream that is
-	// merely slow.
-	maxStallCheckDelay = 400 * time.Millisecond
-	// maxSilence bounds how long a stream may be silent in total. Clients
-	// disconnect after 2 s.
-	maxSilence = 1500 * time.Millisecond
 	// rerouteTimeout bounds the order that changes the path of a stream.
 	rerouteTimeout = 300 * time.Millisecond
 	// rerouteRetryDelay is the time until the next search for a path around an
@@ -43,12 +29,8 @@
 	maxReroutes = 6
 )
 
-var (
-	// errStreamStalled means that events stopped without a known cause.
-	errStreamStalled = errors.New("events stopped")
-	// errPathLost means that an engine of the path is lost or leaving.
-	errPathLost = errors.New("an engine of the path is lost")
-)
+// errPathLost means that an engine of the path is lost or leaving.
+var errPathLost = errors.New("an engine of the path is lost")
 
 // attempt is one execution of a stream request along a path.
 type attempt struct {
@@ -62,15 +44,12 @@
 	seenChanges int64
 	recheckAt   time.Time
 	reroutes    int
-	// stallCheckDelay is the current silence before the engines are checked. It
-	// grows with each check that finds nothing, because a status query costs the
-	// engine time.
-	stallCheckDelay time.Duration
+	watch       *eventWatch
 }
 
 // tryPath sends the request along a path and forwards its events.
 func (s *streamRequest) tryPath(ctx context.Context, hops []pipeline.Hop, reserved *reservation) (result attemptResult, err error) {
-	a := &attempt{streamRequest: s, hops: hops, reserved: reserved, seenChanges: s.fleet.changes.Load(), stallCheckDelay: stallCheckDelay}
+	a := &attempt{streamRequest: s, hops: hops, reserved: reserved, seenChanges: s.fleet.changes.Load()}
 	defer func() { a.reserved.release() }()
 	s.path, s.zoneCrossings = pathString(hops), zoneCrossings(hops)
 	head := hops[0]
@@ -81,13 +60,15 @@
 	}
 	s.sentCount++
 	if err == nil {
-		err = a.awaitHeader(ctx)
+		a.watch = newEventWatch(ctx, a)
+		a.x.conn.watch = a.watch
+		err = a.x.readResponse(a.headerCodec)
 	}
 	if err != nil {
 		return a.abort(ctx, err)
 	}
 	if a.x.info.NotExecuted {
-		s.discardResponse(a.x)
+		a.x.discard()
 		s.avoidFailedEngine(a.x, head)
 		return notExecuted, errors.Errorf("engine answered %d for %q", a.x.response.StatusCode, a.x.info.FailedAddress)
 	}
@@ -97,13 +78,6 @@
 	return a.forwardEvents(ctx)
 }
 
-func (a *attempt) awaitHeader(ctx context.Context) error {
-	if err := a.awaitData(ctx); err != nil {
-		return err
-	}
-	return a.x.readResponse(a.headerCodec)
-}
-
 // abort ends an attempt without a complete response.
 func (a *attempt) abort(ctx context.Context, err error) (attemptResult, error) {
 	if a.x != nil {
@@ -115,28 +89,6 @@
 	return mayHaveExecuted, errors.Wrap(err, "stream broke off")
 }
 
-// awaitData waits for bytes of the response. While none arrive, it determines
-// which engine the request is waiting for and reroutes around lost engines. It
-// abandons the attempt only if there is a better option: a stream that cannot
-// be retried may still continue, and its client disconnects by itself if it
-// doesn't.
-func (a *attempt) awaitData(ctx context.Context) error {
-	for waited := time.Duration(0); ; waited += a.stallCheckDelay {
-		silent, err := a.awaitDataOnce(ctx)
-		switch {
-		case err != nil && !errors.Is(err, errPathLost):
-			return err
-		case err == nil && !silent:
-			return nil
-		case err == nil && waited >= maxSilence:
-			err = errStreamStalled
-		}
-		if err != nil && a.mayGiveUp() {
-			return err
-		}
-	}
-}
-
 // mayGiveUp reports whether the entry may end the attempt on its own.
 func (a *attempt) mayGiveUp() bool { return !a.headerSent || a.canRetry() && a.hasAlternativePath() }
 
@@ -155,28 +107,6 @@
 	return true
 }
 
-// awaitDataOnce waits for bytes, checks the path while none arrive, and
-// reports whether the stream was silent.
-func (a *attempt) awaitDataOnce(ctx context.Context) (silent bool, err error) {
-	if err := a.checkPath(ctx); err != nil && a.mayGiveUp() {
-		return false, err
-	}
-	for remaining := a.stallCheckDelay; remaining > 0; remaining -= suspectCheckInterval {
-		err := a.x.awaitData(min(suspectCheckInterval, remaining))
-		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
-			return false, err
-		}
-		if err := a.rerouteAroundSuspects(ctx); err != nil && a.mayGiveUp() {
-			return true, err
-		}
-	}
-	if err := a.markStalledEngines(ctx); err != nil {
-		return true, err
-	}
-	a.stallCheckDelay = min(2*a.stallCheckDelay, maxStallCheckDelay)
-	return true, nil
-}
-
 // rerouteAroundSuspects changes the path of a silent stream around engines
 // that were named as the cause of refusals.
 func (a *attempt) rerouteAroundSuspects(ctx context.Context) error {
@@ -331,9 +261,13 @@
 	for {
 		n, err := a.read(ctx, buffer)
 		splitter.Write(buffer[:n])
-		if writeErr := a.writeEvents(&splitter, a.x, flusher); writeErr != nil {
+		progress, writeErr := a.writeEvents(&splitter, a.x, flusher)
+		if writeErr != nil {
 			return a.abort(ctx, writeErr)
 		}
+		if progress {
+			a.watch.recordProgress()
+		}
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF) && splitter.Pending() == 0:
@@ -344,9 +278,9 @@
 	}
 }
 
-// read waits for bytes of the stream and reads them.
+// read checks the path and reads bytes of the stream.
 func (a *attempt) read(ctx context.Context, buffer []byte) (int, error) {
-	if err := a.awaitData(ctx); err != nil {
+	if err := a.checkPath(ctx); err != nil && a.mayGiveUp() {
 		return 0, err
 	}
 	return a.x.response.Body.Read(buffer)
--- a/relay/connection.go
+++ b/relay/connection.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -32,14 +33,24 @@
 	// write. A longer body is written concurrently with the wait for the response,
 	// because a server may respond before it has read the whole body.
 	maxInlineBody = 16 << 10
-	// partialReadTimeout bounds the wait for the rest of a response part whose
-	// first bytes have arrived.
-	partialReadTimeout = time.Second
+	// maxHeaderBytes bounds a response header together with the informational
+	// (1xx) responses before it. A broken server may send a header without end.
+	maxHeaderBytes = 64 << 10
+	// maxInformational bounds the informational responses before a response.
+	maxInformational = 8
+	// headerTimeout bounds the time from the first to the last byte of a header.
+	headerTimeout = 2 * time.Second
+	// discardTimeout bounds the wait for the rest of a response that nobody
+	// needs. It is only read so that its connection can be reused.
+	discardTimeout = 50 * time.Millisecond
 	// maxStrayResponses is the maximum number of responses to other requests that
 	// are skipped before the response to this request.
 	maxStrayResponses = 2
 	// maxStrayBytes bounds the body of a skipped response.
 	maxStrayBytes = 1 << 20
+	// maxDiscardedBytes bounds the body of a response that is read only to keep
+	// its connection reusable.
+	maxDiscardedBytes = 16 << 10
 )
 
 // connection is a connection to a server. It carries one request at a time.
@@ -48,6 +59,92 @@
 	reader *bufio.Reader
 	// expires is when an idle connection may no longer be reused.
 	expires time.Time
+	// header limits the bytes and the time of a header that is being read; nil
+	// otherwise.
+	header *headerLimit
+	// received is the number of bytes received.
+	received int64
+	// watch is consulted while a read waits for bytes; nil means that reads wait
+	// until the connection is closed.
+	watch readWatch
+}
+
+func newConnection(conn net.Conn) *connection {
+	c := &connection{Conn: conn}
+	c.reader = bufio.NewReaderSize(c, readBufferSize)
+	return c
+}
+
+// headerLimit is what a server may still send of a response header.
+type headerLimit struct {
+	bytesLeft int
+	started   bool
+}
+
+// readWatch limits how long the reads of a response wait. Its connection calls
+// check when the time returned by nextCheck has come, whether or not bytes
+// arrive. An error from check ends the read.
+type readWatch interface {
+	nextCheck() time.Time
+	check() error
+}
+
+var errHeaderTooLarge = errors.New("response header is too large")
+
+// Read reads from the server within the limits in force. The buffered reader of
+// the connection reads through it.
+func (c *connection) Read(p []byte) (int, error) {
+	if c.header != nil {
+		if c.header.bytesLeft <= 0 {
+			return 0, errHeaderTooLarge
+		}
+		p = p[:min(len(p), c.header.bytesLeft)]
+	}
+	n, err := c.readWatched(p)
+	c.received += int64(n)
+	if c.header != nil {
+		return n, c.countHeaderBytes(n, err)
+	}
+	return n, err
+}
+
+func (c *connection) readWatched(p []byte) (int, error) {
+	for c.watch != nil {
+		if !time.Now().Before(c.watch.nextCheck()) {
+			if err := c.watch.check(); err != nil {
+				return 0, err
+			}
+			continue
+		}
+		if err := c.Conn.SetReadDeadline(c.watch.nextCheck()); err != nil {
+			return 0, err
+		}
+		n, err := c.Conn.Read(p)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+	}
+	return c.Conn.Read(p)
+}
+
+// countHeaderBytes starts the time limit of a header with its first byte. A
+// watch limits the time by itself.
+func (c *connection) countHeaderBytes(n int, err error) error {
+	c.header.bytesLeft -= n
+	if err != nil || n == 0 || c.header.started || c.watch != nil {
+		return err
+	}
+	c.header.started = true
+	return c.Conn.SetReadDeadline(time.Now().Add(headerTimeout))
+}
+
+// endHeader lifts the limits for headers.
+func (c *connection) endHeader() error {
+	c.header = nil
+	if c.watch != nil {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(time.Time{})
 }
 
 // pool holds idle connections by address.
@@ -67,9 +164,11 @@
 	}
 }
 
-// get returns an idle connection or opens a new one.
-func (p *pool) get(ctx context.Context, address string) (*connection, error) {
-	for c := p.takeIdle(address); c != nil; c = p.takeIdle(address) {
+// get returns an idle connection or opens a new one. A request without an ID
+// needs a new one: on another, a late response to an earlier request could not
+// be told from its own.
+func (p *pool) get(ctx context.Context, address string, reuse bool) (*connection, error) {
+	for c := p.takeIdle(address, reuse); c != nil; c = p.takeIdle(address, reuse) {
 		if time.Now().Before(c.expires) && c.isReusable() {
 			return c, nil
 		}
@@ -79,12 +178,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferSize)}, nil
+	return newConnection(conn), nil
 }
 
 // takeIdle returns the most recently used connection, so that the others
 // expire.
-func (p *pool) takeIdle(address string) *connection {
+func (p *pool) takeIdle(address string, reuse bool) *connection {
+	if !reuse {
+		return nil
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
@@ -211,7 +313,7 @@
 // if no byte was sent, and errNoResponse otherwise. When ctx ends, the
 // connection is closed immediately.
 func (p *pool) open(ctx context.Context, address string, o *outboundRequest) (*exchange, error) {
-	conn, err := p.get(ctx, address)
+	conn, err := p.get(ctx, address, o.id != "")
 	if err != nil {
 		return nil, errors.Wrap(errNotSent, err.Error())
 	}
@@ -278,53 +380,51 @@
 
 // readFinalHeader reads the header of a final (non-1xx) response.
 func (x *exchange) readFinalHeader(codec HeaderCodec, request *http.Request) error {
-	for {
+	x.conn.header = &headerLimit{bytesLeft: maxHeaderBytes}
+	for range maxInformational + 1 {
 		response, err := http.ReadResponse(x.conn.reader, request)
 		if err != nil {
 			return err
 		}
 		if response.StatusCode >= http.StatusOK {
 			x.response, x.info = response, codec.ParseResponse(response.Header)
-			return nil
+			return x.conn.endHeader()
 		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			return errors.New("server switched protocols")
 		}
 	}
+	return errors.New("too many informational responses")
 }
 
-// awaitData waits until the server has sent something. It peeks at the
-// connection instead of reading the response body, because a body that has hit
-// a deadline cannot be read any further.
-func (x *exchange) awaitData(limit time.Duration) error {
-	if x.conn.reader.Buffered() > 0 || x.hasNoBody() {
-		return nil
-	}
-	if err := x.conn.SetReadDeadline(time.Now().Add(limit)); err != nil {
-		return err
+// discard reads the rest of a response that is not needed, so that its
+// connection can be reused. It closes the connection if the rest is long or
+// does not arrive soon.
+func (x *exchange) discard() {
+	x.conn.watch = nil
+	err := x.conn.SetReadDeadline(time.Now().Add(discardTimeout))
+	if err == nil {
+		_, err = io.CopyN(io.Discard, x.response.Body, maxDiscardedBytes)
 	}
-	_, err := x.conn.reader.Peek(1)
-	if err != nil && !errors.Is(err, io.EOF) {
-		return err
+	if !errors.Is(err, io.EOF) {
+		x.close()
+		return
 	}
-	return x.conn.SetReadDeadline(time.Now().Add(partialReadTimeout))
+	x.release()
 }
 
-// hasNoBody reports whether the response has no body, so that there is nothing
-// to wait for.
-func (x *exchange) hasNoBody() bool { return x.response != nil && x.response.ContentLength == 0 }
-
 // release returns the connection to the pool, if it may carry another request,
 // after the whole body was read.
 func (x *exchange) release() {
 	if !x.stopCancel() {
 		return
 	}
-	reusable := !x.unexpectedData && !x.response.Close && x.conn.reader.Buffered() == 0 && x.hasFramedBody() && x.requestWritten()
+	reusable := x.request.id != "" && !x.unexpectedData && !x.response.Close && x.conn.reader.Buffered() == 0 && x.hasFramedBody() && x.requestWritten()
 	if !reusable {
 		x.conn.Close()
 		return
 	}
+	x.conn.watch = nil
 	x.pool.put(x.address, x.conn, keepAliveTimeout(x.response.Header))
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -222,39 +222,49 @@
 // been sent to the client, a failure can only lead to another attempt.
 func (s *streamRequest) forwardFailure(x *exchange) (attemptResult, error) {
 	if s.headerSent {
-		s.discardResponse(x)
+		x.discard()
 		return mayHaveExecuted, errors.Errorf("engine answered %d", x.response.StatusCode)
 	}
 	return s.forwardResponse(x)
 }
 
-// writeEvents forwards complete events, each one once and in order.
-func (s *streamRequest) writeEvents(splitter *eventstream.Splitter, x *exchange, flusher *http.ResponseController) error {
+// writeEvents forwards complete events, each one once and in order. It reports
+// whether the stream has advanced: comments and repeated events do not count.
+func (s *streamRequest) writeEvents(splitter *eventstream.Splitter, x *exchange, flusher *http.ResponseController) (progress bool, err error) {
 	wrote := false
 	for e, ok := splitter.Next(); ok; e, ok = splitter.Next() {
 		if e.ID >= 0 && e.ID <= s.lastEventID {
 			continue
 		}
 		if s.headerSent && s.deliveredEvents > 0 && e.ID > s.lastEventID+1 {
-			return errors.Errorf("event %d follows event %d", e.ID, s.lastEventID)
+			return false, errors.Errorf("event %d follows event %d", e.ID, s.lastEventID)
 		}
 		s.writeHeaderOnce(x)
 		if _, err := s.w.Write(e.Bytes); err != nil {
-			return err
+			return false, err
 		}
+		wrote = true
+		if e.IsComment() {
+			continue
+		}
+		progress = true
 		s.deliveredEvents++
 		s.recordGap()
-		wrote = true
 		if e.ID >= 0 {
 			s.lastEventID = e.ID
 		}
 	}
+	if splitter.Pending() > eventstream.MaxEventBytes {
+		return false, errEventTooLarge
+	}
 	if !wrote {
-		return nil
+		return progress, nil
 	}
-	return flusher.Flush()
+	return progress, flusher.Flush()
 }
 
+var errEventTooLarge = errors.New("an event is too large")
+
 // recordGap updates the longest time between two events.
 func (s *streamRequest) recordGap() {
 	now := time.Now()
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -18,7 +18,10 @@
 	// maxBufferedResponse is the size up to which a response is read completely
 	// before any of it is forwarded, so that the request can still be retried if
 	// the response breaks off.
-	maxBufferedResponse = 256 << 10
+	maxBufferedResponse = 64 << 10
+	// maxResponseBytes bounds the body of a response. A broken server may send
+	// bytes without end.
+	maxResponseBytes = 64 << 20
 	// busyRetryAfter is the Retry-After time for busy servers: about the time until
 	// one has free capacity.
 	busyRetryAfter = 100 * time.Millisecond
@@ -145,7 +148,7 @@
 		return mayHaveExecuted, err
 	}
 	if x.info.NotExecuted {
-		q.discardResponse(x)
+		x.discard()
 		q.recordRefusal(server, x)
 		return notExecuted, errors.Errorf("server answered %d", x.response.StatusCode)
 	}
@@ -166,19 +169,6 @@
 	q.fleet.observe(time.Now(), server.ID, membership.Overloaded)
 }
 
-// maxRefusalBytes bounds the body of a refusal that is read to keep the
-// connection reusable.
-const maxRefusalBytes = 16 << 10
-
-// discardResponse reads the rest of a response that is not forwarded.
-func (q *request) discardResponse(x *exchange) {
-	if _, err := io.CopyN(io.Discard, x.response.Body, maxRefusalBytes); !errors.Is(err, io.EOF) {
-		x.close()
-		return
-	}
-	x.release()
-}
-
 // impliesNotExecuted reports whether a status tells clients that the request
 // was not executed. A server's response with such a status but without its
 // not-executed mark may belong to a request that was executed.
@@ -195,7 +185,7 @@
 // request may be retried.
 func (q *request) forwardResponse(x *exchange) (attemptResult, error) {
 	if impliesNotExecuted(x.response.StatusCode) || !x.info.Signed {
-		q.discardResponse(x)
+		x.discard()
 		return mayHaveExecuted, errors.Errorf("server answered %d without a promise or signature", x.response.StatusCode)
 	}
 	body, err := io.ReadAll(io.LimitReader(x.response.Body, maxBufferedResponse+1))
@@ -248,7 +238,7 @@
 	q.w.WriteHeader(x.response.StatusCode)
 	_, err := q.w.Write(prefix)
 	if err == nil {
-		_, err = io.Copy(q.w, x.response.Body)
+		err = copyLimited(q.w, x.response.Body, maxResponseBytes-int64(len(prefix)))
 	}
 	if err != nil {
 		x.close()
@@ -258,3 +248,17 @@
 	x.release()
 	return nil
 }
+
+var errResponseTooLarge = errors.New("response body is too large")
+
+// copyLimited copies a body of at most limit bytes.
+func copyLimited(w io.Writer, body io.Reader, limit int64) error {
+	_, err := io.CopyN(w, body, limit+1)
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	if err == nil {
+		err = errResponseTooLarge
+	}
+	return err
+}
--- /dev/null
+++ b/relay/watch.go
@@ -0,0 +1,113 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// stallCheckDelay is how long a stream may pass without an event before its
+	// engines are checked. Events are 10 to 50 ms apart.
+	stallCheckDelay = 100 * time.Millisecond
+	// suspectCheckInterval is how long a stream may pass without an event before
+	// it is rerouted around engines that other requests found dead, and the
+	// interval of the checks after that.
+	suspectCheckInterval = 50 * time.Millisecond
+	// maxStallCheckDelay bounds the time between two checks of a stream that is
+	// merely slow.
+	maxStallCheckDelay = 400 * time.Millisecond
+	// maxSilence is how long a stream may pass without an event before another
+	// attempt replaces it. Clients disconnect after 2 s.
+	maxSilence = 1800 * time.Millisecond
+	// minDripLimit is the least time without an event after which a stream that
+	// still sends bytes is broken off. dripLimitTargets and dripLimitPauses are
+	// the same as multiples of the route's targets for the first event and for the
+	// pause between events. Clients disconnect after half of that.
+	minDripLimit     = 4 * time.Second
+	dripLimitTargets = 8
+	dripLimitPauses  = 16
+)
+
+// errStreamStalled means that events stopped without a known cause.
+var errStreamStalled = errors.New("events stopped")
+
+// eventWatch acts while a stream passes without an event: it determines which
+// engine the stream is waiting for and reroutes around lost engines. It measures
+// events rather than bytes, because a broken engine may send comments or parts
+// of an event without end.
+//
+// It abandons the attempt only if there is a better option. A silent stream that
+// cannot be retried may still continue, and its client disconnects by itself if
+// it doesn't. A stream that still sends bytes, but no event, would keep such a
+// client and the engine busy until the deadline, so it is broken off.
+type eventWatch struct {
+	*attempt
+	ctx context.Context
+	// eventAt is when the last event arrived, and receivedThen the number of bytes
+	// received until then.
+	eventAt      time.Time
+	receivedThen int64
+	// checkAt is the time of the next check, and stallCheckedAt that of the last
+	// query for stalled engines.
+	checkAt, stallCheckedAt time.Time
+	// stallDelay is the time without an event before the engines are queried. It
+	// grows with each query that finds nothing, because a query costs the engine
+	// time.
+	stallDelay time.Duration
+}
+
+func newEventWatch(ctx context.Context, a *attempt) *eventWatch {
+	w := &eventWatch{attempt: a, ctx: ctx, stallDelay: stallCheckDelay}
+	w.recordProgress()
+	return w
+}
+
+// recordProgress records that an event has arrived.
+func (w *eventWatch) recordProgress() {
+	w.eventAt = time.Now()
+	w.receivedThen = w.x.conn.received
+	w.checkAt = w.eventAt.Add(suspectCheckInterval)
+}
+
+func (w *eventWatch) nextCheck() time.Time { return w.checkAt }
+
+func (w *eventWatch) check() error {
+	w.checkAt = time.Now().Add(suspectCheckInterval)
+	if err := w.rerouteAroundSuspects(w.ctx); err != nil && w.mayGiveUp() {
+		return err
+	}
+	if w.isDripping() {
+		return errStreamStalled
+	}
+	if time.Since(w.eventAt) < w.stallDelay || time.Since(w.stallCheckedAt) < w.stallDelay {
+		return nil
+	}
+	err := w.findLostEngine()
+	w.stallCheckedAt = time.Now()
+	w.checkAt = w.stallCheckedAt.Add(suspectCheckInterval)
+	if err == nil && time.Since(w.eventAt) >= maxSilence {
+		err = errStreamStalled
+	}
+	if err != nil && w.mayGiveUp() {
+		return err
+	}
+	return nil
+}
+
+// findLostEngine queries the engines and reroutes around lost ones.
+func (w *eventWatch) findLostEngine() error {
+	if err := w.markStalledEngines(w.ctx); err != nil {
+		return err
+	}
+	w.stallDelay = min(2*w.stallDelay, maxStallCheckDelay)
+	return w.checkPath(w.ctx)
+}
+
+// isDripping reports whether the stream has sent bytes, but no event, for so long
+// that no client waits for it.
+func (w *eventWatch) isDripping() bool {
+	limit := max(minDripLimit, dripLimitTargets*w.route.TargetLatency, dripLimitPauses*w.route.TargetEventInterval)
+	return time.Since(w.eventAt) >= limit && w.x.conn.received > w.receivedThen
+}
