relay: bound callers' bodies in memory and time; no empty 200 to a half-closed caller

Cause: bodies of 4 MB each had no common limit, a caller that never ended its body held its request past the deadline, and http.Server took 1 MB of header for each connection. When a caller closes only its sending side, the request's context ends; the entry then wrote nothing, which http.Server turns into a complete 200 response without a body, although the request had been sent to a server. Ruled out: a response that is ready; it is written in either case. Change: 48 MB for all bodies (503, not executed, beyond it), bodies end at the request's deadline, headers at 128 KB, and a request without a response closes its connection. Tests fail before (TestHalfClosedClientGetsNoEmptyResponse: 200).

--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -30,6 +30,9 @@
 	// relayStopMargin is the part of the grace period that the drain leaves for
 	// stopping the process.
 	relayStopMargin = 300 * time.Millisecond
+	// maxRequestHeaderBytes bounds the memory for a caller's header before its
+	// route is known. The configuration may set a lower limit.
+	maxRequestHeaderBytes = 128 << 10
 	// defaultIdleTimeout and headerTimeout apply until a configuration is active.
 	defaultIdleTimeout = time.Minute
 )
@@ -72,6 +75,7 @@
 	})
 	p.clientServer = &http.Server{
 		Handler: p.entry, ReadHeaderTimeout: headerTimeout, IdleTimeout: defaultIdleTimeout, ConnState: p.connTracker.connState,
+		MaxHeaderBytes: maxRequestHeaderBytes,
 	}
 	lc, err := newLifecycle()
 	if err != nil {
@@ -169,7 +173,9 @@
 
 // serveHandler serves probes or metrics until ctx ends.
 func (p *relayProcess) serveHandler(ctx context.Context, address netip.AddrPort, handler http.Handler) error {
-	return p.listenAndServe(ctx, address, &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout})
+	return p.listenAndServe(ctx, address, &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxRequestHeaderBytes,
+	})
 }
 
 // listenAndServe runs a server until ctx ends.
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -63,8 +63,9 @@
 	// sendNow triggers an immediate message to the other entries.
 	sendNow trigger
 
-	inFlight *inFlightCounter
-	draining atomic.Bool
+	inFlight   *inFlightCounter
+	bodyMemory bodyMemory
+	draining   atomic.Bool
 }
 
 // New returns an entry that is not running yet.
--- a/relay/request.go
+++ b/relay/request.go
@@ -1,8 +1,8 @@
 package relay
 
 import (
-	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -26,7 +26,10 @@
 	team     string
 	target   string
 	body     []byte
-	started  time.Time
+	// bodyTimedOut is set if the body did not arrive in time. http.Server ends
+	// the request's context then, although the client is still there.
+	bodyTimedOut bool
+	started      time.Time
 	// deadline is the earlier of the client's deadline and the route's timeout.
 	deadline time.Time
 	// attempts counts the attempts that ended without a response, sentCount the
@@ -69,6 +72,7 @@
 	e.inFlight.add(1)
 	defer e.inFlight.add(-1)
 	defer q.logFinished()
+	defer func() { e.bodyMemory.release(q.body) }()
 	if e.isDraining() {
 		w.Header().Set("Connection", "close")
 	}
@@ -78,9 +82,14 @@
 	}
 	if q.route.CallKind == config.CallStream {
 		q.serveStream()
-		return
+	} else {
+		q.serveUnary()
+	}
+	if q.outcome == outcomeClientGone && q.status == 0 {
+		// http.Server would send an empty 200 response, which reaches a client that
+		// has closed only its sending side.
+		panic(http.ErrAbortHandler)
 	}
-	q.serveUnary()
 }
 
 // admit determines the route and the team and reads the body.
@@ -127,20 +136,32 @@
 	return int64(n + lineEnd)
 }
 
+// readBody reads the request's body until the deadline.
 func (q *request) readBody(limit int64) *problem.Problem {
 	if limit > 0 {
 		q.r.Body = http.MaxBytesReader(q.w, q.r.Body, limit)
 	}
-	body, err := io.ReadAll(q.r.Body)
+	timer := time.AfterFunc(time.Until(q.deadline), func() {
+		// Without support for deadlines, the connection's own timeouts remain.
+		_ = http.NewResponseController(q.w).SetReadDeadline(time.Unix(1, 0))
+	})
+	defer timer.Stop()
+	body, err := q.bodyMemory.read(q.r.Body)
+	q.body = body
 	var tooLarge *http.MaxBytesError
 	switch {
+	case err == nil:
+		return nil
 	case errors.As(err, &tooLarge):
 		return problem.NotExecuted(problem.BodyTooLarge, "the body is larger than allowed")
-	case err != nil:
+	case errors.Is(err, errNoBodyMemory):
+		return q.retryLater(problem.Overloaded, err.Error(), noBodyMemoryRetryAfter)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		q.bodyTimedOut = true
+		return q.retryLater(problem.Overloaded, "the body did not arrive in time", noBodyMemoryRetryAfter)
+	default:
 		return problem.NotExecuted(problem.InvalidRequest, "the body could not be read")
 	}
-	q.body = body
-	return nil
 }
 
 // retryLater refuses a request that was not executed and tells the client when
@@ -163,12 +184,13 @@
 }
 
 func (q *request) writeProblem(result outcome, p *problem.Problem) {
-	if q.r.Context().Err() != nil {
-		q.outcome, q.detail = outcomeClientGone, p.Detail
-		return
-	}
 	p.RequestID = q.info.ID
 	q.outcome, q.status, q.detail = result, p.Code.Status(), string(p.Code)+": "+p.Detail
+	if q.r.Context().Err() != nil && !q.bodyTimedOut {
+		q.outcome = outcomeClientGone
+	}
+	// The context also ends when a client closes only its sending side, and such a
+	// client still reads the response.
 	p.Write(q.w)
 }
 
