relay: a restart does not make full or busy engines look dead

Ruled out: crashed engines (none at that moment), memory of the entries. Change: the first query to an engine may take as long as a dial; refusals raise no suspicion in the first 10 s. Lost and suspected engines have log lines (2017, 2018).

--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -22,6 +22,8 @@
 	InstanceListRejected   Event = 2007
 	RelayRequestFinished   Event = 2008
 	StallQueried           Event = 2016
+	EngineLost             Event = 2017
+	EngineSuspected        Event = 2018
 	StreamRerouted         Event = 2015
 	StreamRecovered        Event = 2009
 	ServerChanged          Event = 2010
@@ -74,6 +76,8 @@
 	{RelayRequestFinished, log.InfoLevel, "passed request finished", ""},
 	{StreamRecovered, log.WarnLevel, "stream goes on along another path", "Check the engines that the line names if they do not return."},
 	{StallQueried, log.DebugLevel, "engine asked what its work waits for", ""},
+	{EngineLost, log.InfoLevel, "engine taken for lost", ""},
+	{EngineSuspected, log.InfoLevel, "engine suspected after a refusal", ""},
 	{StreamRerouted, log.InfoLevel, "stream's path changed", ""},
 	{ServerChanged, log.InfoLevel, "backend server changed", ""},
 	{ServerRecordRemoved, log.InfoLevel, "backend server's record is gone", ""},
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -29,6 +29,9 @@
 	maxReroutes = 6
 )
 
+// errStalledOn means that an engine reports requests that wait for another one.
+var errStalledOn = errors.New("requests wait for this engine")
+
 // errPathLost means that an engine of the path is lost or leaving.
 var errPathLost = errors.New("an engine of the path is lost")
 
@@ -55,7 +58,7 @@
 	head := hops[0]
 	a.x, err = s.pool.open(ctx, head.Address, s.buildOutbound(ForwardInfo{Instance: head.Engine, Path: hops, LastEvent: s.lastEventID}))
 	if errors.Is(err, errNotSent) {
-		s.markEngineLost(head.Engine)
+		s.markEngineLost(head.Engine, err)
 		return notSent, err
 	}
 	s.sentCount++
@@ -131,12 +134,12 @@
 		return nil
 	}
 	if err != nil {
-		a.markEngineLost(a.hops[0].Engine)
+		a.markEngineLost(a.hops[0].Engine, err)
 		return errPathLost
 	}
 	for _, address := range stalled {
 		if server, known := a.fleet.byAddress(address); known {
-			a.fleet.markLost(time.Now(), server.ID)
+			a.loseEngine(server.ID, errStalledOn)
 		}
 	}
 	return nil
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -166,6 +166,13 @@
 // InProgress returns the number of requests in progress.
 func (e *Entry) InProgress() int { return e.inFlight.count() }
 
+// loseEngine records and logs evidence that an engine does not work.
+func (e *Entry) loseEngine(id string, evidence error) {
+	if e.fleet.markLost(time.Now(), id) {
+		logevent.Write(e.logger, logevent.EngineLost).Str("server", id).Str("cause", evidence.Error()).Msg("")
+	}
+}
+
 // maintenanceInterval is how often expired connections are closed and skipped
 // log lines reported.
 const maintenanceInterval = time.Second
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -39,6 +39,7 @@
 // for concurrent use.
 type fleet struct {
 	mu         sync.Mutex
+	startedAt  time.Time
 	membership *membership.View
 	servers    map[string]Server
 	// byAddr maps addresses to server IDs.
@@ -70,6 +71,7 @@
 
 func newFleet(random *rand.Rand) *fleet {
 	return &fleet{
+		startedAt:  time.Now(),
 		membership: membership.New(membershipOptions()), servers: map[string]Server{}, local: map[string]*usage{},
 		slowdowns: map[string]float64{}, random: random, peers: newPeerUsage(),
 		linkMeters: map[string]*rateMeter{}, lost: map[string]time.Time{}, leaving: map[string]leavingState{}, avoided: map[string]time.Time{}, suspects: map[string]time.Time{},
@@ -165,15 +167,17 @@
 }
 
 // markLost records evidence that an engine does not work, which ends the paths
-// through it.
-func (f *fleet) markLost(now time.Time, id string) {
+// through it. It reports whether the engine was not known as lost before.
+func (f *fleet) markLost(now time.Time, id string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.membership.Observe(now, id, membership.HeartbeatTimeout)
-	if _, known := f.lost[id]; !known {
-		f.lost[id] = now
-		f.changes.Add(1)
+	if _, known := f.lost[id]; known {
+		return false
 	}
+	f.lost[id] = now
+	f.changes.Add(1)
+	return true
 }
 
 // observe records direct evidence about a server.
@@ -211,7 +215,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.avoided[id] = now.Add(avoidDuration)
-	if f.inProgress(now, id).layerTokens > nearlyFullFraction*capacity {
+	if now.Sub(f.startedAt) < loadUnknownTime || f.inProgress(now, id).layerTokens > nearlyFullFraction*capacity {
 		return false
 	}
 	_, known := f.suspects[id]
@@ -219,6 +223,11 @@
 	return !known
 }
 
+// loadUnknownTime is how long after its start an entry does not know what
+// engines have in progress: they may still run requests of entries that have
+// ended at the same time.
+const loadUnknownTime = 10 * time.Second
+
 // nearlyFullFraction is the fraction of an engine's memory in use above which
 // a refusal may be due to lack of memory.
 const nearlyFullFraction = 0.7
--- a/relay/poll.go
+++ b/relay/poll.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/sapphirefield/sapphirefield/logevent"
@@ -50,11 +51,13 @@
 	_ = group.Wait() // pollEngine logs failures
 	if ctx.Err() == nil && float64(len(unresponsive.ids)) <= maxSilentFraction*float64(polled) {
 		for _, id := range unresponsive.ids {
-			p.fleet.markLost(time.Now(), id)
+			p.loseEngine(id, errNoStatus)
 		}
 	}
 }
 
+var errNoStatus = errors.New("engine did not report its status")
+
 // maxSilentFraction is the largest fraction of silent engines that are marked
 // as lost. If more are silent at once, this entry itself is probably
 // disconnected.
--- a/relay/stalls.go
+++ b/relay/stalls.go
@@ -19,6 +19,10 @@
 	// stallTimeout bounds the wait for the result. A working engine responds within
 	// a few milliseconds.
 	stallTimeout = 60 * time.Millisecond
+	// firstContactTimeout is the same until an engine has responded once. After a
+	// restart, the query waits behind the connections that all requests open at the
+	// same time.
+	firstContactTimeout = dialTimeout
 	// maxLocalDelay is how far a query may exceed its timeout before the delay is
 	// attributed to this process, in which case it says nothing about the engine.
 	maxLocalDelay = 15 * time.Millisecond
@@ -35,6 +39,8 @@
 	logger    *log.Logger
 	mu        sync.Mutex
 	byAddress map[string]*stallQuery
+	// responded are the addresses that have responded to this process.
+	responded map[string]bool
 }
 
 // stallQuery is the latest query to an engine. done is closed once its result
@@ -47,7 +53,7 @@
 }
 
 func newStallChecker(engines EngineClient, logger *log.Logger) *stallChecker {
-	return &stallChecker{engines: engines, logger: logger, byAddress: map[string]*stallQuery{}}
+	return &stallChecker{engines: engines, logger: logger, byAddress: map[string]*stallQuery{}, responded: map[string]bool{}}
 }
 
 // stalledEngines returns the addresses of the engines for which requests that
@@ -71,13 +77,17 @@
 }
 
 // query asks an engine for its status. It is not tied to the context of one
-// stream, because several may wait for it; it ends after stallTimeout.
+// stream, because several may wait for it; it ends after a timeout.
 func (s *stallChecker) query(q *stallQuery, address string) {
-	ctx, cancel := context.WithTimeout(context.Background(), stallTimeout)
+	timeout := s.timeout(address)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	status, err := s.engines.Status(ctx, address)
 	q.stalled, q.err = stalledAddresses(status), err
-	if err != nil && time.Since(q.startedAt) > stallTimeout+maxLocalDelay {
+	switch {
+	case err == nil:
+		s.recordResponse(address)
+	case time.Since(q.startedAt) > timeout+maxLocalDelay:
 		q.err = errInconclusive
 	}
 	close(q.done)
@@ -85,6 +95,21 @@
 		Dur("took_ms", time.Since(q.startedAt)).AnErr("cause", q.err).Msg("")
 }
 
+func (s *stallChecker) timeout(address string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.responded[address] {
+		return stallTimeout
+	}
+	return firstContactTimeout
+}
+
+func (s *stallChecker) recordResponse(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.responded[address] = true
+}
+
 // stalledAddresses returns the distinct addresses of the engines that requests
 // are waiting for.
 func stalledAddresses(status EngineStatus) (addresses []string) {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -171,9 +171,9 @@
 
 // markEngineLost records that an engine does not respond and excludes it from
 // this request's paths.
-func (s *streamRequest) markEngineLost(engine string) {
+func (s *streamRequest) markEngineLost(engine string, evidence error) {
 	s.avoid[engine] = true
-	s.fleet.markLost(time.Now(), engine)
+	s.loseEngine(engine, evidence)
 }
 
 // avoidFailedEngine avoids the engine that a response names as the cause, or
@@ -198,6 +198,7 @@
 func (s *streamRequest) suspectEngine(engine string) {
 	s.avoid[engine] = true
 	if s.fleet.markSuspect(time.Now(), engine, s.engineCapacity(engine)) {
+		logevent.Write(s.logger, logevent.EngineSuspected).Str("server", engine).Str("request", s.info.ID).Msg("")
 		s.sendNow.fire()
 	}
 }
