relay: streams leave a suspect only if it does not respond

One refusal by a full engine made all 33 entries reroute every stream through it that was silent for 50 ms (208 reroutes in second 7); their prompts filled the links between zones and made the streams that cross them late as well. Asking whether another path exists also counted as traffic on its links. Ruled out: crashed engines (none before second 9), engines out of memory (refusals were 6 suspicions in 8 s), zones (streams that do not cross: 1 late of 542). Change: a suspect is asked for its status; only one without a response is lost, and only then the other entries are told. A question for a path reserves nothing, and hops that stay on a path count no traffic. Timeouts of several engines at the same time count once; a status other than 200 is no sign of death. Tests: TestOnlySuspectsWithoutResponseAreLeft, TestLinksCountOnlyTrafficThatIsSent, TestOnlyOneTimeoutAtATimeCounts.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -102,18 +102,13 @@
 	req.AnswerStarted = true
 	req.Exclude = maps.Clone(a.avoid)
 	req.Exclude[a.hops[0].Engine] = true
-	_, reserved, err := a.fleet.choosePath(time.Now(), a.revision, a.target, req)
-	if err != nil {
-		return false
-	}
-	reserved.release()
-	return true
+	return a.fleet.hasPath(time.Now(), a.revision, a.target, req)
 }
 
 // rerouteAroundSuspects changes the path of a silent stream around engines
-// that were named as the cause of refusals.
+// that were named as the cause of refusals and do not respond.
 func (a *attempt) rerouteAroundSuspects(ctx context.Context) error {
-	ids := a.fleet.avoidedOn(time.Now(), a.hops)
+	ids := a.fleet.suspectsOn(time.Now(), a.hops)
 	if len(ids) == 0 {
 		return nil
 	}
@@ -130,10 +125,10 @@
 // and marks those as lost.
 func (a *attempt) markStalledEngines(ctx context.Context) error {
 	stalled, err := a.stallChecker.stalledEngines(ctx, a.hops[0].Address)
-	if errors.Is(err, errInconclusive) || ctx.Err() != nil {
+	if ctx.Err() != nil {
 		return nil
 	}
-	if err != nil {
+	if errors.Is(err, ErrNoResponse) {
 		a.markEngineLost(a.hops[0].Engine, err)
 		return errPathLost
 	}
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -61,9 +61,12 @@
 	// avoided are engines that refused a stage of a path, with the time until which
 	// they are avoided.
 	avoided map[string]time.Time
-	// suspects are engines named as the cause of a refusal although they should
-	// have free capacity, with the time of the last refusal.
-	suspects map[string]time.Time
+	// suspectedAt are the engines named as the cause of a refusal although they
+	// should have free capacity, with the time of the refusal. suspects are those of
+	// them that do not respond, with the time at which that was found.
+	suspectedAt, suspects map[string]time.Time
+	// dead are the suspects of all entries, with the time until which they count.
+	dead map[string]time.Time
 	// changes counts changes of lost and leaving, so that streams need not check
 	// them at each event.
 	changes atomic.Int64
@@ -75,6 +78,7 @@
 		membership: membership.New(membershipOptions()), servers: map[string]Server{}, local: map[string]*usage{},
 		slowdowns: map[string]float64{}, random: random, peers: newPeerUsage(),
 		linkMeters: map[string]*rateMeter{}, lost: map[string]time.Time{}, leaving: map[string]leavingState{}, avoided: map[string]time.Time{}, suspects: map[string]time.Time{},
+		suspectedAt: map[string]time.Time{}, dead: map[string]time.Time{},
 	}
 }
 
@@ -103,6 +107,12 @@
 			delete(f.lost, id)
 		}
 	}
+	for id := range f.suspectedAt {
+		if _, known := servers[id]; !known {
+			delete(f.suspectedAt, id)
+			delete(f.dead, id)
+		}
+	}
 }
 
 // maxReturnWait is how long a lost engine is expected to return. One that is
@@ -208,25 +218,36 @@
 	f.avoided[id] = now.Add(avoidDuration)
 }
 
-// markSuspect records that a refusal named an engine as its cause. An engine
-// that should have free capacity is presumed dead; markSuspect returns true if
-// it is a new suspect, so that the other entries are told at once.
+// markSuspect records that a refusal named an engine as its cause, and reports
+// whether the engine may be dead: it should have free capacity, and it is not
+// under suspicion already.
 func (f *fleet) markSuspect(now time.Time, id string, capacity float64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.avoided[id] = now.Add(avoidDuration)
-	if now.Sub(f.startedAt) < loadUnknownTime || f.inProgress(now, id).layerTokens > nearlyFullFraction*capacity {
+	if now.Sub(f.startedAt) < settleTime || f.inProgress(now, id).layerTokens > nearlyFullFraction*capacity {
 		return false
 	}
-	_, known := f.suspects[id]
+	if at, known := f.suspectedAt[id]; known && now.Sub(at) < avoidDuration {
+		return false
+	}
+	f.suspectedAt[id] = now
+	return true
+}
+
+// confirmSuspect records that a suspect does not respond, which the other entries
+// are told.
+func (f *fleet) confirmSuspect(now time.Time, id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.suspects[id] = now
-	return !known
+	f.dead[id] = now.Add(avoidDuration)
 }
 
-// loadUnknownTime is how long after its start an entry does not know what
-// engines have in progress: they may still run requests of entries that have
-// ended at the same time.
-const loadUnknownTime = 10 * time.Second
+// settleTime is how long after its start an entry does not take a refusal or a
+// slow response of an engine for its death: engines may still run requests of
+// entries that have ended at the same time, and all requests open connections.
+const settleTime = 10 * time.Second
 
 // nearlyFullFraction is the fraction of an engine's memory in use above which
 // a refusal may be due to lack of memory.
@@ -256,16 +277,17 @@
 	for id := range f.servers {
 		if slices.Contains(hashes, serverHash(id)) {
 			f.avoided[id] = now.Add(avoidDuration)
+			f.dead[id] = now.Add(avoidDuration)
 		}
 	}
 }
 
-// avoidedOn returns the avoided engines of a path, except the first.
-func (f *fleet) avoidedOn(now time.Time, hops []pipeline.Hop) (ids []string) {
+// suspectsOn returns the engines of a path that do not respond, except the first.
+func (f *fleet) suspectsOn(now time.Time, hops []pipeline.Hop) (ids []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, h := range hops[1:] {
-		if now.Before(f.avoided[h.Engine]) {
+		if now.Before(f.dead[h.Engine]) {
 			ids = append(ids, h.Engine)
 		}
 	}
@@ -409,25 +431,38 @@
 
 // choosePath selects a path for a request and reserves its capacity.
 func (f *fleet) choosePath(now time.Time, rev *revision, model string, r pipeline.RelayRequest) ([]pipeline.Hop, *reservation, error) {
-	finder := rev.finders[model]
-	if finder == nil {
-		return nil, nil, pipeline.ErrNoChain
-	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	hops, expected, err := finder.Find(f.engines(now, rev, model), f.links(now, rev), r)
+	hops, expected, err := f.findPath(now, rev, model, r)
 	if err != nil {
 		return nil, nil, err
 	}
-	f.recordLinkTraffic(now, hops, relayModel(rev.models[model]).BytesPerHop(r))
+	f.recordLinkTraffic(now, hops, r.CurrentPath, relayModel(rev.models[model]).BytesPerHop(r))
 	return hops, f.reserve(pathUsage(hops, r, expected)), nil
 }
 
+// hasPath reports whether choosePath would find a path. It reserves nothing and
+// counts no traffic.
+func (f *fleet) hasPath(now time.Time, rev *revision, model string, r pipeline.RelayRequest) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, _, err := f.findPath(now, rev, model, r)
+	return err == nil
+}
+
+func (f *fleet) findPath(now time.Time, rev *revision, model string, r pipeline.RelayRequest) ([]pipeline.Hop, time.Duration, error) {
+	finder := rev.finders[model]
+	if finder == nil {
+		return nil, 0, pipeline.ErrNoChain
+	}
+	return finder.Find(f.engines(now, rev, model), f.links(now, rev), r)
+}
+
 // recordLinkTraffic adds the bytes that a request sends over the links of its
-// path.
-func (f *fleet) recordLinkTraffic(now time.Time, hops []pipeline.Hop, bytes float64) {
+// path. Between two hops of its current path it has sent them already.
+func (f *fleet) recordLinkTraffic(now time.Time, hops, current []pipeline.Hop, bytes float64) {
 	for i := 1; i < len(hops); i++ {
-		if hops[i-1].Zone == hops[i].Zone {
+		if hops[i-1].Zone == hops[i].Zone || follows(current, hops[i-1].Engine, hops[i].Engine) {
 			continue
 		}
 		id := linkID(hops[i-1].Zone, hops[i].Zone)
@@ -438,6 +473,16 @@
 	}
 }
 
+// follows reports whether one engine follows another on a path.
+func follows(path []pipeline.Hop, first, second string) bool {
+	for i := 1; i < len(path); i++ {
+		if path[i-1].Engine == first && path[i].Engine == second {
+			return true
+		}
+	}
+	return false
+}
+
 // minRunTime keeps the load rate of short requests from being overestimated.
 const minRunTime = 300 * time.Millisecond
 
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -50,3 +50,35 @@
 	assert.Assert(t, f.hasRecentlyLost(now.Add(time.Second)))
 	assert.Assert(t, !f.hasRecentlyLost(now.Add(maxReturnWait)))
 }
+
+// Guards against links that look fuller than they are after a loss, when many
+// streams ask whether another path exists, and count hops that stay on their path.
+func TestLinksCountOnlyTrafficThatIsSent(t *testing.T) {
+	e := newTestEntry(t, streamRoute(true))
+	servers := map[string]Server{}
+	for id, s := range map[string]struct {
+		zone   string
+		layers placement.Range
+	}{"head": {"a", placement.Range{Limit: 4}}, "middle": {"b", placement.Range{First: 4, Limit: 6}}, "tail": {"a", placement.Range{First: 6, Limit: 8}}} {
+		servers[id] = Server{
+			Instance: membership.Instance{ID: id, Service: "llm", Zone: s.zone, Address: id + ":1"},
+			Slots:    10, Accelerator: "gpu", Layers: s.layers,
+		}
+	}
+	now := time.Now()
+	e.fleet.setServers(now, servers)
+	rev := e.current.Load()
+	rev.models["llm"].ActivationBytes = 1
+	r := pipeline.RelayRequest{PromptTokens: 100, AnswerTokens: 100}
+	link := linkID("a", "b")
+	assert.Assert(t, e.fleet.hasPath(now, rev, "llm", r))
+	assert.Equal(t, e.fleet.linkRate(now, link), 0.0)
+	hops, _, err := e.fleet.choosePath(now, rev, "llm", r)
+	assert.NilError(t, err)
+	sent := e.fleet.linkRate(now, link)
+	assert.Equal(t, sent, 400.0)
+	r.CurrentPath = hops
+	_, _, err = e.fleet.choosePath(now, rev, "llm", r)
+	assert.NilError(t, err)
+	assert.Equal(t, e.fleet.linkRate(now, link), sent)
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -160,6 +160,8 @@
 var (
 	// ErrUnavailable means that the call certainly had no effect.
 	ErrUnavailable = errors.New("store unavailable")
+	// ErrNoResponse means that a server did not respond at all.
+	ErrNoResponse = errors.New("no response")
 	// ErrUnknownOutcome means that an append may have taken effect or may still do
 	// so.
 	ErrUnknownOutcome = errors.New("outcome unknown")
@@ -236,6 +238,8 @@
 
 // EngineClient is the client for the control requests of engines.
 type EngineClient interface {
+	// Status returns an engine's status. The error wraps ErrNoResponse if the
+	// engine did not respond.
 	Status(ctx context.Context, address string) (EngineStatus, error)
 	// AssignLayers orders an engine to hold a range of layers, provided that it has
 	// started the given number of orders.
--- a/relay/stalls.go
+++ b/relay/stalls.go
@@ -19,10 +19,9 @@
 	// stallTimeout bounds the wait for the result. A working engine responds within
 	// a few milliseconds.
 	stallTimeout = 60 * time.Millisecond
-	// firstContactTimeout is the same until an engine has responded once. After a
-	// restart, the query waits behind the connections that all requests open at the
-	// same time.
-	firstContactTimeout = dialTimeout
+	// settlingStallTimeout is the same in the time after the start of this process,
+	// when queries wait behind the connections that all requests open.
+	settlingStallTimeout = dialTimeout
 	// maxLocalDelay is how far a query may exceed its timeout before the delay is
 	// attributed to this process, in which case it says nothing about the engine.
 	maxLocalDelay = 15 * time.Millisecond
@@ -39,8 +38,30 @@
 	logger    *log.Logger
 	mu        sync.Mutex
 	byAddress map[string]*stallQuery
-	// responded are the addresses that have responded to this process.
-	responded map[string]bool
+	startedAt time.Time
+	timeouts  timeoutFilter
+}
+
+// timeoutFilter decides which engines that do not respond in time count as dead.
+// When several fall silent at the same time, the reason is more likely this
+// process or its network than the engines; reports of other engines remain as
+// evidence then.
+type timeoutFilter struct {
+	address string
+	at      time.Time
+}
+
+// timeoutWindow is how long after a timeout those of other engines do not count.
+const timeoutWindow = 500 * time.Millisecond
+
+// accept records a timeout and reports whether it counts.
+func (f *timeoutFilter) accept(now time.Time, address string) bool {
+	alone := f.address == address || now.Sub(f.at) > timeoutWindow
+	f.at = now
+	if alone {
+		f.address = address
+	}
+	return alone
 }
 
 // stallQuery is the latest query to an engine. done is closed once its result
@@ -53,7 +74,7 @@
 }
 
 func newStallChecker(engines EngineClient, logger *log.Logger) *stallChecker {
-	return &stallChecker{engines: engines, logger: logger, byAddress: map[string]*stallQuery{}, responded: map[string]bool{}}
+	return &stallChecker{engines: engines, logger: logger, byAddress: map[string]*stallQuery{}, startedAt: time.Now()}
 }
 
 // stalledEngines returns the addresses of the engines for which requests that
@@ -79,15 +100,12 @@
 // query asks an engine for its status. It is not tied to the context of one
 // stream, because several may wait for it; it ends after a timeout.
 func (s *stallChecker) query(q *stallQuery, address string) {
-	timeout := s.timeout(address)
+	timeout := s.timeout(q.startedAt)
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	status, err := s.engines.Status(ctx, address)
 	q.stalled, q.err = stalledAddresses(status), err
-	switch {
-	case err == nil:
-		s.recordResponse(address)
-	case time.Since(q.startedAt) > timeout+maxLocalDelay:
+	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) && !s.acceptTimeout(q, address, timeout) {
 		q.err = errInconclusive
 	}
 	close(q.done)
@@ -95,19 +113,18 @@
 		Dur("took_ms", time.Since(q.startedAt)).AnErr("cause", q.err).Msg("")
 }
 
-func (s *stallChecker) timeout(address string) time.Duration {
+func (s *stallChecker) acceptTimeout(q *stallQuery, address string, timeout time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.responded[address] {
-		return stallTimeout
-	}
-	return firstContactTimeout
+	now := time.Now()
+	return s.timeouts.accept(now, address) && now.Sub(q.startedAt) <= timeout+maxLocalDelay
 }
 
-func (s *stallChecker) recordResponse(address string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.responded[address] = true
+func (s *stallChecker) timeout(now time.Time) time.Duration {
+	if now.Sub(s.startedAt) < settleTime {
+		return settlingStallTimeout
+	}
+	return stallTimeout
 }
 
 // stalledAddresses returns the distinct addresses of the engines that requests
--- a/relay/stalls_test.go
+++ b/relay/stalls_test.go
@@ -8,33 +8,16 @@
 
 	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
-)
 
-// timeoutRecorder records how long each status query may take.
-type timeoutRecorder struct {
-	testEngines
-	timeouts []time.Duration
-}
-
-func (r *timeoutRecorder) Status(ctx context.Context, address string) (EngineStatus, error) {
-	deadline, _ := ctx.Deadline()
-	r.timeouts = append(r.timeouts, time.Until(deadline))
-	return r.testEngines.Status(ctx, address)
-}
+	"github.com/sapphirefield/sapphirefield/pipeline"
+)
 
-// Guards against taking a busy first engine for lost after a restart of many
-// entries: the first query waits behind the connections that all requests open.
-func TestFirstContactMayTakeLonger(t *testing.T) {
-	engines := &timeoutRecorder{}
-	s := newStallChecker(engines, &log.Logger{Level: log.PanicLevel})
-	for range 2 {
-		_, err := s.stalledEngines(t.Context(), "a")
-		assert.NilError(t, err)
-		s.byAddress["a"].startedAt = time.Time{}
-	}
-	assert.Equal(t, len(engines.timeouts), 2)
-	assert.Assert(t, engines.timeouts[0] > stallTimeout, "%v", engines.timeouts)
-	assert.Assert(t, engines.timeouts[1] <= stallTimeout, "%v", engines.timeouts)
+// Guards against taking a busy engine for lost after a restart of many entries:
+// the query waits behind the connections that all requests open.
+func TestStallTimeoutIsLongerAfterStart(t *testing.T) {
+	s := newStallChecker(&testEngines{}, &log.Logger{Level: log.PanicLevel})
+	assert.Equal(t, s.timeout(s.startedAt.Add(settleTime-time.Millisecond)), settlingStallTimeout)
+	assert.Equal(t, s.timeout(s.startedAt.Add(settleTime)), stallTimeout)
 }
 
 // Guards against an entry that presumes a full engine dead because it does not
@@ -43,6 +26,54 @@
 func TestRefusalsAfterStartRaiseNoSuspicion(t *testing.T) {
 	f := newFleet(rand.New(rand.NewPCG(1, 2)))
 	const capacity = 100
-	assert.Assert(t, !f.markSuspect(f.startedAt.Add(loadUnknownTime-time.Millisecond), "x", capacity))
-	assert.Assert(t, f.markSuspect(f.startedAt.Add(loadUnknownTime), "x", capacity))
+	assert.Assert(t, !f.markSuspect(f.startedAt.Add(settleTime-time.Millisecond), "x", capacity))
+	assert.Assert(t, f.markSuspect(f.startedAt.Add(settleTime), "x", capacity))
+}
+
+// Guards against an entry that is cut off or held up and takes one engine after
+// another for dead, because none of them responds in time.
+func TestOnlyOneTimeoutAtATimeCounts(t *testing.T) {
+	var f timeoutFilter
+	now := time.Now()
+	assert.Assert(t, f.accept(now, "a"))
+	for i := range 10 {
+		now = now.Add(timeoutWindow)
+		assert.Assert(t, !f.accept(now, string(rune('b'+i))))
+	}
+	assert.Assert(t, f.accept(now.Add(timeoutWindow+1), "b"))
+	assert.Assert(t, f.accept(now.Add(timeoutWindow+2), "b"))
+	assert.Assert(t, !f.accept(now.Add(timeoutWindow+3), "a"))
+}
+
+// respondingEngines respond to status queries, except the one at address dead.
+type respondingEngines struct {
+	testEngines
+	dead string
+}
+
+func (e *respondingEngines) Status(_ context.Context, address string) (EngineStatus, error) {
+	if address == e.dead {
+		return EngineStatus{}, ErrNoResponse
+	}
+	return EngineStatus{}, nil
+}
+
+// Guards against streams of all entries that leave an engine because it refused
+// one request, although it works and is merely full. Their prompts would fill the
+// links between zones.
+func TestOnlySuspectsWithoutResponseAreLeft(t *testing.T) {
+	e := newTestEntry(t, streamRoute(true))
+	e.fleet.setServers(time.Now(), map[string]Server{"head": testServer("head", 0, 2), "full": testServer("full", 2, 4), "dead": testServer("dead", 4, 8)})
+	e.fleet.startedAt = time.Now().Add(-settleTime)
+	e.stallChecker.engines = &respondingEngines{dead: "dead:1"}
+	hops := []pipeline.Hop{{Engine: "head"}, {Engine: "full"}, {Engine: "dead"}}
+	for _, id := range []string{"full", "dead"} {
+		assert.Assert(t, e.fleet.markSuspect(time.Now(), id, 100))
+		e.verifySuspect(id, id+":1")
+	}
+	now := time.Now()
+	assert.DeepEqual(t, e.fleet.suspectsOn(now, hops), []string{"dead"})
+	assert.DeepEqual(t, e.fleet.suspectHashes(now), []uint64{serverHash("dead")})
+	assert.Assert(t, e.fleet.lostFor(now.Add(time.Second), "dead") > 0)
+	assert.Equal(t, e.fleet.lostFor(now, "full"), time.Duration(0))
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -193,14 +193,29 @@
 	s.fleet.avoidEngine(time.Now(), engine)
 }
 
-// suspectEngine avoids an engine that cannot run its stage, and notifies the
-// other entries immediately if it should be able to.
+// suspectEngine avoids an engine that cannot run its stage. An engine that should
+// be able to is asked for its status: one that does not respond is dead, and the
+// other entries are told at once. One that responds is merely full, and streams
+// that already run on it must not leave it.
 func (s *streamRequest) suspectEngine(engine string) {
 	s.avoid[engine] = true
-	if s.fleet.markSuspect(time.Now(), engine, s.engineCapacity(engine)) {
-		logevent.Write(s.logger, logevent.EngineSuspected).Str("server", engine).Str("request", s.info.ID).Msg("")
-		s.sendNow.fire()
+	if !s.fleet.markSuspect(time.Now(), engine, s.engineCapacity(engine)) {
+		return
+	}
+	logevent.Write(s.logger, logevent.EngineSuspected).Str("server", engine).Str("request", s.info.ID).Msg("")
+	go s.verifySuspect(engine, s.fleet.snapshot()[engine].Address)
+}
+
+// verifySuspect is not tied to the context of the request that raised the
+// suspicion, because all streams through the engine depend on it.
+func (e *Entry) verifySuspect(engine, address string) {
+	_, err := e.stallChecker.stalledEngines(context.Background(), address)
+	if !errors.Is(err, ErrNoResponse) {
+		return
 	}
+	e.fleet.confirmSuspect(time.Now(), engine)
+	e.loseEngine(engine, err)
+	e.sendNow.fire()
 }
 
 // engineCapacity returns the KV cache capacity of an engine in tokens times
