relay: recent work on engines and links counts before messages tell of it

Cause: entries learn of each other's work 0.1 to 0.3 s late. Change: an entry assumes that the others have sent as much as it has since their last messages; that wait is part of a path's cost, and a link accepts nothing while 150 ms of prompts wait for it.

--- a/pipeline/relay.go
+++ b/pipeline/relay.go
@@ -40,6 +40,9 @@
 	Slots, UsedSlots int
 	// PromptLoad is the fraction of the engine's time spent on prompts.
 	PromptLoad float64
+	// PromptQueue is the expected wait for prompts that were sent to the engine a
+	// moment ago.
+	PromptQueue time.Duration
 }
 
 // Hop is an engine of a path and the layers that it runs.
@@ -58,6 +61,8 @@
 	BytesPerSecond float64
 	// Load is the fraction of the link's bandwidth that is in use.
 	Load float64
+	// Queue is the expected wait for transfers that began a moment ago.
+	Queue time.Duration
 }
 
 // RelayRequest holds the needs and constraints of a request.
@@ -90,6 +95,10 @@
 	closingPromptSeconds = 0.075
 	// slowLinkLoad is the load limit below which a link counts as slow.
 	slowLinkLoad = 0.5
+	// maxLinkQueue is the wait above which a link accepts no further requests. A
+	// burst of prompts delays all requests on the link for that long, and its load
+	// shows only later.
+	maxLinkQueue = 150 * time.Millisecond
 	// startedLoadMargin is added to the load limits of links and engines for requests
 	// whose answer has started.
 	startedLoadMargin = 0.15
@@ -272,7 +281,7 @@
 		return 0, false
 	}
 	decode := s.decodeSeconds(e, layers)
-	return (decode + s.promptSeconds(e, layers)) / (1 - e.PromptLoad), true
+	return (decode+s.promptSeconds(e, layers))/(1-e.PromptLoad) + e.PromptQueue.Seconds(), true
 }
 
 // isCurrent reports whether the request already runs the layers between two
@@ -324,10 +333,10 @@
 		return 0, true
 	}
 	maxLoad := s.model.linkLoadLimit(link)
-	if link.Load > s.loadLimit(maxLoad) || s.request.AvoidSlowLinks && maxLoad < slowLinkLoad {
+	if link.Queue > maxLinkQueue || link.Load > s.loadLimit(maxLoad) || s.request.AvoidSlowLinks && maxLoad < slowLinkLoad {
 		return 0, false
 	}
-	seconds := s.request.AnswerTokens * link.Latency.Seconds()
+	seconds := s.request.AnswerTokens*link.Latency.Seconds() + link.Queue.Seconds()
 	if link.BytesPerSecond > 0 {
 		transfer := s.model.BytesPerHop(s.request) / link.BytesPerSecond
 		seconds += transfer * crossZoneWeight / (1 - math.Min(link.Load, maxLinkLoad))
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -53,6 +53,9 @@
 	// linkMeters measure the bytes that this entry's requests send over links
 	// between zones.
 	linkMeters map[string]*rateMeter
+	// recent is the work sent to engines and over links a moment ago, by server or
+	// link ID.
+	recent map[string]*recentWork
 	// lost are the engines that requests were found to be waiting for, with the
 	// time of the first such finding.
 	lost map[string]time.Time
@@ -74,7 +77,7 @@
 
 func newFleet(random *rand.Rand) *fleet {
 	return &fleet{
-		startedAt:  time.Now(),
+		startedAt: time.Now(), recent: map[string]*recentWork{},
 		membership: membership.New(membershipOptions()), servers: map[string]Server{}, local: map[string]*usage{},
 		slowdowns: map[string]float64{}, random: random, peers: newPeerUsage(),
 		linkMeters: map[string]*rateMeter{}, lost: map[string]time.Time{}, leaving: map[string]leavingState{}, avoided: map[string]time.Time{}, suspects: map[string]time.Time{},
@@ -105,6 +108,7 @@
 	for id := range f.lost {
 		if _, known := servers[id]; !known {
 			delete(f.lost, id)
+			delete(f.recent, id)
 		}
 	}
 	for id := range f.suspectedAt {
@@ -437,6 +441,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	f.recordRecentWork(now, rev, hops, r, relayModel(rev.models[model]))
 	f.recordLinkTraffic(now, hops, r.CurrentPath, relayModel(rev.models[model]).BytesPerHop(r))
 	return hops, f.reserve(pathUsage(hops, r, expected)), nil
 }
@@ -473,6 +478,43 @@
 	}
 }
 
+// recordRecentWork adds the prompt of a request to the recent work of the engines
+// and links that do not process it already.
+func (f *fleet) recordRecentWork(now time.Time, rev *revision, hops []pipeline.Hop, r pipeline.RelayRequest, m pipeline.RelayModel) {
+	for i, h := range hops {
+		if !contains(r.CurrentPath, h.Engine) {
+			f.addRecent(now, h.Engine, h.PromptTime)
+		}
+		if i == 0 || follows(r.CurrentPath, hops[i-1].Engine, h.Engine) {
+			continue
+		}
+		if link := rev.links[[2]string{hops[i-1].Zone, h.Zone}]; link.BytesPerSecond > 0 && hops[i-1].Zone != h.Zone {
+			transfer := r.PromptTokens * float64(m.ActivationBytes) / link.BytesPerSecond
+			f.addRecent(now, linkID(hops[i-1].Zone, h.Zone), time.Duration(transfer*float64(time.Second)))
+		}
+	}
+}
+
+func (f *fleet) addRecent(now time.Time, id string, work time.Duration) {
+	if f.recent[id] == nil {
+		f.recent[id] = &recentWork{}
+	}
+	f.recent[id].add(now, work, messageInterval(f.entries(now)))
+}
+
+// recentQueue returns the expected wait for the recent work of all entries.
+func (f *fleet) recentQueue(now time.Time, id string) time.Duration {
+	entries := f.entries(now)
+	return time.Duration(entries) * f.recent[id].own(now, messageInterval(entries))
+}
+
+// entries returns the number of entries that act, including this one.
+func (f *fleet) entries(now time.Time) int { return 1 + f.peers.freshCount(now) }
+
+func contains(path []pipeline.Hop, engine string) bool {
+	return slices.ContainsFunc(path, func(h pipeline.Hop) bool { return h.Engine == engine })
+}
+
 // follows reports whether one engine follows another on a path.
 func follows(path []pipeline.Hop, first, second string) bool {
 	for i := 1; i < len(path); i++ {
@@ -509,7 +551,9 @@
 	links := make(map[[2]string]pipeline.RelayLink, len(rev.links))
 	for zones, link := range rev.links {
 		if link.BytesPerSecond > 0 {
-			link.Load = f.linkRate(now, linkID(zones[0], zones[1])) / link.BytesPerSecond
+			id := linkID(zones[0], zones[1])
+			link.Load = f.linkRate(now, id) / link.BytesPerSecond
+			link.Queue = f.recentQueue(now, id)
 		}
 		links[zones] = link
 	}
@@ -554,6 +598,7 @@
 	}
 	u := f.inProgress(now, s.ID)
 	e.Slowdown = max(e.Slowdown, u.slowdown)
+	e.PromptQueue = f.recentQueue(now, s.ID)
 	e.Used, e.Running, e.Context, e.UsedSlots, e.PromptLoad = u.layerTokens, float64(u.requests), u.tokens, u.usedSlots, u.rate
 	return e
 }
--- a/relay/usage.go
+++ b/relay/usage.go
@@ -66,6 +66,31 @@
 	return m.rate * math.Exp(-now.Sub(m.updatedAt).Seconds()/linkRateTimeConstant.Seconds())
 }
 
+// recentWork estimates how much work all entries have sent to an engine or over a
+// link since their last messages. Only this entry's own part is known: the others
+// are assumed to have sent as much, because after a failure or at the begin of a
+// burst all of them act at the same time on the same information.
+type recentWork struct {
+	work      time.Duration
+	updatedAt time.Time
+}
+
+// add records work of this entry. window is the time between two messages of an
+// entry.
+func (r *recentWork) add(now time.Time, work, window time.Duration) {
+	r.work = r.own(now, window) + work
+	r.updatedAt = now
+}
+
+// own returns this entry's part, which decays as the messages of the other entries
+// and the work itself proceed.
+func (r *recentWork) own(now time.Time, window time.Duration) time.Duration {
+	if r == nil || r.work == 0 {
+		return 0
+	}
+	return time.Duration(float64(r.work) * math.Exp(-now.Sub(r.updatedAt).Seconds()/window.Seconds()))
+}
+
 // peerUsage is the load that the other entries have in progress, as reported
 // by their messages. It is not safe for concurrent use.
 type peerUsage struct {
@@ -111,6 +136,16 @@
 	return messages
 }
 
+// freshCount returns the number of entries whose messages are still valid.
+func (p *peerUsage) freshCount(now time.Time) (n int) {
+	for _, e := range p.byEntry {
+		if now.Sub(e.receivedAt) <= messageTTL {
+			n++
+		}
+	}
+	return n
+}
+
 // usageOf returns the load that all other entries have in progress on a
 // server.
 func (p *peerUsage) usageOf(now time.Time, id string) usage {
--- a/relay/usage_test.go
+++ b/relay/usage_test.go
@@ -6,6 +6,10 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/sapphirefield/sapphirefield/membership"
+	"github.com/sapphirefield/sapphirefield/pipeline"
+	"github.com/sapphirefield/sapphirefield/placement"
 )
 
 // Guards against values that change between encoding and decoding, and against
@@ -74,3 +78,55 @@
 	p.observe(later, newMessage(1, 1, 4))
 	assert.Equal(t, p.usageOf(later, "s").requests, 4)
 }
+
+// Guards against a herd: after a failure, all entries send prompts over the same
+// link before their messages tell of it, and every stream that crosses it waits.
+func TestRecentWorkOfOtherEntriesIsAssumed(t *testing.T) {
+	e := newTestEntry(t, streamRoute(true))
+	rev := e.current.Load()
+	rev.models["llm"].ActivationBytes = 1000
+	rev.links = map[[2]string]pipeline.RelayLink{{"a", "b"}: {BytesPerSecond: 4e6}}
+	servers := map[string]Server{}
+	for id, s := range map[string]struct {
+		zone   string
+		layers placement.Range
+	}{"head": {"a", placement.Range{Limit: 4}}, "remote": {"b", placement.Range{First: 4, Limit: 8}}} {
+		servers[id] = Server{
+			Instance: membership.Instance{ID: id, Service: "llm", Zone: s.zone, Address: id + ":1"},
+			Slots:    100, Accelerator: "gpu", Layers: s.layers,
+		}
+	}
+	now := time.Now()
+	e.fleet.setServers(now, servers)
+	r := pipeline.RelayRequest{PromptTokens: 100, AnswerTokens: 1}
+	crossings := func() (n int) {
+		for range 20 {
+			if _, _, err := e.fleet.choosePath(now, rev, "llm", r); err == nil {
+				n++
+			}
+		}
+		return n
+	}
+	// Each prompt occupies the link for 25 ms.
+	alone := crossings()
+	assert.Equal(t, alone, 7)
+	e.fleet.recent, e.fleet.linkMeters = map[string]*recentWork{}, map[string]*rateMeter{}
+	for i := range 9 {
+		e.fleet.applyPeerMessage(now, message{sender: string(rune('a' + i)), startNanos: 1, sequence: 1})
+	}
+	assert.Equal(t, crossings(), 1)
+	now = now.Add(time.Second)
+	assert.Equal(t, crossings(), 1)
+}
+
+// Work counts less and less, as it proceeds and messages tell of it.
+func TestRecentWorkDecays(t *testing.T) {
+	var r *recentWork
+	now := time.Now()
+	assert.Equal(t, r.own(now, time.Second), time.Duration(0))
+	r = &recentWork{}
+	r.add(now, 100*time.Millisecond, usageInterval)
+	assert.Equal(t, r.own(now, usageInterval), 100*time.Millisecond)
+	later := r.own(now.Add(usageInterval), usageInterval)
+	assert.Assert(t, later > 36*time.Millisecond && later < 37*time.Millisecond, "%v", later)
+}
