daemon: a planned stop drops no request that has arrived

Cause: http.Server.Shutdown drops each request that is read after it, also on connections that were accepted before (conn.serve returns if the server is shutting down); the process ended when no request was in progress, although one was arriving; the kernel reset connections that were established and not accepted when the listener closed; and an idle connection was closed although a request had arrived on it unread. Ruled out: requests in progress (they were awaited). Change: only the listener is closed, after its waiting connections were accepted; idle connections with unread bytes are kept for their request; the process ends 0.25 s after the listener closed at the earliest and when no connection has a request on it. Package netpeek looks at unread bytes for relay and daemon. Tests: TestRelayAwaitsArrivingRequest (unexpected EOF before), TestClosedListenerReturnsWaitingConnections, TestArrivedRequestKeepsIdleConnection. Conclusion: mended for the relay.

--- a/daemon/idle.go
+++ b/daemon/idle.go
@@ -4,8 +4,14 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"syscall"
 	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sapphirefield/sapphirefield/netpeek"
 )
 
 // connTracker closes keep-alive connections without aborting a request that is
@@ -39,18 +45,31 @@
 }
 
 // wrapListener returns a listener whose connections are tracked.
-func (t *connTracker) wrapListener(l net.Listener) net.Listener { return &trackingListener{l, t} }
+func (t *connTracker) wrapListener(l net.Listener) net.Listener {
+	return &trackingListener{l, t, make(chan net.Conn, maxPending)}
+}
 
 // trackingListener tracks accepted connections until they are closed.
 type trackingListener struct {
 	net.Listener
 	tracker *connTracker
+	// pending are the connections that were waiting when the listener was closed.
+	pending chan net.Conn
 }
 
+// maxPending bounds the connections that are accepted when a listener is closed.
+const maxPending = 1024
+
+// Accept returns the connections that were waiting when the listener was closed
+// before it fails.
 func (l *trackingListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
-		return nil, err
+		select {
+		case conn = <-l.pending:
+		default:
+			return nil, err
+		}
 	}
 	c := &trackedConn{Conn: conn, timeouts: l.tracker.timeouts}
 	l.tracker.mu.Lock()
@@ -59,6 +78,44 @@
 	return c, nil
 }
 
+// Close closes the listener. The kernel resets the connections that it has
+// established and the process has not accepted, together with requests that were
+// sent on them, so these are accepted first.
+func (l *trackingListener) Close() error {
+	l.acceptWaiting()
+	return l.Listener.Close()
+}
+
+func (l *trackingListener) acceptWaiting() {
+	raw, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return
+	}
+	// An error means that the listener is closed already.
+	_ = control.Control(func(fd uintptr) {
+		for len(l.pending) < cap(l.pending) {
+			accepted, _, err := syscall.Accept4(int(fd), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+			if err != nil {
+				return
+			}
+			if conn, err := fileConn(accepted); err == nil {
+				l.pending <- conn
+			}
+		}
+	})
+}
+
+// fileConn returns the connection of a socket, which it closes.
+func fileConn(fd int) (net.Conn, error) {
+	file := os.NewFile(uintptr(fd), "")
+	defer file.Close()
+	return net.FileConn(file)
+}
+
 // connState is the ConnState hook of the http.Server.
 func (t *connTracker) connState(conn net.Conn, state http.ConnState) {
 	c, ok := conn.(*trackedConn)
@@ -101,13 +158,31 @@
 	c.active, c.used = false, true
 }
 
+// requestsArriving returns the number of connections on which a request has begun
+// to arrive and whose response has not ended.
+func (t *connTracker) requestsArriving() (n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.conns {
+		if c.isActive() || netpeek.Peek(c.Conn) == netpeek.HasData {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *trackedConn) isActive() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.active
+}
+
 // expireIfIdle makes the pending read of the next request fail, upon which the
-// server closes the connection. A request whose bytes have arrived but were not
-// read yet is dropped.
+// server closes the connection. A request whose bytes have arrived is read.
 func (c *trackedConn) expireIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.active || !c.used {
+	if c.active || !c.used || netpeek.Peek(c.Conn) == netpeek.HasData {
 		return
 	}
 	c.expired = true
@@ -118,6 +193,9 @@
 // Read marks the connection as active when bytes of a request arrive.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.reviveIfArriving() {
+		n, err = c.Conn.Read(p)
+	}
 	if n > 0 {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -126,6 +204,18 @@
 	return n, err
 }
 
+// reviveIfArriving keeps an expired connection open for a request that has arrived
+// in the moment of its expiry.
+func (c *trackedConn) reviveIfArriving() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.expired || netpeek.Peek(c.Conn) != netpeek.HasData {
+		return false
+	}
+	c.expired = false
+	return c.Conn.SetReadDeadline(time.Time{}) == nil
+}
+
 // SetReadDeadline leaves the deadline of an expired idle connection unchanged.
 // http.Server sets read deadlines for headers and idle connections only, from
 // timeouts fixed at its start; the current timeouts replace them.
--- a/daemon/idle_test.go
+++ b/daemon/idle_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/sapphirefield/sapphirefield/netpeek"
 )
 
 func noTimeouts() (header, idle time.Duration) { return 0, 0 }
@@ -87,3 +89,80 @@
 	_, err = c.Read(make([]byte, 1))
 	assert.NilError(t, err)
 }
+
+// tcpPair returns the two ends of a connection, the server's end tracked.
+func tcpPair(t *testing.T) (*trackedConn, net.Conn) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	client, err := net.Dial("tcp4", listener.Addr().String())
+	assert.NilError(t, err)
+	server, err := listener.Accept()
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		client.Close()
+		server.Close()
+	})
+	return &trackedConn{Conn: server, timeouts: noTimeouts}, client
+}
+
+// Guards against dropping a request that the kernel has received on an idle
+// connection when a shutdown starts.
+func TestArrivedRequestKeepsIdleConnection(t *testing.T) {
+	tracker := newConnTracker(noTimeouts)
+	c, client := tcpPair(t)
+	tracker.conns[c] = struct{}{}
+	tracker.connState(c, http.StateIdle)
+	_, err := io.WriteString(client, "GET")
+	assert.NilError(t, err)
+	for netpeek.Peek(c.Conn) != netpeek.HasData {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, tracker.requestsArriving(), 1)
+	tracker.closeGracefully()
+	n, err := c.Read(make([]byte, 10))
+	assert.NilError(t, err)
+	assert.Equal(t, n, 3)
+	assert.Equal(t, tracker.requestsArriving(), 1)
+
+	// The same if the request arrives in the moment of the expiry.
+	tracker.connState(c, http.StateIdle)
+	assert.Equal(t, tracker.requestsArriving(), 0)
+	_, err = io.WriteString(client, "PUT")
+	assert.NilError(t, err)
+	for netpeek.Peek(c.Conn) != netpeek.HasData {
+		time.Sleep(time.Millisecond)
+	}
+	n, err = c.Read(make([]byte, 10))
+	assert.NilError(t, err)
+	assert.Equal(t, n, 3)
+}
+
+// Guards against resetting connections that the kernel has established when a
+// listener is closed: clients have sent requests on them.
+func TestClosedListenerReturnsWaitingConnections(t *testing.T) {
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	tracker := newConnTracker(noTimeouts)
+	listener := tracker.wrapListener(inner)
+	const clients = 5
+	for range clients {
+		client, err := net.Dial("tcp4", inner.Addr().String())
+		assert.NilError(t, err)
+		defer client.Close()
+		_, err = io.WriteString(client, "GET")
+		assert.NilError(t, err)
+	}
+	assert.NilError(t, listener.Close())
+	for range clients {
+		conn, err := listener.Accept()
+		assert.NilError(t, err)
+		text := make([]byte, 3)
+		_, err = io.ReadFull(conn, text)
+		assert.NilError(t, err)
+		assert.Equal(t, string(text), "GET")
+		conn.Close()
+	}
+	_, err = listener.Accept()
+	assert.ErrorIs(t, err, net.ErrClosed)
+}
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -59,6 +61,8 @@
 	entry        *relay.Entry
 	clientServer *http.Server
 	connTracker  *connTracker
+	// clientListener is set once the entry accepts clients.
+	clientListener atomic.Pointer[net.Listener]
 }
 
 // RunRelay runs a relay.Entry with its listeners until it has shut down.
@@ -84,7 +88,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
-	lc.id, lc.logger, lc.drainer, lc.signals = o.Settings.Instance, logger, p.entry, o.Signals
+	lc.id, lc.logger, lc.drainer, lc.signals = o.Settings.Instance, logger, newRelayDrainer(ctx, p), o.Signals
 	lc.configured, lc.shutdownDelay, lc.drainTimeout = p.entry.Configured(), relayShutdownDelay, o.Settings.GracePeriod-relayStopMargin
 	lc.onStateChange = p.onStateChange
 
@@ -116,11 +120,64 @@
 		logevent.Write(p.logger, logevent.ProcessDraining).Str("id", p.options.Settings.Instance).
 			Int("running", p.entry.InProgress()).Msg("")
 	case stateDraining:
-		// Shutdown blocks until the last request has ended, which Drained reports too.
-		go func() { _ = p.clientServer.Shutdown(context.Background()) }()
+		// http.Server.Shutdown would drop requests that are read after it, so only the
+		// listener is closed.
+		if listener := p.clientListener.Load(); listener != nil {
+			_ = (*listener).Close() // fails only if it is closed already
+		}
 	}
 }
 
+// relayDrainer ends the process only when no request is in progress or arriving. A
+// request counts for the entry only once its header has been read.
+type relayDrainer struct {
+	ctx     context.Context // of the process
+	process *relayProcess
+	drained chan struct{}
+	once    sync.Once
+}
+
+func newRelayDrainer(ctx context.Context, p *relayProcess) *relayDrainer {
+	return &relayDrainer{ctx: ctx, process: p, drained: make(chan struct{})}
+}
+
+const (
+	// arrivalTime is how long after the listener has closed the first bytes of a
+	// request may arrive on a connection that was accepted before.
+	arrivalTime = 250 * time.Millisecond
+	// arrivalCheckInterval is the time between two checks for arriving requests.
+	arrivalCheckInterval = 20 * time.Millisecond
+)
+
+// Drain implements drainer.
+func (d *relayDrainer) Drain() {
+	d.process.entry.Drain()
+	d.once.Do(func() { go d.awaitRequests() })
+}
+
+func (d *relayDrainer) awaitRequests() {
+	pause := time.NewTimer(arrivalTime)
+	defer pause.Stop()
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-pause.C:
+		}
+		if d.process.entry.InProgress() == 0 && d.process.connTracker.requestsArriving() == 0 {
+			close(d.drained)
+			return
+		}
+		pause.Reset(arrivalCheckInterval)
+	}
+}
+
+// Drained implements drainer.
+func (d *relayDrainer) Drained() <-chan struct{} { return d.drained }
+
+// InProgress implements drainer.
+func (d *relayDrainer) InProgress() int { return d.process.entry.InProgress() }
+
 func (p *relayProcess) handleReloads(ctx context.Context) error {
 	for {
 		select {
@@ -188,11 +245,12 @@
 	}
 	if server == p.clientServer {
 		listener = p.connTracker.wrapListener(listener)
+		p.clientListener.Store(&listener)
 	}
 	server.ErrorLog = stdlog.New(io.Discard, "", 0)
 	stop := context.AfterFunc(ctx, func() { shutdown(ctx, server) })
 	defer stop()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return errors.Wrap(err, "serve")
 	}
 	<-ctx.Done()
--- a/daemon/relay_test.go
+++ b/daemon/relay_test.go
@@ -76,36 +76,73 @@
 	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
-// Guards against an entry that keeps idle connections open during its shutdown
-// and then aborts the requests that clients send on them.
-func TestRelayClosesIdleConnectionsOnShutdown(t *testing.T) {
-	signals := make(chan os.Signal, 1)
+// runTestRelay runs an entry on an idle platform until it has been shut down.
+func runTestRelay(t *testing.T, signals <-chan os.Signal) (client netip.AddrPort, ended <-chan error) {
 	s := relay.Settings{
 		Instance: "e", Zone: "a", ClientAddr: freeAddress(t), ReadyAddr: freeAddress(t), MetricsAddr: freeAddress(t), PeerAddr: freeAddress(t),
 		GracePeriod: 8 * time.Second, RetryWindow: 10 * time.Second,
 	}
-	ended := make(chan error, 1)
+	result := make(chan error, 1)
 	go func() {
-		ended <- RunRelay(t.Context(), RelayOptions{
+		result <- RunRelay(t.Context(), RelayOptions{
 			Settings: s, Store: idlePlatform{}, Engines: idlePlatform{}, HeaderCodec: emptyHeaderCodec{}, ReadyPath: "/ready",
 			LogWriter: io.Discard, LogLevel: log.InfoLevel, Signals: signals,
 		})
 	}()
-	conn := dialUntil(t, s.ClientAddr)
-	send := func() *http.Response {
-		_, err := conn.Write([]byte("GET /x HTTP/1.1\r\nHost: h\r\n\r\n"))
-		assert.NilError(t, err)
-		return readResponse(t, conn)
-	}
-	for send().StatusCode == http.StatusServiceUnavailable {
+	return s.ClientAddr, result
+}
+
+const testRequest = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+
+func sendRequest(t *testing.T, conn net.Conn) *http.Response {
+	_, err := io.WriteString(conn, testRequest)
+	assert.NilError(t, err)
+	return readResponse(t, conn)
+}
+
+// Guards against an entry that keeps idle connections open during its shutdown
+// and then aborts the requests that clients send on them.
+func TestRelayClosesIdleConnectionsOnShutdown(t *testing.T) {
+	signals := make(chan os.Signal, 1)
+	address, ended := runTestRelay(t, signals)
+	conn := dialUntil(t, address)
+	for sendRequest(t, conn).StatusCode == http.StatusServiceUnavailable {
 	}
 	signals <- syscall.SIGTERM
 	_, err := conn.Read(make([]byte, 1))
 	assert.Equal(t, err, io.EOF)
 
-	newConn := dialUntil(t, s.ClientAddr)
-	conn = newConn
-	response := send()
+	response := sendRequest(t, dialUntil(t, address))
+	assert.Equal(t, response.StatusCode, http.StatusNotFound)
+	assert.Assert(t, response.Close)
+	assert.NilError(t, <-ended)
+}
+
+// Guards against a process that ends while a request is arriving: no request is in
+// progress yet when the listener has closed.
+func TestRelayAwaitsArrivingRequest(t *testing.T) {
+	signals := make(chan os.Signal, 1)
+	address, ended := runTestRelay(t, signals)
+	conn := dialUntil(t, address)
+	for sendRequest(t, conn).StatusCode == http.StatusServiceUnavailable {
+	}
+	arriving := dialUntil(t, address)
+	const sent = len(testRequest) / 2
+	_, err := io.WriteString(arriving, testRequest[:sent])
+	assert.NilError(t, err)
+	signals <- syscall.SIGTERM
+	for {
+		probe, err := net.Dial("tcp4", address.String())
+		if err != nil {
+			break
+		}
+		probe.Close()
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(2 * arrivalTime)
+	_, err = io.WriteString(arriving, testRequest[sent:])
+	assert.NilError(t, err)
+	response := readResponse(t, arriving)
 	assert.Equal(t, response.StatusCode, http.StatusNotFound)
 	assert.Assert(t, response.Close)
 	assert.NilError(t, <-ended)
--- a/relay/connection.go
+++ b/relay/connection.go
@@ -10,10 +10,11 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/sapphirefield/sapphirefield/netpeek"
 )
 
 const (
@@ -232,22 +233,8 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	reusable := false
-	var one [1]byte
-	err = control.Read(func(fd uintptr) bool {
-		_, _, recvErr := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		reusable = errors.Is(recvErr, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && reusable
+	state := netpeek.Peek(c.Conn)
+	return state == netpeek.Quiet || state == netpeek.Unknown
 }
 
 // outboundRequest is a request to a server.
