relay, lease: permissions that ran out during a pause are not acted on

Cause, by reading and tests: (1) a holder that was held up right after its claim could lose the lease 0.7 s later, because a message from before the claim counted as its release, and wake with 0.9 s left to act: two holders. (2) Ages of the lease and of reads came from the monotonic clock, which stops while a machine is suspended. (3) An order went out after the status of its engine, however long that took, without another look at the lease. (4) After a pause, requests were judged by the keys and routes known before it. (5) A request whose time was over, or that lay in a suspended machine, was sent on with the caller's whole time. (6) Two reads of the configuration could put an older revision in place of a newer one. Ruled out: late orders to an engine that has had a newer one (they name its count of orders and are refused), retry budgets (a pause makes them smaller). Messages keep their format: a released term is a negative one, which older programs read as none.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -32,7 +32,8 @@
 }
 
 // Elector is the lease state of one process. The times passed in must come from a
-// monotonic clock. It is not safe for concurrent use.
+// clock that is never set back and that goes on while the machine is suspended. It
+// is not safe for concurrent use.
 type Elector struct {
 	options Options
 	self    string
@@ -78,16 +79,24 @@
 	return Claim{}, 0, false
 }
 
-// ObserveRelease records that the holder itself reported that it no longer acts,
-// because it could not renew its claim. Other processes may then take over at once.
-func (e *Elector) ObserveRelease(holder string) {
-	if holder == e.claim.Holder && holder != e.self {
-		e.claim.Holder = ""
+// Release ends this process's term because it could not renew its claim in time, and
+// returns the term, or 0 if this process has none. It never acts under that term
+// again: a later claim begins a new one. Others that are told the term may therefore
+// take over at once, however late they hear of it.
+func (e *Elector) Release() int64 {
+	if e.claim.Holder != e.self || e.renewedAt.IsZero() {
+		return 0
 	}
+	e.renewedAt = time.Time{}
+	return e.claim.Term
 }
 
-// Holder returns the process named by the last claim.
-func (e *Elector) Holder() string { return e.claim.Holder }
+// ObserveRelease records that a process has released a term.
+func (e *Elector) ObserveRelease(holder string, term int64) {
+	if holder == e.claim.Holder && term == e.claim.Term && holder != e.self {
+		e.claim.Holder = ""
+	}
+}
 
 // AppendSucceeded records a successful append of a claim. The append began at the time started.
 func (e *Elector) AppendSucceeded(started time.Time, claim Claim, endOffset int64) {
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -40,10 +40,16 @@
 			electors[i] = New(fmt.Sprint(i), options)
 		}
 		now := time.Unix(0, 0)
+		var releases []Claim
 		for range 200 {
 			now = now.Add(time.Duration(rapid.IntRange(50, 900).Draw(t, "ms")) * time.Millisecond)
 			i := rapid.IntRange(0, len(electors)-1).Draw(t, "i")
-			randomStep(t, electors, i, claims, now)
+			releases = append(releases, randomStep(t, electors, i, claims, now)...)
+			if len(releases) > 0 && rapid.Bool().Draw(t, "told") {
+				// Messages may arrive late and in any order.
+				r := releases[rapid.IntRange(0, len(releases)-1).Draw(t, "release")]
+				electors[i].ObserveRelease(r.Holder, r.Term)
+			}
 			holders := 0
 			for _, e := range electors {
 				if e.Holds(now) {
@@ -55,8 +61,13 @@
 	})
 }
 
-func randomStep(t *rapid.T, electors []*Elector, i int, claims *topic, now time.Time) {
+func randomStep(t *rapid.T, electors []*Elector, i int, claims *topic, now time.Time) (released []Claim) {
 	e := electors[i]
+	if !e.Holds(now) {
+		if term := e.Release(); term > 0 {
+			released = append(released, Claim{Holder: e.self, Term: term})
+		}
+	}
 	switch rapid.IntRange(0, 5).Draw(t, "do") {
 	case 0:
 		if !e.Holds(now) {
@@ -68,15 +79,16 @@
 	default:
 		claim, offset, due := e.DueClaim(now)
 		if !due {
-			return
+			return released
 		}
 		appended := claims.append(claim, offset)
 		if appended && rapid.IntRange(0, 3).Draw(t, "lost") > 0 {
 			e.AppendSucceeded(now, claim, offset+1)
-			return
+			return released
 		}
 		e.AppendFailed()
 	}
+	return released
 }
 
 // A lease must be taken over after its holder fails, and at once if the holder itself
@@ -101,18 +113,41 @@
 	assert.Assert(t, !restarted.Holds(now))
 }
 
-// A lease must be taken over at once if its holder reports that it could not renew it.
-// A release reported by a process that is not the holder must be ignored.
+// A lease must be taken over at once if its holder reports that it has released its
+// term. A release by a process that is not the holder, or of an earlier term, must
+// be ignored: a message may be older than the claim.
 func TestReleasedLeaseIsTakenAtOnce(t *testing.T) {
 	now := time.Unix(100, 0)
 	e := New("b", DefaultOptions())
-	e.Observe(now, 1, &Claim{Holder: "a", Term: 1})
-	e.ObserveRelease("c")
-	_, _, due := e.DueClaim(now)
-	assert.Assert(t, !due)
-	e.ObserveRelease("a")
+	e.Observe(now, 1, &Claim{Holder: "a", Term: 2})
+	for _, r := range []Claim{{Holder: "c", Term: 2}, {Holder: "a", Term: 1}, {Holder: "a", Term: 0}} {
+		e.ObserveRelease(r.Holder, r.Term)
+		_, _, due := e.DueClaim(now)
+		assert.Assert(t, !due, "%+v", r)
+	}
+	e.ObserveRelease("a", 2)
 	claim, offset, due := e.DueClaim(now)
 	assert.Assert(t, due)
-	assert.Equal(t, claim, Claim{Holder: "b", Term: 2})
+	assert.Equal(t, claim, Claim{Holder: "b", Term: 3})
 	assert.Equal(t, offset, int64(1))
 }
+
+// A holder that could not renew in time must not go on with the term that it has
+// told the others to have released.
+func TestReleasedTermIsNotRenewed(t *testing.T) {
+	options := DefaultOptions()
+	now := time.Unix(100, 0)
+	e := New("a", options)
+	e.Observe(now, 0, nil)
+	claim, _, due := e.DueClaim(now)
+	assert.Assert(t, due)
+	e.AppendSucceeded(now, claim, 1)
+	assert.Assert(t, e.Holds(now))
+	now = now.Add(options.RenewDeadline)
+	assert.Assert(t, !e.Holds(now))
+	assert.Equal(t, e.Release(), int64(1))
+	assert.Equal(t, e.Release(), int64(0))
+	claim, _, due = e.DueClaim(now)
+	assert.Assert(t, due)
+	assert.Equal(t, claim.Term, int64(2))
+}
--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -46,6 +46,8 @@
 	ConfigurationUnreadable Event = 4009
 
 	LeaseAcquired        Event = 4010
+	LeaseReleased        Event = 4011
+	ProcessWasHeldUp     Event = 4012
 	OrderSent            Event = 5001
 	OrderRefused         Event = 5002
 	OrderCompleted       Event = 5003
@@ -97,6 +99,8 @@
 	{StoreAvailable, log.InfoLevel, "store answers again", ""},
 	{ConfigurationUnreadable, log.ErrorLevel, "configuration record cannot be read", "Publish a configuration that this program version can read."},
 	{LeaseAcquired, log.InfoLevel, "lease for placing layers taken", ""},
+	{LeaseReleased, log.InfoLevel, "lease for placing layers released", ""},
+	{ProcessWasHeldUp, log.WarnLevel, "process was held up; configuration is read again", "Check the load of the instance if the line repeats."},
 	{OrderSent, log.InfoLevel, "order given to engine", ""},
 	{OrderRefused, log.WarnLevel, "order refused by engine", ""},
 	{OrderCompleted, log.InfoLevel, "order carried out by engine", ""},
--- a/relay/directory.go
+++ b/relay/directory.go
@@ -27,7 +27,7 @@
 	*Entry
 	mu      sync.Mutex
 	servers map[string]Server
-	// lastRead is when the records were last read from the store.
+	// lastRead is when the records were last read from the store, by bootclock.
 	lastRead time.Time
 	// pendingChanges are the changed records to be sent to other entries, each with
 	// the number of messages left to carry it.
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -42,8 +42,10 @@
 	stallChecker   *stallChecker
 	backoff        func() *retry.Backoff
 
-	// current is the configuration in force, or nil before the first one.
+	// current is the configuration in force, or nil before the first one. applyMu
+	// keeps two readers from replacing a newer one by an older one.
 	current atomic.Pointer[revision]
+	applyMu sync.Mutex
 	// configured is closed once a configuration is in force.
 	configured     chan struct{}
 	configuredOnce sync.Once
@@ -56,13 +58,15 @@
 	knownEntries atomic.Int64
 
 	directory *directory
-	// leaseTerm is the term of the lease that this entry holds, or 0.
+	// leaseTerm is the term of the lease that this entry holds, the negative of the
+	// last one that it has released, or 0.
 	leaseTerm atomic.Int64
 	// newerRevision interrupts a pending read of the configuration.
 	newerRevision chan struct{}
 	// sendNow triggers an immediate message to the other entries.
 	sendNow trigger
 
+	pause      pauseGuard
 	inFlight   *inFlightCounter
 	bodyMemory bodyMemory
 	draining   atomic.Bool
@@ -104,6 +108,7 @@
 	group.Go(func() error { return e.runPlacer(ctx) })
 	group.Go(func() error { return e.runPeers(ctx) })
 	group.Go(func() error { return e.runMaintenance(ctx) })
+	group.Go(func() error { return e.runPulse(ctx) })
 	return group.Wait()
 }
 
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sapphirefield/sapphirefield/bootclock"
 	"github.com/sapphirefield/sapphirefield/logevent"
 )
 
@@ -188,6 +189,8 @@
 		logevent.Write(e.logger, logevent.ConfigurationUnreadable).Str("cause", err.Error()).Msg("")
 		return
 	}
+	e.applyMu.Lock()
+	defer e.applyMu.Unlock()
 	if c.Revision <= e.Revision() {
 		return
 	}
@@ -204,7 +207,7 @@
 	return e.follow(ctx, followOptions{
 		topic: TopicServers, readWait: func() time.Duration { return 0 },
 		pause: func(ctx context.Context) {
-			e.directory.markRead(time.Now())
+			e.directory.markRead(bootclock.Now())
 			for elapsed := watchInterval; elapsed < relaxedInterval && ctx.Err() == nil; elapsed += watchInterval {
 				sleep(ctx, watchInterval)
 				if e.isWatcher() || !e.hasFreshWatcher() || e.awaitsLostEngine(elapsed) {
--- a/relay/message.go
+++ b/relay/message.go
@@ -15,8 +15,8 @@
 	// the number of the message since then.
 	sender               string
 	startNanos, sequence int64
-	// revision is the sender's configuration revision, term the term of the lease
-	// that it holds, or 0.
+	// revision is the sender's configuration revision. term is the term of the lease
+	// that it holds, the negative of the last one that it has released, or 0.
 	revision, term int64
 	// watchAge is the time since the sender last read the servers' records if it is
 	// the watcher; otherwise it is notWatching.
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/sapphirefield/sapphirefield/bootclock"
 	"github.com/sapphirefield/sapphirefield/logevent"
 )
 
@@ -231,7 +232,7 @@
 		watchAge: notWatching, servers: p.fleet.localUsage(now), suspects: p.fleet.suspectHashes(now),
 	}
 	if p.isWatcher() {
-		m.watchAge, m.changes = p.directory.readAge(now), p.directory.nextChanges()
+		m.watchAge, m.changes = p.directory.readAge(bootclock.Now()), p.directory.nextChanges()
 	}
 	return m
 }
--- a/relay/placer.go
+++ b/relay/placer.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/sapphirefield/sapphirefield/bootclock"
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/lease"
 	"github.com/sapphirefield/sapphirefield/logevent"
@@ -43,10 +44,6 @@
 	pendingOrders map[string]pendingOrder
 	// modelStates holds the observations of each model's engines.
 	modelStates map[string]*modelState
-	// releasingHolder is the holder that announces that it has released the lease,
-	// since releasingSince.
-	releasingHolder string
-	releasingSince  time.Time
 	// lastPolled is when the engines were last asked for their status.
 	lastPolled time.Time
 }
@@ -87,9 +84,8 @@
 	next := int64(-1)
 	for ctx.Err() == nil {
 		next = p.leaseStep(ctx, next)
-		if !p.lease.Holds(time.Now()) {
-			p.leaseTerm.Store(0)
-			p.fleet.clearSlowdowns()
+		if !p.holdsLease() {
+			p.release()
 			continue
 		}
 		p.leaseTerm.Store(p.lease.Term())
@@ -100,6 +96,20 @@
 	return ctx.Err()
 }
 
+// holdsLease reports whether this entry may act as the holder of the lease.
+func (p *placer) holdsLease() bool { return p.lease.Holds(bootclock.Now()) }
+
+// release ends this entry's term, if it has one, and tells the others.
+func (p *placer) release() {
+	if held := p.leaseTerm.Load(); held > 0 {
+		p.lease.Release()
+		p.leaseTerm.Store(-held)
+		p.sendNow.fire()
+		logevent.Write(p.logger, logevent.LeaseReleased).Int64("term", held).Msg("")
+	}
+	p.fleet.clearSlowdowns()
+}
+
 // leaseStep reads the lease topic unless the lease is held, and appends a
 // claim when one is due. It returns the offset for the next read, or -1 for a
 // full read.
@@ -108,7 +118,7 @@
 		sleep(ctx, leaseInterval)
 		return next
 	}
-	if !p.lease.Holds(time.Now()) {
+	if !p.holdsLease() {
 		batch, err := p.readTopic(ctx, TopicLease, next, leaseWait)
 		if errors.Is(err, ErrExpired) {
 			return -1
@@ -118,42 +128,29 @@
 			return next
 		}
 		next = batch.NextOffset
-		p.lease.Observe(time.Now(), next, lastClaim(batch.Records))
-		p.observeRelease(time.Now())
+		p.lease.Observe(bootclock.Now(), next, lastClaim(batch.Records))
+		p.observeReleases(time.Now())
 	}
-	claim, at, due := p.lease.DueClaim(time.Now())
+	claim, at, due := p.lease.DueClaim(bootclock.Now())
 	if !due {
 		return next
 	}
 	return p.appendClaim(ctx, claim, at, next)
 }
 
-// releaseConfirmTime is how long the holder must announce the release before
-// it is accepted. A message may be older than the claim.
-const releaseConfirmTime = 700 * time.Millisecond
-
-// observeRelease checks whether the holder announces that it has released the
-// lease.
-func (p *placer) observeRelease(now time.Time) {
+// observeReleases applies the terms that other entries announce to have released.
+func (p *placer) observeReleases(now time.Time) {
 	for _, m := range p.fleet.freshMessages(now) {
-		if m.sender != p.lease.Holder() || m.term > 0 {
-			continue
+		if m.term < 0 {
+			p.lease.ObserveRelease(m.sender, -m.term)
 		}
-		if p.releasingHolder != m.sender {
-			p.releasingHolder, p.releasingSince = m.sender, now
-		} else if now.Sub(p.releasingSince) >= releaseConfirmTime {
-			p.lease.ObserveRelease(m.sender)
-			p.releasingHolder = ""
-		}
-		return
 	}
-	p.releasingHolder = ""
 }
 
 // hasLiveLeaseHolder reports whether another entry announces that it holds the
 // lease. As long as it does, the topic need not be read.
 func (p *placer) hasLiveLeaseHolder() bool {
-	if p.lease.Holds(time.Now()) {
+	if p.holdsLease() {
 		return false
 	}
 	for _, m := range p.fleet.freshMessages(time.Now()) {
@@ -180,7 +177,7 @@
 	if err != nil {
 		return next
 	}
-	startedAt := time.Now()
+	startedAt := bootclock.Now()
 	end, err := p.store.Append(ctx, TopicLease, Record{Key: leaseKey, Value: value}, at)
 	if err != nil {
 		if !errors.Is(err, ErrUnavailable) {
@@ -372,6 +369,9 @@
 	status, err := p.engines.Status(ctx, server.Address)
 	if err == nil && status.Busy {
 		outcome = OrderBusy
+	} else if err == nil && !p.holdsLease() {
+		// Another entry may have taken over while this one was held up.
+		outcome = OrderNotSent
 	} else if err == nil {
 		outcome, err = p.engines.AssignLayers(ctx, server, r, status.OrdersStarted)
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -225,7 +225,10 @@
 	OrderRefused        OrderOutcome = "refused"
 	// OrderBusy means that the order was not sent because another one is in
 	// progress.
-	OrderBusy    OrderOutcome = "busy"
+	OrderBusy OrderOutcome = "busy"
+	// OrderNotSent means that the order was not sent because the sender no longer
+	// holds the lease.
+	OrderNotSent OrderOutcome = "lease_lost"
 	OrderUnknown OrderOutcome = "unknown"
 )
 
--- a/relay/request.go
+++ b/relay/request.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sapphirefield/sapphirefield/bootclock"
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/problem"
@@ -31,7 +32,8 @@
 	bodyTimedOut bool
 	started      time.Time
 	// deadline is the earlier of the client's deadline and the route's timeout.
-	deadline time.Time
+	// bootDeadline is the same by bootclock.
+	deadline, bootDeadline time.Time
 	// attempts counts the attempts that ended without a response, sentCount the
 	// servers to which the request was sent.
 	attempts  retry.AttemptCounts
@@ -94,6 +96,9 @@
 
 // admit determines the route and the team and reads the body.
 func (q *request) admit() *problem.Problem {
+	if q.pause.wasHeldUp(bootclock.Now()) {
+		q.confirmConfiguration()
+	}
 	q.revision = q.current.Load()
 	rev := q.revision
 	if rev == nil {
@@ -114,7 +119,8 @@
 	if team != nil {
 		q.team = team.Name
 	}
-	q.deadline = q.started.Add(q.route.EffectiveTimeout(q.info.Timeout))
+	timeout := q.route.EffectiveTimeout(q.info.Timeout)
+	q.deadline, q.bootDeadline = q.started.Add(timeout), bootclock.Now().Add(timeout)
 	q.target = q.route.PickTarget(q.fleet.randomFloat())
 	return q.readBody(rev.Limits.BodyBytes)
 }
@@ -198,13 +204,19 @@
 func (q *request) buildOutbound(info ForwardInfo) *outboundRequest {
 	header := endToEndHeader(q.r.Header)
 	info.Team = q.team
-	info.TimeLeft = time.Until(q.deadline)
+	info.TimeLeft = max(q.timeLeft(), time.Millisecond)
 	q.headerCodec.EncodeRequest(header, info)
 	return &outboundRequest{
 		method: q.r.Method, target: q.r.RequestURI, host: q.r.Host, header: header, body: q.body, id: q.info.ID,
 	}
 }
 
+// timeLeft returns the time until the deadline. It goes on while the machine is
+// suspended.
+func (q *request) timeLeft() time.Duration {
+	return min(time.Until(q.deadline), q.bootDeadline.Sub(bootclock.Now()))
+}
+
 // copyHeader copies the header of a server's response to the client's.
 func (q *request) copyHeader(x *exchange) {
 	header := q.w.Header()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -62,6 +62,11 @@
 			s.giveUp("no path of engines has room", s.noCapacityRetryAfter())
 			return
 		}
+		if s.timeLeft() <= 0 {
+			reserved.release()
+			s.endAtDeadline()
+			return
+		}
 		result, err := s.tryPath(ctx, hops, reserved)
 		if result == answered {
 			return
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -57,6 +57,10 @@
 	budget := q.budget(q.target)
 	budget.RecordRequest(time.Now())
 	for {
+		if q.timeLeft() <= 0 {
+			q.failTimeout()
+			return
+		}
 		server, reserved, found := q.fleet.chooseServer(time.Now(), q.target, q.avoid)
 		if !found {
 			q.refuseOrFail(q.maybeExecuted, "no server is available", noServerRetryAfter)
