relay, admission: new streams wait in turn for a path, by rank, team and arrival

Cause: a stream that found no path was refused at once with 1 to 4 s to come back, although capacity returns within tens of ms; nothing ordered requests, priorities of routes and teams had no effect on the platform, and a flooding team took what was left. Links took prompts up to loads at which each stream that crosses is late. Ruled out: admission.Controller as it is: it needs capacity as a number, which paths do not have. Teams' work travels in the entries' messages. Ranks reach engines. Refusals log team, queue, estimate. Links close at prompts of 58 instead of 75 ms, but stay open while idle.

--- /dev/null
+++ b/admission/wait_test.go
@@ -0,0 +1,190 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var waitStart = time.Unix(1000, 0)
+
+func waiting(id, team string, rank int, arrived time.Duration) *Waiting {
+	at := waitStart.Add(arrived)
+	return &Waiting{ID: id, Team: team, Rank: rank, Arrived: at, GiveUpAt: at.Add(time.Second)}
+}
+
+func candidateIDs(q *WaitQueue, n int) (ids []string) {
+	for _, w := range q.Candidates(n) {
+		ids = append(ids, w.ID)
+	}
+	return ids
+}
+
+// Ranks come first, then the team with the least work in progress for its weight,
+// then the earliest arrival.
+func TestWaitOrder(t *testing.T) {
+	q := NewWaitQueue(DefaultWaitOptions())
+	heavy := waiting("heavy", "w", 1, 4)
+	heavy.Weight = 10
+	for _, w := range []*Waiting{
+		waiting("late", "a", 1, 3), waiting("busy", "b", 1, 0), waiting("early", "c", 1, 1), waiting("urgent", "b", 0, 5), heavy,
+	} {
+		assert.Assert(t, q.Add(waitStart, w) == nil)
+	}
+	q.Refresh(waitStart, func(team string) float64 { return map[string]float64{"b": 5, "w": 20}[team] })
+	assert.DeepEqual(t, candidateIDs(q, 9), []string{"urgent", "early", "late", "heavy", "busy"})
+	assert.DeepEqual(t, candidateIDs(q, 2), []string{"urgent", "early"})
+}
+
+// A request of low rank must not starve behind a stream of urgent ones.
+func TestWaitingRaisesRank(t *testing.T) {
+	o := DefaultWaitOptions()
+	q := NewWaitQueue(o)
+	q.Add(waitStart, waiting("low", "a", 2, 0))
+	for i := range 3 {
+		q.Add(waitStart, waiting(fmt.Sprint("urgent", i), "b", 0, time.Duration(i)))
+	}
+	noWork := func(string) float64 { return 0 }
+	q.Refresh(waitStart, noWork)
+	assert.Equal(t, candidateIDs(q, 1)[0], "urgent0")
+	q.Refresh(waitStart.Add(2*o.AgingInterval), noWork)
+	assert.Equal(t, candidateIDs(q, 1)[0], "low")
+}
+
+// A request that starts adds to its team's work, so that teams take turns between
+// two updates.
+func TestTeamsTakeTurns(t *testing.T) {
+	q := NewWaitQueue(DefaultWaitOptions())
+	for i := range 3 {
+		q.Add(waitStart, waiting(fmt.Sprint("a", i), "a", 0, time.Duration(i)))
+		q.Add(waitStart, waiting(fmt.Sprint("b", i), "b", 0, time.Duration(10+i)))
+	}
+	q.Refresh(waitStart, func(string) float64 { return 0 })
+	var order []string
+	for q.Len() > 0 {
+		id := candidateIDs(q, 1)[0]
+		order = append(order, id)
+		q.Started(waitStart, id, 1)
+	}
+	assert.DeepEqual(t, order, []string{"a0", "b0", "a1", "b1", "a2", "b2"})
+}
+
+// A flood of one team: the flooding team is refused, the others wait.
+func TestFloodIsRefusedBeforeOtherTeams(t *testing.T) {
+	o := DefaultWaitOptions()
+	o.MinQueue, o.UnknownRateQueue = 8, 8
+	q := NewWaitQueue(o)
+	refused := map[string]int{}
+	add := func(w *Waiting) {
+		if r := q.Add(w.Arrived, w); r != nil {
+			refused[r.Team]++
+		}
+	}
+	for i := range 100 {
+		at := time.Duration(i) * time.Millisecond
+		add(waiting(fmt.Sprint("flood", i), "flood", 0, at))
+		if i%25 == 0 {
+			add(waiting(fmt.Sprint("other", i), fmt.Sprint("other", i), 0, at))
+		}
+	}
+	assert.DeepEqual(t, refused, map[string]int{"flood": 96})
+	assert.Equal(t, q.Len(), o.MinQueue)
+}
+
+// The queue grows with the rate at which requests start, and is bounded by it.
+func TestQueueLengthFollowsStartRate(t *testing.T) {
+	q := NewWaitQueue(DefaultWaitOptions())
+	now := waitStart
+	for i := range 1000 {
+		now = now.Add(5 * time.Millisecond)
+		id := fmt.Sprint(i)
+		q.Add(now, waiting(id, "a", 0, now.Sub(waitStart)))
+		q.Started(now, id, 1)
+	}
+	q.Add(now, waiting("first", "a", 0, now.Sub(waitStart)))
+	for range 200 {
+		now = now.Add(5 * time.Millisecond)
+		q.Add(now, waiting("next", "a", 0, now.Sub(waitStart)))
+		q.Started(now, "next", 1)
+	}
+	for i := range 1000 {
+		q.Add(now, waiting(fmt.Sprint("w", i), "a", 0, now.Sub(waitStart)))
+	}
+	// 200 start in a second, within which a request gives up.
+	assert.Assert(t, q.Len() > 180 && q.Len() < 220, "%d wait", q.Len())
+	assert.Assert(t, q.ExpectedWait(now) < 1200*time.Millisecond, "%v", q.ExpectedWait(now))
+}
+
+// After a restart, nothing is known about the capacity: a burst waits instead of
+// being refused. Once requests have waited for a while, only as many may wait as
+// start in time.
+func TestBurstWaitsWhileRateIsUnknown(t *testing.T) {
+	o := DefaultWaitOptions()
+	q := NewWaitQueue(o)
+	for i := range 2 * o.UnknownRateQueue {
+		q.Add(waitStart, waiting(fmt.Sprint(i), "a", 0, 0))
+	}
+	assert.Equal(t, q.Len(), o.UnknownRateQueue)
+	later := waiting("later", "a", 0, o.RateWindow)
+	assert.Equal(t, q.Add(waitStart.Add(o.RateWindow), later), later)
+}
+
+// No request may be lost, duplicated or left behind, whatever the order of calls.
+func TestWaitQueueInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := NewWaitQueue(WaitOptions{AgingInterval: time.Second, RateWindow: time.Second, MinQueue: 5, UnknownRateQueue: 8, MaxQueue: 20})
+		present := map[string]bool{}
+		now := waitStart
+		for i := range 100 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			id := fmt.Sprint(rapid.IntRange(0, i).Draw(t, "id"))
+			switch rapid.IntRange(0, 4).Draw(t, "do") {
+			case 0, 1:
+				w := waiting(fmt.Sprint(i), fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "team")), rapid.IntRange(0, 2).Draw(t, "rank"), now.Sub(waitStart))
+				present[w.ID] = true
+				if r := q.Add(now, w); r != nil {
+					assert.Assert(t, present[r.ID])
+					delete(present, r.ID)
+				}
+			case 2:
+				q.Started(now, id, 1)
+				delete(present, id)
+			case 3:
+				q.Remove(id)
+				delete(present, id)
+			default:
+				q.Refresh(now, func(team string) float64 { return float64(len(team)) })
+			}
+			assert.Equal(t, q.Len(), len(present))
+			for _, w := range q.Candidates(2) {
+				assert.Assert(t, present[w.ID])
+			}
+			for n, f := range q.order.flowList {
+				assert.Equal(t, f.index, n)
+			}
+		}
+	})
+}
+
+// BenchmarkWaitQueue measures one decision with 10,000 waiting requests of 4,600
+// teams.
+func BenchmarkWaitQueue(b *testing.B) {
+	o := DefaultWaitOptions()
+	o.MinQueue = o.MaxQueue
+	q := NewWaitQueue(o)
+	requests := make([]*Waiting, o.MaxQueue)
+	for i := range requests {
+		requests[i] = waiting(fmt.Sprint(i), fmt.Sprint(i%4600), 0, time.Duration(i))
+		q.Add(waitStart, requests[i])
+	}
+	q.Refresh(waitStart, func(string) float64 { return 0 })
+	b.ReportAllocs()
+	for b.Loop() {
+		next := q.Candidates(3)[0]
+		q.Started(waitStart, next.ID, 1)
+		q.Add(waitStart, next)
+	}
+}
--- a/pipeline/relay.go
+++ b/pipeline/relay.go
@@ -89,10 +89,12 @@
 	maxLinkLoad   = 0.8
 	maxPromptLoad = 0.7
 	// closingPromptSeconds is the transfer time of a mean prompt at which a link
-	// accepts no requests at all. Tokens wait behind prompts, for longer than t with
-	// a probability of about exp(-(1-load) t/prompt), and a stream is late after a
-	// pause of 200 to 300 ms.
-	closingPromptSeconds = 0.075
+	// accepts requests only while it is idle. Tokens wait behind prompts, for longer
+	// than t with a probability of about exp(-(1-load) t/prompt), a stream is late
+	// after a pause of 200 to 300 ms, and each of its events may meet a prompt.
+	closingPromptSeconds = 0.058
+	// idleLinkLoad is the load up to which any link accepts requests.
+	idleLinkLoad = 0.02
 	// slowLinkLoad is the load limit below which a link counts as slow.
 	slowLinkLoad = 0.5
 	// maxLinkQueue is the wait above which a link accepts no further requests. A
@@ -351,7 +353,7 @@
 		return maxLinkLoad
 	}
 	promptSeconds := m.MeanPromptTokens * float64(m.ActivationBytes) / link.BytesPerSecond
-	return math.Min(maxLinkLoad, 1-promptSeconds/closingPromptSeconds)
+	return math.Min(maxLinkLoad, math.Max(1-promptSeconds/closingPromptSeconds, idleLinkLoad))
 }
 
 // BytesPerHop returns the number of bytes that a request sends from one engine to
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -203,12 +203,12 @@
 func (a *attempt) chooseReroute() ([]pipeline.Hop, *reservation, error) {
 	req := a.pathRequest()
 	req.CurrentPath, req.AnswerStarted, req.AvoidSlowLinks = a.hops, true, true
-	hops, reserved, err := a.fleet.choosePath(time.Now(), a.revision, a.target, req)
+	hops, reserved, err := a.fleet.choosePath(time.Now(), a.revision, a.target, a.team, req)
 	if err == nil || a.canRetry() {
 		return hops, reserved, err
 	}
 	req.AvoidSlowLinks = false
-	return a.fleet.choosePath(time.Now(), a.revision, a.target, req)
+	return a.fleet.choosePath(time.Now(), a.revision, a.target, a.team, req)
 }
 
 // canRetry reports whether the stream may continue with another attempt.
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -53,6 +53,9 @@
 	budgetsMu sync.Mutex
 	budgets   map[string]*lockedBudget
 
+	waitRoomsMu sync.Mutex
+	waitRooms   map[string]*waitRoom
+
 	// knownEntries is the number of entries registered in the store, or 0 while it
 	// is unknown.
 	knownEntries atomic.Int64
@@ -79,7 +82,7 @@
 		settings: o.Settings, store: o.Store, engines: o.Engines, headerCodec: o.HeaderCodec, logger: o.Logger,
 		logLimiter: newLogLimiter(), requestMetrics: newRequestMetrics(o.Metrics), fleet: newFleet(seeds.newSource()), pool: newPool(), stallChecker: newStallChecker(o.Engines, o.Logger),
 		backoff:    func() *retry.Backoff { return retry.NewBackoff(storeRetryBase, storeRetryLimit, seeds.newSource()) },
-		configured: make(chan struct{}), budgets: map[string]*lockedBudget{}, inFlight: newInFlightCounter(),
+		configured: make(chan struct{}), budgets: map[string]*lockedBudget{}, waitRooms: map[string]*waitRoom{}, inFlight: newInFlightCounter(),
 		newerRevision: make(chan struct{}, 1), sendNow: make(trigger, 1),
 	}
 	e.directory = newDirectory(e)
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -433,8 +433,8 @@
 	}
 }
 
-// choosePath selects a path for a request and reserves its capacity.
-func (f *fleet) choosePath(now time.Time, rev *revision, model string, r pipeline.RelayRequest) ([]pipeline.Hop, *reservation, error) {
+// choosePath selects a path for a team's request and reserves its capacity.
+func (f *fleet) choosePath(now time.Time, rev *revision, model, team string, r pipeline.RelayRequest) ([]pipeline.Hop, *reservation, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	hops, expected, err := f.findPath(now, rev, model, r)
@@ -443,7 +443,17 @@
 	}
 	f.recordRecentWork(now, rev, hops, r, relayModel(rev.models[model]))
 	f.recordLinkTraffic(now, hops, r.CurrentPath, relayModel(rev.models[model]).BytesPerHop(r))
-	return hops, f.reserve(pathUsage(hops, r, expected)), nil
+	held := pathUsage(hops, r, expected)
+	held[teamID(team)] = usage{requests: 1, tokens: r.PromptTokens + r.AnswerTokens}
+	return hops, f.reserve(held), nil
+}
+
+// teamLoad returns the tokens of the requests that all entries have in progress
+// for a team.
+func (f *fleet) teamLoad(now time.Time, team string) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.inProgress(now, teamID(team)).tokens
 }
 
 // hasPath reports whether choosePath would find a path. It reserves nothing and
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -73,12 +73,12 @@
 	link := linkID("a", "b")
 	assert.Assert(t, e.fleet.hasPath(now, rev, "llm", r))
 	assert.Equal(t, e.fleet.linkRate(now, link), 0.0)
-	hops, _, err := e.fleet.choosePath(now, rev, "llm", r)
+	hops, _, err := e.fleet.choosePath(now, rev, "llm", "t", r)
 	assert.NilError(t, err)
 	sent := e.fleet.linkRate(now, link)
 	assert.Equal(t, sent, 400.0)
 	r.CurrentPath = hops
-	_, _, err = e.fleet.choosePath(now, rev, "llm", r)
+	_, _, err = e.fleet.choosePath(now, rev, "llm", "t", r)
 	assert.NilError(t, err)
 	assert.Equal(t, e.fleet.linkRate(now, link), sent)
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -46,6 +46,9 @@
 	Revision int64
 	Document *config.Document
 	Limits   Limits
+	// TeamRanks are the ranks of teams that state one, which take precedence over
+	// those of routes.
+	TeamRanks map[string]int
 }
 
 // Limits bound the size of client requests and the time that clients may take
@@ -97,6 +100,10 @@
 	Instance string
 	// Team is the client's team, or empty.
 	Team string
+	// Rank orders the request among others on a server if HasRank is set; 0 is
+	// served first.
+	Rank    int
+	HasRank bool
 	// Path lists the engines; it is empty for a unary request.
 	Path []pipeline.Hop
 	// LastEvent is the ID of the last event delivered to the client, or -1.
--- a/relay/request.go
+++ b/relay/request.go
@@ -25,8 +25,11 @@
 	revision *revision
 	route    *config.Route
 	team     string
-	target   string
-	body     []byte
+	// teamWeight and rank order the request under load; rank 0 is served first.
+	teamWeight float64
+	rank       int
+	target     string
+	body       []byte
 	// bodyTimedOut is set if the body did not arrive in time. http.Server ends
 	// the request's context then, although the client is still there.
 	bodyTimedOut bool
@@ -49,8 +52,12 @@
 	path    string
 	// zoneCrossings counts the zone changes along the path.
 	zoneCrossings int
-	// cause is the reason why no path was found.
-	cause string
+	// cause is the reason why no path was found. waited is how long the request
+	// waited for paths; waiting and expectedWait describe the queue when it was
+	// refused.
+	cause                string
+	waiting              int
+	waited, expectedWait time.Duration
 	// firstByte is when the first byte of the response was sent to the client.
 	firstByte time.Time
 	// longestGap is the longest time between two events of a stream.
@@ -116,8 +123,12 @@
 	if team == nil && !q.route.Anonymous {
 		return problem.NotExecuted(problem.Unauthorized, "the key is not known")
 	}
+	q.rank = q.route.Rank
 	if team != nil {
-		q.team = team.Name
+		q.team, q.teamWeight = team.Name, team.Weight
+		if rank, stated := rev.TeamRanks[team.Name]; stated {
+			q.rank = rank
+		}
 	}
 	timeout := q.route.EffectiveTimeout(q.info.Timeout)
 	q.deadline, q.bootDeadline = q.started.Add(timeout), bootclock.Now().Add(timeout)
@@ -203,7 +214,7 @@
 // buildOutbound returns the request to send to a server.
 func (q *request) buildOutbound(info ForwardInfo) *outboundRequest {
 	header := endToEndHeader(q.r.Header)
-	info.Team = q.team
+	info.Team, info.Rank, info.HasRank = q.team, q.rank, true
 	info.TimeLeft = max(q.timeLeft(), time.Millisecond)
 	q.headerCodec.EncodeRequest(header, info)
 	return &outboundRequest{
@@ -242,6 +253,15 @@
 	if !q.firstByte.IsZero() {
 		line = line.Dur("first_ms", q.firstByte.Sub(q.started))
 	}
+	if q.team != "" {
+		line = line.Str("team", q.team).Int("rank", q.rank)
+	}
+	if q.waited >= passInterval {
+		line = line.Dur("waited_ms", q.waited)
+	}
+	if q.expectedWait > 0 {
+		line = line.Int("waiting", q.waiting).Dur("expected_wait_ms", q.expectedWait)
+	}
 	if q.longestGap > 0 {
 		line = line.Dur("longest_pause_ms", q.longestGap)
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sapphirefield/sapphirefield/admission"
 	"github.com/sapphirefield/sapphirefield/eventstream"
 	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/pipeline"
@@ -19,10 +20,12 @@
 	refusedRetryAfter = 300 * time.Millisecond
 	// maxRefusals bounds the paths that are tried while none accepts the request.
 	maxRefusals = 3
-	// minNoCapacityRetryAfter and maxNoCapacityRetryAfter bound the Retry-After
-	// time while no path has capacity.
+	// minNoCapacityRetryAfter and maxNoCapacityRetryAfter bound the earliest
+	// Retry-After time while no path has capacity. noCapacityRetrySpread is the
+	// period over which retries are spread.
 	minNoCapacityRetryAfter = time.Second
-	maxNoCapacityRetryAfter = 4 * time.Second
+	maxNoCapacityRetryAfter = 3 * time.Second
+	noCapacityRetrySpread   = 3 * time.Second
 	// defaultAnswerTokens applies if neither the request nor the configuration
 	// states a length.
 	defaultAnswerTokens = 200
@@ -58,8 +61,7 @@
 	for {
 		hops, reserved, err := s.choosePath(ctx)
 		if err != nil {
-			s.cause = err.Error()
-			s.giveUp("no path of engines has room", s.noCapacityRetryAfter())
+			s.giveUpWithoutPath(err)
 			return
 		}
 		if s.timeLeft() <= 0 {
@@ -84,30 +86,67 @@
 	}
 }
 
+// giveUpWithoutPath ends a request for which no path was found in time.
+func (s *streamRequest) giveUpWithoutPath(err error) {
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+		s.endAtDeadline()
+		return
+	}
+	waiting, expected := s.waitRoom(s.target).state(time.Now())
+	s.cause, s.waiting, s.expectedWait = err.Error(), waiting, expected
+	s.giveUp("no path of engines has room", s.noCapacityRetryAfter(expected))
+}
+
 // noCapacityRetryAfter returns when a client may retry while no path has
-// capacity. Streams last a few seconds and end one after another, so retries
-// are spread over a similar period; a client that retried sooner would be
-// refused again.
-func (s *streamRequest) noCapacityRetryAfter() time.Duration {
-	return minNoCapacityRetryAfter + time.Duration(s.fleet.randomFloat()*float64(maxNoCapacityRetryAfter-minNoCapacityRetryAfter))
+// capacity: after those that wait now. Streams last a few seconds and end one
+// after another, so retries are spread over a similar period; clients that retried
+// sooner or together would be refused again.
+func (s *streamRequest) noCapacityRetryAfter(expectedWait time.Duration) time.Duration {
+	earliest := min(max(expectedWait, minNoCapacityRetryAfter), maxNoCapacityRetryAfter)
+	return earliest + time.Duration(s.fleet.randomFloat()*float64(noCapacityRetrySpread))
 }
 
-// choosePath selects a path for the rest of the request. A stream whose
-// response has started waits for one: its client stays for a while, and the
-// work done so far would be lost. It uses low-bandwidth links only if there is
-// no other path, because after the loss of an engine many streams look for a
-// path at the same time.
+// choosePath selects a path for the rest of the request. New streams wait for one
+// in turn; a stream whose response has started goes before them.
 func (s *streamRequest) choosePath(ctx context.Context) ([]pipeline.Hop, *reservation, error) {
+	if s.headerSent {
+		return s.awaitNextPath(ctx)
+	}
 	req := s.pathRequest()
-	req.AnswerStarted = s.headerSent
+	w := &pathWaiter{
+		Waiting: admission.Waiting{Team: s.team, Weight: s.teamWeight, Rank: s.rank, Arrived: s.started, GiveUpAt: s.waitUntil()},
+		cost:    req.PromptTokens + req.AnswerTokens,
+		find: func(now time.Time) ([]pipeline.Hop, *reservation, error) {
+			return s.fleet.choosePath(now, s.revision, s.target, s.team, req)
+		},
+	}
+	entered := time.Now()
+	hops, reserved, err := s.waitRoom(s.target).await(ctx, w)
+	s.waited += time.Since(entered)
+	return hops, reserved, err
+}
+
+// waitUntil returns until when a new stream waits for a path.
+func (s *streamRequest) waitUntil() time.Time {
+	limit := time.Duration(float64(s.deadline.Sub(s.started)) * maxPathDelayFraction)
+	return s.started.Add(min(limit, maxPathDelay))
+}
+
+// awaitNextPath selects a path for a stream whose response has started. It waits
+// for one: its client stays for a while, and the work done so far would be lost.
+// It uses low-bandwidth links only if there is no other path, because after the
+// loss of an engine many streams look for a path at the same time.
+func (s *streamRequest) awaitNextPath(ctx context.Context) ([]pipeline.Hop, *reservation, error) {
+	req := s.pathRequest()
+	req.AnswerStarted = true
 	for waited := time.Duration(0); ; waited += pathRetryInterval {
-		req.AvoidSlowLinks = s.headerSent
-		hops, reserved, err := s.fleet.choosePath(time.Now(), s.revision, s.target, req)
-		if err != nil && s.headerSent {
+		req.AvoidSlowLinks = true
+		hops, reserved, err := s.fleet.choosePath(time.Now(), s.revision, s.target, s.team, req)
+		if err != nil {
 			req.AvoidSlowLinks = false
-			hops, reserved, err = s.fleet.choosePath(time.Now(), s.revision, s.target, req)
+			hops, reserved, err = s.fleet.choosePath(time.Now(), s.revision, s.target, s.team, req)
 		}
-		if err == nil || waited >= s.maxWait() {
+		if err == nil || waited >= maxPathWait || ctx.Err() != nil {
 			return hops, reserved, err
 		}
 		sleep(ctx, pathRetryInterval)
--- a/relay/usage.go
+++ b/relay/usage.go
@@ -7,8 +7,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// usage is the load that an entry has in progress on a server or on a link
-// between zones.
+// usage is the load that an entry has in progress on a server, on a link between
+// zones or for a team.
 type usage struct {
 	// requests counts requests, usedSlots those of which the engine runs the first
 	// stage.
@@ -44,6 +44,9 @@
 	return "link " + from + " " + to
 }
 
+// teamID returns the ID of a team for use in place of a server ID.
+func teamID(team string) string { return "team " + team }
+
 // linkRateTimeConstant is the time constant of the moving average over a
 // link's bytes.
 const linkRateTimeConstant = time.Second
--- a/relay/usage_test.go
+++ b/relay/usage_test.go
@@ -101,7 +101,7 @@
 	r := pipeline.RelayRequest{PromptTokens: 100, AnswerTokens: 1}
 	crossings := func() (n int) {
 		for range 20 {
-			if _, _, err := e.fleet.choosePath(now, rev, "llm", r); err == nil {
+			if _, _, err := e.fleet.choosePath(now, rev, "llm", "t", r); err == nil {
 				n++
 			}
 		}
