relay: lost engines are probed and failed servers taken back

The calls of callers that had left were canceled while they connected, which counted as the loss of the engine; four first engines were out of use at these entries for good, because a server's record in the store changes only when more than its count of records does (2 records read in 5 s from 42 servers). A server of bookings with one lost connection was out of use likewise. Ruled out: reads of the store after the freeze (they went on every 5 s), the queue (it was full because no path existed: 0 engines hold layer 0). Change: a canceled or held-up connection is no loss; a lost engine is asked for its status after 0.5, 1, 2, 4 and then each 8 s and returns if it responds from the same start; a server whose connection failed is taken back after 0.25 s, for a time that grows with each failure. Tests: TestLostEngineReturnsWhenItResponds, TestReturnProbesBecomeRare, TestFailedServerIsTakenBack, TestEngineIsNotLostWhenClientLeaves.

--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -24,6 +24,7 @@
 	StallQueried           Event = 2016
 	EngineLost             Event = 2017
 	EngineSuspected        Event = 2018
+	EngineReturned         Event = 2019
 	StreamRerouted         Event = 2015
 	StreamRecovered        Event = 2009
 	ServerChanged          Event = 2010
@@ -80,6 +81,7 @@
 	{StallQueried, log.DebugLevel, "engine asked what its work waits for", ""},
 	{EngineLost, log.InfoLevel, "engine taken for lost", ""},
 	{EngineSuspected, log.InfoLevel, "engine suspected after a refusal", ""},
+	{EngineReturned, log.InfoLevel, "lost engine works again", ""},
 	{StreamRerouted, log.InfoLevel, "stream's path changed", ""},
 	{ServerChanged, log.InfoLevel, "backend server changed", ""},
 	{ServerRecordRemoved, log.InfoLevel, "backend server's record is gone", ""},
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sapphirefield/sapphirefield/bootclock"
 	"github.com/sapphirefield/sapphirefield/eventstream"
 	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/membership"
@@ -58,7 +59,10 @@
 	head := hops[0]
 	a.x, err = s.pool.open(ctx, head.Address, s.buildOutbound(ForwardInfo{Instance: head.Engine, Path: hops, LastEvent: s.lastEventID}))
 	if errors.Is(err, errNotSent) {
-		s.markEngineLost(head.Engine, err)
+		// The connection also fails when the client leaves or this process is held up.
+		if ctx.Err() == nil && !s.pause.wasHeldUp(bootclock.Now()) {
+			s.markEngineLost(head.Engine, err)
+		}
 		return notSent, err
 	}
 	s.sentCount++
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -112,6 +112,7 @@
 	group.Go(func() error { return e.runPeers(ctx) })
 	group.Go(func() error { return e.runMaintenance(ctx) })
 	group.Go(func() error { return e.runPulse(ctx) })
+	group.Go(func() error { return e.runReturnProbes(ctx) })
 	return group.Wait()
 }
 
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -53,12 +53,13 @@
 	// linkMeters measure the bytes that this entry's requests send over links
 	// between zones.
 	linkMeters map[string]*rateMeter
+	// failedAt are the servers whose latest connection failed, with the time.
+	failedAt map[string]time.Time
 	// recent is the work sent to engines and over links a moment ago, by server or
 	// link ID.
 	recent map[string]*recentWork
-	// lost are the engines that requests were found to be waiting for, with the
-	// time of the first such finding.
-	lost map[string]time.Time
+	// lost are the engines that were found not to work.
+	lost map[string]*lostEngine
 	// leaving are the servers that are marked as leaving.
 	leaving map[string]leavingState
 	// avoided are engines that refused a stage of a path, with the time until which
@@ -77,10 +78,10 @@
 
 func newFleet(random *rand.Rand) *fleet {
 	return &fleet{
-		startedAt: time.Now(), recent: map[string]*recentWork{},
+		startedAt: time.Now(), recent: map[string]*recentWork{}, failedAt: map[string]time.Time{},
 		membership: membership.New(membershipOptions()), servers: map[string]Server{}, local: map[string]*usage{},
 		slowdowns: map[string]float64{}, random: random, peers: newPeerUsage(),
-		linkMeters: map[string]*rateMeter{}, lost: map[string]time.Time{}, leaving: map[string]leavingState{}, avoided: map[string]time.Time{}, suspects: map[string]time.Time{},
+		linkMeters: map[string]*rateMeter{}, lost: map[string]*lostEngine{}, leaving: map[string]leavingState{}, avoided: map[string]time.Time{}, suspects: map[string]time.Time{},
 		suspectedAt: map[string]time.Time{}, dead: map[string]time.Time{},
 	}
 }
@@ -127,8 +128,8 @@
 func (f *fleet) hasRecentlyLost(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, at := range f.lost {
-		if now.Sub(at) < maxReturnWait {
+	for _, l := range f.lost {
+		if now.Sub(l.since) < maxReturnWait {
 			return true
 		}
 	}
@@ -172,7 +173,7 @@
 		delete(f.lost, s.ID)
 		f.membership.Observe(now, s.ID, membership.Restarted)
 	case s.HeartbeatCount != old.HeartbeatCount:
-		if at, lost := f.lost[s.ID]; lost && now.Sub(at) < staleRecordWindow {
+		if l := f.lost[s.ID]; l != nil && now.Sub(l.since) < staleRecordWindow {
 			return
 		}
 		delete(f.lost, s.ID)
@@ -186,10 +187,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.membership.Observe(now, id, membership.HeartbeatTimeout)
-	if _, known := f.lost[id]; known {
+	if f.lost[id] != nil {
 		return false
 	}
-	f.lost[id] = now
+	f.lost[id] = &lostEngine{since: now, probeAt: now.Add(firstReturnProbe)}
 	f.changes.Add(1)
 	return true
 }
@@ -199,17 +200,20 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.membership.Observe(now, id, e)
+	if e == membership.ConnectionRefused || e == membership.ConnectionLost {
+		f.failedAt[id] = now
+	}
 }
 
 // lostFor returns how long an engine has been lost, or 0.
 func (f *fleet) lostFor(now time.Time, id string) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	at, lost := f.lost[id]
-	if !lost {
+	l := f.lost[id]
+	if l == nil {
 		return 0
 	}
-	return now.Sub(at)
+	return now.Sub(l.since)
 }
 
 // avoidDuration is how long an engine is avoided after it refused a stage: it
@@ -316,7 +320,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, h := range hops {
-		if _, known := f.lost[h.Engine]; known {
+		if f.lost[h.Engine] != nil {
 			lost = append(lost, h.Engine)
 		} else if f.leaving[h.Engine].rerouteDue || !f.stillHolds(h) {
 			leaving = append(leaving, h.Engine)
@@ -586,8 +590,7 @@
 	for _, c := range f.membership.Candidates(now, model) {
 		s, known := f.servers[c.ID]
 		layers := s.Layers.Limit - s.Layers.First
-		_, lost := f.lost[c.ID]
-		if !known || c.Suspect || lost || layers <= 0 || now.Before(f.avoided[c.ID]) {
+		if !known || c.Suspect || f.lost[c.ID] != nil || layers <= 0 || now.Before(f.avoided[c.ID]) {
 			continue
 		}
 		accelerator := rev.accelerators[s.Accelerator]
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -198,7 +198,9 @@
 
 // EngineStatus is an engine's recent status.
 type EngineStatus struct {
-	Layers placement.Range
+	// StartTimeMillis is the engine's start time in Unix milliseconds.
+	StartTimeMillis int64
+	Layers          placement.Range
 	// OrdersStarted is the number of orders that the engine has started since its
 	// process start.
 	OrdersStarted int64
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sapphirefield/sapphirefield/bootclock"
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/membership"
 	"github.com/sapphirefield/sapphirefield/problem"
@@ -141,7 +142,10 @@
 	q.path = server.ID
 	x, err := q.pool.send(ctx, q.headerCodec, server.Address, q.buildOutbound(ForwardInfo{Instance: server.ID, LastEvent: -1}))
 	if errors.Is(err, errNotSent) {
-		q.fleet.observe(time.Now(), server.ID, membership.ConnectionRefused)
+		// The connection also fails when the client leaves or this process is held up.
+		if ctx.Err() == nil && !q.pause.wasHeldUp(bootclock.Now()) {
+			q.fleet.observe(time.Now(), server.ID, membership.ConnectionRefused)
+		}
 		return notSent, err
 	}
 	q.sentCount++
