relay: an entry on a slow link gets the configuration; memory under endless responses

By reading: an interrupted read started again from the same offset, each read is interrupted after 0.4 s while others announce a newer revision, and 30 revisions of some 100 KB do not fit into 0.4 s of a 20 Mbit/s link that carries streams. Change: after a failure or an interrupt only the newest configuration is read; each interrupt in a row doubles the time that a read has, up to 4 s.

--- a/relay/connection.go
+++ b/relay/connection.go
@@ -36,7 +36,7 @@
 	maxInlineBody = 16 << 10
 	// maxHeaderBytes bounds a response header together with the informational
 	// (1xx) responses before it. A broken server may send a header without end.
-	maxHeaderBytes = 64 << 10
+	maxHeaderBytes = 16 << 10
 	// maxInformational bounds the informational responses before a response.
 	maxInformational = 8
 	// headerTimeout bounds the time from the first to the last byte of a header.
--- a/relay/directory_test.go
+++ b/relay/directory_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -177,12 +178,76 @@
 func TestReadReturnsWhilePeersAnnounceNewerRevision(t *testing.T) {
 	wake, done := make(chan struct{}, 1), make(chan struct{})
 	interrupted := make(chan bool, 1)
-	go func() { interrupted <- awaitWake(wake, done) }()
+	go func() { interrupted <- awaitWake(wake, done, minReadTime) }()
 	wake <- struct{}{}
 	close(done)
 	assert.Assert(t, !<-interrupted)
 }
 
+// slowStore answers reads of the configuration only after a time, as over a slow
+// link, and counts the records that were read one after another.
+type slowStore struct {
+	*scriptedStore
+	delay   time.Duration
+	changes atomic.Int64
+}
+
+func (s *slowStore) ReadLatest(ctx context.Context, topic Topic) (RecordBatch, error) {
+	if s.wait(ctx) != nil {
+		return RecordBatch{}, ctx.Err()
+	}
+	return s.scriptedStore.ReadLatest(ctx, topic)
+}
+
+func (s *slowStore) Read(ctx context.Context, topic Topic, from int64, wait time.Duration) (RecordBatch, error) {
+	if s.wait(ctx) != nil {
+		return RecordBatch{}, ctx.Err()
+	}
+	batch, err := s.scriptedStore.Read(ctx, topic, from, wait)
+	s.changes.Add(int64(len(batch.Records)))
+	return batch, err
+}
+
+func (s *slowStore) wait(ctx context.Context) error {
+	sleep(ctx, s.delay)
+	return ctx.Err()
+}
+
+// Guards against an entry on a slow link that keeps an old configuration for good:
+// announcements interrupted each read before it returned.
+func TestSlowReadEndsDespiteAnnouncements(t *testing.T) {
+	store := &slowStore{scriptedStore: newScriptedStore()}
+	store.add(TopicConfiguration, "c", 1)
+	e := newStoreEntry(store)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	store.delay = 3 * minReadTime
+	announced := make(chan struct{})
+	go func() {
+		defer close(announced)
+		for e.Revision() < 2 && ctx.Err() == nil {
+			select {
+			case e.newerRevision <- struct{}{}:
+			default:
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	go func() { _ = e.followConfiguration(ctx) }()
+	<-e.Configured()
+	for revision := 2; revision <= 50; revision++ {
+		store.add(TopicConfiguration, "c", revision)
+	}
+	<-announced
+	assert.Equal(t, e.Revision(), int64(50))
+	assert.Equal(t, store.changes.Load(), int64(0))
+	last := time.Duration(0)
+	for interrupts := range 100 {
+		assert.Assert(t, readTime(interrupts) >= last && readTime(interrupts) <= maxReadTime)
+		last = readTime(interrupts)
+	}
+}
+
 // Guards against two entries that place layers at the same time, and against
 // none that does.
 func TestOneEntryHoldsTheLease(t *testing.T) {
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -32,6 +32,10 @@
 	pause func(context.Context)
 	// wake interrupts a pending read, so that the topic is read again.
 	wake <-chan struct{}
+	// newestOnly is set if only the newest record of each key matters. After a
+	// failure, the records in between are then not read: they may be too many for a
+	// slow link.
+	newestOnly bool
 	// apply receives the complete set of records first and changed records
 	// afterwards.
 	apply func(records []Record, complete bool)
@@ -41,14 +45,18 @@
 // each key, then the changes, and starts over when changes have expired.
 func (e *Entry) follow(ctx context.Context, f followOptions) error {
 	backoff := e.backoff()
-	next, failures := int64(-1), 0
+	next, failures, interrupts := int64(-1), 0, 0
 	for ctx.Err() == nil {
-		batch, err := e.readInterruptible(ctx, f, next)
+		batch, err := e.readInterruptible(ctx, f, next, interrupts)
+		if err != nil && f.newestOnly {
+			next = -1
+		}
 		switch {
 		case errors.Is(err, ErrExpired):
 			next = -1
 			continue
 		case errors.Is(err, errInterrupted):
+			interrupts++
 			continue
 		case err != nil:
 			failures++
@@ -57,7 +65,7 @@
 			continue
 		}
 		e.logStoreRecovery(f.topic, failures)
-		failures = 0
+		failures, interrupts = 0, 0
 		if next < 0 || len(batch.Records) > 0 {
 			f.apply(batch.Records, next < 0)
 		}
@@ -73,15 +81,25 @@
 // newer data.
 var errInterrupted = errors.New("read interrupted: another entry has newer data")
 
-// minReadTime is how long a read runs before it can be interrupted. All
-// entries announce a newer revision several times a second, and a read that
-// each announcement interrupts would never return.
-const minReadTime = 400 * time.Millisecond
+const (
+	// minReadTime is how long a read runs before it can be interrupted. All
+	// entries announce a newer revision several times a second, and a read that
+	// each announcement interrupts would never return. The time doubles with each
+	// interrupt in a row, up to maxReadTime: the link may be slow.
+	minReadTime = 400 * time.Millisecond
+	maxReadTime = 4 * time.Second
+)
+
+// readTime returns how long a read runs before it can be interrupted, after a
+// number of interrupts in a row.
+func readTime(interrupts int) time.Duration {
+	return min(minReadTime<<min(interrupts, 8), maxReadTime)
+}
 
-// awaitWake waits for a signal sent after minReadTime, or for the end of the
-// read. It reports whether there was a signal.
-func awaitWake(wake <-chan struct{}, done <-chan struct{}) bool {
-	timer := time.NewTimer(minReadTime)
+// awaitWake waits for a signal sent after a time, or for the end of the read. It
+// reports whether there was a signal.
+func awaitWake(wake <-chan struct{}, done <-chan struct{}, after time.Duration) bool {
+	timer := time.NewTimer(after)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -104,7 +122,7 @@
 
 // readInterruptible reads a topic. An interrupted read was waiting on a
 // connection that may be dead.
-func (e *Entry) readInterruptible(ctx context.Context, f followOptions, next int64) (RecordBatch, error) {
+func (e *Entry) readInterruptible(ctx context.Context, f followOptions, next int64, interrupts int) (RecordBatch, error) {
 	if f.wake == nil {
 		return e.readTopic(ctx, f.topic, next, f.readWait())
 	}
@@ -113,7 +131,7 @@
 	done := make(chan struct{})
 	defer close(done)
 	go func() {
-		if awaitWake(f.wake, done) {
+		if awaitWake(f.wake, done, readTime(interrupts)) {
 			cancel(errInterrupted)
 		}
 	}()
@@ -158,7 +176,7 @@
 
 func (e *Entry) followConfiguration(ctx context.Context) error {
 	return e.follow(ctx, followOptions{
-		topic: TopicConfiguration, readWait: e.configurationWait, wake: e.newerRevision,
+		topic: TopicConfiguration, readWait: e.configurationWait, wake: e.newerRevision, newestOnly: true,
 		apply: func(records []Record, _ bool) {
 			for _, r := range records {
 				e.applyConfiguration(r)
