--- a/ctl/opsclient/opsclient.go
+++ b/ctl/opsclient/opsclient.go
@@ -40,7 +40,8 @@
 // New returns a Client with the password and the certificate authority from the
 // files that the flags name.
 func New(f Flags) (*Client, error) {
-	c := &Client{client: &http.Client{Timeout: f.timeout}}
+	transport := &http.Transport{Proxy: http.ProxyFromEnvironment, MaxResponseHeaderBytes: maxHeaderBytes}
+	c := &Client{client: &http.Client{Timeout: f.timeout, Transport: transport}}
 	if f.passwordFile != "" {
 		text, err := os.ReadFile(f.passwordFile)
 		if err != nil {
@@ -59,10 +60,13 @@
 	if !pool.AppendCertsFromPEM(pem) {
 		return nil, errors.Errorf("%s holds no certificate", f.caFile)
 	}
-	c.client.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}}
+	transport.Proxy, transport.TLSClientConfig = nil, &tls.Config{RootCAs: pool}
 	return c, nil
 }
 
+// maxHeaderBytes bounds the header of a response.
+const maxHeaderBytes = 64 << 10
+
 // Get returns the response body of a process, truncated to limit bytes. The
 // address is a host and port, or a URL; without a scheme plain HTTP is used. The
 // password is sent over HTTPS or to a loopback address only; for any other
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -43,7 +43,9 @@
 	// headerTimeout bounds the wait for a request's header, so that idle
 	// connections cannot exhaust an instance.
 	headerTimeout = 10 * time.Second
-	idleTimeout   = 2 * time.Minute
+	// maxResponseHeaderBytes bounds the header of a response of the platform.
+	maxResponseHeaderBytes = 64 << 10
+	idleTimeout            = 2 * time.Minute
 	// serverShutdownTimeout bounds the wait for connections to close.
 	serverShutdownTimeout = 2 * time.Second
 )
@@ -167,8 +169,9 @@
 			conn, err := dialer.DialContext(ctx, network, address)
 			return p.netCounters.wrapConn(conn), err
 		},
-		MaxIdleConnsPerHost: 4,
-		IdleConnTimeout:     idleTimeout,
+		MaxIdleConnsPerHost:    4,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}}
 }
 
@@ -324,7 +327,9 @@
 	if tlsConfig != nil {
 		listener = tls.NewListener(listener, tlsConfig)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxRequestHeaderBytes,
+	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/orders/engine.go
+++ b/orders/engine.go
@@ -60,6 +60,9 @@
 	Role     order.Role `json:"role"`
 }
 
+// maxHeaderBytes bounds the header of an engine's response.
+const maxHeaderBytes = 64 << 10
+
 // engineClient is a client of the engine's state and order endpoints.
 type engineClient struct {
 	baseURL string
@@ -69,7 +72,11 @@
 func newEngineClient(baseURL string, dial func(ctx context.Context, network, address string) (net.Conn, error)) *engineClient {
 	// Keep-alive is disabled because the HTTP transport retries a request when a
 	// reused connection turns out to be closed, and an order must be sent only once.
-	return &engineClient{baseURL: baseURL, client: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}}
+	return &engineClient{baseURL: baseURL, client: &http.Client{
+		Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes},
+		// A redirect would send an order to another server.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
 }
 
 func (e *engineClient) readState(ctx context.Context) (order.Observed, error) {
--- /dev/null
+++ b/relay/fuzz_test.go
@@ -0,0 +1,82 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// byteConn is a connection that carries fixed bytes.
+type byteConn struct {
+	net.Conn
+	rest bytes.Reader
+	read int
+}
+
+func (c *byteConn) Read(p []byte) (int, error) {
+	n, err := c.rest.Read(p)
+	c.read += n
+	return n, err
+}
+
+func (*byteConn) Write(p []byte) (int, error)     { return len(p), nil }
+func (*byteConn) Close() error                    { return nil }
+func (*byteConn) SetDeadline(time.Time) error     { return nil }
+func (*byteConn) SetReadDeadline(time.Time) error { return nil }
+func (*byteConn) LocalAddr() net.Addr             { return nil }
+func (*byteConn) RemoteAddr() net.Addr            { return nil }
+func (c *byteConn) dial() (net.Conn, error)       { return c, nil }
+func responseTo(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nSigned: 1\r\nContent-Length: " + "4\r\n\r\n" + body
+}
+
+// FuzzReadResponse checks that whatever a server sends, a response is taken only
+// with the ID of the request, its header is bounded, and its connection is kept
+// only if nothing is left on it.
+func FuzzReadResponse(f *testing.F) {
+	for _, seed := range []string{
+		responseTo("id-1", "mine"),
+		responseTo("other", "late") + responseTo("id-1", "mine"),
+		responseTo("id-1", "mine") + responseTo("id-1", "late"),
+		responseTo("id-1", "mine") + "x",
+		"HTTP/1.1 103 Early Hints\r\n\r\n" + responseTo("id-1", "mine"),
+		strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 20) + responseTo("id-1", "mine"),
+		"HTTP/1.1 200 OK\r\nId: id-1\r\nTransfer-Encoding: chunked\r\n\r\n4;x=y\r\nmine\r\n0\r\nT: v\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nId: id-1\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nmine!",
+		"HTTP/1.1 200 OK\r\nId: id-1\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n4\r\nmine\r\n0\r\n\r\n",
+		"HTTP/1.0 200 OK\nId: id-1\n\nuntil the end",
+		"HTTP/1.1 101 Switching Protocols\r\nId: id-1\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nId: " + strings.Repeat("x", 2*maxHeaderBytes),
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		conn := &byteConn{}
+		conn.rest.Reset(data)
+		p := newPool()
+		p.dial = func(context.Context, string) (net.Conn, error) { return conn.dial() }
+		x, err := p.send(t.Context(), testCodec{}, "a", &outboundRequest{method: http.MethodGet, target: "/", host: "h", id: "id-1"})
+		if err != nil {
+			if conn.read > (maxStrayResponses+1)*(maxHeaderBytes+maxStrayBytes+readBufferSize) {
+				t.Fatalf("%d bytes were read for %v", conn.read, err)
+			}
+			return
+		}
+		if x.info.ID != "id-1" || x.response.StatusCode < http.StatusOK {
+			t.Fatalf("took %+v with status %d", x.info, x.response.StatusCode)
+		}
+		if _, err := io.Copy(io.Discard, x.response.Body); err != nil {
+			x.close()
+			return
+		}
+		x.release()
+		if len(p.idle["a"]) > 0 && x.conn.reader.Buffered() > 0 {
+			t.Fatal("a connection with unread bytes is reused")
+		}
+	})
+}
--- a/sidecar/engine.go
+++ b/sidecar/engine.go
@@ -25,6 +25,8 @@
 	// probeInterval is the interval between health checks of an engine that is down.
 	probeInterval = 500 * time.Millisecond
 	cancelTimeout = time.Second
+	// maxResponseHeaderBytes limits the header of a backend server's response.
+	maxResponseHeaderBytes = 64 << 10
 	// maxEngineResponseBytes limits an engine's response to one batch.
 	maxEngineResponseBytes = 512 << 20
 )
@@ -33,11 +35,12 @@
 // retry, so that it may reuse connections.
 func newEngineClient(opts Options) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:           opts.DialBackend,
-		MaxIdleConnsPerHost:   4,
-		ResponseHeaderTimeout: 0,
-		IdleConnTimeout:       30 * time.Second,
-		DisableCompression:    true,
+		DialContext:            opts.DialBackend,
+		MaxIdleConnsPerHost:    4,
+		ResponseHeaderTimeout:  0,
+		IdleConnTimeout:        30 * time.Second,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}}
 }
 
@@ -45,9 +48,10 @@
 // connection for each request.
 func newCallTransport(opts Options) *http.Transport {
 	return &http.Transport{
-		DialContext:        opts.DialBackend,
-		DisableKeepAlives:  true,
-		DisableCompression: true,
+		DialContext:            opts.DialBackend,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 }
 
