relay: a stream that is not complete never looks so to a half-closed caller

Cause: when a caller closes only its sending side, its request's context ends and the attempt with it; the handler of a stream that had begun then returned, and http.Server wrote the end of the chunked response. Ruled out: responses that are complete (their connection stays usable). Change: each handler that has not written a complete response aborts its connection. Test: TestHalfClosedClientGetsNoFalseEnd (ended without an error before).

--- a/relay/body_test.go
+++ b/relay/body_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -100,3 +101,31 @@
 		})
 	}
 }
+
+// Guards against a truncated stream that looks complete to a client that has closed
+// its sending side and goes on reading.
+func TestHalfClosedClientGetsNoFalseEnd(t *testing.T) {
+	b := newBackend(t, func(b *backend, r *http.Request, conn net.Conn) bool {
+		write(conn, streamHeader, r.Header.Get("Id"))
+		writeChunk(conn, event(1))
+		_, _ = conn.Read(make([]byte, 1))
+		return false
+	})
+	e := newTestEntry(t, streamRoute(true), b)
+	conn, err := (&net.Dialer{}).DialContext(context.Background(), "tcp4", e.server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: h\r\nId: id-1\r\nKey: "+testKey+"\r\nContent-Length: 0\r\n\r\n")
+	assert.NilError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	first := make([]byte, len(event(1)))
+	_, err = io.ReadFull(response.Body, first)
+	assert.NilError(t, err)
+	tcp, ok := conn.(*net.TCPConn)
+	assert.Assert(t, ok)
+	assert.NilError(t, tcp.CloseWrite())
+	_, err = io.ReadAll(response.Body)
+	assert.Assert(t, err != nil)
+}
--- a/relay/request.go
+++ b/relay/request.go
@@ -58,6 +58,8 @@
 	cause                string
 	waiting              int
 	waited, expectedWait time.Duration
+	// responded is set once a complete response has been written.
+	responded bool
 	// firstByte is when the first byte of the response was sent to the client.
 	firstByte time.Time
 	// longestGap is the longest time between two events of a stream.
@@ -94,9 +96,9 @@
 	} else {
 		q.serveUnary()
 	}
-	if q.outcome == outcomeClientGone && q.status == 0 {
-		// http.Server would send an empty 200 response, which reaches a client that
-		// has closed only its sending side.
+	if !q.responded {
+		// http.Server would send an empty 200 response, or end a stream as if it were
+		// complete. Both reach a client that has closed only its sending side.
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -209,6 +211,7 @@
 	// The context also ends when a client closes only its sending side, and such a
 	// client still reads the response.
 	p.Write(q.w)
+	q.responded = true
 }
 
 // buildOutbound returns the request to send to a server.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -348,7 +348,7 @@
 func (s *streamRequest) complete(x *exchange) (attemptResult, error) {
 	x.release()
 	s.writeHeaderOnce(x)
-	s.outcome = outcomeAnswered
+	s.outcome, s.responded = outcomeAnswered, true
 	return answered, nil
 }
 
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -234,7 +234,9 @@
 	q.w.WriteHeader(response.StatusCode)
 	if _, err := q.w.Write(body); err != nil {
 		q.outcome = outcomeClientGone
+		return
 	}
+	q.responded = true
 }
 
 // forwardLong streams a long response to the client. If it breaks off, the
@@ -254,6 +256,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	x.release()
+	q.responded = true
 	return nil
 }
 
