--- a/relay/usage.go
+++ b/relay/usage.go
@@ -69,6 +69,9 @@
 	return m.rate * math.Exp(-now.Sub(m.updatedAt).Seconds()/linkRateTimeConstant.Seconds())
 }
 
+// recentWorkExpiry is how long recent work is remembered. It counts for much less.
+const recentWorkExpiry = 10 * time.Second
+
 // recentWork estimates how much work all entries have sent to an engine or over a
 // link since their last messages. Only this entry's own part is known: the others
 // are assumed to have sent as much, because after a failure or at the begin of a
