--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -217,3 +217,39 @@
 	}
 	assert.Equal(t, len(e.pool.idle), 0)
 }
+
+// Guards against an event that is held back although it has arrived whole, because
+// the next one has arrived in part.
+func TestCompleteEventIsNotHeldBack(t *testing.T) {
+	received := make(chan struct{})
+	var held atomic.Bool
+	b := newBackend(t, func(_ *backend, r *http.Request, conn net.Conn) bool {
+		write(conn, streamHeader, r.Header.Get("Id"))
+		second := fmt.Sprintf("%x\r\n%s\r\n", len(event(2)), event(2))
+		_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n%s", len(event(1)), event(1), second[:8])
+		select {
+		case <-received:
+		case <-time.After(maxSilence / 2):
+			held.Store(true)
+		}
+		_, _ = io.WriteString(conn, second[8:]+"0\r\n\r\n")
+		return true
+	})
+	e := newTestEntry(t, streamRoute(true), b)
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, e.server.URL+"/x", nil)
+	assert.NilError(t, err)
+	request.Host = "h"
+	request.Header.Set("Id", "id-1")
+	request.Header.Set("Key", testKey)
+	response, err := e.server.Client().Do(request)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	first := make([]byte, len(event(1)))
+	_, err = io.ReadFull(response.Body, first)
+	assert.NilError(t, err)
+	close(received)
+	rest, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(first)+string(rest), eventsText(2))
+	assert.Assert(t, !held.Load())
+}
