relay: the wait room's tests run on their own time

Ruled out: the product, which takes the room's lock in each place. Change: await starts the goroutine; the tests that drive the room by hand have none, and the others look at it under its lock. Test: the same ones, 20 times under the race detector beside load. Conclusion: a fault of the test, traced.

--- a/relay/waitroom.go
+++ b/relay/waitroom.go
@@ -40,6 +40,8 @@
 	queue    *admission.WaitQueue
 	waiters  map[string]*pathWaiter
 	sequence int64
+	// running is set while run starts waiting streams.
+	running bool
 	// teamLoad returns what all entries have in progress for a team.
 	teamLoad func(now time.Time, team string) float64
 	waited   metrics.Histogram
@@ -79,6 +81,7 @@
 	if result, done := r.enter(time.Now(), w); done {
 		return result.hops, result.reserved, result.err
 	}
+	r.ensureRunning()
 	select {
 	case result := <-w.result:
 		return result.hops, result.reserved, result.err
@@ -88,6 +91,16 @@
 	}
 }
 
+// ensureRunning starts run unless it runs already.
+func (r *waitRoom) ensureRunning() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.running {
+		r.running = true
+		go r.run()
+	}
+}
+
 // run starts waiting streams until none is left.
 func (r *waitRoom) run() {
 	ticker := time.NewTicker(passInterval)
@@ -114,9 +127,6 @@
 	r.sequence++
 	w.ID = strconv.FormatInt(r.sequence, 10)
 	w.result = make(chan pathResult, 1)
-	if len(r.waiters) == 0 {
-		go r.run()
-	}
 	r.waiters[w.ID] = w
 	if refused := r.queue.Add(now, &w.Waiting); refused != nil {
 		r.finish(refused.ID, pathResult{err: errQueueFull})
@@ -157,7 +167,8 @@
 		r.finish(id, pathResult{err: err})
 	}
 	r.length.Update(int64(r.queue.Len()))
-	return len(r.waiters) > 0
+	r.running = len(r.waiters) > 0
+	return r.running
 }
 
 // startOne starts the first candidate for which a path has capacity.
--- a/relay/waitroom_test.go
+++ b/relay/waitroom_test.go
@@ -105,10 +105,12 @@
 	cancel()
 	_, _, err := room.await(ctx, w)
 	assert.ErrorIs(t, err, context.Canceled)
-	assert.Equal(t, room.queue.Len(), 0)
-	assert.Equal(t, len(room.waiters), 0)
+	waiting, _ := room.state(time.Now())
+	assert.Equal(t, waiting, 0)
 
+	// The same if a path is found in the moment in which the client leaves.
 	f := newTestEntry(t, streamRoute(true)).fleet
+	room = newTestRoom()
 	w = room.waiter("a", time.Now())
 	_, done := room.enter(time.Now(), w)
 	assert.Assert(t, !done)
