--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -204,10 +204,8 @@
 	})
 	e := newTestEntry(t, unaryRoute(config.CallAtMostOnce), b)
 	for range 3 {
-		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, e.server.URL+"/x", nil)
-		assert.NilError(t, err)
-		request.Host = "h"
-		request.Header.Set("Key", testKey)
+		request := e.newRequest(t.Context(), t, http.MethodPost, nil)
+		request.Header.Del("Id")
 		response, err := e.server.Client().Do(request)
 		assert.NilError(t, err)
 		body, err := io.ReadAll(response.Body)
@@ -236,11 +234,7 @@
 		return true
 	})
 	e := newTestEntry(t, streamRoute(true), b)
-	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, e.server.URL+"/x", nil)
-	assert.NilError(t, err)
-	request.Host = "h"
-	request.Header.Set("Id", "id-1")
-	request.Header.Set("Key", testKey)
+	request := e.newRequest(t.Context(), t, http.MethodPost, nil)
 	response, err := e.server.Client().Do(request)
 	assert.NilError(t, err)
 	defer response.Body.Close()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -251,14 +251,21 @@
 	return r
 }
 
-func (e *testEntry) send(t *testing.T, method string) (*http.Response, string, error) {
+// newRequest returns a request of a client with an ID of its own.
+func (e *testEntry) newRequest(ctx context.Context, t *testing.T, method string, body io.Reader) *http.Request {
 	t.Helper()
-	request, err := http.NewRequestWithContext(t.Context(), method, e.server.URL+"/x?q=1", strings.NewReader("body"))
+	request, err := http.NewRequestWithContext(ctx, method, e.server.URL+"/x?q=1", body)
 	assert.NilError(t, err)
 	request.Host = "h"
 	e.sent++
 	request.Header.Set("Id", fmt.Sprintf("id-%d", e.sent))
 	request.Header.Set("Key", testKey)
+	return request
+}
+
+func (e *testEntry) send(t *testing.T, method string) (*http.Response, string, error) {
+	t.Helper()
+	request := e.newRequest(t.Context(), t, method, strings.NewReader("body"))
 	response, err := e.server.Client().Do(request)
 	if err != nil {
 		return nil, "", err
@@ -466,11 +473,7 @@
 	})
 	e := newTestEntry(t, streamRoute(true), b)
 	ctx, cancel := context.WithCancel(t.Context())
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, e.server.URL+"/x", nil)
-	assert.NilError(t, err)
-	request.Host = "h"
-	request.Header.Set("Id", "id-1")
-	request.Header.Set("Key", testKey)
+	request := e.newRequest(ctx, t, http.MethodPost, nil)
 	response, err := e.server.Client().Do(request)
 	assert.NilError(t, err)
 	defer response.Body.Close()
--- a/relay/waitroom_test.go
+++ b/relay/waitroom_test.go
@@ -139,11 +139,7 @@
 	e.fleet.setServers(time.Now(), servers)
 	results := make(chan int, 2)
 	for range 2 {
-		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, e.server.URL+"/x", nil)
-		assert.NilError(t, err)
-		request.Host = "h"
-		request.Header.Set("Id", "id")
-		request.Header.Set("Key", testKey)
+		request := e.newRequest(t.Context(), t, http.MethodPost, nil)
 		go func() {
 			response, err := e.server.Client().Do(request)
 			if err != nil {
