relay: superseded revisions are not decoded

Cause: when several revisions arrive together, each was decoded and put in force in turn, 35 to 60 ms each on a small entry, while the newest waited. The same class of fault: work on superseded state. Ruled out: that older ones are needed; a configuration is complete. Change: the newest readable record is applied, the others are not decoded. Test: TestSupersededRevisionsAreNotDecoded, fails before (3 decoded, 1 expected). Within noise: a read rarely returns more than one revision. Conclusion: kept for the entries that return from a cut.

--- a/relay/directory_test.go
+++ b/relay/directory_test.go
@@ -248,6 +248,32 @@
 	}
 }
 
+// countingStore counts the configurations that are decoded.
+type countingStore struct {
+	*scriptedStore
+	decoded int
+}
+
+func (s *countingStore) DecodeConfiguration(value []byte) (Configuration, error) {
+	s.decoded++
+	return s.scriptedStore.DecodeConfiguration(value)
+}
+
+// Guards against an entry that decodes each of many revisions that have been
+// replaced while the newest one waits.
+func TestSupersededRevisionsAreNotDecoded(t *testing.T) {
+	store := &countingStore{scriptedStore: newScriptedStore()}
+	e := newStoreEntry(store)
+	records := []Record{{Key: "c", Value: []byte("1")}, {Key: "c", Value: []byte("2")}, {Key: "c", Value: []byte("3")}}
+	e.applyNewestConfiguration(records)
+	assert.Equal(t, e.Revision(), int64(3))
+	assert.Equal(t, store.decoded, 1)
+
+	// An unreadable record does not hide the readable one before it.
+	e.applyNewestConfiguration([]Record{{Key: "c", Value: []byte("4")}, {Key: "c", Value: []byte("x")}, {Key: "c"}})
+	assert.Equal(t, e.Revision(), int64(4))
+}
+
 // Guards against two entries that place layers at the same time, and against
 // none that does.
 func TestOneEntryHoldsTheLease(t *testing.T) {
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -177,11 +178,7 @@
 func (e *Entry) followConfiguration(ctx context.Context) error {
 	return e.follow(ctx, followOptions{
 		topic: TopicConfiguration, readWait: e.configurationWait, wake: e.newerRevision, newestOnly: true,
-		apply: func(records []Record, _ bool) {
-			for _, r := range records {
-				e.applyConfiguration(r)
-			}
-		},
+		apply: func(records []Record, _ bool) { e.applyNewestConfiguration(records) },
 	})
 }
 
@@ -196,26 +193,37 @@
 	return configurationWait
 }
 
+// applyNewestConfiguration applies the newest readable record. Those before it
+// are superseded; decoding them would delay the newest one.
+func (e *Entry) applyNewestConfiguration(records []Record) {
+	for _, r := range slices.Backward(records) {
+		if e.applyConfiguration(r) {
+			return
+		}
+	}
+}
+
 // applyConfiguration applies a newer configuration; an older one never
-// replaces it.
-func (e *Entry) applyConfiguration(r Record) {
+// replaces it. It reports whether the record is a readable configuration.
+func (e *Entry) applyConfiguration(r Record) bool {
 	if r.Value == nil {
-		return
+		return false
 	}
 	c, err := e.store.DecodeConfiguration(r.Value)
 	if err != nil {
 		logevent.Write(e.logger, logevent.ConfigurationUnreadable).Str("cause", err.Error()).Msg("")
-		return
+		return false
 	}
 	e.applyMu.Lock()
 	defer e.applyMu.Unlock()
 	if c.Revision <= e.Revision() {
-		return
+		return true
 	}
 	e.current.Store(newRevision(c))
 	e.configuredOnce.Do(func() { close(e.configured) })
 	logevent.Write(e.logger, logevent.RevisionActivated).Int64("revision", c.Revision).
 		Int("routes", len(c.Document.Routes)).Int("teams", len(c.Document.Teams)).Msg("")
+	return true
 }
 
 // followServers reads the servers' records often while this entry is the
--- a/relay/pause.go
+++ b/relay/pause.go
@@ -61,9 +61,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
 		defer cancel()
 		batch, err := e.store.ReadLatest(ctx, TopicConfiguration)
-		for _, r := range batch.Records {
-			e.applyConfiguration(r)
-		}
+		e.applyNewestConfiguration(batch.Records)
 		e.pause.beat(bootclock.Now())
 		logevent.Write(e.logger, logevent.ProcessWasHeldUp).Dur("held_ms", held).Int64("revision", e.Revision()).AnErr("cause", err).Msg("")
 		return nil, nil
