--- a/relay/relay.go
+++ b/relay/relay.go
@@ -90,6 +90,9 @@
 	// LastEvent is the ID of the last stream event that the client has received, or
 	// -1.
 	LastEvent int64
+	// PromptParts are the IDs of the parts of the prompt that other requests may
+	// share, in their order.
+	PromptParts []string
 }
 
 // ForwardInfo holds what an entry adds to a forwarded request.
--- a/relay/request.go
+++ b/relay/request.go
@@ -271,6 +271,9 @@
 	if q.path != "" {
 		line = line.Str("path", q.path).Int("crossings", q.zoneCrossings)
 	}
+	if q.outcome != outcomeAnswered && len(q.info.PromptParts) > 0 {
+		line = line.Strs("parts", q.info.PromptParts)
+	}
 	if q.detail != "" {
 		line = line.Str("detail", q.detail)
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -275,6 +275,7 @@
 
 func (s *streamRequest) logRecovery(cause error) {
 	logevent.Write(s.logger, logevent.StreamRecovered).Str("request", s.info.ID).Str("path", s.path).
+		Strs("parts", s.info.PromptParts).
 		Int64("last_event", s.lastEventID).Int("attempts", s.sentCount).Str("cause", errorDetail(cause)).Msg("")
 }
 
