relay, quarantine: prompt parts that crash engines are blocked

Cause: nothing remembered what a request had done to its engine. It was sent once more, to the next engine, and new requests with the same part followed. Ruled out: load (the test has none), a fault of single engines (each process ended once, under such a request), one entry alone. Change: package quarantine judges the crashes that all entries see, blocks the part that explains most of them after three, and clears parts of requests that are answered anywhere. Requests with a blocked part are refused before they are sent; after two crashes nothing with the part is repeated. Blocks are kept in the store, since all entries may end at once. The platform adapter gets a topic; messages between entries get version 4.

--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -5,26 +5,33 @@
 // The event numbers, by group: 1xxx process, 2xxx entry, 3xxx sidecar, 4xxx
 // configuration and log service, 5xxx orders to engines, 6xxx service levels.
 const (
-	ProcessStarted         Event = 1001
-	ProcessDraining        Event = 1002
-	ProcessStopped         Event = 1003
-	DrainIncomplete        Event = 1004
-	SettingsRejected       Event = 1005
-	TLSKeysReloaded        Event = 1006
-	TLSKeysRejected        Event = 1007
-	SettingsUnchanged      Event = 1008
-	RequestFinished        Event = 2001
-	RequestRefused         Event = 2002
-	StageLost              Event = 2003
-	StageReplaced          Event = 2004
-	SidecarConnected       Event = 2005
-	SidecarDisconnected    Event = 2006
-	InstanceListRejected   Event = 2007
-	RelayRequestFinished   Event = 2008
-	StallQueried           Event = 2016
-	EngineLost             Event = 2017
-	EngineSuspected        Event = 2018
-	EngineReturned         Event = 2019
+	ProcessStarted       Event = 1001
+	ProcessDraining      Event = 1002
+	ProcessStopped       Event = 1003
+	DrainIncomplete      Event = 1004
+	SettingsRejected     Event = 1005
+	TLSKeysReloaded      Event = 1006
+	TLSKeysRejected      Event = 1007
+	SettingsUnchanged    Event = 1008
+	RequestFinished      Event = 2001
+	RequestRefused       Event = 2002
+	StageLost            Event = 2003
+	StageReplaced        Event = 2004
+	SidecarConnected     Event = 2005
+	SidecarDisconnected  Event = 2006
+	InstanceListRejected Event = 2007
+	RelayRequestFinished Event = 2008
+	StallQueried         Event = 2016
+	EngineLost           Event = 2017
+	EngineSuspected      Event = 2018
+	EngineReturned       Event = 2019
+
+	EngineCrashedUnderRequest Event = 2020
+	PromptPartBlocked         Event = 2021
+	PromptPartReleased        Event = 2022
+	BlockNotSaved             Event = 2023
+	BlockRecordUnreadable     Event = 2024
+
 	StreamRerouted         Event = 2015
 	StreamRecovered        Event = 2009
 	ServerChanged          Event = 2010
@@ -82,6 +89,11 @@
 	{EngineLost, log.InfoLevel, "engine taken for lost", ""},
 	{EngineSuspected, log.InfoLevel, "engine suspected after a refusal", ""},
 	{EngineReturned, log.InfoLevel, "lost engine works again", ""},
+	{EngineCrashedUnderRequest, log.InfoLevel, "engine crashed before it answered a request", ""},
+	{PromptPartBlocked, log.WarnLevel, "prompt part blocked: it crashes engines", "Find out what the part holds and why the engines crash."},
+	{PromptPartReleased, log.WarnLevel, "prompt part released", ""},
+	{BlockNotSaved, log.WarnLevel, "blocked prompt part could not be saved", "It is saved again each second; check the store if the line repeats."},
+	{BlockRecordUnreadable, log.WarnLevel, "record of a blocked prompt part cannot be read", "Find out which program writes the record."},
 	{StreamRerouted, log.InfoLevel, "stream's path changed", ""},
 	{ServerChanged, log.InfoLevel, "backend server changed", ""},
 	{ServerRecordRemoved, log.InfoLevel, "backend server's record is gone", ""},
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -36,6 +36,7 @@
 	KeyConflict      Code = "key_conflict"
 	KeyExpired       Code = "key_expired"
 	OutcomeUnknown   Code = "outcome_unknown"
+	PromptBlocked    Code = "prompt_blocked"
 )
 
 // codeInfo describes all error responses with one code.
@@ -66,6 +67,7 @@
 	KeyConflict:      {status: http.StatusConflict},
 	KeyExpired:       {status: http.StatusGone},
 	OutcomeUnknown:   {status: http.StatusBadGateway},
+	PromptBlocked:    {status: http.StatusServiceUnavailable, retryable: true},
 }
 
 // Status returns the HTTP status of responses with the code.
--- /dev/null
+++ b/quarantine/quarantine.go
@@ -0,0 +1,340 @@
+// Package quarantine decides which parts of prompts crash engines and blocks
+// requests that have one.
+//
+// It answers this load pattern: requests that share one part of their prompts
+// crash each engine that begins to answer them, one engine after another, while
+// requests of the same team and with the same other parts are sound. Every
+// request in progress on a crashed engine is under suspicion with it, so a part
+// is judged by several crashes, and a part of requests that are answered is not
+// under suspicion at all.
+//
+// The package does no I/O and reads no clock.
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// blockingCrashes is the number of crashes after which a part is blocked. With
+	// fewer, a sound part is too often in progress on engines that crash for another
+	// reason.
+	blockingCrashes = 3
+	// tieCrashes is the number of crashes after which parts are blocked although
+	// nothing tells them apart.
+	tieCrashes = 4
+	// riskyCrashes is the number of crashes after which requests with a part are not
+	// repeated: a repeat may crash one more engine.
+	riskyCrashes = 2
+	// soundTime is how long the answer to a request with a part clears the part. It
+	// is short enough for a part to be blocked soon after it begins to crash engines.
+	soundTime = 10 * time.Second
+	// settleTime is how long after the first suspicion of a crash it is judged. The
+	// entries hear of each other's suspicions a few hundred milliseconds late, and a
+	// decision on a part of them may blame the wrong part.
+	settleTime = 400 * time.Millisecond
+	// suspicionTime is how long a crash counts.
+	suspicionTime = time.Minute
+	// BlockTime is how long a part is blocked. Requests with it are let through
+	// afterwards, and the first crash blocks it again.
+	BlockTime = 10 * time.Minute
+	// relapseTime is how long a block that is over is remembered.
+	relapseTime = time.Hour
+
+	maxSuspects        = 512
+	maxCrashes         = 1024
+	maxBlocks          = 64
+	maxCrashesPerBlock = 64
+	maxSoundParts      = 4096
+)
+
+// Suspicion says that an engine crashed while it worked on a request with a part.
+type Suspicion struct {
+	// Crash identifies the crashed process of the engine.
+	Crash uint64
+	Part  string
+	// Depth is the position of the part in the prompt. Parts at a greater depth are
+	// shared by fewer requests.
+	Depth int
+}
+
+// Block is a blocked part.
+type Block struct {
+	Part      string
+	Remaining time.Duration
+}
+
+// Detector holds what is known of prompt parts. It is not safe for concurrent use.
+type Detector struct {
+	sound    recentParts
+	suspects map[string]*suspect
+	blocks   map[string]*block
+	// crashes are the crashes under suspicion, with the time of the first one.
+	crashes map[uint64]time.Time
+}
+
+type suspect struct {
+	depth   int
+	crashes map[uint64]struct{}
+	latest  time.Time
+}
+
+type block struct {
+	until time.Time
+	// crashes are explained by this part: they say nothing about the other parts of
+	// the requests that were in progress.
+	crashes map[uint64]struct{}
+}
+
+// New returns a detector that knows nothing.
+func New() *Detector {
+	return &Detector{suspects: map[string]*suspect{}, blocks: map[string]*block{}, crashes: map[uint64]time.Time{}}
+}
+
+// ObserveSound records that a request with a part is being answered, which clears
+// the part. It reports whether the part was blocked until now.
+func (d *Detector) ObserveSound(now time.Time, part string) (released bool) {
+	d.sound.add(now, part)
+	delete(d.suspects, part)
+	_, released = d.activeBlock(now, part)
+	delete(d.blocks, part)
+	return released
+}
+
+// IsSound reports whether a request with the part was answered a short time ago.
+func (d *Detector) IsSound(now time.Time, part string) bool { return d.sound.contains(now, part) }
+
+// Suspect records a suspicion. Decide draws the conclusions.
+func (d *Detector) Suspect(now time.Time, s Suspicion) {
+	if d.IsSound(now, s.Part) {
+		return
+	}
+	if b, active := d.activeBlock(now, s.Part); active {
+		d.explain(b, s.Crash)
+		return
+	}
+	_, seen := d.crashes[s.Crash]
+	if d.isExplained(now, s.Crash) || !seen && len(d.crashes) >= maxCrashes {
+		return
+	}
+	known := d.suspects[s.Part]
+	if known == nil {
+		d.makeRoom()
+		known = &suspect{crashes: map[uint64]struct{}{}}
+		d.suspects[s.Part] = known
+	}
+	known.depth, known.latest = max(known.depth, s.Depth), now
+	known.crashes[s.Crash] = struct{}{}
+	if !seen {
+		d.crashes[s.Crash] = now
+	}
+}
+
+// forgetOldCrashes forgets crashes that no longer count, and suspects without any.
+func (d *Detector) forgetOldCrashes(now time.Time) {
+	maps.DeleteFunc(d.crashes, func(_ uint64, at time.Time) bool { return now.Sub(at) > suspicionTime })
+	for part, s := range d.suspects {
+		maps.DeleteFunc(s.crashes, func(crash uint64, _ struct{}) bool { return d.crashes[crash].IsZero() })
+		if len(s.crashes) == 0 {
+			delete(d.suspects, part)
+		}
+	}
+}
+
+// makeRoom drops the suspect whose latest crash is the oldest if there are too many.
+func (d *Detector) makeRoom() {
+	if len(d.suspects) < maxSuspects {
+		return
+	}
+	oldest := slices.MinFunc(slices.Collect(maps.Keys(d.suspects)), func(a, b string) int {
+		return cmp.Or(d.suspects[a].latest.Compare(d.suspects[b].latest), cmp.Compare(a, b))
+	})
+	delete(d.suspects, oldest)
+}
+
+// Decide blocks the parts that explain the most crashes, until no part has too
+// many that are not explained, and returns them.
+func (d *Detector) Decide(now time.Time) (blocked []string) {
+	if len(d.suspects) == 0 {
+		return nil
+	}
+	d.forgetOldCrashes(now)
+	for {
+		parts, crashes := d.leadingParts(now)
+		if len(parts) == 0 || len(parts) > 1 && crashes < tieCrashes {
+			return blocked
+		}
+		for _, part := range parts {
+			d.block(now, part, BlockTime)
+		}
+		for _, part := range parts {
+			d.explainAll(d.blocks[part])
+		}
+		blocked = append(blocked, parts...)
+	}
+}
+
+// leadingParts returns the parts with enough crashes that have the most of them
+// and, among those, are the deepest in their prompts.
+func (d *Detector) leadingParts(now time.Time) (leading []string, crashes int) {
+	depth := 0
+	for part, s := range d.suspects {
+		n := d.settledCrashes(now, s)
+		if n < d.threshold(now, part) {
+			continue
+		}
+		switch order := cmp.Or(cmp.Compare(n, crashes), cmp.Compare(s.depth, depth)); {
+		case order > 0 || len(leading) == 0:
+			leading, crashes, depth = []string{part}, n, s.depth
+		case order == 0:
+			leading = append(leading, part)
+		}
+	}
+	slices.Sort(leading)
+	return leading, crashes
+}
+
+// settledCrashes counts the crashes of a suspect that can be judged.
+func (d *Detector) settledCrashes(now time.Time, s *suspect) (n int) {
+	for crash := range s.crashes {
+		if now.Sub(d.crashes[crash]) >= settleTime {
+			n++
+		}
+	}
+	return n
+}
+
+// threshold returns the number of crashes that block a part: fewer if it was
+// blocked before.
+func (d *Detector) threshold(now time.Time, part string) int {
+	if b := d.blocks[part]; b != nil && now.Sub(b.until) < relapseTime {
+		return 1
+	}
+	return blockingCrashes
+}
+
+func (d *Detector) block(now time.Time, part string, duration time.Duration) {
+	d.forgetOldBlocks(now)
+	b := &block{until: now.Add(duration), crashes: map[uint64]struct{}{}}
+	if s := d.suspects[part]; s != nil {
+		b.crashes = s.crashes
+		delete(d.suspects, part)
+	}
+	d.blocks[part] = b
+}
+
+// forgetOldBlocks forgets blocks that have been over for long, and the one that
+// ends first if there are too many.
+func (d *Detector) forgetOldBlocks(now time.Time) {
+	maps.DeleteFunc(d.blocks, func(_ string, b *block) bool { return now.Sub(b.until) > relapseTime })
+	if len(d.blocks) < maxBlocks {
+		return
+	}
+	first := slices.MinFunc(slices.Collect(maps.Keys(d.blocks)), func(a, b string) int {
+		return cmp.Or(d.blocks[a].until.Compare(d.blocks[b].until), cmp.Compare(a, b))
+	})
+	delete(d.blocks, first)
+}
+
+func (d *Detector) explainAll(b *block) {
+	for crash := range b.crashes {
+		d.explain(b, crash)
+	}
+}
+
+// explain attributes a crash to a blocked part and clears the others of it.
+func (d *Detector) explain(b *block, crash uint64) {
+	if len(b.crashes) < maxCrashesPerBlock {
+		b.crashes[crash] = struct{}{}
+	}
+	for part, s := range d.suspects {
+		delete(s.crashes, crash)
+		if len(s.crashes) == 0 {
+			delete(d.suspects, part)
+		}
+	}
+}
+
+func (d *Detector) isExplained(now time.Time, crash uint64) bool {
+	for part := range d.blocks {
+		if b, active := d.activeBlock(now, part); active {
+			if _, explained := b.crashes[crash]; explained {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (d *Detector) activeBlock(now time.Time, part string) (*block, bool) {
+	b := d.blocks[part]
+	return b, b != nil && now.Before(b.until)
+}
+
+// Adopt blocks a part that another entry has blocked. It reports whether the part
+// was not blocked before. A part that is sound here is not blocked.
+func (d *Detector) Adopt(now time.Time, b Block) bool {
+	if _, active := d.activeBlock(now, b.Part); active || b.Remaining <= 0 || d.IsSound(now, b.Part) {
+		return false
+	}
+	d.block(now, b.Part, min(b.Remaining, BlockTime))
+	d.explainAll(d.blocks[b.Part])
+	return true
+}
+
+// Blocked returns the first part of a prompt that is blocked, if there is one.
+func (d *Detector) Blocked(now time.Time, parts []string) (Block, bool) {
+	if len(d.blocks) == 0 {
+		return Block{}, false
+	}
+	for _, part := range parts {
+		if b, active := d.activeBlock(now, part); active {
+			return Block{part, b.until.Sub(now)}, true
+		}
+	}
+	return Block{}, false
+}
+
+// Risky reports whether a repeat of a request with these parts may crash one more
+// engine.
+func (d *Detector) Risky(parts []string) bool {
+	return slices.ContainsFunc(parts, func(part string) bool {
+		s := d.suspects[part]
+		return s != nil && len(s.crashes) >= riskyCrashes
+	})
+}
+
+// Blocks returns the blocked parts in the order of their names.
+func (d *Detector) Blocks(now time.Time) (blocks []Block) {
+	for _, part := range slices.Sorted(maps.Keys(d.blocks)) {
+		if b, active := d.activeBlock(now, part); active {
+			blocks = append(blocks, Block{part, b.until.Sub(now)})
+		}
+	}
+	return blocks
+}
+
+// recentParts is a bounded set of parts that are forgotten after soundTime. It
+// keeps two generations, so that no part needs a timer of its own.
+type recentParts struct {
+	current, previous map[string]time.Time
+	began             time.Time
+}
+
+func (r *recentParts) add(now time.Time, part string) {
+	if r.current == nil || len(r.current) >= maxSoundParts || now.Sub(r.began) >= soundTime {
+		r.previous, r.current, r.began = r.current, map[string]time.Time{}, now
+	}
+	r.current[part] = now
+}
+
+func (r *recentParts) contains(now time.Time, part string) bool {
+	at, known := r.current[part]
+	if !known {
+		at, known = r.previous[part]
+	}
+	return known && now.Sub(at) < soundTime
+}
--- /dev/null
+++ b/quarantine/quarantine_test.go
@@ -0,0 +1,195 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+// suspectAll reports a crash with the parts of one request and returns what is
+// blocked once it has settled.
+func suspectAll(d *Detector, now time.Time, crash uint64, parts ...string) (blocked []string) {
+	for depth, part := range parts {
+		d.Suspect(now, Suspicion{Crash: crash, Part: part, Depth: depth})
+	}
+	return d.Decide(now.Add(settleTime))
+}
+
+func isBlocked(d *Detector, now time.Time, part string) bool {
+	_, blocked := d.Blocked(now, []string{part})
+	return blocked
+}
+
+// Guards against a part that crashes engines without end, and against blocking the
+// first part, which sound requests share.
+func TestCrashingPartIsBlocked(t *testing.T) {
+	d := New()
+	d.ObserveSound(start, "shared")
+	for crash := range uint64(2) {
+		assert.Equal(t, len(suspectAll(d, start, crash, "shared", "bad", fmt.Sprint("victim", crash))), 0)
+	}
+	assert.DeepEqual(t, suspectAll(d, start, 2, "shared", "bad"), []string{"bad"})
+	assert.Assert(t, isBlocked(d, start, "bad"))
+	assert.Assert(t, !isBlocked(d, start, "shared"))
+	assert.DeepEqual(t, d.Blocks(start.Add(time.Minute)), []Block{{"bad", BlockTime + settleTime - time.Minute}})
+	assert.Assert(t, !isBlocked(d, start.Add(settleTime+BlockTime), "bad"))
+}
+
+// Guards against several suspicions of one crash that count as several crashes: all
+// requests of an engine end with it.
+func TestOneCrashCountsOnce(t *testing.T) {
+	d := New()
+	for range 10 {
+		assert.Equal(t, len(suspectAll(d, start, 1, "a")), 0)
+	}
+	assert.Assert(t, !isBlocked(d, start, "a"))
+}
+
+// Guards against blocking the parts of requests that were in progress on engines
+// which another part has crashed.
+func TestVictimsOfBlockedPartAreCleared(t *testing.T) {
+	d := New()
+	for crash := range uint64(3) {
+		if crash > 0 {
+			suspectAll(d, start, crash, "victim")
+		}
+		suspectAll(d, start, crash, "bad")
+	}
+	assert.Assert(t, isBlocked(d, start, "bad"))
+	// Later crashes of the same part, in either order of the suspicions.
+	for crash := uint64(3); crash < 20; crash++ {
+		suspectAll(d, start, crash, "bad")
+		suspectAll(d, start, crash, "victim")
+	}
+	suspectAll(d, start, 20, "victim")
+	suspectAll(d, start, 20, "bad")
+	assert.Assert(t, !isBlocked(d, start, "victim"))
+	assert.Assert(t, !d.Risky([]string{"victim"}))
+}
+
+// Guards against blocking one of two parts that nothing tells apart, and against
+// waiting for good to tell them apart.
+func TestTiedPartsWaitForOneMoreCrash(t *testing.T) {
+	for name, more := range map[string][]string{"told apart": {"b"}, "not told apart": {"a", "b"}} {
+		d := New()
+		for crash := range uint64(blockingCrashes) {
+			d.Suspect(start, Suspicion{Crash: crash, Part: "a"})
+			assert.Equal(t, len(suspectAll(d, start, crash, "b")), 0, name)
+		}
+		for _, part := range more {
+			d.Suspect(start, Suspicion{Crash: 10, Part: part})
+		}
+		assert.DeepEqual(t, d.Decide(start.Add(settleTime)), more)
+	}
+}
+
+// Guards against a decision on the first suspicions that arrive: they may name a
+// request that was merely in progress.
+func TestCrashesSettleBeforeTheyAreJudged(t *testing.T) {
+	d := New()
+	for crash := range uint64(blockingCrashes + 1) {
+		d.Suspect(start, Suspicion{Crash: crash, Part: "bad"})
+		if crash > 0 {
+			d.Suspect(start, Suspicion{Crash: crash, Part: "victim"})
+		}
+		assert.Equal(t, len(d.Decide(start.Add(settleTime-1))), 0)
+	}
+	assert.DeepEqual(t, d.Decide(start.Add(settleTime)), []string{"bad"})
+}
+
+// Guards against a part that is blocked although requests with it are answered.
+func TestSoundPartIsReleased(t *testing.T) {
+	d := New()
+	for crash := range uint64(3) {
+		suspectAll(d, start, crash, "a")
+	}
+	assert.Assert(t, d.ObserveSound(start, "a"))
+	assert.Assert(t, !isBlocked(d, start, "a"))
+	assert.Assert(t, !d.Adopt(start, Block{"a", time.Minute}))
+	assert.Equal(t, len(suspectAll(d, start, 9, "a")), 0)
+	// It may begin to crash engines later.
+	later := start.Add(soundTime)
+	for crash := uint64(10); crash < 13; crash++ {
+		suspectAll(d, later, crash, "a")
+	}
+	assert.Assert(t, isBlocked(d, later, "a"))
+}
+
+// Guards against three more crashes each time that a block ends.
+func TestRelapseIsBlockedAtOnce(t *testing.T) {
+	d := New()
+	assert.Assert(t, d.Adopt(start, Block{"a", time.Hour}))
+	assert.Assert(t, !d.Adopt(start, Block{"a", time.Hour}))
+	later := start.Add(BlockTime)
+	assert.Assert(t, !isBlocked(d, later, "a"))
+	assert.DeepEqual(t, suspectAll(d, later, 1, "a"), []string{"a"})
+}
+
+func TestCrashesAreForgotten(t *testing.T) {
+	d := New()
+	suspectAll(d, start, 1, "a")
+	suspectAll(d, start, 2, "a")
+	assert.Assert(t, d.Risky([]string{"x", "a"}))
+	later := start.Add(suspicionTime + 1)
+	suspectAll(d, later, 3, "a")
+	assert.Assert(t, !d.Risky([]string{"a"}))
+	assert.Assert(t, !isBlocked(d, later, "a"))
+}
+
+// Plays a fleet whose engines crash under one part, with requests of other teams
+// and parts in progress beside them. Guards against more crashes than the limit
+// and against blocking parts of requests that are answered.
+func TestRandomCrashes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d, now := New(), start
+		teams := rapid.IntRange(1, 4).Draw(t, "teams")
+		crashes := rapid.IntRange(5, 40).Draw(t, "crashes")
+		for crash := range uint64(crashes) {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "pause")) * time.Millisecond)
+			for team := range teams {
+				d.ObserveSound(now, fmt.Sprint("team", team))
+			}
+			if isBlocked(d, now, "bad") {
+				break
+			}
+			assert.Assert(t, crash < 5, "the part is not blocked after %d crashes", crash)
+			parts := []Suspicion{{crash, "bad", 1}, {crash, "team0", 0}}
+			for range rapid.IntRange(0, 4).Draw(t, "victims") {
+				parts = append(parts, Suspicion{crash, fmt.Sprint("subject", rapid.IntRange(0, 50).Draw(t, "subject")), 1})
+			}
+			for _, s := range rapid.Permutation(parts).Draw(t, "order") {
+				d.Suspect(now, s)
+			}
+			now = now.Add(settleTime)
+			d.Decide(now)
+		}
+		assert.Assert(t, isBlocked(d, now, "bad"))
+		for team := range teams {
+			assert.Assert(t, !isBlocked(d, now, fmt.Sprint("team", team)))
+		}
+	})
+}
+
+// Guards against memory that grows with the number of parts.
+func TestMemoryIsBounded(t *testing.T) {
+	d := New()
+	for i := range 5000 {
+		part := fmt.Sprint("p", i)
+		now := start.Add(time.Duration(i) * time.Microsecond)
+		d.ObserveSound(now, part)
+		d.Suspect(now, Suspicion{Crash: uint64(i), Part: "s" + part})
+		d.Decide(now)
+		if i < 1000 {
+			d.Adopt(now, Block{"b" + part, time.Minute})
+		}
+	}
+	assert.Assert(t, len(d.suspects) <= maxSuspects)
+	assert.Assert(t, len(d.blocks) <= maxBlocks)
+	assert.Assert(t, len(d.crashes) <= maxCrashes)
+	assert.Assert(t, len(d.sound.current)+len(d.sound.previous) <= 2*maxSoundParts)
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -49,11 +49,17 @@
 	recheckAt   time.Time
 	reroutes    int
 	watch       *eventWatch
+	// head is the process of the first engine, which a prompt part may crash.
+	head crashedEngine
+	// progressSince is when the first event of this attempt arrived. soundAt is when
+	// its prompt parts were last recorded as sound.
+	progressSince, soundAt time.Time
 }
 
 // tryPath sends the request along a path and forwards its events.
 func (s *streamRequest) tryPath(ctx context.Context, hops []pipeline.Hop, reserved *reservation) (result attemptResult, err error) {
 	a := &attempt{streamRequest: s, hops: hops, reserved: reserved, seenChanges: s.fleet.changes.Load()}
+	a.head = crashedEngine{hops[0].Engine, s.fleet.snapshot()[hops[0].Engine].StartTimeMillis}
 	defer func() { a.reserved.release() }()
 	s.path, s.zoneCrossings = pathString(hops), zoneCrossings(hops)
 	head := hops[0]
@@ -90,12 +96,42 @@
 	if a.x != nil {
 		a.x.close()
 	}
+	if ctx.Err() == nil {
+		a.reportCrash()
+	}
 	if ctx.Err() == nil && !errors.Is(err, errPathLost) {
 		a.avoid[a.hops[0].Engine] = true
 	}
 	return mayHaveExecuted, errors.Wrap(err, "stream broke off")
 }
 
+// reportCrash suspects the prompt's parts if the first engine has crashed before it
+// answered for long. Another attempt may follow, so it waits until that is known.
+func (a *attempt) reportCrash() {
+	parts := a.info.PromptParts
+	if !a.soundAt.IsZero() || !a.prompts.hasUnknownPart(time.Now(), parts) {
+		return
+	}
+	if a.verifySuspect(a.head.id, a.hops[0].Address) {
+		a.prompts.recordCrash(time.Now(), a.info.ID, a.head, parts)
+	}
+}
+
+// recordSound records that the prompt's parts are sound once the answer has gone on
+// for a while.
+func (a *attempt) recordSound(now time.Time) {
+	if len(a.info.PromptParts) == 0 {
+		return
+	}
+	if a.progressSince.IsZero() {
+		a.progressSince = now
+	}
+	if now.Sub(a.progressSince) >= soundProgress && now.Sub(a.soundAt) >= soundInterval {
+		a.soundAt = now
+		a.prompts.observeSound(now, a.info.PromptParts)
+	}
+}
+
 // mayGiveUp reports whether the entry may end the attempt on its own.
 func (a *attempt) mayGiveUp() bool { return !a.headerSent || a.canRetry() && a.hasAlternativePath() }
 
@@ -269,10 +305,14 @@
 		}
 		if progress {
 			a.watch.recordProgress()
+			a.recordSound(a.lastEventAt)
 		}
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF) && splitter.Pending() == 0:
+			if !a.progressSince.IsZero() {
+				a.prompts.observeSound(time.Now(), a.info.PromptParts)
+			}
 			return a.complete(a.x)
 		default:
 			return a.abort(ctx, err)
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -69,6 +69,7 @@
 	// sendNow triggers an immediate message to the other entries.
 	sendNow trigger
 
+	prompts    *promptGuard
 	pause      pauseGuard
 	inFlight   *inFlightCounter
 	bodyMemory bodyMemory
@@ -86,6 +87,7 @@
 		newerRevision: make(chan struct{}, 1), sendNow: make(trigger, 1),
 	}
 	e.directory = newDirectory(e)
+	e.prompts = newPromptGuard(e)
 	return e
 }
 
@@ -113,6 +115,8 @@
 	group.Go(func() error { return e.runMaintenance(ctx) })
 	group.Go(func() error { return e.runPulse(ctx) })
 	group.Go(func() error { return e.runReturnProbes(ctx) })
+	group.Go(func() error { return e.prompts.runDecisions(ctx) })
+	group.Go(func() error { return e.prompts.runStore(ctx) })
 	return group.Wait()
 }
 
--- a/relay/message.go
+++ b/relay/message.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/sapphirefield/sapphirefield/quarantine"
 )
 
 // message is the state that an entry sends to the others a few times per
@@ -30,6 +32,8 @@
 	// changes are servers' records with relevant changes. Each one is sent several
 	// times.
 	changes []Record
+	// evidence is about prompt parts that crash engines.
+	evidence evidence
 }
 
 // notWatching is the watchAge of an entry that is not the watcher.
@@ -37,7 +41,7 @@
 
 // messageVersion is the first byte of every message. A receiver that does not
 // know the version ignores the message.
-const messageVersion = 3
+const messageVersion = 4
 
 var errMalformedMessage = errors.New("malformed message from another entry")
 
@@ -59,6 +63,23 @@
 	for _, r := range m.changes {
 		out = appendBytes(appendBytes(out, []byte(r.Key)), r.Value)
 	}
+	return m.evidence.append(out)
+}
+
+func (e evidence) append(out []byte) []byte {
+	out = binary.AppendUvarint(out, uint64(len(e.suspicions)))
+	for _, s := range e.suspicions {
+		out = appendBytes(binary.BigEndian.AppendUint64(out, s.Crash), []byte(s.Part))
+		out = binary.AppendUvarint(out, uint64(s.Depth))
+	}
+	out = binary.AppendUvarint(out, uint64(len(e.sound)))
+	for _, part := range e.sound {
+		out = appendBytes(out, []byte(part))
+	}
+	out = binary.AppendUvarint(out, uint64(len(e.blocks)))
+	for _, b := range e.blocks {
+		out = binary.AppendUvarint(appendBytes(out, []byte(b.Part)), uint64(b.Remaining.Milliseconds()))
+	}
 	return out
 }
 
@@ -96,6 +117,7 @@
 		}
 		m.changes = append(m.changes, record)
 	}
+	m.evidence = r.evidence()
 	if r.failed || len(r.rest) > 0 {
 		return message{}, errMalformedMessage
 	}
@@ -173,3 +195,16 @@
 		rate: r.float32(), slowdown: r.float32(),
 	}
 }
+
+func (r *messageReader) evidence() (e evidence) {
+	for n := r.count(); n > 0 && !r.failed; n-- {
+		e.suspicions = append(e.suspicions, quarantine.Suspicion{Crash: r.uint64(), Part: string(r.bytes()), Depth: int(r.uvarint())})
+	}
+	for n := r.count(); n > 0 && !r.failed; n-- {
+		e.sound = append(e.sound, string(r.bytes()))
+	}
+	for n := r.count(); n > 0 && !r.failed; n-- {
+		e.blocks = append(e.blocks, quarantine.Block{Part: string(r.bytes()), Remaining: time.Duration(r.uvarint()) * time.Millisecond})
+	}
+	return e
+}
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -165,6 +165,7 @@
 	}
 	p.directory.applyPeerChanges(m.changes)
 	p.fleet.applyPeerSuspects(time.Now(), m.suspects)
+	p.prompts.applyPeerEvidence(time.Now(), m.evidence)
 	if m.revision > p.Revision() {
 		select {
 		case p.newerRevision <- struct{}{}:
@@ -230,6 +231,7 @@
 	m := message{
 		sender: p.settings.Instance, startNanos: p.startNanos, sequence: sequence, revision: p.Revision(), term: p.leaseTerm.Load(),
 		watchAge: notWatching, servers: p.fleet.localUsage(now), suspects: p.fleet.suspectHashes(now),
+		evidence: p.prompts.evidence(now),
 	}
 	if p.isWatcher() {
 		m.watchAge, m.changes = p.directory.readAge(bootclock.Now()), p.directory.nextChanges()
--- /dev/null
+++ b/relay/quarantine.go
@@ -0,0 +1,298 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sapphirefield/sapphirefield/logevent"
+	"github.com/sapphirefield/sapphirefield/quarantine"
+)
+
+const (
+	// decideInterval is how often suspicions are judged.
+	decideInterval = 100 * time.Millisecond
+	// evidenceSendTime is how long messages repeat a suspicion, or that a part is
+	// sound, because single messages may be lost.
+	evidenceSendTime = 2 * time.Second
+	// maxEvidence bounds what one message carries of each.
+	maxEvidence = 64
+	// soundProgress is how long an answer goes on until its prompt is taken for
+	// sound: an engine may send a first event before it ends. soundInterval is how
+	// often it is recorded again.
+	soundProgress = 500 * time.Millisecond
+	soundInterval = time.Second
+)
+
+// promptGuard blocks requests with prompt parts that crash engines. It is safe for
+// concurrent use.
+type promptGuard struct {
+	*Entry
+	mu       sync.Mutex
+	detector *quarantine.Detector
+	// suspicions and soundParts are what the messages of this entry tell the others,
+	// with the time until which they do.
+	suspicions map[quarantine.Suspicion]time.Time
+	soundParts map[string]time.Time
+	// unsaved are the changes that the store has not accepted yet: the time until
+	// which a part is blocked, or the zero time for a part that is released.
+	unsaved map[string]time.Time
+	save    trigger
+}
+
+func newPromptGuard(e *Entry) *promptGuard {
+	return &promptGuard{
+		Entry: e, detector: quarantine.New(), suspicions: map[quarantine.Suspicion]time.Time{}, soundParts: map[string]time.Time{},
+		unsaved: map[string]time.Time{}, save: make(trigger, 1),
+	}
+}
+
+// evidence is what an entry tells the others about prompt parts.
+type evidence struct {
+	suspicions []quarantine.Suspicion
+	// sound are suspected or blocked parts of requests that the sender has seen
+	// answered.
+	sound  []string
+	blocks []quarantine.Block
+}
+
+// blocked returns the first part of a prompt that is blocked, if there is one.
+func (g *promptGuard) blocked(now time.Time, parts []string) (quarantine.Block, bool) {
+	if len(parts) == 0 {
+		return quarantine.Block{}, false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.detector.Blocked(now, parts)
+}
+
+// isRisky reports whether a repeat of a request with these parts may crash one more
+// engine.
+func (g *promptGuard) isRisky(parts []string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.detector.Risky(parts)
+}
+
+// hasUnknownPart reports whether some part of a prompt is not known to be sound.
+func (g *promptGuard) hasUnknownPart(now time.Time, parts []string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.ContainsFunc(parts, func(part string) bool { return !g.detector.IsSound(now, part) })
+}
+
+// observeSound records that a request with these parts is being answered.
+func (g *promptGuard) observeSound(now time.Time, parts []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, part := range parts {
+		g.clear(now, part, "a request with it was answered")
+	}
+}
+
+// clear records that a part is sound. The caller holds the lock.
+func (g *promptGuard) clear(now time.Time, part, cause string) {
+	if !g.detector.ObserveSound(now, part) {
+		return
+	}
+	logevent.Write(g.logger, logevent.PromptPartReleased).Str("part", part).Str("cause", cause).Msg("")
+	g.tellSound(now, part)
+	g.unsaved[part] = time.Time{}
+	g.save.fire()
+}
+
+func (g *promptGuard) tellSound(now time.Time, part string) {
+	if len(g.soundParts) < maxEvidence {
+		g.soundParts[part] = now.Add(evidenceSendTime)
+	}
+}
+
+// recordCrash suspects the parts of a request that was in progress when an engine
+// crashed, and tells the other entries.
+func (g *promptGuard) recordCrash(now time.Time, request string, crash crashedEngine, parts []string) {
+	logevent.Write(g.logger, logevent.EngineCrashedUnderRequest).Str("server", crash.id).Int64("born", crash.startTimeMillis).
+		Str("request", request).Strs("parts", parts).Msg("")
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for depth, part := range parts {
+		if g.detector.IsSound(now, part) {
+			continue
+		}
+		s := quarantine.Suspicion{Crash: crash.hash(), Part: part, Depth: depth}
+		g.detector.Suspect(now, s)
+		if len(g.suspicions) < maxEvidence {
+			g.suspicions[s] = now.Add(evidenceSendTime)
+		}
+	}
+	g.sendNow.fire()
+}
+
+// crashedEngine identifies the process of an engine that has crashed.
+type crashedEngine struct {
+	id              string
+	startTimeMillis int64
+}
+
+// hash is the same at all entries.
+func (c crashedEngine) hash() uint64 {
+	return xxhash.Sum64String(c.id + " " + strconv.FormatInt(c.startTimeMillis, 10))
+}
+
+// applyPeerEvidence evaluates what another entry tells.
+func (g *promptGuard) applyPeerEvidence(now time.Time, e evidence) {
+	if len(e.suspicions)+len(e.sound)+len(e.blocks) == 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, part := range e.sound {
+		g.clear(now, part, "another entry has seen a request with it answered")
+	}
+	for _, s := range e.suspicions {
+		if g.detector.IsSound(now, s.Part) {
+			g.tellSound(now, s.Part)
+		}
+		g.detector.Suspect(now, s)
+	}
+	for _, b := range e.blocks {
+		if g.detector.IsSound(now, b.Part) {
+			g.tellSound(now, b.Part)
+		}
+		g.adopt(now, b, "another entry")
+	}
+}
+
+// adopt blocks a part that others have blocked. The caller holds the lock.
+func (g *promptGuard) adopt(now time.Time, b quarantine.Block, source string) {
+	if g.detector.Adopt(now, b) {
+		logevent.Write(g.logger, logevent.PromptPartBlocked).Str("part", b.Part).Dur("remaining_ms", b.Remaining).Str("source", source).Msg("")
+	}
+}
+
+// evidence returns what the next message tells the other entries.
+func (g *promptGuard) evidence(now time.Time) (e evidence) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for s, until := range g.suspicions {
+		if now.After(until) {
+			delete(g.suspicions, s)
+			continue
+		}
+		e.suspicions = append(e.suspicions, s)
+	}
+	for part, until := range g.soundParts {
+		if now.After(until) {
+			delete(g.soundParts, part)
+			continue
+		}
+		e.sound = append(e.sound, part)
+	}
+	e.blocks = g.detector.Blocks(now)
+	return e
+}
+
+// decide blocks the parts that have crashed too many engines.
+func (g *promptGuard) decide(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, part := range g.detector.Decide(now) {
+		logevent.Write(g.logger, logevent.PromptPartBlocked).Str("part", part).Dur("remaining_ms", quarantine.BlockTime).Str("source", "this entry").Msg("")
+		g.unsaved[part] = now.Add(quarantine.BlockTime)
+		g.save.fire()
+	}
+}
+
+// runDecisions judges suspicions until ctx ends.
+func (g *promptGuard) runDecisions(ctx context.Context) error {
+	for sleep(ctx, decideInterval); ctx.Err() == nil; sleep(ctx, decideInterval) {
+		g.decide(time.Now())
+	}
+	return ctx.Err()
+}
+
+// blockRecord is the record of a blocked part in the store. It outlives the
+// entries, which may all end at the same moment.
+type blockRecord struct {
+	UntilUnixMillis int64 `json:"until"`
+}
+
+// runStore reads the blocked parts from the store once, and saves changes until ctx
+// ends.
+func (g *promptGuard) runStore(ctx context.Context) error {
+	backoff := g.backoff()
+	for failures := 0; ctx.Err() == nil; {
+		batch, err := g.store.ReadLatest(ctx, TopicBlockedParts)
+		if err == nil {
+			g.applyRecords(time.Now(), batch.Records)
+			break
+		}
+		failures++
+		g.logStoreFailure(TopicBlockedParts, failures, err)
+		sleep(ctx, backoff.Delay(failures))
+	}
+	for ctx.Err() == nil {
+		g.save.wait(ctx, saveInterval)
+		g.saveChanges(ctx)
+	}
+	return ctx.Err()
+}
+
+// saveInterval is how long after a failure a change is saved again.
+const saveInterval = time.Second
+
+func (g *promptGuard) applyRecords(now time.Time, records []Record) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, r := range records {
+		if r.Value == nil {
+			continue
+		}
+		var record blockRecord
+		if err := json.Unmarshal(r.Value, &record); err != nil {
+			logevent.Write(g.logger, logevent.BlockRecordUnreadable).Str("part", r.Key).Str("cause", err.Error()).Msg("")
+			continue
+		}
+		remaining := time.UnixMilli(record.UntilUnixMillis).Sub(now)
+		if remaining <= 0 {
+			g.unsaved[r.Key] = time.Time{}
+			g.save.fire()
+			continue
+		}
+		g.adopt(now, quarantine.Block{Part: r.Key, Remaining: remaining}, "store")
+	}
+}
+
+// saveChanges writes the changes that the store has not accepted yet. A repeated
+// write does no harm: the newest record of a part counts.
+func (g *promptGuard) saveChanges(ctx context.Context) {
+	g.mu.Lock()
+	changes := make(map[string]time.Time, len(g.unsaved))
+	for part, until := range g.unsaved {
+		changes[part] = until
+	}
+	g.mu.Unlock()
+	for part, until := range changes {
+		record := Record{Key: part}
+		if !until.IsZero() {
+			value, err := json.Marshal(blockRecord{until.UnixMilli()})
+			if err != nil {
+				continue
+			}
+			record.Value = value
+		}
+		if _, err := g.store.Append(ctx, TopicBlockedParts, record, AnyOffset); err != nil {
+			logevent.Write(g.logger, logevent.BlockNotSaved).Str("part", part).Str("cause", err.Error()).Msg("")
+			continue
+		}
+		g.mu.Lock()
+		if g.unsaved[part].Equal(until) {
+			delete(g.unsaved, part)
+		}
+		g.mu.Unlock()
+	}
+}
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -9,8 +9,11 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/sapphirefield/sapphirefield/quarantine"
 )
 
 // crashingBackends are engines that end when they begin to answer a request with
@@ -103,9 +106,112 @@
 		assert.Equal(t, status, http.StatusOK)
 		assert.Equal(t, strings.Count(body, "id:"), 3)
 		e.sendParts(t, fmt.Sprintf("shared,bad,own-bad%d", i))
+		// Suspicions are judged once those of other entries have had time to arrive.
+		e.prompts.decide(time.Now().Add(time.Second))
 	}
 	const permitted = 5
 	assert.Assert(t, c.arrivals() <= permitted, "%d requests with the part reached an engine", c.arrivals())
 	status, _ := e.sendParts(t, "shared,bad,last")
 	assert.Equal(t, status, http.StatusServiceUnavailable)
 }
+
+// Guards against a request that crashed its engine and is said not to have run.
+func TestRequestThatCrashedItsEngineIsNotRefused(t *testing.T) {
+	c := newCrashingBackends(t, 4)
+	e := newTestEntry(t, streamRoute(true), c.backends...)
+	engines := &crashedEngines{backends: c}
+	e.Entry.engines, e.stallChecker.engines = engines, engines
+	status, _ := e.sendParts(t, "shared,bad,own")
+	assert.Equal(t, status, http.StatusBadGateway)
+	assert.Equal(t, c.arrivals(), 2)
+	// Two engines have crashed under the part: the next request is not repeated.
+	status, _ = e.sendParts(t, "shared,bad,other")
+	assert.Equal(t, status, http.StatusBadGateway)
+	assert.Equal(t, c.arrivals(), 3)
+}
+
+// exchangeEvidence gives each entry what the others tell.
+func exchangeEvidence(now time.Time, entries ...*Entry) {
+	for _, from := range entries {
+		for _, to := range entries {
+			if from != to {
+				to.prompts.applyPeerEvidence(now, from.prompts.evidence(now))
+			}
+		}
+	}
+}
+
+// Guards against entries that each see too few crashes to block a part.
+func TestEntriesShareSuspicions(t *testing.T) {
+	now := time.Now()
+	entries := []*Entry{newStoreEntry(newScriptedStore()), newStoreEntry(newScriptedStore()), newStoreEntry(newScriptedStore())}
+	// Only one entry knows that the first part is sound.
+	entries[0].prompts.observeSound(now, []string{"shared"})
+	for i, e := range entries {
+		e.prompts.recordCrash(now, "r", crashedEngine{"engine", int64(i)}, []string{"shared", "bad"})
+	}
+	exchangeEvidence(now, entries...)
+	exchangeEvidence(now, entries...)
+	now = now.Add(time.Second)
+	for _, e := range entries {
+		e.prompts.decide(now)
+		_, bad := e.prompts.blocked(now, []string{"bad"})
+		_, shared := e.prompts.blocked(now, []string{"shared"})
+		assert.Assert(t, bad && !shared)
+	}
+}
+
+// Guards against an entry that blocks a part which another entry knows to be sound,
+// and against a block that entries give back to each other.
+func TestBlockOfSoundPartIsTakenBack(t *testing.T) {
+	now := time.Now()
+	wrong, right, third := newStoreEntry(newScriptedStore()), newStoreEntry(newScriptedStore()), newStoreEntry(newScriptedStore())
+	wrong.prompts.adopt(now, quarantine.Block{Part: "a", Remaining: time.Minute}, "test")
+	third.prompts.adopt(now, quarantine.Block{Part: "a", Remaining: time.Minute}, "test")
+	right.prompts.observeSound(now, []string{"a"})
+	for range 2 {
+		exchangeEvidence(now, wrong, right, third)
+	}
+	for _, e := range []*Entry{wrong, right, third} {
+		_, blocked := e.prompts.blocked(now, []string{"a"})
+		assert.Assert(t, !blocked)
+	}
+}
+
+// Guards against a part that crashes engines anew after all entries have ended at
+// the same moment.
+func TestBlockOutlivesEntries(t *testing.T) {
+	store := newScriptedStore()
+	first := newStoreEntry(store)
+	now := time.Now()
+	for i := range 3 {
+		first.prompts.recordCrash(now, "r", crashedEngine{"engine", int64(i)}, []string{"bad"})
+	}
+	first.prompts.decide(now.Add(time.Second))
+	first.prompts.saveChanges(t.Context())
+	store.add(TopicBlockedParts, "over", blockRecord{now.Add(-time.Second).UnixMilli()})
+
+	second := newStoreEntry(store)
+	batch, err := store.ReadLatest(t.Context(), TopicBlockedParts)
+	assert.NilError(t, err)
+	second.prompts.applyRecords(now, batch.Records)
+	block, blocked := second.prompts.blocked(now, []string{"other", "bad"})
+	assert.Assert(t, blocked)
+	assert.Equal(t, block.Part, "bad")
+	_, blocked = second.prompts.blocked(now, []string{"over"})
+	assert.Assert(t, !blocked)
+	// The record of a block that is over is deleted.
+	second.prompts.saveChanges(t.Context())
+	assert.DeepEqual(t, store.topics[TopicBlockedParts][2], Record{Key: "over"})
+}
+
+// Guards against a record or message of another program that ends the process.
+func TestUnreadableBlocksAreIgnored(t *testing.T) {
+	e := newStoreEntry(newScriptedStore())
+	e.prompts.applyRecords(time.Now(), []Record{{Key: "a", Value: []byte("x")}, {Key: "b"}, {Key: "c", Value: []byte("{}")}})
+	e.prompts.applyPeerEvidence(time.Now(), evidence{blocks: []quarantine.Block{{Part: "d", Remaining: -time.Second}}})
+	for _, part := range []string{"a", "b", "c", "d"} {
+		_, blocked := e.prompts.blocked(time.Now(), []string{part})
+		assert.Assert(t, !blocked, part)
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -151,6 +151,8 @@
 	TopicEntries
 	// TopicLease holds the lease of the entry that places layers.
 	TopicLease
+	// TopicBlockedParts holds the prompt parts that crash engines.
+	TopicBlockedParts
 )
 
 // Record is a keyed record; a nil value means that the key was deleted.
--- a/relay/request.go
+++ b/relay/request.go
@@ -132,12 +132,24 @@
 			q.rank = rank
 		}
 	}
+	if p := q.blockedPrompt(); p != nil {
+		return p
+	}
 	timeout := q.route.EffectiveTimeout(q.info.Timeout)
 	q.deadline, q.bootDeadline = q.started.Add(timeout), bootclock.Now().Add(timeout)
 	q.target = q.route.PickTarget(q.fleet.randomFloat())
 	return q.readBody(rev.Limits.BodyBytes)
 }
 
+// blockedPrompt refuses a request with a prompt part that crashes engines.
+func (q *request) blockedPrompt() *problem.Problem {
+	block, blocked := q.prompts.blocked(time.Now(), q.info.PromptParts)
+	if !blocked {
+		return nil
+	}
+	return q.retryLater(problem.PromptBlocked, "part "+block.Part+" of the prompt has crashed engines", block.Remaining)
+}
+
 // noConfigurationRetryAfter is roughly the time that a new process takes to
 // read the configuration.
 const noConfigurationRetryAfter = 500 * time.Millisecond
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -12,6 +12,7 @@
 	"github.com/sapphirefield/sapphirefield/eventstream"
 	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/pipeline"
+	"github.com/sapphirefield/sapphirefield/problem"
 	"github.com/sapphirefield/sapphirefield/retry"
 )
 
@@ -69,6 +70,12 @@
 			s.endAtDeadline()
 			return
 		}
+		// The part may have been blocked while the request waited.
+		if p := s.blockedPrompt(); p != nil {
+			reserved.release()
+			s.giveUpOn(p)
+			return
+		}
 		result, err := s.tryPath(ctx, hops, reserved)
 		if result == answered {
 			return
@@ -78,7 +85,8 @@
 			s.endAtDeadline()
 			return
 		}
-		if !q.allowRetry(ctx, result, q.streamLimits(), q.route.Resumable, s.maxWait()) {
+		repeatable := q.route.Resumable && !s.prompts.isRisky(s.info.PromptParts)
+		if !q.allowRetry(ctx, result, q.streamLimits(), repeatable, s.maxWait()) {
 			s.giveUp(errorDetail(err), refusedRetryAfter)
 			return
 		}
@@ -183,14 +191,22 @@
 
 // giveUp ends a request that no path serves.
 func (s *streamRequest) giveUp(detail string, after time.Duration) {
-	if s.r.Context().Err() != nil {
-		s.outcome, s.detail = outcomeClientGone, detail
-		return
-	}
-	if s.headerSent {
-		s.abortResponse(detail)
+	s.giveUpOn(s.retryLater(problem.NoBackend, detail, after))
+}
+
+// giveUpOn ends a request with a refusal, or with a failure if it may have been
+// executed.
+func (s *streamRequest) giveUpOn(refusal *problem.Problem) {
+	switch {
+	case s.r.Context().Err() != nil:
+		s.outcome, s.detail = outcomeClientGone, refusal.Detail
+	case s.headerSent:
+		s.abortResponse(refusal.Detail)
+	case s.maybeExecuted:
+		s.fail(problem.OutcomeUnknown, refusal.Detail)
+	default:
+		s.refuse(refusal)
 	}
-	s.refuseOrFail(s.maybeExecuted, detail, after)
 }
 
 // endAtDeadline ends a request whose deadline has passed or whose client has
@@ -252,14 +268,16 @@
 
 // verifySuspect is not tied to the context of the request that raised the
 // suspicion, because all streams through the engine depend on it.
-func (e *Entry) verifySuspect(engine, address string) {
+// It reports whether the engine is dead.
+func (e *Entry) verifySuspect(engine, address string) bool {
 	_, err := e.stallChecker.stalledEngines(context.Background(), address)
 	if !errors.Is(err, ErrNoResponse) {
-		return
+		return false
 	}
 	e.fleet.confirmSuspect(time.Now(), engine)
 	e.loseEngine(engine, err)
 	e.sendNow.fire()
+	return true
 }
 
 // engineCapacity returns the KV cache capacity of an engine in tokens times
--- a/relay/usage_test.go
+++ b/relay/usage_test.go
@@ -4,12 +4,14 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"github.com/sapphirefield/sapphirefield/membership"
 	"github.com/sapphirefield/sapphirefield/pipeline"
 	"github.com/sapphirefield/sapphirefield/placement"
+	"github.com/sapphirefield/sapphirefield/quarantine"
 )
 
 // Guards against values that change between encoding and decoding, and against
@@ -40,6 +42,7 @@
 			}
 			m.changes = append(m.changes, r)
 		}
+		m.evidence = drawEvidence(t)
 		data := m.encode()
 		got, err := decodeMessage(data)
 		assert.NilError(t, err)
@@ -48,6 +51,7 @@
 		assert.Equal(t, got.watchAge, m.watchAge)
 		assert.DeepEqual(t, got.changes, m.changes)
 		assert.DeepEqual(t, got.suspects, m.suspects)
+		assert.DeepEqual(t, got.evidence, m.evidence, cmp.AllowUnexported(evidence{}))
 		assert.Equal(t, len(got.servers), len(m.servers))
 		for hash, u := range m.servers {
 			assert.Equal(t, got.servers[hash], u)
@@ -58,6 +62,22 @@
 	})
 }
 
+func drawEvidence(t *rapid.T) (e evidence) {
+	for range rapid.IntRange(0, 3).Draw(t, "suspicions") {
+		e.suspicions = append(e.suspicions, quarantine.Suspicion{
+			Crash: rapid.Uint64().Draw(t, "crash"), Part: rapid.String().Draw(t, "part"), Depth: rapid.IntRange(0, 16).Draw(t, "depth"),
+		})
+	}
+	for range rapid.IntRange(0, 3).Draw(t, "sound") {
+		e.sound = append(e.sound, rapid.String().Draw(t, "part"))
+	}
+	for range rapid.IntRange(0, 3).Draw(t, "blocks") {
+		remaining := time.Duration(rapid.IntRange(0, 1e6).Draw(t, "remaining")) * time.Millisecond
+		e.blocks = append(e.blocks, quarantine.Block{Part: rapid.String().Draw(t, "part"), Remaining: remaining})
+	}
+	return e
+}
+
 // Guards against requests of a terminated entry, or of its previous process,
 // that still count as load.
 func TestSilentPeersAreForgotten(t *testing.T) {
