lease: one holder although the store comes back from an older copy

Callers would see: layers ordered twice, by two entries at once. Cause: after a restore the topic's newest claim may name an earlier holder, whose process takes the lease at once when it has restarted; offsets are given out again, so that a conditional append may succeed on top of other records; terms come again, so that a late release may name the wrong one. Change: claims carry the store's era. A claim of an earlier era frees nobody before the usual wait; the holder that learns of the era stops, and claims again within the time of its lost term. Terms of eras are apart. TestClaimAfterRestore.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -11,10 +11,21 @@
 // Claim is the topic record that names the holder of the lease.
 type Claim struct {
 	Holder string `json:"holder"`
-	// Term increases by one with each new holder.
+	// Term increases with each new holder.
 	Term int64 `json:"term"`
+	// Era is the era of the store in which the claim was made. A claim of an earlier
+	// era in the topic comes from a copy: later claims may be lost.
+	Era int64 `json:"era,omitempty"`
 }
 
+const (
+	// firstEra is the era of a store that was never restored from a copy.
+	firstEra = 1
+	// termsPerEra separates the terms of different eras. A term that is lost with an
+	// era is not given out again, so that a late message about it does no harm.
+	termsPerEra = 1 << 40
+)
+
 // Options are the durations that govern a lease.
 type Options struct {
 	// RenewInterval is how often the holder renews its claim.
@@ -43,6 +54,13 @@
 	// observedAt is when endOffset was last updated; zero if it must be read again.
 	// renewedAt is when this process started its last successful append.
 	observedAt, renewedAt time.Time
+	// era is the newest known era of the store.
+	era int64
+	// lostTermEnd is when the term ends that this process had when it learned of the
+	// era. Its claim may be lost, but nobody else can have claimed the lease before.
+	lostTermEnd time.Time
+	// maxTerm is the highest term that this process knows of.
+	maxTerm int64
 }
 
 // New returns the initial state of the process with ID self.
@@ -50,7 +68,27 @@
 	return &Elector{options: options, self: self}
 }
 
-// Observe applies the result of reading the topic: its end and the newest claim, if any.
+// ObserveEra records the era of the store. A new one means that the store was
+// restored from an older copy: the claims that it has accepted since are lost, and
+// its offsets are given out again. The holder must claim the lease again before it
+// acts.
+func (e *Elector) ObserveEra(now time.Time, era int64) {
+	if era <= e.era {
+		return
+	}
+	e.lostTermEnd = time.Time{}
+	if e.Holds(now) {
+		e.lostTermEnd = e.renewedAt.Add(e.options.RenewDeadline)
+	}
+	e.claim, e.observedAt, e.renewedAt = Claim{}, time.Time{}, time.Time{}
+	e.era = era
+}
+
+// Era returns the newest era of the store that was observed.
+func (e *Elector) Era() int64 { return e.era }
+
+// Observe applies the result of reading the topic in the current era: its end and
+// the newest claim, if any.
 func (e *Elector) Observe(now time.Time, endOffset int64, claim *Claim) {
 	if endOffset == e.endOffset && !e.observedAt.IsZero() {
 		return
@@ -58,9 +96,14 @@
 	e.endOffset, e.observedAt = endOffset, now
 	if claim != nil {
 		e.claim = *claim
+		e.maxTerm = max(e.maxTerm, claim.Term)
 	}
 }
 
+// mayBeLost reports whether the newest claim in the topic may not be the newest one
+// that the store has accepted.
+func (e *Elector) mayBeLost() bool { return e.era > firstEra && e.claim.Era < e.era }
+
 // DueClaim returns the claim to append and the offset at which the topic must end,
 // and reports whether an append is due: to renew this process's lease or to take
 // over an expired one. A restarted process takes over the lease of its previous run
@@ -70,15 +113,28 @@
 		return Claim{}, 0, false
 	}
 	own := e.claim.Holder == e.self
+	next := Claim{Holder: e.self, Term: e.nextTerm(), Era: e.era}
 	switch {
 	case own && !e.renewedAt.IsZero():
 		return e.claim, e.endOffset, now.Sub(e.renewedAt) >= e.options.RenewInterval
+	case e.mayBeLost():
+		// A holder whose claim is lost stops within its renewal deadline.
+		return next, e.endOffset, now.Before(e.lostTermEnd) || now.Sub(e.observedAt) >= e.options.LeaseDuration
 	case own, e.claim.Holder == "", now.Sub(e.observedAt) >= e.options.LeaseDuration:
-		return Claim{Holder: e.self, Term: e.claim.Term + 1}, e.endOffset, true
+		return next, e.endOffset, true
 	}
 	return Claim{}, 0, false
 }
 
+// nextTerm returns a term that was not used before. After a restore, the newest
+// claim may hide a later term of this era, so the offset counts as well.
+func (e *Elector) nextTerm() int64 {
+	if e.era <= firstEra {
+		return e.maxTerm + 1
+	}
+	return max(e.maxTerm, (e.era-firstEra)*termsPerEra+e.endOffset) + 1
+}
+
 // Release ends this process's term because it could not renew its claim in time, and
 // returns the term, or 0 if this process has none. It never acts under that term
 // again: a later claim begins a new one. Others that are told the term may therefore
@@ -101,6 +157,7 @@
 // AppendSucceeded records a successful append of a claim. The append began at the time started.
 func (e *Elector) AppendSucceeded(started time.Time, claim Claim, endOffset int64) {
 	e.claim, e.endOffset, e.renewedAt, e.observedAt = claim, endOffset, started, started
+	e.maxTerm = max(e.maxTerm, claim.Term)
 }
 
 // AppendFailed records that an append was refused or that its outcome is unknown. The
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,6 +13,13 @@
 // topic accepts an append only at its end.
 type topic struct {
 	claims []Claim
+	era    int64
+}
+
+// restore replaces the topic by an older copy. Its offsets are given out again.
+func (t *topic) restore(length int) {
+	t.claims = slices.Clone(t.claims[:max(length, 0)])
+	t.era++
 }
 
 func (t *topic) read() (int64, *Claim) {
@@ -30,10 +38,10 @@
 }
 
 // No two processes may act as the holder at the same time, even if processes pause,
-// lose replies and restart at any time.
+// lose replies and restart at any time, and the store comes back from older copies.
 func TestOneHolderAtATime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		claims := &topic{}
+		claims := &topic{era: firstEra}
 		options := DefaultOptions()
 		electors := make([]*Elector, 3)
 		for i := range electors {
@@ -43,6 +51,9 @@
 		var releases []Claim
 		for range 200 {
 			now = now.Add(time.Duration(rapid.IntRange(50, 900).Draw(t, "ms")) * time.Millisecond)
+			if rapid.IntRange(0, 20).Draw(t, "restore") == 20 {
+				claims.restore(len(claims.claims) - rapid.IntRange(0, 6).Draw(t, "lost claims"))
+			}
 			i := rapid.IntRange(0, len(electors)-1).Draw(t, "i")
 			releases = append(releases, randomStep(t, electors, i, claims, now)...)
 			if len(releases) > 0 && rapid.Bool().Draw(t, "told") {
@@ -74,6 +85,7 @@
 			electors[i] = New(fmt.Sprint(i), DefaultOptions())
 		}
 	case 1, 2:
+		e.ObserveEra(now, claims.era)
 		endOffset, claim := claims.read()
 		e.Observe(now, endOffset, claim)
 	default:
@@ -82,6 +94,12 @@
 			return released
 		}
 		appended := claims.append(claim, offset)
+		if claims.era != e.Era() {
+			// The claim was accepted, if at all, on top of other records.
+			e.ObserveEra(now, claims.era)
+			e.AppendFailed()
+			return released
+		}
 		if appended && rapid.IntRange(0, 3).Draw(t, "lost") > 0 {
 			e.AppendSucceeded(now, claim, offset+1)
 			return released
@@ -113,6 +131,35 @@
 	assert.Assert(t, !restarted.Holds(now))
 }
 
+// After a restore, the holder claims the lease again at once, and others wait until
+// it must have stopped: the copy may name an earlier holder, or none.
+func TestClaimAfterRestore(t *testing.T) {
+	options := DefaultOptions()
+	now := time.Unix(100, 0)
+	holder, former := New("a", options), New("b", options)
+	holder.ObserveEra(now, firstEra)
+	holder.Observe(now, 1, &Claim{Holder: "b", Term: 6, Era: firstEra})
+	holder.ObserveRelease("b", 6)
+	claim, _, due := holder.DueClaim(now)
+	assert.Assert(t, due)
+	holder.AppendSucceeded(now, claim, 2)
+	assert.Assert(t, holder.Holds(now))
+
+	holder.ObserveEra(now, firstEra+1)
+	assert.Assert(t, !holder.Holds(now))
+	for _, e := range []*Elector{holder, former} {
+		e.ObserveEra(now, firstEra+1)
+		e.Observe(now, 1, &Claim{Holder: "b", Term: 6, Era: firstEra})
+	}
+	_, _, due = former.DueClaim(now)
+	assert.Assert(t, !due)
+	claim, _, due = holder.DueClaim(now)
+	assert.Assert(t, due)
+	assert.Equal(t, claim, Claim{Holder: "a", Term: termsPerEra + 2, Era: firstEra + 1})
+	_, _, due = former.DueClaim(now.Add(options.LeaseDuration))
+	assert.Assert(t, due)
+}
+
 // A lease must be taken over at once if its holder reports that it has released its
 // term. A release by a process that is not the holder, or of an earlier term, must
 // be ignored: a message may be older than the claim.
