relay, platform: positions in the store belong to eras

Cause: offsets are given out again after a restore, and a complete read was taken for the whole truth. Change: a position is era and offset. Answers of an older era count as none; a read or conditional append in another era ends with ErrRestored and starts from what is there. Servers whose records are missing have 2.5 s to write them again; records of servers that are gone, no newer than their last one, are ignored. An entry writes its own record and blocked parts again and keeps the addresses it knows. The holder of the lease stops until it has claimed it in the new era, and an order is only sent if the engine holds what its record says. TestOrderIsNotSentAfterLeaseExpires gives the elector the store's era, which its stand-in now has; what it expects is the same.

--- a/daemon/relay_test.go
+++ b/daemon/relay_test.go
@@ -26,22 +26,24 @@
 
 func (idlePlatform) ReadLatest(ctx context.Context, topic relay.Topic) (relay.RecordBatch, error) {
 	if topic == relay.TopicConfiguration {
-		return relay.RecordBatch{Records: []relay.Record{{Key: "c", Value: []byte("{}")}}, NextOffset: 1}, nil
+		return relay.RecordBatch{Records: []relay.Record{{Key: "c", Value: []byte("{}")}}, Next: relay.Position{Offset: 1}}, nil
 	}
 	<-ctx.Done()
 	return relay.RecordBatch{}, ctx.Err()
 }
 
-func (idlePlatform) Read(ctx context.Context, _ relay.Topic, _ int64, _ time.Duration) (relay.RecordBatch, error) {
+func (idlePlatform) Read(ctx context.Context, _ relay.Topic, _ relay.Position, _ time.Duration) (relay.RecordBatch, error) {
 	<-ctx.Done()
 	return relay.RecordBatch{}, ctx.Err()
 }
 
-func (idlePlatform) Append(ctx context.Context, _ relay.Topic, _ relay.Record, _ int64) (int64, error) {
+func (idlePlatform) Append(ctx context.Context, _ relay.Topic, _ relay.Record, _ relay.Position) (relay.Position, error) {
 	<-ctx.Done()
-	return 0, ctx.Err()
+	return relay.Position{}, ctx.Err()
 }
 
+func (idlePlatform) Era() int64 { return 0 }
+
 func (idlePlatform) DecodeConfiguration([]byte) (relay.Configuration, error) {
 	return relay.Configuration{Revision: 1, Document: &config.Document{}}, nil
 }
--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -56,6 +56,7 @@
 	LeaseAcquired        Event = 4010
 	LeaseReleased        Event = 4011
 	ProcessWasHeldUp     Event = 4012
+	StoreRestored        Event = 4013
 	OrderSent            Event = 5001
 	OrderRefused         Event = 5002
 	OrderCompleted       Event = 5003
@@ -115,6 +116,7 @@
 	{LeaseAcquired, log.InfoLevel, "lease for placing layers taken", ""},
 	{LeaseReleased, log.InfoLevel, "lease for placing layers released", ""},
 	{ProcessWasHeldUp, log.WarnLevel, "process was held up; configuration is read again", "Check the load of the instance if the line repeats."},
+	{StoreRestored, log.WarnLevel, "store came back from an older copy", "Check that the operators' last change is there; the entries write their own records again."},
 	{OrderSent, log.InfoLevel, "order given to engine", ""},
 	{OrderRefused, log.WarnLevel, "order refused by engine", ""},
 	{OrderCompleted, log.InfoLevel, "order carried out by engine", ""},
--- a/relay/directory.go
+++ b/relay/directory.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/sapphirefield/sapphirefield/bootclock"
 	"github.com/sapphirefield/sapphirefield/logevent"
 )
 
@@ -29,6 +30,12 @@
 	servers map[string]Server
 	// lastRead is when the records were last read from the store, by bootclock.
 	lastRead time.Time
+	// unconfirmed are the servers whose records were missing after the store came back
+	// from an older copy, with the time until which they may be written again.
+	unconfirmed map[string]time.Time
+	// removed are the last records of servers that are gone: an older copy of the
+	// store may hold them.
+	removed map[string]removedServer
 	// pendingChanges are the changed records to be sent to other entries, each with
 	// the number of messages left to carry it.
 	pendingChanges map[string]*outgoingChange
@@ -40,37 +47,89 @@
 }
 
 func newDirectory(e *Entry) *directory {
-	return &directory{Entry: e, servers: map[string]Server{}, pendingChanges: map[string]*outgoingChange{}}
+	return &directory{
+		Entry: e, servers: map[string]Server{}, pendingChanges: map[string]*outgoingChange{},
+		unconfirmed: map[string]time.Time{}, removed: map[string]removedServer{},
+	}
+}
+
+// removedServer is the last record of a server that is gone.
+type removedServer struct {
+	Server
+	at time.Time
 }
 
-// apply adds records from the store. If complete is set, servers without a
-// record are removed.
-func (d *directory) apply(records []Record, complete bool) {
+const (
+	// confirmTime is how long a server that works may take to write its record again
+	// after the store has come back from an older copy.
+	confirmTime = 2500 * time.Millisecond
+	// removedTTL is how long the last record of a server that is gone is remembered.
+	removedTTL = 5 * time.Minute
+)
+
+// apply adds records from the store. Servers without a record are removed if the
+// records are complete; after the store came back from an older copy they have
+// some time to write it again.
+func (d *directory) apply(u update) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if complete {
-		d.removeMissing(records)
+	now := bootclock.Now()
+	if u.complete {
+		d.removeMissing(now, u)
 	}
-	for _, r := range records {
-		if d.applyRecord(r) {
-			d.pendingChanges[r.Key] = &outgoingChange{r, changeSends}
-		}
+	for _, r := range u.records {
+		delete(d.unconfirmed, r.Key)
+		d.applyAndAnnounce(r)
 	}
 	d.fleet.setServers(time.Now(), maps.Clone(d.servers))
 }
 
-func (d *directory) removeMissing(records []Record) {
-	present := make(map[string]bool, len(records))
-	for _, r := range records {
+func (d *directory) applyAndAnnounce(r Record) bool {
+	changed := d.applyRecord(r)
+	if changed {
+		d.pendingChanges[r.Key] = &outgoingChange{r, changeSends}
+	}
+	return changed
+}
+
+func (d *directory) removeMissing(now time.Time, u update) {
+	present := make(map[string]bool, len(u.records))
+	for _, r := range u.records {
 		present[r.Key] = true
 	}
 	for id := range d.servers {
-		if !present[id] {
+		_, waits := d.unconfirmed[id]
+		switch {
+		case present[id] || waits:
+		case u.restored:
+			d.unconfirmed[id] = now.Add(confirmTime)
+		default:
 			d.applyRecord(Record{Key: id})
 		}
 	}
 }
 
+// expireUnconfirmed removes the servers that have not written their records again.
+func (d *directory) expireUnconfirmed(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	changed := false
+	for id, until := range d.unconfirmed {
+		if now.After(until) {
+			delete(d.unconfirmed, id)
+			changed = d.applyAndAnnounce(Record{Key: id}) || changed
+		}
+	}
+	for id, r := range d.removed {
+		if now.Sub(r.at) > removedTTL {
+			delete(d.removed, id)
+		}
+	}
+	if changed {
+		d.fleet.setServers(time.Now(), maps.Clone(d.servers))
+	}
+}
+
 // applyPeerChanges adds changes that another entry has read.
 func (d *directory) applyPeerChanges(records []Record) {
 	d.mu.Lock()
@@ -122,6 +181,7 @@
 	if r.Value == nil {
 		delete(d.servers, r.Key)
 		if present {
+			d.removed[r.Key] = removedServer{old, bootclock.Now()}
 			logevent.Write(d.logger, logevent.ServerRecordRemoved).Str("server", r.Key).Int64("beat", old.HeartbeatCount).Msg("")
 		}
 		return present
@@ -131,9 +191,13 @@
 		logevent.Write(d.logger, logevent.ServerRecordUnreadable).Str("server", r.Key).Str("cause", err.Error()).Msg("")
 		return false
 	}
-	if present && (s.StartTimeMillis < old.StartTimeMillis || s.StartTimeMillis == old.StartTimeMillis && s.HeartbeatCount < old.HeartbeatCount) {
+	if present && s.isOlderThan(old) {
+		return false
+	}
+	if gone, known := d.removed[r.Key]; known && !gone.isOlderThan(s) {
 		return false
 	}
+	delete(d.removed, r.Key)
 	d.servers[r.Key] = s
 	if present && s.StartTimeMillis == old.StartTimeMillis && s.Leaving == old.Leaving && s.Layers == old.Layers && s.Address == old.Address {
 		return false
--- a/relay/directory_test.go
+++ b/relay/directory_test.go
@@ -23,9 +23,10 @@
 	topics  map[Topic][]Record
 	blocked bool
 	reads   int
+	era     int64
 }
 
-func newScriptedStore() *scriptedStore { return &scriptedStore{topics: map[Topic][]Record{}} }
+func newScriptedStore() *scriptedStore { return &scriptedStore{topics: map[Topic][]Record{}, era: 1} }
 
 func (s *scriptedStore) add(topic Topic, key string, value any) {
 	data, err := json.Marshal(value)
@@ -40,30 +41,57 @@
 func (s *scriptedStore) ReadLatest(_ context.Context, topic Topic) (RecordBatch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return RecordBatch{Records: append([]Record(nil), s.topics[topic]...), NextOffset: int64(len(s.topics[topic]))}, nil
+	return RecordBatch{Records: append([]Record(nil), s.topics[topic]...), Next: s.end(topic)}, nil
 }
 
-func (s *scriptedStore) Read(ctx context.Context, topic Topic, from int64, _ time.Duration) (RecordBatch, error) {
+func (s *scriptedStore) Read(ctx context.Context, topic Topic, from Position, _ time.Duration) (RecordBatch, error) {
 	s.mu.Lock()
 	s.reads++
-	blocked := s.blocked
-	rest := append([]Record(nil), s.topics[topic][from:]...)
+	blocked, restored, end := s.blocked, from.Era != s.era, s.end(topic)
+	var rest []Record
+	if !restored {
+		rest = append(rest, s.topics[topic][from.Offset:]...)
+	}
 	s.mu.Unlock()
-	if blocked {
+	switch {
+	case blocked:
 		<-ctx.Done()
 		return RecordBatch{}, ctx.Err()
+	case restored:
+		return RecordBatch{}, ErrRestored
 	}
-	return RecordBatch{Records: rest, NextOffset: from + int64(len(rest))}, nil
+	return RecordBatch{Records: rest, Next: end}, nil
 }
 
-func (s *scriptedStore) Append(_ context.Context, topic Topic, r Record, at int64) (int64, error) {
+func (s *scriptedStore) Append(_ context.Context, topic Topic, r Record, at Position) (Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if at != AnyOffset && at != int64(len(s.topics[topic])) {
-		return 0, ErrConflict
+	if at != AnyPosition && at.Offset != int64(len(s.topics[topic])) {
+		return Position{}, ErrConflict
 	}
 	s.topics[topic] = append(s.topics[topic], r)
-	return int64(len(s.topics[topic])), nil
+	if at != AnyPosition && at.Era != s.era {
+		return Position{}, ErrRestored
+	}
+	return s.end(topic), nil
+}
+
+func (s *scriptedStore) Era() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+func (s *scriptedStore) end(topic Topic) Position {
+	return Position{s.era, int64(len(s.topics[topic]))}
+}
+
+// restore replaces a topic by its first records and begins a new era.
+func (s *scriptedStore) restore(topic Topic, records int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topics[topic] = append([]Record(nil), s.topics[topic][:records]...)
+	s.era++
 }
 
 func (s *scriptedStore) DecodeConfiguration(value []byte) (Configuration, error) {
@@ -97,9 +125,9 @@
 func TestPeerChangesAreApplied(t *testing.T) {
 	watcher, other := newStoreEntry(newScriptedStore()), newStoreEntry(newScriptedStore())
 	s := Server{Instance: membership.Instance{ID: "s", Service: "app", Address: "a:1"}, StartTimeMillis: 5, HeartbeatCount: 1}
-	other.directory.apply([]Record{serverRecord(t, s)}, true)
+	other.directory.apply(update{records: []Record{serverRecord(t, s)}, complete: true})
 	s.Leaving, s.HeartbeatCount = true, 2
-	watcher.directory.apply([]Record{serverRecord(t, s)}, true)
+	watcher.directory.apply(update{records: []Record{serverRecord(t, s)}, complete: true})
 	changes := watcher.directory.nextChanges()
 	assert.Equal(t, len(changes), 1)
 	other.directory.applyPeerChanges(changes)
@@ -116,12 +144,12 @@
 // changes that are sent forever.
 func TestChangesAreRepeated(t *testing.T) {
 	e := newStoreEntry(newScriptedStore())
-	e.directory.apply([]Record{serverRecord(t, Server{Instance: membership.Instance{ID: "s"}, HeartbeatCount: 1})}, true)
+	e.directory.apply(update{records: []Record{serverRecord(t, Server{Instance: membership.Instance{ID: "s"}, HeartbeatCount: 1})}, complete: true})
 	for range changeSends {
 		assert.Equal(t, len(e.directory.nextChanges()), 1)
 	}
 	assert.Equal(t, len(e.directory.nextChanges()), 0)
-	e.directory.apply([]Record{serverRecord(t, Server{Instance: membership.Instance{ID: "s"}, HeartbeatCount: 2})}, false)
+	e.directory.apply(update{records: []Record{serverRecord(t, Server{Instance: membership.Instance{ID: "s"}, HeartbeatCount: 2})}, complete: false})
 	assert.Equal(t, len(e.directory.nextChanges()), 0, "a heartbeat alone is not a change")
 }
 
@@ -199,7 +227,7 @@
 	return s.scriptedStore.ReadLatest(ctx, topic)
 }
 
-func (s *slowStore) Read(ctx context.Context, topic Topic, from int64, wait time.Duration) (RecordBatch, error) {
+func (s *slowStore) Read(ctx context.Context, topic Topic, from Position, wait time.Duration) (RecordBatch, error) {
 	if s.wait(ctx) != nil {
 		return RecordBatch{}, ctx.Err()
 	}
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -37,24 +37,35 @@
 	// failure, the records in between are then not read: they may be too many for a
 	// slow link.
 	newestOnly bool
-	// apply receives the complete set of records first and changed records
-	// afterwards.
-	apply func(records []Record, complete bool)
+	apply      func(update)
+}
+
+// update is what a read of a topic has returned.
+type update struct {
+	records []Record
+	// complete is set if the records are the newest of each key; otherwise they are
+	// those that have changed.
+	complete bool
+	// restored is set if the store has come back from an older copy since the last
+	// update. Records that it had accepted may then be missing until their writers
+	// write them again, and records that were deleted may be back.
+	restored bool
 }
 
 // follow keeps a topic's records up to date: it reads the newest record of
 // each key, then the changes, and starts over when changes have expired.
 func (e *Entry) follow(ctx context.Context, f followOptions) error {
 	backoff := e.backoff()
-	next, failures, interrupts := int64(-1), 0, 0
+	next, failures, interrupts := fromStart, 0, 0
+	era := eraWatch{}
 	for ctx.Err() == nil {
 		batch, err := e.readInterruptible(ctx, f, next, interrupts)
 		if err != nil && f.newestOnly {
-			next = -1
+			next = fromStart
 		}
 		switch {
-		case errors.Is(err, ErrExpired):
-			next = -1
+		case errors.Is(err, ErrExpired), errors.Is(err, ErrRestored):
+			next = fromStart
 			continue
 		case errors.Is(err, errInterrupted):
 			interrupts++
@@ -67,10 +78,14 @@
 		}
 		e.logStoreRecovery(f.topic, failures)
 		failures, interrupts = 0, 0
-		if next < 0 || len(batch.Records) > 0 {
-			f.apply(batch.Records, next < 0)
+		u := update{records: batch.Records, complete: next == fromStart, restored: era.advance(batch.Next.Era)}
+		if u.restored {
+			logevent.Write(e.logger, logevent.StoreRestored).Int("topic", int(f.topic)).Int64("era", batch.Next.Era).Msg("")
 		}
-		next = batch.NextOffset
+		if u.complete || len(batch.Records) > 0 {
+			f.apply(u)
+		}
+		next = batch.Next
 		if f.pause != nil {
 			f.pause(ctx)
 		}
@@ -78,6 +93,23 @@
 	return ctx.Err()
 }
 
+// fromStart stands for the position of a read that returns the newest record of
+// each key.
+var fromStart = Position{Offset: -1}
+
+// eraWatch notices that the store begins a new era.
+type eraWatch struct {
+	era   int64
+	known bool
+}
+
+// advance records the era of an answer and reports whether the era before is over.
+func (w *eraWatch) advance(era int64) bool {
+	restored := w.known && era > w.era
+	w.era, w.known = max(w.era, era), true
+	return restored
+}
+
 // errInterrupted means that a read was interrupted because another entry has
 // newer data.
 var errInterrupted = errors.New("read interrupted: another entry has newer data")
@@ -123,7 +155,7 @@
 
 // readInterruptible reads a topic. An interrupted read was waiting on a
 // connection that may be dead.
-func (e *Entry) readInterruptible(ctx context.Context, f followOptions, next int64, interrupts int) (RecordBatch, error) {
+func (e *Entry) readInterruptible(ctx context.Context, f followOptions, next Position, interrupts int) (RecordBatch, error) {
 	if f.wake == nil {
 		return e.readTopic(ctx, f.topic, next, f.readWait())
 	}
@@ -143,8 +175,8 @@
 	return batch, err
 }
 
-func (e *Entry) readTopic(ctx context.Context, topic Topic, next int64, wait time.Duration) (RecordBatch, error) {
-	if next < 0 {
+func (e *Entry) readTopic(ctx context.Context, topic Topic, next Position, wait time.Duration) (RecordBatch, error) {
+	if next == fromStart {
 		return e.store.ReadLatest(ctx, topic)
 	}
 	return e.store.Read(ctx, topic, next, wait)
@@ -178,7 +210,7 @@
 func (e *Entry) followConfiguration(ctx context.Context) error {
 	return e.follow(ctx, followOptions{
 		topic: TopicConfiguration, readWait: e.configurationWait, wake: e.newerRevision, newestOnly: true,
-		apply: func(records []Record, _ bool) { e.applyNewestConfiguration(records) },
+		apply: func(u update) { e.applyNewestConfiguration(u.records) },
 	})
 }
 
@@ -234,6 +266,7 @@
 		topic: TopicServers, readWait: func() time.Duration { return 0 },
 		pause: func(ctx context.Context) {
 			e.directory.markRead(bootclock.Now())
+			e.directory.expireUnconfirmed(bootclock.Now())
 			for elapsed := watchInterval; elapsed < relaxedInterval && ctx.Err() == nil; elapsed += watchInterval {
 				sleep(ctx, watchInterval)
 				if e.isWatcher() || !e.hasFreshWatcher() || e.awaitsLostEngine(elapsed) {
--- a/relay/pause_test.go
+++ b/relay/pause_test.go
@@ -88,7 +88,8 @@
 	e.engines = engines
 	options := lease.DefaultOptions()
 	p := &placer{Entry: e, lease: lease.New("e", options)}
-	claim := lease.Claim{Holder: "e", Term: 1}
+	p.lease.ObserveEra(bootclock.Now(), e.store.Era())
+	claim := lease.Claim{Holder: "e", Term: 1, Era: e.store.Era()}
 	p.lease.AppendSucceeded(bootclock.Now(), claim, 1)
 	assert.Assert(t, p.orderLayers(t.Context(), Server{}, placement.Range{Limit: 1}))
 	assert.Equal(t, engines.orders.Load(), int64(1))
@@ -97,6 +98,22 @@
 	assert.Equal(t, engines.orders.Load(), int64(1))
 }
 
+// Guards against layers that are loaded again, or taken away, because the store has
+// come back with an older record of an engine.
+func TestOrderIsNotSentOnOutdatedRecord(t *testing.T) {
+	e := newStoreEntry(newScriptedStore())
+	engines := &orderCounter{}
+	e.engines = engines
+	p := newPlacer(e)
+	p.lease.ObserveEra(bootclock.Now(), e.store.Era())
+	p.lease.AppendSucceeded(bootclock.Now(), lease.Claim{Holder: "e", Term: 1, Era: e.store.Era()}, 1)
+	server := Server{Layers: placement.Range{First: 4, Limit: 8}}
+	assert.Assert(t, !p.orderLayers(t.Context(), server, placement.Range{Limit: 1}))
+	assert.Equal(t, engines.orders.Load(), int64(0))
+	assert.Assert(t, p.orderLayers(t.Context(), Server{}, placement.Range{Limit: 1}))
+	assert.Equal(t, engines.orders.Load(), int64(1))
+}
+
 // Guards against two holders: a message of the holder from before its claim must
 // not count as a release, although the holder is held up and sends nothing newer.
 func TestOldMessageIsNoRelease(t *testing.T) {
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -49,6 +49,9 @@
 	conn       *net.UDPConn
 	startNanos int64
 
+	// registerAgain triggers another write of this entry's record.
+	registerAgain trigger
+
 	mu        sync.Mutex
 	addresses map[string]netip.AddrPort
 }
@@ -60,7 +63,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for messages from other entries")
 	}
-	p := &peers{Entry: e, conn: conn, startNanos: time.Now().UnixNano(), addresses: map[string]netip.AddrPort{}}
+	p := &peers{Entry: e, conn: conn, startNanos: time.Now().UnixNano(), addresses: map[string]netip.AddrPort{}, registerAgain: make(trigger, 1)}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
 	group, ctx := errgroup.WithContext(ctx)
@@ -68,8 +71,9 @@
 		// If two entries start at the same time, the one that reads after the other's
 		// record was written sends it messages, which make it known.
 		if p.writeRecord(ctx) != nil {
-			group.Go(func() error { return p.retryRegister(ctx) })
+			p.registerAgain.fire()
 		}
+		group.Go(func() error { return p.keepRegistered(ctx) })
 		return p.followEntries(ctx)
 	})
 	group.Go(func() error { return p.receive(ctx) })
@@ -77,14 +81,20 @@
 	return group.Wait()
 }
 
-// retryRegister writes this entry's record until the store accepts it.
-func (p *peers) retryRegister(ctx context.Context) error {
-	for sleep(ctx, registerRetry); ctx.Err() == nil; sleep(ctx, registerRetry) {
-		if p.writeRecord(ctx) == nil {
-			return nil
+// keepRegistered writes this entry's record again whenever that is triggered, until
+// the store accepts it.
+func (p *peers) keepRegistered(ctx context.Context) error {
+	for {
+		select {
+		case <-p.registerAgain:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		sleep(ctx, registerRetry)
+		if p.writeRecord(ctx) != nil {
+			p.registerAgain.fire()
 		}
 	}
-	return ctx.Err()
 }
 
 func (p *peers) writeRecord(ctx context.Context) error {
@@ -92,7 +102,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = p.store.Append(ctx, TopicEntries, Record{Key: p.settings.Instance, Value: value}, AnyOffset)
+	_, err = p.store.Append(ctx, TopicEntries, Record{Key: p.settings.Instance, Value: value}, AnyPosition)
 	return err
 }
 
@@ -110,13 +120,18 @@
 	})
 }
 
-func (p *peers) applyEntries(records []Record, complete bool) {
+func (p *peers) applyEntries(u update) {
+	if u.restored {
+		// This entry's own record may be lost.
+		p.registerAgain.fire()
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if complete {
+	// The records of others may be lost as well.
+	if u.complete && !u.restored {
 		p.addresses = map[string]netip.AddrPort{}
 	}
-	for _, r := range records {
+	for _, r := range u.records {
 		p.applyEntry(r)
 	}
 	// Include this entry, whether or not its own record has been written.
--- a/relay/placer.go
+++ b/relay/placer.go
@@ -75,14 +75,19 @@
 	expiresAt time.Time
 }
 
-// runPlacer acquires the lease and places layers while it is held.
-func (e *Entry) runPlacer(ctx context.Context) error {
-	p := &placer{
+func newPlacer(e *Entry) *placer {
+	return &placer{
 		Entry: e, lease: lease.New(e.settings.Instance, lease.DefaultOptions()), pendingOrders: map[string]pendingOrder{},
 		modelStates: map[string]*modelState{},
 	}
-	next := int64(-1)
+}
+
+// runPlacer acquires the lease and places layers while it is held.
+func (e *Entry) runPlacer(ctx context.Context) error {
+	p := newPlacer(e)
+	next := fromStart
 	for ctx.Err() == nil {
+		p.lease.ObserveEra(bootclock.Now(), p.store.Era())
 		next = p.leaseStep(ctx, next)
 		if !p.holdsLease() {
 			p.release()
@@ -96,14 +101,18 @@
 	return ctx.Err()
 }
 
-// holdsLease reports whether this entry may act as the holder of the lease.
-func (p *placer) holdsLease() bool { return p.lease.Holds(bootclock.Now()) }
+// holdsLease reports whether this entry may act as the holder of the lease. After a
+// restore of the store, its claim may be lost, and it must claim the lease again.
+func (p *placer) holdsLease() bool {
+	return p.lease.Holds(bootclock.Now()) && p.lease.Era() == p.store.Era()
+}
 
 // release ends this entry's term, if it has one, and tells the others.
 func (p *placer) release() {
 	if held := p.leaseTerm.Load(); held > 0 {
-		p.lease.Release()
-		p.leaseTerm.Store(-held)
+		// A term that is lost with an era of the store is not announced: others would
+		// claim the lease by what they know of the era before.
+		p.leaseTerm.Store(-p.lease.Release())
 		p.sendNow.fire()
 		logevent.Write(p.logger, logevent.LeaseReleased).Int64("term", held).Msg("")
 	}
@@ -111,24 +120,24 @@
 }
 
 // leaseStep reads the lease topic unless the lease is held, and appends a
-// claim when one is due. It returns the offset for the next read, or -1 for a
-// full read.
-func (p *placer) leaseStep(ctx context.Context, next int64) int64 {
+// claim when one is due. It returns the position for the next read.
+func (p *placer) leaseStep(ctx context.Context, next Position) Position {
 	if p.hasLiveLeaseHolder() {
 		sleep(ctx, leaseInterval)
 		return next
 	}
 	if !p.holdsLease() {
 		batch, err := p.readTopic(ctx, TopicLease, next, leaseWait)
-		if errors.Is(err, ErrExpired) {
-			return -1
+		if errors.Is(err, ErrExpired) || errors.Is(err, ErrRestored) {
+			return fromStart
 		}
 		if err != nil {
 			sleep(ctx, leaseInterval)
 			return next
 		}
-		next = batch.NextOffset
-		p.lease.Observe(bootclock.Now(), next, lastClaim(batch.Records))
+		next = batch.Next
+		p.lease.ObserveEra(bootclock.Now(), next.Era)
+		p.lease.Observe(bootclock.Now(), next.Offset, lastClaim(batch.Records))
 		p.observeReleases(time.Now())
 	}
 	claim, at, due := p.lease.DueClaim(bootclock.Now())
@@ -171,18 +180,18 @@
 	return nil
 }
 
-// appendClaim appends a claim and returns the offset for the next read.
-func (p *placer) appendClaim(ctx context.Context, claim lease.Claim, at, next int64) int64 {
+// appendClaim appends a claim and returns the position for the next read.
+func (p *placer) appendClaim(ctx context.Context, claim lease.Claim, at int64, next Position) Position {
 	value, err := json.Marshal(claim)
 	if err != nil {
 		return next
 	}
 	startedAt := bootclock.Now()
-	end, err := p.store.Append(ctx, TopicLease, Record{Key: leaseKey, Value: value}, at)
+	end, err := p.store.Append(ctx, TopicLease, Record{Key: leaseKey, Value: value}, Position{p.lease.Era(), at})
 	if err != nil {
 		if !errors.Is(err, ErrUnavailable) {
 			p.lease.AppendFailed()
-			return -1
+			return fromStart
 		}
 		sleep(ctx, leaseInterval)
 		return next
@@ -190,7 +199,7 @@
 	if claim.Term != p.lease.Term() {
 		logevent.Write(p.logger, logevent.LeaseAcquired).Int64("term", claim.Term).Int64("offset", at).Msg("")
 	}
-	p.lease.AppendSucceeded(startedAt, claim, end)
+	p.lease.AppendSucceeded(startedAt, claim, end.Offset)
 	return end
 }
 
@@ -369,6 +378,10 @@
 	status, err := p.engines.Status(ctx, server.Address)
 	if err == nil && status.Busy {
 		outcome = OrderBusy
+	} else if err == nil && status.Layers != server.Layers {
+		// The order was planned by a record that is older than the engine's state: the
+		// store may have come back from an older copy.
+		outcome = OrderOutdated
 	} else if err == nil && !p.holdsLease() {
 		// Another entry may have taken over while this one was held up.
 		outcome = OrderNotSent
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -235,13 +235,26 @@
 		g.logStoreFailure(TopicBlockedParts, failures, err)
 		sleep(ctx, backoff.Delay(failures))
 	}
+	era := eraWatch{}
 	for ctx.Err() == nil {
 		g.save.wait(ctx, saveInterval)
+		if era.advance(g.store.Era()) {
+			g.saveAll(time.Now())
+		}
 		g.saveChanges(ctx)
 	}
 	return ctx.Err()
 }
 
+// saveAll saves all blocked parts again, because the store has lost some.
+func (g *promptGuard) saveAll(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, b := range g.detector.Blocks(now) {
+		g.unsaved[b.Part] = now.Add(b.Remaining)
+	}
+}
+
 // saveInterval is how long after a failure a change is saved again.
 const saveInterval = time.Second
 
@@ -285,7 +298,7 @@
 			}
 			record.Value = value
 		}
-		if _, err := g.store.Append(ctx, TopicBlockedParts, record, AnyOffset); err != nil {
+		if _, err := g.store.Append(ctx, TopicBlockedParts, record, AnyPosition); err != nil {
 			logevent.Write(g.logger, logevent.BlockNotSaved).Str("part", part).Str("cause", err.Error()).Msg("")
 			continue
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -76,6 +76,15 @@
 	Loading bool
 }
 
+// isOlderThan reports whether the record was written before another one of the same
+// server.
+func (s Server) isOlderThan(other Server) bool {
+	if s.StartTimeMillis != other.StartTimeMillis {
+		return s.StartTimeMillis < other.StartTimeMillis
+	}
+	return s.HeartbeatCount < other.HeartbeatCount
+}
+
 // RequestInfo holds the parsed header of a client request.
 type RequestInfo struct {
 	// ID identifies this attempt of the client.
@@ -161,11 +170,20 @@
 	Value []byte
 }
 
+// Position is a position in a topic. The store may come back from an older copy: a
+// new era then begins, in which offsets are given out again for other records.
+type Position struct {
+	Era, Offset int64
+}
+
+// AnyPosition makes Append write at the end of the topic, whatever its position.
+var AnyPosition = Position{Offset: -1}
+
 // RecordBatch holds records in the order in which they were written.
 type RecordBatch struct {
 	Records []Record
-	// NextOffset is the offset after the last record.
-	NextOffset int64
+	// Next is the position after the last record.
+	Next Position
 }
 
 // Errors of the store.
@@ -179,22 +197,24 @@
 	ErrUnknownOutcome = errors.New("outcome unknown")
 	// ErrExpired means that the records at the requested offset no longer exist.
 	ErrExpired = errors.New("records at this offset have expired")
-	// ErrConflict means that the topic does not end at the offset given to Append.
-	ErrConflict = errors.New("topic does not end at the given offset")
+	// ErrConflict means that the topic does not end at the position given to Append.
+	ErrConflict = errors.New("topic does not end at the given position")
+	// ErrRestored means that the era of the position is over. A record may have been
+	// appended all the same, on top of other records than the caller knows.
+	ErrRestored = errors.New("the store was restored from an older copy")
 )
 
-// AnyOffset makes Append write at the end of the topic, whatever its offset.
-const AnyOffset int64 = -1
-
 // Store is the platform's record store.
 type Store interface {
 	// ReadLatest returns the newest record of each key.
 	ReadLatest(ctx context.Context, topic Topic) (RecordBatch, error)
-	// Read returns the records from an offset on and waits for the first one.
-	Read(ctx context.Context, topic Topic, from int64, wait time.Duration) (RecordBatch, error)
-	// Append writes a record if the topic ends at offset at, and returns the next
-	// offset.
-	Append(ctx context.Context, topic Topic, r Record, at int64) (int64, error)
+	// Read returns the records from a position on and waits for the first one.
+	Read(ctx context.Context, topic Topic, from Position, wait time.Duration) (RecordBatch, error)
+	// Append writes a record if the topic ends at position at, and returns the next
+	// position.
+	Append(ctx context.Context, topic Topic, r Record, at Position) (Position, error)
+	// Era returns the newest era seen in any answer of the store.
+	Era() int64
 	// DecodeConfiguration and DecodeServer decode record values in the platform's
 	// formats.
 	DecodeConfiguration(value []byte) (Configuration, error)
@@ -243,6 +263,9 @@
 	// OrderNotSent means that the order was not sent because the sender no longer
 	// holds the lease.
 	OrderNotSent OrderOutcome = "lease_lost"
+	// OrderOutdated means that the order was not sent because the engine holds other
+	// layers than its record says.
+	OrderOutdated OrderOutcome = "record_outdated"
 	OrderUnknown OrderOutcome = "unknown"
 )
 
--- /dev/null
+++ b/relay/restore_test.go
@@ -0,0 +1,118 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sapphirefield/sapphirefield/bootclock"
+	"github.com/sapphirefield/sapphirefield/membership"
+	"github.com/sapphirefield/sapphirefield/quarantine"
+)
+
+func heartbeat(id string, count int64) Server {
+	return Server{Instance: membership.Instance{ID: id, Address: id + ":1"}, StartTimeMillis: 1, HeartbeatCount: count}
+}
+
+// Guards against an entry that goes on reading at an offset that was given out again
+// for other records, and so misses a configuration.
+func TestConfigurationAfterRestore(t *testing.T) {
+	store := newScriptedStore()
+	for revision := 1; revision <= 3; revision++ {
+		store.add(TopicConfiguration, "c", revision)
+	}
+	e := newStoreEntry(store)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = e.followConfiguration(ctx) }()
+	<-e.Configured()
+	store.restore(TopicConfiguration, 1)
+	// The operator writes again what was lost, in one record more than the entry had
+	// read, then a new revision.
+	for _, revision := range []int{2, 2, 3, 4} {
+		store.add(TopicConfiguration, "c", revision)
+	}
+	for e.Revision() < 4 {
+		time.Sleep(time.Millisecond)
+	}
+	// An older copy never brings an older configuration back.
+	store.restore(TopicConfiguration, 1)
+	store.add(TopicConfiguration, "c", 2)
+	time.Sleep(10 * time.Millisecond)
+	assert.Equal(t, e.Revision(), int64(4))
+}
+
+// Guards against sound servers that are dropped because an older copy of the store
+// lacks their records, and against servers that are gone and come back with it.
+func TestServersAfterRestore(t *testing.T) {
+	e := newStoreEntry(newScriptedStore())
+	records := func(servers ...Server) (list []Record) {
+		for _, s := range servers {
+			list = append(list, serverRecord(t, s))
+		}
+		return list
+	}
+	e.directory.apply(update{records: records(heartbeat("old", 5), heartbeat("stays", 5), heartbeat("new", 5), heartbeat("dies", 5)), complete: true})
+	e.directory.apply(update{records: []Record{{Key: "old"}}})
+	// The copy still holds the server that is gone and lacks two that are not.
+	e.directory.apply(update{records: records(heartbeat("old", 4), heartbeat("stays", 3)), complete: true, restored: true})
+	_, known := e.fleet.snapshot()["old"]
+	assert.Assert(t, !known)
+	assert.Equal(t, len(e.fleet.snapshot()), 3)
+	assert.Equal(t, e.fleet.snapshot()["stays"].HeartbeatCount, int64(5))
+	// One of the two writes its record again.
+	e.directory.apply(update{records: records(heartbeat("new", 6))})
+	e.directory.expireUnconfirmed(bootclock.Now())
+	assert.Equal(t, len(e.fleet.snapshot()), 3)
+	e.directory.expireUnconfirmed(bootclock.Now().Add(2 * confirmTime))
+	_, known = e.fleet.snapshot()["dies"]
+	assert.Assert(t, !known)
+	assert.Equal(t, len(e.fleet.snapshot()), 2)
+	// A server that was taken for gone returns with its next record.
+	e.directory.apply(update{records: records(heartbeat("old", 6))})
+	_, known = e.fleet.snapshot()["old"]
+	assert.Assert(t, known)
+}
+
+// Guards against an entry that the others no longer find, and against blocks that
+// are lost, because the store has lost the records.
+func TestLostRecordsAreWrittenAgain(t *testing.T) {
+	store := newScriptedStore()
+	e := newStoreEntry(store)
+	now := time.Now()
+	e.prompts.adopt(now, quarantine.Block{Part: "bad", Remaining: time.Minute}, "test")
+	p := &peers{Entry: e, registerAgain: make(trigger, 1)}
+	p.applyEntries(update{records: []Record{{Key: "a", Value: []byte("{}")}, {Key: "b", Value: []byte("{}")}}, complete: true})
+	assert.Equal(t, e.knownEntries.Load(), int64(3))
+	p.applyEntries(update{records: []Record{{Key: "a", Value: []byte("{}")}}, complete: true, restored: true})
+	// The share of the retry budget must not grow because records are missing.
+	assert.Equal(t, e.knownEntries.Load(), int64(3))
+	assert.Equal(t, len(p.registerAgain), 1)
+
+	e.prompts.saveAll(now)
+	e.prompts.saveChanges(t.Context())
+	assert.Equal(t, store.topics[TopicBlockedParts][0].Key, "bad")
+}
+
+// Guards against an entry that goes on giving orders under a claim that the store
+// has lost.
+func TestHolderClaimsLeaseAgainAfterRestore(t *testing.T) {
+	store := newScriptedStore()
+	e := newStoreEntry(store)
+	p := newPlacer(e)
+	next := fromStart
+	for !p.holdsLease() {
+		next = p.leaseStep(t.Context(), next)
+	}
+	term := p.lease.Term()
+	store.restore(TopicLease, 0)
+	assert.Assert(t, !p.holdsLease())
+	p.lease.ObserveEra(bootclock.Now(), store.Era())
+	for !p.holdsLease() {
+		next = p.leaseStep(t.Context(), next)
+	}
+	assert.Assert(t, p.lease.Term() > term)
+	assert.Equal(t, len(store.topics[TopicLease]), 1)
+}
