relay: servers that leave or ask for a pause are taken at their word

Cause: only the store's records said that a server leaves, and Retry-After of a server's refusal was passed over. Change: Server-Leaving in an answer marks the server as draining at this entry, until it starts anew. A 503 with Retry-After keeps requests, status checks and orders from the server for that time and a random part of it (at most 2 s), so that entries do not return together. Seconds with fractions and dates are read; values that state no time to come are logged and count for nothing; no pause is longer than 5 minutes. A server that has restarted is no longer taken for leaving.

--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -31,6 +31,8 @@
 	PromptPartReleased        Event = 2022
 	BlockNotSaved             Event = 2023
 	BlockRecordUnreadable     Event = 2024
+	ServerSaidLeaving         Event = 2025
+	ServerPaused              Event = 2026
 
 	StreamRerouted         Event = 2015
 	StreamRecovered        Event = 2009
@@ -95,6 +97,8 @@
 	{PromptPartReleased, log.WarnLevel, "prompt part released", ""},
 	{BlockNotSaved, log.WarnLevel, "blocked prompt part could not be saved", "It is saved again each second; check the store if the line repeats."},
 	{BlockRecordUnreadable, log.WarnLevel, "record of a blocked prompt part cannot be read", "Find out which program writes the record."},
+	{ServerSaidLeaving, log.InfoLevel, "backend server says that it is leaving", ""},
+	{ServerPaused, log.InfoLevel, "backend server asked for a pause", ""},
 	{StreamRerouted, log.InfoLevel, "stream's path changed", ""},
 	{ServerChanged, log.InfoLevel, "backend server changed", ""},
 	{ServerRecordRemoved, log.InfoLevel, "backend server's record is gone", ""},
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -80,6 +80,7 @@
 	if err != nil {
 		return a.abort(ctx, err)
 	}
+	s.observeResponse(head.Engine, s.info.ID, a.x)
 	if a.x.info.NotExecuted {
 		a.x.discard()
 		s.avoidFailedEngine(a.x, head)
@@ -120,12 +121,12 @@
 // recordSound records that the prompt's parts are sound once the answer has gone on
 // for a while.
 func (a *attempt) recordSound(now time.Time) {
-	if len(a.info.PromptParts) == 0 {
-		return
-	}
 	if a.progressSince.IsZero() {
 		a.progressSince = now
 	}
+	if len(a.info.PromptParts) == 0 {
+		return
+	}
 	if now.Sub(a.progressSince) >= soundProgress && now.Sub(a.soundAt) >= soundInterval {
 		a.soundAt = now
 		a.prompts.observeSound(now, a.info.PromptParts)
--- a/relay/capacity.go
+++ b/relay/capacity.go
@@ -194,7 +194,7 @@
 	for _, c := range f.membership.Candidates(now, model) {
 		s, known := f.servers[c.ID]
 		layers := s.Layers.Limit - s.Layers.First
-		if !known || c.Suspect || f.lost[c.ID] != nil || layers <= 0 || now.Before(f.avoided[c.ID]) {
+		if !known || c.Suspect || f.lost[c.ID] != nil || layers <= 0 || now.Before(f.avoided[c.ID]) || now.Before(f.pausedUntil[c.ID]) {
 			continue
 		}
 		accelerator := rev.accelerators[s.Accelerator]
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -66,6 +66,8 @@
 	// should have free capacity, with the time of the refusal. suspects are those of
 	// them that do not respond, with the time at which that was found.
 	suspectedAt, suspects map[string]time.Time
+	// pausedUntil are the servers that have asked for a pause, with its end.
+	pausedUntil map[string]time.Time
 	// dead are the suspects of all entries, with the time until which they count.
 	dead map[string]time.Time
 	// changes counts changes of lost and leaving, so that streams need not check
@@ -79,7 +81,7 @@
 		membership: membership.New(membershipOptions()), servers: map[string]Server{}, local: map[string]*usage{},
 		slowdowns: map[string]float64{}, random: random, peers: newPeerUsage(),
 		linkMeters: map[string]*rateMeter{}, lost: map[string]*lostEngine{}, leaving: map[string]leavingState{}, avoided: map[string]time.Time{}, suspects: map[string]time.Time{},
-		suspectedAt: map[string]time.Time{}, dead: map[string]time.Time{},
+		suspectedAt: map[string]time.Time{}, dead: map[string]time.Time{}, pausedUntil: map[string]time.Time{},
 	}
 }
 
@@ -113,6 +115,11 @@
 			delete(f.recent, id)
 		}
 	}
+	for id, until := range f.pausedUntil {
+		if _, known := servers[id]; !known || now.After(until) {
+			delete(f.pausedUntil, id)
+		}
+	}
 	for id := range f.suspectedAt {
 		if _, known := servers[id]; !known {
 			delete(f.suspectedAt, id)
@@ -172,6 +179,10 @@
 	case s.StartTimeMillis != old.StartTimeMillis:
 		delete(f.slowdowns, s.ID)
 		delete(f.lost, s.ID)
+		delete(f.pausedUntil, s.ID)
+		if !s.Leaving {
+			delete(f.leaving, s.ID)
+		}
 		f.membership.Observe(now, s.ID, membership.Restarted)
 	case s.HeartbeatCount != old.HeartbeatCount:
 		if l := f.lost[s.ID]; l != nil && now.Sub(l.since) < staleRecordWindow {
@@ -336,7 +347,7 @@
 	bestLoad, found := 0.0, false
 	for _, c := range f.membership.Candidates(now, service) {
 		s, known := f.servers[c.ID]
-		if !known || avoid[c.ID] {
+		if !known || avoid[c.ID] || now.Before(f.pausedUntil[c.ID]) {
 			continue
 		}
 		load := f.serverLoad(now, c)
--- a/relay/placer.go
+++ b/relay/placer.go
@@ -288,7 +288,7 @@
 func (p *placer) placementEngines(now time.Time, rev *revision, model string, servers map[string]Server) (engines []placement.RelayEngine, anyLoaded bool) {
 	for id, s := range servers {
 		accelerator := rev.accelerators[s.Accelerator]
-		if s.Service != model || s.Leaving || accelerator == nil || p.fleet.lostFor(now, id) >= permanentLossAfter {
+		if s.Service != model || s.Leaving || p.fleet.isLeaving(id) || accelerator == nil || p.fleet.lostFor(now, id) >= permanentLossAfter {
 			continue
 		}
 		layers := s.Layers
@@ -376,7 +376,9 @@
 func (p *placer) orderLayers(ctx context.Context, server Server, r placement.Range) bool {
 	outcome := OrderUnknown
 	status, err := p.engines.Status(ctx, server.Address)
-	if err == nil && status.Busy {
+	if errors.Is(err, errServerPaused) {
+		outcome = OrderPaused
+	} else if err == nil && status.Busy {
 		outcome = OrderBusy
 	} else if err == nil && status.Layers != server.Layers {
 		// The order was planned by a record that is older than the engine's state: the
--- a/relay/poll.go
+++ b/relay/poll.go
@@ -37,7 +37,7 @@
 	var unresponsive serverSet
 	polled := 0
 	for id, s := range p.fleet.snapshot() {
-		if rev.models[s.Service] == nil || p.fleet.lostFor(now, id) > 0 {
+		if rev.models[s.Service] == nil || p.fleet.lostFor(now, id) > 0 || p.fleet.isPaused(now, id) {
 			continue
 		}
 		polled++
@@ -83,6 +83,9 @@
 		return false
 	}
 	p.fleet.setSlowdown(s.ID, status.Slowdown)
+	if status.Leaving && p.fleet.markLeaving(time.Now(), s.ID) {
+		logevent.Write(p.logger, logevent.ServerSaidLeaving).Str("server", s.ID).Msg("")
+	}
 	logevent.Write(p.logger, logevent.EngineStatusReceived).Str("server", s.ID).Int("first", status.Layers.First).
 		Int("limit", status.Layers.Limit).Bool("busy", status.Busy).Int("waiting", status.Waiting).Int("running", status.Running).
 		Float64("used", status.UsedTokens).Float64("total", status.TotalTokens).Float64("slowdown", status.Slowdown).
--- /dev/null
+++ b/relay/refusals.go
@@ -0,0 +1,153 @@
+package relay
+
+import (
+	"context"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sapphirefield/sapphirefield/logevent"
+	"github.com/sapphirefield/sapphirefield/membership"
+	"github.com/sapphirefield/sapphirefield/pipeline"
+	"github.com/sapphirefield/sapphirefield/placement"
+)
+
+const (
+	// maxPause bounds how long a server gets nothing because it asked for that. A
+	// broken server may ask for any time.
+	maxPause = 5 * time.Minute
+	// pauseSpread is the fraction of a pause, and maxPauseSpread the time, over which
+	// the entries return to the server, so that its load does not come back at once.
+	pauseSpread    = 0.25
+	maxPauseSpread = 2 * time.Second
+)
+
+// parseRetryAfter returns how long a server asks to be left alone: a number of
+// seconds, which may have fractions, or a date. It returns 0 for values that state
+// no time to come.
+func parseRetryAfter(now time.Time, text string) time.Duration {
+	text = strings.TrimSpace(text)
+	if seconds, err := strconv.ParseFloat(text, 64); err == nil {
+		if math.IsNaN(seconds) || seconds <= 0 {
+			return 0
+		}
+		return time.Duration(min(seconds, maxPause.Seconds()) * float64(time.Second))
+	}
+	date, err := http.ParseTime(text)
+	if err != nil {
+		return 0
+	}
+	return min(max(date.Sub(now), 0), maxPause)
+}
+
+// observeResponse evaluates what a server's response says about the server itself.
+func (e *Entry) observeResponse(server, request string, x *exchange) {
+	if x.info.Leaving && e.fleet.markLeaving(time.Now(), server) {
+		logevent.Write(e.logger, logevent.ServerSaidLeaving).Str("server", server).Str("request", request).Msg("")
+	}
+	if x.response.StatusCode != http.StatusServiceUnavailable || x.info.RetryAfter == "" {
+		return
+	}
+	pause := parseRetryAfter(time.Now(), x.info.RetryAfter)
+	e.fleet.pauseServer(time.Now(), server, pause)
+	if e.logLimiter.allow(time.Now()) {
+		logevent.Write(e.logger, logevent.ServerPaused).Str("server", server).Str("request", request).
+			Str("retry_after", x.info.RetryAfter).Dur("pause_ms", pause).Msg("")
+	}
+}
+
+// markLeaving records that a server has said itself that it is about to stop. It
+// reports whether that was not known before.
+func (f *fleet) markLeaving(now time.Time, id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.membership.Observe(now, id, membership.Draining)
+	if _, marked := f.leaving[id]; marked {
+		return false
+	}
+	f.leaving[id] = leavingState{since: now}
+	return true
+}
+
+// isLeaving reports whether a server is about to stop.
+func (f *fleet) isLeaving(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, leaving := f.leaving[id]
+	return leaving
+}
+
+// pauseServer keeps everything from a server for a time and a random part of it.
+func (f *fleet) pauseServer(now time.Time, id string, pause time.Duration) {
+	if pause <= 0 {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	spread := min(time.Duration(pauseSpread*float64(pause)), maxPauseSpread)
+	until := now.Add(pause + time.Duration(f.random.Float64()*float64(spread)))
+	if until.After(f.pausedUntil[id]) {
+		f.pausedUntil[id] = until
+	}
+}
+
+// isPaused reports whether a server has asked to be left alone.
+func (f *fleet) isPaused(now time.Time, id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now.Before(f.pausedUntil[id])
+}
+
+// pauseLeft returns the time until the first paused server of a service returns, or 0
+// if none is paused.
+func (f *fleet) pauseLeft(now time.Time, service string) (left time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, until := range f.pausedUntil {
+		d := until.Sub(now)
+		if f.servers[id].Service == service && d > 0 && (left == 0 || d < left) {
+			left = d
+		}
+	}
+	return left
+}
+
+// errServerPaused means that nothing was sent because the server has asked to be left
+// alone.
+var errServerPaused = errors.New("the server has asked for a pause")
+
+// pausingEngines sends no control requests to engines that have asked for a pause.
+type pausingEngines struct {
+	EngineClient
+	fleet *fleet
+}
+
+func (e pausingEngines) isPaused(address string) bool {
+	server, known := e.fleet.byAddress(address)
+	return known && e.fleet.isPaused(time.Now(), server.ID)
+}
+
+func (e pausingEngines) Status(ctx context.Context, address string) (EngineStatus, error) {
+	if e.isPaused(address) {
+		return EngineStatus{}, errServerPaused
+	}
+	return e.EngineClient.Status(ctx, address)
+}
+
+func (e pausingEngines) AssignLayers(ctx context.Context, server Server, r placement.Range, orders int64) (OrderOutcome, error) {
+	if e.isPaused(server.Address) {
+		return OrderPaused, errServerPaused
+	}
+	return e.EngineClient.AssignLayers(ctx, server, r, orders)
+}
+
+func (e pausingEngines) Reroute(ctx context.Context, head Server, id string, path []pipeline.Hop) (OrderOutcome, error) {
+	if e.isPaused(head.Address) {
+		return OrderPaused, errServerPaused
+	}
+	return e.EngineClient.Reroute(ctx, head, id, path)
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -134,6 +134,10 @@
 	FailedAddress string
 	// Signed reports whether the response carries a server's signature.
 	Signed bool
+	// Leaving is set if the server is about to stop.
+	Leaving bool
+	// RetryAfter is the header of that name as sent: a number of seconds or a date.
+	RetryAfter string
 }
 
 // HeaderCodec translates between the platform's headers and the types of this
@@ -230,6 +234,8 @@
 	// process start.
 	OrdersStarted int64
 	Busy          bool
+	// Leaving is set if the engine is about to stop.
+	Leaving bool
 	// Waiting and Running count requests.
 	Waiting, Running int
 	// UsedTokens and TotalTokens are in tokens times layers.
@@ -263,10 +269,13 @@
 	// OrderNotSent means that the order was not sent because the sender no longer
 	// holds the lease.
 	OrderNotSent OrderOutcome = "lease_lost"
+	// OrderPaused means that the order was not sent because the engine has asked for a
+	// pause.
+	OrderPaused OrderOutcome = "paused"
 	// OrderOutdated means that the order was not sent because the engine holds other
 	// layers than its record says.
 	OrderOutdated OrderOutcome = "record_outdated"
-	OrderUnknown OrderOutcome = "unknown"
+	OrderUnknown  OrderOutcome = "unknown"
 )
 
 // StageUnavailableError names an engine that cannot run its stage of a path.
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -64,7 +64,8 @@
 		}
 		server, reserved, found := q.fleet.chooseServer(time.Now(), q.target, q.avoid)
 		if !found {
-			q.refuseOrFail(q.maybeExecuted, "no server is available", noServerRetryAfter)
+			after := max(noServerRetryAfter, q.fleet.pauseLeft(time.Now(), q.target))
+			q.refuseOrFail(q.maybeExecuted, "no server is available", after)
 			return
 		}
 		result, err := q.tryServer(ctx, server)
@@ -155,6 +156,7 @@
 		}
 		return mayHaveExecuted, err
 	}
+	q.observeResponse(server.ID, q.info.ID, x)
 	if x.info.NotExecuted {
 		x.discard()
 		q.recordRefusal(server, x)
