relay: a stream that ends with its connection before any event is not complete

Cause: answers with neither a length nor chunks end with their connection, and zero events and a clean end were taken for a whole stream. The rest held already: such an answer is complete where it ends at an event, broken off inside one or after a reset, and its connection is never used again. Change: without framing, a stream is whole only if an event has arrived. Tests: TestUnframedStreams (two of its six cases failed before), TestUnframedAnswers (held before).

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -310,7 +310,7 @@
 		}
 		switch {
 		case err == nil:
-		case errors.Is(err, io.EOF) && splitter.Pending() == 0:
+		case errors.Is(err, io.EOF) && splitter.Pending() == 0 && a.isWhole():
 			if !a.progressSince.IsZero() {
 				a.prompts.observeSound(time.Now(), a.info.PromptParts)
 			}
@@ -321,6 +321,11 @@
 	}
 }
 
+// isWhole reports whether a stream that has ended after a whole event is complete.
+// One that ends with its connection looks the same if the engine has crashed before
+// its first event.
+func (a *attempt) isWhole() bool { return a.x.hasFramedBody() || !a.progressSince.IsZero() }
+
 // read checks the path and reads bytes of the stream.
 func (a *attempt) read(ctx context.Context, buffer []byte) (int, error) {
 	if err := a.checkPath(ctx); err != nil && a.mayGiveUp() {
--- /dev/null
+++ b/relay/unframed_test.go
@@ -0,0 +1,70 @@
+package relay
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sapphirefield/sapphirefield/config"
+)
+
+const unframedStream = "HTTP/1.1 200 OK\nId: %s\nSigned: 1\nContent-Type: text/event-stream\n\n"
+
+// unframed sends an answer with neither a length nor chunks, which ends with its
+// connection.
+func unframed(header, body string, abort bool) script {
+	return func(_ *backend, r *http.Request, conn net.Conn) bool {
+		write(conn, header, r.Header.Get("Id"))
+		_, _ = io.WriteString(conn, body)
+		if abort {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
+		return false
+	}
+}
+
+// Guards against an answer without a length that is cut off or looks complete though
+// it is not, and against using its connection again.
+func TestUnframedAnswers(t *testing.T) {
+	b := newBackend(t, unframed("HTTP/1.1 200 OK\nId: %s\nSigned: 1\n\n", "the whole body", false))
+	e := newTestEntry(t, unaryRoute(config.CallAtMostOnce), b)
+	for range 2 {
+		response, body, err := e.send(t, http.MethodPost)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+		assert.Equal(t, body, "the whole body")
+	}
+	assert.Equal(t, len(e.pool.idle), 0)
+
+	b = newBackend(t, unframed("HTTP/1.1 200 OK\nId: %s\nSigned: 1\n\n", "half", true))
+	e = newTestEntry(t, unaryRoute(config.CallAtMostOnce), b)
+	response, _, err := e.send(t, http.MethodPost)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusBadGateway)
+}
+
+func TestUnframedStreams(t *testing.T) {
+	for name, c := range map[string]struct {
+		body     string
+		complete bool
+	}{
+		"ends at an event":       {event(1) + event(2), true},
+		"ends inside an event":   {event(1) + "id: 2\ndata", false},
+		"ends before any event":  {"", false},
+		"ends after a comment":   {event(1) + ": end\n\n", true},
+		"nothing but a comment":  {": begin\n\n", false},
+		"inside the first event": {"id: 1\n", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBackend(t, unframed(unframedStream, c.body, false))
+			e := newTestEntry(t, streamRoute(false), b)
+			response, _, err := e.send(t, http.MethodGet)
+			whole := err == nil && response.StatusCode == http.StatusOK
+			assert.Equal(t, whole, c.complete)
+			assert.Equal(t, len(e.pool.idle), 0)
+		})
+	}
+}
