--- a/soak/faults.go
+++ b/soak/faults.go
@@ -49,6 +49,16 @@
 	{"store slow", storeFault(platformtest.StoreFault{Delay: 200 * time.Millisecond})},
 	{"store loses responses", storeFault(platformtest.StoreFault{LostResponseRate: 0.4})},
 	{"store log compacted", func(r *soakRun, _ context.Context, _ *rand.Rand, _ time.Duration) { r.store.Compact() }},
+	{"store restored from an older copy", func(r *soakRun, ctx context.Context, _ *rand.Rand, d time.Duration) {
+		for _, e := range r.entries {
+			e.beginFault()
+			defer e.endFault()
+		}
+		r.store.SetFault(platformtest.StoreFault{RefuseRate: 1})
+		sleep(ctx, d/4)
+		r.store.Restore(d, 3*heartbeatInterval)
+		r.store.SetFault(platformtest.StoreFault{})
+	}},
 	{"engine crashes", func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
 		crashAndReplace(ctx, r, takeStandIn(r, &r.engines, random), d)
 	}},
