platformtest, soak: prompts that crash engines, servers that leave or ask for a pause, unframed answers

Change: stand-in servers say Server-Leaving, with or without a record, refuse with Retry-After and count what comes all the same, send answers with neither a length nor chunks, and end under a request with one prompt part. The soak checks each: requests in a pause, requests to a server that had told the same process, crashes after the part should be blocked.

--- a/soak/clients.go
+++ b/soak/clients.go
@@ -113,6 +113,7 @@
 		clientRequest.Target, clientRequest.Method = platformtest.PathAlternating+clientRequest.ID, http.MethodGet
 	}
 	sentAt, processNumber := time.Now(), c.entries[entryIndex].processNumber()
+	clientRequest.Entry = c.entries[entryIndex].processName()
 	requestCtx, cancel := context.WithTimeout(ctx, requestTimeout+time.Second)
 	defer cancel()
 	request, err := clientRequest.HTTPRequest(requestCtx, "http://"+c.entries[entryIndex].clientProxy.address())
@@ -132,6 +133,7 @@
 	served := c.checkResponse(clientRequest, response, string(body), err)
 	c.report.recordRequest(sentAt, served)
 	c.checkExecutions(clientRequest, c.entries[entryIndex], sentAt)
+	c.checkLeaving(clientRequest, c.entries[entryIndex], sentAt, response.Header.Get(platformtest.HeaderLeaving) != "")
 	if served && strings.HasPrefix(clientRequest.Target, platformtest.PathAlternating) {
 		c.checkActiveRevision(clientRequest.ID, c.entries[entryIndex], processNumber, sentAt)
 	}
@@ -185,6 +187,39 @@
 	}
 }
 
+// leavingTracker records which process was told by which server that it is leaving.
+type leavingTracker struct {
+	mu   sync.Mutex
+	told map[string]map[string]time.Time // by process and server
+}
+
+// checkLeaving checks that a request was not sent to a server that had told the same
+// process long before that it is leaving, and records what this response tells.
+func (c *loadClient) checkLeaving(request platformtest.ClientRequest, e *entry, sentAt time.Time, saysLeaving bool) {
+	executions := c.fleet.Executions(request.ID)
+	t := &c.leavingServers
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, execution := range executions {
+		at, told := t.told[request.Entry][execution.Server]
+		if told && sentAt.Sub(at) > drainPropagationLimit && e.faultFreeSince(at) {
+			c.report.addViolation("leaving", "%s: executed on %s, which had told %s %s before", request.ID, execution.Server, request.Entry, sentAt.Sub(at))
+		}
+	}
+	if !saysLeaving || len(executions) == 0 {
+		return
+	}
+	if t.told == nil {
+		t.told = map[string]map[string]time.Time{}
+	}
+	if t.told[request.Entry] == nil {
+		t.told[request.Entry] = map[string]time.Time{}
+	}
+	if server := executions[len(executions)-1].Server; t.told[request.Entry][server].IsZero() {
+		t.told[request.Entry][server] = time.Now()
+	}
+}
+
 func expectedStream(request platformtest.ClientRequest) string {
 	var b strings.Builder
 	for i := range request.Events {
--- a/soak/entry.go
+++ b/soak/entry.go
@@ -131,6 +131,11 @@
 	return e.activeFaults == 0 && e.lastFaultEnd.Before(t)
 }
 
+// processName names the entry's current process.
+func (e *entry) processName() string {
+	return fmt.Sprintf("%s/%d", e.settings.Name, e.processNumber())
+}
+
 // processNumber returns the number of the entry's current process, counted from 1.
 func (e *entry) processNumber() int {
 	e.mu.Lock()
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -79,6 +79,28 @@
 	{"application server replaced", func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
 		drainAndReplace(ctx, r, takeStandIn(r, &r.apps, random), d)
 	}},
+	{"engine leaves without a record", func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
+		leaveAndReplace(ctx, r, takeStandIn(r, &r.engines, random), d)
+	}},
+	{"application server leaves without a record", func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
+		leaveAndReplace(ctx, r, takeStandIn(r, &r.apps, random), d)
+	}},
+	{"engine asks for a pause", func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
+		pauseServer(ctx, pickStandIn(r, &r.engines, random).server, d)
+	}},
+	{"application server asks for a pause", func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
+		pauseServer(ctx, pickStandIn(r, &r.apps, random).server, d)
+	}},
+	{"engine sends streams without chunks", func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
+		engine := pickStandIn(r, &r.engines, random).server
+		engine.SetUnframed(true)
+		sleep(ctx, d)
+		engine.SetUnframed(false)
+	}},
+	{"application sends responses without a length", appFault(platformtest.AppFault{UnframedRate: 0.5})},
+	{"prompts crash engines", func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
+		r.sendPoisoned(ctx, random, 2*d)
+	}},
 	{"application loses responses", appFault(platformtest.AppFault{LostResponseRate: 0.3})},
 	{"application truncates responses", appFault(platformtest.AppFault{TruncateRate: 0.3})},
 	{"application fails requests", appFault(platformtest.AppFault{FailureRate: 0.4})},
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -79,6 +79,9 @@
 	loadBalancer *loadBalancer
 	revisions    revisionTracker
 	serverSeeds  atomic.Uint64
+	// leavingServers is what servers have told the entries.
+	leavingServers leavingTracker
+	crashes        crashTracker
 
 	mu      sync.Mutex
 	engines standIns[*platformtest.Engine]
@@ -97,6 +100,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer r.stop()
+	r.fleet.OnCrash = func(engine *platformtest.Engine, process string) {
+		r.crashes.record(time.Now(), r.entryOf(process))
+		go r.replaceCrashed(ctx, engine)
+	}
 	if err := r.start(ctx); err != nil {
 		return nil, err
 	}
@@ -114,6 +121,7 @@
 	cancel()
 	wg.Wait()
 	r.checkNotExecuted()
+	r.crashes.check(r.report)
 	return r.report, nil
 }
 
--- a/soak/standins.go
+++ b/soak/standins.go
@@ -12,6 +12,8 @@
 type server interface {
 	Crash()
 	StartDraining()
+	StartLeaving()
+	SetPause(d time.Duration)
 }
 
 // standIn is a stand-in server and the proxy through which entries reach it.
@@ -92,3 +94,19 @@
 	sleep(ctx, drainDuration+extraDrain)
 	m.stop()
 }
+
+// leaveAndReplace starts a replacement, then lets the server say in its answers alone
+// that it is leaving, and stops it.
+func leaveAndReplace[S server](ctx context.Context, r *soakRun, m *standIn[S], extraDrain time.Duration) {
+	r.checkStarted(m.startReplacement())
+	m.server.StartLeaving()
+	sleep(ctx, drainDuration+extraDrain)
+	m.stop()
+}
+
+// pauseServer lets a server refuse requests and ask for a pause.
+func pauseServer(ctx context.Context, s server, d time.Duration) {
+	s.SetPause(d)
+	sleep(ctx, d)
+	s.SetPause(0)
+}
