relay: a whole event is not held back by a part of the next chunk

Cause: net/http's reader of chunks goes on to the next chunk as soon as its line has arrived, and waits for its data with the first chunk's data in hand. Change: a reader of chunks of our own, which returns the data of one chunk at most.

--- a/relay/connection.go
+++ b/relay/connection.go
@@ -374,6 +374,9 @@
 			return err
 		}
 		if response.StatusCode >= http.StatusOK {
+			if len(response.TransferEncoding) > 0 && response.Body != http.NoBody {
+				response.Body = &chunkReader{reader: x.conn.reader}
+			}
 			x.response, x.info = response, codec.ParseResponse(response.Header)
 			return x.conn.endHeader()
 		}
