relay: a stream that ends with its connection and its engine is not complete

Callers would see: a stream that ends early and looks complete, when an engine that sends neither a length nor chunks crashes between two events. Cause: such an end looks the same as that of a whole stream. Ruled out: a reset (it was told apart before), an end inside an event. Change: where the answer has no framing, the engine is asked for its status before the stream counts as complete; a dead one means a broken stream, which goes on at another engine or ends broken. Cost: one status check for each such stream, none for framed ones. Test: TestUnframedStreamOfCrashedEngineGoesOn, fails before.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -310,7 +310,7 @@
 		}
 		switch {
 		case err == nil:
-		case errors.Is(err, io.EOF) && splitter.Pending() == 0 && a.isWhole():
+		case errors.Is(err, io.EOF) && splitter.Pending() == 0 && a.isWhole(ctx):
 			if !a.progressSince.IsZero() {
 				a.prompts.observeSound(time.Now(), a.info.PromptParts)
 			}
@@ -322,9 +322,26 @@
 }
 
 // isWhole reports whether a stream that has ended after a whole event is complete.
-// One that ends with its connection looks the same if the engine has crashed before
-// its first event.
-func (a *attempt) isWhole() bool { return a.x.hasFramedBody() || !a.progressSince.IsZero() }
+// One that ends with its connection looks the same if its engine has crashed between
+// two events, so the engine is asked whether it is there. If the stream was complete
+// all the same, another attempt finds nothing left to send.
+func (a *attempt) isWhole(ctx context.Context) bool {
+	switch {
+	case a.x.hasFramedBody():
+		return true
+	case a.progressSince.IsZero():
+		return false
+	}
+	return !a.headIsDead(ctx)
+}
+
+// headIsDead reports whether the first engine does not respond.
+func (a *attempt) headIsDead(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, a.stallChecker.timeout(time.Now()))
+	defer cancel()
+	_, err := a.engines.Status(ctx, a.hops[0].Address)
+	return errors.Is(err, ErrNoResponse)
+}
 
 // read checks the path and reads bytes of the stream.
 func (a *attempt) read(ctx context.Context, buffer []byte) (int, error) {
--- a/relay/unframed_test.go
+++ b/relay/unframed_test.go
@@ -68,3 +68,26 @@
 		})
 	}
 }
+
+// Guards against a stream that looks complete although its engine has crashed between
+// two events.
+func TestUnframedStreamOfCrashedEngineGoesOn(t *testing.T) {
+	first := newBackend(t, func(b *backend, r *http.Request, conn net.Conn) bool {
+		b.listener.Close()
+		return unframed(unframedStream, event(1)+event(2), false)(b, r, conn)
+	})
+	second := newBackend(t, events(2, true))
+	e := newTestEntry(t, streamRoute(true), first, second)
+	engines := &crashedEngines{backends: &crashingBackends{crashed: map[string]bool{first.address(): true}}}
+	e.Entry.engines = engines
+	e.preferFirst()
+	_, body, err := e.send(t, http.MethodGet)
+	assert.NilError(t, err)
+	assert.Equal(t, body, event(1)+event(2)+event(3)+event(4))
+	// Without another attempt, the client must see that the stream broke off.
+	last := newBackend(t, unframed(unframedStream, event(1), false))
+	e = newTestEntry(t, streamRoute(false), last)
+	e.Entry.engines = &crashedEngines{backends: &crashingBackends{crashed: map[string]bool{last.address(): true}}}
+	_, _, err = e.send(t, http.MethodGet)
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -17,7 +17,9 @@
 )
 
 // regressionSeeds are seeds of soaks that found violations, each with its cause.
-var regressionSeeds = []uint64{}
+var regressionSeeds = []uint64{
+	2201, // streams without chunks looked complete when their engine crashed between two events
+}
 
 // Guards against violations that the tests of single packages miss and that only
 // occur in real processes under injected faults.
