quarantine: a blocked prompt part is probed

Callers would see: a whole kind of request refused for ten minutes, where all its first engines crash again and again for another reason and no request with its shared part is answered for ten seconds: then the shared part is blocked in error, and nothing that would clear it runs. Found by reading, not seen. Ruled out as remedies: the share of requests that have a part (a restarted entry does not know it), requests in progress for each crash (small where load is small). Change: the holder of the lease lets one request with a blocked part through 10, 40, 130 and 400 s after the block began, and does not repeat it. An answer releases the part at all entries. Few probes, because each may crash an engine. Tests: TestBlockOfSoundPartEndsWithProbe (503 before), TestProbeIsNotRepeated, TestBlockedPartIsProbed.

--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -33,6 +33,7 @@
 	BlockRecordUnreadable     Event = 2024
 	ServerSaidLeaving         Event = 2025
 	ServerPaused              Event = 2026
+	PromptPartProbed          Event = 2027
 
 	StreamRerouted         Event = 2015
 	StreamRecovered        Event = 2009
@@ -95,6 +96,7 @@
 	{EngineCrashedUnderRequest, log.InfoLevel, "engine crashed before it answered a request", ""},
 	{PromptPartBlocked, log.WarnLevel, "prompt part blocked: it crashes engines", "Find out what the part holds and why the engines crash."},
 	{PromptPartReleased, log.WarnLevel, "prompt part released", ""},
+	{PromptPartProbed, log.InfoLevel, "one request with a blocked prompt part let through", ""},
 	{BlockNotSaved, log.WarnLevel, "blocked prompt part could not be saved", "It is saved again each second; check the store if the line repeats."},
 	{BlockRecordUnreadable, log.WarnLevel, "record of a blocked prompt part cannot be read", "Find out which program writes the record."},
 	{ServerSaidLeaving, log.InfoLevel, "backend server says that it is leaving", ""},
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -41,6 +41,9 @@
 	// BlockTime is how long a part is blocked. Requests with it are let through
 	// afterwards, and the first crash blocks it again.
 	BlockTime = 10 * time.Minute
+	// probeWindow is how long one request with a blocked part may be let through, at
+	// each of probeTimes.
+	probeWindow = 2 * time.Second
 	// relapseTime is how long a block that is over is remembered.
 	relapseTime = time.Hour
 
@@ -51,6 +54,12 @@
 	maxSoundParts      = 4096
 )
 
+// probeTimes are the times after the begin of a block at which one request with the
+// part is let through. If a part was blocked although it is sound, nothing else
+// would show that: no request with it runs. There are few of them, because each may
+// crash an engine.
+var probeTimes = []time.Duration{10 * time.Second, 40 * time.Second, 130 * time.Second, 400 * time.Second}
+
 // Suspicion says that an engine crashed while it worked on a request with a part.
 type Suspicion struct {
 	// Crash identifies the crashed process of the engine.
@@ -87,6 +96,8 @@
 	// crashes are explained by this part: they say nothing about the other parts of
 	// the requests that were in progress.
 	crashes map[uint64]struct{}
+	// probes is the number of probe times that have been used.
+	probes int
 }
 
 // New returns a detector that knows nothing.
@@ -285,6 +296,24 @@
 	return true
 }
 
+// Probe reports whether a request with a blocked part is to be let through now, and
+// counts it. Only one of the entries should ask.
+func (d *Detector) Probe(now time.Time, part string) bool {
+	b, active := d.activeBlock(now, part)
+	if !active {
+		return false
+	}
+	elapsed := BlockTime - b.until.Sub(now)
+	for b.probes < len(probeTimes) && elapsed >= probeTimes[b.probes]+probeWindow {
+		b.probes++ // no request came at that time
+	}
+	if b.probes == len(probeTimes) || elapsed < probeTimes[b.probes] {
+		return false
+	}
+	b.probes++
+	return true
+}
+
 // Blocked returns the first part of a prompt that is blocked, if there is one.
 func (d *Detector) Blocked(now time.Time, parts []string) (Block, bool) {
 	if len(d.blocks) == 0 {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -175,6 +175,26 @@
 	})
 }
 
+// Guards against a part that stays blocked although it is sound, because no request
+// with it runs, and against more probes than engines can bear.
+func TestBlockedPartIsProbed(t *testing.T) {
+	d := New()
+	assert.Assert(t, !d.Probe(start, "a"))
+	assert.Assert(t, d.Adopt(start, Block{"a", BlockTime}))
+	probes := []time.Duration{}
+	for elapsed := time.Duration(0); elapsed < BlockTime; elapsed += 100 * time.Millisecond {
+		if d.Probe(start.Add(elapsed), "a") {
+			probes = append(probes, elapsed)
+		}
+	}
+	assert.DeepEqual(t, probes, probeTimes)
+	// An entry that takes over later does not repeat the probes that are over.
+	later := New()
+	assert.Assert(t, later.Adopt(start.Add(20*time.Second), Block{"a", BlockTime - 20*time.Second}))
+	assert.Assert(t, !later.Probe(start.Add(20*time.Second), "a"))
+	assert.Assert(t, later.Probe(start.Add(probeTimes[1]+probeWindow-1), "a"))
+}
+
 // Guards against memory that grows with the number of parts.
 func TestMemoryIsBounded(t *testing.T) {
 	d := New()
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -71,6 +71,22 @@
 	return g.detector.Blocked(now, parts)
 }
 
+// mayProbe reports whether a request with a blocked part is let through, to find out
+// whether the part still crashes engines. Only the holder of the lease probes, so
+// that one request of the whole fleet does.
+func (g *promptGuard) mayProbe(now time.Time, request string, block quarantine.Block) bool {
+	if !g.isWatcher() {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.detector.Probe(now, block.Part) {
+		return false
+	}
+	logevent.Write(g.logger, logevent.PromptPartProbed).Str("part", block.Part).Str("request", request).Msg("")
+	return true
+}
+
 // isRisky reports whether a repeat of a request with these parts may crash one more
 // engine.
 func (g *promptGuard) isRisky(parts []string) bool {
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -215,3 +215,33 @@
 		assert.Assert(t, !blocked, part)
 	}
 }
+
+// Guards against a class of requests that is refused for minutes because its shared
+// part was blocked in error while no request with it could be answered.
+func TestBlockOfSoundPartEndsWithProbe(t *testing.T) {
+	b := newBackend(t, events(3, true))
+	e := newTestEntry(t, streamRoute(true), b)
+	e.prompts.adopt(time.Now(), quarantine.Block{Part: "shared", Remaining: quarantine.BlockTime - 11*time.Second}, "test")
+	status, _ := e.sendParts(t, "shared,own1")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	e.leaseTerm.Store(1)
+	status, _ = e.sendParts(t, "shared,own2")
+	assert.Equal(t, status, http.StatusOK)
+	e.leaseTerm.Store(0)
+	status, _ = e.sendParts(t, "shared,own3")
+	assert.Equal(t, status, http.StatusOK)
+}
+
+// Guards against a probe that crashes a second engine, or a second probe at once.
+func TestProbeIsNotRepeated(t *testing.T) {
+	c := newCrashingBackends(t, 4)
+	e := newTestEntry(t, streamRoute(true), c.backends...)
+	engines := &crashedEngines{backends: c}
+	e.Entry.engines, e.stallChecker.engines = engines, engines
+	e.leaseTerm.Store(1)
+	e.prompts.adopt(time.Now(), quarantine.Block{Part: "bad", Remaining: quarantine.BlockTime - 11*time.Second}, "test")
+	for range 3 {
+		e.sendParts(t, "shared,bad,own")
+	}
+	assert.Equal(t, c.arrivals(), 1)
+}
--- a/relay/request.go
+++ b/relay/request.go
@@ -43,6 +43,9 @@
 	sentCount int
 	// maybeExecuted is set once an earlier server may have executed the request.
 	maybeExecuted bool
+	// probesPrompt is set if the request is let through to find out whether a blocked
+	// part of its prompt still crashes engines. It is not repeated.
+	probesPrompt bool
 	// avoid holds servers that failed this request.
 	avoid map[string]bool
 	// outcome, status and detail are written to the request's log line.
@@ -144,7 +147,11 @@
 // blockedPrompt refuses a request with a prompt part that crashes engines.
 func (q *request) blockedPrompt() *problem.Problem {
 	block, blocked := q.prompts.blocked(time.Now(), q.info.PromptParts)
-	if !blocked {
+	if !blocked || q.probesPrompt {
+		return nil
+	}
+	if q.prompts.mayProbe(time.Now(), q.info.ID, block) {
+		q.probesPrompt = true
 		return nil
 	}
 	return q.retryLater(problem.PromptBlocked, "part "+block.Part+" of the prompt has crashed engines", block.Remaining)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -85,7 +85,7 @@
 			s.endAtDeadline()
 			return
 		}
-		repeatable := q.route.Resumable && !s.prompts.isRisky(s.info.PromptParts)
+		repeatable := q.route.Resumable && !q.probesPrompt && !s.prompts.isRisky(s.info.PromptParts)
 		if !q.allowRetry(ctx, result, q.streamLimits(), repeatable, s.maxWait()) {
 			s.giveUp(errorDetail(err), refusedRetryAfter)
 			return
