admission: starts at once count when a queue judges how long it takes

Callers would see: at the begin of a burst, a refusal that says to come back after the longest time, although the queue takes a fraction of a second. Change: a start without a wait counts too. Test: TestExpectedWaitAtBeginOfBurst (did not build before; without the count the wait is 100 s).

--- a/admission/wait.go
+++ b/admission/wait.go
@@ -176,6 +176,10 @@
 	return candidates
 }
 
+// StartedAtOnce records that a request has started without waiting. When a queue
+// begins, the rate of these tells how long it will take.
+func (q *WaitQueue) StartedAtOnce(now time.Time) { q.started.add(now, 1) }
+
 // Started removes a request that has started. Its cost, in the unit of Refresh, is
 // added to the team's work in progress.
 func (q *WaitQueue) Started(now time.Time, id string, cost float64) {
--- a/admission/wait_test.go
+++ b/admission/wait_test.go
@@ -118,6 +118,23 @@
 	assert.Assert(t, q.ExpectedWait(now) < 1200*time.Millisecond, "%v", q.ExpectedWait(now))
 }
 
+// Guards against telling the first clients that a burst refuses to come back much
+// later than the queue takes, because nothing has started from the queue yet.
+func TestExpectedWaitAtBeginOfBurst(t *testing.T) {
+	q := NewWaitQueue(DefaultWaitOptions())
+	now := time.Unix(0, 0)
+	const perSecond = 50
+	for range 4 * perSecond {
+		now = now.Add(time.Second / perSecond)
+		q.StartedAtOnce(now)
+	}
+	for i := range 10 {
+		q.Add(now, &Waiting{ID: fmt.Sprint(i), Team: "t", Arrived: now, GiveUpAt: now.Add(time.Second)})
+	}
+	wait := q.ExpectedWait(now)
+	assert.Assert(t, wait > 150*time.Millisecond && wait < 300*time.Millisecond, "%v", wait)
+}
+
 // After a restart, nothing is known about the capacity: a burst waits instead of
 // being refused. Once requests have waited for a while, only as many may wait as
 // start in time.
--- a/relay/waitroom.go
+++ b/relay/waitroom.go
@@ -119,6 +119,9 @@
 	defer r.mu.Unlock()
 	if r.queue.Len() == 0 {
 		hops, reserved, err := w.find(now)
+		if err == nil {
+			r.queue.StartedAtOnce(now)
+		}
 		if err == nil || !w.GiveUpAt.After(now) {
 			return pathResult{hops, reserved, err}, true
 		}
