relay: a removal that a complete read shows is announced

Callers would see: requests sent to a server for up to 5 s after it is gone, where the watcher found it missing in a complete read (changes expired, or a read had failed) and did not tell the others. Change: such removals are announced like others. Test: TestRemovalFoundByCompleteReadIsAnnounced, fails before.

--- a/relay/directory.go
+++ b/relay/directory.go
@@ -104,7 +104,7 @@
 		case u.restored:
 			d.unconfirmed[id] = now.Add(confirmTime)
 		default:
-			d.applyRecord(Record{Key: id})
+			d.applyAndAnnounce(Record{Key: id})
 		}
 	}
 }
--- a/relay/restore_test.go
+++ b/relay/restore_test.go
@@ -116,3 +116,18 @@
 	assert.Assert(t, p.lease.Term() > term)
 	assert.Equal(t, len(store.topics[TopicLease]), 1)
 }
+
+// Guards against entries that learn seconds late that a server is gone: the watcher
+// finds it missing in a complete read, after changes have expired or a read has failed.
+func TestRemovalFoundByCompleteReadIsAnnounced(t *testing.T) {
+	watcher, other := newStoreEntry(newScriptedStore()), newStoreEntry(newScriptedStore())
+	first := update{records: []Record{serverRecord(t, heartbeat("gone", 1)), serverRecord(t, heartbeat("stays", 1))}, complete: true}
+	watcher.directory.apply(first)
+	other.directory.apply(first)
+	watcher.directory.nextChanges()
+	watcher.directory.apply(update{records: first.records[1:], complete: true})
+	other.directory.applyPeerChanges(watcher.directory.nextChanges())
+	_, known := other.fleet.snapshot()["gone"]
+	assert.Assert(t, !known)
+	assert.Equal(t, len(other.fleet.snapshot()), 1)
+}
