relay: entries read the servers themselves when the watcher changes

Cause: the watcher was stopped 0.2 s after the server's record went. It had not told the others yet; the next watcher, a new process, had never known the server and had nothing to tell; the others had heard a watcher all the while and read by themselves only after 5 s (2011 at 18.3, 19.5 and 20.1 s, record gone at 16.84 s). Ruled out: the store (it answered), eras (none), pauses of the two entries. Change: a watcher is known by process and term. When it changes, each entry reads once itself; the new watcher's reads began before it was heard of. Test: TestEntryReadsItselfWhenWatcherChanges (the function is new; with the watcher's identity left out it fails).

--- a/relay/follow.go
+++ b/relay/follow.go
@@ -267,9 +267,10 @@
 		pause: func(ctx context.Context) {
 			e.directory.markRead(bootclock.Now())
 			e.directory.expireUnconfirmed(bootclock.Now())
+			watcher, _ := e.freshWatcher()
 			for elapsed := watchInterval; elapsed < relaxedInterval && ctx.Err() == nil; elapsed += watchInterval {
 				sleep(ctx, watchInterval)
-				if e.isWatcher() || !e.hasFreshWatcher() || e.awaitsLostEngine(elapsed) {
+				if e.readsItself(watcher) || e.awaitsLostEngine(elapsed) {
 					return
 				}
 			}
@@ -288,13 +289,33 @@
 // the others.
 func (e *Entry) isWatcher() bool { return e.leaseTerm.Load() > 0 }
 
-// hasFreshWatcher reports whether another entry reads the servers' records
-// often and announces changes.
-func (e *Entry) hasFreshWatcher() bool {
+// watcherTerm identifies the term of a watcher. A new term, or a new process, may not
+// know of the changes that the one before has not announced yet.
+type watcherTerm struct {
+	sender           string
+	startNanos, term int64
+}
+
+// freshWatcher returns the entry that reads the servers' records often and announces
+// changes, if there is one other than this entry.
+func (e *Entry) freshWatcher() (watcher watcherTerm, known bool) {
 	for _, m := range e.fleet.freshMessages(time.Now()) {
-		if m.watchAge <= maxWatchAge {
-			return true
+		if m.watchAge <= maxWatchAge && (!known || m.term > watcher.term) {
+			watcher, known = watcherTerm{m.sender, m.startNanos, m.term}, true
 		}
 	}
-	return false
+	return watcher, known
+}
+
+func (e *Entry) hasFreshWatcher() bool {
+	_, known := e.freshWatcher()
+	return known
+}
+
+// readsItself reports whether this entry must read the servers' records itself. last
+// was the watcher at its last read: a later one has read the records before it was
+// heard of, so one more read of this entry's own leaves no gap.
+func (e *Entry) readsItself(last watcherTerm) bool {
+	watcher, known := e.freshWatcher()
+	return e.isWatcher() || !known || watcher != last
 }
--- a/relay/restore_test.go
+++ b/relay/restore_test.go
@@ -131,3 +131,27 @@
 	assert.Assert(t, !known)
 	assert.Equal(t, len(other.fleet.snapshot()), 1)
 }
+
+// Guards against a server that stays in use for seconds after it has left, because the
+// watcher that read of it ended before it told the others, and the next one has never
+// known the server.
+func TestEntryReadsItselfWhenWatcherChanges(t *testing.T) {
+	e := newStoreEntry(newScriptedStore())
+	now := time.Now()
+	watching := func(startNanos, sequence, term int64) {
+		e.fleet.applyPeerMessage(now, message{sender: "w", startNanos: startNanos, sequence: sequence, term: term})
+	}
+	assert.Assert(t, e.readsItself(watcherTerm{}))
+	watching(1, 1, 1)
+	first, known := e.freshWatcher()
+	assert.Assert(t, known)
+	watching(1, 2, 1)
+	assert.Assert(t, !e.readsItself(first))
+	watching(2, 1, 2)
+	assert.Assert(t, e.readsItself(first))
+	second, _ := e.freshWatcher()
+	assert.Assert(t, !e.readsItself(second))
+	// The same process, which has lost the lease in between.
+	watching(2, 2, 3)
+	assert.Assert(t, e.readsItself(second))
+}
