quarantine: explained crashes are forgotten when nothing is suspected

Callers would see: engines that crash one after another again, because a new prompt part is never blocked. Cause: Decide returned before it forgot old crashes when no part was under suspicion. With the memory for crashes full (1,024 within a minute, all explained), Suspect took no new crash, so that nothing was suspected any more. Change: the early return asks for crashes in place of suspects. Test: TestExplainedCrashesAreForgotten, fails before.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -169,7 +169,7 @@
 // Decide blocks the parts that explain the most crashes, until no part has too
 // many that are not explained, and returns them.
 func (d *Detector) Decide(now time.Time) (blocked []string) {
-	if len(d.suspects) == 0 {
+	if len(d.crashes) == 0 {
 		return nil
 	}
 	d.forgetOldCrashes(now)
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -195,6 +195,23 @@
 	assert.Assert(t, later.Probe(start.Add(probeTimes[1]+probeWindow-1), "a"))
 }
 
+// Guards against a detector that takes no crash any more: the memory for crashes is
+// full, and none is forgotten because all are explained.
+func TestExplainedCrashesAreForgotten(t *testing.T) {
+	d := New()
+	for crash := range uint64(maxCrashes) {
+		d.Suspect(start, Suspicion{Crash: crash, Part: "a"})
+		d.ObserveSound(start, "a")
+		delete(d.sound.current, "a")
+	}
+	later := start.Add(2 * suspicionTime)
+	d.Decide(later)
+	for crash := uint64(maxCrashes); crash < maxCrashes+blockingCrashes; crash++ {
+		suspectAll(d, later, crash, "bad")
+	}
+	assert.Assert(t, isBlocked(d, later.Add(settleTime), "bad"))
+}
+
 // Guards against memory that grows with the number of parts.
 func TestMemoryIsBounded(t *testing.T) {
 	d := New()
