relay, platform: log the rate limit that a server states

Change: the header is read, a change of it is logged (2028, 2029), and control requests are counted. No decision changes.

--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -34,6 +34,8 @@
 	ServerSaidLeaving         Event = 2025
 	ServerPaused              Event = 2026
 	PromptPartProbed          Event = 2027
+	RateLimitStated           Event = 2028
+	RateLimitLifted           Event = 2029
 
 	StreamRerouted         Event = 2015
 	StreamRecovered        Event = 2009
@@ -101,6 +103,8 @@
 	{BlockRecordUnreadable, log.WarnLevel, "record of a blocked prompt part cannot be read", "Find out which program writes the record."},
 	{ServerSaidLeaving, log.InfoLevel, "backend server says that it is leaving", ""},
 	{ServerPaused, log.InfoLevel, "backend server asked for a pause", ""},
+	{RateLimitStated, log.InfoLevel, "backend server states a rate limit", ""},
+	{RateLimitLifted, log.InfoLevel, "backend server states no rate limit any more", ""},
 	{StreamRerouted, log.InfoLevel, "stream's path changed", ""},
 	{ServerChanged, log.InfoLevel, "backend server changed", ""},
 	{ServerRecordRemoved, log.InfoLevel, "backend server's record is gone", ""},
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -80,10 +80,11 @@
 func New(o Options) *Entry {
 	seeds := &seeds{random: o.Random}
 	fleet := newFleet(seeds.newSource())
-	engines := pausingEngines{o.Engines, fleet}
+	requestMetrics := newRequestMetrics(o.Metrics)
+	engines := pausingEngines{o.Engines, fleet, requestMetrics.controlRequests}
 	e := &Entry{
 		settings: o.Settings, store: o.Store, engines: engines, headerCodec: o.HeaderCodec, logger: o.Logger,
-		logLimiter: newLogLimiter(), requestMetrics: newRequestMetrics(o.Metrics), fleet: fleet, pool: newPool(), stallChecker: newStallChecker(engines, o.Logger),
+		logLimiter: newLogLimiter(), requestMetrics: requestMetrics, fleet: fleet, pool: newPool(), stallChecker: newStallChecker(engines, o.Logger),
 		backoff:    func() *retry.Backoff { return retry.NewBackoff(storeRetryBase, storeRetryLimit, seeds.newSource()) },
 		configured: make(chan struct{}), budgets: map[string]*lockedBudget{}, waitRooms: map[string]*waitRoom{}, inFlight: newInFlightCounter(),
 		newerRevision: make(chan struct{}, 1), sendNow: make(trigger, 1),
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -70,6 +70,8 @@
 	pausedUntil map[string]time.Time
 	// dead are the suspects of all entries, with the time until which they count.
 	dead map[string]time.Time
+	// statedLimits are the rate limits that servers state in their responses.
+	statedLimits map[string]string
 	// changes counts changes of lost and leaving, so that streams need not check
 	// them at each event.
 	changes atomic.Int64
@@ -82,6 +84,7 @@
 		slowdowns: map[string]float64{}, random: random, peers: newPeerUsage(),
 		linkMeters: map[string]*rateMeter{}, lost: map[string]*lostEngine{}, leaving: map[string]leavingState{}, avoided: map[string]time.Time{}, suspects: map[string]time.Time{},
 		suspectedAt: map[string]time.Time{}, dead: map[string]time.Time{}, pausedUntil: map[string]time.Time{},
+		statedLimits: map[string]string{},
 	}
 }
 
@@ -120,6 +123,11 @@
 			delete(f.pausedUntil, id)
 		}
 	}
+	for id := range f.statedLimits {
+		if _, known := servers[id]; !known {
+			delete(f.statedLimits, id)
+		}
+	}
 	for id := range f.suspectedAt {
 		if _, known := servers[id]; !known {
 			delete(f.suspectedAt, id)
--- a/relay/observe.go
+++ b/relay/observe.go
@@ -63,6 +63,8 @@
 	retries   metrics.Counter
 	// skippedLines counts dropped log lines.
 	skippedLines metrics.Counter
+	// controlRequests counts status queries and orders to engines.
+	controlRequests metrics.Counter
 }
 
 func newRequestMetrics(registry metrics.Registry) *requestMetrics {
@@ -78,6 +80,8 @@
 		total:        histogram("relay.request_ms"),
 		retries:      metrics.GetOrRegisterCounter("relay.repeats", registry),
 		skippedLines: metrics.GetOrRegisterCounter("relay.log_lines_skipped", registry),
+
+		controlRequests: metrics.GetOrRegisterCounter("relay.control_requests", registry),
 	}
 }
 
--- a/relay/refusals.go
+++ b/relay/refusals.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/membership"
@@ -49,6 +50,7 @@
 	if x.info.Leaving && e.fleet.markLeaving(time.Now(), server) {
 		logevent.Write(e.logger, logevent.ServerSaidLeaving).Str("server", server).Str("request", request).Msg("")
 	}
+	e.observeRateLimit(server, request, x.info.RateLimit)
 	if x.response.StatusCode != http.StatusServiceUnavailable || x.info.RetryAfter == "" {
 		return
 	}
@@ -124,6 +126,8 @@
 type pausingEngines struct {
 	EngineClient
 	fleet *fleet
+	// sent counts the control requests.
+	sent metrics.Counter
 }
 
 func (e pausingEngines) isPaused(address string) bool {
@@ -135,6 +139,7 @@
 	if e.isPaused(address) {
 		return EngineStatus{}, errServerPaused
 	}
+	e.sent.Inc(1)
 	return e.EngineClient.Status(ctx, address)
 }
 
@@ -142,6 +147,7 @@
 	if e.isPaused(server.Address) {
 		return OrderPaused, errServerPaused
 	}
+	e.sent.Inc(1)
 	return e.EngineClient.AssignLayers(ctx, server, r, orders)
 }
 
@@ -149,5 +155,6 @@
 	if e.isPaused(head.Address) {
 		return OrderPaused, errServerPaused
 	}
+	e.sent.Inc(1)
 	return e.EngineClient.Reroute(ctx, head, id, path)
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -138,6 +138,9 @@
 	Leaving bool
 	// RetryAfter is the header of that name as sent: a number of seconds or a date.
 	RetryAfter string
+	// RateLimit is the number of requests per second that the server takes from all
+	// entries together, as sent; it is empty while the server states no limit.
+	RateLimit string
 }
 
 // HeaderCodec translates between the platform's headers and the types of this
@@ -236,6 +239,8 @@
 	Busy          bool
 	// Leaving is set if the engine is about to stop.
 	Leaving bool
+	// RateLimit is that of the response, as in ResponseInfo.
+	RateLimit string
 	// Waiting and Running count requests.
 	Waiting, Running int
 	// UsedTokens and TotalTokens are in tokens times layers.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -50,7 +50,7 @@
 }
 
 func (testCodec) ParseResponse(h http.Header) ResponseInfo {
-	return ResponseInfo{ID: h.Get("Id"), NotExecuted: h.Get("Not-Run") != "", Signed: h.Get("Signed") != "", FailedAddress: h.Get("Culprit"), RetryAfter: h.Get("Retry-After")}
+	return ResponseInfo{ID: h.Get("Id"), NotExecuted: h.Get("Not-Run") != "", Signed: h.Get("Signed") != "", FailedAddress: h.Get("Culprit"), RetryAfter: h.Get("Retry-After"), RateLimit: h.Get("Limit")}
 }
 
 // testEngines returns configured reports and records reroutes.
