relay: failing test of a limit that a server states

Entries before a server that states a limit of 2 requests a second send it everything: in 4 s it gets 328 requests from 4 entries and 2,396 from 30, of 17 allowed, whether the entries hear each other or not. Idempotent and at-most-once requests and streams, status queries included, with restarts.

--- /dev/null
+++ b/relay/ratelimits_test.go
@@ -0,0 +1,273 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/phuslu/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/sapphirefield/sapphirefield/config"
+	"github.com/sapphirefield/sapphirefield/membership"
+	"github.com/sapphirefield/sapphirefield/placement"
+)
+
+// The promise about a stated limit: in any limitWindow, a server gets at most
+// limitFactor times its limit, and limitExtra requests more, from the entries that
+// were told toldDelay before. A restart excuses an entry for restartExcuse.
+const (
+	limitWindow   = 4 * time.Second
+	limitFactor   = 1.5
+	limitExtra    = 5
+	toldDelay     = 500 * time.Millisecond
+	restartExcuse = 3 * time.Second
+)
+
+// limitedServer is a server or engine that states a rate limit in all answers. It is
+// reached through net.Pipe, so that the test can run in virtual time.
+type limitedServer struct {
+	limit float64
+	mu    sync.Mutex
+	// told is when each entry first got an answer with the limit since its start.
+	told     map[string]time.Time
+	arrivals []limitedArrival
+	served   int
+	conns    []net.Conn
+}
+
+type limitedArrival struct {
+	at    time.Time
+	entry string
+}
+
+func newLimitedServer(limit float64) *limitedServer {
+	return &limitedServer{limit: limit, told: map[string]time.Time{}}
+}
+
+// arrive records a request of an entry.
+func (s *limitedServer) arrive(entry string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.served++
+	if at, told := s.told[entry]; told && now.Sub(at) >= toldDelay {
+		s.arrivals = append(s.arrivals, limitedArrival{now, entry})
+	}
+	if _, told := s.told[entry]; !told {
+		s.told[entry] = now
+	}
+}
+
+// restart forgets that an entry was told.
+func (s *limitedServer) restart(entry string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.told[entry] = time.Now().Add(restartExcuse - toldDelay)
+}
+
+// busiestWindow returns the largest number of requests in a window.
+func (s *limitedServer) busiestWindow() (most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, last := range s.arrivals {
+		first := slices.IndexFunc(s.arrivals, func(a limitedArrival) bool { return last.at.Sub(a.at) < limitWindow })
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+func (s *limitedServer) allowed() int {
+	return int(limitFactor*s.limit*limitWindow.Seconds()) + limitExtra
+}
+
+// dial returns a connection of an entry to the server.
+func (s *limitedServer) dial(t *testing.T, entry string, handle script) func(context.Context, string) (net.Conn, error) {
+	return func(context.Context, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		s.mu.Lock()
+		s.conns = append(s.conns, far)
+		s.mu.Unlock()
+		b := &backend{gone: make(chan struct{}, 1)}
+		go b.serve(far, func(b *backend, r *http.Request, conn net.Conn) bool {
+			s.arrive(entry)
+			return handle(b, r, conn)
+		})
+		return near, nil
+	}
+}
+
+// close ends all connections.
+func (s *limitedServer) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, conn := range s.conns {
+		conn.Close()
+	}
+}
+
+// limitedEngineClient counts status queries as requests of an entry.
+type limitedEngineClient struct {
+	testEngines
+	server *limitedServer
+	entry  string
+}
+
+func (c *limitedEngineClient) Status(context.Context, string) (EngineStatus, error) {
+	c.server.arrive(c.entry)
+	return EngineStatus{Layers: placement.Range{First: 0, Limit: 8}, RateLimit: strconv.FormatFloat(c.server.limit, 'f', -1, 64)}, nil
+}
+
+// limitedFleet is a number of entries before one limited server.
+type limitedFleet struct {
+	t       *testing.T
+	server  *limitedServer
+	route   config.Route
+	store   *scriptedStore
+	entries []*peers
+	random  *rand.Rand
+	sent    atomic.Int64
+}
+
+func newLimitedFleet(t *testing.T, server *limitedServer, route config.Route, entries int) *limitedFleet {
+	f := &limitedFleet{t: t, server: server, route: route, store: newScriptedStore(), random: rand.New(rand.NewPCG(1, 2))}
+	for i := range entries {
+		f.store.add(TopicEntries, entryName(i), entryRecord{Zone: "a"})
+	}
+	for i := range entries {
+		f.entries = append(f.entries, f.startEntry(i))
+	}
+	return f
+}
+
+func entryName(i int) string { return fmt.Sprintf("entry-%02d", i) }
+
+// startEntry starts an entry that knows nothing but the store.
+func (f *limitedFleet) startEntry(i int) *peers {
+	name := entryName(i)
+	e := New(Options{
+		Settings: Settings{Instance: name, RetryRatio: 0.2, RetryExtra: 1000, RetryWindow: 10 * time.Second}, Store: f.store,
+		Engines: &limitedEngineClient{server: f.server, entry: name}, HeaderCodec: testCodec{},
+		Logger: &log.Logger{Level: log.PanicLevel}, Random: rand.New(rand.NewPCG(1, uint64(i))),
+	})
+	e.applyTestConfiguration(f.route)
+	service := f.route.Targets[0].Backend
+	e.fleet.setServers(time.Now(), map[string]Server{"s": {
+		Instance: membership.Instance{ID: "s", Service: service, Zone: "a", Address: "s:1"},
+		Slots:    1000, Accelerator: "gpu", Layers: placement.Range{First: 0, Limit: 8},
+	}})
+	limit := strconv.FormatFloat(f.server.limit, 'f', -1, 64)
+	handle := respondWith(200, "Limit: "+limit+"\n", "done")
+	if f.route.CallKind == config.CallStream {
+		handle = func(_ *backend, r *http.Request, conn net.Conn) bool {
+			write(conn, "HTTP/1.1 200 OK\nId: %s\nSigned: 1\nLimit: %s\nTransfer-Encoding: chunked\n\n", r.Header.Get("Id"), limit)
+			writeChunk(conn, event(1))
+			_, _ = io.WriteString(conn, "0\r\n\r\n")
+			return true
+		}
+	}
+	e.pool.dial = f.server.dial(f.t, name, handle)
+	p := &peers{Entry: e, startNanos: time.Now().UnixNano(), addresses: map[string]netip.AddrPort{}, registerAgain: make(trigger, 1)}
+	batch, err := f.store.ReadLatest(f.t.Context(), TopicEntries)
+	assert.NilError(f.t, err)
+	p.applyEntries(update{records: batch.Records, complete: true})
+	return p
+}
+
+// send sends a request through an entry and waits for its answer.
+func (f *limitedFleet) send(p *peers) {
+	method := http.MethodGet
+	if f.route.CallKind == config.CallAtMostOnce {
+		method = http.MethodPost
+	}
+	r := httptest.NewRequestWithContext(f.t.Context(), method, "http://h/x", strings.NewReader(""))
+	r.Header.Set("Id", fmt.Sprint("id-", f.sent.Add(1)))
+	r.Header.Set("Key", testKey)
+	// A request without an answer ends with http.ErrAbortHandler.
+	defer func() { _ = recover() }()
+	p.ServeHTTP(httptest.NewRecorder(), r)
+}
+
+// exchangeMessages delivers a message of each entry to all others.
+func (f *limitedFleet) exchangeMessages(sequence int64) {
+	for _, from := range f.entries {
+		m, err := decodeMessage(from.message(sequence).encode())
+		assert.NilError(f.t, err)
+		for _, to := range f.entries {
+			if to != from {
+				to.handleMessage(m, netip.AddrPort{})
+			}
+		}
+	}
+}
+
+// run plays a time of traffic that uses every entry: in bursts, with quiet times
+// between them, and restarts half of the entries in the middle.
+func (f *limitedFleet) run(duration time.Duration, connected bool) {
+	const step = 100 * time.Millisecond
+	holder := newPlacer(f.entries[0].Entry)
+	holder.leaseTerm.Store(1)
+	for i := range int(duration / step) {
+		if connected {
+			f.exchangeMessages(int64(i) + 1)
+		}
+		if i == int(duration/step)/2 {
+			for n := range len(f.entries) / 2 {
+				n = len(f.entries) - 1 - n
+				f.server.restart(entryName(n))
+				f.entries[n] = f.startEntry(n)
+			}
+		}
+		holder.pollEngines(f.t.Context())
+		var wg sync.WaitGroup
+		// Three quiet seconds in each seven: shares that add up while nobody needs
+		// them would be spent at once.
+		if i/10%7 < 4 {
+			for _, p := range f.entries {
+				for range 1 + f.random.IntN(3) {
+					wg.Go(func() { f.send(p) })
+				}
+			}
+		}
+		wg.Wait()
+		time.Sleep(step)
+	}
+}
+
+// Guards against a server in need that gets several times the limit which it states,
+// from entries that have passed its answers on: with few entries and with many, that
+// hear each other or are cut off from each other, while half of them restart.
+func TestStatedLimitHoldsForAllEntriesTogether(t *testing.T) {
+	routes := map[string]config.Route{
+		"idempotent": unaryRoute(config.CallIdempotent), "at most once": unaryRoute(config.CallAtMostOnce), "stream": streamRoute(true),
+	}
+	for kind, route := range routes {
+		for _, entries := range []int{4, 30} {
+			for _, connected := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%s/%d entries/connected %t", kind, entries, connected), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						server := newLimitedServer(2)
+						f := newLimitedFleet(t, server, route, entries)
+						defer server.close()
+						f.run(42*time.Second, connected)
+						assert.Assert(t, server.busiestWindow() <= server.allowed(), "%d requests in a window, %d allowed", server.busiestWindow(), server.allowed())
+						assert.Assert(t, server.served > 0)
+					})
+				})
+			}
+		}
+	}
+}
