ratelimit, relay: the limit that a server states holds for all entries together

Cause: no entry read the limit. Class of fault: a server's statement about itself is not acted upon. Status queries and orders came on top, so they count here too.

Change: package ratelimit divides a limit among the entries that the store has named, without messages, so that it holds while they are cut off from each other. Shares are spent in time slots that follow one another; a slot that is not used in time is lost, because many entries with one request held back each would exceed a small limit at once. Entries tell each other what servers stated to them, so that one that joins or restarts obeys at once. An answer without a limit ends it only if its request was sent after the limit was stated. Unary requests wait up to 100 ms for their turn; streams take a slot at each engine of their path; status queries need one. Engines with a limit are not polled. An entry that has not read the entries' records yet assumes at least eight of them, for retry budgets too.

--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -36,6 +36,7 @@
 	PromptPartProbed          Event = 2027
 	RateLimitStated           Event = 2028
 	RateLimitLifted           Event = 2029
+	RateLimitUnreadable       Event = 2030
 
 	StreamRerouted         Event = 2015
 	StreamRecovered        Event = 2009
@@ -105,6 +106,7 @@
 	{ServerPaused, log.InfoLevel, "backend server asked for a pause", ""},
 	{RateLimitStated, log.InfoLevel, "backend server states a rate limit", ""},
 	{RateLimitLifted, log.InfoLevel, "backend server states no rate limit any more", ""},
+	{RateLimitUnreadable, log.WarnLevel, "rate limit of a backend server cannot be read", "Find out what the server means; the last limit that was read stays in force."},
 	{StreamRerouted, log.InfoLevel, "stream's path changed", ""},
 	{ServerChanged, log.InfoLevel, "backend server changed", ""},
 	{ServerRecordRemoved, log.InfoLevel, "backend server's record is gone", ""},
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -165,6 +165,10 @@
 // markStalledEngines asks the first engine which engines the stream waits for
 // and marks those as lost.
 func (a *attempt) markStalledEngines(ctx context.Context) error {
+	if a.fleet.isLimited(a.hops[0].Engine) {
+		// Queries would take the place of requests. Other streams show the same loss.
+		return nil
+	}
 	stalled, err := a.stallChecker.stalledEngines(ctx, a.hops[0].Address)
 	if ctx.Err() != nil {
 		return nil
--- a/relay/capacity.go
+++ b/relay/capacity.go
@@ -49,6 +49,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	f.takeSlotsOn(now, hops, r.CurrentPath)
 	f.recordRecentWork(now, rev, hops, r, relayModel(rev.models[model]))
 	f.recordLinkTraffic(now, hops, r.CurrentPath, relayModel(rev.models[model]).BytesPerHop(r))
 	held := pathUsage(hops, r, expected)
@@ -78,7 +79,7 @@
 	if finder == nil {
 		return nil, 0, pipeline.ErrNoChain
 	}
-	return finder.Find(f.engines(now, rev, model), f.links(now, rev), r)
+	return finder.Find(f.engines(now, rev, model, r.CurrentPath), f.links(now, rev), r)
 }
 
 // recordLinkTraffic adds the bytes that a request sends over the links of its
@@ -187,8 +188,9 @@
 	return rate
 }
 
-// engines returns the engines of a model that may receive requests.
-func (f *fleet) engines(now time.Time, rev *revision, model string) []pipeline.RelayEngine {
+// engines returns the engines of a model that may receive requests. An engine on the
+// current path of a request gets none for going on.
+func (f *fleet) engines(now time.Time, rev *revision, model string, current []pipeline.Hop) []pipeline.RelayEngine {
 	m := placementModel(rev.models[model])
 	var engines []pipeline.RelayEngine
 	for _, c := range f.membership.Candidates(now, model) {
@@ -197,6 +199,9 @@
 		if !known || c.Suspect || f.lost[c.ID] != nil || layers <= 0 || now.Before(f.avoided[c.ID]) || now.Before(f.pausedUntil[c.ID]) {
 			continue
 		}
+		if f.limits.Wait(now, c.ID) > 0 && !contains(current, c.ID) {
+			continue
+		}
 		accelerator := rev.accelerators[s.Accelerator]
 		if accelerator == nil {
 			continue
--- a/relay/connection.go
+++ b/relay/connection.go
@@ -285,6 +285,7 @@
 	address string
 	conn    *connection
 	request *outboundRequest
+	sentAt  time.Time
 	// response and info are set once the response header has arrived.
 	response *http.Response
 	info     ResponseInfo
@@ -304,7 +305,7 @@
 	if err != nil {
 		return nil, errors.Wrap(errNotSent, err.Error())
 	}
-	x := &exchange{pool: p, address: address, conn: conn, request: o}
+	x := &exchange{pool: p, address: address, conn: conn, request: o, sentAt: time.Now()}
 	x.stopCancel = context.AfterFunc(ctx, func() { conn.Close() })
 	if err := conn.SetDeadline(time.Time{}); err != nil {
 		x.close()
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/sapphirefield/sapphirefield/logevent"
+	"github.com/sapphirefield/sapphirefield/ratelimit"
 	"github.com/sapphirefield/sapphirefield/retry"
 )
 
@@ -80,8 +81,9 @@
 func New(o Options) *Entry {
 	seeds := &seeds{random: o.Random}
 	fleet := newFleet(seeds.newSource())
+	fleet.setLimitShare(time.Now(), ratelimit.Share{Entries: assumedEntries})
 	requestMetrics := newRequestMetrics(o.Metrics)
-	engines := pausingEngines{o.Engines, fleet, requestMetrics.controlRequests}
+	engines := &controlClient{EngineClient: o.Engines, sent: requestMetrics.controlRequests}
 	e := &Entry{
 		settings: o.Settings, store: o.Store, engines: engines, headerCodec: o.HeaderCodec, logger: o.Logger,
 		logLimiter: newLogLimiter(), requestMetrics: requestMetrics, fleet: fleet, pool: newPool(), stallChecker: newStallChecker(engines, o.Logger),
@@ -89,6 +91,7 @@
 		configured: make(chan struct{}), budgets: map[string]*lockedBudget{}, waitRooms: map[string]*waitRoom{}, inFlight: newInFlightCounter(),
 		newerRevision: make(chan struct{}, 1), sendNow: make(trigger, 1),
 	}
+	engines.entry = e
 	e.directory = newDirectory(e)
 	e.prompts = newPromptGuard(e)
 	return e
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -8,6 +9,7 @@
 
 	"github.com/sapphirefield/sapphirefield/membership"
 	"github.com/sapphirefield/sapphirefield/pipeline"
+	"github.com/sapphirefield/sapphirefield/ratelimit"
 )
 
 // membershipOptions trust the servers' own records, because the store keeps
@@ -70,8 +72,10 @@
 	pausedUntil map[string]time.Time
 	// dead are the suspects of all entries, with the time until which they count.
 	dead map[string]time.Time
-	// statedLimits are the rate limits that servers state in their responses.
-	statedLimits map[string]string
+	// limits are the rate limits that servers state, of which limitShare is this
+	// entry's part.
+	limits     *ratelimit.Limits
+	limitShare ratelimit.Share
 	// changes counts changes of lost and leaving, so that streams need not check
 	// them at each event.
 	changes atomic.Int64
@@ -84,7 +88,7 @@
 		slowdowns: map[string]float64{}, random: random, peers: newPeerUsage(),
 		linkMeters: map[string]*rateMeter{}, lost: map[string]*lostEngine{}, leaving: map[string]leavingState{}, avoided: map[string]time.Time{}, suspects: map[string]time.Time{},
 		suspectedAt: map[string]time.Time{}, dead: map[string]time.Time{}, pausedUntil: map[string]time.Time{},
-		statedLimits: map[string]string{},
+		limits: ratelimit.New(),
 	}
 }
 
@@ -97,6 +101,11 @@
 		list = append(list, s.Instance)
 		f.observeRecord(now, f.servers[id], s)
 	}
+	for id := range f.servers {
+		if _, known := servers[id]; !known {
+			f.limits.Forget(id)
+		}
+	}
 	f.membership.ObserveList(now, list)
 	f.servers = servers
 	f.byAddr = make(map[string]string, len(servers))
@@ -123,11 +132,6 @@
 			delete(f.pausedUntil, id)
 		}
 	}
-	for id := range f.statedLimits {
-		if _, known := servers[id]; !known {
-			delete(f.statedLimits, id)
-		}
-	}
 	for id := range f.suspectedAt {
 		if _, known := servers[id]; !known {
 			delete(f.suspectedAt, id)
@@ -188,6 +192,7 @@
 		delete(f.slowdowns, s.ID)
 		delete(f.lost, s.ID)
 		delete(f.pausedUntil, s.ID)
+		f.limits.Forget(s.ID)
 		if !s.Leaving {
 			delete(f.leaving, s.ID)
 		}
@@ -346,27 +351,41 @@
 	return f.random.Float64()
 }
 
-// chooseServer picks the least loaded server of a non-pipeline service and
-// reserves capacity on it.
-func (f *fleet) chooseServer(now time.Time, service string, avoid map[string]bool) (Server, *reservation, bool) {
+// chooseServer picks the least loaded server of a non-pipeline service and reserves
+// capacity on it. Servers whose rate limits leave no room now come last; the request
+// must then be sent after a wait of at most maxWait.
+func (f *fleet) chooseServer(now time.Time, service string, avoid map[string]bool, maxWait time.Duration) (chosenServer, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var best Server
+	var best chosenServer
 	bestLoad, found := 0.0, false
 	for _, c := range f.membership.Candidates(now, service) {
 		s, known := f.servers[c.ID]
 		if !known || avoid[c.ID] || now.Before(f.pausedUntil[c.ID]) {
 			continue
 		}
+		wait := f.limits.Wait(now, c.ID)
+		if wait > maxWait {
+			continue
+		}
 		load := f.serverLoad(now, c)
-		if !found || load < bestLoad {
-			best, bestLoad, found = s, load, true
+		if !found || cmp.Or(cmp.Compare(wait, best.wait), cmp.Compare(load, bestLoad)) < 0 {
+			best, bestLoad, found = chosenServer{Server: s, wait: wait}, load, true
 		}
 	}
 	if !found {
-		return Server{}, nil, false
+		return chosenServer{}, false
 	}
-	return best, f.reserve(map[string]usage{best.ID: {requests: 1}}), true
+	f.limits.Charge(now, best.ID)
+	best.reserved = f.reserve(map[string]usage{best.ID: {requests: 1}})
+	return best, true
+}
+
+// chosenServer is a server to which a request is to be sent after a wait.
+type chosenServer struct {
+	Server
+	reserved *reservation
+	wait     time.Duration
 }
 
 // loadJitter keeps idle servers from being chosen in the order of their IDs.
--- a/relay/message.go
+++ b/relay/message.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sapphirefield/sapphirefield/quarantine"
+	"github.com/sapphirefield/sapphirefield/ratelimit"
 )
 
 // message is the state that an entry sends to the others a few times per
@@ -34,6 +35,8 @@
 	changes []Record
 	// evidence is about prompt parts that crash engines.
 	evidence evidence
+	// limits are the rate limits that servers have stated to the sender lately.
+	limits []ratelimit.Report
 }
 
 // notWatching is the watchAge of an entry that is not the watcher.
@@ -41,7 +44,7 @@
 
 // messageVersion is the first byte of every message. A receiver that does not
 // know the version ignores the message.
-const messageVersion = 4
+const messageVersion = 5
 
 var errMalformedMessage = errors.New("malformed message from another entry")
 
@@ -63,7 +66,14 @@
 	for _, r := range m.changes {
 		out = appendBytes(appendBytes(out, []byte(r.Key)), r.Value)
 	}
-	return m.evidence.append(out)
+	out = m.evidence.append(out)
+	out = binary.AppendUvarint(out, uint64(len(m.limits)))
+	for _, r := range m.limits {
+		out = binary.BigEndian.AppendUint64(out, r.Process)
+		out = binary.BigEndian.AppendUint64(out, math.Float64bits(r.Rate))
+		out = binary.AppendUvarint(out, uint64(r.Age.Milliseconds()))
+	}
+	return out
 }
 
 func (e evidence) append(out []byte) []byte {
@@ -118,6 +128,9 @@
 		m.changes = append(m.changes, record)
 	}
 	m.evidence = r.evidence()
+	for n := r.count(); n > 0 && !r.failed; n-- {
+		m.limits = append(m.limits, ratelimit.Report{Process: r.uint64(), Rate: math.Float64frombits(r.uint64()), Age: time.Duration(r.uvarint()) * time.Millisecond})
+	}
 	if r.failed || len(r.rest) > 0 {
 		return message{}, errMalformedMessage
 	}
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -13,6 +13,7 @@
 
 	"github.com/sapphirefield/sapphirefield/bootclock"
 	"github.com/sapphirefield/sapphirefield/logevent"
+	"github.com/sapphirefield/sapphirefield/ratelimit"
 )
 
 const (
@@ -54,6 +55,8 @@
 
 	mu        sync.Mutex
 	addresses map[string]netip.AddrPort
+	// recordsRead is set once the entries' records have been read.
+	recordsRead bool
 }
 
 // runPeers discovers the other entries through the store and sends them this
@@ -134,8 +137,8 @@
 	for _, r := range u.records {
 		p.applyEntry(r)
 	}
-	// Include this entry, whether or not its own record has been written.
-	p.knownEntries.Store(int64(len(p.addresses) + 1))
+	p.recordsRead = true
+	p.updateShares()
 }
 
 func (p *peers) applyEntry(r Record) {
@@ -181,6 +184,7 @@
 	p.directory.applyPeerChanges(m.changes)
 	p.fleet.applyPeerSuspects(time.Now(), m.suspects)
 	p.prompts.applyPeerEvidence(time.Now(), m.evidence)
+	p.applyPeerLimits(m.sender, m.limits)
 	if m.revision > p.Revision() {
 		select {
 		case p.newerRevision <- struct{}{}:
@@ -198,7 +202,25 @@
 		return
 	}
 	p.addresses[entry] = from
-	p.knownEntries.Store(int64(len(p.addresses) + 1))
+	p.updateShares()
+}
+
+// updateShares derives this entry's part of the retry budgets and rate limits from the
+// entries that it knows, itself included. Until it has read their records, there may
+// be more of them than it has heard. The caller holds the lock.
+func (p *peers) updateShares() {
+	entries := len(p.addresses) + 1
+	if !p.recordsRead {
+		entries = max(entries, assumedEntries)
+	}
+	rank := 0
+	for name := range p.addresses {
+		if name < p.settings.Instance {
+			rank++
+		}
+	}
+	p.knownEntries.Store(int64(entries))
+	p.fleet.setLimitShare(time.Now(), ratelimit.Share{Rank: rank, Entries: entries})
 }
 
 func (p *peers) send(ctx context.Context) error {
@@ -246,7 +268,7 @@
 	m := message{
 		sender: p.settings.Instance, startNanos: p.startNanos, sequence: sequence, revision: p.Revision(), term: p.leaseTerm.Load(),
 		watchAge: notWatching, servers: p.fleet.localUsage(now), suspects: p.fleet.suspectHashes(now),
-		evidence: p.prompts.evidence(now),
+		evidence: p.prompts.evidence(now), limits: p.fleet.limitReports(now),
 	}
 	if p.isWatcher() {
 		m.watchAge, m.changes = p.directory.readAge(bootclock.Now()), p.directory.nextChanges()
--- a/relay/poll.go
+++ b/relay/poll.go
@@ -37,7 +37,7 @@
 	var unresponsive serverSet
 	polled := 0
 	for id, s := range p.fleet.snapshot() {
-		if rev.models[s.Service] == nil || p.fleet.lostFor(now, id) > 0 || p.fleet.isPaused(now, id) {
+		if rev.models[s.Service] == nil || p.fleet.lostFor(now, id) > 0 || p.fleet.isPaused(now, id) || p.fleet.isLimited(id) {
 			continue
 		}
 		polled++
--- a/relay/ratelimits.go
+++ b/relay/ratelimits.go
@@ -1,33 +1,215 @@
 package relay
 
 import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
+
 	"github.com/sapphirefield/sapphirefield/logevent"
+	"github.com/sapphirefield/sapphirefield/pipeline"
+	"github.com/sapphirefield/sapphirefield/placement"
+	"github.com/sapphirefield/sapphirefield/ratelimit"
+)
+
+const (
+	// maxLimitWait is how long a unary request waits for its turn at a server that
+	// states a rate limit, and maxLimitWaitFraction the same as a fraction of the time
+	// that the client has. A short wait is better than a refusal.
+	maxLimitWait         = 100 * time.Millisecond
+	maxLimitWaitFraction = 1.0 / 3
+	// maxLimitRetryAfter bounds the Retry-After time while servers state rate limits:
+	// a client that returns through another entry finds a free slot sooner.
+	maxLimitRetryAfter = 3 * time.Second
 )
 
-// observeRateLimit logs a change of the rate limit that a server states.
-func (e *Entry) observeRateLimit(server, request, text string) {
-	if !e.fleet.recordStatedLimit(server, text) {
+// observeRateLimit evaluates the rate limit, or none, that a server has stated in its
+// response to a request sent at a given time.
+func (e *Entry) observeRateLimit(server, request, text string, sentAt time.Time) {
+	rate, err := ratelimit.ParseRate(text)
+	if err != nil {
+		if e.logLimiter.allow(time.Now()) {
+			logevent.Write(e.logger, logevent.RateLimitUnreadable).Str("server", server).Str("limit", text).Msg("")
+		}
 		return
 	}
-	event := logevent.RateLimitStated
-	if text == "" {
-		event = logevent.RateLimitLifted
+	change, share := e.fleet.observeRateLimit(time.Now(), server, sentAt, rate)
+	e.logRateLimit(change, server, rate, share, "request "+request)
+}
+
+// logRateLimit logs a change of a limit. share is the part of this entry in requests
+// per second.
+func (e *Entry) logRateLimit(change ratelimit.Change, server string, rate, share float64, source string) {
+	switch change {
+	case ratelimit.Stated:
+		logevent.Write(e.logger, logevent.RateLimitStated).Str("server", server).Float64("limit", rate).Float64("share", share).Str("source", source).Msg("")
+	case ratelimit.Lifted:
+		logevent.Write(e.logger, logevent.RateLimitLifted).Str("server", server).Str("source", source).Msg("")
+	}
+}
+
+// applyPeerLimits applies the limits that servers have stated to another entry.
+func (e *Entry) applyPeerLimits(sender string, reports []ratelimit.Report) {
+	for _, r := range reports {
+		server, change, share := e.fleet.applyPeerLimit(time.Now(), r)
+		e.logRateLimit(change, server, r.Rate, share, "entry "+sender)
 	}
-	logevent.Write(e.logger, event).Str("server", server).Str("request", request).Str("limit", text).Msg("")
 }
 
-// recordStatedLimit stores the rate limit that a server states in a response, or "",
-// and reports whether it has changed.
-func (f *fleet) recordStatedLimit(id, text string) bool {
+// setLimitShare sets this entry's part of all rate limits.
+func (f *fleet) setLimitShare(now time.Time, s ratelimit.Share) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.limits.SetShare(now, s)
+	f.limitShare = s
+}
+
+// observeRateLimit returns what has changed, and this entry's part of the rate.
+func (f *fleet) observeRateLimit(now time.Time, id string, sentAt time.Time, rate float64) (ratelimit.Change, float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, known := f.servers[id]; !known || rate == 0 && !f.limits.Limited(id) {
+		return ratelimit.Unchanged, 0
+	}
+	return f.limits.ObserveAnswer(now, id, f.processHash(id), sentAt, rate), rate / float64(max(f.limitShare.Entries, 1))
+}
+
+// applyPeerLimit returns the server of a report and what has changed.
+func (f *fleet) applyPeerLimit(now time.Time, r ratelimit.Report) (id string, change ratelimit.Change, share float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id := range f.servers {
+		if f.processHash(id) == r.Process {
+			return id, f.limits.ObserveReport(now, id, r), r.Rate / float64(max(f.limitShare.Entries, 1))
+		}
+	}
+	return "", ratelimit.Unchanged, 0
+}
+
+// processHash identifies the current process of a server for the other entries.
+func (f *fleet) processHash(id string) uint64 {
+	return crashedEngine{id, f.servers[id].StartTimeMillis}.hash()
+}
+
+// limitReports returns what the other entries are told of rate limits.
+func (f *fleet) limitReports(now time.Time) []ratelimit.Report {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.limits.Reports(now)
+}
+
+// isLimited reports whether a server states a rate limit.
+func (f *fleet) isLimited(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.limits.Limited(id)
+}
+
+// takeSlot uses a slot at a server if it states a rate limit, and reports whether a
+// request may be sent now.
+func (f *fleet) takeSlot(now time.Time, id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, ok := f.limits.Take(now, id, 0)
+	return ok
+}
+
+// chargeSlot counts a request that is sent in any case.
+func (f *fleet) chargeSlot(now time.Time, id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.limits.Charge(now, id)
+}
+
+// limitWait returns the time until some server of a service with a rate limit takes
+// another request of this entry, or 0 if none has one.
+func (f *fleet) limitWait(now time.Time, service string) (wait time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.statedLimits[id] == text {
-		return false
+	if f.limits.Servers() == 0 {
+		return 0
+	}
+	for id, s := range f.servers {
+		if s.Service != service || !f.limits.Limited(id) {
+			continue
+		}
+		if w := f.limits.Wait(now, id); wait == 0 || w < wait {
+			wait = w
+		}
+	}
+	return wait
+}
+
+// takeSlotsOn uses a slot at each engine of a path that is not on the current one.
+func (f *fleet) takeSlotsOn(now time.Time, hops, current []pipeline.Hop) {
+	if f.limits.Servers() == 0 {
+		return
+	}
+	for _, h := range hops {
+		if !contains(current, h.Engine) {
+			f.limits.Charge(now, h.Engine)
+		}
 	}
-	if text == "" {
-		delete(f.statedLimits, id)
-	} else {
-		f.statedLimits[id] = text
+}
+
+// errServerLimited means that nothing was sent because the server states a rate limit
+// that leaves no room now.
+var errServerLimited = errors.New("the server's rate limit leaves no room")
+
+// controlClient sends control requests only to engines that accept them: to none
+// that has asked for a pause, and no more than their rate limits allow. It evaluates
+// the limits that engines state in their responses.
+type controlClient struct {
+	EngineClient
+	entry *Entry
+	// sent counts the control requests.
+	sent metrics.Counter
+}
+
+// permit returns an error if the engine at an address must not get a control request
+// now.
+func (c *controlClient) permit(now time.Time, address string) error {
+	server, known := c.entry.fleet.byAddress(address)
+	switch {
+	case !known:
+		return nil
+	case c.entry.fleet.isPaused(now, server.ID):
+		return errServerPaused
+	case !c.entry.fleet.takeSlot(now, server.ID):
+		return errServerLimited
+	}
+	return nil
+}
+
+func (c *controlClient) Status(ctx context.Context, address string) (EngineStatus, error) {
+	sentAt := time.Now()
+	if err := c.permit(sentAt, address); err != nil {
+		return EngineStatus{}, err
+	}
+	c.sent.Inc(1)
+	status, err := c.EngineClient.Status(ctx, address)
+	if server, known := c.entry.fleet.byAddress(address); err == nil && known {
+		c.entry.observeRateLimit(server.ID, "for the status", status.RateLimit, sentAt)
+	}
+	return status, err
+}
+
+// AssignLayers follows a status query, which has used the slot of both: the order is
+// sent, and what comes next waits longer.
+func (c *controlClient) AssignLayers(ctx context.Context, server Server, r placement.Range, orders int64) (OrderOutcome, error) {
+	if c.entry.fleet.isPaused(time.Now(), server.ID) {
+		return OrderPaused, errServerPaused
+	}
+	c.entry.fleet.chargeSlot(time.Now(), server.ID)
+	c.sent.Inc(1)
+	return c.EngineClient.AssignLayers(ctx, server, r, orders)
+}
+
+func (c *controlClient) Reroute(ctx context.Context, head Server, id string, path []pipeline.Hop) (OrderOutcome, error) {
+	if err := c.permit(time.Now(), head.Address); err != nil {
+		return OrderPaused, err
 	}
-	return true
+	c.sent.Inc(1)
+	return c.EngineClient.Reroute(ctx, head, id, path)
 }
--- a/relay/refusals.go
+++ b/relay/refusals.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"math"
 	"net/http"
 	"strconv"
@@ -9,12 +8,9 @@
 	"time"
 
 	"github.com/pkg/errors"
-	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/membership"
-	"github.com/sapphirefield/sapphirefield/pipeline"
-	"github.com/sapphirefield/sapphirefield/placement"
 )
 
 const (
@@ -50,7 +46,7 @@
 	if x.info.Leaving && e.fleet.markLeaving(time.Now(), server) {
 		logevent.Write(e.logger, logevent.ServerSaidLeaving).Str("server", server).Str("request", request).Msg("")
 	}
-	e.observeRateLimit(server, request, x.info.RateLimit)
+	e.observeRateLimit(server, request, x.info.RateLimit, x.sentAt)
 	if x.response.StatusCode != http.StatusServiceUnavailable || x.info.RetryAfter == "" {
 		return
 	}
@@ -121,40 +117,3 @@
 // errServerPaused means that nothing was sent because the server has asked to be left
 // alone.
 var errServerPaused = errors.New("the server has asked for a pause")
-
-// pausingEngines sends no control requests to engines that have asked for a pause.
-type pausingEngines struct {
-	EngineClient
-	fleet *fleet
-	// sent counts the control requests.
-	sent metrics.Counter
-}
-
-func (e pausingEngines) isPaused(address string) bool {
-	server, known := e.fleet.byAddress(address)
-	return known && e.fleet.isPaused(time.Now(), server.ID)
-}
-
-func (e pausingEngines) Status(ctx context.Context, address string) (EngineStatus, error) {
-	if e.isPaused(address) {
-		return EngineStatus{}, errServerPaused
-	}
-	e.sent.Inc(1)
-	return e.EngineClient.Status(ctx, address)
-}
-
-func (e pausingEngines) AssignLayers(ctx context.Context, server Server, r placement.Range, orders int64) (OrderOutcome, error) {
-	if e.isPaused(server.Address) {
-		return OrderPaused, errServerPaused
-	}
-	e.sent.Inc(1)
-	return e.EngineClient.AssignLayers(ctx, server, r, orders)
-}
-
-func (e pausingEngines) Reroute(ctx context.Context, head Server, id string, path []pipeline.Hop) (OrderOutcome, error) {
-	if e.isPaused(head.Address) {
-		return OrderPaused, errServerPaused
-	}
-	e.sent.Inc(1)
-	return e.EngineClient.Reroute(ctx, head, id, path)
-}
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -62,14 +62,14 @@
 			q.failTimeout()
 			return
 		}
-		server, reserved, found := q.fleet.chooseServer(time.Now(), q.target, q.avoid)
+		server, found := q.fleet.chooseServer(time.Now(), q.target, q.avoid, q.maxLimitWait())
 		if !found {
-			after := max(noServerRetryAfter, q.fleet.pauseLeft(time.Now(), q.target))
-			q.refuseOrFail(q.maybeExecuted, "no server is available", after)
+			q.refuseWithoutServer()
 			return
 		}
-		result, err := q.tryServer(ctx, server)
-		reserved.release()
+		sleep(ctx, server.wait)
+		result, err := q.tryServer(ctx, server.Server)
+		server.reserved.release()
 		if result == answered {
 			return
 		}
@@ -86,6 +86,25 @@
 	}
 }
 
+// maxLimitWait returns how long the request may wait for its turn at a server with a
+// rate limit.
+func (q *request) maxLimitWait() time.Duration {
+	return min(maxLimitWait, time.Duration(float64(q.timeLeft())*maxLimitWaitFraction))
+}
+
+// refuseWithoutServer ends a request for which no server is available: all are gone,
+// have failed, have asked for a pause or state a rate limit that leaves no room.
+func (q *request) refuseWithoutServer() {
+	now := time.Now()
+	after, detail := max(noServerRetryAfter, q.fleet.pauseLeft(now, q.target)), "no server is available"
+	if wait := q.fleet.limitWait(now, q.target); wait > 0 {
+		// Clients that are refused at the same time must not return together.
+		wait = min(wait, maxLimitRetryAfter)
+		after, detail = wait+time.Duration(q.fleet.randomFloat()*float64(wait)), "the servers' rate limits leave no room"
+	}
+	q.refuseOrFail(q.maybeExecuted, detail, after)
+}
+
 func errorDetail(err error) string {
 	if err == nil {
 		return "the server refused the request"
