relay: an unframed stream is complete only if its engine was asked

Cause: a stream without a length that ends after an event was taken for complete unless a status query showed its engine dead. An engine that has asked for a pause, or whose rate limit leaves no room, gets no query, which counted as an answer: a stream broken off between two events looked whole. Found while the limit's status queries were written (the same gap stood for pauses). Now only an engine that was asked and did not fail to respond makes the stream complete; another attempt finds nothing left to send if it was. Test: failed before with one of two events delivered as a whole stream.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -336,15 +336,16 @@
 	case a.progressSince.IsZero():
 		return false
 	}
-	return !a.headIsDead(ctx)
+	return a.headResponds(ctx)
 }
 
-// headIsDead reports whether the first engine does not respond.
-func (a *attempt) headIsDead(ctx context.Context) bool {
+// headResponds reports whether the first engine is known to work. One that must not be
+// asked now is not.
+func (a *attempt) headResponds(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, a.stallChecker.timeout(time.Now()))
 	defer cancel()
 	_, err := a.engines.Status(ctx, a.hops[0].Address)
-	return errors.Is(err, ErrNoResponse)
+	return !errors.Is(err, ErrNoResponse) && !errors.Is(err, errServerPaused) && !errors.Is(err, errServerLimited)
 }
 
 // read checks the path and reads bytes of the stream.
--- a/relay/unframed_test.go
+++ b/relay/unframed_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -91,3 +92,31 @@
 	_, _, err = e.send(t, http.MethodGet)
 	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
 }
+
+// Guards against a stream that looks complete although nobody has asked whether its
+// engine still works: it wants no status queries now.
+func TestUnframedStreamOfEngineThatIsNotAskedGoesOn(t *testing.T) {
+	for _, cause := range []error{errServerPaused, errServerLimited} {
+		first, second := newBackend(t, unframed(unframedStream, event(1), false)), newBackend(t, events(1, true))
+		e := newTestEntry(t, streamRoute(true), first, second)
+		e.Entry.engines = &silentEngines{cause: cause}
+		e.preferFirst()
+		_, body, err := e.send(t, http.MethodGet)
+		assert.NilError(t, err)
+		assert.Equal(t, body, event(1)+event(2))
+		e = newTestEntry(t, streamRoute(false), first)
+		e.Entry.engines = &silentEngines{cause: cause}
+		_, _, err = e.send(t, http.MethodGet)
+		assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	}
+}
+
+// silentEngines get no status queries, for a reason.
+type silentEngines struct {
+	testEngines
+	cause error
+}
+
+func (e *silentEngines) Status(context.Context, string) (EngineStatus, error) {
+	return EngineStatus{}, e.cause
+}
