--- a/relay/ratelimits_test.go
+++ b/relay/ratelimits_test.go
@@ -19,11 +19,14 @@
 	"time"
 
 	"github.com/phuslu/log"
+	metrics "github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/membership"
+	"github.com/sapphirefield/sapphirefield/pipeline"
 	"github.com/sapphirefield/sapphirefield/placement"
+	"github.com/sapphirefield/sapphirefield/ratelimit"
 )
 
 // The promise about a stated limit: in any limitWindow, a server gets at most
@@ -271,3 +274,128 @@
 		}
 	}
 }
+
+// Guards against a limit that counts only the requests for which the engine is the first
+// of a path, and against a stream that cannot go on along the engines it has.
+func TestStatedLimitHoldsForLaterStages(t *testing.T) {
+	e := newTestEntry(t, streamRoute(true))
+	now := time.Now()
+	f, rev := e.fleet, e.current.Load()
+	servers := map[string]Server{}
+	for id, layers := range map[string]placement.Range{"first": {First: 0, Limit: 4}, "last": {First: 4, Limit: 8}, "other": {First: 4, Limit: 8}} {
+		s := testServer(id, layers.First, layers.Limit)
+		s.Service, s.Accelerator, s.Slots = "llm", "gpu", 1000
+		servers[id] = s
+	}
+	f.setServers(now, servers)
+	f.setLimitShare(now, ratelimit.Share{Entries: 1})
+	const rate = 2.0
+	f.observeRateLimit(now, "last", now, rate)
+	f.observeRateLimit(now, "other", now, rate)
+	const duration, step = 40 * time.Second, 50 * time.Millisecond
+	request := pipeline.RelayRequest{PromptTokens: 100, AnswerTokens: 50}
+	var path []pipeline.Hop
+	passed := map[string][]time.Duration{}
+	for elapsed := time.Duration(0); elapsed < duration; elapsed += step {
+		hops, reserved, err := f.choosePath(now.Add(elapsed), rev, "llm", "team", request)
+		if err != nil {
+			continue
+		}
+		reserved.release()
+		path = hops
+		last := hops[len(hops)-1].Engine
+		passed[last] = append(passed[last], elapsed)
+	}
+	for id, times := range passed {
+		for i, at := range times {
+			n := 0
+			for _, earlier := range times[:i+1] {
+				if at-earlier < limitWindow {
+					n++
+				}
+			}
+			assert.Assert(t, n <= int(limitFactor*rate*limitWindow.Seconds())+limitExtra, "%d paths through %s", n, id)
+		}
+		assert.Assert(t, float64(len(times)) >= 0.9*rate*duration.Seconds(), "only %d paths through %s", len(times), id)
+	}
+	assert.Equal(t, len(passed), 2)
+	// No slot is left for a new stream, but one that runs there may stay.
+	for err := error(nil); err == nil; {
+		_, _, err = f.choosePath(now.Add(duration), rev, "llm", "team", request)
+	}
+	request.CurrentPath = path
+	hops, _, err := f.choosePath(now.Add(duration), rev, "llm", "team", request)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, hops[len(hops)-1].Engine, path[len(path)-1].Engine)
+}
+
+// Guards against a limit that an entry learns only from answers of its own, and against
+// one that outlives the process of the server that stated it.
+func TestLimitIsToldToOtherEntriesAndEndsWithRestart(t *testing.T) {
+	now := time.Now()
+	server := testServer("s", 0, 8)
+	entries := []*Entry{newStoreEntry(newScriptedStore()), newStoreEntry(newScriptedStore())}
+	for _, e := range entries {
+		e.fleet.setServers(now, map[string]Server{"s": server})
+	}
+	entries[0].observeRateLimit("s", "r", "1.3", now)
+	m, err := decodeMessage(message{limits: entries[0].fleet.limitReports(now)}.encode())
+	assert.NilError(t, err)
+	entries[1].applyPeerLimits("other", m.limits)
+	assert.Assert(t, entries[1].fleet.isLimited("s"))
+	entries[1].observeRateLimit("s", "r", "not a number", time.Now())
+	assert.Assert(t, entries[1].fleet.isLimited("s"))
+	server.StartTimeMillis++
+	entries[1].fleet.setServers(now, map[string]Server{"s": server})
+	assert.Assert(t, !entries[1].fleet.isLimited("s"))
+	// The report is about the process before.
+	entries[1].applyPeerLimits("other", m.limits)
+	assert.Assert(t, !entries[1].fleet.isLimited("s"))
+}
+
+// Guards against orders that never come because their status query has used the slot,
+// and against queries and orders that come on top of the limit.
+func TestControlRequestsCountForLimit(t *testing.T) {
+	server := newLimitedServer(2)
+	e := newStoreEntry(newScriptedStore())
+	s := testServer("s", 0, 8)
+	e.fleet.setServers(time.Now(), map[string]Server{"s": s})
+	client := &controlClient{EngineClient: &limitedEngineClient{server: server, entry: "e"}, entry: e, sent: metrics.NewCounter()}
+	_, err := client.Status(t.Context(), s.Address)
+	assert.NilError(t, err)
+	assert.Assert(t, e.fleet.isLimited("s"))
+	_, err = client.Status(t.Context(), s.Address)
+	for ; err == nil; _, err = client.Status(t.Context(), s.Address) {
+	}
+	assert.ErrorIs(t, err, errServerLimited)
+	before := e.fleet.limitWait(time.Now(), "model")
+	outcome, err := client.AssignLayers(t.Context(), s, placement.Range{}, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, outcome, OrderStarted)
+	assert.Assert(t, e.fleet.limitWait(time.Now(), "model") > before)
+	_, err = client.Reroute(t.Context(), s, "r", nil)
+	assert.ErrorIs(t, err, errServerLimited)
+}
+
+// Guards against clients that are told to return long after the limit leaves room, or
+// all at once.
+func TestRefusalForLimitStatesWhenToReturn(t *testing.T) {
+	b := newBackend(t, respondWith(200, "Limit: 0.5\n", "done"))
+	e := newTestEntry(t, unaryRoute(config.CallAtMostOnce), b)
+	e.fleet.setLimitShare(time.Now(), ratelimit.Share{Entries: 4})
+	after := map[string]bool{}
+	for range 6 {
+		response, _, err := e.send(t, http.MethodPost)
+		assert.NilError(t, err)
+		if response.StatusCode == http.StatusOK {
+			continue
+		}
+		assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+		seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+		assert.NilError(t, err)
+		assert.Assert(t, seconds > 0 && seconds <= 2*maxLimitRetryAfter.Seconds(), "%v", seconds)
+		after[response.Header.Get("Retry-After")] = true
+	}
+	assert.Assert(t, len(after) > 1)
+	assert.Assert(t, b.count() <= 2, "%d requests", b.count())
+}
