sidecar: the limit that a server states holds off the platform too

Change: the sidecar beside the server reads the header Rate-Limit in all responses and refuses new calls and stages beyond it as not run; all entries reach the server through it, so nothing has to be divided. A copy of an attempt that runs is not refused.

--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -63,6 +63,9 @@
 		s.refuse(entry, key, wireRefusal(refusal))
 		return
 	}
+	if s.refuseForRateLimit(entry, key, time.Now()) {
+		return
+	}
 	timeout := time.Duration(head.TimeoutMs) * time.Millisecond
 	if timeout <= 0 {
 		timeout = defaultCallTimeout
@@ -168,8 +171,13 @@
 	for _, h := range c.head.Headers {
 		req.Header.Add(h.Name, h.Value)
 	}
+	sentAt := time.Now()
 	resp, err := s.callTransport.RoundTrip(req)
-	return resp, errors.WithStack(err)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	s.observeRateLimit(resp.Header, sentAt)
+	return resp, nil
 }
 
 func requestBody(c *call) io.Reader {
--- a/sidecar/engine.go
+++ b/sidecar/engine.go
@@ -148,10 +148,12 @@
 		return nil, errors.WithStack(err)
 	}
 	req.Header.Set("Content-Type", contentType)
+	sentAt := time.Now()
 	resp, err := s.engineClient.Do(req)
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
+	s.observeRateLimit(resp.Header, sentAt)
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxEngineResponseBytes))
 	if err != nil {
--- /dev/null
+++ b/sidecar/ratelimit_test.go
@@ -0,0 +1,134 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/phuslu/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/sapphirefield/sapphirefield/standin"
+	"github.com/sapphirefield/sapphirefield/wire"
+)
+
+const (
+	// statedRate is the limit that the server states, in requests per second.
+	statedRate = 2.0
+	// In any limitWindow, limitFactor times the limit and limitExtra requests more are
+	// permitted.
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitExtra  = 5
+)
+
+// arrivals records when requests reached a server.
+type arrivals struct {
+	mu    sync.Mutex
+	times []time.Time
+}
+
+func (a *arrivals) add() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.times = append(a.times, time.Now())
+}
+
+// check checks that the limit was kept, and used while there was work.
+func (a *arrivals) check(t *testing.T, duration time.Duration) {
+	t.Helper()
+	allowed := int(limitFactor*statedRate*limitWindow.Seconds()) + limitExtra
+	first := 0
+	for i, at := range a.times {
+		for at.Sub(a.times[first]) >= limitWindow {
+			first++
+		}
+		assert.Assert(t, i-first+1 <= allowed, "%d requests in a window, %d allowed", i-first+1, allowed)
+	}
+	assert.Assert(t, float64(len(a.times)) >= 0.9*statedRate*duration.Seconds(), "only %d requests", len(a.times))
+}
+
+// Guards against calls to a server beyond the limit that it states, and against a limit
+// that outlives its end.
+func TestCallsKeepRateLimitOfServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := standin.NewNetwork()
+		var received arrivals
+		limited := true
+		backend := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			received.add()
+			if limited {
+				w.Header().Set("Rate-Limit", fmt.Sprint(statedRate))
+			}
+		})}
+		s := New(Options{ID: "s", Backend: "http://app", DialBackend: network.Dialer("s"), Logger: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}})
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		appListener, listener := network.Listen("app"), network.Listen("s")
+		wg.Go(func() { _ = backend.Serve(appListener) })
+		wg.Go(func() { _ = s.Serve(ctx, listener) })
+		defer wg.Wait()
+		defer backend.Close()
+		defer cancel()
+		synctest.Wait()
+		const duration, step = 20 * time.Second, 20 * time.Millisecond
+		sent := 0
+		call := func() {
+			sent++
+			s.handleWork(fmt.Sprint("entry-", sent%5), &wire.WorkUp{Body: &wire.WorkUp_Call{Call: &wire.Call{
+				Request: fmt.Sprint("r", sent), Attempt: 1, Incarnation: s.Incarnation(), Method: http.MethodPost, Path: "/",
+			}}}, time.Now())
+			time.Sleep(step)
+			synctest.Wait()
+		}
+		call()
+		for range int(duration / step) {
+			call()
+		}
+		received.check(t, duration)
+		limited = false
+		before := len(received.times)
+		for range int(duration / step) {
+			call()
+		}
+		assert.Assert(t, len(received.times)-before > int(0.9*float64(duration/step)))
+	})
+}
+
+// Guards against new work for an engine beyond the limit that it states, while attempts
+// in progress go on.
+func TestStagesKeepRateLimitOfEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		var opened arrivals
+		h.observeRateLimit(http.Header{"Rate-Limit": {fmt.Sprint(statedRate)}}, time.Now())
+		const duration, step = 20 * time.Second, 20 * time.Millisecond
+		for i := range int(duration / step) {
+			frame := h.openFrame(1)
+			frame.GetOpen().Request = fmt.Sprint("r", i)
+			before := h.InProgress()
+			h.handle(frame)
+			if h.InProgress() > before {
+				opened.add()
+			}
+			time.Sleep(step)
+		}
+		opened.check(t, duration)
+		// Another attempt of a request that the engine holds is no new request.
+		h.handle(h.openFrame(1))
+		for range 100 {
+			time.Sleep(step)
+			h.handle(h.openFrame(1))
+		}
+		if h.currentAttempt("r", 1) == nil {
+			t.Fatal("the engine never had room")
+		}
+		h.handle(h.openFrame(2))
+		assert.Assert(t, h.currentAttempt("r", 2) != nil)
+	})
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -25,6 +25,7 @@
 	"github.com/sapphirefield/sapphirefield/link"
 	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/pipeline"
+	"github.com/sapphirefield/sapphirefield/ratelimit"
 	"github.com/sapphirefield/sapphirefield/wire"
 )
 
@@ -110,6 +111,8 @@
 	// awaitingEngineCheck holds attempts that start once the engine is known to
 	// be alive.
 	awaitingEngineCheck []*stageAttempt
+	// limits holds the rate limit that the backend server states.
+	limits *ratelimit.Limits
 	// drained is closed when the sidecar is draining and has no work left.
 	drained chan struct{}
 	// background is the context of hops and calls; it ends with Serve.
@@ -143,6 +146,7 @@
 		endedCalls:    make(map[attempt.Key]*call),
 		entries:       make(map[string]*entryState),
 		hops:          make(map[string]*hop),
+		limits:        ratelimit.New(),
 		engineUp:      true,
 		serving:       ServingState{Layers: opts.Layers},
 		drained:       make(chan struct{}),
--- a/sidecar/stage.go
+++ b/sidecar/stage.go
@@ -62,6 +62,9 @@
 	}
 	switch refusal := s.openInLedger(key, open); refusal {
 	case attempt.RefusalNone:
+		if old == nil && s.refuseForRateLimit(entry, key, now) {
+			return
+		}
 		s.acceptOpen(&stageAttempt{key: key, entry: entry, open: open, nextIndex: open.FirstIndex}, old, now)
 	case attempt.RefusalDuplicate:
 		// Only the first delivery of the Open is answered.
