--- a/soak/faults.go
+++ b/soak/faults.go
@@ -91,6 +91,12 @@
 	{"application server asks for a pause", func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
 		pauseServer(ctx, pickStandIn(r, &r.apps, random).server, d)
 	}},
+	{"engine states a rate limit", func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
+		limitRate(ctx, pickStandIn(r, &r.engines, random).server, random, d)
+	}},
+	{"application servers state a rate limit", func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
+		limitRate(ctx, pickStandIn(r, &r.apps, random).server, random, d)
+	}},
 	{"engine sends streams without chunks", func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
 		engine := pickStandIn(r, &r.engines, random).server
 		engine.SetUnframed(true)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -100,6 +100,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer r.stop()
+	r.fleet.IsFaultFree = func(process string) bool {
+		e := r.entryOf(process)
+		return e != nil && e.faultFreeSince(time.Now().Add(-minFaultFreeTime))
+	}
 	r.fleet.OnCrash = func(engine *platformtest.Engine, process string) {
 		r.crashes.record(time.Now(), r.entryOf(process))
 		go r.replaceCrashed(ctx, engine)
--- a/soak/standins.go
+++ b/soak/standins.go
@@ -14,6 +14,7 @@
 	StartDraining()
 	StartLeaving()
 	SetPause(d time.Duration)
+	SetRateLimit(rate float64)
 }
 
 // standIn is a stand-in server and the proxy through which entries reach it.
@@ -110,3 +111,18 @@
 	sleep(ctx, d)
 	s.SetPause(0)
 }
+
+const (
+	// minStatedRate and maxStatedRate bound the limits that servers state, in requests
+	// per second. limitDurations is how much longer than other faults they stand: the
+	// check looks at several seconds.
+	minStatedRate, maxStatedRate = 0.5, 5.0
+	limitDurations               = 4
+)
+
+// limitRate lets a server state a rate limit.
+func limitRate(ctx context.Context, s server, random *rand.Rand, d time.Duration) {
+	s.SetRateLimit(minStatedRate + random.Float64()*(maxStatedRate-minStatedRate))
+	sleep(ctx, limitDurations*d)
+	s.SetRateLimit(0)
+}
