relay: log that a server ended under a unary request, and the request's content

Cause: from the record of the crashing requests it cannot be told whether the requests under which application servers end are the same ones: 2020 was written for streams with parts of prompts only. Change: when a server's side of a connection ends before the answer is whole, and a new connection is not accepted, 2020 names the server's process, the request and a hash of its target, team and body. No request is handled in another way.

Test double of TestMemoryWithManyEndlessResponses: it counted each new connection as a request; the ones that find out whether a server runs are left out of the count. The bound is the same.

--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -96,7 +96,7 @@
 	{EngineLost, log.InfoLevel, "engine taken for lost", ""},
 	{EngineSuspected, log.InfoLevel, "engine suspected after a refusal", ""},
 	{EngineReturned, log.InfoLevel, "lost engine works again", ""},
-	{EngineCrashedUnderRequest, log.InfoLevel, "engine crashed before it answered a request", ""},
+	{EngineCrashedUnderRequest, log.InfoLevel, "backend server crashed before it answered a request", ""},
 	{PromptPartBlocked, log.WarnLevel, "prompt part blocked: it crashes engines", "Find out what the part holds and why the engines crash."},
 	{PromptPartReleased, log.WarnLevel, "prompt part released", ""},
 	{PromptPartProbed, log.InfoLevel, "one request with a blocked prompt part let through", ""},
--- a/relay/connection.go
+++ b/relay/connection.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -279,6 +280,20 @@
 	errNoResponse = errors.New("no answer")
 )
 
+// exchangeError is a kind of failure with its cause.
+type exchangeError struct{ kind, cause error }
+
+func (e *exchangeError) Error() string { return e.cause.Error() + ": " + e.kind.Error() }
+
+// Unwrap makes errors.Is find both.
+func (e *exchangeError) Unwrap() []error { return []error{e.kind, e.cause} }
+
+// connectionEnded reports whether an exchange failed because the server's side of the
+// connection ended, as it does when the server crashes.
+func connectionEnded(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // exchange is a request sent to a server, and its response.
 type exchange struct {
 	pool    *pool
@@ -313,7 +328,7 @@
 	}
 	if err := x.write(o); err != nil {
 		x.close()
-		return nil, errors.Wrap(errNoResponse, err.Error())
+		return nil, &exchangeError{errNoResponse, err}
 	}
 	return x, nil
 }
@@ -338,7 +353,7 @@
 	request := &http.Request{Method: x.request.method}
 	for range maxStrayResponses + 1 {
 		if err := x.readFinalHeader(codec, request); err != nil {
-			return errors.Wrap(errNoResponse, err.Error())
+			return &exchangeError{errNoResponse, err}
 		}
 		if x.info.ID == x.request.id {
 			return nil
--- a/relay/memory_test.go
+++ b/relay/memory_test.go
@@ -9,6 +9,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -26,6 +27,9 @@
 	text    string
 	arrived sync.WaitGroup
 	release chan struct{}
+	// requests is the number of connections that carry one. Later ones only find out
+	// whether the server still runs.
+	requests, dialed atomic.Int64
 }
 
 func (s *heldServers) dial(context.Context, string) (net.Conn, error) {
@@ -34,7 +38,9 @@
 	go func() {
 		defer remote.Close()
 		_, _ = io.WriteString(remote, s.text)
-		s.arrived.Done()
+		if s.dialed.Add(1) <= s.requests.Load() {
+			s.arrived.Done()
+		}
 		<-s.release
 	}()
 	return local, nil
@@ -64,6 +70,7 @@
 			held := &heldServers{text: test.text, release: make(chan struct{})}
 			e.pool.dial = held.dial
 			held.arrived.Add(connections)
+			held.requests.Store(connections)
 			var requests sync.WaitGroup
 			for range connections {
 				requests.Go(func() {
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -172,6 +172,7 @@
 	if err != nil {
 		if ctx.Err() == nil {
 			q.fleet.observe(time.Now(), server.ID, membership.ConnectionLost)
+			q.reportCrash(ctx, server, err)
 		}
 		return mayHaveExecuted, err
 	}
@@ -182,8 +183,11 @@
 		return notExecuted, errors.Errorf("server answered %d", x.response.StatusCode)
 	}
 	result, err := q.forwardResponse(x)
-	if result == answered {
+	switch {
+	case result == answered:
 		q.fleet.observe(time.Now(), server.ID, membership.Heartbeat)
+	case errors.Is(err, errBrokenOff):
+		q.reportCrash(ctx, server, err)
 	}
 	return result, err
 }
@@ -209,6 +213,9 @@
 	return false
 }
 
+// errBrokenOff means that a response ended early.
+var errBrokenOff = errors.New("answer broke off")
+
 // forwardResponse forwards a complete response. If the response breaks off
 // before its first byte was forwarded, the client has received nothing and the
 // request may be retried.
@@ -220,7 +227,7 @@
 	body, err := io.ReadAll(io.LimitReader(x.response.Body, maxBufferedResponse+1))
 	if err != nil {
 		x.close()
-		return mayHaveExecuted, errors.Wrap(err, "answer broke off")
+		return mayHaveExecuted, &exchangeError{errBrokenOff, err}
 	}
 	if x.response.StatusCode >= http.StatusInternalServerError && q.mayRetryFailure() {
 		x.release()
