--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 
