relay, pipeline: a rate limit speaks of the first engine of a path only

Change: slots at the first engine; engines with a limit are avoided at later stages where another one is about as fast.

--- a/pipeline/relay.go
+++ b/pipeline/relay.go
@@ -38,6 +38,8 @@
 	// Slots is the maximum number of requests for which the engine can be the first
 	// of the path, 0 for no limit, and UsedSlots the current number.
 	Slots, UsedSlots int
+	// CannotBeFirst is set for an engine that takes no request from an entry now.
+	CannotBeFirst bool
 	// PromptLoad is the fraction of the engine's time spent on prompts.
 	PromptLoad float64
 	// PromptQueue is the expected wait for prompts that were sent to the engine a
@@ -220,7 +222,7 @@
 	if len(s.request.CurrentPath) > 0 {
 		return e.Name == s.request.CurrentPath[0].Engine
 	}
-	return e.Slots == 0 || e.UsedSlots < e.Slots
+	return !e.CannotBeFirst && (e.Slots == 0 || e.UsedSlots < e.Slots)
 }
 
 // extendThrough extends the states at a boundary with an engine, up to each later
--- a/relay/capacity.go
+++ b/relay/capacity.go
@@ -49,7 +49,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	f.takeSlotsOn(now, hops, r.CurrentPath)
+	if len(r.CurrentPath) == 0 {
+		f.limits.Charge(now, hops[0].Engine)
+	}
 	f.recordRecentWork(now, rev, hops, r, relayModel(rev.models[model]))
 	f.recordLinkTraffic(now, hops, r.CurrentPath, relayModel(rev.models[model]).BytesPerHop(r))
 	held := pathUsage(hops, r, expected)
@@ -79,7 +81,7 @@
 	if finder == nil {
 		return nil, 0, pipeline.ErrNoChain
 	}
-	return finder.Find(f.engines(now, rev, model, r.CurrentPath), f.links(now, rev), r)
+	return finder.Find(f.engines(now, rev, model), f.links(now, rev), r)
 }
 
 // recordLinkTraffic adds the bytes that a request sends over the links of its
@@ -188,9 +190,14 @@
 	return rate
 }
 
-// engines returns the engines of a model that may receive requests. An engine on the
-// current path of a request gets none for going on.
-func (f *fleet) engines(now time.Time, rev *revision, model string, current []pipeline.Hop) []pipeline.RelayEngine {
+// limitedSlowdown makes a path go around an engine that states a rate limit if another
+// one is about as fast. Such an engine is in need, but leaving it out of all paths would
+// cost clients much more than the requests that it asks to be spared.
+const limitedSlowdown = 1.25
+
+// engines returns the engines of a model that may receive requests. A rate limit is
+// about requests from entries, which only the first engine of a path gets.
+func (f *fleet) engines(now time.Time, rev *revision, model string) []pipeline.RelayEngine {
 	m := placementModel(rev.models[model])
 	var engines []pipeline.RelayEngine
 	for _, c := range f.membership.Candidates(now, model) {
@@ -199,14 +206,16 @@
 		if !known || c.Suspect || f.lost[c.ID] != nil || layers <= 0 || now.Before(f.avoided[c.ID]) || now.Before(f.pausedUntil[c.ID]) {
 			continue
 		}
-		if f.limits.Wait(now, c.ID) > 0 && !contains(current, c.ID) {
-			continue
-		}
 		accelerator := rev.accelerators[s.Accelerator]
 		if accelerator == nil {
 			continue
 		}
-		engines = append(engines, f.relayEngine(now, s, accelerator, m))
+		engine := f.relayEngine(now, s, accelerator, m)
+		if f.limits.Limited(c.ID) {
+			engine.CannotBeFirst = f.limits.Wait(now, c.ID) > 0
+			engine.Slowdown = max(engine.Slowdown, 1) * limitedSlowdown
+		}
+		engines = append(engines, engine)
 	}
 	return engines
 }
--- a/relay/ratelimits.go
+++ b/relay/ratelimits.go
@@ -141,18 +141,6 @@
 	return wait
 }
 
-// takeSlotsOn uses a slot at each engine of a path that is not on the current one.
-func (f *fleet) takeSlotsOn(now time.Time, hops, current []pipeline.Hop) {
-	if f.limits.Servers() == 0 {
-		return
-	}
-	for _, h := range hops {
-		if !contains(current, h.Engine) {
-			f.limits.Charge(now, h.Engine)
-		}
-	}
-}
-
 // errServerLimited means that nothing was sent because the server states a rate limit
 // that leaves no room now.
 var errServerLimited = errors.New("the server's rate limit leaves no room")
