--- a/ratelimit/ratelimit_test.go
+++ b/ratelimit/ratelimit_test.go
@@ -177,3 +177,32 @@
 		l.Take(epoch, "s", 0)
 	}
 }
+
+// Guards against many entries that each hold a slot back while they have no work, and
+// all use it at once.
+func TestQuietEntriesHoldFewSlots(t *testing.T) {
+	for _, entries := range []int{4, 30, 300} {
+		for _, rate := range []float64{0.2, 1.3, 20} {
+			all := make([]*Limits, entries)
+			for n := range all {
+				all[n] = New()
+				all[n].SetShare(epoch, Share{n, entries})
+				all[n].ObserveAnswer(epoch, "s", 1, epoch, rate)
+			}
+			const quiet, step = 10 * time.Minute, 10 * time.Millisecond
+			sent := 0
+			for elapsed := quiet; elapsed < quiet+window; elapsed += step {
+				for _, l := range all {
+					for {
+						if _, ok := l.Take(epoch.Add(elapsed), "s", 0); !ok {
+							break
+						}
+						sent++
+					}
+				}
+			}
+			allowed := int(factor*rate*window.Seconds()) + extra
+			assert.Assert(t, sent <= allowed, "%d entries, %.1f a second: %d sent at once, %d allowed", entries, rate, sent, allowed)
+		}
+	}
+}
