--- a/soak/faults.go
+++ b/soak/faults.go
@@ -104,9 +104,9 @@
 		engine.SetUnframed(false)
 	}},
 	{"application sends responses without a length", appFault(platformtest.AppFault{UnframedRate: 0.5})},
-	{"prompts crash engines", func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
-		r.sendPoisoned(ctx, random, 2*d)
-	}},
+	{"prompts crash engines", poison(platformtest.CrashByPart)},
+	{"one stream request crashes engines", poison(platformtest.CrashByStream)},
+	{"one request crashes application servers", poison(platformtest.CrashByCall)},
 	{"application loses responses", appFault(platformtest.AppFault{LostResponseRate: 0.3})},
 	{"application truncates responses", appFault(platformtest.AppFault{TruncateRate: 0.3})},
 	{"application fails requests", appFault(platformtest.AppFault{FailureRate: 0.4})},
@@ -211,6 +211,13 @@
 	}
 }
 
+// poison returns a fault: requests that crash servers for a cause.
+func poison(cause platformtest.CrashCause) func(*soakRun, context.Context, *rand.Rand, time.Duration) {
+	return func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
+		r.sendPoisoned(ctx, random, 2*d, cause)
+	}
+}
+
 func appFault(f platformtest.AppFault) func(*soakRun, context.Context, *rand.Rand, time.Duration) {
 	return func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
 		app := pickStandIn(r, &r.apps, random).server
--- a/soak/poison.go
+++ b/soak/poison.go
@@ -18,33 +18,45 @@
 	poisonInterval = 150 * time.Millisecond
 	// crashedDowntime is how long a crashed engine is gone.
 	crashedDowntime = time.Second
-	// toleratedCrashes is how many crashes may happen before the entries must block the
-	// part, blockLimit how long they may take for that, and lateCrashes how many may
-	// still happen thereafter.
-	toleratedCrashes = 5
-	blockLimit       = 3 * time.Second
-	lateCrashes      = 3
+	// toleratedPartCrashes and toleratedRequestCrashes are how many crashes may happen
+	// before the entries must block a prompt part or a request, blockLimit how long they
+	// may take for that, and lateCrashes how many may still happen thereafter.
+	toleratedPartCrashes    = 5
+	toleratedRequestCrashes = 3
+	blockLimit              = 3 * time.Second
+	lateCrashes             = 3
 )
 
-// sendPoisoned sends requests that crash engines, each through any ready entry.
-func (r *soakRun) sendPoisoned(ctx context.Context, random *rand.Rand, d time.Duration) {
+// poisoned returns a request that crashes servers for a cause.
+func poisoned(cause platformtest.CrashCause, id, process string) platformtest.ClientRequest {
+	c := platformtest.ClientRequest{ID: id, Method: http.MethodPost, Target: platformtest.PathStream, Events: 3, Timeout: requestTimeout, Entry: process}
+	switch cause {
+	case platformtest.CrashByPart:
+		c.Poisoned = true
+	case platformtest.CrashByStream:
+		c.Body = platformtest.PoisonBody
+	case platformtest.CrashByCall:
+		c.Target, c.Events, c.Body = platformtest.PathAtMostOnce, 0, platformtest.PoisonBody
+	}
+	return c
+}
+
+// sendPoisoned sends requests that crash servers, each through any ready entry.
+func (r *soakRun) sendPoisoned(ctx context.Context, random *rand.Rand, d time.Duration, cause platformtest.CrashCause) {
 	for end := time.Now().Add(d); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, poisonInterval) {
 		ready := r.loadBalancer.readyEntries()
 		if len(ready) == 0 {
 			continue
 		}
 		e := r.entries[ready[random.IntN(len(ready))]]
-		go r.sendOnePoisoned(ctx, e)
+		go r.sendOnePoisoned(ctx, e, cause)
 	}
 }
 
-func (r *soakRun) sendOnePoisoned(ctx context.Context, e *entry) {
+func (r *soakRun) sendOnePoisoned(ctx context.Context, e *entry, cause platformtest.CrashCause) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
-	c := platformtest.ClientRequest{
-		ID: fmt.Sprintf("poison-%d", r.serverSeeds.Add(1)), Method: http.MethodPost, Target: platformtest.PathStream, Events: 3,
-		Timeout: requestTimeout, Entry: e.processName(), Poisoned: true,
-	}
+	c := poisoned(cause, fmt.Sprintf("poison-%d", r.serverSeeds.Add(1)), e.processName())
 	request, err := c.HTTPRequest(ctx, "http://"+e.clientProxy.address())
 	if err != nil {
 		panic(err)
@@ -57,54 +69,82 @@
 	_, _ = io.Copy(io.Discard, response.Body)
 }
 
-// replaceCrashed starts another engine in place of one that a request has crashed.
-func (r *soakRun) replaceCrashed(ctx context.Context, engine *platformtest.Engine) {
+// replaceCrashed starts another server in place of one that a request has crashed.
+func (r *soakRun) replaceCrashed(ctx context.Context, c platformtest.Crash) {
+	if c.App != nil {
+		replaceCrashed(ctx, r, &r.apps, c.App)
+		return
+	}
+	replaceCrashed(ctx, r, &r.engines, c.Engine)
+}
+
+func replaceCrashed[S interface {
+	server
+	comparable
+}](ctx context.Context, r *soakRun, list *standIns[S], crashed S) {
 	r.mu.Lock()
-	i := slices.IndexFunc(r.engines, func(m *standIn[*platformtest.Engine]) bool { return m.server == engine })
+	i := slices.IndexFunc(*list, func(m *standIn[S]) bool { return m.server == crashed })
 	if i < 0 {
 		r.mu.Unlock()
 		return
 	}
-	m := r.engines[i]
-	if len(r.engines) > 1 {
-		r.engines = slices.Delete(r.engines, i, i+1)
+	m := (*list)[i]
+	if len(*list) > 1 {
+		*list = slices.Delete(*list, i, i+1)
 	}
 	r.mu.Unlock()
 	crashAndReplace(ctx, r, m, crashedDowntime)
 }
 
-// crashTracker counts the engines that crash under requests with one prompt part.
+// crashTracker counts the servers that crash, by the cause.
 type crashTracker struct {
-	mu sync.Mutex
-	// limit is the time by which the entries must block the part; it is set by the
+	mu     sync.Mutex
+	causes map[platformtest.CrashCause]*crashCount
+}
+
+type crashCount struct {
+	// limit is the time by which the entries must block the requests; it is set by the
 	// last crash that is tolerated.
 	limit       time.Time
 	total, late int
 }
 
 // record counts a crash under a request through an entry, or nil if its process has
-// ended. A crash is late if the entry should have blocked the part.
-func (t *crashTracker) record(now time.Time, e *entry) {
+// ended. A crash is late if the entry should have blocked the request.
+func (t *crashTracker) record(now time.Time, cause platformtest.CrashCause, e *entry) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.total++
+	if t.causes == nil {
+		t.causes = map[platformtest.CrashCause]*crashCount{}
+	}
+	if t.causes[cause] == nil {
+		t.causes[cause] = &crashCount{}
+	}
+	tolerated := toleratedRequestCrashes
+	if cause == platformtest.CrashByPart {
+		tolerated = toleratedPartCrashes
+	}
+	c := t.causes[cause]
+	c.total++
 	switch {
-	case t.total < toleratedCrashes:
-	case t.total == toleratedCrashes:
-		t.limit = now.Add(blockLimit)
-	case now.After(t.limit) && e != nil && e.faultFreeSince(now.Add(-minFaultFreeTime)):
-		t.late++
+	case c.total < tolerated:
+	case c.total == tolerated:
+		c.limit = now.Add(blockLimit)
+	case now.After(c.limit) && e != nil && e.faultFreeSince(now.Add(-minFaultFreeTime)):
+		c.late++
 	}
 }
 
 func (t *crashTracker) check(report *Report) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.late > lateCrashes {
-		report.addViolation("crashing prompts", "%d engines crashed under one prompt part, %d of them late", t.total, t.late)
-	}
-	for range t.total {
-		report.count("engine crashed by a prompt")
+	for cause, c := range t.causes {
+		if c.late > lateCrashes {
+			report.addViolation("crashing requests", "%d servers crashed under one %s, %d of them late", c.total, cause, c.late)
+		}
+		for range c.total {
+			report.count("server crashed by a " + string(cause))
+		}
 	}
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -104,9 +104,9 @@
 		e := r.entryOf(process)
 		return e != nil && e.faultFreeSince(time.Now().Add(-minFaultFreeTime))
 	}
-	r.fleet.OnCrash = func(engine *platformtest.Engine, process string) {
-		r.crashes.record(time.Now(), r.entryOf(process))
-		go r.replaceCrashed(ctx, engine)
+	r.fleet.OnCrash = func(c platformtest.Crash) {
+		r.crashes.record(time.Now(), c.Cause, r.entryOf(c.Process))
+		go r.replaceCrashed(ctx, c)
 	}
 	if err := r.start(ctx); err != nil {
 		return nil, err
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -139,3 +139,58 @@
 	p.setMode(modeForward)
 	assert.NilError(t, sendRequest())
 }
+
+// Guards against a check of crashing requests that misses late crashes, or counts those of
+// one cause for another.
+func TestLateCrashesAreFound(t *testing.T) {
+	e := &entry{}
+	for cause, tolerated := range map[platformtest.CrashCause]int{platformtest.CrashByPart: 5, platformtest.CrashByStream: 3, platformtest.CrashByCall: 3} {
+		for late := range 5 {
+			tracker, report := &crashTracker{}, newReport(1)
+			now := time.Now()
+			for range tolerated {
+				tracker.record(now, cause, e)
+			}
+			for range late {
+				tracker.record(now.Add(blockLimit+time.Second), cause, e)
+			}
+			tracker.record(now, "other", e)
+			tracker.check(report)
+			assert.Equal(t, len(report.Violations()) > 0, late > lateCrashes, "%s: %d late", cause, late)
+		}
+	}
+}
+
+// Guards against a stand-in that does not notice requests beyond its rate limit.
+func TestStandInCountsAgainstRateLimit(t *testing.T) {
+	r := newTestRun()
+	violations := 0
+	r.fleet.OnViolation = func(invariant, _ string) {
+		// The requests come without an entry, which other checks notice.
+		if invariant == "rate limit" {
+			violations++
+		}
+	}
+	app, err := r.fleet.StartApp(platformtest.ServiceA, "a", r.newRand(3), func(address string) string { return address })
+	assert.NilError(t, err)
+	defer app.Crash()
+	app.SetRateLimit(1)
+	send := func() {
+		c := platformtest.ClientRequest{ID: "r", Method: http.MethodGet, Target: platformtest.PathIdempotent, Timeout: time.Second, Entry: "e/1"}
+		request, err := c.HTTPRequest(t.Context(), "http://"+app.Address())
+		assert.NilError(t, err)
+		response, err := http.DefaultClient.Do(request)
+		assert.NilError(t, err)
+		assert.Equal(t, response.Header.Get(platformtest.HeaderRateLimit), "1")
+		response.Body.Close()
+	}
+	const allowed = 1.5*4 + 5
+	send()
+	app.BackdateRateLimit(time.Second)
+	for range int(allowed) {
+		send()
+	}
+	assert.Equal(t, violations, 0)
+	send()
+	assert.Equal(t, violations, 1)
+}
