--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -67,8 +67,10 @@
 	// BackendURL is the base URL of the backend server.
 	BackendURL     string
 	sidecarOptions sidecar.Options
-	// stop stops the node, stopSidecar only its sidecar.
+	// stop stops the node, stopSidecar only its sidecar, crashBackend only its backend
+	// server, which is back after a while.
 	stop, stopSidecar context.CancelFunc
+	crashBackend      func(downtime time.Duration)
 	restart           func() error
 	killed            atomic.Bool
 	// sidecarDone is closed when the sidecar has stopped.
@@ -166,7 +168,7 @@
 
 func (c *Cluster) addNode(ctx context.Context, node *Node, backend http.Handler, opts sidecar.Options) error {
 	ctx, node.stop = context.WithCancel(ctx)
-	url, err := c.serveHTTP(ctx, node.ID+backendSuffix, backend)
+	url, err := c.serveBackend(ctx, node, backend)
 	if err != nil {
 		return err
 	}
@@ -179,6 +181,25 @@
 	return c.startSidecar(ctx, node)
 }
 
+// serveBackend serves a node's backend server and sets how it crashes.
+func (c *Cluster) serveBackend(ctx context.Context, node *Node, backend http.Handler) (string, error) {
+	backendCtx, stop := context.WithCancel(ctx)
+	node.crashBackend = func(downtime time.Duration) {
+		stop()
+		c.wg.Go(func() {
+			select {
+			case <-time.After(downtime):
+			case <-ctx.Done():
+			}
+			if ctx.Err() == nil {
+				// The in-memory network has the same address again.
+				_, _ = c.serveBackend(ctx, node, backend)
+			}
+		})
+	}
+	return c.serveHTTP(backendCtx, node.ID+backendSuffix, backend)
+}
+
 // startSidecar starts a sidecar that stopSidecar or the node's stop ends.
 func (c *Cluster) startSidecar(ctx context.Context, node *Node) error {
 	listener, err := c.listen(node.ID)
--- /dev/null
+++ b/demo/crashes_test.go
@@ -0,0 +1,83 @@
+package demo
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	// crashDowntime is how long a crashed backend server is gone, crashInterval the time
+	// between two requests that crash servers.
+	crashDowntime = time.Second
+	crashInterval = 3 * time.Second
+	// tolerableCrashes is the number of crashes after which a request must be known, and
+	// lateCrashes how many more it may cause.
+	tolerableCrashes = 3
+	lateCrashes      = 3
+)
+
+// crashOn makes the backend servers of a cluster crash under requests with one content,
+// and returns the number of crashes.
+func crashOn(c *Cluster, content string) *atomic.Int64 {
+	var crashes atomic.Int64
+	for _, n := range c.Nodes {
+		crash := func() {
+			crashes.Add(1)
+			n.crashBackend(crashDowntime)
+		}
+		if n.Plain != nil {
+			n.Plain.CrashOn(content, crash)
+		} else {
+			n.Engine.CrashOn(content, crash)
+		}
+	}
+	return &crashes
+}
+
+// Guards against one call that crashes server after server each time it comes, while
+// others are sound.
+func TestCallThatCrashesServersIsBlocked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster, client := testCluster(t, ClusterOptions{Stages: 1, Replicas: 1, PlainServers: 3})
+		crashes := crashOn(cluster, "bad")
+		for i := range 16 {
+			before := crashes.Load()
+			status, body, err := client.Call(t.Context(), http.MethodPost, bookingPath, map[string]string{"reference": "bad"})
+			assert.NilError(t, err)
+			assert.Equal(t, status == http.StatusServiceUnavailable, crashes.Load() == before, "%d %s", status, body)
+			time.Sleep(crashInterval)
+			status, body, err = client.Call(t.Context(), http.MethodPost, bookingPath, map[string]string{"reference": fmt.Sprint("good-", i)})
+			assert.NilError(t, err)
+			assert.Equal(t, status, http.StatusCreated, body)
+		}
+		assert.Assert(t, crashes.Load() <= tolerableCrashes+lateCrashes, "%d crashes", crashes.Load())
+		status, body, err := client.Call(t.Context(), http.MethodPost, bookingPath, map[string]string{"reference": "bad"})
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusServiceUnavailable)
+		assert.Assert(t, strings.Contains(body, `"request_blocked"`), body)
+	})
+}
+
+// Guards against a language request that crashes engine after engine, at each stage of
+// its chains.
+func TestLanguageRequestThatCrashesEnginesIsBlocked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster, client := testCluster(t, ClusterOptions{Stages: 2, Replicas: 3, PlainServers: 1})
+		crashes := crashOn(cluster, "bad")
+		for i := range 8 {
+			_, err := client.Complete(t.Context(), Model, "bad", 4, nil)
+			assert.Assert(t, err != nil)
+			time.Sleep(2 * crashInterval)
+			_, err = client.Complete(t.Context(), Model, fmt.Sprint("good ", i), 4, nil)
+			assert.NilError(t, err)
+		}
+		assert.Assert(t, crashes.Load() <= tolerableCrashes+lateCrashes, "%d crashes", crashes.Load())
+	})
+}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -80,6 +80,7 @@
 	progress int64
 	// resumed is not nil while the engine hangs; it is closed when the engine resumes.
 	resumed chan struct{}
+	crashes crashTrigger
 
 	// iterationSlot holds a value while a batch runs; an engine runs one batch at a
 	// time. Waiting for a mutex would stop the clock of a synctest bubble.
@@ -182,6 +183,13 @@
 	_, _ = w.Write(encoded)
 }
 
+// CrashOn calls crash when a request with the given prompt is begun.
+func (e *Engine) CrashOn(prompt string, crash func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crashes = crashTrigger{prompt, crash}
+}
+
 // runBatch runs one iteration over all steps of a batch.
 func (e *Engine) runBatch(ctx context.Context, batch *wire.EngineBatch) *wire.EngineResults {
 	e.iterationSlot <- struct{}{}
@@ -190,6 +198,14 @@
 	if len(batch.Steps) == 0 {
 		return results
 	}
+	e.mu.Lock()
+	crashes := e.crashes
+	e.mu.Unlock()
+	for _, step := range batch.Steps {
+		if step.Prompt != "" {
+			crashes.fire(step.Prompt)
+		}
+	}
 	duration := e.opts.StepTime + time.Duration(len(batch.Steps))*e.opts.StepTimePerToken
 	for _, step := range batch.Steps {
 		result, prefill := e.runStep(step)
--- a/standin/plain.go
+++ b/standin/plain.go
@@ -21,6 +21,30 @@
 	lookupDelay time.Duration
 	// truncate ends responses before their Content-Length.
 	truncate bool
+	crashes  crashTrigger
+}
+
+// crashTrigger ends a backend server under requests with one content.
+type crashTrigger struct {
+	content string
+	crash   func()
+}
+
+// fire ends the server, and the request without an answer, if the content is the one
+// that crashes it.
+func (c crashTrigger) fire(content string) {
+	if c.crash == nil || content != c.content {
+		return
+	}
+	c.crash()
+	panic(http.ErrAbortHandler)
+}
+
+// CrashOn calls crash when a booking with the given reference is begun.
+func (s *PlainServer) CrashOn(reference string, crash func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashes = crashTrigger{reference, crash}
 }
 
 // NewPlainServer returns a server that responds to bookings after a delay.
@@ -70,8 +94,9 @@
 	}
 	s.mu.Lock()
 	s.executions[booking.Reference]++
-	executions, truncate := s.executions[booking.Reference], s.truncate
+	executions, truncate, crashes := s.executions[booking.Reference], s.truncate, s.crashes
 	s.mu.Unlock()
+	crashes.fire(booking.Reference)
 	time.Sleep(s.delay)
 	answer := fmt.Sprintf("{\"reference\":%q,\"status\":\"booked\",\"runs\":%d}\n", booking.Reference, executions)
 	w.Header().Set("Content-Type", "application/json")
