entry, sidecar, claim: requests that crash servers are blocked off the platform too

Calls, keyed calls and language requests are checked right before they run, so that a stored outcome is still replayed. Suspicions younger than a block lasts count again after a restart.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sapphirefield/sapphirefield/attempt"
+	"github.com/sapphirefield/sapphirefield/quarantine"
 )
 
 // SchemaVersion is the schema version of the records that this program writes.
@@ -87,6 +88,16 @@
 // log service accepts only a few appends per second.
 type Batch struct {
 	Records []Record `json:"records"`
+	// Suspicions are not about keys. They are in this stream because all entries read
+	// it anyway; the claims ignore them.
+	Suspicions []Suspicion `json:"suspicions,omitempty"`
+}
+
+// Suspicion says that a backend server has ended under a request.
+type Suspicion struct {
+	quarantine.Suspicion
+	// At is the time by the writer's clock.
+	At time.Time `json:"at"`
 }
 
 // Encode returns the payload of a log record.
--- a/entry/chain.go
+++ b/entry/chain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/sapphirefield/sapphirefield/admission"
@@ -73,7 +74,10 @@
 	g.unreleased = make(map[*peer]attempt.Key)
 	defer g.discardPlanned()
 	defer g.releaseAttempts(nil)
-	for range maxAttempts {
+	for i := range maxAttempts {
+		if prob := g.checkCrashes(i > 0); prob != nil {
+			return prob
+		}
 		chain, prob := g.nextChain(ctx)
 		if prob != nil {
 			return prob
@@ -83,6 +87,9 @@
 		if len(g.tokens) > 0 && g.version == "" {
 			g.version = chain.Version()
 		}
+		if prob == nil && g.finishReason != "" {
+			g.server.crashes.observeAnswered(g.content)
+		}
 		if prob != nil || g.finishReason != "" {
 			return prob
 		}
@@ -90,6 +97,23 @@
 	return g.newProblem(problem.StageLost, "stages failed on every chain that was tried")
 }
 
+// content stands for what a client repeats when it sends the request again.
+func (g *generation) content() string {
+	return requestContent(g.admission.Team, g.model, g.prompt, g.parameters, strconv.Itoa(int(g.maxTokens)))
+}
+
+// checkCrashes ends a request that has crashed engines. One that has done so a few times
+// is not repeated.
+func (g *generation) checkCrashes(repeat bool) *problem.Problem {
+	if !repeat {
+		return g.server.crashes.check(g.id, g.content)
+	}
+	if g.server.crashes.mayRepeat(g.content) {
+		return nil
+	}
+	return g.newProblem(problem.StageLost, "engines have ended under the request, which is not repeated")
+}
+
 // nextChain chooses a chain. A request that has already received tokens waits a
 // while for one; others are refused at once, because the client loses nothing.
 func (g *generation) nextChain(ctx context.Context) (*plannedChain, *problem.Problem) {
--- a/entry/chain_attempt.go
+++ b/entry/chain_attempt.go
@@ -25,8 +25,8 @@
 	chain *plannedChain
 	// counted is set while the chooser's load includes the chain.
 	counted bool
-	// delivered is set once the attempt has delivered a token.
-	delivered bool
+	// deliveredAt is when the attempt delivered its first token, or zero.
+	deliveredAt time.Time
 	// repairs counts the repaired chains that were planned from this attempt.
 	repairs int
 	peers   []*peer
@@ -166,6 +166,7 @@
 			failed = a.peers[body.Failed.Stage].id
 		}
 		a.recordStageLost(failed, body.Failed.Reason)
+		a.observeFailure(event.peer, body.Failed.Reason)
 		a.excludeOverdue(now())
 		return true, nil
 	case *wire.WorkDown_Progress:
@@ -174,6 +175,14 @@
 	return false, nil
 }
 
+// observeFailure suspects the request if the engine of a stage has ended before the
+// answer had gone on for long.
+func (a *chainAttempt) observeFailure(p *peer, reason string) {
+	if a.deliveredAt.IsZero() || now().Sub(a.deliveredAt) < soundProgress {
+		a.g.server.crashes.observeFailure(a.g.id, p.id, p.currentIncarnation(), reason, a.g.content())
+	}
+}
+
 // excludeOverdue excludes stages with an overdue probe reply when another stage is
 // lost, so that two simultaneous losses do not cause two replays.
 func (a *chainAttempt) excludeOverdue(at time.Time) {
@@ -344,7 +353,9 @@
 		return false, nil
 	}
 	a.resuming = false
-	a.delivered = true
+	if a.deliveredAt.IsZero() {
+		a.deliveredAt = now()
+	}
 	a.g.baseAttempt = a
 	a.detector.observeToken(now())
 	a.g.logRecovery()
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -54,11 +54,12 @@
 	calls        map[*keyedCall]bool
 }
 
-// claimAppend is a record to be appended; call is nil for a best-effort record,
-// whose result is not needed.
+// claimAppend is a record or a suspicion to be appended; call is nil for a best-effort
+// record, whose result is not needed.
 type claimAppend struct {
-	record claim.Record
-	call   *keyedCall
+	record    claim.Record
+	call      *keyedCall
+	suspicion *claim.Suspicion
 }
 
 func newClaims(ctx context.Context, server *Server, log ClaimLog) *claimManager {
@@ -119,6 +120,7 @@
 			batch = claim.Batch{}
 		}
 		c.state.Apply(record.Offset, batch)
+		c.server.crashes.apply(batch.Suspicions)
 	}
 	for call := range c.calls {
 		c.perform(call, call.machine.StateAdvanced(now()))
@@ -169,6 +171,10 @@
 func (c *claimManager) appendBatch(ctx context.Context, pending []claimAppend) {
 	var batch claim.Batch
 	for _, queued := range pending {
+		if queued.suspicion != nil {
+			batch.Suspicions = append(batch.Suspicions, *queued.suspicion)
+			continue
+		}
 		batch.Records = append(batch.Records, queued.record)
 	}
 	data, err := batch.Encode()
@@ -189,6 +195,12 @@
 	}
 }
 
+// writeSuspicion tells the other entries of a suspicion. It is lost if the log is not
+// available: each entry then blocks by what it sees itself.
+func (c *claimManager) writeSuspicion(s claim.Suspicion) {
+	c.queue.Push(claimAppend{suspicion: &s})
+}
+
 // start starts the claim of a call.
 func (c *claimManager) start(call *keyedCall) {
 	c.mu.Lock()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -66,6 +66,7 @@
 	models         *modelSet
 	admitter       *admitter
 	claims         *claimManager
+	crashes        *crashGuard
 	metrics        serverMetrics
 	sequence       atomic.Uint64
 	activeRequests requestTracker
@@ -106,6 +107,7 @@
 	s.planner.selectedSince = make(map[string]time.Time)
 	s.retryBudgets = newRetryBudgets()
 	s.admitter = newAdmitter(uint64(now().UnixNano()))
+	s.crashes = newCrashGuard(s)
 	s.peers = newPeerSet(ctx, s)
 	if opts.Claims != nil {
 		s.claims = newClaims(ctx, s, opts.Claims)
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -368,6 +368,13 @@
 	return p.rtt
 }
 
+// currentIncarnation returns the incarnation of the sidecar at the latest connection.
+func (p *peer) currentIncarnation() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.hello.GetIncarnation()
+}
+
 // startExchange registers an exchange and queues its first frame. It returns false,
 // with nothing sent, if the peer is not connected.
 func (p *peer) startExchange(ex *exchange, frame func(incarnation string) *wire.WorkUp) bool {
--- a/entry/unary.go
+++ b/entry/unary.go
@@ -66,6 +66,9 @@
 
 // admitAndRun waits until the call is admitted, then runs it.
 func (c *unaryCall) admitAndRun(ctx context.Context) (*unaryResponse, *problem.Problem) {
+	if prob := c.server.crashes.check(c.id, c.content); prob != nil {
+		return nil, prob
+	}
 	release, prob := c.server.admitter.acquire(ctx, servicePoolKey(c.service.Name), c.admission)
 	if prob != nil {
 		prob.RequestID = c.id
@@ -81,6 +84,11 @@
 	return response, prob
 }
 
+// content stands for what a client repeats when it sends the call again.
+func (c *unaryCall) content() string {
+	return requestContent(c.admission.Team, c.service.Name, c.method, c.path, string(c.body))
+}
+
 // unaryCall is one client call to a server of a non-pipeline service.
 type unaryCall struct {
 	server     *Server
@@ -175,6 +183,9 @@
 func (c *unaryCall) run(ctx context.Context) (*unaryResponse, *problem.Problem) {
 	c.request = attempt.NewRequest(c.idempotent)
 	for c.request.MayStartAttempt() && c.request.Latest() < maxAttempts {
+		if c.request.Executed() != attempt.ExecutedNo && !c.server.crashes.mayRepeat(c.content) {
+			break
+		}
 		if c.request.Executed() != attempt.ExecutedNo && !c.server.takeRetry(c.service.Name) {
 			return nil, c.newProblem(problem.BackendFailed, "the call failed, and too many calls are being repeated already")
 		}
@@ -229,6 +240,7 @@
 				if complete {
 					a.release()
 					c.server.recordSuccess(c.service.Name)
+					c.server.crashes.observeAnswered(c.content)
 					return a.response, nil
 				}
 				if done {
--- a/entry/unary_attempt.go
+++ b/entry/unary_attempt.go
@@ -59,6 +59,7 @@
 		return true, false
 	case *wire.WorkDown_Failed:
 		request.Observe(number, attempt.FromWire(body.Failed.Executed))
+		a.call.server.crashes.observeFailure(a.call.id, a.peer.id, a.peer.currentIncarnation(), body.Failed.Reason, a.call.content())
 		a.release()
 		return true, false
 	case *wire.WorkDown_CallHead:
--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -176,6 +176,7 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
+	s.serverAnswered()
 	s.observeRateLimit(resp.Header, sentAt)
 	return resp, nil
 }
@@ -205,9 +206,10 @@
 }
 
 func (s *Server) failCall(c *call, executed attempt.Executed, cause error) {
+	reason := s.failureReason(s.background, cause)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.sendResponseLocked(c, failedFrame(c.key, executed, cause.Error()))
+	s.sendResponseLocked(c, failedFrame(c.key, executed, reason))
 	s.endCall(c, executed, time.Now())
 }
 
--- a/sidecar/engine.go
+++ b/sidecar/engine.go
@@ -153,6 +153,7 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
+	s.serverAnswered()
 	s.observeRateLimit(resp.Header, sentAt)
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxEngineResponseBytes))
@@ -172,6 +173,10 @@
 		return
 	}
 	s.setEngineUp(false, cause)
+	reason := "engine does not answer"
+	if r := s.failureReason(ctx, cause); r != cause.Error() {
+		reason = r
+	}
 	s.mu.Lock()
 	for _, a := range s.awaitingEngineCheck {
 		s.refuse(a.entry, a.key, wire.RefusalReason_REFUSAL_ENGINE_DOWN)
@@ -180,7 +185,7 @@
 	s.handleDeferredOpens(time.Now())
 	for _, a := range s.attempts {
 		a.inEngine = false
-		s.reportFailure(a, "engine does not answer", a.open.Position)
+		s.reportFailure(a, reason, a.open.Position)
 	}
 	s.mu.Unlock()
 	s.startTask(func() { s.probeEngine(ctx) })
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -111,6 +111,7 @@
 	// awaitingEngineCheck holds attempts that start once the engine is known to
 	// be alive.
 	awaitingEngineCheck []*stageAttempt
+	ends                serverEnds
 	// limits holds the rate limit that the backend server states.
 	limits *ratelimit.Limits
 	// drained is closed when the sidecar is draining and has no work left.
