relay: a server that something answers for has crashed all the same

Cause: a new connection that is accepted was taken as a sign that the server works. Found by printing the crashes with their times (six within 1.9 s). Change: the connection must stay open for 20 ms. Test: TestCrashBehindForwarderIsSeen.

--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -12,9 +12,14 @@
 	"github.com/sapphirefield/sapphirefield/quarantine"
 )
 
-// crashProbeTimeout bounds the connection that shows whether a server still runs. One
-// that works accepts it within a few milliseconds.
-const crashProbeTimeout = 60 * time.Millisecond
+const (
+	// crashProbeTimeout bounds the connection that shows whether a server still runs. One
+	// that works accepts it within a few milliseconds.
+	crashProbeTimeout = 60 * time.Millisecond
+	// crashProbeHold is how long the connection must stay open: something in front of
+	// the server may accept it in its place.
+	crashProbeHold = 20 * time.Millisecond
+)
 
 // content stands for what a client repeats when it sends the request again: the
 // target, the team and the body, but not the request's ID.
@@ -84,7 +89,7 @@
 	}
 }
 
-// hasCrashed reports whether the server at an address does not accept connections.
+// hasCrashed reports whether the server at an address does not keep a new connection.
 func (p *pool) hasCrashed(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, crashProbeTimeout)
 	defer cancel()
@@ -92,8 +97,12 @@
 	if err != nil {
 		return true
 	}
-	conn.Close()
-	return false
+	defer conn.Close()
+	if conn.SetReadDeadline(time.Now().Add(crashProbeHold)) != nil {
+		return false
+	}
+	_, err = conn.Read(make([]byte, 1))
+	return connectionEnded(err)
 }
 
 // reportCrash records that a server has ended while it worked on the request, if the
--- a/relay/crashes_test.go
+++ b/relay/crashes_test.go
@@ -194,3 +194,25 @@
 	assert.Equal(t, e.sendContent(t, "order 7", "", false), http.StatusOK)
 	assert.Equal(t, b.count(), 2)
 }
+
+// Guards against a crash that is not seen because something in front of the server
+// accepts connections in its place.
+func TestCrashBehindForwarderIsSeen(t *testing.T) {
+	forwarder := newBackend(t, nil)
+	forwarder.listener.Close()
+	listener, err := net.Listen("tcp4", forwarder.address())
+	assert.NilError(t, err)
+	defer listener.Close()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			conn.Close()
+		}
+	}()
+	pool := newPool()
+	assert.Assert(t, pool.hasCrashed(t.Context(), forwarder.address()))
+	assert.Assert(t, !pool.hasCrashed(t.Context(), newBackend(t, reset).address()))
+}
