relay: the test of crashing later stages goes through the check of the path

The mutant later-stages-not-suspected was found by nothing, because the test called the function that it leaves out. It fails on the mutant now.

--- a/relay/crashes_test.go
+++ b/relay/crashes_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/sapphirefield/sapphirefield/config"
+	"github.com/sapphirefield/sapphirefield/pipeline"
 	"github.com/sapphirefield/sapphirefield/quarantine"
 )
 
@@ -135,15 +136,18 @@
 	e.fleet.setServers(now, servers)
 	request := func() *attempt {
 		r := e.newRequest(t.Context(), t, http.MethodPost, strings.NewReader("order 7"))
-		q := &request{Entry: e.Entry, r: r, body: []byte("order 7"), avoid: map[string]bool{}}
-		return &attempt{streamRequest: &streamRequest{request: q}, head: crashedEngine{"head", 1}}
+		route := streamRoute(true)
+		q := &request{Entry: e.Entry, r: r, body: []byte("order 7"), avoid: map[string]bool{}, revision: e.current.Load(), route: &route, target: "llm"}
+		return &attempt{streamRequest: &streamRequest{request: q}, head: crashedEngine{"head", 1}, seenChanges: -1}
 	}
 	for i := range 3 {
 		id := fmt.Sprint("last", i)
 		e.fleet.markLost(now, id)
 		a := request()
 		assert.Equal(t, a.mayRepeat(), i < 2)
-		a.reportLostStages([]string{id})
+		a.hops = []pipeline.Hop{{Engine: "head", First: 0, Limit: 4}, {Engine: id, First: 4, Limit: 8}}
+		// The path cannot be changed: no engine of the model is known.
+		assert.ErrorIs(t, a.checkPath(t.Context()), errPathLost)
 		a.reportLostStages([]string{id})
 	}
 	e.prompts.decide(now.Add(time.Second))
