relay, platform: the store's client tells of a new era once

Cause: three places watched the era (follow, the guard of blocked parts, the elector), and an entry wrote its own record again only at its next read of the topic of the entries, up to 12 s later; until then an entry that started knew too few entries, and so too large a share of retry budgets and rate limits. Change: the client of the store calls the entry when any answer shows a new era; it writes its record and its blocks again. Positions of readers keep their own era. TestLostRecordsAreWrittenAgain waits in virtual time: within a second of the first answer, where before only the test's own call did it.

soak: -only plays one kind of fault; requests sent from 2 to 4 s after a return of the store are counted, and checked if there is no other kind of fault.

--- a/daemon/relay_test.go
+++ b/daemon/relay_test.go
@@ -42,7 +42,8 @@
 	return relay.Position{}, ctx.Err()
 }
 
-func (idlePlatform) Era() int64 { return 0 }
+func (idlePlatform) Era() int64      { return 0 }
+func (idlePlatform) OnNewEra(func()) {}
 
 func (idlePlatform) DecodeConfiguration([]byte) (relay.Configuration, error) {
 	return relay.Configuration{Revision: 1, Document: &config.Document{}}, nil
--- a/relay/directory_test.go
+++ b/relay/directory_test.go
@@ -24,6 +24,8 @@
 	blocked bool
 	reads   int
 	era     int64
+	// notify is called when an era begins.
+	notify func()
 }
 
 func newScriptedStore() *scriptedStore { return &scriptedStore{topics: map[Topic][]Record{}, era: 1} }
@@ -82,6 +84,12 @@
 	return s.era
 }
 
+func (s *scriptedStore) OnNewEra(notify func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.notify = notify
+}
+
 func (s *scriptedStore) end(topic Topic) Position {
 	return Position{s.era, int64(len(s.topics[topic]))}
 }
@@ -92,6 +100,9 @@
 	defer s.mu.Unlock()
 	s.topics[topic] = append([]Record(nil), s.topics[topic][:records]...)
 	s.era++
+	if s.notify != nil {
+		s.notify()
+	}
 }
 
 func (s *scriptedStore) DecodeConfiguration(value []byte) (Configuration, error) {
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -69,6 +69,8 @@
 	newerRevision chan struct{}
 	// sendNow triggers an immediate message to the other entries.
 	sendNow trigger
+	// registerAgain triggers another write of this entry's record.
+	registerAgain trigger
 
 	prompts    *promptGuard
 	pause      pauseGuard
@@ -89,14 +91,24 @@
 		logLimiter: newLogLimiter(), requestMetrics: requestMetrics, fleet: fleet, pool: newPool(), stallChecker: newStallChecker(engines, o.Logger),
 		backoff:    func() *retry.Backoff { return retry.NewBackoff(storeRetryBase, storeRetryLimit, seeds.newSource()) },
 		configured: make(chan struct{}), budgets: map[string]*lockedBudget{}, waitRooms: map[string]*waitRoom{}, inFlight: newInFlightCounter(),
-		newerRevision: make(chan struct{}, 1), sendNow: make(trigger, 1),
+		newerRevision: make(chan struct{}, 1), sendNow: make(trigger, 1), registerAgain: make(trigger, 1),
 	}
 	engines.entry = e
 	e.directory = newDirectory(e)
 	e.prompts = newPromptGuard(e)
+	if o.Store != nil {
+		o.Store.OnNewEra(e.writeAgain)
+	}
 	return e
 }
 
+// writeAgain writes what this entry has in the store once more: the store has come back
+// from an older copy, and may have lost it.
+func (e *Entry) writeAgain() {
+	e.registerAgain.fire()
+	e.prompts.saveAgain.fire()
+}
+
 // seeds creates a separate random source for each user, because a source is
 // not safe for concurrent use.
 type seeds struct {
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -50,9 +50,6 @@
 	conn       *net.UDPConn
 	startNanos int64
 
-	// registerAgain triggers another write of this entry's record.
-	registerAgain trigger
-
 	mu        sync.Mutex
 	addresses map[string]netip.AddrPort
 	// recordsRead is set once the entries' records have been read.
@@ -66,7 +63,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for messages from other entries")
 	}
-	p := &peers{Entry: e, conn: conn, startNanos: time.Now().UnixNano(), addresses: map[string]netip.AddrPort{}, registerAgain: make(trigger, 1)}
+	p := &peers{Entry: e, conn: conn, startNanos: time.Now().UnixNano(), addresses: map[string]netip.AddrPort{}}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
 	group, ctx := errgroup.WithContext(ctx)
@@ -124,10 +121,6 @@
 }
 
 func (p *peers) applyEntries(u update) {
-	if u.restored {
-		// This entry's own record may be lost.
-		p.registerAgain.fire()
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	// The records of others may be lost as well.
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -49,12 +49,14 @@
 	// which a part is blocked, or the zero time for a part that is released.
 	unsaved map[string]time.Time
 	save    trigger
+	// saveAgain triggers that all blocked parts are saved again.
+	saveAgain trigger
 }
 
 func newPromptGuard(e *Entry) *promptGuard {
 	return &promptGuard{
 		Entry: e, detector: quarantine.New(), suspicions: map[quarantine.Suspicion]time.Time{}, soundParts: map[string]time.Time{},
-		unsaved: map[string]time.Time{}, save: make(trigger, 1),
+		unsaved: map[string]time.Time{}, save: make(trigger, 1), saveAgain: make(trigger, 1),
 	}
 }
 
@@ -268,11 +270,13 @@
 		g.logStoreFailure(TopicBlockedParts, failures, err)
 		sleep(ctx, backoff.Delay(failures))
 	}
-	era := eraWatch{}
 	for ctx.Err() == nil {
-		g.save.wait(ctx, saveInterval)
-		if era.advance(g.store.Era()) {
+		select {
+		case <-g.save:
+		case <-g.saveAgain:
 			g.saveAll(time.Now())
+		case <-time.After(saveInterval):
+		case <-ctx.Done():
 		}
 		g.saveChanges(ctx)
 	}
--- a/relay/ratelimits_test.go
+++ b/relay/ratelimits_test.go
@@ -183,7 +183,7 @@
 		}
 	}
 	e.pool.dial = f.server.dial(f.t, name, handle)
-	p := &peers{Entry: e, startNanos: time.Now().UnixNano(), addresses: map[string]netip.AddrPort{}, registerAgain: make(trigger, 1)}
+	p := &peers{Entry: e, startNanos: time.Now().UnixNano(), addresses: map[string]netip.AddrPort{}}
 	batch, err := f.store.ReadLatest(f.t.Context(), TopicEntries)
 	assert.NilError(f.t, err)
 	p.applyEntries(update{records: batch.Records, complete: true})
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -222,6 +222,9 @@
 	Append(ctx context.Context, topic Topic, r Record, at Position) (Position, error)
 	// Era returns the newest era seen in any answer of the store.
 	Era() int64
+	// OnNewEra sets a function that is called when an answer shows that a new era has
+	// begun. It is called once for each era and must not block.
+	OnNewEra(notify func())
 	// DecodeConfiguration and DecodeServer decode record values in the platform's
 	// formats.
 	DecodeConfiguration(value []byte) (Configuration, error)
--- a/relay/restore_test.go
+++ b/relay/restore_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"github.com/sapphirefield/sapphirefield/bootclock"
@@ -79,21 +81,31 @@
 // Guards against an entry that the others no longer find, and against blocks that
 // are lost, because the store has lost the records.
 func TestLostRecordsAreWrittenAgain(t *testing.T) {
-	store := newScriptedStore()
-	e := newStoreEntry(store)
-	now := time.Now()
-	e.prompts.adopt(now, quarantine.Block{Part: "bad", Remaining: time.Minute}, "test")
-	p := &peers{Entry: e, registerAgain: make(trigger, 1)}
-	p.applyEntries(update{records: []Record{{Key: "a", Value: []byte("{}")}, {Key: "b", Value: []byte("{}")}}, complete: true})
-	assert.Equal(t, e.knownEntries.Load(), int64(3))
-	p.applyEntries(update{records: []Record{{Key: "a", Value: []byte("{}")}}, complete: true, restored: true})
-	// The share of the retry budget must not grow because records are missing.
-	assert.Equal(t, e.knownEntries.Load(), int64(3))
-	assert.Equal(t, len(p.registerAgain), 1)
+	synctest.Test(t, func(t *testing.T) {
+		store := newScriptedStore()
+		e := newStoreEntry(store)
+		e.prompts.adopt(time.Now(), quarantine.Block{Part: "bad", Remaining: 5 * time.Minute}, "test")
+		p := &peers{Entry: e}
+		p.applyEntries(update{records: []Record{{Key: "a", Value: []byte("{}")}, {Key: "b", Value: []byte("{}")}}, complete: true})
+		assert.Equal(t, e.knownEntries.Load(), int64(3))
+		p.applyEntries(update{records: []Record{{Key: "a", Value: []byte("{}")}}, complete: true, restored: true})
+		// The share of the retry budget must not grow because records are missing.
+		assert.Equal(t, e.knownEntries.Load(), int64(3))
 
-	e.prompts.saveAll(now)
-	e.prompts.saveChanges(t.Context())
-	assert.Equal(t, store.topics[TopicBlockedParts][0].Key, "bad")
+		ctx, cancel := context.WithCancel(t.Context())
+		var writers errgroup.Group
+		writers.Go(func() error { return p.keepRegistered(ctx) })
+		writers.Go(func() error { return e.prompts.runStore(ctx) })
+		time.Sleep(time.Minute)
+		assert.Equal(t, len(store.topics[TopicEntries])+len(store.topics[TopicBlockedParts]), 0)
+		// The entry's next read of a topic may be 12 s away, so the store's client tells.
+		store.restore(TopicEntries, 0)
+		time.Sleep(time.Second)
+		cancel()
+		_ = writers.Wait() // they end with the context
+		assert.Equal(t, store.topics[TopicEntries][0].Key, "e")
+		assert.Equal(t, store.topics[TopicBlockedParts][0].Key, "bad")
+	})
 }
 
 // Guards against an entry that goes on giving orders under a claim that the store
--- a/soak/command.go
+++ b/soak/command.go
@@ -25,6 +25,7 @@
 	flags.IntVar(&o.Clients, "callers", 24, "number of clients")
 	flags.DurationVar(&o.FaultDuration, "faults", 15*time.Second, "how long faults are injected")
 	flags.DurationVar(&o.SettleDuration, "calm", 6*time.Second, "how long the soak goes on after the time allowed for recovery")
+	flags.StringVar(&o.Only, "only", "", "name of the only fault to inject, as in the reports; empty for all")
 	flags.IntVar(&o.AddressBlock, "lane", 0, "block of loopback addresses; soaks that run at the same time need different ones")
 	return &ffcli.Command{
 		Name:       "soak",
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -58,6 +58,7 @@
 		sleep(ctx, d/4)
 		r.store.Restore(d, 3*heartbeatInterval)
 		r.store.SetFault(platformtest.StoreFault{})
+		r.report.recordStoreReturn(time.Now())
 	}},
 	{"engine crashes", func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
 		crashAndReplace(ctx, r, takeStandIn(r, &r.engines, random), d)
@@ -136,7 +137,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for end := time.Now().Add(r.FaultDuration); time.Now().Before(end) && ctx.Err() == nil; {
-		f := faults[random.IntN(len(faults))]
+		f := r.chooseFault(random)
 		faultRandom := rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
 		duration := minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration-minFaultDuration)))
 		r.report.recordFault(f.name)
@@ -145,6 +146,15 @@
 	}
 }
 
+func (r *soakRun) chooseFault(random *rand.Rand) fault {
+	for _, f := range faults {
+		if f.name == r.Only {
+			return f
+		}
+	}
+	return faults[random.IntN(len(faults))]
+}
+
 // checkStarted records a violation if a process or stand-in could not be started.
 func (r *soakRun) checkStarted(err error) {
 	if err != nil {
--- a/soak/report.go
+++ b/soak/report.go
@@ -20,6 +20,8 @@
 	seconds     map[int]*requestCounts
 	violations  []string
 	notExecuted map[string]int
+	// returns are the times at which the store came back from an older copy.
+	returns []time.Time
 }
 
 // requestCounts counts the requests sent within one second.
@@ -52,6 +54,25 @@
 	r.counts[name]++
 }
 
+func (r *Report) recordStoreReturn(at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.returns = append(r.returns, at)
+}
+
+func (r *Report) storeReturns() []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.returns)
+}
+
+func (r *Report) countRequests(when string, c requestCounts) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counts["sent "+when] += c.sent
+	r.counts["served "+when] += c.served
+}
+
 func (r *Report) recordFault(name string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,6 +32,8 @@
 	// FaultDuration is how long faults are injected, Calm how long the soak continues after
 	// the time allowed for recovery.
 	FaultDuration, SettleDuration time.Duration
+	// Only is the name of the only fault to inject, or empty for all.
+	Only string
 	// AddressBlock selects the block of loopback addresses; soaks that run at the same time
 	// need different ones.
 	AddressBlock int
@@ -50,6 +53,8 @@
 		return errors.Errorf("engines is %d; must be at least 3", o.Engines)
 	case o.Clients < 1:
 		return errors.Errorf("callers is %d; must be at least 1", o.Clients)
+	case o.Only != "" && !slices.ContainsFunc(faults, func(f fault) bool { return f.name == o.Only }):
+		return errors.Errorf("only is %q, which is no fault", o.Only)
 	case o.AddressBlock < 0 || o.AddressBlock > maxLane:
 		return errors.Errorf("lane is %d; must be 0 to %d", o.AddressBlock, maxLane)
 	}
@@ -122,6 +127,7 @@
 		return nil, errors.Wrap(parent.Err(), "soak")
 	}
 	r.checkRecovery(recoveryDeadline)
+	r.checkStoreReturns()
 	cancel()
 	wg.Wait()
 	r.checkNotExecuted()
@@ -236,6 +242,26 @@
 	}
 }
 
+const (
+	// returnLimit is how long after the store's return clients must be served again, and
+	// returnWindow the time then looked at.
+	returnLimit  = 2 * time.Second
+	returnWindow = 2 * time.Second
+)
+
+// checkStoreReturns counts the requests that are served after the store has come back.
+// Other faults would explain failures, so it is a check only if there are none.
+func (r *soakRun) checkStoreReturns() {
+	for _, at := range r.report.storeReturns() {
+		from := at.Add(returnLimit)
+		requests := r.report.requestsBetween(from, from.Add(returnWindow))
+		r.report.countRequests("after a return of the store", requests)
+		if r.Only != "" && float64(requests.served) < minServedFraction*float64(requests.sent) {
+			r.report.addViolation("store return", "%d of %d requests served from %s after it on", requests.served, requests.sent, returnLimit)
+		}
+	}
+}
+
 // checkNotExecuted checks that requests whose response implied that they were not
 // executed were not executed later.
 func (r *soakRun) checkNotExecuted() {
