faultmatrix, soak: each fault against each kind of request, in a table that tests check

TestKeyedCallThatCrashesServersIsBlocked fills the first one: keyed calls were covered by the check of calls, shown by no test; it passes on the code, and stored outcomes are still replayed.

soak: -gap lets faults of one kind follow one another.

--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -51,6 +51,8 @@
 	HistoryBytes int
 	// Trace, if set, is called for each frame between the entry and a sidecar.
 	Trace func(peer string, up *wire.WorkUp, down *wire.WorkDown)
+	// Claims is the log for idempotency keys; nil means that there is none.
+	Claims entry.ClaimLog
 	// Network is the network to use; nil means TCP on loopback.
 	Network *standin.Network
 	// Log receives the log lines of all processes; nil discards them.
@@ -277,7 +279,7 @@
 func (c *Cluster) startEntry(ctx context.Context) error {
 	c.Entry = entry.New(ctx, entry.Options{
 		ID: EntryID, Zone: "changwon-a", Logger: c.logger, Dialer: link.Dialer{DialContext: c.dialer(EntryID)},
-		Config: func() *config.Document { return c.document }, Trace: c.opts.Trace,
+		Config: func() *config.Document { return c.document }, Trace: c.opts.Trace, Claims: c.opts.Claims,
 	})
 	c.Entry.SetInstances(c.Instances())
 	url, err := c.serveHTTP(ctx, EntryID, c.Entry.Handler())
--- a/demo/crashes_test.go
+++ b/demo/crashes_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/sapphirefield/sapphirefield/standin"
 )
 
 const (
@@ -65,6 +67,44 @@
 	})
 }
 
+// Guards against a call with an idempotency key that crashes server after server, under
+// the same key or a new one, and against a block that hides the stored outcome of a key.
+func TestKeyedCallThatCrashesServersIsBlocked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster, client := testCluster(t, ClusterOptions{Stages: 1, Replicas: 1, PlainServers: 3, Claims: &standin.MemoryLog{}})
+		crashes := crashOn(cluster, "bad")
+		call := func(key, reference string) (int, string) {
+			client.IdempotencyKey = key
+			defer func() { client.IdempotencyKey = "" }()
+			status, body, err := client.Call(t.Context(), http.MethodPost, bookingPath, map[string]string{"reference": reference})
+			assert.NilError(t, err)
+			return status, body
+		}
+		time.Sleep(time.Second) // the log is read once before keys are accepted
+		for i := range 10 {
+			key := fmt.Sprint("key-", i)
+			before := crashes.Load()
+			status, body := call(key, "bad")
+			assert.Equal(t, status == http.StatusServiceUnavailable, crashes.Load() == before, "%d %s", status, body)
+			if crashes.Load() > before {
+				// The same key again runs nothing: its outcome is unknown for good.
+				after := crashes.Load()
+				status, _ = call(key, "bad")
+				assert.Equal(t, status, http.StatusBadGateway)
+				assert.Equal(t, crashes.Load(), after)
+			}
+			time.Sleep(crashInterval)
+			status, body = call(fmt.Sprint("good-key-", i), fmt.Sprint("good-", i))
+			assert.Equal(t, status, http.StatusCreated, body)
+		}
+		assert.Assert(t, crashes.Load() <= tolerableCrashes+lateCrashes, "%d crashes", crashes.Load())
+		status, _ := call("key-0", "bad")
+		assert.Equal(t, status, http.StatusBadGateway)
+		status, body := call("good-key-0", "good-0")
+		assert.Equal(t, status, http.StatusCreated, body)
+	})
+}
+
 // Guards against a language request that crashes engine after engine, at each stage of
 // its chains.
 func TestLanguageRequestThatCrashesEnginesIsBlocked(t *testing.T) {
--- a/entry/crashes_test.go
+++ b/entry/crashes_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,39 +11,12 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/sapphirefield/sapphirefield/config"
-	"github.com/sapphirefield/sapphirefield/logservice"
 	"github.com/sapphirefield/sapphirefield/problem"
 	"github.com/sapphirefield/sapphirefield/quarantine"
+	"github.com/sapphirefield/sapphirefield/standin"
 	"github.com/sapphirefield/sapphirefield/wire"
 )
 
-// memoryLog is a log of one stream in memory.
-type memoryLog struct {
-	mu      sync.Mutex
-	records []logservice.Record
-}
-
-func (l *memoryLog) Append(_ context.Context, _ string, data []byte) (int64, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	offset := int64(len(l.records))
-	l.records = append(l.records, logservice.Record{Offset: offset, Data: data})
-	return offset, nil
-}
-
-func (l *memoryLog) Read(ctx context.Context, _ string, from int64, wait time.Duration) (logservice.Batch, error) {
-	const pollInterval = 50 * time.Millisecond
-	for waited := time.Duration(0); ; waited += pollInterval {
-		l.mu.Lock()
-		batch := logservice.Batch{NextOffset: int64(len(l.records)), Records: append([]logservice.Record(nil), l.records[min(from, int64(len(l.records))):]...)}
-		l.mu.Unlock()
-		if len(batch.Records) > 0 || waited >= wait || ctx.Err() != nil {
-			return batch, ctx.Err()
-		}
-		time.Sleep(pollInterval)
-	}
-}
-
 func newCrashTestServer(ctx context.Context, id string, claims ClaimLog) *Server {
 	return New(ctx, Options{
 		ID: id, Claims: claims, Config: func() *config.Document { return &config.Document{} },
@@ -61,9 +33,9 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer func() {
 			cancel()
-			time.Sleep(time.Second) // the readers notice it at their next poll
+			synctest.Wait()
 		}()
-		claims := &memoryLog{}
+		claims := &standin.MemoryLog{}
 		bad, good := requestContent("team", "bad"), requestContent("team", "good")
 		var servers []*Server
 		for _, id := range []string{"a", "b", "c"} {
--- /dev/null
+++ b/faultmatrix/faultmatrix.go
@@ -0,0 +1,383 @@
+// Package faultmatrix lists, for each fault and each kind of request, the test or the
+// fault of the soak that plays it, why it cannot happen, or that it is open. A fault
+// or a kind of request without a cell fails the test of package soak, and so does a fault
+// of the soak that no cell names.
+package faultmatrix
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Request is a kind of request.
+type Request int
+
+// The kinds of requests.
+const (
+	FirstStage Request = iota
+	LaterStage
+	Idempotent
+	AtMostOnce
+	Keyed
+	Status
+	Order
+	OffPlatform
+	requestCount
+)
+
+// requestNames are the headings of the columns.
+var requestNames = [requestCount]string{
+	"stream, first engine", "stream, later engine", "idempotent", "at most once", "keyed", "status query", "order", "off the platform",
+}
+
+// Fault is a fault that a server, the store, a link, a client or a process can bring.
+type Fault int
+
+// The faults.
+const (
+	CrashUnderRequest Fault = iota
+	ServerCrash
+	Leaving
+	RetryAfter
+	RateLimit
+	Silence
+	Slowness
+	EndlessBytes
+	LateSecondAnswer
+	UnframedAnswer
+	BrokenBytes
+	LostAnswer
+	ServerError
+	ReusedAddress
+	OlderStore
+	StoreTrouble
+	ClientLink
+	CutOff
+	ProcessPaused
+	EntryRestarted
+	AllEntriesRestarted
+	PlannedStop
+	ConfigurationChange
+	faultCount
+)
+
+var faultNames = [faultCount]string{
+	"a request crashes each server that begins it", "a server crashes or is replaced", "a server says in answers that it is leaving",
+	"503 with Retry-After", "a server states a rate limit", "a server is silent", "a server is slow",
+	"bytes that are no answer, without end or slowly", "a late second answer", "an answer without a length", "broken bytes",
+	"an answer is lost", "a server fails requests", "an address is used by another server", "the store comes back older",
+	"the store is away, slow, compacted or loses answers", "the client's link is in trouble", "an entry is cut off", "a process is paused",
+	"an entry restarts", "all entries restart", "a planned stop", "the configuration changes",
+}
+
+// Cell says what plays a fault for a kind of request. Exactly one of its parts is set,
+// but for Tests and Soak, which may stand together.
+type Cell struct {
+	// Tests are names of tests, Soak those of faults of the soak.
+	Tests, Soak []string
+	// Bench names kinds of trouble that only the operators' bench plays.
+	Bench string
+	// Never says why the fault cannot happen.
+	Never string
+	// Open says what is missing.
+	Open string
+}
+
+func tests(names ...string) Cell { return Cell{Tests: names} }
+
+func soak(names ...string) Cell { return Cell{Soak: names} }
+
+func both(test string, faults ...string) Cell { return Cell{Tests: []string{test}, Soak: faults} }
+
+func bench(kinds string) Cell { return Cell{Bench: kinds} }
+
+func never(reason string) Cell { return Cell{Never: reason} }
+
+func open(what string) Cell { return Cell{Open: what} }
+
+// Row is the cells of one fault.
+type Row [requestCount]Cell
+
+// Cells is the matrix.
+var Cells = [faultCount]Row{
+	CrashUnderRequest: {
+		FirstStage:  both("TestRequestThatCrashesServersIsBlocked", "one stream request crashes engines", "prompts crash engines"),
+		LaterStage:  tests("TestRequestThatCrashesLaterStagesIsBlocked"),
+		Idempotent:  tests("TestRequestThatCrashesServersIsBlocked"),
+		AtMostOnce:  both("TestRequestThatCrashesServersIsBlocked", "one request crashes application servers"),
+		Keyed:       tests("TestKeyedCallThatCrashesServersIsBlocked"),
+		Status:      never("no page or incident names it; a query carries nothing of a client"),
+		Order:       never("no page or incident names it; an order carries nothing of a client"),
+		OffPlatform: tests("TestCallThatCrashesServersIsBlocked", "TestLanguageRequestThatCrashesEnginesIsBlocked"),
+	},
+	ServerCrash: {
+		FirstStage:  both("TestStreamResumesAfterLastEvent", "engine crashes", "engine replaced", "engine link reset"),
+		LaterStage:  tests("TestStreamIsReroutedAroundStalledEngine"),
+		Idempotent:  both("TestIdempotentIsRetried", "application server crashes", "application server replaced"),
+		AtMostOnce:  both("TestAtMostOnceIsNotRetried", "application server crashes"),
+		Keyed:       open("no test ends the server, or the entry, between its answer and the record of the outcome"),
+		Status:      tests("TestLostEngineReturnsWhenItResponds"),
+		Order:       tests("TestOrderOutcomes"),
+		OffPlatform: tests("TestConsecutiveStageLosses", "TestRandomFaults"),
+	},
+	Leaving: {
+		FirstStage:  soak("engine leaves without a record"),
+		LaterStage:  soak("engine leaves without a record"),
+		Idempotent:  both("TestLeavingServerGetsNothingNew", "application server leaves without a record"),
+		AtMostOnce:  tests("TestLeavingServerGetsNothingNew"),
+		Keyed:       never("the sidecar drains its server"),
+		Status:      never("an engine that leaves may be asked for its status"),
+		Order:       soak("engine leaves without a record"),
+		OffPlatform: tests("TestStageDrains", "TestPlainServerDrains"),
+	},
+	RetryAfter: {
+		FirstStage:  both("TestPausedEngineGetsNoControlRequests", "engine asks for a pause"),
+		LaterStage:  soak("engine asks for a pause"),
+		Idempotent:  tests("TestPausesEndSpread"),
+		AtMostOnce:  both("TestPausedServerGetsNothing", "application server asks for a pause"),
+		Keyed:       open("the sidecar does not obey Retry-After of its server"),
+		Status:      tests("TestPausedEngineGetsNoControlRequests"),
+		Order:       tests("TestPausedEngineGetsNoControlRequests"),
+		OffPlatform: open("the sidecar does not obey Retry-After of its server"),
+	},
+	RateLimit: {
+		FirstStage:  both("TestStatedLimitHoldsForAllEntriesTogether", "engine states a rate limit"),
+		LaterStage:  tests("TestStatedLimitOfEnginesOnPaths"),
+		Idempotent:  tests("TestStatedLimitHoldsForAllEntriesTogether"),
+		AtMostOnce:  both("TestStatedLimitHoldsForAllEntriesTogether", "application servers state a rate limit"),
+		Keyed:       tests("TestCallsKeepRateLimitOfServer"),
+		Status:      tests("TestControlRequestsCountForLimit"),
+		Order:       tests("TestControlRequestsCountForLimit"),
+		OffPlatform: tests("TestCallsKeepRateLimitOfServer", "TestStagesKeepRateLimitOfEngine"),
+	},
+	Silence: {
+		FirstStage:  both("TestLastAttemptIsNotAbandonedForSilence", "engine unresponsive", "engine link stalled"),
+		LaterStage:  both("TestStreamIsReroutedAroundStalledEngine", "engine unresponsive"),
+		Idempotent:  open("a silent application server holds the request until its deadline; no test or fault of the soak plays it"),
+		AtMostOnce:  open("as for idempotent requests"),
+		Keyed:       open("as for idempotent requests"),
+		Status:      tests("TestOnlyOneTimeoutAtATimeCounts"),
+		Order:       tests("TestOrderOutcomes"),
+		OffPlatform: tests("TestHungStage", "TestSilentLink"),
+	},
+	Slowness: {
+		FirstStage:  both("TestSlowStreamIsNotCut", "engine link delayed"),
+		LaterStage:  soak("engine link delayed"),
+		Idempotent:  bench("srv_slow"),
+		AtMostOnce:  bench("srv_slow"),
+		Keyed:       tests("TestCallSurvivesConnectionLoss"),
+		Status:      tests("TestStallTimeoutIsLongerAfterStart"),
+		Order:       soak("engine link delayed"),
+		OffPlatform: tests("TestLongPromptDoesNotTriggerRecovery"),
+	},
+	EndlessBytes: {
+		FirstStage:  tests("TestEndlessResponsesAreCut", "TestDrippingStreamIsResumed"),
+		LaterStage:  never("an entry reads nothing from a later engine"),
+		Idempotent:  both("TestEndlessResponsesAreCut", "application sends without end", "application drips"),
+		AtMostOnce:  both("TestDrippingServerDoesNotHoldRequest", "application sends without end", "application drips"),
+		Keyed:       open("no test of a sidecar whose server sends without end"),
+		Status:      tests("TestEndlessResponsesAreCut"),
+		Order:       tests("TestEndlessResponsesAreCut"),
+		OffPlatform: open("no test of a sidecar whose server sends without end"),
+	},
+	LateSecondAnswer: {
+		FirstStage:  tests("TestResponseToAnotherRequestIsSkipped"),
+		LaterStage:  never("an entry reads nothing from a later engine"),
+		Idempotent:  both("TestConnectionWithExtraBytesIsNotReused", "application responds twice", "application sends extra bytes"),
+		AtMostOnce:  both("TestRequestWithoutIDGetsItsOwnConnection", "application responds twice"),
+		Keyed:       never("the sidecar uses a connection to its server for one call"),
+		Status:      never("the HTTP client closes a connection on which an answer arrives that nobody waits for"),
+		Order:       never("as for status queries"),
+		OffPlatform: never("the sidecar uses a connection to its server for one call"),
+	},
+	UnframedAnswer: {
+		FirstStage:  both("TestUnframedStreams", "engine sends streams without chunks"),
+		LaterStage:  never("an entry reads nothing from a later engine"),
+		Idempotent:  both("TestUnframedAnswers", "application sends responses without a length"),
+		AtMostOnce:  tests("TestUnframedAnswers"),
+		Keyed:       tests("TestTruncatedResponse"),
+		Status:      open("no test of an unframed answer to a status query"),
+		Order:       open("no test of an unframed answer to an order"),
+		OffPlatform: tests("TestTruncatedResponse"),
+	},
+	BrokenBytes: {
+		FirstStage:  both("TestBrokenResponsesAreNotForwarded"),
+		LaterStage:  never("an entry reads nothing from a later engine"),
+		Idempotent:  both("TestBrokenResponsesAreNotForwarded", "application truncates responses"),
+		AtMostOnce:  both("TestBrokenResponsesAreNotForwarded", "application truncates responses"),
+		Keyed:       tests("TestTruncatedResponse"),
+		Status:      open("no test of a status that is no JSON"),
+		Order:       tests("TestOrderOutcomes"),
+		OffPlatform: tests("TestTruncatedResponse"),
+	},
+	LostAnswer: {
+		FirstStage:  tests("TestStreamResumesAfterLastEvent", "TestNonResumableStreamBreaksOff"),
+		LaterStage:  never("an entry reads nothing from a later engine"),
+		Idempotent:  both("TestLostAnswersAreNoCrashes", "application loses responses"),
+		AtMostOnce:  both("TestAtMostOnceIsNotRetried", "application loses responses"),
+		Keyed:       tests("TestMachineUnconfirmedAppend"),
+		Status:      tests("TestOnlyOneTimeoutAtATimeCounts"),
+		Order:       tests("TestOrderOutcomes"),
+		OffPlatform: tests("TestCallSurvivesConnectionLoss"),
+	},
+	ServerError: {
+		FirstStage:  tests("TestErrorResponses"),
+		LaterStage:  tests("TestRerouteAvoidsUnavailableStage"),
+		Idempotent:  both("TestIdempotentIsRetried", "application fails requests"),
+		AtMostOnce:  both("TestUnmarkedRefusalIsNotForwarded", "application fails requests"),
+		Keyed:       tests("TestMachineRecordsOutcome"),
+		Status:      bench("srv_grey"),
+		Order:       tests("TestOrderOutcomes"),
+		OffPlatform: tests("TestRandomFaults"),
+	},
+	ReusedAddress: {
+		FirstStage:  bench("replace_with_reuse"),
+		LaterStage:  bench("replace_with_reuse"),
+		Idempotent:  bench("replace_with_reuse"),
+		AtMostOnce:  bench("replace_with_reuse"),
+		Keyed:       never("each work names the incarnation of the sidecar that must run it"),
+		Status:      tests("TestLostEngineReturnsWhenItResponds"),
+		Order:       tests("TestOrderIsNotSentOnOutdatedRecord"),
+		OffPlatform: never("each work names the incarnation of the sidecar that must run it"),
+	},
+	OlderStore: {
+		FirstStage:  both("TestServersAfterRestore", "store restored from an older copy"),
+		LaterStage:  both("TestServersAfterRestore", "store restored from an older copy"),
+		Idempotent:  both("TestConfigurationAfterRestore", "store restored from an older copy"),
+		AtMostOnce:  both("TestConfigurationAfterRestore", "store restored from an older copy"),
+		Keyed:       never("the log service off the platform has no older copies"),
+		Status:      never("a query names no record of the store"),
+		Order:       tests("TestOrderIsNotSentOnOutdatedRecord", "TestHolderClaimsLeaseAgainAfterRestore"),
+		OffPlatform: never("the log service off the platform has no older copies"),
+	},
+	StoreTrouble: {
+		FirstStage:  soak("store refuses requests", "store slow", "store loses responses", "store log compacted"),
+		LaterStage:  soak("store refuses requests", "store slow", "store loses responses", "store log compacted"),
+		Idempotent:  soak("store refuses requests", "store slow", "store loses responses", "store log compacted"),
+		AtMostOnce:  soak("store refuses requests", "store slow", "store loses responses", "store log compacted"),
+		Keyed:       tests("TestMachineOutage", "TestMachineUnconfirmedAppend"),
+		Status:      never("a query does not need the store"),
+		Order:       tests("TestOneEntryHoldsTheLease", "TestOneHolderAtATime"),
+		OffPlatform: tests("TestMachineOutage"),
+	},
+	ClientLink: {
+		FirstStage:  both("TestClientDisconnectEndsAttempt", "client link delayed", "client link reset", "client link stalled", "client link responses stalled"),
+		LaterStage:  tests("TestClientDisconnectEndsAttempt"),
+		Idempotent:  both("TestHalfClosedClientGetsNoEmptyResponse", "client link delayed", "client link reset", "client link stalled"),
+		AtMostOnce:  both("TestUnfinishedBodyIsRefusedAtDeadline", "client link delayed", "client link reset", "client link stalled"),
+		Keyed:       tests("TestClientDisconnectsDuringCall"),
+		Status:      never("no client is involved"),
+		Order:       never("no client is involved"),
+		OffPlatform: tests("TestClientDisconnectsDuringCall", "TestClientDisconnectsDuringStream", "TestClientReadsNoResponse"),
+	},
+	CutOff: {
+		FirstStage:  soak("engine link stalled", "store link stalled", "store link responses stalled", "store link reset", "store link delayed"),
+		LaterStage:  soak("engine link stalled"),
+		Idempotent:  soak("store link stalled", "store link responses stalled"),
+		AtMostOnce:  soak("store link stalled", "store link responses stalled"),
+		Keyed:       tests("TestCallSurvivesConnectionLoss"),
+		Status:      tests("TestPollTellsLostEnginesFromOwnDisconnection"),
+		Order:       tests("TestOrderIsNotSentAfterLeaseExpires"),
+		OffPlatform: tests("TestSilentLink", "TestAttemptsOfUnreachableEntryAreReleased"),
+	},
+	ProcessPaused: {
+		FirstStage:  both("TestRequestIsNotSentAfterSuspension", "entry paused"),
+		LaterStage:  soak("entry paused"),
+		Idempotent:  both("TestConfigurationIsReadAgainAfterPause", "entry paused"),
+		AtMostOnce:  both("TestRequestIsNotSentAfterSuspension", "entry paused"),
+		Keyed:       tests("TestMachineResumedAfterDeadline"),
+		Status:      soak("entry paused"),
+		Order:       tests("TestOrderIsNotSentAfterLeaseExpires"),
+		OffPlatform: tests("TestPausedLedgerKeepsTombstone"),
+	},
+	EntryRestarted: {
+		FirstStage:  soak("entry killed"),
+		LaterStage:  soak("entry killed"),
+		Idempotent:  soak("entry killed"),
+		AtMostOnce:  soak("entry killed"),
+		Keyed:       open("no test ends an entry between a server's answer and the record of the outcome"),
+		Status:      soak("entry killed"),
+		Order:       tests("TestOldMessageIsNoRelease"),
+		OffPlatform: tests("TestCallOutcomeIsUnknownAfterSidecarRestart", "TestAttemptsOfUnreachableEntryAreReleased"),
+	},
+	AllEntriesRestarted: {
+		FirstStage:  both("TestBlockOutlivesEntries", "all entries killed"),
+		LaterStage:  soak("all entries killed"),
+		Idempotent:  soak("all entries killed"),
+		AtMostOnce:  soak("all entries killed"),
+		Keyed:       tests("TestTrimmedStateEqualsFreshState"),
+		Status:      soak("all entries killed"),
+		Order:       tests("TestTakeOver"),
+		OffPlatform: tests("TestEntriesShareCrashes"),
+	},
+	PlannedStop: {
+		FirstStage:  both("TestRelayAwaitsArrivingRequest", "entry asked to stop"),
+		LaterStage:  soak("entry asked to stop"),
+		Idempotent:  both("TestRelayClosesIdleConnectionsOnShutdown", "entry asked to stop"),
+		AtMostOnce:  both("TestClosedListenerReturnsWaitingConnections", "entry asked to stop"),
+		Keyed:       open("a stop off the platform drops requests that are read after it has begun"),
+		Status:      soak("entry asked to stop"),
+		Order:       tests("TestReleasedLeaseIsTakenAtOnce"),
+		OffPlatform: open("a stop off the platform drops requests that are read after it has begun"),
+	},
+	ConfigurationChange: {
+		FirstStage:  soak("configuration changes", "entry asked to reload"),
+		LaterStage:  soak("configuration changes"),
+		Idempotent:  both("TestConfigurationNeverGoesBack", "configuration changes", "entry asked to reload"),
+		AtMostOnce:  both("TestSupersededRevisionsAreNotDecoded", "configuration changes"),
+		Keyed:       bench("no kind of its own; the key's claim names no revision"),
+		Status:      never("a query does not depend on the configuration"),
+		Order:       tests("TestStreamsLeaveEngineThatDropsLayers"),
+		OffPlatform: tests("TestSystem"),
+	},
+}
+
+// String returns the cell as one line of text.
+func (c Cell) String() string {
+	switch {
+	case c.Open != "":
+		return "**open**: " + c.Open
+	case c.Never != "":
+		return "cannot happen: " + c.Never
+	case c.Bench != "":
+		return "bench: " + c.Bench
+	}
+	var parts []string
+	for _, name := range c.Tests {
+		parts = append(parts, "`"+name+"`")
+	}
+	for _, name := range c.Soak {
+		parts = append(parts, "soak: "+name)
+	}
+	return strings.Join(parts, "; ")
+}
+
+// Check returns what is wrong with a cell by itself, or "".
+func (c Cell) Check() string {
+	played := 0
+	for _, set := range []bool{len(c.Tests)+len(c.Soak) > 0, c.Bench != "", c.Never != "", c.Open != ""} {
+		if set {
+			played++
+		}
+	}
+	if played != 1 {
+		return fmt.Sprintf("%d of tests, bench, never and open are set; must be 1", played)
+	}
+	return ""
+}
+
+// Markdown returns the matrix as a page, one section for each fault.
+func Markdown() string {
+	var b strings.Builder
+	for fault, row := range Cells {
+		fmt.Fprintf(&b, "## %s\n\n| request | played by |\n| --- | --- |\n", strings.ToUpper(faultNames[fault][:1])+faultNames[fault][1:])
+		for request, cell := range row {
+			fmt.Fprintf(&b, "| %s | %s |\n", requestNames[request], cell)
+		}
+		b.WriteByte('\n')
+	}
+	return b.String()
+}
+
+// Describe names a cell in messages.
+func Describe(fault, request int) string { return faultNames[fault] + " / " + requestNames[request] }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -141,6 +141,11 @@
 		faultRandom := rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
 		duration := minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration-minFaultDuration)))
 		r.report.recordFault(f.name)
+		if r.Gap > 0 {
+			sleep(ctx, r.Gap)
+			f.inject(r, ctx, faultRandom, duration)
+			continue
+		}
 		wg.Go(func() { f.inject(r, ctx, faultRandom, duration) })
 		sleep(ctx, time.Duration(random.ExpFloat64()*float64(meanFaultInterval)))
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -34,6 +34,9 @@
 	FaultDuration, SettleDuration time.Duration
 	// Only is the name of the only fault to inject, or empty for all.
 	Only string
+	// Gap is the time before the first fault and after the end of each, or 0 for faults
+	// that overlap.
+	Gap time.Duration
 	// AddressBlock selects the block of loopback addresses; soaks that run at the same time
 	// need different ones.
 	AddressBlock int
