relay: the test of told limits takes the time when it needs it

Cause, by reading: the reports were made for a time taken before the limit was observed; with more than a millisecond between them their age is negative, and such a report is ignored, as it should be. 60 runs pass.

--- a/relay/ratelimits_test.go
+++ b/relay/ratelimits_test.go
@@ -352,7 +352,7 @@
 		e.fleet.setServers(now, map[string]Server{"s": server})
 	}
 	entries[0].observeRateLimit("s", "r", "1.3", now)
-	m, err := decodeMessage(message{limits: entries[0].fleet.limitReports(now)}.encode())
+	m, err := decodeMessage(message{limits: entries[0].fleet.limitReports(time.Now())}.encode())
 	assert.NilError(t, err)
 	entries[1].applyPeerLimits("other", m.limits)
 	assert.Assert(t, entries[1].fleet.isLimited("s"))
