demo: keyed calls whose outcome is not recorded run once

Two open cells of the fault matrix: the log is away when the server answers; the entry ends while the call runs, or with the answer.

--- a/standin/memorylog.go
+++ b/standin/memorylog.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/sapphirefield/sapphirefield/logservice"
 )
 
@@ -12,12 +14,26 @@
 type MemoryLog struct {
 	mu      sync.Mutex
 	records []logservice.Record
+	failing bool
+}
+
+// ErrUnavailable is the error of a log that does not accept records.
+var ErrUnavailable = errors.New("the log is not available")
+
+// FailAppends makes the log accept no records, or accept them again.
+func (l *MemoryLog) FailAppends(on bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failing = on
 }
 
 // Append adds a record and returns its offset.
 func (l *MemoryLog) Append(_ context.Context, _ string, data []byte) (int64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.failing {
+		return 0, ErrUnavailable
+	}
 	offset := int64(len(l.records))
 	l.records = append(l.records, logservice.Record{Offset: offset, Data: data})
 	return offset, nil
