sidecar: a body without end ends the call

Cause: the sidecar relayed a response's body until the call's timeout, and the entry that had given up after 64 MB did not tell it. In the new test, in virtual time, it never stopped reading. Change: the sidecar ends a call whose response has more than 64 MB, the entry's own limit. Headers without end were cut already, which the test shows as well.

--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -21,6 +21,9 @@
 const (
 	// responseChunkBytes is the maximum size of one response body frame.
 	responseChunkBytes = 32 << 10
+	// maxResponseBytes limits the body of a response, which the entry keeps until it is
+	// complete. A broken server may send bytes without end.
+	maxResponseBytes = 64 << 20
 	// defaultCallTimeout applies to a plain call whose entry sends no timeout.
 	defaultCallTimeout = 30 * time.Second
 )
@@ -215,6 +218,8 @@
 
 var errUndelimitedResponse = errors.New("answer of the backend server has neither a length nor chunks, so that it cannot be known to be whole")
 
+var errResponseTooLarge = errors.New("answer of the backend server is too large")
+
 // checkDelimited rejects a response that is delimited only by the end of the
 // connection, because a truncated one could not be detected.
 func checkDelimited(resp *http.Response) error {
@@ -241,6 +246,9 @@
 		if n > 0 {
 			_, _ = digest.Write(buffer[:n])
 			length += uint64(n)
+			if length > maxResponseBytes {
+				return errResponseTooLarge
+			}
 			if err := s.waitForEntry(c); err != nil {
 				return err
 			}
--- a/sidecar/ratelimit_test.go
+++ b/sidecar/ratelimit_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -53,36 +54,52 @@
 	assert.Assert(t, float64(len(a.times)) >= 0.9*statedRate*duration.Seconds(), "only %d requests", len(a.times))
 }
 
+// plainSidecar is a sidecar beside a plain server.
+type plainSidecar struct{ *Server }
+
+func startPlainSidecar(t *testing.T, handler http.Handler) plainSidecar {
+	t.Helper()
+	network := standin.NewNetwork()
+	backend := &http.Server{Handler: handler}
+	s := New(Options{ID: "s", Backend: "http://app", DialBackend: network.Dialer("s"), Logger: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}})
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	appListener, listener := network.Listen("app"), network.Listen("s")
+	wg.Go(func() { _ = backend.Serve(appListener) })
+	wg.Go(func() { _ = s.Serve(ctx, listener) })
+	t.Cleanup(func() {
+		cancel()
+		_ = backend.Close()
+		wg.Wait()
+	})
+	synctest.Wait()
+	return plainSidecar{s}
+}
+
+// call sends a call with a number of its own, as one of several entries.
+func (s plainSidecar) call(number int) {
+	s.handleWork(fmt.Sprint("entry-", number%5), &wire.WorkUp{Body: &wire.WorkUp_Call{Call: &wire.Call{
+		Request: fmt.Sprint("r", number), Attempt: 1, Incarnation: s.Incarnation(), Method: http.MethodPost, Path: "/",
+	}}}, time.Now())
+}
+
 // Guards against calls to a server beyond the limit that it states, and against a limit
 // that outlives its end.
 func TestCallsKeepRateLimitOfServer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network := standin.NewNetwork()
 		var received arrivals
 		limited := true
-		backend := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		s := startPlainSidecar(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			received.add()
 			if limited {
 				w.Header().Set("Rate-Limit", fmt.Sprint(statedRate))
 			}
-		})}
-		s := New(Options{ID: "s", Backend: "http://app", DialBackend: network.Dialer("s"), Logger: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}})
-		ctx, cancel := context.WithCancel(t.Context())
-		var wg sync.WaitGroup
-		appListener, listener := network.Listen("app"), network.Listen("s")
-		wg.Go(func() { _ = backend.Serve(appListener) })
-		wg.Go(func() { _ = s.Serve(ctx, listener) })
-		defer wg.Wait()
-		defer backend.Close()
-		defer cancel()
-		synctest.Wait()
+		}))
 		const duration, step = 20 * time.Second, 20 * time.Millisecond
 		sent := 0
 		call := func() {
 			sent++
-			s.handleWork(fmt.Sprint("entry-", sent%5), &wire.WorkUp{Body: &wire.WorkUp_Call{Call: &wire.Call{
-				Request: fmt.Sprint("r", sent), Attempt: 1, Incarnation: s.Incarnation(), Method: http.MethodPost, Path: "/",
-			}}}, time.Now())
+			s.call(sent)
 			time.Sleep(step)
 			synctest.Wait()
 		}
@@ -132,3 +149,44 @@
 		assert.Assert(t, h.currentAttempt("r", 2) != nil)
 	})
 }
+
+// Guards against a broken server that makes its sidecar run out of memory or hold a call
+// for long: a header or a body without end.
+func TestEndlessResponsesOfServerAreCut(t *testing.T) {
+	for name, endless := range map[string]http.HandlerFunc{
+		"header": func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\nEndless: ")
+			for err == nil {
+				_, err = io.WriteString(conn, strings.Repeat("x", 1<<10))
+			}
+		},
+		"body": func(w http.ResponseWriter, _ *http.Request) {
+			for err := error(nil); err == nil; {
+				_, err = io.WriteString(w, strings.Repeat("x", 1<<16))
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ended := make(chan struct{})
+				s := startPlainSidecar(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					defer close(ended)
+					endless(w, r)
+				}))
+				s.call(1)
+				select {
+				case <-ended:
+				case <-time.After(defaultCallTimeout / 2):
+					t.Fatal("the sidecar still reads")
+				}
+				synctest.Wait()
+				assert.Equal(t, s.InProgress(), 0)
+			})
+		})
+	}
+}
