--- a/relay/refusals.go
+++ b/relay/refusals.go
@@ -1,46 +1,23 @@
 package relay
 
 import (
-	"math"
 	"net/http"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/membership"
+	"github.com/sapphirefield/sapphirefield/retry"
 )
 
 const (
-	// maxPause bounds how long a server gets nothing because it asked for that. A
-	// broken server may ask for any time.
-	maxPause = 5 * time.Minute
 	// pauseSpread is the fraction of a pause, and maxPauseSpread the time, over which
 	// the entries return to the server, so that its load does not come back at once.
 	pauseSpread    = 0.25
 	maxPauseSpread = 2 * time.Second
 )
 
-// parseRetryAfter returns how long a server asks to be left alone: a number of
-// seconds, which may have fractions, or a date. It returns 0 for values that state
-// no time to come.
-func parseRetryAfter(now time.Time, text string) time.Duration {
-	text = strings.TrimSpace(text)
-	if seconds, err := strconv.ParseFloat(text, 64); err == nil {
-		if math.IsNaN(seconds) || seconds <= 0 {
-			return 0
-		}
-		return time.Duration(min(seconds, maxPause.Seconds()) * float64(time.Second))
-	}
-	date, err := http.ParseTime(text)
-	if err != nil {
-		return 0
-	}
-	return min(max(date.Sub(now), 0), maxPause)
-}
-
 // observeResponse evaluates what a server's response says about the server itself.
 func (e *Entry) observeResponse(server, request string, x *exchange) {
 	if x.info.Leaving && e.fleet.markLeaving(time.Now(), server) {
@@ -50,7 +27,7 @@
 	if x.response.StatusCode != http.StatusServiceUnavailable || x.info.RetryAfter == "" {
 		return
 	}
-	pause := parseRetryAfter(time.Now(), x.info.RetryAfter)
+	pause := retry.ParseAfter(time.Now(), x.info.RetryAfter)
 	e.fleet.pauseServer(time.Now(), server, pause)
 	if e.logLimiter.allow(time.Now()) {
 		logevent.Write(e.logger, logevent.ServerPaused).Str("server", server).Str("request", request).
--- a/relay/refusals_test.go
+++ b/relay/refusals_test.go
@@ -14,19 +14,6 @@
 	"github.com/sapphirefield/sapphirefield/membership"
 )
 
-// Guards against a pause that is taken for another time, or that never ends because a
-// broken server asked for it.
-func TestParseRetryAfter(t *testing.T) {
-	now := time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC)
-	for text, want := range map[string]time.Duration{
-		"2": 2 * time.Second, " 0.5 ": 500 * time.Millisecond, "": 0, "-3": 0, "0": 0, "soon": 0, "NaN": 0, "-Inf": 0,
-		"1e300": maxPause, "Inf": maxPause, "99999999999999999999": maxPause,
-		"Fri, 04 Dec 2026 10:00:07 GMT": 7 * time.Second, "Fri, 04 Dec 2026 09:59:00 GMT": 0, "Fri, 04 Dec 2099 09:59:00 GMT": maxPause,
-	} {
-		assert.Equal(t, parseRetryAfter(now, text), want, text)
-	}
-}
-
 // respondWith sends a signed response with more header lines.
 func respondWith(status int, header, body string) script {
 	return func(_ *backend, r *http.Request, conn net.Conn) bool {
--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -66,7 +66,7 @@
 		s.refuse(entry, key, wireRefusal(refusal))
 		return
 	}
-	if s.refuseForRateLimit(entry, key, time.Now()) {
+	if s.refuseForServer(entry, key, time.Now()) {
 		return
 	}
 	timeout := time.Duration(head.TimeoutMs) * time.Millisecond
@@ -179,8 +179,7 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	s.serverAnswered()
-	s.observeRateLimit(resp.Header, sentAt)
+	s.observeResponse(resp, sentAt)
 	return resp, nil
 }
 
--- a/sidecar/engine.go
+++ b/sidecar/engine.go
@@ -153,8 +153,7 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	s.serverAnswered()
-	s.observeRateLimit(resp.Header, sentAt)
+	s.observeResponse(resp, sentAt)
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxEngineResponseBytes))
 	if err != nil {
--- a/sidecar/ratelimit.go
+++ b/sidecar/ratelimit.go
@@ -7,6 +7,7 @@
 	"github.com/sapphirefield/sapphirefield/attempt"
 	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/ratelimit"
+	"github.com/sapphirefield/sapphirefield/retry"
 	"github.com/sapphirefield/sapphirefield/wire"
 )
 
@@ -34,13 +35,36 @@
 	}
 }
 
-// refuseForRateLimit refuses an attempt that the ledger has accepted if the server's
-// rate limit leaves no room for it, and reports whether it did. A copy of an accepted
-// attempt does not get here, so it is not refused while the first one runs. It must be
-// called with the lock held.
-func (s *Server) refuseForRateLimit(entry string, key attempt.Key, now time.Time) bool {
-	if _, ok := s.limits.Take(now, s.opts.ID, 0); ok {
-		return false
+// observeResponse evaluates what a response of the backend server says about the server
+// itself.
+func (s *Server) observeResponse(resp *http.Response, sentAt time.Time) {
+	s.serverAnswered()
+	s.observeRateLimit(resp.Header, sentAt)
+	if resp.StatusCode != http.StatusServiceUnavailable {
+		return
+	}
+	text := resp.Header.Get("Retry-After")
+	pause := retry.ParseAfter(time.Now(), text)
+	if pause == 0 {
+		return
+	}
+	logevent.Write(s.opts.Logger, logevent.ServerPaused).Str("server", s.opts.ID).Str("retry_after", text).Dur("pause_ms", pause).Msg("")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if until := time.Now().Add(pause); until.After(s.pausedUntil) {
+		s.pausedUntil = until
+	}
+}
+
+// refuseForServer refuses an attempt that the ledger has accepted if the server has asked
+// for a pause or its rate limit leaves no room, and reports whether it did. A copy of an
+// accepted attempt does not get here, so it is not refused while the first one runs. It
+// must be called with the lock held.
+func (s *Server) refuseForServer(entry string, key attempt.Key, now time.Time) bool {
+	if !now.Before(s.pausedUntil) {
+		if _, ok := s.limits.Take(now, s.opts.ID, 0); ok {
+			return false
+		}
 	}
 	s.ledger.MarkNotExecuted(key, now)
 	s.refuse(entry, key, wire.RefusalReason_REFUSAL_OVERLOADED)
--- a/sidecar/ratelimit_test.go
+++ b/sidecar/ratelimit_test.go
@@ -150,6 +150,30 @@
 	})
 }
 
+// Guards against calls to a server that has asked to be left alone, and against one that
+// gets nothing after its pause.
+func TestServerThatAskedForPauseGetsNoCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var received arrivals
+		s := startPlainSidecar(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			received.add()
+			if len(received.times) == 1 {
+				w.Header().Set("Retry-After", "2.5")
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+		}))
+		const step = 100 * time.Millisecond
+		for i := range 40 {
+			s.call(i)
+			time.Sleep(step)
+			synctest.Wait()
+		}
+		pause := received.times[1].Sub(received.times[0])
+		assert.Assert(t, pause >= 2500*time.Millisecond && pause < 2500*time.Millisecond+2*step, "%s", pause)
+		assert.Assert(t, len(received.times) > 10)
+	})
+}
+
 // Guards against a broken server that makes its sidecar run out of memory or hold a call
 // for long: a header or a body without end.
 func TestEndlessResponsesOfServerAreCut(t *testing.T) {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -112,8 +112,10 @@
 	// be alive.
 	awaitingEngineCheck []*stageAttempt
 	ends                serverEnds
-	// limits holds the rate limit that the backend server states.
-	limits *ratelimit.Limits
+	// limits holds the rate limit that the backend server states, and pausedUntil the end
+	// of the pause that it has asked for.
+	limits      *ratelimit.Limits
+	pausedUntil time.Time
 	// drained is closed when the sidecar is draining and has no work left.
 	drained chan struct{}
 	// background is the context of hops and calls; it ends with Serve.
--- a/sidecar/stage.go
+++ b/sidecar/stage.go
@@ -62,7 +62,7 @@
 	}
 	switch refusal := s.openInLedger(key, open); refusal {
 	case attempt.RefusalNone:
-		if old == nil && s.refuseForRateLimit(entry, key, now) {
+		if old == nil && s.refuseForServer(entry, key, now) {
 			return
 		}
 		s.acceptOpen(&stageAttempt{key: key, entry: entry, open: open, nextIndex: open.FirstIndex}, old, now)
