relay: a server that falls silent and accepts no connection is left

Cause: a unary request on a kept connection to a server that had lost its network waited until its deadline, and the next ones followed it, since nothing told that the server was gone (open cells of the fault matrix: silence, idempotent and at most once). Change: after twice the route's target (0.25 s at least) without an answer, one request asks for a new connection, twice a second for each server at most. If it is not accepted, the server gets nothing new; an idempotent request goes to another server, others wait for their answer on. A server that is merely slow accepts the connection and is awaited.

--- a/faultmatrix/faultmatrix.go
+++ b/faultmatrix/faultmatrix.go
@@ -153,8 +153,8 @@
 	Silence: {
 		FirstStage:  both("TestLastAttemptIsNotAbandonedForSilence", "engine unresponsive", "engine link stalled"),
 		LaterStage:  both("TestStreamIsReroutedAroundStalledEngine", "engine unresponsive"),
-		Idempotent:  open("a silent application server holds the request until its deadline; no test or fault of the soak plays it"),
-		AtMostOnce:  open("as for idempotent requests"),
+		Idempotent:  tests("TestSilentServerIsLeft"),
+		AtMostOnce:  tests("TestSilentServerIsLeft"),
 		Keyed:       open("as for idempotent requests"),
 		Status:      tests("TestOnlyOneTimeoutAtATimeCounts"),
 		Order:       tests("TestOrderOutcomes"),
--- a/relay/crashes_test.go
+++ b/relay/crashes_test.go
@@ -1,11 +1,13 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -221,3 +223,51 @@
 	assert.Assert(t, pool.hasCrashed(t.Context(), forwarder.address()))
 	assert.Assert(t, !pool.hasCrashed(t.Context(), newBackend(t, reset).address()))
 }
+
+// silentThenGone answers nothing on the first connection to an address and accepts no
+// other one, as a server that has lost its network.
+func silentThenGone(address string, dial func(context.Context, string) (net.Conn, error)) func(context.Context, string) (net.Conn, error) {
+	var dialed atomic.Int64
+	return func(ctx context.Context, a string) (net.Conn, error) {
+		switch {
+		case a != address:
+			return dial(ctx, a)
+		case dialed.Add(1) > 1:
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		near, far := net.Pipe()
+		go func() { _, _ = io.Copy(io.Discard, far) }()
+		return near, nil
+	}
+}
+
+// Guards against requests that wait until their deadline for a server that is gone
+// without a word, and against more requests to it.
+func TestSilentServerIsLeft(t *testing.T) {
+	for call, wantStatus := range map[config.CallKind]int{config.CallIdempotent: http.StatusOK, config.CallAtMostOnce: http.StatusGatewayTimeout} {
+		t.Run(string(call), func(t *testing.T) {
+			first, second := newBackend(t, respond(200, "first")), newBackend(t, respond(200, "second"))
+			route := unaryRoute(call)
+			route.Timeout = 1500 * time.Millisecond
+			e := newTestEntry(t, route, first, second)
+			e.pool.dial = silentThenGone(first.address(), e.pool.dial)
+			e.preferFirst()
+			assert.Equal(t, e.sendContent(t, "order 7", "", false), wantStatus)
+			assert.Equal(t, e.sendContent(t, "order 8", "", false), http.StatusOK)
+			assert.Equal(t, first.count(), 0)
+		})
+	}
+}
+
+// Guards against a slow server that is taken for one that is gone.
+func TestSlowServerIsAwaited(t *testing.T) {
+	slow := newBackend(t, func(b *backend, r *http.Request, conn net.Conn) bool {
+		time.Sleep(3 * minSilence)
+		return respond(200, "slow")(b, r, conn)
+	})
+	e := newTestEntry(t, unaryRoute(config.CallIdempotent), slow, newBackend(t, respond(200, "second")))
+	e.preferFirst()
+	assert.Equal(t, e.sendContent(t, "order 7", "", false), http.StatusOK)
+	assert.Equal(t, slow.count(), 1)
+}
--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -24,6 +24,7 @@
 	start, part string
 	sent        atomic.Int64
 	closed      chan struct{}
+	dialed      atomic.Int64
 }
 
 func (s *endlessServer) dial(context.Context, string) (net.Conn, error) {
@@ -31,6 +32,10 @@
 	go func() {
 		_, _ = io.Copy(io.Discard, remote)
 	}()
+	if s.dialed.Add(1) > 1 {
+		// It carries no request and only finds out whether the server still runs.
+		return local, nil
+	}
 	go func() {
 		defer close(s.closed)
 		for text := s.start; ; text = s.part {
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -72,11 +72,13 @@
 	// registerAgain triggers another write of this entry's record.
 	registerAgain trigger
 
-	prompts    *promptGuard
-	pause      pauseGuard
-	inFlight   *inFlightCounter
-	bodyMemory bodyMemory
-	draining   atomic.Bool
+	prompts *promptGuard
+	// silenceProbes bounds the connections that show whether silent servers run.
+	silenceProbes silenceProbes
+	pause         pauseGuard
+	inFlight      *inFlightCounter
+	bodyMemory    bodyMemory
+	draining      atomic.Bool
 }
 
 // New returns an entry that is not running yet.
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -171,7 +171,9 @@
 // tryServer sends the request to one server and forwards its response.
 func (q *request) tryServer(ctx context.Context, server Server) (attemptResult, error) {
 	q.path = server.ID
-	x, err := q.pool.send(ctx, q.headerCodec, server.Address, q.buildOutbound(ForwardInfo{Instance: server.ID, LastEvent: -1}))
+	watched, stop := q.watchSilence(ctx, server)
+	defer stop()
+	x, err := q.pool.send(watched, q.headerCodec, server.Address, q.buildOutbound(ForwardInfo{Instance: server.ID, LastEvent: -1}))
 	if errors.Is(err, errNotSent) {
 		// The connection also fails when the client leaves or this process is held up.
 		if ctx.Err() == nil && !q.pause.wasHeldUp(bootclock.Now()) {
@@ -181,6 +183,9 @@
 	}
 	q.sentCount++
 	if err != nil {
+		if watched.Err() != nil && ctx.Err() == nil {
+			return mayHaveExecuted, errServerSilent
+		}
 		if ctx.Err() == nil {
 			q.fleet.observe(time.Now(), server.ID, membership.ConnectionLost)
 			q.reportCrash(ctx, server, err)
