--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -112,11 +112,11 @@
 // answered for long. Another attempt may follow, so it waits until that is known.
 func (a *attempt) reportCrash() {
 	parts := a.suspectParts()
-	if !a.soundAt.IsZero() || !a.prompts.hasUnknownPart(time.Now(), parts) {
+	if !a.soundAt.IsZero() || !a.crashes.hasUnknownPart(time.Now(), parts) {
 		return
 	}
 	if a.verifySuspect(a.head.id, a.hops[0].Address) {
-		a.prompts.recordCrash(time.Now(), a.info.ID, a.head, parts)
+		a.crashes.recordCrash(time.Now(), a.info.ID, a.head, parts)
 	}
 }
 
@@ -137,7 +137,7 @@
 			a.reported = map[crashedEngine]bool{}
 		}
 		a.reported[crash] = true
-		a.prompts.recordCrash(time.Now(), a.info.ID, crash, a.suspectParts())
+		a.crashes.recordCrash(time.Now(), a.info.ID, crash, a.suspectParts())
 	}
 }
 
@@ -157,7 +157,7 @@
 // crash engines.
 func (a *attempt) observeSoundStream(now time.Time) {
 	if len(a.info.PromptParts) > 0 {
-		a.prompts.observeSound(now, a.info.PromptParts)
+		a.crashes.observeSound(now, a.info.PromptParts)
 	}
 	a.observeAnswered()
 }
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -44,7 +44,7 @@
 
 // blockedContent refuses the request if it has crashed servers before.
 func (q *request) blockedContent() *problem.Problem {
-	if !q.prompts.active.Load() {
+	if !q.crashes.active.Load() {
 		return nil
 	}
 	return q.refuseIfBlocked([]string{q.content()})
@@ -62,11 +62,11 @@
 // refuseIfBlocked refuses the request if one of these parts is blocked, unless it is let
 // through to find out whether the part still crashes servers.
 func (q *request) refuseIfBlocked(parts []string) *problem.Problem {
-	block, blocked := q.prompts.blocked(time.Now(), parts)
+	block, blocked := q.crashes.blocked(time.Now(), parts)
 	if !blocked || q.probesBlock {
 		return nil
 	}
-	if q.prompts.mayProbe(time.Now(), q.info.ID, block) {
+	if q.crashes.mayProbe(time.Now(), q.info.ID, block) {
 		q.probesBlock = true
 		return nil
 	}
@@ -78,14 +78,14 @@
 
 // mayRepeat reports whether another attempt is no risk for the servers.
 func (q *request) mayRepeat() bool {
-	return !q.probesBlock && (!q.prompts.active.Load() || !q.prompts.isRisky(time.Now(), q.suspectParts()))
+	return !q.probesBlock && (!q.crashes.active.Load() || !q.crashes.isRisky(time.Now(), q.suspectParts()))
 }
 
 // observeAnswered records that the request was answered, so that it is under no
 // suspicion.
 func (q *request) observeAnswered() {
-	if q.prompts.active.Load() {
-		q.prompts.observeSound(time.Now(), []string{q.content()})
+	if q.crashes.active.Load() {
+		q.crashes.observeSound(time.Now(), []string{q.content()})
 	}
 }
 
@@ -111,5 +111,5 @@
 	if !connectionEnded(err) || ctx.Err() != nil || !q.pool.hasCrashed(ctx, server.Address) || ctx.Err() != nil {
 		return
 	}
-	q.prompts.recordCrash(time.Now(), q.info.ID, crashedEngine{server.ID, server.StartTimeMillis}, q.suspectParts())
+	q.crashes.recordCrash(time.Now(), q.info.ID, crashedEngine{server.ID, server.StartTimeMillis}, q.suspectParts())
 }
--- a/relay/crashes_test.go
+++ b/relay/crashes_test.go
@@ -109,7 +109,7 @@
 						assert.Equal(t, e.sendContent(t, fmt.Sprint("order 8.", i), parts, false), http.StatusOK)
 						exchangeEvidence(time.Now(), plain...)
 						for _, e := range plain {
-							e.prompts.decide(time.Now().Add(time.Second))
+							e.crashes.decide(time.Now().Add(time.Second))
 						}
 						exchangeEvidence(time.Now(), plain...)
 						c.removeCrashed(plain...)
@@ -153,14 +153,14 @@
 		a.seenChanges = -1
 		assert.ErrorIs(t, a.checkPath(t.Context()), errPathLost)
 	}
-	e.prompts.decide(now.Add(time.Second))
+	e.crashes.decide(now.Add(time.Second))
 	assert.Assert(t, request().blocked() != nil)
 	assert.ErrorIs(t, request().reroute(t.Context()), errPathLost)
 	// An answer that has gone on for a while is no cause.
 	other := request()
 	other.body, other.soundAt = []byte("order 8"), now
 	other.reportLostStages([]string{"last0", "last1", "last2"})
-	e.prompts.decide(now.Add(time.Second))
+	e.crashes.decide(now.Add(time.Second))
 	assert.Assert(t, other.blocked() == nil)
 }
 
@@ -179,9 +179,9 @@
 			e := newTestEntry(t, unaryRoute(config.CallIdempotent), backends...)
 			for range 6 {
 				assert.Equal(t, e.sendContent(t, "order 7", "", false), http.StatusBadGateway)
-				e.prompts.decide(time.Now().Add(time.Second))
+				e.crashes.decide(time.Now().Add(time.Second))
 			}
-			assert.Assert(t, !e.prompts.active.Load())
+			assert.Assert(t, !e.crashes.active.Load())
 		})
 	}
 }
@@ -193,7 +193,7 @@
 	e := newTestEntry(t, unaryRoute(config.CallAtMostOnce), b)
 	q := &request{Entry: e.Entry, r: e.newRequest(t.Context(), t, http.MethodPost, nil), body: []byte("order 7"), team: "team"}
 	q.r.RequestURI = "/x?q=1"
-	e.prompts.adopt(time.Now(), quarantine.Block{Part: q.content(), Remaining: quarantine.BlockTime - 21*time.Second}, "test")
+	e.crashes.adopt(time.Now(), quarantine.Block{Part: q.content(), Remaining: quarantine.BlockTime - 21*time.Second}, "test")
 	assert.Equal(t, e.sendContent(t, "order 7", "", false), http.StatusServiceUnavailable)
 	e.leaseTerm.Store(1)
 	assert.Equal(t, e.sendContent(t, "order 7", "", false), http.StatusOK)
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -72,7 +72,7 @@
 	// registerAgain triggers another write of this entry's record.
 	registerAgain trigger
 
-	prompts *promptGuard
+	crashes *crashGuard
 	// silenceProbes bounds the connections that show whether silent servers run.
 	silenceProbes silenceProbes
 	pause         pauseGuard
@@ -97,7 +97,7 @@
 	}
 	engines.entry = e
 	e.directory = newDirectory(e)
-	e.prompts = newPromptGuard(e)
+	e.crashes = newCrashGuard(e)
 	if o.Store != nil {
 		o.Store.OnNewEra(e.writeAgain)
 	}
@@ -108,7 +108,7 @@
 // from an older copy, and may have lost it.
 func (e *Entry) writeAgain() {
 	e.registerAgain.fire()
-	e.prompts.saveAgain.fire()
+	e.crashes.saveAgain.fire()
 }
 
 // seeds creates a separate random source for each user, because a source is
@@ -135,8 +135,8 @@
 	group.Go(func() error { return e.runMaintenance(ctx) })
 	group.Go(func() error { return e.runPulse(ctx) })
 	group.Go(func() error { return e.runReturnProbes(ctx) })
-	group.Go(func() error { return e.prompts.runDecisions(ctx) })
-	group.Go(func() error { return e.prompts.runStore(ctx) })
+	group.Go(func() error { return e.crashes.runDecisions(ctx) })
+	group.Go(func() error { return e.crashes.runStore(ctx) })
 	return group.Wait()
 }
 
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -176,7 +176,7 @@
 	}
 	p.directory.applyPeerChanges(m.changes)
 	p.fleet.applyPeerSuspects(time.Now(), m.suspects)
-	p.prompts.applyPeerEvidence(time.Now(), m.evidence)
+	p.crashes.applyPeerEvidence(time.Now(), m.evidence)
 	p.applyPeerLimits(m.sender, m.limits)
 	if m.revision > p.Revision() {
 		select {
@@ -261,7 +261,7 @@
 	m := message{
 		sender: p.settings.Instance, startNanos: p.startNanos, sequence: sequence, revision: p.Revision(), term: p.leaseTerm.Load(),
 		watchAge: notWatching, servers: p.fleet.localUsage(now), suspects: p.fleet.suspectHashes(now),
-		evidence: p.prompts.evidence(now), limits: p.fleet.limitReports(now),
+		evidence: p.crashes.evidence(now), limits: p.fleet.limitReports(now),
 	}
 	if p.isWatcher() {
 		m.watchAge, m.changes = p.directory.readAge(bootclock.Now()), p.directory.nextChanges()
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -32,9 +32,9 @@
 	soundInterval = time.Second
 )
 
-// promptGuard blocks requests that crash servers, by the parts of their prompts or by
+// crashGuard blocks requests that crash servers, by the parts of their prompts or by
 // their whole content. It is safe for concurrent use.
-type promptGuard struct {
+type crashGuard struct {
 	*Entry
 	// active is set while something is under suspicion or blocked. As long as it is
 	// not, no request needs to be looked at.
@@ -53,8 +53,8 @@
 	saveAgain trigger
 }
 
-func newPromptGuard(e *Entry) *promptGuard {
-	return &promptGuard{
+func newCrashGuard(e *Entry) *crashGuard {
+	return &crashGuard{
 		Entry: e, detector: quarantine.New(), suspicions: map[quarantine.Suspicion]time.Time{}, soundParts: map[string]time.Time{},
 		unsaved: map[string]time.Time{}, save: make(trigger, 1), saveAgain: make(trigger, 1),
 	}
@@ -70,7 +70,7 @@
 }
 
 // blocked returns the first part of a prompt that is blocked, if there is one.
-func (g *promptGuard) blocked(now time.Time, parts []string) (quarantine.Block, bool) {
+func (g *crashGuard) blocked(now time.Time, parts []string) (quarantine.Block, bool) {
 	if len(parts) == 0 || !g.active.Load() {
 		return quarantine.Block{}, false
 	}
@@ -82,7 +82,7 @@
 // mayProbe reports whether a request with a blocked part is let through, to find out
 // whether the part still crashes engines. Only the holder of the lease probes, so
 // that one request of the whole fleet does.
-func (g *promptGuard) mayProbe(now time.Time, request string, block quarantine.Block) bool {
+func (g *crashGuard) mayProbe(now time.Time, request string, block quarantine.Block) bool {
 	if !g.isWatcher() {
 		return false
 	}
@@ -97,7 +97,7 @@
 
 // isRisky reports whether a repeat of a request with these parts may crash one more
 // server.
-func (g *promptGuard) isRisky(now time.Time, parts []string) bool {
+func (g *crashGuard) isRisky(now time.Time, parts []string) bool {
 	if !g.active.Load() {
 		return false
 	}
@@ -108,14 +108,14 @@
 }
 
 // hasUnknownPart reports whether some part of a prompt is not known to be sound.
-func (g *promptGuard) hasUnknownPart(now time.Time, parts []string) bool {
+func (g *crashGuard) hasUnknownPart(now time.Time, parts []string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return slices.ContainsFunc(parts, func(part string) bool { return !g.detector.IsSound(now, part) })
 }
 
 // observeSound records that a request with these parts is being answered.
-func (g *promptGuard) observeSound(now time.Time, parts []string) {
+func (g *crashGuard) observeSound(now time.Time, parts []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, part := range parts {
@@ -124,7 +124,7 @@
 }
 
 // clear records that a part is sound. The caller holds the lock.
-func (g *promptGuard) clear(now time.Time, part, cause string) {
+func (g *crashGuard) clear(now time.Time, part, cause string) {
 	if !g.detector.ObserveSound(now, part) {
 		return
 	}
@@ -134,7 +134,7 @@
 	g.save.fire()
 }
 
-func (g *promptGuard) tellSound(now time.Time, part string) {
+func (g *crashGuard) tellSound(now time.Time, part string) {
 	if len(g.soundParts) < maxEvidence {
 		g.soundParts[part] = now.Add(evidenceSendTime)
 	}
@@ -142,7 +142,7 @@
 
 // recordCrash suspects the parts of a request that was in progress when an engine
 // crashed, and tells the other entries.
-func (g *promptGuard) recordCrash(now time.Time, request string, crash crashedEngine, parts []string) {
+func (g *crashGuard) recordCrash(now time.Time, request string, crash crashedEngine, parts []string) {
 	logevent.Write(g.logger, logevent.EngineCrashedUnderRequest).Str("server", crash.id).Int64("born", crash.startTimeMillis).
 		Str("request", request).Strs("parts", parts).Msg("")
 	g.mu.Lock()
@@ -176,7 +176,7 @@
 }
 
 // applyPeerEvidence evaluates what another entry tells.
-func (g *promptGuard) applyPeerEvidence(now time.Time, e evidence) {
+func (g *crashGuard) applyPeerEvidence(now time.Time, e evidence) {
 	if len(e.suspicions)+len(e.sound)+len(e.blocks) == 0 {
 		return
 	}
@@ -201,7 +201,7 @@
 }
 
 // adopt blocks a part that others have blocked. The caller holds the lock.
-func (g *promptGuard) adopt(now time.Time, b quarantine.Block, source string) {
+func (g *crashGuard) adopt(now time.Time, b quarantine.Block, source string) {
 	if g.detector.Adopt(now, b) {
 		g.active.Store(true)
 		logevent.Write(g.logger, logevent.PromptPartBlocked).Str("part", b.Part).Dur("remaining_ms", b.Remaining).Str("source", source).Msg("")
@@ -209,7 +209,7 @@
 }
 
 // evidence returns what the next message tells the other entries.
-func (g *promptGuard) evidence(now time.Time) (e evidence) {
+func (g *crashGuard) evidence(now time.Time) (e evidence) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for s, until := range g.suspicions {
@@ -231,7 +231,7 @@
 }
 
 // decide blocks the parts that have crashed too many engines.
-func (g *promptGuard) decide(now time.Time) {
+func (g *crashGuard) decide(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, part := range g.detector.Decide(now) {
@@ -243,7 +243,7 @@
 }
 
 // runDecisions judges suspicions until ctx ends.
-func (g *promptGuard) runDecisions(ctx context.Context) error {
+func (g *crashGuard) runDecisions(ctx context.Context) error {
 	for sleep(ctx, decideInterval); ctx.Err() == nil; sleep(ctx, decideInterval) {
 		g.decide(time.Now())
 	}
@@ -258,7 +258,7 @@
 
 // runStore reads the blocked parts from the store once, and saves changes until ctx
 // ends.
-func (g *promptGuard) runStore(ctx context.Context) error {
+func (g *crashGuard) runStore(ctx context.Context) error {
 	backoff := g.backoff()
 	for failures := 0; ctx.Err() == nil; {
 		batch, err := g.store.ReadLatest(ctx, TopicBlockedParts)
@@ -284,7 +284,7 @@
 }
 
 // saveAll saves all blocked parts again, because the store has lost some.
-func (g *promptGuard) saveAll(now time.Time) {
+func (g *crashGuard) saveAll(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, b := range g.detector.Blocks(now) {
@@ -295,7 +295,7 @@
 // saveInterval is how long after a failure a change is saved again.
 const saveInterval = time.Second
 
-func (g *promptGuard) applyRecords(now time.Time, records []Record) {
+func (g *crashGuard) applyRecords(now time.Time, records []Record) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, r := range records {
@@ -320,7 +320,7 @@
 
 // saveChanges writes the changes that the store has not accepted yet. A repeated
 // write does no harm: the newest record of a part counts.
-func (g *promptGuard) saveChanges(ctx context.Context) {
+func (g *crashGuard) saveChanges(ctx context.Context) {
 	g.mu.Lock()
 	changes := make(map[string]time.Time, len(g.unsaved))
 	for part, until := range g.unsaved {
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -113,7 +113,7 @@
 		assert.Equal(t, strings.Count(body, "id:"), 3)
 		e.sendParts(t, fmt.Sprintf("shared,bad,own-bad%d", i))
 		// Suspicions are judged once those of other entries have had time to arrive.
-		e.prompts.decide(time.Now().Add(time.Second))
+		e.crashes.decide(time.Now().Add(time.Second))
 	}
 	const permitted = 5
 	assert.Assert(t, c.arrivals() <= permitted, "%d requests with the part reached an engine", c.arrivals())
@@ -141,7 +141,7 @@
 	for _, from := range entries {
 		for _, to := range entries {
 			if from != to {
-				to.prompts.applyPeerEvidence(now, from.prompts.evidence(now))
+				to.crashes.applyPeerEvidence(now, from.crashes.evidence(now))
 			}
 		}
 	}
@@ -152,17 +152,17 @@
 	now := time.Now()
 	entries := []*Entry{newStoreEntry(newScriptedStore()), newStoreEntry(newScriptedStore()), newStoreEntry(newScriptedStore())}
 	// Only one entry knows that the first part is sound.
-	entries[0].prompts.observeSound(now, []string{"shared"})
+	entries[0].crashes.observeSound(now, []string{"shared"})
 	for i, e := range entries {
-		e.prompts.recordCrash(now, "r", crashedEngine{"engine", int64(i)}, []string{"shared", "bad"})
+		e.crashes.recordCrash(now, "r", crashedEngine{"engine", int64(i)}, []string{"shared", "bad"})
 	}
 	exchangeEvidence(now, entries...)
 	exchangeEvidence(now, entries...)
 	now = now.Add(time.Second)
 	for _, e := range entries {
-		e.prompts.decide(now)
-		_, bad := e.prompts.blocked(now, []string{"bad"})
-		_, shared := e.prompts.blocked(now, []string{"shared"})
+		e.crashes.decide(now)
+		_, bad := e.crashes.blocked(now, []string{"bad"})
+		_, shared := e.crashes.blocked(now, []string{"shared"})
 		assert.Assert(t, bad && !shared)
 	}
 }
@@ -172,14 +172,14 @@
 func TestBlockOfSoundPartIsTakenBack(t *testing.T) {
 	now := time.Now()
 	wrong, right, third := newStoreEntry(newScriptedStore()), newStoreEntry(newScriptedStore()), newStoreEntry(newScriptedStore())
-	wrong.prompts.adopt(now, quarantine.Block{Part: "a", Remaining: time.Minute}, "test")
-	third.prompts.adopt(now, quarantine.Block{Part: "a", Remaining: time.Minute}, "test")
-	right.prompts.observeSound(now, []string{"a"})
+	wrong.crashes.adopt(now, quarantine.Block{Part: "a", Remaining: time.Minute}, "test")
+	third.crashes.adopt(now, quarantine.Block{Part: "a", Remaining: time.Minute}, "test")
+	right.crashes.observeSound(now, []string{"a"})
 	for range 2 {
 		exchangeEvidence(now, wrong, right, third)
 	}
 	for _, e := range []*Entry{wrong, right, third} {
-		_, blocked := e.prompts.blocked(now, []string{"a"})
+		_, blocked := e.crashes.blocked(now, []string{"a"})
 		assert.Assert(t, !blocked)
 	}
 }
@@ -191,33 +191,33 @@
 	first := newStoreEntry(store)
 	now := time.Now()
 	for i := range 3 {
-		first.prompts.recordCrash(now, "r", crashedEngine{"engine", int64(i)}, []string{"bad"})
+		first.crashes.recordCrash(now, "r", crashedEngine{"engine", int64(i)}, []string{"bad"})
 	}
-	first.prompts.decide(now.Add(time.Second))
-	first.prompts.saveChanges(t.Context())
+	first.crashes.decide(now.Add(time.Second))
+	first.crashes.saveChanges(t.Context())
 	store.add(TopicBlockedParts, "over", blockRecord{now.Add(-time.Second).UnixMilli()})
 
 	second := newStoreEntry(store)
 	batch, err := store.ReadLatest(t.Context(), TopicBlockedParts)
 	assert.NilError(t, err)
-	second.prompts.applyRecords(now, batch.Records)
-	block, blocked := second.prompts.blocked(now, []string{"other", "bad"})
+	second.crashes.applyRecords(now, batch.Records)
+	block, blocked := second.crashes.blocked(now, []string{"other", "bad"})
 	assert.Assert(t, blocked)
 	assert.Equal(t, block.Part, "bad")
-	_, blocked = second.prompts.blocked(now, []string{"over"})
+	_, blocked = second.crashes.blocked(now, []string{"over"})
 	assert.Assert(t, !blocked)
 	// The record of a block that is over is deleted.
-	second.prompts.saveChanges(t.Context())
+	second.crashes.saveChanges(t.Context())
 	assert.DeepEqual(t, store.topics[TopicBlockedParts][2], Record{Key: "over"})
 }
 
 // Guards against a record or message of another program that ends the process.
 func TestUnreadableBlocksAreIgnored(t *testing.T) {
 	e := newStoreEntry(newScriptedStore())
-	e.prompts.applyRecords(time.Now(), []Record{{Key: "a", Value: []byte("x")}, {Key: "b"}, {Key: "c", Value: []byte("{}")}})
-	e.prompts.applyPeerEvidence(time.Now(), evidence{blocks: []quarantine.Block{{Part: "d", Remaining: -time.Second}}})
+	e.crashes.applyRecords(time.Now(), []Record{{Key: "a", Value: []byte("x")}, {Key: "b"}, {Key: "c", Value: []byte("{}")}})
+	e.crashes.applyPeerEvidence(time.Now(), evidence{blocks: []quarantine.Block{{Part: "d", Remaining: -time.Second}}})
 	for _, part := range []string{"a", "b", "c", "d"} {
-		_, blocked := e.prompts.blocked(time.Now(), []string{part})
+		_, blocked := e.crashes.blocked(time.Now(), []string{part})
 		assert.Assert(t, !blocked, part)
 	}
 }
@@ -227,7 +227,7 @@
 func TestBlockOfSoundPartEndsWithProbe(t *testing.T) {
 	b := newBackend(t, events(3, true))
 	e := newTestEntry(t, streamRoute(true), b)
-	e.prompts.adopt(time.Now(), quarantine.Block{Part: "shared", Remaining: quarantine.BlockTime - 11*time.Second}, "test")
+	e.crashes.adopt(time.Now(), quarantine.Block{Part: "shared", Remaining: quarantine.BlockTime - 11*time.Second}, "test")
 	status, _ := e.sendParts(t, "shared,own1")
 	assert.Equal(t, status, http.StatusServiceUnavailable)
 	e.leaseTerm.Store(1)
@@ -245,7 +245,7 @@
 	engines := &crashedEngines{backends: c}
 	e.Entry.engines, e.stallChecker.engines = engines, engines
 	e.leaseTerm.Store(1)
-	e.prompts.adopt(time.Now(), quarantine.Block{Part: "bad", Remaining: quarantine.BlockTime - 11*time.Second}, "test")
+	e.crashes.adopt(time.Now(), quarantine.Block{Part: "bad", Remaining: quarantine.BlockTime - 11*time.Second}, "test")
 	for range 3 {
 		e.sendParts(t, "shared,bad,own")
 	}
--- a/relay/restore_test.go
+++ b/relay/restore_test.go
@@ -84,7 +84,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := newScriptedStore()
 		e := newStoreEntry(store)
-		e.prompts.adopt(time.Now(), quarantine.Block{Part: "bad", Remaining: 5 * time.Minute}, "test")
+		e.crashes.adopt(time.Now(), quarantine.Block{Part: "bad", Remaining: 5 * time.Minute}, "test")
 		p := &peers{Entry: e}
 		p.applyEntries(update{records: []Record{{Key: "a", Value: []byte("{}")}, {Key: "b", Value: []byte("{}")}}, complete: true})
 		assert.Equal(t, e.knownEntries.Load(), int64(3))
@@ -95,7 +95,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		var writers errgroup.Group
 		writers.Go(func() error { return p.keepRegistered(ctx) })
-		writers.Go(func() error { return e.prompts.runStore(ctx) })
+		writers.Go(func() error { return e.crashes.runStore(ctx) })
 		time.Sleep(time.Minute)
 		assert.Equal(t, len(store.topics[TopicEntries])+len(store.topics[TopicBlockedParts]), 0)
 		// The entry's next read of a topic may be 12 s away, so the store's client tells.
