condition, relay: one place for what holds against a server

Cause: relay.fleet kept eight maps of it and a rate limit, and whoever added one had to find all the places that forget; two of them (avoided, failed) were never forgotten for servers that are gone, and those of a suspect outlived its process. Change: package condition holds what a server has said of itself and what was seen of it, by server and process, with one question for each use and one function that forgets; decisions stay what they were, but that a restart now forgets all of it. A refusal without a server logs what speaks against each server of the service (cause).

The tests of relay read the same facts from the new place; their expectations are the same.

--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -14,6 +14,7 @@
 package ratelimit
 
 import (
+	"maps"
 	"math"
 	"strconv"
 	"strings"
@@ -161,6 +162,11 @@
 // Forget removes what is known of a server, because it has restarted or is gone.
 func (l *Limits) Forget(server string) { delete(l.servers, server) }
 
+// Keep forgets the servers that are not known any more.
+func (l *Limits) Keep(known func(server string) bool) {
+	maps.DeleteFunc(l.servers, func(server string, _ *limit) bool { return !known(server) })
+}
+
 // Servers returns the number of servers about which something is known.
 func (l *Limits) Servers() int { return len(l.servers) }
 
--- a/relay/capacity.go
+++ b/relay/capacity.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/sapphirefield/sapphirefield/condition"
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/pipeline"
 	"github.com/sapphirefield/sapphirefield/placement"
@@ -50,7 +51,7 @@
 		return nil, nil, err
 	}
 	if len(r.CurrentPath) == 0 {
-		f.limits.Charge(now, hops[0].Engine)
+		f.conditions.Limits.Charge(now, hops[0].Engine)
 	}
 	f.recordRecentWork(now, rev, hops, r, relayModel(rev.models[model]))
 	f.recordLinkTraffic(now, hops, r.CurrentPath, relayModel(rev.models[model]).BytesPerHop(r))
@@ -203,7 +204,7 @@
 	for _, c := range f.membership.Candidates(now, model) {
 		s, known := f.servers[c.ID]
 		layers := s.Layers.Limit - s.Layers.First
-		if !known || c.Suspect || f.lost[c.ID] != nil || layers <= 0 || now.Before(f.avoided[c.ID]) || now.Before(f.pausedUntil[c.ID]) {
+		if !known || c.Suspect || layers <= 0 || f.conditions.Against(now, c.ID, condition.Stage) != condition.None {
 			continue
 		}
 		accelerator := rev.accelerators[s.Accelerator]
@@ -211,8 +212,8 @@
 			continue
 		}
 		engine := f.relayEngine(now, s, accelerator, m)
-		if f.limits.Limited(c.ID) {
-			engine.CannotBeFirst = f.limits.Wait(now, c.ID) > 0
+		if f.conditions.Limits.Limited(c.ID) {
+			engine.CannotBeFirst = f.conditions.Limits.Wait(now, c.ID) > 0
 			engine.Slowdown = max(engine.Slowdown, 1) * limitedSlowdown
 		}
 		engines = append(engines, engine)
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -2,11 +2,16 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/sapphirefield/sapphirefield/condition"
 	"github.com/sapphirefield/sapphirefield/membership"
 	"github.com/sapphirefield/sapphirefield/pipeline"
 	"github.com/sapphirefield/sapphirefield/ratelimit"
@@ -27,13 +32,6 @@
 	return options
 }
 
-// leavingState describes a server that is marked as leaving.
-type leavingState struct {
-	since time.Time
-	// rerouteDue is set once streams are to be rerouted.
-	rerouteDue bool
-}
-
 // fleet is an entry's view of the backend servers and their load. It is safe
 // for concurrent use.
 type fleet struct {
@@ -52,43 +50,24 @@
 	// linkMeters measure the bytes that this entry's requests send over links
 	// between zones.
 	linkMeters map[string]*rateMeter
-	// failedAt are the servers whose latest connection failed, with the time.
-	failedAt map[string]time.Time
 	// recent is the work sent to engines and over links a moment ago, by server or
 	// link ID.
 	recent map[string]*recentWork
-	// lost are the engines that were found not to work.
-	lost map[string]*lostEngine
-	// leaving are the servers that are marked as leaving.
-	leaving map[string]leavingState
-	// avoided are engines that refused a stage of a path, with the time until which
-	// they are avoided.
-	avoided map[string]time.Time
-	// suspectedAt are the engines named as the cause of a refusal although they
-	// should have free capacity, with the time of the refusal. suspects are those of
-	// them that do not respond, with the time at which that was found.
-	suspectedAt, suspects map[string]time.Time
-	// pausedUntil are the servers that have asked for a pause, with its end.
-	pausedUntil map[string]time.Time
-	// dead are the suspects of all entries, with the time until which they count.
-	dead map[string]time.Time
-	// limits are the rate limits that servers state, of which limitShare is this
-	// entry's part.
-	limits     *ratelimit.Limits
+	// conditions are what speaks against sending work to servers. limitShare is this
+	// entry's part of the rate limits among them.
+	conditions *condition.Book
 	limitShare ratelimit.Share
-	// changes counts changes of lost and leaving, so that streams need not check
-	// them at each event.
+	// changes counts the engines that were lost or that streams must leave, so that
+	// streams need not check them at each event.
 	changes atomic.Int64
 }
 
 func newFleet(random *rand.Rand) *fleet {
 	return &fleet{
-		startedAt: time.Now(), recent: map[string]*recentWork{}, failedAt: map[string]time.Time{},
+		startedAt: time.Now(), recent: map[string]*recentWork{}, conditions: condition.New(),
 		membership: membership.New(membershipOptions()), servers: map[string]Server{}, local: map[string]*usage{},
 		slowdowns: map[string]float64{}, random: random, peers: newPeerUsage(),
-		linkMeters: map[string]*rateMeter{}, lost: map[string]*lostEngine{}, leaving: map[string]leavingState{}, avoided: map[string]time.Time{}, suspects: map[string]time.Time{},
-		suspectedAt: map[string]time.Time{}, dead: map[string]time.Time{}, pausedUntil: map[string]time.Time{},
-		limits: ratelimit.New(),
+		linkMeters: map[string]*rateMeter{},
 	}
 }
 
@@ -101,11 +80,6 @@
 		list = append(list, s.Instance)
 		f.observeRecord(now, f.servers[id], s)
 	}
-	for id := range f.servers {
-		if _, known := servers[id]; !known {
-			f.limits.Forget(id)
-		}
-	}
 	f.membership.ObserveList(now, list)
 	f.servers = servers
 	f.byAddr = make(map[string]string, len(servers))
@@ -116,92 +90,40 @@
 			f.byAddr[s.Address] = id
 		}
 	}
-	f.updateLeaving(now)
-	for id := range f.lost {
-		if _, known := servers[id]; !known {
-			delete(f.lost, id)
-		}
-	}
+	f.conditions.Keep(func(id string) bool { return servers[id].ID != "" })
+	f.changes.Add(int64(f.conditions.UpdateLeaving(now)))
 	for id, r := range f.recent {
 		if now.Sub(r.updatedAt) > recentWorkExpiry {
 			delete(f.recent, id)
 		}
 	}
-	for id, until := range f.pausedUntil {
-		if _, known := servers[id]; !known || now.After(until) {
-			delete(f.pausedUntil, id)
-		}
-	}
-	for id := range f.suspectedAt {
-		if _, known := servers[id]; !known {
-			delete(f.suspectedAt, id)
-			delete(f.dead, id)
-		}
-	}
 }
 
-// maxReturnWait is how long a lost engine is expected to return. One that is
-// silent for longer has terminated; its replacement has a new record.
-const maxReturnWait = 6 * time.Second
-
 // hasRecentlyLost reports whether some lost engine may still return.
 func (f *fleet) hasRecentlyLost(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, l := range f.lost {
-		if now.Sub(l.since) < maxReturnWait {
-			return true
-		}
-	}
-	return false
-}
-
-// leavingGrace is how long streams stay on an engine that is leaving. Most of
-// them end within it, and the engine keeps serving for longer.
-const leavingGrace = 1200 * time.Millisecond
-
-func (f *fleet) updateLeaving(now time.Time) {
-	for id, state := range f.leaving {
-		switch {
-		case f.servers[id].ID == "":
-			delete(f.leaving, id)
-		case !state.rerouteDue && now.Sub(state.since) >= leavingGrace:
-			state.rerouteDue = true
-			f.leaving[id] = state
-			f.changes.Add(1)
-		}
-	}
+	return f.conditions.AnyMayReturn(now)
 }
 
-// staleRecordWindow is how long after the loss of an engine its records may
-// still date from before it: they are written about every second and read a
-// little later.
-const staleRecordWindow = 1800 * time.Millisecond
-
 // observeRecord evaluates the changes in a server's record.
 func (f *fleet) observeRecord(now time.Time, old, s Server) {
-	if _, marked := f.leaving[s.ID]; s.Leaving && !marked {
-		f.leaving[s.ID] = leavingState{since: now}
+	restarted := old.ID != "" && s.StartTimeMillis != old.StartTimeMillis
+	if restarted {
+		delete(f.slowdowns, s.ID)
+		f.conditions.Forget(s.ID)
+		f.membership.Observe(now, s.ID, membership.Restarted)
+	}
+	if s.Leaving {
+		f.conditions.MarkLeaving(now, s.ID)
 	}
 	if s.StartTimeMillis == old.StartTimeMillis && droppedLayers(old, s) {
 		f.changes.Add(1)
 	}
-	switch {
-	case old.ID == "":
-	case s.StartTimeMillis != old.StartTimeMillis:
-		delete(f.slowdowns, s.ID)
-		delete(f.lost, s.ID)
-		delete(f.pausedUntil, s.ID)
-		f.limits.Forget(s.ID)
-		if !s.Leaving {
-			delete(f.leaving, s.ID)
-		}
-		f.membership.Observe(now, s.ID, membership.Restarted)
-	case s.HeartbeatCount != old.HeartbeatCount:
-		if l := f.lost[s.ID]; l != nil && now.Sub(l.since) < staleRecordWindow {
-			return
-		}
-		delete(f.lost, s.ID)
+	if old.ID == "" || restarted || s.HeartbeatCount == old.HeartbeatCount {
+		return
+	}
+	if f.conditions.ObserveHeartbeat(now, s.ID) {
 		f.membership.Observe(now, s.ID, membership.Heartbeat)
 	}
 }
@@ -212,10 +134,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.membership.Observe(now, id, membership.HeartbeatTimeout)
-	if f.lost[id] != nil {
+	if !f.conditions.MarkLost(now, id) {
 		return false
 	}
-	f.lost[id] = &lostEngine{since: now, probeAt: now.Add(firstReturnProbe)}
 	f.changes.Add(1)
 	return true
 }
@@ -226,7 +147,7 @@
 	defer f.mu.Unlock()
 	f.membership.Observe(now, id, e)
 	if e == membership.ConnectionRefused || e == membership.ConnectionLost {
-		f.failedAt[id] = now
+		f.conditions.MarkFailed(now, id)
 	}
 }
 
@@ -234,11 +155,7 @@
 func (f *fleet) lostFor(now time.Time, id string) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	l := f.lost[id]
-	if l == nil {
-		return 0
-	}
-	return now.Sub(l.since)
+	return f.conditions.LostFor(now, id)
 }
 
 // droppedLayers reports whether an engine no longer holds some of its layers.
@@ -259,9 +176,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, h := range hops {
-		if f.lost[h.Engine] != nil {
+		if f.conditions.IsLost(h.Engine) {
 			lost = append(lost, h.Engine)
-		} else if f.leaving[h.Engine].rerouteDue || !f.stillHolds(h) {
+		} else if f.conditions.MustLeave(h.Engine) || !f.stillHolds(h) {
 			leaving = append(leaving, h.Engine)
 		}
 	}
@@ -361,10 +278,10 @@
 	bestLoad, found := 0.0, false
 	for _, c := range f.membership.Candidates(now, service) {
 		s, known := f.servers[c.ID]
-		if !known || avoid[c.ID] || now.Before(f.pausedUntil[c.ID]) {
+		if !known || avoid[c.ID] || f.conditions.Against(now, c.ID, condition.Call) != condition.None {
 			continue
 		}
-		wait := f.limits.Wait(now, c.ID)
+		wait := f.conditions.Limits.Wait(now, c.ID)
 		if wait > maxWait {
 			continue
 		}
@@ -376,11 +293,47 @@
 	if !found {
 		return chosenServer{}, false
 	}
-	f.limits.Charge(now, best.ID)
+	f.conditions.Limits.Charge(now, best.ID)
 	best.reserved = f.reserve(map[string]usage{best.ID: {requests: 1}})
 	return best, true
 }
 
+// explainUnavailable says, for the log, why no server of a service takes a request.
+func (f *fleet) explainUnavailable(now time.Time, service string, avoid map[string]bool) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	reasons := map[string]int{}
+	for id, s := range f.servers {
+		if s.Service == service {
+			reasons[f.unavailableBecause(now, id, avoid)]++
+		}
+	}
+	if len(reasons) == 0 {
+		return "no server of the service is known"
+	}
+	var parts []string
+	for _, reason := range slices.Sorted(maps.Keys(reasons)) {
+		parts = append(parts, strconv.Itoa(reasons[reason])+" because "+reason)
+	}
+	return strings.Join(parts, "; ")
+}
+
+func (f *fleet) unavailableBecause(now time.Time, id string, avoid map[string]bool) string {
+	against := f.conditions.Against(now, id, condition.Call)
+	switch {
+	case avoid[id]:
+		return "it has failed this request"
+	case against != condition.None:
+		return string(against)
+	case f.conditions.IsLeaving(id):
+		return "it is leaving"
+	case f.conditions.Limits.Wait(now, id) > 0:
+		return "its rate limit leaves no room"
+	default:
+		return "it is left out after failures"
+	}
+}
+
 // chosenServer is a server to which a request is to be sent after a wait.
 type chosenServer struct {
 	Server
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/sapphirefield/sapphirefield/condition"
 	"github.com/sapphirefield/sapphirefield/membership"
 	"github.com/sapphirefield/sapphirefield/pipeline"
 	"github.com/sapphirefield/sapphirefield/placement"
@@ -48,7 +50,7 @@
 	assert.Assert(t, !f.hasRecentlyLost(now))
 	f.markLost(now, "x")
 	assert.Assert(t, f.hasRecentlyLost(now.Add(time.Second)))
-	assert.Assert(t, !f.hasRecentlyLost(now.Add(maxReturnWait)))
+	assert.Assert(t, !f.hasRecentlyLost(now.Add(condition.MaxReturnWait)))
 }
 
 // Guards against links that look fuller than they are after a loss, when many
@@ -82,3 +84,26 @@
 	assert.NilError(t, err)
 	assert.Equal(t, e.fleet.linkRate(now, link), sent)
 }
+
+// Guards against a refusal whose cause nobody can find in the logs.
+func TestRefusalNamesWhatSpeaksAgainstServers(t *testing.T) {
+	f := newFleet(rand.New(rand.NewPCG(1, 2)))
+	now := time.Now()
+	servers := map[string]Server{}
+	for _, id := range []string{"paused", "limited", "leaving", "failed", "avoided", "free"} {
+		servers[id] = testServer(id, 0, 0)
+	}
+	f.setServers(now, servers)
+	f.pauseServer(now, "paused", time.Minute)
+	f.observeRateLimit(now, "limited", now, 0.2)
+	f.chargeSlot(now, "limited")
+	f.markLeaving(now, "leaving")
+	f.observe(now, "failed", membership.ConnectionLost)
+	got := f.explainUnavailable(now, "model", map[string]bool{"avoided": true})
+	for _, want := range []string{
+		"1 because it has asked for a pause", "1 because its rate limit leaves no room", "1 because it is leaving", "1 because it has failed this request", "2 because it is left out",
+	} {
+		assert.Assert(t, strings.Contains(got, want), "%s: %s", want, got)
+	}
+	assert.Equal(t, f.explainUnavailable(now, "other", nil), "no server of the service is known")
+}
--- a/relay/poll_test.go
+++ b/relay/poll_test.go
@@ -45,6 +45,12 @@
 		e.fleet.setServers(time.Now(), servers)
 		p := &placer{Entry: e, lease: lease.New("e", lease.DefaultOptions())}
 		p.pollEngines(t.Context())
-		assert.Equal(t, len(e.fleet.lost), lost, "%d of 8 engines unresponsive", unresponsive)
+		found := 0
+		for id := range servers {
+			if e.fleet.conditions.IsLost(id) {
+				found++
+			}
+		}
+		assert.Equal(t, found, lost, "%d of 8 engines unresponsive", unresponsive)
 	}
 }
--- a/relay/ratelimits.go
+++ b/relay/ratelimits.go
@@ -61,7 +61,7 @@
 func (f *fleet) setLimitShare(now time.Time, s ratelimit.Share) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.limits.SetShare(now, s)
+	f.conditions.Limits.SetShare(now, s)
 	f.limitShare = s
 }
 
@@ -69,10 +69,10 @@
 func (f *fleet) observeRateLimit(now time.Time, id string, sentAt time.Time, rate float64) (ratelimit.Change, float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if _, known := f.servers[id]; !known || rate == 0 && !f.limits.Limited(id) {
+	if _, known := f.servers[id]; !known || rate == 0 && !f.conditions.Limits.Limited(id) {
 		return ratelimit.Unchanged, 0
 	}
-	return f.limits.ObserveAnswer(now, id, f.processHash(id), sentAt, rate), rate / float64(max(f.limitShare.Entries, 1))
+	return f.conditions.Limits.ObserveAnswer(now, id, f.processHash(id), sentAt, rate), rate / float64(max(f.limitShare.Entries, 1))
 }
 
 // applyPeerLimit returns the server of a report and what has changed.
@@ -81,7 +81,7 @@
 	defer f.mu.Unlock()
 	for id := range f.servers {
 		if f.processHash(id) == r.Process {
-			return id, f.limits.ObserveReport(now, id, r), r.Rate / float64(max(f.limitShare.Entries, 1))
+			return id, f.conditions.Limits.ObserveReport(now, id, r), r.Rate / float64(max(f.limitShare.Entries, 1))
 		}
 	}
 	return "", ratelimit.Unchanged, 0
@@ -96,14 +96,14 @@
 func (f *fleet) limitReports(now time.Time) []ratelimit.Report {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.limits.Reports(now)
+	return f.conditions.Limits.Reports(now)
 }
 
 // isLimited reports whether a server states a rate limit.
 func (f *fleet) isLimited(id string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.limits.Limited(id)
+	return f.conditions.Limits.Limited(id)
 }
 
 // takeSlot uses a slot at a server if it states a rate limit, and reports whether a
@@ -111,7 +111,7 @@
 func (f *fleet) takeSlot(now time.Time, id string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	_, ok := f.limits.Take(now, id, 0)
+	_, ok := f.conditions.Limits.Take(now, id, 0)
 	return ok
 }
 
@@ -119,7 +119,7 @@
 func (f *fleet) chargeSlot(now time.Time, id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.limits.Charge(now, id)
+	f.conditions.Limits.Charge(now, id)
 }
 
 // limitWait returns the time until some server of a service with a rate limit takes
@@ -127,14 +127,14 @@
 func (f *fleet) limitWait(now time.Time, service string) (wait time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.limits.Servers() == 0 {
+	if f.conditions.Limits.Servers() == 0 {
 		return 0
 	}
 	for id, s := range f.servers {
-		if s.Service != service || !f.limits.Limited(id) {
+		if s.Service != service || !f.conditions.Limits.Limited(id) {
 			continue
 		}
-		if w := f.limits.Wait(now, id); wait == 0 || w < wait {
+		if w := f.conditions.Limits.Wait(now, id); wait == 0 || w < wait {
 			wait = w
 		}
 	}
--- a/relay/refusals.go
+++ b/relay/refusals.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sapphirefield/sapphirefield/condition"
 	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/membership"
 	"github.com/sapphirefield/sapphirefield/retry"
@@ -41,19 +42,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.membership.Observe(now, id, membership.Draining)
-	if _, marked := f.leaving[id]; marked {
-		return false
-	}
-	f.leaving[id] = leavingState{since: now}
-	return true
+	return f.conditions.MarkLeaving(now, id)
 }
 
 // isLeaving reports whether a server is about to stop.
 func (f *fleet) isLeaving(id string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	_, leaving := f.leaving[id]
-	return leaving
+	return f.conditions.IsLeaving(id)
 }
 
 // pauseServer keeps everything from a server for a time and a random part of it.
@@ -65,16 +61,14 @@
 	defer f.mu.Unlock()
 	spread := min(time.Duration(pauseSpread*float64(pause)), maxPauseSpread)
 	until := now.Add(pause + time.Duration(f.random.Float64()*float64(spread)))
-	if until.After(f.pausedUntil[id]) {
-		f.pausedUntil[id] = until
-	}
+	f.conditions.Pause(id, until)
 }
 
 // isPaused reports whether a server has asked to be left alone.
 func (f *fleet) isPaused(now time.Time, id string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return now.Before(f.pausedUntil[id])
+	return f.conditions.Against(now, id, condition.Control) == condition.Paused
 }
 
 // pauseLeft returns the time until the first paused server of a service returns, or 0
@@ -82,9 +76,11 @@
 func (f *fleet) pauseLeft(now time.Time, service string) (left time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for id, until := range f.pausedUntil {
-		d := until.Sub(now)
-		if f.servers[id].Service == service && d > 0 && (left == 0 || d < left) {
+	for id, s := range f.servers {
+		if s.Service != service {
+			continue
+		}
+		if d := f.conditions.PausedUntil(id).Sub(now); d > 0 && (left == 0 || d < left) {
 			left = d
 		}
 	}
--- a/relay/refusals_test.go
+++ b/relay/refusals_test.go
@@ -72,7 +72,7 @@
 		e.fleet.pauseServer(now, id, 4*time.Second)
 		assert.Assert(t, e.fleet.isPaused(now.Add(4*time.Second-1), id))
 		assert.Assert(t, !e.fleet.isPaused(now.Add(5*time.Second), id))
-		ends[e.fleet.pausedUntil[id]] = true
+		ends[e.fleet.conditions.PausedUntil(id)] = true
 	}
 	assert.Assert(t, len(ends) > 15)
 	// A later, shorter pause does not shorten the first one.
--- a/relay/returns.go
+++ b/relay/returns.go
@@ -9,36 +9,20 @@
 )
 
 const (
-	// firstReturnProbe is how long after its loss an engine is first asked whether it
-	// works. The time doubles with each probe, up to maxReturnProbe.
-	firstReturnProbe = 500 * time.Millisecond
-	maxReturnProbe   = 8 * time.Second
 	// returnCheckInterval is how often lost engines are looked for.
 	returnCheckInterval = 250 * time.Millisecond
 	// returnProbeTimeout bounds a probe.
 	returnProbeTimeout = 300 * time.Millisecond
 )
 
-// lostEngine is an engine that was found not to work. Its record in the store may
-// stay as it is when it works again, so that it is asked itself.
-type lostEngine struct {
-	// since is when the loss was found.
-	since time.Time
-	// probeAt is the time of the next probe.
-	probeAt time.Time
-}
-
 // dueReturnProbes returns the lost engines that are to be asked now.
 func (f *fleet) dueReturnProbes(now time.Time) (due []Server) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for id, l := range f.lost {
-		server, known := f.servers[id]
-		if !known || now.Before(l.probeAt) {
-			continue
+	for _, id := range f.conditions.DueProbes(now) {
+		if server, known := f.servers[id]; known {
+			due = append(due, server)
 		}
-		l.probeAt = now.Add(min(max(now.Sub(l.since), firstReturnProbe), maxReturnProbe))
-		due = append(due, server)
 	}
 	return due
 }
@@ -48,32 +32,19 @@
 func (f *fleet) markReturned(now time.Time, id string, startTimeMillis int64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.lost[id] == nil || f.servers[id].StartTimeMillis != startTimeMillis {
+	if f.servers[id].StartTimeMillis != startTimeMillis || !f.conditions.MarkWorking(id) {
 		return false
 	}
-	delete(f.lost, id)
 	f.membership.Observe(now, id, membership.Heartbeat)
 	return true
 }
 
-// retryFailedAfter is how long after a failed connection a server of a non-pipeline
-// service is taken back. The membership then leaves it out for a time that grows
-// with each failure.
-const retryFailedAfter = 250 * time.Millisecond
-
-// retryFailed takes servers back whose connections have failed. Nothing else shows
-// that they work: their records need not change, and they get no requests.
+// retryFailed takes servers back whose connections have failed.
 func (f *fleet) retryFailed(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for id, at := range f.failedAt {
-		if now.Sub(at) < retryFailedAfter {
-			continue
-		}
-		delete(f.failedAt, id)
-		if f.lost[id] == nil {
-			f.membership.Observe(now, id, membership.Heartbeat)
-		}
+	for _, id := range f.conditions.TakeBack(now) {
+		f.membership.Observe(now, id, membership.Heartbeat)
 	}
 }
 
--- a/relay/returns_test.go
+++ b/relay/returns_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/sapphirefield/sapphirefield/bootclock"
+	"github.com/sapphirefield/sapphirefield/condition"
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/membership"
 	"github.com/sapphirefield/sapphirefield/pipeline"
@@ -35,7 +36,7 @@
 	e.fleet.setServers(now, map[string]Server{"x": testServer("x", 0, 8)})
 	e.fleet.markLost(now, "x")
 	assert.Equal(t, len(e.fleet.dueReturnProbes(now)), 0)
-	due := e.fleet.dueReturnProbes(now.Add(firstReturnProbe))
+	due := e.fleet.dueReturnProbes(now.Add(condition.FirstReturnProbe))
 	assert.Equal(t, len(due), 1)
 
 	// After a restart, the engine holds nothing; only its record shows what it loads.
@@ -73,10 +74,10 @@
 	f.setServers(now, servers)
 	f.observe(now, "x", membership.ConnectionLost)
 	assert.Equal(t, len(f.membership.Candidates(now.Add(time.Minute), "model")), 2)
-	f.retryFailed(now.Add(retryFailedAfter - 1))
+	f.retryFailed(now.Add(condition.RetryFailedAfter - 1))
 	assert.Equal(t, len(f.membership.Candidates(now.Add(time.Minute), "model")), 2)
-	f.retryFailed(now.Add(retryFailedAfter))
-	assert.Equal(t, len(f.membership.Candidates(now.Add(retryFailedAfter), "model")), 2)
+	f.retryFailed(now.Add(condition.RetryFailedAfter))
+	assert.Equal(t, len(f.membership.Candidates(now.Add(condition.RetryFailedAfter), "model")), 2)
 	assert.Equal(t, len(f.membership.Candidates(now.Add(time.Minute), "model")), 3)
 }
 
--- a/relay/suspects.go
+++ b/relay/suspects.go
@@ -7,14 +7,11 @@
 	"github.com/sapphirefield/sapphirefield/pipeline"
 )
 
-// avoidDuration is how long an engine is avoided after it refused a stage: it
-// either holds other layers than its record says or has run out of memory.
-const avoidDuration = 400 * time.Millisecond
-
+// avoidEngine keeps stages from an engine that refused one.
 func (f *fleet) avoidEngine(now time.Time, id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.avoided[id] = now.Add(avoidDuration)
+	f.conditions.Avoid(now, id)
 }
 
 // markSuspect records that a refusal named an engine as its cause, and reports
@@ -23,15 +20,11 @@
 func (f *fleet) markSuspect(now time.Time, id string, capacity float64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.avoided[id] = now.Add(avoidDuration)
+	f.conditions.Avoid(now, id)
 	if now.Sub(f.startedAt) < settleTime || f.inProgress(now, id).layerTokens > nearlyFullFraction*capacity {
 		return false
 	}
-	if at, known := f.suspectedAt[id]; known && now.Sub(at) < avoidDuration {
-		return false
-	}
-	f.suspectedAt[id] = now
-	return true
+	return f.conditions.Name(now, id)
 }
 
 // confirmSuspect records that a suspect does not respond, which the other entries
@@ -39,8 +32,7 @@
 func (f *fleet) confirmSuspect(now time.Time, id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.suspects[id] = now
-	f.dead[id] = now.Add(avoidDuration)
+	f.conditions.MarkSilent(now, id)
 }
 
 // settleTime is how long after its start an entry does not take a refusal or a
@@ -56,11 +48,7 @@
 func (f *fleet) suspectHashes(now time.Time) (hashes []uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for id, at := range f.suspects {
-		if now.Sub(at) > avoidDuration {
-			delete(f.suspects, id)
-			continue
-		}
+	for _, id := range f.conditions.Silent(now) {
 		hashes = append(hashes, serverHash(id))
 	}
 	return hashes
@@ -75,8 +63,7 @@
 	defer f.mu.Unlock()
 	for id := range f.servers {
 		if slices.Contains(hashes, serverHash(id)) {
-			f.avoided[id] = now.Add(avoidDuration)
-			f.dead[id] = now.Add(avoidDuration)
+			f.conditions.MarkSilentElsewhere(now, id)
 		}
 	}
 }
@@ -86,7 +73,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, h := range hops[1:] {
-		if now.Before(f.dead[h.Engine]) {
+		if f.conditions.IsDead(now, h.Engine) {
 			ids = append(ids, h.Engine)
 		}
 	}
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -101,6 +101,7 @@
 // have failed, have asked for a pause or state a rate limit that leaves no room.
 func (q *request) refuseWithoutServer() {
 	now := time.Now()
+	q.cause = q.fleet.explainUnavailable(now, q.target, q.avoid)
 	after, detail := max(noServerRetryAfter, q.fleet.pauseLeft(now, q.target)), "no server is available"
 	if wait := q.fleet.limitWait(now, q.target); wait > 0 {
 		// Clients that are refused at the same time must not return together.
