relay: servers are found by service and by process

Cause, by reading: each refusal of a unary request went through all servers up to four times, and each report of a rate limit hashed all of them; at the target of 3,100 engines and 400 entries that is seconds of processor time for each second. Change: two indexes, made when the list of servers changes, the second one only once a message needs it.

--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -39,8 +39,11 @@
 	startedAt  time.Time
 	membership *membership.View
 	servers    map[string]Server
-	// byAddr maps addresses to server IDs.
-	byAddr map[string]string
+	// byAddr maps addresses to server IDs, byService services to the IDs of their servers.
+	byAddr    map[string]string
+	byService map[string][]string
+	// byProcess maps process hashes to server IDs. It is made when a message needs it.
+	byProcess map[uint64]string
 	// local is the load of this entry's own requests, by server ID.
 	local map[string]*usage
 	// slowdowns are the ones that this entry measured with its own polls.
@@ -85,7 +88,10 @@
 	f.membership.ObserveList(now, list)
 	f.servers = servers
 	f.byAddr = make(map[string]string, len(servers))
+	f.byProcess = nil
+	f.byService = map[string][]string{}
 	for id, s := range servers {
+		f.byService[s.Service] = append(f.byService[s.Service], id)
 		// An address may be reused while the record of its previous server still
 		// exists.
 		if other, exists := f.byAddr[s.Address]; !exists || servers[other].StartTimeMillis < s.StartTimeMillis {
@@ -306,10 +312,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	reasons := map[string]int{}
-	for id, s := range f.servers {
-		if s.Service == service {
-			reasons[f.unavailableBecause(now, id, avoid)]++
-		}
+	for _, id := range f.byService[service] {
+		reasons[f.unavailableBecause(now, id, avoid)]++
 	}
 	if len(reasons) == 0 {
 		return "no server of the service is known"
--- a/relay/ratelimits.go
+++ b/relay/ratelimits.go
@@ -79,12 +79,17 @@
 func (f *fleet) applyPeerLimit(now time.Time, r ratelimit.Report) (id string, change ratelimit.Change, share float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for id := range f.servers {
-		if f.processHash(id) == r.Process {
-			return id, f.conditions.Limits.ObserveReport(now, id, r), r.Rate / float64(max(f.limitShare.Entries, 1))
+	if f.byProcess == nil {
+		f.byProcess = make(map[uint64]string, len(f.servers))
+		for id := range f.servers {
+			f.byProcess[f.processHash(id)] = id
 		}
 	}
-	return "", ratelimit.Unchanged, 0
+	id, known := f.byProcess[r.Process]
+	if !known {
+		return "", ratelimit.Unchanged, 0
+	}
+	return id, f.conditions.Limits.ObserveReport(now, id, r), r.Rate / float64(max(f.limitShare.Entries, 1))
 }
 
 // processHash identifies the current process of a server for the other entries.
@@ -110,8 +115,8 @@
 	if f.conditions.Limits.Servers() == 0 {
 		return
 	}
-	for id, s := range f.servers {
-		if s.Service == service && f.conditions.Limits.Wait(now, id) > 0 {
+	for _, id := range f.byService[service] {
+		if f.conditions.Limits.Wait(now, id) > 0 {
 			f.conditions.Limits.Want(now, id)
 		}
 	}
@@ -179,8 +184,8 @@
 	if f.conditions.Limits.Servers() == 0 {
 		return 0
 	}
-	for id, s := range f.servers {
-		if s.Service != service || !f.conditions.Limits.Limited(id) {
+	for _, id := range f.byService[service] {
+		if !f.conditions.Limits.Limited(id) {
 			continue
 		}
 		if w := f.conditions.Limits.Wait(now, id); wait == 0 || w < wait {
--- a/relay/refusals.go
+++ b/relay/refusals.go
@@ -76,10 +76,7 @@
 func (f *fleet) pauseLeft(now time.Time, service string) (left time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for id, s := range f.servers {
-		if s.Service != service {
-			continue
-		}
+	for _, id := range f.byService[service] {
 		if d := f.conditions.PausedUntil(id).Sub(now); d > 0 && (left == 0 || d < left) {
 			left = d
 		}
