relay: the loss of later engines blames no part of prompts

Cause, by reading: a stream suspected all unknown parts of its prompt of each lost engine of its path. When several engines are lost at once, right after a start, a part that all prompts share has three crashes under one stream, and all requests are refused until the first probe. Change: only the request itself is suspected, once in each attempt. TestLossOfManyEnginesBlocksNoSharedPart: the first stream's part is blocked before, none now.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -54,8 +54,8 @@
 	// progressSince is when the first event of this attempt arrived. soundAt is when
 	// its prompt parts were last recorded as sound.
 	progressSince, soundAt time.Time
-	// reported are the lost engines of the path of which the request is suspected.
-	reported map[crashedEngine]bool
+	// lossReported is set once the request is suspected of the loss of a later engine.
+	lossReported bool
 }
 
 // tryPath sends the request along a path and forwards its events.
@@ -120,24 +120,22 @@
 	}
 }
 
-// reportLostStages suspects the request of the loss of engines of its path after the
-// first, if that came before the answer had gone on for long. Only the first engine
-// breaks the stream off when it crashes.
+// reportLostStages suspects the request of the loss of an engine of its path after the
+// first, if that came before the answer had gone on for long: such an engine does not
+// break the stream off when it crashes. Only the request itself is suspected, and of one
+// loss in each attempt. When many engines are lost for another reason, parts that all
+// prompts share would otherwise be blamed for all of them.
 func (a *attempt) reportLostStages(lost []string) {
-	if !a.soundAt.IsZero() {
+	if a.lossReported || !a.soundAt.IsZero() {
 		return
 	}
-	servers := a.fleet.snapshot()
 	for _, id := range lost {
-		crash := crashedEngine{id, servers[id].StartTimeMillis}
-		if id == a.head.id || a.reported[crash] {
-			continue
+		if id != a.head.id {
+			a.lossReported = true
+			crash := crashedEngine{id, a.fleet.snapshot()[id].StartTimeMillis}
+			a.crashes.recordCrash(time.Now(), a.info.ID, crash, []string{a.content()})
+			return
 		}
-		if a.reported == nil {
-			a.reported = map[crashedEngine]bool{}
-		}
-		a.reported[crash] = true
-		a.crashes.recordCrash(time.Now(), a.info.ID, crash, a.suspectParts())
 	}
 }
 
--- a/relay/crashes_test.go
+++ b/relay/crashes_test.go
@@ -164,6 +164,35 @@
 	assert.Assert(t, other.blocked() == nil)
 }
 
+// Guards against a part of all prompts that is blocked, and with it all requests, because
+// many engines are lost at once while streams begin.
+func TestLossOfManyEnginesBlocksNoSharedPart(t *testing.T) {
+	now := time.Now()
+	e := newTestEntry(t, streamRoute(true))
+	servers, hops, lost := map[string]Server{"head": testServer("head", 0, 1)}, []pipeline.Hop{{Engine: "head", First: 0, Limit: 1}}, []string{}
+	for i := 1; i < 8; i++ {
+		id := fmt.Sprint("stage", i)
+		servers[id] = testServer(id, i, i+1)
+		hops, lost = append(hops, pipeline.Hop{Engine: id, First: i, Limit: i + 1}), append(lost, id)
+	}
+	e.fleet.setServers(now, servers)
+	for _, id := range lost {
+		e.fleet.markLost(now, id)
+	}
+	for i := range 20 {
+		r := e.newRequest(t.Context(), t, http.MethodPost, nil)
+		route := streamRoute(true)
+		q := &request{
+			Entry: e.Entry, r: r, body: []byte(fmt.Sprint("order ", i)), avoid: map[string]bool{}, revision: e.current.Load(), route: &route, target: "llm",
+			info: RequestInfo{PromptParts: []string{"shared"}},
+		}
+		a := &attempt{streamRequest: &streamRequest{request: q}, head: crashedEngine{"head", 1}, seenChanges: -1, hops: hops}
+		assert.ErrorIs(t, a.checkPath(t.Context()), errPathLost)
+		e.crashes.decide(now.Add(time.Second))
+		assert.Assert(t, q.blocked() == nil)
+	}
+}
+
 // Guards against a request that is blocked because its answers were lost or its
 // connections reset while the servers worked.
 func TestLostAnswersAreNoCrashes(t *testing.T) {
