entry: a ready entry has the servers that it is connected to

Cause: a connection counted for Ready as soon as it was made; the routing and the capacity for admission are updated a moment later, on the goroutine of the connection. A call in between got "503 no_backend, no backend server is available".

Ruled out: the drain (the request had the number 1 and nothing was draining); a capacity of 0 from load reports (a print of the peers showed all of them unconnected at the last update before the refusal).

Change: Ready updates the routing if it lacks a connection. The demo waits for Ready too.

Test: TestReadyEntryHasServers asks in the moment between the two. It fails without the call in Ready: "refused: no_backend".

Conclusion: mended.

--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -314,10 +314,10 @@
 func (c *Cluster) waitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	for c.Entry.UsableSidecars() < len(c.Nodes) {
+	for c.Entry.UsableSidecars() < len(c.Nodes) || !c.Entry.Ready() {
 		select {
 		case <-ctx.Done():
-			return errors.Errorf("only %d of %d sidecars became usable in time", c.Entry.UsableSidecars(), len(c.Nodes))
+			return errors.Errorf("%d of %d sidecars became usable in time, and the entry is ready: %t", c.Entry.UsableSidecars(), len(c.Nodes), c.Entry.Ready())
 		case <-time.After(readyPoll):
 		}
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -221,9 +221,14 @@
 }
 
 // Ready reports whether the server has a configuration, has tried to connect to
-// every sidecar, is connected to at least one and is not draining.
+// every sidecar, is connected to at least one and is not draining. Requests that come
+// once it has returned true find the servers that were connected.
 func (s *Server) Ready() bool {
-	return s.opts.Config() != nil && !s.Draining() && s.peers.triedAll() && s.peers.countConnected() > 0
+	if s.opts.Config() == nil || s.Draining() || !s.peers.triedAll() || s.peers.countConnected() == 0 {
+		return false
+	}
+	s.finishRouting()
+	return true
 }
 
 // serverMetrics holds the metrics of a Server.
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -235,6 +235,7 @@
 	p.hello = hello
 	p.queue = queue
 	p.load = &wire.Load{Draining: hello.Draining, EngineUp: true}
+	p.server.peers.connections.Add(1)
 	for key, ex := range p.pending {
 		kind := peerReconnected
 		if ex.incarnation != hello.Incarnation {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -22,6 +22,9 @@
 	routingUpdateMu sync.Mutex
 	// routingUpdateScheduled is set while a delayed routing update is pending.
 	routingUpdateScheduled atomic.Bool
+	// connections counts the connections that were made, and routedConnections those
+	// of them that the routing knows.
+	connections, routedConnections atomic.Int64
 
 	mu   sync.Mutex
 	byID map[string]*peer
@@ -339,6 +342,8 @@
 	if idx == nil {
 		return
 	}
+	connections := s.peers.connections.Load()
+	defer s.peers.routedConnections.Store(connections)
 	stages := s.usableStages(idx)
 	s.models.updateStages(idx.doc, stages)
 	for model, list := range stages {
@@ -346,3 +351,11 @@
 	}
 	s.updateCapacity(idx.doc, stages)
 }
+
+// finishRouting updates the routing if it lacks a connection. A request that came
+// before would be refused for want of a server.
+func (s *Server) finishRouting() {
+	if s.peers.routedConnections.Load() != s.peers.connections.Load() {
+		s.updateRouting()
+	}
+}
--- a/entry/peers_test.go
+++ b/entry/peers_test.go
@@ -3,8 +3,12 @@
 import (
 	"testing"
 
+	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 
+	"github.com/sapphirefield/sapphirefield/admission"
+	"github.com/sapphirefield/sapphirefield/attempt"
+	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/link"
 	"github.com/sapphirefield/sapphirefield/membership"
 	"github.com/sapphirefield/sapphirefield/wire"
@@ -42,3 +46,29 @@
 	assert.Equal(t, ps.countConnected(), 3)
 	assert.Equal(t, ps.countUsable(m), 2)
 }
+
+// Guards against an entry that reports itself ready between a connection and the update
+// of the routing that follows it: the first calls would be refused for want of a server.
+// The log line of a connection is written in that moment.
+func TestReadyEntryHasServers(t *testing.T) {
+	var s *Server
+	checked := false
+	doc := testDocument()
+	writer := log.WriterFunc(func(*log.Entry) (int, error) {
+		assert.Assert(t, s.Ready())
+		release, prob := s.admitter.acquire(t.Context(), servicePoolKey("orders"), admissionRequest(doc, &doc.Teams[0], "request", "", "orders"))
+		assert.Assert(t, prob == nil, "refused: %v", prob)
+		release(admission.Outcome{})
+		assert.Assert(t, s.peers.pick("orders", nil) != nil)
+		checked = true
+		return 0, nil
+	})
+	s = New(t.Context(), Options{
+		ID: "entry-0", Logger: &log.Logger{Writer: writer}, Config: func() *config.Document { return doc },
+	})
+	p := &peer{server: s, id: "orders-0", service: "orders", pending: make(map[attempt.Key]pendingExchange)}
+	s.peers.byID[p.id] = p
+	s.members.view.ObserveList(now(), []membership.Instance{{ID: p.id, Service: p.service}})
+	p.handleConnected(&wire.Hello{Service: "orders"}, link.NewQueue[*wire.WorkUp](1))
+	assert.Assert(t, checked)
+}
