ratelimit: a gift counts once, however many entries have restarted

Cause: an entry remembers the newest gift of each giver, so that a repeated message does not count twice. With more than 4,096 givers, those that have restarted included, it forgot all of them at once, gifts in progress too.

Change: a giver is forgotten once its gifts are over (the longest validity of a slot). If there is no room then, the gift is not accepted, which costs a slot and breaks no limit.

Test: TestGiftCountsOnceAmongManyGivers fails with the old way of forgetting ("a gift counted twice").

The long comment line of reportCrash is wrapped.

--- a/ratelimit/gift.go
+++ b/ratelimit/gift.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -110,13 +111,9 @@
 func (l *Limits) Accept(now time.Time, giver, self uint64, gifts []Gift) {
 	gifts = slices.SortedFunc(slices.Values(gifts), func(a, b Gift) int { return cmp.Compare(a.Number, b.Number) })
 	for _, g := range gifts {
-		if g.To != self || g.Number <= l.received[giver] {
+		if g.To != self || g.Number <= l.received[giver].number || !l.remember(now, giver, g.Number) {
 			continue
 		}
-		if l.received == nil || len(l.received) > maxGivers {
-			l.received = map[uint64]uint64{}
-		}
-		l.received[giver] = g.Number
 		for _, known := range l.servers {
 			if known.process == g.Process && g.Left > 0 {
 				known.granted = append(known.granted, now.Add(min(g.Left, known.slots.validity)))
@@ -125,8 +122,34 @@
 	}
 }
 
-// maxGivers bounds the givers that are remembered, those that have restarted included.
-const maxGivers = 4096
+const (
+	// maxGivers bounds the givers that are remembered, those that have restarted included.
+	maxGivers = 4096
+	// maxValidity is the longest validity of a slot.
+	maxValidity = heldTime + time.Duration(heldRequests/minRate*float64(time.Second))
+)
+
+// receipt is the newest gift from one giver.
+type receipt struct {
+	number uint64
+	at     time.Time
+}
+
+// remember records a gift, and returns false if there is no room for its giver. A giver
+// is forgotten only once its gifts are over, so that none counts twice.
+func (l *Limits) remember(now time.Time, giver, number uint64) bool {
+	if l.received == nil {
+		l.received = map[uint64]receipt{}
+	}
+	if _, known := l.received[giver]; !known && len(l.received) >= maxGivers {
+		maps.DeleteFunc(l.received, func(_ uint64, r receipt) bool { return now.Sub(r.at) > maxValidity })
+		if len(l.received) >= maxGivers {
+			return false
+		}
+	}
+	l.received[giver] = receipt{number, now}
+	return true
+}
 
 // takeGranted uses a slot that another entry has left, if there is one.
 func (k *limit) takeGranted(now time.Time) bool {
--- a/ratelimit/gift_test.go
+++ b/ratelimit/gift_test.go
@@ -109,3 +109,32 @@
 		f.check(t, rate)
 	})
 }
+
+// Guards against a gift that counts twice because so many entries have restarted since
+// that its giver was forgotten.
+func TestGiftCountsOnceAmongManyGivers(t *testing.T) {
+	l := New()
+	l.ObserveAnswer(epoch, "s", 1, epoch, 1)
+	for l.Wait(epoch, "s") == 0 {
+		l.Charge(epoch, "s")
+	}
+	gift := []Gift{{To: 1, Process: 1, Number: 1, Left: time.Second}}
+	now := epoch
+	for giver := range uint64(maxGivers + 2) {
+		l.Accept(now, giver, 1, gift)
+		now = now.Add(100 * time.Microsecond)
+	}
+	for {
+		if _, ok := l.Take(now, "s", 0); !ok {
+			break
+		}
+	}
+	for giver := range uint64(maxGivers + 2) {
+		l.Accept(now, giver, 1, gift)
+	}
+	_, ok := l.Take(now, "s", 0)
+	assert.Assert(t, !ok, "a gift counted twice")
+	now = now.Add(maxValidity + time.Second)
+	l.Accept(now, maxGivers+2, 1, gift)
+	assert.Equal(t, l.Wait(now, "s"), time.Duration(0), "no gift is accepted any more")
+}
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -89,7 +89,7 @@
 	// holds the newest number from each giver.
 	gifts    []outgoing
 	given    uint64
-	received map[uint64]uint64
+	received map[uint64]receipt
 }
 
 type limit struct {
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -106,7 +106,8 @@
 }
 
 // reportCrash records that a server has ended while it worked on the request, if the
-// error of the exchange and another connection show that. Another attempt may follow, so it waits until that is known.
+// error of the exchange and another connection show that. Another attempt may follow, so
+// it waits until that is known.
 func (q *request) reportCrash(ctx context.Context, server Server, err error) {
 	if !connectionEnded(err) || ctx.Err() != nil || !q.pool.hasCrashed(ctx, server.Address) || ctx.Err() != nil {
 		return
