--- a/relay/crashes_test.go
+++ b/relay/crashes_test.go
@@ -179,14 +179,18 @@
 	for _, id := range lost {
 		e.fleet.markLost(now, id)
 	}
-	for i := range 20 {
+	for i := range 40 {
 		r := e.newRequest(t.Context(), t, http.MethodPost, nil)
 		route := streamRoute(true)
+		path := hops
+		if i%2 == 1 { // each of these streams has lost another engine
+			path = []pipeline.Hop{hops[0], hops[1+i/2%len(lost)]}
+		}
 		q := &request{
 			Entry: e.Entry, r: r, body: []byte(fmt.Sprint("order ", i)), avoid: map[string]bool{}, revision: e.current.Load(), route: &route, target: "llm",
 			info: RequestInfo{PromptParts: []string{"shared"}},
 		}
-		a := &attempt{streamRequest: &streamRequest{request: q}, head: crashedEngine{"head", 1}, seenChanges: -1, hops: hops}
+		a := &attempt{streamRequest: &streamRequest{request: q}, head: crashedEngine{"head", 1}, seenChanges: -1, hops: path}
 		assert.ErrorIs(t, a.checkPath(t.Context()), errPathLost)
 		e.crashes.decide(now.Add(time.Second))
 		assert.Assert(t, q.blocked() == nil)
