--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -110,26 +110,28 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	return s.serve(ctx, listener, tlsConfig)
-}
-
-func (s *clientServer) serve(ctx context.Context, listener net.Listener, tlsConfig *tls.Config) error {
 	listener = s.tracker.wrapListener(listener)
 	s.listener.Store(&listener)
 	if tlsConfig != nil {
 		listener = tls.NewListener(listener, tlsConfig)
 	}
+	return serve(ctx, s.server, listener)
+}
+
+// serve serves on a listener until ctx ends.
+func serve(ctx context.Context, server *http.Server, listener net.Listener) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
-		if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		// A listener may be closed before the server.
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			return errors.WithStack(err)
 		}
 		return nil
 	})
 	group.Go(func() error {
 		<-ctx.Done()
-		shutdown(ctx, s.server)
-		return s.server.Close()
+		shutdown(ctx, server)
+		return server.Close()
 	})
 	return group.Wait()
 }
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -327,25 +327,9 @@
 	if tlsConfig != nil {
 		listener = tls.NewListener(listener, tlsConfig)
 	}
-	server := &http.Server{
+	return serve(ctx, &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxRequestHeaderBytes,
-	}
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return errors.WithStack(err)
-		}
-		return nil
-	})
-	group.Go(func() error {
-		<-ctx.Done()
-		// ctx has ended, so the last responses get a timeout of their own.
-		shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), serverShutdownTimeout)
-		defer cancel()
-		_ = server.Shutdown(shutdownCtx)
-		return server.Close()
-	})
-	return group.Wait()
+	}, listener)
 }
 
 // baseStatus returns the status fields that both roles report.
