relay, condition: engines that refuse stages are avoided for longer, by all entries

Change: an engine that refuses a stage although it should have room is avoided for 0.8 s, twice as long after each further refusal up to 6.4 s, until it runs a stage. The usage messages report it as slow, so that the other entries prefer other engines.

--- a/condition/condition.go
+++ b/condition/condition.go
@@ -31,6 +31,11 @@
 	// AvoidDuration is how long an engine is avoided after it refused a stage: it either
 	// holds other layers than its record says or has run out of memory.
 	AvoidDuration = 400 * time.Millisecond
+	// minRefusalPause and maxRefusalPause bound how long an engine is avoided that refuses
+	// stages although it should have room: it is about to stop, or gives up its layers. A
+	// refused stage costs a retry, so the time doubles with each one.
+	minRefusalPause = 2 * AvoidDuration
+	maxRefusalPause = 16 * AvoidDuration
 	// leavingGrace is how long streams stay on an engine that is leaving. Most of them
 	// end within it, and the engine keeps serving for longer.
 	leavingGrace = 1200 * time.Millisecond
@@ -79,6 +84,10 @@
 	lostSince, probeAt time.Time
 	failedAt           time.Time
 	avoidedUntil       time.Time
+	// refusedStages counts the stages in a row that it refused although it should have
+	// room, and refusingUntil is how long this entry avoids it for that.
+	refusedStages int
+	refusingUntil time.Time
 	// namedAt is when a refusal named it as its cause although it should have free
 	// capacity. silentAt is when this entry found that it does not respond, and
 	// deadUntil how long that counts, whoever has found it.
@@ -267,7 +276,49 @@
 }
 
 // Avoid keeps stages from an engine that refused one, for a short time.
-func (b *Book) Avoid(now time.Time, id string) { b.of(id).avoidedUntil = now.Add(AvoidDuration) }
+func (b *Book) Avoid(now time.Time, id string) { b.of(id).avoidUntil(now.Add(AvoidDuration)) }
+
+// avoidUntil keeps stages from an engine until a time, unless a later one is known.
+func (c *condition) avoidUntil(until time.Time) {
+	if until.After(c.avoidedUntil) {
+		c.avoidedUntil = until
+	}
+}
+
+// RefuseStage records that an engine refused a stage although it should have room, and
+// returns how long it is avoided. While the store is away, engines that leave are found
+// only this way, and each entry would send them a stage several times a second. Stages
+// that were under way when it was first refused count once.
+func (b *Book) RefuseStage(now time.Time, id string) time.Duration {
+	c := b.of(id)
+	if !now.Before(c.refusingUntil) {
+		c.refusingUntil = now.Add(min(minRefusalPause<<c.refusedStages, maxRefusalPause))
+		c.refusedStages = min(c.refusedStages+1, maxRefusedStages)
+	}
+	c.avoidUntil(c.refusingUntil)
+	return c.refusingUntil.Sub(now)
+}
+
+// maxRefusedStages is the count beyond which the time of avoidance does not grow.
+const maxRefusedStages = 8
+
+// AcceptStage records that an engine runs a stage, which ends a sequence of refusals.
+func (b *Book) AcceptStage(id string) {
+	if c := b.servers[id]; c != nil {
+		c.refusedStages, c.refusingUntil = 0, time.Time{}
+	}
+}
+
+// Refusing returns the engines that this entry avoids because they refuse stages although
+// they should have room, in the order of their IDs.
+func (b *Book) Refusing(now time.Time) (ids []string) {
+	for _, id := range slices.Sorted(maps.Keys(b.servers)) {
+		if now.Before(b.servers[id].refusingUntil) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
 
 // Name records that a refusal named an engine as its cause although it should have free
 // capacity, and reports whether it is to be asked for its status: many refusals at once
@@ -290,7 +341,8 @@
 // MarkSilentElsewhere records that another entry has found an engine not to respond.
 func (b *Book) MarkSilentElsewhere(now time.Time, id string) {
 	c := b.of(id)
-	c.avoidedUntil, c.deadUntil = now.Add(AvoidDuration), now.Add(AvoidDuration)
+	c.avoidUntil(now.Add(AvoidDuration))
+	c.deadUntil = now.Add(AvoidDuration)
 }
 
 // Silent returns the engines that this entry has found not to respond a moment ago, in
--- a/condition/condition_test.go
+++ b/condition/condition_test.go
@@ -18,6 +18,14 @@
 	paused, avoided, dead, silent, failed     time.Time
 	failedKnown, silentKnown, rerouted, named bool
 	namedAt                                   time.Time
+	refused                                   int
+	refusing                                  time.Time
+}
+
+func (m *plainServer) avoid(until time.Time) {
+	if until.After(m.avoided) {
+		m.avoided = until
+	}
 }
 
 // Guards against a condition that outlives its time or its process, that hides another
@@ -33,7 +41,7 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond)
 			id := fmt.Sprint("s", rapid.IntRange(0, 2).Draw(t, "server"))
 			m := model[id]
-			switch rapid.IntRange(0, 12).Draw(t, "event") {
+			switch rapid.IntRange(0, 14).Draw(t, "event") {
 			case 0:
 				assert.Equal(t, b.MarkLeaving(now, id), !m.leaving)
 				if !m.leaving {
@@ -62,7 +70,7 @@
 				m.failed, m.failedKnown = now, true
 			case 6:
 				b.Avoid(now, id)
-				m.avoided = now.Add(AvoidDuration)
+				m.avoid(now.Add(AvoidDuration))
 			case 7:
 				ask := !m.named || now.Sub(m.namedAt) >= AvoidDuration
 				assert.Equal(t, b.Name(now, id), ask)
@@ -74,7 +82,8 @@
 				m.silent, m.silentKnown, m.dead = now, true, now.Add(AvoidDuration)
 			case 9:
 				b.MarkSilentElsewhere(now, id)
-				m.avoided, m.dead = now.Add(AvoidDuration), now.Add(AvoidDuration)
+				m.avoid(now.Add(AvoidDuration))
+				m.dead = now.Add(AvoidDuration)
 			case 10:
 				b.Forget(id)
 				model[id] = &plainServer{}
@@ -87,6 +96,16 @@
 					}
 				}
 				assert.Equal(t, b.UpdateLeaving(now), due)
+			case 13:
+				if !now.Before(m.refusing) {
+					m.refusing = now.Add(min(minRefusalPause<<m.refused, maxRefusalPause))
+					m.refused++
+				}
+				m.avoid(m.refusing)
+				assert.Equal(t, b.RefuseStage(now, id), m.refusing.Sub(now))
+			case 14:
+				b.AcceptStage(id)
+				m.refused, m.refusing = 0, time.Time{}
 			case 12:
 				back := 0
 				for _, m := range model {
@@ -99,7 +118,7 @@
 				}
 				assert.Equal(t, len(b.TakeBack(now)), back)
 			}
-			silent := 0
+			silent, refusing := 0, 0
 			for id, m := range model {
 				want := None
 				switch {
@@ -123,7 +142,11 @@
 				if m.silentKnown && now.Sub(m.silent) <= AvoidDuration {
 					silent++
 				}
+				if now.Before(m.refusing) {
+					refusing++
+				}
 			}
+			assert.Equal(t, len(b.Refusing(now)), refusing)
 			assert.Equal(t, len(b.Silent(now)), silent)
 		}
 	})
--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -37,6 +37,7 @@
 	RateLimitStated           Event = 2028
 	RateLimitLifted           Event = 2029
 	RateLimitUnreadable       Event = 2030
+	EngineRefuses             Event = 2050
 
 	StreamRerouted         Event = 2015
 	StreamRecovered        Event = 2009
@@ -96,6 +97,7 @@
 	{EngineLost, log.InfoLevel, "engine taken for lost", ""},
 	{EngineSuspected, log.InfoLevel, "engine suspected after a refusal", ""},
 	{EngineReturned, log.InfoLevel, "lost engine works again", ""},
+	{EngineRefuses, log.InfoLevel, "engine refuses stages although it should have room", ""},
 	{EngineCrashedUnderRequest, log.InfoLevel, "backend server crashed before it answered a request", ""},
 	{PromptPartBlocked, log.WarnLevel, "prompt part blocked: it crashes engines", "Find out what the part holds and why the engines crash."},
 	{PromptPartReleased, log.WarnLevel, "prompt part released", ""},
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -91,6 +91,7 @@
 	if a.x.response.StatusCode != http.StatusOK {
 		return s.forwardFailure(a.x)
 	}
+	s.fleet.acceptStages(hops)
 	return a.forwardEvents(ctx)
 }
 
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -225,6 +225,11 @@
 		u.slowdown = slowdown
 		servers[serverHash(id)] = u
 	}
+	for _, id := range f.conditions.Refusing(now) {
+		u := servers[serverHash(id)]
+		u.slowdown = max(u.slowdown, refusedSlowdown)
+		servers[serverHash(id)] = u
+	}
 	return servers
 }
 
--- a/relay/stalls_test.go
+++ b/relay/stalls_test.go
@@ -26,8 +26,8 @@
 func TestRefusalsAfterStartRaiseNoSuspicion(t *testing.T) {
 	f := newFleet(rand.New(rand.NewPCG(1, 2)))
 	const capacity = 100
-	assert.Assert(t, !f.markSuspect(f.startedAt.Add(settleTime-time.Millisecond), "x", capacity))
-	assert.Assert(t, f.markSuspect(f.startedAt.Add(settleTime), "x", capacity))
+	assert.Assert(t, !f.nameSuspect(f.startedAt.Add(settleTime-time.Millisecond), "x", capacity))
+	assert.Assert(t, f.nameSuspect(f.startedAt.Add(settleTime), "x", capacity))
 }
 
 // Guards against an entry that is cut off or held up and takes one engine after
@@ -68,7 +68,7 @@
 	e.stallChecker.engines = &respondingEngines{dead: "dead:1"}
 	hops := []pipeline.Hop{{Engine: "head"}, {Engine: "full"}, {Engine: "dead"}}
 	for _, id := range []string{"full", "dead"} {
-		assert.Assert(t, e.fleet.markSuspect(time.Now(), id, 100))
+		assert.Assert(t, e.fleet.nameSuspect(time.Now(), id, 100))
 		e.verifySuspect(id, id+":1")
 	}
 	now := time.Now()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -249,17 +249,31 @@
 		s.suspectEngine(engine)
 		return
 	}
+	s.avoidRefusing(engine)
+}
+
+// avoidRefusing avoids an engine that refused a stage, and tells the other entries if it
+// should have had room for it.
+func (s *streamRequest) avoidRefusing(engine string) {
 	s.avoid[engine] = true
-	s.fleet.avoidEngine(time.Now(), engine)
+	pause := s.fleet.refuseStage(time.Now(), engine, s.engineCapacity(engine))
+	if pause <= 0 {
+		return
+	}
+	s.sendNow.fire()
+	if s.logLimiter.allow(time.Now()) {
+		logevent.Write(s.logger, logevent.EngineRefuses).Str("server", engine).Str("request", s.info.ID).Dur("avoided_ms", pause).Msg("")
+	}
 }
 
 // suspectEngine avoids an engine that cannot run its stage. An engine that should
 // be able to is asked for its status: one that does not respond is dead, and the
-// other entries are told at once. One that responds is merely full, and streams
-// that already run on it must not leave it.
+// other entries are told at once. One that responds may be about to stop, and streams
+// that already run on it must not leave it yet.
 func (s *streamRequest) suspectEngine(engine string) {
-	s.avoid[engine] = true
-	if !s.fleet.markSuspect(time.Now(), engine, s.engineCapacity(engine)) {
+	suspected := s.fleet.nameSuspect(time.Now(), engine, s.engineCapacity(engine))
+	s.avoidRefusing(engine)
+	if !suspected {
 		return
 	}
 	logevent.Write(s.logger, logevent.EngineSuspected).Str("server", engine).Str("request", s.info.ID).Msg("")
--- a/relay/suspects.go
+++ b/relay/suspects.go
@@ -7,24 +7,45 @@
 	"github.com/sapphirefield/sapphirefield/pipeline"
 )
 
-// avoidEngine keeps stages from an engine that refused one.
-func (f *fleet) avoidEngine(now time.Time, id string) {
+// refusedSlowdown is the slowdown that the other entries are told for an engine that
+// refuses stages. They prefer any path around it, but can still use it where there is none.
+const refusedSlowdown = 16
+
+// refuseStage records that an engine refused a stage. It returns how long the engine is
+// avoided because it should have had room, or 0 if it may be full: then it is avoided for
+// a moment only.
+func (f *fleet) refuseStage(now time.Time, id string, capacity float64) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.conditions.Avoid(now, id)
+	if f.mayBeFull(now, id, capacity) {
+		f.conditions.Avoid(now, id)
+		return 0
+	}
+	return f.conditions.RefuseStage(now, id)
 }
 
-// markSuspect records that a refusal named an engine as its cause, and reports
-// whether the engine may be dead: it should have free capacity, and it is not
-// under suspicion already.
-func (f *fleet) markSuspect(now time.Time, id string, capacity float64) bool {
+// acceptStages records that the engines of a path run their stages.
+func (f *fleet) acceptStages(hops []pipeline.Hop) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.conditions.Avoid(now, id)
-	if now.Sub(f.startedAt) < settleTime || f.inProgress(now, id).layerTokens > nearlyFullFraction*capacity {
-		return false
+	for _, h := range hops {
+		f.conditions.AcceptStage(h.Engine)
 	}
-	return f.conditions.Name(now, id)
+}
+
+// mayBeFull reports whether a refusal may be due to lack of memory or slots.
+func (f *fleet) mayBeFull(now time.Time, id string, capacity float64) bool {
+	u, slots := f.inProgress(now, id), f.servers[id].Slots
+	return now.Sub(f.startedAt) < settleTime || u.layerTokens > nearlyFullFraction*capacity ||
+		slots > 0 && float64(u.usedSlots) > nearlyFullFraction*float64(slots)
+}
+
+// nameSuspect records that a refusal named an engine as its cause, and reports whether
+// the engine may be dead: it should have room, and it is not under suspicion already.
+func (f *fleet) nameSuspect(now time.Time, id string, capacity float64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.mayBeFull(now, id, capacity) && f.conditions.Name(now, id)
 }
 
 // confirmSuspect records that a suspect does not respond, which the other entries
@@ -40,8 +61,8 @@
 // entries that have ended at the same time, and all requests open connections.
 const settleTime = 10 * time.Second
 
-// nearlyFullFraction is the fraction of an engine's memory in use above which
-// a refusal may be due to lack of memory.
+// nearlyFullFraction is the fraction of an engine's memory or slots in use above which
+// a refusal may be due to lack of them.
 const nearlyFullFraction = 0.7
 
 // suspectHashes returns the current suspects, for the other entries.
