--- a/config/digest.go
+++ b/config/digest.go
@@ -76,12 +76,29 @@
 	if len(list) == 0 {
 		return nil
 	}
-	list = slices.Clone(list)
+	sorted := make([]T, len(list))
+	for i, from := range orderByKey[T, P](list) {
+		sorted[i] = list[from.index]
+		P(&sorted[i]).emptyListsToNil()
+	}
+	return sorted
+}
+
+// indexedKey is the key of an entry and its position in the section.
+type indexedKey struct {
+	key   string
+	index int
+}
+
+// orderByKey returns the entries' keys in order. Entries of the same key stay in theirs.
+// Sorting the entries themselves would copy two of them for each comparison.
+func orderByKey[T any, P entry[T]](list []T) []indexedKey {
+	keys := make([]indexedKey, len(list))
 	for i := range list {
-		P(&list[i]).emptyListsToNil()
+		keys[i] = indexedKey{P(&list[i]).entryKey(), i}
 	}
-	slices.SortStableFunc(list, compareKeys[T, P])
-	return list
+	slices.SortStableFunc(keys, func(a, b indexedKey) int { return cmp.Compare(a.key, b.key) })
+	return keys
 }
 
 // Digest returns the hexadecimal SHA-256 hash of the document's canonical form:
