relay: a missing status counts against an engine only while others are heard

Change: a period without a response counts only if the process ran on time and heard from another engine or entry in its second half, and never if the engine sent events meanwhile. A process that hears from nobody decides after 0.48 s.

--- a/relay/stalls.go
+++ b/relay/stalls.go
@@ -16,8 +16,8 @@
 	// stallResultTTL is how long a stall query's result is valid. All streams that
 	// start at the engine share it.
 	stallResultTTL = 60 * time.Millisecond
-	// stallTimeout bounds the wait for the result. A working engine responds within
-	// a few milliseconds.
+	// stallTimeout is the time without a response after which an engine counts as silent,
+	// if others are heard meanwhile. A working engine responds within a few milliseconds.
 	stallTimeout = 60 * time.Millisecond
 	// settlingStallTimeout is the same in the time after the start of this process,
 	// when queries wait behind the connections that all requests open.
@@ -25,6 +25,9 @@
 	// maxLocalDelay is how far a query may exceed its timeout before the delay is
 	// attributed to this process, in which case it says nothing about the engine.
 	maxLocalDelay = 15 * time.Millisecond
+	// maxStallWait bounds the wait for the result of a query while this process hears
+	// from nobody, or runs late.
+	maxStallWait = 8 * stallTimeout
 )
 
 // errInconclusive means that this process was too slow to tell whether the
@@ -40,6 +43,8 @@
 	byAddress map[string]*stallQuery
 	startedAt time.Time
 	timeouts  timeoutFilter
+	// heardAt is when this process last heard from any engine or entry.
+	heardAt time.Time
 }
 
 // timeoutFilter decides which engines that do not respond in time count as dead.
@@ -68,9 +73,11 @@
 // is set.
 type stallQuery struct {
 	startedAt time.Time
-	done      chan struct{}
-	stalled   []string // addresses, each once
-	err       error
+	// heardAt is when the engine last sent events while the query ran.
+	heardAt time.Time
+	done    chan struct{}
+	stalled []string // addresses, each once
+	err     error
 }
 
 func newStallChecker(engines EngineClient, logger *log.Logger) *stallChecker {
@@ -97,15 +104,34 @@
 	}
 }
 
+// hear records that this process has heard from an engine, or from another entry if
+// address is empty.
+func (s *stallChecker) hear(now time.Time, address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heardAt = now
+	if q := s.byAddress[address]; q != nil {
+		q.heardAt = now
+	}
+}
+
 // query asks an engine for its status. It is not tied to the context of one
 // stream, because several may wait for it; it ends after a timeout.
 func (s *stallChecker) query(q *stallQuery, address string) {
-	timeout := s.timeout(q.startedAt)
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	status, err := s.engines.Status(ctx, address)
-	q.stalled, q.err = stalledAddresses(status), err
-	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) && !s.acceptTimeout(q, address, timeout) {
+	response := make(chan struct{})
+	var status EngineStatus
+	var err error
+	go func() {
+		status, err = s.engines.Status(ctx, address)
+		close(response)
+	}()
+	if verdict := s.awaitResponse(q, address, response); verdict == "" {
+		q.stalled, q.err = stalledAddresses(status), err
+	} else if verdict == engineSilent {
+		q.err = errors.Wrap(ErrNoResponse, string(verdict))
+	} else {
 		q.err = errInconclusive
 	}
 	close(q.done)
@@ -113,11 +139,51 @@
 		Dur("took_ms", time.Since(q.startedAt)).AnErr("cause", q.err).Msg("")
 }
 
-func (s *stallChecker) acceptTimeout(q *stallQuery, address string, timeout time.Duration) bool {
+// silenceVerdict says what a missing response to a query tells about the engine.
+type silenceVerdict string
+
+// The verdicts. It is empty while the response may still come.
+const (
+	engineSilent  silenceVerdict = "the engine is silent while others are heard"
+	silenceUnsure silenceVerdict = "this process was delayed or the engine sends events"
+)
+
+// awaitResponse returns an empty verdict once the response is there.
+func (s *stallChecker) awaitResponse(q *stallQuery, address string, response <-chan struct{}) silenceVerdict {
+	timeout := s.timeout(q.startedAt)
+	for periodStart := q.startedAt; ; periodStart = time.Now() {
+		timer := time.NewTimer(time.Until(periodStart.Add(timeout)))
+		select {
+		case <-response:
+			timer.Stop()
+			return ""
+		case <-timer.C:
+		}
+		if verdict := s.judge(time.Now(), periodStart, timeout, q, address); verdict != "" {
+			return verdict
+		}
+	}
+}
+
+// judge evaluates a period without a response. A process that was held up, or whose own
+// link is busy, misses responses that engines have sent: only a period in which it heard
+// from others tells of the engine.
+func (s *stallChecker) judge(now, periodStart time.Time, timeout time.Duration, q *stallQuery, address string) silenceVerdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	return s.timeouts.accept(now, address) && now.Sub(q.startedAt) <= timeout+maxLocalDelay
+	inTime := now.Sub(periodStart) <= timeout+maxLocalDelay
+	hearsOthers := !s.heardAt.Before(periodStart.Add(timeout / 2))
+	over := now.Sub(q.startedAt) >= max(timeout, maxStallWait)
+	switch {
+	case q.heardAt.After(q.startedAt), over && !inTime:
+		return silenceUnsure
+	case inTime && (hearsOthers || over):
+		if !s.timeouts.accept(now, address) {
+			return silenceUnsure
+		}
+		return engineSilent
+	}
+	return ""
 }
 
 func (s *stallChecker) timeout(now time.Time) time.Duration {
--- a/relay/stalls_test.go
+++ b/relay/stalls_test.go
@@ -77,3 +77,29 @@
 	assert.Assert(t, e.fleet.lostFor(now.Add(time.Second), "dead") > 0)
 	assert.Equal(t, e.fleet.lostFor(now, "full"), time.Duration(0))
 }
+
+// Guards against sound engines that an entry takes for dead because it was held up
+// itself or its own link was busy: with a tenth of a core, that ended hundreds of
+// streams. A dead engine is still found within one timeout.
+func TestSilenceCountsOnlyWhileOthersAreHeard(t *testing.T) {
+	start := time.Now()
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	for name, test := range map[string]struct {
+		heardAt, heardFrom, period, now int
+		want                            silenceVerdict
+	}{
+		"others are heard":                     {heardAt: 55, heardFrom: -1, now: 60, want: engineSilent},
+		"others were heard before":             {heardAt: 10, heardFrom: -1, now: 60},
+		"link busy for several periods":        {heardAt: -5, heardFrom: -1, period: 240, now: 300},
+		"others are heard again":               {heardAt: 350, heardFrom: -1, period: 300, now: 360, want: engineSilent},
+		"process held up":                      {heardAt: 79, heardFrom: -1, now: 80},
+		"process held up until the end":        {heardAt: 520, heardFrom: -1, period: 420, now: 520, want: silenceUnsure},
+		"nobody is heard until the end":        {heardAt: -5, heardFrom: -1, period: 420, now: 480, want: engineSilent},
+		"the engine sends events all the same": {heardAt: 50, heardFrom: 50, now: 60, want: silenceUnsure},
+	} {
+		s := newStallChecker(&testEngines{}, &log.Logger{Level: log.PanicLevel})
+		s.heardAt = at(test.heardAt)
+		q := &stallQuery{startedAt: start, heardAt: at(test.heardFrom)}
+		assert.Equal(t, s.judge(at(test.now), at(test.period), stallTimeout, q, "a"), test.want, name)
+	}
+}
