relay: datagrams of entries tell of an engine's silence from the second period on

Datagrams pass a busy link sooner than a response with its handshake. Change: they count from the second period without a response on; bytes from engines count at once.

--- a/relay/peers.go
+++ b/relay/peers.go
@@ -173,7 +173,7 @@
 // handleMessage processes another entry's message.
 func (p *peers) handleMessage(m message, from netip.AddrPort) {
 	p.learnAddress(m.sender, from)
-	p.stallChecker.hear(time.Now(), "")
+	p.stallChecker.hearEntry(time.Now())
 	if !p.fleet.applyPeerMessage(time.Now(), m) {
 		return
 	}
