--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -28,6 +28,9 @@
 	rerouteRetryDelay = 200 * time.Millisecond
 	// maxReroutes bounds the path changes of one attempt.
 	maxReroutes = 6
+	// departureSpread is the time over which streams leave an engine that is about to
+	// stop. The engines that take them over process their prompts one after another.
+	departureSpread = time.Second
 )
 
 // errStalledOn means that an engine reports requests that wait for another one.
@@ -47,8 +50,10 @@
 	// the time of the next check if there is no change.
 	seenChanges int64
 	recheckAt   time.Time
-	reroutes    int
-	watch       *eventWatch
+	// departAt is when the attempt leaves the engines of its path that are about to stop.
+	departAt time.Time
+	reroutes int
+	watch    *eventWatch
 	// head is the process of the first engine, which a prompt part may crash.
 	head crashedEngine
 	// progressSince is when the first event of this attempt arrived. soundAt is when
@@ -237,6 +242,10 @@
 		}
 		return err
 	case slices.ContainsFunc(leaving, func(id string) bool { return id != head }):
+		if wait := a.departure(time.Now(), a.fleet.randomFloat()); wait > 0 {
+			a.recheckAt = a.departAt
+			return nil
+		}
 		// If the path cannot be changed now, the attempt stays on it until it can or
 		// the engine is gone.
 		if a.reroute(ctx) != nil {
@@ -246,6 +255,16 @@
 	return nil
 }
 
+// departure returns how long the attempt stays on engines that are about to stop. When
+// an engine leaves, all its streams learn of it at the same moment, at all entries; random
+// chooses the attempt's own moment, once for engines that leave together.
+func (a *attempt) departure(now time.Time, random float64) time.Duration {
+	if now.Sub(a.departAt) > departureSpread {
+		a.departAt = now.Add(time.Duration(random * float64(departureSpread)))
+	}
+	return a.departAt.Sub(now)
+}
+
 // reroute replaces all stages of the path after the first. It also avoids an
 // engine that turns out to be unable to run its stage.
 func (a *attempt) reroute(ctx context.Context) error {
