daemon: the drain waits on the server's own channel

Change: the drain waits for Drained, then polls only for requests that are arriving. No behaviour changes.

--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -21,9 +21,11 @@
 	arrivalCheckInterval = 20 * time.Millisecond
 )
 
-// drainable is the work of a process that serves clients.
+// drainable is the work of a process that serves clients. Drained is closed once it
+// drains and nothing is in progress; requests that still arrive are served.
 type drainable interface {
 	Drain()
+	Drained() <-chan struct{}
 	InProgress() int
 }
 
@@ -52,29 +54,24 @@
 
 func (d *requestDrainer) awaitRequests() {
 	if d.stopListening != nil {
-		if !d.awaitIdle(0, func() bool { return d.work.InProgress() == 0 }) {
+		select {
+		case <-d.ctx.Done():
 			return
+		case <-d.work.Drained():
 		}
 		d.stopListening()
 	}
-	if d.awaitIdle(arrivalTime, func() bool { return d.work.InProgress() == 0 && d.tracker.requestsArriving() == 0 }) {
-		close(d.drained)
-	}
-}
-
-// awaitIdle checks isIdle after a delay and then at each interval. It returns false if
-// the process ends first.
-func (d *requestDrainer) awaitIdle(delay time.Duration, isIdle func() bool) bool {
-	pause := time.NewTimer(delay)
+	pause := time.NewTimer(arrivalTime)
 	defer pause.Stop()
 	for {
 		select {
 		case <-d.ctx.Done():
-			return false
+			return
 		case <-pause.C:
 		}
-		if isIdle() {
-			return true
+		if d.work.InProgress() == 0 && d.tracker.requestsArriving() == 0 {
+			close(d.drained)
+			return
 		}
 		pause.Reset(arrivalCheckInterval)
 	}
