quarantine, netpeek, sidecar: one place for logic that stood twice

Change: quarantine.ContentPart and Detector.MayRepeat, netpeek.IsConnectionEnd; the sidecar parses what an answer says about the server first and applies it under one lock; failureReason takes the reason for the other case in place of a comparison by its caller. The hash of a request at an entry off the platform no longer copies the body into a string, so its value differs from that of older processes: during an upgrade their suspicions of the same request don't add up. On the platform the hash is the same. Tests call the renamed functions and expect the same.

--- a/entry/chain.go
+++ b/entry/chain.go
@@ -10,6 +10,7 @@
 	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/pipeline"
 	"github.com/sapphirefield/sapphirefield/problem"
+	"github.com/sapphirefield/sapphirefield/quarantine"
 	"github.com/sapphirefield/sapphirefield/wire"
 )
 
@@ -99,7 +100,7 @@
 
 // content stands for what a client repeats when it sends the request again.
 func (g *generation) content() string {
-	return requestContent(g.admission.Team, g.model, g.prompt, g.parameters, strconv.Itoa(int(g.maxTokens)))
+	return quarantine.ContentPart(nil, g.admission.Team, g.model, g.prompt, g.parameters, strconv.Itoa(int(g.maxTokens)))
 }
 
 // checkCrashes ends a request that has crashed engines. One that has done so a few times
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -44,16 +44,6 @@
 	return &crashGuard{server: s, detector: quarantine.New()}
 }
 
-// requestContent stands for what a client repeats when it sends a request again.
-func requestContent(team string, parts ...string) string {
-	hash := xxhash.New()
-	for _, text := range append([]string{team}, parts...) {
-		// Lengths keep neighbouring texts apart.
-		_, _ = hash.WriteString(strconv.Itoa(len(text)) + ":" + text)
-	}
-	return quarantine.RequestPart(hash.Sum64())
-}
-
 // check returns a refusal if the content has crashed servers. content is called only if
 // it is needed.
 func (g *crashGuard) check(requestID string, content func() string) *problem.Problem {
@@ -80,8 +70,7 @@
 	part := content()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	_, blocked := g.detector.Blocked(now(), []string{part})
-	return !blocked && !g.detector.Risky([]string{part})
+	return g.detector.MayRepeat(now(), []string{part})
 }
 
 // observeFailure suspects a request if the reason of its failure says that the backend
--- a/entry/crashes_test.go
+++ b/entry/crashes_test.go
@@ -36,7 +36,7 @@
 			synctest.Wait()
 		}()
 		claims := &standin.MemoryLog{}
-		bad, good := requestContent("team", "bad"), requestContent("team", "good")
+		bad, good := quarantine.ContentPart(nil, "team", "bad"), quarantine.ContentPart(nil, "team", "good")
 		var servers []*Server
 		for _, id := range []string{"a", "b", "c"} {
 			servers = append(servers, newCrashTestServer(ctx, id, claims))
@@ -71,7 +71,7 @@
 // request that stays under suspicion.
 func TestOnlyEndsOfServersCount(t *testing.T) {
 	s := newCrashTestServer(t.Context(), "a", nil)
-	part := requestContent("team", "path", "body")
+	part := quarantine.ContentPart(nil, "team", "path", "body")
 	for range 5 {
 		for _, reason := range []string{"", "engine does not answer", "backend server ended #x: y", "connection lost"} {
 			s.crashes.observeFailure("r", "server", "i", reason, part)
@@ -85,5 +85,5 @@
 	s.crashes.observeAnswered(named(part))
 	assert.Assert(t, s.crashes.mayRepeat(named(part)))
 	// The parts of a content are kept apart.
-	assert.Assert(t, requestContent("a", "bc") != requestContent("ab", "c"))
+	assert.Assert(t, quarantine.ContentPart(nil, "a", "bc") != quarantine.ContentPart(nil, "ab", "c"))
 }
--- a/entry/unary.go
+++ b/entry/unary.go
@@ -15,6 +15,7 @@
 	"github.com/sapphirefield/sapphirefield/attempt"
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/problem"
+	"github.com/sapphirefield/sapphirefield/quarantine"
 	"github.com/sapphirefield/sapphirefield/wire"
 )
 
@@ -86,7 +87,7 @@
 
 // content stands for what a client repeats when it sends the call again.
 func (c *unaryCall) content() string {
-	return requestContent(c.admission.Team, c.service.Name, c.method, c.path, string(c.body))
+	return quarantine.ContentPart(c.body, c.admission.Team, c.service.Name, c.method, c.path)
 }
 
 // unaryCall is one client call to a server of a non-pipeline service.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -19,6 +19,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -74,6 +76,18 @@
 // hash.
 func RequestPart(hash uint64) string { return requestPrefix + strconv.FormatUint(hash, 16) }
 
+// ContentPart returns the part that stands for what a client repeats when it sends a
+// request again: texts such as its target and its team, and its body.
+func ContentPart(body []byte, texts ...string) string {
+	hash := xxhash.New()
+	for _, text := range texts {
+		// Lengths keep neighbouring texts apart.
+		_, _ = hash.WriteString(strconv.Itoa(len(text)) + ":" + text)
+	}
+	_, _ = hash.Write(body)
+	return RequestPart(hash.Sum64())
+}
+
 // IsRequest reports whether a part stands for the whole content of a request.
 func IsRequest(part string) bool { return strings.HasPrefix(part, requestPrefix) }
 
@@ -369,9 +383,14 @@
 	return Block{}, false
 }
 
-// Risky reports whether a repeat of a request with these parts may crash one more
-// engine.
-func (d *Detector) Risky(parts []string) bool {
+// MayRepeat reports whether a repeat of a request with these parts is no risk for the
+// servers: none of the parts is blocked, or may crash one more server.
+func (d *Detector) MayRepeat(now time.Time, parts []string) bool {
+	_, blocked := d.Blocked(now, parts)
+	return !blocked && !d.risky(parts)
+}
+
+func (d *Detector) risky(parts []string) bool {
 	return slices.ContainsFunc(parts, func(part string) bool {
 		s := d.suspects[part]
 		return s != nil && len(s.crashes) >= riskyCrashes
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -69,7 +69,7 @@
 	suspectAll(d, start, 20, "victim")
 	suspectAll(d, start, 20, "bad")
 	assert.Assert(t, !isBlocked(d, start, "victim"))
-	assert.Assert(t, !d.Risky([]string{"victim"}))
+	assert.Assert(t, !d.risky([]string{"victim"}))
 }
 
 // Guards against blocking one of two parts that nothing tells apart, and against
@@ -134,10 +134,10 @@
 	d := New()
 	suspectAll(d, start, 1, "a")
 	suspectAll(d, start, 2, "a")
-	assert.Assert(t, d.Risky([]string{"x", "a"}))
+	assert.Assert(t, d.risky([]string{"x", "a"}))
 	later := start.Add(suspicionTime + 1)
 	suspectAll(d, later, 3, "a")
-	assert.Assert(t, !d.Risky([]string{"a"}))
+	assert.Assert(t, !d.risky([]string{"a"}))
 	assert.Assert(t, !isBlocked(d, later, "a"))
 }
 
--- a/relay/connection.go
+++ b/relay/connection.go
@@ -10,7 +10,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -288,12 +287,6 @@
 // Unwrap makes errors.Is find both.
 func (e *exchangeError) Unwrap() []error { return []error{e.kind, e.cause} }
 
-// connectionEnded reports whether an exchange failed because the server's side of the
-// connection ended, as it does when the server crashes.
-func connectionEnded(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-}
-
 // exchange is a request sent to a server, and its response.
 type exchange struct {
 	pool    *pool
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"slices"
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/sapphirefield/sapphirefield/netpeek"
 	"github.com/sapphirefield/sapphirefield/problem"
 	"github.com/sapphirefield/sapphirefield/quarantine"
 )
@@ -27,13 +25,7 @@
 	if q.contentPart != "" {
 		return q.contentPart
 	}
-	hash := xxhash.New()
-	for _, text := range []string{q.team, q.r.Method, q.r.Host, q.r.RequestURI} {
-		// Lengths keep neighbouring texts apart.
-		_, _ = hash.WriteString(strconv.Itoa(len(text)) + ":" + text)
-	}
-	_, _ = hash.Write(q.body)
-	q.contentPart = quarantine.RequestPart(hash.Sum64())
+	q.contentPart = quarantine.ContentPart(q.body, q.team, q.r.Method, q.r.Host, q.r.RequestURI)
 	return q.contentPart
 }
 
@@ -78,7 +70,7 @@
 
 // mayRepeat reports whether another attempt is no risk for the servers.
 func (q *request) mayRepeat() bool {
-	return !q.probesBlock && (!q.crashes.active.Load() || !q.crashes.isRisky(time.Now(), q.suspectParts()))
+	return !q.probesBlock && (!q.crashes.active.Load() || q.crashes.mayRepeat(time.Now(), q.suspectParts()))
 }
 
 // observeAnswered records that the request was answered, so that it is under no
@@ -102,14 +94,14 @@
 		return false
 	}
 	_, err = conn.Read(make([]byte, 1))
-	return connectionEnded(err)
+	return netpeek.IsConnectionEnd(err)
 }
 
 // reportCrash records that a server has ended while it worked on the request, if the
 // error of the exchange and another connection show that. Another attempt may follow, so
 // it waits until that is known.
 func (q *request) reportCrash(ctx context.Context, server Server, err error) {
-	if !connectionEnded(err) || ctx.Err() != nil || !q.pool.hasCrashed(ctx, server.Address) || ctx.Err() != nil {
+	if !netpeek.IsConnectionEnd(err) || ctx.Err() != nil || !q.pool.hasCrashed(ctx, server.Address) || ctx.Err() != nil {
 		return
 	}
 	q.crashes.recordCrash(time.Now(), q.info.ID, crashedEngine{server.ID, server.StartTimeMillis}, q.suspectParts())
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -95,16 +95,15 @@
 	return true
 }
 
-// isRisky reports whether a repeat of a request with these parts may crash one more
-// server.
-func (g *crashGuard) isRisky(now time.Time, parts []string) bool {
+// mayRepeat reports whether a repeat of a request with these parts is no risk for the
+// servers.
+func (g *crashGuard) mayRepeat(now time.Time, parts []string) bool {
 	if !g.active.Load() {
-		return false
+		return true
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	_, blocked := g.detector.Blocked(now, parts)
-	return blocked || g.detector.Risky(parts)
+	return g.detector.MayRepeat(now, parts)
 }
 
 // hasUnknownPart reports whether some part of a prompt is not known to be sound.
--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -208,7 +208,7 @@
 }
 
 func (s *Server) failCall(c *call, executed attempt.Executed, cause error) {
-	reason := s.failureReason(s.background, cause)
+	reason := s.failureReason(s.background, cause, cause.Error())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sendResponseLocked(c, failedFrame(c.key, executed, reason))
--- a/sidecar/engine.go
+++ b/sidecar/engine.go
@@ -172,10 +172,7 @@
 		return
 	}
 	s.setEngineUp(false, cause)
-	reason := "engine does not answer"
-	if r := s.failureReason(ctx, cause); r != cause.Error() {
-		reason = r
-	}
+	reason := s.failureReason(ctx, cause, "engine does not answer")
 	s.mu.Lock()
 	for _, a := range s.awaitingEngineCheck {
 		s.refuse(a.entry, a.key, wire.RefusalReason_REFUSAL_ENGINE_DOWN)
--- a/sidecar/ratelimit.go
+++ b/sidecar/ratelimit.go
@@ -16,44 +16,56 @@
 // so the limit need not be divided among them.
 const headerRateLimit = "Rate-Limit"
 
-// observeRateLimit evaluates the rate limit, or none, in a response to a request sent at
-// a given time.
-func (s *Server) observeRateLimit(header http.Header, sentAt time.Time) {
-	text := header.Get(headerRateLimit)
-	rate, err := ratelimit.ParseRate(text)
-	if err != nil {
-		logevent.Write(s.opts.Logger, logevent.RateLimitUnreadable).Str("server", s.opts.ID).Str("limit", text).Msg("")
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	switch s.limits.ObserveAnswer(time.Now(), s.opts.ID, 0, sentAt, rate) {
-	case ratelimit.Stated:
-		logevent.Write(s.opts.Logger, logevent.RateLimitStated).Str("server", s.opts.ID).Float64("limit", rate).Float64("share", rate).Msg("")
-	case ratelimit.Lifted:
-		logevent.Write(s.opts.Logger, logevent.RateLimitLifted).Str("server", s.opts.ID).Msg("")
+// serverNotice is what a response of the backend server says about the server itself.
+type serverNotice struct {
+	// rate is the rate limit, 0 for none; err is set if it could not be read.
+	rate float64
+	err  error
+	// pause is how long the server wants no new work.
+	pause time.Duration
+}
+
+func parseServerNotice(status int, header http.Header) serverNotice {
+	var n serverNotice
+	n.rate, n.err = ratelimit.ParseRate(header.Get(headerRateLimit))
+	if status == http.StatusServiceUnavailable {
+		n.pause = retry.ParseAfter(time.Now(), header.Get("Retry-After"))
 	}
+	return n
 }
 
-// observeResponse evaluates what a response of the backend server says about the server
-// itself.
+// observeResponse evaluates what a response of the backend server to a request sent at a
+// given time says about the server itself.
 func (s *Server) observeResponse(resp *http.Response, sentAt time.Time) {
-	s.serverAnswered()
-	s.observeRateLimit(resp.Header, sentAt)
-	if resp.StatusCode != http.StatusServiceUnavailable {
-		return
+	n := parseServerNotice(resp.StatusCode, resp.Header)
+	if n.err != nil {
+		logevent.Write(s.opts.Logger, logevent.RateLimitUnreadable).Str("server", s.opts.ID).Str("limit", resp.Header.Get(headerRateLimit)).Msg("")
 	}
-	text := resp.Header.Get("Retry-After")
-	pause := retry.ParseAfter(time.Now(), text)
-	if pause == 0 {
-		return
+	if n.pause > 0 {
+		logevent.Write(s.opts.Logger, logevent.ServerPaused).Str("server", s.opts.ID).Str("retry_after", resp.Header.Get("Retry-After")).
+			Dur("pause_ms", n.pause).Msg("")
 	}
-	logevent.Write(s.opts.Logger, logevent.ServerPaused).Str("server", s.opts.ID).Str("retry_after", text).Dur("pause_ms", pause).Msg("")
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if until := time.Now().Add(pause); until.After(s.pausedUntil) {
+	s.ends.down = false
+	s.applyServerNotice(n, sentAt)
+}
+
+// applyServerNotice must be called with the lock held.
+func (s *Server) applyServerNotice(n serverNotice, sentAt time.Time) {
+	now := time.Now()
+	if until := now.Add(n.pause); n.pause > 0 && until.After(s.pausedUntil) {
 		s.pausedUntil = until
 	}
+	if n.err != nil {
+		return
+	}
+	switch s.limits.ObserveAnswer(now, s.opts.ID, 0, sentAt, n.rate) {
+	case ratelimit.Stated:
+		logevent.Write(s.opts.Logger, logevent.RateLimitStated).Str("server", s.opts.ID).Float64("limit", n.rate).Float64("share", n.rate).Msg("")
+	case ratelimit.Lifted:
+		logevent.Write(s.opts.Logger, logevent.RateLimitLifted).Str("server", s.opts.ID).Msg("")
+	}
 }
 
 // refuseForServer refuses an attempt that the ledger has accepted if the server has asked
--- a/sidecar/ratelimit_test.go
+++ b/sidecar/ratelimit_test.go
@@ -123,7 +123,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t)
 		var opened arrivals
-		h.observeRateLimit(http.Header{"Rate-Limit": {fmt.Sprint(statedRate)}}, time.Now())
+		h.observeResponse(&http.Response{StatusCode: http.StatusOK, Header: http.Header{"Rate-Limit": {fmt.Sprint(statedRate)}}}, time.Now())
 		const duration, step = 20 * time.Second, 20 * time.Millisecond
 		for i := range int(duration / step) {
 			frame := h.openFrame(1)
--- a/sidecar/serverend.go
+++ b/sidecar/serverend.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/url"
-	"syscall"
 	"time"
 
-	"github.com/pkg/errors"
-
+	"github.com/sapphirefield/sapphirefield/netpeek"
 	"github.com/sapphirefield/sapphirefield/wire"
 )
 
@@ -26,10 +23,10 @@
 
 // failureReason returns the reason of a failed exchange with the backend server. It
 // tells the entries whether the server has ended, which the work in progress may have
-// caused.
-func (s *Server) failureReason(ctx context.Context, cause error) string {
-	if !connectionEnded(cause) || s.backendAccepts(ctx) {
-		return cause.Error()
+// caused; if it has not, the reason is otherwise.
+func (s *Server) failureReason(ctx context.Context, cause error, otherwise string) string {
+	if !netpeek.IsConnectionEnd(cause) || s.backendAccepts(ctx) {
+		return otherwise
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -39,20 +36,6 @@
 	return wire.ServerEndedReason(s.ends.number, cause.Error())
 }
 
-// serverAnswered records that the backend server runs.
-func (s *Server) serverAnswered() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.ends.down = false
-}
-
-// connectionEnded reports whether an exchange failed because the server's side of the
-// connection ended, as it does when the server crashes.
-func connectionEnded(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.ErrClosedPipe) ||
-		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-}
-
 // backendAccepts reports whether the backend server accepts a connection.
 func (s *Server) backendAccepts(ctx context.Context) bool {
 	backend, err := url.Parse(s.opts.Backend)
