relay: entries that are told of changes call the store less often

Change: while another entry watches the store and no entry names a newer revision, failed reads are repeated every 2 s, and at once when a newer one is named. Reads of the configuration wait 15 s in place of 5 s, and are interrupted when the watcher is lost. Servers' records are read every 10 s instead of 5 s beside the watcher's messages, the entries' records every 30 s instead of 12 s.

--- a/relay/directory.go
+++ b/relay/directory.go
@@ -14,7 +14,7 @@
 	// behalf of all others, reads the servers' records. relaxedInterval is how
 	// often the other entries read them while the watcher sends them changes.
 	watchInterval   = 400 * time.Millisecond
-	relaxedInterval = 5 * time.Second
+	relaxedInterval = 10 * time.Second
 	// maxWatchAge is the maximum age of the watcher's last read at which other
 	// entries rely on it.
 	maxWatchAge = 900 * time.Millisecond
--- a/relay/directory_test.go
+++ b/relay/directory_test.go
@@ -8,9 +8,11 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/phuslu/log"
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"github.com/sapphirefield/sapphirefield/config"
@@ -332,3 +334,73 @@
 	group.Wait()
 	assert.Assert(t, !entries[0].isWatcher() || !entries[1].isWatcher())
 }
+
+// refusingStore turns all reads away while refuse is set.
+type refusingStore struct {
+	*scriptedStore
+	refuse atomic.Bool
+	calls  atomic.Int64
+}
+
+func (s *refusingStore) ReadLatest(ctx context.Context, topic Topic) (RecordBatch, error) {
+	s.calls.Add(1)
+	if s.refuse.Load() {
+		return RecordBatch{}, ErrUnavailable
+	}
+	return s.scriptedStore.ReadLatest(ctx, topic)
+}
+
+func (s *refusingStore) Read(ctx context.Context, topic Topic, from Position, wait time.Duration) (RecordBatch, error) {
+	s.calls.Add(1)
+	if s.refuse.Load() {
+		return RecordBatch{}, ErrUnavailable
+	}
+	batch, err := s.scriptedStore.Read(ctx, topic, from, wait)
+	if err == nil && len(batch.Records) == 0 {
+		sleep(ctx, wait)
+	}
+	return batch, err
+}
+
+// Guards against hundreds of entries that call the store several times a second while it
+// turns them away, although another entry watches it for them, and against an entry that
+// learns late of what the other one announces.
+func TestEntryThatIsToldRetriesSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &refusingStore{scriptedStore: newScriptedStore()}
+		store.add(TopicConfiguration, "c", 1)
+		store.add(TopicServers, "s", heartbeat("s", 1))
+		e := newStoreEntry(store)
+		ctx, cancel := context.WithCancel(t.Context())
+		announced := atomic.Int64{}
+		announced.Store(1)
+		var followers errgroup.Group
+		followers.Go(func() error { return e.followConfiguration(ctx) })
+		followers.Go(func() error { return e.followServers(ctx) })
+		followers.Go(func() error {
+			for sequence := int64(1); ctx.Err() == nil; sequence++ {
+				m := message{sender: "watcher", startNanos: 1, sequence: sequence, term: 1, revision: announced.Load()}
+				e.fleet.applyPeerMessage(time.Now(), m)
+				sleep(ctx, maxUsageInterval)
+			}
+			return ctx.Err()
+		})
+		time.Sleep(20 * time.Second)
+		store.refuse.Store(true)
+		time.Sleep(10 * time.Second)
+		before := store.calls.Load()
+		const outage = 20 * time.Second
+		time.Sleep(outage)
+		// Two topics are read.
+		assert.Assert(t, store.calls.Load()-before <= 2*int64(outage/relaxedRetryInterval), "%d calls", store.calls.Load()-before)
+
+		store.add(TopicConfiguration, "c", 2)
+		announced.Store(2)
+		store.refuse.Store(false)
+		// A change must be in force 2 s after it was accepted.
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, e.Revision(), int64(2))
+		cancel()
+		_ = followers.Wait() // they end with the context
+	})
+}
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -213,12 +213,14 @@
 func (e *Entry) runMaintenance(ctx context.Context) error {
 	ticker := time.NewTicker(maintenanceInterval)
 	defer ticker.Stop()
+	hadWatcher := false
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case now := <-ticker.C:
 			e.pool.closeExpired(now)
+			hadWatcher = e.observeWatcher(hadWatcher)
 			e.logSkippedLines()
 		}
 	}
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -20,8 +20,13 @@
 	// after which a dead connection is detected.
 	configurationWait = 900 * time.Millisecond
 	// relaxedConfigurationWait is the same while the messages of another entry
-	// would announce a newer revision.
-	relaxedConfigurationWait = 5 * time.Second
+	// would announce a newer revision. The read is interrupted when they cease.
+	relaxedConfigurationWait = 15 * time.Second
+	// relaxedRetryInterval is the time between two failed reads while the messages of
+	// another entry tell this one all that it would read. relaxedRetryCheck is how
+	// often that is checked meanwhile.
+	relaxedRetryInterval = 2 * time.Second
+	relaxedRetryCheck    = 200 * time.Millisecond
 )
 
 // followOptions configure how a topic is followed.
@@ -37,7 +42,11 @@
 	// failure, the records in between are then not read: they may be too many for a
 	// slow link.
 	newestOnly bool
-	apply      func(update)
+	// isToldByOthers reports whether another entry tells this one of all changes.
+	// Failed reads are then repeated less often: during an outage, hundreds of
+	// entries would otherwise call the store several times a second.
+	isToldByOthers func() bool
+	apply          func(update)
 }
 
 // update is what a read of a topic has returned.
@@ -73,7 +82,7 @@
 		case err != nil:
 			failures++
 			e.logStoreFailure(f.topic, failures, err)
-			sleep(ctx, backoff.Delay(failures))
+			f.awaitRetry(ctx, backoff.Delay(failures))
 			continue
 		}
 		e.logStoreRecovery(f.topic, failures)
@@ -93,6 +102,15 @@
 	return ctx.Err()
 }
 
+// awaitRetry waits after a failed read: for a delay, or for relaxedRetryInterval as long
+// as other entries tell this one of all changes.
+func (f followOptions) awaitRetry(ctx context.Context, delay time.Duration) {
+	sleep(ctx, delay)
+	for waited := delay; waited < relaxedRetryInterval && f.isToldByOthers() && ctx.Err() == nil; waited += relaxedRetryCheck {
+		sleep(ctx, relaxedRetryCheck)
+	}
+}
+
 // fromStart stands for the position of a read that returns the newest record of
 // each key.
 var fromStart = Position{Offset: -1}
@@ -209,7 +227,7 @@
 
 func (e *Entry) followConfiguration(ctx context.Context) error {
 	return e.follow(ctx, followOptions{
-		topic: TopicConfiguration, readWait: e.configurationWait, wake: e.newerRevision, newestOnly: true,
+		topic: TopicConfiguration, readWait: e.configurationWait, wake: e.newerRevision, newestOnly: true, isToldByOthers: e.hasNewestRevision,
 		apply: func(u update) { e.applyNewestConfiguration(u.records) },
 	})
 }
@@ -225,6 +243,29 @@
 	return configurationWait
 }
 
+// hasNewestRevision reports whether another entry watches for newer revisions and none
+// announces one.
+func (e *Entry) hasNewestRevision() bool {
+	if e.isWatcher() || !e.hasFreshWatcher() {
+		return false
+	}
+	revision := e.Revision()
+	return revision > 0 && !slices.ContainsFunc(e.fleet.freshMessages(time.Now()), func(m message) bool { return m.revision > revision })
+}
+
+// observeWatcher interrupts a pending read of the configuration when the watcher is
+// lost: a newer revision may then not be announced.
+func (e *Entry) observeWatcher(wasFresh bool) (isFresh bool) {
+	isFresh = e.hasFreshWatcher()
+	if wasFresh && !isFresh {
+		select {
+		case e.newerRevision <- struct{}{}:
+		default:
+		}
+	}
+	return isFresh
+}
+
 // applyNewestConfiguration applies the newest readable record. Those before it
 // are superseded; decoding them would delay the newest one.
 func (e *Entry) applyNewestConfiguration(records []Record) {
@@ -262,12 +303,14 @@
 // watcher, while there is no watcher, or while a lost engine is expected to
 // return, and infrequently otherwise.
 func (e *Entry) followServers(ctx context.Context) error {
+	// watcher is the one at the last read.
+	var watcher watcherTerm
 	return e.follow(ctx, followOptions{
-		topic: TopicServers, readWait: func() time.Duration { return 0 },
+		topic: TopicServers, readWait: func() time.Duration { return 0 }, isToldByOthers: func() bool { return !e.readsItself(watcher) },
 		pause: func(ctx context.Context) {
 			e.directory.markRead(bootclock.Now())
 			e.directory.expireUnconfirmed(bootclock.Now())
-			watcher, _ := e.freshWatcher()
+			watcher, _ = e.freshWatcher()
 			for elapsed := watchInterval; elapsed < relaxedInterval && ctx.Err() == nil; elapsed += watchInterval {
 				sleep(ctx, watchInterval)
 				if e.readsItself(watcher) || e.awaitsLostEngine(elapsed) {
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -29,7 +29,7 @@
 	// entriesInterval is how often the entries' records are read. Changes need not
 	// be noticed sooner: a starting entry sends messages to the entries that it
 	// finds there.
-	entriesInterval = 12 * time.Second
+	entriesInterval = 30 * time.Second
 	// earlyReads is the number of initial reads done every earlyInterval, because
 	// entries start at the same time.
 	earlyReads    = 3
@@ -111,7 +111,7 @@
 func (p *peers) followEntries(ctx context.Context) error {
 	reads := 0
 	return p.follow(ctx, followOptions{
-		topic: TopicEntries, readWait: func() time.Duration { return 0 }, apply: p.applyEntries,
+		topic: TopicEntries, readWait: func() time.Duration { return 0 }, apply: p.applyEntries, isToldByOthers: p.hasReadRecords,
 		pause: func(ctx context.Context) {
 			interval := entriesInterval
 			if reads++; reads <= earlyReads {
@@ -136,6 +136,14 @@
 	p.updateShares()
 }
 
+// hasReadRecords reports whether the entries' records have been read. Entries that start
+// later send messages to this one.
+func (p *peers) hasReadRecords() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.recordsRead
+}
+
 func (p *peers) applyEntry(r Record) {
 	if r.Value == nil {
 		delete(p.addresses, r.Key)
--- a/relay/restore_test.go
+++ b/relay/restore_test.go
@@ -98,7 +98,7 @@
 		writers.Go(func() error { return e.crashes.runStore(ctx) })
 		time.Sleep(time.Minute)
 		assert.Equal(t, len(store.topics[TopicEntries])+len(store.topics[TopicBlockedParts]), 0)
-		// The entry's next read of a topic may be 12 s away, so the store's client tells.
+		// The entry's next read of a topic may be 30 s away, so the store's client tells.
 		store.restore(TopicEntries, 0)
 		time.Sleep(time.Second)
 		cancel()
