relay: requests wait for the first configuration of a process

Change: a request waits until the process knows a configuration and servers, for at most 0.5 s and a third of its client's time.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -427,6 +427,18 @@
 	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
 }
 
+// Guards against refusals after all entries have restarted at once: clients come back
+// before the configuration is read, and some come back only once.
+func TestRequestsWaitForTheFirstConfiguration(t *testing.T) {
+	b := newBackend(t, respond(200, "answer"))
+	e := newTestEntry(t, unaryRoute(config.CallAtMostOnce), b)
+	rev := e.current.Swap(nil)
+	time.AfterFunc(2*startupCheckInterval, func() { e.current.Store(rev) })
+	response, _, err := e.send(t, http.MethodGet)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+}
+
 func eventsText(n int) string {
 	var all strings.Builder
 	for i := range n {
--- a/relay/request.go
+++ b/relay/request.go
@@ -113,6 +113,7 @@
 	if q.pause.wasHeldUp(bootclock.Now()) {
 		q.confirmConfiguration()
 	}
+	q.awaitStartup()
 	q.revision = q.current.Load()
 	rev := q.revision
 	if rev == nil {
@@ -156,6 +157,36 @@
 // read the configuration.
 const noConfigurationRetryAfter = 500 * time.Millisecond
 
+const (
+	// maxStartupWaitFraction bounds the wait for a process that has just started, as a
+	// fraction of the time that the client has.
+	maxStartupWaitFraction = 1.0 / 3
+	startupCheckInterval   = 10 * time.Millisecond
+	// startupTime is how long after its start a process expects to hear of servers.
+	startupTime = 2 * time.Second
+)
+
+// awaitStartup waits until this process knows a configuration and servers. When many
+// entries restart at once, clients come back before that, and some come back only once.
+func (q *request) awaitStartup() {
+	limit := noConfigurationRetryAfter
+	if q.info.Timeout > 0 {
+		limit = min(limit, time.Duration(float64(q.info.Timeout)*maxStartupWaitFraction))
+	}
+	for q.isStartingUp(time.Now()) && time.Since(q.started) < limit && q.r.Context().Err() == nil {
+		sleep(q.r.Context(), startupCheckInterval)
+	}
+}
+
+// isStartingUp reports whether this process is about to learn what it needs to serve
+// requests. One that knows of no servers for long has none.
+func (e *Entry) isStartingUp(now time.Time) bool {
+	if e.current.Load() == nil {
+		return true
+	}
+	return now.Sub(e.fleet.startedAt) < startupTime && len(e.fleet.snapshot()) == 0
+}
+
 // headerBytes returns the size of a request line and header as sent by the
 // client.
 func headerBytes(r *http.Request) int64 {
