relay: sums of load survive values that no entry sends

Reported values are bounded before they are added. Slowdowns are kept by server and entry in place of being searched for in all messages, and the last messages of entries that are gone are dropped after a minute.

--- a/relay/usage.go
+++ b/relay/usage.go
@@ -20,7 +20,7 @@
 	// duration of each request, or the bytes per second that cross a link.
 	rate float64
 	// slowdown is set by the lease holder for an engine that is slower than
-	// expected.
+	// expected, and by any entry for one that refuses stages.
 	slowdown float64
 }
 
@@ -33,6 +33,30 @@
 	u.slowdown = max(u.slowdown, o.slowdown)
 }
 
+// Bounds of the values that other entries report, far above real ones. Sums of larger
+// values would lose the smaller ones when the larger are taken away again.
+const (
+	maxReportedTokens      = 1e12
+	maxReportedLayerTokens = 1e15
+	maxReportedRate        = 1e11
+	maxReportedSlowdown    = 1e6
+)
+
+// bounded returns the usage with all values within their bounds.
+func (u usage) bounded() usage {
+	u.tokens, u.layerTokens = boundedTo(u.tokens, maxReportedTokens), boundedTo(u.layerTokens, maxReportedLayerTokens)
+	u.rate, u.slowdown = boundedTo(u.rate, maxReportedRate), boundedTo(u.slowdown, maxReportedSlowdown)
+	return u
+}
+
+// boundedTo returns 0 for values that are negative or not numbers.
+func boundedTo(value, limit float64) float64 {
+	if !(value > 0) {
+		return 0
+	}
+	return min(value, limit)
+}
+
 func serverHash(id string) uint64 { return xxhash.Sum64String(id) }
 
 // linkID returns the ID of the link between two zones for use in place of a
@@ -104,9 +128,8 @@
 type peerUsage struct {
 	byEntry map[string]peerState
 	totals  map[uint64]peerTotal
-	// slowdowns are the highest ones reported, by server hash. They are nil if they
-	// must be computed again.
-	slowdowns map[uint64]float64
+	// slowdowns are the ones reported, by server hash and entry. Few servers have any.
+	slowdowns map[uint64]map[string]float64
 	// fresh is the number of entries that are not silent, and expiresAt the earliest
 	// time at which one of them may become silent.
 	fresh     int
@@ -132,8 +155,12 @@
 // longer is presumed to have terminated along with its requests.
 const messageTTL = time.Second
 
+// forgetAfter is how long the last message of a silent entry is kept, so that an older
+// one that arrives late is not taken for a new one.
+const forgetAfter = time.Minute
+
 func newPeerUsage() *peerUsage {
-	return &peerUsage{byEntry: map[string]peerState{}, totals: map[uint64]peerTotal{}}
+	return &peerUsage{byEntry: map[string]peerState{}, totals: map[uint64]peerTotal{}, slowdowns: map[uint64]map[string]float64{}}
 }
 
 // observe stores a message and reports whether it is newer than the previous
@@ -149,25 +176,30 @@
 	}
 	m.changes, m.suspects, m.evidence, m.limits, m.wants, m.gifts = nil, nil, evidence{}, nil, nil, nil
 	p.expire(now)
-	if old := p.byEntry[m.sender]; known && !old.silent {
-		p.addServers(old.servers, -1)
+	// expire may have removed the load of the previous message.
+	if previous := p.byEntry[m.sender]; known && !previous.silent {
+		p.addServers(previous.message, -1)
 	} else {
 		p.fresh++
 	}
+	for hash, u := range m.servers {
+		m.servers[hash] = u.bounded()
+	}
 	p.byEntry[m.sender] = peerState{message: m, receivedAt: now}
-	p.addServers(m.servers, 1)
+	p.addServers(m, 1)
 	if expiry := now.Add(messageTTL); p.fresh == 1 || expiry.Before(p.expiresAt) {
 		p.expiresAt = expiry
 	}
 	return true
 }
 
-// addServers adds the load that an entry reports, or removes it if sign is -1.
-func (p *peerUsage) addServers(servers map[uint64]usage, sign int) {
-	for hash, u := range servers {
+// addServers adds the load in a message, or removes it if sign is -1.
+func (p *peerUsage) addServers(m message, sign int) {
+	for hash, u := range m.servers {
 		if u.slowdown > 0 {
-			p.slowdowns = nil
+			p.setSlowdown(hash, m.sender, u.slowdown, sign)
 		}
+		u.slowdown = 0
 		t := p.totals[hash]
 		t.add(u, sign)
 		t.reports += sign
@@ -179,6 +211,22 @@
 	}
 }
 
+func (p *peerUsage) setSlowdown(hash uint64, sender string, slowdown float64, sign int) {
+	reports := p.slowdowns[hash]
+	if sign < 0 {
+		delete(reports, sender)
+		if len(reports) == 0 {
+			delete(p.slowdowns, hash)
+		}
+		return
+	}
+	if reports == nil {
+		reports = map[string]float64{}
+		p.slowdowns[hash] = reports
+	}
+	reports[sender] = slowdown
+}
+
 // expire removes the load of the entries that have become silent.
 func (p *peerUsage) expire(now time.Time) {
 	if p.fresh == 0 || !now.After(p.expiresAt) {
@@ -187,10 +235,13 @@
 	p.expiresAt = now.Add(messageTTL)
 	for name, e := range p.byEntry {
 		if e.silent {
+			if now.Sub(e.receivedAt) > forgetAfter {
+				delete(p.byEntry, name)
+			}
 			continue
 		}
 		if now.Sub(e.receivedAt) > messageTTL {
-			p.addServers(e.servers, -1)
+			p.addServers(e.message, -1)
 			e.servers, e.silent = nil, true
 			p.byEntry[name] = e
 			p.fresh--
@@ -220,22 +271,10 @@
 // server.
 func (p *peerUsage) usageOf(now time.Time, id string) usage {
 	p.expire(now)
-	if p.slowdowns == nil {
-		p.computeSlowdowns()
-	}
 	hash := serverHash(id)
 	u := p.totals[hash].usage
-	u.slowdown = p.slowdowns[hash]
-	return u
-}
-
-func (p *peerUsage) computeSlowdowns() {
-	p.slowdowns = map[uint64]float64{}
-	for _, e := range p.byEntry {
-		for hash, u := range e.servers {
-			if u.slowdown > 0 {
-				p.slowdowns[hash] = max(p.slowdowns[hash], u.slowdown)
-			}
-		}
+	for _, slowdown := range p.slowdowns[hash] {
+		u.slowdown = max(u.slowdown, slowdown)
 	}
+	return u
 }
