relay: a stream that engines refuse tries again until its client is about to leave

Change: up to eight refusals, from the second on with a pause that doubles from 25 ms, for at most 1.5 s; while the retry budget is used up, the stream waits as long for it. Engines that refused it are tried again after a pause, if the fleet does not avoid them.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -439,6 +439,20 @@
 	assert.Equal(t, response.StatusCode, http.StatusOK)
 }
 
+// Guards against a stream that is refused although its client would wait: five engines
+// are full for a moment, the sixth is not.
+func TestStreamOutlivesRefusalsOfFullEngines(t *testing.T) {
+	full := []*backend{}
+	for range 5 {
+		full = append(full, newBackend(t, refuse))
+	}
+	e := newTestEntry(t, streamRoute(true), append(full, newBackend(t, events(2, true)))...)
+	response, body, err := e.send(t, http.MethodPost)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, 200)
+	assert.Equal(t, body, eventsText(2))
+}
+
 func eventsText(n int) string {
 	var all strings.Builder
 	for i := range n {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -19,8 +19,14 @@
 const (
 	// refusedRetryAfter is the Retry-After time after engines refused the request.
 	refusedRetryAfter = 300 * time.Millisecond
-	// maxRefusals bounds the paths that are tried while none accepts the request.
-	maxRefusals = 3
+	// maxRefusals bounds the paths that are tried while none accepts the request, and
+	// maxRefusedTime the time from its start: clients disconnect after 2 s without an event.
+	maxRefusals    = 8
+	maxRefusedTime = 1500 * time.Millisecond
+	// minRefusalDelay is the time before the next path after the second refusal in a row.
+	// It doubles with each one: after a restart of many entries, engines still run requests
+	// that nobody counts, and refuse one path after another for a moment.
+	minRefusalDelay = 25 * time.Millisecond
 	// minNoCapacityRetryAfter and maxNoCapacityRetryAfter bound the earliest
 	// Retry-After time while no path has capacity. noCapacityRetrySpread is the
 	// period over which retries are spread.
@@ -86,7 +92,8 @@
 			return
 		}
 		repeatable := q.route.Resumable && q.mayRepeat()
-		if !q.allowRetry(ctx, result, q.streamLimits(), repeatable, s.maxWait()) {
+		if !q.allowRetry(ctx, result, q.streamLimits(), repeatable, s.maxWait()) ||
+			result == notExecuted && !s.pauseAfterRefusal(ctx) {
 			s.giveUp(errorDetail(err), refusedRetryAfter)
 			return
 		}
@@ -94,6 +101,32 @@
 	}
 }
 
+// pauseAfterRefusal waits before the next path is chosen. It reports false if a new
+// stream has been refused for so long that its client is about to leave. The engines that
+// have refused it are tried again after a pause, if the fleet does not avoid them.
+func (s *streamRequest) pauseAfterRefusal(ctx context.Context) bool {
+	delay := refusalDelay(s.attempts.Refused)
+	if s.headerSent || delay <= 0 {
+		return true
+	}
+	if time.Since(s.started)+delay > maxRefusedTime {
+		return false
+	}
+	sleep(ctx, delay)
+	if !s.maybeExecuted {
+		clear(s.avoid)
+	}
+	return true
+}
+
+// refusalDelay returns the time between a number of refusals and the next path.
+func refusalDelay(refusals int) time.Duration {
+	if refusals < 2 {
+		return 0
+	}
+	return minRefusalDelay << (refusals - 2)
+}
+
 // giveUpWithoutPath ends a request for which no path was found in time.
 func (s *streamRequest) giveUpWithoutPath(err error) {
 	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
@@ -182,7 +215,7 @@
 	if s.headerSent {
 		return maxPathWait
 	}
-	return 0
+	return max(maxRefusedTime-time.Since(s.started), 0)
 }
 
 func (q *request) streamLimits() retry.Limits {
