relay: refusals of stages are counted, and logged with what decided

The line of an engine that refuses stages tells what all entries have in progress there and what it holds; a counter of all refused stages; a test for the announcement of a silent first engine.

--- a/relay/observe.go
+++ b/relay/observe.go
@@ -61,6 +61,8 @@
 	firstByte metrics.Histogram
 	total     metrics.Histogram
 	retries   metrics.Counter
+	// stageRefusals counts stages that engines refused.
+	stageRefusals metrics.Counter
 	// skippedLines counts dropped log lines.
 	skippedLines metrics.Counter
 	// controlRequests counts status queries and orders to engines.
@@ -75,11 +77,12 @@
 		return metrics.GetOrRegisterHistogram(name, registry, metrics.NewExpDecaySample(reservoirSize, reservoirAlpha))
 	}
 	return &requestMetrics{
-		registry:     registry,
-		firstByte:    histogram("relay.first_byte_ms"),
-		total:        histogram("relay.request_ms"),
-		retries:      metrics.GetOrRegisterCounter("relay.repeats", registry),
-		skippedLines: metrics.GetOrRegisterCounter("relay.log_lines_skipped", registry),
+		registry:      registry,
+		firstByte:     histogram("relay.first_byte_ms"),
+		total:         histogram("relay.request_ms"),
+		retries:       metrics.GetOrRegisterCounter("relay.repeats", registry),
+		stageRefusals: metrics.GetOrRegisterCounter("relay.stage_refusals", registry),
+		skippedLines:  metrics.GetOrRegisterCounter("relay.log_lines_skipped", registry),
 
 		controlRequests: metrics.GetOrRegisterCounter("relay.control_requests", registry),
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -289,13 +289,16 @@
 // should have had room for it.
 func (s *streamRequest) avoidRefusing(engine string) {
 	s.avoid[engine] = true
-	pause := s.fleet.refuseStage(time.Now(), engine, s.engineCapacity(engine))
-	if pause <= 0 {
+	s.requestMetrics.stageRefusals.Inc(1)
+	capacity := s.engineCapacity(engine)
+	avoided, used := s.fleet.refuseStage(time.Now(), engine, capacity)
+	if avoided <= 0 {
 		return
 	}
 	s.sendNow.fire()
 	if s.logLimiter.allow(time.Now()) {
-		logevent.Write(s.logger, logevent.EngineRefuses).Str("server", engine).Str("request", s.info.ID).Dur("avoided_ms", pause).Msg("")
+		logevent.Write(s.logger, logevent.EngineRefuses).Str("server", engine).Str("request", s.info.ID).
+			Dur("avoided_ms", avoided).Float64("used", used).Float64("capacity", capacity).Msg("")
 	}
 }
 
--- a/relay/suspects.go
+++ b/relay/suspects.go
@@ -13,15 +13,16 @@
 
 // refuseStage records that an engine refused a stage. It returns how long the engine is
 // avoided because it should have had room, or 0 if it may be full: then it is avoided for
-// a moment only.
-func (f *fleet) refuseStage(now time.Time, id string, capacity float64) time.Duration {
+// a moment only. used is what it has in progress, in tokens times layers.
+func (f *fleet) refuseStage(now time.Time, id string, capacity float64) (avoided time.Duration, used float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	used = f.inProgress(now, id).layerTokens
 	if f.mayBeFull(now, id, capacity) {
 		f.conditions.Avoid(now, id)
-		return 0
+		return 0, used
 	}
-	return f.conditions.RefuseStage(now, id)
+	return f.conditions.RefuseStage(now, id), used
 }
 
 // acceptStages records that the engines of a path run their stages.
--- a/relay/suspects_test.go
+++ b/relay/suspects_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -98,13 +99,36 @@
 	now := time.Now()
 	f.setServers(now, map[string]Server{"a": testServer("a", 0, 8)})
 	f.reserve(map[string]usage{"a": {requests: 1, layerTokens: 90}})
-	assert.Equal(t, f.refuseStage(now, "a", 100), time.Duration(0))
-	first := f.refuseStage(now, "a", 1000)
+	refuse := func(capacity float64) time.Duration {
+		avoided, used := f.refuseStage(now, "a", capacity)
+		assert.Equal(t, used, 90.0)
+		return avoided
+	}
+	assert.Equal(t, refuse(100), time.Duration(0))
+	first := refuse(1000)
 	assert.Assert(t, first > 0)
-	assert.Equal(t, f.refuseStage(now, "a", 1000), first)
+	assert.Equal(t, refuse(1000), first)
 	now = now.Add(first)
-	assert.Equal(t, f.refuseStage(now, "a", 1000), 2*first)
+	assert.Equal(t, refuse(1000), 2*first)
 	assert.DeepEqual(t, f.localUsage(now)[serverHash("a")].slowdown, float64(refusedSlowdown))
 	f.acceptStages([]pipeline.Hop{{Engine: "a"}})
 	assert.Equal(t, f.localUsage(now)[serverHash("a")].slowdown, 0.0)
 }
+
+// deafEngines respond to no status query.
+type deafEngines struct{ testEngines }
+
+func (*deafEngines) Status(context.Context, string) (EngineStatus, error) {
+	return EngineStatus{}, ErrNoResponse
+}
+
+// Guards against streams that stand still at an engine which another entry has found
+// dead: the engine before it notices that only a moment later.
+func TestSilentFirstEngineIsAnnounced(t *testing.T) {
+	e := newTestEntry(t, streamRoute(true))
+	e.fleet.setServers(time.Now(), map[string]Server{"a": testServer("a", 0, 8)})
+	e.stallChecker.engines = &deafEngines{}
+	a := &attempt{streamRequest: &streamRequest{request: &request{Entry: e.Entry, avoid: map[string]bool{}}}, hops: []pipeline.Hop{{Engine: "a", Address: "a:1"}}}
+	assert.ErrorIs(t, a.markStalledEngines(t.Context()), errPathLost)
+	assert.DeepEqual(t, e.fleet.suspectHashes(time.Now()), []uint64{serverHash("a")})
+}
