relay: a refused stream does not wait for the retry budget

Change: five refusals in place of eight, and no wait for the budget: a client that comes back is a new request and needs none of it.

--- a/relay/stream.go
+++ b/relay/stream.go
@@ -21,7 +21,7 @@
 	refusedRetryAfter = 300 * time.Millisecond
 	// maxRefusals bounds the paths that are tried while none accepts the request, and
 	// maxRefusedTime the time from its start: clients disconnect after 2 s without an event.
-	maxRefusals    = 8
+	maxRefusals    = 5
 	maxRefusedTime = 1500 * time.Millisecond
 	// minRefusalDelay is the time before the next path after the second refusal in a row.
 	// It doubles with each one: after a restart of many entries, engines still run requests
@@ -210,12 +210,13 @@
 	return req
 }
 
-// maxWait returns how long the stream waits for the resources to continue.
+// maxWait returns how long the stream waits for the retry budget. A new one does not:
+// when its client returns, that is a new request, which needs none of it.
 func (s *streamRequest) maxWait() time.Duration {
 	if s.headerSent {
 		return maxPathWait
 	}
-	return max(maxRefusedTime-time.Since(s.started), 0)
+	return 0
 }
 
 func (q *request) streamLimits() retry.Limits {
