relay: a server that crashes under a request and is back at once is found by its next record

Servers that are known to be stopping are not counted; connections that are reset without a restart are forgotten. Tests: TestRequestThatCrashesServersIsBlocked plays all its cases with servers that are back at once as well (the records are updated before the evidence is exchanged now, since they tell of the restart); TestEndedExchangeIsNoCrash. A row in the fault matrix, with open cells for later stages and off the platform.

--- a/faultmatrix/faultmatrix.go
+++ b/faultmatrix/faultmatrix.go
@@ -36,6 +36,7 @@
 // The faults.
 const (
 	CrashUnderRequest Fault = iota
+	CrashBackAtOnce
 	ServerCrash
 	Leaving
 	RetryAfter
@@ -62,7 +63,7 @@
 )
 
 var faultNames = [faultCount]string{
-	"a request crashes each server that begins it", "a server crashes or is replaced", "a server says in answers that it is leaving",
+	"a request crashes each server that begins it", "the same, and the server accepts connections again at once", "a server crashes or is replaced", "a server says in answers that it is leaving",
 	"503 with Retry-After", "a server states a rate limit", "a server is silent", "a server is slow",
 	"bytes that are no answer, without end or slowly", "a late second answer", "an answer without a length", "broken bytes",
 	"an answer is lost", "a server fails requests", "an address is used by another server", "the store comes back older",
@@ -110,6 +111,16 @@
 		Order:       never("no page or incident names it; an order carries nothing of a client"),
 		OffPlatform: tests("TestCallThatCrashesServersIsBlocked", "TestLanguageRequestThatCrashesEnginesIsBlocked"),
 	},
+	CrashBackAtOnce: {
+		FirstStage:  tests("TestRequestThatCrashesServersIsBlocked", "TestEndedExchangeIsNoCrash"),
+		LaterStage:  open("the engine has no layers after its restart and is left for that; the request is not suspected"),
+		Idempotent:  tests("TestRequestThatCrashesServersIsBlocked", "TestEndedExchangeIsNoCrash"),
+		AtMostOnce:  tests("TestRequestThatCrashesServersIsBlocked", "TestEndedExchangeIsNoCrash"),
+		Keyed:       open("the sidecar suspects a request only if its server accepts no connection"),
+		Status:      never("a query carries nothing of a client"),
+		Order:       never("an order carries nothing of a client"),
+		OffPlatform: open("the sidecar suspects a request only if its server accepts no connection"),
+	},
 	ServerCrash: {
 		FirstStage:  both("TestStreamResumesAfterLastEvent", "engine crashes", "engine replaced", "engine link reset"),
 		LaterStage:  tests("TestStreamIsReroutedAroundStalledEngine"),
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/sapphirefield/sapphirefield/eventstream"
 	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/membership"
+	"github.com/sapphirefield/sapphirefield/netpeek"
 	"github.com/sapphirefield/sapphirefield/pipeline"
 	"github.com/sapphirefield/sapphirefield/retry"
 )
@@ -100,7 +101,7 @@
 		a.x.close()
 	}
 	if ctx.Err() == nil {
-		a.reportCrash()
+		a.reportCrash(err)
 	}
 	if ctx.Err() == nil && !errors.Is(err, errPathLost) {
 		a.avoid[a.hops[0].Engine] = true
@@ -109,14 +110,21 @@
 }
 
 // reportCrash suspects the prompt's parts if the first engine has crashed before it
-// answered for long. Another attempt may follow, so it waits until that is known.
-func (a *attempt) reportCrash() {
+// answered for long. If the engine responds, its next record shows whether it has
+// restarted. Another attempt may follow, so it waits until that is known.
+func (a *attempt) reportCrash(err error) {
 	parts := a.suspectParts()
 	if !a.soundAt.IsZero() || !a.crashes.hasUnknownPart(time.Now(), parts) {
 		return
 	}
 	if a.verifySuspect(a.head.id, a.hops[0].Address) {
 		a.crashes.recordCrash(time.Now(), a.info.ID, a.head, parts)
+		return
+	}
+	server, known := a.fleet.snapshot()[a.head.id]
+	if known && netpeek.IsConnectionEnd(err) {
+		server.StartTimeMillis = a.head.startTimeMillis
+		a.crashes.recordEnd(time.Now(), server, a.info.ID, parts)
 	}
 }
 
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -98,10 +98,19 @@
 }
 
 // reportCrash records that a server has ended while it worked on the request, if the
-// error of the exchange and another connection show that. Another attempt may follow, so
+// error of the exchange and another connection show that. If the server accepts the
+// connection, its next record shows whether it has restarted. Another attempt may follow, so
 // it waits until that is known.
 func (q *request) reportCrash(ctx context.Context, server Server, err error) {
-	if !netpeek.IsConnectionEnd(err) || ctx.Err() != nil || !q.pool.hasCrashed(ctx, server.Address) || ctx.Err() != nil {
+	if !netpeek.IsConnectionEnd(err) || ctx.Err() != nil {
+		return
+	}
+	crashed := q.pool.hasCrashed(ctx, server.Address)
+	if ctx.Err() != nil {
+		return
+	}
+	if !crashed {
+		q.crashes.recordEnd(time.Now(), server, q.info.ID, q.suspectParts())
 		return
 	}
 	q.crashes.recordCrash(time.Now(), q.info.ID, crashedEngine{server.ID, server.StartTimeMillis}, q.suspectParts())
--- a/relay/crashes_test.go
+++ b/relay/crashes_test.go
@@ -40,19 +40,27 @@
 	return c, all
 }
 
-// removeCrashed removes the crashed servers from the entries' lists, as their records
-// are removed from the store.
-func (c *crashingBackends) removeCrashed(entries ...*Entry) {
+// updateRecords removes the crashed servers from the entries' lists, as their records are
+// removed from the store, or gives them the start times of their new processes.
+func (c *crashingBackends) updateRecords(entries ...*Entry) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for _, e := range entries {
 		servers := map[string]Server{}
 		for id, s := range e.fleet.snapshot() {
-			c.mu.Lock()
-			if !c.crashed[s.Address] {
+			switch {
+			case !c.crashed[s.Address]:
+				servers[id] = s
+			case c.backAtOnce:
+				s.StartTimeMillis++
 				servers[id] = s
 			}
-			c.mu.Unlock()
 		}
 		e.fleet.setServers(time.Now(), servers)
+		e.crashes.recordRestarts(time.Now())
+	}
+	if c.backAtOnce {
+		clear(c.crashed)
 	}
 }
 
@@ -78,7 +86,8 @@
 }
 
 // Guards against one request that crashes server after server: it comes again, each time
-// with a new ID and through any entry, while others with the same target are sound.
+// with a new ID and through any entry, while others with the same target are sound. The
+// servers stay away, or are back before anyone notices that they were away.
 func TestRequestThatCrashesServersIsBlocked(t *testing.T) {
 	routes := map[string]config.Route{
 		"idempotent": unaryRoute(config.CallIdempotent), "at most once": unaryRoute(config.CallAtMostOnce),
@@ -87,44 +96,88 @@
 	for kind, route := range routes {
 		for _, entries := range []int{1, 4} {
 			for _, parts := range []string{"", "shared,own"} {
-				if parts != "" && route.CallKind != config.CallStream {
-					continue
-				}
-				t.Run(fmt.Sprintf("%s/%d entries/parts %q", kind, entries, parts), func(t *testing.T) {
-					c, all := newCrashTest(t, route, 24, entries)
-					plain := make([]*Entry, 0, entries)
-					for _, e := range all {
-						plain = append(plain, e.Entry)
+				for _, backAtOnce := range []bool{false, true} {
+					if parts != "" && route.CallKind != config.CallStream {
+						continue
 					}
-					late := 0
-					for i := range 16 {
-						e := all[i%entries]
-						known, before := c.arrivals() >= tolerableCrashes, c.arrivals()
-						status := e.sendContent(t, "order 7", parts, true)
-						if known {
-							late += c.arrivals() - before
-						}
-						// A request that reached a server must not be said not to have run.
-						assert.Equal(t, status == http.StatusServiceUnavailable, c.arrivals() == before, "status %d", status)
-						assert.Equal(t, e.sendContent(t, fmt.Sprint("order 8.", i), parts, false), http.StatusOK)
-						exchangeEvidence(time.Now(), plain...)
-						for _, e := range plain {
-							e.crashes.decide(time.Now().Add(time.Second))
-						}
-						exchangeEvidence(time.Now(), plain...)
-						c.removeCrashed(plain...)
-					}
-					assert.Assert(t, late <= lateArrivals, "%d requests reached servers after the third crash, %d in all", late, c.arrivals())
-					for i, e := range all {
-						assert.Equal(t, e.sendContent(t, "order 7", parts, true), http.StatusServiceUnavailable)
-						assert.Equal(t, e.sendContent(t, fmt.Sprint("order 9.", i), parts, false), http.StatusOK)
-					}
-				})
+					t.Run(fmt.Sprintf("%s/%d entries/parts %q/back at once %t", kind, entries, parts, backAtOnce), func(t *testing.T) {
+						testCrashingRequest(t, route, entries, parts, backAtOnce)
+					})
+				}
 			}
 		}
 	}
 }
 
+func testCrashingRequest(t *testing.T, route config.Route, entries int, parts string, backAtOnce bool) {
+	c, all := newCrashTest(t, route, 24, entries)
+	c.backAtOnce = backAtOnce
+	plain := make([]*Entry, 0, entries)
+	for _, e := range all {
+		plain = append(plain, e.Entry)
+	}
+	late := 0
+	for i := range 16 {
+		e := all[i%entries]
+		known, before := c.arrivals() >= tolerableCrashes, c.arrivals()
+		status := e.sendContent(t, "order 7", parts, true)
+		if known {
+			late += c.arrivals() - before
+		}
+		// A request that reached a server must not be said not to have run.
+		assert.Equal(t, status == http.StatusServiceUnavailable, c.arrivals() == before, "status %d", status)
+		assert.Equal(t, e.sendContent(t, fmt.Sprint("order 8.", i), parts, false), http.StatusOK)
+		c.updateRecords(plain...)
+		exchangeEvidence(time.Now(), plain...)
+		for _, e := range plain {
+			e.crashes.decide(time.Now().Add(time.Second))
+		}
+		exchangeEvidence(time.Now(), plain...)
+	}
+	assert.Assert(t, late <= lateArrivals, "%d requests reached servers after the third crash, %d in all", late, c.arrivals())
+	for i, e := range all {
+		assert.Equal(t, e.sendContent(t, "order 7", parts, true), http.StatusServiceUnavailable)
+		assert.Equal(t, e.sendContent(t, fmt.Sprint("order 9.", i), parts, false), http.StatusOK)
+	}
+}
+
+// Guards against a request that is blamed for connections that are reset, for servers that
+// stop as planned, and for restarts long after it.
+func TestEndedExchangeIsNoCrash(t *testing.T) {
+	e := newStoreEntry(newScriptedStore())
+	now := time.Now()
+	servers := map[string]Server{"reset": heartbeat("reset", 1), "stops": heartbeat("stops", 1), "later": heartbeat("later", 1), "crashes": heartbeat("crashes", 1)}
+	e.fleet.setServers(now, servers)
+	e.fleet.markLeaving(now, "stops")
+	for _, id := range []string{"reset", "stops", "crashes"} {
+		e.crashes.recordEnd(now, servers[id], "r", []string{id})
+	}
+	e.crashes.recordEnd(now.Add(-restartNoticeTime), servers["later"], "r", []string{"later"})
+	restarted := func(now time.Time, ids ...string) (parts []string) {
+		next := map[string]Server{}
+		for id, s := range e.fleet.snapshot() {
+			next[id] = s
+		}
+		for _, id := range ids {
+			s := next[id]
+			s.StartTimeMillis++
+			next[id] = s
+		}
+		e.fleet.setServers(now, next)
+		for _, x := range e.crashes.takeRestarted(now) {
+			parts = append(parts, x.parts...)
+		}
+		return parts
+	}
+	assert.Equal(t, len(restarted(now)), 0)
+	assert.DeepEqual(t, restarted(now, "stops", "crashes", "later"), []string{"crashes"})
+	assert.Equal(t, len(restarted(now.Add(restartNoticeTime), "reset")), 0)
+	for range 2 * maxEndedExchanges {
+		e.crashes.recordEnd(now, servers["reset"], "r", nil)
+	}
+	assert.Equal(t, len(e.crashes.ended), maxEndedExchanges)
+}
+
 // Guards against a request that crashes the engines of a later stage of its path, one
 // after another, as the path is changed each time.
 func TestRequestThatCrashesLaterStagesIsBlocked(t *testing.T) {
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -51,6 +51,9 @@
 	save    trigger
 	// saveAgain triggers that all blocked parts are saved again.
 	saveAgain trigger
+	// ended are exchanges that ended while their servers accepted connections, the
+	// oldest first.
+	ended []endedExchange
 }
 
 func newCrashGuard(e *Entry) *crashGuard {
@@ -244,6 +247,7 @@
 // runDecisions judges suspicions until ctx ends.
 func (g *crashGuard) runDecisions(ctx context.Context) error {
 	for sleep(ctx, decideInterval); ctx.Err() == nil; sleep(ctx, decideInterval) {
+		g.recordRestarts(time.Now())
 		g.decide(time.Now())
 	}
 	return ctx.Err()
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -20,11 +20,13 @@
 // the part "bad" or the header Crash.
 type crashingBackends struct {
 	// unary is set if they are servers of a non-pipeline service.
-	unary    bool
-	backends []*backend
-	mu       sync.Mutex
-	conns    map[*backend][]net.Conn
-	crashed  map[string]bool
+	unary bool
+	// backAtOnce is set if they restart so fast that their ports stay open.
+	backAtOnce bool
+	backends   []*backend
+	mu         sync.Mutex
+	conns      map[*backend][]net.Conn
+	crashed    map[string]bool
 	// arrived counts the requests with the part that reached an engine.
 	arrived int
 }
@@ -54,7 +56,9 @@
 	case !c.unary:
 		write(conn, streamHeader, r.Header.Get("Id"))
 	}
-	b.listener.Close()
+	if !c.backAtOnce {
+		b.listener.Close()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, other := range c.conns[b] {
@@ -77,7 +81,7 @@
 
 func (e *crashedEngines) Status(ctx context.Context, address string) (EngineStatus, error) {
 	e.backends.mu.Lock()
-	crashed := e.backends.crashed[address]
+	crashed := e.backends.crashed[address] && !e.backends.backAtOnce
 	e.backends.mu.Unlock()
 	if crashed {
 		return EngineStatus{}, ErrNoResponse
