relay: restarts under a request, after review

Change: nothing is remembered by an entry that was held up; only a later process of the same service counts; the time follows the heartbeat. TestEndedExchangeIsNoCrash is a table of these cases, TestRestartIsNoticed plays the loop and a record that came before the stream broke off.

--- a/faultmatrix/faultmatrix.go
+++ b/faultmatrix/faultmatrix.go
@@ -63,7 +63,7 @@
 )
 
 var faultNames = [faultCount]string{
-	"a request crashes each server that begins it", "the same, and the server accepts connections again at once", "a server crashes or is replaced", "a server says in answers that it is leaving",
+	"a request crashes each server that begins it", "a request crashes each server that begins it, and the server accepts connections again at once", "a server crashes or is replaced", "a server says in answers that it is leaving",
 	"503 with Retry-After", "a server states a rate limit", "a server is silent", "a server is slow",
 	"bytes that are no answer, without end or slowly", "a late second answer", "an answer without a length", "broken bytes",
 	"an answer is lost", "a server fails requests", "an address is used by another server", "the store comes back older",
--- a/relay/crashes_test.go
+++ b/relay/crashes_test.go
@@ -9,10 +9,13 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
+	"github.com/sapphirefield/sapphirefield/bootclock"
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/pipeline"
 	"github.com/sapphirefield/sapphirefield/quarantine"
@@ -142,42 +145,70 @@
 }
 
 // Guards against a request that is blamed for connections that are reset, for servers that
-// stop as planned, and for restarts long after it.
+// stop as planned, for restarts long after it, for records of an older copy of the store,
+// and for another service at the address.
 func TestEndedExchangeIsNoCrash(t *testing.T) {
-	e := newStoreEntry(newScriptedStore())
 	now := time.Now()
-	servers := map[string]Server{"reset": heartbeat("reset", 1), "stops": heartbeat("stops", 1), "later": heartbeat("later", 1), "crashes": heartbeat("crashes", 1)}
-	e.fleet.setServers(now, servers)
-	e.fleet.markLeaving(now, "stops")
-	for _, id := range []string{"reset", "stops", "crashes"} {
-		e.crashes.recordEnd(now, servers[id], "r", []string{id})
+	app := heartbeat("s", 1)
+	app.Service = "app"
+	changed := func(change func(*Server)) map[string]Server {
+		s := app
+		change(&s)
+		return map[string]Server{s.ID: s}
 	}
-	e.crashes.recordEnd(now.Add(-restartNoticeTime), servers["later"], "r", []string{"later"})
-	restarted := func(now time.Time, ids ...string) (parts []string) {
-		next := map[string]Server{}
-		for id, s := range e.fleet.snapshot() {
-			next[id] = s
-		}
-		for _, id := range ids {
-			s := next[id]
-			s.StartTimeMillis++
-			next[id] = s
-		}
-		e.fleet.setServers(now, next)
-		for _, x := range e.crashes.takeRestarted(now) {
-			parts = append(parts, x.parts...)
+	for name, test := range map[string]struct {
+		prepare func(*Entry)
+		after   time.Duration
+		servers map[string]Server
+		crashes int
+	}{
+		"restart":          {servers: changed(func(s *Server) { s.StartTimeMillis++ }), crashes: 1},
+		"new ID":           {servers: changed(func(s *Server) { s.ID, s.StartTimeMillis = "t", 2 }), crashes: 1},
+		"reset":            {servers: changed(func(*Server) {})},
+		"older process":    {servers: changed(func(s *Server) { s.StartTimeMillis-- })},
+		"other service":    {servers: changed(func(s *Server) { s.ID, s.Service, s.StartTimeMillis = "t", "other", 2 })},
+		"long after":       {servers: changed(func(s *Server) { s.StartTimeMillis++ }), after: minRestartNotice},
+		"leaving":          {servers: changed(func(s *Server) { s.StartTimeMillis++ }), prepare: func(e *Entry) { e.fleet.markLeaving(now, "s") }},
+		"entry was paused": {servers: changed(func(s *Server) { s.StartTimeMillis++ }), prepare: func(e *Entry) { e.pause.beat(bootclock.Now().Add(-time.Minute)) }},
+	} {
+		e := newStoreEntry(newScriptedStore())
+		e.fleet.setServers(now, map[string]Server{"s": app})
+		if test.prepare != nil {
+			test.prepare(e)
 		}
-		return parts
+		e.crashes.recordEnd(now, app, "r", []string{"part"})
+		e.fleet.setServers(now, test.servers)
+		assert.Equal(t, len(e.crashes.takeRestarted(now.Add(test.after), e.fleet.byAddress)), test.crashes, name)
 	}
-	assert.Equal(t, len(restarted(now)), 0)
-	assert.DeepEqual(t, restarted(now, "stops", "crashes", "later"), []string{"crashes"})
-	assert.Equal(t, len(restarted(now.Add(restartNoticeTime), "reset")), 0)
+	e := newStoreEntry(newScriptedStore())
 	for range 2 * maxEndedExchanges {
-		e.crashes.recordEnd(now, servers["reset"], "r", nil)
+		e.crashes.recordEnd(now, app, "r", nil)
 	}
 	assert.Equal(t, len(e.crashes.ended), maxEndedExchanges)
 }
 
+// Guards against restarts that are noticed by nobody, and against one that the store has
+// told before the stream broke off.
+func TestRestartIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newStoreEntry(newScriptedStore())
+		ctx, cancel := context.WithCancel(t.Context())
+		var decisions errgroup.Group
+		decisions.Go(func() error { return e.crashes.runDecisions(ctx) })
+		head := heartbeat("s", 1)
+		restarted := head
+		restarted.StartTimeMillis++
+		e.fleet.setServers(time.Now(), map[string]Server{"s": restarted})
+		q := &request{Entry: e, info: RequestInfo{PromptParts: []string{"part"}}, avoid: map[string]bool{}, contentPart: "content"}
+		a := &attempt{streamRequest: &streamRequest{request: q}, head: crashedEngine{"s", head.StartTimeMillis}, hops: []pipeline.Hop{{Engine: "s"}}}
+		a.reportCrash(io.EOF)
+		time.Sleep(2 * decideInterval)
+		assert.Assert(t, e.crashes.active.Load())
+		cancel()
+		_ = decisions.Wait() // it ends with the context
+	})
+}
+
 // Guards against a request that crashes the engines of a later stage of its path, one
 // after another, as the path is changed each time.
 func TestRequestThatCrashesLaterStagesIsBlocked(t *testing.T) {
--- a/relay/restarts.go
+++ b/relay/restarts.go
@@ -1,11 +1,17 @@
 package relay
 
-import "time"
+import (
+	"time"
+
+	"github.com/sapphirefield/sapphirefield/bootclock"
+)
 
 const (
-	// restartNoticeTime is how long an ended exchange is remembered: the new process of
-	// its server writes its record within a few heartbeats.
-	restartNoticeTime = 5 * time.Second
+	// minRestartNotice is the least time for which an ended exchange is remembered, and
+	// restartNoticeBeats that time in heartbeats: the new process of its server writes
+	// its record within one, and it is read and passed on within another.
+	minRestartNotice   = 5 * time.Second
+	restartNoticeBeats = 4
 	// maxEndedExchanges bounds the memory. The oldest ones are forgotten first.
 	maxEndedExchanges = 256
 )
@@ -15,17 +21,28 @@
 // server crashed and was back at once, as with a supervisor that keeps its port open. The
 // start time in the server's next record tells which.
 type endedExchange struct {
-	server  crashedEngine
-	address string
+	server  Server
 	request string
 	parts   []string
 	at      time.Time
 }
 
+// hasRestarted reports whether the server that is now known at the address is a later
+// process of the same service. An older one comes from an older copy of the store.
+func (x endedExchange) hasRestarted(now Server) bool {
+	return now.Service == x.server.Service && now.StartTimeMillis > x.server.StartTimeMillis
+}
+
+// restartNotice returns how long an ended exchange is remembered.
+func (g *crashGuard) restartNotice() time.Duration {
+	return max(minRestartNotice, restartNoticeBeats*g.settings.Heartbeat)
+}
+
 // recordEnd remembers an exchange that ended although its server accepts connections. A
-// server that is about to stop ends its connections for that reason.
+// server that is about to stop ends its connections for that reason, and a process that
+// was held up may have missed that it was.
 func (g *crashGuard) recordEnd(now time.Time, server Server, request string, parts []string) {
-	if server.Leaving || g.fleet.isLeaving(server.ID) {
+	if server.Leaving || g.fleet.isLeaving(server.ID) || g.pause.wasHeldUp(bootclock.Now()) {
 		return
 	}
 	g.mu.Lock()
@@ -33,29 +50,27 @@
 	if len(g.ended) >= maxEndedExchanges {
 		g.ended = g.ended[1:]
 	}
-	g.ended = append(g.ended, endedExchange{
-		server: crashedEngine{server.ID, server.StartTimeMillis}, address: server.Address, request: request, parts: parts, at: now,
-	})
+	g.ended = append(g.ended, endedExchange{server: server, request: request, parts: parts, at: now})
 }
 
 // recordRestarts records a crash for each ended exchange whose server has come back as
 // another process.
 func (g *crashGuard) recordRestarts(now time.Time) {
-	for _, x := range g.takeRestarted(now) {
-		g.recordCrash(now, x.request, x.server, x.parts)
+	for _, x := range g.takeRestarted(now, g.fleet.byAddress) {
+		g.recordCrash(now, x.request, crashedEngine{x.server.ID, x.server.StartTimeMillis}, x.parts)
 	}
 }
 
 // takeRestarted removes and returns the ended exchanges whose servers have restarted.
-func (g *crashGuard) takeRestarted(now time.Time) (restarted []endedExchange) {
+func (g *crashGuard) takeRestarted(now time.Time, byAddress func(string) (Server, bool)) (restarted []endedExchange) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	waiting := g.ended[:0]
 	for _, x := range g.ended {
-		server, known := g.fleet.byAddress(x.address)
+		server, known := byAddress(x.server.Address)
 		switch {
-		case now.Sub(x.at) >= restartNoticeTime:
-		case known && (crashedEngine{server.ID, server.StartTimeMillis}) != x.server:
+		case now.Sub(x.at) >= g.restartNotice():
+		case known && x.hasRestarted(server):
 			restarted = append(restarted, x)
 		default:
 			waiting = append(waiting, x)
