--- a/relay/crashes_test.go
+++ b/relay/crashes_test.go
@@ -9,10 +9,13 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
+	"github.com/sapphirefield/sapphirefield/bootclock"
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/pipeline"
 	"github.com/sapphirefield/sapphirefield/quarantine"
@@ -40,19 +43,27 @@
 	return c, all
 }
 
-// removeCrashed removes the crashed servers from the entries' lists, as their records
-// are removed from the store.
-func (c *crashingBackends) removeCrashed(entries ...*Entry) {
+// updateRecords removes the crashed servers from the entries' lists, as their records are
+// removed from the store, or gives them the start times of their new processes.
+func (c *crashingBackends) updateRecords(entries ...*Entry) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for _, e := range entries {
 		servers := map[string]Server{}
 		for id, s := range e.fleet.snapshot() {
-			c.mu.Lock()
-			if !c.crashed[s.Address] {
+			switch {
+			case !c.crashed[s.Address]:
+				servers[id] = s
+			case c.backAtOnce:
+				s.StartTimeMillis++
 				servers[id] = s
 			}
-			c.mu.Unlock()
 		}
 		e.fleet.setServers(time.Now(), servers)
+		e.crashes.recordRestarts(time.Now())
+	}
+	if c.backAtOnce {
+		clear(c.crashed)
 	}
 }
 
@@ -78,7 +89,8 @@
 }
 
 // Guards against one request that crashes server after server: it comes again, each time
-// with a new ID and through any entry, while others with the same target are sound.
+// with a new ID and through any entry, while others with the same target are sound. The
+// servers stay away, or are back before anyone notices that they were away.
 func TestRequestThatCrashesServersIsBlocked(t *testing.T) {
 	routes := map[string]config.Route{
 		"idempotent": unaryRoute(config.CallIdempotent), "at most once": unaryRoute(config.CallAtMostOnce),
@@ -87,44 +99,116 @@
 	for kind, route := range routes {
 		for _, entries := range []int{1, 4} {
 			for _, parts := range []string{"", "shared,own"} {
-				if parts != "" && route.CallKind != config.CallStream {
-					continue
-				}
-				t.Run(fmt.Sprintf("%s/%d entries/parts %q", kind, entries, parts), func(t *testing.T) {
-					c, all := newCrashTest(t, route, 24, entries)
-					plain := make([]*Entry, 0, entries)
-					for _, e := range all {
-						plain = append(plain, e.Entry)
+				for _, backAtOnce := range []bool{false, true} {
+					if parts != "" && route.CallKind != config.CallStream {
+						continue
 					}
-					late := 0
-					for i := range 16 {
-						e := all[i%entries]
-						known, before := c.arrivals() >= tolerableCrashes, c.arrivals()
-						status := e.sendContent(t, "order 7", parts, true)
-						if known {
-							late += c.arrivals() - before
-						}
-						// A request that reached a server must not be said not to have run.
-						assert.Equal(t, status == http.StatusServiceUnavailable, c.arrivals() == before, "status %d", status)
-						assert.Equal(t, e.sendContent(t, fmt.Sprint("order 8.", i), parts, false), http.StatusOK)
-						exchangeEvidence(time.Now(), plain...)
-						for _, e := range plain {
-							e.crashes.decide(time.Now().Add(time.Second))
-						}
-						exchangeEvidence(time.Now(), plain...)
-						c.removeCrashed(plain...)
-					}
-					assert.Assert(t, late <= lateArrivals, "%d requests reached servers after the third crash, %d in all", late, c.arrivals())
-					for i, e := range all {
-						assert.Equal(t, e.sendContent(t, "order 7", parts, true), http.StatusServiceUnavailable)
-						assert.Equal(t, e.sendContent(t, fmt.Sprint("order 9.", i), parts, false), http.StatusOK)
-					}
-				})
+					t.Run(fmt.Sprintf("%s/%d entries/parts %q/back at once %t", kind, entries, parts, backAtOnce), func(t *testing.T) {
+						testCrashingRequest(t, route, entries, parts, backAtOnce)
+					})
+				}
 			}
 		}
 	}
 }
 
+func testCrashingRequest(t *testing.T, route config.Route, entries int, parts string, backAtOnce bool) {
+	c, all := newCrashTest(t, route, 24, entries)
+	c.backAtOnce = backAtOnce
+	plain := make([]*Entry, 0, entries)
+	for _, e := range all {
+		plain = append(plain, e.Entry)
+	}
+	late := 0
+	for i := range 16 {
+		e := all[i%entries]
+		known, before := c.arrivals() >= tolerableCrashes, c.arrivals()
+		status := e.sendContent(t, "order 7", parts, true)
+		if known {
+			late += c.arrivals() - before
+		}
+		// A request that reached a server must not be said not to have run.
+		assert.Equal(t, status == http.StatusServiceUnavailable, c.arrivals() == before, "status %d", status)
+		assert.Equal(t, e.sendContent(t, fmt.Sprint("order 8.", i), parts, false), http.StatusOK)
+		c.updateRecords(plain...)
+		exchangeEvidence(time.Now(), plain...)
+		for _, e := range plain {
+			e.crashes.decide(time.Now().Add(time.Second))
+		}
+		exchangeEvidence(time.Now(), plain...)
+	}
+	assert.Assert(t, late <= lateArrivals, "%d requests reached servers after the third crash, %d in all", late, c.arrivals())
+	for i, e := range all {
+		assert.Equal(t, e.sendContent(t, "order 7", parts, true), http.StatusServiceUnavailable)
+		assert.Equal(t, e.sendContent(t, fmt.Sprint("order 9.", i), parts, false), http.StatusOK)
+	}
+}
+
+// Guards against a request that is blamed for connections that are reset, for servers that
+// stop as planned, for restarts long after it, for records of an older copy of the store,
+// and for another service at the address.
+func TestEndedExchangeIsNoCrash(t *testing.T) {
+	now := time.Now()
+	app := heartbeat("s", 1)
+	app.Service = "app"
+	changed := func(change func(*Server)) map[string]Server {
+		s := app
+		change(&s)
+		return map[string]Server{s.ID: s}
+	}
+	for name, test := range map[string]struct {
+		prepare func(*Entry)
+		after   time.Duration
+		servers map[string]Server
+		crashes int
+	}{
+		"restart":          {servers: changed(func(s *Server) { s.StartTimeMillis++ }), crashes: 1},
+		"new ID":           {servers: changed(func(s *Server) { s.ID, s.StartTimeMillis = "t", 2 }), crashes: 1},
+		"reset":            {servers: changed(func(*Server) {})},
+		"older process":    {servers: changed(func(s *Server) { s.StartTimeMillis-- })},
+		"other service":    {servers: changed(func(s *Server) { s.ID, s.Service, s.StartTimeMillis = "t", "other", 2 })},
+		"long after":       {servers: changed(func(s *Server) { s.StartTimeMillis++ }), after: minRestartNotice},
+		"leaving":          {servers: changed(func(s *Server) { s.StartTimeMillis++ }), prepare: func(e *Entry) { e.fleet.markLeaving(now, "s") }},
+		"entry was paused": {servers: changed(func(s *Server) { s.StartTimeMillis++ }), prepare: func(e *Entry) { e.pause.beat(bootclock.Now().Add(-time.Minute)) }},
+	} {
+		e := newStoreEntry(newScriptedStore())
+		e.fleet.setServers(now, map[string]Server{"s": app})
+		if test.prepare != nil {
+			test.prepare(e)
+		}
+		e.crashes.recordEnd(now, app, "r", []string{"part"})
+		e.fleet.setServers(now, test.servers)
+		assert.Equal(t, len(e.crashes.takeRestarted(now.Add(test.after), e.fleet.byAddress)), test.crashes, name)
+	}
+	e := newStoreEntry(newScriptedStore())
+	for range 2 * maxEndedExchanges {
+		e.crashes.recordEnd(now, app, "r", nil)
+	}
+	assert.Equal(t, len(e.crashes.ended), maxEndedExchanges)
+}
+
+// Guards against restarts that are noticed by nobody, and against one that the store has
+// told before the stream broke off.
+func TestRestartIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newStoreEntry(newScriptedStore())
+		ctx, cancel := context.WithCancel(t.Context())
+		var decisions errgroup.Group
+		decisions.Go(func() error { return e.crashes.runDecisions(ctx) })
+		head := heartbeat("s", 1)
+		restarted := head
+		restarted.StartTimeMillis++
+		e.fleet.setServers(time.Now(), map[string]Server{"s": restarted})
+		q := &request{Entry: e, info: RequestInfo{PromptParts: []string{"part"}}, avoid: map[string]bool{}, contentPart: "content"}
+		a := &attempt{streamRequest: &streamRequest{request: q}, head: crashedEngine{"s", head.StartTimeMillis}, hops: []pipeline.Hop{{Engine: "s"}}}
+		a.reportCrash(io.EOF)
+		time.Sleep(2 * decideInterval)
+		assert.Assert(t, e.crashes.active.Load())
+		cancel()
+		_ = decisions.Wait() // it ends with the context
+	})
+}
+
 // Guards against a request that crashes the engines of a later stage of its path, one
 // after another, as the path is changed each time.
 func TestRequestThatCrashesLaterStagesIsBlocked(t *testing.T) {
