--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -215,9 +215,6 @@
 		return nil
 	}
 	if errors.Is(err, ErrNoResponse) {
-		// Other entries' streams through this engine stand still as well, and the engines
-		// before it notice that only a moment later.
-		a.announceSilent(a.hops[0].Engine)
 		a.markEngineLost(a.hops[0].Engine, err)
 		return errPathLost
 	}
