--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -414,7 +414,7 @@
 	}
 	n, err := a.x.response.Body.Read(buffer)
 	if n > 0 {
-		a.stallChecker.hearEngine(time.Now(), a.hops[0].Address)
+		a.stallChecker.hear(time.Now(), a.hops[0].Address)
 	}
 	return n, err
 }
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -181,7 +181,7 @@
 // handleMessage processes another entry's message.
 func (p *peers) handleMessage(m message, from netip.AddrPort) {
 	p.learnAddress(m.sender, from)
-	p.stallChecker.hearEntry(time.Now())
+	p.stallChecker.hear(time.Now(), "")
 	if !p.fleet.applyPeerMessage(time.Now(), m) {
 		return
 	}
--- a/relay/stalls.go
+++ b/relay/stalls.go
@@ -43,9 +43,8 @@
 	byAddress map[string]*stallQuery
 	startedAt time.Time
 	timeouts  timeoutFilter
-	// engineHeardAt and entryHeardAt are when this process last heard from any engine
-	// and from any other entry.
-	engineHeardAt, entryHeardAt time.Time
+	// heardAt is when this process last heard from any engine or entry.
+	heardAt time.Time
 }
 
 // timeoutFilter decides which engines that do not respond in time count as dead.
@@ -105,23 +104,17 @@
 	}
 }
 
-// hearEngine records that this process has heard from the engine at an address.
-func (s *stallChecker) hearEngine(now time.Time, address string) {
+// hear records that this process has heard from an engine, or from another entry if
+// address is empty.
+func (s *stallChecker) hear(now time.Time, address string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.engineHeardAt = now
+	s.heardAt = now
 	if q := s.byAddress[address]; q != nil {
 		q.heardAt = now
 	}
 }
 
-// hearEntry records that this process has heard from another entry.
-func (s *stallChecker) hearEntry(now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.entryHeardAt = now
-}
-
 // query asks an engine for its status. It is not tied to the context of one
 // stream, because several may wait for it; it ends after a timeout.
 func (s *stallChecker) query(q *stallQuery, address string) {
@@ -174,14 +167,12 @@
 
 // judge evaluates a period without a response. A process that was held up, or whose own
 // link is busy, misses responses that engines have sent: only a period in which it heard
-// from others tells of the engine. Datagrams of entries pass a busy link sooner than a
-// response does, so they count from the second period on.
+// from others tells of the engine.
 func (s *stallChecker) judge(now, periodStart time.Time, timeout time.Duration, q *stallQuery, address string) silenceVerdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	inTime := now.Sub(periodStart) <= timeout+maxLocalDelay
-	lately := periodStart.Add(timeout / 2)
-	hearsOthers := !s.engineHeardAt.Before(lately) || periodStart.After(q.startedAt) && !s.entryHeardAt.Before(lately)
+	hearsOthers := !s.heardAt.Before(periodStart.Add(timeout / 2))
 	over := now.Sub(q.startedAt) >= max(timeout, maxStallWait)
 	switch {
 	case q.heardAt.After(q.startedAt), over && !inTime:
--- a/relay/stalls_test.go
+++ b/relay/stalls_test.go
@@ -85,23 +85,21 @@
 	start := time.Now()
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 	for name, test := range map[string]struct {
-		engine, entry, asked, period, now int
-		want                              silenceVerdict
+		heardAt, heardFrom, period, now int
+		want                            silenceVerdict
 	}{
-		"engines are heard":                    {engine: 55, entry: -1, asked: -1, now: 60, want: engineSilent},
-		"engines were heard before":            {engine: 10, entry: -1, asked: -1, now: 60},
-		"only entries are heard":               {engine: -1, entry: 55, asked: -1, now: 60},
-		"only entries are heard for long":      {engine: -1, entry: 115, asked: -1, period: 60, now: 120, want: engineSilent},
-		"link busy for several periods":        {engine: -1, entry: -1, asked: -1, period: 240, now: 300},
-		"engines are heard again":              {engine: 350, entry: -1, asked: -1, period: 300, now: 360, want: engineSilent},
-		"process held up":                      {engine: 79, entry: -1, asked: -1, now: 80},
-		"process held up until the end":        {engine: 520, entry: -1, asked: -1, period: 420, now: 520, want: silenceUnsure},
-		"nobody is heard until the end":        {engine: -1, entry: -1, asked: -1, period: 420, now: 480, want: engineSilent},
-		"the engine sends events all the same": {engine: 50, entry: -1, asked: 50, now: 60, want: silenceUnsure},
+		"others are heard":                     {heardAt: 55, heardFrom: -1, now: 60, want: engineSilent},
+		"others were heard before":             {heardAt: 10, heardFrom: -1, now: 60},
+		"link busy for several periods":        {heardAt: -5, heardFrom: -1, period: 240, now: 300},
+		"others are heard again":               {heardAt: 350, heardFrom: -1, period: 300, now: 360, want: engineSilent},
+		"process held up":                      {heardAt: 79, heardFrom: -1, now: 80},
+		"process held up until the end":        {heardAt: 520, heardFrom: -1, period: 420, now: 520, want: silenceUnsure},
+		"nobody is heard until the end":        {heardAt: -5, heardFrom: -1, period: 420, now: 480, want: engineSilent},
+		"the engine sends events all the same": {heardAt: 50, heardFrom: 50, now: 60, want: silenceUnsure},
 	} {
 		s := newStallChecker(&testEngines{}, &log.Logger{Level: log.PanicLevel})
-		s.engineHeardAt, s.entryHeardAt = at(test.engine), at(test.entry)
-		q := &stallQuery{startedAt: start, heardAt: at(test.asked)}
+		s.heardAt = at(test.heardAt)
+		q := &stallQuery{startedAt: start, heardAt: at(test.heardFrom)}
 		assert.Equal(t, s.judge(at(test.now), at(test.period), stallTimeout, q, "a"), test.want, name)
 	}
 }
