--- a/condition/condition.go
+++ b/condition/condition.go
@@ -31,11 +31,14 @@
 	// AvoidDuration is how long an engine is avoided after it refused a stage: it either
 	// holds other layers than its record says or has run out of memory.
 	AvoidDuration = 400 * time.Millisecond
-	// minRefusalPause and maxRefusalPause bound how long an engine is avoided that refuses
-	// stages although it should have room: it is about to stop, or gives up its layers. A
-	// refused stage costs a retry, so the time doubles with each one.
+	// minRefusalPause and maxRefusalPause bound how long other engines are preferred to one
+	// that refuses stages although it should have room: it is about to stop, or gives up
+	// its layers. A refused stage costs a retry, so the time doubles with each one. Up to
+	// refusalSpread of it is added at random, because entries that were refused together
+	// would return together.
 	minRefusalPause = 2 * AvoidDuration
 	maxRefusalPause = 16 * AvoidDuration
+	refusalSpread   = 0.25
 	// leavingGrace is how long streams stay on an engine that is leaving. Most of them
 	// end within it, and the engine keeps serving for longer.
 	leavingGrace = 1200 * time.Millisecond
@@ -84,10 +87,10 @@
 	lostSince, probeAt time.Time
 	failedAt           time.Time
 	avoidedUntil       time.Time
-	// refusedStages counts the stages in a row that it refused although it should have
-	// room, and refusingUntil is how long this entry avoids it for that.
-	refusedStages int
-	refusingUntil time.Time
+	// refusalPause is the pause after the last stage that it refused at refusedAt although
+	// it should have room, and refusingUntil the end of that pause.
+	refusalPause             time.Duration
+	refusedAt, refusingUntil time.Time
 	// namedAt is when a refusal named it as its cause although it should have free
 	// capacity. silentAt is when this entry found that it does not respond, and
 	// deadUntil how long that counts, whoever has found it.
@@ -285,35 +288,46 @@
 	}
 }
 
-// RefuseStage records that an engine refused a stage although it should have room, and
-// returns how long it is avoided. While the store is away, engines that leave are found
-// only this way, and each entry would send them a stage several times a second. Stages
-// that were under way when it was first refused count once.
-func (b *Book) RefuseStage(now time.Time, id string) time.Duration {
+// RefuseStage records that an engine refused a stage although it should have room. While
+// the store is away, engines that leave are found only this way, and each entry would send
+// them a stage several times a second. It reports whether a pause begins: stages that were
+// under way when it was first refused count once. random is in [0, 1).
+func (b *Book) RefuseStage(now time.Time, id string, random float64) (begins bool) {
 	c := b.of(id)
-	if !now.Before(c.refusingUntil) {
-		c.refusingUntil = now.Add(min(minRefusalPause<<c.refusedStages, maxRefusalPause))
-		c.refusedStages = min(c.refusedStages+1, maxRefusedStages)
+	c.refusedAt = now
+	c.avoidUntil(now.Add(AvoidDuration))
+	if now.Before(c.refusingUntil) {
+		return false
 	}
-	c.avoidUntil(c.refusingUntil)
-	return c.refusingUntil.Sub(now)
+	c.refusalPause = min(max(2*c.refusalPause, minRefusalPause), maxRefusalPause)
+	c.refusingUntil = now.Add(c.refusalPause + time.Duration(refusalSpread*random*float64(c.refusalPause)))
+	return true
 }
 
-// maxRefusedStages is the count beyond which the time of avoidance does not grow.
-const maxRefusedStages = 8
+// AcceptStage records that an engine runs a stage that was sent to it after its last
+// refusal, which ends a sequence of refusals. An engine that is about to stop goes on with
+// what it has accepted before.
+func (b *Book) AcceptStage(id string, sent time.Time) {
+	if c := b.servers[id]; c != nil && sent.After(c.refusedAt) {
+		c.refusalPause, c.refusingUntil = 0, time.Time{}
+	}
+}
 
-// AcceptStage records that an engine runs a stage, which ends a sequence of refusals.
-func (b *Book) AcceptStage(id string) {
+// ForgetRefusals records that an engine holds other layers than when it refused stages.
+func (b *Book) ForgetRefusals(id string) {
 	if c := b.servers[id]; c != nil {
-		c.refusedStages, c.refusingUntil = 0, time.Time{}
+		c.refusalPause, c.refusingUntil, c.avoidedUntil = 0, time.Time{}, time.Time{}
 	}
 }
 
-// Refusing returns the engines that this entry avoids because they refuse stages although
-// they should have room, in the order of their IDs.
+// IsRefusing reports whether other engines are preferred to one that has refused stages
+// to this entry although it should have room.
+func (b *Book) IsRefusing(now time.Time, id string) bool { return now.Before(b.get(id).refusingUntil) }
+
+// Refusing returns the engines to which others are preferred for that, in no order.
 func (b *Book) Refusing(now time.Time) (ids []string) {
-	for _, id := range slices.Sorted(maps.Keys(b.servers)) {
-		if now.Before(b.servers[id].refusingUntil) {
+	for id, c := range b.servers {
+		if now.Before(c.refusingUntil) {
 			ids = append(ids, id)
 		}
 	}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -30,7 +30,8 @@
 	// maxReroutes bounds the path changes of one attempt.
 	maxReroutes = 6
 	// departureSpread is the time over which streams leave an engine that is about to
-	// stop. The engines that take them over process their prompts one after another.
+	// stop. The engines that take them over process their prompts one after another. Such
+	// an engine serves for some 3 s after it has said so.
 	departureSpread = time.Second
 )
 
@@ -70,7 +71,7 @@
 	a.head = crashedEngine{hops[0].Engine, s.fleet.snapshot()[hops[0].Engine].StartTimeMillis}
 	defer func() { a.reserved.release() }()
 	s.path, s.zoneCrossings = pathString(hops), zoneCrossings(hops)
-	head := hops[0]
+	head, sent := hops[0], time.Now()
 	a.x, err = s.pool.open(ctx, head.Address, s.buildOutbound(ForwardInfo{Instance: head.Engine, Path: hops, LastEvent: s.lastEventID}))
 	if errors.Is(err, errNotSent) {
 		// The connection also fails when the client leaves or this process is held up.
@@ -97,7 +98,7 @@
 	if a.x.response.StatusCode != http.StatusOK {
 		return s.forwardFailure(a.x)
 	}
-	s.fleet.acceptStages(hops)
+	s.fleet.acceptStages(hops, sent)
 	return a.forwardEvents(ctx)
 }
 
@@ -203,22 +204,14 @@
 	return nil
 }
 
-// markStalledEngines asks the first engine which engines the stream waits for
-// and marks those as lost.
-func (a *attempt) markStalledEngines(ctx context.Context) error {
-	if a.fleet.isLimited(a.hops[0].Engine) {
-		// Queries would take the place of requests. Other streams show the same loss.
-		return nil
-	}
-	stalled, err := a.stallChecker.stalledEngines(ctx, a.hops[0].Address)
-	if ctx.Err() != nil {
-		return nil
-	}
-	if errors.Is(err, ErrNoResponse) {
-		a.markEngineLost(a.hops[0].Engine, err)
+// markStalledEngines marks the engines as lost that the stream waits for, or the first
+// one if it is silent.
+func (a *attempt) markStalledEngines(q *stallQuery) error {
+	if errors.Is(q.err, ErrNoResponse) {
+		a.markEngineLost(a.hops[0].Engine, q.err)
 		return errPathLost
 	}
-	for _, address := range stalled {
+	for _, address := range q.stalled {
 		if server, known := a.fleet.byAddress(address); known {
 			a.loseEngine(server.ID, errStalledOn)
 		}
@@ -265,9 +258,9 @@
 
 // departure returns how long the attempt stays on engines that are about to stop. When
 // an engine leaves, all its streams learn of it at the same moment, at all entries; random
-// chooses the attempt's own moment, once for engines that leave together.
+// chooses the attempt's own moment, which holds until its path has changed.
 func (a *attempt) departure(now time.Time, random float64) time.Duration {
-	if now.Sub(a.departAt) > departureSpread {
+	if a.departAt.IsZero() {
 		a.departAt = now.Add(time.Duration(random * float64(departureSpread)))
 	}
 	return a.departAt.Sub(now)
@@ -337,7 +330,7 @@
 		return err
 	}
 	a.reserved.release()
-	a.reserved, a.hops = reserved, hops
+	a.reserved, a.hops, a.departAt = reserved, hops, time.Time{}
 	a.path += ";" + pathString(hops)
 	a.zoneCrossings = zoneCrossings(hops)
 	return nil
--- a/relay/capacity.go
+++ b/relay/capacity.go
@@ -69,6 +69,14 @@
 	return f.inProgress(now, teamID(team)).tokens
 }
 
+// layerTokens returns what all entries have in progress on an engine, in tokens times
+// layers.
+func (f *fleet) layerTokens(now time.Time, id string) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.inProgress(now, id).layerTokens
+}
+
 // hasPath reports whether choosePath would find a path. It reserves nothing and
 // counts no traffic.
 func (f *fleet) hasPath(now time.Time, rev *revision, model string, r pipeline.RelayRequest) bool {
@@ -213,6 +221,9 @@
 			continue
 		}
 		engine := f.relayEngine(now, s, accelerator, m)
+		if f.conditions.IsRefusing(now, c.ID) {
+			engine.Slowdown = max(engine.Slowdown, refusedSlowdown)
+		}
 		if f.conditions.Limits.Limited(c.ID) {
 			engine.CannotBeFirst = f.conditions.Limits.Wait(now, c.ID) > 0
 			engine.Slowdown = max(engine.Slowdown, 1) * limitedSlowdown
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -125,6 +125,9 @@
 	if s.Leaving {
 		f.conditions.MarkLeaving(now, s.ID)
 	}
+	if s.Layers != old.Layers {
+		f.conditions.ForgetRefusals(s.ID)
+	}
 	if s.StartTimeMillis == old.StartTimeMillis && droppedLayers(old, s) {
 		f.changes.Add(1)
 	}
--- a/relay/request.go
+++ b/relay/request.go
@@ -162,7 +162,8 @@
 	// fraction of the time that the client has.
 	maxStartupWaitFraction = 1.0 / 3
 	startupCheckInterval   = 10 * time.Millisecond
-	// startupTime is how long after its start a process expects to hear of servers.
+	// startupTime is how long after its start a process expects to hear of the
+	// configuration and of servers.
 	startupTime = 2 * time.Second
 )
 
@@ -179,12 +180,9 @@
 }
 
 // isStartingUp reports whether this process is about to learn what it needs to serve
-// requests. One that knows of no servers for long has none.
+// requests. One that has not learnt it for long may not do so soon.
 func (e *Entry) isStartingUp(now time.Time) bool {
-	if e.current.Load() == nil {
-		return true
-	}
-	return now.Sub(e.fleet.startedAt) < startupTime && len(e.fleet.snapshot()) == 0
+	return now.Sub(e.fleet.startedAt) < startupTime && (e.current.Load() == nil || len(e.fleet.snapshot()) == 0)
 }
 
 // headerBytes returns the size of a request line and header as sent by the
--- a/relay/stalls.go
+++ b/relay/stalls.go
@@ -84,18 +84,25 @@
 	return &stallChecker{engines: engines, logger: logger, byAddress: map[string]*stallQuery{}, startedAt: time.Now()}
 }
 
-// stalledEngines returns the addresses of the engines for which requests that
-// start at the engine at address are waiting. Concurrent calls for the same
-// address share one query.
-func (s *stallChecker) stalledEngines(ctx context.Context, address string) ([]string, error) {
+// start returns the query to the engine at an address that is under way or was over a
+// moment ago, or a new one.
+func (s *stallChecker) start(address string) *stallQuery {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	q := s.byAddress[address]
 	if q == nil || time.Since(q.startedAt) > stallResultTTL && isClosed(q.done) {
 		q = &stallQuery{startedAt: time.Now(), done: make(chan struct{})}
 		s.byAddress[address] = q
 		go s.query(q, address)
 	}
-	s.mu.Unlock()
+	return q
+}
+
+// stalledEngines returns the addresses of the engines for which requests that
+// start at the engine at address are waiting. Concurrent calls for the same
+// address share one query.
+func (s *stallChecker) stalledEngines(ctx context.Context, address string) ([]string, error) {
+	q := s.start(address)
 	select {
 	case <-q.done:
 		return q.stalled, q.err
@@ -144,7 +151,7 @@
 
 // The verdicts. It is empty while the response may still come.
 const (
-	engineSilent  silenceVerdict = "the engine is silent while others are heard"
+	engineSilent  silenceVerdict = "the engine is silent"
 	silenceUnsure silenceVerdict = "this process was delayed or the engine sends events"
 )
 
--- a/relay/stalls_test.go
+++ b/relay/stalls_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -103,3 +105,50 @@
 		assert.Equal(t, s.judge(at(test.now), at(test.period), stallTimeout, q, "a"), test.want, name)
 	}
 }
+
+// muteEngines respond to no status query.
+type muteEngines struct{ testEngines }
+
+func (*muteEngines) Status(ctx context.Context, _ string) (EngineStatus, error) {
+	<-ctx.Done()
+	return EngineStatus{}, ErrNoResponse
+}
+
+// Guards against events that lie unread while an engine is asked for its status, and
+// against an engine that is taken for lost although it sends them.
+func TestStreamIsReadDuringStatusQuery(t *testing.T) {
+	b := newBackend(t, func(_ *backend, r *http.Request, conn net.Conn) bool {
+		write(conn, streamHeader, r.Header.Get("Id"))
+		for i := range 3 {
+			writeChunk(conn, event(i+1))
+			time.Sleep(stallCheckDelay + stallTimeout/2)
+		}
+		write(conn, "0\n\n")
+		return true
+	})
+	e := newTestEntry(t, streamRoute(true), b)
+	e.fleet.startedAt = time.Now().Add(-settleTime)
+	e.stallChecker.engines, e.stallChecker.startedAt = &muteEngines{}, time.Now().Add(-settleTime)
+	response, body, err := e.send(t, http.MethodPost)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, 200)
+	assert.Equal(t, body, eventsText(3))
+	assert.Equal(t, b.count(), 1)
+	assert.Equal(t, e.fleet.lostFor(time.Now(), "s0"), time.Duration(0))
+}
+
+// Guards against results that are not what the verdict says: a silent engine counts as
+// lost only if it may be dead.
+func TestMuteEngineIsSilentOrUnsure(t *testing.T) {
+	for unsure, want := range map[bool]error{true: errInconclusive, false: ErrNoResponse} {
+		s := newStallChecker(&muteEngines{}, &log.Logger{Level: log.PanicLevel})
+		s.startedAt = time.Now().Add(-settleTime)
+		q := s.start("a")
+		if unsure {
+			time.Sleep(time.Millisecond)
+			s.hear(time.Now(), "a")
+		}
+		<-q.done
+		assert.ErrorIs(t, q.err, want)
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -20,7 +20,8 @@
 	// refusedRetryAfter is the Retry-After time after engines refused the request.
 	refusedRetryAfter = 300 * time.Millisecond
 	// maxRefusals bounds the paths that are tried while none accepts the request, and
-	// maxRefusedTime the time from its start: clients disconnect after 2 s without an event.
+	// maxRefusedTime the time from its start, besides a part of what the client has: clients
+	// disconnect after 2 s without an event.
 	maxRefusals    = 5
 	maxRefusedTime = 1500 * time.Millisecond
 	// minRefusalDelay is the time before the next path after the second refusal in a row.
@@ -109,10 +110,12 @@
 	if s.headerSent || delay <= 0 {
 		return true
 	}
-	if time.Since(s.started)+delay > maxRefusedTime {
+	limit := time.Duration(float64(s.deadline.Sub(s.started)) * maxPathDelayFraction)
+	if time.Since(s.started)+delay > min(maxRefusedTime, limit) {
 		return false
 	}
-	sleep(ctx, delay)
+	// Streams that one burst has brought do not return together.
+	sleep(ctx, delay/2+time.Duration(s.fleet.randomFloat()*float64(delay)))
 	if !s.maybeExecuted {
 		clear(s.avoid)
 	}
@@ -283,7 +286,13 @@
 		s.suspectEngine(engine)
 		return
 	}
-	s.avoidRefusing(engine)
+	if x.response.StatusCode == http.StatusServiceUnavailable {
+		s.avoidRefusing(engine)
+		return
+	}
+	// Its record is older than its layers, or it limits its requests.
+	s.avoid[engine] = true
+	s.fleet.avoidEngine(time.Now(), engine)
 }
 
 // avoidRefusing avoids an engine that refused a stage, and tells the other entries if it
@@ -292,15 +301,12 @@
 	s.avoid[engine] = true
 	s.requestMetrics.stageRefusals.Inc(1)
 	capacity := s.engineCapacity(engine)
-	avoided, used := s.fleet.refuseStage(time.Now(), engine, capacity)
-	if avoided <= 0 {
+	if !s.fleet.refuseStage(time.Now(), engine, capacity) {
 		return
 	}
 	s.sendNow.fire()
-	if s.logLimiter.allow(time.Now()) {
-		logevent.Write(s.logger, logevent.EngineRefuses).Str("server", engine).Str("request", s.info.ID).
-			Dur("avoided_ms", avoided).Float64("used", used).Float64("capacity", capacity).Msg("")
-	}
+	logevent.Write(s.logger, logevent.EngineRefuses).Str("server", engine).Str("request", s.info.ID).
+		Float64("used", s.fleet.layerTokens(time.Now(), engine)).Float64("capacity", capacity).Msg("")
 }
 
 // suspectEngine avoids an engine that cannot run its stage. An engine that should
--- a/relay/suspects.go
+++ b/relay/suspects.go
@@ -7,33 +7,40 @@
 	"github.com/sapphirefield/sapphirefield/pipeline"
 )
 
-// refusedSlowdown is the slowdown that the other entries are told for an engine that
-// refuses stages. They prefer any path around it, but can still use it where there is none.
+// refusedSlowdown is the slowdown of an engine that refuses stages, for this entry and for
+// those that it tells. They prefer any path around it, but can still use it where there is
+// none.
 const refusedSlowdown = 16
 
-// refuseStage records that an engine refused a stage. It returns how long the engine is
-// avoided because it should have had room, or 0 if it may be full: then it is avoided for
-// a moment only. used is what it has in progress, in tokens times layers.
-func (f *fleet) refuseStage(now time.Time, id string, capacity float64) (avoided time.Duration, used float64) {
+// refuseStage records that an engine refused a stage, and reports whether that is news for
+// the other entries: it should have had room, and was not known to refuse.
+func (f *fleet) refuseStage(now time.Time, id string, capacity float64) (isNew bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	used = f.inProgress(now, id).layerTokens
 	if f.mayBeFull(now, id, capacity) {
 		f.conditions.Avoid(now, id)
-		return 0, used
+		return false
 	}
-	return f.conditions.RefuseStage(now, id), used
+	return f.conditions.RefuseStage(now, id, f.random.Float64())
 }
 
-// acceptStages records that the engines of a path run their stages.
-func (f *fleet) acceptStages(hops []pipeline.Hop) {
+// acceptStages records that the engines of a path run the stages of a request that was
+// sent at a time.
+func (f *fleet) acceptStages(hops []pipeline.Hop, sent time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, h := range hops {
-		f.conditions.AcceptStage(h.Engine)
+		f.conditions.AcceptStage(h.Engine, sent)
 	}
 }
 
+// avoidEngine keeps stages from an engine for a moment.
+func (f *fleet) avoidEngine(now time.Time, id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.conditions.Avoid(now, id)
+}
+
 // mayBeFull reports whether a refusal may be due to lack of memory or slots.
 func (f *fleet) mayBeFull(now time.Time, id string, capacity float64) bool {
 	u, slots := f.inProgress(now, id), f.servers[id].Slots
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -15,6 +15,9 @@
 	// it is rerouted around engines that other requests found dead, and the
 	// interval of the checks after that.
 	suspectCheckInterval = 50 * time.Millisecond
+	// queryCheckInterval is the interval of the checks while a query is under way. The
+	// stream is read meanwhile.
+	queryCheckInterval = 10 * time.Millisecond
 	// maxStallCheckDelay bounds the time between two checks of a stream that is
 	// merely slow.
 	maxStallCheckDelay = 400 * time.Millisecond
@@ -56,6 +59,8 @@
 	// grows with each query that finds nothing, because a query costs the engine
 	// time.
 	stallDelay time.Duration
+	// pending is the query for stalled engines that is under way.
+	pending *stallQuery
 }
 
 func newEventWatch(ctx context.Context, a *attempt) *eventWatch {
@@ -66,7 +71,7 @@
 
 // recordProgress records that an event has arrived.
 func (w *eventWatch) recordProgress() {
-	w.eventAt = time.Now()
+	w.eventAt, w.pending = time.Now(), nil
 	w.receivedThen = w.x.conn.received
 	w.checkAt = w.eventAt.Add(suspectCheckInterval)
 }
@@ -81,11 +86,11 @@
 	if w.isDripping() {
 		return errStreamStalled
 	}
-	if time.Since(w.eventAt) < w.stallDelay || time.Since(w.stallCheckedAt) < w.stallDelay {
+	if !w.queryIsOver() {
 		return nil
 	}
 	err := w.findLostEngine()
-	w.stallCheckedAt = time.Now()
+	w.stallCheckedAt, w.pending = time.Now(), nil
 	w.checkAt = w.stallCheckedAt.Add(suspectCheckInterval)
 	if err == nil && time.Since(w.eventAt) >= maxSilence {
 		err = errStreamStalled
@@ -96,10 +101,32 @@
 	return nil
 }
 
-// findLostEngine queries the engines and reroutes around lost ones.
+// queryIsOver reports whether the result of a query can be looked at. It starts one when
+// it is due, and does not wait for it: events may arrive meanwhile.
+func (w *eventWatch) queryIsOver() bool {
+	if w.pending == nil {
+		if time.Since(w.eventAt) < w.stallDelay || time.Since(w.stallCheckedAt) < w.stallDelay {
+			return false
+		}
+		if w.fleet.isLimited(w.hops[0].Engine) {
+			// Queries would take the place of requests. Other streams show the same loss.
+			return true
+		}
+		w.pending = w.stallChecker.start(w.hops[0].Address)
+	}
+	if !isClosed(w.pending.done) {
+		w.checkAt = time.Now().Add(queryCheckInterval)
+		return false
+	}
+	return true
+}
+
+// findLostEngine evaluates the query, if there was one, and reroutes around lost engines.
 func (w *eventWatch) findLostEngine() error {
-	if err := w.markStalledEngines(w.ctx); err != nil {
-		return err
+	if w.pending != nil {
+		if err := w.markStalledEngines(w.pending); err != nil {
+			return err
+		}
 	}
 	w.stallDelay = min(2*w.stallDelay, maxStallCheckDelay)
 	return w.checkPath(w.ctx)
