relay: bytes on any connection show that an entry's link works

Review of the silence of engines: an entry with one stream and few peers heard from nobody and found a dead engine after up to 0.58 s. Responses of all servers and to status queries count now, in one place, the read of a connection.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -405,9 +405,5 @@
 	if err := a.checkPath(ctx); err != nil && a.mayGiveUp() {
 		return 0, err
 	}
-	n, err := a.x.response.Body.Read(buffer)
-	if n > 0 {
-		a.stallChecker.hear(time.Now(), a.hops[0].Address)
-	}
-	return n, err
+	return a.x.response.Body.Read(buffer)
 }
--- a/relay/connection.go
+++ b/relay/connection.go
@@ -65,6 +65,8 @@
 	header *headerLimit
 	// received is the number of bytes received.
 	received int64
+	// onRead is called when bytes arrive, unless it is nil.
+	onRead func()
 	// watch is consulted while a read waits for bytes; nil means that reads wait
 	// until the connection is closed.
 	watch readWatch
@@ -103,6 +105,9 @@
 	}
 	n, err := c.readWatched(p)
 	c.received += int64(n)
+	if n > 0 && c.onRead != nil {
+		c.onRead()
+	}
 	if c.header != nil {
 		return n, c.countHeaderBytes(n, err)
 	}
@@ -153,6 +158,8 @@
 	mu   sync.Mutex
 	idle map[string][]*connection
 	dial func(ctx context.Context, address string) (net.Conn, error)
+	// onRead is called with the server's address when bytes arrive, unless it is nil.
+	onRead func(address string)
 }
 
 func newPool() *pool {
@@ -179,7 +186,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConnection(conn), nil
+	c := newConnection(conn)
+	if p.onRead != nil {
+		c.onRead = func() { p.onRead(address) }
+	}
+	return c, nil
 }
 
 // takeIdle returns the most recently used connection, so that the others
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -96,6 +96,7 @@
 		newerRevision: make(chan struct{}, 1), sendNow: make(trigger, 1), registerAgain: make(trigger, 1),
 	}
 	engines.entry = e
+	e.pool.onRead = func(address string) { e.stallChecker.hear(time.Now(), address) }
 	e.directory = newDirectory(e)
 	e.crashes = newCrashGuard(e)
 	if o.Store != nil {
--- a/relay/stalls.go
+++ b/relay/stalls.go
@@ -43,7 +43,7 @@
 	byAddress map[string]*stallQuery
 	startedAt time.Time
 	timeouts  timeoutFilter
-	// heardAt is when this process last heard from any engine or entry.
+	// heardAt is when this process last heard from any server or entry.
 	heardAt time.Time
 }
 
@@ -111,7 +111,7 @@
 	}
 }
 
-// hear records that this process has heard from an engine, or from another entry if
+// hear records that this process has heard from a server, or from another entry if
 // address is empty.
 func (s *stallChecker) hear(now time.Time, address string) {
 	s.mu.Lock()
@@ -163,6 +163,7 @@
 		select {
 		case <-response:
 			timer.Stop()
+			s.hear(time.Now(), address)
 			return ""
 		case <-timer.C:
 		}
