--- a/condition/condition.go
+++ b/condition/condition.go
@@ -316,7 +316,7 @@
 // ForgetRefusals records that an engine holds other layers than when it refused stages.
 func (b *Book) ForgetRefusals(id string) {
 	if c := b.servers[id]; c != nil {
-		c.refusalPause, c.refusingUntil, c.avoidedUntil = 0, time.Time{}, time.Time{}
+		c.refusalPause, c.refusingUntil = 0, time.Time{}
 	}
 }
 
