--- a/membership/view.go
+++ b/membership/view.go
@@ -12,6 +12,9 @@
 type View struct {
 	options Options
 	members map[string]*member
+	// byService holds the members of each service, sorted by ID. It is made again when
+	// a member is added or removed.
+	byService map[string][]*member
 	// distrustedSince holds, by service, when its part of the list became distrusted.
 	distrustedSince map[string]time.Time
 	// initialized is set by the first non-empty list, whose instances need no warm-up.
@@ -102,6 +105,7 @@
 			m.warmUpStart = now
 		}
 		v.members[i.ID] = m
+		v.byService = nil
 		report.Added++
 		return
 	}
@@ -277,7 +281,11 @@
 		candidates = append(candidates, v.candidate(now, m))
 	}
 	maxEjected := int(v.options.MaxEjectedFraction * float64(total))
-	for _, m := range v.leastSuspect(now, ejected, len(ejected)-maxEjected) {
+	suspects := v.leastSuspect(now, ejected, len(ejected)-maxEjected)
+	if len(suspects) == 0 {
+		return candidates
+	}
+	for _, m := range suspects {
 		c := v.candidate(now, m)
 		c.Suspect, c.Weight = true, suspectWeight
 		candidates = append(candidates, c)
@@ -286,6 +294,13 @@
 	return candidates
 }
 
+// Accepts reports whether an instance of any service may receive work and is not
+// ejected. It costs the same however many instances there are.
+func (v *View) Accepts(now time.Time, id string) bool {
+	m := v.members[id]
+	return m != nil && v.usable(now, m) && !m.ejected(now)
+}
+
 // leastSuspect returns the n least suspect ejected members: those that are not down
 // first, then by ascending penalty.
 func (v *View) leastSuspect(now time.Time, ejected []*member, n int) []*member {
@@ -395,20 +410,24 @@
 	for id, m := range v.members {
 		if !m.absentSince.IsZero() && now.Sub(m.absentSince) > expiry {
 			delete(v.members, id)
+			v.byService = nil
 		}
 	}
 }
 
-// membersOf returns the members of a service, sorted by ID.
+// membersOf returns the members of a service, sorted by ID. The caller must not change
+// the slice.
 func (v *View) membersOf(service string) []*member {
-	var members []*member
-	for _, m := range v.members {
-		if m.instance.Service == service {
-			members = append(members, m)
+	if v.byService == nil {
+		v.byService = map[string][]*member{}
+		for _, m := range v.members {
+			v.byService[m.instance.Service] = append(v.byService[m.instance.Service], m)
+		}
+		for _, members := range v.byService {
+			sort.Slice(members, func(i, j int) bool { return members[i].instance.ID < members[j].instance.ID })
 		}
 	}
-	sort.Slice(members, func(i, j int) bool { return members[i].instance.ID < members[j].instance.ID })
-	return members
+	return v.byService[service]
 }
 
 // services returns the sorted names of the known and listed services.
