--- a/relay/usage.go
+++ b/relay/usage.go
@@ -98,36 +98,22 @@
 }
 
 // peerUsage is the load that the other entries have in progress, as reported
-// by their messages. Sums are kept as messages arrive, so that reading the load of a
-// server costs the same however many entries there are. It is not safe for concurrent
-// use.
+// by their messages. It is not safe for concurrent use.
 type peerUsage struct {
 	byEntry map[string]peerState
-	// total is the sum over all entries that are not silent.
-	total map[uint64]usage
-	// slowdowns are the largest ones that any entry reports. They are made again when
-	// an entry that reports some is heard of; only the lease holder does.
-	slowdowns map[uint64]float64
-	// fresh is the number of entries that are not silent. None falls silent before
-	// nextExpiry.
-	fresh      int
-	nextExpiry time.Time
+	total   map[uint64]usage
 }
 
 type peerState struct {
 	message
 	receivedAt time.Time
-	// silent is set once the message has expired. It is then in no sum.
-	silent bool
 }
 
 // messageTTL is how long a message is valid. An entry that is silent for
 // longer is presumed to have terminated along with its requests.
 const messageTTL = time.Second
 
-func newPeerUsage() *peerUsage {
-	return &peerUsage{byEntry: map[string]peerState{}, total: map[uint64]usage{}, slowdowns: map[uint64]float64{}}
-}
+func newPeerUsage() *peerUsage { return &peerUsage{byEntry: map[string]peerState{}} }
 
 // observe stores a message and reports whether it is newer than the previous
 // one.
@@ -141,113 +127,54 @@
 		return false
 	}
 	m.changes, m.suspects, m.evidence, m.limits, m.wants, m.gifts = nil, nil, evidence{}, nil, nil, nil
-	if known && !old.silent {
-		p.remove(old.message)
-	}
-	p.byEntry[m.sender] = peerState{message: m, receivedAt: now}
-	p.add(m)
-	if expiry := now.Add(messageTTL); p.fresh == 1 || expiry.Before(p.nextExpiry) {
-		p.nextExpiry = expiry
-	}
+	p.byEntry[m.sender] = peerState{m, now}
+	p.total = nil
 	return true
 }
 
-// add counts a message in the sums.
-func (p *peerUsage) add(m message) {
-	p.fresh++
-	for hash, u := range m.servers {
-		if u.slowdown > 0 {
-			p.slowdowns[hash] = max(p.slowdowns[hash], u.slowdown)
-			u.slowdown = 0
-		}
-		t := p.total[hash]
-		t.add(u, 1)
-		p.total[hash] = t
-	}
-}
-
-// remove takes a message out of the sums.
-func (p *peerUsage) remove(m message) {
-	p.fresh--
-	hadSlowdowns := false
-	for hash, u := range m.servers {
-		hadSlowdowns = hadSlowdowns || u.slowdown > 0
-		u.slowdown = 0
-		t := p.total[hash]
-		t.add(u, -1)
-		if t.requests == 0 && t.rate < negligibleRate {
-			delete(p.total, hash)
-			continue
+// freshMessages returns the messages that are still valid.
+func (p *peerUsage) freshMessages(now time.Time) (messages []message) {
+	for _, e := range p.byEntry {
+		if now.Sub(e.receivedAt) <= messageTTL {
+			messages = append(messages, e.message)
 		}
-		p.total[hash] = t
-	}
-	if hadSlowdowns {
-		p.collectSlowdowns(m.sender)
 	}
+	return messages
 }
 
-// negligibleRate is above what rounding leaves of a rate that has been added and
-// subtracted.
-const negligibleRate = 1e-6
-
-// collectSlowdowns makes the slowdowns again from all messages but one sender's.
-func (p *peerUsage) collectSlowdowns(except string) {
-	clear(p.slowdowns)
-	for name, e := range p.byEntry {
-		if name == except || e.silent {
-			continue
-		}
-		for hash, u := range e.servers {
-			if u.slowdown > 0 {
-				p.slowdowns[hash] = max(p.slowdowns[hash], u.slowdown)
-			}
+// freshCount returns the number of entries whose messages are still valid.
+func (p *peerUsage) freshCount(now time.Time) (n int) {
+	for _, e := range p.byEntry {
+		if now.Sub(e.receivedAt) <= messageTTL {
+			n++
 		}
 	}
+	return n
 }
 
-// expire takes entries that have fallen silent out of the sums.
-func (p *peerUsage) expire(now time.Time) {
-	if p.fresh == 0 || !now.After(p.nextExpiry) {
-		return
-	}
-	next := now.Add(messageTTL)
+// usageOf returns the load that all other entries have in progress on a
+// server.
+func (p *peerUsage) usageOf(now time.Time, id string) usage {
 	for name, e := range p.byEntry {
-		expiry := e.receivedAt.Add(messageTTL)
-		switch {
-		case e.silent:
-		case now.After(expiry):
-			p.remove(e.message)
-			e.servers, e.silent = nil, true
+		if now.Sub(e.receivedAt) > messageTTL && len(e.servers) > 0 {
+			e.servers = nil
 			p.byEntry[name] = e
-		case expiry.Before(next):
-			next = expiry
+			p.total = nil
 		}
 	}
-	p.nextExpiry = next
+	if p.total == nil {
+		p.recomputeTotal()
+	}
+	return p.total[serverHash(id)]
 }
 
-// freshMessages returns the messages that are still valid.
-func (p *peerUsage) freshMessages(now time.Time) (messages []message) {
+func (p *peerUsage) recomputeTotal() {
+	p.total = map[uint64]usage{}
 	for _, e := range p.byEntry {
-		if now.Sub(e.receivedAt) <= messageTTL {
-			messages = append(messages, e.message)
+		for hash, u := range e.servers {
+			t := p.total[hash]
+			t.add(u, 1)
+			p.total[hash] = t
 		}
 	}
-	return messages
-}
-
-// freshCount returns the number of entries whose messages are still valid.
-func (p *peerUsage) freshCount(now time.Time) int {
-	p.expire(now)
-	return p.fresh
-}
-
-// usageOf returns the load that all other entries have in progress on a
-// server.
-func (p *peerUsage) usageOf(now time.Time, id string) usage {
-	p.expire(now)
-	hash := serverHash(id)
-	u := p.total[hash]
-	u.slowdown = p.slowdowns[hash]
-	return u
 }
