lease: renewals run apart from placing, and a term is released when its permission ends

Cause: one loop renewed the lease, placed layers and polled the engines. While status queries hung, a round took longer than the 1.6 s that a renewal permits, and the lease was lost. A holder whose calls to the store got no answer released its term only after a further read had failed, up to 2.9 s after its last renewal; until then it told the others that it held the lease. Others took over 2.49 s after the cut and later; docs/platform.md states 2.4 s. Change: the lease has a loop of its own; a renewal ends with the permission; the term is released before the next read; others notice within 0.1 s that nobody announces the lease.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -169,5 +169,14 @@
 	return e.claim.Holder == e.self && !e.renewedAt.IsZero() && now.Sub(e.renewedAt) < e.options.RenewDeadline
 }
 
+// Remaining returns how long this process may go on to act as the holder without another
+// renewal, or 0 if it may not act.
+func (e *Elector) Remaining(now time.Time) time.Duration {
+	if !e.Holds(now) {
+		return 0
+	}
+	return e.options.RenewDeadline - now.Sub(e.renewedAt)
+}
+
 // Term returns the term of the last claim.
 func (e *Elector) Term() int64 { return e.claim.Term }
--- a/relay/pause_test.go
+++ b/relay/pause_test.go
@@ -87,7 +87,7 @@
 	engines := &orderCounter{}
 	e.engines = engines
 	options := lease.DefaultOptions()
-	p := &placer{Entry: e, lease: lease.New("e", options)}
+	p := newPlacer(e)
 	p.lease.ObserveEra(bootclock.Now(), e.store.Era())
 	claim := lease.Claim{Holder: "e", Term: 1, Era: e.store.Era()}
 	p.lease.AppendSucceeded(bootclock.Now(), claim, 1)
@@ -119,7 +119,7 @@
 func TestOldMessageIsNoRelease(t *testing.T) {
 	e := newStoreEntry(newScriptedStore())
 	now := time.Now()
-	p := &placer{Entry: e, lease: lease.New("e", lease.DefaultOptions())}
+	p := newPlacer(e)
 	p.lease.Observe(bootclock.Now(), 1, &lease.Claim{Holder: "holder", Term: 3})
 	for i, term := range []int64{0, 0, -2} {
 		e.fleet.applyPeerMessage(now, message{sender: "holder", startNanos: 1, sequence: int64(i + 1), term: term})
--- a/relay/placer.go
+++ b/relay/placer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,8 +20,11 @@
 	// placeInterval is how often the lease holder looks for engines that need
 	// layers.
 	placeInterval = 250 * time.Millisecond
-	// leaseInterval is how often the lease is checked.
+	// leaseInterval is the wait after a failed call for the lease.
 	leaseInterval = 500 * time.Millisecond
+	// holderCheckInterval is how often an entry checks whether another one still
+	// announces that it holds the lease.
+	holderCheckInterval = 100 * time.Millisecond
 	// leaseWait is how long a read of the lease topic waits for a change.
 	leaseWait = 500 * time.Millisecond
 	// maxSettleTime bounds the wait for all engines to register before the first
@@ -38,7 +42,11 @@
 // placer assigns layers to engines while this entry holds the lease.
 type placer struct {
 	*Entry
-	lease *lease.Elector
+	// now reads the clock by which the lease is measured.
+	now func() time.Time
+	// leaseMu guards lease. It is not held during calls.
+	leaseMu sync.Mutex
+	lease   *lease.Elector
 	// pendingOrders are the orders, by server, that the servers' records do not
 	// reflect yet.
 	pendingOrders map[string]pendingOrder
@@ -77,42 +85,88 @@
 
 func newPlacer(e *Entry) *placer {
 	return &placer{
-		Entry: e, lease: lease.New(e.settings.Instance, lease.DefaultOptions()), pendingOrders: map[string]pendingOrder{},
-		modelStates: map[string]*modelState{},
+		Entry: e, now: bootclock.Now, lease: lease.New(e.settings.Instance, lease.DefaultOptions()),
+		pendingOrders: map[string]pendingOrder{}, modelStates: map[string]*modelState{},
 	}
 }
 
-// runPlacer acquires the lease and places layers while it is held.
-func (e *Entry) runPlacer(ctx context.Context) error {
-	p := newPlacer(e)
+// runPlacer acquires the lease, and places layers and polls the engines while it is held.
+func (e *Entry) runPlacer(ctx context.Context) error { return newPlacer(e).run(ctx) }
+
+// run keeps the lease apart from the work that needs it: engines that do not answer must
+// keep this entry neither from renewing its lease nor from releasing it.
+func (p *placer) run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return p.runLease(ctx) })
+	group.Go(func() error { return p.whileHolding(ctx, p.placeModels) })
+	group.Go(func() error { return p.whileHolding(ctx, p.pollEngines) })
+	return group.Wait()
+}
+
+// whileHolding repeats work while this entry holds the lease.
+func (p *placer) whileHolding(ctx context.Context, work func(context.Context)) error {
+	for ctx.Err() == nil {
+		if p.holdsLease() {
+			work(ctx)
+		}
+		sleep(ctx, placeInterval)
+	}
+	return ctx.Err()
+}
+
+// runLease acquires the lease, renews it, and releases it when it could not be renewed.
+func (p *placer) runLease(ctx context.Context) error {
 	next := fromStart
 	for ctx.Err() == nil {
-		p.lease.ObserveEra(bootclock.Now(), p.store.Era())
-		next = p.leaseStep(ctx, next)
+		p.observeEra(p.store.Era())
 		if !p.holdsLease() {
 			p.release()
-			continue
 		}
-		p.leaseTerm.Store(p.lease.Term())
-		p.placeModels(ctx)
-		p.pollEngines(ctx)
-		sleep(ctx, placeInterval)
+		next = p.leaseStep(ctx, next)
+		if p.holdsLease() {
+			p.leaseTerm.Store(p.term())
+			sleep(ctx, min(placeInterval, p.permissionLeft()))
+		}
 	}
 	return ctx.Err()
 }
 
+func (p *placer) observeEra(era int64) {
+	p.leaseMu.Lock()
+	defer p.leaseMu.Unlock()
+	p.lease.ObserveEra(p.now(), era)
+}
+
 // holdsLease reports whether this entry may act as the holder of the lease. After a
 // restore of the store, its claim may be lost, and it must claim the lease again.
 func (p *placer) holdsLease() bool {
-	return p.lease.Holds(bootclock.Now()) && p.lease.Era() == p.store.Era()
+	p.leaseMu.Lock()
+	defer p.leaseMu.Unlock()
+	return p.lease.Holds(p.now()) && p.lease.Era() == p.store.Era()
+}
+
+func (p *placer) term() int64 {
+	p.leaseMu.Lock()
+	defer p.leaseMu.Unlock()
+	return p.lease.Term()
+}
+
+// permissionLeft returns how long this entry may still act as the holder of the lease
+// without another renewal, or 0.
+func (p *placer) permissionLeft() time.Duration {
+	p.leaseMu.Lock()
+	defer p.leaseMu.Unlock()
+	return p.lease.Remaining(p.now())
 }
 
 // release ends this entry's term, if it has one, and tells the others.
 func (p *placer) release() {
 	if held := p.leaseTerm.Load(); held > 0 {
+		p.leaseMu.Lock()
 		// A term that is lost with an era of the store is not announced: others would
 		// claim the lease by what they know of the era before.
 		p.leaseTerm.Store(-p.lease.Release())
+		p.leaseMu.Unlock()
 		p.sendNow.fire()
 		logevent.Write(p.logger, logevent.LeaseReleased).Int64("term", held).Msg("")
 	}
@@ -123,33 +177,59 @@
 // claim when one is due. It returns the position for the next read.
 func (p *placer) leaseStep(ctx context.Context, next Position) Position {
 	if p.hasLiveLeaseHolder() {
-		sleep(ctx, leaseInterval)
+		sleep(ctx, holderCheckInterval)
 		return next
 	}
 	if !p.holdsLease() {
-		batch, err := p.readTopic(ctx, TopicLease, next, leaseWait)
-		if errors.Is(err, ErrExpired) || errors.Is(err, ErrRestored) {
-			return fromStart
-		}
-		if err != nil {
-			sleep(ctx, leaseInterval)
+		var ok bool
+		if next, ok = p.readLease(ctx, next); !ok {
 			return next
 		}
-		next = batch.Next
-		p.lease.ObserveEra(bootclock.Now(), next.Era)
-		p.lease.Observe(bootclock.Now(), next.Offset, lastClaim(batch.Records))
-		p.observeReleases(time.Now())
 	}
-	claim, at, due := p.lease.DueClaim(bootclock.Now())
+	claim, at, due := p.dueClaim()
 	if !due {
 		return next
 	}
 	return p.appendClaim(ctx, claim, at, next)
 }
 
+// readLease reads the lease topic on from a position. It returns the next position, and
+// whether the read was successful.
+func (p *placer) readLease(ctx context.Context, next Position) (Position, bool) {
+	p.observeReleases(time.Now())
+	wait := leaseWait
+	if _, _, due := p.dueClaim(); due {
+		// Only the end of the topic is needed to claim the lease.
+		wait = 0
+	}
+	batch, err := p.readTopic(ctx, TopicLease, next, wait)
+	if errors.Is(err, ErrExpired) || errors.Is(err, ErrRestored) {
+		return fromStart, false
+	}
+	if err != nil {
+		sleep(ctx, leaseInterval)
+		return next, false
+	}
+	p.leaseMu.Lock()
+	p.lease.ObserveEra(p.now(), batch.Next.Era)
+	p.lease.Observe(p.now(), batch.Next.Offset, lastClaim(batch.Records))
+	p.leaseMu.Unlock()
+	p.observeReleases(time.Now())
+	return batch.Next, true
+}
+
+func (p *placer) dueClaim() (claim lease.Claim, at int64, due bool) {
+	p.leaseMu.Lock()
+	defer p.leaseMu.Unlock()
+	return p.lease.DueClaim(p.now())
+}
+
 // observeReleases applies the terms that other entries announce to have released.
 func (p *placer) observeReleases(now time.Time) {
-	for _, m := range p.fleet.freshMessages(now) {
+	messages := p.fleet.freshMessages(now)
+	p.leaseMu.Lock()
+	defer p.leaseMu.Unlock()
+	for _, m := range messages {
 		if m.term < 0 {
 			p.lease.ObserveRelease(m.sender, -m.term)
 		}
@@ -180,22 +260,33 @@
 	return nil
 }
 
-// appendClaim appends a claim and returns the position for the next read.
+// appendClaim appends a claim and returns the position for the next read. A renewal ends
+// with the permission to act, so that the term is released then and another entry can
+// take over.
 func (p *placer) appendClaim(ctx context.Context, claim lease.Claim, at int64, next Position) Position {
 	value, err := json.Marshal(claim)
 	if err != nil {
 		return next
 	}
-	startedAt := bootclock.Now()
-	end, err := p.store.Append(ctx, TopicLease, Record{Key: leaseKey, Value: value}, Position{p.lease.Era(), at})
+	if left := p.permissionLeft(); left > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, left)
+		defer cancel()
+	}
+	startedAt := p.now()
+	end, err := p.store.Append(ctx, TopicLease, Record{Key: leaseKey, Value: value}, Position{claim.Era, at})
 	if err != nil {
 		if !errors.Is(err, ErrUnavailable) {
+			p.leaseMu.Lock()
 			p.lease.AppendFailed()
+			p.leaseMu.Unlock()
 			return fromStart
 		}
 		sleep(ctx, leaseInterval)
 		return next
 	}
+	p.leaseMu.Lock()
+	defer p.leaseMu.Unlock()
 	if claim.Term != p.lease.Term() {
 		logevent.Write(p.logger, logevent.LeaseAcquired).Int64("term", claim.Term).Int64("offset", at).Msg("")
 	}
@@ -391,7 +482,7 @@
 		outcome, err = p.engines.AssignLayers(ctx, server, r, status.OrdersStarted)
 	}
 	line := logevent.Write(p.logger, logevent.OrderSent).Str("server", server.ID).Str("zone", server.Zone).Int64("born", server.StartTimeMillis).
-		Int("first", r.First).Int("limit", r.Limit).Int64("orders", status.OrdersStarted).Int64("term", p.lease.Term()).
+		Int("first", r.First).Int("limit", r.Limit).Int64("orders", status.OrdersStarted).Int64("term", p.term()).
 		Str("outcome", string(outcome))
 	if err != nil {
 		line = line.Str("cause", err.Error())
--- a/relay/poll_test.go
+++ b/relay/poll_test.go
@@ -10,7 +10,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/sapphirefield/sapphirefield/config"
-	"github.com/sapphirefield/sapphirefield/lease"
 	"github.com/sapphirefield/sapphirefield/membership"
 )
 
@@ -43,7 +42,7 @@
 			engines.unresponsive[id] = i < unresponsive
 		}
 		e.fleet.setServers(time.Now(), servers)
-		p := &placer{Entry: e, lease: lease.New("e", lease.DefaultOptions())}
+		p := newPlacer(e)
 		p.pollEngines(t.Context())
 		found := 0
 		for id := range servers {
