relay: what one entry does for a fleet of 3,000 engines no longer grows with all of them

The entry that places layers asked all engines for their status every 2 s and once more before each order, and kept a connection to each.

--- a/placement/relaychains.go
+++ b/placement/relaychains.go
@@ -82,6 +82,10 @@
 // of tokens, because the engine with the fewest limits the chain. Engines that a zone's
 // chain does not need hold second copies, so that a zone rarely lacks a layer after the
 // loss of an engine.
+//
+// The assignments of a chain follow each other, the fastest chain first: carried out in
+// their order, those of a large fleet complete a chain long before the last engine has
+// its layers.
 func PlanRelay(engines []RelayEngine, m Model, opts RelayOptions) ([]RelayAssignment, error) {
 	p := &relayPlan{model: m, opts: opts, slowLinks: hasSlowLinks(engines, m, opts)}
 	unused := p.addFastChains(sortedBySpeed(engines))
@@ -97,7 +101,6 @@
 		unused = append(unused, spare...)
 	}
 	assignments = append(assignments, p.secondCopies(engines, assignments, unused)...)
-	sort.Slice(assignments, func(i, j int) bool { return assignments[i].Engine < assignments[j].Engine })
 	return assignments, nil
 }
 
--- /dev/null
+++ b/relay/candidates.go
@@ -0,0 +1,198 @@
+package relay
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/sapphirefield/sapphirefield/pipeline"
+)
+
+const (
+	// maxSearchedEngines is the number of engines among which a path is searched. The
+	// time of a search grows with them, and every request needs one.
+	maxSearchedEngines = 320
+	// sampledEngines is the number of engines among which a path is searched if a model
+	// has more: a few chains of each zone and speed.
+	sampledEngines = 160
+	// fullSearchInterval is the shortest time between two searches among all engines of
+	// such a model for requests that have not started. Under overload, waiting requests
+	// search many times a second.
+	fullSearchInterval = 250 * time.Millisecond
+	// speedClassRatio is the ratio of the step factors at which two engines are in
+	// different classes of speed.
+	speedClassRatio = 3.0
+)
+
+// enginePart is what decides how an engine is combined with others.
+type enginePart struct {
+	id, zone     string
+	class        int
+	first, limit int
+}
+
+// engineGroups are the engines of a model, in chains whose ranges follow each other
+// where there are such chains. Chains of the same zone and speed are in one stratum.
+//
+// They answer a fleet of thousands of engines under steady load: each request compares
+// a few random chains of every zone and speed, so that the work of an entry does not
+// grow with the fleet, and no entry prefers the same engines as another.
+type engineGroups struct {
+	strata [][][]string
+}
+
+// groupEngines divides engines into groups.
+func groupEngines(parts []enginePart) *engineGroups {
+	slices.SortFunc(parts, func(a, b enginePart) int {
+		return cmp.Or(cmp.Compare(a.first, b.first), cmp.Compare(a.class, b.class), cmp.Compare(a.zone, b.zone), cmp.Compare(a.id, b.id))
+	})
+	byFirst := map[int][]int{}
+	for i, e := range parts {
+		byFirst[e.first] = append(byFirst[e.first], i)
+	}
+	type stratum struct {
+		zone  string
+		class int
+	}
+	index := map[stratum]int{}
+	groups := &engineGroups{}
+	used := make([]bool, len(parts))
+	for i, head := range parts {
+		if used[i] {
+			continue
+		}
+		key := stratum{head.zone, head.class}
+		at, known := index[key]
+		if !known {
+			at = len(groups.strata)
+			index[key] = at
+			groups.strata = append(groups.strata, nil)
+		}
+		groups.strata[at] = append(groups.strata[at], chainFrom(i, parts, byFirst, used))
+	}
+	return groups
+}
+
+// chainFrom returns the chain that begins with an engine and marks its engines as used.
+func chainFrom(head int, parts []enginePart, byFirst map[int][]int, used []bool) []string {
+	var chain []string
+	for at := head; at >= 0; at = nextInChain(parts[at], parts, byFirst[parts[at].limit], used) {
+		used[at] = true
+		chain = append(chain, parts[at].id)
+	}
+	return chain
+}
+
+// nextInChain returns the unused engine among some that goes best with the one before it:
+// of its zone and speed if possible. It returns -1 if all are used.
+func nextInChain(before enginePart, parts []enginePart, following []int, used []bool) int {
+	best, bestCost := -1, math.MaxInt
+	for _, i := range following {
+		if used[i] {
+			continue
+		}
+		cost := 0
+		if parts[i].zone != before.zone {
+			cost++
+		}
+		if parts[i].class != before.class {
+			cost += 2
+		}
+		if cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	return best
+}
+
+// sample returns at least n engines, if there are as many: random groups, from each
+// stratum in turn.
+func (g *engineGroups) sample(random *rand.Rand, n int) []string {
+	sampled := make([]string, 0, n+n/4)
+	taken := make([]map[int]bool, len(g.strata))
+	for exhausted := 0; len(sampled) < n && exhausted < len(g.strata); {
+		exhausted = 0
+		for s, groups := range g.strata {
+			if len(taken[s]) == len(groups) {
+				exhausted++
+				continue
+			}
+			if taken[s] == nil {
+				taken[s] = map[int]bool{}
+			}
+			i := random.IntN(len(groups))
+			for taken[s][i] {
+				i = (i + 1) % len(groups)
+			}
+			taken[s][i] = true
+			sampled = append(sampled, groups[i]...)
+		}
+	}
+	return sampled
+}
+
+// speedClass returns the class of speed of an accelerator.
+func speedClass(stepFactor float64) int {
+	return int(math.Floor(math.Log(factorOrOne(stepFactor)) / math.Log(speedClassRatio)))
+}
+
+// sampleEngines returns some engines of a model with very many that may receive requests,
+// and those of the request's current path.
+func (f *fleet) sampleEngines(now time.Time, rev *revision, model string, r pipeline.RelayRequest) []pipeline.RelayEngine {
+	ids := f.engineGroups(rev, model).sample(f.random, sampledEngines)
+	for _, h := range r.CurrentPath {
+		if !slices.Contains(ids, h.Engine) {
+			ids = append(ids, h.Engine)
+		}
+	}
+	engines := make([]pipeline.RelayEngine, 0, len(ids))
+	for _, id := range ids {
+		if !f.membership.Accepts(now, id) {
+			continue
+		}
+		if e, usable := f.pathEngine(now, rev, model, id); usable {
+			engines = append(engines, e)
+		}
+	}
+	return engines
+}
+
+// engineGroups returns the groups of a model's engines. They are made again after a
+// change of the engines or of their layers.
+func (f *fleet) engineGroups(rev *revision, model string) *engineGroups {
+	if g := f.groups[model]; g != nil {
+		return g
+	}
+	var parts []enginePart
+	for _, id := range f.byService[model] {
+		s := f.servers[id]
+		accelerator := rev.accelerators[s.Accelerator]
+		if accelerator == nil || s.Layers.Limit <= s.Layers.First {
+			continue
+		}
+		parts = append(parts, enginePart{id, s.Zone, speedClass(accelerator.StepFactor), s.Layers.First, s.Layers.Limit})
+	}
+	f.groups[model] = groupEngines(parts)
+	return f.groups[model]
+}
+
+// maySearchAll reports whether a request may be searched a path for among all engines
+// of a model with very many, after there was none among a sample.
+func (f *fleet) maySearchAll(now time.Time, model string, r pipeline.RelayRequest) bool {
+	if r.AnswerStarted || len(r.CurrentPath) > 0 {
+		return true
+	}
+	if now.Sub(f.searchedAll[model]) < fullSearchInterval {
+		return false
+	}
+	f.searchedAll[model] = now
+	return true
+}
+
+// samePlace reports whether two records of a server mean the same for the groups of
+// engines.
+func samePlace(a, b Server) bool {
+	return a.ID == b.ID && a.Service == b.Service && a.Zone == b.Zone && a.Accelerator == b.Accelerator && a.Layers == b.Layers
+}
--- a/relay/capacity.go
+++ b/relay/capacity.go
@@ -83,7 +83,14 @@
 	if finder == nil {
 		return nil, 0, pipeline.ErrNoChain
 	}
-	return finder.Find(f.engines(now, rev, model), f.links(now, rev), r)
+	links := f.links(now, rev)
+	if len(f.byService[model]) > maxSearchedEngines {
+		hops, expected, err := finder.Find(f.sampleEngines(now, rev, model, r), links, r)
+		if err == nil || !f.maySearchAll(now, model, r) {
+			return hops, expected, err
+		}
+	}
+	return finder.Find(f.engines(now, rev, model), links, r)
 }
 
 // recordLinkTraffic adds the bytes that a request sends over the links of its
@@ -197,31 +204,41 @@
 // cost clients much more than the requests that it asks to be spared.
 const limitedSlowdown = 1.25
 
-// engines returns the engines of a model that may receive requests. A rate limit is
-// about requests from entries, which only the first engine of a path gets.
+// engines returns the engines of a model that may receive requests.
 func (f *fleet) engines(now time.Time, rev *revision, model string) []pipeline.RelayEngine {
-	m := placementModel(rev.models[model])
 	var engines []pipeline.RelayEngine
 	for _, c := range f.membership.Candidates(now, model) {
-		s, known := f.servers[c.ID]
-		layers := s.Layers.Limit - s.Layers.First
-		if !known || c.Suspect || layers <= 0 || f.conditions.Against(now, c.ID, condition.Stage) != condition.None {
+		if c.Suspect {
 			continue
 		}
-		accelerator := rev.accelerators[s.Accelerator]
-		if accelerator == nil {
-			continue
+		if engine, usable := f.pathEngine(now, rev, model, c.ID); usable {
+			engines = append(engines, engine)
 		}
-		engine := f.relayEngine(now, s, accelerator, m)
-		if f.conditions.Limits.Limited(c.ID) {
-			engine.CannotBeFirst = f.conditions.Limits.Wait(now, c.ID) > 0
-			engine.Slowdown = max(engine.Slowdown, 1) * limitedSlowdown
-		}
-		engines = append(engines, engine)
 	}
 	return engines
 }
 
+// pathEngine returns an engine for the choice of a path, and whether it may be part of
+// one. A rate limit is about requests from entries, which only the first engine of a
+// path gets.
+func (f *fleet) pathEngine(now time.Time, rev *revision, model, id string) (pipeline.RelayEngine, bool) {
+	s, known := f.servers[id]
+	layers := s.Layers.Limit - s.Layers.First
+	if !known || layers <= 0 || f.conditions.Against(now, id, condition.Stage) != condition.None {
+		return pipeline.RelayEngine{}, false
+	}
+	accelerator := rev.accelerators[s.Accelerator]
+	if accelerator == nil {
+		return pipeline.RelayEngine{}, false
+	}
+	engine := f.relayEngine(now, s, accelerator, placementModel(rev.models[model]))
+	if f.conditions.Limits.Limited(id) {
+		engine.CannotBeFirst = f.conditions.Limits.Wait(now, id) > 0
+		engine.Slowdown = max(engine.Slowdown, 1) * limitedSlowdown
+	}
+	return engine, true
+}
+
 func (f *fleet) relayEngine(now time.Time, s Server, accelerator *config.Accelerator, m placement.Model) pipeline.RelayEngine {
 	e := pipeline.RelayEngine{
 		Name: s.ID, Address: s.Address, Zone: s.Zone, First: s.Layers.First, Limit: s.Layers.Limit,
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -62,6 +62,10 @@
 	limitShare ratelimit.Share
 	// slotWants are what other entries need slots for, by process.
 	slotWants map[uint64]slotWant
+	// groups are the engines of models with very many, and searchedAll is when all of
+	// them were last searched, by model.
+	groups      map[string]*engineGroups
+	searchedAll map[string]time.Time
 	// changes counts the engines that were lost or that streams must leave, so that
 	// streams need not check them at each event.
 	changes atomic.Int64
@@ -73,6 +77,7 @@
 		membership: membership.New(membershipOptions()), servers: map[string]Server{}, local: map[string]*usage{},
 		slowdowns: map[string]float64{}, random: random, peers: newPeerUsage(),
 		linkMeters: map[string]*rateMeter{}, slotWants: map[uint64]slotWant{},
+		groups: map[string]*engineGroups{}, searchedAll: map[string]time.Time{},
 	}
 }
 
@@ -81,10 +86,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	list := make([]membership.Instance, 0, len(servers))
+	moved := len(servers) != len(f.servers)
 	for id, s := range servers {
 		list = append(list, s.Instance)
+		moved = moved || !samePlace(f.servers[id], s)
 		f.observeRecord(now, f.servers[id], s)
 	}
+	if moved {
+		clear(f.groups)
+	}
 	f.membership.ObserveList(now, list)
 	f.servers = servers
 	f.byAddr = make(map[string]string, len(servers))
@@ -237,6 +247,13 @@
 	return total
 }
 
+// isInUse reports whether some entry has requests in progress on a server.
+func (f *fleet) isInUse(now time.Time, id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.inProgress(now, id).requests > 0
+}
+
 func (f *fleet) setSlowdown(id string, slowdown float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/relay/poll.go
+++ b/relay/poll.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,16 +13,19 @@
 )
 
 const (
-	// pollInterval is how often the lease holder asks all engines for their status.
-	// Each query costs the engine time, so only one entry does it.
+	// pollInterval is how often the lease holder asks engines for their status. Each
+	// query costs the engine time, so only one entry does it.
 	pollInterval = 2 * time.Second
 	// concurrentPolls is the number of engines asked in parallel.
 	concurrentPolls = 8
+	// maxPolled is the number of engines that are asked at a time. With more, half of
+	// the queries go to engines that carry load, and half to all others by turns.
+	maxPolled = 160
 )
 
-// pollEngines asks all engines for their status while this entry holds the
-// lease. Slowdowns relative to the configuration are sent to the other entries
-// in the usage messages.
+// pollEngines asks engines for their status while this entry holds the lease.
+// Slowdowns relative to the configuration are sent to the other entries in the usage
+// messages.
 func (p *placer) pollEngines(ctx context.Context) {
 	now := time.Now()
 	if now.Sub(p.lastPolled) < pollInterval {
@@ -32,30 +36,83 @@
 	if rev == nil {
 		return
 	}
+	servers := p.fleet.snapshot()
+	polled := p.pollTurns.next(p.pollable(now, rev, servers), func(id string) bool { return p.fleet.isInUse(now, id) }, maxPolled)
 	group := errgroup.Group{}
 	group.SetLimit(concurrentPolls)
 	var unresponsive serverSet
-	polled := 0
-	for id, s := range p.fleet.snapshot() {
-		if rev.models[s.Service] == nil || p.fleet.lostFor(now, id) > 0 || p.fleet.isPaused(now, id) || p.fleet.isLimited(id) {
-			continue
-		}
-		polled++
+	for _, id := range polled {
 		group.Go(func() error {
-			if !p.pollEngine(ctx, s) {
+			if !p.pollEngine(ctx, servers[id]) {
 				unresponsive.add(id)
 			}
 			return nil
 		})
 	}
 	_ = group.Wait() // pollEngine logs failures
-	if ctx.Err() == nil && float64(len(unresponsive.ids)) <= maxSilentFraction*float64(polled) {
+	if ctx.Err() == nil && float64(len(unresponsive.ids)) <= maxSilentFraction*float64(len(polled)) {
 		for _, id := range unresponsive.ids {
 			p.loseEngine(id, errNoStatus)
 		}
 	}
 }
 
+// pollable returns the engines that may be asked for their status.
+func (p *placer) pollable(now time.Time, rev *revision, servers map[string]Server) (ids []string) {
+	for id, s := range servers {
+		if rev.models[s.Service] != nil && p.fleet.lostFor(now, id) == 0 && !p.fleet.isPaused(now, id) && !p.fleet.isLimited(id) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// pollTurns remembers whose turn it is to be asked: the engines after the last ones.
+type pollTurns struct {
+	lastInUse, last string
+}
+
+// next returns the engines to ask now, at most a number of them. It answers a fleet of
+// which requests use a small part: what is known of engines in use has to be recent, and
+// all others are still asked at times, because they may be slow when they are needed.
+func (t *pollTurns) next(ids []string, isInUse func(id string) bool, limit int) []string {
+	if len(ids) <= limit {
+		return ids
+	}
+	slices.Sort(ids)
+	var inUse, others []string
+	for _, id := range ids {
+		if isInUse(id) {
+			inUse = append(inUse, id)
+		} else {
+			others = append(others, id)
+		}
+	}
+	// What one part does not need is left to the other.
+	forUse := min(len(inUse), max(limit/2, limit-len(others)))
+	chosen := append(takeAfter(inUse, t.lastInUse, forUse), takeAfter(others, t.last, limit-forUse)...)
+	if forUse > 0 {
+		t.lastInUse = chosen[forUse-1]
+	}
+	if len(chosen) > forUse {
+		t.last = chosen[len(chosen)-1]
+	}
+	return chosen
+}
+
+// takeAfter returns up to n of some sorted IDs: those after a given one, then the first.
+func takeAfter(ids []string, last string, n int) []string {
+	start, found := slices.BinarySearch(ids, last)
+	if found {
+		start++
+	}
+	taken := make([]string, 0, n)
+	for i := range min(n, len(ids)) {
+		taken = append(taken, ids[(start+i)%len(ids)])
+	}
+	return taken
+}
+
 var errNoStatus = errors.New("engine did not report its status")
 
 // maxSilentFraction is the largest fraction of silent engines that are marked
