--- a/relay/candidates.go
+++ b/relay/candidates.go
@@ -56,13 +56,25 @@
 		zone  string
 		class int
 	}
-	index := map[stratum]int{}
-	groups := &engineGroups{}
+	var chains [][]int
 	used := make([]bool, len(parts))
 	for i, head := range parts {
-		if used[i] {
-			continue
+		if !used[i] && head.first == 0 {
+			chains = append(chains, extendChain([]int{i}, parts, byFirst, used, sameZoneAndClass))
+		}
+	}
+	for c := range chains {
+		chains[c] = extendChain(chains[c], parts, byFirst, used, anyPart)
+	}
+	for i := range parts {
+		if !used[i] {
+			chains = append(chains, extendChain([]int{i}, parts, byFirst, used, anyPart))
 		}
+	}
+	index := map[stratum]int{}
+	groups := &engineGroups{}
+	for _, chain := range chains {
+		head := parts[chain[0]]
 		key := stratum{head.zone, head.class}
 		at, known := index[key]
 		if !known {
@@ -70,41 +82,37 @@
 			index[key] = at
 			groups.strata = append(groups.strata, nil)
 		}
-		groups.strata[at] = append(groups.strata[at], chainFrom(i, parts, byFirst, used))
+		ids := make([]string, 0, len(chain))
+		for _, i := range chain {
+			ids = append(ids, parts[i].id)
+		}
+		groups.strata[at] = append(groups.strata[at], ids)
 	}
 	return groups
 }
 
-// chainFrom returns the chain that begins with an engine and marks its engines as used.
-func chainFrom(head int, parts []enginePart, byFirst map[int][]int, used []bool) []string {
-	var chain []string
-	for at := head; at >= 0; at = nextInChain(parts[at], parts, byFirst[parts[at].limit], used) {
-		used[at] = true
-		chain = append(chain, parts[at].id)
-	}
-	return chain
+// Which engines may follow each other in a chain.
+func sameZoneAndClass(before, next enginePart) bool {
+	return before.zone == next.zone && before.class == next.class
 }
+func anyPart(_, _ enginePart) bool { return true }
 
-// nextInChain returns the unused engine among some that goes best with the one before it:
-// of its zone and speed if possible. It returns -1 if all are used.
-func nextInChain(before enginePart, parts []enginePart, following []int, used []bool) int {
-	best, bestCost := -1, math.MaxInt
-	for _, i := range following {
-		if used[i] {
-			continue
-		}
-		cost := 0
-		if parts[i].zone != before.zone {
-			cost++
-		}
-		if parts[i].class != before.class {
-			cost += 2
-		}
-		if cost < bestCost {
-			best, bestCost = i, cost
+// extendChain appends unused engines to a chain as long as one begins where the last one
+// ends, and marks the chain's engines as used.
+func extendChain(chain []int, parts []enginePart, byFirst map[int][]int, used []bool, fits func(before, next enginePart) bool) []int {
+	for _, i := range chain {
+		used[i] = true
+	}
+	for {
+		last := parts[chain[len(chain)-1]]
+		next := slices.IndexFunc(byFirst[last.limit], func(i int) bool { return !used[i] && fits(last, parts[i]) })
+		if next < 0 {
+			return chain
 		}
+		i := byFirst[last.limit][next]
+		used[i] = true
+		chain = append(chain, i)
 	}
-	return best
 }
 
 // sample returns at least n engines, if there are as many: random groups, from each
--- a/relay/poll_test.go
+++ b/relay/poll_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -53,3 +54,32 @@
 		assert.Equal(t, found, lost, "%d of 8 engines unresponsive", unresponsive)
 	}
 }
+
+// Guards against engines in use whose slowdown is noticed late, and against idle ones
+// that are never asked, when a fleet has more engines than are asked at a time.
+func TestPollsGoByTurns(t *testing.T) {
+	const engines, used, limit = 3000, 60, 160
+	var ids []string
+	for i := range engines {
+		ids = append(ids, fmt.Sprintf("s%04d", i))
+	}
+	isInUse := func(id string) bool { return id < fmt.Sprintf("s%04d", used) }
+	var turns pollTurns
+	asked := map[string]int{}
+	rounds := (engines - used + limit - used - 1) / (limit - used)
+	for range rounds {
+		polled := turns.next(slices.Clone(ids), isInUse, limit)
+		assert.Equal(t, len(polled), limit)
+		for _, id := range polled {
+			asked[id]++
+		}
+	}
+	for _, id := range ids {
+		if isInUse(id) {
+			assert.Equal(t, asked[id], rounds, id)
+		} else {
+			assert.Assert(t, asked[id] >= 1, id)
+		}
+	}
+	assert.Equal(t, len(turns.next(ids[:limit], isInUse, limit)), limit)
+}
