relay: thousands of changes at once; loads in turn while requests are served

Cause: the entry that reads the servers' records for all others put every change into its messages; while 3,000 servers start, such a message is 900 KB and no datagram carries it, so that the others relied on an entry that told them nothing until its silence was noticed. Each entry logged each of the changes. Hundreds of engines that return under load were all ordered to load at once, and loads beyond those that the weights' store serves at full speed only slow each other down. Change: an entry with more changes than messages carry announces that it reads for nobody for 1.8 s; 200 servers of an update are logged one by one; at most twice the loads that run at full speed are in progress while requests are served. Event 5008 states what decided about orders, 5001 the layers that the engine held. Tests: TestTooManyChangesAreReadByEveryEntry (a datagram), TestReturningEnginesLoadInTurn (concurrent loads of the model).

--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -37,6 +37,7 @@
 	RateLimitStated           Event = 2028
 	RateLimitLifted           Event = 2029
 	RateLimitUnreadable       Event = 2030
+	ServersChanged            Event = 2060
 
 	StreamRerouted         Event = 2015
 	StreamRecovered        Event = 2009
@@ -67,6 +68,7 @@
 	OrderRefused         Event = 5002
 	OrderCompleted       Event = 5003
 	PlanningFailed       Event = 5004
+	LayersPlanned        Event = 5008
 	EngineStatusReceived Event = 5006
 	EngineStatusMissing  Event = 5007
 	RolloutBlocked       Event = 5005
@@ -109,6 +111,7 @@
 	{RateLimitUnreadable, log.WarnLevel, "rate limit of a backend server cannot be read", "Find out what the server means; the last limit that was read stays in force."},
 	{StreamRerouted, log.InfoLevel, "stream's path changed", ""},
 	{ServerChanged, log.InfoLevel, "backend server changed", ""},
+	{ServersChanged, log.InfoLevel, "many backend servers changed at once", "Only some are logged one by one; the line counts all of them."},
 	{ServerRecordRemoved, log.InfoLevel, "backend server's record is gone", ""},
 	{ServerRecordUnreadable, log.WarnLevel, "backend server's record cannot be read", "Find out which program writes the record."},
 	{EntryRecordUnreadable, log.WarnLevel, "another entry's record cannot be read", "Find out which program writes the record."},
@@ -130,6 +133,7 @@
 	{ProcessWasHeldUp, log.WarnLevel, "process was held up; configuration is read again", "Check the load of the instance if the line repeats."},
 	{StoreRestored, log.WarnLevel, "store came back from an older copy", "Check that the operators' last change is there; the entries write their own records again."},
 	{OrderSent, log.InfoLevel, "order given to engine", ""},
+	{LayersPlanned, log.InfoLevel, "orders planned", "The line holds what decided; the orders follow."},
 	{OrderRefused, log.WarnLevel, "order refused by engine", ""},
 	{OrderCompleted, log.InfoLevel, "order carried out by engine", ""},
 	{EngineStatusReceived, log.DebugLevel, "engine reported its state", ""},
--- a/placement/relayorders.go
+++ b/placement/relayorders.go
@@ -12,6 +12,11 @@
 	// AllowMoves allows orders that move an engine from the layers that it holds to
 	// others.
 	AllowMoves bool
+	// MaxLoads is the number of empty engines that may be ordered to load layers if
+	// LimitLoads is set. It does not apply to the first plan, whose chains serve only as
+	// a whole.
+	MaxLoads   int
+	LimitLoads bool
 }
 
 // RelayOrders returns the ranges that engines should be ordered to hold now. Layers of
@@ -49,6 +54,9 @@
 	}
 	var orders []RelayAssignment
 	for _, e := range sortedBySpeed(empty) {
+		if policy.LimitLoads && len(orders) >= policy.MaxLoads {
+			break
+		}
 		if policy.MayStayEmpty[e.Name] && !hasShortLayer(copiesPerLayer(holding, m, opts)) {
 			continue
 		}
--- a/relay/arrival_test.go
+++ b/relay/arrival_test.go
@@ -190,3 +190,61 @@
 		assert.Assert(t, e.loads <= 1, "%s has loaded layers %d times", e.record.ID, e.loads)
 	}
 }
+
+// Guards against hundreds of engines that return under load and all load at once: each
+// load takes as many times longer as there are more of them than the weights' store
+// serves at full speed, so none of them would serve for minutes.
+func TestReturningEnginesLoadInTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newArrivingFleet(t, 3000, time.Second, 7)
+		p := f.newHolder()
+		f.play(p, 10*time.Second)
+		inUse := message{sender: "other", startNanos: 1, servers: map[uint64]usage{}, watchAge: notWatching}
+		for id := range f.known {
+			inUse.servers[serverHash(id)] = usage{requests: 1}
+		}
+		f.engines.mu.Lock()
+		returned := 0
+		for _, e := range f.engines.byAddr {
+			if returned++; returned > 300 {
+				break
+			}
+			e.record.StartTimeMillis++
+			e.orders, e.ordered = 0, placement.Range{}
+		}
+		f.engines.mu.Unlock()
+		limit := loadsInTurn * f.rev.models["m"].ConcurrentLoads
+		for range 40 {
+			inUse.sequence++
+			p.fleet.applyPeerMessage(time.Now(), inUse)
+			f.play(p, placeInterval)
+			assert.Assert(t, f.loading(time.Now()) <= limit, "%d engines are loading", f.loading(time.Now()))
+		}
+		loadedAgain := 0
+		for _, e := range f.engines.byAddr {
+			loadedAgain += max(int(e.loads)-1, 0)
+		}
+		// Ten seconds are enough for two loads and the records that tell of them.
+		assert.Assert(t, loadedAgain >= 2*limit, "%d engines have loaded layers again", loadedAgain)
+	})
+}
+
+// loading returns how many engines are loading layers.
+func (f *arrivingFleet) loading(now time.Time) (n int) {
+	f.engines.mu.Lock()
+	defer f.engines.mu.Unlock()
+	for _, e := range f.engines.byAddr {
+		if _, loading := e.state(now); loading {
+			n++
+		}
+	}
+	return n
+}
+
+// play reads the records and places layers for a time.
+func (f *arrivingFleet) play(p *placer, during time.Duration) {
+	for end := time.Now().Add(during); time.Now().Before(end); time.Sleep(placeInterval) {
+		f.readRecords(time.Now(), p.Entry)
+		p.placeModels(f.t.Context())
+	}
+}
--- a/relay/candidates.go
+++ b/relay/candidates.go
@@ -29,8 +29,10 @@
 // enginePart is what decides how an engine is combined with others.
 type enginePart struct {
 	id, zone     string
-	class        int
+	stepFactor   float64
 	first, limit int
+	// class is the class of speed, 0 for the fastest.
+	class int
 }
 
 // engineGroups are the engines of a model, in chains whose ranges follow each other
@@ -45,6 +47,7 @@
 
 // groupEngines divides engines into groups.
 func groupEngines(parts []enginePart) *engineGroups {
+	setClasses(parts)
 	slices.SortFunc(parts, func(a, b enginePart) int {
 		return cmp.Or(cmp.Compare(a.first, b.first), cmp.Compare(a.class, b.class), cmp.Compare(a.zone, b.zone), cmp.Compare(a.id, b.id))
 	})
@@ -141,9 +144,16 @@
 	return sampled
 }
 
-// speedClass returns the class of speed of an accelerator.
-func speedClass(stepFactor float64) int {
-	return int(math.Floor(math.Log(factorOrOne(stepFactor)) / math.Log(speedClassRatio)))
+// setClasses sets the class of speed of each engine, by its step factor relative to the
+// fastest. So engines that placement puts into one chain are in one class.
+func setClasses(parts []enginePart) {
+	fastest := math.Inf(1)
+	for _, e := range parts {
+		fastest = min(fastest, e.stepFactor)
+	}
+	for i := range parts {
+		parts[i].class = int(math.Log(parts[i].stepFactor/fastest) / math.Log(speedClassRatio))
+	}
 }
 
 // sampleEngines returns some engines of a model with very many that may receive requests,
@@ -180,7 +190,9 @@
 		if accelerator == nil || s.Layers.Limit <= s.Layers.First {
 			continue
 		}
-		parts = append(parts, enginePart{id, s.Zone, speedClass(accelerator.StepFactor), s.Layers.First, s.Layers.Limit})
+		parts = append(parts, enginePart{
+			id: id, zone: s.Zone, stepFactor: factorOrOne(accelerator.StepFactor), first: s.Layers.First, limit: s.Layers.Limit,
+		})
 	}
 	f.groups[model] = groupEngines(parts)
 	return f.groups[model]
--- a/relay/directory.go
+++ b/relay/directory.go
@@ -20,6 +20,14 @@
 	maxWatchAge = 900 * time.Millisecond
 	// changeSends is the number of messages that carry a change.
 	changeSends = 4
+	// maxChangeBytes bounds the changes in a message. It leaves room for the usage of a
+	// thousand servers in a datagram.
+	maxChangeBytes = 24 << 10
+	// selfReadTime is how long the other entries read the records themselves after there
+	// were too many changes. It is several messages, any of which may be lost.
+	selfReadTime = 1800 * time.Millisecond
+	// maxLoggedChanges is the number of servers of an update that are logged one by one.
+	maxLoggedChanges = 200
 )
 
 // directory is an entry's copy of the servers' records. It is safe for
@@ -39,6 +47,10 @@
 	// pendingChanges are the changed records to be sent to other entries, each with
 	// the number of messages left to carry it.
 	pendingChanges map[string]*outgoingChange
+	// tooManyChangesAt is when there were last more changes than messages can carry.
+	tooManyChangesAt time.Time
+	// changesInUpdate counts the servers that the current update has changed.
+	changesInUpdate int
 }
 
 type outgoingChange struct {
@@ -81,9 +93,18 @@
 		delete(d.unconfirmed, r.Key)
 		d.applyAndAnnounce(r)
 	}
+	d.endUpdate()
 	d.fleet.setServers(time.Now(), maps.Clone(d.servers))
 }
 
+// endUpdate logs how many changes of an update were not logged one by one.
+func (d *directory) endUpdate() {
+	if left := d.changesInUpdate - maxLoggedChanges; left > 0 {
+		logevent.Write(d.logger, logevent.ServersChanged).Int("servers", d.changesInUpdate).Int("left_out", left).Int("known", len(d.servers)).Msg("")
+	}
+	d.changesInUpdate = 0
+}
+
 func (d *directory) applyAndAnnounce(r Record) bool {
 	changed := d.applyRecord(r)
 	if changed {
@@ -138,6 +159,7 @@
 	for _, r := range records {
 		changed = d.applyRecord(r) || changed
 	}
+	d.endUpdate()
 	if changed {
 		d.fleet.setServers(time.Now(), maps.Clone(d.servers))
 	}
@@ -160,17 +182,30 @@
 	return now.Sub(d.lastRead)
 }
 
-// nextChanges returns the changes for the next message.
-func (d *directory) nextChanges() (records []Record) {
+// nextChanges returns the changes for the next message. It returns false if there are
+// more than messages can carry, as while a large fleet starts: the others must then read
+// the records themselves.
+func (d *directory) nextChanges() (records []Record, complete bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now, bytes := bootclock.Now(), 0
+	for _, c := range d.pendingChanges {
+		bytes += len(c.Key) + len(c.Value)
+	}
+	if bytes > maxChangeBytes {
+		clear(d.pendingChanges)
+		d.tooManyChangesAt = now
+	}
+	if !d.tooManyChangesAt.IsZero() && now.Sub(d.tooManyChangesAt) < selfReadTime {
+		return nil, false
+	}
 	for key, c := range d.pendingChanges {
 		records = append(records, c.Record)
 		if c.sendsLeft--; c.sendsLeft <= 0 {
 			delete(d.pendingChanges, key)
 		}
 	}
-	return records
+	return records, true
 }
 
 // applyRecord adds a server's record and reports whether more than its
@@ -202,6 +237,9 @@
 	if present && s.StartTimeMillis == old.StartTimeMillis && s.Leaving == old.Leaving && s.Layers == old.Layers && s.Address == old.Address {
 		return false
 	}
+	if d.changesInUpdate++; d.changesInUpdate > maxLoggedChanges {
+		return true
+	}
 	logevent.Write(d.logger, logevent.ServerChanged).Str("server", s.ID).Str("service", s.Service).Str("zone", s.Zone).
 		Str("address", s.Address).Bool("leaving", s.Leaving).Int("first", s.Layers.First).Int("limit", s.Layers.Limit).
 		Int64("born", s.StartTimeMillis).Int64("beat", s.HeartbeatCount).Msg("")
--- a/relay/directory_test.go
+++ b/relay/directory_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -15,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
+	"github.com/sapphirefield/sapphirefield/bootclock"
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/membership"
 )
@@ -141,7 +143,7 @@
 	other.directory.apply(update{records: []Record{serverRecord(t, s)}, complete: true})
 	s.Leaving, s.HeartbeatCount = true, 2
 	watcher.directory.apply(update{records: []Record{serverRecord(t, s)}, complete: true})
-	changes := watcher.directory.nextChanges()
+	changes, _ := watcher.directory.nextChanges()
 	assert.Equal(t, len(changes), 1)
 	other.directory.applyPeerChanges(changes)
 	assert.Assert(t, other.fleet.snapshot()["s"].Leaving)
@@ -159,11 +161,11 @@
 	e := newStoreEntry(newScriptedStore())
 	e.directory.apply(update{records: []Record{serverRecord(t, Server{Instance: membership.Instance{ID: "s"}, HeartbeatCount: 1})}, complete: true})
 	for range changeSends {
-		assert.Equal(t, len(e.directory.nextChanges()), 1)
+		assert.Equal(t, changesSent(e), 1)
 	}
-	assert.Equal(t, len(e.directory.nextChanges()), 0)
+	assert.Equal(t, changesSent(e), 0)
 	e.directory.apply(update{records: []Record{serverRecord(t, Server{Instance: membership.Instance{ID: "s"}, HeartbeatCount: 2})}, complete: false})
-	assert.Equal(t, len(e.directory.nextChanges()), 0, "a heartbeat alone is not a change")
+	assert.Equal(t, changesSent(e), 0, "a heartbeat alone is not a change")
 }
 
 // Guards against an entry that relies on a watcher that has terminated or
@@ -404,3 +406,34 @@
 		_ = followers.Wait() // they end with the context
 	})
 }
+
+// changesSent returns the number of changes in the next message.
+func changesSent(e *Entry) int {
+	changes, _ := e.directory.nextChanges()
+	return len(changes)
+}
+
+// Guards against a message that no datagram can carry, and against entries that go on
+// relying on the watcher although it could not tell them all changes, when thousands of
+// servers start at once.
+func TestTooManyChangesAreReadByEveryEntry(t *testing.T) {
+	e := newStoreEntry(newScriptedStore())
+	e.leaseTerm.Store(1)
+	p := &peers{Entry: e}
+	var records []Record
+	for i := range 3000 {
+		records = append(records, serverRecord(t, heartbeat(fmt.Sprintf("s%04d", i), 1)))
+	}
+	e.directory.apply(update{records: records, complete: true})
+	e.directory.markRead(bootclock.Now())
+	m := p.message(1)
+	assert.Assert(t, len(m.encode()) <= maxDatagram)
+	assert.Equal(t, m.watchAge, notWatching)
+	assert.Equal(t, p.message(2).watchAge, notWatching, "a single lost message must not hide it")
+
+	e.directory.tooManyChangesAt = bootclock.Now().Add(-selfReadTime)
+	e.directory.apply(update{records: []Record{serverRecord(t, heartbeat("new", 1))}})
+	m = p.message(3)
+	assert.Equal(t, len(m.changes), 1)
+	assert.Assert(t, m.watchAge <= maxWatchAge)
+}
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -254,6 +254,13 @@
 	return f.inProgress(now, id).requests > 0
 }
 
+// serves reports whether requests are in progress on some server of a service.
+func (f *fleet) serves(now time.Time, service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(f.byService[service], func(id string) bool { return f.inProgress(now, id).requests > 0 })
+}
+
 func (f *fleet) setSlowdown(id string, slowdown float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -281,7 +281,9 @@
 	}
 	m.wants, m.gifts = p.fleet.slotExchange(now)
 	if p.isWatcher() {
-		m.watchAge, m.changes = p.directory.readAge(bootclock.Now()), p.directory.nextChanges()
+		if changes, complete := p.directory.nextChanges(); complete {
+			m.watchAge, m.changes = p.directory.readAge(bootclock.Now()), changes
+		}
 	}
 	return m
 }
--- a/relay/placer.go
+++ b/relay/placer.go
@@ -318,11 +318,13 @@
 	if !anyLoaded && !state.hasSettled(now, len(engines), p.settings.Heartbeat) {
 		return
 	}
+	room, limited := p.loadRoom(now, name, model)
 	options := rev.relayOptions(model)
 	unreplicated := placement.HasUnreplicatedLayer(engines, placementModel(model), options)
 	timing := placement.RelayOrderPolicy{
 		MayStayEmpty: state.waitingEngines(now, engines),
 		AllowMoves:   state.unreplicatedFor(now, unreplicated) >= moveDelay && len(p.pendingOrders) == 0,
+		MaxLoads:     room, LimitLoads: limited,
 	}
 	orders, err := placement.RelayOrders(engines, timing, placementModel(model), options)
 	if err != nil {
@@ -330,6 +332,11 @@
 		sleep(ctx, leaseInterval)
 		return
 	}
+	if len(orders) > 0 {
+		logevent.Write(p.logger, logevent.LayersPlanned).Str("model", name).Int("engines", len(engines)).Int("empty", len(state.emptySince)).
+			Int("orders", len(orders)).Int("pending", len(p.pendingOrders)).Bool("first_plan", !anyLoaded).
+			Bool("unreplicated", unreplicated).Bool("may_move", timing.AllowMoves).Int("room", room).Int64("term", p.term()).Msg("")
+	}
 	group := errgroup.Group{}
 	group.SetLimit(concurrentOrders)
 	var failed serverSet
@@ -350,6 +357,22 @@
 	}
 }
 
+// loadsInTurn is the number of loads that are in progress at most while requests are, as
+// a multiple of those that do not slow each other down. It is more than 1 because the
+// records of engines that have loaded arrive a little later.
+const loadsInTurn = 2
+
+// loadRoom returns how many engines may be ordered to load layers now, and whether that
+// is limited at all. It answers the return of many engines at once under load: loads
+// that share the weights' store would all end late, while a few at a time give capacity
+// back from the first seconds on.
+func (p *placer) loadRoom(now time.Time, name string, m *config.Model) (room int, limited bool) {
+	if m.ConcurrentLoads <= 0 || !p.fleet.serves(now, name) {
+		return 0, false
+	}
+	return max(loadsInTurn*m.ConcurrentLoads-len(p.pendingOrders), 0), true
+}
+
 // relayOptions returns what a model's requests need, and how many of them per
 // second the slowest link between zones can carry.
 func (rev *revision) relayOptions(m *config.Model) placement.RelayOptions {
@@ -466,7 +489,7 @@
 func (p *placer) orderLayers(ctx context.Context, server Server, r placement.Range) bool {
 	outcome, expectedOrders, err := p.sendOrder(ctx, server, r)
 	line := logevent.Write(p.logger, logevent.OrderSent).Str("server", server.ID).Str("zone", server.Zone).Int64("born", server.StartTimeMillis).
-		Int("first", r.First).Int("limit", r.Limit).Int64("orders", expectedOrders).Int64("term", p.term()).
+		Int("first", r.First).Int("limit", r.Limit).Int("held_first", server.Layers.First).Int("held_limit", server.Layers.Limit).Int64("orders", expectedOrders).Int64("term", p.term()).
 		Str("outcome", string(outcome))
 	if err != nil {
 		line = line.Str("cause", err.Error())
--- a/relay/restore_test.go
+++ b/relay/restore_test.go
@@ -138,7 +138,8 @@
 	other.directory.apply(first)
 	watcher.directory.nextChanges()
 	watcher.directory.apply(update{records: first.records[1:], complete: true})
-	other.directory.applyPeerChanges(watcher.directory.nextChanges())
+	changes, _ := watcher.directory.nextChanges()
+	other.directory.applyPeerChanges(changes)
 	_, known := other.fleet.snapshot()["gone"]
 	assert.Assert(t, !known)
 	assert.Equal(t, len(other.fleet.snapshot()), 1)
