relay: samples of large fleets follow the configuration and hold every layer

Findings of the review: groups of engines outlived the accelerators that they were made from (1,664 of 2,998 engines grouped for good after a revision without one kind); a sample took a chain of every stratum, 448 and 896 engines at 14 zones and 8 kinds; after the loss of most holders of a layer most samples had no path, and one full search in 250 ms was shared by all; streams that had begun searched all engines without limit; a slow engine was asked again after 38 s at the earliest. Change: groups are made again when kinds of accelerators or their speeds change; a sample ends at its size and begins at a random stratum; it gets holders of layers of which it has few; a second sample is twice as large; full searches are limited for both kinds of requests apart; slow engines are polled with those in use. Tests: TestSampleHoldsRareLayers, TestGroupsFollowTheConfiguration, TestSampleIsBoundedWithManyZones; the bounds of the arrival test are now: all engines loaded once, all layers held once as many engines as layers and open orders are loaded.

--- a/relay/arrival_test.go
+++ b/relay/arrival_test.go
@@ -176,8 +176,9 @@
 		f.readRecords(time.Now(), p.Entry)
 		p.placeModels(t.Context())
 		holding, missing := f.loaded(time.Now())
-		// The first plan serves while it is being completed.
-		if holding >= engines/4 && !served {
+		// The first plan serves while it is being completed: chains follow each other,
+		// and none has more engines than there are layers.
+		if holding >= f.rev.models["m"].Layers+concurrentOrders && !served {
 			assert.Equal(t, len(missing), 0, "no engine holds layers %v after %s", missing, elapsed)
 		}
 		served = served || holding > 0 && len(missing) == 0
@@ -185,7 +186,7 @@
 	}
 	holding, missing := f.loaded(time.Now())
 	assert.Equal(t, len(missing), 0)
-	assert.Assert(t, holding >= engines*9/10, "%d of %d engines hold layers", holding, engines)
+	assert.Equal(t, holding, engines)
 	for _, e := range f.engines.byAddr {
 		assert.Assert(t, e.loads <= 1, "%s has loaded layers %d times", e.record.ID, e.loads)
 	}
--- a/relay/candidates.go
+++ b/relay/candidates.go
@@ -18,8 +18,7 @@
 	// has more: a few chains of each zone and speed.
 	sampledEngines = 160
 	// fullSearchInterval is the shortest time between two searches among all engines of
-	// such a model for requests that have not started. Under overload, waiting requests
-	// search many times a second.
+	// such a model. Under overload, waiting requests search many times a second.
 	fullSearchInterval = 250 * time.Millisecond
 	// speedClassRatio is the ratio of the step factors at which two engines are in
 	// different classes of speed.
@@ -43,6 +42,16 @@
 // grow with the fleet, and no entry prefers the same engines as another.
 type engineGroups struct {
 	strata [][][]string
+	// holders are the engines that hold each layer.
+	holders [][]string
+	// stepFactors are those of the kinds of accelerators from which the groups were made.
+	stepFactors map[string]float64
+}
+
+// stratum identifies the chains that are alternatives to each other.
+type stratum struct {
+	zone  string
+	class int
 }
 
 // groupEngines divides engines into groups.
@@ -51,34 +60,9 @@
 	slices.SortFunc(parts, func(a, b enginePart) int {
 		return cmp.Or(cmp.Compare(a.first, b.first), cmp.Compare(a.class, b.class), cmp.Compare(a.zone, b.zone), cmp.Compare(a.id, b.id))
 	})
-	byFirst := map[int][]int{}
-	for i, e := range parts {
-		byFirst[e.first] = append(byFirst[e.first], i)
-	}
-	type stratum struct {
-		zone  string
-		class int
-	}
-	var chains [][]int
-	used := make([]bool, len(parts))
-	for i, head := range parts {
-		if !used[i] && head.first == 0 {
-			chains = append(chains, extendChain([]int{i}, parts, byFirst, used, sameZoneAndClass))
-		}
-	}
-	for c := range chains {
-		chains[c] = extendChain(chains[c], parts, byFirst, used, anyPart)
-	}
-	for i := range parts {
-		if !used[i] {
-			chains = append(chains, extendChain([]int{i}, parts, byFirst, used, anyPart))
-		}
-	}
-	index := map[stratum]int{}
-	groups := &engineGroups{}
-	for _, chain := range chains {
-		head := parts[chain[0]]
-		key := stratum{head.zone, head.class}
+	groups, index := &engineGroups{}, map[stratum]int{}
+	for _, chain := range makeChains(parts) {
+		key := parts[chain[0]].stratum()
 		at, known := index[key]
 		if !known {
 			at = len(groups.strata)
@@ -91,55 +75,124 @@
 		}
 		groups.strata[at] = append(groups.strata[at], ids)
 	}
+	for _, e := range parts {
+		for len(groups.holders) < e.limit {
+			groups.holders = append(groups.holders, nil)
+		}
+		for l := max(e.first, 0); l < e.limit; l++ {
+			groups.holders[l] = append(groups.holders[l], e.id)
+		}
+	}
 	return groups
 }
 
-// Which engines may follow each other in a chain.
-func sameZoneAndClass(before, next enginePart) bool {
-	return before.zone == next.zone && before.class == next.class
+func (e enginePart) stratum() stratum { return stratum{e.zone, e.class} }
+
+// chainMaker joins engines of which one begins where the other ends.
+type chainMaker struct {
+	parts []enginePart
+	used  []bool
+	// byFirst holds the engines that begin at a layer, those of a stratum and all.
+	byFirst    map[firstKey][]int
+	byFirstAny map[int][]int
 }
-func anyPart(_, _ enginePart) bool { return true }
 
-// extendChain appends unused engines to a chain as long as one begins where the last one
-// ends, and marks the chain's engines as used.
-func extendChain(chain []int, parts []enginePart, byFirst map[int][]int, used []bool, fits func(before, next enginePart) bool) []int {
-	for _, i := range chain {
-		used[i] = true
+type firstKey struct {
+	stratum
+	first int
+}
+
+// makeChains joins engines to chains, within a zone and class of speed first, then
+// across them. Each engine is in one chain.
+func makeChains(parts []enginePart) (chains [][]int) {
+	m := &chainMaker{parts: parts, used: make([]bool, len(parts)), byFirst: map[firstKey][]int{}, byFirstAny: map[int][]int{}}
+	for i, e := range parts {
+		key := firstKey{e.stratum(), e.first}
+		m.byFirst[key] = append(m.byFirst[key], i)
+		m.byFirstAny[e.first] = append(m.byFirstAny[e.first], i)
+	}
+	for i, head := range parts {
+		if head.first == 0 {
+			m.used[i] = true
+			chains = append(chains, m.extend([]int{i}, m.nextOfStratum))
+		}
+	}
+	for c := range chains {
+		chains[c] = m.extend(chains[c], m.nextOfAny)
+	}
+	for i := range parts {
+		if !m.used[i] {
+			m.used[i] = true
+			chains = append(chains, m.extend([]int{i}, m.nextOfAny))
+		}
 	}
+	return chains
+}
+
+// extend appends engines to a chain as long as there is a next one.
+func (m *chainMaker) extend(chain []int, next func(last enginePart) (int, bool)) []int {
 	for {
-		last := parts[chain[len(chain)-1]]
-		next := slices.IndexFunc(byFirst[last.limit], func(i int) bool { return !used[i] && fits(last, parts[i]) })
-		if next < 0 {
+		i, found := next(m.parts[chain[len(chain)-1]])
+		if !found {
 			return chain
 		}
-		i := byFirst[last.limit][next]
-		used[i] = true
+		m.used[i] = true
 		chain = append(chain, i)
 	}
 }
 
+// nextOfStratum returns an unused engine of the same zone and class that begins where
+// one ends.
+func (m *chainMaker) nextOfStratum(last enginePart) (int, bool) {
+	key := firstKey{last.stratum(), last.limit}
+	m.byFirst[key] = m.dropUsed(m.byFirst[key])
+	if len(m.byFirst[key]) == 0 {
+		return 0, false
+	}
+	return m.byFirst[key][0], true
+}
+
+// nextOfAny returns an unused engine that begins where one ends.
+func (m *chainMaker) nextOfAny(last enginePart) (int, bool) {
+	m.byFirstAny[last.limit] = m.dropUsed(m.byFirstAny[last.limit])
+	if len(m.byFirstAny[last.limit]) == 0 {
+		return 0, false
+	}
+	return m.byFirstAny[last.limit][0], true
+}
+
+// dropUsed removes the used engines at the begin of a list, so that none is looked at
+// again.
+func (m *chainMaker) dropUsed(list []int) []int {
+	for len(list) > 0 && m.used[list[0]] {
+		list = list[1:]
+	}
+	return list
+}
+
 // sample returns at least n engines, if there are as many: random groups, from each
-// stratum in turn.
+// stratum in turn, beginning with a random one.
 func (g *engineGroups) sample(random *rand.Rand, n int) []string {
 	sampled := make([]string, 0, n+n/4)
-	taken := make([]map[int]bool, len(g.strata))
-	for exhausted := 0; len(sampled) < n && exhausted < len(g.strata); {
-		exhausted = 0
-		for s, groups := range g.strata {
-			if len(taken[s]) == len(groups) {
-				exhausted++
-				continue
-			}
-			if taken[s] == nil {
-				taken[s] = map[int]bool{}
-			}
-			i := random.IntN(len(groups))
-			for taken[s][i] {
-				i = (i + 1) % len(groups)
-			}
-			taken[s][i] = true
-			sampled = append(sampled, groups[i]...)
+	if len(g.strata) == 0 {
+		return sampled
+	}
+	// Each stratum is read in order from a random place on.
+	starts, taken := make([]int, len(g.strata)), make([]int, len(g.strata))
+	for s, groups := range g.strata {
+		starts[s] = random.IntN(len(groups))
+	}
+	first := random.IntN(len(g.strata))
+	for exhausted, turn := 0, 0; len(sampled) < n && exhausted < len(g.strata); turn++ {
+		s := (first + turn) % len(g.strata)
+		groups := g.strata[s]
+		if taken[s] == len(groups) {
+			exhausted++
+			continue
 		}
+		exhausted = 0
+		sampled = append(sampled, groups[(starts[s]+taken[s])%len(groups)]...)
+		taken[s]++
 	}
 	return sampled
 }
@@ -156,31 +209,92 @@
 	}
 }
 
-// sampleEngines returns some engines of a model with very many that may receive requests,
-// and those of the request's current path.
-func (f *fleet) sampleEngines(now time.Time, rev *revision, model string, r pipeline.RelayRequest) []pipeline.RelayEngine {
-	ids := f.engineGroups(rev, model).sample(f.random, sampledEngines)
-	for _, h := range r.CurrentPath {
-		if !slices.Contains(ids, h.Engine) {
-			ids = append(ids, h.Engine)
+// findSampledPath returns the best path among some engines of a model with very many. It
+// looks at more of them if there is none, and at last at all, but seldom: under overload
+// many requests wait for a path and search for it again and again.
+func (f *fleet) findSampledPath(now time.Time, rev *revision, model string, r pipeline.RelayRequest) ([]pipeline.Hop, time.Duration, error) {
+	finder, links := rev.finders[model], f.links(now, rev)
+	for _, n := range []int{sampledEngines, maxSearchedEngines} {
+		hops, expected, err := finder.Find(f.sampleEngines(now, rev, model, n, r), links, r)
+		if err == nil || n == maxSearchedEngines && !f.maySearchAll(now, model, r) {
+			return hops, expected, err
 		}
 	}
-	engines := make([]pipeline.RelayEngine, 0, len(ids))
-	for _, id := range ids {
-		if !f.membership.Accepts(now, id) {
-			continue
-		}
-		if e, usable := f.pathEngine(now, rev, model, id); usable {
-			engines = append(engines, e)
+	return finder.Find(f.engines(now, rev, model), links, r)
+}
+
+// sampleEngines returns about n engines of a model that may receive requests, and those
+// of the request's current path. Each layer that some engine holds is held by one of
+// them.
+func (f *fleet) sampleEngines(now time.Time, rev *revision, model string, n int, r pipeline.RelayRequest) []pipeline.RelayEngine {
+	groups := f.engineGroups(rev, model)
+	s := engineSample{fleet: f, now: now, rev: rev, model: model, tried: make(map[string]bool, n), held: make([]int, len(groups.holders))}
+	for _, id := range groups.sample(f.random, n) {
+		s.add(id)
+	}
+	for _, h := range r.CurrentPath {
+		s.add(h.Engine)
+	}
+	for layer, holders := range groups.holders {
+		s.complete(layer, holders)
+	}
+	return s.engines
+}
+
+// minHolders is the number of engines of a sample that hold a layer at least, if there
+// are as many.
+const minHolders = 4
+
+// engineSample is a sample of a model's engines that is being made.
+type engineSample struct {
+	fleet   *fleet
+	now     time.Time
+	rev     *revision
+	model   string
+	tried   map[string]bool
+	engines []pipeline.RelayEngine
+	// held counts the engines that hold each layer.
+	held []int
+}
+
+// add adds an engine if it may receive requests.
+func (s *engineSample) add(id string) {
+	if s.tried[id] {
+		return
+	}
+	s.tried[id] = true
+	if !s.fleet.membership.Accepts(s.now, id) {
+		return
+	}
+	e, usable := s.fleet.pathEngine(s.now, s.rev, s.model, id)
+	if !usable {
+		return
+	}
+	s.engines = append(s.engines, e)
+	for l := max(e.First, 0); l < min(e.Limit, len(s.held)); l++ {
+		s.held[l]++
+	}
+}
+
+// complete adds holders of a layer of which the sample has few. After the loss of most
+// of a layer's engines, random chains would often miss those that are left.
+func (s *engineSample) complete(layer int, holders []string) {
+	if s.held[layer] >= minHolders || len(holders) == 0 {
+		return
+	}
+	start := s.fleet.random.IntN(len(holders))
+	for i := range holders {
+		if s.held[layer] >= minHolders {
+			return
 		}
+		s.add(holders[(start+i)%len(holders)])
 	}
-	return engines
 }
 
 // engineGroups returns the groups of a model's engines. They are made again after a
-// change of the engines or of their layers.
+// change of the engines, of their layers or of the speeds of accelerators.
 func (f *fleet) engineGroups(rev *revision, model string) *engineGroups {
-	if g := f.groups[model]; g != nil {
+	if g := f.groups[model]; g != nil && g.madeFor(rev) {
 		return g
 	}
 	var parts []enginePart
@@ -194,23 +308,47 @@
 			id: id, zone: s.Zone, stepFactor: factorOrOne(accelerator.StepFactor), first: s.Layers.First, limit: s.Layers.Limit,
 		})
 	}
-	f.groups[model] = groupEngines(parts)
-	return f.groups[model]
+	g := groupEngines(parts)
+	g.stepFactors = make(map[string]float64, len(rev.accelerators))
+	for kind, accelerator := range rev.accelerators {
+		g.stepFactors[kind] = accelerator.StepFactor
+	}
+	f.groups[model] = g
+	return g
 }
 
-// maySearchAll reports whether a request may be searched a path for among all engines
-// of a model with very many, after there was none among a sample.
-func (f *fleet) maySearchAll(now time.Time, model string, r pipeline.RelayRequest) bool {
-	if r.AnswerStarted || len(r.CurrentPath) > 0 {
-		return true
+// madeFor reports whether the groups are still right for a revision of the
+// configuration.
+func (g *engineGroups) madeFor(rev *revision) bool {
+	if len(g.stepFactors) != len(rev.accelerators) {
+		return false
+	}
+	for kind, accelerator := range rev.accelerators {
+		if factor, known := g.stepFactors[kind]; !known || factor != accelerator.StepFactor {
+			return false
+		}
 	}
-	if now.Sub(f.searchedAll[model]) < fullSearchInterval {
+	return true
+}
+
+// maySearchAll reports whether all engines of a model with very many may be searched now,
+// after there was no path among a sample. Requests that have started and others do not
+// take it from each other.
+func (f *fleet) maySearchAll(now time.Time, model string, r pipeline.RelayRequest) bool {
+	key := searchKey{model, r.AnswerStarted || len(r.CurrentPath) > 0}
+	if now.Sub(f.searchedAll[key]) < fullSearchInterval {
 		return false
 	}
-	f.searchedAll[model] = now
+	f.searchedAll[key] = now
 	return true
 }
 
+// searchKey identifies the requests that share the searches among all engines.
+type searchKey struct {
+	model   string
+	started bool
+}
+
 // samePlace reports whether two records of a server mean the same for the groups of
 // engines.
 func samePlace(a, b Server) bool {
--- a/relay/candidates_test.go
+++ b/relay/candidates_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -19,8 +20,8 @@
 	const entries = 1000
 	for entry := range entries {
 		f.random = rand.New(rand.NewPCG(5, uint64(entry)))
-		engines := f.sampleEngines(now, rev, "m", benchmarkRequest)
-		assert.Assert(t, len(engines) >= sampledEngines && len(engines) <= 2*sampledEngines, "%d engines", len(engines))
+		engines := f.sampleEngines(now, rev, "m", sampledEngines, benchmarkRequest)
+		assert.Assert(t, len(engines) >= sampledEngines && len(engines) <= maxSearchedEngines, "%d engines", len(engines))
 		hops, _, err := rev.finders["m"].Find(engines, f.links(now, rev), benchmarkRequest)
 		assert.NilError(t, err)
 		first[hops[0].Engine]++
@@ -50,3 +51,57 @@
 	assert.NilError(t, err)
 	assert.Equal(t, hops[len(hops)-1].Engine, kept)
 }
+
+// Guards against requests that are refused, although engines are free, after the loss of
+// most engines that hold a layer: every sample holds some of those that are left.
+func TestSampleHoldsRareLayers(t *testing.T) {
+	now := time.Now()
+	f, rev := loadedFleet(t, now, 2998, 2)
+	last := rev.models["m"].Layers
+	left := 10
+	for _, id := range f.byService["m"] {
+		if f.servers[id].Layers.Limit == last {
+			if left--; left < 0 {
+				f.conditions.MarkLost(now, id)
+			}
+		}
+	}
+	for range 100 {
+		_, _, err := rev.finders["m"].Find(f.sampleEngines(now, rev, "m", sampledEngines, benchmarkRequest), f.links(now, rev), benchmarkRequest)
+		assert.NilError(t, err)
+	}
+}
+
+// Guards against engines that no request reaches, because the configuration did not know
+// their kind of accelerator when they appeared.
+func TestGroupsFollowTheConfiguration(t *testing.T) {
+	now := time.Now()
+	f, rev := loadedFleet(t, now, 998, 2)
+	known := rev.accelerators["small"]
+	delete(rev.accelerators, "small")
+	before := len(f.engineGroups(rev, "m").sample(f.random, 10000))
+	rev.accelerators["small"] = known
+	assert.Assert(t, before < 998)
+	assert.Equal(t, len(f.engineGroups(rev, "m").sample(f.random, 10000)), 998)
+}
+
+// Guards against samples that grow with the number of zones and kinds of accelerators.
+func TestSampleIsBoundedWithManyZones(t *testing.T) {
+	var parts []enginePart
+	for i := range 3100 {
+		parts = append(parts, enginePart{
+			id: fmt.Sprint(i), zone: fmt.Sprint("zone-", i/8%14), stepFactor: float64(int(1) << (2 * (i / 112 % 8))), first: i % 8 * 10, limit: (i%8 + 1) * 10,
+		})
+	}
+	groups := groupEngines(parts)
+	random := rand.New(rand.NewPCG(1, 1))
+	seen := map[string]bool{}
+	for range 500 {
+		sampled := groups.sample(random, sampledEngines)
+		assert.Assert(t, len(sampled) < sampledEngines+8, "%d engines", len(sampled))
+		for _, id := range sampled {
+			seen[id] = true
+		}
+	}
+	assert.Equal(t, len(seen), 3100)
+}
--- a/relay/capacity.go
+++ b/relay/capacity.go
@@ -83,14 +83,10 @@
 	if finder == nil {
 		return nil, 0, pipeline.ErrNoChain
 	}
-	links := f.links(now, rev)
 	if len(f.byService[model]) > maxSearchedEngines {
-		hops, expected, err := finder.Find(f.sampleEngines(now, rev, model, r), links, r)
-		if err == nil || !f.maySearchAll(now, model, r) {
-			return hops, expected, err
-		}
+		return f.findSampledPath(now, rev, model, r)
 	}
-	return finder.Find(f.engines(now, rev, model), links, r)
+	return finder.Find(f.engines(now, rev, model), f.links(now, rev), r)
 }
 
 // recordLinkTraffic adds the bytes that a request sends over the links of its
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -65,7 +65,7 @@
 	// groups are the engines of models with very many, and searchedAll is when all of
 	// them were last searched, by model.
 	groups      map[string]*engineGroups
-	searchedAll map[string]time.Time
+	searchedAll map[searchKey]time.Time
 	// changes counts the engines that were lost or that streams must leave, so that
 	// streams need not check them at each event.
 	changes atomic.Int64
@@ -77,7 +77,7 @@
 		membership: membership.New(membershipOptions()), servers: map[string]Server{}, local: map[string]*usage{},
 		slowdowns: map[string]float64{}, random: random, peers: newPeerUsage(),
 		linkMeters: map[string]*rateMeter{}, slotWants: map[uint64]slotWant{},
-		groups: map[string]*engineGroups{}, searchedAll: map[string]time.Time{},
+		groups: map[string]*engineGroups{}, searchedAll: map[searchKey]time.Time{},
 	}
 }
 
@@ -247,11 +247,12 @@
 	return total
 }
 
-// isInUse reports whether some entry has requests in progress on a server.
-func (f *fleet) isInUse(now time.Time, id string) bool {
+// isWatched reports whether the status of a server matters now: some entry has requests
+// in progress on it, or it was slow and gets few of them until it is known to be fast.
+func (f *fleet) isWatched(now time.Time, id string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.inProgress(now, id).requests > 0
+	return f.slowdowns[id] > 1 || f.inProgress(now, id).requests > 0
 }
 
 // serves reports whether requests are in progress on some server of a service.
--- a/relay/poll.go
+++ b/relay/poll.go
@@ -19,7 +19,8 @@
 	// concurrentPolls is the number of engines asked in parallel.
 	concurrentPolls = 8
 	// maxPolled is the number of engines that are asked at a time. With more, half of
-	// the queries go to engines that carry load, and half to all others by turns.
+	// the queries go to engines that carry load or were slow, and half to all others by
+	// turns.
 	maxPolled = 160
 )
 
@@ -37,7 +38,7 @@
 		return
 	}
 	servers := p.fleet.snapshot()
-	polled := p.pollTurns.next(p.pollable(now, rev, servers), func(id string) bool { return p.fleet.isInUse(now, id) }, maxPolled)
+	polled := p.pollTurns.next(p.pollable(now, rev, servers), func(id string) bool { return p.fleet.isWatched(now, id) }, maxPolled)
 	group := errgroup.Group{}
 	group.SetLimit(concurrentPolls)
 	var unresponsive serverSet
@@ -69,32 +70,32 @@
 
 // pollTurns remembers whose turn it is to be asked: the engines after the last ones.
 type pollTurns struct {
-	lastInUse, last string
+	lastWatched, last string
 }
 
 // next returns the engines to ask now, at most a number of them. It answers a fleet of
 // which requests use a small part: what is known of engines in use has to be recent, and
 // all others are still asked at times, because they may be slow when they are needed.
-func (t *pollTurns) next(ids []string, isInUse func(id string) bool, limit int) []string {
+func (t *pollTurns) next(ids []string, isWatched func(id string) bool, limit int) []string {
 	if len(ids) <= limit {
 		return ids
 	}
 	slices.Sort(ids)
-	var inUse, others []string
+	var watched, others []string
 	for _, id := range ids {
-		if isInUse(id) {
-			inUse = append(inUse, id)
+		if isWatched(id) {
+			watched = append(watched, id)
 		} else {
 			others = append(others, id)
 		}
 	}
 	// What one part does not need is left to the other.
-	forUse := min(len(inUse), max(limit/2, limit-len(others)))
-	chosen := append(takeAfter(inUse, t.lastInUse, forUse), takeAfter(others, t.last, limit-forUse)...)
-	if forUse > 0 {
-		t.lastInUse = chosen[forUse-1]
+	forWatched := min(len(watched), max(limit/2, limit-len(others)))
+	chosen := append(takeAfter(watched, t.lastWatched, forWatched), takeAfter(others, t.last, limit-forWatched)...)
+	if forWatched > 0 {
+		t.lastWatched = chosen[forWatched-1]
 	}
-	if len(chosen) > forUse {
+	if len(chosen) > forWatched {
 		t.last = chosen[len(chosen)-1]
 	}
 	return chosen
--- a/relay/poll_test.go
+++ b/relay/poll_test.go
@@ -63,23 +63,23 @@
 	for i := range engines {
 		ids = append(ids, fmt.Sprintf("s%04d", i))
 	}
-	isInUse := func(id string) bool { return id < fmt.Sprintf("s%04d", used) }
+	isWatched := func(id string) bool { return id < fmt.Sprintf("s%04d", used) }
 	var turns pollTurns
 	asked := map[string]int{}
 	rounds := (engines - used + limit - used - 1) / (limit - used)
 	for range rounds {
-		polled := turns.next(slices.Clone(ids), isInUse, limit)
+		polled := turns.next(slices.Clone(ids), isWatched, limit)
 		assert.Equal(t, len(polled), limit)
 		for _, id := range polled {
 			asked[id]++
 		}
 	}
 	for _, id := range ids {
-		if isInUse(id) {
+		if isWatched(id) {
 			assert.Equal(t, asked[id], rounds, id)
 		} else {
 			assert.Assert(t, asked[id] >= 1, id)
 		}
 	}
-	assert.Equal(t, len(turns.next(ids[:limit], isInUse, limit)), limit)
+	assert.Equal(t, len(turns.next(ids[:limit], isWatched, limit)), limit)
 }
--- a/relay/ratelimits.go
+++ b/relay/ratelimits.go
@@ -237,8 +237,8 @@
 	return status, err
 }
 
-// AssignLayers follows a status query, which has used the slot of both: the order is
-// sent, and what comes next waits longer.
+// AssignLayers sends an order. For an engine that states a rate limit it follows a status
+// query, which has used the slot of both, and what comes next waits longer.
 func (c *controlClient) AssignLayers(ctx context.Context, server Server, r placement.Range, orders int64) (OrderOutcome, error) {
 	if c.entry.fleet.isPaused(time.Now(), server.ID) {
 		return OrderPaused, errServerPaused
