--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -85,28 +85,21 @@
 func (f *fleet) setServers(now time.Time, servers map[string]Server) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	list := make([]membership.Instance, 0, len(servers))
-	moved := len(servers) != len(f.servers)
+	changed, moved := len(servers) != len(f.servers), len(servers) != len(f.servers)
 	for id, s := range servers {
-		list = append(list, s.Instance)
-		moved = moved || !samePlace(f.servers[id], s)
-		f.observeRecord(now, f.servers[id], s)
+		old := f.servers[id]
+		moved = moved || !samePlace(old, s)
+		changed = changed || old.Instance != s.Instance || old.StartTimeMillis != s.StartTimeMillis
+		f.observeRecord(now, old, s)
 	}
+	f.servers = servers
 	if moved {
 		clear(f.groups)
 	}
-	f.membership.ObserveList(now, list)
-	f.servers = servers
-	f.byAddr = make(map[string]string, len(servers))
-	f.byProcess = nil
-	f.byService = map[string][]string{}
-	for id, s := range servers {
-		f.byService[s.Service] = append(f.byService[s.Service], id)
-		// An address may be reused while the record of its previous server still
-		// exists.
-		if other, exists := f.byAddr[s.Address]; !exists || servers[other].StartTimeMillis < s.StartTimeMillis {
-			f.byAddr[s.Address] = id
-		}
+	// Most updates of a large fleet are heartbeats only. An empty list is observed again,
+	// because it is believed only after a while.
+	if changed || len(servers) == 0 {
+		f.indexServers(now)
 	}
 	f.conditions.Keep(func(id string) bool { return servers[id].ID != "" })
 	f.changes.Add(int64(f.conditions.UpdateLeaving(now)))
@@ -117,6 +110,24 @@
 	}
 }
 
+// indexServers derives from the servers what depends on their identity.
+func (f *fleet) indexServers(now time.Time) {
+	list := make([]membership.Instance, 0, len(f.servers))
+	f.byAddr = make(map[string]string, len(f.servers))
+	f.byProcess = nil
+	f.byService = map[string][]string{}
+	for id, s := range f.servers {
+		list = append(list, s.Instance)
+		f.byService[s.Service] = append(f.byService[s.Service], id)
+		// An address may be reused while the record of its previous server still
+		// exists.
+		if other, exists := f.byAddr[s.Address]; !exists || f.servers[other].StartTimeMillis < s.StartTimeMillis {
+			f.byAddr[s.Address] = id
+		}
+	}
+	f.membership.ObserveList(now, list)
+}
+
 // hasRecentlyLost reports whether some lost engine may still return.
 func (f *fleet) hasRecentlyLost(now time.Time) bool {
 	f.mu.Lock()
@@ -219,6 +230,18 @@
 	return f.peers.freshMessages(now)
 }
 
+// hearsLeaseHolder reports whether another entry announces that it holds the lease.
+func (f *fleet) hearsLeaseHolder(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.peers.byEntry {
+		if e.term > 0 && now.Sub(e.receivedAt) <= messageTTL {
+			return true
+		}
+	}
+	return false
+}
+
 // localUsage returns what this entry has in progress.
 func (f *fleet) localUsage(now time.Time) map[uint64]usage {
 	f.mu.Lock()
--- a/relay/placer.go
+++ b/relay/placer.go
@@ -20,6 +20,9 @@
 	// placeInterval is how often the lease holder looks for engines that need
 	// layers.
 	placeInterval = 250 * time.Millisecond
+	// quietInterval is the same for a large fleet whose engines all hold layers. Empty
+	// engines may wait longer than that.
+	quietInterval = time.Second
 	// leaseInterval is the wait after a failed call for the lease.
 	leaseInterval = 500 * time.Millisecond
 	// holderCheckInterval is how often an entry checks whether another one still
@@ -64,6 +67,8 @@
 	countChangedAt, firstSeenAt time.Time
 	// emptySince is when an engine was first seen without layers.
 	emptySince map[string]time.Time
+	// quietUntil is when a large fleet that needs no orders is evaluated again.
+	quietUntil time.Time
 	// unreplicatedSince is the time since when some layer has had at most one copy.
 	unreplicatedSince time.Time
 }
@@ -243,12 +248,7 @@
 	if p.holdsLease() {
 		return false
 	}
-	for _, m := range p.fleet.freshMessages(time.Now()) {
-		if m.term > 0 {
-			return true
-		}
-	}
-	return false
+	return p.fleet.hearsLeaseHolder(time.Now())
 }
 
 func lastClaim(records []Record) *lease.Claim {
@@ -311,10 +311,12 @@
 }
 
 func (p *placer) placeModel(ctx context.Context, rev *revision, name string, model *config.Model) {
-	now := time.Now()
+	now, state := time.Now(), p.modelState(name)
+	if now.Before(state.quietUntil) {
+		return
+	}
 	servers := p.fleet.snapshot()
 	engines, anyLoaded := p.placementEngines(now, rev, name, servers)
-	state := p.modelState(name)
 	if !anyLoaded && !state.hasSettled(now, len(engines), p.settings.Heartbeat) {
 		return
 	}
@@ -332,6 +334,9 @@
 		sleep(ctx, leaseInterval)
 		return
 	}
+	if len(orders)+len(p.pendingOrders)+len(state.emptySince) == 0 && len(engines) > maxSearchedEngines {
+		state.quietUntil = now.Add(quietInterval)
+	}
 	if len(orders) > 0 {
 		logevent.Write(p.logger, logevent.LayersPlanned).Str("model", name).Int("engines", len(engines)).Int("empty", len(state.emptySince)).
 			Int("orders", len(orders)).Int("pending", len(p.pendingOrders)).Bool("first_plan", !anyLoaded).
