relay: loads of an earlier holder count; moves are possible while many engines wait for their turn to load

Findings of the review: a new holder of the lease started at no loads while its predecessor's were in progress; while hundreds of engines returned, one order or another was always open, so that a layer with one copy left was not moved to. Tests for these, for the limit of full searches, for slow engines being polled and for orders to engines with a rate limit.

--- a/relay/arrival_test.go
+++ b/relay/arrival_test.go
@@ -214,7 +214,7 @@
 			e.orders, e.ordered = 0, placement.Range{}
 		}
 		f.engines.mu.Unlock()
-		limit := loadsInTurn * f.rev.models["m"].ConcurrentLoads
+		const limit = 2 * 9 // twice the loads that the weights' store serves at full speed
 		for range 40 {
 			inUse.sequence++
 			p.fleet.applyPeerMessage(time.Now(), inUse)
@@ -225,6 +225,11 @@
 		for _, e := range f.engines.byAddr {
 			loadedAgain += max(int(e.loads)-1, 0)
 		}
+		// A holder that takes over does not order as many again.
+		p = f.newHolder()
+		p.fleet.applyPeerMessage(time.Now(), inUse)
+		f.play(p, placeInterval)
+		assert.Assert(t, f.loading(time.Now()) <= limit, "%d engines are loading", f.loading(time.Now()))
 		// Ten seconds are enough for two loads and the records that tell of them.
 		assert.Assert(t, loadedAgain >= 2*limit, "%d engines have loaded layers again", loadedAgain)
 	})
--- a/relay/candidates_test.go
+++ b/relay/candidates_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/sapphirefield/sapphirefield/pipeline"
 )
 
 // Guards against work for each request that grows with the fleet, against a sample
@@ -105,3 +107,16 @@
 	}
 	assert.Equal(t, len(seen), 3100)
 }
+
+// Guards against requests that wait for a path and search thousands of engines each time.
+func TestFullSearchesAreRare(t *testing.T) {
+	now := time.Now()
+	f, _ := loadedFleet(t, now, 998, 2)
+	started := benchmarkRequest
+	started.AnswerStarted = true
+	for _, r := range []pipeline.RelayRequest{benchmarkRequest, started} {
+		assert.Assert(t, f.maySearchAll(now, "m", r))
+		assert.Assert(t, !f.maySearchAll(now.Add(fullSearchInterval-1), "m", r))
+		assert.Assert(t, f.maySearchAll(now.Add(fullSearchInterval), "m", r))
+	}
+}
--- a/relay/pause_test.go
+++ b/relay/pause_test.go
@@ -12,6 +12,7 @@
 	"github.com/sapphirefield/sapphirefield/bootclock"
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/lease"
+	"github.com/sapphirefield/sapphirefield/membership"
 	"github.com/sapphirefield/sapphirefield/placement"
 )
 
@@ -72,7 +73,12 @@
 // orderCounter counts the orders that engines receive.
 type orderCounter struct {
 	testEngines
-	orders atomic.Int64
+	orders, queries atomic.Int64
+}
+
+func (c *orderCounter) Status(ctx context.Context, address string) (EngineStatus, error) {
+	c.queries.Add(1)
+	return c.testEngines.Status(ctx, address)
 }
 
 func (c *orderCounter) AssignLayers(ctx context.Context, s Server, r placement.Range, n int64) (OrderOutcome, error) {
@@ -143,3 +149,21 @@
 	q.bootDeadline = bootclock.Now().Add(time.Minute)
 	assert.Assert(t, q.timeLeft() > 0 && q.timeLeft() <= time.Minute)
 }
+
+// Guards against an order that exceeds the rate limit of an engine without layers: its
+// slot is taken by the status query before it.
+func TestOrderToLimitedEngineFollowsStatus(t *testing.T) {
+	e := newStoreEntry(newScriptedStore())
+	engines := &orderCounter{}
+	e.engines = engines
+	p := newPlacer(e)
+	p.lease.ObserveEra(bootclock.Now(), e.store.Era())
+	p.lease.AppendSucceeded(bootclock.Now(), lease.Claim{Holder: "e", Term: 1, Era: e.store.Era()}, 1)
+	server := Server{Instance: membership.Instance{ID: "s", Address: "a:1"}}
+	assert.Assert(t, p.orderLayers(t.Context(), server, placement.Range{Limit: 1}))
+	assert.Equal(t, engines.queries.Load(), int64(0))
+	e.fleet.setServers(time.Now(), map[string]Server{"s": server})
+	e.observeRateLimit("s", "in the test", "1", time.Now())
+	assert.Assert(t, p.orderLayers(t.Context(), server, placement.Range{Limit: 1}))
+	assert.Equal(t, engines.queries.Load(), int64(1))
+}
--- a/relay/placer.go
+++ b/relay/placer.go
@@ -84,7 +84,10 @@
 }
 
 type pendingOrder struct {
+	model     string
 	startTime int64
+	// isMove is set for an order to an engine that held other layers.
+	isMove    bool
 	layers    placement.Range
 	expiresAt time.Time
 }
@@ -320,7 +323,7 @@
 	if !anyLoaded && !state.hasSettled(now, len(engines), p.settings.Heartbeat) {
 		return
 	}
-	room, limited := p.loadRoom(now, name, model)
+	room, limited := p.loadRoom(now, name, model, servers)
 	options := rev.relayOptions(model)
 	unreplicated := placement.HasUnreplicatedLayer(engines, placementModel(model), options)
 	timing := placement.RelayOrderPolicy{
@@ -348,7 +351,9 @@
 	for _, o := range orders {
 		server := servers[o.Engine]
 		expiresAt := now.Add(loadTime(model, o.Range, len(orders)) + orderMargin)
-		p.pendingOrders[server.ID] = pendingOrder{startTime: server.StartTimeMillis, layers: o.Range, expiresAt: expiresAt}
+		p.pendingOrders[server.ID] = pendingOrder{
+			model: name, startTime: server.StartTimeMillis, isMove: server.Layers != (placement.Range{}), layers: o.Range, expiresAt: expiresAt,
+		}
 		group.Go(func() error {
 			if !p.orderLayers(ctx, server, o.Range) {
 				failed.add(server.ID)
@@ -370,12 +375,32 @@
 // loadRoom returns how many engines may be ordered to load layers now, and whether that
 // is limited at all. It answers the return of many engines at once under load: loads
 // that share the weights' store would all end late, while a few at a time give capacity
-// back from the first seconds on.
-func (p *placer) loadRoom(now time.Time, name string, m *config.Model) (room int, limited bool) {
+// back from the first seconds on. Loads that an earlier holder of the lease has ordered
+// count as well.
+func (p *placer) loadRoom(now time.Time, name string, m *config.Model, servers map[string]Server) (room int, limited bool) {
 	if m.ConcurrentLoads <= 0 || !p.fleet.serves(now, name) {
 		return 0, false
 	}
-	return max(loadsInTurn*m.ConcurrentLoads-len(p.pendingOrders), 0), true
+	loads := 0
+	for id, s := range servers {
+		_, pending := p.pendingOrders[id]
+		if s.Service == name && (pending || s.Loading) {
+			loads++
+		}
+	}
+	return max(loadsInTurn*m.ConcurrentLoads-loads, 0), true
+}
+
+// movesAllowed reports whether an engine of a model may be moved: one move is completed
+// before the next, and other orders in progress may make it needless. While many engines
+// wait for their turn to load, only moves are waited for.
+func (p *placer) movesAllowed(model string, loadsWait bool) bool {
+	for _, o := range p.pendingOrders {
+		if o.model == model && (o.isMove || !loadsWait) {
+			return false
+		}
+	}
+	return true
 }
 
 // relayOptions returns what a model's requests need, and how many of them per
--- a/relay/poll_test.go
+++ b/relay/poll_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -83,3 +84,14 @@
 	}
 	assert.Equal(t, len(turns.next(ids[:limit], isWatched, limit)), limit)
 }
+
+// Guards against an engine that was slow for a moment and stays unused for a minute,
+// because the idle engines of a large fleet are asked seldom.
+func TestSlowEngineIsWatched(t *testing.T) {
+	f := newFleet(rand.New(rand.NewPCG(1, 2)))
+	assert.Assert(t, !f.isWatched(time.Now(), "s"))
+	f.setSlowdown("s", 3)
+	assert.Assert(t, f.isWatched(time.Now(), "s"))
+	f.setSlowdown("s", 1)
+	assert.Assert(t, !f.isWatched(time.Now(), "s"))
+}
