--- a/relay/arrival_test.go
+++ b/relay/arrival_test.go
@@ -254,3 +254,16 @@
 		p.placeModels(f.t.Context())
 	}
 }
+
+// Guards against a layer that is down to one copy for minutes, because one order or
+// another is open as long as engines wait for their turn to load.
+func TestMovesGoOnWhileEnginesLoadInTurn(t *testing.T) {
+	p := &placer{pendingOrders: map[string]pendingOrder{}}
+	assert.Assert(t, p.movesAllowed("m", false))
+	p.pendingOrders["loading"] = pendingOrder{model: "m"}
+	assert.Assert(t, !p.movesAllowed("m", false), "the load may make the move needless")
+	assert.Assert(t, p.movesAllowed("m", true))
+	assert.Assert(t, p.movesAllowed("other", false))
+	p.pendingOrders["moving"] = pendingOrder{model: "m", isMove: true}
+	assert.Assert(t, !p.movesAllowed("m", true), "one move is completed before the next")
+}
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -42,6 +42,8 @@
 	// byAddr maps addresses to server IDs, byService services to the IDs of their servers.
 	byAddr    map[string]string
 	byService map[string][]string
+	// indexedAt is when the list of servers was last observed.
+	indexedAt time.Time
 	// byProcess maps process hashes to server IDs. It is made when a message needs it.
 	byProcess map[uint64]string
 	// local is the load of this entry's own requests, by server ID.
@@ -96,9 +98,9 @@
 	if moved {
 		clear(f.groups)
 	}
-	// Most updates of a large fleet are heartbeats only. An empty list is observed again,
-	// because it is believed only after a while.
-	if changed || len(servers) == 0 {
+	// Most updates of a large fleet are heartbeats only. Without changes the list is still
+	// observed now and then: the loss of a whole service is believed only after a while.
+	if changed || now.Sub(f.indexedAt) >= indexInterval {
 		f.indexServers(now)
 	}
 	f.conditions.Keep(func(id string) bool { return servers[id].ID != "" })
@@ -110,8 +112,12 @@
 	}
 }
 
+// indexInterval is how often the list of servers is observed at least while it is read.
+const indexInterval = time.Second
+
 // indexServers derives from the servers what depends on their identity.
 func (f *fleet) indexServers(now time.Time) {
+	f.indexedAt = now
 	list := make([]membership.Instance, 0, len(f.servers))
 	f.byAddr = make(map[string]string, len(f.servers))
 	f.byProcess = nil
--- a/relay/placer.go
+++ b/relay/placer.go
@@ -328,7 +328,7 @@
 	unreplicated := placement.HasUnreplicatedLayer(engines, placementModel(model), options)
 	timing := placement.RelayOrderPolicy{
 		MayStayEmpty: state.waitingEngines(now, engines),
-		AllowMoves:   state.unreplicatedFor(now, unreplicated) >= moveDelay && len(p.pendingOrders) == 0,
+		AllowMoves:   state.unreplicatedFor(now, unreplicated) >= moveDelay && p.movesAllowed(name, limited && room == 0),
 		MaxLoads:     room, LimitLoads: limited,
 	}
 	orders, err := placement.RelayOrders(engines, timing, placementModel(model), options)
