--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/sapphirefield/sapphirefield/eventstream"
 	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/membership"
+	"github.com/sapphirefield/sapphirefield/netpeek"
 	"github.com/sapphirefield/sapphirefield/pipeline"
 	"github.com/sapphirefield/sapphirefield/retry"
 )
@@ -28,6 +29,10 @@
 	rerouteRetryDelay = 200 * time.Millisecond
 	// maxReroutes bounds the path changes of one attempt.
 	maxReroutes = 6
+	// departureSpread is the time over which streams leave an engine that is about to
+	// stop. The engines that take them over process their prompts one after another. Such
+	// an engine serves for some 3 s after it has said so.
+	departureSpread = time.Second
 )
 
 // errStalledOn means that an engine reports requests that wait for another one.
@@ -47,8 +52,10 @@
 	// the time of the next check if there is no change.
 	seenChanges int64
 	recheckAt   time.Time
-	reroutes    int
-	watch       *eventWatch
+	// departAt is when the attempt leaves the engines of its path that are about to stop.
+	departAt time.Time
+	reroutes int
+	watch    *eventWatch
 	// head is the process of the first engine, which a prompt part may crash.
 	head crashedEngine
 	// progressSince is when the first event of this attempt arrived. soundAt is when
@@ -64,7 +71,7 @@
 	a.head = crashedEngine{hops[0].Engine, s.fleet.snapshot()[hops[0].Engine].StartTimeMillis}
 	defer func() { a.reserved.release() }()
 	s.path, s.zoneCrossings = pathString(hops), zoneCrossings(hops)
-	head := hops[0]
+	head, sent := hops[0], time.Now()
 	a.x, err = s.pool.open(ctx, head.Address, s.buildOutbound(ForwardInfo{Instance: head.Engine, Path: hops, LastEvent: s.lastEventID}))
 	if errors.Is(err, errNotSent) {
 		// The connection also fails when the client leaves or this process is held up.
@@ -91,6 +98,7 @@
 	if a.x.response.StatusCode != http.StatusOK {
 		return s.forwardFailure(a.x)
 	}
+	s.fleet.acceptStages(hops, sent)
 	return a.forwardEvents(ctx)
 }
 
@@ -100,7 +108,7 @@
 		a.x.close()
 	}
 	if ctx.Err() == nil {
-		a.reportCrash()
+		a.reportCrash(err)
 	}
 	if ctx.Err() == nil && !errors.Is(err, errPathLost) {
 		a.avoid[a.hops[0].Engine] = true
@@ -109,14 +117,21 @@
 }
 
 // reportCrash suspects the prompt's parts if the first engine has crashed before it
-// answered for long. Another attempt may follow, so it waits until that is known.
-func (a *attempt) reportCrash() {
+// answered for long. If the engine responds, its next record shows whether it has
+// restarted. Another attempt may follow, so it waits until that is known.
+func (a *attempt) reportCrash(err error) {
 	parts := a.suspectParts()
 	if !a.soundAt.IsZero() || !a.crashes.hasUnknownPart(time.Now(), parts) {
 		return
 	}
 	if a.verifySuspect(a.head.id, a.hops[0].Address) {
 		a.crashes.recordCrash(time.Now(), a.info.ID, a.head, parts)
+		return
+	}
+	server, known := a.fleet.snapshot()[a.head.id]
+	if known && netpeek.IsConnectionEnd(err) {
+		server.StartTimeMillis = a.head.startTimeMillis
+		a.crashes.recordEnd(time.Now(), server, a.info.ID, parts)
 	}
 }
 
@@ -189,22 +204,14 @@
 	return nil
 }
 
-// markStalledEngines asks the first engine which engines the stream waits for
-// and marks those as lost.
-func (a *attempt) markStalledEngines(ctx context.Context) error {
-	if a.fleet.isLimited(a.hops[0].Engine) {
-		// Queries would take the place of requests. Other streams show the same loss.
-		return nil
-	}
-	stalled, err := a.stallChecker.stalledEngines(ctx, a.hops[0].Address)
-	if ctx.Err() != nil {
-		return nil
-	}
-	if errors.Is(err, ErrNoResponse) {
-		a.markEngineLost(a.hops[0].Engine, err)
+// markStalledEngines marks the engines as lost that the stream waits for, or the first
+// one if it is silent.
+func (a *attempt) markStalledEngines(q *stallQuery) error {
+	if errors.Is(q.err, ErrNoResponse) {
+		a.markEngineLost(a.hops[0].Engine, q.err)
 		return errPathLost
 	}
-	for _, address := range stalled {
+	for _, address := range q.stalled {
 		if server, known := a.fleet.byAddress(address); known {
 			a.loseEngine(server.ID, errStalledOn)
 		}
@@ -236,6 +243,10 @@
 		}
 		return err
 	case slices.ContainsFunc(leaving, func(id string) bool { return id != head }):
+		if wait := a.departure(time.Now(), a.fleet.randomFloat()); wait > 0 {
+			a.recheckAt = a.departAt
+			return nil
+		}
 		// If the path cannot be changed now, the attempt stays on it until it can or
 		// the engine is gone.
 		if a.reroute(ctx) != nil {
@@ -245,6 +256,16 @@
 	return nil
 }
 
+// departure returns how long the attempt stays on engines that are about to stop. When
+// an engine leaves, all its streams learn of it at the same moment, at all entries; random
+// chooses the attempt's own moment, which holds until its path has changed.
+func (a *attempt) departure(now time.Time, random float64) time.Duration {
+	if a.departAt.IsZero() {
+		a.departAt = now.Add(time.Duration(random * float64(departureSpread)))
+	}
+	return a.departAt.Sub(now)
+}
+
 // reroute replaces all stages of the path after the first. It also avoids an
 // engine that turns out to be unable to run its stage.
 func (a *attempt) reroute(ctx context.Context) error {
@@ -309,7 +330,7 @@
 		return err
 	}
 	a.reserved.release()
-	a.reserved, a.hops = reserved, hops
+	a.reserved, a.hops, a.departAt = reserved, hops, time.Time{}
 	a.path += ";" + pathString(hops)
 	a.zoneCrossings = zoneCrossings(hops)
 	return nil
@@ -384,5 +405,9 @@
 	if err := a.checkPath(ctx); err != nil && a.mayGiveUp() {
 		return 0, err
 	}
-	return a.x.response.Body.Read(buffer)
+	n, err := a.x.response.Body.Read(buffer)
+	if n > 0 {
+		a.stallChecker.hear(time.Now(), a.hops[0].Address)
+	}
+	return n, err
 }
--- a/relay/capacity.go
+++ b/relay/capacity.go
@@ -69,6 +69,14 @@
 	return f.inProgress(now, teamID(team)).tokens
 }
 
+// layerTokens returns what all entries have in progress on an engine, in tokens times
+// layers.
+func (f *fleet) layerTokens(now time.Time, id string) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.inProgress(now, id).layerTokens
+}
+
 // hasPath reports whether choosePath would find a path. It reserves nothing and
 // counts no traffic.
 func (f *fleet) hasPath(now time.Time, rev *revision, model string, r pipeline.RelayRequest) bool {
@@ -228,6 +236,9 @@
 		return pipeline.RelayEngine{}, false
 	}
 	engine := f.relayEngine(now, s, accelerator, placementModel(rev.models[model]))
+	if f.conditions.IsRefusing(now, id) {
+		engine.Slowdown = max(engine.Slowdown, refusedSlowdown)
+	}
 	if f.conditions.Limits.Limited(id) {
 		engine.CannotBeFirst = f.conditions.Limits.Wait(now, id) > 0
 		engine.Slowdown = max(engine.Slowdown, 1) * limitedSlowdown
--- a/relay/stalls_test.go
+++ b/relay/stalls_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -26,8 +28,8 @@
 func TestRefusalsAfterStartRaiseNoSuspicion(t *testing.T) {
 	f := newFleet(rand.New(rand.NewPCG(1, 2)))
 	const capacity = 100
-	assert.Assert(t, !f.markSuspect(f.startedAt.Add(settleTime-time.Millisecond), "x", capacity))
-	assert.Assert(t, f.markSuspect(f.startedAt.Add(settleTime), "x", capacity))
+	assert.Assert(t, !f.nameSuspect(f.startedAt.Add(settleTime-time.Millisecond), "x", capacity))
+	assert.Assert(t, f.nameSuspect(f.startedAt.Add(settleTime), "x", capacity))
 }
 
 // Guards against an entry that is cut off or held up and takes one engine after
@@ -68,7 +70,7 @@
 	e.stallChecker.engines = &respondingEngines{dead: "dead:1"}
 	hops := []pipeline.Hop{{Engine: "head"}, {Engine: "full"}, {Engine: "dead"}}
 	for _, id := range []string{"full", "dead"} {
-		assert.Assert(t, e.fleet.markSuspect(time.Now(), id, 100))
+		assert.Assert(t, e.fleet.nameSuspect(time.Now(), id, 100))
 		e.verifySuspect(id, id+":1")
 	}
 	now := time.Now()
@@ -77,3 +79,76 @@
 	assert.Assert(t, e.fleet.lostFor(now.Add(time.Second), "dead") > 0)
 	assert.Equal(t, e.fleet.lostFor(now, "full"), time.Duration(0))
 }
+
+// Guards against sound engines that an entry takes for dead because it was held up
+// itself or its own link was busy: with a tenth of a core, that ended hundreds of
+// streams. A dead engine is still found within one timeout.
+func TestSilenceCountsOnlyWhileOthersAreHeard(t *testing.T) {
+	start := time.Now()
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	for name, test := range map[string]struct {
+		heardAt, heardFrom, period, now int
+		want                            silenceVerdict
+	}{
+		"others are heard":                     {heardAt: 55, heardFrom: -1, now: 60, want: engineSilent},
+		"others were heard before":             {heardAt: 10, heardFrom: -1, now: 60},
+		"link busy for several periods":        {heardAt: -5, heardFrom: -1, period: 240, now: 300},
+		"others are heard again":               {heardAt: 350, heardFrom: -1, period: 300, now: 360, want: engineSilent},
+		"process held up":                      {heardAt: 79, heardFrom: -1, now: 80},
+		"process held up until the end":        {heardAt: 520, heardFrom: -1, period: 420, now: 520, want: silenceUnsure},
+		"nobody is heard until the end":        {heardAt: -5, heardFrom: -1, period: 420, now: 480, want: engineSilent},
+		"the engine sends events all the same": {heardAt: 50, heardFrom: 50, now: 60, want: silenceUnsure},
+	} {
+		s := newStallChecker(&testEngines{}, &log.Logger{Level: log.PanicLevel})
+		s.heardAt = at(test.heardAt)
+		q := &stallQuery{startedAt: start, heardAt: at(test.heardFrom)}
+		assert.Equal(t, s.judge(at(test.now), at(test.period), stallTimeout, q, "a"), test.want, name)
+	}
+}
+
+// muteEngines respond to no status query.
+type muteEngines struct{ testEngines }
+
+func (*muteEngines) Status(ctx context.Context, _ string) (EngineStatus, error) {
+	<-ctx.Done()
+	return EngineStatus{}, ErrNoResponse
+}
+
+// Guards against events that lie unread while an engine is asked for its status, and
+// against an engine that is taken for lost although it sends them.
+func TestStreamIsReadDuringStatusQuery(t *testing.T) {
+	b := newBackend(t, func(_ *backend, r *http.Request, conn net.Conn) bool {
+		write(conn, streamHeader, r.Header.Get("Id"))
+		for i := range 3 {
+			writeChunk(conn, event(i+1))
+			time.Sleep(stallCheckDelay + stallTimeout/2)
+		}
+		write(conn, "0\n\n")
+		return true
+	})
+	e := newTestEntry(t, streamRoute(true), b)
+	e.fleet.startedAt = time.Now().Add(-settleTime)
+	e.stallChecker.engines, e.stallChecker.startedAt = &muteEngines{}, time.Now().Add(-settleTime)
+	response, body, err := e.send(t, http.MethodPost)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, 200)
+	assert.Equal(t, body, eventsText(3))
+	assert.Equal(t, b.count(), 1)
+	assert.Equal(t, e.fleet.lostFor(time.Now(), "s0"), time.Duration(0))
+}
+
+// Guards against results that are not what the verdict says: a silent engine counts as
+// lost only if it may be dead.
+func TestMuteEngineIsSilentOrUnsure(t *testing.T) {
+	for unsure, want := range map[bool]error{true: errInconclusive, false: ErrNoResponse} {
+		s := newStallChecker(&muteEngines{}, &log.Logger{Level: log.PanicLevel})
+		s.startedAt = time.Now().Add(-settleTime)
+		q := s.start("a")
+		if unsure {
+			time.Sleep(time.Millisecond)
+			s.hear(time.Now(), "a")
+		}
+		<-q.done
+		assert.ErrorIs(t, q.err, want)
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -19,8 +19,15 @@
 const (
 	// refusedRetryAfter is the Retry-After time after engines refused the request.
 	refusedRetryAfter = 300 * time.Millisecond
-	// maxRefusals bounds the paths that are tried while none accepts the request.
-	maxRefusals = 3
+	// maxRefusals bounds the paths that are tried while none accepts the request, and
+	// maxRefusedTime the time from its start, besides a part of what the client has: clients
+	// disconnect after 2 s without an event.
+	maxRefusals    = 5
+	maxRefusedTime = 1500 * time.Millisecond
+	// minRefusalDelay is the time before the next path after the second refusal in a row.
+	// It doubles with each one: after a restart of many entries, engines still run requests
+	// that nobody counts, and refuse one path after another for a moment.
+	minRefusalDelay = 25 * time.Millisecond
 	// minNoCapacityRetryAfter and maxNoCapacityRetryAfter bound the earliest
 	// Retry-After time while no path has capacity. noCapacityRetrySpread is the
 	// period over which retries are spread.
@@ -86,7 +93,8 @@
 			return
 		}
 		repeatable := q.route.Resumable && q.mayRepeat()
-		if !q.allowRetry(ctx, result, q.streamLimits(), repeatable, s.maxWait()) {
+		if !q.allowRetry(ctx, result, q.streamLimits(), repeatable, s.maxWait()) ||
+			result == notExecuted && !s.pauseAfterRefusal(ctx) {
 			s.giveUp(errorDetail(err), refusedRetryAfter)
 			return
 		}
@@ -94,6 +102,34 @@
 	}
 }
 
+// pauseAfterRefusal waits before the next path is chosen. It reports false if a new
+// stream has been refused for so long that its client is about to leave. The engines that
+// have refused it are tried again after a pause, if the fleet does not avoid them.
+func (s *streamRequest) pauseAfterRefusal(ctx context.Context) bool {
+	delay := refusalDelay(s.attempts.Refused)
+	if s.headerSent || delay <= 0 {
+		return true
+	}
+	limit := time.Duration(float64(s.deadline.Sub(s.started)) * maxPathDelayFraction)
+	if time.Since(s.started)+delay > min(maxRefusedTime, limit) {
+		return false
+	}
+	// Streams that one burst has brought do not return together.
+	sleep(ctx, delay/2+time.Duration(s.fleet.randomFloat()*float64(delay)))
+	if !s.maybeExecuted {
+		clear(s.avoid)
+	}
+	return true
+}
+
+// refusalDelay returns the time between a number of refusals and the next path.
+func refusalDelay(refusals int) time.Duration {
+	if refusals < 2 {
+		return 0
+	}
+	return minRefusalDelay << (refusals - 2)
+}
+
 // giveUpWithoutPath ends a request for which no path was found in time.
 func (s *streamRequest) giveUpWithoutPath(err error) {
 	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
@@ -177,7 +213,8 @@
 	return req
 }
 
-// maxWait returns how long the stream waits for the resources to continue.
+// maxWait returns how long the stream waits for the retry budget. A new one does not:
+// when its client returns, that is a new request, which needs none of it.
 func (s *streamRequest) maxWait() time.Duration {
 	if s.headerSent {
 		return maxPathWait
@@ -249,17 +286,37 @@
 		s.suspectEngine(engine)
 		return
 	}
+	if x.response.StatusCode == http.StatusServiceUnavailable {
+		s.avoidRefusing(engine)
+		return
+	}
+	// Its record is older than its layers, or it limits its requests.
 	s.avoid[engine] = true
 	s.fleet.avoidEngine(time.Now(), engine)
 }
 
+// avoidRefusing avoids an engine that refused a stage, and tells the other entries if it
+// should have had room for it.
+func (s *streamRequest) avoidRefusing(engine string) {
+	s.avoid[engine] = true
+	s.requestMetrics.stageRefusals.Inc(1)
+	capacity := s.engineCapacity(engine)
+	if !s.fleet.refuseStage(time.Now(), engine, capacity) {
+		return
+	}
+	s.sendNow.fire()
+	logevent.Write(s.logger, logevent.EngineRefuses).Str("server", engine).Str("request", s.info.ID).
+		Float64("used", s.fleet.layerTokens(time.Now(), engine)).Float64("capacity", capacity).Msg("")
+}
+
 // suspectEngine avoids an engine that cannot run its stage. An engine that should
 // be able to is asked for its status: one that does not respond is dead, and the
-// other entries are told at once. One that responds is merely full, and streams
-// that already run on it must not leave it.
+// other entries are told at once. One that responds may be about to stop, and streams
+// that already run on it must not leave it yet.
 func (s *streamRequest) suspectEngine(engine string) {
-	s.avoid[engine] = true
-	if !s.fleet.markSuspect(time.Now(), engine, s.engineCapacity(engine)) {
+	suspected := s.fleet.nameSuspect(time.Now(), engine, s.engineCapacity(engine))
+	s.avoidRefusing(engine)
+	if !suspected {
 		return
 	}
 	logevent.Write(s.logger, logevent.EngineSuspected).Str("server", engine).Str("request", s.info.ID).Msg("")
