relay: servers whose records lapsed during an outage are awaited; a new watcher sends no old changes

Cause: after an outage of the store in which records lapse, each entry dropped all servers, and layers were moved in vain; a new holder of the lease then announced removals that it had read seconds earlier as a follower, although they were over. Entries dropped 40 of 63 servers for good, because a record is written again only when it changes. Change: after a gap of 1.2 s in its reads an entry keeps servers without a record for 2.5 s, unless they were about to stop; an entry that is not the watcher keeps no changes to send. Tests: TestServersAfterOutage (2 s, in which the platform says that servers are back), TestNewWatcherSendsNoOldChanges.

--- a/relay/directory.go
+++ b/relay/directory.go
@@ -31,8 +31,12 @@
 	// lastRead is when the records were last read from the store, by bootclock.
 	lastRead time.Time
 	// unconfirmed are the servers whose records were missing after the store came back
-	// from an older copy, with the time until which they may be written again.
+	// from an older copy or did not answer for a while, with the time until which they
+	// may be written again.
 	unconfirmed map[string]time.Time
+	// distrustUntil is the time until which a missing record says nothing: records lapse
+	// while servers cannot write them.
+	distrustUntil time.Time
 	// removed are the last records of servers that are gone: an older copy of the
 	// store may hold them.
 	removed map[string]removedServer
@@ -61,8 +65,11 @@
 
 const (
 	// confirmTime is how long a server that works may take to write its record again
-	// after the store has come back from an older copy.
+	// after the store has come back, with all that it had or as an older copy.
 	confirmTime = 2500 * time.Millisecond
+	// maxReadGap is the time between two reads above which the store may have been away
+	// between them, so that records of servers that work may have lapsed.
+	maxReadGap = 3 * watchInterval
 	// removedTTL is how long the last record of a server that is gone is remembered.
 	removedTTL = 5 * time.Minute
 )
@@ -74,16 +81,28 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := bootclock.Now()
+	d.observeRead(now)
 	if u.complete {
 		d.removeMissing(now, u)
 	}
 	for _, r := range u.records {
+		if r.Value == nil && d.mayReturn(now, r.Key) {
+			d.unconfirmed[r.Key] = d.distrustUntil
+			continue
+		}
 		delete(d.unconfirmed, r.Key)
 		d.applyAndAnnounce(r)
 	}
 	d.fleet.setServers(time.Now(), maps.Clone(d.servers))
 }
 
+// mayReturn reports whether a server whose record is missing may only have been unable
+// to write it. One that was about to stop is gone.
+func (d *directory) mayReturn(now time.Time, id string) bool {
+	server, known := d.servers[id]
+	return known && !server.Leaving && now.Before(d.distrustUntil)
+}
+
 func (d *directory) applyAndAnnounce(r Record) bool {
 	changed := d.applyRecord(r)
 	if changed {
@@ -103,6 +122,8 @@
 		case present[id] || waits:
 		case u.restored:
 			d.unconfirmed[id] = now.Add(confirmTime)
+		case d.mayReturn(now, id):
+			d.unconfirmed[id] = d.distrustUntil
 		default:
 			d.applyAndAnnounce(Record{Key: id})
 		}
@@ -130,12 +151,14 @@
 	}
 }
 
-// applyPeerChanges adds changes that another entry has read.
+// applyPeerChanges adds changes that another entry has read. What this entry has read
+// before about the same servers is not sent any more.
 func (d *directory) applyPeerChanges(records []Record) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	changed := false
 	for _, r := range records {
+		delete(d.pendingChanges, r.Key)
 		changed = d.applyRecord(r) || changed
 	}
 	if changed {
@@ -147,9 +170,26 @@
 func (d *directory) markRead(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.observeRead(now)
+}
+
+// observeRead records that the store answered a read. The caller holds the lock.
+func (d *directory) observeRead(now time.Time) {
+	if !d.lastRead.IsZero() && now.Sub(d.lastRead) > maxReadGap {
+		d.distrustUntil = now.Add(confirmTime)
+	}
 	d.lastRead = now
 }
 
+// forgetChanges drops the changes that were to be sent: an entry that is not the watcher
+// sends none, and when it becomes the watcher later, they may have been overtaken by what
+// others have told it.
+func (d *directory) forgetChanges() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	clear(d.pendingChanges)
+}
+
 // readAge returns the time since the store was last read.
 func (d *directory) readAge(now time.Time) time.Duration {
 	d.mu.Lock()
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -274,6 +274,8 @@
 	m.wants, m.gifts = p.fleet.slotExchange(now)
 	if p.isWatcher() {
 		m.watchAge, m.changes = p.directory.readAge(bootclock.Now()), p.directory.nextChanges()
+	} else {
+		p.directory.forgetChanges()
 	}
 	return m
 }
--- a/relay/restore_test.go
+++ b/relay/restore_test.go
@@ -129,6 +129,57 @@
 	assert.Equal(t, len(store.topics[TopicLease]), 1)
 }
 
+// Guards against an entry that drops all servers, and against layers that are moved in
+// vain, because the servers' records lapsed while the store did not answer. Servers that
+// work write them again within two seconds of its return.
+func TestServersAfterOutage(t *testing.T) {
+	const returnTime = 2 * time.Second
+	for _, complete := range []bool{true, false} {
+		e := newStoreEntry(newScriptedStore())
+		stopping := heartbeat("stopping", 5)
+		stopping.Leaving = true
+		first := update{records: []Record{serverRecord(t, heartbeat("works", 5)), serverRecord(t, heartbeat("dead", 5)), serverRecord(t, stopping)}, complete: true}
+		e.directory.apply(first)
+		e.directory.lastRead = bootclock.Now().Add(-2 * maxReadGap)
+		lapsed := update{complete: true}
+		if !complete {
+			lapsed = update{records: []Record{{Key: "works"}, {Key: "dead"}, {Key: "stopping"}}}
+		}
+		e.directory.apply(lapsed)
+		assert.Equal(t, len(e.fleet.snapshot()), 2)
+		e.directory.expireUnconfirmed(bootclock.Now().Add(returnTime))
+		assert.Equal(t, len(e.fleet.snapshot()), 2)
+		e.directory.apply(update{records: []Record{serverRecord(t, heartbeat("works", 6))}})
+		e.directory.expireUnconfirmed(bootclock.Now().Add(2 * confirmTime))
+		_, known := e.fleet.snapshot()["works"]
+		assert.Assert(t, known)
+		assert.Equal(t, len(e.fleet.snapshot()), 1)
+		// While the store answers, a missing record counts at once.
+		e.directory.distrustUntil = bootclock.Now()
+		e.directory.apply(update{records: []Record{{Key: "works"}}})
+		assert.Equal(t, len(e.fleet.snapshot()), 0)
+	}
+}
+
+// Guards against a new watcher that takes sound servers from all entries: it tells them of
+// removals that it had read while another entry was the watcher, and that are over.
+func TestNewWatcherSendsNoOldChanges(t *testing.T) {
+	e := newStoreEntry(newScriptedStore())
+	p := &peers{Entry: e}
+	s := serverRecord(t, heartbeat("s", 5))
+	e.directory.apply(update{records: []Record{s}, complete: true})
+	e.directory.apply(update{complete: true})
+	e.directory.applyPeerChanges([]Record{serverRecord(t, heartbeat("s", 6))})
+	e.leaseTerm.Store(1)
+	assert.Equal(t, len(p.message(1).changes), 0)
+
+	e.leaseTerm.Store(0)
+	e.directory.apply(update{complete: true})
+	assert.Equal(t, len(p.message(2).changes), 0)
+	e.leaseTerm.Store(2)
+	assert.Equal(t, len(p.message(3).changes), 0)
+}
+
 // Guards against entries that learn seconds late that a server is gone: the watcher
 // finds it missing in a complete read, after changes have expired or a read has failed.
 func TestRemovalFoundByCompleteReadIsAnnounced(t *testing.T) {
