relay: requests go around servers that accept them and answer nothing

Change: a first engine that has sent nothing by the time at which the first event is due, and a server that has not answered a call after twice the target, count as 20 times slower at all entries, for 2, 4, 8 s; then one request tries them. If all are silent, nothing changes. Streams that wait at such an engine move when half of the time to their first event is over, idempotent calls when half of their time is. An engine on which streams make progress is not lost for want of a status.

--- a/condition/condition.go
+++ b/condition/condition.go
@@ -34,6 +34,14 @@
 	// leavingGrace is how long streams stay on an engine that is leaving. Most of them
 	// end within it, and the engine keeps serving for longer.
 	leavingGrace = 1200 * time.Millisecond
+	// SilentSlowdown is how many times as long as usual a server is expected to take that
+	// has left a request without an answer for too long. It still counts: if all servers
+	// do so, the cause is elsewhere or they are overloaded.
+	SilentSlowdown = 20.0
+	// firstSilentTime is how long that holds. The time doubles with each further request
+	// that is left without an answer then, up to maxSilentTime.
+	firstSilentTime = 2 * time.Second
+	maxSilentTime   = 8 * time.Second
 	// staleRecordWindow is how long after the loss of an engine its records may still
 	// date from before it: they are written about every second and read a little later.
 	staleRecordWindow = 1800 * time.Millisecond
@@ -83,6 +91,14 @@
 	// capacity. silentAt is when this entry found that it does not respond, and
 	// deadUntil how long that counts, whoever has found it.
 	namedAt, silentAt, deadUntil time.Time
+	// unansweredUntil is until when the server is expected to answer late or never, and
+	// unansweredFor how long that was set for.
+	unansweredUntil time.Time
+	unansweredFor   time.Duration
+	// onTrial is set while one request shows whether the server answers again.
+	onTrial bool
+	// workedAt is when a request was last seen to make progress at the server.
+	workedAt time.Time
 }
 
 // New returns a book that knows nothing.
@@ -304,5 +320,52 @@
 	return ids
 }
 
+// RecordProgress records that a request makes progress at a server.
+func (b *Book) RecordProgress(now time.Time, id string) { b.of(id).workedAt = now }
+
+// WorkedSince reports whether a request has made progress at a server since a time. Such
+// a server works, even if it does not answer status queries.
+func (b *Book) WorkedSince(since time.Time, id string) bool { return b.get(id).workedAt.After(since) }
+
+// LeaveUnanswered records that a server has left a request without an answer for too
+// long, although it accepts connections and may report itself as healthy, and reports
+// whether that was not known. Each new request would wait in vain as well.
+func (b *Book) LeaveUnanswered(now time.Time, id string) bool {
+	c := b.of(id)
+	if now.Before(c.unansweredUntil) && !c.onTrial {
+		return false
+	}
+	c.onTrial = false
+	c.unansweredFor = min(max(2*c.unansweredFor, firstSilentTime), maxSilentTime)
+	c.unansweredUntil = now.Add(c.unansweredFor)
+	return true
+}
+
+// Ask records that a request is sent to a server. The first one after the time for which a
+// server was expected not to answer is a trial: until it is over, others still prefer other
+// servers, because all entries would otherwise send requests at the same moment.
+func (b *Book) Ask(now time.Time, id string) {
+	c := b.servers[id]
+	if c == nil || c.unansweredFor == 0 || now.Before(c.unansweredUntil) {
+		return
+	}
+	c.onTrial, c.unansweredUntil = true, now.Add(firstSilentTime)
+}
+
+// Answer records that a server has answered a request.
+func (b *Book) Answer(id string) {
+	if c := b.servers[id]; c != nil {
+		c.unansweredUntil, c.unansweredFor, c.onTrial = time.Time{}, 0, false
+	}
+}
+
+// Slowdown returns SilentSlowdown for a server that leaves requests without an answer, or 0.
+func (b *Book) Slowdown(now time.Time, id string) float64 {
+	if now.Before(b.get(id).unansweredUntil) {
+		return SilentSlowdown
+	}
+	return 0
+}
+
 // IsDead reports whether some entry has found an engine not to respond a moment ago.
 func (b *Book) IsDead(now time.Time, id string) bool { return now.Before(b.get(id).deadUntil) }
--- a/condition/condition_test.go
+++ b/condition/condition_test.go
@@ -144,3 +144,27 @@
 	assert.Equal(t, b.Limits.Servers(), 1)
 	assert.Equal(t, b.Against(epoch, "s7", Stage), Avoided)
 }
+
+// A server that leaves requests unanswered must get few of them, ever fewer, and all
+// again once it has answered one.
+func TestUnansweredRequests(t *testing.T) {
+	b, now := New(), time.Unix(100, 0)
+	assert.Equal(t, b.Slowdown(now, "x"), 0.0)
+	for _, held := range []time.Duration{firstSilentTime, 2 * firstSilentTime, maxSilentTime, maxSilentTime} {
+		assert.Assert(t, b.LeaveUnanswered(now, "x"))
+		assert.Assert(t, !b.LeaveUnanswered(now.Add(held-1), "x"))
+		assert.Equal(t, b.Slowdown(now.Add(held-1), "x"), SilentSlowdown)
+		now = now.Add(held)
+		assert.Equal(t, b.Slowdown(now, "x"), 0.0)
+	}
+	// One request tries the server again.
+	b.Ask(now, "x")
+	assert.Equal(t, b.Slowdown(now, "x"), SilentSlowdown)
+	assert.Assert(t, b.LeaveUnanswered(now.Add(1), "x"))
+	assert.Equal(t, b.Slowdown(now.Add(maxSilentTime), "x"), SilentSlowdown)
+	b.Answer("x")
+	b.Ask(now, "x")
+	assert.Equal(t, b.Slowdown(now, "x"), 0.0)
+	b.LeaveUnanswered(now, "x")
+	assert.Equal(t, b.Slowdown(now.Add(firstSilentTime), "x"), 0.0)
+}
--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -37,6 +37,7 @@
 	RateLimitStated           Event = 2028
 	RateLimitLifted           Event = 2029
 	RateLimitUnreadable       Event = 2030
+	ServerLeavesUnanswered    Event = 2035
 
 	StreamRerouted         Event = 2015
 	StreamRecovered        Event = 2009
@@ -107,6 +108,7 @@
 	{RateLimitStated, log.InfoLevel, "backend server states a rate limit", ""},
 	{RateLimitLifted, log.InfoLevel, "backend server states no rate limit any more", ""},
 	{RateLimitUnreadable, log.WarnLevel, "rate limit of a backend server cannot be read", "Find out what the server means; the last limit that was read stays in force."},
+	{ServerLeavesUnanswered, log.WarnLevel, "backend server accepts requests and does not answer them", "Its status may be good all the same. New requests go elsewhere for 2 to 8 s, then one shows whether it answers again; restart it if the line repeats."},
 	{StreamRerouted, log.InfoLevel, "stream's path changed", ""},
 	{ServerChanged, log.InfoLevel, "backend server changed", ""},
 	{ServerRecordRemoved, log.InfoLevel, "backend server's record is gone", ""},
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -220,17 +220,68 @@
 	for id, m := range f.linkMeters {
 		servers[serverHash(id)] = usage{rate: m.value(now)}
 	}
-	for id, slowdown := range f.slowdowns {
-		u := servers[serverHash(id)]
-		u.slowdown = slowdown
-		servers[serverHash(id)] = u
+	for id := range f.servers {
+		slowdown := max(f.slowdowns[id], f.conditions.Slowdown(now, id))
+		if slowdown > 0 {
+			u := servers[serverHash(id)]
+			u.slowdown = slowdown
+			servers[serverHash(id)] = u
+		}
 	}
 	return servers
 }
 
-// inProgress returns what all entries have in progress on a server.
+// leaveUnanswered records that a server has left a request without an answer for too
+// long, and reports whether that was not known.
+func (f *fleet) leaveUnanswered(now time.Time, id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.conditions.LeaveUnanswered(now, id)
+}
+
+// recordProgress records that a stream makes progress along a path.
+func (f *fleet) recordProgress(now time.Time, hops []pipeline.Hop) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, h := range hops {
+		f.conditions.RecordProgress(now, h.Engine)
+	}
+}
+
+// workedSince reports whether a stream has made progress at an engine since a time.
+func (f *fleet) workedSince(since time.Time, id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.conditions.WorkedSince(since, id)
+}
+
+// recordSent records that a request was sent to a server.
+func (f *fleet) recordSent(now time.Time, id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.conditions.Ask(now, id)
+}
+
+// leavesUnanswered reports whether some entry has found that a server leaves requests
+// without an answer.
+func (f *fleet) leavesUnanswered(now time.Time, id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.inProgress(now, id).slowdown >= condition.SilentSlowdown
+}
+
+// recordAnswer records that a server has answered a request.
+func (f *fleet) recordAnswer(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.conditions.Answer(id)
+}
+
+// inProgress returns what all entries have in progress on a server, and whether it
+// leaves requests without an answer.
 func (f *fleet) inProgress(now time.Time, id string) usage {
 	total := f.peers.usageOf(now, id)
+	total.slowdown = max(total.slowdown, f.conditions.Slowdown(now, id))
 	if u := f.local[id]; u != nil {
 		total.add(*u, 1)
 	}
@@ -307,6 +358,17 @@
 	return best, true
 }
 
+// hasAnsweringServer reports whether a service has a server other than one that takes
+// calls now and is not known to leave requests without an answer.
+func (f *fleet) hasAnsweringServer(now time.Time, service string, avoid map[string]bool, other string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(f.membership.Candidates(now, service), func(c membership.Candidate) bool {
+		return c.ID != other && !avoid[c.ID] && f.conditions.Against(now, c.ID, condition.Call) == condition.None &&
+			f.inProgress(now, c.ID).slowdown <= 1
+	})
+}
+
 // explainUnavailable says, for the log, why no server of a service takes a request.
 func (f *fleet) explainUnavailable(now time.Time, service string, avoid map[string]bool) string {
 	f.mu.Lock()
@@ -352,6 +414,7 @@
 const loadJitter = 0.5
 
 func (f *fleet) serverLoad(now time.Time, c membership.Candidate) float64 {
-	load := f.random.Float64()*loadJitter + float64(f.inProgress(now, c.ID).requests)
-	return (load + 1) / max(c.Weight, 0.01)
+	u := f.inProgress(now, c.ID)
+	load := f.random.Float64()*loadJitter + float64(u.requests)
+	return (load + 1) * max(u.slowdown, 1) / max(c.Weight, 0.01)
 }
--- a/relay/poll.go
+++ b/relay/poll.go
@@ -51,7 +51,10 @@
 	_ = group.Wait() // pollEngine logs failures
 	if ctx.Err() == nil && float64(len(unresponsive.ids)) <= maxSilentFraction*float64(polled) {
 		for _, id := range unresponsive.ids {
-			p.loseEngine(id, errNoStatus)
+			// Its status queries may hang while it serves requests.
+			if !p.fleet.workedSince(now, id) {
+				p.loseEngine(id, errNoStatus)
+			}
 		}
 	}
 }
--- a/relay/poll_test.go
+++ b/relay/poll_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/membership"
+	"github.com/sapphirefield/sapphirefield/pipeline"
 )
 
 // unresponsiveEngines are engines some of which do not respond.
@@ -53,3 +54,20 @@
 		assert.Equal(t, found, lost, "%d of 8 engines unresponsive", unresponsive)
 	}
 }
+
+// Guards against an engine that loses its work, and its layers, because its status queries
+// hang while requests make progress on it.
+func TestEngineThatServesIsNotLostWithoutStatus(t *testing.T) {
+	e := newStoreEntry(newScriptedStore())
+	e.engines = &unresponsiveEngines{unresponsive: map[string]bool{"serves": true, "dead": true}}
+	e.current.Store(newRevision(Configuration{Document: &config.Document{Models: []config.Model{{Name: "llm", Layers: 8}}}}))
+	servers := map[string]Server{}
+	for _, id := range []string{"serves", "dead", "a", "b", "c", "d", "e", "f"} {
+		servers[id] = Server{Instance: membership.Instance{ID: id, Service: "llm", Address: id}}
+	}
+	e.fleet.setServers(time.Now(), servers)
+	e.fleet.recordProgress(time.Now().Add(time.Minute), []pipeline.Hop{{Engine: "a"}, {Engine: "serves"}})
+	newPlacer(e).pollEngines(t.Context())
+	assert.Assert(t, !e.fleet.conditions.IsLost("serves"))
+	assert.Assert(t, e.fleet.conditions.IsLost("dead"))
+}
--- a/relay/refusals.go
+++ b/relay/refusals.go
@@ -21,6 +21,7 @@
 
 // observeResponse evaluates what a server's response says about the server itself.
 func (e *Entry) observeResponse(server, request string, x *exchange) {
+	e.fleet.recordAnswer(server)
 	if x.info.Leaving && e.fleet.markLeaving(time.Now(), server) {
 		logevent.Write(e.logger, logevent.ServerSaidLeaving).Str("server", server).Str("request", request).Msg("")
 	}
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sapphirefield/sapphirefield/bootclock"
+	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/membership"
 )
 
@@ -20,10 +21,13 @@
 	// silenceProbeInterval is the time between two such connections to one server,
 	// however many requests wait for it.
 	silenceProbeInterval = 500 * time.Millisecond
+	// minSilenceCheck is the least time between two checks of a server that does not
+	// answer.
+	minSilenceCheck = 50 * time.Millisecond
 )
 
-// errServerSilent means that a server neither answers nor accepts connections.
-var errServerSilent = errors.New("the server is silent and accepts no connection")
+// errServerSilent means that a server does not answer, or accepts no connection either.
+var errServerSilent = errors.New("the server does not answer")
 
 // silenceProbes keeps many waiting requests from probing one server at the same time.
 type silenceProbes struct {
@@ -50,27 +54,38 @@
 	return true
 }
 
+// leaveUnanswered records and logs that a server has left the request without an answer
+// for too long, and reports whether that was not known.
+func (q *request) leaveUnanswered(server string) bool {
+	if q.pause.wasHeldUp(bootclock.Now()) || !q.fleet.leaveUnanswered(time.Now(), server) {
+		return false
+	}
+	logevent.Write(q.logger, logevent.ServerLeavesUnanswered).Str("server", server).Str("request", q.info.ID).
+		Dur("waited_ms", time.Since(q.started)).Msg("")
+	return true
+}
+
 // watchSilence looks after a server that does not answer the request, until the returned
 // function is called. A server that accepts no connection gets no new requests. The
-// attempt ends if another one may follow; otherwise its answer is still waited for.
+// attempt ends if another one may follow; otherwise its answer is still waited for. A
+// server that accepts connections may be busy: new requests prefer others, and the
+// attempt ends only once the rest of the request's time is needed for another one.
 func (q *request) watchSilence(ctx context.Context, server Server) (watched context.Context, stop func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
+	q.fleet.recordSent(time.Now(), server.ID)
 	delay := max(minSilence, silenceTargets*q.route.TargetLatency)
+	leaveAt := time.Now().Add(max(delay, q.timeLeft()/2))
 	var timer *time.Timer
 	// It is started once the variable is set, which the function reads.
 	timer = time.AfterFunc(time.Hour, func() {
 		if ctx.Err() != nil {
 			return
 		}
-		if q.silenceProbes.start(time.Now(), server.Address) && q.pool.hasCrashed(ctx, server.Address) &&
-			ctx.Err() == nil && !q.pause.wasHeldUp(bootclock.Now()) {
-			q.fleet.observe(time.Now(), server.ID, membership.ConnectionLost)
-			if q.mayRetryFailure() {
-				cancel(errServerSilent)
-				return
-			}
+		if q.isSilent(ctx, server, leaveAt) && q.mayRetryFailure() {
+			cancel(errServerSilent)
+			return
 		}
-		timer.Reset(delay)
+		timer.Reset(max(min(delay, time.Until(leaveAt)), minSilenceCheck))
 	})
 	timer.Reset(delay)
 	return ctx, func() {
@@ -78,3 +93,18 @@
 		cancel(nil)
 	}
 }
+
+// isSilent records that a server has not answered for long, and reports whether the
+// request should go to another one.
+func (q *request) isSilent(ctx context.Context, server Server, leaveAt time.Time) bool {
+	crashed := q.silenceProbes.start(time.Now(), server.Address) && q.pool.hasCrashed(ctx, server.Address)
+	if ctx.Err() != nil || q.pause.wasHeldUp(bootclock.Now()) {
+		return false
+	}
+	if crashed {
+		q.fleet.observe(time.Now(), server.ID, membership.ConnectionLost)
+		return true
+	}
+	q.leaveUnanswered(server.ID)
+	return !time.Now().Before(leaveAt) && q.fleet.hasAnsweringServer(time.Now(), q.target, q.avoid, server.ID)
+}
--- a/relay/usage.go
+++ b/relay/usage.go
@@ -20,7 +20,7 @@
 	// duration of each request, or the bytes per second that cross a link.
 	rate float64
 	// slowdown is set by the lease holder for an engine that is slower than
-	// expected.
+	// expected, and by any entry for a server that leaves its requests without an answer.
 	slowdown float64
 }
 
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -21,6 +21,9 @@
 	// maxSilence is how long a stream may pass without an event before another
 	// attempt replaces it. Clients disconnect after 2 s.
 	maxSilence = 1800 * time.Millisecond
+	// progressNoteInterval is how often the progress of a stream is recorded for the
+	// engines of its path.
+	progressNoteInterval = 500 * time.Millisecond
 	// minDripLimit is the least time without an event after which a stream that
 	// still sends bytes is broken off. dripLimitTargets and dripLimitPauses are
 	// the same as multiples of the route's targets for the first event and for the
@@ -49,6 +52,10 @@
 	// received until then.
 	eventAt      time.Time
 	receivedThen int64
+	// answered is set once an event has arrived, and notedAt is when the progress of the
+	// stream was last recorded for the engines of its path.
+	answered bool
+	notedAt  time.Time
 	// checkAt is the time of the next check, and stallCheckedAt that of the last
 	// query for stalled engines.
 	checkAt, stallCheckedAt time.Time
@@ -60,12 +67,23 @@
 
 func newEventWatch(ctx context.Context, a *attempt) *eventWatch {
 	w := &eventWatch{attempt: a, ctx: ctx, stallDelay: stallCheckDelay}
-	w.recordProgress()
+	w.restart()
+	a.fleet.recordSent(w.eventAt, a.hops[0].Engine)
 	return w
 }
 
 // recordProgress records that an event has arrived.
 func (w *eventWatch) recordProgress() {
+	w.answered = true
+	w.restart()
+	if w.eventAt.Sub(w.notedAt) >= progressNoteInterval {
+		w.notedAt = w.eventAt
+		w.fleet.recordProgress(w.eventAt, w.hops)
+	}
+}
+
+// restart measures the time without an event from now on.
+func (w *eventWatch) restart() {
 	w.eventAt = time.Now()
 	w.receivedThen = w.x.conn.received
 	w.checkAt = w.eventAt.Add(suspectCheckInterval)
@@ -78,13 +96,16 @@
 	if err := w.rerouteAroundSuspects(w.ctx); err != nil && w.mayGiveUp() {
 		return err
 	}
-	if w.isDripping() {
+	if w.isDripping() || w.shouldMoveInTime() {
 		return errStreamStalled
 	}
 	if time.Since(w.eventAt) < w.stallDelay || time.Since(w.stallCheckedAt) < w.stallDelay {
 		return nil
 	}
 	err := w.findLostEngine()
+	if err == nil {
+		w.noteUnanswered()
+	}
 	w.stallCheckedAt = time.Now()
 	w.checkAt = w.stallCheckedAt.Add(suspectCheckInterval)
 	if err == nil && time.Since(w.eventAt) >= maxSilence {
@@ -96,6 +117,29 @@
 	return nil
 }
 
+// noteUnanswered records that the first engine has sent nothing by the time at which the
+// first event is due, although it says that it works and waits for no other engine. New
+// streams go around it, at all entries.
+func (w *eventWatch) noteUnanswered() {
+	if w.hasAnswer() || w.reroutes > 0 || time.Since(w.eventAt) < max(minSilence, w.route.TargetLatency) {
+		return
+	}
+	if w.leaveUnanswered(w.hops[0].Engine) {
+		w.sendNow.fire()
+	}
+}
+
+// hasAnswer reports whether the first engine has sent anything for this attempt.
+func (w *eventWatch) hasAnswer() bool { return w.answered || w.x.conn.received > w.receivedThen }
+
+// shouldMoveInTime reports whether the stream should begin at another engine because its
+// first one is known to leave requests unanswered: half of the time until its first event
+// is due is left for the other one.
+func (w *eventWatch) shouldMoveInTime() bool {
+	return !w.hasAnswer() && time.Since(w.eventAt) >= max(minSilence, w.route.TargetLatency/2) &&
+		w.fleet.leavesUnanswered(time.Now(), w.hops[0].Engine) && w.route.Resumable && w.canRetry() && w.hasAlternativePath()
+}
+
 // findLostEngine queries the engines and reroutes around lost ones.
 func (w *eventWatch) findLostEngine() error {
 	if err := w.markStalledEngines(w.ctx); err != nil {
