--- a/relay/directory.go
+++ b/relay/directory.go
@@ -67,9 +67,6 @@
 	// confirmTime is how long a server that works may take to write its record again
 	// after the store has come back, with all that it had or as an older copy.
 	confirmTime = 2500 * time.Millisecond
-	// maxReadGap is the time between two reads above which the store may have been away
-	// between them, so that records of servers that work may have lapsed.
-	maxReadGap = 3 * watchInterval
 	// removedTTL is how long the last record of a server that is gone is remembered.
 	removedTTL = 5 * time.Minute
 )
@@ -81,7 +78,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := bootclock.Now()
-	d.observeRead(now)
+	if u.afterOutage {
+		d.observeOutage(now)
+	}
 	if u.complete {
 		d.removeMissing(now, u)
 	}
@@ -170,15 +169,17 @@
 func (d *directory) markRead(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.observeRead(now)
+	d.lastRead = now
 }
 
-// observeRead records that the store answered a read. The caller holds the lock.
-func (d *directory) observeRead(now time.Time) {
-	if !d.lastRead.IsZero() && now.Sub(d.lastRead) > maxReadGap {
-		d.distrustUntil = now.Add(confirmTime)
+// observeOutage records that the store has answered for the first time after an outage. The
+// servers that were waited for after an earlier one could not write their records since.
+// The caller holds the lock.
+func (d *directory) observeOutage(now time.Time) {
+	d.distrustUntil = now.Add(confirmTime)
+	for id := range d.unconfirmed {
+		d.unconfirmed[id] = d.distrustUntil
 	}
-	d.lastRead = now
 }
 
 // forgetChanges drops the changes that were to be sent: an entry that is not the watcher
--- a/relay/lease_test.go
+++ b/relay/lease_test.go
@@ -224,6 +224,7 @@
 			for _, p := range c.placers {
 				followers.Go(func() { _ = p.followConfiguration(ctx) }) // end with the context
 				followers.Go(func() { _ = p.followServers(ctx) })
+				followers.Go(func() { _ = p.runMaintenance(ctx) })
 			}
 			time.Sleep(10 * time.Second)
 			for _, link := range c.links {
