--- a/relay/lease_test.go
+++ b/relay/lease_test.go
@@ -19,8 +19,9 @@
 
 const (
 	// storeCallTimeout is how long a call to the store waits for an answer, in addition
-	// to the time that a read waits for records.
+	// to the time that a read waits for records. storeCallTime is how long one takes.
 	storeCallTimeout = 700 * time.Millisecond
+	storeCallTime    = 5 * time.Millisecond
 	// readCheckInterval is how often a waiting read of a linkedStore looks for records.
 	readCheckInterval = 10 * time.Millisecond
 )
@@ -42,6 +43,10 @@
 	calls, mostCalls atomic.Int32
 	// serversRead is when the servers' records were last read, in nanoseconds.
 	serversRead atomic.Int64
+	// appends counts the appends that the store has seen, and timeout is how long calls
+	// without an answer take.
+	appends atomic.Int32
+	timeout time.Duration
 }
 
 // beginCall counts a call until the returned function is called.
@@ -66,7 +71,7 @@
 func (s *linkedStore) ReadLatest(ctx context.Context, topic Topic) (RecordBatch, error) {
 	defer s.beginCall(topic)()
 	if !s.is(linkWhole) {
-		return RecordBatch{}, awaitTimeout(ctx, storeCallTimeout)
+		return RecordBatch{}, awaitTimeout(ctx, s.timeout)
 	}
 	return s.scriptedStore.ReadLatest(ctx, topic)
 }
@@ -81,17 +86,19 @@
 		}
 		sleep(ctx, readCheckInterval)
 	}
-	return RecordBatch{}, awaitTimeout(ctx, wait+storeCallTimeout-time.Since(started))
+	return RecordBatch{}, awaitTimeout(ctx, wait+s.timeout-time.Since(started))
 }
 
 func (s *linkedStore) Append(ctx context.Context, topic Topic, r Record, at Position) (Position, error) {
 	if s.is(requestsLost) {
-		sleep(ctx, storeCallTimeout)
+		sleep(ctx, s.timeout)
 		return Position{}, ErrUnknownOutcome
 	}
+	sleep(ctx, storeCallTime)
+	s.appends.Add(1)
 	end, err := s.scriptedStore.Append(ctx, topic, r, at)
 	if s.is(answersLost) {
-		sleep(ctx, storeCallTimeout)
+		sleep(ctx, s.timeout)
 		return Position{}, ErrUnknownOutcome
 	}
 	return end, err
@@ -109,7 +116,7 @@
 	c := &candidates{}
 	store := newScriptedStore()
 	for i := range n {
-		link := &linkedStore{scriptedStore: store}
+		link := &linkedStore{scriptedStore: store, timeout: storeCallTimeout}
 		e := newStoreEntry(link)
 		e.settings.Instance, e.engines = fmt.Sprintf("e%d", i), engines
 		p := newPlacer(e)
@@ -128,7 +135,7 @@
 	group.Go(func() {
 		for sequence := int64(1); ctx.Err() == nil; sequence++ {
 			c.exchange(sequence)
-			sleep(ctx, usageInterval)
+			sleep(ctx, minMessageInterval)
 		}
 	})
 	return group.Wait
@@ -185,30 +192,63 @@
 // renews.
 func TestLeaseMovesWhenHolderIsCutOffOneWay(t *testing.T) {
 	options := lease.DefaultOptions()
-	for _, cut := range []linkState{requestsLost, answersLost} {
-		for phase := time.Duration(0); phase < options.RenewInterval; phase += options.RenewInterval / 8 {
-			synctest.Test(t, func(t *testing.T) {
-				c := newCandidates(3, &testEngines{})
-				ctx, cancel := context.WithCancel(t.Context())
-				wait := c.run(ctx)
-				first, _ := c.awaitHolder(-1)
-				time.Sleep(5*time.Second + phase)
-				c.links[first].link.Store(int32(cut))
-				second, took := c.awaitHolder(first)
-				assert.Check(t, took <= options.LeaseDuration, "cut %d, phase %s: taken over after %s", cut, phase, took)
-				time.Sleep(5 * time.Second)
-				assert.Check(t, c.holder() == second)
-				c.links[first].link.Store(int32(linkWhole))
-				time.Sleep(5 * time.Second)
-				assert.Check(t, c.holder() == second)
-				assert.Check(t, !c.violation.Load())
-				cancel()
-				wait()
-			})
+	// With the long timeout, a renewal outlasts the permission unless it is limited.
+	for _, timeout := range []time.Duration{storeCallTimeout, 5 * time.Second} {
+		for _, cut := range []linkState{requestsLost, answersLost} {
+			for phase := time.Duration(0); phase < options.RenewInterval; phase += options.RenewInterval / 8 {
+				synctest.Test(t, func(t *testing.T) {
+					c := newCandidates(3, &testEngines{})
+					ctx, cancel := context.WithCancel(t.Context())
+					wait := c.run(ctx)
+					first, _ := c.awaitHolder(-1)
+					time.Sleep(5*time.Second + phase)
+					c.links[first].timeout = timeout
+					c.links[first].link.Store(int32(cut))
+					second, took := c.awaitHolder(first)
+					assert.Check(t, took <= options.LeaseDuration, "cut %d, phase %s: taken over after %s", cut, phase, took)
+					time.Sleep(5 * time.Second)
+					assert.Check(t, c.holder() == second)
+					c.links[first].link.Store(int32(linkWhole))
+					time.Sleep(5 * time.Second)
+					assert.Check(t, c.holder() == second)
+					assert.Check(t, !c.violation.Load())
+					cancel()
+					wait()
+				})
+			}
 		}
 	}
 }
 
+// Guards against all entries that claim the lease at the moment at which they learn that it
+// is free: at a takeover the store must not see more claims of many entries than of few.
+func TestTakeoverNeedsFewClaims(t *testing.T) {
+	options := lease.DefaultOptions()
+	for _, entries := range []int{3, 30, 100} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCandidates(entries, &testEngines{})
+			ctx, cancel := context.WithCancel(t.Context())
+			wait := c.run(ctx)
+			first, _ := c.awaitHolder(-1)
+			time.Sleep(5 * time.Second)
+			c.links[first].link.Store(int32(requestsLost))
+			for _, link := range c.links {
+				link.appends.Store(0)
+			}
+			_, took := c.awaitHolder(first)
+			assert.Check(t, took <= options.LeaseDuration, "%d entries: %s", entries, took)
+			appends := int32(0)
+			for _, link := range c.links {
+				appends += link.appends.Load()
+			}
+			// The claim that succeeds, and one that was on its way.
+			assert.Check(t, appends <= 2, "%d entries: %d claims", entries, appends)
+			cancel()
+			wait()
+		})
+	}
+}
+
 // Guards against a store that accepts connections and answers nothing: calls must end, few
 // at a time, and the lease, and with it layers, leaving servers and configurations, must
 // be served again within two seconds of its return.
--- a/relay/placer.go
+++ b/relay/placer.go
@@ -25,6 +25,10 @@
 	// holderCheckInterval is how often an entry checks whether another one still
 	// announces that it holds the lease.
 	holderCheckInterval = 100 * time.Millisecond
+	// takeoverStep is the time between the claims of two entries that take over the lease.
+	// All of them may learn at the same moment that it is free; the first one's message
+	// reaches the others within it.
+	takeoverStep = 50 * time.Millisecond
 	// leaseWait is how long a read of the lease topic waits for a change.
 	leaseWait = 500 * time.Millisecond
 	// maxSettleTime bounds the wait for all engines to register before the first
@@ -124,7 +128,9 @@
 		}
 		next = p.leaseStep(ctx, next)
 		if p.holdsLease() {
-			p.leaseTerm.Store(p.term())
+			if term := p.term(); p.leaseTerm.Swap(term) != term {
+				p.sendNow.fire()
+			}
 			sleep(ctx, min(placeInterval, p.permissionLeft()))
 		}
 	}
@@ -187,12 +193,31 @@
 		}
 	}
 	claim, at, due := p.dueClaim()
-	if !due {
+	if !due || !p.holdsLease() && !p.awaitTakeoverTurn(ctx) {
 		return next
 	}
 	return p.appendClaim(ctx, claim, at, next)
 }
 
+// awaitTakeoverTurn lets the entries with earlier names claim the lease first, and reports
+// whether none of them holds it then.
+func (p *placer) awaitTakeoverTurn(ctx context.Context) bool {
+	earlier := 0
+	for _, m := range p.fleet.freshMessages(time.Now()) {
+		// An entry that has just released the lease could not reach the store.
+		if m.sender < p.settings.Instance && m.term >= 0 {
+			earlier++
+		}
+	}
+	for range earlier {
+		sleep(ctx, takeoverStep)
+		if p.hasLiveLeaseHolder() {
+			return false
+		}
+	}
+	return ctx.Err() == nil
+}
+
 // readLease reads the lease topic on from a position. It returns the next position, and
 // whether the read was successful.
 func (p *placer) readLease(ctx context.Context, next Position) (Position, bool) {
