--- a/placement/relaychains_test.go
+++ b/placement/relaychains_test.go
@@ -20,11 +20,7 @@
 func mixedFleet() []RelayEngine {
 	var engines []RelayEngine
 	add := func(kind, zone string, n int, mb int64, factor float64) {
-		for i := range n {
-			engines = append(engines, RelayEngine{
-				Name: fmt.Sprintf("%s-%s-%d", kind, zone, i), Zone: zone, MemoryBytes: mb * megabyte, StepFactor: factor,
-			})
-		}
+		engines = append(engines, engineGroup(kind, zone, n, mb, factor)...)
 	}
 	add("large", "b", 1, 72000, 1.4)
 	add("medium", "a", 2, 36000, 3.1)
@@ -39,6 +35,16 @@
 	return engines
 }
 
+// engineGroup returns engines of one kind in a zone.
+func engineGroup(kind, zone string, n int, mb int64, factor float64) (engines []RelayEngine) {
+	for i := range n {
+		engines = append(engines, RelayEngine{
+			Name: fmt.Sprintf("%s-%s-%d", kind, zone, i), Zone: zone, MemoryBytes: mb * megabyte, StepFactor: factor,
+		})
+	}
+	return engines
+}
+
 // applyPlan returns the engines with the ranges of a plan. It fails if a range exceeds
 // an engine's memory.
 func applyPlan(t interface{ Fatalf(string, ...any) }, engines []RelayEngine, plan []RelayAssignment, m Model) []RelayEngine {
