--- a/relay/calls_test.go
+++ b/relay/calls_test.go
@@ -53,11 +53,13 @@
 // Guards against a server's own error that is replaced by one of the entry, and against an
 // idempotent call that is given up after a lost answer, because no other server is left.
 func TestOnlyServerLeft(t *testing.T) {
-	e := newTestEntry(t, unaryRoute(config.CallIdempotent), newBackend(t, respond(500, "broken")))
+	broken := newBackend(t, respond(500, "broken"))
+	e := newTestEntry(t, unaryRoute(config.CallIdempotent), broken)
 	response, body, err := e.send(t, http.MethodGet)
 	assert.NilError(t, err)
 	assert.Equal(t, response.StatusCode, 500)
 	assert.Equal(t, body, "broken")
+	assert.Equal(t, broken.count(), 1)
 
 	for call, want := range map[config.CallKind]int{config.CallIdempotent: http.StatusOK, config.CallAtMostOnce: http.StatusBadGateway} {
 		var lost atomic.Bool
