relay: a server counts as silent only if it serves nothing else; claims of the lease are bounded in time

A slow request marked its server although that answered others, and under overload marks moved from engine to engine. Now nothing else may have been answered or made progress there since, and a request must wait much longer than is usual at this entry (four times for first events, eight times for calls). Marks go with the next message. Stated slowdowns are capped below the mark. Takeovers wait 50 ms times the logarithm of the entries with earlier names (0.43 s with 400); a restarted holder does not wait. An outage is measured by a clock that stands still with this process.

--- a/condition/condition.go
+++ b/condition/condition.go
@@ -97,7 +97,8 @@
 	unansweredFor   time.Duration
 	// onTrial is set while one request shows whether the server answers again.
 	onTrial bool
-	// workedAt is when a request was last seen to make progress at the server.
+	// workedAt is when a request was last seen to make progress at the server, or was
+	// answered.
 	workedAt time.Time
 }
 
@@ -329,10 +330,11 @@
 
 // LeaveUnanswered records that a server has left a request without an answer for too
 // long, although it accepts connections and may report itself as healthy, and reports
-// whether that was not known. Each new request would wait in vain as well.
-func (b *Book) LeaveUnanswered(now time.Time, id string) bool {
+// whether that was not known. Each new request would wait in vain as well. A server that
+// has served another request since this one was sent is merely slow with it.
+func (b *Book) LeaveUnanswered(now, sentAt time.Time, id string) bool {
 	c := b.of(id)
-	if now.Before(c.unansweredUntil) && !c.onTrial {
+	if now.Before(c.unansweredUntil) && !c.onTrial || c.workedAt.After(sentAt) {
 		return false
 	}
 	c.onTrial = false
@@ -341,10 +343,10 @@
 	return true
 }
 
-// Ask records that a request is sent to a server. The first one after the time for which a
+// RecordSent records that a request is sent to a server. The first one after the time for which a
 // server was expected not to answer is a trial: until it is over, others still prefer other
 // servers, because all entries would otherwise send requests at the same moment.
-func (b *Book) Ask(now time.Time, id string) {
+func (b *Book) RecordSent(now time.Time, id string) {
 	c := b.servers[id]
 	if c == nil || c.unansweredFor == 0 || now.Before(c.unansweredUntil) {
 		return
@@ -352,11 +354,20 @@
 	c.onTrial, c.unansweredUntil = true, now.Add(firstSilentTime)
 }
 
-// Answer records that a server has answered a request.
-func (b *Book) Answer(id string) {
-	if c := b.servers[id]; c != nil {
-		c.unansweredUntil, c.unansweredFor, c.onTrial = time.Time{}, 0, false
+// RecordAnswer records that a server has answered a request.
+func (b *Book) RecordAnswer(now time.Time, id string) {
+	c := b.of(id)
+	c.unansweredUntil, c.unansweredFor, c.onTrial, c.workedAt = time.Time{}, 0, false, now
+}
+
+// Unanswering returns the servers that leave requests without an answer.
+func (b *Book) Unanswering(now time.Time) (ids []string) {
+	for id, c := range b.servers {
+		if now.Before(c.unansweredUntil) {
+			ids = append(ids, id)
+		}
 	}
+	return ids
 }
 
 // Slowdown returns SilentSlowdown for a server that leaves requests without an answer, or 0.
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -135,6 +135,12 @@
 	return max(e.maxTerm, (e.era-firstEra)*termsPerEra+e.endOffset) + 1
 }
 
+// ClaimsAlone reports whether a claim that is due now is one that no other process makes: it
+// was the last holder, and has restarted or learned of a new era of the store.
+func (e *Elector) ClaimsAlone(now time.Time) bool {
+	return e.claim.Holder == e.self || now.Before(e.lostTermEnd)
+}
+
 // Release ends this process's term because it could not renew its claim in time, and
 // returns the term, or 0 if this process has none. It never acts under that term
 // again: a later claim begins a new one. Others that are told the term may therefore
--- a/relay/calls.go
+++ b/relay/calls.go
@@ -61,6 +61,13 @@
 	return r.queue.ExpectedWait(now, c, slots), r.queue.ServiceTime()
 }
 
+// serviceTime returns how long the servers take for a call.
+func (r *callRoom) serviceTime() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.queue.ServiceTime()
+}
+
 // isWaiting reports whether calls wait.
 func (r *callRoom) isWaiting() bool {
 	r.mu.Lock()
--- a/relay/directory_test.go
+++ b/relay/directory_test.go
@@ -42,6 +42,13 @@
 	s.topics[topic] = append(s.topics[topic], Record{Key: key, Value: data})
 }
 
+// remove appends a record that ends a key.
+func (s *scriptedStore) remove(topic Topic, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topics[topic] = append(s.topics[topic], Record{Key: key})
+}
+
 func (s *scriptedStore) ReadLatest(_ context.Context, topic Topic) (RecordBatch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -64,6 +64,8 @@
 	slotWants map[uint64]slotWant
 	// loads are what servers have stated of their load in answers.
 	loads map[string]statedLoad
+	// firstEventTime is the mean time that streams have waited for their first event.
+	firstEventTime time.Duration
 	// changes counts the engines that were lost or that streams must leave, so that
 	// streams need not check them at each event.
 	changes atomic.Int64
@@ -223,23 +225,27 @@
 	for id, m := range f.linkMeters {
 		servers[serverHash(id)] = usage{rate: m.value(now)}
 	}
-	for id := range f.servers {
-		slowdown := max(f.slowdowns[id], f.conditions.Slowdown(now, id))
-		if slowdown > 0 {
-			u := servers[serverHash(id)]
-			u.slowdown = slowdown
-			servers[serverHash(id)] = u
-		}
+	for id, slowdown := range f.slowdowns {
+		setSlowdown(servers, id, slowdown)
+	}
+	for _, id := range f.conditions.Unanswering(now) {
+		setSlowdown(servers, id, condition.SilentSlowdown)
 	}
 	return servers
 }
 
+func setSlowdown(servers map[uint64]usage, id string, slowdown float64) {
+	u := servers[serverHash(id)]
+	u.slowdown = slowdown
+	servers[serverHash(id)] = u
+}
+
 // leaveUnanswered records that a server has left a request without an answer for too
 // long, and reports whether that was not known.
-func (f *fleet) leaveUnanswered(now time.Time, id string) bool {
+func (f *fleet) leaveUnanswered(now, sentAt time.Time, id string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.conditions.LeaveUnanswered(now, id)
+	return f.conditions.LeaveUnanswered(now, sentAt, id)
 }
 
 // recordProgress records that a stream makes progress along a path.
@@ -251,6 +257,23 @@
 	}
 }
 
+// firstEventWeight is the weight of a new measurement in the mean.
+const firstEventWeight = 0.1
+
+// recordFirstEvent records how long a stream has waited for its first event.
+func (f *fleet) recordFirstEvent(took time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.firstEventTime += time.Duration(firstEventWeight * float64(took-f.firstEventTime))
+}
+
+// meanFirstEvent returns the mean time that streams wait for their first event.
+func (f *fleet) meanFirstEvent() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.firstEventTime
+}
+
 // workedSince reports whether a stream has made progress at an engine since a time.
 func (f *fleet) workedSince(since time.Time, id string) bool {
 	f.mu.Lock()
@@ -262,7 +285,7 @@
 func (f *fleet) recordSent(now time.Time, id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.conditions.Ask(now, id)
+	f.conditions.RecordSent(now, id)
 }
 
 // leavesUnanswered reports whether some entry has found that a server leaves requests
@@ -277,7 +300,7 @@
 func (f *fleet) recordAnswer(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.conditions.Answer(id)
+	f.conditions.RecordAnswer(time.Now(), id)
 }
 
 // inProgress returns what all entries have in progress on a server, and whether it
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -68,7 +68,8 @@
 // has not renewed it for about three seconds; a read that follows may fail a second later.
 const minOutage = time.Second
 
-// outageWatch notices that the store has not answered for long.
+// outageWatch notices that the store has not answered for long. Its clock stands still while
+// this process is suspended: the store may have answered others meanwhile.
 type outageWatch struct{ failingSince time.Time }
 
 // failed records that a read has failed that began at a time.
@@ -94,7 +95,7 @@
 	next, failures, interrupts := fromStart, 0, 0
 	era, outage := eraWatch{}, outageWatch{}
 	for ctx.Err() == nil {
-		began, readWait := bootclock.Now(), f.readWait()
+		began, readWait := time.Now(), f.readWait()
 		batch, err := e.readInterruptible(ctx, f, next, interrupts)
 		if err != nil && f.newestOnly {
 			next = fromStart
@@ -116,7 +117,7 @@
 		e.logStoreRecovery(f.topic, failures)
 		failures, interrupts = 0, 0
 		u := update{records: batch.Records, complete: next == fromStart, restored: era.advance(batch.Next.Era)}
-		u.afterOutage = outage.answered(bootclock.Now(), began, readWait)
+		u.afterOutage = outage.answered(time.Now(), began, readWait)
 		if u.restored {
 			logevent.Write(e.logger, logevent.StoreRestored).Int("topic", int(f.topic)).Int64("era", batch.Next.Era).Msg("")
 		}
--- a/relay/lease_test.go
+++ b/relay/lease_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/sapphirefield/sapphirefield/bootclock"
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/lease"
 	"github.com/sapphirefield/sapphirefield/membership"
@@ -289,6 +290,55 @@
 	}
 }
 
+// Guards against entries all of which, by an order of names, wait for many that cannot
+// reach the store either.
+func TestTakeoverWithoutFirstEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCandidates(60, &testEngines{})
+		ctx, cancel := context.WithCancel(t.Context())
+		wait := c.run(ctx)
+		first, _ := c.awaitHolder(-1)
+		time.Sleep(5 * time.Second)
+		for i, p := range c.placers {
+			if i == first || p.settings.Instance < "e3" {
+				c.links[i].link.Store(int32(requestsLost))
+			}
+		}
+		_, took := c.awaitHolder(first)
+		assert.Check(t, took <= lease.DefaultOptions().LeaseDuration, "taken over after %s", took)
+		cancel()
+		wait()
+	})
+}
+
+// Guards against servers that are dropped because their records lapsed while the store did
+// not answer, and against ones that are gone and stay because a read has failed once.
+func TestFollowedServersAfterOutage(t *testing.T) {
+	for silence, want := range map[time.Duration]int{3 * time.Second: 1, 10 * time.Millisecond: 0} {
+		synctest.Test(t, func(t *testing.T) {
+			link := &linkedStore{scriptedStore: newScriptedStore(), timeout: 20 * time.Millisecond}
+			e := newStoreEntry(link)
+			link.add(TopicServers, "s", heartbeat("s", 1))
+			ctx, cancel := context.WithCancel(t.Context())
+			var group sync.WaitGroup
+			group.Go(func() { _ = e.followServers(ctx) }) // ends with the context
+			time.Sleep(5 * time.Second)
+			assert.Equal(t, len(e.fleet.snapshot()), 1)
+			link.link.Store(int32(requestsLost))
+			// Longer than the time between two reads.
+			time.Sleep(watchInterval + silence)
+			link.remove(TopicServers, "s")
+			link.link.Store(int32(linkWhole))
+			time.Sleep(time.Second)
+			assert.Equal(t, len(e.fleet.snapshot()), want)
+			e.directory.expireUnconfirmed(bootclock.Now().Add(2 * confirmTime))
+			assert.Equal(t, len(e.fleet.snapshot()), 0)
+			cancel()
+			group.Wait()
+		})
+	}
+}
+
 // hungEngines never answer status queries. They count those in progress.
 type hungEngines struct {
 	testEngines
--- a/relay/placer.go
+++ b/relay/placer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"sync"
 	"time"
 
@@ -25,9 +26,9 @@
 	// holderCheckInterval is how often an entry checks whether another one still
 	// announces that it holds the lease.
 	holderCheckInterval = 100 * time.Millisecond
-	// takeoverStep is the time between the claims of two entries that take over the lease.
-	// All of them may learn at the same moment that it is free; the first one's message
-	// reaches the others within it.
+	// takeoverStep is the time between the claims of the first two entries that may take
+	// over the lease. All of them may learn at the same moment that it is free; the first
+	// one's message reaches the others within it.
 	takeoverStep = 50 * time.Millisecond
 	// leaseWait is how long a read of the lease topic waits for a change.
 	leaseWait = 500 * time.Millisecond
@@ -193,14 +194,22 @@
 		}
 	}
 	claim, at, due := p.dueClaim()
-	if !due || !p.holdsLease() && !p.awaitTakeoverTurn(ctx) {
+	if !due || !p.claimsAlone() && !p.awaitTakeoverTurn(ctx) {
 		return next
 	}
 	return p.appendClaim(ctx, claim, at, next)
 }
 
+// claimsAlone reports whether no other entry claims the lease when this one does.
+func (p *placer) claimsAlone() bool {
+	p.leaseMu.Lock()
+	defer p.leaseMu.Unlock()
+	return p.lease.ClaimsAlone(p.now())
+}
+
 // awaitTakeoverTurn lets the entries with earlier names claim the lease first, and reports
-// whether none of them holds it then.
+// whether none of them holds it then. The wait grows with the logarithm of their number,
+// because all of them may be cut off from the store: 0.43 s with 400 entries.
 func (p *placer) awaitTakeoverTurn(ctx context.Context) bool {
 	earlier := 0
 	for _, m := range p.fleet.freshMessages(time.Now()) {
@@ -209,8 +218,8 @@
 			earlier++
 		}
 	}
-	for range earlier {
-		sleep(ctx, takeoverStep)
+	for left := time.Duration(math.Log2(1+float64(earlier)) * float64(takeoverStep)); left > 0; left -= takeoverStep {
+		sleep(ctx, min(left, takeoverStep))
 		if p.hasLiveLeaseHolder() {
 			return false
 		}
--- a/relay/poll.go
+++ b/relay/poll.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/sapphirefield/sapphirefield/condition"
 	"github.com/sapphirefield/sapphirefield/logevent"
 )
 
@@ -59,6 +60,10 @@
 	}
 }
 
+// maxStatedSlowdown bounds the slowdown that an engine states of itself. More would mean
+// that it does not answer requests.
+const maxStatedSlowdown = condition.SilentSlowdown / 2
+
 var errNoStatus = errors.New("engine did not report its status")
 
 // maxSilentFraction is the largest fraction of silent engines that are marked
@@ -85,7 +90,7 @@
 		logevent.Write(p.logger, logevent.EngineStatusMissing).Str("server", s.ID).Str("cause", err.Error()).Msg("")
 		return false
 	}
-	p.fleet.setSlowdown(s.ID, status.Slowdown)
+	p.fleet.setSlowdown(s.ID, min(status.Slowdown, maxStatedSlowdown))
 	if status.Leaving && p.fleet.markLeaving(time.Now(), s.ID) {
 		logevent.Write(p.logger, logevent.ServerSaidLeaving).Str("server", s.ID).Msg("")
 	}
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -55,14 +55,13 @@
 }
 
 // leaveUnanswered records and logs that a server has left the request without an answer
-// for too long, and reports whether that was not known.
-func (q *request) leaveUnanswered(server string) bool {
-	if q.pause.wasHeldUp(bootclock.Now()) || !q.fleet.leaveUnanswered(time.Now(), server) {
-		return false
+// for too long.
+func (q *request) leaveUnanswered(server string, sentAt time.Time) {
+	if q.pause.wasHeldUp(bootclock.Now()) || !q.fleet.leaveUnanswered(time.Now(), sentAt, server) {
+		return
 	}
 	logevent.Write(q.logger, logevent.ServerLeavesUnanswered).Str("server", server).Str("request", q.info.ID).
-		Dur("waited_ms", time.Since(q.started)).Msg("")
-	return true
+		Dur("waited_ms", time.Since(sentAt)).Msg("")
 }
 
 // watchSilence looks after a server that does not answer the request, until the returned
@@ -72,20 +71,25 @@
 // attempt ends only once the rest of the request's time is needed for another one.
 func (q *request) watchSilence(ctx context.Context, server Server) (watched context.Context, stop func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	q.fleet.recordSent(time.Now(), server.ID)
+	sentAt := time.Now()
+	q.fleet.recordSent(sentAt, server.ID)
 	delay := max(minSilence, silenceTargets*q.route.TargetLatency)
-	leaveAt := time.Now().Add(max(delay, q.timeLeft()/2))
+	leaveAt := sentAt.Add(max(delay, q.timeLeft()/2))
 	var timer *time.Timer
 	// It is started once the variable is set, which the function reads.
 	timer = time.AfterFunc(time.Hour, func() {
 		if ctx.Err() != nil {
 			return
 		}
-		if q.isSilent(ctx, server, leaveAt) && q.mayRetryFailure() {
+		if q.shouldLeave(ctx, server, sentAt, leaveAt) {
 			cancel(errServerSilent)
 			return
 		}
-		timer.Reset(max(min(delay, time.Until(leaveAt)), minSilenceCheck))
+		next := delay
+		if left := time.Until(leaveAt); left > 0 {
+			next = max(min(delay, left), minSilenceCheck)
+		}
+		timer.Reset(next)
 	})
 	timer.Reset(delay)
 	return ctx, func() {
@@ -94,17 +98,23 @@
 	}
 }
 
-// isSilent records that a server has not answered for long, and reports whether the
-// request should go to another one.
-func (q *request) isSilent(ctx context.Context, server Server, leaveAt time.Time) bool {
+// busyServiceTimes is how many times as long as usual a call waits before its server is
+// taken for one that does not answer: under overload, all calls take long.
+const busyServiceTimes = 8
+
+// shouldLeave records that a server has not answered a call for long, and reports whether
+// the call should go to another one.
+func (q *request) shouldLeave(ctx context.Context, server Server, sentAt, leaveAt time.Time) bool {
 	crashed := q.silenceProbes.start(time.Now(), server.Address) && q.pool.hasCrashed(ctx, server.Address)
 	if ctx.Err() != nil || q.pause.wasHeldUp(bootclock.Now()) {
 		return false
 	}
 	if crashed {
 		q.fleet.observe(time.Now(), server.ID, membership.ConnectionLost)
-		return true
+		return q.mayRetryFailure()
+	}
+	if time.Since(sentAt) >= busyServiceTimes*q.callRoom(q.target).serviceTime() {
+		q.leaveUnanswered(server.ID, sentAt)
 	}
-	q.leaveUnanswered(server.ID)
-	return !time.Now().Before(leaveAt) && q.fleet.hasAnsweringServer(time.Now(), q.target, q.avoid, server.ID)
+	return !time.Now().Before(leaveAt) && q.mayRetryFailure() && q.fleet.hasAnsweringServer(time.Now(), q.target, q.avoid, server.ID)
 }
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -8,8 +8,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/sapphirefield/sapphirefield/bootclock"
 	"github.com/sapphirefield/sapphirefield/condition"
 	"github.com/sapphirefield/sapphirefield/config"
+	"github.com/sapphirefield/sapphirefield/pipeline"
 )
 
 // hang accepts a request and never answers it.
@@ -52,6 +54,111 @@
 	assert.Equal(t, <-first, eventsText(2))
 }
 
+// newWatch returns the watch of a stream that was sent to the first engine of an entry a
+// time ago.
+func (e *testEntry) newWatch(t *testing.T, sent time.Duration) *eventWatch {
+	route := &e.current.Load().Document.Routes[0]
+	q := &request{
+		Entry: e.Entry, r: e.newRequest(t.Context(), t, http.MethodPost, nil), revision: e.current.Load(), route: route, target: "llm",
+		avoid: map[string]bool{}, deadline: time.Now().Add(time.Minute), bootDeadline: bootclock.Now().Add(time.Minute),
+	}
+	a := &attempt{
+		streamRequest: &streamRequest{request: q, lastEventID: -1}, x: &exchange{conn: newConnection(nil)},
+		hops: []pipeline.Hop{{Engine: "s0", First: 0, Limit: 8}},
+	}
+	w := newEventWatch(t.Context(), a)
+	w.eventAt = w.eventAt.Add(-sent)
+	return w
+}
+
+func (e *testEntry) isMarked(id string) bool {
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	return e.fleet.conditions.Slowdown(time.Now(), id) > 0
+}
+
+// Guards against a working engine that is left by streams of all entries because one of
+// them is late: it has begun, the engine serves others, or all streams are late.
+func TestSlowEngineIsNotTakenForSilent(t *testing.T) {
+	const target = 600 * time.Millisecond
+	for name, c := range map[string]struct {
+		prepare func(e *testEntry, w *eventWatch)
+		want    bool
+	}{
+		"silent":        {func(*testEntry, *eventWatch) {}, true},
+		"not yet due":   {func(_ *testEntry, w *eventWatch) { w.eventAt = w.eventAt.Add(target / 2) }, false},
+		"has begun":     {func(_ *testEntry, w *eventWatch) { w.answered = true }, false},
+		"another path":  {func(_ *testEntry, w *eventWatch) { w.reroutes = 1 }, false},
+		"serves others": {func(e *testEntry, _ *eventWatch) { e.fleet.recordAnswer("s0") }, false},
+		"has progress":  {func(e *testEntry, w *eventWatch) { e.fleet.recordProgress(time.Now(), w.hops) }, false},
+		"overload": {func(e *testEntry, _ *eventWatch) {
+			for range 100 {
+				e.fleet.recordFirstEvent(target / 2)
+			}
+		}, false},
+	} {
+		route := streamRoute(true)
+		route.TargetLatency = target
+		e := newTestEntry(t, route, newBackend(t, hang), newBackend(t, hang))
+		w := e.newWatch(t, target+time.Millisecond)
+		c.prepare(e, w)
+		w.noteUnanswered()
+		assert.Equal(t, e.isMarked("s0"), c.want, name)
+	}
+}
+
+// Guards against streams that stay at an engine known to answer nothing until they are
+// late: half of the time to their first event is left for another engine.
+func TestStreamMovesInTime(t *testing.T) {
+	route := streamRoute(true)
+	route.TargetLatency = 600 * time.Millisecond
+	e := newTestEntry(t, route, newBackend(t, hang), newBackend(t, hang))
+	early, due := e.newWatch(t, route.TargetLatency/2-50*time.Millisecond), e.newWatch(t, route.TargetLatency/2)
+	assert.NilError(t, due.check())
+	due.checkAt = time.Time{}
+	e.fleet.leaveUnanswered(time.Now(), time.Now(), "s0")
+	assert.NilError(t, early.check())
+	assert.ErrorIs(t, due.check(), errStreamStalled)
+	due.answered = true
+	assert.Assert(t, !due.shouldMoveInTime())
+}
+
+// Guards against a server that stays out of use although it answers again, and against many
+// requests that find out at the same time.
+func TestOneRequestTriesSilentServer(t *testing.T) {
+	long := time.Now().Add(-time.Minute)
+	e := newTestEntry(t, streamRoute(true), newBackend(t, events(60, true)))
+	e.fleet.leaveUnanswered(long, long, "s0")
+	assert.Assert(t, !e.isMarked("s0"))
+	e.newWatch(t, 0)
+	assert.Assert(t, e.isMarked("s0"))
+	started := time.Now()
+	_, _, err := e.send(t, http.MethodPost)
+	assert.NilError(t, err)
+	assert.Assert(t, !e.isMarked("s0"))
+	assert.Assert(t, e.fleet.workedSince(started, "s0"))
+
+	calls := newTestEntry(t, unaryRoute(config.CallAtMostOnce), newBackend(t, respond(200, "done")))
+	calls.fleet.leaveUnanswered(long, long, "s0")
+	q := &request{Entry: calls.Entry, route: &config.Route{}, deadline: time.Now().Add(time.Minute), bootDeadline: bootclock.Now().Add(time.Minute)}
+	_, stop := q.watchSilence(t.Context(), calls.fleet.snapshot()["s0"])
+	stop()
+	assert.Assert(t, calls.isMarked("s0"))
+	assert.Equal(t, calls.sendContent(t, "order 7", "", false), http.StatusOK)
+	assert.Assert(t, !calls.isMarked("s0"))
+}
+
+// Guards against a call that leaves one silent server for another one.
+func TestCallStaysWithoutAnsweringServer(t *testing.T) {
+	first, second := newBackend(t, hang), newBackend(t, hang)
+	route := unaryRoute(config.CallIdempotent)
+	route.Timeout, route.TargetLatency = 600*time.Millisecond, 120*time.Millisecond
+	e := newTestEntry(t, route, first, second)
+	e.fleet.leaveUnanswered(time.Now(), time.Now(), "s1")
+	assert.Equal(t, e.sendContent(t, "first", "", false), http.StatusGatewayTimeout)
+	assert.Equal(t, first.count()+second.count(), 1)
+}
+
 // Guards against calls that wait one after another for a server that accepts connections
 // and answers nothing. An idempotent call goes to another server while its time allows.
 func TestCallsLeaveServerThatAnswersNothing(t *testing.T) {
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -21,6 +21,10 @@
 	// maxSilence is how long a stream may pass without an event before another
 	// attempt replaces it. Clients disconnect after 2 s.
 	maxSilence = 1800 * time.Millisecond
+	// busyFirstEvents is how many times as long as usual a stream waits for its first
+	// event before its first engine is taken for one that does not answer: under
+	// overload, all streams wait long.
+	busyFirstEvents = 4
 	// progressNoteInterval is how often the progress of a stream is recorded for the
 	// engines of its path.
 	progressNoteInterval = 500 * time.Millisecond
@@ -74,7 +78,10 @@
 
 // recordProgress records that an event has arrived.
 func (w *eventWatch) recordProgress() {
-	w.answered = true
+	if !w.answered {
+		w.answered = true
+		w.fleet.recordFirstEvent(time.Since(w.eventAt))
+	}
 	w.restart()
 	if w.eventAt.Sub(w.notedAt) >= progressNoteInterval {
 		w.notedAt = w.eventAt
@@ -121,12 +128,11 @@
 // first event is due, although it says that it works and waits for no other engine. New
 // streams go around it, at all entries.
 func (w *eventWatch) noteUnanswered() {
-	if w.hasAnswer() || w.reroutes > 0 || time.Since(w.eventAt) < max(minSilence, w.route.TargetLatency) {
+	due := max(minSilence, w.route.TargetLatency, busyFirstEvents*w.fleet.meanFirstEvent())
+	if w.hasAnswer() || w.reroutes > 0 || time.Since(w.eventAt) < due {
 		return
 	}
-	if w.leaveUnanswered(w.hops[0].Engine) {
-		w.sendNow.fire()
-	}
+	w.leaveUnanswered(w.hops[0].Engine, w.eventAt)
 }
 
 // hasAnswer reports whether the first engine has sent anything for this attempt.
