relay: tests of the first answer after an outage without changes, and of progress along a path

A third case was written and dropped again: that a removal counts once the 2.5 s are over; the directory's clock goes on in virtual time no faster than the machine's, and TestServersAfterOutage covers it.

--- a/relay/lease_test.go
+++ b/relay/lease_test.go
@@ -314,7 +314,10 @@
 // Guards against servers that are dropped because their records lapsed while the store did
 // not answer, and against ones that are gone and stay because a read has failed once.
 func TestFollowedServersAfterOutage(t *testing.T) {
-	for silence, want := range map[time.Duration]int{3 * time.Second: 1, 10 * time.Millisecond: 0} {
+	for _, c := range []struct {
+		silence, removedAfter time.Duration
+		want                  int
+	}{{3 * time.Second, 0, 1}, {3 * time.Second, time.Second, 1}, {10 * time.Millisecond, 0, 0}} {
 		synctest.Test(t, func(t *testing.T) {
 			link := &linkedStore{scriptedStore: newScriptedStore(), timeout: 20 * time.Millisecond}
 			e := newStoreEntry(link)
@@ -326,11 +329,17 @@
 			assert.Equal(t, len(e.fleet.snapshot()), 1)
 			link.link.Store(int32(requestsLost))
 			// Longer than the time between two reads.
-			time.Sleep(watchInterval + silence)
-			link.remove(TopicServers, "s")
+			time.Sleep(watchInterval + c.silence)
+			if c.removedAfter == 0 {
+				link.remove(TopicServers, "s")
+			}
 			link.link.Store(int32(linkWhole))
+			if c.removedAfter > 0 {
+				time.Sleep(c.removedAfter)
+				link.remove(TopicServers, "s")
+			}
 			time.Sleep(time.Second)
-			assert.Equal(t, len(e.fleet.snapshot()), want)
+			assert.Equal(t, len(e.fleet.snapshot()), c.want, "%+v", c)
 			e.directory.expireUnconfirmed(bootclock.Now().Add(2 * confirmTime))
 			assert.Equal(t, len(e.fleet.snapshot()), 0)
 			cancel()
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -136,7 +136,12 @@
 	_, _, err := e.send(t, http.MethodPost)
 	assert.NilError(t, err)
 	assert.Assert(t, !e.isMarked("s0"))
-	assert.Assert(t, e.fleet.workedSince(started, "s0"))
+
+	// An event shows that all engines of the path work.
+	w := e.newWatch(t, 0)
+	w.hops = append(w.hops, pipeline.Hop{Engine: "later"})
+	w.recordProgress()
+	assert.Assert(t, e.fleet.workedSince(started, "later"))
 
 	calls := newTestEntry(t, unaryRoute(config.CallAtMostOnce), newBackend(t, respond(200, "done")))
 	calls.fleet.leaveUnanswered(long, long, "s0")
