--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -130,6 +130,9 @@
 	if s.Leaving {
 		f.conditions.MarkLeaving(now, s.ID)
 	}
+	if s.Layers != old.Layers {
+		f.conditions.ForgetRefusals(s.ID)
+	}
 	if s.StartTimeMillis == old.StartTimeMillis && droppedLayers(old, s) {
 		f.changes.Add(1)
 	}
@@ -231,6 +234,11 @@
 	for _, id := range f.conditions.Unanswering(now) {
 		setSlowdown(servers, id, condition.SilentSlowdown)
 	}
+	for _, id := range f.conditions.Refusing(now) {
+		u := servers[serverHash(id)]
+		u.slowdown = max(u.slowdown, refusedSlowdown)
+		servers[serverHash(id)] = u
+	}
 	return servers
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -427,6 +427,32 @@
 	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
 }
 
+// Guards against refusals after all entries have restarted at once: clients come back
+// before the configuration is read, and some come back only once.
+func TestRequestsWaitForTheFirstConfiguration(t *testing.T) {
+	b := newBackend(t, respond(200, "answer"))
+	e := newTestEntry(t, unaryRoute(config.CallAtMostOnce), b)
+	rev := e.current.Swap(nil)
+	time.AfterFunc(2*startupCheckInterval, func() { e.current.Store(rev) })
+	response, _, err := e.send(t, http.MethodGet)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+}
+
+// Guards against a stream that is refused although its client would wait: five engines
+// are full for a moment, the sixth is not.
+func TestStreamOutlivesRefusalsOfFullEngines(t *testing.T) {
+	full := []*backend{}
+	for range 5 {
+		full = append(full, newBackend(t, refuse))
+	}
+	e := newTestEntry(t, streamRoute(true), append(full, newBackend(t, events(2, true)))...)
+	response, body, err := e.send(t, http.MethodPost)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, 200)
+	assert.Equal(t, body, eventsText(2))
+}
+
 func eventsText(n int) string {
 	var all strings.Builder
 	for i := range n {
