--- a/relay/stream.go
+++ b/relay/stream.go
@@ -286,13 +286,13 @@
 		s.suspectEngine(engine)
 		return
 	}
-	if x.response.StatusCode == http.StatusServiceUnavailable {
-		s.avoidRefusing(engine)
+	if x.response.StatusCode == http.StatusTooManyRequests {
+		s.avoid[engine] = true
+		s.fleet.avoidEngine(time.Now(), engine)
 		return
 	}
-	// Its record is older than its layers, or it limits its requests.
-	s.avoid[engine] = true
-	s.fleet.avoidEngine(time.Now(), engine)
+	// It has no room, is about to stop, or does not hold the layers that its record names.
+	s.avoidRefusing(engine)
 }
 
 // avoidRefusing avoids an engine that refused a stage, and tells the other entries if it
--- a/relay/suspects_test.go
+++ b/relay/suspects_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -146,3 +148,20 @@
 	assert.NilError(t, err)
 	assert.Equal(t, hops[0].Engine, "other")
 }
+
+// Guards against a retry budget that is used up by an engine whose record names layers
+// that it does not hold, and keeps doing so while the store is away. An engine that limits
+// its requests refuses for another reason.
+func TestStaleLayersCountAsRefusal(t *testing.T) {
+	for status, want := range map[int]bool{http.StatusMisdirectedRequest: true, http.StatusTooManyRequests: false} {
+		b := newBackend(t, func(_ *backend, r *http.Request, conn net.Conn) bool {
+			write(conn, "HTTP/1.1 %d X\nId: %s\nNot-Run: 1\nContent-Length: 0\n\n", status, r.Header.Get("Id"))
+			return true
+		})
+		e := newTestEntry(t, streamRoute(true), b)
+		e.fleet.startedAt = time.Now().Add(-settleTime)
+		_, _, err := e.send(t, http.MethodPost)
+		assert.NilError(t, err)
+		assert.Equal(t, len(e.fleet.conditions.Refusing(time.Now())) > 0, want, "status %d", status)
+	}
+}
