--- a/relay/stalls_test.go
+++ b/relay/stalls_test.go
@@ -117,11 +117,16 @@
 // Guards against events that lie unread while an engine is asked for its status, and
 // against an engine that is taken for lost although it sends them.
 func TestStreamIsReadDuringStatusQuery(t *testing.T) {
+	// The stream lasts beyond the verdict on the query.
+	const (
+		gap  = stallCheckDelay + suspectCheckInterval
+		sent = int((maxStallWait+stallCheckDelay)/gap) + 2
+	)
 	b := newBackend(t, func(_ *backend, r *http.Request, conn net.Conn) bool {
 		write(conn, streamHeader, r.Header.Get("Id"))
-		for i := range 3 {
+		for i := range sent {
 			writeChunk(conn, event(i+1))
-			time.Sleep(stallCheckDelay + stallTimeout/2)
+			time.Sleep(gap)
 		}
 		write(conn, "0\n\n")
 		return true
@@ -132,7 +137,7 @@
 	response, body, err := e.send(t, http.MethodPost)
 	assert.NilError(t, err)
 	assert.Equal(t, response.StatusCode, 200)
-	assert.Equal(t, body, eventsText(3))
+	assert.Equal(t, body, eventsText(sent))
 	assert.Equal(t, b.count(), 1)
 	assert.Equal(t, e.fleet.lostFor(time.Now(), "s0"), time.Duration(0))
 }
