--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -75,8 +75,9 @@
 	a.x, err = s.pool.open(ctx, head.Address, s.buildOutbound(ForwardInfo{Instance: head.Engine, Path: hops, LastEvent: s.lastEventID}))
 	if errors.Is(err, errNotSent) {
 		// The connection also fails when the client leaves or this process is held up.
-		if ctx.Err() == nil && !s.pause.wasHeldUp(bootclock.Now()) {
-			s.markEngineLost(head.Engine, err)
+		s.avoid[head.Engine] = true
+		if ctx.Err() == nil && !s.pause.wasHeldUp(bootclock.Now()) && s.stallChecker.believes(err, head.Address) {
+			s.loseEngine(head.Engine, err)
 		}
 		return notSent, err
 	}
--- a/relay/connection.go
+++ b/relay/connection.go
@@ -322,7 +322,7 @@
 func (p *pool) open(ctx context.Context, address string, o *outboundRequest) (*exchange, error) {
 	conn, err := p.get(ctx, address, o.id != "")
 	if err != nil {
-		return nil, errors.Wrap(errNotSent, err.Error())
+		return nil, &exchangeError{errNotSent, err}
 	}
 	x := &exchange{pool: p, address: address, conn: conn, request: o, sentAt: time.Now()}
 	x.stopCancel = context.AfterFunc(ctx, func() { conn.Close() })
--- a/relay/stalls.go
+++ b/relay/stalls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"sync"
 	"time"
@@ -194,6 +195,18 @@
 	return ""
 }
 
+// believes reports whether a failed connection tells of the server at an address. After
+// a restart of many entries, connections to all engines may take too long at once.
+func (s *stallChecker) believes(err error, address string) bool {
+	var failure net.Error
+	if !errors.As(err, &failure) || !failure.Timeout() {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.timeouts.accept(time.Now(), address)
+}
+
 func (s *stallChecker) timeout(now time.Time) time.Duration {
 	if now.Sub(s.startedAt) < settleTime {
 		return settlingStallTimeout
--- a/relay/stalls_test.go
+++ b/relay/stalls_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -157,3 +158,16 @@
 		assert.ErrorIs(t, q.err, want)
 	}
 }
+
+// Guards against an entry that takes all engines for lost because its connections to them
+// take too long at the same time. A refused connection tells of its engine.
+func TestTimeoutsOfAllConnectionsAreNotBelieved(t *testing.T) {
+	s := newStallChecker(&testEngines{}, &log.Logger{Level: log.PanicLevel})
+	dialer := net.Dialer{Deadline: time.Now().Add(-1)}
+	_, timeout := dialer.DialContext(t.Context(), "tcp4", "127.0.0.1:1")
+	timeout = &exchangeError{errNotSent, timeout}
+	assert.Assert(t, s.believes(timeout, "a"))
+	assert.Assert(t, !s.believes(timeout, "b"))
+	assert.Assert(t, !s.believes(timeout, "c"))
+	assert.Assert(t, s.believes(&exchangeError{errNotSent, syscall.ECONNREFUSED}, "d"))
+}
