--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -209,7 +209,6 @@
 // one if it is silent.
 func (a *attempt) markStalledEngines(q *stallQuery) error {
 	if errors.Is(q.err, ErrNoResponse) {
-		a.announceSilent(a.hops[0].Engine)
 		a.markEngineLost(a.hops[0].Engine, q.err)
 		return errPathLost
 	}
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -186,7 +186,7 @@
 		return
 	}
 	p.directory.applyPeerChanges(m.changes)
-	p.askPeerSuspects(m.suspects)
+	p.fleet.applyPeerSuspects(time.Now(), m.suspects)
 	p.crashes.applyPeerEvidence(time.Now(), m.evidence)
 	p.applyPeerLimits(m.sender, m.limits)
 	p.fleet.applyPeerSlots(time.Now(), processID(m.sender, m.startNanos), processID(p.settings.Instance, p.startNanos), m)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -529,7 +529,7 @@
 // dead engine.
 func TestStreamIsReroutedAroundSuspect(t *testing.T) {
 	testReroute(t, func(e *testEntry, _ string) {
-		e.fleet.confirmPeerSuspect(time.Now().Add(time.Minute), "dead")
+		e.fleet.applyPeerSuspects(time.Now().Add(time.Minute), []uint64{serverHash("dead")})
 	})
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -331,16 +331,10 @@
 	if !errors.Is(err, ErrNoResponse) {
 		return false
 	}
-	e.announceSilent(engine)
-	e.loseEngine(engine, err)
-	return true
-}
-
-// announceSilent tells the other entries at once that an engine does not respond to this
-// one. They ask it themselves.
-func (e *Entry) announceSilent(engine string) {
 	e.fleet.confirmSuspect(time.Now(), engine)
+	e.loseEngine(engine, err)
 	e.sendNow.fire()
+	return true
 }
 
 // engineCapacity returns the KV cache capacity of an engine in tokens times
--- a/relay/suspects.go
+++ b/relay/suspects.go
@@ -1,12 +1,9 @@
 package relay
 
 import (
-	"context"
 	"slices"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/sapphirefield/sapphirefield/pipeline"
 )
 
@@ -86,43 +83,18 @@
 	return hashes
 }
 
-// peerSuspects returns the engines that another entry finds silent and that this entry has
-// not asked itself a moment ago.
-func (f *fleet) peerSuspects(now time.Time, hashes []uint64) (ask []Server) {
+// applyPeerSuspects avoids the suspects of another entry.
+func (f *fleet) applyPeerSuspects(now time.Time, hashes []uint64) {
 	if len(hashes) == 0 {
-		return nil
+		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for id, s := range f.servers {
-		if slices.Contains(hashes, serverHash(id)) && !f.conditions.IsLost(id) && f.conditions.Name(now, id) {
-			ask = append(ask, s)
+	for id := range f.servers {
+		if slices.Contains(hashes, serverHash(id)) {
+			f.conditions.MarkSilentElsewhere(now, id)
 		}
 	}
-	return ask
-}
-
-// confirmPeerSuspect records that a suspect of another entry does not respond to this one
-// either.
-func (f *fleet) confirmPeerSuspect(now time.Time, id string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.conditions.MarkSilentElsewhere(now, id)
-}
-
-// askPeerSuspects asks the engines that another entry finds silent for their status. One
-// that does not respond is lost: the engines before it on a path notice that only a moment
-// later. The other entry may be wrong, because it was held up itself.
-func (e *Entry) askPeerSuspects(hashes []uint64) {
-	for _, s := range e.fleet.peerSuspects(time.Now(), hashes) {
-		go func() {
-			_, err := e.stallChecker.stalledEngines(context.Background(), s.Address)
-			if errors.Is(err, ErrNoResponse) {
-				e.fleet.confirmPeerSuspect(time.Now(), s.ID)
-				e.loseEngine(s.ID, err)
-			}
-		}()
-	}
 }
 
 // suspectsOn returns the engines of a path that do not respond, except the first.
--- a/relay/suspects_test.go
+++ b/relay/suspects_test.go
@@ -165,21 +165,3 @@
 		assert.Equal(t, len(e.fleet.conditions.Refusing(time.Now())) > 0, want, "status %d", status)
 	}
 }
-
-// Guards against streams that stand still at a dead engine which another entry has found,
-// and against one entry with a wrong view that moves the streams of all.
-func TestSuspectsOfOthersAreAskedFirst(t *testing.T) {
-	e := newTestEntry(t, streamRoute(true))
-	e.fleet.setServers(time.Now(), map[string]Server{"sound": testServer("sound", 0, 8), "dead": testServer("dead", 0, 8)})
-	e.stallChecker.engines = &respondingEngines{dead: "dead:1"}
-	hashes := []uint64{serverHash("sound"), serverHash("dead"), serverHash("unknown")}
-	assert.Equal(t, len(e.fleet.peerSuspects(time.Now().Add(-time.Hour), hashes)), 2)
-	e.askPeerSuspects(hashes)
-	for e.fleet.lostFor(time.Now(), "dead") == 0 {
-		time.Sleep(time.Millisecond)
-	}
-	hops := []pipeline.Hop{{Engine: "head"}, {Engine: "sound"}, {Engine: "dead"}}
-	assert.DeepEqual(t, e.fleet.suspectsOn(time.Now(), hops), []string{"dead"})
-	assert.Equal(t, e.fleet.lostFor(time.Now(), "sound"), time.Duration(0))
-	assert.Equal(t, len(e.fleet.peerSuspects(time.Now(), hashes)), 0, "asked a moment ago, or lost")
-}
