--- a/relay/stalls_test.go
+++ b/relay/stalls_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -117,11 +118,16 @@
 // Guards against events that lie unread while an engine is asked for its status, and
 // against an engine that is taken for lost although it sends them.
 func TestStreamIsReadDuringStatusQuery(t *testing.T) {
+	// The stream lasts beyond the verdict on the query.
+	const (
+		gap  = stallCheckDelay + suspectCheckInterval
+		sent = int((maxStallWait+stallCheckDelay)/gap) + 2
+	)
 	b := newBackend(t, func(_ *backend, r *http.Request, conn net.Conn) bool {
 		write(conn, streamHeader, r.Header.Get("Id"))
-		for i := range 3 {
+		for i := range sent {
 			writeChunk(conn, event(i+1))
-			time.Sleep(stallCheckDelay + stallTimeout/2)
+			time.Sleep(gap)
 		}
 		write(conn, "0\n\n")
 		return true
@@ -132,7 +138,7 @@
 	response, body, err := e.send(t, http.MethodPost)
 	assert.NilError(t, err)
 	assert.Equal(t, response.StatusCode, 200)
-	assert.Equal(t, body, eventsText(3))
+	assert.Equal(t, body, eventsText(sent))
 	assert.Equal(t, b.count(), 1)
 	assert.Equal(t, e.fleet.lostFor(time.Now(), "s0"), time.Duration(0))
 }
@@ -152,3 +158,16 @@
 		assert.ErrorIs(t, q.err, want)
 	}
 }
+
+// Guards against an entry that takes all engines for lost because its connections to them
+// take too long at the same time. A refused connection tells of its engine.
+func TestTimeoutsOfAllConnectionsAreNotBelieved(t *testing.T) {
+	s := newStallChecker(&testEngines{}, &log.Logger{Level: log.PanicLevel})
+	dialer := net.Dialer{Deadline: time.Now().Add(-1)}
+	_, timeout := dialer.DialContext(t.Context(), "tcp4", "127.0.0.1:1")
+	timeout = &exchangeError{errNotSent, timeout}
+	assert.Assert(t, s.believes(timeout, "a"))
+	assert.Assert(t, !s.believes(timeout, "b"))
+	assert.Assert(t, !s.believes(timeout, "c"))
+	assert.Assert(t, s.believes(&exchangeError{errNotSent, syscall.ECONNREFUSED}, "d"))
+}
