--- a/pipeline/relay.go
+++ b/pipeline/relay.go
@@ -75,6 +75,10 @@
 	// AnswerStarted is set for a request whose answer has started. Such a request may use
 	// the headroom that new requests must leave free.
 	AnswerStarted bool
+	// KeepFree is the fraction of the memory of engines, and of the loads up to which
+	// engines and links accept new requests, that the request leaves to more urgent
+	// ones. It does not concern a request whose answer has started.
+	KeepFree float64
 	// AvoidSlowLinks excludes links that a mean prompt occupies for long, except between
 	// hops that stay. When many streams are rerouted at once, they would wait there
 	// for each other's prompts.
@@ -280,7 +284,7 @@
 func (s *pathSearch) engineSeconds(e *RelayEngine, layers int) (float64, bool) {
 	tokens := s.request.PromptTokens + s.request.AnswerTokens
 	need := tokens * float64(layers)
-	free := e.Capacity*(1-memoryReserve) - e.Used
+	free := e.Capacity*(1-memoryReserve-s.keepFree()) - e.Used
 	if need > free || e.PromptLoad > s.loadLimit(maxPromptLoad) {
 		return 0, false
 	}
@@ -317,7 +321,15 @@
 	if s.request.AnswerStarted {
 		return load + startedLoadMargin
 	}
-	return load
+	return load * (1 - s.keepFree())
+}
+
+// keepFree returns the fraction of all room that the request leaves to others.
+func (s *pathSearch) keepFree() float64 {
+	if s.request.AnswerStarted {
+		return 0
+	}
+	return s.request.KeepFree
 }
 
 // promptSeconds returns the expected time of an engine for the request's prompt.
