demand by rank over all entries, room and retries kept for urgent streams

Messages of version 6 end with the demand of each urgency; package demand adds it up, admission.Keeper decides what less urgent streams leave free of memory, loads and retries.

--- /dev/null
+++ b/admission/keepfree_test.go
@@ -0,0 +1,234 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/sapphirefield/sapphirefield/demand"
+)
+
+const (
+	// worseServed is how much less often callers accept a kind of request to be served
+	// than a less urgent one, and minServed how often any kind must be, relative to all.
+	worseServed = 0.05
+	minServed   = 0.25
+
+	replayStep, decideInterval, reportInterval = 25 * time.Millisecond, 100 * time.Millisecond, 300 * time.Millisecond
+	streamTime, longestWait                    = 2 * time.Second, 200 * time.Millisecond
+	ranks                                      = 3
+)
+
+// replay plays streams of three ranks at entries of unlike size, which share room for a
+// number of streams.
+type replay struct {
+	entries []*replayEntry
+	room    int
+	running []time.Time
+	// hears reports whether an entry gets the messages of another one.
+	hears         func(from, to int) bool
+	now           time.Time
+	random        *rand.Rand
+	asked, served [ranks]float64
+}
+
+type replayEntry struct {
+	share   float64
+	keeper  *Keeper
+	book    *demand.Book
+	load    [ranks]struct{ started, refused rateEstimator }
+	waiting []Waiting
+}
+
+func newReplay(entries, room int) *replay {
+	r := &replay{room: room, now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(1, 2)), hears: func(int, int) bool { return true }}
+	for i := range entries {
+		e := &replayEntry{share: 1}
+		if i%4 == 0 {
+			e.share = 5
+		}
+		r.entries = append(r.entries, e)
+	}
+	r.restart()
+	return r
+}
+
+// restart starts all entries anew.
+func (r *replay) restart() {
+	for _, e := range r.entries {
+		*e = replayEntry{share: e.share, keeper: NewKeeper(DefaultKeepOptions()), book: demand.NewBook()}
+		for rank := range e.load {
+			e.load[rank].started.window, e.load[rank].refused.window = time.Second, time.Second
+		}
+	}
+}
+
+// run plays a time with a number of arrivals per second of each rank.
+func (r *replay) run(duration time.Duration, arrivals [ranks]float64) {
+	shares := 0.0
+	for _, e := range r.entries {
+		shares += e.share
+	}
+	for end := r.now.Add(duration); r.now.Before(end); r.now = r.now.Add(replayStep) {
+		r.running = slices.DeleteFunc(r.running, r.now.After)
+		for _, i := range r.random.Perm(len(r.entries)) {
+			e := r.entries[i]
+			for rank, perSecond := range arrivals {
+				for expected := perSecond * e.share / shares * replayStep.Seconds(); r.random.Float64() < expected; expected-- {
+					e.waiting = append(e.waiting, Waiting{Rank: rank, Arrived: r.now, Work: 1})
+					r.asked[rank]++
+				}
+			}
+			r.start(e)
+		}
+		r.decide()
+	}
+}
+
+// start starts the streams that wait at an entry, or refuses them.
+func (r *replay) start(e *replayEntry) {
+	slices.SortStableFunc(e.waiting, func(a, b Waiting) int { return a.Rank - b.Rank })
+	e.waiting = slices.DeleteFunc(e.waiting, func(w Waiting) bool {
+		load := &e.load[w.Rank]
+		if float64(len(r.running)+1) <= float64(r.room)*(1-e.keeper.Fraction(w.Rank)) {
+			r.running = append(r.running, r.now.Add(streamTime))
+			r.served[w.Rank]++
+			load.started.add(r.now, 1)
+			return true
+		}
+		if r.now.Sub(w.Arrived) < longestWait {
+			return false
+		}
+		load.refused.add(r.now, 1)
+		return true
+	})
+}
+
+// report returns what an entry tells the others.
+func (r *replay) report(e *replayEntry) (loads []demand.Load) {
+	for rank := range e.load {
+		l := demand.Load{Urgency: rank, Started: e.load[rank].started.at(r.now), Refused: e.load[rank].refused.at(r.now)}
+		for _, w := range e.waiting {
+			if w.Rank == rank {
+				l.Waiting += w.Work
+			}
+		}
+		loads = append(loads, l)
+	}
+	return loads
+}
+
+func (r *replay) decide() {
+	for i, e := range r.entries {
+		for j, to := range r.entries {
+			if i != j && r.now.UnixMilli()%reportInterval.Milliseconds() == 0 && r.hears(i, j) {
+				to.book.Observe(r.now, fmt.Sprint(i), demand.Report{1: r.report(e)}.Bounded())
+			}
+		}
+		if r.now.UnixMilli()%decideInterval.Milliseconds() == 0 {
+			e.keeper.Update(r.now, e.book.Totals(r.now, 1, r.report(e)))
+		}
+	}
+}
+
+func (r *replay) servedShare(rank int) float64 { return r.served[rank] / r.asked[rank] }
+
+// check compares how often the ranks were served.
+func (r *replay) check(t *testing.T) {
+	t.Helper()
+	all := (r.served[0] + r.served[1] + r.served[2]) / (r.asked[0] + r.asked[1] + r.asked[2])
+	for rank := range ranks {
+		assert.Check(t, rank == 0 || r.servedShare(rank-1) >= r.servedShare(rank)-worseServed, "rank %d: %.2f and before it %.2f", rank, r.servedShare(rank), r.servedShare(max(rank-1, 0)))
+		assert.Check(t, r.servedShare(rank) >= minServed*all, "rank %d: %.2f", rank, r.servedShare(rank))
+	}
+}
+
+// Guards against urgent streams that are refused at some entries while less urgent
+// ones start at others, in steady excess, in a burst of each rank, while the two
+// halves of the entries do not hear each other, and after all of them restarted.
+func TestUrgentStreamsComeFirstOverAllEntries(t *testing.T) {
+	steady := [ranks]float64{40, 40, 40}
+	play := func(prepare func(r *replay)) *replay {
+		r := newReplay(24, 160)
+		prepare(r)
+		r.run(10*time.Second, steady)
+		r.check(t)
+		return r
+	}
+	without := newReplay(24, 160)
+	without.hears = func(int, int) bool { return false }
+	for _, e := range without.entries {
+		e.keeper.options.Max = 0
+	}
+	without.run(10*time.Second, steady)
+	with := play(func(*replay) {})
+	assert.Assert(t, with.servedShare(0) > without.servedShare(0)+worseServed, "%.2f without, %.2f with", without.servedShare(0), with.servedShare(0))
+	play(func(r *replay) { r.hears = func(from, to int) bool { return from%2 == to%2 } })
+	play(func(r *replay) {
+		r.run(3*time.Second, steady)
+		r.restart()
+	})
+	for rank := range ranks {
+		burst := [ranks]float64{20, 20, 20}
+		burst[rank] = 100
+		r := newReplay(24, 160)
+		r.run(5*time.Second, [ranks]float64{20, 20, 20})
+		r.run(8*time.Second, burst)
+		r.check(t)
+	}
+}
+
+// Guards against room that stays empty: none is kept without a lack, and all is given
+// back in time after one. It also guards against an entry that claims demand, one that
+// falls silent with it, and a low rank that is shut out.
+func TestRoomIsKeptOnlyWhileNeeded(t *testing.T) {
+	r := newReplay(24, 400)
+	r.run(5*time.Second, [ranks]float64{40, 40, 40})
+	assert.Equal(t, r.entries[1].keeper.Fraction(2), 0.0)
+	assert.Equal(t, r.served, r.asked)
+
+	lie := demand.Report{1: {{Urgency: 0, Waiting: demand.MaxTokens, Refused: demand.MaxTokens}}}
+	for range 20 {
+		r.run(250*time.Millisecond, [ranks]float64{40, 40, 40})
+		for _, e := range r.entries {
+			e.book.Observe(r.now, "liar", lie)
+		}
+	}
+	options := DefaultKeepOptions()
+	assert.Assert(t, r.entries[1].keeper.Fraction(2) <= options.MaxPerEntry)
+	assert.Equal(t, r.served, r.asked)
+	r.run(demand.ReportTTL+options.Hold+options.Release+decideInterval, [ranks]float64{40, 40, 40})
+	assert.Equal(t, r.entries[1].keeper.Fraction(2), 0.0)
+}
+
+func TestKeeperStaysInItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := DefaultKeepOptions()
+		k, now := NewKeeper(o), time.Unix(1000, 0)
+		for range rapid.IntRange(0, 50).Draw(t, "decisions") {
+			var totals []demand.Total
+			for urgency := range rapid.IntRange(0, 5).Draw(t, "urgencies") {
+				work := rapid.Float64Range(0, 1e9)
+				totals = append(totals, demand.Total{Urgency: urgency, Unserved: work.Draw(t, "unserved"), Started: work.Draw(t, "started"), Entries: rapid.IntRange(0, 400).Draw(t, "entries")})
+			}
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			k.Update(now, totals)
+			assert.Equal(t, k.Fraction(0), 0.0)
+			for urgency := range 8 {
+				assert.Assert(t, k.Fraction(urgency) >= 0 && k.Fraction(urgency) <= o.Max)
+			}
+		}
+		for range int((o.Hold+o.Release)/decideInterval) + 1 {
+			now = now.Add(decideInterval)
+			k.Update(now, []demand.Total{{Urgency: 0, Started: 10}})
+		}
+		for urgency := range 8 {
+			assert.Equal(t, k.Fraction(urgency), 0.0)
+		}
+	})
+}
--- a/admission/wait.go
+++ b/admission/wait.go
@@ -19,6 +19,8 @@
 	// Arrived is when the request arrived, and GiveUpAt the latest useful time to
 	// start it.
 	Arrived, GiveUpAt time.Time
+	// Work is the size of the request in tokens.
+	Work float64
 }
 
 // WaitOptions configure a WaitQueue.
--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -37,6 +37,8 @@
 	RateLimitStated           Event = 2028
 	RateLimitLifted           Event = 2029
 	RateLimitUnreadable       Event = 2030
+	RoomKept                  Event = 2040
+	RoomReleased              Event = 2041
 
 	StreamRerouted         Event = 2015
 	StreamRecovered        Event = 2009
@@ -107,6 +109,8 @@
 	{RateLimitStated, log.InfoLevel, "backend server states a rate limit", ""},
 	{RateLimitLifted, log.InfoLevel, "backend server states no rate limit any more", ""},
 	{RateLimitUnreadable, log.WarnLevel, "rate limit of a backend server cannot be read", "Find out what the server means; the last limit that was read stays in force."},
+	{RoomKept, log.InfoLevel, "less urgent streams leave room to more urgent ones", "See docs/OPERATIONS.md, section on ranks; add engines if the line stays without its counterpart."},
+	{RoomReleased, log.InfoLevel, "room kept for more urgent streams given back", ""},
 	{StreamRerouted, log.InfoLevel, "stream's path changed", ""},
 	{ServerChanged, log.InfoLevel, "backend server changed", ""},
 	{ServerRecordRemoved, log.InfoLevel, "backend server's record is gone", ""},
--- /dev/null
+++ b/relay/demand_test.go
@@ -0,0 +1,111 @@
+package relay
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sapphirefield/sapphirefield/config"
+	"github.com/sapphirefield/sapphirefield/pipeline"
+)
+
+// newRankedEntry returns an entry with streams of two ranks, those of one team.
+func newRankedEntry(t *testing.T, routeRanks ...int) *peers {
+	t.Helper()
+	e := newTestEntry(t, streamRoute(false)).Entry
+	var routes []config.Route
+	for _, rank := range routeRanks {
+		route := streamRoute(false)
+		route.Rank = rank
+		routes = append(routes, route)
+	}
+	document := *e.current.Load().Document
+	document.Routes = routes
+	e.current.Store(newRevision(Configuration{Document: &document}))
+	return &peers{Entry: e, startNanos: 1, addresses: map[string]peerAddress{}}
+}
+
+// deliverMessage lets an entry hear what another one sends in a version.
+func deliverMessage(t *testing.T, from, to *peers, sequence int64, version int) {
+	t.Helper()
+	sent := from.message(sequence)
+	sent.sender = "other"
+	m, err := decodeMessage(sent.encode(version))
+	assert.NilError(t, err)
+	to.handleMessage(m, netip.AddrPort{})
+}
+
+// Guards against urgent streams that wait at one entry while less urgent ones start at
+// another, and against room that is kept for an entry that is silent or restarts.
+func TestRoomIsKeptForStreamsThatWaitElsewhere(t *testing.T) {
+	full, idle := newRankedEntry(t, 0, 1), newRankedEntry(t, 0, 1)
+	now := time.Now()
+	wait := &pathWaiter{find: func(time.Time) ([]pipeline.Hop, *reservation, error) { return nil, nil, pipeline.ErrNoChain }}
+	wait.Team, wait.Work, wait.Arrived, wait.GiveUpAt = "team", 800, now, now.Add(time.Minute)
+	_, done := full.waitRoom("llm").enter(now, wait)
+	assert.Assert(t, !done)
+
+	deliverMessage(t, full, idle, 1, messageVersion)
+	idle.demand.update(now)
+	assert.Equal(t, idle.demand.keepFree("llm", 1, "team"), 0.0, "an older version reports nothing")
+
+	deliverMessage(t, full, idle, 2, demandVersion)
+	idle.demand.update(now)
+	assert.Assert(t, idle.demand.keepFree("llm", 1, "team") > 0)
+	assert.Equal(t, idle.demand.keepFree("llm", 0, "team"), 0.0)
+
+	// The entry falls silent.
+	for range 30 {
+		now = now.Add(demandInterval)
+		idle.demand.update(now)
+	}
+	assert.Equal(t, idle.demand.keepFree("llm", 1, "team"), 0.0)
+}
+
+// Guards against messages that older entries cannot read, and against a cost for
+// deployments with one rank.
+func TestMessagesOfVersion5StayTheSame(t *testing.T) {
+	one := newRankedEntry(t, 1, 1)
+	one.demand.record(time.Now(), "llm", 2, 800, true)
+	m := one.message(1)
+	assert.Equal(t, len(m.demand), 0)
+	assert.DeepEqual(t, m.encode(demandVersion), m.encode(messageVersion))
+
+	two := newRankedEntry(t, 0, 1)
+	two.demand.record(time.Now(), "llm", 0, 800, true)
+	two.demand.record(time.Now(), "llm", 2, 800, true)
+	m = two.message(1)
+	state := m.encode(messageVersion)
+	assert.Equal(t, state[0], byte(messageVersion))
+	// 6 bytes for the model, and a few for each rank in use.
+	const modelBytes, rankBytes = 6, 6
+	assert.Assert(t, len(m.encode(demandVersion)) <= len(state)+modelBytes+2*rankBytes)
+
+	two.applyEntry(Record{Key: "old", Value: []byte(`{"address":"127.0.0.1:1","zone":"a"}`)})
+	two.applyEntry(Record{Key: "new", Value: []byte(`{"address":"127.0.0.1:2","zone":"a","message_version":6}`)})
+	assert.Assert(t, two.addresses["old"].version < demandVersion)
+	assert.Equal(t, two.addresses["new"].version, demandVersion)
+}
+
+// Guards against a team whose burst costs other teams of its rank.
+func TestTeamOverItsShareIsLessUrgent(t *testing.T) {
+	e := newRankedEntry(t, 0, 1)
+	now := time.Now()
+	held := map[string]usage{}
+	document := *e.current.Load().Document
+	for team, tokens := range map[string]float64{"large": 9000, "a": 1000, "b": 1000} {
+		document.Teams = append(document.Teams, config.Team{Name: team, Weight: 1})
+		held[teamID(team)] = usage{requests: 1, tokens: tokens}
+	}
+	e.current.Store(newRevision(Configuration{Document: &document}))
+	e.fleet.reserve(held)
+	e.demand.update(now)
+	assert.Equal(t, e.demand.urgencyOf(0, "large"), e.demand.urgencyOf(0, "a"), "nothing lacks room")
+	e.demand.record(now, "llm", 0, 800, false)
+	e.demand.update(now)
+	assert.Assert(t, e.demand.urgencyOf(0, "large") > e.demand.urgencyOf(0, "a"))
+	assert.Assert(t, e.demand.urgencyOf(0, "large") < e.demand.urgencyOf(1, "a"))
+	assert.Assert(t, e.demand.keepFree("llm", 0, "large") > 0 && e.demand.keepFree("llm", 0, "b") == 0)
+}
--- a/relay/directory_test.go
+++ b/relay/directory_test.go
@@ -201,7 +201,7 @@
 	store.mu.Lock()
 	store.blocked = false
 	store.mu.Unlock()
-	p := &peers{Entry: e, addresses: map[string]netip.AddrPort{}}
+	p := &peers{Entry: e, addresses: map[string]peerAddress{}}
 	for sequence := int64(1); e.Revision() < 2; sequence++ {
 		p.handleMessage(message{sender: "o", startNanos: 1, sequence: sequence, revision: 2, watchAge: notWatching}, netip.AddrPort{})
 		time.Sleep(time.Millisecond)
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -73,6 +73,7 @@
 	registerAgain trigger
 
 	crashes *crashGuard
+	demand  *demandControl
 	// silenceProbes bounds the connections that show whether silent servers run.
 	silenceProbes silenceProbes
 	pause         pauseGuard
@@ -98,6 +99,7 @@
 	engines.entry = e
 	e.directory = newDirectory(e)
 	e.crashes = newCrashGuard(e)
+	e.demand = newDemandControl(e)
 	if o.Store != nil {
 		o.Store.OnNewEra(e.writeAgain)
 	}
@@ -133,6 +135,7 @@
 	group.Go(func() error { return e.runPlacer(ctx) })
 	group.Go(func() error { return e.runPeers(ctx) })
 	group.Go(func() error { return e.runMaintenance(ctx) })
+	group.Go(func() error { return e.demand.run(ctx) })
 	group.Go(func() error { return e.runPulse(ctx) })
 	group.Go(func() error { return e.runReturnProbes(ctx) })
 	group.Go(func() error { return e.crashes.runDecisions(ctx) })
@@ -252,6 +255,13 @@
 	return b.budget.Take(now, overloaded)
 }
 
+// TakeLeaving counts a retry if the budget allows it and has more left than a fraction.
+func (b *lockedBudget) TakeLeaving(now time.Time, fraction float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budget.TakeLeaving(now, fraction)
+}
+
 // Left returns how many retries the budget still allows.
 func (b *lockedBudget) Left(now time.Time) float64 {
 	b.mu.Lock()
--- a/relay/fuzz_test.go
+++ b/relay/fuzz_test.go
@@ -3,12 +3,15 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/sapphirefield/sapphirefield/demand"
 )
 
 // byteConn is a connection that carries fixed bytes.
@@ -80,3 +83,24 @@
 		}
 	})
 }
+
+// FuzzDecodeMessage checks that no datagram makes an entry read beyond it or take
+// demand out of bounds.
+func FuzzDecodeMessage(f *testing.F) {
+	report := demand.Report{1: {{Urgency: 1, Waiting: 800, Started: 1600}, {Urgency: 4, Refused: demand.MaxTokens}}}
+	f.Add(message{sender: "a", servers: map[uint64]usage{1: {requests: 1}}}.encode(messageVersion))
+	f.Add(message{sender: "a", demand: report}.encode(demandVersion))
+	f.Add(appendDemand(message{}.appendState([]byte{messageVersion}), report))
+	f.Add(appendDemand(message{}.appendState([]byte{demandVersion}), demand.Report{1: {{Refused: 2 * demand.MaxTokens}}}))
+	f.Add(binary.AppendUvarint(message{}.appendState([]byte{demandVersion}), 1<<62))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := decodeMessage(data)
+		for _, loads := range m.demand {
+			for _, l := range loads {
+				if err != nil || min(l.Waiting, l.Started, l.Refused) < 0 || max(l.Waiting, l.Started, l.Refused) > demand.MaxTokens || len(loads) > demand.MaxUrgencies {
+					t.Fatalf("took %+v, %v", l, err)
+				}
+			}
+		}
+	})
+}
--- a/relay/message.go
+++ b/relay/message.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sapphirefield/sapphirefield/demand"
 	"github.com/sapphirefield/sapphirefield/quarantine"
 	"github.com/sapphirefield/sapphirefield/ratelimit"
 )
@@ -41,19 +42,36 @@
 	// work than slots, and gifts the slots that it leaves to others.
 	wants []uint64
 	gifts []ratelimit.Gift
+	// demand is the work that waits at the sender, was started and was refused.
+	demand demand.Report
 }
 
 // notWatching is the watchAge of an entry that is not the watcher.
 const notWatching = time.Hour
 
-// messageVersion is the first byte of every message. A receiver that does not
-// know the version ignores the message.
-const messageVersion = 5
+const (
+	// messageVersion is the first byte of every message. A receiver that does not
+	// know the version ignores the message.
+	messageVersion = 5
+	// demandVersion is the version of messages that end with a report of demand. They
+	// are sent only to entries that read them.
+	demandVersion = 6
+	// demandUnit is the number of tokens in which demand is stated.
+	demandUnit = 16
+)
 
 var errMalformedMessage = errors.New("malformed message from another entry")
 
-func (m message) encode() []byte {
-	out := []byte{messageVersion}
+// encode encodes the message in a version that an entry reads: an older one gets it
+// without the demand.
+func (m message) encode(version int) []byte {
+	if version < demandVersion || len(m.demand) == 0 {
+		return m.appendState([]byte{messageVersion})
+	}
+	return appendDemand(m.appendState([]byte{demandVersion}), m.demand)
+}
+
+func (m message) appendState(out []byte) []byte {
 	out = appendBytes(out, []byte(m.sender))
 	for _, n := range []int64{m.startNanos, m.sequence, m.revision, m.term, m.watchAge.Milliseconds()} {
 		out = binary.AppendVarint(out, n)
@@ -106,6 +124,21 @@
 	return out
 }
 
+func appendDemand(out []byte, report demand.Report) []byte {
+	out = binary.AppendUvarint(out, uint64(len(report)))
+	for _, model := range report.Models() {
+		out = binary.BigEndian.AppendUint32(out, uint32(model))
+		out = binary.AppendUvarint(out, uint64(len(report[model])))
+		for _, l := range report[model] {
+			out = binary.AppendUvarint(out, uint64(l.Urgency))
+			for _, tokens := range []float64{l.Waiting, l.Started, l.Refused} {
+				out = binary.AppendUvarint(out, uint64(math.Round(tokens/demandUnit)))
+			}
+		}
+	}
+	return out
+}
+
 func appendBytes(out, data []byte) []byte {
 	return append(binary.AppendUvarint(out, uint64(len(data))), data...)
 }
@@ -119,7 +152,7 @@
 }
 
 func decodeMessage(data []byte) (message, error) {
-	if len(data) == 0 || data[0] != messageVersion {
+	if len(data) == 0 || data[0] != messageVersion && data[0] != demandVersion {
 		return message{}, errMalformedMessage
 	}
 	r := &messageReader{rest: data[1:]}
@@ -150,6 +183,9 @@
 	for n := r.count(); n > 0 && !r.failed; n-- {
 		m.gifts = append(m.gifts, ratelimit.Gift{To: r.uint64(), Process: r.uint64(), Number: r.uvarint(), Left: time.Duration(r.uvarint()) * time.Millisecond})
 	}
+	if data[0] == demandVersion {
+		m.demand = r.demand()
+	}
 	if r.failed || len(r.rest) > 0 {
 		return message{}, errMalformedMessage
 	}
@@ -213,14 +249,42 @@
 	return 0
 }
 
-func (r *messageReader) float32() float64 {
+func (r *messageReader) uint32() uint32 {
 	const size = 4
 	if data := r.takeBytes(size); data != nil {
-		return float64(math.Float32frombits(binary.BigEndian.Uint32(data)))
+		return binary.BigEndian.Uint32(data)
 	}
 	return 0
 }
 
+func (r *messageReader) float32() float64 {
+	return float64(math.Float32frombits(r.uint32()))
+}
+
+// demand reads a report. One that exceeds the bounds of reports is malformed.
+func (r *messageReader) demand() demand.Report {
+	report := demand.Report{}
+	models := r.count()
+	r.failed = r.failed || models > demand.MaxModels
+	for ; models > 0 && !r.failed; models-- {
+		model := demand.ModelID(r.uint32())
+		urgencies := r.count()
+		r.failed = r.failed || urgencies > demand.MaxUrgencies
+		for ; urgencies > 0 && !r.failed; urgencies-- {
+			report[model] = append(report[model], demand.Load{
+				Urgency: int(min(r.uvarint(), demand.MaxUrgency)), Waiting: r.demandTokens(), Started: r.demandTokens(), Refused: r.demandTokens(),
+			})
+		}
+	}
+	return report
+}
+
+func (r *messageReader) demandTokens() float64 {
+	tokens := float64(r.uvarint()) * demandUnit
+	r.failed = r.failed || tokens > demand.MaxTokens
+	return tokens
+}
+
 func (r *messageReader) usage() usage {
 	return usage{
 		requests: int(r.uvarint()), usedSlots: int(r.uvarint()), tokens: float64(r.uvarint()), layerTokens: float64(r.uvarint()),
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -44,6 +44,16 @@
 type entryRecord struct {
 	Address netip.AddrPort `json:"address"`
 	Zone    string         `json:"zone"`
+	// MessageVersion is the newest version of messages that the entry reads. Older
+	// programs write none.
+	MessageVersion int `json:"message_version,omitempty"`
+}
+
+// peerAddress is where another entry receives messages, and the newest version that
+// it reads.
+type peerAddress struct {
+	netip.AddrPort
+	version int
 }
 
 // peers exchanges load information with the other entries.
@@ -53,7 +63,7 @@
 	startNanos int64
 
 	mu        sync.Mutex
-	addresses map[string]netip.AddrPort
+	addresses map[string]peerAddress
 	// recordsRead is set once the entries' records have been read.
 	recordsRead bool
 }
@@ -65,7 +75,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for messages from other entries")
 	}
-	p := &peers{Entry: e, conn: conn, startNanos: time.Now().UnixNano(), addresses: map[string]netip.AddrPort{}}
+	p := &peers{Entry: e, conn: conn, startNanos: time.Now().UnixNano(), addresses: map[string]peerAddress{}}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
 	group, ctx := errgroup.WithContext(ctx)
@@ -100,7 +110,7 @@
 }
 
 func (p *peers) writeRecord(ctx context.Context) error {
-	value, err := json.Marshal(entryRecord{p.settings.PeerAddr, p.settings.Zone})
+	value, err := json.Marshal(entryRecord{p.settings.PeerAddr, p.settings.Zone, demandVersion})
 	if err != nil {
 		return err
 	}
@@ -127,7 +137,7 @@
 	defer p.mu.Unlock()
 	// The records of others may be lost as well.
 	if u.complete && !u.restored {
-		p.addresses = map[string]netip.AddrPort{}
+		p.addresses = map[string]peerAddress{}
 	}
 	for _, r := range u.records {
 		p.applyEntry(r)
@@ -147,7 +157,7 @@
 		return
 	}
 	if r.Key != p.settings.Instance {
-		p.addresses[r.Key] = e.Address
+		p.addresses[r.Key] = peerAddress{e.Address, e.MessageVersion}
 	}
 }
 
@@ -180,6 +190,7 @@
 	p.fleet.applyPeerSuspects(time.Now(), m.suspects)
 	p.crashes.applyPeerEvidence(time.Now(), m.evidence)
 	p.applyPeerLimits(m.sender, m.limits)
+	p.demand.observe(time.Now(), m.sender, m.demand)
 	p.fleet.applyPeerSlots(time.Now(), processID(m.sender, m.startNanos), processID(p.settings.Instance, p.startNanos), m)
 	if m.revision > p.Revision() {
 		select {
@@ -202,7 +213,7 @@
 	if _, known := p.addresses[entry]; known || entry == p.settings.Instance {
 		return
 	}
-	p.addresses[entry] = from
+	p.addresses[entry] = peerAddress{from, messageVersion}
 	p.updateShares()
 }
 
@@ -228,7 +239,7 @@
 	for sequence := int64(1); ctx.Err() == nil; sequence++ {
 		sleep(ctx, minMessageInterval)
 		p.sendNow.wait(ctx, messageInterval(int(p.knownEntries.Load()))-minMessageInterval)
-		p.broadcast(p.message(sequence).encode())
+		p.broadcast(p.message(sequence))
 	}
 	return ctx.Err()
 }
@@ -269,7 +280,7 @@
 	m := message{
 		sender: p.settings.Instance, startNanos: p.startNanos, sequence: sequence, revision: p.Revision(), term: p.leaseTerm.Load(),
 		watchAge: notWatching, servers: p.fleet.localUsage(now), suspects: p.fleet.suspectHashes(now),
-		evidence: p.crashes.evidence(now), limits: p.fleet.limitReports(now),
+		evidence: p.crashes.evidence(now), limits: p.fleet.limitReports(now), demand: p.demand.report(now),
 	}
 	m.wants, m.gifts = p.fleet.slotExchange(now)
 	if p.isWatcher() {
@@ -280,10 +291,15 @@
 
 // broadcast sends a message to all other entries. Send errors are ignored,
 // because the next message follows soon.
-func (p *peers) broadcast(data []byte) {
+func (p *peers) broadcast(m message) {
+	state, withDemand := m.encode(messageVersion), m.encode(demandVersion)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, address := range p.addresses {
-		_, _ = p.conn.WriteToUDPAddrPort(data, address)
+		data := state
+		if address.version >= demandVersion {
+			data = withDemand
+		}
+		_, _ = p.conn.WriteToUDPAddrPort(data, address.AddrPort)
 	}
 }
--- a/relay/ratelimits_test.go
+++ b/relay/ratelimits_test.go
@@ -183,7 +183,7 @@
 		}
 	}
 	e.pool.dial = f.server.dial(f.t, name, handle)
-	p := &peers{Entry: e, startNanos: time.Now().UnixNano(), addresses: map[string]netip.AddrPort{}}
+	p := &peers{Entry: e, startNanos: time.Now().UnixNano(), addresses: map[string]peerAddress{}}
 	batch, err := f.store.ReadLatest(f.t.Context(), TopicEntries)
 	assert.NilError(f.t, err)
 	p.applyEntries(update{records: batch.Records, complete: true})
@@ -207,7 +207,7 @@
 // exchangeMessages delivers a message of each entry to all others.
 func (f *limitedFleet) exchangeMessages(sequence int64) {
 	for _, from := range f.entries {
-		m, err := decodeMessage(from.message(sequence).encode())
+		m, err := decodeMessage(from.message(sequence).encode(demandVersion))
 		assert.NilError(f.t, err)
 		for _, to := range f.entries {
 			if to != from {
@@ -352,7 +352,7 @@
 		e.fleet.setServers(now, map[string]Server{"s": server})
 	}
 	entries[0].observeRateLimit("s", "r", "1.3", now)
-	m, err := decodeMessage(message{limits: entries[0].fleet.limitReports(time.Now())}.encode())
+	m, err := decodeMessage(message{limits: entries[0].fleet.limitReports(time.Now())}.encode(demandVersion))
 	assert.NilError(t, err)
 	entries[1].applyPeerLimits("other", m.limits)
 	assert.Assert(t, entries[1].fleet.isLimited("s"))
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -122,9 +122,10 @@
 	}
 	req := s.pathRequest()
 	w := &pathWaiter{
-		Waiting: admission.Waiting{Team: s.team, Weight: s.teamWeight, Rank: s.rank, Arrived: s.started, GiveUpAt: s.waitUntil()},
+		Waiting: admission.Waiting{Team: s.team, Weight: s.teamWeight, Rank: s.rank, Arrived: s.started, GiveUpAt: s.waitUntil(), Work: req.PromptTokens + req.AnswerTokens},
 		cost:    req.PromptTokens + req.AnswerTokens,
 		find: func(now time.Time) ([]pipeline.Hop, *reservation, error) {
+			req.KeepFree = s.keepFree()
 			return s.fleet.choosePath(now, s.revision, s.target, s.team, req)
 		},
 	}
@@ -191,6 +192,9 @@
 
 // giveUp ends a request that no path serves.
 func (s *streamRequest) giveUp(detail string, after time.Duration) {
+	if !s.headerSent {
+		s.recordDemand(false)
+	}
 	s.giveUpOn(s.retryLater(problem.NoBackend, detail, after))
 }
 
@@ -359,6 +363,7 @@
 		return
 	}
 	s.headerSent, s.firstByte, s.status = true, time.Now(), x.response.StatusCode
+	s.recordDemand(true)
 	s.copyHeader(x)
 	s.w.WriteHeader(x.response.StatusCode)
 }
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -135,7 +135,7 @@
 		// No request was sent, so the retry adds no load.
 		return true
 	}
-	for waited := time.Duration(0); !q.budget(q.target).Take(time.Now(), false); waited += pathRetryInterval {
+	for waited := time.Duration(0); !q.takeRetry(); waited += pathRetryInterval {
 		if waited >= maxWait || ctx.Err() != nil {
 			return false
 		}
@@ -144,6 +144,16 @@
 	return true
 }
 
+// takeRetry takes a retry from the budget. One that has sent nothing to its client yet
+// leaves some to more urgent requests.
+func (q *request) takeRetry() bool {
+	fraction := 0.0
+	if q.firstByte.IsZero() {
+		fraction = q.keepFree()
+	}
+	return q.budget(q.target).TakeLeaving(time.Now(), fraction)
+}
+
 // refuseOrFail sends the final response when no server responded.
 func (q *request) refuseOrFail(maybeExecuted bool, detail string, after time.Duration) {
 	q.refuseOrFailWith(maybeExecuted, q.retryLater(problem.NoBackend, detail, after))
--- a/relay/usage.go
+++ b/relay/usage.go
@@ -126,7 +126,7 @@
 	if known && outdated {
 		return false
 	}
-	m.changes, m.suspects, m.evidence, m.limits, m.wants, m.gifts = nil, nil, evidence{}, nil, nil, nil
+	m.changes, m.suspects, m.evidence, m.limits, m.wants, m.gifts, m.demand = nil, nil, evidence{}, nil, nil, nil, nil
 	p.byEntry[m.sender] = peerState{m, now}
 	p.total = nil
 	return true
@@ -154,7 +154,10 @@
 
 // usageOf returns the load that all other entries have in progress on a
 // server.
-func (p *peerUsage) usageOf(now time.Time, id string) usage {
+func (p *peerUsage) usageOf(now time.Time, id string) usage { return p.totals(now)[serverHash(id)] }
+
+// totals returns the load that all other entries have in progress, by hash.
+func (p *peerUsage) totals(now time.Time) map[uint64]usage {
 	for name, e := range p.byEntry {
 		if now.Sub(e.receivedAt) > messageTTL && len(e.servers) > 0 {
 			e.servers = nil
@@ -165,7 +168,7 @@
 	if p.total == nil {
 		p.recomputeTotal()
 	}
-	return p.total[serverHash(id)]
+	return p.total
 }
 
 func (p *peerUsage) recomputeTotal() {
--- a/relay/usage_test.go
+++ b/relay/usage_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/sapphirefield/sapphirefield/demand"
 	"github.com/sapphirefield/sapphirefield/membership"
 	"github.com/sapphirefield/sapphirefield/pipeline"
 	"github.com/sapphirefield/sapphirefield/placement"
@@ -41,8 +42,8 @@
 			}
 			m.changes = append(m.changes, r)
 		}
-		m.evidence = drawEvidence(t)
-		data := m.encode()
+		m.evidence, m.demand = drawEvidence(t), drawDemand(t)
+		data := m.encode(demandVersion)
 		got, err := decodeMessage(data)
 		assert.NilError(t, err)
 		assert.Equal(t, got.sender, m.sender)
@@ -53,6 +54,10 @@
 		assert.DeepEqual(t, got.evidence.suspicions, m.evidence.suspicions)
 		assert.DeepEqual(t, got.evidence.sound, m.evidence.sound)
 		assert.DeepEqual(t, got.evidence.blocks, m.evidence.blocks)
+		assert.Equal(t, len(got.demand), len(m.demand))
+		for model, loads := range m.demand {
+			assert.DeepEqual(t, got.demand[model], loads)
+		}
 		assert.Equal(t, len(got.servers), len(m.servers))
 		for hash, u := range m.servers {
 			assert.Equal(t, got.servers[hash], u)
@@ -63,6 +68,20 @@
 	})
 }
 
+func drawDemand(t *rapid.T) demand.Report {
+	r := demand.Report{}
+	tokens := func(name string) float64 {
+		return demandUnit * float64(rapid.IntRange(1, demand.MaxTokens/demandUnit).Draw(t, name))
+	}
+	for model := range rapid.IntRange(0, demand.MaxModels).Draw(t, "models") {
+		for urgency := range rapid.IntRange(0, demand.MaxUrgencies).Draw(t, "urgencies") {
+			l := demand.Load{Urgency: urgency, Waiting: tokens("waiting"), Started: tokens("started"), Refused: tokens("refused")}
+			r[demand.ModelID(model)] = append(r[demand.ModelID(model)], l)
+		}
+	}
+	return r
+}
+
 func drawEvidence(t *rapid.T) (e evidence) {
 	for range rapid.IntRange(0, 3).Draw(t, "suspicions") {
 		e.suspicions = append(e.suspicions, quarantine.Suspicion{
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -75,6 +75,20 @@
 	return true
 }
 
+// TakeLeaving is Take for a retry that leaves a fraction of all retries of the window
+// to others.
+func (b *Budget) TakeLeaving(now time.Time, fraction float64) bool {
+	b.advance(now)
+	earned := b.minimum
+	for _, t := range b.buckets {
+		earned += b.fraction * t.requests
+	}
+	if b.Available(now) < 1+earned*fraction {
+		return false
+	}
+	return b.Take(now, false)
+}
+
 // Available returns the number of retries that are available now.
 func (b *Budget) Available(now time.Time) float64 {
 	b.advance(now)
