--- a/admission/keepfree.go
+++ b/admission/keepfree.go
@@ -15,12 +15,11 @@
 	// be kept, and End the one at which that need has ended. A few requests that wait
 	// for a moment are no lack of room.
 	Begin, End float64
-	// RiseTime is the time in which the room that is kept grows by the need again.
-	RiseTime time.Duration
 	// Hold is how long room is kept after the need has ended, and Release the time in
 	// which the largest room is given back after that.
 	Hold, Release time.Duration
-	// Max bounds the room that is kept. MaxPerEntry bounds it for each entry that has
+	// Max bounds the room that is kept: it only has to last until some is given back by
+	// requests that end. MaxPerEntry bounds it for each entry that has
 	// unserved work: one entry may be wrong.
 	Max, MaxPerEntry float64
 	// MinService and FullService protect less urgent requests: those that are served
@@ -29,14 +28,23 @@
 	MinService, FullService float64
 }
 
-// DefaultKeepOptions returns the options of entries.
+// DefaultKeepOptions returns the options of entries for the room of engines and links.
 func DefaultKeepOptions() KeepOptions {
 	return KeepOptions{
-		Begin: 0.05, End: 0.01, RiseTime: 500 * time.Millisecond, Hold: 500 * time.Millisecond, Release: time.Second,
-		Max: 0.5, MaxPerEntry: 0.1, MinService: 0.5, FullService: 0.75,
+		Begin: 0.05, End: 0.02, Hold: 500 * time.Millisecond, Release: time.Second,
+		Max: 0.1, MaxPerEntry: 0.05, MinService: 0.5, FullService: 0.75,
 	}
 }
 
+// RetryKeepOptions returns the options of an entry for its own retries. They come back
+// after a long time, so more are kept, and no other entry need confirm what it lacks.
+func RetryKeepOptions() KeepOptions {
+	const maxRetriesKept = 0.5
+	o := DefaultKeepOptions()
+	o.Max, o.MaxPerEntry = maxRetriesKept, maxRetriesKept
+	return o
+}
+
 // Keeper decides how much room requests of a model leave free for more urgent ones.
 //
 // It answers more demand than room at many entries: less urgent requests would start at
@@ -176,10 +184,8 @@
 	limit := min(o.Max, o.MaxPerEntry*float64(n.entries))
 	switch {
 	case lack >= o.Begin || r.fraction > 0 && lack > o.End:
-		required := fractionOf(n.unserved, n.total)
-		grown := max(r.fraction, required) + required*elapsed.Seconds()/o.RiseTime.Seconds()
-		// A limit that has fallen does not take away at once what is kept.
-		r.fraction = max(min(grown, limit), r.fraction-k.released(elapsed))
+		// What is kept already falls no faster than it would without a need.
+		r.fraction = max(min(fractionOf(n.unserved, n.total), limit), r.fraction-k.released(elapsed))
 		r.neededAt = now
 	case now.Sub(r.neededAt) > o.Hold:
 		r.fraction = max(r.fraction-k.released(elapsed), 0)
--- a/relay/demand.go
+++ b/relay/demand.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -19,6 +21,9 @@
 const (
 	// demandInterval is how often an entry decides how much room is kept.
 	demandInterval = 100 * time.Millisecond
+	// ordinaryWait is the wait up to which a stream does not count as lacking room: one
+	// that arrives while others wait is first tried at the next pass.
+	ordinaryWait = 2 * passInterval
 	// overShareFactor is the work in progress of a team, as a multiple of the mean of
 	// the teams that have any, above which the team is over its share. Teams near the
 	// mean merely fluctuate.
@@ -38,11 +43,43 @@
 	overShare atomic.Pointer[map[string]bool]
 }
 
-// modelDemand is this entry's demand for a model.
+// modelDemand is this entry's demand for a model: for room, which all entries share, in
+// tokens, and for retries, of which each entry has its own.
 type modelDemand struct {
-	keeper *admission.Keeper
-	// started and refused measure tokens per second by urgency.
-	started, refused map[int]*rateMeter
+	room, retries         *admission.Keeper
+	roomMeters, tryMeters demandMeters
+}
+
+// demandMeters measure by urgency what is granted and refused per second.
+type demandMeters map[int]*demandMeter
+
+type demandMeter struct {
+	granted, refused rateMeter
+}
+
+func (d demandMeters) add(now time.Time, urgency int, amount float64, granted bool) {
+	if d[urgency] == nil {
+		d[urgency] = &demandMeter{}
+	}
+	if granted {
+		d[urgency].granted.add(now, amount)
+	} else {
+		d[urgency].refused.add(now, amount)
+	}
+}
+
+// loads returns what is measured, beside the loads that wait.
+func (d demandMeters) loads(now time.Time, waiting []demand.Load) []demand.Load {
+	byUrgency := map[int]demand.Load{}
+	for _, l := range waiting {
+		byUrgency[l.Urgency] = l
+	}
+	for urgency, m := range d {
+		l := byUrgency[urgency]
+		l.Urgency, l.Started, l.Refused = urgency, m.granted.value(now), m.refused.value(now)
+		byUrgency[urgency] = l
+	}
+	return slices.Collect(maps.Values(byUrgency))
 }
 
 func newDemandControl(e *Entry) *demandControl {
@@ -88,10 +125,14 @@
 	d.mu.Lock()
 	m := d.model(model)
 	totals := d.book.Totals(now, demand.IDOf(model), loads)
-	changes := m.keeper.Update(now, totals)
+	changes := m.room.Update(now, totals)
+	retryChanges := m.retries.Update(now, demand.NewBook().Totals(now, 0, m.tryMeters.loads(now, nil)))
 	d.mu.Unlock()
 	for _, c := range changes {
-		d.logChange(model, c)
+		d.logChange(model, "room", c)
+	}
+	for _, c := range retryChanges {
+		d.logChange(model, "retries", c)
 	}
 	for _, t := range totals {
 		lacking = lacking || t.Unserved > 0
@@ -105,45 +146,27 @@
 	m := d.models[name]
 	if m == nil {
 		m = &modelDemand{
-			keeper: admission.NewKeeper(admission.DefaultKeepOptions()), started: map[int]*rateMeter{}, refused: map[int]*rateMeter{},
+			room: admission.NewKeeper(admission.DefaultKeepOptions()), retries: admission.NewKeeper(admission.RetryKeepOptions()),
+			roomMeters: demandMeters{}, tryMeters: demandMeters{},
 		}
 		d.models[name] = m
 	}
 	return m
 }
 
-// loads returns this entry's own demand for a model.
+// loads returns this entry's own demand for room.
 func (d *demandControl) loads(now time.Time, model string) []demand.Load {
-	byUrgency := map[int]demand.Load{}
-	for _, l := range d.waitRoom(model).summary(d.urgencyOf) {
-		byUrgency[l.Urgency] = l
-	}
+	waiting := d.waitRoom(model).summary(now.Add(-ordinaryWait), d.urgencyOf)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	m := d.model(model)
-	for urgency, meter := range m.started {
-		l := byUrgency[urgency]
-		l.Started = meter.value(now)
-		byUrgency[urgency] = l
-	}
-	for urgency, meter := range m.refused {
-		l := byUrgency[urgency]
-		l.Refused = meter.value(now)
-		byUrgency[urgency] = l
-	}
-	loads := make([]demand.Load, 0, len(byUrgency))
-	for urgency, l := range byUrgency {
-		l.Urgency = urgency
-		loads = append(loads, l)
-	}
-	return loads
+	return d.model(model).roomMeters.loads(now, waiting)
 }
 
-// summary returns the work that waits, by urgency.
-func (r *waitRoom) summary(urgencyOf func(rank int, team string) int) []demand.Load {
+// summary returns the work that arrived before a time and still waits, by urgency.
+func (r *waitRoom) summary(arrivedBefore time.Time, urgencyOf func(rank int, team string) int) []demand.Load {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.queue.Summary(urgencyOf)
+	return r.queue.Summary(arrivedBefore, urgencyOf)
 }
 
 // report returns this entry's demand for the others. It is empty unless the streams of
@@ -174,52 +197,67 @@
 	return demand.UrgencyOf(rank, over != nil && (*over)[team])
 }
 
-// keepFree returns the fraction of the room that a request leaves free.
-func (d *demandControl) keepFree(model string, rank int, team string) float64 {
-	urgency := d.urgencyOf(rank, team)
+// kept returns the fractions of the room and of the retries that a request leaves free.
+func (d *demandControl) kept(model string, urgency int) (room, retries float64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.model(model).keeper.Fraction(urgency)
+	m := d.model(model)
+	return m.room.Fraction(urgency), m.retries.Fraction(urgency)
 }
 
-// record counts a stream that was started or refused, of a number of tokens.
-func (d *demandControl) record(now time.Time, model string, urgency int, tokens float64, started bool) {
+// recordRoom counts a stream of a number of tokens that has begun or found no path.
+func (d *demandControl) recordRoom(now time.Time, model string, urgency int, tokens float64, begun bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	meters := d.model(model).refused
-	if started {
-		meters = d.model(model).started
-	}
-	if meters[urgency] == nil {
-		meters[urgency] = &rateMeter{}
-	}
-	meters[urgency].add(now, tokens)
+	d.model(model).roomMeters.add(now, urgency, tokens, begun)
+}
+
+// recordRetry counts a retry that was granted or denied.
+func (d *demandControl) recordRetry(now time.Time, model string, urgency int, granted bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.model(model).tryMeters.add(now, urgency, 1, granted)
 }
 
+func (q *request) urgency() int { return q.demand.urgencyOf(q.rank, q.team) }
+
 // keepFree returns the fraction of the room that the request leaves to more urgent ones.
 func (q *request) keepFree() float64 {
 	if !q.revision.ranked(q.target) {
 		return 0
 	}
-	return q.demand.keepFree(q.target, q.rank, q.team)
+	room, _ := q.demand.kept(q.target, q.urgency())
+	return room
 }
 
-// recordDemand counts a new stream that was started or found no room.
-func (s *streamRequest) recordDemand(started bool) {
-	if !s.revision.ranked(s.target) {
-		return
+// recordDemand counts a new stream that has begun or found no path.
+func (s *streamRequest) recordDemand(begun bool) {
+	if s.revision.ranked(s.target) {
+		req := s.pathRequest()
+		s.demand.recordRoom(time.Now(), s.target, s.urgency(), req.PromptTokens+req.AnswerTokens, begun)
 	}
-	req := s.pathRequest()
-	s.demand.record(time.Now(), s.target, s.demand.urgencyOf(s.rank, s.team), req.PromptTokens+req.AnswerTokens, started)
 }
 
-func (d *demandControl) logChange(model string, c admission.KeepChange) {
+// takeRetry takes a retry from the budget. A request that has sent nothing to its client
+// yet leaves some to more urgent ones.
+func (q *request) takeRetry() bool {
+	budget, now := q.budget(q.target), time.Now()
+	if !q.firstByte.IsZero() || !q.revision.ranked(q.target) {
+		return budget.Take(now, false)
+	}
+	_, kept := q.demand.kept(q.target, q.urgency())
+	granted := budget.TakeLeaving(now, kept)
+	q.demand.recordRetry(now, q.target, q.urgency(), granted)
+	return granted
+}
+
+func (d *demandControl) logChange(model, kept string, c admission.KeepChange) {
 	event := logevent.RoomKept
 	if c.Fraction <= 0 {
 		event = logevent.RoomReleased
 	}
-	logevent.Write(d.logger, event).Str("model", model).Str("urgency", urgencyName(c.Urgency)).Float64("fraction", c.Fraction).
-		Float64("unserved_tokens", c.Unserved).Float64("started_tokens", c.Started).Int("entries", c.Entries).Msg("")
+	logevent.Write(d.logger, event).Str("model", model).Str("kept", kept).Str("urgency", urgencyName(c.Urgency)).Float64("fraction", c.Fraction).
+		Float64("unserved", c.Unserved).Float64("started", c.Started).Int("entries", c.Entries).Msg("")
 }
 
 // urgencyName names an urgency in logs and metrics.
@@ -235,10 +273,9 @@
 		name = "relay.demand_" + name + "." + model + "." + urgencyName(t.Urgency)
 		metrics.GetOrRegisterGaugeFloat64(name, d.requestMetrics.registry).Update(value)
 	}
-	d.mu.Lock()
-	kept := d.model(model).keeper.Fraction(t.Urgency)
-	d.mu.Unlock()
-	gauge("kept", kept)
+	room, retries := d.kept(model, t.Urgency)
+	gauge("room_kept", room)
+	gauge("retries_kept", retries)
 	gauge("unserved", t.Unserved)
 	gauge("started", t.Started)
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -100,6 +100,9 @@
 		s.endAtDeadline()
 		return
 	}
+	if !s.headerSent {
+		s.recordDemand(false)
+	}
 	waiting, expected := s.waitRoom(s.target).state(time.Now())
 	s.cause, s.waiting, s.expectedWait = err.Error(), waiting, expected
 	s.giveUp("no path of engines has room", s.noCapacityRetryAfter(expected))
@@ -192,9 +195,6 @@
 
 // giveUp ends a request that no path serves.
 func (s *streamRequest) giveUp(detail string, after time.Duration) {
-	if !s.headerSent {
-		s.recordDemand(false)
-	}
 	s.giveUpOn(s.retryLater(problem.NoBackend, detail, after))
 }
 
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -144,16 +144,6 @@
 	return true
 }
 
-// takeRetry takes a retry from the budget. One that has sent nothing to its client yet
-// leaves some to more urgent requests.
-func (q *request) takeRetry() bool {
-	fraction := 0.0
-	if q.firstByte.IsZero() {
-		fraction = q.keepFree()
-	}
-	return q.budget(q.target).TakeLeaving(time.Now(), fraction)
-}
-
 // refuseOrFail sends the final response when no server responded.
 func (q *request) refuseOrFail(maybeExecuted bool, detail string, after time.Duration) {
 	q.refuseOrFailWith(maybeExecuted, q.retryLater(problem.NoBackend, detail, after))
