--- a/demand/demand.go
+++ b/demand/demand.go
@@ -20,7 +20,7 @@
 	// MaxModels and MaxUrgencies bound a report, and MaxUrgency and MaxTokens its
 	// values.
 	MaxModels    = 16
-	MaxUrgencies = 8
+	MaxUrgencies = 16
 	MaxUrgency   = 1 << 20
 	MaxTokens    = 1 << 30
 	// ReportTTL is how long a report is valid. An entry that is silent for longer is
--- a/relay/demand.go
+++ b/relay/demand.go
@@ -301,19 +301,13 @@
 func (f *fleet) teamLevels(now time.Time, teams []config.Team) map[string]float64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	others := f.peers.totals(now)
 	levels := map[string]float64{}
 	for _, t := range teams {
 		weight := t.Weight
 		if weight <= 0 {
 			weight = 1
 		}
-		id := teamID(t.Name)
-		tokens := others[serverHash(id)].tokens
-		if u := f.local[id]; u != nil {
-			tokens += u.tokens
-		}
-		if tokens > 0 {
+		if tokens := f.inProgress(now, teamID(t.Name)).tokens; tokens > 0 {
 			levels[t.Name] = tokens / weight
 		}
 	}
--- a/relay/request.go
+++ b/relay/request.go
@@ -25,12 +25,9 @@
 	revision *revision
 	route    *config.Route
 	team     string
-	// teamWeight and rank order the request under load; rank 0 is served first. The
-	// rank of a stream is the one among all streams of its backend.
+	// teamWeight and rank order the request under load; rank 0 is served first.
 	teamWeight float64
 	rank       int
-	// serverRank is the rank that servers are told: the team's, or the route's.
-	serverRank int
 	target     string
 	body       []byte
 	// bodyTimedOut is set if the body did not arrive in time. http.Server ends
@@ -146,10 +143,6 @@
 	timeout := q.route.EffectiveTimeout(q.info.Timeout)
 	q.deadline, q.bootDeadline = q.started.Add(timeout), bootclock.Now().Add(timeout)
 	q.target = q.route.PickTarget(q.fleet.randomFloat())
-	q.serverRank = q.rank
-	if q.route.CallKind == config.CallStream {
-		q.rank = rev.streamRank(q.target, q.rank, q.route.Rank)
-	}
 	if p := q.readBody(rev.Limits.BodyBytes); p != nil {
 		return p
 	}
@@ -238,7 +231,7 @@
 // buildOutbound returns the request to send to a server.
 func (q *request) buildOutbound(info ForwardInfo) *outboundRequest {
 	header := endToEndHeader(q.r.Header)
-	info.Team, info.Rank, info.HasRank = q.team, q.serverRank, true
+	info.Team, info.Rank, info.HasRank = q.team, q.rank, true
 	info.TimeLeft = max(q.timeLeft(), time.Millisecond)
 	q.headerCodec.EncodeRequest(header, info)
 	return &outboundRequest{
--- a/relay/revision.go
+++ b/relay/revision.go
@@ -16,8 +16,6 @@
 	finders      map[string]*pipeline.Pathfinder
 	// links are keyed by the two zones that they connect.
 	links map[[2]string]pipeline.RelayLink
-	// precedences orders the streams of each backend.
-	precedences map[string][]precedence
 }
 
 func newRevision(c Configuration) *revision {
@@ -28,7 +26,6 @@
 		models:        map[string]*config.Model{},
 		accelerators:  map[string]*config.Accelerator{},
 		finders:       map[string]*pipeline.Pathfinder{},
-		precedences:   precedences(c),
 	}
 	for i := range c.Document.Accelerators {
 		r.accelerators[c.Document.Accelerators[i].Kind] = &c.Document.Accelerators[i]
--- a/relay/usage.go
+++ b/relay/usage.go
@@ -154,10 +154,7 @@
 
 // usageOf returns the load that all other entries have in progress on a
 // server.
-func (p *peerUsage) usageOf(now time.Time, id string) usage { return p.totals(now)[serverHash(id)] }
-
-// totals returns the load that all other entries have in progress, by hash.
-func (p *peerUsage) totals(now time.Time) map[uint64]usage {
+func (p *peerUsage) usageOf(now time.Time, id string) usage {
 	for name, e := range p.byEntry {
 		if now.Sub(e.receivedAt) > messageTTL && len(e.servers) > 0 {
 			e.servers = nil
@@ -168,7 +165,7 @@
 	if p.total == nil {
 		p.recomputeTotal()
 	}
-	return p.total
+	return p.total[serverHash(id)]
 }
 
 func (p *peerUsage) recomputeTotal() {
