--- a/admission/keepfree_test.go
+++ b/admission/keepfree_test.go
@@ -178,6 +178,7 @@
 		burst[rank] = 100
 		r := newReplay(24, 160)
 		r.run(5*time.Second, [ranks]float64{20, 20, 20})
+		r.asked, r.served = [ranks]float64{}, [ranks]float64{}
 		r.run(8*time.Second, burst)
 		r.check(t)
 	}
--- a/faultmatrix/faultmatrix.go
+++ b/faultmatrix/faultmatrix.go
@@ -58,6 +58,7 @@
 	AllEntriesRestarted
 	PlannedStop
 	ConfigurationChange
+	WrongDemand
 	faultCount
 )
 
@@ -67,7 +68,7 @@
 	"bytes that are no answer, without end or slowly", "a late second answer", "an answer without a length", "broken bytes",
 	"an answer is lost", "a server fails requests", "an address is used by another server", "the store comes back older",
 	"the store is away, slow, compacted or loses answers", "the client's link is in trouble", "an entry is cut off", "a process is paused",
-	"an entry restarts", "all entries restart", "a planned stop", "the configuration changes",
+	"an entry restarts", "all entries restart", "a planned stop", "the configuration changes", "another entry reports demand that it does not have",
 }
 
 // Cell says what plays a fault for a kind of request. Exactly one of its parts is set,
@@ -330,6 +331,16 @@
 		Order:       tests("TestStreamsLeaveEngineThatDropsLayers"),
 		OffPlatform: tests("TestSystem"),
 	},
+	WrongDemand: {
+		FirstStage:  tests("TestRoomIsKeptOnlyWhileNeeded", "TestStartedWorkOfOneEntryIsBounded"),
+		LaterStage:  never("paths leave room on all their engines alike; see the first engine"),
+		Idempotent:  never("room is kept for streams only"),
+		AtMostOnce:  never("room is kept for streams only"),
+		Keyed:       never("room is kept for streams only"),
+		Status:      never("a query needs no room"),
+		Order:       never("an order needs no room"),
+		OffPlatform: never("entries of the fleet do not report demand to each other"),
+	},
 }
 
 // String returns the cell as one line of text.
