demand: retries are kept by what all entries were denied

Change: reports state the work that was denied a retry; the retries' keeper takes the sums of all entries.

--- a/admission/keepfree.go
+++ b/admission/keepfree.go
@@ -36,12 +36,12 @@
 	}
 }
 
-// RetryKeepOptions returns the options of an entry for its own retries. They come back
-// after a long time, so more are kept, and no other entry need confirm what it lacks.
+// RetryKeepOptions returns the options of entries for their retries. More of these are
+// kept than of the room, because they come back after a long time.
 func RetryKeepOptions() KeepOptions {
-	const maxRetriesKept = 0.5
+	const maxRetriesKept, maxRetriesPerEntry = 0.5, 0.25
 	o := DefaultKeepOptions()
-	o.Max, o.MaxPerEntry = maxRetriesKept, maxRetriesKept
+	o.Max, o.MaxPerEntry = maxRetriesKept, maxRetriesPerEntry
 	return o
 }
 
--- a/admission/keepfree_test.go
+++ b/admission/keepfree_test.go
@@ -131,7 +131,7 @@
 			}
 		}
 		if r.now.UnixMilli()%decideInterval.Milliseconds() == 0 {
-			e.keeper.Update(r.now, e.book.Totals(r.now, 1, r.report(e)))
+			e.keeper.Update(r.now, e.book.Totals(r.now, 1, demand.Room, r.report(e)))
 		}
 	}
 }
--- a/demand/demand.go
+++ b/demand/demand.go
@@ -51,16 +51,31 @@
 // Load is the work of one urgency, in tokens.
 type Load struct {
 	Urgency int
-	// Waiting is the work of requests that wait for a path. Started and Refused are
-	// the work per second of requests that got a path or were refused for lack of one.
-	Waiting, Started, Refused float64
+	// Waiting is the work of requests that wait for a path. Started is the work per
+	// second of requests that have begun, Refused of those refused for lack of a path,
+	// and Denied of those refused for lack of a retry.
+	Waiting, Started, Refused, Denied float64
 }
 
-// unserved returns the work of the last second for which there was no room.
-func (l Load) unserved() float64 { return l.Waiting + l.Refused }
+// Resource is what requests may lack.
+type Resource int
+
+// The resources.
+const (
+	Room Resource = iota
+	Retries
+)
+
+// unserved returns the work of the last second that lacked a resource.
+func (l Load) unserved(r Resource) float64 {
+	if r == Retries {
+		return l.Denied
+	}
+	return l.Waiting + l.Refused
+}
 
 func (l Load) bounded() Load {
-	for _, v := range []*float64{&l.Waiting, &l.Started, &l.Refused} {
+	for _, v := range []*float64{&l.Waiting, &l.Started, &l.Refused, &l.Denied} {
 		*v = min(max(*v, 0), MaxTokens)
 	}
 	return l
@@ -76,7 +91,7 @@
 	for _, model := range r.Models() {
 		var loads []Load
 		for _, l := range r[model] {
-			if l = l.bounded(); l.Urgency >= 0 && l.Urgency <= MaxUrgency && (l.unserved() > 0 || l.Started > 0) {
+			if l = l.bounded(); l.Urgency >= 0 && l.Urgency <= MaxUrgency && l.Waiting+l.Started+l.Refused+l.Denied > 0 {
 				loads = append(loads, l)
 			}
 		}
@@ -143,16 +158,16 @@
 	}
 }
 
-// Totals adds up the loads of a model over this entry, whose own loads are given, and
+// Totals adds up what the loads of a model lack of a resource, over this entry, whose own loads are given, and
 // all others, by increasing urgency number. The started work that one other entry
 // reports counts at most as much as that of all the rest, so that one entry with wrong
 // figures cannot hide what the others lack.
-func (b *Book) Totals(now time.Time, model ModelID, own []Load) []Total {
+func (b *Book) Totals(now time.Time, model ModelID, lacking Resource, own []Load) []Total {
 	b.forgetSilent(now)
 	sums := map[int]*sum{}
-	addLoads(sums, own, true)
+	addLoads(sums, lacking, own, true)
 	for _, r := range b.reports {
-		addLoads(sums, r.report[model], false)
+		addLoads(sums, lacking, r.report[model], false)
 	}
 	totals := make([]Total, 0, len(sums))
 	for urgency, s := range sums {
@@ -169,7 +184,7 @@
 	entries, lacking int
 }
 
-func addLoads(sums map[int]*sum, loads []Load, own bool) {
+func addLoads(sums map[int]*sum, lacking Resource, loads []Load, own bool) {
 	for _, l := range loads {
 		s := sums[l.Urgency]
 		if s == nil {
@@ -177,9 +192,9 @@
 			sums[l.Urgency] = s
 		}
 		s.entries++
-		s.unserved += l.unserved()
+		s.unserved += l.unserved(lacking)
 		s.started += l.Started
-		if l.unserved() > 0 {
+		if l.unserved(lacking) > 0 {
 			s.lacking++
 		}
 		if !own {
--- a/demand/demand_test.go
+++ b/demand/demand_test.go
@@ -15,11 +15,11 @@
 func TestSilentEntryIsForgotten(t *testing.T) {
 	b := NewBook()
 	b.Observe(start, "a", Report{1: {{Urgency: 2, Waiting: 800}}})
-	assert.DeepEqual(t, b.Totals(start.Add(ReportTTL), 1, nil), []Total{{Urgency: 2, Unserved: 800, Entries: 1}})
-	assert.Equal(t, len(b.Totals(start.Add(ReportTTL+1), 1, nil)), 0)
+	assert.DeepEqual(t, b.Totals(start.Add(ReportTTL), 1, Room, nil), []Total{{Urgency: 2, Unserved: 800, Entries: 1}})
+	assert.Equal(t, len(b.Totals(start.Add(ReportTTL+1), 1, Room, nil)), 0)
 	b.Observe(start, "a", Report{1: {{Urgency: 2, Waiting: 800}}})
 	b.Observe(start, "a", nil)
-	assert.Equal(t, len(b.Totals(start, 1, nil)), 0)
+	assert.Equal(t, len(b.Totals(start, 1, Room, nil)), 0)
 }
 
 // Guards against an entry with wrong figures that hides what others lack.
@@ -28,7 +28,7 @@
 	for entry, started := range map[string]float64{"a": 100, "b": 200, "liar": math.Inf(1)} {
 		b.Observe(start, entry, Report{1: {{Started: started}}})
 	}
-	totals := b.Totals(start, 1, []Load{{Refused: 50, Started: 300}})
+	totals := b.Totals(start, 1, Room, []Load{{Refused: 50, Started: 300}})
 	assert.DeepEqual(t, totals, []Total{{Unserved: 50, Started: 1200, Entries: 1}})
 }
 
@@ -36,7 +36,7 @@
 func TestReportsAreBounded(t *testing.T) {
 	load := rapid.Custom(func(t *rapid.T) Load {
 		value := rapid.Float64Range(-10, 1e12)
-		return Load{rapid.IntRange(-3, 1<<30).Draw(t, "urgency"), value.Draw(t, "waiting"), value.Draw(t, "started"), value.Draw(t, "refused")}
+		return Load{rapid.IntRange(-3, 1<<30).Draw(t, "urgency"), value.Draw(t, "waiting"), value.Draw(t, "started"), value.Draw(t, "refused"), value.Draw(t, "denied")}
 	})
 	rapid.Check(t, func(t *rapid.T) {
 		report := Report(rapid.MapOfN(rapid.Custom(func(t *rapid.T) ModelID { return ModelID(rapid.Uint32().Draw(t, "model")) }), rapid.SliceOfN(load, 0, 20), 0, 30).Draw(t, "report"))
@@ -45,7 +45,7 @@
 		for _, loads := range bounded {
 			assert.Assert(t, len(loads) > 0 && len(loads) <= MaxUrgencies)
 			for _, l := range loads {
-				assert.Assert(t, l.Urgency >= 0 && l.Urgency <= MaxUrgency && min(l.Waiting, l.Started, l.Refused) >= 0 && max(l.Waiting, l.Started, l.Refused) <= MaxTokens)
+				assert.Assert(t, l.Urgency >= 0 && l.Urgency <= MaxUrgency && min(l.Waiting, l.Started, l.Refused, l.Denied) >= 0 && max(l.Waiting, l.Started, l.Refused, l.Denied) <= MaxTokens)
 			}
 		}
 	})
--- a/relay/demand.go
+++ b/relay/demand.go
@@ -43,45 +43,42 @@
 	overShare atomic.Pointer[map[string]bool]
 }
 
-// modelDemand is this entry's demand for a model: for room, which all entries share, in
-// tokens, and for retries, of which each entry has its own.
+// modelDemand is this entry's demand for a model.
 type modelDemand struct {
-	room, retries         *admission.Keeper
-	roomMeters, tryMeters demandMeters
+	room, retries *admission.Keeper
+	// meters measure tokens per second by urgency.
+	meters map[int]*demandMeter
 }
 
-// demandMeters measure by urgency what is granted and refused per second.
-type demandMeters map[int]*demandMeter
-
 type demandMeter struct {
-	granted, refused rateMeter
-}
-
-func (d demandMeters) add(now time.Time, urgency int, amount float64, granted bool) {
-	if d[urgency] == nil {
-		d[urgency] = &demandMeter{}
-	}
-	if granted {
-		d[urgency].granted.add(now, amount)
-	} else {
-		d[urgency].refused.add(now, amount)
-	}
+	started, refused, denied rateMeter
 }
 
-// loads returns what is measured, beside the loads that wait.
-func (d demandMeters) loads(now time.Time, waiting []demand.Load) []demand.Load {
+// loads returns what is measured, together with the loads that wait.
+func (m *modelDemand) loads(now time.Time, waiting []demand.Load) []demand.Load {
 	byUrgency := map[int]demand.Load{}
 	for _, l := range waiting {
 		byUrgency[l.Urgency] = l
 	}
-	for urgency, m := range d {
+	for urgency, meter := range m.meters {
 		l := byUrgency[urgency]
-		l.Urgency, l.Started, l.Refused = urgency, m.granted.value(now), m.refused.value(now)
+		l.Urgency, l.Started, l.Refused, l.Denied = urgency, meter.started.value(now), meter.refused.value(now), meter.denied.value(now)
 		byUrgency[urgency] = l
 	}
 	return slices.Collect(maps.Values(byUrgency))
 }
 
+// streamOutcome tells what became of a new stream.
+type streamOutcome int
+
+const (
+	// begun means that its answer has begun, noPath that it found no path in time, and
+	// noRetry that engines refused it and there was no retry left for it.
+	begun streamOutcome = iota
+	noPath
+	noRetry
+)
+
 func newDemandControl(e *Entry) *demandControl {
 	return &demandControl{Entry: e, book: demand.NewBook(), models: map[string]*modelDemand{}}
 }
@@ -118,25 +115,20 @@
 	d.overShare.Store(&over)
 }
 
-// updateModel decides how much room is kept for a model, and reports whether some of
-// its work found none.
+// updateModel decides how much is kept for a model, and reports whether some of its work
+// lacked room or retries.
 func (d *demandControl) updateModel(now time.Time, model string) (lacking bool) {
 	loads := d.loads(now, model)
 	d.mu.Lock()
-	m := d.model(model)
-	totals := d.book.Totals(now, demand.IDOf(model), loads)
-	changes := m.room.Update(now, totals)
-	retryChanges := m.retries.Update(now, demand.NewBook().Totals(now, 0, m.tryMeters.loads(now, nil)))
+	m, id := d.model(model), demand.IDOf(model)
+	room, retries := d.book.Totals(now, id, demand.Room, loads), d.book.Totals(now, id, demand.Retries, loads)
+	roomChanges, retryChanges := m.room.Update(now, room), m.retries.Update(now, retries)
 	d.mu.Unlock()
-	for _, c := range changes {
-		d.logChange(model, "room", c)
-	}
-	for _, c := range retryChanges {
-		d.logChange(model, "retries", c)
-	}
-	for _, t := range totals {
-		lacking = lacking || t.Unserved > 0
-		d.updateMetrics(model, t)
+	d.logChanges(model, "room", roomChanges)
+	d.logChanges(model, "retries", retryChanges)
+	for i, t := range room {
+		lacking = lacking || t.Unserved > 0 || retries[i].Unserved > 0
+		d.updateMetrics(model, t, retries[i].Unserved)
 	}
 	return lacking
 }
@@ -147,19 +139,19 @@
 	if m == nil {
 		m = &modelDemand{
 			room: admission.NewKeeper(admission.DefaultKeepOptions()), retries: admission.NewKeeper(admission.RetryKeepOptions()),
-			roomMeters: demandMeters{}, tryMeters: demandMeters{},
+			meters: map[int]*demandMeter{},
 		}
 		d.models[name] = m
 	}
 	return m
 }
 
-// loads returns this entry's own demand for room.
+// loads returns this entry's own demand.
 func (d *demandControl) loads(now time.Time, model string) []demand.Load {
 	waiting := d.waitRoom(model).summary(now.Add(-ordinaryWait), d.urgencyOf)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.model(model).roomMeters.loads(now, waiting)
+	return d.model(model).loads(now, waiting)
 }
 
 // summary returns the work that arrived before a time and still waits, by urgency.
@@ -205,18 +197,23 @@
 	return m.room.Fraction(urgency), m.retries.Fraction(urgency)
 }
 
-// recordRoom counts a stream of a number of tokens that has begun or found no path.
-func (d *demandControl) recordRoom(now time.Time, model string, urgency int, tokens float64, begun bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.model(model).roomMeters.add(now, urgency, tokens, begun)
-}
-
-// recordRetry counts a retry that was granted or denied.
-func (d *demandControl) recordRetry(now time.Time, model string, urgency int, granted bool) {
+// record counts a stream of a number of tokens.
+func (d *demandControl) record(now time.Time, model string, urgency int, tokens float64, outcome streamOutcome) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.model(model).tryMeters.add(now, urgency, 1, granted)
+	m := d.model(model)
+	if m.meters[urgency] == nil {
+		m.meters[urgency] = &demandMeter{}
+	}
+	meter := m.meters[urgency]
+	switch outcome {
+	case begun:
+		meter.started.add(now, tokens)
+	case noPath:
+		meter.refused.add(now, tokens)
+	case noRetry:
+		meter.denied.add(now, tokens)
+	}
 }
 
 func (q *request) urgency() int { return q.demand.urgencyOf(q.rank, q.team) }
@@ -230,34 +227,39 @@
 	return room
 }
 
-// recordDemand counts a new stream that has begun or found no path.
-func (s *streamRequest) recordDemand(begun bool) {
+// recordDemand counts what became of a new stream.
+func (s *streamRequest) recordDemand(outcome streamOutcome) {
 	if s.revision.ranked(s.target) {
 		req := s.pathRequest()
-		s.demand.recordRoom(time.Now(), s.target, s.urgency(), req.PromptTokens+req.AnswerTokens, begun)
+		s.demand.record(time.Now(), s.target, s.urgency(), req.PromptTokens+req.AnswerTokens, outcome)
 	}
 }
 
-// takeRetry takes a retry from the budget. A request that has sent nothing to its client
-// yet leaves some to more urgent ones.
+// takeRetry takes a retry from the budget. A stream that has not begun leaves some to
+// more urgent ones.
 func (q *request) takeRetry() bool {
 	budget, now := q.budget(q.target), time.Now()
 	if !q.firstByte.IsZero() || !q.revision.ranked(q.target) {
 		return budget.Take(now, false)
 	}
 	_, kept := q.demand.kept(q.target, q.urgency())
-	granted := budget.TakeLeaving(now, kept)
-	q.demand.recordRetry(now, q.target, q.urgency(), granted)
-	return granted
+	if budget.TakeLeaving(now, kept) {
+		return true
+	}
+	stream := &streamRequest{request: q}
+	stream.recordDemand(noRetry)
+	return false
 }
 
-func (d *demandControl) logChange(model, kept string, c admission.KeepChange) {
-	event := logevent.RoomKept
-	if c.Fraction <= 0 {
-		event = logevent.RoomReleased
+func (d *demandControl) logChanges(model, kept string, changes []admission.KeepChange) {
+	for _, c := range changes {
+		event := logevent.RoomKept
+		if c.Fraction <= 0 {
+			event = logevent.RoomReleased
+		}
+		logevent.Write(d.logger, event).Str("model", model).Str("kept", kept).Str("urgency", urgencyName(c.Urgency)).
+			Float64("fraction", c.Fraction).Float64("unserved", c.Unserved).Float64("started", c.Started).Int("entries", c.Entries).Msg("")
 	}
-	logevent.Write(d.logger, event).Str("model", model).Str("kept", kept).Str("urgency", urgencyName(c.Urgency)).Float64("fraction", c.Fraction).
-		Float64("unserved", c.Unserved).Float64("started", c.Started).Int("entries", c.Entries).Msg("")
 }
 
 // urgencyName names an urgency in logs and metrics.
@@ -268,7 +270,7 @@
 	return strconv.Itoa(urgency)
 }
 
-func (d *demandControl) updateMetrics(model string, t demand.Total) {
+func (d *demandControl) updateMetrics(model string, t demand.Total, denied float64) {
 	gauge := func(name string, value float64) {
 		name = "relay.demand_" + name + "." + model + "." + urgencyName(t.Urgency)
 		metrics.GetOrRegisterGaugeFloat64(name, d.requestMetrics.registry).Update(value)
@@ -277,6 +279,7 @@
 	gauge("room_kept", room)
 	gauge("retries_kept", retries)
 	gauge("unserved", t.Unserved)
+	gauge("denied", denied)
 	gauge("started", t.Started)
 }
 
--- a/relay/demand_test.go
+++ b/relay/demand_test.go
@@ -74,19 +74,19 @@
 // deployments with one rank.
 func TestMessagesOfVersion5StayTheSame(t *testing.T) {
 	one := newRankedEntry(t, 1, 1)
-	one.demand.recordRoom(time.Now(), "llm", 2, 800, true)
+	one.demand.record(time.Now(), "llm", 2, 800, begun)
 	m := one.message(1)
 	assert.Equal(t, len(m.demand), 0)
 	assert.DeepEqual(t, m.encode(demandVersion), m.encode(messageVersion))
 
 	two := newRankedEntry(t, 0, 1)
-	two.demand.recordRoom(time.Now(), "llm", 0, 800, true)
-	two.demand.recordRoom(time.Now(), "llm", 2, 800, true)
+	two.demand.record(time.Now(), "llm", 0, 800, begun)
+	two.demand.record(time.Now(), "llm", 2, 800, begun)
 	m = two.message(1)
 	state := m.encode(messageVersion)
 	assert.Equal(t, state[0], byte(messageVersion))
 	// 6 bytes for the model, and a few for each rank in use.
-	const modelBytes, rankBytes = 6, 6
+	const modelBytes, rankBytes = 6, 7
 	assert.Assert(t, len(m.encode(demandVersion)) <= len(state)+modelBytes+2*rankBytes)
 
 	two.applyEntry(Record{Key: "old", Value: []byte(`{"address":"127.0.0.1:1","zone":"a"}`)})
@@ -109,7 +109,7 @@
 	e.fleet.reserve(held)
 	e.demand.update(now)
 	assert.Equal(t, e.demand.urgencyOf(0, "large"), e.demand.urgencyOf(0, "a"), "nothing lacks room")
-	e.demand.recordRoom(now, "llm", 0, 800, false)
+	e.demand.record(now, "llm", 0, 800, noPath)
 	e.demand.update(now)
 	assert.Assert(t, e.demand.urgencyOf(0, "large") > e.demand.urgencyOf(0, "a"))
 	assert.Assert(t, e.demand.urgencyOf(0, "large") < e.demand.urgencyOf(1, "a"))
@@ -121,7 +121,7 @@
 func TestRetriesAreKeptForUrgentStreams(t *testing.T) {
 	e := newRankedEntry(t, 0, 1)
 	now := time.Now()
-	urgent := &request{Entry: e.Entry, revision: e.current.Load(), target: "llm"}
+	urgent := &request{Entry: e.Entry, revision: e.current.Load(), target: "llm", info: RequestInfo{PromptTokens: 800}}
 	later := *urgent
 	later.rank = 1
 	budget := e.budget("llm")
--- a/relay/fuzz_test.go
+++ b/relay/fuzz_test.go
@@ -97,7 +97,7 @@
 		m, err := decodeMessage(data)
 		for _, loads := range m.demand {
 			for _, l := range loads {
-				if err != nil || min(l.Waiting, l.Started, l.Refused) < 0 || max(l.Waiting, l.Started, l.Refused) > demand.MaxTokens || len(loads) > demand.MaxUrgencies {
+				if err != nil || min(l.Waiting, l.Started, l.Refused, l.Denied) < 0 || max(l.Waiting, l.Started, l.Refused, l.Denied) > demand.MaxTokens || len(loads) > demand.MaxUrgencies {
 					t.Fatalf("took %+v, %v", l, err)
 				}
 			}
--- a/relay/message.go
+++ b/relay/message.go
@@ -131,7 +131,7 @@
 		out = binary.AppendUvarint(out, uint64(len(report[model])))
 		for _, l := range report[model] {
 			out = binary.AppendUvarint(out, uint64(l.Urgency))
-			for _, tokens := range []float64{l.Waiting, l.Started, l.Refused} {
+			for _, tokens := range []float64{l.Waiting, l.Started, l.Refused, l.Denied} {
 				out = binary.AppendUvarint(out, uint64(math.Round(tokens/demandUnit)))
 			}
 		}
@@ -272,7 +272,8 @@
 		r.failed = r.failed || urgencies > demand.MaxUrgencies
 		for ; urgencies > 0 && !r.failed; urgencies-- {
 			report[model] = append(report[model], demand.Load{
-				Urgency: int(min(r.uvarint(), demand.MaxUrgency)), Waiting: r.demandTokens(), Started: r.demandTokens(), Refused: r.demandTokens(),
+				Urgency: int(min(r.uvarint(), demand.MaxUrgency)), Waiting: r.demandTokens(), Started: r.demandTokens(),
+				Refused: r.demandTokens(), Denied: r.demandTokens(),
 			})
 		}
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -101,7 +101,7 @@
 		return
 	}
 	if !s.headerSent {
-		s.recordDemand(false)
+		s.recordDemand(noPath)
 	}
 	waiting, expected := s.waitRoom(s.target).state(time.Now())
 	s.cause, s.waiting, s.expectedWait = err.Error(), waiting, expected
@@ -363,7 +363,7 @@
 		return
 	}
 	s.headerSent, s.firstByte, s.status = true, time.Now(), x.response.StatusCode
-	s.recordDemand(true)
+	s.recordDemand(begun)
 	s.copyHeader(x)
 	s.w.WriteHeader(x.response.StatusCode)
 }
--- a/relay/usage_test.go
+++ b/relay/usage_test.go
@@ -75,7 +75,7 @@
 	}
 	for model := range rapid.IntRange(0, demand.MaxModels).Draw(t, "models") {
 		for urgency := range rapid.IntRange(0, demand.MaxUrgencies).Draw(t, "urgencies") {
-			l := demand.Load{Urgency: urgency, Waiting: tokens("waiting"), Started: tokens("started"), Refused: tokens("refused")}
+			l := demand.Load{Urgency: urgency, Waiting: tokens("waiting"), Started: tokens("started"), Refused: tokens("refused"), Denied: tokens("denied")}
 			r[demand.ModelID(model)] = append(r[demand.ModelID(model)], l)
 		}
 	}
