relay: the route's rank orders requests of teams of one rank

Change: a request's rank is the place of the pair (team's rank, route's rank) among the pairs of the configuration. The team's rank still comes first.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -46,8 +46,8 @@
 	Revision int64
 	Document *config.Document
 	Limits   Limits
-	// TeamRanks are the ranks of teams that state one, which take precedence over
-	// those of routes.
+	// TeamRanks are the ranks of teams that state one. They take precedence over those
+	// of routes, which order the requests of teams of one rank.
 	TeamRanks map[string]int
 }
 
--- a/relay/request.go
+++ b/relay/request.go
@@ -25,7 +25,8 @@
 	revision *revision
 	route    *config.Route
 	team     string
-	// teamWeight and rank order the request under load; rank 0 is served first.
+	// teamWeight and rank order the request under load; rank 0, of rankOrder, is
+	// served first.
 	teamWeight float64
 	rank       int
 	target     string
@@ -130,12 +131,9 @@
 	if team == nil && !q.route.Anonymous {
 		return problem.NotExecuted(problem.Unauthorized, "the key is not known")
 	}
-	q.rank = q.route.Rank
+	q.rank = rev.rank(q.route, team)
 	if team != nil {
 		q.team, q.teamWeight = team.Name, team.Weight
-		if rank, stated := rev.TeamRanks[team.Name]; stated {
-			q.rank = rank
-		}
 	}
 	if p := q.blockedPrompt(); p != nil {
 		return p
--- a/relay/revision.go
+++ b/relay/revision.go
@@ -14,6 +14,7 @@
 	models       map[string]*config.Model
 	accelerators map[string]*config.Accelerator
 	finders      map[string]*pipeline.Pathfinder
+	ranks        rankOrder
 	// links are keyed by the two zones that they connect.
 	links map[[2]string]pipeline.RelayLink
 }
@@ -26,6 +27,7 @@
 		models:        map[string]*config.Model{},
 		accelerators:  map[string]*config.Accelerator{},
 		finders:       map[string]*pipeline.Pathfinder{},
+		ranks:         newRankOrder(c.Document, c.TeamRanks),
 	}
 	for i := range c.Document.Accelerators {
 		r.accelerators[c.Document.Accelerators[i].Kind] = &c.Document.Accelerators[i]
