admission, relay: streams wait and are refused by what callers lose

Cause: WaitQueue knew rank, team and arrival only. All streams waited 200 ms whatever their target, and the newest of the longest flow was refused. Change: a waiting request states its target, the time its client leaves and its work. Order: ranks, teams and sizes served less than callers' least share, then rank, then a turn that is later the more work a request needs and its team has. A wait is half of the time to the target. A request that cannot start in time is refused at arrival or at a pass. Retry-After follows the rank's expected wait and the work refused a while ago. The aging of a rank takes a second instead of 250 ms, so that ranks hold among requests that can be on time; the least shares guard against starvation instead (TestOrderCostsCallersLeast).

--- /dev/null
+++ b/admission/served.go
@@ -0,0 +1,140 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+// Least shares that callers require a group of requests to be served: relative to the
+// share of all requests, and for sizes to that of their rank. The requests of a
+// group below it go before all others.
+const (
+	minRankShare = 0.25
+	minTeamShare = 0.25
+	minSizeShare = 0.5
+)
+
+const (
+	// minOutcomes is the number of requests after which a group's share is judged.
+	minOutcomes = 3
+	// maxSizeClass is the class of the largest requests.
+	maxSizeClass = 2
+	// forgottenOutcomes is the number below which a group is forgotten.
+	forgottenOutcomes = 0.05
+)
+
+// outcomeCount counts started and refused requests; older ones count less.
+type outcomeCount struct{ started, refused rateEstimator }
+
+func newOutcomeCount(window time.Duration) *outcomeCount {
+	return &outcomeCount{started: rateEstimator{window: window}, refused: rateEstimator{window: window}}
+}
+
+func (c *outcomeCount) add(now time.Time, started bool) {
+	if started {
+		c.started.add(now, 1)
+	} else {
+		c.refused.add(now, 1)
+	}
+}
+
+// total returns the number of outcomes within the window.
+func (c *outcomeCount) total(now time.Time) float64 {
+	return (c.started.at(now) + c.refused.at(now)) * c.started.window.Seconds()
+}
+
+// share returns the fraction of requests that were started.
+func (c *outcomeCount) share(now time.Time) float64 {
+	started, refused := c.started.at(now), c.refused.at(now)
+	if started+refused == 0 {
+		return 1
+	}
+	return started / (started + refused)
+}
+
+// sizeGroup is a class of requests of a rank by their work.
+type sizeGroup struct{ rank, class int }
+
+// servedShares tells which groups of requests are served much less often than
+// all. It answers a long burst in which the order alone would never serve the
+// least urgent rank, one team or the largest requests.
+type servedShares struct {
+	window time.Duration
+	all    *outcomeCount
+	ranks  map[int]*outcomeCount
+	teams  map[string]*outcomeCount
+	sizes  map[sizeGroup]*outcomeCount
+	// meanWork is the mean work of the requests of a rank.
+	meanWork map[int]*ewma
+}
+
+func newServedShares(window time.Duration) *servedShares {
+	return &servedShares{
+		window: window, all: newOutcomeCount(window), ranks: map[int]*outcomeCount{}, teams: map[string]*outcomeCount{},
+		sizes: map[sizeGroup]*outcomeCount{}, meanWork: map[int]*ewma{},
+	}
+}
+
+// observe records the work of a request that arrives.
+func (s *servedShares) observe(w *Waiting) {
+	if s.meanWork[w.Rank] == nil {
+		s.meanWork[w.Rank] = &ewma{}
+	}
+	s.meanWork[w.Rank].add(w.work())
+}
+
+// record records that a request was started or refused.
+func (s *servedShares) record(now time.Time, w *Waiting, started bool) {
+	s.all.add(now, started)
+	groupCount(s.ranks, w.Rank, s.window).add(now, started)
+	groupCount(s.teams, w.Team, s.window).add(now, started)
+	groupCount(s.sizes, s.sizeGroup(w), s.window).add(now, started)
+}
+
+func groupCount[K comparable](groups map[K]*outcomeCount, key K, window time.Duration) *outcomeCount {
+	if groups[key] == nil {
+		groups[key] = newOutcomeCount(window)
+	}
+	return groups[key]
+}
+
+// relativeWork returns a request's work relative to the mean of its rank.
+func (s *servedShares) relativeWork(w *Waiting) float64 {
+	mean := s.meanWork[w.Rank]
+	if mean == nil {
+		return 1
+	}
+	return w.work() / mean.valueOr(w.work())
+}
+
+func (s *servedShares) sizeGroup(w *Waiting) sizeGroup {
+	return sizeGroup{w.Rank, int(math.Min(s.relativeWork(w), maxSizeClass))}
+}
+
+// behind reports whether the rank, the team or the size of a request is served much
+// less often than others.
+func (s *servedShares) behind(now time.Time, w *Waiting) bool {
+	share := s.all.share(now)
+	rank := s.ranks[w.Rank]
+	return isBehind(now, rank, minRankShare*share) || isBehind(now, s.teams[w.Team], minTeamShare*share) ||
+		rank != nil && isBehind(now, s.sizes[s.sizeGroup(w)], minSizeShare*rank.share(now))
+}
+
+func isBehind(now time.Time, c *outcomeCount, share float64) bool {
+	return c != nil && c.total(now) >= minOutcomes && c.share(now) < share
+}
+
+// forgetOld removes the groups without a recent request.
+func (s *servedShares) forgetOld(now time.Time) {
+	forgetOldGroups(now, s.ranks)
+	forgetOldGroups(now, s.teams)
+	forgetOldGroups(now, s.sizes)
+}
+
+func forgetOldGroups[K comparable](now time.Time, groups map[K]*outcomeCount) {
+	for key, c := range groups {
+		if c.total(now) < forgottenOutcomes {
+			delete(groups, key)
+		}
+	}
+}
--- a/admission/wait.go
+++ b/admission/wait.go
@@ -2,7 +2,7 @@
 
 import (
 	"cmp"
-	"container/heap"
+	"math"
 	"slices"
 	"time"
 )
@@ -16,18 +16,99 @@
 	Weight float64
 	// Rank orders requests under load; 0 is served first.
 	Rank int
-	// Arrived is when the request arrived, and GiveUpAt the latest useful time to
-	// start it.
-	Arrived, GiveUpAt time.Time
+	// Arrived is when the request arrived, Target when its first event is due, and
+	// Deadline when its client leaves or its time is over.
+	Arrived, Target, Deadline time.Time
+	// Work is the expected number of tokens of the prompt and the answer; values of 0
+	// or less count as 1.
+	Work float64
+}
+
+const (
+	// targetFraction is the fraction of the time to the target that a request may
+	// wait. The rest is for the engines, which have to read the prompt.
+	targetFraction = 0.5
+	// deadlineFraction is the fraction of the client's time that a request may wait.
+	deadlineFraction = 1.0 / 3
+	// sizeDelay and teamDelay order the requests of a rank: a request of mean size, and
+	// one of a team with the mean work in progress, give way to requests that arrive
+	// later by these fractions of the longest wait. Both grow with the size and
+	// the team's work.
+	sizeDelay = 0.5
+	teamDelay = 0.5
+	// clearlyTooLong is the expected wait, as a multiple of the time that is left, at
+	// which a waiting request is refused. The rate at which requests start varies.
+	clearlyTooLong = 2.0
+	// minStartRate, in requests per second, keeps expected waits finite while nothing
+	// starts.
+	minStartRate = 0.1
+)
+
+// StartBy returns the latest useful time to start the request: a later answer would
+// be late, and its client gains more by a refusal that says when to return.
+func (w *Waiting) StartBy() time.Time {
+	limit := time.Duration(deadlineFraction * float64(w.Deadline.Sub(w.Arrived)))
+	return w.Arrived.Add(min(limit, time.Duration(targetFraction*float64(w.Target.Sub(w.Arrived)))))
+}
+
+func (w *Waiting) work() float64 {
+	if w.Work <= 0 {
+		return 1
+	}
+	return w.Work
+}
+
+func (w *Waiting) weight() float64 {
+	if w.Weight <= 0 {
+		return 1
+	}
+	return w.Weight
+}
+
+// RefusalReason tells why a request that waited was refused.
+type RefusalReason int
+
+// The reasons for a refusal.
+const (
+	// QueueFull means that as many requests wait as may while it is unknown how fast they start.
+	QueueFull RefusalReason = iota + 1
+	// WaitTooLong means that the requests before it take too long to start.
+	WaitTooLong
+	// WaitOver means that its latest useful start has passed.
+	WaitOver
+)
+
+// String returns the reason in words.
+func (r RefusalReason) String() string {
+	switch r {
+	case QueueFull:
+		return "the queue is full"
+	case WaitTooLong:
+		return "the requests before it take too long to start"
+	case WaitOver:
+		return "no capacity was found in time"
+	default:
+		return "none"
+	}
+}
+
+// Refusal is a request that is refused and what decided it.
+type Refusal struct {
+	*Waiting
+	Reason RefusalReason
+	// Ahead is the number of requests that would have gone before it, and Expected the
+	// time that these were expected to take to start.
+	Ahead    int
+	Expected time.Duration
 }
 
 // WaitOptions configure a WaitQueue.
 type WaitOptions struct {
-	// AgingInterval is the wait after which a request counts as one rank higher, so
-	// that requests of low rank are not starved.
+	// AgingInterval is the wait after which a request counts as one rank higher.
 	AgingInterval time.Duration
-	// RateWindow is the time constant of the rate at which requests are started.
-	RateWindow time.Duration
+	// RateWindow is the time constant of the rate at which requests are started, and
+	// ShareWindow that of the shares of requests that are served.
+	RateWindow, ShareWindow time.Duration
 	// MinQueue is the number of requests that may always wait, and UnknownRateQueue
 	// the number that may wait until requests have waited for a RateWindow: the rate
 	// at which requests start, and so the time that the queue takes, is unknown
@@ -39,157 +120,318 @@
 
 // DefaultWaitOptions returns the options of entries.
 func DefaultWaitOptions() WaitOptions {
-	return WaitOptions{AgingInterval: 250 * time.Millisecond, RateWindow: time.Second, MinQueue: 4, UnknownRateQueue: 64, MaxQueue: 10000}
+	return WaitOptions{
+		AgingInterval: time.Second, RateWindow: time.Second, ShareWindow: 10 * time.Second,
+		MinQueue: 4, UnknownRateQueue: 64, MaxQueue: 10000,
+	}
 }
 
 // WaitQueue orders requests when it is not known in advance which of them the
 // capacity suffices for, because that depends on the request: the caller tries
 // the requests in the order of Candidates.
 //
-// It answers the flood of one team and the loss of a part of the capacity. Ranks
-// come first, then the team with the least work in progress for its weight, then
-// the earliest arrival. A request is refused on arrival if the queue is longer
-// than what starts until the request gives up, and a flooding team is refused
-// before the others. It performs no I/O, reads no clock and is not safe for
-// concurrent use.
+// It answers more requests than capacity: a burst of one kind, of one team or of
+// all, the loss of a part of the capacity, clients that return together, and
+// requests of unlike size. What is delayed or refused is what costs callers least:
+// ranks come first, then the team with the least work in progress for its weight,
+// then the earliest arrival, where a small request may pass a large one. Ranks, teams
+// and sizes that are served much less often than all go before others. A request
+// is refused as soon as it is known that it cannot start in time. WaitQueue
+// performs no I/O, reads no clock and is not safe for concurrent use.
 type WaitQueue struct {
 	options WaitOptions
 	items   map[string]*Waiting
-	flows   map[flowKey]*waitFlow
-	order   flowHeap
-	started rateEstimator
+	// order holds the requests in the order in which they are tried, as of the latest
+	// Refresh.
+	order []*queued
+	flows map[flowKey]*waitFlow
+	// started and startedWork are the rates at which requests and their work start,
+	// and refusedWork the rate at which work is refused.
+	started, startedWork, refusedWork rateEstimator
+	meanWork                          ewma
+	shares                            *servedShares
 	// busySince is when the first of the requests that wait now began to wait.
 	busySince time.Time
 }
 
+// queued is a waiting request with what orders it.
+type queued struct {
+	*Waiting
+	flow *waitFlow
+	// currentRank is the rank, which rises while the request waits and is raised above
+	// all others while the rank is served much less often than all.
+	currentRank int
+	// behind is set if the team or the size is served much less often than others.
+	behind bool
+	// level is the work of the request's team, in progress or before it in the queue,
+	// for the team's weight.
+	level float64
+	// sizeTurn is the arrival, and later the more work the request needs; turn is also
+	// later the more work its team has.
+	sizeTurn, turn time.Time
+}
+
 type flowKey struct {
 	team string
 	rank int
 }
 
-// waitFlow holds the waiting requests of a team and a rank in order of arrival.
+// waitFlow is what a team has of a rank.
 type waitFlow struct {
 	flowKey
 	weight float64
-	queue  []*Waiting
-	// level is the team's work in progress for its weight.
-	level float64
-	index int
+	// inProgress is the team's work in progress, and waiting the work of its requests
+	// that wait.
+	inProgress, waiting float64
+	length              int
 }
 
 // NewWaitQueue returns an empty queue.
 func NewWaitQueue(o WaitOptions) *WaitQueue {
 	return &WaitQueue{
-		options: o, items: map[string]*Waiting{}, flows: map[flowKey]*waitFlow{}, started: rateEstimator{window: o.RateWindow},
+		options: o, items: map[string]*Waiting{}, flows: map[flowKey]*waitFlow{}, shares: newServedShares(o.ShareWindow),
+		started: rateEstimator{window: o.RateWindow}, startedWork: rateEstimator{window: o.RateWindow},
+		refusedWork: rateEstimator{window: o.RateWindow},
 	}
 }
 
 // Len returns the number of waiting requests.
 func (q *WaitQueue) Len() int { return len(q.items) }
 
-// Add adds a request. If the queue is too long, it refuses one request, the new
-// one or another, and returns it.
-func (q *WaitQueue) Add(now time.Time, w *Waiting) (refused *Waiting) {
+// Add adds a request. If it cannot start in time, it is refused; if the queue is
+// too long, the last one is.
+func (q *WaitQueue) Add(now time.Time, w *Waiting) *Refusal {
 	if q.items[w.ID] != nil {
-		return w
+		return &Refusal{Waiting: w, Reason: QueueFull}
 	}
 	if len(q.items) == 0 {
 		q.busySince = now
 	}
-	q.items[w.ID] = w
-	f := q.enqueue(w)
-	if len(q.items) <= q.limit(now, w) {
+	q.shares.observe(w)
+	q.meanWork.add(w.work())
+	at := q.insert(now, w)
+	if refusal := q.judgeArrival(now, at); refusal != nil {
+		return q.refuse(now, refusal)
+	}
+	if last := len(q.order) - 1; len(q.order) > q.maxLength(now) {
+		return q.refuse(now, q.refusal(now, last, QueueFull))
+	}
+	return nil
+}
+
+// judgeArrival refuses the new request at an index if it cannot start in time.
+func (q *WaitQueue) judgeArrival(now time.Time, at int) *Refusal {
+	if q.rateUnknown(now) || at < q.options.MinQueue || q.isFirstOfRank(at) {
 		return nil
 	}
-	longest := q.longest(f)
-	refused = longest.queue[len(longest.queue)-1]
-	q.Remove(refused.ID)
-	return refused
-}
-
-// limit returns how many requests may wait: as many as are expected to start until
-// the new one gives up.
-func (q *WaitQueue) limit(now time.Time, w *Waiting) int {
-	least := q.options.MinQueue
-	if now.Sub(q.busySince) < q.options.RateWindow {
-		least = q.options.UnknownRateQueue
+	refusal := q.refusal(now, at, WaitTooLong)
+	if now.Add(refusal.Expected).After(refusal.StartBy()) {
+		return refusal
 	}
-	expected := int(q.started.at(now) * w.GiveUpAt.Sub(now).Seconds())
-	return min(max(expected, least), q.options.MaxQueue)
-}
-
-// longest returns the flow that loses a request when the queue is too long: one of
-// the lowest rank, and among these the longest one for its weight. The new
-// request's flow is preferred among equals.
-func (q *WaitQueue) longest(added *waitFlow) *waitFlow {
-	worst := added
-	for _, f := range q.order.flowList {
-		if f.rank > worst.rank || f.rank == worst.rank && f.length() > worst.length() {
-			worst = f
-		}
+	return nil
+}
+
+// rateUnknown reports whether the requests have not waited long enough to tell how
+// fast they start.
+func (q *WaitQueue) rateUnknown(now time.Time) bool {
+	return now.Sub(q.busySince) < q.options.RateWindow
+}
+
+func (q *WaitQueue) maxLength(now time.Time) int {
+	if q.rateUnknown(now) {
+		expected := int(q.started.at(now) * q.options.RateWindow.Seconds())
+		return min(max(expected, q.options.UnknownRateQueue), q.options.MaxQueue)
 	}
-	return worst
+	return q.options.MaxQueue
 }
 
-func (f *waitFlow) length() float64 { return float64(len(f.queue)) / f.weight }
+// isFirstOfRank reports whether no request of the rank of the one at an index goes
+// before it. Such a one stays: a rank from which nothing is tried cannot be
+// served its least share.
+func (q *WaitQueue) isFirstOfRank(at int) bool {
+	return !slices.ContainsFunc(q.order[:at], func(other *queued) bool { return other.Rank == q.order[at].Rank })
+}
+
+// refusal describes the refusal of the request at an index.
+func (q *WaitQueue) refusal(now time.Time, at int, reason RefusalReason) *Refusal {
+	ahead := 0.0
+	for _, other := range q.order[:at] {
+		ahead += other.work()
+	}
+	return &Refusal{Waiting: q.order[at].Waiting, Reason: reason, Ahead: at, Expected: q.timeToStart(now, ahead)}
+}
+
+func (q *WaitQueue) refuse(now time.Time, r *Refusal) *Refusal {
+	q.shares.record(now, r.Waiting, false)
+	q.refusedWork.add(now, r.work())
+	q.Remove(r.ID)
+	return r
+}
 
-// enqueue appends a request to its flow.
-func (q *WaitQueue) enqueue(w *Waiting) *waitFlow {
+// insert adds a request behind those of its team and rank and returns its index.
+func (q *WaitQueue) insert(now time.Time, w *Waiting) int {
 	key := flowKey{w.Team, w.Rank}
 	f := q.flows[key]
-	if f != nil {
-		f.queue = append(f.queue, w)
-		return f
+	if f == nil {
+		f = &waitFlow{flowKey: key, weight: w.weight()}
+		q.flows[key] = f
+	}
+	item := q.evaluate(now, &queued{Waiting: w, flow: f})
+	f.waiting += w.work()
+	f.length++
+	item.setLevel((f.inProgress+f.waiting-w.work())/f.weight, q.meanLevel())
+	q.items[w.ID] = w
+	at, _ := slices.BinarySearchFunc(q.order, item, compareQueued)
+	q.order = slices.Insert(q.order, at, item)
+	return at
+}
+
+// evaluate updates what orders a request beside its team's work.
+func (q *WaitQueue) evaluate(now time.Time, item *queued) *queued {
+	item.currentRank = q.currentRank(now, item.Waiting)
+	item.sizeTurn = item.Arrived.Add(item.delay(sizeDelay * q.shares.relativeWork(item.Waiting)))
+	return item
+}
+
+// setLevel sets the work of the request's team and, with the mean of all teams that
+// wait, its turn.
+func (item *queued) setLevel(level, mean float64) {
+	item.level, item.turn = level, item.sizeTurn
+	if mean > 0 {
+		item.turn = item.sizeTurn.Add(item.delay(teamDelay * level / mean))
+	}
+}
+
+// delay returns a number of longest waits, at most one.
+func (item *queued) delay(waits float64) time.Duration {
+	return time.Duration(math.Min(waits, 1) * float64(item.StartBy().Sub(item.Arrived)))
+}
+
+func (q *WaitQueue) currentRank(now time.Time, w *Waiting) int {
+	if q.shares.behind(now, w) {
+		return raisedRank
 	}
-	f = &waitFlow{flowKey: key, weight: w.Weight, queue: []*Waiting{w}}
-	if f.weight <= 0 {
-		f.weight = 1
+	if q.options.AgingInterval <= 0 {
+		return w.Rank
 	}
-	q.flows[key] = f
-	heap.Push(&q.order, f)
-	return f
+	return max(w.Rank-int(now.Sub(w.Arrived)/q.options.AgingInterval), 0)
+}
+
+// raisedRank is before all ranks.
+const raisedRank = -1
+
+// compareQueued orders the requests.
+func compareQueued(a, b *queued) int {
+	return cmp.Or(
+		cmp.Compare(a.currentRank, b.currentRank), a.turn.Compare(b.turn),
+		cmp.Compare(a.level, b.level), a.sizeTurn.Compare(b.sizeTurn), cmp.Compare(a.Team, b.Team), cmp.Compare(a.ID, b.ID),
+	)
+}
+
+// compareInFlow orders the requests of a team and rank.
+func compareInFlow(a, b *queued) int {
+	return cmp.Or(cmp.Compare(a.currentRank, b.currentRank), a.sizeTurn.Compare(b.sizeTurn), cmp.Compare(a.ID, b.ID))
 }
 
-// Refresh updates the order with each team's work in progress, in any unit.
+// Refresh updates the order with each team's work in progress, in the unit of
+// Waiting.Work.
 func (q *WaitQueue) Refresh(now time.Time, inProgress func(team string) float64) {
-	for _, f := range q.order.flowList {
-		f.level = inProgress(f.team) / f.weight
+	for _, f := range q.flows {
+		f.inProgress, f.waiting = inProgress(f.team), 0
+	}
+	for _, item := range q.order {
+		q.evaluate(now, item)
+	}
+	slices.SortFunc(q.order, compareInFlow)
+	for _, item := range q.order {
+		item.level = (item.flow.inProgress + item.flow.waiting) / item.flow.weight
+		item.flow.waiting += item.work()
 	}
-	q.order.now, q.order.aging = now, q.options.AgingInterval
-	heap.Init(&q.order)
+	mean := q.meanLevel()
+	for _, item := range q.order {
+		item.setLevel(item.level, mean)
+	}
+	slices.SortFunc(q.order, compareQueued)
+	q.shares.forgetOld(now)
+}
+
+// meanLevel returns the mean work, in progress and waiting, of the teams that wait.
+func (q *WaitQueue) meanLevel() float64 {
+	sum := 0.0
+	for _, f := range q.flows {
+		sum += (f.inProgress + f.waiting) / f.weight
+	}
+	return sum / float64(max(len(q.flows), 1))
 }
 
 // Candidates returns the next requests to start, at most n and one of each team
 // and rank.
 func (q *WaitQueue) Candidates(n int) []*Waiting {
+	candidates := make([]*Waiting, 0, n)
 	flows := make([]*waitFlow, 0, n)
-	for len(flows) < n && q.order.Len() > 0 {
-		if f, ok := heap.Pop(&q.order).(*waitFlow); ok {
-			flows = append(flows, f)
+	for _, item := range q.order {
+		if len(candidates) == n {
+			break
+		}
+		if !slices.Contains(flows, item.flow) {
+			flows = append(flows, item.flow)
+			candidates = append(candidates, item.Waiting)
 		}
-	}
-	candidates := make([]*Waiting, 0, len(flows))
-	for _, f := range flows {
-		candidates = append(candidates, f.queue[0])
-		heap.Push(&q.order, f)
 	}
 	return candidates
 }
 
+// RefuseHopeless removes the requests whose latest useful start has passed, or that
+// clearly cannot start by then, and returns them. It is called after Refresh.
+func (q *WaitQueue) RefuseHopeless(now time.Time) []*Refusal {
+	var refusals []*Refusal
+	ahead, kept := 0.0, 0
+	ranks := map[int]bool{}
+	for _, item := range slices.Clone(q.order) {
+		expected := q.timeToStart(now, ahead)
+		left := item.StartBy().Sub(now)
+		mayStay := kept < q.options.MinQueue || !ranks[item.Rank] || q.rateUnknown(now)
+		reason := RefusalReason(0)
+		switch {
+		case left <= 0:
+			reason = WaitOver
+		case !mayStay && expected.Seconds() > clearlyTooLong*left.Seconds():
+			reason = WaitTooLong
+		}
+		if reason != 0 {
+			refusals = append(refusals, q.refuse(now, &Refusal{Waiting: item.Waiting, Reason: reason, Ahead: kept, Expected: expected}))
+			continue
+		}
+		ranks[item.Rank] = true
+		ahead += item.work()
+		kept++
+	}
+	return refusals
+}
+
 // StartedAtOnce records that a request has started without waiting. When a queue
 // begins, the rate of these tells how long it will take.
-func (q *WaitQueue) StartedAtOnce(now time.Time) { q.started.add(now, 1) }
+func (q *WaitQueue) StartedAtOnce(now time.Time, w *Waiting) {
+	q.shares.observe(w)
+	q.meanWork.add(w.work())
+	q.recordStart(now, w)
+}
 
-// Started removes a request that has started. Its cost, in the unit of Refresh, is
-// added to the team's work in progress.
-func (q *WaitQueue) Started(now time.Time, id string, cost float64) {
+func (q *WaitQueue) recordStart(now time.Time, w *Waiting) {
+	q.started.add(now, 1)
+	q.startedWork.add(now, w.work())
+	q.shares.record(now, w, true)
+}
+
+// Started removes a request that has started, and adds its work to the team's work
+// in progress.
+func (q *WaitQueue) Started(now time.Time, id string) {
 	w := q.items[id]
 	if w == nil {
 		return
 	}
-	q.started.add(now, 1)
-	f := q.flows[flowKey{w.Team, w.Rank}]
-	f.level += cost / f.weight
+	q.recordStart(now, w)
+	q.flows[flowKey{w.Team, w.Rank}].inProgress += w.work()
 	q.Remove(id)
 }
 
@@ -200,68 +442,37 @@
 		return
 	}
 	delete(q.items, id)
+	at := slices.IndexFunc(q.order, func(item *queued) bool { return item.Waiting == w })
+	q.order = slices.Delete(q.order, at, at+1)
 	key := flowKey{w.Team, w.Rank}
 	f := q.flows[key]
-	i := slices.Index(f.queue, w)
-	f.queue = slices.Delete(f.queue, i, i+1)
-	if len(f.queue) > 0 {
-		heap.Fix(&q.order, f.index)
-		return
-	}
-	heap.Remove(&q.order, f.index)
-	delete(q.flows, key)
-}
-
-// ExpectedWait returns how long a request would wait behind all others.
-func (q *WaitQueue) ExpectedWait(now time.Time) time.Duration {
-	const minRate = 0.1 // per second; keeps the wait finite while nothing starts
-	return toDuration(float64(len(q.items)) / max(q.started.at(now), minRate))
-}
-
-// flowHeap orders flows by rank, reduced by the wait of their first request, then
-// by level, then by arrival.
-type flowHeap struct {
-	flowList
-	now   time.Time
-	aging time.Duration
-}
-
-type flowList []*waitFlow
-
-func (h flowHeap) Len() int { return len(h.flowList) }
-
-func (h flowHeap) Less(i, j int) bool {
-	a, b := h.flowList[i], h.flowList[j]
-	return cmp.Or(
-		cmp.Compare(h.rank(a), h.rank(b)), cmp.Compare(a.level, b.level),
-		a.queue[0].Arrived.Compare(b.queue[0].Arrived), cmp.Compare(a.team, b.team),
-	) < 0
-}
-
-// rank returns the rank of a flow's first request, which rises while it waits.
-func (h flowHeap) rank(f *waitFlow) int {
-	if h.aging <= 0 || f.rank == 0 {
-		return f.rank
+	f.waiting -= w.work()
+	f.length--
+	if f.length == 0 {
+		delete(q.flows, key)
 	}
-	return max(f.rank-int(h.now.Sub(f.queue[0].Arrived)/h.aging), 0)
 }
 
-func (h flowHeap) Swap(i, j int) {
-	h.flowList[i], h.flowList[j] = h.flowList[j], h.flowList[i]
-	h.flowList[i].index, h.flowList[j].index = i, j
+// timeToStart returns how long an amount of work takes to start.
+func (q *WaitQueue) timeToStart(now time.Time, work float64) time.Duration {
+	return toDuration(work / max(q.startedWork.at(now), minStartRate*q.meanWork.valueOr(1)))
 }
 
-// Push and Pop implement heap.Interface.
-func (h *flowHeap) Push(x any) {
-	if f, ok := x.(*waitFlow); ok {
-		f.index = len(h.flowList)
-		h.flowList = append(h.flowList, f)
+// ExpectedWait returns how long a request of a rank would wait behind all others of
+// the rank and of more urgent ones.
+func (q *WaitQueue) ExpectedWait(now time.Time, rank int) time.Duration {
+	work := 0.0
+	for _, w := range q.items {
+		if w.Rank <= rank {
+			work += w.work()
+		}
 	}
+	return q.timeToStart(now, work)
 }
 
-func (h *flowHeap) Pop() any {
-	last := len(h.flowList) - 1
-	f := h.flowList[last]
-	h.flowList = h.flowList[:last]
-	return f
+// ReturnSpread returns the time over which refused requests must return so that
+// they do not exceed the rate at which requests start: the time that the work
+// refused within the given period takes to start.
+func (q *WaitQueue) ReturnSpread(now time.Time, period time.Duration) time.Duration {
+	return q.timeToStart(now, q.refusedWork.at(now)*period.Seconds())
 }
--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -37,6 +37,7 @@
 	RateLimitStated           Event = 2028
 	RateLimitLifted           Event = 2029
 	RateLimitUnreadable       Event = 2030
+	StreamNotAwaited          Event = 2031
 
 	StreamRerouted         Event = 2015
 	StreamRecovered        Event = 2009
@@ -107,6 +108,7 @@
 	{RateLimitStated, log.InfoLevel, "backend server states a rate limit", ""},
 	{RateLimitLifted, log.InfoLevel, "backend server states no rate limit any more", ""},
 	{RateLimitUnreadable, log.WarnLevel, "rate limit of a backend server cannot be read", "Find out what the server means; the last limit that was read stays in force."},
+	{StreamNotAwaited, log.InfoLevel, "stream refused while it waited for a path", ""},
 	{StreamRerouted, log.InfoLevel, "stream's path changed", ""},
 	{ServerChanged, log.InfoLevel, "backend server changed", ""},
 	{ServerRecordRemoved, log.InfoLevel, "backend server's record is gone", ""},
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -22,11 +22,12 @@
 	// maxRefusals bounds the paths that are tried while none accepts the request.
 	maxRefusals = 3
 	// minNoCapacityRetryAfter and maxNoCapacityRetryAfter bound the earliest
-	// Retry-After time while no path has capacity. noCapacityRetrySpread is the
-	// period over which retries are spread.
-	minNoCapacityRetryAfter = time.Second
-	maxNoCapacityRetryAfter = 3 * time.Second
-	noCapacityRetrySpread   = 3 * time.Second
+	// Retry-After time while no path has capacity: streams last a few seconds and end one
+	// after another. The others bound the period over which retries are spread.
+	minNoCapacityRetryAfter  = time.Second
+	maxNoCapacityRetryAfter  = 3 * time.Second
+	minNoCapacityRetrySpread = time.Second
+	maxNoCapacityRetrySpread = 3 * time.Second
 	// defaultAnswerTokens applies if neither the request nor the configuration
 	// states a length.
 	defaultAnswerTokens = 200
@@ -100,18 +101,34 @@
 		s.endAtDeadline()
 		return
 	}
-	waiting, expected := s.waitRoom(s.target).state(time.Now())
-	s.cause, s.waiting, s.expectedWait = err.Error(), waiting, expected
-	s.giveUp("no path of engines has room", s.noCapacityRetryAfter(expected))
+	now := time.Now()
+	room := s.waitRoom(s.target)
+	s.cause = err.Error()
+	s.waiting, s.expectedWait = room.state(now, s.rank)
+	s.logRefusal(err)
+	s.giveUp("no path of engines has room", s.noCapacityRetryAfter(room.returnTimes(now, s.rank, maxNoCapacityRetryAfter)))
+}
+
+// logRefusal logs what decided that a stream no longer waits for a path.
+func (s *streamRequest) logRefusal(err error) {
+	var refusal *waitRefusal
+	if !errors.As(err, &refusal) || !s.logLimiter.allow(time.Now()) {
+		return
+	}
+	logevent.Write(s.logger, logevent.StreamNotAwaited).Str("request", s.info.ID).Str("reason", refusal.Reason.String()).
+		Int("rank", s.rank).Str("team", s.team).Float64("work", refusal.Work).
+		Dur("target_ms", refusal.Target.Sub(refusal.Arrived)).Dur("may_wait_ms", refusal.StartBy().Sub(refusal.Arrived)).
+		Int("ahead", refusal.Ahead).Dur("expected_wait_ms", refusal.Expected).Msg("")
 }
 
 // noCapacityRetryAfter returns when a client may retry while no path has
-// capacity: after those that wait now. Streams last a few seconds and end one
-// after another, so retries are spread over a similar period; clients that retried
-// sooner or together would be refused again.
-func (s *streamRequest) noCapacityRetryAfter(expectedWait time.Duration) time.Duration {
-	earliest := min(max(expectedWait, minNoCapacityRetryAfter), maxNoCapacityRetryAfter)
-	return earliest + time.Duration(s.fleet.randomFloat()*float64(noCapacityRetrySpread))
+// capacity: after those that wait now, and spread over the time in which room is
+// found for those that were refused. Clients that retried sooner or together would be
+// refused again.
+func (s *streamRequest) noCapacityRetryAfter(expected, spread time.Duration) time.Duration {
+	earliest := min(max(expected, minNoCapacityRetryAfter), maxNoCapacityRetryAfter)
+	spread = min(max(spread, minNoCapacityRetrySpread), maxNoCapacityRetrySpread)
+	return earliest + time.Duration(s.fleet.randomFloat()*float64(spread))
 }
 
 // choosePath selects a path for the rest of the request. New streams wait for one
@@ -122,8 +139,7 @@
 	}
 	req := s.pathRequest()
 	w := &pathWaiter{
-		Waiting: admission.Waiting{Team: s.team, Weight: s.teamWeight, Rank: s.rank, Arrived: s.started, GiveUpAt: s.waitUntil()},
-		cost:    req.PromptTokens + req.AnswerTokens,
+		Waiting: s.waitTerms(req.PromptTokens + req.AnswerTokens),
 		find: func(now time.Time) ([]pipeline.Hop, *reservation, error) {
 			return s.fleet.choosePath(now, s.revision, s.target, s.team, req)
 		},
@@ -134,10 +150,20 @@
 	return hops, reserved, err
 }
 
-// waitUntil returns until when a new stream waits for a path.
-func (s *streamRequest) waitUntil() time.Time {
-	limit := time.Duration(float64(s.deadline.Sub(s.started)) * maxPathDelayFraction)
-	return s.started.Add(min(limit, maxPathDelay))
+// waitTerms returns what orders the stream among those that wait for a path.
+func (s *streamRequest) waitTerms(tokens float64) admission.Waiting {
+	target := s.route.TargetLatency
+	if target == 0 {
+		target = defaultFirstEventTarget
+	}
+	leaves := s.started.Add(clientPatience(s.route))
+	if s.deadline.Before(leaves) {
+		leaves = s.deadline
+	}
+	return admission.Waiting{
+		Team: s.team, Weight: s.teamWeight, Rank: s.rank, Work: tokens,
+		Arrived: s.started, Target: s.started.Add(target), Deadline: leaves,
+	}
 }
 
 // awaitNextPath selects a path for a stream whose response has started. It waits
--- a/relay/waitroom.go
+++ b/relay/waitroom.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/sapphirefield/sapphirefield/admission"
@@ -14,13 +14,8 @@
 )
 
 const (
-	// maxPathDelay bounds the wait of a new stream for a path. A longer queue takes
-	// each bit of capacity at once and keeps engines and links at their limits, where
-	// all streams are late.
-	maxPathDelay = 200 * time.Millisecond
-	// maxPathDelayFraction bounds the wait as a fraction of the time that the client
-	// has.
-	maxPathDelayFraction = 1.0 / 3
+	// defaultFirstEventTarget applies to routes without a target latency.
+	defaultFirstEventTarget = 400 * time.Millisecond
 	// passInterval is the time between two attempts to start waiting streams. Each
 	// costs a search for a path.
 	passInterval = 25 * time.Millisecond
@@ -29,8 +24,22 @@
 	candidatesPerPass = 2
 )
 
-// errQueueFull means that a stream cannot start before it would be given up.
-var errQueueFull = errors.New("too many requests wait for a path")
+// waitRefusal is the error of a stream that was refused while it waited for a path.
+type waitRefusal struct {
+	*admission.Refusal
+	// noPath is the reason why no path was found in the latest attempt, if there was one.
+	noPath error
+}
+
+func (e *waitRefusal) Error() string {
+	if e.Reason == admission.WaitOver && e.noPath != nil {
+		return e.noPath.Error()
+	}
+	return "too many requests wait for a path: " + e.Reason.String()
+}
+
+// Unwrap returns the reason why no path was found.
+func (e *waitRefusal) Unwrap() error { return e.noPath }
 
 // waitRoom holds the new streams of a model that wait for a path. A short wait
 // answers a burst better than a refusal, after which the client returns a second
@@ -46,14 +55,14 @@
 	teamLoad func(now time.Time, team string) float64
 	waited   metrics.Histogram
 	length   metrics.Gauge
+	// registry holds the metrics of each rank.
+	registry metrics.Registry
 }
 
 // pathWaiter is a stream that waits for a path.
 type pathWaiter struct {
 	admission.Waiting
 	find pathFinder
-	// cost is the number of tokens of the request.
-	cost float64
 	// lastErr is the reason why no path was found in the latest attempt.
 	lastErr error
 	result  chan pathResult
@@ -71,12 +80,13 @@
 func newWaitRoom(teamLoad func(time.Time, string) float64, registry metrics.Registry, model string) *waitRoom {
 	return &waitRoom{
 		queue: admission.NewWaitQueue(admission.DefaultWaitOptions()), waiters: map[string]*pathWaiter{}, teamLoad: teamLoad,
-		waited: metrics.GetOrRegisterHistogram("relay.path_wait_ms", registry, metrics.NewExpDecaySample(reservoirSize, reservoirAlpha)),
-		length: metrics.GetOrRegisterGauge("relay.waiting."+model, registry),
+		waited:   metrics.GetOrRegisterHistogram("relay.path_wait_ms", registry, metrics.NewExpDecaySample(reservoirSize, reservoirAlpha)),
+		length:   metrics.GetOrRegisterGauge("relay.waiting."+model, registry),
+		registry: registry,
 	}
 }
 
-// await returns a path for a new stream. It waits for one until w.GiveUpAt.
+// await returns a path for a new stream. It waits for one until w.StartBy().
 func (r *waitRoom) await(ctx context.Context, w *pathWaiter) ([]pipeline.Hop, *reservation, error) {
 	if result, done := r.enter(time.Now(), w); done {
 		return result.hops, result.reserved, result.err
@@ -120,9 +130,9 @@
 	if r.queue.Len() == 0 {
 		hops, reserved, err := w.find(now)
 		if err == nil {
-			r.queue.StartedAtOnce(now)
+			r.queue.StartedAtOnce(now, &w.Waiting)
 		}
-		if err == nil || !w.GiveUpAt.After(now) {
+		if err == nil || !w.StartBy().After(now) {
 			return pathResult{hops, reserved, err}, true
 		}
 		w.lastErr = err
@@ -131,8 +141,8 @@
 	w.ID = strconv.FormatInt(r.sequence, 10)
 	w.result = make(chan pathResult, 1)
 	r.waiters[w.ID] = w
-	if refused := r.queue.Add(now, &w.Waiting); refused != nil {
-		r.finish(refused.ID, pathResult{err: errQueueFull})
+	if refusal := r.queue.Add(now, &w.Waiting); refusal != nil {
+		r.refuse(refusal)
 	}
 	return pathResult{}, false
 }
@@ -151,23 +161,15 @@
 }
 
 // tick starts waiting streams in their order until no path has capacity, refuses
-// those that have waited too long, and reports whether others still wait.
+// those that cannot start in time, and reports whether others still wait.
 func (r *waitRoom) tick(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.queue.Refresh(now, func(team string) float64 { return r.teamLoad(now, team) })
 	for r.startOne(now) {
 	}
-	for id, w := range r.waiters {
-		if now.Before(w.GiveUpAt) {
-			continue
-		}
-		r.queue.Remove(id)
-		err := w.lastErr
-		if err == nil {
-			err = errQueueFull
-		}
-		r.finish(id, pathResult{err: err})
+	for _, refusal := range r.queue.RefuseHopeless(now) {
+		r.refuse(refusal)
 	}
 	r.length.Update(int64(r.queue.Len()))
 	r.running = len(r.waiters) > 0
@@ -183,14 +185,27 @@
 			w.lastErr = err
 			continue
 		}
-		r.queue.Started(now, w.ID, w.cost)
-		r.waited.Update(now.Sub(w.Arrived).Milliseconds())
+		r.queue.Started(now, w.ID)
+		r.recordWait(now.Sub(w.Arrived), w.Rank)
 		r.finish(w.ID, pathResult{hops: hops, reserved: reserved})
 		return true
 	}
 	return false
 }
 
+// recordWait records how long a stream that started has waited.
+func (r *waitRoom) recordWait(waited time.Duration, rank int) {
+	r.waited.Update(waited.Milliseconds())
+	name := fmt.Sprintf("relay.path_wait_ms.rank_%d", rank)
+	metrics.GetOrRegisterHistogram(name, r.registry, metrics.NewExpDecaySample(reservoirSize, reservoirAlpha)).Update(waited.Milliseconds())
+}
+
+// refuse ends the wait of a stream.
+func (r *waitRoom) refuse(refusal *admission.Refusal) {
+	metrics.GetOrRegisterCounter(fmt.Sprintf("relay.path_refused.rank_%d", refusal.Rank), r.registry).Inc(1)
+	r.finish(refusal.ID, pathResult{err: &waitRefusal{Refusal: refusal, noPath: r.waiters[refusal.ID].lastErr}})
+}
+
 // finish hands a result to a stream that no longer waits.
 func (r *waitRoom) finish(id string, result pathResult) {
 	w := r.waiters[id]
@@ -198,11 +213,19 @@
 	w.result <- result
 }
 
-// state returns the number of waiting streams and how long another one would wait.
-func (r *waitRoom) state(now time.Time) (waiting int, expected time.Duration) {
+// state returns the number of waiting streams and how long one of a rank would wait.
+func (r *waitRoom) state(now time.Time, rank int) (waiting int, expected time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.queue.Len(), r.queue.ExpectedWait(now, rank)
+}
+
+// returnTimes returns when room is expected for a refused stream of a rank, and the
+// period over which those refused within a while must spread their returns.
+func (r *waitRoom) returnTimes(now time.Time, rank int, while time.Duration) (expected, spread time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.queue.Len(), r.queue.ExpectedWait(now)
+	return r.queue.ExpectedWait(now, rank), r.queue.ReturnSpread(now, while)
 }
 
 // waitRoom returns the wait room of a model.
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/sapphirefield/sapphirefield/config"
 )
 
 const (
@@ -21,13 +23,15 @@
 	// maxSilence is how long a stream may pass without an event before another
 	// attempt replaces it. Clients disconnect after 2 s.
 	maxSilence = 1800 * time.Millisecond
-	// minDripLimit is the least time without an event after which a stream that
-	// still sends bytes is broken off. dripLimitTargets and dripLimitPauses are
-	// the same as multiples of the route's targets for the first event and for the
-	// pause between events. Clients disconnect after half of that.
-	minDripLimit     = 4 * time.Second
-	dripLimitTargets = 8
-	dripLimitPauses  = 16
+	// minPatience is the least time without an event after which clients disconnect.
+	// patienceTargets and patiencePauses are the same as multiples of the route's
+	// targets for the first event and for the pause between events.
+	minPatience     = 2 * time.Second
+	patienceTargets = 4
+	patiencePauses  = 8
+	// dripLimit is the time without an event, as a multiple of the clients' patience,
+	// after which a stream that still sends bytes is broken off.
+	dripLimit = 2
 )
 
 // errStreamStalled means that events stopped without a known cause.
@@ -108,6 +112,11 @@
 // isDripping reports whether the stream has sent bytes, but no event, for so long
 // that no client waits for it.
 func (w *eventWatch) isDripping() bool {
-	limit := max(minDripLimit, dripLimitTargets*w.route.TargetLatency, dripLimitPauses*w.route.TargetEventInterval)
-	return time.Since(w.eventAt) >= limit && w.x.conn.received > w.receivedThen
+	return time.Since(w.eventAt) >= dripLimit*clientPatience(w.route) && w.x.conn.received > w.receivedThen
+}
+
+// clientPatience returns how long clients of a route wait for an event before they
+// disconnect.
+func clientPatience(route *config.Route) time.Duration {
+	return max(minPatience, patienceTargets*route.TargetLatency, patiencePauses*route.TargetEventInterval)
 }
