--- a/admission/wait.go
+++ b/admission/wait.go
@@ -158,11 +158,9 @@
 type queued struct {
 	*Waiting
 	flow *waitFlow
-	// currentRank is the rank, which rises while the request waits and is raised above
-	// all others while the rank is served much less often than all.
+	// currentRank is the rank, which rises while the request waits. It is raisedRank
+	// while the rank, the team or the size is served much less often than others.
 	currentRank int
-	// behind is set if the team or the size is served much less often than others.
-	behind bool
 	// level is the work of the request's team, in progress or before it in the queue,
 	// for the team's weight.
 	level float64
--- a/admission/wait_test.go
+++ b/admission/wait_test.go
@@ -197,11 +197,69 @@
 	})
 }
 
+// Guards against clients that were refused together and return together, and against
+// urgent ones that are told to wait for less urgent ones.
+func TestReturnsFollowRateOfStarts(t *testing.T) {
+	q := NewWaitQueue(DefaultWaitOptions())
+	now := waitStart
+	const perSecond = 50
+	for range 4 * perSecond {
+		now = now.Add(time.Second / perSecond)
+		q.StartedAtOnce(now, &Waiting{Team: "t"})
+	}
+	refused := 0
+	for i := range 200 {
+		if q.Add(now, waiting(fmt.Sprint(i), "t", i%2, now.Sub(waitStart))) != nil {
+			refused++
+		}
+	}
+	spread := q.ReturnSpread(now, time.Second)
+	assert.Assert(t, refused > 0 && float64(refused)/spread.Seconds() < 1.1*perSecond, "%d return in %v", refused, spread)
+	assert.Assert(t, q.ExpectedWait(now, 0) < q.ExpectedWait(now, 1)*2/3, "%v and %v", q.ExpectedWait(now, 0), q.ExpectedWait(now, 1))
+}
+
+// A request that cannot start in time is refused at once, whatever it has waited.
+func TestHopelessRequestsAreRefused(t *testing.T) {
+	o := DefaultWaitOptions()
+	q := NewWaitQueue(o)
+	for i := range 2 * o.MinQueue {
+		assert.Assert(t, q.Add(waitStart, waiting(fmt.Sprint(i), "a", 0, time.Duration(i))) == nil)
+	}
+	patient := waiting("patient", "a", 1, 0)
+	patient.Target, patient.Deadline = waitStart.Add(time.Minute), waitStart.Add(time.Hour)
+	assert.Assert(t, q.Add(waitStart, patient) == nil)
+	// Nothing has started for a second. The first one's wait is over, the others' nearly.
+	now := waitStart.Add(o.RateWindow)
+	q.Refresh(now, func(string) float64 { return 0 })
+	reasons := map[RefusalReason]int{}
+	for _, r := range q.RefuseHopeless(now) {
+		reasons[r.Reason]++
+	}
+	assert.DeepEqual(t, reasons, map[RefusalReason]int{WaitOver: 1, WaitTooLong: o.MinQueue - 1})
+	assert.Equal(t, q.Len(), o.MinQueue+1)
+	assert.Equal(t, q.Add(now, waiting("new", "a", 0, o.RateWindow)).Reason, WaitTooLong)
+	assert.Assert(t, q.Add(now, waiting("first of its rank", "a", 2, o.RateWindow)) == nil)
+}
+
+// BenchmarkWaitQueueRefresh measures one update of the order, as above.
+func BenchmarkWaitQueueRefresh(b *testing.B) {
+	o := DefaultWaitOptions()
+	o.UnknownRateQueue = o.MaxQueue
+	q := NewWaitQueue(o)
+	for i := range o.MaxQueue {
+		q.Add(waitStart, waiting(fmt.Sprint(i), fmt.Sprint(i%4600), i%3, time.Duration(i)))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		q.Refresh(waitStart, func(string) float64 { return 0 })
+	}
+}
+
 // BenchmarkWaitQueue measures one decision with 10,000 waiting requests of 4,600
 // teams.
 func BenchmarkWaitQueue(b *testing.B) {
 	o := DefaultWaitOptions()
-	o.MinQueue = o.MaxQueue
+	o.MinQueue, o.UnknownRateQueue = o.MaxQueue, o.MaxQueue
 	q := NewWaitQueue(o)
 	requests := make([]*Waiting, o.MaxQueue)
 	for i := range requests {
