--- a/admission/keepfree_test.go
+++ b/admission/keepfree_test.go
@@ -19,15 +19,15 @@
 	worseServed = 0.05
 	minServed   = 0.25
 
-	replayStep, decideInterval, reportInterval = 25 * time.Millisecond, 100 * time.Millisecond, 300 * time.Millisecond
-	streamTime, longestWait                    = 2 * time.Second, 200 * time.Millisecond
-	ranks                                      = 3
+	fleetStep, decideInterval, reportInterval = 25 * time.Millisecond, 100 * time.Millisecond, 300 * time.Millisecond
+	streamTime, longestWait                   = 2 * time.Second, 200 * time.Millisecond
+	ranks                                     = 3
 )
 
-// replay plays streams of three ranks at entries of unlike size, which share room for a
+// fleetReplay plays streams of three ranks at entries of unlike size, which share room for a
 // number of streams.
-type replay struct {
-	entries []*replayEntry
+type fleetReplay struct {
+	entries []*fleetEntry
 	room    int
 	running []time.Time
 	// hears reports whether an entry gets the messages of another one.
@@ -37,7 +37,7 @@
 	asked, served [ranks]float64
 }
 
-type replayEntry struct {
+type fleetEntry struct {
 	share   float64
 	keeper  *Keeper
 	book    *demand.Book
@@ -45,10 +45,10 @@
 	waiting []Waiting
 }
 
-func newReplay(entries, room int) *replay {
-	r := &replay{room: room, now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(1, 2)), hears: func(int, int) bool { return true }}
+func newFleetReplay(entries, room int) *fleetReplay {
+	r := &fleetReplay{room: room, now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(1, 2)), hears: func(int, int) bool { return true }}
 	for i := range entries {
-		e := &replayEntry{share: 1}
+		e := &fleetEntry{share: 1}
 		if i%4 == 0 {
 			e.share = 5
 		}
@@ -59,9 +59,9 @@
 }
 
 // restart starts all entries anew.
-func (r *replay) restart() {
+func (r *fleetReplay) restart() {
 	for _, e := range r.entries {
-		*e = replayEntry{share: e.share, keeper: NewKeeper(DefaultKeepOptions()), book: demand.NewBook()}
+		*e = fleetEntry{share: e.share, keeper: NewKeeper(DefaultKeepOptions()), book: demand.NewBook()}
 		for rank := range e.load {
 			e.load[rank].started.window, e.load[rank].refused.window = time.Second, time.Second
 		}
@@ -69,17 +69,17 @@
 }
 
 // run plays a time with a number of arrivals per second of each rank.
-func (r *replay) run(duration time.Duration, arrivals [ranks]float64) {
+func (r *fleetReplay) run(duration time.Duration, arrivals [ranks]float64) {
 	shares := 0.0
 	for _, e := range r.entries {
 		shares += e.share
 	}
-	for end := r.now.Add(duration); r.now.Before(end); r.now = r.now.Add(replayStep) {
+	for end := r.now.Add(duration); r.now.Before(end); r.now = r.now.Add(fleetStep) {
 		r.running = slices.DeleteFunc(r.running, r.now.After)
 		for _, i := range r.random.Perm(len(r.entries)) {
 			e := r.entries[i]
 			for rank, perSecond := range arrivals {
-				for expected := perSecond * e.share / shares * replayStep.Seconds(); r.random.Float64() < expected; expected-- {
+				for expected := perSecond * e.share / shares * fleetStep.Seconds(); r.random.Float64() < expected; expected-- {
 					e.waiting = append(e.waiting, Waiting{Rank: rank, Arrived: r.now, Work: 1})
 					r.asked[rank]++
 				}
@@ -91,7 +91,7 @@
 }
 
 // start starts the streams that wait at an entry, or refuses them.
-func (r *replay) start(e *replayEntry) {
+func (r *fleetReplay) start(e *fleetEntry) {
 	slices.SortStableFunc(e.waiting, func(a, b Waiting) int { return a.Rank - b.Rank })
 	e.waiting = slices.DeleteFunc(e.waiting, func(w Waiting) bool {
 		load := &e.load[w.Rank]
@@ -110,11 +110,11 @@
 }
 
 // report returns what an entry tells the others.
-func (r *replay) report(e *replayEntry) (loads []demand.Load) {
+func (r *fleetReplay) report(e *fleetEntry) (loads []demand.Load) {
 	for rank := range e.load {
 		l := demand.Load{Urgency: rank, Started: e.load[rank].started.at(r.now), Refused: e.load[rank].refused.at(r.now)}
 		for _, w := range e.waiting {
-			if w.Rank == rank && r.now.Sub(w.Arrived) > 2*replayStep {
+			if w.Rank == rank && r.now.Sub(w.Arrived) > 2*fleetStep {
 				l.Waiting += w.Work
 			}
 		}
@@ -123,7 +123,7 @@
 	return loads
 }
 
-func (r *replay) decide() {
+func (r *fleetReplay) decide() {
 	for i, e := range r.entries {
 		for j, to := range r.entries {
 			if i != j && r.now.UnixMilli()%reportInterval.Milliseconds() == 0 && r.hears(i, j) {
@@ -136,10 +136,10 @@
 	}
 }
 
-func (r *replay) servedShare(rank int) float64 { return r.served[rank] / r.asked[rank] }
+func (r *fleetReplay) servedShare(rank int) float64 { return r.served[rank] / r.asked[rank] }
 
 // check compares how often the ranks were served.
-func (r *replay) check(t *testing.T) {
+func (r *fleetReplay) check(t *testing.T) {
 	t.Helper()
 	all := (r.served[0] + r.served[1] + r.served[2]) / (r.asked[0] + r.asked[1] + r.asked[2])
 	for rank := range ranks {
@@ -153,30 +153,30 @@
 // halves of the entries do not hear each other, and after all of them restarted.
 func TestUrgentStreamsComeFirstOverAllEntries(t *testing.T) {
 	steady := [ranks]float64{40, 40, 40}
-	play := func(prepare func(r *replay)) *replay {
-		r := newReplay(24, 160)
+	play := func(prepare func(r *fleetReplay)) *fleetReplay {
+		r := newFleetReplay(24, 160)
 		prepare(r)
 		r.run(10*time.Second, steady)
 		r.check(t)
 		return r
 	}
-	without := newReplay(24, 160)
+	without := newFleetReplay(24, 160)
 	without.hears = func(int, int) bool { return false }
 	for _, e := range without.entries {
 		e.keeper.options.Max = 0
 	}
 	without.run(10*time.Second, steady)
-	with := play(func(*replay) {})
+	with := play(func(*fleetReplay) {})
 	assert.Assert(t, with.servedShare(0) > without.servedShare(0)+worseServed, "%.2f without, %.2f with", without.servedShare(0), with.servedShare(0))
-	play(func(r *replay) { r.hears = func(from, to int) bool { return from%2 == to%2 } })
-	play(func(r *replay) {
+	play(func(r *fleetReplay) { r.hears = func(from, to int) bool { return from%2 == to%2 } })
+	play(func(r *fleetReplay) {
 		r.run(3*time.Second, steady)
 		r.restart()
 	})
 	for rank := range ranks {
 		burst := [ranks]float64{20, 20, 20}
 		burst[rank] = 100
-		r := newReplay(24, 160)
+		r := newFleetReplay(24, 160)
 		r.run(5*time.Second, [ranks]float64{20, 20, 20})
 		r.asked, r.served = [ranks]float64{}, [ranks]float64{}
 		r.run(8*time.Second, burst)
@@ -188,7 +188,7 @@
 // back in time after one. It also guards against an entry that claims demand, one that
 // falls silent with it, and a low rank that is shut out.
 func TestRoomIsKeptOnlyWhileNeeded(t *testing.T) {
-	r := newReplay(24, 400)
+	r := newFleetReplay(24, 400)
 	r.run(5*time.Second, [ranks]float64{40, 40, 40})
 	assert.Equal(t, r.entries[1].keeper.Fraction(2), 0.0)
 	assert.Equal(t, r.served, r.asked)
--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -39,6 +39,7 @@
 	RateLimitUnreadable       Event = 2030
 	RoomKept                  Event = 2040
 	RoomReleased              Event = 2041
+	StreamNotAwaited          Event = 2031
 
 	StreamRerouted         Event = 2015
 	StreamRecovered        Event = 2009
@@ -111,6 +112,7 @@
 	{RateLimitUnreadable, log.WarnLevel, "rate limit of a backend server cannot be read", "Find out what the server means; the last limit that was read stays in force."},
 	{RoomKept, log.InfoLevel, "less urgent streams leave room to more urgent ones", "See docs/OPERATIONS.md, section on ranks; add engines if the line stays without its counterpart."},
 	{RoomReleased, log.InfoLevel, "room kept for more urgent streams given back", ""},
+	{StreamNotAwaited, log.InfoLevel, "stream refused while it waited for a path", ""},
 	{StreamRerouted, log.InfoLevel, "stream's path changed", ""},
 	{ServerChanged, log.InfoLevel, "backend server changed", ""},
 	{ServerRecordRemoved, log.InfoLevel, "backend server's record is gone", ""},
