demand: after review

Requests that no room would serve do not count as lacking room; the idle engine keeps nothing, so that the largest requests fit somewhere; a report has one load for each urgency; a process that restarts under the same name gets version 5 until it is known to read 6; gauges of urgencies that are gone fall to 0. Tests for what streams do with kept room, the version that each entry gets, hysteresis, room in memory, loads and links.

--- a/admission/keepfree_test.go
+++ b/admission/keepfree_test.go
@@ -207,6 +207,25 @@
 	assert.Equal(t, r.entries[1].keeper.Fraction(2), 0.0)
 }
 
+// Guards against room that is given back and kept again with each request.
+func TestKeptRoomHasHysteresis(t *testing.T) {
+	o := DefaultKeepOptions()
+	k, now := NewKeeper(o), time.Unix(1000, 0)
+	update := func(after time.Duration, unserved float64) float64 {
+		now = now.Add(after)
+		k.Update(now, []demand.Total{{Urgency: 0, Unserved: unserved, Started: 100 - unserved, Entries: 5}, {Urgency: 2, Started: 1}})
+		return k.Fraction(2)
+	}
+	assert.Equal(t, update(0, 4), 0.0)
+	assert.Assert(t, update(decideInterval, 6) > 0)
+	assert.Assert(t, update(decideInterval, 3) > 0)
+	kept := update(o.Release, 3)
+	assert.Assert(t, kept > 0)
+	assert.Equal(t, update(o.Hold, 0), kept)
+	assert.Assert(t, update(decideInterval, 0) < kept)
+	assert.Equal(t, update(o.Release, 0), 0.0)
+}
+
 func TestKeeperStaysInItsBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		o := DefaultKeepOptions()
--- a/admission/summary.go
+++ b/admission/summary.go
@@ -1,18 +1,14 @@
 package admission
 
-import (
-	"time"
+import "github.com/sapphirefield/sapphirefield/demand"
 
-	"github.com/sapphirefield/sapphirefield/demand"
-)
-
-// Summary returns the work of the requests that arrived before a time and still wait, by
-// the urgency that urgencyOf assigns to a rank and a team.
-func (q *WaitQueue) Summary(arrivedBefore time.Time, urgencyOf func(rank int, team string) int) []demand.Load {
+// Summary returns the work of the waiting requests by urgency. urgencyOf returns the
+// urgency of a request, and false for one that does not count.
+func (q *WaitQueue) Summary(urgencyOf func(w *Waiting) (int, bool)) []demand.Load {
 	waiting := map[int]float64{}
 	for _, w := range q.items {
-		if w.Arrived.Before(arrivedBefore) {
-			waiting[urgencyOf(w.Rank, w.Team)] += w.Work
+		if urgency, counts := urgencyOf(w); counts {
+			waiting[urgency] += w.Work
 		}
 	}
 	loads := make([]demand.Load, 0, len(waiting))
--- a/demand/demand.go
+++ b/demand/demand.go
@@ -84,26 +84,30 @@
 // Report is the load of an entry by model.
 type Report map[ModelID][]Load
 
-// Bounded returns the report without empty loads, within the bounds of its size. The
-// most urgent loads stay.
+// Bounded returns the report without empty loads, with one load for each urgency, within
+// the bounds of its size. The most urgent loads stay.
 func (r Report) Bounded() Report {
 	out := Report{}
 	for _, model := range r.Models() {
-		var loads []Load
-		for _, l := range r[model] {
-			if l = l.bounded(); l.Urgency >= 0 && l.Urgency <= MaxUrgency && l.Waiting+l.Started+l.Refused+l.Denied > 0 {
-				loads = append(loads, l)
-			}
+		if loads := boundedLoads(r[model]); len(loads) > 0 && len(out) < MaxModels {
+			out[model] = loads
 		}
-		if len(loads) == 0 || len(out) == MaxModels {
-			continue
-		}
-		slices.SortFunc(loads, func(a, b Load) int { return cmp.Compare(a.Urgency, b.Urgency) })
-		out[model] = loads[:min(len(loads), MaxUrgencies)]
 	}
 	return out
 }
 
+func boundedLoads(all []Load) []Load {
+	var loads []Load
+	for _, l := range all {
+		if l = l.bounded(); l.Urgency >= 0 && l.Urgency <= MaxUrgency && l.Waiting+l.Started+l.Refused+l.Denied > 0 {
+			loads = append(loads, l)
+		}
+	}
+	slices.SortStableFunc(loads, func(a, b Load) int { return cmp.Compare(a.Urgency, b.Urgency) })
+	loads = slices.CompactFunc(loads, func(a, b Load) bool { return a.Urgency == b.Urgency })
+	return loads[:min(len(loads), MaxUrgencies)]
+}
+
 // Models returns the models of a report in a fixed order.
 func (r Report) Models() []ModelID {
 	models := make([]ModelID, 0, len(r))
--- a/demand/demand_test.go
+++ b/demand/demand_test.go
@@ -26,7 +26,7 @@
 func TestStartedWorkOfOneEntryIsBounded(t *testing.T) {
 	b := NewBook()
 	for entry, started := range map[string]float64{"a": 100, "b": 200, "liar": math.Inf(1)} {
-		b.Observe(start, entry, Report{1: {{Started: started}}})
+		b.Observe(start, entry, Report{1: {{Started: started}, {Started: started}, {Refused: started}}})
 	}
 	totals := b.Totals(start, 1, Room, []Load{{Refused: 50, Started: 300}})
 	assert.DeepEqual(t, totals, []Total{{Unserved: 50, Started: 1200, Entries: 1}})
@@ -44,7 +44,8 @@
 		assert.Assert(t, len(bounded) <= MaxModels)
 		for _, loads := range bounded {
 			assert.Assert(t, len(loads) > 0 && len(loads) <= MaxUrgencies)
-			for _, l := range loads {
+			for i, l := range loads {
+				assert.Assert(t, i == 0 || l.Urgency > loads[i-1].Urgency)
 				assert.Assert(t, l.Urgency >= 0 && l.Urgency <= MaxUrgency && min(l.Waiting, l.Started, l.Refused, l.Denied) >= 0 && max(l.Waiting, l.Started, l.Refused, l.Denied) <= MaxTokens)
 			}
 		}
--- a/pipeline/relay.go
+++ b/pipeline/relay.go
@@ -284,7 +284,11 @@
 func (s *pathSearch) engineSeconds(e *RelayEngine, layers int) (float64, bool) {
 	tokens := s.request.PromptTokens + s.request.AnswerTokens
 	need := tokens * float64(layers)
-	free := e.Capacity*(1-memoryReserve-s.keepFree()) - e.Used
+	free := e.Capacity*(1-memoryReserve) - e.Used
+	if e.Used > 0 {
+		// On an idle engine nothing is kept, or the largest requests would fit nowhere.
+		free -= e.Capacity * s.keepFree()
+	}
 	if need > free || e.PromptLoad > s.loadLimit(maxPromptLoad) {
 		return 0, false
 	}
--- a/pipeline/relay_test.go
+++ b/pipeline/relay_test.go
@@ -56,6 +56,32 @@
 	return strings.Join(parts, " ")
 }
 
+// Guards against less urgent requests that take the room which is kept for others, and
+// against streams that have begun, or the largest requests, which are kept out by it.
+func TestRequestsLeaveRoomToMoreUrgentOnes(t *testing.T) {
+	const keepFree = 0.1
+	links := map[[2]string]RelayLink{{"a", "b"}: {BytesPerSecond: 1e9}}
+	for name, use := range map[string]func(e *RelayEngine, l *RelayLink){
+		"memory":  func(e *RelayEngine, _ *RelayLink) { e.Used = 0.9 * e.Capacity },
+		"prompts": func(e *RelayEngine, _ *RelayLink) { e.PromptLoad = 0.65 },
+		"links":   func(_ *RelayEngine, l *RelayLink) { l.Load = 0.75 },
+	} {
+		first, second, link := relayEngine("x", "a", 0, 40, 1), relayEngine("y", "b", 40, 80, 1), links[[2]string{"a", "b"}]
+		use(&first, &link)
+		find := func(r RelayRequest) error {
+			r.PromptTokens, r.AnswerTokens = 700, 100
+			_, _, err := NewPathfinder(relayModel()).Find([]RelayEngine{first, second}, map[[2]string]RelayLink{{"a", "b"}: link}, r)
+			return err
+		}
+		assert.Check(t, find(RelayRequest{}), name)
+		assert.Check(t, find(RelayRequest{KeepFree: keepFree}) != nil, name)
+		assert.Check(t, find(RelayRequest{KeepFree: keepFree, AnswerStarted: true}), name)
+	}
+	large := RelayRequest{PromptTokens: 46000, AnswerTokens: 1000, KeepFree: keepFree}
+	_, _, err := NewPathfinder(relayModel()).Find([]RelayEngine{relayEngine("x", "a", 0, 80, 1)}, nil, large)
+	assert.NilError(t, err)
+}
+
 // TestPathRunsEveryLayerOnce guards against a path that skips or repeats a layer,
 // exceeds an engine's range, or contains an engine twice.
 func TestPathRunsEveryLayerOnce(t *testing.T) {
--- a/relay/demand.go
+++ b/relay/demand.go
@@ -16,6 +16,7 @@
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/demand"
 	"github.com/sapphirefield/sapphirefield/logevent"
+	"github.com/sapphirefield/sapphirefield/pipeline"
 )
 
 const (
@@ -48,6 +49,8 @@
 	room, retries *admission.Keeper
 	// meters measure tokens per second by urgency.
 	meters map[int]*demandMeter
+	// published are the urgencies of which gauges exist.
+	published map[int]bool
 }
 
 type demandMeter struct {
@@ -126,6 +129,9 @@
 	d.mu.Unlock()
 	d.logChanges(model, "room", roomChanges)
 	d.logChanges(model, "retries", retryChanges)
+	for _, t := range d.notPublishedAgain(model, room) {
+		d.updateMetrics(model, t, 0)
+	}
 	for i, t := range room {
 		lacking = lacking || t.Unserved > 0 || retries[i].Unserved > 0
 		d.updateMetrics(model, t, retries[i].Unserved)
@@ -133,13 +139,31 @@
 	return lacking
 }
 
+// notPublishedAgain returns an empty total for each urgency that had gauges before and
+// is not among the totals.
+func (d *demandControl) notPublishedAgain(model string, totals []demand.Total) (gone []demand.Total) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	published := d.model(model).published
+	for urgency := range published {
+		if !slices.ContainsFunc(totals, func(t demand.Total) bool { return t.Urgency == urgency }) {
+			gone = append(gone, demand.Total{Urgency: urgency})
+			delete(published, urgency)
+		}
+	}
+	for _, t := range totals {
+		published[t.Urgency] = true
+	}
+	return gone
+}
+
 // model returns the demand for a model. The caller holds the lock.
 func (d *demandControl) model(name string) *modelDemand {
 	m := d.models[name]
 	if m == nil {
 		m = &modelDemand{
 			room: admission.NewKeeper(admission.DefaultKeepOptions()), retries: admission.NewKeeper(admission.RetryKeepOptions()),
-			meters: map[int]*demandMeter{},
+			meters: map[int]*demandMeter{}, published: map[int]bool{},
 		}
 		d.models[name] = m
 	}
@@ -148,17 +172,41 @@
 
 // loads returns this entry's own demand.
 func (d *demandControl) loads(now time.Time, model string) []demand.Load {
-	waiting := d.waitRoom(model).summary(now.Add(-ordinaryWait), d.urgencyOf)
+	waiting := d.waitRoom(model).summary(now, d.urgencyOf)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.model(model).loads(now, waiting)
 }
 
-// summary returns the work that arrived before a time and still waits, by urgency.
-func (r *waitRoom) summary(arrivedBefore time.Time, urgencyOf func(rank int, team string) int) []demand.Load {
+// summary returns the work that waits for room, by urgency.
+func (r *waitRoom) summary(now time.Time, urgencyOf func(rank int, team string) int) []demand.Load {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.queue.Summary(arrivedBefore, urgencyOf)
+	return r.queue.Summary(func(w *admission.Waiting) (int, bool) {
+		return urgencyOf(w.Rank, w.Team), now.Sub(w.Arrived) > ordinaryWait && !r.waiters[w.ID].unservable
+	})
+}
+
+// servable reports whether a path would have room for a request if nothing else ran.
+func (f *fleet) servable(now time.Time, rev *revision, model string, r pipeline.RelayRequest) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	engines, links := f.engines(now, rev, model), f.links(now, rev)
+	for i := range engines {
+		e := &engines[i]
+		e.Used, e.Running, e.Context, e.UsedSlots, e.PromptLoad, e.PromptQueue = 0, 0, 0, 0, 0, 0
+	}
+	for zones, link := range links {
+		link.Load, link.Queue = 0, 0
+		links[zones] = link
+	}
+	finder := rev.finders[model]
+	if finder == nil {
+		return false
+	}
+	r.KeepFree = 0
+	_, _, err := finder.Find(engines, links, r)
+	return err == nil
 }
 
 // report returns this entry's demand for the others. It is empty unless the streams of
@@ -235,6 +283,20 @@
 	}
 }
 
+// checkServable finds out once, for a stream that waits, whether room would help it.
+func (s *streamRequest) checkServable(now time.Time, w *pathWaiter, req pipeline.RelayRequest) {
+	if s.revision.ranked(s.target) && !w.checked {
+		w.checked, w.unservable = true, !s.fleet.servable(now, s.revision, s.target, req)
+	}
+}
+
+// recordNoPath counts a new stream that found no path, unless no room would have helped.
+func (s *streamRequest) recordNoPath() {
+	if !s.headerSent && s.revision.ranked(s.target) && s.fleet.servable(time.Now(), s.revision, s.target, s.pathRequest()) {
+		s.recordDemand(noPath)
+	}
+}
+
 // takeRetry takes a retry from the budget. A stream that has not begun leaves some to
 // more urgent ones.
 func (q *request) takeRetry() bool {
--- a/relay/demand_test.go
+++ b/relay/demand_test.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"net"
+	"net/http"
 	"net/netip"
 	"testing"
 	"time"
@@ -8,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/sapphirefield/sapphirefield/config"
+	"github.com/sapphirefield/sapphirefield/demand"
 	"github.com/sapphirefield/sapphirefield/pipeline"
 )
 
@@ -62,6 +65,12 @@
 	assert.Assert(t, roomKept(idle, 1, "team") > 0)
 	assert.Equal(t, roomKept(idle, 0, "team"), 0.0)
 
+	fresh := &pathWaiter{find: wait.find, Waiting: wait.Waiting}
+	fresh.Arrived = now
+	_, done = full.waitRoom("llm").enter(now, fresh)
+	assert.Assert(t, !done)
+	assert.Equal(t, full.message(3).demand[demand.IDOf("llm")][0].Waiting, 800.0, "a stream that has just come lacks nothing")
+
 	// The entry falls silent.
 	for range 30 {
 		now = now.Add(demandInterval)
@@ -89,10 +98,6 @@
 	const modelBytes, rankBytes = 6, 7
 	assert.Assert(t, len(m.encode(demandVersion)) <= len(state)+modelBytes+2*rankBytes)
 
-	two.applyEntry(Record{Key: "old", Value: []byte(`{"address":"127.0.0.1:1","zone":"a"}`)})
-	two.applyEntry(Record{Key: "new", Value: []byte(`{"address":"127.0.0.1:2","zone":"a","message_version":6}`)})
-	assert.Assert(t, two.addresses["old"].version < demandVersion)
-	assert.Equal(t, two.addresses["new"].version, demandVersion)
 }
 
 // Guards against a team whose burst costs other teams of its rank.
@@ -135,6 +140,74 @@
 		}
 	}
 	assert.Assert(t, !later.takeRetry())
+	later.firstByte = now
+	assert.Assert(t, later.takeRetry(), "a stream that has begun leaves nothing")
 	assert.Assert(t, urgent.takeRetry())
 	assert.Equal(t, roomKept(e, 1, ""), 0.0)
 }
+
+// Guards against kept room that no stream heeds, and against streams that are not
+// counted. A stream that no engine could hold does not lack room.
+func TestStreamsLeaveRoomAndAreCounted(t *testing.T) {
+	route := streamRoute(false)
+	route.Rank, route.Timeout = 1, time.Second
+	e := newTestEntry(t, route, newBackend(t, events(2, true)))
+	document := *e.current.Load().Document
+	urgent := route
+	urgent.PathPrefix, urgent.Rank = "/urgent/", 0
+	document.Routes = []config.Route{route, urgent}
+	document.Accelerators = []config.Accelerator{{Kind: "gpu", MemoryBytes: 1 << 20}}
+	e.current.Store(newRevision(Configuration{Document: &document}))
+	e.fleet.reserve(map[string]usage{"s0": {requests: 1, layerTokens: 0.92 * (1 << 20)}})
+	status := func() int {
+		response, _, err := e.send(t, http.MethodPost)
+		assert.NilError(t, err)
+		return response.StatusCode
+	}
+	lack := demand.Report{demand.IDOf("llm"): {{Refused: 1e6}}}
+	for _, other := range []string{"a", "b"} {
+		e.demand.observe(time.Now(), other, lack)
+	}
+	e.demand.update(time.Now())
+	assert.Equal(t, status(), http.StatusServiceUnavailable)
+	load := e.demand.report(time.Now())[demand.IDOf("llm")][0]
+	assert.Assert(t, load.Urgency == 2 && load.Refused > 0 && load.Started == 0, "%+v", load)
+
+	e.demand.models = map[string]*modelDemand{}
+	assert.Equal(t, status(), http.StatusOK)
+	assert.Assert(t, e.demand.report(time.Now())[demand.IDOf("llm")][0].Started > 0)
+
+	assert.Assert(t, e.fleet.servable(time.Now(), e.current.Load(), "llm", pipeline.RelayRequest{PromptTokens: 1 << 16}))
+	assert.Assert(t, !e.fleet.servable(time.Now(), e.current.Load(), "llm", pipeline.RelayRequest{PromptTokens: 1 << 20}))
+}
+
+// Guards against messages that a program cannot read: one of an older version, also if
+// it replaces a newer one under the same name.
+func TestEachEntryGetsTheVersionThatItReads(t *testing.T) {
+	p := newRankedEntry(t, 0, 1)
+	p.demand.record(time.Now(), "llm", 0, 800, begun)
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	defer conn.Close()
+	p.conn = conn
+	receiver, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	defer receiver.Close()
+	address := receiver.LocalAddr().String()
+	received := func() byte {
+		p.broadcast(p.message(1))
+		buffer := make([]byte, maxDatagram)
+		assert.NilError(t, receiver.SetReadDeadline(time.Now().Add(5*time.Second)))
+		_, err := receiver.Read(buffer)
+		assert.NilError(t, err)
+		return buffer[0]
+	}
+	p.applyEntry(Record{Key: "other", Value: []byte(`{"address":"` + address + `","zone":"a"}`)})
+	assert.Equal(t, received(), byte(messageVersion))
+	p.applyEntry(Record{Key: "other", Value: []byte(`{"address":"` + address + `","zone":"a","message_version":6,"started":7}`)})
+	assert.Equal(t, received(), byte(demandVersion))
+	p.learnAddress(message{sender: "other", startNanos: 8, version: messageVersion}, netip.AddrPort{})
+	assert.Equal(t, received(), byte(messageVersion), "a restarted process may be older")
+	p.learnAddress(message{sender: "other", startNanos: 8, version: demandVersion}, netip.AddrPort{})
+	assert.Equal(t, received(), byte(demandVersion))
+}
--- a/relay/message.go
+++ b/relay/message.go
@@ -15,6 +15,8 @@
 // message is the state that an entry sends to the others a few times per
 // second. Each message is a full state, so a lost one does no harm.
 type message struct {
+	// version is the version in which the message was received.
+	version int
 	// sender is the sender, startNanos the start time of its process, and sequence
 	// the number of the message since then.
 	sender               string
@@ -156,7 +158,7 @@
 		return message{}, errMalformedMessage
 	}
 	r := &messageReader{rest: data[1:]}
-	m := message{sender: string(r.bytes()), servers: map[uint64]usage{}}
+	m := message{version: int(data[0]), sender: string(r.bytes()), servers: map[uint64]usage{}}
 	m.startNanos, m.sequence, m.revision, m.term = r.varint(), r.varint(), r.varint(), r.varint()
 	m.watchAge = time.Duration(r.varint()) * time.Millisecond
 	for n := r.count(); n > 0 && !r.failed; n-- {
@@ -269,7 +271,8 @@
 	for ; models > 0 && !r.failed; models-- {
 		model := demand.ModelID(r.uint32())
 		urgencies := r.count()
-		r.failed = r.failed || urgencies > demand.MaxUrgencies
+		_, twice := report[model]
+		r.failed = r.failed || urgencies > demand.MaxUrgencies || twice
 		for ; urgencies > 0 && !r.failed; urgencies-- {
 			report[model] = append(report[model], demand.Load{
 				Urgency: int(min(r.uvarint(), demand.MaxUrgency)), Waiting: r.demandTokens(), Started: r.demandTokens(),
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -44,16 +44,27 @@
 type entryRecord struct {
 	Address netip.AddrPort `json:"address"`
 	Zone    string         `json:"zone"`
-	// MessageVersion is the newest version of messages that the entry reads. Older
-	// programs write none.
-	MessageVersion int `json:"message_version,omitempty"`
+	// MessageVersion is the newest version of messages that the process which started
+	// at StartNanos reads. Older programs write neither.
+	MessageVersion int   `json:"message_version,omitempty"`
+	StartNanos     int64 `json:"started,omitempty"`
 }
 
 // peerAddress is where another entry receives messages, and the newest version that
-// it reads.
+// its process reads, as of its record. heard is the start time of the process that
+// was heard last: it may be another program under the same name.
 type peerAddress struct {
 	netip.AddrPort
-	version int
+	version           int
+	startNanos, heard int64
+}
+
+// messageVersion returns the version of the messages to send.
+func (a peerAddress) messageVersion() int {
+	if a.heard != 0 && a.heard != a.startNanos {
+		return messageVersion
+	}
+	return a.version
 }
 
 // peers exchanges load information with the other entries.
@@ -110,7 +121,7 @@
 }
 
 func (p *peers) writeRecord(ctx context.Context) error {
-	value, err := json.Marshal(entryRecord{p.settings.PeerAddr, p.settings.Zone, demandVersion})
+	value, err := json.Marshal(entryRecord{p.settings.PeerAddr, p.settings.Zone, demandVersion, p.startNanos})
 	if err != nil {
 		return err
 	}
@@ -165,7 +176,7 @@
 		return
 	}
 	if r.Key != p.settings.Instance {
-		p.addresses[r.Key] = peerAddress{e.Address, e.MessageVersion}
+		p.addresses[r.Key] = peerAddress{e.Address, e.MessageVersion, e.StartNanos, p.addresses[r.Key].heard}
 	}
 }
 
@@ -190,7 +201,7 @@
 
 // handleMessage processes another entry's message.
 func (p *peers) handleMessage(m message, from netip.AddrPort) {
-	p.learnAddress(m.sender, from)
+	p.learnAddress(m, from)
 	if !p.fleet.applyPeerMessage(time.Now(), m) {
 		return
 	}
@@ -214,15 +225,26 @@
 }
 
 // learnAddress stores the address of an entry whose record has not been read
-// yet.
-func (p *peers) learnAddress(entry string, from netip.AddrPort) {
+// yet, and which process of an entry is heard.
+func (p *peers) learnAddress(m message, from netip.AddrPort) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if _, known := p.addresses[entry]; known || entry == p.settings.Instance {
+	if m.sender == p.settings.Instance {
 		return
 	}
-	p.addresses[entry] = peerAddress{from, messageVersion}
-	p.updateShares()
+	address, known := p.addresses[m.sender]
+	if !known {
+		address = peerAddress{AddrPort: from, version: messageVersion}
+	}
+	address.heard = m.startNanos
+	if m.version >= demandVersion {
+		// Whoever sends this version reads it.
+		address.version, address.startNanos = m.version, m.startNanos
+	}
+	p.addresses[m.sender] = address
+	if !known {
+		p.updateShares()
+	}
 }
 
 // updateShares derives this entry's part of the retry budgets and rate limits from the
@@ -305,7 +327,7 @@
 	defer p.mu.Unlock()
 	for _, address := range p.addresses {
 		data := state
-		if address.version >= demandVersion {
+		if address.messageVersion() >= demandVersion {
 			data = withDemand
 		}
 		_, _ = p.conn.WriteToUDPAddrPort(data, address.AddrPort)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -101,9 +101,7 @@
 		s.endAtDeadline()
 		return
 	}
-	if !s.headerSent {
-		s.recordDemand(noPath)
-	}
+	s.recordNoPath()
 	now := time.Now()
 	room := s.waitRoom(s.target)
 	s.cause = err.Error()
@@ -141,12 +139,14 @@
 		return s.awaitNextPath(ctx)
 	}
 	req := s.pathRequest()
-	w := &pathWaiter{
-		Waiting: s.waitTerms(req.PromptTokens + req.AnswerTokens),
-		find: func(now time.Time) ([]pipeline.Hop, *reservation, error) {
-			req.KeepFree = s.keepFree()
-			return s.fleet.choosePath(now, s.revision, s.target, s.team, req)
-		},
+	w := &pathWaiter{Waiting: s.waitTerms(req.PromptTokens + req.AnswerTokens)}
+	w.find = func(now time.Time) ([]pipeline.Hop, *reservation, error) {
+		req.KeepFree = s.keepFree()
+		hops, reserved, err := s.fleet.choosePath(now, s.revision, s.target, s.team, req)
+		if err != nil {
+			s.checkServable(now, w, req)
+		}
+		return hops, reserved, err
 	}
 	entered := time.Now()
 	hops, reserved, err := s.waitRoom(s.target).await(ctx, w)
--- a/relay/waitroom.go
+++ b/relay/waitroom.go
@@ -63,6 +63,9 @@
 type pathWaiter struct {
 	admission.Waiting
 	find pathFinder
+	// unservable is set if no path would have room for the stream even if nothing else
+	// ran. It is known once checked is set.
+	unservable, checked bool
 	// lastErr is the reason why no path was found in the latest attempt.
 	lastErr error
 	result  chan pathResult
