--- a/relay/demand.go
+++ b/relay/demand.go
@@ -25,6 +25,9 @@
 	// ordinaryWait is the wait up to which a stream does not count as lacking room: one
 	// that arrives while others wait is first tried at the next pass.
 	ordinaryWait = 2 * passInterval
+	// shareInterval is how often the teams over their share are determined: it takes
+	// time for each team.
+	shareInterval = time.Second
 	// overShareFactor is the work in progress of a team, as a multiple of the mean of
 	// the teams that have any, above which the team is over its share. Teams near the
 	// mean merely fluctuate.
@@ -42,6 +45,8 @@
 	// overShare holds the teams that are over their share while some work finds no
 	// room.
 	overShare atomic.Pointer[map[string]bool]
+	// sharesAt is when overShare was determined.
+	sharesAt time.Time
 }
 
 // modelDemand is this entry's demand for a model.
@@ -111,9 +116,18 @@
 			lacking = d.updateModel(now, model) || lacking
 		}
 	}
+	d.updateShares(now, rev, lacking)
+}
+
+// updateShares finds the teams over their share while some work lacks room or retries.
+func (d *demandControl) updateShares(now time.Time, rev *revision, lacking bool) {
+	if lacking && now.Sub(d.sharesAt) < shareInterval {
+		return
+	}
 	over := map[string]bool{}
+	d.sharesAt = time.Time{}
 	if lacking {
-		over = d.fleet.teamsOverShare(now, rev.Document.Teams)
+		over, d.sharesAt = d.fleet.teamsOverShare(now, rev.Document.Teams), now
 	}
 	d.overShare.Store(&over)
 }
