--- a/admission/keepfree_test.go
+++ b/admission/keepfree_test.go
@@ -22,6 +22,10 @@
 	fleetStep, decideInterval, reportInterval = 25 * time.Millisecond, 100 * time.Millisecond, 300 * time.Millisecond
 	streamTime, longestWait                   = 2 * time.Second, 200 * time.Millisecond
 	ranks                                     = 3
+
+	// largeWork is the work of the largest tenth of the streams, as a multiple of the
+	// others' work, and largeServed how often it must be served relative to its kind.
+	largeWork, largeServed = 12.0, 0.5
 )
 
 // fleetReplay plays streams of three ranks at entries of unlike size, which share room for a
@@ -29,12 +33,22 @@
 type fleetReplay struct {
 	entries []*fleetEntry
 	room    int
-	running []time.Time
+	// running holds the streams by their end, used their work.
+	running []runningStream
+	used    float64
 	// hears reports whether an entry gets the messages of another one.
 	hears         func(from, to int) bool
 	now           time.Time
 	random        *rand.Rand
 	asked, served [ranks]float64
+	// largeShare is the share of large streams; largeAsked and largeOK count them.
+	largeShare          float64
+	largeAsked, largeOK [ranks]float64
+}
+
+type runningStream struct {
+	end  time.Time
+	work float64
 }
 
 type fleetEntry struct {
@@ -75,12 +89,23 @@
 		shares += e.share
 	}
 	for end := r.now.Add(duration); r.now.Before(end); r.now = r.now.Add(fleetStep) {
-		r.running = slices.DeleteFunc(r.running, r.now.After)
+		r.running = slices.DeleteFunc(r.running, func(s runningStream) bool {
+			if r.now.After(s.end) {
+				r.used -= s.work
+				return true
+			}
+			return false
+		})
 		for _, i := range r.random.Perm(len(r.entries)) {
 			e := r.entries[i]
 			for rank, perSecond := range arrivals {
 				for expected := perSecond * e.share / shares * fleetStep.Seconds(); r.random.Float64() < expected; expected-- {
-					e.waiting = append(e.waiting, Waiting{Rank: rank, Arrived: r.now, Work: 1})
+					w := Waiting{Rank: rank, Arrived: r.now, Work: 1}
+					if r.random.Float64() < r.largeShare {
+						w.Work = largeWork
+						r.largeAsked[rank]++
+					}
+					e.waiting = append(e.waiting, w)
 					r.asked[rank]++
 				}
 			}
@@ -95,16 +120,20 @@
 	slices.SortStableFunc(e.waiting, func(a, b Waiting) int { return a.Rank - b.Rank })
 	e.waiting = slices.DeleteFunc(e.waiting, func(w Waiting) bool {
 		load := &e.load[w.Rank]
-		if float64(len(r.running)+1) <= float64(r.room)*(1-e.keeper.Fraction(w.Rank)) {
-			r.running = append(r.running, r.now.Add(streamTime))
+		if r.used+w.Work <= float64(r.room)*(1-e.keeper.Fraction(w.Rank)) {
+			r.running = append(r.running, runningStream{r.now.Add(streamTime), w.Work})
+			r.used += w.Work
 			r.served[w.Rank]++
-			load.started.add(r.now, 1)
+			if w.Work > 1 {
+				r.largeOK[w.Rank]++
+			}
+			load.started.add(r.now, w.Work)
 			return true
 		}
 		if r.now.Sub(w.Arrived) < longestWait {
 			return false
 		}
-		load.refused.add(r.now, 1)
+		load.refused.add(r.now, w.Work)
 		return true
 	})
 }
@@ -184,6 +213,27 @@
 	}
 }
 
+// Guards against kept room that shuts out the largest streams of a rank: they need more
+// room at once than the others that start beside them. One large stream needs almost
+// as much as is kept.
+func TestLargeStreamsFitBesideKeptRoom(t *testing.T) {
+	play := func(most float64) *fleetReplay {
+		r := newFleetReplay(24, 160)
+		r.largeShare = 0.1
+		for _, e := range r.entries {
+			e.keeper.options.Max = most
+		}
+		r.run(20*time.Second, [ranks]float64{15, 15, 15})
+		return r
+	}
+	with, without := play(DefaultKeepOptions().Max), play(0)
+	for rank := range ranks {
+		large, all := with.largeOK[rank]/with.largeAsked[rank], with.servedShare(rank)
+		t.Logf("rank %d: large %.2f, all %.2f; without %.2f, %.2f", rank, large, all, without.largeOK[rank]/without.largeAsked[rank], without.servedShare(rank))
+		assert.Check(t, large >= largeServed*all, "rank %d: large %.2f, all %.2f", rank, large, all)
+	}
+}
+
 // Guards against room that stays empty: none is kept without a lack, and all is given
 // back in time after one. It also guards against an entry that claims demand, one that
 // falls silent with it, and a low rank that is shut out.
