--- a/relay/demand.go
+++ b/relay/demand.go
@@ -22,9 +22,9 @@
 const (
 	// demandInterval is how often an entry decides how much room is kept.
 	demandInterval = 100 * time.Millisecond
-	// ordinaryWait is the wait up to which a stream does not count as lacking room: one
-	// that arrives while others wait is first tried at the next pass.
-	ordinaryWait = 2 * passInterval
+	// ordinaryWaitFraction is the fraction of its longest wait up to which a stream does
+	// not count as lacking room: most of those that wait for less start in time.
+	ordinaryWaitFraction = 0.5
 	// shareInterval is how often the teams over their share are determined: it takes
 	// time for each team.
 	shareInterval = time.Second
@@ -197,7 +197,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.queue.Summary(func(w *admission.Waiting) (int, bool) {
-		return urgencyOf(w.Rank, w.Team), now.Sub(w.Arrived) > ordinaryWait && !r.waiters[w.ID].unservable
+		lacking := now.Sub(w.Arrived) > time.Duration(ordinaryWaitFraction*float64(w.StartBy().Sub(w.Arrived)))
+		return urgencyOf(w.Rank, w.Team), lacking && !r.waiters[w.ID].unservable
 	})
 }
 
