--- a/admission/keepfree.go
+++ b/admission/keepfree.go
@@ -65,8 +65,8 @@
 	neededAt          time.Time
 }
 
-// KeepChange says that requests of an urgency begin to leave room free, or leave none
-// any more if Fraction is 0, and why.
+// KeepChange says that room begins to be kept, or that none is kept any more if
+// Fraction is 0, and why. Urgency is the one that leaves most.
 type KeepChange struct {
 	Urgency  int
 	Fraction float64
@@ -107,9 +107,11 @@
 	return 0
 }
 
-// Update takes the loads of all urgencies, in their order, and returns which urgencies
-// begin or cease to leave room free.
-func (k *Keeper) Update(now time.Time, totals []demand.Total) (changes []KeepChange) {
+// Update takes the loads of all urgencies, in their order. It returns a change if room
+// begins or ceases to be kept, and nil otherwise.
+func (k *Keeper) Update(now time.Time, totals []demand.Total) *KeepChange {
+	wasKept := false
+	most := KeepChange{}
 	elapsed := now.Sub(k.updatedAt)
 	if k.updatedAt.IsZero() {
 		elapsed = 0
@@ -122,17 +124,20 @@
 			r = &keptRoom{}
 			k.kept[urgency] = r
 		}
-		before := r.fraction
+		wasKept = wasKept || r.fraction > 0
 		k.adjust(r, now, elapsed, n)
 		r.service = k.serviceFactor(n)
-		if (before > 0) != (r.fraction > 0) {
-			changes = append(changes, KeepChange{urgency, r.fraction, n.unserved, n.started, n.entries})
+		if r.fraction >= most.Fraction {
+			most = KeepChange{urgency, r.fraction, n.unserved, n.started, n.entries}
 		}
 		if r.fraction == 0 && n.own.Urgency != urgency {
 			delete(k.kept, urgency)
 		}
 	}
-	return changes
+	if wasKept == (most.Fraction > 0) {
+		return nil
+	}
+	return &most
 }
 
 // urgencies returns those of the loads, those that leave room free, and leastUrgent, in
--- a/admission/keepfree_test.go
+++ b/admission/keepfree_test.go
@@ -261,9 +261,15 @@
 func TestKeptRoomHasHysteresis(t *testing.T) {
 	o := DefaultKeepOptions()
 	k, now := NewKeeper(o), time.Unix(1000, 0)
+	changes := 0
 	update := func(after time.Duration, unserved float64) float64 {
 		now = now.Add(after)
-		k.Update(now, []demand.Total{{Urgency: 0, Unserved: unserved, Started: 100 - unserved, Entries: 5}, {Urgency: 2, Started: 1}})
+		before := k.Fraction(2)
+		change := k.Update(now, []demand.Total{{Urgency: 0, Unserved: unserved, Started: 100 - unserved, Entries: 5}, {Urgency: 2, Started: 1}})
+		if change != nil {
+			changes++
+			assert.Assert(t, (before > 0) == (change.Fraction == 0))
+		}
 		return k.Fraction(2)
 	}
 	assert.Equal(t, update(0, 4), 0.0)
@@ -274,6 +280,7 @@
 	assert.Equal(t, update(o.Hold, 0), kept)
 	assert.Assert(t, update(decideInterval, 0) < kept)
 	assert.Equal(t, update(o.Release, 0), 0.0)
+	assert.Equal(t, changes, 2)
 }
 
 func TestKeeperStaysInItsBounds(t *testing.T) {
--- a/relay/demand.go
+++ b/relay/demand.go
@@ -139,10 +139,10 @@
 	d.mu.Lock()
 	m, id := d.model(model), demand.IDOf(model)
 	room, retries := d.book.Totals(now, id, demand.Room, loads), d.book.Totals(now, id, demand.Retries, loads)
-	roomChanges, retryChanges := m.room.Update(now, room), m.retries.Update(now, retries)
+	roomChange, retryChange := m.room.Update(now, room), m.retries.Update(now, retries)
 	d.mu.Unlock()
-	d.logChanges(model, "room", roomChanges)
-	d.logChanges(model, "retries", retryChanges)
+	d.logChange(model, "room", roomChange)
+	d.logChange(model, "retries", retryChange)
 	for _, t := range d.notPublishedAgain(model, room) {
 		d.updateMetrics(model, t, 0)
 	}
@@ -328,15 +328,16 @@
 	return false
 }
 
-func (d *demandControl) logChanges(model, kept string, changes []admission.KeepChange) {
-	for _, c := range changes {
-		event := logevent.RoomKept
-		if c.Fraction <= 0 {
-			event = logevent.RoomReleased
-		}
-		logevent.Write(d.logger, event).Str("model", model).Str("kept", kept).Str("urgency", urgencyName(c.Urgency)).
-			Float64("fraction", c.Fraction).Float64("unserved", c.Unserved).Float64("started", c.Started).Int("entries", c.Entries).Msg("")
+func (d *demandControl) logChange(model, kept string, c *admission.KeepChange) {
+	if c == nil {
+		return
+	}
+	event := logevent.RoomKept
+	if c.Fraction <= 0 {
+		event = logevent.RoomReleased
 	}
+	logevent.Write(d.logger, event).Str("model", model).Str("kept", kept).Str("urgency", urgencyName(c.Urgency)).
+		Float64("fraction", c.Fraction).Float64("unserved", c.Unserved).Float64("started", c.Started).Int("entries", c.Entries).Msg("")
 }
 
 // urgencyName names an urgency in logs and metrics.
