admission, relay: mends of the review of the order of waiting

- A stream refused by its engines no longer counts as served when it comes again.
- Work that a client states is bounded by 16 times the mean; teams are forgotten also while nothing waits; metrics of a rank are kept; an unknown pair of ranks is last.

--- a/admission/served.go
+++ b/admission/served.go
@@ -66,12 +66,19 @@
 	sizes  map[sizeGroup]*outcomeCount
 	// meanWork is the mean work of the requests of a rank.
 	meanWork map[int]*ewma
+	// behindRanks, behindTeams and behindSizes are the groups that are served much less
+	// often than others.
+	behindRanks map[int]bool
+	behindTeams map[string]bool
+	behindSizes map[sizeGroup]bool
+	judged      time.Time
 }
 
 func newServedShares(window time.Duration) *servedShares {
 	return &servedShares{
 		window: window, all: newOutcomeCount(window), ranks: map[int]*outcomeCount{}, teams: map[string]*outcomeCount{},
 		sizes: map[sizeGroup]*outcomeCount{}, meanWork: map[int]*ewma{},
+		behindRanks: map[int]bool{}, behindTeams: map[string]bool{}, behindSizes: map[sizeGroup]bool{},
 	}
 }
 
@@ -83,8 +90,23 @@
 	s.meanWork[w.Rank].add(w.work())
 }
 
+// withdrawStart records that a started request was not served and waits again.
+func (s *servedShares) withdrawStart(now time.Time, w *Waiting) {
+	for _, c := range []*outcomeCount{
+		s.all, groupCount(s.ranks, w.Rank, s.window), groupCount(s.teams, w.Team, s.window), groupCount(s.sizes, s.sizeGroup(w), s.window),
+	} {
+		if c.total(now) >= 1 {
+			c.started.add(now, -1)
+		}
+	}
+}
+
 // record records that a request was started or refused.
 func (s *servedShares) record(now time.Time, w *Waiting, started bool) {
+	if now.Sub(s.judged) >= s.window {
+		// Teams are forgotten also while nothing waits.
+		s.judge(now)
+	}
 	s.all.add(now, started)
 	groupCount(s.ranks, w.Rank, s.window).add(now, started)
 	groupCount(s.teams, w.Team, s.window).add(now, started)
@@ -111,30 +133,36 @@
 	return sizeGroup{w.Rank, int(math.Min(s.relativeWork(w), maxSizeClass))}
 }
 
-// behind reports whether the rank, the team or the size of a request is served much
-// less often than others.
-func (s *servedShares) behind(now time.Time, w *Waiting) bool {
+// judge decides which groups are served much less often than others.
+func (s *servedShares) judge(now time.Time) {
+	s.judged = now
 	share := s.all.share(now)
-	rank := s.ranks[w.Rank]
-	return isBehind(now, rank, minRankShare*share) || isBehind(now, s.teams[w.Team], minTeamShare*share) ||
-		rank != nil && isBehind(now, s.sizes[s.sizeGroup(w)], minSizeShare*rank.share(now))
-}
-
-func isBehind(now time.Time, c *outcomeCount, share float64) bool {
-	return c != nil && c.total(now) >= minOutcomes && c.share(now) < share
-}
-
-// forgetOld removes the groups without a recent request.
-func (s *servedShares) forgetOld(now time.Time) {
-	forgetOldGroups(now, s.ranks)
-	forgetOldGroups(now, s.teams)
-	forgetOldGroups(now, s.sizes)
+	clear(s.behindRanks)
+	clear(s.behindTeams)
+	clear(s.behindSizes)
+	judgeGroups(now, s.ranks, s.behindRanks, func(int) float64 { return minRankShare * share })
+	judgeGroups(now, s.teams, s.behindTeams, func(string) float64 { return minTeamShare * share })
+	judgeGroups(now, s.sizes, s.behindSizes, func(g sizeGroup) float64 {
+		return minSizeShare * groupCount(s.ranks, g.rank, s.window).share(now)
+	})
 }
 
-func forgetOldGroups[K comparable](now time.Time, groups map[K]*outcomeCount) {
+// judgeGroups notes the groups that are served less than their least share, and removes
+// those without a recent request.
+func judgeGroups[K comparable](now time.Time, groups map[K]*outcomeCount, behind map[K]bool, least func(K) float64) {
 	for key, c := range groups {
-		if c.total(now) < forgottenOutcomes {
+		total := c.total(now)
+		if total < forgottenOutcomes {
 			delete(groups, key)
 		}
+		if total >= minOutcomes && c.share(now) < least(key) {
+			behind[key] = true
+		}
 	}
 }
+
+// behind reports whether the rank, the team or the size of a request was served much
+// less often than others when judge was called.
+func (s *servedShares) behind(w *Waiting) bool {
+	return s.behindRanks[w.Rank] || s.behindTeams[w.Team] || len(s.behindSizes) > 0 && s.behindSizes[s.sizeGroup(w)]
+}
--- a/admission/wait.go
+++ b/admission/wait.go
@@ -39,6 +39,8 @@
 	// clearlyTooLong is the expected wait, as a multiple of the time that is left, at
 	// which a waiting request is refused. The rate at which requests start varies.
 	clearlyTooLong = 2.0
+	// maxRelativeWork bounds the work of a request as a multiple of the mean.
+	maxRelativeWork = 16.0
 	// minStartRate, in requests per second, keeps expected waits finite while nothing
 	// starts.
 	minStartRate = 0.1
@@ -122,7 +124,7 @@
 func DefaultWaitOptions() WaitOptions {
 	return WaitOptions{
 		AgingInterval: time.Second, RateWindow: time.Second, ShareWindow: 10 * time.Second,
-		MinQueue: 4, UnknownRateQueue: 64, MaxQueue: 10000,
+		MinQueue: 4, UnknownRateQueue: 64, MaxQueue: 1000,
 	}
 }
 
@@ -145,6 +147,8 @@
 	// Refresh.
 	order []*queued
 	flows map[flowKey]*waitFlow
+	// levelSum is the sum of the flows' work, in progress and waiting, for their weight.
+	levelSum float64
 	// started and startedWork are the rates at which requests and their work start,
 	// and refusedWork the rate at which work is refused.
 	started, startedWork, refusedWork rateEstimator
@@ -205,8 +209,7 @@
 	if len(q.items) == 0 {
 		q.busySince = now
 	}
-	q.shares.observe(w)
-	q.meanWork.add(w.work())
+	q.observe(w)
 	at := q.insert(now, w)
 	if refusal := q.judgeArrival(now, at); refusal != nil {
 		return q.refuse(now, refusal)
@@ -254,18 +257,22 @@
 func (q *WaitQueue) refusal(now time.Time, at int, reason RefusalReason) *Refusal {
 	ahead := 0.0
 	for _, other := range q.order[:at] {
-		ahead += other.work()
+		ahead += other.workAhead()
 	}
 	return &Refusal{Waiting: q.order[at].Waiting, Reason: reason, Ahead: at, Expected: q.timeToStart(now, ahead)}
 }
 
 func (q *WaitQueue) refuse(now time.Time, r *Refusal) *Refusal {
-	q.shares.record(now, r.Waiting, false)
-	q.refusedWork.add(now, r.work())
+	q.recordRefusal(now, r)
 	q.Remove(r.ID)
 	return r
 }
 
+func (q *WaitQueue) recordRefusal(now time.Time, r *Refusal) {
+	q.shares.record(now, r.Waiting, false)
+	q.refusedWork.add(now, r.work())
+}
+
 // insert adds a request behind those of its team and rank and returns its index.
 func (q *WaitQueue) insert(now time.Time, w *Waiting) int {
 	key := flowKey{w.Team, w.Rank}
@@ -277,6 +284,7 @@
 	item := q.evaluate(now, &queued{Waiting: w, flow: f})
 	f.waiting += w.work()
 	f.length++
+	q.levelSum += w.work() / f.weight
 	item.setLevel((f.inProgress+f.waiting-w.work())/f.weight, q.meanLevel())
 	q.items[w.ID] = w
 	at, _ := slices.BinarySearchFunc(q.order, item, compareQueued)
@@ -300,13 +308,23 @@
 	}
 }
 
+// workAhead returns the work that delays later requests. Requests that are raised above
+// all ranks do not count: one of them is tried at a time, and there may never be capacity
+// for it.
+func (item *queued) workAhead() float64 {
+	if item.currentRank == raisedRank {
+		return 0
+	}
+	return item.work()
+}
+
 // delay returns a number of longest waits, at most one.
 func (item *queued) delay(waits float64) time.Duration {
 	return time.Duration(math.Min(waits, 1) * float64(item.StartBy().Sub(item.Arrived)))
 }
 
 func (q *WaitQueue) currentRank(now time.Time, w *Waiting) int {
-	if q.shares.behind(now, w) {
+	if q.shares.behind(w) {
 		return raisedRank
 	}
 	if q.options.AgingInterval <= 0 {
@@ -334,11 +352,15 @@
 // Refresh updates the order with each team's work in progress, in the unit of
 // Waiting.Work.
 func (q *WaitQueue) Refresh(now time.Time, inProgress func(team string) float64) {
+	q.levelSum = 0
 	for _, f := range q.flows {
 		f.inProgress, f.waiting = inProgress(f.team), 0
+		q.levelSum += f.inProgress / f.weight
 	}
+	q.shares.judge(now)
 	for _, item := range q.order {
 		q.evaluate(now, item)
+		q.levelSum += item.work() / item.flow.weight
 	}
 	slices.SortFunc(q.order, compareInFlow)
 	for _, item := range q.order {
@@ -350,30 +372,28 @@
 		item.setLevel(item.level, mean)
 	}
 	slices.SortFunc(q.order, compareQueued)
-	q.shares.forgetOld(now)
 }
 
 // meanLevel returns the mean work, in progress and waiting, of the teams that wait.
-func (q *WaitQueue) meanLevel() float64 {
-	sum := 0.0
-	for _, f := range q.flows {
-		sum += (f.inProgress + f.waiting) / f.weight
-	}
-	return sum / float64(max(len(q.flows), 1))
-}
+func (q *WaitQueue) meanLevel() float64 { return q.levelSum / float64(max(len(q.flows), 1)) }
 
-// Candidates returns the next requests to start, at most n and one of each team
-// and rank.
+// Candidates returns the next requests to start: at most n, one of each team and
+// rank, and one more that is raised above all ranks. There is only one such, so
+// that requests for which there never is capacity do not keep all others waiting.
 func (q *WaitQueue) Candidates(n int) []*Waiting {
-	candidates := make([]*Waiting, 0, n)
-	flows := make([]*waitFlow, 0, n)
+	candidates := make([]*Waiting, 0, n+1)
+	flows := make([]*waitFlow, 0, n+1)
 	for _, item := range q.order {
-		if len(candidates) == n {
-			break
+		raised := item.currentRank == raisedRank
+		if raised && len(candidates) > 0 || slices.Contains(flows, item.flow) {
+			continue
 		}
-		if !slices.Contains(flows, item.flow) {
-			flows = append(flows, item.flow)
-			candidates = append(candidates, item.Waiting)
+		if raised {
+			n++
+		}
+		candidates, flows = append(candidates, item.Waiting), append(flows, item.flow)
+		if len(candidates) >= n {
+			break
 		}
 	}
 	return candidates
@@ -385,36 +405,59 @@
 	var refusals []*Refusal
 	ahead, kept := 0.0, 0
 	ranks := map[int]bool{}
-	for _, item := range slices.Clone(q.order) {
+	q.order = slices.DeleteFunc(q.order, func(item *queued) bool {
 		expected := q.timeToStart(now, ahead)
-		left := item.StartBy().Sub(now)
 		mayStay := kept < q.options.MinQueue || !ranks[item.Rank] || q.rateUnknown(now)
-		reason := RefusalReason(0)
-		switch {
-		case left <= 0:
-			reason = WaitOver
-		case !mayStay && expected.Seconds() > clearlyTooLong*left.Seconds():
-			reason = WaitTooLong
-		}
+		reason := hopeless(item.StartBy().Sub(now), expected, mayStay)
 		if reason != 0 {
-			refusals = append(refusals, q.refuse(now, &Refusal{Waiting: item.Waiting, Reason: reason, Ahead: kept, Expected: expected}))
-			continue
+			refusal := &Refusal{Waiting: item.Waiting, Reason: reason, Ahead: kept, Expected: expected}
+			q.recordRefusal(now, refusal)
+			q.forget(item.Waiting)
+			refusals = append(refusals, refusal)
+			return true
 		}
 		ranks[item.Rank] = true
-		ahead += item.work()
+		ahead += item.workAhead()
 		kept++
-	}
+		return false
+	})
 	return refusals
 }
 
+// hopeless returns the reason to refuse a request that has some time left and is
+// expected to start after another, or 0.
+func hopeless(left, expected time.Duration, mayStay bool) RefusalReason {
+	switch {
+	case left <= 0:
+		return WaitOver
+	case !mayStay && expected.Seconds() > clearlyTooLong*left.Seconds():
+		return WaitTooLong
+	default:
+		return 0
+	}
+}
+
 // StartedAtOnce records that a request has started without waiting. When a queue
 // begins, the rate of these tells how long it will take.
 func (q *WaitQueue) StartedAtOnce(now time.Time, w *Waiting) {
-	q.shares.observe(w)
-	q.meanWork.add(w.work())
+	q.observe(w)
 	q.recordStart(now, w)
 }
 
+// observe records the work of a request that arrives. It is bounded, because clients state
+// it: one that states any number must not make all others count as small.
+func (q *WaitQueue) observe(w *Waiting) {
+	if q.meanWork.count > 0 {
+		w.Work = min(w.work(), maxRelativeWork*q.meanWork.value)
+	}
+	q.meanWork.add(w.work())
+	q.shares.observe(w)
+}
+
+// StartFailed records that a request which had started was refused by its server
+// and comes again, so that it does not count as served.
+func (q *WaitQueue) StartFailed(now time.Time, w *Waiting) { q.shares.withdrawStart(now, w) }
+
 func (q *WaitQueue) recordStart(now time.Time, w *Waiting) {
 	q.started.add(now, 1)
 	q.startedWork.add(now, w.work())
@@ -429,7 +472,9 @@
 		return
 	}
 	q.recordStart(now, w)
-	q.flows[flowKey{w.Team, w.Rank}].inProgress += w.work()
+	f := q.flows[flowKey{w.Team, w.Rank}]
+	f.inProgress += w.work()
+	q.levelSum += w.work() / f.weight
 	q.Remove(id)
 }
 
@@ -439,14 +484,21 @@
 	if w == nil {
 		return
 	}
-	delete(q.items, id)
+	q.forget(w)
 	at := slices.IndexFunc(q.order, func(item *queued) bool { return item.Waiting == w })
 	q.order = slices.Delete(q.order, at, at+1)
+}
+
+// forget removes a request from all but the order.
+func (q *WaitQueue) forget(w *Waiting) {
+	delete(q.items, w.ID)
 	key := flowKey{w.Team, w.Rank}
 	f := q.flows[key]
+	q.levelSum -= w.work() / f.weight
 	f.waiting -= w.work()
 	f.length--
 	if f.length == 0 {
+		q.levelSum -= f.inProgress / f.weight
 		delete(q.flows, key)
 	}
 }
@@ -460,9 +512,9 @@
 // the rank and of more urgent ones.
 func (q *WaitQueue) ExpectedWait(now time.Time, rank int) time.Duration {
 	work := 0.0
-	for _, w := range q.items {
-		if w.Rank <= rank {
-			work += w.work()
+	for _, item := range q.order {
+		if item.Rank <= rank {
+			work += item.work()
 		}
 	}
 	return q.timeToStart(now, work)
--- a/relay/rankorder.go
+++ b/relay/rankorder.go
@@ -19,7 +19,7 @@
 
 func newRankOrder(doc *config.Document, teamRanks map[string]int) rankOrder {
 	stated := map[int]bool{}
-	unstated := false
+	unstated := len(doc.Teams) == 0
 	for _, team := range doc.Teams {
 		rank, ok := teamRanks[team.Name]
 		if ok {
@@ -53,6 +53,23 @@
 	}
 }
 
+// streamRanksDiffer reports whether streams of different ranks can come.
+func (o rankOrder) streamRanksDiffer(doc *config.Document) bool {
+	routes := map[int]bool{}
+	for _, route := range doc.Routes {
+		if route.CallKind == config.CallStream {
+			routes[route.Rank] = true
+		}
+	}
+	places := 0
+	for pair := range o {
+		if routes[pair.route] {
+			places++
+		}
+	}
+	return places > 1
+}
+
 // rank returns the place of a request in the order of urgency; team is nil for a
 // request without a key.
 func (r *revision) rank(route *config.Route, team *config.Team) int {
@@ -62,5 +79,8 @@
 			pair.team = rank
 		}
 	}
-	return r.ranks[pair]
+	if place, known := r.ranks[pair]; known {
+		return place
+	}
+	return len(r.ranks)
 }
--- a/relay/revision.go
+++ b/relay/revision.go
@@ -15,6 +15,8 @@
 	accelerators map[string]*config.Accelerator
 	finders      map[string]*pipeline.Pathfinder
 	ranks        rankOrder
+	// streamRanksDiffer is set if streams of different ranks can come.
+	streamRanksDiffer bool
 	// links are keyed by the two zones that they connect.
 	links map[[2]string]pipeline.RelayLink
 }
@@ -29,6 +31,7 @@
 		finders:       map[string]*pipeline.Pathfinder{},
 		ranks:         newRankOrder(c.Document, c.TeamRanks),
 	}
+	r.streamRanksDiffer = r.ranks.streamRanksDiffer(c.Document)
 	for i := range c.Document.Accelerators {
 		r.accelerators[c.Document.Accelerators[i].Kind] = &c.Document.Accelerators[i]
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -102,11 +102,10 @@
 		return
 	}
 	now := time.Now()
-	room := s.waitRoom(s.target)
-	s.cause = err.Error()
-	s.waiting, s.expectedWait = room.state(now, s.rank)
+	expected := s.waitRoom(s.target).outlook(now, s.rank, maxNoCapacityRetryAfter)
+	s.cause, s.waiting, s.expectedWait = err.Error(), expected.waiting, expected.expected
 	s.logRefusal(err)
-	s.giveUp("no path of engines has room", s.noCapacityRetryAfter(room.returnTimes(now, s.rank, maxNoCapacityRetryAfter)))
+	s.giveUp("no path of engines has room", s.noCapacityRetryAfter(expected))
 }
 
 // logRefusal logs what decided that a stream no longer waits for a path.
@@ -125,9 +124,12 @@
 // capacity: after those that wait now, and spread over the time in which room is
 // found for those that were refused. Clients that retried sooner or together would be
 // refused again.
-func (s *streamRequest) noCapacityRetryAfter(expected, spread time.Duration) time.Duration {
-	earliest := min(max(expected, minNoCapacityRetryAfter), maxNoCapacityRetryAfter)
-	spread = min(max(spread, minNoCapacityRetrySpread), maxNoCapacityRetrySpread)
+func (s *streamRequest) noCapacityRetryAfter(o outlook) time.Duration {
+	earliest := min(max(o.expected, minNoCapacityRetryAfter), maxNoCapacityRetryAfter)
+	spread := maxNoCapacityRetrySpread
+	if s.revision.streamRanksDiffer {
+		spread = min(max(o.spread, minNoCapacityRetrySpread), maxNoCapacityRetrySpread)
+	}
 	return earliest + time.Duration(s.fleet.randomFloat()*float64(spread))
 }
 
@@ -145,25 +147,34 @@
 		},
 	}
 	entered := time.Now()
-	hops, reserved, err := s.waitRoom(s.target).await(ctx, w)
+	room := s.waitRoom(s.target)
+	if s.sentCount > 0 {
+		room.startFailed(entered, w)
+	}
+	hops, reserved, err := room.await(ctx, w)
 	s.waited += time.Since(entered)
 	return hops, reserved, err
 }
 
-// waitTerms returns what orders the stream among those that wait for a path.
+// waitTerms returns what orders the stream among those that wait for a path. If all
+// streams have one rank, none gains by a longer wait or a place before others: they
+// wait for the usual time and count the same.
 func (s *streamRequest) waitTerms(tokens float64) admission.Waiting {
-	target := s.route.TargetLatency
-	if target == 0 {
-		target = defaultFirstEventTarget
+	w := admission.Waiting{
+		Team: s.team, Weight: s.teamWeight, Rank: s.rank, Work: 1,
+		Arrived: s.started, Target: s.started.Add(defaultFirstEventTarget), Deadline: s.deadline,
+	}
+	if !s.revision.streamRanksDiffer {
+		return w
 	}
-	leaves := s.started.Add(clientPatience(s.route))
-	if s.deadline.Before(leaves) {
-		leaves = s.deadline
+	w.Work = tokens
+	if s.route.TargetLatency > 0 {
+		w.Target = s.started.Add(s.route.TargetLatency)
 	}
-	return admission.Waiting{
-		Team: s.team, Weight: s.teamWeight, Rank: s.rank, Work: tokens,
-		Arrived: s.started, Target: s.started.Add(target), Deadline: leaves,
+	if leaves := s.started.Add(clientPatience(s.route)); leaves.Before(s.deadline) {
+		w.Deadline = leaves
 	}
+	return w
 }
 
 // awaitNextPath selects a path for a stream whose response has started. It waits
--- a/relay/waitroom.go
+++ b/relay/waitroom.go
@@ -55,8 +55,14 @@
 	teamLoad func(now time.Time, team string) float64
 	waited   metrics.Histogram
 	length   metrics.Gauge
-	// registry holds the metrics of each rank.
 	registry metrics.Registry
+	byRank   map[int]*rankMetrics
+}
+
+// rankMetrics are the metrics of the streams of a rank.
+type rankMetrics struct {
+	waited  metrics.Histogram
+	refused metrics.Counter
 }
 
 // pathWaiter is a stream that waits for a path.
@@ -82,7 +88,7 @@
 		queue: admission.NewWaitQueue(admission.DefaultWaitOptions()), waiters: map[string]*pathWaiter{}, teamLoad: teamLoad,
 		waited:   metrics.GetOrRegisterHistogram("relay.path_wait_ms", registry, metrics.NewExpDecaySample(reservoirSize, reservoirAlpha)),
 		length:   metrics.GetOrRegisterGauge("relay.waiting."+model, registry),
-		registry: registry,
+		registry: registry, byRank: map[int]*rankMetrics{},
 	}
 }
 
@@ -193,16 +199,29 @@
 	return false
 }
 
+// rankMetrics returns the metrics of a rank.
+func (r *waitRoom) rankMetrics(rank int) *rankMetrics {
+	m := r.byRank[rank]
+	if m == nil {
+		sample := metrics.NewExpDecaySample(reservoirSize, reservoirAlpha)
+		m = &rankMetrics{
+			waited:  metrics.GetOrRegisterHistogram(fmt.Sprintf("relay.path_wait_ms.rank_%d", rank), r.registry, sample),
+			refused: metrics.GetOrRegisterCounter(fmt.Sprintf("relay.path_refused.rank_%d", rank), r.registry),
+		}
+		r.byRank[rank] = m
+	}
+	return m
+}
+
 // recordWait records how long a stream that started has waited.
 func (r *waitRoom) recordWait(waited time.Duration, rank int) {
 	r.waited.Update(waited.Milliseconds())
-	name := fmt.Sprintf("relay.path_wait_ms.rank_%d", rank)
-	metrics.GetOrRegisterHistogram(name, r.registry, metrics.NewExpDecaySample(reservoirSize, reservoirAlpha)).Update(waited.Milliseconds())
+	r.rankMetrics(rank).waited.Update(waited.Milliseconds())
 }
 
 // refuse ends the wait of a stream.
 func (r *waitRoom) refuse(refusal *admission.Refusal) {
-	metrics.GetOrRegisterCounter(fmt.Sprintf("relay.path_refused.rank_%d", refusal.Rank), r.registry).Inc(1)
+	r.rankMetrics(refusal.Rank).refused.Inc(1)
 	r.finish(refusal.ID, pathResult{err: &waitRefusal{Refusal: refusal, noPath: r.waiters[refusal.ID].lastErr}})
 }
 
@@ -213,19 +232,25 @@
 	w.result <- result
 }
 
-// state returns the number of waiting streams and how long one of a rank would wait.
-func (r *waitRoom) state(now time.Time, rank int) (waiting int, expected time.Duration) {
+// outlook is what a wait room expects for a stream that it has refused.
+type outlook struct {
+	waiting int
+	// expected is when a stream of the rank would start, and spread the period over which
+	// the streams that were refused a while ago must spread their returns.
+	expected, spread time.Duration
+}
+
+func (r *waitRoom) outlook(now time.Time, rank int, while time.Duration) outlook {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.queue.Len(), r.queue.ExpectedWait(now, rank)
+	return outlook{waiting: r.queue.Len(), expected: r.queue.ExpectedWait(now, rank), spread: r.queue.ReturnSpread(now, while)}
 }
 
-// returnTimes returns when room is expected for a refused stream of a rank, and the
-// period over which those refused within a while must spread their returns.
-func (r *waitRoom) returnTimes(now time.Time, rank int, while time.Duration) (expected, spread time.Duration) {
+// startFailed records that a stream that had a path was refused by its engines.
+func (r *waitRoom) startFailed(now time.Time, w *pathWaiter) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.queue.ExpectedWait(now, rank), r.queue.ReturnSpread(now, while)
+	r.queue.StartFailed(now, &w.Waiting)
 }
 
 // waitRoom returns the wait room of a model.
