--- a/relay/usage_test.go
+++ b/relay/usage_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -151,3 +152,42 @@
 	later := r.own(now.Add(usageInterval), usageInterval)
 	assert.Assert(t, later > 36*time.Millisecond && later < 37*time.Millisecond, "%v", later)
 }
+
+// Guards against sums that drift from the messages behind them: entries send, fall
+// silent and restart in any order, some with values that no entry has, and each choice
+// of a path trusts the sums.
+func TestPeerTotalsMatchMessages(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now, p := time.Unix(100, 0), newPeerUsage()
+		latest := map[string]message{}
+		received := map[string]time.Time{}
+		for i := range 60 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 600).Draw(t, "ms")) * time.Millisecond)
+			m := message{sender: rapid.SampledFrom([]string{"e", "f", "g"}).Draw(t, "entry"), sequence: int64(i + 1), servers: map[uint64]usage{}}
+			for _, id := range []string{"s", "t"} {
+				if rapid.Bool().Draw(t, id) {
+					m.servers[serverHash(id)] = usage{
+						requests: rapid.IntRange(0, 9).Draw(t, "requests"), slowdown: float64(rapid.IntRange(0, 3).Draw(t, "slowdown")),
+						tokens: float64(rapid.IntRange(0, 1e6).Draw(t, "tokens")),
+						rate:   rapid.OneOf(rapid.Float64Range(0, 1), rapid.SampledFrom([]float64{math.NaN(), math.Inf(1), -1, math.MaxFloat32})).Draw(t, "rate"),
+					}
+				}
+			}
+			p.observe(now, m)
+			latest[m.sender], received[m.sender] = m, now
+			now = now.Add(time.Duration(rapid.IntRange(0, 1200).Draw(t, "silence")) * time.Millisecond)
+			want, fresh := usage{}, 0
+			for name, m := range latest {
+				if now.Sub(received[name]) <= messageTTL {
+					want.add(m.servers[serverHash("s")].bounded(), 1)
+					fresh++
+				}
+			}
+			got := p.usageOf(now, "s")
+			assert.Assert(t, math.Abs(got.rate-want.rate) < 0.01, "%v, want %v", got.rate, want.rate)
+			got.rate, want.rate = 0, 0
+			assert.Equal(t, got, want)
+			assert.Equal(t, p.freshCount(now), fresh)
+		}
+	})
+}
