--- a/admission/wait.go
+++ b/admission/wait.go
@@ -24,12 +24,14 @@
 	Work float64
 }
 
+// DeadlineFraction is the fraction of the client's time that a request may wait. The rest
+// is for its answer.
+const DeadlineFraction = 1.0 / 3
+
 const (
 	// targetFraction is the fraction of the time to the target that a request may
 	// wait. The rest is for the engines, which have to read the prompt.
 	targetFraction = 0.5
-	// deadlineFraction is the fraction of the client's time that a request may wait.
-	deadlineFraction = 1.0 / 3
 	// sizeDelay and teamDelay order the requests of a rank: a request of mean size, and
 	// one of a team with the mean work in progress, give way to requests that arrive
 	// later by these fractions of the longest wait. Both grow with the size and
@@ -49,7 +51,7 @@
 // StartBy returns the latest useful time to start the request: a later answer would
 // be late, and its client gains more by a refusal that says when to return.
 func (w *Waiting) StartBy() time.Time {
-	limit := time.Duration(deadlineFraction * float64(w.Deadline.Sub(w.Arrived)))
+	limit := time.Duration(DeadlineFraction * float64(w.Deadline.Sub(w.Arrived)))
 	return w.Arrived.Add(min(limit, time.Duration(targetFraction*float64(w.Target.Sub(w.Arrived)))))
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -111,7 +111,7 @@
 	if s.headerSent || delay <= 0 {
 		return true
 	}
-	limit := time.Duration(float64(s.deadline.Sub(s.started)) * maxPathDelayFraction)
+	limit := time.Duration(float64(s.deadline.Sub(s.started)) * admission.DeadlineFraction)
 	if time.Since(s.started)+delay > min(maxRefusedTime, limit) {
 		return false
 	}
