--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -40,6 +40,7 @@
 	RoomKept                  Event = 2040
 	RoomReleased              Event = 2041
 	StreamNotAwaited          Event = 2031
+	EngineRefuses             Event = 2050
 
 	StreamRerouted         Event = 2015
 	StreamRecovered        Event = 2009
@@ -99,6 +100,7 @@
 	{EngineLost, log.InfoLevel, "engine taken for lost", ""},
 	{EngineSuspected, log.InfoLevel, "engine suspected after a refusal", ""},
 	{EngineReturned, log.InfoLevel, "lost engine works again", ""},
+	{EngineRefuses, log.InfoLevel, "engine refuses stages although it should have room", ""},
 	{EngineCrashedUnderRequest, log.InfoLevel, "backend server crashed before it answered a request", ""},
 	{PromptPartBlocked, log.WarnLevel, "prompt part blocked: it crashes engines", "Find out what the part holds and why the engines crash."},
 	{PromptPartReleased, log.WarnLevel, "prompt part released", ""},
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -125,6 +125,9 @@
 	if s.Leaving {
 		f.conditions.MarkLeaving(now, s.ID)
 	}
+	if s.Layers != old.Layers {
+		f.conditions.ForgetRefusals(s.ID)
+	}
 	if s.StartTimeMillis == old.StartTimeMillis && droppedLayers(old, s) {
 		f.changes.Add(1)
 	}
@@ -225,6 +228,11 @@
 		u.slowdown = slowdown
 		servers[serverHash(id)] = u
 	}
+	for _, id := range f.conditions.Refusing(now) {
+		u := servers[serverHash(id)]
+		u.slowdown = max(u.slowdown, refusedSlowdown)
+		servers[serverHash(id)] = u
+	}
 	return servers
 }
 
--- a/relay/revision.go
+++ b/relay/revision.go
@@ -17,6 +17,8 @@
 	ranks        rankOrder
 	// rankedModels are the models whose streams can have different ranks.
 	rankedModels map[string]bool
+	// streamRanksDiffer is set if streams of different ranks can come.
+	streamRanksDiffer bool
 	// links are keyed by the two zones that they connect.
 	links map[[2]string]pipeline.RelayLink
 }
@@ -32,6 +34,7 @@
 		ranks:         newRankOrder(c.Document, c.TeamRanks),
 	}
 	r.rankedModels = r.ranks.rankedModels(c.Document)
+	r.streamRanksDiffer = r.ranks.streamRanksDiffer(c.Document)
 	for i := range c.Document.Accelerators {
 		r.accelerators[c.Document.Accelerators[i].Kind] = &c.Document.Accelerators[i]
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -19,8 +19,15 @@
 const (
 	// refusedRetryAfter is the Retry-After time after engines refused the request.
 	refusedRetryAfter = 300 * time.Millisecond
-	// maxRefusals bounds the paths that are tried while none accepts the request.
-	maxRefusals = 3
+	// maxRefusals bounds the paths that are tried while none accepts the request, and
+	// maxRefusedTime the time from its start, besides a part of what the client has: clients
+	// disconnect after 2 s without an event.
+	maxRefusals    = 5
+	maxRefusedTime = 1500 * time.Millisecond
+	// minRefusalDelay is the time before the next path after the second refusal in a row.
+	// It doubles with each one: after a restart of many entries, engines still run requests
+	// that nobody counts, and refuse one path after another for a moment.
+	minRefusalDelay = 25 * time.Millisecond
 	// minNoCapacityRetryAfter and maxNoCapacityRetryAfter bound the earliest
 	// Retry-After time while no path has capacity: streams last a few seconds and end one
 	// after another. The others bound the period over which retries are spread.
@@ -87,7 +94,8 @@
 			return
 		}
 		repeatable := q.route.Resumable && q.mayRepeat()
-		if !q.allowRetry(ctx, result, q.streamLimits(), repeatable, s.maxWait()) {
+		if !q.allowRetry(ctx, result, q.streamLimits(), repeatable, s.maxWait()) ||
+			result == notExecuted && !s.pauseAfterRefusal(ctx) {
 			s.giveUp(errorDetail(err), refusedRetryAfter)
 			return
 		}
@@ -95,6 +103,34 @@
 	}
 }
 
+// pauseAfterRefusal waits before the next path is chosen. It reports false if a new
+// stream has been refused for so long that its client is about to leave. The engines that
+// have refused it are tried again after a pause, if the fleet does not avoid them.
+func (s *streamRequest) pauseAfterRefusal(ctx context.Context) bool {
+	delay := refusalDelay(s.attempts.Refused)
+	if s.headerSent || delay <= 0 {
+		return true
+	}
+	limit := time.Duration(float64(s.deadline.Sub(s.started)) * admission.DeadlineFraction)
+	if time.Since(s.started)+delay > min(maxRefusedTime, limit) {
+		return false
+	}
+	// Streams that one burst has brought do not return together.
+	sleep(ctx, delay/2+time.Duration(s.fleet.randomFloat()*float64(delay)))
+	if !s.maybeExecuted {
+		clear(s.avoid)
+	}
+	return true
+}
+
+// refusalDelay returns the time between a number of refusals and the next path.
+func refusalDelay(refusals int) time.Duration {
+	if refusals < 2 {
+		return 0
+	}
+	return minRefusalDelay << (refusals - 2)
+}
+
 // giveUpWithoutPath ends a request for which no path was found in time.
 func (s *streamRequest) giveUpWithoutPath(err error) {
 	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
@@ -103,11 +139,10 @@
 	}
 	s.recordNoPath()
 	now := time.Now()
-	room := s.waitRoom(s.target)
-	s.cause = err.Error()
-	s.waiting, s.expectedWait = room.state(now, s.rank)
+	expected := s.waitRoom(s.target).outlook(now, s.rank, maxNoCapacityRetryAfter)
+	s.cause, s.waiting, s.expectedWait = err.Error(), expected.waiting, expected.expected
 	s.logRefusal(err)
-	s.giveUp("no path of engines has room", s.noCapacityRetryAfter(room.returnTimes(now, s.rank, maxNoCapacityRetryAfter)))
+	s.giveUp("no path of engines has room", s.noCapacityRetryAfter(expected))
 }
 
 // logRefusal logs what decided that a stream no longer waits for a path.
@@ -126,9 +161,12 @@
 // capacity: after those that wait now, and spread over the time in which room is
 // found for those that were refused. Clients that retried sooner or together would be
 // refused again.
-func (s *streamRequest) noCapacityRetryAfter(expected, spread time.Duration) time.Duration {
-	earliest := min(max(expected, minNoCapacityRetryAfter), maxNoCapacityRetryAfter)
-	spread = min(max(spread, minNoCapacityRetrySpread), maxNoCapacityRetrySpread)
+func (s *streamRequest) noCapacityRetryAfter(o outlook) time.Duration {
+	earliest := min(max(o.expected, minNoCapacityRetryAfter), maxNoCapacityRetryAfter)
+	spread := maxNoCapacityRetrySpread
+	if s.revision.streamRanksDiffer {
+		spread = min(max(o.spread, minNoCapacityRetrySpread), maxNoCapacityRetrySpread)
+	}
 	return earliest + time.Duration(s.fleet.randomFloat()*float64(spread))
 }
 
@@ -149,25 +187,34 @@
 		return hops, reserved, err
 	}
 	entered := time.Now()
-	hops, reserved, err := s.waitRoom(s.target).await(ctx, w)
+	room := s.waitRoom(s.target)
+	if s.sentCount > 0 {
+		room.startFailed(entered, w)
+	}
+	hops, reserved, err := room.await(ctx, w)
 	s.waited += time.Since(entered)
 	return hops, reserved, err
 }
 
-// waitTerms returns what orders the stream among those that wait for a path.
+// waitTerms returns what orders the stream among those that wait for a path. If all
+// streams have one rank, none gains by a longer wait or a place before others: they
+// wait for the usual time and count the same.
 func (s *streamRequest) waitTerms(tokens float64) admission.Waiting {
-	target := s.route.TargetLatency
-	if target == 0 {
-		target = defaultFirstEventTarget
+	w := admission.Waiting{
+		Team: s.team, Weight: s.teamWeight, Rank: s.rank, Work: 1,
+		Arrived: s.started, Target: s.started.Add(defaultFirstEventTarget), Deadline: s.deadline,
 	}
-	leaves := s.started.Add(clientPatience(s.route))
-	if s.deadline.Before(leaves) {
-		leaves = s.deadline
+	if !s.revision.streamRanksDiffer {
+		return w
 	}
-	return admission.Waiting{
-		Team: s.team, Weight: s.teamWeight, Rank: s.rank, Work: tokens,
-		Arrived: s.started, Target: s.started.Add(target), Deadline: leaves,
+	w.Work = tokens
+	if s.route.TargetLatency > 0 {
+		w.Target = s.started.Add(s.route.TargetLatency)
 	}
+	if leaves := s.started.Add(clientPatience(s.route)); leaves.Before(s.deadline) {
+		w.Deadline = leaves
+	}
+	return w
 }
 
 // awaitNextPath selects a path for a stream whose response has started. It waits
@@ -207,7 +254,8 @@
 	return req
 }
 
-// maxWait returns how long the stream waits for the resources to continue.
+// maxWait returns how long the stream waits for the retry budget. A new one does not:
+// when its client returns, that is a new request, which needs none of it.
 func (s *streamRequest) maxWait() time.Duration {
 	if s.headerSent {
 		return maxPathWait
@@ -279,17 +327,37 @@
 		s.suspectEngine(engine)
 		return
 	}
+	if x.response.StatusCode == http.StatusServiceUnavailable {
+		s.avoidRefusing(engine)
+		return
+	}
+	// Its record is older than its layers, or it limits its requests.
 	s.avoid[engine] = true
 	s.fleet.avoidEngine(time.Now(), engine)
 }
 
+// avoidRefusing avoids an engine that refused a stage, and tells the other entries if it
+// should have had room for it.
+func (s *streamRequest) avoidRefusing(engine string) {
+	s.avoid[engine] = true
+	s.requestMetrics.stageRefusals.Inc(1)
+	capacity := s.engineCapacity(engine)
+	if !s.fleet.refuseStage(time.Now(), engine, capacity) {
+		return
+	}
+	s.sendNow.fire()
+	logevent.Write(s.logger, logevent.EngineRefuses).Str("server", engine).Str("request", s.info.ID).
+		Float64("used", s.fleet.layerTokens(time.Now(), engine)).Float64("capacity", capacity).Msg("")
+}
+
 // suspectEngine avoids an engine that cannot run its stage. An engine that should
 // be able to is asked for its status: one that does not respond is dead, and the
-// other entries are told at once. One that responds is merely full, and streams
-// that already run on it must not leave it.
+// other entries are told at once. One that responds may be about to stop, and streams
+// that already run on it must not leave it yet.
 func (s *streamRequest) suspectEngine(engine string) {
-	s.avoid[engine] = true
-	if !s.fleet.markSuspect(time.Now(), engine, s.engineCapacity(engine)) {
+	suspected := s.fleet.nameSuspect(time.Now(), engine, s.engineCapacity(engine))
+	s.avoidRefusing(engine)
+	if !suspected {
 		return
 	}
 	logevent.Write(s.logger, logevent.EngineSuspected).Str("server", engine).Str("request", s.info.ID).Msg("")
