--- a/relay/demand.go
+++ b/relay/demand.go
@@ -143,7 +143,7 @@
 	d.mu.Unlock()
 	d.logChange(model, "room", roomChange)
 	d.logChange(model, "retries", retryChange)
-	for _, t := range d.notPublishedAgain(model, room) {
+	for _, t := range d.goneUrgencies(model, room) {
 		d.updateMetrics(model, t, 0)
 	}
 	for i, t := range room {
@@ -153,9 +153,9 @@
 	return lacking
 }
 
-// notPublishedAgain returns an empty total for each urgency that had gauges before and
+// goneUrgencies returns an empty total for each urgency that had gauges before and
 // is not among the totals.
-func (d *demandControl) notPublishedAgain(model string, totals []demand.Total) (gone []demand.Total) {
+func (d *demandControl) goneUrgencies(model string, totals []demand.Total) (gone []demand.Total) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	published := d.model(model).published
