--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -39,6 +39,9 @@
 	RateLimitUnreadable       Event = 2030
 	ServerLeavesUnanswered    Event = 2035
 	CallWaited                Event = 2036
+	RoomKept                  Event = 2040
+	RoomReleased              Event = 2041
+	StreamNotAwaited          Event = 2031
 	EngineRefuses             Event = 2050
 	ServersChanged            Event = 2060
 
@@ -115,6 +118,9 @@
 	{RateLimitUnreadable, log.WarnLevel, "rate limit of a backend server cannot be read", "Find out what the server means; the last limit that was read stays in force."},
 	{ServerLeavesUnanswered, log.WarnLevel, "backend server accepts requests and does not answer them", "Its status may be good all the same. New requests go elsewhere for 2 to 8 s, then one shows whether it answers again; restart it if the line repeats."},
 	{CallWaited, log.InfoLevel, "call waited because the servers of its service had refused calls", ""},
+	{RoomKept, log.InfoLevel, "less urgent streams leave room to more urgent ones", "See docs/OPERATIONS.md, section on ranks; add engines if the line stays without its counterpart."},
+	{RoomReleased, log.InfoLevel, "room kept for more urgent streams given back", ""},
+	{StreamNotAwaited, log.InfoLevel, "stream refused while it waited for a path", ""},
 	{StreamRerouted, log.InfoLevel, "stream's path changed", ""},
 	{ServerChanged, log.InfoLevel, "backend server changed", ""},
 	{ServersChanged, log.InfoLevel, "many backend servers changed at once", "Only some are logged one by one; the line counts all of them."},
--- a/relay/directory_test.go
+++ b/relay/directory_test.go
@@ -212,7 +212,7 @@
 	store.mu.Lock()
 	store.blocked = false
 	store.mu.Unlock()
-	p := &peers{Entry: e, addresses: map[string]netip.AddrPort{}}
+	p := &peers{Entry: e, addresses: map[string]peerAddress{}}
 	for sequence := int64(1); e.Revision() < 2; sequence++ {
 		p.handleMessage(message{sender: "o", startNanos: 1, sequence: sequence, revision: 2, watchAge: notWatching}, netip.AddrPort{})
 		time.Sleep(time.Millisecond)
@@ -434,7 +434,7 @@
 	e.directory.apply(update{records: records, complete: true})
 	e.directory.markRead(bootclock.Now())
 	m := p.message(1)
-	assert.Assert(t, len(m.encode()) <= maxDatagram)
+	assert.Assert(t, len(m.encode(demandVersion)) <= maxDatagram)
 	assert.Equal(t, m.watchAge, notWatching)
 	assert.Equal(t, p.message(2).watchAge, notWatching, "a single lost message must not hide it")
 
--- a/relay/revision.go
+++ b/relay/revision.go
@@ -14,6 +14,11 @@
 	models       map[string]*config.Model
 	accelerators map[string]*config.Accelerator
 	finders      map[string]*pipeline.Pathfinder
+	ranks        rankOrder
+	// rankedModels are the models whose streams can have different ranks.
+	rankedModels map[string]bool
+	// streamRanksDiffer is set if streams of different ranks can come.
+	streamRanksDiffer bool
 	// links are keyed by the two zones that they connect.
 	links map[[2]string]pipeline.RelayLink
 }
@@ -26,7 +31,10 @@
 		models:        map[string]*config.Model{},
 		accelerators:  map[string]*config.Accelerator{},
 		finders:       map[string]*pipeline.Pathfinder{},
+		ranks:         newRankOrder(c.Document, c.TeamRanks),
 	}
+	r.rankedModels = r.ranks.rankedModels(c.Document)
+	r.streamRanksDiffer = r.ranks.streamRanksDiffer(c.Document)
 	for i := range c.Document.Accelerators {
 		r.accelerators[c.Document.Accelerators[i].Kind] = &c.Document.Accelerators[i]
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -29,11 +29,12 @@
 	// that nobody counts, and refuse one path after another for a moment.
 	minRefusalDelay = 25 * time.Millisecond
 	// minNoCapacityRetryAfter and maxNoCapacityRetryAfter bound the earliest
-	// Retry-After time while no path has capacity. noCapacityRetrySpread is the
-	// period over which retries are spread.
-	minNoCapacityRetryAfter = time.Second
-	maxNoCapacityRetryAfter = 3 * time.Second
-	noCapacityRetrySpread   = 3 * time.Second
+	// Retry-After time while no path has capacity: streams last a few seconds and end one
+	// after another. The others bound the period over which retries are spread.
+	minNoCapacityRetryAfter  = time.Second
+	maxNoCapacityRetryAfter  = 3 * time.Second
+	minNoCapacityRetrySpread = time.Second
+	maxNoCapacityRetrySpread = 3 * time.Second
 	// defaultAnswerTokens applies if neither the request nor the configuration
 	// states a length.
 	defaultAnswerTokens = 200
@@ -110,7 +111,7 @@
 	if s.headerSent || delay <= 0 {
 		return true
 	}
-	limit := time.Duration(float64(s.deadline.Sub(s.started)) * maxPathDelayFraction)
+	limit := time.Duration(float64(s.deadline.Sub(s.started)) * admission.DeadlineFraction)
 	if time.Since(s.started)+delay > min(maxRefusedTime, limit) {
 		return false
 	}
@@ -136,18 +137,37 @@
 		s.endAtDeadline()
 		return
 	}
-	waiting, expected := s.waitRoom(s.target).state(time.Now())
-	s.cause, s.waiting, s.expectedWait = err.Error(), waiting, expected
+	s.recordNoPath()
+	now := time.Now()
+	expected := s.waitRoom(s.target).outlook(now, s.rank, maxNoCapacityRetryAfter)
+	s.cause, s.waiting, s.expectedWait = err.Error(), expected.waiting, expected.expected
+	s.logRefusal(err)
 	s.giveUp("no path of engines has room", s.noCapacityRetryAfter(expected))
 }
 
+// logRefusal logs what decided that a stream no longer waits for a path.
+func (s *streamRequest) logRefusal(err error) {
+	var refusal *waitRefusal
+	if !errors.As(err, &refusal) || !s.logLimiter.allow(time.Now()) {
+		return
+	}
+	logevent.Write(s.logger, logevent.StreamNotAwaited).Str("request", s.info.ID).Str("reason", refusal.Reason.String()).
+		Int("rank", s.rank).Str("team", s.team).Float64("work", refusal.Work).
+		Dur("target_ms", refusal.Target.Sub(refusal.Arrived)).Dur("may_wait_ms", refusal.StartBy().Sub(refusal.Arrived)).
+		Int("ahead", refusal.Ahead).Dur("expected_wait_ms", refusal.Expected).Msg("")
+}
+
 // noCapacityRetryAfter returns when a client may retry while no path has
-// capacity: after those that wait now. Streams last a few seconds and end one
-// after another, so retries are spread over a similar period; clients that retried
-// sooner or together would be refused again.
-func (s *streamRequest) noCapacityRetryAfter(expectedWait time.Duration) time.Duration {
-	earliest := min(max(expectedWait, minNoCapacityRetryAfter), maxNoCapacityRetryAfter)
-	return earliest + time.Duration(s.fleet.randomFloat()*float64(noCapacityRetrySpread))
+// capacity: after those that wait now, and spread over the time in which room is
+// found for those that were refused. Clients that retried sooner or together would be
+// refused again.
+func (s *streamRequest) noCapacityRetryAfter(o outlook) time.Duration {
+	earliest := min(max(o.expected, minNoCapacityRetryAfter), maxNoCapacityRetryAfter)
+	spread := maxNoCapacityRetrySpread
+	if s.revision.streamRanksDiffer {
+		spread = min(max(o.spread, minNoCapacityRetrySpread), maxNoCapacityRetrySpread)
+	}
+	return earliest + time.Duration(s.fleet.randomFloat()*float64(spread))
 }
 
 // choosePath selects a path for the rest of the request. New streams wait for one
@@ -157,23 +177,44 @@
 		return s.awaitNextPath(ctx)
 	}
 	req := s.pathRequest()
-	w := &pathWaiter{
-		Waiting: admission.Waiting{Team: s.team, Weight: s.teamWeight, Rank: s.rank, Arrived: s.started, GiveUpAt: s.waitUntil()},
-		cost:    req.PromptTokens + req.AnswerTokens,
-		find: func(now time.Time) ([]pipeline.Hop, *reservation, error) {
-			return s.fleet.choosePath(now, s.revision, s.target, s.team, req)
-		},
+	w := &pathWaiter{Waiting: s.waitTerms(req.PromptTokens + req.AnswerTokens)}
+	w.find = func(now time.Time) ([]pipeline.Hop, *reservation, error) {
+		req.KeepFree = s.keepFree()
+		hops, reserved, err := s.fleet.choosePath(now, s.revision, s.target, s.team, req)
+		if err != nil {
+			s.checkServable(now, w, req)
+		}
+		return hops, reserved, err
 	}
 	entered := time.Now()
-	hops, reserved, err := s.waitRoom(s.target).await(ctx, w)
+	room := s.waitRoom(s.target)
+	if s.sentCount > 0 {
+		room.startFailed(entered, w)
+	}
+	hops, reserved, err := room.await(ctx, w)
 	s.waited += time.Since(entered)
 	return hops, reserved, err
 }
 
-// waitUntil returns until when a new stream waits for a path.
-func (s *streamRequest) waitUntil() time.Time {
-	limit := time.Duration(float64(s.deadline.Sub(s.started)) * maxPathDelayFraction)
-	return s.started.Add(min(limit, maxPathDelay))
+// waitTerms returns what orders the stream among those that wait for a path. If all
+// streams have one rank, none gains by a longer wait or a place before others: they
+// wait for the usual time and count the same.
+func (s *streamRequest) waitTerms(tokens float64) admission.Waiting {
+	w := admission.Waiting{
+		Team: s.team, Weight: s.teamWeight, Rank: s.rank, Work: 1,
+		Arrived: s.started, Target: s.started.Add(defaultFirstEventTarget), Deadline: s.deadline,
+	}
+	if !s.revision.streamRanksDiffer {
+		return w
+	}
+	w.Work = tokens
+	if s.route.TargetLatency > 0 {
+		w.Target = s.started.Add(s.route.TargetLatency)
+	}
+	if leaves := s.started.Add(clientPatience(s.route)); leaves.Before(s.deadline) {
+		w.Deadline = leaves
+	}
+	return w
 }
 
 // awaitNextPath selects a path for a stream whose response has started. It waits
@@ -416,6 +457,7 @@
 		return
 	}
 	s.headerSent, s.firstByte, s.status = true, time.Now(), x.response.StatusCode
+	s.recordDemand(begun)
 	s.copyHeader(x)
 	s.w.WriteHeader(x.response.StatusCode)
 }
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -182,7 +182,7 @@
 		// No request was sent, so the retry adds no load.
 		return true
 	}
-	for waited := time.Duration(0); !q.budget(q.target).Take(time.Now(), false); waited += pathRetryInterval {
+	for waited := time.Duration(0); !q.takeRetry(); waited += pathRetryInterval {
 		if waited >= maxWait || ctx.Err() != nil {
 			return false
 		}
--- a/relay/waitroom_test.go
+++ b/relay/waitroom_test.go
@@ -12,9 +12,13 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/sapphirefield/sapphirefield/admission"
+	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/pipeline"
 )
 
+// maxTestDelay is how long streams wait in a testRoom.
+const maxTestDelay = 200 * time.Millisecond
+
 // testRoom is a waitRoom whose capacity is a number of streams.
 type testRoom struct {
 	*waitRoom
@@ -30,8 +34,7 @@
 
 func (t *testRoom) waiter(team string, now time.Time) *pathWaiter {
 	return &pathWaiter{
-		Waiting: admission.Waiting{Team: team, Arrived: now, GiveUpAt: now.Add(maxPathDelay)},
-		cost:    1,
+		Waiting: admission.Waiting{Team: team, Arrived: now, Target: now.Add(2 * maxTestDelay), Deadline: now.Add(10 * maxTestDelay), Work: 1},
 		find: func(time.Time) ([]pipeline.Hop, *reservation, error) {
 			if t.free == 0 {
 				return nil, nil, pipeline.ErrNoChain
@@ -83,15 +86,15 @@
 	w := room.waiter("a", now)
 	_, done := room.enter(now, w)
 	assert.Assert(t, !done)
-	room.tick(now.Add(maxPathDelay - 1))
+	room.tick(now.Add(maxTestDelay - 1))
 	assert.Equal(t, len(room.waiters), 1)
-	room.tick(now.Add(maxPathDelay))
+	room.tick(now.Add(maxTestDelay))
 	result := <-w.result
 	assert.ErrorIs(t, result.err, pipeline.ErrNoChain)
 	assert.Equal(t, room.queue.Len(), 0)
 
 	// An attempt that follows a refusal by an engine does not wait again.
-	result, done = room.enter(now.Add(maxPathDelay), w)
+	result, done = room.enter(now.Add(maxTestDelay), w)
 	assert.Assert(t, done)
 	assert.ErrorIs(t, result.err, pipeline.ErrNoChain)
 }
@@ -105,8 +108,7 @@
 	cancel()
 	_, _, err := room.await(ctx, w)
 	assert.ErrorIs(t, err, context.Canceled)
-	waiting, _ := room.state(time.Now())
-	assert.Equal(t, waiting, 0)
+	assert.Equal(t, room.outlook(time.Now(), 0, 0).waiting, 0)
 
 	// The same if a path is found in the moment in which the client leaves.
 	f := newTestEntry(t, streamRoute(true)).fleet
@@ -152,7 +154,7 @@
 		}()
 	}
 	room := e.waitRoom("llm")
-	for waiting := 0; waiting == 0; waiting, _ = room.state(time.Now()) {
+	for room.outlook(time.Now(), 0, 0).waiting == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	close(release)
@@ -160,3 +162,26 @@
 		assert.Equal(t, <-results, http.StatusOK)
 	}
 }
+
+// Guards against longer waits, and another order by size, in a deployment whose streams
+// all have one rank: there the streams that wait longest keep engines at their limits
+// for the others, and nobody gains.
+func TestWaitFollowsTargetWhereRanksDiffer(t *testing.T) {
+	route := config.Route{CallKind: config.CallStream, TargetLatency: 2 * time.Second}
+	low := route
+	low.Rank = 1
+	for _, routes := range [][]config.Route{{route}, {route, low}} {
+		now := time.Unix(1000, 0)
+		s := &streamRequest{request: &request{
+			route: &routes[0], started: now, deadline: now.Add(20 * time.Second),
+			revision: newRevision(Configuration{Document: &config.Document{Routes: routes}}),
+		}}
+		w := s.waitTerms(900)
+		wait, work := 200*time.Millisecond, 1.0
+		if len(routes) > 1 {
+			wait, work = time.Second, 900
+		}
+		assert.Equal(t, w.StartBy().Sub(now), wait)
+		assert.Equal(t, w.Work, work)
+	}
+}
