--- a/relay/lease_test.go
+++ b/relay/lease_test.go
@@ -153,7 +153,7 @@
 		}
 		for _, to := range c.placers {
 			if to != from {
-				(&peers{Entry: to.Entry, addresses: map[string]netip.AddrPort{from.settings.Instance: {}}}).handleMessage(m, netip.AddrPort{})
+				(&peers{Entry: to.Entry, addresses: map[string]peerAddress{from.settings.Instance: {}}}).handleMessage(m, netip.AddrPort{})
 			}
 		}
 	}
