admission, relay: an urgent stream waits as long as a less urgent one

Change: a request may wait as long as any less urgent one; once late it goes behind those of its rank that can be in time.

--- a/admission/replay_test.go
+++ b/admission/replay_test.go
@@ -133,6 +133,10 @@
 	r.ID = fmt.Sprint(len(p.byID))
 	p.byID[r.ID] = r
 	r.Arrived, r.Target, r.Deadline = p.now, p.now.Add(replayTargets[r.Rank]), p.now.Add(20*time.Second)
+	if p.list == nil {
+		leastUrgent := Waiting{Arrived: p.now, Target: p.now.Add(slices.Max(replayTargets[r.Rank:])), Deadline: r.Deadline}
+		r.OthersWaitUntil = leastUrgent.StartBy()
+	}
 	switch {
 	case p.list != nil:
 		p.list.list = append(p.list.list, &r.Waiting)
--- a/admission/served.go
+++ b/admission/served.go
@@ -5,13 +5,14 @@
 	"time"
 )
 
-// Least shares that callers require a group of requests to be served: relative to the
-// share of all requests, and for sizes to that of their rank. The requests of a
-// group below it go before all others.
+// Least shares that a group of requests is served: relative to the share of all requests,
+// and for sizes to that of their rank. The requests of a group below it go before all
+// others. Callers require a quarter for ranks and teams, and a half for sizes; sizes
+// have a margin, because a large request needs more than one try to find room.
 const (
 	minRankShare = 0.25
 	minTeamShare = 0.25
-	minSizeShare = 0.5
+	minSizeShare = 0.55
 )
 
 const (
--- a/admission/wait.go
+++ b/admission/wait.go
@@ -19,6 +19,10 @@
 	// Arrived is when the request arrived, Target when its first event is due, and
 	// Deadline when its client leaves or its time is over.
 	Arrived, Target, Deadline time.Time
+	// OthersWaitUntil is how long a less urgent request that arrives at the same time may
+	// wait. The request may wait as long, so that it is not refused while that one
+	// goes on waiting.
+	OthersWaitUntil time.Time
 	// Work is the expected number of tokens of the prompt and the answer; values of 0
 	// or less count as 1.
 	Work float64
@@ -48,9 +52,17 @@
 	minStartRate = 0.1
 )
 
-// StartBy returns the latest useful time to start the request: a later answer would
-// be late, and its client gains more by a refusal that says when to return.
+// StartBy returns the latest useful time to start the request.
 func (w *Waiting) StartBy() time.Time {
+	if onTime := w.onTimeUntil(); onTime.After(w.OthersWaitUntil) {
+		return onTime
+	}
+	return w.OthersWaitUntil
+}
+
+// onTimeUntil returns the latest time to start the request so that its answer is in
+// time. If it starts later, its client gains more by a refusal that says when to return.
+func (w *Waiting) onTimeUntil() time.Time {
 	limit := time.Duration(DeadlineFraction * float64(w.Deadline.Sub(w.Arrived)))
 	return w.Arrived.Add(min(limit, time.Duration(targetFraction*float64(w.Target.Sub(w.Arrived)))))
 }
@@ -167,6 +179,8 @@
 	// currentRank is the rank, which rises while the request waits. It is raisedRank
 	// while the rank, the team or the size is served much less often than others.
 	currentRank int
+	// late is 1 if the request cannot be in time any more, and 0 otherwise.
+	late int
 	// level is the work of the request's team, in progress or before it in the queue,
 	// for the team's weight.
 	level float64
@@ -297,6 +311,10 @@
 // evaluate updates what orders a request beside its team's work.
 func (q *WaitQueue) evaluate(now time.Time, item *queued) *queued {
 	item.currentRank = q.currentRank(now, item.Waiting)
+	item.late = 0
+	if now.After(item.onTimeUntil()) {
+		item.late = 1
+	}
 	item.sizeTurn = item.Arrived.Add(item.delay(sizeDelay * q.shares.relativeWork(item.Waiting)))
 	return item
 }
@@ -322,7 +340,7 @@
 
 // delay returns a number of longest waits, at most one.
 func (item *queued) delay(waits float64) time.Duration {
-	return time.Duration(math.Min(waits, 1) * float64(item.StartBy().Sub(item.Arrived)))
+	return time.Duration(math.Min(waits, 1) * float64(item.onTimeUntil().Sub(item.Arrived)))
 }
 
 func (q *WaitQueue) currentRank(now time.Time, w *Waiting) int {
@@ -341,14 +359,14 @@
 // compareQueued orders the requests.
 func compareQueued(a, b *queued) int {
 	return cmp.Or(
-		cmp.Compare(a.currentRank, b.currentRank), a.turn.Compare(b.turn),
+		cmp.Compare(a.currentRank, b.currentRank), cmp.Compare(a.late, b.late), a.turn.Compare(b.turn),
 		cmp.Compare(a.level, b.level), a.sizeTurn.Compare(b.sizeTurn), cmp.Compare(a.Team, b.Team), cmp.Compare(a.ID, b.ID),
 	)
 }
 
 // compareInFlow orders the requests of a team and rank.
 func compareInFlow(a, b *queued) int {
-	return cmp.Or(cmp.Compare(a.currentRank, b.currentRank), a.sizeTurn.Compare(b.sizeTurn), cmp.Compare(a.ID, b.ID))
+	return cmp.Or(cmp.Compare(a.currentRank, b.currentRank), cmp.Compare(a.late, b.late), a.sizeTurn.Compare(b.sizeTurn), cmp.Compare(a.ID, b.ID))
 }
 
 // Refresh updates the order with each team's work in progress, in the unit of
--- a/admission/wait_test.go
+++ b/admission/wait_test.go
@@ -243,6 +243,23 @@
 	assert.Assert(t, q.Add(now, waiting("first of its rank", "a", 2, o.RateWindow)) == nil)
 }
 
+// Guards against an urgent request that is refused while a less urgent one with a later
+// target goes on waiting, and against late requests that go before others of their rank.
+func TestUrgentRequestsWaitAsLongAsOthers(t *testing.T) {
+	q := NewWaitQueue(DefaultWaitOptions())
+	urgent, low := waiting("urgent", "a", 0, 0), waiting("low", "b", 1, 0)
+	low.Target, low.Deadline = low.Arrived.Add(4*time.Second), low.Arrived.Add(time.Minute)
+	urgent.OthersWaitUntil = low.StartBy()
+	q.Add(waitStart, urgent)
+	q.Add(waitStart, low)
+	now := low.StartBy().Add(-time.Millisecond)
+	q.Add(now, waiting("on time", "c", 0, now.Sub(waitStart)))
+	q.Refresh(now, func(string) float64 { return 0 })
+	assert.Equal(t, len(q.RefuseHopeless(now)), 0)
+	// A second of waiting has raised the low rank by one; of one rank, the late one is last.
+	assert.DeepEqual(t, candidateIDs(q, 3), []string{"low", "on time", "urgent"})
+}
+
 // BenchmarkWaitQueueRefresh measures one update of the order of the most waiting requests when the teams' work has changed.
 func BenchmarkWaitQueueRefresh(b *testing.B) {
 	o := DefaultWaitOptions()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sapphirefield/sapphirefield/admission"
+	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/eventstream"
 	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/pipeline"
@@ -210,9 +211,27 @@
 	if leaves := s.started.Add(clientPatience(s.route)); leaves.Before(s.deadline) {
 		w.Deadline = leaves
 	}
+	w.OthersWaitUntil = s.othersWaitUntil(w)
 	return w
 }
 
+// othersWaitUntil returns until when a less urgent stream of the configuration, with the
+// terms of the given one otherwise, would wait.
+func (s *streamRequest) othersWaitUntil(w admission.Waiting) time.Time {
+	longest := w.StartBy()
+	for i := range s.revision.Document.Routes {
+		route := &s.revision.Document.Routes[i]
+		if route.CallKind != config.CallStream || route.Rank <= s.route.Rank {
+			continue
+		}
+		w.Target = s.started.Add(route.TargetLatency)
+		if until := w.StartBy(); until.After(longest) {
+			longest = until
+		}
+	}
+	return longest
+}
+
 // awaitNextPath selects a path for a stream whose response has started. It waits
 // for one: its client stays for a while, and the work done so far would be lost.
 // It uses low-bandwidth links only if there is no other path, because after the
--- a/relay/waitroom_test.go
+++ b/relay/waitroom_test.go
@@ -169,7 +169,7 @@
 func TestWaitFollowsTargetWhereRanksDiffer(t *testing.T) {
 	route := config.Route{CallKind: config.CallStream, TargetLatency: 2 * time.Second}
 	low := route
-	low.Rank = 1
+	low.Rank, low.TargetLatency = 1, 4*time.Second
 	for _, routes := range [][]config.Route{{route}, {route, low}} {
 		now := time.Unix(1000, 0)
 		s := &streamRequest{request: &request{
@@ -179,7 +179,9 @@
 		w := s.waitTerms(900)
 		wait, work := 200*time.Millisecond, 1.0
 		if len(routes) > 1 {
-			wait, work = time.Second, 900
+			// It may wait as long as a less urgent one, whose target is later.
+			wait, work = 2*time.Second, 900
+			assert.Equal(t, w.Target.Sub(now), route.TargetLatency)
 		}
 		assert.Equal(t, w.StartBy().Sub(now), wait)
 		assert.Equal(t, w.Work, work)
