--- a/admission/wait_test.go
+++ b/admission/wait_test.go
@@ -260,6 +260,28 @@
 	assert.DeepEqual(t, candidateIDs(q, 3), []string{"low", "on time", "urgent"})
 }
 
+// A rank and a team that are served less than a quarter as often as all go first, and one
+// whose requests have started but were refused by servers counts as not served.
+func TestGroupsServedLeastGoFirst(t *testing.T) {
+	shares := newServedShares(10 * time.Second)
+	now := waitStart
+	usual, low, team, failed := waiting("", "a", 0, 0), waiting("", "a", 1, 0), waiting("", "b", 0, 0), waiting("", "c", 0, 0)
+	for i := range 100 {
+		shares.record(now, usual, true)
+		if i%10 == 0 {
+			shares.record(now, low, i == 0)
+			shares.record(now, team, i == 0)
+			shares.record(now, failed, true)
+			shares.withdrawStart(now, failed)
+			shares.record(now, failed, false)
+		}
+	}
+	shares.judge(now)
+	for w, behind := range map[*Waiting]bool{usual: false, low: true, team: true, failed: true} {
+		assert.Equal(t, shares.behind(w), behind, "%+v", w)
+	}
+}
+
 // BenchmarkWaitQueueRefresh measures one update of the order of the most waiting requests when the teams' work has changed.
 func BenchmarkWaitQueueRefresh(b *testing.B) {
 	o := DefaultWaitOptions()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -205,9 +205,7 @@
 		return w
 	}
 	w.Work = tokens
-	if s.route.TargetLatency > 0 {
-		w.Target = s.started.Add(s.route.TargetLatency)
-	}
+	w.Target = s.started.Add(firstEventTarget(s.route))
 	if leaves := s.started.Add(clientPatience(s.route)); leaves.Before(s.deadline) {
 		w.Deadline = leaves
 	}
@@ -215,6 +213,14 @@
 	return w
 }
 
+// firstEventTarget returns when the first event of a stream is due.
+func firstEventTarget(route *config.Route) time.Duration {
+	if route.TargetLatency == 0 {
+		return defaultFirstEventTarget
+	}
+	return route.TargetLatency
+}
+
 // othersWaitUntil returns until when a less urgent stream of the configuration, with the
 // terms of the given one otherwise, would wait.
 func (s *streamRequest) othersWaitUntil(w admission.Waiting) time.Time {
@@ -224,7 +230,7 @@
 		if route.CallKind != config.CallStream || route.Rank <= s.route.Rank {
 			continue
 		}
-		w.Target = s.started.Add(route.TargetLatency)
+		w.Target = s.started.Add(firstEventTarget(route))
 		if until := w.StartBy(); until.After(longest) {
 			longest = until
 		}
