--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -39,6 +39,7 @@
 	RateLimitUnreadable       Event = 2030
 	StreamNotAwaited          Event = 2031
 	EngineRefuses             Event = 2050
+	ServersChanged            Event = 2060
 
 	StreamRerouted         Event = 2015
 	StreamRecovered        Event = 2009
@@ -69,6 +70,7 @@
 	OrderRefused         Event = 5002
 	OrderCompleted       Event = 5003
 	PlanningFailed       Event = 5004
+	LayersPlanned        Event = 5008
 	EngineStatusReceived Event = 5006
 	EngineStatusMissing  Event = 5007
 	RolloutBlocked       Event = 5005
@@ -113,6 +115,7 @@
 	{StreamNotAwaited, log.InfoLevel, "stream refused while it waited for a path", ""},
 	{StreamRerouted, log.InfoLevel, "stream's path changed", ""},
 	{ServerChanged, log.InfoLevel, "backend server changed", ""},
+	{ServersChanged, log.InfoLevel, "many backend servers changed at once", "Only some are logged one by one; the line counts all of them."},
 	{ServerRecordRemoved, log.InfoLevel, "backend server's record is gone", ""},
 	{ServerRecordUnreadable, log.WarnLevel, "backend server's record cannot be read", "Find out which program writes the record."},
 	{EntryRecordUnreadable, log.WarnLevel, "another entry's record cannot be read", "Find out which program writes the record."},
@@ -134,6 +137,7 @@
 	{ProcessWasHeldUp, log.WarnLevel, "process was held up; configuration is read again", "Check the load of the instance if the line repeats."},
 	{StoreRestored, log.WarnLevel, "store came back from an older copy", "Check that the operators' last change is there; the entries write their own records again."},
 	{OrderSent, log.InfoLevel, "order given to engine", ""},
+	{LayersPlanned, log.InfoLevel, "orders planned", "The line holds what decided; the orders follow."},
 	{OrderRefused, log.WarnLevel, "order refused by engine", ""},
 	{OrderCompleted, log.InfoLevel, "order carried out by engine", ""},
 	{EngineStatusReceived, log.DebugLevel, "engine reported its state", ""},
--- a/relay/poll_test.go
+++ b/relay/poll_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,7 +12,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/sapphirefield/sapphirefield/config"
-	"github.com/sapphirefield/sapphirefield/lease"
 	"github.com/sapphirefield/sapphirefield/membership"
 )
 
@@ -43,7 +44,7 @@
 			engines.unresponsive[id] = i < unresponsive
 		}
 		e.fleet.setServers(time.Now(), servers)
-		p := &placer{Entry: e, lease: lease.New("e", lease.DefaultOptions())}
+		p := newPlacer(e)
 		p.pollEngines(t.Context())
 		found := 0
 		for id := range servers {
@@ -54,3 +55,43 @@
 		assert.Equal(t, found, lost, "%d of 8 engines unresponsive", unresponsive)
 	}
 }
+
+// Guards against engines in use whose slowdown is noticed late, and against idle ones
+// that are never asked, when a fleet has more engines than are asked at a time.
+func TestPollsGoByTurns(t *testing.T) {
+	const engines, used, limit = 3000, 60, 160
+	var ids []string
+	for i := range engines {
+		ids = append(ids, fmt.Sprintf("s%04d", i))
+	}
+	isWatched := func(id string) bool { return id < fmt.Sprintf("s%04d", used) }
+	var turns pollTurns
+	asked := map[string]int{}
+	rounds := (engines - used + limit - used - 1) / (limit - used)
+	for range rounds {
+		polled := turns.next(slices.Clone(ids), isWatched, limit)
+		assert.Equal(t, len(polled), limit)
+		for _, id := range polled {
+			asked[id]++
+		}
+	}
+	for _, id := range ids {
+		if isWatched(id) {
+			assert.Equal(t, asked[id], rounds, id)
+		} else {
+			assert.Assert(t, asked[id] >= 1, id)
+		}
+	}
+	assert.Equal(t, len(turns.next(ids[:limit], isWatched, limit)), limit)
+}
+
+// Guards against an engine that was slow for a moment and stays unused for a minute,
+// because the idle engines of a large fleet are asked seldom.
+func TestSlowEngineIsWatched(t *testing.T) {
+	f := newFleet(rand.New(rand.NewPCG(1, 2)))
+	assert.Assert(t, !f.isWatched(time.Now(), "s"))
+	f.setSlowdown("s", 3)
+	assert.Assert(t, f.isWatched(time.Now(), "s"))
+	f.setSlowdown("s", 1)
+	assert.Assert(t, !f.isWatched(time.Now(), "s"))
+}
