relay: a test of the rank that a request gets; a test of silence runs in virtual time

TestMuteEngineIsSilentOrUnsure failed in 1 of 5 parallel runs with 'process was delayed': it ran by the real clock, and the machine's load was what it measured. Change: TestRequestGetsPlaceOfItsRanks; the other test uses testing/synctest, with the same assertions.

--- a/relay/rankorder_test.go
+++ b/relay/rankorder_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"net/http"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -34,3 +35,20 @@
 	assert.Equal(t, rev.rank(low, unranked), 1)
 	assert.Equal(t, rev.rank(low, nil), 1)
 }
+
+// Guards against requests that reach servers with the rank of their team or route alone.
+func TestRequestGetsPlaceOfItsRanks(t *testing.T) {
+	b := newBackend(t, respond(200, "answer"))
+	route := unaryRoute(config.CallIdempotent)
+	route.Rank = 2
+	e := newTestEntry(t, route, b)
+	c := e.current.Load().Configuration
+	urgent := route
+	urgent.Name, urgent.PathPrefix, urgent.Rank = "urgent", "/urgent/", 1
+	c.Document.Routes = append(c.Document.Routes, urgent)
+	c.TeamRanks = map[string]int{"team": 5}
+	e.current.Store(newRevision(c))
+	_, _, err := e.send(t, http.MethodGet)
+	assert.NilError(t, err)
+	assert.Equal(t, b.requests[0].Header.Get("Rank"), "1")
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -43,6 +43,7 @@
 func (testCodec) EncodeRequest(h http.Header, info ForwardInfo) {
 	h.Del("Key")
 	h.Set("Team", info.Team)
+	h.Set("Rank", strconv.Itoa(info.Rank))
 	h.Set("Instance", info.Instance)
 	if info.LastEvent >= 0 {
 		h.Set("Last", strconv.FormatInt(info.LastEvent, 10))
--- a/relay/stalls_test.go
+++ b/relay/stalls_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/phuslu/log"
@@ -147,15 +148,17 @@
 // lost only if it may be dead.
 func TestMuteEngineIsSilentOrUnsure(t *testing.T) {
 	for unsure, want := range map[bool]error{true: errInconclusive, false: ErrNoResponse} {
-		s := newStallChecker(&muteEngines{}, &log.Logger{Level: log.PanicLevel})
-		s.startedAt = time.Now().Add(-settleTime)
-		q := s.start("a")
-		if unsure {
-			time.Sleep(time.Millisecond)
-			s.hear(time.Now(), "a")
-		}
-		<-q.done
-		assert.ErrorIs(t, q.err, want)
+		synctest.Test(t, func(t *testing.T) {
+			s := newStallChecker(&muteEngines{}, &log.Logger{Level: log.PanicLevel})
+			s.startedAt = time.Now().Add(-settleTime)
+			q := s.start("a")
+			if unsure {
+				time.Sleep(time.Millisecond)
+				s.hear(time.Now(), "a")
+			}
+			<-q.done
+			assert.ErrorIs(t, q.err, want)
+		})
 	}
 }
 
