--- a/admission/keepfree.go
+++ b/admission/keepfree.go
@@ -36,8 +36,8 @@
 	}
 }
 
-// RetryKeepOptions returns the options of entries for their retries. More of these are
-// kept than of the room, because they come back after a long time.
+// RetryKeepOptions returns the options of entries for their retries. A larger part of
+// these is kept than of the room, because the budget refills only as its window passes.
 func RetryKeepOptions() KeepOptions {
 	const maxRetriesKept, maxRetriesPerEntry = 0.5, 0.25
 	o := DefaultKeepOptions()
--- a/admission/served.go
+++ b/admission/served.go
@@ -7,8 +7,8 @@
 
 // Least shares that a group of requests is served: relative to the share of all requests,
 // and for sizes to that of their rank. The requests of a group below it go before all
-// others. Callers require a quarter for ranks and teams, and a half for sizes; sizes
-// have a margin, because a large request needs more than one try to find room.
+// others. Sizes have
+// a higher one, because a large request needs more than one try to find room.
 const (
 	minRankShare = 0.25
 	minTeamShare = 0.25
@@ -96,7 +96,8 @@
 	for _, c := range []*outcomeCount{
 		s.all, groupCount(s.ranks, w.Rank, s.window), groupCount(s.teams, w.Team, s.window), groupCount(s.sizes, s.sizeGroup(w), s.window),
 	} {
-		if c.total(now) >= 1 {
+		// Earlier starts may have left the window.
+		if c.started.at(now)*s.window.Seconds() >= 1 {
 			c.started.add(now, -1)
 		}
 	}
--- a/admission/summary.go
+++ b/admission/summary.go
@@ -8,7 +8,7 @@
 	waiting := map[int]float64{}
 	for _, w := range q.items {
 		if urgency, counts := urgencyOf(w); counts {
-			waiting[urgency] += w.Work
+			waiting[urgency] += w.work()
 		}
 	}
 	loads := make([]demand.Load, 0, len(waiting))
--- a/admission/wait.go
+++ b/admission/wait.go
@@ -19,8 +19,8 @@
 	// Arrived is when the request arrived, Target when its first event is due, and
 	// Deadline when its client leaves or its time is over.
 	Arrived, Target, Deadline time.Time
-	// OthersWaitUntil is how long a less urgent request that arrives at the same time may
-	// wait. The request may wait as long, so that it is not refused while that one
+	// OthersWaitUntil is the time until which a less urgent request that arrived at the same
+	// moment may wait. The request may wait as long, so that it is not refused while that one
 	// goes on waiting.
 	OthersWaitUntil time.Time
 	// Work is the expected number of tokens of the prompt and the answer; values of 0
@@ -364,7 +364,8 @@
 	)
 }
 
-// compareInFlow orders the requests of a team and rank.
+// compareInFlow orders requests so that those of one team and rank are in the order in which
+// they would start.
 func compareInFlow(a, b *queued) int {
 	return cmp.Or(cmp.Compare(a.currentRank, b.currentRank), cmp.Compare(a.late, b.late), a.sizeTurn.Compare(b.sizeTurn), cmp.Compare(a.ID, b.ID))
 }
@@ -394,7 +395,8 @@
 	slices.SortFunc(q.order, compareQueued)
 }
 
-// meanLevel returns the mean work, in progress and waiting, of the teams that wait.
+// meanLevel returns the mean work, in progress and waiting, of the pairs of team and rank
+// that wait. What a team has in progress counts once for each of its ranks.
 func (q *WaitQueue) meanLevel() float64 { return q.levelSum / float64(max(len(q.flows), 1)) }
 
 // Candidates returns the next requests to start: at most n, one of each team and
--- a/condition/condition.go
+++ b/condition/condition.go
@@ -42,14 +42,14 @@
 	// leavingGrace is how long streams stay on an engine that is leaving. Most of them
 	// end within it, and the engine keeps serving for longer.
 	leavingGrace = 1200 * time.Millisecond
-	// SilentSlowdown is how many times as long as usual a server is expected to take that
+	// UnansweredSlowdown is how many times as long as usual a server is expected to take that
 	// has left a request without an answer for too long. It still counts: if all servers
 	// do so, the cause is elsewhere or they are overloaded.
-	SilentSlowdown = 20.0
-	// firstSilentTime is how long that holds. The time doubles with each further request
-	// that is left without an answer then, up to maxSilentTime.
-	firstSilentTime = 2 * time.Second
-	maxSilentTime   = 8 * time.Second
+	UnansweredSlowdown = 20.0
+	// minUnansweredTime is how long that holds. The time doubles with each further request
+	// that is left without an answer then, up to maxUnansweredTime.
+	minUnansweredTime = 2 * time.Second
+	maxUnansweredTime = 8 * time.Second
 	// staleRecordWindow is how long after the loss of an engine its records may still
 	// date from before it: they are written about every second and read a little later.
 	staleRecordWindow = 1800 * time.Millisecond
@@ -405,7 +405,7 @@
 		return false
 	}
 	c.onTrial = false
-	c.unansweredFor = min(max(2*c.unansweredFor, firstSilentTime), maxSilentTime)
+	c.unansweredFor = min(max(2*c.unansweredFor, minUnansweredTime), maxUnansweredTime)
 	c.unansweredUntil = now.Add(c.unansweredFor)
 	return true
 }
@@ -418,7 +418,7 @@
 	if c == nil || c.unansweredFor == 0 || now.Before(c.unansweredUntil) {
 		return
 	}
-	c.onTrial, c.unansweredUntil = true, now.Add(firstSilentTime)
+	c.onTrial, c.unansweredUntil = true, now.Add(minUnansweredTime)
 }
 
 // RecordAnswer records that a server has answered a request.
@@ -437,10 +437,10 @@
 	return ids
 }
 
-// Slowdown returns SilentSlowdown for a server that leaves requests without an answer, or 0.
+// Slowdown returns UnansweredSlowdown for a server that leaves requests without an answer, or 0.
 func (b *Book) Slowdown(now time.Time, id string) float64 {
 	if now.Before(b.get(id).unansweredUntil) {
-		return SilentSlowdown
+		return UnansweredSlowdown
 	}
 	return 0
 }
--- a/condition/condition_test.go
+++ b/condition/condition_test.go
@@ -182,28 +182,28 @@
 func TestUnansweredRequests(t *testing.T) {
 	b, now := New(), time.Unix(100, 0)
 	assert.Equal(t, b.Slowdown(now, "x"), 0.0)
-	for _, held := range []time.Duration{firstSilentTime, 2 * firstSilentTime, maxSilentTime, maxSilentTime} {
+	for _, held := range []time.Duration{minUnansweredTime, 2 * minUnansweredTime, maxUnansweredTime, maxUnansweredTime} {
 		assert.Assert(t, b.LeaveUnanswered(now, now, "x"))
 		assert.Assert(t, !b.LeaveUnanswered(now.Add(held-1), now, "x"))
-		assert.Equal(t, b.Slowdown(now.Add(held-1), "x"), SilentSlowdown)
+		assert.Equal(t, b.Slowdown(now.Add(held-1), "x"), UnansweredSlowdown)
 		now = now.Add(held)
 		assert.Equal(t, b.Slowdown(now, "x"), 0.0)
 	}
 	// One request tries the server again.
 	b.RecordSent(now, "x")
-	assert.Equal(t, b.Slowdown(now, "x"), SilentSlowdown)
+	assert.Equal(t, b.Slowdown(now, "x"), UnansweredSlowdown)
 	assert.Assert(t, b.LeaveUnanswered(now.Add(1), now, "x"))
-	assert.Equal(t, b.Slowdown(now.Add(maxSilentTime), "x"), SilentSlowdown)
+	assert.Equal(t, b.Slowdown(now.Add(maxUnansweredTime), "x"), UnansweredSlowdown)
 	b.RecordAnswer(now, "x")
 	b.RecordSent(now, "x")
 	assert.Equal(t, b.Slowdown(now, "x"), 0.0)
 	b.LeaveUnanswered(now, now, "x")
-	assert.Equal(t, b.Slowdown(now.Add(firstSilentTime), "x"), 0.0)
+	assert.Equal(t, b.Slowdown(now.Add(minUnansweredTime), "x"), 0.0)
 	// It serves others: one slow request says nothing.
-	b.RecordAnswer(now.Add(firstSilentTime), "x")
-	assert.Assert(t, !b.LeaveUnanswered(now.Add(2*firstSilentTime), now, "x"))
-	b.RecordProgress(now.Add(firstSilentTime), "y")
+	b.RecordAnswer(now.Add(minUnansweredTime), "x")
+	assert.Assert(t, !b.LeaveUnanswered(now.Add(2*minUnansweredTime), now, "x"))
+	b.RecordProgress(now.Add(minUnansweredTime), "y")
 	assert.Assert(t, b.WorkedSince(now, "y"))
-	assert.Assert(t, b.LeaveUnanswered(now.Add(2*firstSilentTime), now, "y"))
-	assert.DeepEqual(t, b.Unanswering(now.Add(2*firstSilentTime)), []string{"y"})
+	assert.Assert(t, b.LeaveUnanswered(now.Add(2*minUnansweredTime), now, "y"))
+	assert.DeepEqual(t, b.Unanswering(now.Add(2*minUnansweredTime)), []string{"y"})
 }
--- a/relay/candidates.go
+++ b/relay/candidates.go
@@ -197,8 +197,8 @@
 	return sampled
 }
 
-// setClasses sets the class of speed of each engine, by its step factor relative to the
-// fastest. So engines that placement puts into one chain are in one class.
+// setClasses groups engines by speed: those of class n are speedClassRatio to the power of
+// n times slower than the fastest, or up to speedClassRatio times slower than that.
 func setClasses(parts []enginePart) {
 	fastest := math.Inf(1)
 	for _, e := range parts {
@@ -209,9 +209,9 @@
 	}
 }
 
-// findSampledPath returns the best path among some engines of a model with very many. It
-// looks at more of them if there is none, and at last at all, but seldom: under overload
-// many requests wait for a path and search for it again and again.
+// findSampledPath searches a random sample of a model's engines, then a larger one, then
+// all of them. The last is done at most once in fullSearchInterval: under overload many
+// requests wait for a path and search for it again and again.
 func (f *fleet) findSampledPath(now time.Time, rev *revision, model string, r pipeline.RelayRequest) ([]pipeline.Hop, time.Duration, error) {
 	finder, links := rev.finders[model], f.links(now, rev)
 	for _, n := range []int{sampledEngines, maxSearchedEngines} {
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -271,7 +271,7 @@
 		setSlowdown(servers, id, slowdown)
 	}
 	for _, id := range f.conditions.Unanswering(now) {
-		setSlowdown(servers, id, condition.SilentSlowdown)
+		setSlowdown(servers, id, condition.UnansweredSlowdown)
 	}
 	for _, id := range f.conditions.Refusing(now) {
 		u := servers[serverHash(id)]
@@ -311,6 +311,9 @@
 func (f *fleet) recordFirstEvent(took time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.firstEventTime == 0 {
+		f.firstEventTime = took
+	}
 	f.firstEventTime += time.Duration(firstEventWeight * float64(took-f.firstEventTime))
 }
 
@@ -340,7 +343,7 @@
 func (f *fleet) leavesUnanswered(now time.Time, id string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.inProgress(now, id).slowdown >= condition.SilentSlowdown
+	return f.inProgress(now, id).slowdown >= condition.UnansweredSlowdown
 }
 
 // recordAnswer records that a server has answered a request.
--- a/relay/poll.go
+++ b/relay/poll.go
@@ -64,7 +64,7 @@
 
 // maxStatedSlowdown bounds the slowdown that an engine states of itself. More would mean
 // that it does not answer requests.
-const maxStatedSlowdown = condition.SilentSlowdown / 2
+const maxStatedSlowdown = condition.UnansweredSlowdown / 2
 
 // pollable returns the engines that may be asked for their status.
 func (p *placer) pollable(now time.Time, rev *revision, servers map[string]Server) (ids []string) {
--- a/relay/request.go
+++ b/relay/request.go
@@ -178,7 +178,7 @@
 }
 
 // isStartingUp reports whether this process is about to learn what it needs to serve
-// requests. One that has not learnt it for long may not do so soon.
+// requests. After startupTime, requests are answered at once: the store may stay away.
 func (e *Entry) isStartingUp(now time.Time) bool {
 	return now.Sub(e.fleet.startedAt) < startupTime && (e.current.Load() == nil || len(e.fleet.snapshot()) == 0)
 }
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -50,7 +50,7 @@
 	}
 	assert.Equal(t, hung.count(), 1)
 	// The others are told, and the stream that waited goes on elsewhere.
-	assert.Equal(t, e.fleet.localUsage(time.Now())[serverHash("s0")].slowdown, condition.SilentSlowdown)
+	assert.Equal(t, e.fleet.localUsage(time.Now())[serverHash("s0")].slowdown, condition.UnansweredSlowdown)
 	assert.Equal(t, <-first, eventsText(2))
 }
 
--- a/relay/stalls.go
+++ b/relay/stalls.go
@@ -81,6 +81,10 @@
 	err     error
 }
 
+// showsNoCause reports whether an engine has answered that it works and waits for no
+// other one. No query shows nothing.
+func (q *stallQuery) showsNoCause() bool { return q != nil && q.err == nil && len(q.stalled) == 0 }
+
 func newStallChecker(engines EngineClient, logger *log.Logger) *stallChecker {
 	return &stallChecker{engines: engines, logger: logger, byAddress: map[string]*stallQuery{}, startedAt: time.Now()}
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -20,8 +20,9 @@
 const (
 	// refusedRetryAfter is the Retry-After time after engines refused the request.
 	refusedRetryAfter = 300 * time.Millisecond
-	// maxRefusals bounds the paths that are tried while none accepts the request, and
-	// maxRefusedTime the time from its start, besides a part of what the client has: clients
+	// maxRefusals is the number of paths that are tried for a new request that engines
+	// refuse. maxRefusedTime is the latest time after its arrival at which another one is
+	// tried, if the part of the client's time that it may wait is not over sooner: clients
 	// disconnect after 2 s without an event.
 	maxRefusals    = 5
 	maxRefusedTime = 1500 * time.Millisecond
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -92,7 +92,11 @@
 		}
 		step := q.nextStep(result)
 		repeatable := q.route.CallKind != config.CallAtMostOnce && q.mayRepeat()
-		if !q.allowRetry(ctx, result, q.unaryLimits(), repeatable, 0) || step == admission.EndCall {
+		if step == admission.EndCall {
+			// Another attempt would not help, so none is taken from the retry budget.
+			q.maybeExecuted = q.maybeExecuted || result == mayHaveExecuted
+		}
+		if step == admission.EndCall || !q.allowRetry(ctx, result, q.unaryLimits(), repeatable, 0) {
 			q.refuseOrFail(q.maybeExecuted, errorDetail(err), q.callRetryAfter())
 			return
 		}
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -119,7 +119,7 @@
 		return nil
 	}
 	err := w.findLostEngine()
-	if err == nil {
+	if err == nil && w.pending.showsNoCause() {
 		w.noteUnanswered()
 	}
 	w.stallCheckedAt, w.pending = time.Now(), nil
