--- a/cmd/sapphirectl/main.go
+++ b/cmd/sapphirectl/main.go
@@ -16,7 +16,6 @@
 	"github.com/sapphirefield/sapphirefield/ctl/burncmd"
 	"github.com/sapphirefield/sapphirefield/ctl/chartcmd"
 	"github.com/sapphirefield/sapphirefield/ctl/configcmd"
-	"github.com/sapphirefield/sapphirefield/ctl/explaincmd"
 	"github.com/sapphirefield/sapphirefield/ctl/passwordcmd"
 )
 
@@ -30,7 +29,6 @@
 		Subcommands: []*ffcli.Command{
 			configcmd.Command(configcmd.Options{Stdout: stdout, Client: http.DefaultClient}),
 			reportCommand(),
-			explaincmd.Command(),
 			chartcmd.Command(),
 			passwordcmd.Command(),
 		},
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -17,7 +17,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/sapphirefield/sapphirefield/chart"
-	"github.com/sapphirefield/sapphirefield/explain"
 	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/ops"
 	"github.com/sapphirefield/sapphirefield/relay"
@@ -153,7 +152,7 @@
 	return mux
 }
 
-// metricsHandler serves metrics, health and explanations of decisions. It excludes profiles, because this
+// metricsHandler serves metrics and health. It excludes profiles, because this
 // listener has no password.
 func (p *relayProcess) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -161,7 +160,6 @@
 	for _, path := range []string{"/metrics", "/status", "/healthz", "/readyz"} {
 		mux.Handle("GET "+path, handler)
 	}
-	mux.Handle("GET "+explain.Path, p.entry.ExplainHandler())
 	return mux
 }
 
--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -42,7 +42,6 @@
 	RoomKept                  Event = 2040
 	RoomReleased              Event = 2041
 	StreamNotAwaited          Event = 2031
-	RequestExplained          Event = 2045
 	EngineRefuses             Event = 2050
 	ServersChanged            Event = 2060
 
@@ -122,7 +121,6 @@
 	{RoomKept, log.InfoLevel, "less urgent streams leave room to more urgent ones", "See docs/OPERATIONS.md, section on ranks; add engines if the line stays without its counterpart."},
 	{RoomReleased, log.InfoLevel, "room kept for more urgent streams given back", ""},
 	{StreamNotAwaited, log.InfoLevel, "stream refused while it waited for a path", ""},
-	{RequestExplained, log.InfoLevel, "operator asked where a request would go", ""},
 	{StreamRerouted, log.InfoLevel, "stream's path changed", ""},
 	{ServerChanged, log.InfoLevel, "backend server changed", ""},
 	{ServersChanged, log.InfoLevel, "many backend servers changed at once", "Only some are logged one by one; the line counts all of them."},
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -424,41 +424,29 @@
 func (f *fleet) chooseServer(now time.Time, service string, avoid map[string]bool, maxWait time.Duration) (chosenServer, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	usable := f.usableServers(now, service, avoid, maxWait, func() float64 { return f.random.Float64() * loadJitter })
-	if len(usable) == 0 {
-		f.wantSlots(now, service)
-		return chosenServer{}, false
-	}
-	best := slices.MinFunc(usable, usableServer.compare)
-	f.conditions.Limits.Charge(now, best.ID)
-	return chosenServer{Server: best.Server, wait: best.wait, reserved: f.reserve(map[string]usage{best.ID: {requests: 1}})}, true
-}
-
-// usableServer is a server of a non-pipeline service that takes a call after a wait.
-type usableServer struct {
-	Server
-	wait time.Duration
-	load float64
-}
-
-// compare orders servers by preference.
-func (u usableServer) compare(other usableServer) int {
-	return cmp.Or(cmp.Compare(u.wait, other.wait), cmp.Compare(u.load, other.load))
-}
-
-// usableServers returns the servers that take a call after a wait of at most maxWait.
-// jitter is added to their loads. The caller holds the lock.
-func (f *fleet) usableServers(now time.Time, service string, avoid map[string]bool, maxWait time.Duration, jitter func() float64) (usable []usableServer) {
+	var best chosenServer
+	bestLoad, found := 0.0, false
 	for _, c := range f.membership.Candidates(now, service) {
 		s, known := f.servers[c.ID]
 		if !known || avoid[c.ID] || f.conditions.Against(now, c.ID, condition.Call) != condition.None {
 			continue
 		}
-		if wait := f.conditions.Limits.Wait(now, c.ID); wait <= maxWait {
-			usable = append(usable, usableServer{s, wait, f.serverLoad(now, c, jitter())})
+		wait := f.conditions.Limits.Wait(now, c.ID)
+		if wait > maxWait {
+			continue
+		}
+		load := f.serverLoad(now, c)
+		if !found || cmp.Or(cmp.Compare(wait, best.wait), cmp.Compare(load, bestLoad)) < 0 {
+			best, bestLoad, found = chosenServer{Server: s, wait: wait}, load, true
 		}
 	}
-	return usable
+	if !found {
+		f.wantSlots(now, service)
+		return chosenServer{}, false
+	}
+	f.conditions.Limits.Charge(now, best.ID)
+	best.reserved = f.reserve(map[string]usage{best.ID: {requests: 1}})
+	return best, true
 }
 
 // hasAnsweringServer reports whether a service has a server other than one that takes
@@ -560,8 +548,8 @@
 // loadJitter keeps idle servers from being chosen in the order of their IDs.
 const loadJitter = 0.5
 
-func (f *fleet) serverLoad(now time.Time, c membership.Candidate, jitter float64) float64 {
+func (f *fleet) serverLoad(now time.Time, c membership.Candidate) float64 {
 	u := f.inProgress(now, c.ID)
-	load := jitter + float64(max(u.requests, f.loads[c.ID].at(now)))
+	load := f.random.Float64()*loadJitter + float64(max(u.requests, f.loads[c.ID].at(now)))
 	return (load + 1) * max(u.slowdown, 1) / max(c.Weight, 0.01)
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -265,25 +265,19 @@
 }
 
 func (s *streamRequest) pathRequest() pipeline.RelayRequest {
-	return pipeline.RelayRequest{
-		PromptTokens: float64(s.info.PromptTokens), Exclude: s.avoid,
-		AnswerTokens: expectedAnswerTokens(s.revision.models[s.target], s.info.ExpectedAnswerTokens, s.info.MaxAnswerTokens),
-	}
-}
-
-// expectedAnswerTokens returns the expected length of an answer, from what the client
-// expects or the longest answer that it takes, if it states them, or from the model.
-func expectedAnswerTokens(model *config.Model, expected, longest int) float64 {
+	req := pipeline.RelayRequest{PromptTokens: float64(s.info.PromptTokens), Exclude: s.avoid}
+	model := s.revision.models[s.target]
 	switch {
-	case expected > 0:
-		return float64(expected)
-	case longest > 0:
-		return float64(longest)
+	case s.info.ExpectedAnswerTokens > 0:
+		req.AnswerTokens = float64(s.info.ExpectedAnswerTokens)
+	case s.info.MaxAnswerTokens > 0:
+		req.AnswerTokens = float64(s.info.MaxAnswerTokens)
 	case model != nil && model.AnswerTokens > 0:
-		return model.AnswerTokens
+		req.AnswerTokens = model.AnswerTokens
 	default:
-		return defaultAnswerTokens
+		req.AnswerTokens = defaultAnswerTokens
 	}
+	return req
 }
 
 // maxWait returns how long the stream waits for the retry budget. A new one does not:
