relay, condition: logic that stood twice, and a walk over all routes for each stream

Two passes over the routes counted which ranks can differ, per model and over all; a stream walked all routes of the configuration at each attempt to learn how long less urgent ones wait; 'nothing speaks against a call' stood three times, and so did the loop over the servers in some condition and the end of a sequence of refusals; a call that ends counted its attempt apart. Change: newStreamRanks, made once for each revision; takesCalls; Book.idsOf; AcceptStage calls ForgetRefusals; countAttempt. Decisions as before (the latest start grows with the target, so the longest target stands for the walk). No test is changed.

--- a/condition/condition.go
+++ b/condition/condition.go
@@ -325,12 +325,13 @@
 // refusal, which ends a sequence of refusals. An engine that is about to stop goes on with
 // what it has accepted before.
 func (b *Book) AcceptStage(id string, sent time.Time) {
-	if c := b.servers[id]; c != nil && sent.After(c.refusedAt) {
-		c.refusalPause, c.refusingUntil = 0, time.Time{}
+	if sent.After(b.get(id).refusedAt) {
+		b.ForgetRefusals(id)
 	}
 }
 
-// ForgetRefusals records that an engine holds other layers than when it refused stages.
+// ForgetRefusals ends a sequence of refusals, as when an engine holds other layers than when
+// it refused stages.
 func (b *Book) ForgetRefusals(id string) {
 	if c := b.servers[id]; c != nil {
 		c.refusalPause, c.refusingUntil = 0, time.Time{}
@@ -342,9 +343,14 @@
 func (b *Book) IsRefusing(now time.Time, id string) bool { return now.Before(b.get(id).refusingUntil) }
 
 // Refusing returns the engines to which others are preferred for that, in no order.
-func (b *Book) Refusing(now time.Time) (ids []string) {
+func (b *Book) Refusing(now time.Time) []string {
+	return b.idsOf(func(c *condition) bool { return now.Before(c.refusingUntil) })
+}
+
+// idsOf returns the servers in some condition, in no order.
+func (b *Book) idsOf(isIn func(*condition) bool) (ids []string) {
 	for id, c := range b.servers {
-		if now.Before(c.refusingUntil) {
+		if isIn(c) {
 			ids = append(ids, id)
 		}
 	}
@@ -428,13 +434,8 @@
 }
 
 // Unanswering returns the servers that leave requests without an answer.
-func (b *Book) Unanswering(now time.Time) (ids []string) {
-	for id, c := range b.servers {
-		if now.Before(c.unansweredUntil) {
-			ids = append(ids, id)
-		}
-	}
-	return ids
+func (b *Book) Unanswering(now time.Time) []string {
+	return b.idsOf(func(c *condition) bool { return now.Before(c.unansweredUntil) })
 }
 
 // Slowdown returns UnansweredSlowdown for a server that leaves requests without an answer, or 0.
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -428,7 +428,7 @@
 	bestLoad, found := 0.0, false
 	for _, c := range f.membership.Candidates(now, service) {
 		s, known := f.servers[c.ID]
-		if !known || avoid[c.ID] || f.conditions.Against(now, c.ID, condition.Call) != condition.None {
+		if !known || !f.takesCalls(now, c.ID, avoid) {
 			continue
 		}
 		wait := f.conditions.Limits.Wait(now, c.ID)
@@ -455,8 +455,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return slices.ContainsFunc(f.membership.Candidates(now, service), func(c membership.Candidate) bool {
-		return c.ID != other && !avoid[c.ID] && f.conditions.Against(now, c.ID, condition.Call) == condition.None &&
-			f.inProgress(now, c.ID).slowdown <= 1
+		return c.ID != other && f.takesCalls(now, c.ID, avoid) && f.inProgress(now, c.ID).slowdown <= 1
 	})
 }
 
@@ -466,10 +465,16 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return slices.ContainsFunc(f.membership.Candidates(now, service), func(c membership.Candidate) bool {
-		return !avoid[c.ID] && f.conditions.Against(now, c.ID, condition.Call) == condition.None
+		return f.takesCalls(now, c.ID, avoid)
 	})
 }
 
+// takesCalls reports whether nothing speaks against a call to a server. The caller holds
+// the lock.
+func (f *fleet) takesCalls(now time.Time, id string, avoid map[string]bool) bool {
+	return !avoid[id] && f.conditions.Against(now, id, condition.Call) == condition.None
+}
+
 // serviceSlots returns how many calls the servers of a service execute at a time.
 func (f *fleet) serviceSlots(service string) (slots int) {
 	f.mu.Lock()
--- a/relay/rankorder.go
+++ b/relay/rankorder.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/sapphirefield/sapphirefield/config"
 )
@@ -53,23 +54,61 @@
 	}
 }
 
-// streamRanksDiffer reports whether streams of different ranks can come.
-func (o rankOrder) streamRanksDiffer(doc *config.Document) bool {
-	routes := map[int]bool{}
-	for _, route := range doc.Routes {
-		if route.CallKind == config.CallStream {
-			routes[route.Rank] = true
-		}
-	}
+// differ reports whether requests on routes of some ranks can have different places.
+func (o rankOrder) differ(routeRanks map[int]bool) bool {
 	places := 0
 	for pair := range o {
-		if routes[pair.route] {
+		if routeRanks[pair.route] {
 			places++
 		}
 	}
 	return places > 1
 }
 
+// streamRanks is what the ranks of a configuration's stream routes say of waiting.
+type streamRanks struct {
+	// differ is set if streams can have different ranks, whatever their models, which
+	// wait for paths of their own. differByModel tells it for each model.
+	differ        bool
+	differByModel map[string]bool
+	// lessUrgentTarget is the longest target for a first event among the routes that are
+	// less urgent than those of a rank.
+	lessUrgentTarget map[int]time.Duration
+}
+
+func newStreamRanks(doc *config.Document, order rankOrder) streamRanks {
+	all, byModel, targets := map[int]bool{}, map[string]map[int]bool{}, map[int]time.Duration{}
+	for i := range doc.Routes {
+		route := &doc.Routes[i]
+		if route.CallKind != config.CallStream {
+			continue
+		}
+		all[route.Rank] = true
+		targets[route.Rank] = max(targets[route.Rank], firstEventTarget(route))
+		for _, target := range route.Targets {
+			if byModel[target.Backend] == nil {
+				byModel[target.Backend] = map[int]bool{}
+			}
+			byModel[target.Backend][route.Rank] = true
+		}
+	}
+	r := streamRanks{differ: order.differ(all), differByModel: map[string]bool{}, lessUrgentTarget: map[int]time.Duration{}}
+	for model, ranks := range byModel {
+		r.differByModel[model] = order.differ(ranks)
+	}
+	for rank := range all {
+		for other, target := range targets {
+			if other > rank {
+				r.lessUrgentTarget[rank] = max(r.lessUrgentTarget[rank], target)
+			}
+		}
+	}
+	return r
+}
+
+// ranked reports whether some streams of a model go before others.
+func (r *revision) ranked(model string) bool { return r.streamRanks.differByModel[model] }
+
 // rank returns the place of a request in the order of urgency; team is nil for a
 // request without a key.
 func (r *revision) rank(route *config.Route, team *config.Team) int {
--- a/relay/revision.go
+++ b/relay/revision.go
@@ -15,10 +15,7 @@
 	accelerators map[string]*config.Accelerator
 	finders      map[string]*pipeline.Pathfinder
 	ranks        rankOrder
-	// rankedModels are the models whose streams can have different ranks.
-	rankedModels map[string]bool
-	// streamRanksDiffer is set if streams of different ranks can come.
-	streamRanksDiffer bool
+	streamRanks  streamRanks
 	// links are keyed by the two zones that they connect.
 	links map[[2]string]pipeline.RelayLink
 }
@@ -33,8 +30,7 @@
 		finders:       map[string]*pipeline.Pathfinder{},
 		ranks:         newRankOrder(c.Document, c.TeamRanks),
 	}
-	r.rankedModels = r.ranks.rankedModels(c.Document)
-	r.streamRanksDiffer = r.ranks.streamRanksDiffer(c.Document)
+	r.streamRanks = newStreamRanks(c.Document, r.ranks)
 	for i := range c.Document.Accelerators {
 		r.accelerators[c.Document.Accelerators[i].Kind] = &c.Document.Accelerators[i]
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -166,7 +166,7 @@
 func (s *streamRequest) noCapacityRetryAfter(o outlook) time.Duration {
 	earliest := min(max(o.expected, minNoCapacityRetryAfter), maxNoCapacityRetryAfter)
 	spread := maxNoCapacityRetrySpread
-	if s.revision.streamRanksDiffer {
+	if s.revision.streamRanks.differ {
 		spread = min(max(o.spread, minNoCapacityRetrySpread), maxNoCapacityRetrySpread)
 	}
 	return earliest + time.Duration(s.fleet.randomFloat()*float64(spread))
@@ -206,7 +206,7 @@
 		Team: s.team, Weight: s.teamWeight, Rank: s.rank, Work: 1,
 		Arrived: s.started, Target: s.started.Add(defaultFirstEventTarget), Deadline: s.deadline,
 	}
-	if !s.revision.streamRanksDiffer {
+	if !s.revision.streamRanks.differ {
 		return w
 	}
 	w.Work = tokens
@@ -229,18 +229,9 @@
 // othersWaitUntil returns until when a less urgent stream of the configuration, with the
 // terms of the given one otherwise, would wait.
 func (s *streamRequest) othersWaitUntil(w admission.Waiting) time.Time {
-	longest := w.StartBy()
-	for i := range s.revision.Document.Routes {
-		route := &s.revision.Document.Routes[i]
-		if route.CallKind != config.CallStream || route.Rank <= s.route.Rank {
-			continue
-		}
-		w.Target = s.started.Add(firstEventTarget(route))
-		if until := w.StartBy(); until.After(longest) {
-			longest = until
-		}
-	}
-	return longest
+	longest := s.revision.streamRanks.lessUrgentTarget[s.route.Rank]
+	w.Target = s.started.Add(max(longest, firstEventTarget(s.route)))
+	return w.StartBy()
 }
 
 // awaitNextPath selects a path for a stream whose response has started. It waits
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -94,7 +94,7 @@
 		repeatable := q.route.CallKind != config.CallAtMostOnce && q.mayRepeat()
 		if step == admission.EndCall {
 			// Another attempt would not help, so none is taken from the retry budget.
-			q.maybeExecuted = q.maybeExecuted || result == mayHaveExecuted
+			q.countAttempt(result)
 		}
 		if step == admission.EndCall || !q.allowRetry(ctx, result, q.unaryLimits(), repeatable, 0) {
 			q.refuseOrFail(q.maybeExecuted, errorDetail(err), q.callRetryAfter())
@@ -173,12 +173,18 @@
 	return retry.Limits{Attempts: q.route.MaxAttempts, Unsent: maxUnsentAttempts, Refusals: maxCallRefusals}
 }
 
-// allowRetry counts an attempt and decides whether another one follows. It
-// waits up to maxWait for the retry budget.
-func (q *request) allowRetry(ctx context.Context, result attemptResult, limits retry.Limits, repeatable bool, maxWait time.Duration) bool {
+// countAttempt records an attempt without a response and returns its outcome.
+func (q *request) countAttempt(result attemptResult) retry.Outcome {
 	outcome := map[attemptResult]retry.Outcome{notSent: retry.Unsent, notExecuted: retry.Refused, mayHaveExecuted: retry.Unknown}[result]
 	q.attempts.Count(outcome)
 	q.maybeExecuted = q.maybeExecuted || result == mayHaveExecuted
+	return outcome
+}
+
+// allowRetry counts an attempt and decides whether another one follows. It
+// waits up to maxWait for the retry budget.
+func (q *request) allowRetry(ctx context.Context, result attemptResult, limits retry.Limits, repeatable bool, maxWait time.Duration) bool {
+	outcome := q.countAttempt(result)
 	if !limits.Allow(q.attempts, outcome, repeatable) {
 		return false
 	}
