--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -70,6 +70,7 @@
 	LeaseReleased        Event = 4011
 	ProcessWasHeldUp     Event = 4012
 	StoreRestored        Event = 4013
+	StoreReadInterrupted Event = 4014
 	OrderSent            Event = 5001
 	OrderRefused         Event = 5002
 	OrderCompleted       Event = 5003
@@ -143,6 +144,7 @@
 	{LeaseAcquired, log.InfoLevel, "lease for placing layers taken", ""},
 	{LeaseReleased, log.InfoLevel, "lease for placing layers released", ""},
 	{ProcessWasHeldUp, log.WarnLevel, "process was held up; configuration is read again", "Check the load of the instance if the line repeats."},
+	{StoreReadInterrupted, log.InfoLevel, "read of the store interrupted: another entry has newer data", "Check the link to the store if the line repeats at one entry."},
 	{StoreRestored, log.WarnLevel, "store came back from an older copy", "Check that the operators' last change is there; the entries write their own records again."},
 	{OrderSent, log.InfoLevel, "order given to engine", ""},
 	{LayersPlanned, log.InfoLevel, "orders planned", "The line holds what decided; the orders follow."},
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -106,6 +106,8 @@
 			continue
 		case errors.Is(err, errInterrupted):
 			interrupts++
+			logevent.Write(e.logger, logevent.StoreReadInterrupted).Int("topic", int(f.topic)).Int("in_a_row", interrupts).
+				Dur("took_ms", time.Since(began)).Msg("")
 			continue
 		case err != nil:
 			failures++
