relay: announcements of newer revisions interrupt a read only if its response does not begin

What callers saw: after a change an entry on a thin link went on with the old configuration for seconds longer than needed.

Cause: entries on fast links announce a new revision within 0.1 s. Each read of it that had waited for long was interrupted at the first announcement, while its response was due or arriving, and the whole configuration was read again from the beginning, in base64.

TestAnnouncementsSpareResponseThatIsDue fails with the old rule (1 interrupt).

Store.Read takes how it waits: an interrupt ends the wait, not a response that has begun. The first announcement gives the response 0.4 s to begin, twice that with each interrupt in a row. Reads of the newest records don't wait, so they are not interrupted. The stand-in stores of the tests end a wait in the same way; what the tests check is unchanged.

--- a/relay/directory_test.go
+++ b/relay/directory_test.go
@@ -57,7 +57,7 @@
 	return RecordBatch{Records: append([]Record(nil), s.topics[topic]...), Next: s.end(topic)}, nil
 }
 
-func (s *scriptedStore) Read(ctx context.Context, topic Topic, from Position, _ time.Duration) (RecordBatch, error) {
+func (s *scriptedStore) Read(ctx context.Context, topic Topic, from Position, wait ReadWait) (RecordBatch, error) {
 	s.mu.Lock()
 	s.reads++
 	blocked, restored, end := s.blocked, from.Era != s.era, s.end(topic)
@@ -68,8 +68,12 @@
 	s.mu.Unlock()
 	switch {
 	case blocked:
-		<-ctx.Done()
-		return RecordBatch{}, ctx.Err()
+		select {
+		case <-wait.Interrupt:
+			return RecordBatch{}, ErrInterrupted
+		case <-ctx.Done():
+			return RecordBatch{}, ctx.Err()
+		}
 	case restored:
 		return RecordBatch{}, ErrRestored
 	}
@@ -243,24 +247,30 @@
 }
 
 func (s *slowStore) ReadLatest(ctx context.Context, topic Topic) (RecordBatch, error) {
-	if s.wait(ctx) != nil {
-		return RecordBatch{}, ctx.Err()
+	if err := s.awaitResponse(ctx, nil); err != nil {
+		return RecordBatch{}, err
 	}
 	return s.scriptedStore.ReadLatest(ctx, topic)
 }
 
-func (s *slowStore) Read(ctx context.Context, topic Topic, from Position, wait time.Duration) (RecordBatch, error) {
-	if s.wait(ctx) != nil {
-		return RecordBatch{}, ctx.Err()
+func (s *slowStore) Read(ctx context.Context, topic Topic, from Position, wait ReadWait) (RecordBatch, error) {
+	if err := s.awaitResponse(ctx, wait.Interrupt); err != nil {
+		return RecordBatch{}, err
 	}
 	batch, err := s.scriptedStore.Read(ctx, topic, from, wait)
 	s.changes.Add(int64(len(batch.Records)))
 	return batch, err
 }
 
-func (s *slowStore) wait(ctx context.Context) error {
-	sleep(ctx, s.delay)
-	return ctx.Err()
+func (s *slowStore) awaitResponse(ctx context.Context, interrupt <-chan struct{}) error {
+	select {
+	case <-time.After(s.delay):
+		return nil
+	case <-interrupt:
+		return ErrInterrupted
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 // Guards against an entry on a slow link that keeps an old configuration for good:
@@ -359,14 +369,14 @@
 	return s.scriptedStore.ReadLatest(ctx, topic)
 }
 
-func (s *refusingStore) Read(ctx context.Context, topic Topic, from Position, wait time.Duration) (RecordBatch, error) {
+func (s *refusingStore) Read(ctx context.Context, topic Topic, from Position, wait ReadWait) (RecordBatch, error) {
 	s.calls.Add(1)
 	if s.refuse.Load() {
 		return RecordBatch{}, ErrUnavailable
 	}
 	batch, err := s.scriptedStore.Read(ctx, topic, from, wait)
 	if err == nil && len(batch.Records) == 0 {
-		sleep(ctx, wait)
+		sleep(ctx, wait.Time)
 	}
 	return batch, err
 }
@@ -444,3 +454,57 @@
 	assert.Equal(t, len(m.changes), 1)
 	assert.Assert(t, m.watchAge <= maxWatchAge)
 }
+
+// busyStore answers a waiting read of the configuration a while after the record was
+// written, because it answers many entries at once. It counts interrupted reads.
+type busyStore struct {
+	*scriptedStore
+	written     chan struct{}
+	delay       time.Duration
+	interrupted int
+}
+
+func (s *busyStore) Read(ctx context.Context, topic Topic, from Position, wait ReadWait) (RecordBatch, error) {
+	answer := time.After(wait.Time)
+	for written := s.written; ; written = nil {
+		select {
+		case <-written:
+			answer = time.After(s.delay)
+		case <-answer:
+			return s.scriptedStore.Read(ctx, topic, from, wait)
+		case <-wait.Interrupt:
+			s.interrupted++
+			return RecordBatch{}, ErrInterrupted
+		case <-ctx.Done():
+			return RecordBatch{}, ctx.Err()
+		}
+	}
+}
+
+// Guards against a configuration that is thrown away as it arrives, and read again from
+// the beginning, because entries on faster links announce it first.
+func TestAnnouncementsSpareResponseThatIsDue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &busyStore{scriptedStore: newScriptedStore(), written: make(chan struct{}), delay: minReadTime / 2}
+		store.add(TopicConfiguration, "c", 1)
+		e := newStoreEntry(store)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = e.followConfiguration(ctx) }()
+		<-e.Configured()
+		// The wait for the next revision has lasted for long when it comes.
+		time.Sleep(2*minReadTime - time.Millisecond)
+		store.add(TopicConfiguration, "c", 2)
+		close(store.written)
+		began := time.Now()
+		for e.Revision() < 2 {
+			select {
+			case e.newerRevision <- struct{}{}:
+			default:
+			}
+			time.Sleep(time.Millisecond)
+		}
+		assert.Equal(t, store.interrupted, 0)
+		assert.Assert(t, time.Since(began) <= store.delay+time.Millisecond)
+	})
+}
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -104,7 +104,7 @@
 		case errors.Is(err, ErrExpired), errors.Is(err, ErrRestored):
 			next = fromStart
 			continue
-		case errors.Is(err, errInterrupted):
+		case errors.Is(err, ErrInterrupted):
 			interrupts++
 			logevent.Write(e.logger, logevent.StoreReadInterrupted).Int("topic", int(f.topic)).Int("in_a_row", interrupts).
 				Dur("took_ms", time.Since(began)).Msg("")
@@ -160,72 +160,63 @@
 	return restored
 }
 
-// errInterrupted means that a read was interrupted because another entry has
-// newer data.
-var errInterrupted = errors.New("read interrupted: another entry has newer data")
-
 const (
-	// minReadTime is how long a read runs before it can be interrupted. All
-	// entries announce a newer revision several times a second, and a read that
-	// each announcement interrupts would never return. The time doubles with each
-	// interrupt in a row, up to maxReadTime: the link may be slow.
+	// minReadTime is how long after another entry has announced a newer revision a read is
+	// interrupted whose response has not begun. All entries have their responses at about
+	// the same time, and those on fast links announce theirs at once. The time doubles with
+	// each interrupt in a row, up to maxReadTime: the store may be slow for this entry.
 	minReadTime = 400 * time.Millisecond
 	maxReadTime = 4 * time.Second
 )
 
-// readTime returns how long a read runs before it can be interrupted, after a
-// number of interrupts in a row.
+// readTime returns how long a response may take after an announcement, after a number of
+// interrupts in a row.
 func readTime(interrupts int) time.Duration {
 	return min(minReadTime<<min(interrupts, 8), maxReadTime)
 }
 
-// awaitWake waits for a signal sent after a time, or for the end of the read. It
-// reports whether there was a signal.
-func awaitWake(wake <-chan struct{}, done <-chan struct{}, after time.Duration) bool {
-	timer := time.NewTimer(after)
-	defer timer.Stop()
+// awaitWake waits for a signal, and then a grace time for the end of the read that it is
+// about. It reports whether the read did not end.
+func awaitWake(wake <-chan struct{}, done <-chan struct{}, grace time.Duration) bool {
 	select {
-	case <-timer.C:
+	case <-wake:
 	case <-done:
 		return false
 	}
-	// A signal sent before now may be about the revision that the read is about to
-	// return.
-	select {
-	case <-wake:
-	default:
-	}
+	timer := time.NewTimer(grace)
+	defer timer.Stop()
 	select {
-	case <-wake:
+	case <-timer.C:
 		return true
 	case <-done:
 		return false
 	}
 }
 
-// readInterruptible reads a topic. An interrupted read was waiting on a
-// connection that may be dead.
+// readInterruptible reads a topic. A read is interrupted if no response begins although
+// another entry has newer data: its connection may be dead.
 func (e *Entry) readInterruptible(ctx context.Context, f followOptions, next Position, interrupts int) (RecordBatch, error) {
-	if f.wake == nil {
-		return e.readTopic(ctx, f.topic, next, f.readWait())
+	wait := ReadWait{Time: f.readWait()}
+	if f.wake == nil || next == fromStart {
+		return e.readTopic(ctx, f.topic, next, wait)
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	done := make(chan struct{})
+	// The store answers this read at once if a signal sent before now is about newer data.
+	select {
+	case <-f.wake:
+	default:
+	}
+	interrupt, done := make(chan struct{}), make(chan struct{})
 	defer close(done)
 	go func() {
 		if awaitWake(f.wake, done, readTime(interrupts)) {
-			cancel(errInterrupted)
+			close(interrupt)
 		}
 	}()
-	batch, err := e.readTopic(ctx, f.topic, next, f.readWait())
-	if err != nil && errors.Is(context.Cause(ctx), errInterrupted) {
-		return batch, errInterrupted
-	}
-	return batch, err
+	wait.Interrupt = interrupt
+	return e.readTopic(ctx, f.topic, next, wait)
 }
 
-func (e *Entry) readTopic(ctx context.Context, topic Topic, next Position, wait time.Duration) (RecordBatch, error) {
+func (e *Entry) readTopic(ctx context.Context, topic Topic, next Position, wait ReadWait) (RecordBatch, error) {
 	if next == fromStart {
 		return e.store.ReadLatest(ctx, topic)
 	}
--- a/relay/lease_test.go
+++ b/relay/lease_test.go
@@ -77,17 +77,17 @@
 	return s.scriptedStore.ReadLatest(ctx, topic)
 }
 
-func (s *linkedStore) Read(ctx context.Context, topic Topic, from Position, wait time.Duration) (RecordBatch, error) {
+func (s *linkedStore) Read(ctx context.Context, topic Topic, from Position, wait ReadWait) (RecordBatch, error) {
 	defer s.beginCall(topic)()
 	started := time.Now()
 	for s.is(linkWhole) && ctx.Err() == nil {
-		batch, err := s.scriptedStore.Read(ctx, topic, from, 0)
-		if err != nil || len(batch.Records) > 0 || time.Since(started) >= wait {
+		batch, err := s.scriptedStore.Read(ctx, topic, from, ReadWait{})
+		if err != nil || len(batch.Records) > 0 || time.Since(started) >= wait.Time {
 			return batch, err
 		}
 		sleep(ctx, readCheckInterval)
 	}
-	return RecordBatch{}, awaitTimeout(ctx, wait+s.timeout-time.Since(started))
+	return RecordBatch{}, awaitTimeout(ctx, wait.Time+s.timeout-time.Since(started))
 }
 
 func (s *linkedStore) Append(ctx context.Context, topic Topic, r Record, at Position) (Position, error) {
--- a/relay/placer.go
+++ b/relay/placer.go
@@ -245,7 +245,7 @@
 		// Only the end of the topic is needed to claim the lease.
 		wait = 0
 	}
-	batch, err := p.readTopic(ctx, TopicLease, next, wait)
+	batch, err := p.readTopic(ctx, TopicLease, next, ReadWait{Time: wait})
 	if errors.Is(err, ErrExpired) || errors.Is(err, ErrRestored) {
 		return fromStart, false
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -208,6 +208,8 @@
 	ErrUnknownOutcome = errors.New("outcome unknown")
 	// ErrExpired means that the records at the requested offset no longer exist.
 	ErrExpired = errors.New("records at this offset have expired")
+	// ErrInterrupted means that a read was interrupted before its response began.
+	ErrInterrupted = errors.New("read interrupted")
 	// ErrConflict means that the topic does not end at the position given to Append.
 	ErrConflict = errors.New("topic does not end at the given position")
 	// ErrRestored means that the era of the position is over. A record may have been
@@ -215,12 +217,22 @@
 	ErrRestored = errors.New("the store was restored from an older copy")
 )
 
+// ReadWait is how a read waits for records.
+type ReadWait struct {
+	// Time is how long the store waits for the first record.
+	Time time.Duration
+	// Interrupt ends the wait when it is closed. It does not end a response that has begun
+	// to arrive: reading that again from the beginning would take longer.
+	Interrupt <-chan struct{}
+}
+
 // Store is the platform's record store.
 type Store interface {
 	// ReadLatest returns the newest record of each key.
 	ReadLatest(ctx context.Context, topic Topic) (RecordBatch, error)
-	// Read returns the records from a position on and waits for the first one.
-	Read(ctx context.Context, topic Topic, from Position, wait time.Duration) (RecordBatch, error)
+	// Read returns the records from a position on and waits for the first one. The error
+	// is ErrInterrupted if the wait was interrupted.
+	Read(ctx context.Context, topic Topic, from Position, wait ReadWait) (RecordBatch, error)
 	// Append writes a record if the topic ends at position at, and returns the next
 	// position.
 	Append(ctx context.Context, topic Topic, r Record, at Position) (Position, error)
