--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -309,3 +309,20 @@
 	assert.DeepEqual(t, d.Decide(start.Add(crashes*time.Second)), []string{bad})
 	assert.Assert(t, len(d.suspects) <= maxSuspects)
 }
+
+// Guards against crashes that are forgotten when the part that was blamed for them turns
+// out to be sound: the request that caused them may then crash as many servers again.
+func TestReleasedPartReturnsItsCrashes(t *testing.T) {
+	d := New()
+	bad := RequestPart(7)
+	for crash := range uint64(2) {
+		assert.Equal(t, len(crashUnder(d, start, crash, "subject", bad)), 0)
+	}
+	assert.DeepEqual(t, crashUnder(d, start, 2, "subject", bad), []string{"subject"})
+	// One more request with the part crashes a server, and another one is answered.
+	crashUnder(d, start, 3, "subject", bad)
+	now := start.Add(probeTimes[0])
+	assert.Assert(t, d.ObserveSound(now, "subject"))
+	assert.DeepEqual(t, d.Decide(now), []string{bad})
+	assert.Assert(t, !isBlocked(d, now, "subject"))
+}
--- a/relay/crashes_test.go
+++ b/relay/crashes_test.go
@@ -56,7 +56,10 @@
 				servers[id] = s
 			case c.backAtOnce:
 				s.StartTimeMillis++
-				servers[id] = s
+				if c.newIDs {
+					s.ID += "x"
+				}
+				servers[s.ID] = s
 			}
 		}
 		e.fleet.setServers(time.Now(), servers)
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -29,10 +29,34 @@
 	crashed    map[string]bool
 	// arrived counts the requests with the part that reached an engine.
 	arrived int
+	// newIDs is set if the processes of a server that restarts have different IDs. ids are
+	// those that its requests must name, by its address.
+	newIDs bool
+	ids    map[string]string
+	// answer is given in place of a crash, and arrival is called before one, unless they
+	// are nil.
+	answer  script
+	arrival func()
+}
+
+// setAnswer makes servers answer the bad requests of a round, if choose gives an answer.
+func (c *crashingBackends) setAnswer(choose func(round int) script, round int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answer = nil
+	if choose != nil {
+		c.answer = choose(round)
+	}
+}
+
+func (c *crashingBackends) onArrival(f func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.arrival = f
 }
 
 func newCrashingBackends(t *testing.T, n int) *crashingBackends {
-	c := &crashingBackends{conns: map[*backend][]net.Conn{}, crashed: map[string]bool{}}
+	c := &crashingBackends{conns: map[*backend][]net.Conn{}, crashed: map[string]bool{}, ids: map[string]string{}}
 	for range n {
 		c.backends = append(c.backends, newBackend(t, c.handle))
 	}
@@ -43,11 +67,27 @@
 	c.mu.Lock()
 	c.conns[b] = append(c.conns[b], conn)
 	bad := strings.Contains(r.Header.Get("Parts"), "bad,") || r.Header.Get("Crash") != ""
-	if bad {
+	answer, arrival := c.answer, c.arrival
+	if id, restarted := c.ids[b.address()]; restarted && id != r.Header.Get("Instance") {
+		c.mu.Unlock()
+		write(conn, "HTTP/1.1 421 X\nId: %s\nNot-Run: 1\nContent-Length: 0\n\n", r.Header.Get("Id"))
+		return true
+	}
+	if bad && answer == nil {
 		c.arrived++
 		c.crashed[b.address()] = true
+		if c.newIDs {
+			c.ids[b.address()] = r.Header.Get("Instance") + "x"
+		}
 	}
 	c.mu.Unlock()
+	if bad && answer != nil {
+		return answer(b, r, conn)
+	}
+	if bad && arrival != nil {
+		arrival()
+		time.Sleep(clientLeaveTime)
+	}
 	switch {
 	case !bad && c.unary:
 		return respond(200, "sound")(b, r, conn)
@@ -73,6 +113,9 @@
 	return c.arrived
 }
 
+// clientLeaveTime is how long a server works on a request after its client has left.
+const clientLeaveTime = 20 * time.Millisecond
+
 // crashedEngines reports ErrNoResponse for engines that have ended.
 type crashedEngines struct {
 	testEngines
