quarantine: the only shared part of a prompt goes before the content of the request

What callers saw: a request with one shared part in its prompt crashed a fourth server, and then its content and the part were both blocked. Cause: a content has the depth -1, but a new suspect began with 0, so it tied with the first part and both waited for one more crash. TestOnlyPartOfPromptGoesBeforeRequest failed before (nothing blocked after three crashes).

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -181,7 +181,7 @@
 	known := d.suspects[s.Part]
 	if known == nil {
 		d.makeRoom()
-		known = &suspect{crashes: map[uint64]struct{}{}}
+		known = &suspect{depth: s.Depth, crashes: map[uint64]struct{}{}}
 		d.suspects[s.Part] = known
 	}
 	known.depth, known.latest = max(known.depth, s.Depth), now
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -310,6 +310,17 @@
 	assert.Assert(t, len(d.suspects) <= maxSuspects)
 }
 
+// Guards against a request and the only part of its prompt that nothing tells apart: the
+// part goes before the request, and is blocked in time.
+func TestOnlyPartOfPromptGoesBeforeRequest(t *testing.T) {
+	d := New()
+	same := RequestPart(7)
+	for crash := range uint64(2) {
+		assert.Equal(t, len(crashUnder(d, start, crash, "only", same)), 0)
+	}
+	assert.DeepEqual(t, crashUnder(d, start, 2, "only", same), []string{"only"})
+}
+
 // Guards against crashes that are forgotten when the part that was blamed for them turns
 // out to be sound: the request that caused them may then crash as many servers again.
 func TestReleasedPartReturnsItsCrashes(t *testing.T) {
