quarantine: a part that is released gives its crashes back to the others under suspicion

What callers saw: a request crashed three servers, was held back for some seconds with all requests that share a part of its prompt, and then crashed three more, and so on.

Cause: while a part is blocked, its crashes are taken from all other parts. When a sound request with the part was answered (the probe after 10 s), the part was released and the crashes were gone, so that the request which had caused them began from zero. Class of fault: evidence is dropped together with the explanation that it was used for.

TestReleasedPartReturnsItsCrashes failed before: nothing was blocked after the release. A block now keeps the suspicions that it explains, 1,024 at most, and a release judges them again.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -52,11 +52,12 @@
 	// relapseTime is how long a block that is over is remembered.
 	relapseTime = time.Hour
 
-	maxSuspects        = 512
-	maxCrashes         = 1024
-	maxBlocks          = 64
-	maxCrashesPerBlock = 64
-	maxSoundParts      = 4096
+	maxSuspects          = 512
+	maxCrashes           = 1024
+	maxBlocks            = 64
+	maxCrashesPerBlock   = 64
+	maxExplainedPerBlock = 1024
+	maxSoundParts        = 4096
 )
 
 // probeTimes are the times after the begin of a block at which one request with the
@@ -143,6 +144,9 @@
 	// crashes are explained by this part: they say nothing about the other parts of
 	// the requests that were in progress.
 	crashes map[uint64]struct{}
+	// explained are the suspicions of these crashes against other parts. They count again
+	// if this part turns out to be sound.
+	explained map[Suspicion]struct{}
 	// probes is the number of probe times that have been used.
 	probes int
 }
@@ -157,11 +161,25 @@
 func (d *Detector) ObserveSound(now time.Time, part string) (released bool) {
 	d.sound.add(now, part)
 	delete(d.suspects, part)
-	_, released = d.activeBlock(now, part)
+	b, released := d.activeBlock(now, part)
 	delete(d.blocks, part)
+	if released {
+		d.suspectAgain(now, b)
+	}
 	return released
 }
 
+// suspectAgain returns the crashes that a part was blamed for to the other parts that
+// were under suspicion of them.
+func (d *Detector) suspectAgain(now time.Time, b *block) {
+	for s := range b.explained {
+		at, known := d.crashes[s.Crash]
+		if known && now.Sub(at) <= suspicionTime {
+			d.Suspect(now, s)
+		}
+	}
+}
+
 // IsSound reports whether a request with the part was answered a short time ago.
 func (d *Detector) IsSound(now time.Time, part string) bool { return d.sound.contains(now, part) }
 
@@ -170,12 +188,19 @@
 	if d.IsSound(now, s.Part) {
 		return
 	}
+	_, seen := d.crashes[s.Crash]
+	if !seen {
+		if len(d.crashes) >= maxCrashes {
+			return
+		}
+		d.crashes[s.Crash] = now
+	}
 	if b, active := d.activeBlock(now, s.Part); active {
 		d.explain(b, s.Crash)
 		return
 	}
-	_, seen := d.crashes[s.Crash]
-	if d.isExplained(now, s.Crash) || !seen && len(d.crashes) >= maxCrashes {
+	if b := d.explanation(now, s.Crash); b != nil {
+		b.recordExplained(s)
 		return
 	}
 	known := d.suspects[s.Part]
@@ -186,9 +211,6 @@
 	}
 	known.depth, known.latest = max(known.depth, s.Depth), now
 	known.crashes[s.Crash] = struct{}{}
-	if !seen {
-		d.crashes[s.Crash] = now
-	}
 }
 
 // forgetOldCrashes forgets crashes that no longer count, and suspects without any.
@@ -281,7 +303,7 @@
 
 func (d *Detector) block(now time.Time, part string, duration time.Duration) {
 	d.forgetOldBlocks(now)
-	b := &block{until: now.Add(duration), crashes: map[uint64]struct{}{}}
+	b := &block{until: now.Add(duration), crashes: map[uint64]struct{}{}, explained: map[Suspicion]struct{}{}}
 	if s := d.suspects[part]; s != nil {
 		b.crashes = s.crashes
 		delete(d.suspects, part)
@@ -314,6 +336,10 @@
 		b.crashes[crash] = struct{}{}
 	}
 	for part, s := range d.suspects {
+		if _, suspected := s.crashes[crash]; !suspected {
+			continue
+		}
+		b.recordExplained(Suspicion{Crash: crash, Part: part, Depth: s.depth})
 		delete(s.crashes, crash)
 		if len(s.crashes) == 0 {
 			delete(d.suspects, part)
@@ -321,15 +347,23 @@
 	}
 }
 
-func (d *Detector) isExplained(now time.Time, crash uint64) bool {
+// recordExplained remembers a suspicion against another part.
+func (b *block) recordExplained(s Suspicion) {
+	if len(b.explained) < maxExplainedPerBlock {
+		b.explained[s] = struct{}{}
+	}
+}
+
+// explanation returns the active block that a crash is attributed to, or nil.
+func (d *Detector) explanation(now time.Time, crash uint64) *block {
 	for part := range d.blocks {
 		if b, active := d.activeBlock(now, part); active {
 			if _, explained := b.crashes[crash]; explained {
-				return true
+				return b
 			}
 		}
 	}
-	return false
+	return nil
 }
 
 func (d *Detector) activeBlock(now time.Time, part string) (*block, bool) {
