relay, entry: an error of a server is no answer that clears a request

What callers saw: a request crashed server after server as long as other servers failed it in between. Cause: each final answer ended the suspicion against a request and the count of its crashes, errors of servers (5xx) included. A server that fails part of its requests does so before it comes to what crashes it. Class of fault: weak evidence that clears.

--- a/demo/crashes_test.go
+++ b/demo/crashes_test.go
@@ -67,6 +67,28 @@
 	})
 }
 
+// Guards against a call that crashes server after server because the errors that servers
+// answer in between are taken for answers.
+func TestCallThatFailsOrCrashesServersIsBlocked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster, client := testCluster(t, ClusterOptions{Stages: 1, Replicas: 1, PlainServers: 3})
+		crashes := crashOn(cluster, "bad")
+		fails := false
+		for _, n := range cluster.Nodes {
+			if n.Plain != nil {
+				n.Plain.FailWhen(func(reference string) bool { return fails && reference == "bad" })
+			}
+		}
+		for i := range 16 {
+			fails = i%2 == 1
+			_, _, err := client.Call(t.Context(), http.MethodPost, bookingPath, map[string]string{"reference": "bad"})
+			assert.NilError(t, err)
+			time.Sleep(crashInterval)
+		}
+		assert.Assert(t, crashes.Load() <= tolerableCrashes+lateCrashes, "%d crashes", crashes.Load())
+	})
+}
+
 // Guards against a call with an idempotency key that crashes server after server, under
 // the same key or a new one, and against a block that hides the stored outcome of a key.
 func TestKeyedCallThatCrashesServersIsBlocked(t *testing.T) {
--- a/entry/unary.go
+++ b/entry/unary.go
@@ -241,7 +241,10 @@
 				if complete {
 					a.release()
 					c.server.recordSuccess(c.service.Name)
-					c.server.crashes.observeAnswered(c.content)
+					if a.response.head.GetStatus() < http.StatusInternalServerError {
+						// A server may fail a request before it comes to what crashes it.
+						c.server.crashes.observeAnswered(c.content)
+					}
 					return a.response, nil
 				}
 				if done {
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -262,7 +262,10 @@
 	case result == answered:
 		q.callRoom(q.target).recordAnswer(time.Since(sentAt))
 		q.fleet.observe(time.Now(), server.ID, membership.Heartbeat)
-		q.observeAnswered()
+		if q.status < http.StatusInternalServerError {
+			// A server may fail a request before it comes to what crashes it.
+			q.observeAnswered()
+		}
 	case errors.Is(err, errBrokenOff):
 		q.reportCrash(ctx, server, err)
 	}
--- a/standin/plain.go
+++ b/standin/plain.go
@@ -22,6 +22,8 @@
 	// truncate ends responses before their Content-Length.
 	truncate bool
 	crashes  crashTrigger
+	// fails reports whether a booking is answered with an error; nil means that none is.
+	fails func(reference string) bool
 }
 
 // crashTrigger ends a backend server under requests with one content.
@@ -47,6 +49,13 @@
 	s.crashes = crashTrigger{reference, crash}
 }
 
+// FailWhen makes the server answer bookings with an error if fails says so.
+func (s *PlainServer) FailWhen(fails func(reference string) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fails = fails
+}
+
 // NewPlainServer returns a server that responds to bookings after a delay.
 func NewPlainServer(delay time.Duration) *PlainServer {
 	return &PlainServer{executions: make(map[string]int), delay: delay}
@@ -93,6 +102,13 @@
 		return
 	}
 	s.mu.Lock()
+	fails := s.fails
+	s.mu.Unlock()
+	if fails != nil && fails(booking.Reference) {
+		http.Error(w, "failed before the booking began", http.StatusInternalServerError)
+		return
+	}
+	s.mu.Lock()
 	s.executions[booking.Reference]++
 	executions, truncate, crashes := s.executions[booking.Reference], s.truncate, s.crashes
 	s.mu.Unlock()
