quarantine: an answer to a request says nothing of crashes that come after it

What callers saw: a request that had been answered until a moment ago, and crashed servers from then on, crashed one after another for ten seconds (as after a release of the servers). Cause: any answer cleared the content of a request for 10 s, as it does the shared parts of prompts; crashes in that time were not counted. Class of fault: evidence is taken without regard to its order in time. An answer now ends the count of the crashes before it; a request that was answered in the last 10 s is blocked after five, others after three as before, since one that comes often may be in progress where servers crash for other reasons. An older answer at one entry takes back no newer block of another one.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -31,6 +31,11 @@
 	// tieCrashes is the number of crashes after which parts are blocked although
 	// nothing tells them apart.
 	tieCrashes = 4
+	// answeredCrashes is the number of crashes after which a request is blocked that was
+	// answered a short time ago. A request that comes often may have been in progress on
+	// servers that crashed for another reason; but what was sound may begin to crash
+	// servers, with a new version of them.
+	answeredCrashes = 5
 	// riskyCrashes is the number of crashes after which requests with a part are not
 	// repeated: a repeat may crash one more engine.
 	riskyCrashes = 2
@@ -180,8 +185,24 @@
 	}
 }
 
-// IsSound reports whether a request with the part was answered a short time ago.
-func (d *Detector) IsSound(now time.Time, part string) bool { return d.sound.contains(now, part) }
+// IsSound reports whether requests with the part are not suspected of a crash, because one
+// was answered a short time ago. An answer to a request as a whole says nothing of crashes
+// that come after it.
+func (d *Detector) IsSound(now time.Time, part string) bool {
+	return !IsRequest(part) && d.wasAnswered(now, part)
+}
+
+// IsRefuted reports whether a request with a blocked part was answered after the part was
+// blocked.
+func (d *Detector) IsRefuted(now time.Time, b Block) bool {
+	at, answered := d.sound.latest(now, b.Part)
+	return answered && (!IsRequest(b.Part) || at.After(now.Add(b.Remaining-BlockTime)))
+}
+
+func (d *Detector) wasAnswered(now time.Time, part string) bool {
+	_, answered := d.sound.latest(now, part)
+	return answered
+}
 
 // Suspect records a suspicion. Decide draws the conclusions.
 func (d *Detector) Suspect(now time.Time, s Suspicion) {
@@ -293,11 +314,14 @@
 }
 
 // threshold returns the number of crashes that block a part: fewer if it was
-// blocked before.
+// blocked before, more if it was answered a short time ago.
 func (d *Detector) threshold(now time.Time, part string) int {
 	if b := d.blocks[part]; b != nil && now.Sub(b.until) < relapseTime {
 		return 1
 	}
+	if d.wasAnswered(now, part) {
+		return answeredCrashes
+	}
 	return blockingCrashes
 }
 
@@ -372,9 +396,9 @@
 }
 
 // Adopt blocks a part that another entry has blocked. It reports whether the part
-// was not blocked before. A part that is sound here is not blocked.
+// was not blocked before. A part that was answered here since is not blocked.
 func (d *Detector) Adopt(now time.Time, b Block) bool {
-	if _, active := d.activeBlock(now, b.Part); active || b.Remaining <= 0 || d.IsSound(now, b.Part) {
+	if _, active := d.activeBlock(now, b.Part); active || b.Remaining <= 0 || d.IsRefuted(now, b) {
 		return false
 	}
 	d.block(now, b.Part, min(b.Remaining, BlockTime))
@@ -455,10 +479,11 @@
 	r.current[part] = now
 }
 
-func (r *recentParts) contains(now time.Time, part string) bool {
-	at, known := r.current[part]
+// latest returns when a part was last added, if that was a short time ago.
+func (r *recentParts) latest(now time.Time, part string) (at time.Time, known bool) {
+	at, known = r.current[part]
 	if !known {
 		at, known = r.previous[part]
 	}
-	return known && now.Sub(at) < soundTime
+	return at, known && now.Sub(at) < soundTime
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -337,3 +337,30 @@
 	assert.DeepEqual(t, d.Decide(now), []string{bad})
 	assert.Assert(t, !isBlocked(d, now, "subject"))
 }
+
+// Guards against a request that crashes servers without a limit because it was answered a
+// moment ago, and against blocking one that is answered between crashes.
+func TestAnswerSaysNothingOfLaterCrashes(t *testing.T) {
+	d := New()
+	turned, sound := RequestPart(1), RequestPart(2)
+	d.ObserveSound(start, turned)
+	for crash := range uint64(answeredCrashes - 1) {
+		assert.Equal(t, len(crashUnder(d, start, crash, turned)), 0)
+	}
+	assert.DeepEqual(t, crashUnder(d, start, answeredCrashes, turned), []string{turned})
+	for crash := uint64(100); crash < 120; crash++ {
+		assert.Equal(t, len(crashUnder(d, start, crash, sound)), 0)
+		d.ObserveSound(start, sound)
+	}
+}
+
+// Guards against a block that an older answer elsewhere takes back, and against one that
+// stays although the request was answered since.
+func TestOnlyLaterAnswerRefutesBlock(t *testing.T) {
+	d := New()
+	part := RequestPart(1)
+	d.ObserveSound(start, part)
+	assert.Assert(t, d.IsRefuted(start, Block{part, BlockTime - time.Second}))
+	assert.Assert(t, !d.IsRefuted(start.Add(time.Second), Block{part, BlockTime}))
+	assert.Assert(t, d.Adopt(start.Add(time.Second), Block{part, BlockTime}))
+}
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -194,7 +194,7 @@
 		g.detector.Suspect(now, s)
 	}
 	for _, b := range e.blocks {
-		if g.detector.IsSound(now, b.Part) {
+		if g.detector.IsRefuted(now, b) {
 			g.tellSound(now, b.Part)
 		}
 		g.adopt(now, b, "another entry")
