relay, quarantine: entries tell each other all crashes that count, also after a cut and under load

What callers saw: a request crashed two servers through each of several entries before one of them blocked it. Cause, two ways to one fault: (1) an entry told at most 48 contents of a crash; with more requests in progress the one to blame was often left out, and a detector held 512 suspects and dropped it again. (2) A crash was told for 2 s; entries that could not hear each other then never learnt of it. Class of fault: shared evidence that is told for a fixed time in a fixed room, and then never again. Messages now carry the suspicions that were told least recently: all of them within 2 s, and eight in a message afterwards as long as they count. The detector holds 2,048 suspects.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -57,7 +57,8 @@
 	// relapseTime is how long a block that is over is remembered.
 	relapseTime = time.Hour
 
-	maxSuspects          = 512
+	maxSuspects          = 2048
+	droppedSuspects      = 256
 	maxCrashes           = 1024
 	maxBlocks            = 64
 	maxCrashesPerBlock   = 64
@@ -234,6 +235,17 @@
 	known.crashes[s.Crash] = struct{}{}
 }
 
+// Holds reports whether a suspicion counts: it is not too old, its part was not cleared and
+// nothing else explains the crash.
+func (d *Detector) Holds(s Suspicion) bool {
+	known := d.suspects[s.Part]
+	if known == nil {
+		return false
+	}
+	_, held := known.crashes[s.Crash]
+	return held
+}
+
 // forgetOldCrashes forgets crashes that no longer count, and suspects without any.
 func (d *Detector) forgetOldCrashes(now time.Time) {
 	maps.DeleteFunc(d.crashes, func(_ uint64, at time.Time) bool { return now.Sub(at) > suspicionTime })
@@ -245,16 +257,18 @@
 	}
 }
 
-// makeRoom drops the suspect with the fewest crashes, the oldest of these, if there are
-// too many.
+// makeRoom drops the suspects with the fewest crashes, the oldest of these, if there are
+// too many. It drops many at once, because a crash under load brings hundreds.
 func (d *Detector) makeRoom() {
 	if len(d.suspects) < maxSuspects {
 		return
 	}
-	oldest := slices.MinFunc(slices.Collect(maps.Keys(d.suspects)), func(a, b string) int {
+	oldest := slices.SortedFunc(maps.Keys(d.suspects), func(a, b string) int {
 		return cmp.Or(cmp.Compare(len(d.suspects[a].crashes), len(d.suspects[b].crashes)), d.suspects[a].latest.Compare(d.suspects[b].latest), cmp.Compare(a, b))
 	})
-	delete(d.suspects, oldest)
+	for _, part := range oldest[:droppedSuspects] {
+		delete(d.suspects, part)
+	}
 }
 
 // Active reports whether some part is under suspicion or blocked, or was blocked a
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -25,6 +27,11 @@
 	// of requests, of which there are many at each crash, leave room for others.
 	maxEvidence        = 64
 	maxContentEvidence = 48
+	// maxRepeatedEvidence bounds the suspicions in a message that are older than
+	// evidenceSendTime. They are repeated while they count, for entries that were cut off.
+	maxRepeatedEvidence = 8
+	// maxToldSuspicions bounds the suspicions that are told in turn.
+	maxToldSuspicions = 1024
 	// soundProgress is how long an answer goes on until its prompt is taken for
 	// sound: an engine may send a first event before it ends. soundInterval is how
 	// often it is recorded again.
@@ -41,9 +48,9 @@
 	active   atomic.Bool
 	mu       sync.Mutex
 	detector *quarantine.Detector
-	// suspicions and soundParts are what the messages of this entry tell the others,
-	// with the time until which they do.
-	suspicions map[quarantine.Suspicion]time.Time
+	// suspicions and soundParts are what the messages of this entry tell the others;
+	// soundParts holds the time until which they do.
+	suspicions map[quarantine.Suspicion]*toldSuspicion
 	soundParts map[string]time.Time
 	// unsaved are the changes that the store has not accepted yet: the time until
 	// which a part is blocked, or the zero time for a part that is released.
@@ -58,7 +65,7 @@
 
 func newCrashGuard(e *Entry) *crashGuard {
 	return &crashGuard{
-		Entry: e, detector: quarantine.New(), suspicions: map[quarantine.Suspicion]time.Time{}, soundParts: map[string]time.Time{},
+		Entry: e, detector: quarantine.New(), suspicions: map[quarantine.Suspicion]*toldSuspicion{}, soundParts: map[string]time.Time{},
 		unsaved: map[string]time.Time{}, save: make(trigger, 1), saveAgain: make(trigger, 1),
 	}
 }
@@ -154,12 +161,8 @@
 			continue
 		}
 		g.detector.Suspect(now, s)
-		limit := maxEvidence
-		if quarantine.IsRequest(s.Part) {
-			limit = maxContentEvidence
-		}
-		if len(g.suspicions) < limit {
-			g.suspicions[s] = now.Add(evidenceSendTime)
+		if len(g.suspicions) < maxToldSuspicions {
+			g.suspicions[s] = &toldSuspicion{since: now}
 		}
 	}
 	g.active.Store(g.detector.Active())
@@ -214,13 +217,7 @@
 func (g *crashGuard) evidence(now time.Time) (e evidence) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for s, until := range g.suspicions {
-		if now.After(until) {
-			delete(g.suspicions, s)
-			continue
-		}
-		e.suspicions = append(e.suspicions, s)
-	}
+	e.suspicions = g.tellSuspicions(now)
 	for part, until := range g.soundParts {
 		if now.After(until) {
 			delete(g.soundParts, part)
@@ -232,6 +229,44 @@
 	return e
 }
 
+// toldSuspicion is a suspicion of this entry that its messages tell the others.
+type toldSuspicion struct {
+	since time.Time
+	// latest is when a message last told it.
+	latest time.Time
+}
+
+func (t *toldSuspicion) isRepeat(now time.Time) bool { return now.Sub(t.since) > evidenceSendTime }
+
+// tellSuspicions returns the suspicions that the next message tells: those that were told
+// least recently. A suspicion that no longer counts here is not repeated. The caller holds
+// the lock.
+func (g *crashGuard) tellSuspicions(now time.Time) (told []quarantine.Suspicion) {
+	maps.DeleteFunc(g.suspicions, func(s quarantine.Suspicion, t *toldSuspicion) bool {
+		return t.isRepeat(now) && !g.detector.Holds(s)
+	})
+	waiting := slices.SortedFunc(maps.Keys(g.suspicions), func(a, b quarantine.Suspicion) int {
+		return cmp.Or(g.suspicions[a].latest.Compare(g.suspicions[b].latest), cmp.Compare(a.Part, b.Part), cmp.Compare(a.Crash, b.Crash))
+	})
+	repeats, contents := 0, 0
+	for _, s := range waiting {
+		t := g.suspicions[s]
+		isRepeat, isContent := t.isRepeat(now), quarantine.IsRequest(s.Part)
+		if len(told) == maxEvidence || isRepeat && repeats == maxRepeatedEvidence || isContent && contents == maxContentEvidence {
+			continue
+		}
+		if isRepeat {
+			repeats++
+		}
+		if isContent {
+			contents++
+		}
+		t.latest = now
+		told = append(told, s)
+	}
+	return told
+}
+
 // decide blocks the parts that have crashed too many engines.
 func (g *crashGuard) decide(now time.Time) {
 	g.mu.Lock()
