--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -186,9 +186,11 @@
 // exchangeEvidence gives each entry what the others tell.
 func exchangeEvidence(now time.Time, entries ...*Entry) {
 	for _, from := range entries {
+		// An entry sends one message to all others.
+		evidence := from.crashes.evidence(now)
 		for _, to := range entries {
 			if from != to {
-				to.crashes.applyPeerEvidence(now, from.crashes.evidence(now))
+				to.crashes.applyPeerEvidence(now, evidence)
 			}
 		}
 	}
