relay: a crash counts although the client of the request has left

What callers saw: a request whose clients leave early, or whose time was over, crashed one server after another; nothing blocked it. Cause: when its client leaves, the entry closes the connection, whose end would have shown the crash; the exchange was forgotten. Class of fault: evidence that only one observer has is lost when that observer goes. Only a refusal counts: a server that does not answer may be out of reach. Only the request as a whole is suspected, not its parts. The test now also sends sound requests beside the one that crashes, and six servers where the store is away, as a small service has.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -110,6 +110,8 @@
 	}
 	if ctx.Err() == nil {
 		a.reportCrash(err)
+	} else if head, known := a.headServer(); known && a.soundAt.IsZero() {
+		a.reportLeft(head)
 	}
 	if ctx.Err() == nil && !errors.Is(err, errPathLost) {
 		a.avoid[a.hops[0].Engine] = true
@@ -129,13 +131,18 @@
 		a.crashes.recordCrash(time.Now(), a.info.ID, a.head, parts)
 		return
 	}
-	server, known := a.fleet.snapshot()[a.head.id]
-	if known && netpeek.IsConnectionEnd(err) {
-		server.StartTimeMillis = a.head.startTimeMillis
-		a.crashes.recordEnd(time.Now(), server, a.info.ID, parts)
+	if head, known := a.headServer(); known && netpeek.IsConnectionEnd(err) {
+		a.crashes.recordEnd(time.Now(), head, a.info.ID, parts)
 	}
 }
 
+// headServer returns the process of the first engine to which the request was sent.
+func (a *attempt) headServer() (server Server, known bool) {
+	server, known = a.fleet.snapshot()[a.head.id]
+	server.StartTimeMillis = a.head.startTimeMillis
+	return server, known
+}
+
 // reportLostStages suspects the request of the loss of an engine of its path after the
 // first, if that came before the answer had gone on for long: such an engine does not
 // break the stream off when it crashes. Only the request itself is suspected, and of one
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"net"
 	"slices"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/sapphirefield/sapphirefield/netpeek"
 	"github.com/sapphirefield/sapphirefield/problem"
 	"github.com/sapphirefield/sapphirefield/quarantine"
@@ -90,10 +94,28 @@
 		return true
 	}
 	defer conn.Close()
+	return p.endsAtOnce(conn)
+}
+
+// refuses reports whether the server at an address refuses a new connection or ends it at
+// once. One that does not answer may be out of reach.
+func (p *pool) refuses(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, crashProbeTimeout)
+	defer cancel()
+	conn, err := p.dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	defer conn.Close()
+	return p.endsAtOnce(conn)
+}
+
+// endsAtOnce reports whether the other side ends a new connection at once.
+func (*pool) endsAtOnce(conn net.Conn) bool {
 	if conn.SetReadDeadline(time.Now().Add(crashProbeHold)) != nil {
 		return false
 	}
-	_, err = conn.Read(make([]byte, 1))
+	_, err := conn.Read(make([]byte, 1))
 	return netpeek.IsConnectionEnd(err)
 }
 
--- a/relay/crashes_disrupted_test.go
+++ b/relay/crashes_disrupted_test.go
@@ -16,7 +16,7 @@
 
 // crashDisruption is what else goes wrong while one request crashes server after server.
 type crashDisruption struct {
-	entries int
+	entries, servers int
 	// serve answers some of the requests that would crash their server; it may be nil.
 	serve func(round int) script
 	// leaves is set if the client leaves as its request reaches the server.
@@ -50,7 +50,7 @@
 		"its client leaves":                  {entries: 4, leaves: true},
 		"entries restart by turns":           {entries: 4, restarts: true},
 		"servers are back with other IDs":    {entries: 4, backAtOnce: true, newIDs: true},
-		"store is away and servers are back": {entries: 4, backAtOnce: true, newIDs: true, storeAway: true},
+		"store is away and servers are back": {entries: 4, servers: 6, backAtOnce: true, newIDs: true, storeAway: true},
 	}
 	routes := map[string]config.Route{
 		"idempotent": unaryRoute(config.CallIdempotent), "at most once": unaryRoute(config.CallAtMostOnce),
@@ -68,7 +68,11 @@
 
 func testDisruptedCrashes(t *testing.T, route config.Route, d crashDisruption) {
 	const rounds = 16
-	c, all := newCrashTest(t, route, 2*rounds, d.entries)
+	servers := 2 * rounds
+	if d.servers > 0 {
+		servers = d.servers
+	}
+	c, all := newCrashTest(t, route, servers, d.entries)
 	c.backAtOnce, c.newIDs = d.backAtOnce, d.newIDs
 	// Something has crashed a server before, so that the entries pay attention.
 	for _, e := range all {
@@ -87,6 +91,10 @@
 		if known {
 			late += c.arrivals() - before
 		}
+		for _, e := range all {
+			// Others use the servers as well.
+			e.sendContent(t, fmt.Sprint("order 8.", round), "", false)
+		}
 		plain := make([]*Entry, len(all))
 		for i, e := range all {
 			plain[i] = e.Entry
@@ -122,6 +130,7 @@
 	for e.InProgress() > 0 {
 		time.Sleep(time.Millisecond)
 	}
+	e.crashes.leaveProbes.Wait()
 }
 
 // Guards against a request whose crashes the entries don't tell each other because many
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -61,6 +61,8 @@
 	// ended are exchanges that ended while their servers accepted connections, the
 	// oldest first.
 	ended []endedExchange
+	// leaveProbes are the probes of servers whose clients have left.
+	leaveProbes sync.WaitGroup
 }
 
 func newCrashGuard(e *Entry) *crashGuard {
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -125,11 +125,16 @@
 func (e *crashedEngines) Status(ctx context.Context, address string) (EngineStatus, error) {
 	e.backends.mu.Lock()
 	crashed := e.backends.crashed[address] && !e.backends.backAtOnce
+	_, restarted := e.backends.ids[address]
 	e.backends.mu.Unlock()
 	if crashed {
 		return EngineStatus{}, ErrNoResponse
 	}
-	return e.testEngines.Status(ctx, address)
+	status, err := e.testEngines.Status(ctx, address)
+	if restarted {
+		status.StartTimeMillis = 1
+	}
+	return status, err
 }
 
 // sendParts sends a stream request with a prompt of the given parts.
--- a/relay/restarts.go
+++ b/relay/restarts.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"time"
 
 	"github.com/sapphirefield/sapphirefield/bootclock"
@@ -14,6 +15,11 @@
 	restartNoticeBeats = 4
 	// maxEndedExchanges bounds the memory. The oldest ones are forgotten first.
 	maxEndedExchanges = 256
+	// leaveProbeDelay is how long after its client has left a request's server is asked
+	// whether it still runs, and leaveNotice how long the crash of a server is attributed
+	// to requests whose clients have left.
+	leaveProbeDelay = 50 * time.Millisecond
+	leaveNotice     = time.Second
 )
 
 // endedExchange is a request whose connection to a server ended before the answer, while
@@ -79,3 +85,41 @@
 	g.ended = waiting
 	return restarted
 }
+
+// recordReplaced records a crash for each exchange that ended within a time at a server
+// that has turned out to be gone: another process answers at its address, or none does.
+func (g *crashGuard) recordReplaced(now time.Time, server Server, within time.Duration) {
+	g.mu.Lock()
+	var replaced []endedExchange
+	waiting := g.ended[:0]
+	for _, x := range g.ended {
+		if x.server.ID == server.ID && x.server.StartTimeMillis == server.StartTimeMillis && now.Sub(x.at) < within {
+			replaced = append(replaced, x)
+		} else {
+			waiting = append(waiting, x)
+		}
+	}
+	g.ended = waiting
+	g.mu.Unlock()
+	for _, x := range replaced {
+		g.recordCrash(now, x.request, crashedEngine{server.ID, server.StartTimeMillis}, x.parts)
+	}
+}
+
+// reportLeft suspects a request whose client has left before the answer if its server
+// turns out to have crashed: the entry has closed the connection, whose end would have
+// shown that. Only the request as a whole is suspected.
+func (q *request) reportLeft(server Server) {
+	g := q.crashes
+	g.recordEnd(time.Now(), server, q.info.ID, []string{q.content()})
+	if !q.silenceProbes.start(time.Now(), server.Address) {
+		return
+	}
+	g.leaveProbes.Add(1)
+	time.AfterFunc(leaveProbeDelay, func() {
+		defer g.leaveProbes.Done()
+		if q.pool.refuses(context.Background(), server.Address) {
+			g.recordReplaced(time.Now(), server, leaveNotice)
+		}
+	})
+}
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -245,10 +245,12 @@
 		if watched.Err() != nil && ctx.Err() == nil {
 			return mayHaveExecuted, errServerSilent
 		}
-		if ctx.Err() == nil {
-			q.fleet.observe(time.Now(), server.ID, membership.ConnectionLost)
-			q.reportCrash(ctx, server, err)
+		if ctx.Err() != nil {
+			q.reportLeft(server)
+			return mayHaveExecuted, err
 		}
+		q.fleet.observe(time.Now(), server.ID, membership.ConnectionLost)
+		q.reportCrash(ctx, server, err)
 		return mayHaveExecuted, err
 	}
 	q.observeResponse(server.ID, q.info.ID, x)
