quarantine: parts that were blocked together give their crashes back together

What callers saw: a request crashed three servers more after a part that was blocked for its crashes had been released. Cause: two parts that nothing told apart were blocked together, and the first of them kept all crashes that they explained. When the second one was released, its request was under no suspicion any more. TestReleaseOfOneOfTwoPartsReturnsCrashes failed before (nothing blocked).

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -151,7 +151,7 @@
 	// the requests that were in progress.
 	crashes map[uint64]struct{}
 	// explained are the suspicions of these crashes against other parts. They count again
-	// if this part turns out to be sound.
+	// if this part turns out to be sound. Parts that were blocked together share them.
 	explained map[Suspicion]struct{}
 	// probes is the number of probe times that have been used.
 	probes int
@@ -180,8 +180,9 @@
 func (d *Detector) suspectAgain(now time.Time, b *block) {
 	for s := range b.explained {
 		at, known := d.crashes[s.Crash]
-		if known && now.Sub(at) <= suspicionTime {
-			d.Suspect(now, s)
+		_, blocked := d.activeBlock(now, s.Part)
+		if known && now.Sub(at) <= suspicionTime && !blocked && !d.IsSound(now, s.Part) {
+			d.add(now, s)
 		}
 	}
 }
@@ -225,6 +226,11 @@
 		b.recordExplained(s)
 		return
 	}
+	d.add(now, s)
+}
+
+// add counts a suspicion.
+func (d *Detector) add(now time.Time, s Suspicion) {
 	known := d.suspects[s.Part]
 	if known == nil {
 		d.makeRoom()
@@ -287,8 +293,11 @@
 		if len(parts) == 0 || len(parts) > 1 && crashes < tieCrashes {
 			return blocked
 		}
+		explained := map[Suspicion]struct{}{}
 		for _, part := range parts {
 			d.block(now, part, BlockTime)
+			// If one of them turns out to be sound, the others may be as well.
+			d.blocks[part].explained = explained
 		}
 		for _, part := range parts {
 			d.explainAll(d.blocks[part])
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -364,3 +364,19 @@
 	assert.Assert(t, !d.IsRefuted(start.Add(time.Second), Block{part, BlockTime}))
 	assert.Assert(t, d.Adopt(start.Add(time.Second), Block{part, BlockTime}))
 }
+
+// Guards against crashes that stay with one of two parts that were blocked together after
+// the other one has turned out to be sound: nothing tells whether the part that is left or
+// a request has caused them.
+func TestReleaseOfOneOfTwoPartsReturnsCrashes(t *testing.T) {
+	d := New()
+	bad := RequestPart(7)
+	for crash := range uint64(tieCrashes) {
+		d.Suspect(start, Suspicion{Crash: crash, Part: "victim"})
+		crashUnder(d, start, crash, "subject", bad)
+	}
+	assert.Assert(t, isBlocked(d, start, "subject") && isBlocked(d, start, "victim"))
+	now := start.Add(probeTimes[0])
+	assert.Assert(t, d.ObserveSound(now, "subject"))
+	assert.DeepEqual(t, d.Decide(now), []string{bad})
+}
