relay: an engine's earlier answer does not hide its crash

Cause: when a stream breaks off, its engine is asked for its status, and an answer of the last 60 ms served as well. Under load engines are asked all the time, so an answer from before the crash said that the engine works; the crash was counted only when the record of the next process came. Class of fault: a cached answer is taken for evidence of something that happened after it. A result counts only if its query began after the stream had broken off, within 5 ms, so that streams that break off together share one. TestEarlierAnswerDoesNotHideCrash failed before.

--- a/relay/stalls.go
+++ b/relay/stalls.go
@@ -17,6 +17,9 @@
 	// stallResultTTL is how long a stall query's result is valid. All streams that
 	// start at the engine share it.
 	stallResultTTL = 60 * time.Millisecond
+	// evidenceSpread is how far apart streams notice the same event at an engine. They share
+	// one query about it.
+	evidenceSpread = 5 * time.Millisecond
 	// stallTimeout is the time without a response after which an engine counts as silent,
 	// if others are heard meanwhile. A working engine responds within a few milliseconds.
 	stallTimeout = 60 * time.Millisecond
@@ -94,10 +97,15 @@
 // start returns the query to the engine at an address that is under way or was over a
 // moment ago, or a new one.
 func (s *stallChecker) start(address string) *stallQuery {
+	return s.startAfter(address, time.Now().Add(-stallResultTTL))
+}
+
+// startAfter is start, but the result of a query that began before a time does not count.
+func (s *stallChecker) startAfter(address string, since time.Time) *stallQuery {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	q := s.byAddress[address]
-	if q == nil || time.Since(q.startedAt) > stallResultTTL && isClosed(q.done) {
+	if q == nil || q.startedAt.Before(since) && isClosed(q.done) {
 		q = &stallQuery{startedAt: time.Now(), done: make(chan struct{})}
 		s.byAddress[address] = q
 		go s.query(q, address)
@@ -107,14 +115,18 @@
 
 // stalledEngines returns the addresses of the engines for which requests that
 // start at the engine at address are waiting. Concurrent calls for the same
-// address share one query.
-func (s *stallChecker) stalledEngines(ctx context.Context, address string) ([]string, error) {
-	q := s.start(address)
-	select {
-	case <-q.done:
-		return q.stalled, q.err
-	case <-ctx.Done():
-		return nil, ctx.Err()
+// address share one query, unless it began before since.
+func (s *stallChecker) stalledEngines(ctx context.Context, address string, since time.Time) ([]string, error) {
+	for {
+		q := s.startAfter(address, since)
+		select {
+		case <-q.done:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		if !q.startedAt.Before(since) {
+			return q.stalled, q.err
+		}
 	}
 }
 
--- a/relay/stalls_test.go
+++ b/relay/stalls_test.go
@@ -174,3 +174,37 @@
 	assert.Assert(t, !s.believes(timeout, "c"))
 	assert.Assert(t, s.believes(&exchangeError{errNotSent, syscall.ECONNREFUSED}, "d"))
 }
+
+// dyingEngine answers a status query until it has died.
+type dyingEngine struct {
+	testEngines
+	died    bool
+	queries int
+}
+
+func (e *dyingEngine) Status(context.Context, string) (EngineStatus, error) {
+	e.queries++
+	if e.died {
+		return EngineStatus{}, ErrNoResponse
+	}
+	return EngineStatus{}, nil
+}
+
+// Guards against a crash that an answer to an earlier query hides. Under load, engines are
+// asked for their status all the time.
+func TestEarlierAnswerDoesNotHideCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := &dyingEngine{}
+		e := newStoreEntry(newScriptedStore())
+		e.stallChecker.engines = engines
+		e.fleet.setServers(time.Now(), map[string]Server{"s": testServer("s", 0, 8)})
+		time.Sleep(settleTime)
+		assert.Assert(t, !e.verifySuspect("s", "a"))
+		time.Sleep(stallResultTTL / 2)
+		engines.died = true
+		for range 40 { // the streams of the engine
+			assert.Assert(t, e.verifySuspect("s", "a"))
+		}
+		assert.Equal(t, engines.queries, 2)
+	})
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -385,7 +385,8 @@
 // suspicion, because all streams through the engine depend on it.
 // It reports whether the engine is dead.
 func (e *Entry) verifySuspect(engine, address string) bool {
-	_, err := e.stallChecker.stalledEngines(context.Background(), address)
+	// An earlier answer says nothing of what has happened since.
+	_, err := e.stallChecker.stalledEngines(context.Background(), address, time.Now().Add(-evidenceSpread))
 	if !errors.Is(err, ErrNoResponse) {
 		return false
 	}
