relay: an entry that has fallen behind reads the newest configuration, not each one in turn

An entry on a thin link takes a second for each, a series brings one each 0.33 s, and the entry reads all of them in turn. A read says how many records are left; with more than one, the newest ones are read next.

--- a/relay/directory_test.go
+++ b/relay/directory_test.go
@@ -508,3 +508,54 @@
 		assert.Assert(t, time.Since(began) <= store.delay+time.Millisecond)
 	})
 }
+
+// thinLinkStore delivers one record of the configuration at a time, each of which takes a
+// while on the link.
+type thinLinkStore struct {
+	*scriptedStore
+	transferTime time.Duration
+}
+
+func (s *thinLinkStore) ReadLatest(ctx context.Context, topic Topic) (RecordBatch, error) {
+	batch, err := s.scriptedStore.ReadLatest(ctx, topic)
+	batch.Records = batch.Records[max(len(batch.Records)-1, 0):]
+	sleep(ctx, s.transferTime)
+	return batch, err
+}
+
+func (s *thinLinkStore) Read(ctx context.Context, topic Topic, from Position, wait ReadWait) (RecordBatch, error) {
+	batch, err := s.scriptedStore.Read(ctx, topic, from, wait)
+	if err != nil || len(batch.Records) == 0 {
+		sleep(ctx, readCheckInterval)
+		return batch, err
+	}
+	batch.Left = int64(len(batch.Records) - 1)
+	batch.Records, batch.Next.Offset = batch.Records[:1], from.Offset+1
+	sleep(ctx, s.transferTime)
+	return batch, nil
+}
+
+// Guards against an entry on a thin link that reads each of many large configurations one
+// after another and falls behind.
+func TestSeriesOfLargeConfigurationsIsNotReadOneByOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			revisions = 13
+			interval  = 330 * time.Millisecond
+			inForce   = 3 * time.Second
+		)
+		store := &thinLinkStore{newScriptedStore(), time.Second}
+		store.add(TopicConfiguration, "c", 1)
+		e := newStoreEntry(store)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = e.followConfiguration(ctx) }()
+		<-e.Configured()
+		for revision := 2; revision <= revisions; revision++ {
+			store.add(TopicConfiguration, "c", revision)
+			time.Sleep(interval)
+		}
+		time.Sleep(inForce - interval)
+		assert.Equal(t, e.Revision(), int64(revisions))
+	})
+}
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -22,6 +22,9 @@
 	// relaxedConfigurationWait is the same while the messages of another entry
 	// would announce a newer revision. The read is interrupted when they cease.
 	relaxedConfigurationWait = 15 * time.Second
+	// maxReadBehind is the number of unread records up to which a topic whose newest records
+	// matter is read on.
+	maxReadBehind = 1
 	// relaxedRetryInterval is the time between two failed reads while the messages of
 	// another entry tell this one all that it would read. relaxedRetryCheck is how
 	// often that is checked meanwhile.
@@ -127,6 +130,11 @@
 			f.apply(u)
 		}
 		next = batch.Next
+		if f.newestOnly && batch.Left > maxReadBehind {
+			// The records in between are superseded; reading them one after another may take
+			// longer than new ones take to come.
+			next = fromStart
+		}
 		if f.pause != nil {
 			f.pause(ctx)
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -195,6 +195,8 @@
 	Records []Record
 	// Next is the position after the last record.
 	Next Position
+	// Left is the number of records after Next that the topic had.
+	Left int64
 }
 
 // Errors of the store.
