--- a/daemon/relay_test.go
+++ b/daemon/relay_test.go
@@ -32,7 +32,7 @@
 	return relay.RecordBatch{}, ctx.Err()
 }
 
-func (idlePlatform) Read(ctx context.Context, _ relay.Topic, _ relay.Position, _ time.Duration) (relay.RecordBatch, error) {
+func (idlePlatform) Read(ctx context.Context, _ relay.Topic, _ relay.Position, _ relay.ReadWait) (relay.RecordBatch, error) {
 	<-ctx.Done()
 	return relay.RecordBatch{}, ctx.Err()
 }
--- a/logservice/log.go
+++ b/logservice/log.go
@@ -15,10 +15,13 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/sapphirefield/sapphirefield/transfer"
 )
 
 const (
-	// callTimeout limits a call, in addition to the time that a read waits for records.
+	// callTimeout limits an append, the wait for the response to a read, in addition to the
+	// time that it waits for records, and the time without progress of that response.
 	callTimeout = 10 * time.Second
 	// maxResponseBytes limits the body of a response. Checkpoints take about 2 MB at
 	// the target size.
@@ -124,7 +127,11 @@
 
 func responseError(response *http.Response) string {
 	body, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
-	return fmt.Sprintf("status %d: %s", response.StatusCode, strings.TrimSpace(string(body)))
+	return statusError(response.StatusCode, body)
+}
+
+func statusError(status int, body []byte) string {
+	return fmt.Sprintf("status %d: %s", status, strings.TrimSpace(string(body[:min(len(body), maxErrorBytes)])))
 }
 
 // Read returns records from an offset on. If there are none, it waits up to wait
@@ -136,38 +143,46 @@
 	return batch, err
 }
 
-// getJSON performs a GET. A GET has no side effects, so the outcome is never unknown.
+// getJSON performs a GET and decodes its response.
 func getJSON(ctx context.Context, client *http.Client, target string, wait time.Duration, result any) error {
-	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
-	defer cancel()
+	body, err := get(ctx, client, target, wait)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(body, result); err != nil {
+		return errors.Wrap(ErrUnavailable, "answer: "+err.Error())
+	}
+	return nil
+}
+
+// get performs a GET. A GET has no side effects, so the outcome is never unknown.
+func get(ctx context.Context, client *http.Client, target string, wait time.Duration) ([]byte, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
-		return errors.Wrap(ErrRejected, err.Error())
+		return nil, errors.Wrap(ErrRejected, err.Error())
 	}
-	response, err := client.Do(request)
+	response, err := transfer.Do(client, request, transfer.Limits{
+		HeaderTime: wait + callTimeout, StallTime: callTimeout, MaxBytes: maxResponseBytes,
+	})
 	if err != nil {
-		return errors.Wrap(ErrUnavailable, err.Error())
+		return nil, errors.Wrap(ErrUnavailable, err.Error())
 	}
-	defer response.Body.Close()
-	switch status := response.StatusCode; {
+	switch status := response.Status; {
 	case status == http.StatusGone:
-		return expiredError(response)
+		return nil, expiredError(response.Body)
 	case status == http.StatusTooManyRequests || status >= 500:
-		return errors.Wrap(ErrUnavailable, responseError(response))
+		return nil, errors.Wrap(ErrUnavailable, statusError(status, response.Body))
 	case status >= 300:
-		return errors.Wrap(ErrRejected, responseError(response))
-	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(result); err != nil {
-		return errors.Wrap(ErrUnavailable, "answer: "+err.Error())
+		return nil, errors.Wrap(ErrRejected, statusError(status, response.Body))
 	}
-	return nil
+	return response.Body, nil
 }
 
-func expiredError(response *http.Response) error {
+func expiredError(text []byte) error {
 	var body struct {
 		First int64 `json:"first"`
 	}
 	// Without the offset in the body, First stays 0 for unknown.
-	_ = json.NewDecoder(io.LimitReader(response.Body, maxErrorBytes)).Decode(&body)
+	_ = json.Unmarshal(text, &body)
 	return &ExpiredError{FirstOffset: body.First}
 }
