--- a/daemon/process.go
+++ b/daemon/process.go
@@ -144,7 +144,9 @@
 	}
 	client := p.platformClient()
 	p.logService = logservice.NewLog(s.LogServiceURL.String(), client)
-	p.instanceList = logservice.NewInstanceList(s.InstanceListURL.String(), client)
+	p.instanceList = logservice.NewInstanceList(s.InstanceListURL.String(), client, func(err error) {
+		logevent.Write(p.logger, logevent.InstanceEntryUnusable).Str("cause", err.Error()).Msg("")
+	})
 	p.peers = newPeerClient(s.ID, p.dialer())
 	p.burnMonitor = ops.NewBurnRateMonitor(s.ID, p.logger)
 	p.configSync = configsync.New(configsync.Options{
--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -5,26 +5,27 @@
 // The event numbers, by group: 1xxx process, 2xxx entry, 3xxx sidecar, 4xxx
 // configuration and log service, 5xxx orders to engines, 6xxx service levels.
 const (
-	ProcessStarted       Event = 1001
-	ProcessDraining      Event = 1002
-	ProcessStopped       Event = 1003
-	DrainIncomplete      Event = 1004
-	SettingsRejected     Event = 1005
-	TLSKeysReloaded      Event = 1006
-	TLSKeysRejected      Event = 1007
-	SettingsUnchanged    Event = 1008
-	RequestFinished      Event = 2001
-	RequestRefused       Event = 2002
-	StageLost            Event = 2003
-	StageReplaced        Event = 2004
-	SidecarConnected     Event = 2005
-	SidecarDisconnected  Event = 2006
-	InstanceListRejected Event = 2007
-	RelayRequestFinished Event = 2008
-	StallQueried         Event = 2016
-	EngineLost           Event = 2017
-	EngineSuspected      Event = 2018
-	EngineReturned       Event = 2019
+	ProcessStarted        Event = 1001
+	ProcessDraining       Event = 1002
+	ProcessStopped        Event = 1003
+	DrainIncomplete       Event = 1004
+	SettingsRejected      Event = 1005
+	TLSKeysReloaded       Event = 1006
+	TLSKeysRejected       Event = 1007
+	SettingsUnchanged     Event = 1008
+	RequestFinished       Event = 2001
+	RequestRefused        Event = 2002
+	StageLost             Event = 2003
+	StageReplaced         Event = 2004
+	SidecarConnected      Event = 2005
+	SidecarDisconnected   Event = 2006
+	InstanceListRejected  Event = 2007
+	InstanceEntryUnusable Event = 2070
+	RelayRequestFinished  Event = 2008
+	StallQueried          Event = 2016
+	EngineLost            Event = 2017
+	EngineSuspected       Event = 2018
+	EngineReturned        Event = 2019
 
 	EngineCrashedUnderRequest Event = 2020
 	PromptPartBlocked         Event = 2021
@@ -98,6 +99,7 @@
 	{StageReplaced, log.InfoLevel, "pipeline stage replaced", ""},
 	{SidecarConnected, log.InfoLevel, "sidecar connected", ""},
 	{SidecarDisconnected, log.WarnLevel, "sidecar disconnected", ""},
+	{InstanceEntryUnusable, log.WarnLevel, "entry of the instance list names no instance", "Find out which program writes the entry; the others are used."},
 	{InstanceListRejected, log.WarnLevel, "instance list distrusted", "Check the platform's instance list; the last good list stays in use."},
 	{RelayRequestFinished, log.InfoLevel, "passed request finished", ""},
 	{StreamRecovered, log.WarnLevel, "stream goes on along another path", "Check the engines that the line names if they do not return."},
--- a/logservice/logservice_test.go
+++ b/logservice/logservice_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -43,7 +44,7 @@
 	batch, err := log.Read(t.Context(), "control", 3, 2*time.Second)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, batch, Batch{FirstOffset: 2, NextOffset: 4, Records: []Record{{Offset: 3, Data: []byte("abc")}}})
-	list, err := NewInstanceList(server.URL, server.Client()).Instances(t.Context())
+	list, err := NewInstanceList(server.URL, server.Client(), func(error) {}).Instances(t.Context())
 	assert.NilError(t, err)
 	assert.DeepEqual(t, list, []Instance{{"i", "s", "z", "127.0.0.1:1", Leaving}})
 }
@@ -106,3 +107,45 @@
 	_, err := NewLog(server.URL, server.Client()).Read(ctx, "control", 1, time.Hour)
 	assert.ErrorIs(t, err, ErrUnavailable)
 }
+
+// Guards against one odd entry, left by another program, that hides all other instances.
+func TestOddInstanceHidesNoOther(t *testing.T) {
+	sound := func(id string) string {
+		return `{"id":"` + id + `","service":"llm","zone":"a","address":"10.0.0.1:80","state":"live"}`
+	}
+	const depth = 20_000
+	for name, odd := range map[string]string{
+		"deeply nested":         strings.Repeat(`{"a":[`, depth) + strings.Repeat(`]}`, depth),
+		"number too large":      `{"id":"x","service":"llm","zone":"a","address":"10.0.0.1:80","state":"live","weight":1e999}`,
+		"number for an address": `{"id":"x","service":"llm","zone":"a","address":1e999,"state":"live"}`,
+		"port out of range":     `{"id":"x","service":"llm","zone":"a","address":"10.0.0.1:70000","state":"live"}`,
+		"no port":               `{"id":"x","service":"llm","zone":"a","address":"10.0.0.1","state":"live"}`,
+		"unknown state":         `{"id":"x","service":"llm","zone":"a","address":"10.0.0.1:80","state":"asleep"}`,
+		"no id":                 `{"service":"llm","zone":"a","address":"10.0.0.1:80","state":"live"}`,
+		"another type":          `"x"`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, `{"instances":[`+sound("a")+`,`+odd+`,`+sound("b")+`]}`)
+			}))
+			defer server.Close()
+			reports := 0
+			l := NewInstanceList(server.URL, server.Client(), func(error) { reports++ })
+			_, err := l.Instances(t.Context())
+			assert.NilError(t, err)
+			list, err := l.Instances(t.Context())
+			assert.NilError(t, err)
+			assert.Assert(t, reports <= 1, "%d reports of one entry", reports)
+			var ids []string
+			for _, instance := range list {
+				ids = append(ids, instance.ID)
+			}
+			if name == "number too large" {
+				// A field that nobody reads may hold anything.
+				assert.DeepEqual(t, ids, []string{"a", "x", "b"})
+				return
+			}
+			assert.DeepEqual(t, ids, []string{"a", "b"})
+		})
+	}
+}
