relay: a request gets no connection over which it was refused

It could happen here: answers are told apart by the request's ID, and a call that was refused by all servers waits for its turn and goes to the same server again, with the same ID and over the same connection. A connection remembers the requests that were refused over it, 16 at most, and is not used for them again. Off the platform it cannot happen: the sidecar opens a connection for each call.

--- a/relay/connection.go
+++ b/relay/connection.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -49,6 +50,8 @@
 	maxStrayResponses = 2
 	// maxStrayBytes bounds the body of a skipped response.
 	maxStrayBytes = 1 << 20
+	// maxRefused bounds the refused requests that a connection remembers.
+	maxRefused = 16
 	// maxDiscardedBytes bounds the body of a response that is read only to keep
 	// its connection reusable.
 	maxDiscardedBytes = 16 << 10
@@ -60,6 +63,8 @@
 	reader *bufio.Reader
 	// expires is when an idle connection may no longer be reused.
 	expires time.Time
+	// refused are the IDs of requests that were refused over the connection.
+	refused []string
 	// header limits the bytes and the time of a header that is being read; nil
 	// otherwise.
 	header *headerLimit
@@ -174,9 +179,10 @@
 
 // get returns an idle connection or opens a new one. A request without an ID
 // needs a new one: on another, a late response to an earlier request could not
-// be told from its own.
-func (p *pool) get(ctx context.Context, address string, reuse bool) (*connection, error) {
-	for c := p.takeIdle(address, reuse); c != nil; c = p.takeIdle(address, reuse) {
+// be told from its own. The same holds for the refusal of the request itself, which
+// a server may send once more.
+func (p *pool) get(ctx context.Context, address, requestID string) (*connection, error) {
+	for c := p.takeIdle(address, requestID); c != nil; c = p.takeIdle(address, requestID) {
 		if time.Now().Before(c.expires) && c.isReusable() {
 			return c, nil
 		}
@@ -195,19 +201,20 @@
 
 // takeIdle returns the most recently used connection, so that the others
 // expire.
-func (p *pool) takeIdle(address string, reuse bool) *connection {
-	if !reuse {
+func (p *pool) takeIdle(address, requestID string) *connection {
+	if requestID == "" {
 		return nil
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if !slices.Contains(c.refused, requestID) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 func (p *pool) put(address string, c *connection, idleTime time.Duration) {
@@ -320,7 +327,7 @@
 // if no byte was sent, and errNoResponse otherwise. When ctx ends, the
 // connection is closed immediately.
 func (p *pool) open(ctx context.Context, address string, o *outboundRequest) (*exchange, error) {
-	conn, err := p.get(ctx, address, o.id != "")
+	conn, err := p.get(ctx, address, o.id)
 	if err != nil {
 		return nil, &exchangeError{errNotSent, err}
 	}
@@ -430,7 +437,10 @@
 		return
 	}
 	reusable := x.request.id != "" && !x.unexpectedData && !x.response.Close && x.conn.reader.Buffered() == 0 && x.hasFramedBody() && x.requestWritten()
-	if !reusable {
+	if x.info.NotExecuted {
+		x.conn.refused = append(x.conn.refused, x.request.id)
+	}
+	if !reusable || len(x.conn.refused) > maxRefused {
 		x.conn.Close()
 		return
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -98,6 +98,15 @@
 	// gone receives a value for each connection that the entry closed while a
 	// script waited for it.
 	gone chan struct{}
+	// refused is the connection on which a request was refused last.
+	refused net.Conn
+}
+
+// refusedOn returns the connection on which a request was refused last.
+func (b *backend) refusedOn() net.Conn {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.refused
 }
 
 type script func(b *backend, r *http.Request, conn net.Conn) bool
@@ -161,7 +170,10 @@
 }
 
 // refuse responds that the request was not executed.
-func refuse(_ *backend, r *http.Request, conn net.Conn) bool {
+func refuse(b *backend, r *http.Request, conn net.Conn) bool {
+	b.mu.Lock()
+	b.refused = conn
+	b.mu.Unlock()
 	write(conn, "HTTP/1.1 503 X\nId: %s\nNot-Run: 1\nContent-Length: 0\n\n", r.Header.Get("Id"))
 	return true
 }
