relay: what is no part of a stream stays out of it when the next engine fails

It could happen here: an error status was kept out, but a success of another type, an error written into a stream without a length, and a success without a signature were passed on as they came, and an empty success ended the stream. - A success without the engine's signature is no stream, also when it is the first answer. - An answer that continues a stream must be of the type of the first one. - In a stream of numbered events, text without a number ends the attempt. The stand-in engines of the tests state the type of their streams now, as engines do. Off the platform it cannot happen: entries write tokens that sidecars send as messages, and no bytes of engines.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -99,6 +99,10 @@
 	if a.x.response.StatusCode != http.StatusOK {
 		return s.forwardFailure(a.x)
 	}
+	if err := s.checkStream(a.x); err != nil {
+		a.x.discard()
+		return mayHaveExecuted, err
+	}
 	s.fleet.acceptStages(hops, sent)
 	return a.forwardEvents(ctx)
 }
--- a/relay/lease_test.go
+++ b/relay/lease_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/sapphirefield/sapphirefield/bootclock"
@@ -80,6 +81,17 @@
 func (s *linkedStore) Read(ctx context.Context, topic Topic, from Position, wait ReadWait) (RecordBatch, error) {
 	defer s.beginCall(topic)()
 	started := time.Now()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if wait.Interrupt != nil {
+		go func() {
+			select {
+			case <-wait.Interrupt:
+				cancel(ErrInterrupted)
+			case <-ctx.Done():
+			}
+		}()
+	}
 	for s.is(linkWhole) && ctx.Err() == nil {
 		batch, err := s.scriptedStore.Read(ctx, topic, from, ReadWait{})
 		if err != nil || len(batch.Records) > 0 || time.Since(started) >= wait.Time {
@@ -87,7 +99,11 @@
 		}
 		sleep(ctx, readCheckInterval)
 	}
-	return RecordBatch{}, awaitTimeout(ctx, wait.Time+s.timeout-time.Since(started))
+	err := awaitTimeout(ctx, wait.Time+s.timeout-time.Since(started))
+	if errors.Is(context.Cause(ctx), ErrInterrupted) {
+		err = ErrInterrupted
+	}
+	return RecordBatch{}, err
 }
 
 func (s *linkedStore) Append(ctx context.Context, topic Topic, r Record, at Position) (Position, error) {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -182,7 +182,7 @@
 func reset(*backend, *http.Request, net.Conn) bool { return false }
 
 const (
-	streamHeader = "HTTP/1.1 200 OK\nId: %s\nSigned: 1\nTransfer-Encoding: chunked\n\n"
+	streamHeader = "HTTP/1.1 200 OK\nId: %s\nSigned: 1\nContent-Type: text/event-stream\nTransfer-Encoding: chunked\n\n"
 	testKey      = "key"
 )
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -55,6 +55,8 @@
 	lastEventID int64
 	// headerSent reports whether the response header was sent to the client.
 	headerSent bool
+	// mediaType is the type of the response that was sent to the client.
+	mediaType string
 	// lastEventAt is when the last event was sent to the client.
 	lastEventAt time.Time
 	// deliveredEvents counts the events sent to the client.
@@ -434,6 +436,10 @@
 		if s.headerSent && s.deliveredEvents > 0 && e.ID > s.lastEventID+1 {
 			return false, errors.Errorf("event %d follows event %d", e.ID, s.lastEventID)
 		}
+		if s.lastEventID >= 0 && e.ID < 0 && !e.IsComment() {
+			// A failing engine may write an error, or the head of a response, into its stream.
+			return false, errUnnumberedEvent
+		}
 		s.writeHeaderOnce(x)
 		if _, err := s.w.Write(e.Bytes); err != nil {
 			return false, err
@@ -458,8 +464,28 @@
 	return progress, flusher.Flush()
 }
 
+var errUnnumberedEvent = errors.New("text without an event ID in a stream of numbered events")
+
 var errEventTooLarge = errors.New("an event is too large")
 
+// checkStream returns why a response with a success status is not the stream that was
+// asked for, or nil. One that continues a stream must be of the same type.
+func (s *streamRequest) checkStream(x *exchange) error {
+	switch {
+	case !x.info.Signed:
+		return errors.New("the engine's stream has no signature")
+	case s.headerSent && mediaType(x) != s.mediaType:
+		return errors.Errorf("the engine answered %q in place of a stream of type %q", mediaType(x), s.mediaType)
+	}
+	return nil
+}
+
+// mediaType returns the type of a response's body without its parameters.
+func mediaType(x *exchange) string {
+	media, _, _ := strings.Cut(x.response.Header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(media))
+}
+
 // recordGap updates the longest time between two events.
 func (s *streamRequest) recordGap() {
 	now := time.Now()
@@ -474,7 +500,7 @@
 	if s.headerSent {
 		return
 	}
-	s.headerSent, s.firstByte, s.status = true, time.Now(), x.response.StatusCode
+	s.headerSent, s.firstByte, s.status, s.mediaType = true, time.Now(), x.response.StatusCode, mediaType(x)
 	s.recordDemand(begun)
 	s.copyHeader(x)
 	s.w.WriteHeader(x.response.StatusCode)
