quarantine: what explains the crashes of a blocked part as well is blocked with its next crash

What callers saw: a request that had crashed three servers crashed three or four more (BUDGET) while a part of other requests was blocked in its place. Cause: requests that are in progress at a crash are repeated together on the next server, so that a part which several of them share is in progress at all crashes, too. With equal counts the part with the greater depth was blocked, and the crashes were taken from all others. Class of fault: a choice among equal explanations is treated as proof. Suspects of all crashes of a blocked part are its rivals: one more crash blocks them, since the part that was blocked in their place is not sent any more. TestRivalOfBlockedPartIsBlockedWithNextCrash failed before.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -153,6 +153,9 @@
 	// explained are the suspicions of these crashes against other parts. They count again
 	// if this part turns out to be sound. Parts that were blocked together share them.
 	explained map[Suspicion]struct{}
+	// rivals are the parts that were under suspicion of all crashes for which this part was
+	// blocked: they explain them as well.
+	rivals map[string]struct{}
 	// probes is the number of probe times that have been used.
 	probes int
 }
@@ -167,6 +170,9 @@
 func (d *Detector) ObserveSound(now time.Time, part string) (released bool) {
 	d.sound.add(now, part)
 	delete(d.suspects, part)
+	for _, other := range d.blocks {
+		delete(other.rivals, part)
+	}
 	b, released := d.activeBlock(now, part)
 	delete(d.blocks, part)
 	if released {
@@ -298,6 +304,7 @@
 			d.block(now, part, BlockTime)
 			// If one of them turns out to be sound, the others may be as well.
 			d.blocks[part].explained = explained
+			d.blocks[part].rivals = d.rivalsOf(part)
 		}
 		for _, part := range parts {
 			d.explainAll(d.blocks[part])
@@ -306,13 +313,46 @@
 	}
 }
 
+// rivalsOf returns the suspects that were in progress at all crashes of a blocked part, if
+// these are enough to block one.
+func (d *Detector) rivalsOf(blocked string) map[string]struct{} {
+	rivals := map[string]struct{}{}
+	if len(d.blocks[blocked].crashes) < blockingCrashes {
+		return rivals
+	}
+	for part, s := range d.suspects {
+		shared := 0
+		for crash := range d.blocks[blocked].crashes {
+			if _, suspected := s.crashes[crash]; suspected {
+				shared++
+			}
+		}
+		if shared == len(d.blocks[blocked].crashes) {
+			rivals[part] = struct{}{}
+		}
+	}
+	return rivals
+}
+
+// activeRivals returns the parts that explain the crashes of some active block as well.
+func (d *Detector) activeRivals(now time.Time) map[string]struct{} {
+	rivals := map[string]struct{}{}
+	for _, b := range d.blocks {
+		if len(b.rivals) > 0 && now.Before(b.until) {
+			maps.Copy(rivals, b.rivals)
+		}
+	}
+	return rivals
+}
+
 // leadingParts returns the parts with enough crashes that have the most of them
 // and, among those, are the deepest in their prompts.
 func (d *Detector) leadingParts(now time.Time) (leading []string, crashes int) {
-	depth := 0
+	depth, rivals := 0, d.activeRivals(now)
 	for part, s := range d.suspects {
 		n := d.settledCrashes(now, s)
-		if n < d.threshold(now, part) {
+		// The part that was blocked in place of a rival cannot have caused one more crash.
+		if _, rival := rivals[part]; n == 0 || !rival && n < d.threshold(now, part) {
 			continue
 		}
 		switch order := cmp.Or(cmp.Compare(n, crashes), cmp.Compare(s.depth, depth)); {
@@ -425,6 +465,7 @@
 		return false
 	}
 	d.block(now, b.Part, min(b.Remaining, BlockTime))
+	d.blocks[b.Part].rivals = d.rivalsOf(b.Part)
 	d.explainAll(d.blocks[b.Part])
 	return true
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -380,3 +380,30 @@
 	assert.Assert(t, d.ObserveSound(now, "subject"))
 	assert.DeepEqual(t, d.Decide(now), []string{bad})
 }
+
+// Guards against a request that begins from zero because a part of other requests was
+// blocked for its crashes: they were in progress each time, since they were repeated on the
+// same servers.
+func TestRivalOfBlockedPartIsBlockedWithNextCrash(t *testing.T) {
+	d := New()
+	bad, later := RequestPart(7), RequestPart(8)
+	for crash := range uint64(blockingCrashes) {
+		d.Suspect(start, Suspicion{Crash: crash, Part: "victim"})
+		if crash > 0 {
+			d.Suspect(start, Suspicions(crash, []string{later})[0])
+		}
+		crashUnder(d, start, crash, bad)
+	}
+	assert.Assert(t, isBlocked(d, start, "victim") && !isBlocked(d, start, bad))
+	now := start.Add(time.Minute / 2)
+	d.Suspect(now, Suspicions(9, []string{later})[0])
+	assert.DeepEqual(t, crashUnder(d, now, 9, bad), []string{bad})
+	assert.Assert(t, !isBlocked(d, now, later))
+	// One that is answered is no rival any more.
+	d = New()
+	for crash := range uint64(blockingCrashes) {
+		crashUnder(d, start, crash, "victim", bad)
+	}
+	d.ObserveSound(start, bad)
+	assert.Equal(t, len(crashUnder(d, now, 9, bad)), 0)
+}
