sidecar: each crash of a server has a number of its own

What callers saw: off the platform a call crashed servers seven to sixteen times (6 are allowed). Cause: the sidecar numbers the ends of its server, and a new number needed an answer since the last end. A server that came back and crashed under the same call again, with no answer in between, had ended only once for the entries. An exchange that began more than 0.2 s after the last end was noticed is ended by a later process; for engines, a successful health check tells. TestCrashesCountWithoutAnswersInBetween failed before (16 crashes of calls and keyed calls).

--- a/demo/crashes_test.go
+++ b/demo/crashes_test.go
@@ -1,6 +1,7 @@
 package demo
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -67,6 +68,69 @@
 	})
 }
 
+// Guards against the crashes of a server that count as one because it has answered nothing
+// in between.
+func TestCrashesCountWithoutAnswersInBetween(t *testing.T) {
+	calls := map[string]func(*testing.T, *Client, int) error{
+		"call": func(t *testing.T, client *Client, _ int) error {
+			_, _, err := client.Call(t.Context(), http.MethodPost, bookingPath, map[string]string{"reference": "bad"})
+			return err
+		},
+		"keyed call": func(t *testing.T, client *Client, i int) error {
+			client.IdempotencyKey = fmt.Sprint("key-", i)
+			_, _, err := client.Call(t.Context(), http.MethodPost, bookingPath, map[string]string{"reference": "bad"})
+			return err
+		},
+		"language request": func(t *testing.T, client *Client, _ int) error {
+			// It fails, or is refused.
+			_, _ = client.Complete(t.Context(), Model, "bad", 4, nil)
+			return nil
+		},
+	}
+	for name, call := range calls {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cluster, client := testCluster(t, ClusterOptions{Stages: 1, Replicas: 1, PlainServers: 1, Claims: &standin.MemoryLog{}})
+				crashes := crashOn(cluster, "bad")
+				time.Sleep(time.Second) // the log is read once before keys are accepted
+				for i := range 16 {
+					assert.NilError(t, call(t, client, i))
+					time.Sleep(2 * crashInterval)
+				}
+				assert.Assert(t, crashes.Load() <= tolerableCrashes+lateCrashes, "%d crashes", crashes.Load())
+			})
+		})
+	}
+}
+
+// Guards against crashes that are not counted because the client has left before them.
+func TestCrashUnderAbandonedCallCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster, client := testCluster(t, ClusterOptions{Stages: 1, Replicas: 1, PlainServers: 3})
+		const workTime = 50 * time.Millisecond
+		var crashes atomic.Int64
+		leave := func() {}
+		for _, n := range cluster.Nodes {
+			if n.Plain != nil {
+				n.Plain.CrashOn("bad", func() {
+					leave()
+					time.Sleep(workTime)
+					crashes.Add(1)
+					n.crashBackend(crashDowntime)
+				})
+			}
+		}
+		for range 16 {
+			ctx, cancel := context.WithCancel(t.Context())
+			leave = cancel
+			_, _, _ = client.Call(ctx, http.MethodPost, bookingPath, map[string]string{"reference": "bad"}) // it ends with the context
+			cancel()
+			time.Sleep(crashInterval)
+		}
+		assert.Assert(t, crashes.Load() <= tolerableCrashes+lateCrashes, "%d crashes", crashes.Load())
+	})
+}
+
 // Guards against a call that crashes server after server because the errors that servers
 // answer in between are taken for answers.
 func TestCallThatFailsOrCrashesServersIsBlocked(t *testing.T) {
--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -35,8 +35,10 @@
 	head         *wire.Call
 	body         []byte
 	nextSequence uint64
-	// started is set before the request is sent to the backend server.
-	started bool
+	// started is set before the request is sent to the backend server, and startedAt is
+	// when.
+	started   bool
+	startedAt time.Time
 	// bodyComplete is set once the last part of the request body has arrived.
 	bodyComplete bool
 	retained     retainedResponse
@@ -151,7 +153,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.calls[c.key] == c && s.ledger.Begin(c.key) {
-		c.started = true
+		c.started, c.startedAt = true, time.Now()
 		return true
 	}
 	c.cancel()
@@ -208,7 +210,7 @@
 }
 
 func (s *Server) failCall(c *call, executed attempt.Executed, cause error) {
-	reason := s.failureReason(s.background, cause, cause.Error())
+	reason := s.failureReason(s.background, c.startedAt, cause, cause.Error())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sendResponseLocked(c, failedFrame(c.key, executed, reason))
--- a/sidecar/engine.go
+++ b/sidecar/engine.go
@@ -172,7 +172,7 @@
 		return
 	}
 	s.setEngineUp(false, cause)
-	reason := s.failureReason(ctx, cause, "engine does not answer")
+	reason := s.failureReason(ctx, time.Time{}, cause, "engine does not answer")
 	s.mu.Lock()
 	for _, a := range s.awaitingEngineCheck {
 		s.refuse(a.entry, a.key, wire.RefusalReason_REFUSAL_ENGINE_DOWN)
@@ -197,6 +197,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.engineUp = up
+	if up {
+		s.ends.down = false
+	}
 	event := logevent.EngineUp
 	if !up {
 		event = logevent.EngineDown
--- a/sidecar/serverend.go
+++ b/sidecar/serverend.go
@@ -17,21 +17,33 @@
 // serverEnds counts how often the backend server has ended.
 type serverEnds struct {
 	number uint64
-	// down is set from an end until the server has answered again.
+	// down is set from an end until the server has answered again, and at is when the end
+	// was noticed.
 	down bool
+	at   time.Time
 }
 
-// failureReason returns the reason of a failed exchange with the backend server. It
+// endNotice is how long after a server has ended all that was in progress has noticed it.
+const endNotice = 2 * endProbeTimeout
+
+// isNew reports whether an exchange that began at a time, which may not be known, was ended
+// by another process of the server than the one that ended last.
+func (e serverEnds) isNew(began time.Time) bool {
+	return !e.down || began.Sub(e.at) > endNotice
+}
+
+// failureReason returns the reason of a failed exchange with the backend server, which
+// began at a time or, for the work of an engine, at the zero time. It
 // tells the entries whether the server has ended, which the work in progress may have
 // caused; if it has not, the reason is otherwise.
-func (s *Server) failureReason(ctx context.Context, cause error, otherwise string) string {
+func (s *Server) failureReason(ctx context.Context, began time.Time, cause error, otherwise string) string {
 	if !netpeek.IsConnectionEnd(cause) || s.backendAccepts(ctx) {
 		return otherwise
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.ends.down {
-		s.ends = serverEnds{number: s.ends.number + 1, down: true}
+	if s.ends.isNew(began) {
+		s.ends = serverEnds{number: s.ends.number + 1, down: true, at: time.Now()}
 	}
 	return wire.ServerEndedReason(s.ends.number, cause.Error())
 }
