--- a/faultmatrix/faultmatrix.go
+++ b/faultmatrix/faultmatrix.go
@@ -37,6 +37,7 @@
 const (
 	CrashUnderRequest Fault = iota
 	CrashBackAtOnce
+	CrashBesideOthers
 	ServerCrash
 	Leaving
 	RetryAfter
@@ -47,11 +48,14 @@
 	Slowness
 	EndlessBytes
 	LateSecondAnswer
+	LateSecondRefusal
+	ErrorInStream
 	UnframedAnswer
 	BrokenBytes
 	LostAnswer
 	ServerError
 	ReusedAddress
+	OddEntry
 	OlderStore
 	StoreTrouble
 	SilentStore
@@ -63,20 +67,25 @@
 	AllEntriesRestarted
 	PlannedStop
 	ConfigurationChange
+	ConfigurationGrows
 	WrongDemand
 	faultCount
 )
 
 var faultNames = [faultCount]string{
 	"a request crashes each server that begins it", "a request crashes each server that begins it, and the server accepts connections again at once",
+	"a request crashes each server that begins it, and its client leaves, servers fail it in between, or entries do not hear each other",
 	"a server crashes or is replaced", "a server says in answers that it is leaving",
 	"503 with Retry-After", "a server states a rate limit", "a server is silent",
 	"a server accepts requests and answers none, its status is good", "status queries hang while requests are served", "a server is slow",
-	"bytes that are no answer, without end or slowly", "a late second answer", "an answer without a length", "broken bytes",
-	"an answer is lost", "a server fails requests", "an address is used by another server", "the store comes back older",
+	"bytes that are no answer, without end or slowly", "a late second answer", "an earlier refusal once more",
+	"an error where a stream that has begun goes on", "an answer without a length", "broken bytes",
+	"an answer is lost", "a server fails requests", "an address is used by another server", "an odd entry among those of the servers",
+	"the store comes back older",
 	"the store is away, slow, compacted or loses answers", "the store accepts connections and answers nothing",
 	"the client's link is in trouble", "an entry is cut off", "an entry is cut off from the store in one direction", "a process is paused",
-	"an entry restarts", "all entries restart", "a planned stop", "the configuration changes", "another entry reports demand that it does not have",
+	"an entry restarts", "all entries restart", "a planned stop", "the configuration changes", "the configuration outgrows what a thin link carries in a moment",
+	"another entry reports demand that it does not have",
 }
 
 // Cell says what plays a fault for a kind of request. Exactly one of its parts is set,
@@ -129,6 +138,16 @@
 		Order:       never("an order carries nothing of a client"),
 		OffPlatform: open("the sidecar suspects a request only if its server accepts no connection"),
 	},
+	CrashBesideOthers: {
+		FirstStage:  tests("TestRequestThatCrashesServersIsBlockedDespiteDisruptions", "TestCrashesAreToldAfterCut", "TestCrashesOfBusyServersAreTold"),
+		LaterStage:  open("a crash of a later engine after the client has left is not counted"),
+		Idempotent:  tests("TestRequestThatCrashesServersIsBlockedDespiteDisruptions", "TestCrashesAreToldAfterCut"),
+		AtMostOnce:  tests("TestRequestThatCrashesServersIsBlockedDespiteDisruptions", "TestCrashesAreToldAfterCut"),
+		Keyed:       open("a crash after the client has left is not counted: TestCrashUnderAbandonedCallCounts"),
+		Status:      never("a query carries nothing of a client"),
+		Order:       never("an order carries nothing of a client"),
+		OffPlatform: open("a crash after the client has left is not counted: TestCrashUnderAbandonedCallCounts"),
+	},
 	ServerCrash: {
 		FirstStage:  both("TestStreamResumesAfterLastEvent", "engine crashes", "engine replaced", "engine link reset"),
 		LaterStage:  tests("TestStreamIsReroutedAroundStalledEngine"),
@@ -229,6 +248,26 @@
 		Order:       never("as for status queries"),
 		OffPlatform: never("the sidecar uses a connection to its server for one call"),
 	},
+	LateSecondRefusal: {
+		FirstStage:  tests("TestRefusedRequestGetsAnotherConnection"),
+		LaterStage:  never("an entry reads nothing from a later engine"),
+		Idempotent:  tests("TestRepeatedRefusalIsNotTakenForAnswer", "TestRefusedRequestGetsAnotherConnection"),
+		AtMostOnce:  tests("TestRepeatedRefusalIsNotTakenForAnswer", "TestRefusedRequestGetsAnotherConnection"),
+		Keyed:       never("the sidecar uses a connection to its server for one call"),
+		Status:      never("the HTTP client closes a connection on which an answer arrives that nobody waits for"),
+		Order:       never("as for status queries"),
+		OffPlatform: never("the sidecar uses a connection to its server for one call"),
+	},
+	ErrorInStream: {
+		FirstStage:  tests("TestErrorOfNextEngineStaysOutOfStream", "TestUnsignedStreamIsNotForwarded"),
+		LaterStage:  never("an entry reads nothing from a later engine"),
+		Idempotent:  never("no other server continues an answer"),
+		AtMostOnce:  never("no other server continues an answer"),
+		Keyed:       never("no other server continues an answer"),
+		Status:      never("no other server continues an answer"),
+		Order:       never("no other server continues an answer"),
+		OffPlatform: never("entries write tokens that sidecars send as messages, and no bytes of engines"),
+	},
 	UnframedAnswer: {
 		FirstStage:  both("TestUnframedStreams", "engine sends streams without chunks"),
 		LaterStage:  never("an entry reads nothing from a later engine"),
@@ -279,6 +318,16 @@
 		Order:       tests("TestOrderIsNotSentOnOutdatedRecord"),
 		OffPlatform: never("each work names the incarnation of the sidecar that must run it"),
 	},
+	OddEntry: {
+		FirstStage:  tests("TestOddServerRecordsNameNoServer", "TestImpossibleFiguresOfServersDoNoHarm"),
+		LaterStage:  tests("TestOddServerRecordsNameNoServer", "TestImpossibleFiguresOfServersDoNoHarm"),
+		Idempotent:  tests("TestOddServerRecordsNameNoServer"),
+		AtMostOnce:  tests("TestOddServerRecordsNameNoServer"),
+		Keyed:       tests("TestOddInstanceHidesNoOther"),
+		Status:      tests("TestOddServerRecordsNameNoServer"),
+		Order:       tests("TestOddServerRecordsNameNoServer", "TestImpossibleFiguresOfServersDoNoHarm"),
+		OffPlatform: tests("TestOddInstanceHidesNoOther"),
+	},
 	OlderStore: {
 		FirstStage:  both("TestServersAfterRestore", "store restored from an older copy"),
 		LaterStage:  both("TestServersAfterRestore", "store restored from an older copy"),
@@ -389,6 +438,16 @@
 		Order:       tests("TestStreamsLeaveEngineThatDropsLayers"),
 		OffPlatform: tests("TestSystem"),
 	},
+	ConfigurationGrows: {
+		FirstStage:  tests("TestGrownConfigurationArrivesOverThinLink", "TestAnnouncementsSpareResponseThatIsDue", "TestSeriesOfLargeConfigurationsIsNotReadOneByOne"),
+		LaterStage:  never("a request is judged where it enters"),
+		Idempotent:  tests("TestGrownConfigurationArrivesOverThinLink"),
+		AtMostOnce:  tests("TestGrownConfigurationArrivesOverThinLink"),
+		Keyed:       tests("TestLargeReadArrivesOverThinLink"),
+		Status:      never("a query needs no route"),
+		Order:       never("an order needs no route"),
+		OffPlatform: tests("TestLargeReadArrivesOverThinLink"),
+	},
 	WrongDemand: {
 		FirstStage:  tests("TestRoomIsKeptOnlyWhileNeeded", "TestStartedWorkOfOneEntryIsBounded"),
 		LaterStage:  never("paths leave room on all their engines alike; see the first engine"),
