sidecar, entry: a crash counts although the client of the call has left, off the platform as well

The same as: the sidecar closes the connection of a withdrawn call, and nobody noticed that its server ended. The sidecar asks its server for a connection 150 ms later, and the entry listens for that for 0.5 s after the call was given up; its answer does not wait.

--- a/entry/peer.go
+++ b/entry/peer.go
@@ -53,6 +53,8 @@
 type exchange struct {
 	key    attempt.Key
 	events *link.Queue[peerEvent]
+	// onLateFailure is set once nobody waits for the exchange any more.
+	onLateFailure func(*wire.Failed)
 }
 
 func newExchange(key attempt.Key) *exchange {
@@ -413,12 +415,32 @@
 func (p *peer) deliver(key attempt.Key, frame *wire.WorkDown) {
 	p.mu.Lock()
 	ex, found := p.pending[key]
-	p.mu.Unlock()
+	var onLateFailure func(*wire.Failed)
 	if found {
+		onLateFailure = ex.onLateFailure
+	}
+	p.mu.Unlock()
+	switch {
+	case !found:
+	case onLateFailure == nil:
 		ex.events.Push(peerEvent{peer: p, frame: frame})
+	case frame.GetFailed() != nil:
+		onLateFailure(frame.GetFailed())
 	}
 }
 
+// lateFailureTime is how long after an exchange was abandoned its failure is listened to.
+const lateFailureTime = 500 * time.Millisecond
+
+// abandonExchange removes an exchange a while later. Until then, a failure that the sidecar
+// reports is passed to handle.
+func (p *peer) abandonExchange(ex *exchange, handle func(*wire.Failed)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ex.onLateFailure = handle
+	time.AfterFunc(lateFailureTime, func() { p.removeExchange(ex.key) })
+}
+
 // deliverTokens delivers each token of a frame to the exchange of its attempt.
 func (p *peer) deliverTokens(tokens *wire.Tokens) {
 	p.mu.Lock()
--- a/entry/unary.go
+++ b/entry/unary.go
@@ -222,7 +222,12 @@
 		c.request.Observe(number, attempt.ExecutedNo)
 		return nil, nil
 	}
-	defer p.removeExchange(ex.key)
+	abandoned := false
+	defer func() {
+		if !abandoned {
+			p.removeExchange(ex.key)
+		}
+	}()
 	c.sendBody(p, number)
 	a := &unaryAttempt{call: c, peer: p, ex: ex, response: newUnaryResponse(), sent: sent}
 	timer := time.NewTimer(c.timeout)
@@ -231,7 +236,11 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return nil, c.withdraw(p, ex, sent)
+			prob := c.withdraw(p, ex, sent)
+			// The server may have crashed under the call, which nobody waits for any more.
+			abandoned = true
+			p.abandonExchange(ex, func(failed *wire.Failed) { a.observeFailure(failed) })
+			return nil, prob
 		case <-timer.C:
 			return nil, nil
 		case <-ex.events.Ready():
--- a/entry/unary_attempt.go
+++ b/entry/unary_attempt.go
@@ -59,7 +59,7 @@
 		return true, false
 	case *wire.WorkDown_Failed:
 		request.Observe(number, attempt.FromWire(body.Failed.Executed))
-		a.call.server.crashes.observeFailure(a.call.id, a.peer.id, a.peer.currentIncarnation(), body.Failed.Reason, a.call.content())
+		a.observeFailure(body.Failed)
 		a.release()
 		return true, false
 	case *wire.WorkDown_CallHead:
@@ -146,3 +146,8 @@
 	w.WriteHeader(int(resp.head.Status))
 	_, _ = w.Write(resp.body)
 }
+
+// observeFailure suspects the call if its server has ended under it.
+func (a *unaryAttempt) observeFailure(failed *wire.Failed) {
+	a.call.server.crashes.observeFailure(a.call.id, a.peer.id, a.peer.currentIncarnation(), failed.Reason, a.call.content())
+}
--- a/faultmatrix/faultmatrix.go
+++ b/faultmatrix/faultmatrix.go
@@ -143,10 +143,10 @@
 		LaterStage:  open("a crash of a later engine after the client has left is not counted"),
 		Idempotent:  tests("TestRequestThatCrashesServersIsBlockedDespiteDisruptions", "TestCrashesAreToldAfterCut"),
 		AtMostOnce:  tests("TestRequestThatCrashesServersIsBlockedDespiteDisruptions", "TestCrashesAreToldAfterCut"),
-		Keyed:       open("a crash after the client has left is not counted: TestCrashUnderAbandonedCallCounts"),
+		Keyed:       tests("TestCrashUnderAbandonedCallCounts", "TestCrashesCountWithoutAnswersInBetween"),
 		Status:      never("a query carries nothing of a client"),
 		Order:       never("an order carries nothing of a client"),
-		OffPlatform: open("a crash after the client has left is not counted: TestCrashUnderAbandonedCallCounts"),
+		OffPlatform: tests("TestCrashUnderAbandonedCallCounts", "TestCrashesCountWithoutAnswersInBetween", "TestCallThatFailsOrCrashesServersIsBlocked"),
 	},
 	ServerCrash: {
 		FirstStage:  both("TestStreamResumesAfterLastEvent", "engine crashes", "engine replaced", "engine link reset"),
--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -215,6 +215,9 @@
 	defer s.mu.Unlock()
 	s.sendResponseLocked(c, failedFrame(c.key, executed, reason))
 	s.endCall(c, executed, time.Now())
+	if c.withdrawn && executed != attempt.ExecutedNo {
+		s.startTask(func() { s.reportEndUnderWithdrawn(c) })
+	}
 }
 
 var errUndelimitedResponse = errors.New("answer of the backend server has neither a length nor chunks, so that it cannot be known to be whole")
--- a/sidecar/serverend.go
+++ b/sidecar/serverend.go
@@ -6,6 +6,7 @@
 	"net/url"
 	"time"
 
+	"github.com/sapphirefield/sapphirefield/attempt"
 	"github.com/sapphirefield/sapphirefield/netpeek"
 	"github.com/sapphirefield/sapphirefield/wire"
 )
@@ -42,10 +43,39 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return wire.ServerEndedReason(s.countEnd(began), cause.Error())
+}
+
+// countEnd counts an end of the server and returns its number. It must be called with the
+// lock held.
+func (s *Server) countEnd(began time.Time) uint64 {
 	if s.ends.isNew(began) {
 		s.ends = serverEnds{number: s.ends.number + 1, down: true, at: time.Now()}
 	}
-	return wire.ServerEndedReason(s.ends.number, cause.Error())
+	return s.ends.number
+}
+
+// withdrawnProbeDelay is how long after a call was withdrawn the server is asked whether it
+// still runs.
+const withdrawnProbeDelay = 150 * time.Millisecond
+
+// reportEndUnderWithdrawn tells the entry if the server turns out to have ended under a call
+// that was withdrawn. The call's connection, whose end would have shown that, was closed.
+func (s *Server) reportEndUnderWithdrawn(c *call) {
+	timer := time.NewTimer(withdrawnProbeDelay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-s.background.Done():
+		return
+	}
+	if s.backendAccepts(s.background) || s.background.Err() != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reason := wire.ServerEndedReason(s.countEnd(c.startedAt), "the call was withdrawn")
+	s.sendToEntry(c.entry, failedFrame(c.key, attempt.ExecutedUnknown, reason))
 }
 
 // backendAccepts reports whether the backend server accepts a connection.
