relay: a signal about the loss of the watcher is not dropped before the wait is chosen

Found by reading: the wait of a read was chosen first, and a signal that came between that and the next line was dropped, so that the read waited 15 s with nobody to announce a change.

--- a/relay/follow.go
+++ b/relay/follow.go
@@ -204,15 +204,16 @@
 // readInterruptible reads a topic. A read is interrupted if no response begins although
 // another entry has newer data: its connection may be dead.
 func (e *Entry) readInterruptible(ctx context.Context, f followOptions, next Position, interrupts int) (RecordBatch, error) {
-	wait := ReadWait{Time: f.readWait()}
 	if f.wake == nil || next == fromStart {
-		return e.readTopic(ctx, f.topic, next, wait)
+		return e.readTopic(ctx, f.topic, next, ReadWait{Time: f.readWait()})
 	}
 	// The store answers this read at once if a signal sent before now is about newer data.
+	// If it is about the loss of the watcher, readWait is short from now on.
 	select {
 	case <-f.wake:
 	default:
 	}
+	wait := ReadWait{Time: f.readWait()}
 	interrupt, done := make(chan struct{}), make(chan struct{})
 	defer close(done)
 	go func() {
