--- a/relay/connection.go
+++ b/relay/connection.go
@@ -7,10 +7,8 @@
 	"net"
 	"net/http"
 	"os"
-	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -158,93 +156,6 @@
 	return c.Conn.SetReadDeadline(time.Time{})
 }
 
-// pool holds idle connections by address.
-type pool struct {
-	mu   sync.Mutex
-	idle map[string][]*connection
-	dial func(ctx context.Context, address string) (net.Conn, error)
-	// onRead is called with the server's address when bytes arrive, unless it is nil.
-	onRead func(address string)
-}
-
-func newPool() *pool {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	return &pool{
-		idle: map[string][]*connection{},
-		dial: func(ctx context.Context, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp4", address)
-		},
-	}
-}
-
-// get returns an idle connection or opens a new one. A request without an ID
-// needs a new one: on another, a late response to an earlier request could not
-// be told from its own. The same holds for the refusal of the request itself, which
-// a server may send once more.
-func (p *pool) get(ctx context.Context, address, requestID string) (*connection, error) {
-	for c := p.takeIdle(address, requestID); c != nil; c = p.takeIdle(address, requestID) {
-		if time.Now().Before(c.expires) && c.isReusable() {
-			return c, nil
-		}
-		c.Close()
-	}
-	conn, err := p.dial(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	c := newConnection(conn)
-	if p.onRead != nil {
-		c.onRead = func() { p.onRead(address) }
-	}
-	return c, nil
-}
-
-// takeIdle returns the most recently used connection, so that the others
-// expire.
-func (p *pool) takeIdle(address, requestID string) *connection {
-	if requestID == "" {
-		return nil
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := p.idle[address]
-	for i, c := range slices.Backward(list) {
-		if !slices.Contains(c.refused, requestID) {
-			p.idle[address] = slices.Delete(list, i, i+1)
-			return c
-		}
-	}
-	return nil
-}
-
-func (p *pool) put(address string, c *connection, idleTime time.Duration) {
-	c.expires = time.Now().Add(idleTime)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.idle[address] = append(p.idle[address], c)
-}
-
-// closeExpired closes idle connections that may no longer be reused.
-func (p *pool) closeExpired(now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for address, list := range p.idle {
-		usable := list[:0]
-		for _, c := range list {
-			if now.Before(c.expires) {
-				usable = append(usable, c)
-			} else {
-				c.Close()
-			}
-		}
-		if len(usable) == 0 {
-			delete(p.idle, address)
-			continue
-		}
-		p.idle[address] = usable
-	}
-}
-
 // isReusable reports whether a pooled connection is open and has no unread bytes,
 // which would belong to no request.
 func (c *connection) isReusable() bool {
@@ -473,21 +384,6 @@
 	x.conn.Close()
 }
 
-// keepAliveTimeout returns how long a connection may be reused after a
-// response.
-func keepAliveTimeout(h http.Header) time.Duration {
-	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
-		value, found := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
-		if !found {
-			continue
-		}
-		if seconds, err := strconv.Atoi(value); err == nil {
-			return time.Duration(float64(seconds) * keepAliveFraction * float64(time.Second))
-		}
-	}
-	return defaultIdleTimeout
-}
-
 // hopByHopHeaders apply to a single connection and are not forwarded.
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
