transfer: the stand-in server of a test answers after the request

The stand-in wrote its response while the client was still sending, and the HTTP client rightly drops a response that comes before its request.

--- a/transfer/transfer_test.go
+++ b/transfer/transfer_test.go
@@ -20,8 +20,14 @@
 func serve(write func(conn net.Conn)) *http.Client {
 	return &http.Client{Transport: &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) {
 		local, remote := net.Pipe()
-		go func() { _, _ = io.Copy(io.Discard, remote) }()
-		go write(remote)
+		go func() {
+			// A response before the request belongs to none.
+			if _, err := remote.Read(make([]byte, 1)); err != nil {
+				return
+			}
+			go write(remote)
+			_, _ = io.Copy(io.Discard, remote)
+		}()
 		return local, nil
 	}}}
 }
