--- a/jsonscan/jsonscan.go
+++ b/jsonscan/jsonscan.go
@@ -12,31 +12,31 @@
 // rest, which keeps an empty list. It reports false for a document that it cannot split with
 // certainty; the texts and the rest are not checked otherwise.
 func CutList(document []byte, list string) (rest []byte, elements [][]byte, ok bool) {
-	s := New(document)
-	if !s.Take('{') {
+	s := scanner{data: document}
+	if !s.take('{') {
 		return nil, nil, false
 	}
 	var start, end int
-	for first := true; !s.Take('}'); first = false {
-		if !first && !s.Take(',') {
+	for first := true; !s.take('}'); first = false {
+		if !first && !s.take(',') {
 			return nil, nil, false
 		}
-		name, plain := s.Name()
-		if !plain || !s.Take(':') {
+		name, plain := s.name()
+		if !plain || !s.take(':') {
 			return nil, nil, false
 		}
 		if !strings.EqualFold(name, list) {
-			if !s.SkipValue() {
+			if !s.skipValue() {
 				return nil, nil, false
 			}
 			continue
 		}
-		s.SkipSpace()
-		start = s.Offset()
-		if elements, ok = s.Elements(); !ok || end > 0 {
+		s.skipSpace()
+		start = s.at
+		if elements, ok = s.elements(); !ok || end > 0 {
 			return nil, nil, false
 		}
-		end = s.Offset()
+		end = s.at
 	}
 	if end == 0 {
 		return nil, nil, false
@@ -44,28 +44,22 @@
 	return bytes.Join([][]byte{document[:start], document[end:]}, []byte("[]")), elements, true
 }
 
-// Scanner reads JSON values one after another. It checks no more than it needs for that.
-type Scanner struct {
+// scanner reads JSON values one after another. It checks no more than it needs for that.
+type scanner struct {
 	data []byte
 	at   int
 }
 
-// New returns a scanner at the begin of a text.
-func New(data []byte) *Scanner { return &Scanner{data: data} }
-
-// Offset returns the position in the text.
-func (s *Scanner) Offset() int { return s.at }
-
-// SkipSpace skips white space.
-func (s *Scanner) SkipSpace() {
+// skipSpace skips white space.
+func (s *scanner) skipSpace() {
 	for s.at < len(s.data) && (s.data[s.at] == ' ' || s.data[s.at] == '\n' || s.data[s.at] == '\t' || s.data[s.at] == '\r') {
 		s.at++
 	}
 }
 
-// Take skips white space and a character, and reports whether the character was there.
-func (s *Scanner) Take(c byte) bool {
-	s.SkipSpace()
+// take skips white space and a character, and reports whether the character was there.
+func (s *scanner) take(c byte) bool {
+	s.skipSpace()
 	if s.at >= len(s.data) || s.data[s.at] != c {
 		return false
 	}
@@ -73,9 +67,9 @@
 	return true
 }
 
-// Name returns the name of a member, and false if it has escapes.
-func (s *Scanner) Name() (name string, plain bool) {
-	s.SkipSpace()
+// name returns the name of a member, and false if it has escapes.
+func (s *scanner) name() (name string, plain bool) {
+	s.skipSpace()
 	start := s.at
 	if !s.skipString() {
 		return "", false
@@ -84,7 +78,7 @@
 	return name, !strings.Contains(name, `\`)
 }
 
-func (s *Scanner) skipString() bool {
+func (s *scanner) skipString() bool {
 	if s.at >= len(s.data) || s.data[s.at] != '"' {
 		return false
 	}
@@ -100,9 +94,9 @@
 	return false
 }
 
-// SkipValue skips a value with everything in it.
-func (s *Scanner) SkipValue() bool {
-	s.SkipSpace()
+// skipValue skips a value with everything in it.
+func (s *scanner) skipValue() bool {
+	s.skipSpace()
 	start, depth := s.at, 0
 	for s.at < len(s.data) {
 		switch s.data[s.at] {
@@ -134,18 +128,18 @@
 	return false
 }
 
-// Elements returns the texts of a list's elements.
-func (s *Scanner) Elements() (texts [][]byte, ok bool) {
-	if !s.Take('[') {
+// elements returns the texts of a list's elements.
+func (s *scanner) elements() (texts [][]byte, ok bool) {
+	if !s.take('[') {
 		return nil, false
 	}
-	for first := true; !s.Take(']'); first = false {
-		if !first && !s.Take(',') {
+	for first := true; !s.take(']'); first = false {
+		if !first && !s.take(',') {
 			return nil, false
 		}
-		s.SkipSpace()
+		s.skipSpace()
 		start := s.at
-		if !s.SkipValue() {
+		if !s.skipValue() {
 			return nil, false
 		}
 		texts = append(texts, s.data[start:s.at])
