relay: one probe of a server, and one walk over ended exchanges

hasCrashed and refuses dialed, held and read alike, and takeRestarted and recordReplaced split the same list in the same way; each pair shares one function now.

--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"slices"
 	"syscall"
 	"time"
@@ -85,38 +84,34 @@
 	}
 }
 
-// hasCrashed reports whether the server at an address does not keep a new connection.
-func (p *pool) hasCrashed(ctx context.Context, address string) bool {
+// probe opens a connection to the server at an address and reports whether the server ends
+// it at once, or the error if there is no connection.
+func (p *pool) probe(ctx context.Context, address string) (ends bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, crashProbeTimeout)
 	defer cancel()
 	conn, err := p.dial(ctx, address)
 	if err != nil {
-		return true
+		return false, err
 	}
 	defer conn.Close()
-	return p.endsAtOnce(conn)
+	if conn.SetReadDeadline(time.Now().Add(crashProbeHold)) != nil {
+		return false, nil
+	}
+	_, err = conn.Read(make([]byte, 1))
+	return netpeek.IsConnectionEnd(err), nil
+}
+
+// hasCrashed reports whether the server at an address does not keep a new connection.
+func (p *pool) hasCrashed(ctx context.Context, address string) bool {
+	ends, err := p.probe(ctx, address)
+	return ends || err != nil
 }
 
 // refuses reports whether the server at an address refuses a new connection or ends it at
 // once. One that does not answer may be out of reach.
 func (p *pool) refuses(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, crashProbeTimeout)
-	defer cancel()
-	conn, err := p.dial(ctx, address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	defer conn.Close()
-	return p.endsAtOnce(conn)
-}
-
-// endsAtOnce reports whether the other side ends a new connection at once.
-func (*pool) endsAtOnce(conn net.Conn) bool {
-	if conn.SetReadDeadline(time.Now().Add(crashProbeHold)) != nil {
-		return false
-	}
-	_, err := conn.Read(make([]byte, 1))
-	return netpeek.IsConnectionEnd(err)
+	ends, err := p.probe(ctx, address)
+	return ends || errors.Is(err, syscall.ECONNREFUSED)
 }
 
 // reportCrash records that a server has ended while it worked on the request, if the
--- a/relay/restarts.go
+++ b/relay/restarts.go
@@ -71,22 +71,29 @@
 }
 
 // takeRestarted removes and returns the ended exchanges whose servers have restarted.
-func (g *crashGuard) takeRestarted(now time.Time, byAddress func(string) (Server, bool)) (restarted []endedExchange) {
+func (g *crashGuard) takeRestarted(now time.Time, byAddress func(string) (Server, bool)) []endedExchange {
+	return g.takeEnded(now, func(x endedExchange) bool {
+		server, known := byAddress(x.server.Address)
+		return known && x.hasRestarted(server)
+	})
+}
+
+// takeEnded removes and returns the ended exchanges that are chosen, and forgets old ones.
+func (g *crashGuard) takeEnded(now time.Time, isChosen func(endedExchange) bool) (taken []endedExchange) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	waiting := g.ended[:0]
 	for _, x := range g.ended {
-		server, known := byAddress(x.server.Address)
 		switch {
 		case g.isForgotten(now, x):
-		case known && x.hasRestarted(server):
-			restarted = append(restarted, x)
+		case isChosen(x):
+			taken = append(taken, x)
 		default:
 			waiting = append(waiting, x)
 		}
 	}
 	g.ended = waiting
-	return restarted
+	return taken
 }
 
 // isForgotten reports whether an exchange ended so long ago that a restart of its server has
@@ -111,18 +118,9 @@
 // recordReplaced records a crash for each exchange that ended within a time at a server
 // that has turned out to be gone: another process answers at its address, or none does.
 func (g *crashGuard) recordReplaced(now time.Time, server Server, within time.Duration) {
-	g.mu.Lock()
-	var replaced []endedExchange
-	waiting := g.ended[:0]
-	for _, x := range g.ended {
-		if x.server.ID == server.ID && x.server.StartTimeMillis == server.StartTimeMillis && now.Sub(x.at) < within {
-			replaced = append(replaced, x)
-		} else {
-			waiting = append(waiting, x)
-		}
-	}
-	g.ended = waiting
-	g.mu.Unlock()
+	replaced := g.takeEnded(now, func(x endedExchange) bool {
+		return x.server.ID == server.ID && x.server.StartTimeMillis == server.StartTimeMillis && now.Sub(x.at) < within
+	})
 	for _, x := range replaced {
 		g.recordCrash(now, x.request, crashedEngine{server.ID, server.StartTimeMillis}, x.parts)
 	}
