relay: lines and metrics say where a request was when its client left

The line of a finished request said only that its client had left. Now it names how far the request had come, when the client was found to have left, when the request was last sent before that, and how long it went on; counters do the same without the limit of lines, and a histogram tells how late the process gets to run. No decision is changed: tests of package relay passed.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -72,6 +72,7 @@
 	defer func() { a.reserved.release() }()
 	s.path, s.zoneCrossings = pathString(hops), zoneCrossings(hops)
 	head, sent := hops[0], time.Now()
+	s.phase = phaseConnecting
 	a.x, err = s.pool.open(ctx, head.Address, s.buildOutbound(ForwardInfo{Instance: head.Engine, Path: hops, LastEvent: s.lastEventID}))
 	if errors.Is(err, errNotSent) {
 		// The connection also fails when the client leaves or this process is held up.
@@ -81,7 +82,7 @@
 		}
 		return notSent, err
 	}
-	s.sentCount++
+	s.recordSent(sent)
 	if err == nil {
 		a.watch = newEventWatch(ctx, a)
 		a.x.conn.watch = a.watch
--- a/relay/observe.go
+++ b/relay/observe.go
@@ -67,6 +67,11 @@
 	skippedLines metrics.Counter
 	// controlRequests counts status queries and orders to engines.
 	controlRequests metrics.Counter
+	// clientLeftEnd is how long a request goes on after its client was found to have left.
+	clientLeftEnd metrics.Histogram
+	// pulseDelay is how much later than planned a goroutine runs that waits for nothing
+	// but the time.
+	pulseDelay metrics.Histogram
 }
 
 func newRequestMetrics(registry metrics.Registry) *requestMetrics {
@@ -85,6 +90,8 @@
 		skippedLines:  metrics.GetOrRegisterCounter("relay.log_lines_skipped", registry),
 
 		controlRequests: metrics.GetOrRegisterCounter("relay.control_requests", registry),
+		clientLeftEnd:   histogram("relay.client_left_end_ms"),
+		pulseDelay:      histogram("relay.pulse_delay_ms"),
 	}
 }
 
@@ -94,6 +101,9 @@
 	if !q.firstByte.IsZero() {
 		m.firstByte.Update(q.firstByte.Sub(q.started).Milliseconds())
 	}
+	if q.outcome == outcomeClientGone {
+		m.recordClientLeft(q, time.Now())
+	}
 	if q.sentCount > 1 {
 		m.retries.Inc(int64(q.sentCount - 1))
 	}
--- a/relay/pause.go
+++ b/relay/pause.go
@@ -48,7 +48,9 @@
 			e.confirmConfiguration()
 		}
 		e.pause.beat(bootclock.Now())
+		due := time.Now().Add(pulseInterval)
 		sleep(ctx, pulseInterval)
+		e.requestMetrics.pulseDelay.Update(max(time.Since(due), 0).Milliseconds())
 	}
 	return ctx.Err()
 }
--- a/relay/request.go
+++ b/relay/request.go
@@ -35,6 +35,11 @@
 	// the request's context then, although the client is still there.
 	bodyTimedOut bool
 	started      time.Time
+	// client records when the client leaves, phase how far the request has come, and
+	// sentAt when it was last sent to a server.
+	client *clientWatch
+	phase  phase
+	sentAt time.Time
 	// deadline is the earlier of the client's deadline and the route's timeout.
 	// bootDeadline is the same by bootclock.
 	deadline, bootDeadline time.Time
@@ -85,9 +90,10 @@
 
 // ServeHTTP handles a client request.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	q := &request{Entry: e, w: w, r: r, info: e.headerCodec.ParseRequest(r.Header), started: time.Now(), avoid: map[string]bool{}}
+	q := &request{Entry: e, w: w, r: r, info: e.headerCodec.ParseRequest(r.Header), started: time.Now(), avoid: map[string]bool{}, phase: phaseArriving}
 	e.inFlight.add(1)
 	defer e.inFlight.add(-1)
+	q.client = watchClient(r.Context())
 	defer q.logFinished()
 	defer func() { e.bodyMemory.release(q.body) }()
 	if e.isDraining() {
@@ -97,6 +103,7 @@
 		q.refuse(p)
 		return
 	}
+	q.phase = phaseWaiting
 	if q.route.CallKind == config.CallStream {
 		q.serveStream()
 	} else {
@@ -266,6 +273,12 @@
 	}
 }
 
+// recordSent records that the request was sent to a server.
+func (q *request) recordSent(at time.Time) {
+	q.sentCount++
+	q.phase, q.sentAt = phaseSent, at
+}
+
 // timeLeft returns the time until the deadline. It goes on while the machine is
 // suspended.
 func (q *request) timeLeft() time.Duration {
@@ -284,6 +297,7 @@
 }
 
 func (q *request) logFinished() {
+	q.client.stop()
 	q.requestMetrics.recordRequest(q)
 	if !q.logLimiter.allow(time.Now()) {
 		return
@@ -315,6 +329,9 @@
 	if q.outcome != outcomeAnswered && len(q.info.PromptParts) > 0 {
 		line = line.Strs("parts", q.info.PromptParts)
 	}
+	if q.outcome == outcomeClientGone {
+		line = q.describeClientLeft(line, time.Now())
+	}
 	if q.detail != "" {
 		line = line.Str("detail", q.detail)
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -102,6 +102,7 @@
 			s.giveUp(errorDetail(err), refusedRetryAfter)
 			return
 		}
+		s.phase = phaseWaiting
 		s.logRecovery(err)
 	}
 }
--- a/relay/streamevents.go
+++ b/relay/streamevents.go
@@ -86,6 +86,7 @@
 		return
 	}
 	s.headerSent, s.firstByte, s.status, s.mediaType = true, time.Now(), x.response.StatusCode, mediaType(x)
+	s.phase = phaseAnswering
 	s.recordDemand(begun)
 	s.copyHeader(x)
 	s.w.WriteHeader(x.response.StatusCode)
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -100,6 +100,7 @@
 			q.refuseOrFail(q.maybeExecuted, errorDetail(err), q.callRetryAfter())
 			return
 		}
+		q.phase = phaseWaiting
 		if step == admission.CallElsewhere {
 			continue
 		}
@@ -231,6 +232,7 @@
 	q.path = server.ID
 	watched, stop := q.watchSilence(ctx, server)
 	defer stop()
+	q.phase = phaseConnecting
 	sentAt := time.Now()
 	x, err := q.pool.send(watched, q.headerCodec, server.Address, q.buildOutbound(ForwardInfo{Instance: server.ID, LastEvent: -1}))
 	if errors.Is(err, errNotSent) {
@@ -240,7 +242,7 @@
 		}
 		return notSent, err
 	}
-	q.sentCount++
+	q.recordSent(sentAt)
 	if err != nil {
 		if watched.Err() != nil && ctx.Err() == nil {
 			return mayHaveExecuted, errServerSilent
@@ -317,6 +319,7 @@
 		return mayHaveExecuted, errors.Errorf("server answered %d", x.response.StatusCode)
 	}
 	q.copyHeader(x)
+	q.phase = phaseAnswering
 	q.outcome, q.status, q.firstByte = outcomeAnswered, x.response.StatusCode, time.Now()
 	if len(body) > maxBufferedResponse {
 		return answered, q.forwardLong(x, body)
