relay: nothing is begun for a client that has left

Cause: http.Server looks for the end of a connection in a goroutine of its own. On one core that runs when the handler first waits; with an idle connection to a server the handler waits only after it has sent the request. The same holds for each place at which a request has waited and goes on in the moment in which its client leaves, and for a process that was paused. The decision to begin work relied on a signal that nothing orders before it.

Change: package clientconn. The entry asks the client's socket itself (poll for a hang-up, also behind unread bytes) before it takes a connection to a server, after it has opened one, before it repeats or resumes a request, and before it orders another path. A client that has left ends the request's context, so that the same way out is taken as before, and no server is blamed. It costs one system call for each attempt.

--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -11,6 +11,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/sapphirefield/sapphirefield/clientconn"
 )
 
 const (
@@ -97,7 +99,7 @@
 	tracker := newConnTracker(func() (header, idle time.Duration) { return 0, 0 })
 	return &clientServer{tracker: tracker, server: &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxRequestHeaderBytes,
-		ConnState: tracker.connState,
+		ConnState: tracker.connState, ConnContext: clientconn.WithConn,
 	}}
 }
 
--- a/daemon/idle.go
+++ b/daemon/idle.go
@@ -48,6 +48,9 @@
 	multiplexed bool
 }
 
+// NetConn returns the connection that is tracked.
+func (c *trackedConn) NetConn() net.Conn { return c.Conn }
+
 // wrapListener returns a listener whose connections are tracked.
 func (t *connTracker) wrapListener(l net.Listener) net.Listener {
 	return &trackingListener{l, t, make(chan net.Conn, maxPending)}
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/sapphirefield/sapphirefield/chart"
+	"github.com/sapphirefield/sapphirefield/clientconn"
 	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/ops"
 	"github.com/sapphirefield/sapphirefield/relay"
@@ -78,7 +79,7 @@
 	})
 	p.clientServer = &http.Server{
 		Handler: p.entry, ReadHeaderTimeout: headerTimeout, IdleTimeout: defaultIdleTimeout, ConnState: p.connTracker.connState,
-		MaxHeaderBytes: maxRequestHeaderBytes,
+		MaxHeaderBytes: maxRequestHeaderBytes, ConnContext: clientconn.WithConn,
 	}
 	lc, err := newLifecycle()
 	if err != nil {
--- /dev/null
+++ b/netpeek/hangup.go
@@ -0,0 +1,32 @@
+package netpeek
+
+import (
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// HungUp reports whether the peer has closed its sending side or broken the connection,
+// also if there are unread bytes before that. It does not wait.
+func HungUp(conn net.Conn) bool {
+	raw, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return true
+	}
+	hungUp := true
+	// Control fails on a closed connection only.
+	_ = control.Control(func(fd uintptr) { hungUp = hasHungUp(fd) })
+	return hungUp
+}
+
+func hasHungUp(fd uintptr) bool {
+	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	// If it fails, the end of the connection shows only once all bytes are read.
+	n, err := unix.Poll(fds, 0)
+	return err == nil && n > 0
+}
--- a/netpeek/netpeek_test.go
+++ b/netpeek/netpeek_test.go
@@ -40,6 +40,40 @@
 	assert.Equal(t, Peek(local), Unknown)
 }
 
+// A hang-up must be seen behind unread bytes, which a read would find first.
+func TestHungUp(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	for name, leave := range map[string]func(*net.TCPConn) error{
+		"close":      (*net.TCPConn).Close,
+		"half-close": (*net.TCPConn).CloseWrite,
+		"reset": func(c *net.TCPConn) error {
+			assert.NilError(t, c.SetLinger(0))
+			return c.Close()
+		},
+	} {
+		for _, unread := range []string{"", "x"} {
+			client, err := net.Dial("tcp4", listener.Addr().String())
+			assert.NilError(t, err)
+			defer client.Close()
+			server, err := listener.Accept()
+			assert.NilError(t, err)
+			defer server.Close()
+			_, err = io.WriteString(client, unread)
+			assert.NilError(t, err)
+			assert.Assert(t, !HungUp(server), name)
+			assert.NilError(t, leave(client.(*net.TCPConn)))
+			for !HungUp(server) {
+				time.Sleep(time.Millisecond)
+			}
+			if unread != "" && name != "reset" {
+				assert.Equal(t, Peek(server), HasData, name)
+			}
+		}
+	}
+}
+
 func await(conn net.Conn, want State) {
 	for Peek(conn) != want {
 		time.Sleep(time.Millisecond)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sapphirefield/sapphirefield/bootclock"
+	"github.com/sapphirefield/sapphirefield/clientconn"
 	"github.com/sapphirefield/sapphirefield/eventstream"
 	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/membership"
@@ -334,6 +335,10 @@
 
 // applyReroute orders the first engine to switch to a path.
 func (a *attempt) applyReroute(ctx context.Context, hops []pipeline.Hop, reserved *reservation) error {
+	if err := clientconn.Check(ctx); err != nil {
+		reserved.release()
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, rerouteTimeout)
 	defer cancel()
 	head := Server{Instance: membership.Instance{ID: hops[0].Engine, Address: hops[0].Address}}
--- a/relay/clientleft_test.go
+++ b/relay/clientleft_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"runtime"
 	"sync"
 	"testing"
@@ -255,10 +254,7 @@
 	inner, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	gate := &gatedListener{Listener: inner, open: make(chan struct{})}
-	server := &httptest.Server{Listener: gate, Config: &http.Server{Handler: e.Entry}}
-	server.Start()
-	t.Cleanup(server.Close)
-	e.server = server
+	e.server = serveClients(t, e.Entry, gate)
 	return gate
 }
 
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/sapphirefield/sapphirefield/clientconn"
 )
 
 // pool holds idle connections by address.
@@ -33,8 +35,11 @@
 // get returns an idle connection or opens a new one. A request without an ID
 // needs a new one: on another, a late response to an earlier request could not
 // be told from its own. The same holds for the refusal of the request itself, which
-// a server may send once more.
+// a server may send once more. There is none for a client that has left.
 func (p *pool) get(ctx context.Context, address, requestID string) (*connection, error) {
+	if err := clientconn.Check(ctx); err != nil {
+		return nil, err
+	}
 	for c := p.takeIdle(address, requestID); c != nil; c = p.takeIdle(address, requestID) {
 		if time.Now().Before(c.expires) && c.isReusable() {
 			return c, nil
@@ -45,6 +50,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := clientconn.Check(ctx); err != nil {
+		conn.Close()
+		return nil, err
+	}
 	c := newConnection(conn)
 	if p.onRead != nil {
 		c.onRead = func() { p.onRead(address) }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -18,6 +18,7 @@
 	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 
+	"github.com/sapphirefield/sapphirefield/clientconn"
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/membership"
 	"github.com/sapphirefield/sapphirefield/pipeline"
@@ -240,11 +241,23 @@
 		}
 	}
 	e.fleet.setServers(time.Now(), servers)
-	server := httptest.NewServer(e)
-	t.Cleanup(server.Close)
+	server := serveClients(t, e, nil)
 	return &testEntry{Entry: e, server: server, engines: engines}
 }
 
+// serveClients serves an entry on a listener as package daemon does; nil means a new one.
+func serveClients(t *testing.T, e *Entry, l net.Listener) *httptest.Server {
+	server := httptest.NewUnstartedServer(e)
+	if l != nil {
+		server.Listener.Close()
+		server.Listener = l
+	}
+	server.Config.ConnContext = clientconn.WithConn
+	server.Start()
+	t.Cleanup(server.Close)
+	return server
+}
+
 func (e *Entry) applyTestConfiguration(route config.Route) {
 	team := config.NewTeam()
 	team.Name, team.KeyHashes = "team", []string{config.HashKey(testKey)}
--- a/relay/request.go
+++ b/relay/request.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sapphirefield/sapphirefield/bootclock"
+	"github.com/sapphirefield/sapphirefield/clientconn"
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/problem"
@@ -90,10 +91,13 @@
 
 // ServeHTTP handles a client request.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := clientconn.NewContext(r.Context())
+	defer cancel()
+	r = r.WithContext(ctx)
 	q := &request{Entry: e, w: w, r: r, info: e.headerCodec.ParseRequest(r.Header), started: time.Now(), avoid: map[string]bool{}, phase: phaseArriving}
 	e.inFlight.add(1)
 	defer e.inFlight.add(-1)
-	q.client = watchClient(r.Context())
+	q.client = watchClient(ctx)
 	defer q.logFinished()
 	defer func() { e.bodyMemory.release(q.body) }()
 	if e.isDraining() {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sapphirefield/sapphirefield/admission"
+	"github.com/sapphirefield/sapphirefield/clientconn"
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/pipeline"
@@ -91,7 +92,7 @@
 		if result == answered {
 			return
 		}
-		if ctx.Err() != nil {
+		if clientconn.Check(ctx) != nil {
 			q.maybeExecuted = q.maybeExecuted || result == mayHaveExecuted
 			s.endAtDeadline()
 			return
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -11,6 +11,7 @@
 
 	"github.com/sapphirefield/sapphirefield/admission"
 	"github.com/sapphirefield/sapphirefield/bootclock"
+	"github.com/sapphirefield/sapphirefield/clientconn"
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/membership"
 	"github.com/sapphirefield/sapphirefield/problem"
@@ -85,7 +86,7 @@
 			return
 		}
 		q.avoid[server.ID] = true
-		if ctx.Err() != nil {
+		if clientconn.Check(ctx) != nil {
 			q.maybeExecuted = q.maybeExecuted || result == mayHaveExecuted
 			q.failTimeout()
 			return
