clientconn: a client that leaves behind bytes of its next request is noticed

Cause: http.Server reads a single byte in the background while a request is in progress. If that is a byte of the next request, it has nothing more to look for, and nobody reads the end of the connection that comes after it.

Change: connections of clients (clientconn.Conn, in the listeners on and off the platform) let that read wait for the hang-up only and leave the bytes where they are, so it ends the request as before. Below TLS the read does not get there: such a request is looked after every 100 ms.

--- a/clientconn/clientconn.go
+++ b/clientconn/clientconn.go
@@ -1,7 +1,8 @@
 // Package clientconn tells a server that a client has closed its connection while its
-// request is in progress. http.Server ends the request's context then, but it looks in
-// another goroutine, which may run only after the handler has acted for a client that had
-// left before.
+// request is in progress. http.Server ends the request's context then, with two gaps that
+// this package closes: it stops looking once a byte of the client's next request has
+// arrived, and it looks in another goroutine, which may run only after the handler has
+// acted for a client that had left before.
 //
 // A client that closes only its sending side counts as one that has left, as it does for
 // http.Server.
@@ -9,42 +10,130 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"io"
 	"net"
+	"syscall"
+	"time"
 
 	"github.com/sapphirefield/sapphirefield/netpeek"
 )
 
+// Conn is the connection of a client of an http.Server.
+type Conn struct {
+	net.Conn
+	raw syscall.RawConn
+}
+
+// Wrap returns a Conn, or conn itself if it has no socket that can be looked at.
+func Wrap(conn net.Conn) net.Conn {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return conn
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return conn
+	}
+	return &Conn{Conn: conn, raw: raw}
+}
+
+// watchReadSize is the size of the reads by which http.Server looks for the end of the
+// connection while a request is in progress. It reads requests in larger parts.
+const watchReadSize = 1
+
+// Read reads bytes of requests. A read that looks for the end of the connection returns
+// only then, whatever arrives before; those bytes are left for the next request.
+func (c *Conn) Read(p []byte) (int, error) {
+	if len(p) != watchReadSize {
+		return c.Conn.Read(p)
+	}
+	if err := netpeek.AwaitHangUp(c.raw); err != nil {
+		return 0, err
+	}
+	return 0, io.EOF
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) { return c.raw, nil }
+
+// NewListener returns a listener that accepts connections of type Conn.
+func NewListener(l net.Listener) net.Listener { return &listener{l} }
+
+type listener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return Wrap(conn), nil
+}
+
 type connKey struct{}
 
 type requestKey struct{}
 
+// socket is the connection of a client below everything that wraps it.
+type socket struct {
+	net.Conn
+	// encrypted is set if http.Server reads decrypted bytes, so that its looking for the
+	// end of the connection does not reach Conn.Read.
+	encrypted bool
+}
+
 // WithConn is the ConnContext of an http.Server whose requests call NewContext.
 func WithConn(ctx context.Context, conn net.Conn) context.Context {
+	_, encrypted := conn.(*tls.Conn)
 	for {
 		outer, ok := conn.(interface{ NetConn() net.Conn })
 		if !ok {
-			return context.WithValue(ctx, connKey{}, conn)
+			return context.WithValue(ctx, connKey{}, &socket{conn, encrypted})
 		}
 		conn = outer.NetConn()
 	}
 }
 
+// pollInterval is the time between two looks at an encrypted connection.
+const pollInterval = 100 * time.Millisecond
+
 // request is a request in progress.
 type request struct {
-	conn net.Conn
-	end  context.CancelFunc
+	client *socket
+	end    context.CancelFunc
+	poll   *time.Timer
 }
 
 // NewContext returns the context of a request, which ends when its client is found to
 // have left or when it is cancelled.
 func NewContext(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
-	conn, ok := ctx.Value(connKey{}).(net.Conn)
+	client, ok := ctx.Value(connKey{}).(*socket)
 	if !ok {
 		return ctx, cancel
 	}
-	r := &request{conn: conn, end: cancel}
-	return context.WithValue(ctx, requestKey{}, r), cancel
+	r := &request{client: client, end: cancel}
+	ctx = context.WithValue(ctx, requestKey{}, r)
+	if !client.encrypted {
+		return ctx, cancel
+	}
+	r.startPolling(ctx)
+	return ctx, func() {
+		cancel()
+		r.poll.Stop()
+	}
+}
+
+// startPolling looks at the connection again and again until the request has ended.
+func (r *request) startPolling(ctx context.Context) {
+	// It is started once the variable is set, which the function reads.
+	r.poll = time.AfterFunc(time.Hour, func() {
+		if Check(ctx) == nil {
+			r.poll.Reset(pollInterval)
+		}
+	})
+	r.poll.Reset(pollInterval)
 }
 
 // Check looks whether the client of a request is still there, and ends the request's
@@ -54,7 +143,7 @@
 	if err := ctx.Err(); err != nil {
 		return err
 	}
-	if r, ok := ctx.Value(requestKey{}).(*request); ok && netpeek.HungUp(r.conn) {
+	if r, ok := ctx.Value(requestKey{}).(*request); ok && netpeek.HungUp(r.client.Conn) {
 		r.end()
 	}
 	return ctx.Err()
--- a/daemon/idle.go
+++ b/daemon/idle.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sapphirefield/sapphirefield/clientconn"
 	"github.com/sapphirefield/sapphirefield/netpeek"
 )
 
@@ -78,7 +79,7 @@
 			return nil, err
 		}
 	}
-	c := &trackedConn{Conn: conn, timeouts: l.tracker.timeouts}
+	c := &trackedConn{Conn: clientconn.Wrap(conn), timeouts: l.tracker.timeouts}
 	l.tracker.mu.Lock()
 	defer l.tracker.mu.Unlock()
 	l.tracker.conns[c] = struct{}{}
--- a/netpeek/hangup.go
+++ b/netpeek/hangup.go
@@ -24,6 +24,10 @@
 	return hungUp
 }
 
+// AwaitHangUp waits until HungUp is true, or until the connection's read deadline or its
+// end. It holds the connection's lock for reads, and reads nothing.
+func AwaitHangUp(raw syscall.RawConn) error { return raw.Read(hasHungUp) }
+
 func hasHungUp(fd uintptr) bool {
 	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
 	// If it fails, the end of the connection shows only once all bytes are read.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -252,7 +252,7 @@
 		server.Listener.Close()
 		server.Listener = l
 	}
-	server.Config.ConnContext = clientconn.WithConn
+	server.Listener, server.Config.ConnContext = clientconn.NewListener(server.Listener), clientconn.WithConn
 	server.Start()
 	t.Cleanup(server.Close)
 	return server
