entry: off the platform nothing is begun for a client that has left

Cause: as on the platform, the end of the connection is looked for in another goroutine, which nothing orders before the work.

Change: a call asks the client's socket before each attempt and before it takes a repeat from the budget; a language model request before each attempt and before its prompt is sent.

--- a/demo/recovery_test.go
+++ b/demo/recovery_test.go
@@ -130,7 +130,9 @@
 func (c *Cluster) layerExecutions() int64 {
 	var executions int64
 	for _, n := range c.Nodes {
-		executions += n.Engine.LayerExecutions()
+		if n.Engine != nil {
+			executions += n.Engine.LayerExecutions()
+		}
 	}
 	return executions
 }
--- a/entry/chain.go
+++ b/entry/chain.go
@@ -7,6 +7,7 @@
 
 	"github.com/sapphirefield/sapphirefield/admission"
 	"github.com/sapphirefield/sapphirefield/attempt"
+	"github.com/sapphirefield/sapphirefield/clientconn"
 	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/pipeline"
 	"github.com/sapphirefield/sapphirefield/problem"
@@ -76,6 +77,9 @@
 	defer g.discardPlanned()
 	defer g.releaseAttempts(nil)
 	for i := range maxAttempts {
+		if clientconn.Check(ctx) != nil {
+			return g.endedProblem()
+		}
 		if prob := g.checkCrashes(i > 0); prob != nil {
 			return prob
 		}
@@ -130,7 +134,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return nil, g.newProblem(problem.DeadlineExceeded, "the request ended before its answer was whole")
+			return nil, g.endedProblem()
 		case <-time.After(chainPollInterval):
 		}
 	}
@@ -234,6 +238,11 @@
 	return p
 }
 
+// endedProblem is the problem of a request whose time is over or whose client has left.
+func (g *generation) endedProblem() *problem.Problem {
+	return g.newProblem(problem.DeadlineExceeded, "the request ended before its answer was whole")
+}
+
 func (g *generation) logRecovery() {
 	if g.stageLostAt.IsZero() {
 		return
--- a/entry/chain_attempt.go
+++ b/entry/chain_attempt.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sapphirefield/sapphirefield/attempt"
+	"github.com/sapphirefield/sapphirefield/clientconn"
 	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/problem"
 	"github.com/sapphirefield/sapphirefield/wire"
@@ -62,7 +63,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return g.newProblem(problem.DeadlineExceeded, "the request ended before its answer was whole")
+			return g.endedProblem()
 		case <-timer.C:
 			done, next := a.tick(now())
 			if done {
@@ -70,6 +71,9 @@
 			}
 			timer.Reset(time.Until(next))
 		case <-a.ex.events.Ready():
+			if !a.started && clientconn.Check(ctx) != nil {
+				return g.endedProblem()
+			}
 			done, prob := a.handleEvents()
 			if done || prob != nil {
 				return prob
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,6 +17,7 @@
 
 	"github.com/sapphirefield/sapphirefield/attempt"
 	"github.com/sapphirefield/sapphirefield/burn"
+	"github.com/sapphirefield/sapphirefield/clientconn"
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/link"
 	"github.com/sapphirefield/sapphirefield/logevent"
@@ -155,6 +156,9 @@
 		if r.Body != http.NoBody {
 			r.Body = &clientBody{ReadCloser: r.Body, control: client.control}
 		}
+		ctx, cancel := clientconn.NewContext(r.Context())
+		defer cancel()
+		r = r.WithContext(ctx)
 		s.activeRequests.add(r)
 		defer s.activeRequests.remove(r)
 		next(w, r)
--- a/entry/unary.go
+++ b/entry/unary.go
@@ -13,6 +13,7 @@
 
 	"github.com/sapphirefield/sapphirefield/admission"
 	"github.com/sapphirefield/sapphirefield/attempt"
+	"github.com/sapphirefield/sapphirefield/clientconn"
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/problem"
 	"github.com/sapphirefield/sapphirefield/quarantine"
@@ -184,6 +185,9 @@
 func (c *unaryCall) run(ctx context.Context) (*unaryResponse, *problem.Problem) {
 	c.request = attempt.NewRequest(c.idempotent)
 	for c.request.MayStartAttempt() && c.request.Latest() < maxAttempts {
+		if clientconn.Check(ctx) != nil {
+			return nil, c.newProblem(problem.DeadlineExceeded, "the call ended before it was sent")
+		}
 		if c.request.Executed() != attempt.ExecutedNo && !c.server.crashes.mayRepeat(c.content) {
 			break
 		}
