sidecar: an order to drop a request that overtakes one of its steps is given again

Cause, traced in a clone: the sidecar sends a step and, when the client leaves, the order to drop the request as two HTTP requests to the engine at once. In the failed runs that were read the engine dropped the request and then got its next step, in the same millisecond, which began the request anew; nobody dropped it after that. The order to stop was not ordered with the work that it should stop. It is the same class as the two faults of clientconn, and another cause: there the work came after the client's end was known to the kernel.

Change: when a batch has ended, requests in it that have no attempt any more are dropped again. A request with a later attempt is left alone, which may continue with the state.

--- a/sidecar/engine.go
+++ b/sidecar/engine.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -97,6 +98,7 @@
 	if !s.isEngineUp() {
 		return
 	}
+	defer s.cancelEndedRequests(steps)
 	results, err := s.runIteration(ctx, steps)
 	if err != nil {
 		s.handleEngineFailure(ctx, err)
@@ -110,6 +112,26 @@
 	s.handleDeferredOpens(time.Now())
 }
 
+// cancelEndedRequests cancels the requests of a batch that have ended since it was sent.
+// The first cancel may have overtaken the batch, whose steps then began them again.
+func (s *Server) cancelEndedRequests(steps []*wire.EngineStep) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, step := range steps {
+		if s.isOpen(step.Request) {
+			continue
+		}
+		key := attempt.Key{Request: step.Request, Number: step.Attempt}
+		s.startTask(func() { s.cancelInEngine(key) })
+	}
+}
+
+// isOpen reports whether an attempt of a request is open, or will be once the engine has
+// finished a step. A later attempt may continue with the state of an earlier one.
+func (s *Server) isOpen(request string) bool {
+	return s.attempts[request] != nil || slices.ContainsFunc(s.deferredOpens, func(d deferredOpen) bool { return d.open.Request == request })
+}
+
 // deferredOpen is an Open that waits for a running step of the previous attempt.
 type deferredOpen struct {
 	entry string
--- a/sidecar/race_test.go
+++ b/sidecar/race_test.go
@@ -24,10 +24,16 @@
 }
 
 func newHarness(t *testing.T) *harness {
+	t.Helper()
+	return newHarnessWith(t, func(engine http.Handler) http.Handler { return engine })
+}
+
+// newHarnessWith returns a harness whose engine is reached through a wrapper.
+func newHarnessWith(t *testing.T, wrap func(engine http.Handler) http.Handler) *harness {
 	t.Helper()
 	network := standin.NewNetwork()
 	engine := standin.NewEngine(standin.EngineOptions{Model: "m", Limit: 4, Layers: 4, StepTime: time.Millisecond})
-	backend := &http.Server{Handler: engine.Handler()}
+	backend := &http.Server{Handler: wrap(engine.Handler())}
 	h := &harness{engine: engine}
 	h.Server = New(Options{
 		ID: "s", Model: "m", Layers: &wire.LayerRange{Limit: 4}, Backend: "http://engine",
