relay: a stopping entry takes no request that may outlast it

It can happen here: a client that opened a connection before the SIGTERM and sends its first request on it late is served.

Cause: after the notice to the load balancer the entry closes its listener and judges no request by the time that is left; the state chart says that requests are refused then.

Change: once the notice has passed, a request whose deadline lies after the process's limit is refused as not executed, with a time to come back. One that ends in time is taken. Before that, all are taken as before.

--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -89,7 +89,7 @@
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
 	lc.id, lc.logger, lc.drainer, lc.signals = o.Settings.Instance, logger, newRequestDrainer(ctx, p.entry, p.connTracker, nil), o.Signals
-	lc.configured, lc.shutdownDelay, lc.drainTimeout = p.entry.Configured(), relayShutdownDelay, o.Settings.GracePeriod-relayStopMargin
+	lc.configured, lc.shutdownDelay, lc.drainTimeout = p.entry.Configured(), relayShutdownDelay, p.drainTimeout()
 	lc.onStateChange = p.onStateChange
 
 	group.Go(func() error { return p.entry.Run(ctx) })
@@ -115,6 +115,9 @@
 func (p *relayProcess) onStateChange(state chart.State) {
 	switch state {
 	case stateUnready:
+		if limit := p.drainTimeout(); limit > 0 {
+			p.entry.SetShutdownLimit(time.Now().Add(limit))
+		}
 		p.entry.MarkUnready()
 		p.connTracker.closeGracefully()
 		logevent.Write(p.logger, logevent.ProcessDraining).Str("id", p.options.Settings.Instance).
@@ -128,6 +131,11 @@
 	}
 }
 
+// drainTimeout is the limit of a shutdown, from its signal on.
+func (p *relayProcess) drainTimeout() time.Duration {
+	return p.options.Settings.GracePeriod - relayStopMargin
+}
+
 func (p *relayProcess) handleReloads(ctx context.Context) error {
 	for {
 		select {
--- /dev/null
+++ b/daemon/stop_test.go
@@ -0,0 +1,112 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/sapphirefield/sapphirefield/config"
+	"github.com/sapphirefield/sapphirefield/membership"
+	"github.com/sapphirefield/sapphirefield/relay"
+)
+
+// busyPlatform is a platform with a server that works on each call until its connection
+// ends. Calls may run once, and their route lets them take longer than a stop.
+type busyPlatform struct {
+	idlePlatform
+	server netip.AddrPort
+	// begun counts the calls that reached the server.
+	begun *atomic.Int32
+}
+
+func newBusyPlatform(t *testing.T) busyPlatform {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	p := busyPlatform{server: netip.MustParseAddrPort(listener.Addr().String()), begun: new(atomic.Int32)}
+	server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		p.begun.Add(1)
+		<-r.Context().Done()
+	})}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return p
+}
+
+func (p busyPlatform) ReadLatest(ctx context.Context, topic relay.Topic) (relay.RecordBatch, error) {
+	switch topic {
+	case relay.TopicConfiguration, relay.TopicServers:
+		return relay.RecordBatch{Records: []relay.Record{{Key: "s", Value: []byte("{}")}}, Next: relay.Position{Offset: 1}}, nil
+	}
+	return p.idlePlatform.ReadLatest(ctx, topic)
+}
+
+func (p busyPlatform) DecodeConfiguration([]byte) (relay.Configuration, error) {
+	return relay.Configuration{Revision: 1, Document: &config.Document{Routes: []config.Route{{
+		Name: "r", Host: "h", PathPrefix: "/", Targets: []config.RouteTarget{{Backend: "app", Weight: 1}}, CallKind: config.CallAtMostOnce,
+		Timeout: time.Minute, MaxAttempts: 2, Anonymous: true,
+	}}}}, nil
+}
+
+func (p busyPlatform) DecodeServer(id string, _ []byte) (relay.Server, error) {
+	return relay.Server{
+		Instance: membership.Instance{ID: id, Service: "app", Zone: "a", Address: p.server.String()}, StartTimeMillis: 1, Slots: 10,
+	}, nil
+}
+
+// awaitBegun waits until a number of calls has reached the server.
+func (p busyPlatform) awaitBegun(n int32) {
+	for p.begun.Load() < n {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against a planned stop that takes a request late, passes it on and then cuts it
+// without an answer.
+func TestStoppingRelayAnswersAllRequests(t *testing.T) {
+	platform := newBusyPlatform(t)
+	signals := make(chan os.Signal, 1)
+	s := relay.Settings{
+		Instance: "e", Zone: "a", ClientAddr: freeAddress(t), ReadyAddr: freeAddress(t), MetricsAddr: freeAddress(t), PeerAddr: freeAddress(t),
+		GracePeriod: relayShutdownDelay + 2*time.Second, RetryWindow: 10 * time.Second,
+	}
+	ended := make(chan error, 1)
+	go func() {
+		ended <- RunRelay(t.Context(), RelayOptions{
+			Settings: s, Store: platform, Engines: platform, HeaderCodec: emptyHeaderCodec{}, ReadyPath: "/ready",
+			LogWriter: io.Discard, LogLevel: log.InfoLevel, Signals: signals,
+		})
+	}()
+	const call = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+	early := dialUntil(t, s.ClientAddr)
+	send := func(conn net.Conn) {
+		_, err := io.WriteString(conn, call)
+		assert.NilError(t, err)
+	}
+	send(early)
+	platform.awaitBegun(1)
+	unused := dialUntil(t, s.ClientAddr)
+	signals <- syscall.SIGTERM
+	time.Sleep(relayShutdownDelay + 500*time.Millisecond)
+
+	late := []net.Conn{unused}
+	for i, conn := range late {
+		send(conn)
+		response := readResponse(t, conn)
+		assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable, fmt.Sprint(i))
+		assert.Assert(t, response.Header.Get("Retry-After") != "")
+		assert.Assert(t, response.Close)
+	}
+	assert.Equal(t, platform.begun.Load(), int32(1), "a request that may outlast the stop was passed on")
+	<-ended
+}
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -83,6 +83,7 @@
 	inFlight      *inFlightCounter
 	bodyMemory    bodyMemory
 	draining      atomic.Bool
+	shutdown      shutdown
 }
 
 // New returns an entry that is not running yet.
@@ -193,9 +194,11 @@
 func (e *Entry) isDraining() bool { return e.draining.Load() }
 
 // Drain is part of a graceful shutdown: Drained is closed when the last
-// request has ended. Requests that still arrive are served.
+// request has ended. Requests that still arrive are served, unless they may outlast the
+// limit of the shutdown.
 func (e *Entry) Drain() {
 	e.MarkUnready()
+	e.shutdown.refusing.Store(true)
 	e.inFlight.drain()
 }
 
--- a/relay/request.go
+++ b/relay/request.go
@@ -152,6 +152,9 @@
 	}
 	timeout := q.route.EffectiveTimeout(q.info.Timeout)
 	q.deadline, q.bootDeadline = q.started.Add(timeout), bootclock.Now().Add(timeout)
+	if p := q.refuseWhileStopping(); p != nil {
+		return p
+	}
 	q.target = q.route.PickTarget(q.fleet.randomFloat())
 	if p := q.readBody(rev.Limits.BodyBytes); p != nil {
 		return p
