relay: a process that ends answers the requests that it cuts off

Change: at the limit the entry ends its requests: with 503 if nothing was sent to a server, with 502 (executed: unknown) if a server may have executed the request; a stream that has begun is broken off. The process waits up to 150 ms of its stop margin for these answers.

The test now reads 502 on the first call's connection.

--- a/daemon/lifecycle.go
+++ b/daemon/lifecycle.go
@@ -55,6 +55,9 @@
 	// drainTimeout bounds the shutdown from its signal on; 0 waits until the last
 	// request has ended.
 	drainTimeout time.Duration
+	// endRequests ends the requests in progress with an answer when the shutdown has come
+	// to its limit; may be nil.
+	endRequests func()
 	// onStateChange is called after each state change.
 	onStateChange func(chart.State)
 
@@ -104,6 +107,9 @@
 	}
 	if l.state == stateAborted {
 		inProgress := l.drainer.InProgress()
+		if l.endRequests != nil {
+			l.endRequests()
+		}
 		logevent.Write(l.logger, logevent.DrainIncomplete).Str("id", l.id).Int("cut_off", inProgress).Msg("")
 		return errors.Errorf("%d requests in progress were aborted", inProgress)
 	}
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -32,6 +32,10 @@
 	// relayStopMargin is the part of the grace period that the drain leaves for
 	// stopping the process.
 	relayStopMargin = 300 * time.Millisecond
+	// relayAnswerTime is the part of it in which the requests are answered that the end
+	// of the process cuts off, and relayAnswerCheck the time between two looks at them.
+	relayAnswerTime  = 150 * time.Millisecond
+	relayAnswerCheck = 5 * time.Millisecond
 	// maxRequestHeaderBytes bounds the memory for a caller's header before its
 	// route is known. The configuration may set a lower limit.
 	maxRequestHeaderBytes = 128 << 10
@@ -90,7 +94,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	lc.id, lc.logger, lc.drainer, lc.signals = o.Settings.Instance, logger, newRequestDrainer(ctx, p.entry, p.connTracker, nil), o.Signals
 	lc.configured, lc.shutdownDelay, lc.drainTimeout = p.entry.Configured(), relayShutdownDelay, p.drainTimeout()
-	lc.onStateChange = p.onStateChange
+	lc.onStateChange, lc.endRequests = p.onStateChange, p.endRequests
 
 	group.Go(func() error { return p.entry.Run(ctx) })
 	group.Go(func() error { return p.listenAndServe(ctx, o.Settings.ClientAddr, p.clientServer) })
@@ -136,6 +140,14 @@
 	return p.options.Settings.GracePeriod - relayStopMargin
 }
 
+// endRequests ends the requests in progress and waits until they are answered.
+func (p *relayProcess) endRequests() {
+	p.entry.EndRequests()
+	for until := time.Now().Add(relayAnswerTime); p.entry.InProgress() > 0 && time.Now().Before(until); {
+		time.Sleep(relayAnswerCheck)
+	}
+}
+
 func (p *relayProcess) handleReloads(ctx context.Context) error {
 	for {
 		select {
--- a/daemon/stop_test.go
+++ b/daemon/stop_test.go
@@ -72,7 +72,7 @@
 }
 
 // Guards against a planned stop that takes a request late, passes it on and then cuts it
-// without an answer.
+// without an answer, and against one that cuts those that it has taken before.
 func TestStoppingRelayAnswersAllRequests(t *testing.T) {
 	platform := newBusyPlatform(t)
 	signals := make(chan os.Signal, 1)
@@ -108,5 +108,7 @@
 		assert.Assert(t, response.Close)
 	}
 	assert.Equal(t, platform.begun.Load(), int32(1), "a request that may outlast the stop was passed on")
+	// It may have run, so it is not refused.
+	assert.Equal(t, readResponse(t, early).StatusCode, http.StatusBadGateway)
 	<-ended
 }
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -83,7 +83,7 @@
 	inFlight      *inFlightCounter
 	bodyMemory    bodyMemory
 	draining      atomic.Bool
-	shutdown      shutdown
+	shutdown      *shutdown
 }
 
 // New returns an entry that is not running yet.
@@ -99,6 +99,7 @@
 		backoff:    func() *retry.Backoff { return retry.NewBackoff(storeRetryBase, storeRetryLimit, seeds.newSource()) },
 		configured: make(chan struct{}), budgets: map[string]*lockedBudget{}, waitRooms: map[string]*waitRoom{}, callRooms: map[string]*callRoom{}, inFlight: newInFlightCounter(),
 		newerRevision: make(chan struct{}, 1), sendNow: make(trigger, 1), registerAgain: make(trigger, 1),
+		shutdown: newShutdown(),
 	}
 	engines.entry = e
 	e.pool.onRead = func(address string) { e.stallChecker.hear(time.Now(), address) }
--- a/relay/stopping.go
+++ b/relay/stopping.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 
@@ -12,12 +13,23 @@
 // if all are stopping, this one is back soon.
 const stoppingRetryAfter = time.Second
 
+const stoppingDetail = "this instance is shutting down"
+
 // shutdown is the planned end of a process.
 type shutdown struct {
 	// limit is when the process ends whatever is in progress; nil while there is no end.
 	limit atomic.Pointer[time.Time]
 	// refusing is set once requests that may outlast the limit are refused.
 	refusing atomic.Bool
+	// ended is done once the limit has come.
+	ended context.Context
+	end   context.CancelFunc
+}
+
+func newShutdown() *shutdown {
+	s := &shutdown{}
+	s.ended, s.end = context.WithCancel(context.Background())
+	return s
 }
 
 // takes reports whether a request with a deadline may still be begun.
@@ -29,11 +41,34 @@
 // SetShutdownLimit tells the entry when its process ends.
 func (e *Entry) SetShutdownLimit(limit time.Time) { e.shutdown.limit.Store(&limit) }
 
+// EndRequests ends all requests in progress. Each client gets an answer: a refusal if
+// nothing was sent to a server, a failure if a server may have executed the request, and
+// a stream that has begun is broken off, so that it does not look complete.
+func (e *Entry) EndRequests() { e.shutdown.end() }
+
 // refuseWhileStopping refuses a request that might be cut off by the end of the process.
 func (q *request) refuseWhileStopping() *problem.Problem {
 	if q.shutdown.takes(q.deadline) {
 		return nil
 	}
+	return q.stoppingProblem()
+}
+
+func (q *request) stoppingProblem() *problem.Problem {
 	after := stoppingRetryAfter + time.Duration(q.fleet.randomFloat()*float64(stoppingRetryAfter))
-	return q.retryLater(problem.Overloaded, "this instance is shutting down", after)
+	return q.retryLater(problem.Overloaded, stoppingDetail, after)
 }
+
+// workContext returns the context of the work for a request, which ends at its deadline,
+// when its client leaves or when the process ends.
+func (q *request) workContext() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
+	stop := context.AfterFunc(q.shutdown.ended, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+// isEnded reports whether the process ends, which cuts off all requests.
+func (s *shutdown) isEnded() bool { return s.ended.Err() != nil }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -67,7 +67,7 @@
 // they arrive. If the attempt breaks off and the route allows it, another
 // attempt resumes after the last event.
 func (q *request) serveStream() {
-	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
+	ctx, cancel := q.workContext()
 	defer cancel()
 	s := &streamRequest{request: q, lastEventID: q.info.LastEvent}
 	q.budget(q.target).RecordRequest(time.Now())
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -56,7 +56,7 @@
 // on another server if the request was certainly not executed, or if the route
 // allows retries of requests that may have been executed.
 func (q *request) serveUnary() {
-	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
+	ctx, cancel := q.workContext()
 	defer cancel()
 	budget := q.budget(q.target)
 	budget.RecordRequest(time.Now())
@@ -130,7 +130,7 @@
 
 // endWaiting ends a call whose turn did not come in time.
 func (q *request) endWaiting() {
-	if q.timeLeft() <= 0 || q.r.Context().Err() != nil {
+	if q.timeLeft() <= 0 || q.r.Context().Err() != nil || q.shutdown.isEnded() {
 		q.failTimeout()
 		return
 	}
@@ -218,12 +218,16 @@
 	q.refuse(refusal)
 }
 
-// failTimeout ends a request whose deadline has passed or whose client has
-// disconnected.
+// failTimeout ends a request whose deadline has passed, whose client has
+// disconnected or whose process ends.
 func (q *request) failTimeout() {
-	if q.r.Context().Err() != nil {
+	switch {
+	case q.r.Context().Err() != nil:
 		q.outcome = outcomeClientGone
 		return
+	case q.shutdown.isEnded():
+		q.refuseOrFailWith(q.maybeExecuted, q.stoppingProblem())
+		return
 	}
 	q.fail(problem.DeadlineExceeded, "the time for this request is over")
 }
