--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -92,7 +92,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
-	lc.id, lc.logger, lc.drainer, lc.signals = o.Settings.Instance, logger, newRequestDrainer(ctx, p.entry, p.connTracker, p.closeListener), o.Signals
+	lc.id, lc.logger, lc.drainer, lc.signals = o.Settings.Instance, logger, newRequestDrainer(ctx, p.entry, p.connTracker, nil), o.Signals
 	lc.configured, lc.shutdownDelay, lc.drainTimeout = p.entry.Configured(), relayShutdownDelay, p.drainTimeout()
 	lc.onStateChange, lc.endRequests = p.onStateChange, p.endRequests
 
@@ -113,19 +113,26 @@
 	return err
 }
 
-// onStateChange acts on the begin of a shutdown: the entry closes connections after their
-// current request and still accepts new ones.
+// onStateChange acts on the states of a shutdown. While unready, the entry closes
+// connections after their current request and still accepts new ones. Once the
+// load balancer has had time to notice, it accepts no more connections.
 func (p *relayProcess) onStateChange(state chart.State) {
-	if state != stateUnready {
-		return
-	}
-	if limit := p.drainTimeout(); limit > 0 {
-		p.entry.SetShutdownLimit(time.Now().Add(limit))
+	switch state {
+	case stateUnready:
+		if limit := p.drainTimeout(); limit > 0 {
+			p.entry.SetShutdownLimit(time.Now().Add(limit))
+		}
+		p.entry.MarkUnready()
+		p.connTracker.closeGracefully()
+		logevent.Write(p.logger, logevent.ProcessDraining).Str("id", p.options.Settings.Instance).
+			Int("running", p.entry.InProgress()).Msg("")
+	case stateDraining:
+		// http.Server.Shutdown would drop requests that are read after it, so only the
+		// listener is closed.
+		if listener := p.clientListener.Load(); listener != nil {
+			_ = (*listener).Close() // fails only if it is closed already
+		}
 	}
-	p.entry.MarkUnready()
-	p.connTracker.closeGracefully()
-	logevent.Write(p.logger, logevent.ProcessDraining).Str("id", p.options.Settings.Instance).
-		Int("running", p.entry.InProgress()).Msg("")
 }
 
 // drainTimeout is the limit of a shutdown, from its signal on.
@@ -133,19 +140,8 @@
 	return p.options.Settings.GracePeriod - relayStopMargin
 }
 
-// closeListener stops accepting connections. It is called once no request is in progress:
-// until then, clients that the load balancer still sends get an answer. It sends them
-// while most of a zone's entries are not ready. http.Server.Shutdown would drop requests
-// that are read after it, so only the listener is closed.
-func (p *relayProcess) closeListener() {
-	if listener := p.clientListener.Load(); listener != nil {
-		_ = (*listener).Close() // fails only if it is closed already
-	}
-}
-
 // endRequests ends the requests in progress and waits until they are answered.
 func (p *relayProcess) endRequests() {
-	p.closeListener()
 	p.entry.EndRequests()
 	for until := time.Now().Add(relayAnswerTime); p.entry.InProgress() > 0 && time.Now().Before(until); {
 		time.Sleep(relayAnswerCheck)
