entry: off the platform a process that ends answers the requests that it cuts off

Off the platform a draining entry refuses new requests (TestDrainingEntryRefuses, as before), so none is taken late. But at limits.drain, or with a second signal, requests in progress were cut without an answer. Now they end as at their deadline: the server is asked whether it has executed the call, and the answer says so. The process waits up to 1.2 s for that.

Retry-After of a request that a stopping entry on the platform does not take is 0.1 to 0.2 s: its client reaches another entry.

--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -85,6 +85,16 @@
 // InProgress implements drainer.
 func (d *requestDrainer) InProgress() int { return d.work.InProgress() }
 
+// answerCheckInterval is the time between two checks for requests that end.
+const answerCheckInterval = 5 * time.Millisecond
+
+// awaitAnswers waits for a while until no request is in progress.
+func awaitAnswers(work interface{ InProgress() int }, limit time.Duration) {
+	for until := time.Now().Add(limit); work.InProgress() > 0 && time.Now().Before(until); {
+		time.Sleep(answerCheckInterval)
+	}
+}
+
 // clientServer serves clients until its process has drained. http.Server.Shutdown drops
 // requests on HTTP/1.1 connections that are read after it, so the listener is closed
 // first, and the server only once nothing arrives any more. New clients are refused
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -13,6 +14,10 @@
 	"github.com/sapphirefield/sapphirefield/plans"
 )
 
+// answerTime is how long a process that ends waits for the answers to the requests that it
+// cuts off. Their servers are asked whether they have executed them.
+const answerTime = 1200 * time.Millisecond
+
 // entryRole runs an entry, the process that receives client requests.
 type entryRole struct {
 	*process
@@ -114,6 +119,14 @@
 	return r.drainer.Drained()
 }
 
+// endRequests ends the requests in progress and waits until they are answered.
+func (r *entryRole) endRequests() {
+	if server := r.entry(); server != nil {
+		server.EndRequests()
+		awaitAnswers(server, answerTime)
+	}
+}
+
 // InProgress implements drainer. It returns 0 before the server has started.
 func (r *entryRole) InProgress() int {
 	server := r.entry()
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -111,6 +111,9 @@
 	configured := make(chan struct{})
 	lc.id, lc.logger, lc.drainer, lc.signals = s.ID, p.logger, r, options.Signals
 	lc.configured, lc.shutdownDelay, lc.drainTimeout, lc.onStateChange = configured, p.shutdownDelay(), s.Limits.DrainTimeout, p.setState
+	if e, ok := r.(*entryRole); ok {
+		lc.endRequests = e.endRequests
+	}
 
 	group.Go(func() error { p.configSync.Run(ctx); return nil })
 	group.Go(func() error { return p.followConfiguration(ctx, r, configured) })
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -33,9 +33,8 @@
 	// stopping the process.
 	relayStopMargin = 300 * time.Millisecond
 	// relayAnswerTime is the part of it in which the requests are answered that the end
-	// of the process cuts off, and relayAnswerCheck the time between two looks at them.
-	relayAnswerTime  = 150 * time.Millisecond
-	relayAnswerCheck = 5 * time.Millisecond
+	// of the process cuts off.
+	relayAnswerTime = 150 * time.Millisecond
 	// maxRequestHeaderBytes bounds the memory for a caller's header before its
 	// route is known. The configuration may set a lower limit.
 	maxRequestHeaderBytes = 128 << 10
@@ -143,9 +142,7 @@
 // endRequests ends the requests in progress and waits until they are answered.
 func (p *relayProcess) endRequests() {
 	p.entry.EndRequests()
-	for until := time.Now().Add(relayAnswerTime); p.entry.InProgress() > 0 && time.Now().Before(until); {
-		time.Sleep(relayAnswerCheck)
-	}
+	awaitAnswers(p.entry, relayAnswerTime)
 }
 
 func (p *relayProcess) handleReloads(ctx context.Context) error {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -74,6 +74,10 @@
 	cachedIndex    atomic.Pointer[configIndex]
 	planner        plannerRole
 
+	// ended is done once EndRequests has been called.
+	ended context.Context
+	end   context.CancelFunc
+
 	mu         sync.Mutex
 	draining   bool
 	inProgress int
@@ -103,6 +107,7 @@
 		metrics:     newServerMetrics(opts.Metrics),
 		drained:     make(chan struct{}),
 	}
+	s.ended, s.end = context.WithCancel(context.Background())
 	s.models = newModelSet()
 	s.members = newMembers()
 	s.planner.selectedSince = make(map[string]time.Time)
@@ -158,6 +163,7 @@
 		}
 		ctx, cancel := clientconn.NewContext(r.Context())
 		defer cancel()
+		defer context.AfterFunc(s.ended, cancel)()
 		r = r.WithContext(ctx)
 		s.activeRequests.add(r)
 		defer s.activeRequests.remove(r)
@@ -206,6 +212,10 @@
 	s.closeIfDrained()
 }
 
+// EndRequests ends all requests in progress. Each client gets an answer that says whether
+// its request was executed.
+func (s *Server) EndRequests() { s.end() }
+
 // Drained returns a channel that is closed once the server is draining and has
 // no requests in progress.
 func (s *Server) Drained() <-chan struct{} { return s.drained }
--- a/relay/stopping.go
+++ b/relay/stopping.go
@@ -9,9 +9,8 @@
 )
 
 // stoppingRetryAfter is the Retry-After time of a request that a stopping process does
-// not take; up to as much is added at random. Most clients reach another entry then, and
-// if all are stopping, this one is back soon.
-const stoppingRetryAfter = time.Second
+// not take; up to as much is added at random. Its client reaches another entry.
+const stoppingRetryAfter = 100 * time.Millisecond
 
 const stoppingDetail = "this instance is shutting down"
 
