relay: the log tells when a client left also if its request ended first

The end of the request records it now. TestClientServerNoticesThatClientLeaves guards the listeners of package daemon.

--- a/daemon/idle_test.go
+++ b/daemon/idle_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/sapphirefield/sapphirefield/clientconn"
 	"github.com/sapphirefield/sapphirefield/netpeek"
 )
 
@@ -70,6 +71,29 @@
 	assert.NilError(t, err)
 }
 
+// Guards against listeners that don't tell a handler that its client has left behind
+// unread bytes of its next request.
+func TestClientServerNoticesThatClientLeaves(t *testing.T) {
+	begun, ended := make(chan struct{}), make(chan struct{})
+	s := newClientServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		ctx, cancel := clientconn.NewContext(r.Context())
+		defer cancel()
+		close(begun)
+		<-ctx.Done()
+		close(ended)
+	}))
+	address := freeAddress(t)
+	go func() { _ = s.listenAndServe(t.Context(), address.String(), nil) }()
+	conn := dialUntil(t, address)
+	_, err := io.WriteString(conn, testRequest)
+	assert.NilError(t, err)
+	<-begun
+	_, err = io.WriteString(conn, testRequest[:len(testRequest)/2])
+	assert.NilError(t, err)
+	assert.NilError(t, conn.Close())
+	<-ended
+}
+
 // Guards against configured header and idle timeouts that are never applied.
 func TestConfiguredTimeoutsApply(t *testing.T) {
 	c, client := pipeConn()
--- a/relay/clientleft.go
+++ b/relay/clientleft.go
@@ -24,17 +24,27 @@
 type clientWatch struct {
 	// leftAt is in Unix nanoseconds, or 0 while the client is there.
 	leftAt atomic.Int64
-	// stop ends the watch, so that the end of the request is not taken for the client's.
-	stop func() bool
+	// cancel ends the watch. It reports false if the client has left.
+	cancel func() bool
 }
 
 // watchClient watches the context of a client's request.
 func watchClient(ctx context.Context) *clientWatch {
 	w := &clientWatch{}
-	w.stop = context.AfterFunc(ctx, func() { w.leftAt.Store(time.Now().UnixNano()) })
+	w.cancel = context.AfterFunc(ctx, w.recordLeft)
 	return w
 }
 
+func (w *clientWatch) recordLeft() { w.leftAt.CompareAndSwap(0, time.Now().UnixNano()) }
+
+// stop ends the watch, so that the end of the request is not taken for the client's.
+func (w *clientWatch) stop() {
+	if !w.cancel() {
+		// The function may not have run yet.
+		w.recordLeft()
+	}
+}
+
 // left returns when the client was found to have left, if it has.
 func (w *clientWatch) left() (time.Time, bool) {
 	nanos := w.leftAt.Load()
