relay: places of a request on which no server works yet, when its client leaves

Waiting for a path, for its turn at a full service, for a connection, and for an entry that has just started; and a stream on its second path.

--- a/relay/clientleft_test.go
+++ b/relay/clientleft_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +15,8 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/sapphirefield/sapphirefield/config"
+	"github.com/sapphirefield/sapphirefield/membership"
+	"github.com/sapphirefield/sapphirefield/placement"
 )
 
 // departures are the ways in which a client leaves while its request is in progress.
@@ -77,6 +80,8 @@
 	prepare  func(e *testEntry)
 	// reached receives a value when the request is at its place.
 	reached chan struct{}
+	// afterwards lets a request go on that has not been sent, if its client had not left.
+	afterwards func(e *testEntry)
 }
 
 func newLeaveScene() *leaveScene { return &leaveScene{reached: make(chan struct{}, 10)} }
@@ -129,6 +134,36 @@
 		s.prepare = (*testEntry).preferFirst
 		return s
 	},
+	"stream rerouted": func(t *testing.T) *leaveScene {
+		s := newLeaveScene()
+		s.route = streamRoute(true)
+		rerouted := make(chan struct{})
+		head := newBackend(t, func(b *backend, r *http.Request, conn net.Conn) bool {
+			write(conn, streamHeader, r.Header.Get("Id"))
+			writeChunk(conn, event(1))
+			<-rerouted
+			return s.works()(b, r, conn)
+		})
+		s.backends = []*backend{head}
+		s.prepare = func(e *testEntry) {
+			// The second engine is lost once the stream runs, and another one holds its layers.
+			servers := map[string]Server{}
+			for id, layers := range map[string]placement.Range{"head": {First: 0, Limit: 4}, "dead": {First: 4, Limit: 8}, "spare": {First: 4, Limit: 8}} {
+				servers[id] = Server{
+					Instance: membership.Instance{ID: id, Service: "llm", Zone: "a", Address: head.address()},
+					Slots:    10, Accelerator: "gpu", Layers: layers,
+				}
+			}
+			lost := servers["dead"]
+			lost.Address = "127.0.0.1:1"
+			servers["dead"] = lost
+			e.fleet.setServers(time.Now(), servers)
+			e.fleet.reserve(map[string]usage{"spare": {requests: 5, tokens: 1e6}})
+			e.engines.stalled = []StalledRequest{{RequestID: "id-1", BlockedOn: lost.Address}}
+			e.engines.onReroute = func() { close(rerouted) }
+		}
+		return s
+	},
 	"call sent": func(t *testing.T) *leaveScene {
 		s := newLeaveScene()
 		s.route, s.backends = unaryRoute(config.CallIdempotent), []*backend{newBackend(t, s.works())}
@@ -155,6 +190,108 @@
 	},
 }
 
+// unsentScenes are the places of requests on which no server works yet.
+var unsentScenes = map[string]func(t *testing.T) *leaveScene{
+	"stream waits for a path": func(t *testing.T) *leaveScene {
+		s := newLeaveScene()
+		s.route, s.backends = streamRoute(true), []*backend{newBackend(t, events(1, true))}
+		s.route.TargetLatency = leaveTimeout
+		full := map[string]usage{"s0": {requests: 1000, tokens: 1e15, layerTokens: 1e15}}
+		var reserved *reservation
+		s.prepare = func(e *testEntry) {
+			reserved = e.fleet.reserve(full)
+			go s.awaitPhase(func() bool { return e.waitRoom("llm").outlook(time.Now(), 0, time.Second).waiting > 0 })
+		}
+		s.afterwards = func(*testEntry) { reserved.release() }
+		return s
+	},
+	"call waits for its turn": func(t *testing.T) *leaveScene {
+		s := newLeaveScene()
+		s.route, s.backends = unaryRoute(config.CallAtMostOnce), []*backend{newBackend(t, refuse)}
+		s.prepare = func(e *testEntry) {
+			go s.awaitPhase(func() bool { return e.callRoom("app").isWaiting() })
+		}
+		return s
+	},
+	"call connects": func(t *testing.T) *leaveScene {
+		s := newLeaveScene()
+		s.route, s.backends = unaryRoute(config.CallIdempotent), []*backend{newBackend(t, respond(200, "answer"))}
+		s.prepare = s.holdDial
+		return s
+	},
+	"stream connects": func(t *testing.T) *leaveScene {
+		s := newLeaveScene()
+		s.route, s.backends = streamRoute(true), []*backend{newBackend(t, events(1, true))}
+		s.prepare = s.holdDial
+		return s
+	},
+	"entry restarts": func(t *testing.T) *leaveScene {
+		s := newLeaveScene()
+		s.route, s.backends = unaryRoute(config.CallIdempotent), []*backend{newBackend(t, respond(200, "answer"))}
+		s.prepare = func(e *testEntry) {
+			e.current.Store(nil)
+			e.fleet.startedAt = time.Now()
+			go s.awaitPhase(func() bool { return e.InProgress() > 0 })
+		}
+		s.afterwards = func(e *testEntry) { e.applyTestConfiguration(s.route) }
+		return s
+	},
+}
+
+// awaitPhase reports that the request is at its place once condition holds.
+func (s *leaveScene) awaitPhase(condition func() bool) {
+	for !condition() {
+		time.Sleep(time.Millisecond)
+	}
+	s.reached <- struct{}{}
+}
+
+// holdDial lets no connection to a server be completed before the request has ended.
+func (s *leaveScene) holdDial(e *testEntry) {
+	e.pool.dial = func(ctx context.Context, _ string) (net.Conn, error) {
+		s.reached <- struct{}{}
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+}
+
+// Guards against a request that goes on after its client has left while it waited for a
+// path, its turn, a connection or a process that restarts.
+func TestUnsentRequestEndsWhenClientLeaves(t *testing.T) {
+	for place, newScene := range unsentScenes {
+		for way, leave := range departures {
+			t.Run(place+"/"+way, func(t *testing.T) {
+				s := newScene(t)
+				s.route.Timeout = 2 * leaveTimeout
+				e := newTestEntry(t, s.route, s.backends...)
+				s.prepare(e)
+				conn := e.dialClient(t)
+				sendText(t, conn, clientRequest("id-1", ""))
+				<-s.reached
+				sent := countRequests(s.backends)
+				leave(t, conn)
+				ended := make(chan struct{})
+				go func() {
+					defer close(ended)
+					for e.InProgress() > 0 {
+						time.Sleep(time.Millisecond)
+					}
+				}()
+				select {
+				case <-ended:
+				case <-time.After(leaveTimeout):
+					t.Fatal("the request goes on")
+				}
+				if s.afterwards != nil {
+					s.afterwards(e)
+				}
+				time.Sleep(10 * time.Millisecond)
+				assert.Equal(t, countRequests(s.backends), sent, "a request of a client that has left was sent")
+			})
+		}
+	}
+}
+
 // leaveTimeout bounds the wait for a server to be left. The requests themselves would go
 // on for longer.
 const leaveTimeout = 3 * time.Second
