--- a/faultmatrix/faultmatrix.go
+++ b/faultmatrix/faultmatrix.go
@@ -52,6 +52,7 @@
 	ErrorInStream
 	UnframedAnswer
 	BrokenBytes
+	CutHead
 	LostAnswer
 	ServerError
 	ReusedAddress
@@ -60,6 +61,8 @@
 	StoreTrouble
 	SilentStore
 	ClientLink
+	ClientLeaves
+	ClientLeftBefore
 	CutOff
 	OneWayCut
 	ProcessPaused
@@ -80,10 +83,12 @@
 	"a server accepts requests and answers none, its status is good", "status queries hang while requests are served", "a server is slow",
 	"bytes that are no answer, without end or slowly", "a late second answer", "an earlier refusal once more",
 	"an error where a stream that has begun goes on", "an answer without a length", "broken bytes",
+	"a server stops in the middle of an answer's head",
 	"an answer is lost", "a server fails requests", "an address is used by another server", "an odd entry among those of the servers",
 	"the store comes back older",
 	"the store is away, slow, compacted or loses answers", "the store accepts connections and answers nothing",
-	"the client's link is in trouble", "an entry is cut off", "an entry is cut off from the store in one direction", "a process is paused",
+	"the client's link is in trouble", "a client leaves, also behind bytes of its next request",
+	"a client has left before its request is read or sent", "an entry is cut off", "an entry is cut off from the store in one direction", "a process is paused",
 	"an entry restarts", "all entries restart", "a planned stop", "the configuration changes", "the configuration outgrows what a thin link carries in a moment",
 	"another entry reports demand that it does not have",
 }
@@ -288,6 +293,16 @@
 		Order:       tests("TestOrderOutcomes"),
 		OffPlatform: tests("TestTruncatedResponse"),
 	},
+	CutHead: {
+		FirstStage:  tests("TestAnswerCutInItsHeadIsNotComplete"),
+		LaterStage:  never("an entry reads nothing from a later engine"),
+		Idempotent:  tests("TestAnswerCutInItsHeadIsNotComplete"),
+		AtMostOnce:  tests("TestAnswerCutInItsHeadIsNotComplete"),
+		Keyed:       tests("TestAnswerCutInItsHeadIsNotComplete"),
+		Status:      tests("TestUnframedAndBrokenEngineAnswers"),
+		Order:       tests("TestOrderOutcomes"),
+		OffPlatform: tests("TestAnswerCutInItsHeadIsNotComplete"),
+	},
 	LostAnswer: {
 		FirstStage:  tests("TestStreamResumesAfterLastEvent", "TestNonResumableStreamBreaksOff"),
 		LaterStage:  never("an entry reads nothing from a later engine"),
@@ -368,6 +383,26 @@
 		Order:       never("no client is involved"),
 		OffPlatform: tests("TestClientDisconnectsDuringCall", "TestClientDisconnectsDuringStream", "TestClientReadsNoResponse"),
 	},
+	ClientLeaves: {
+		FirstStage:  tests("TestServerStopsWhenClientLeaves", "TestUnsentRequestEndsWhenClientLeaves"),
+		LaterStage:  tests("TestServerStopsWhenClientLeaves"),
+		Idempotent:  tests("TestServerStopsWhenClientLeaves", "TestUnsentRequestEndsWhenClientLeaves"),
+		AtMostOnce:  tests("TestServerStopsWhenClientLeaves", "TestUnsentRequestEndsWhenClientLeaves"),
+		Keyed:       tests("TestClientDisconnectsDuringCall", "TestClientServerNoticesThatClientLeaves"),
+		Status:      never("no client is involved"),
+		Order:       never("no client is involved"),
+		OffPlatform: tests("TestClientServerNoticesThatClientLeaves", "TestRequestEndsWhenClientLeaves", "TestCancelThatOvertakesStepFreesRequest"),
+	},
+	ClientLeftBefore: {
+		FirstStage:  tests("TestRequestOfClientThatLeftIsNotSent"),
+		LaterStage:  never("later engines are reached through the first one"),
+		Idempotent:  tests("TestRequestOfClientThatLeftIsNotSent"),
+		AtMostOnce:  tests("TestRequestOfClientThatLeftIsNotSent"),
+		Keyed:       open("the same check stands before each attempt, but no test plays it with a key"),
+		Status:      never("no client is involved"),
+		Order:       never("no client is involved"),
+		OffPlatform: tests("TestRequestOfClientThatLeftIsNotSent"),
+	},
 	CutOff: {
 		FirstStage:  soak("engine link stalled", "store link stalled", "store link responses stalled", "store link reset", "store link delayed"),
 		LaterStage:  soak("engine link stalled"),
@@ -422,11 +457,11 @@
 		FirstStage:  both("TestRelayAwaitsArrivingRequest", "entry asked to stop"),
 		LaterStage:  soak("entry asked to stop"),
 		Idempotent:  both("TestRelayClosesIdleConnectionsOnShutdown", "entry asked to stop"),
-		AtMostOnce:  both("TestClosedListenerReturnsWaitingConnections", "entry asked to stop"),
+		AtMostOnce:  Cell{Tests: []string{"TestClosedListenerReturnsWaitingConnections", "TestStoppingRelayAnswersAllRequests"}, Soak: []string{"entry asked to stop"}},
 		Keyed:       tests("TestSystem"),
 		Status:      soak("entry asked to stop"),
 		Order:       tests("TestReleasedLeaseIsTakenAtOnce"),
-		OffPlatform: tests("TestSystem"),
+		OffPlatform: tests("TestSystem", "TestDrainingEntryRefuses", "TestEndOfProcessAnswersRequests"),
 	},
 	ConfigurationChange: {
 		FirstStage:  soak("configuration changes", "entry asked to reload"),
