relay: no path or server is searched for a client that has left

Change: the client is looked for before a path or a server is searched, and a wait room passes over streams whose clients have left.

TestNoPathIsSearchedForClientThatLeft fails without either half.

--- a/relay/demand_test.go
+++ b/relay/demand_test.go
@@ -51,7 +51,7 @@
 func TestRoomIsKeptForStreamsThatWaitElsewhere(t *testing.T) {
 	full, idle := newRankedEntry(t, 0, 1), newRankedEntry(t, 0, 1)
 	now := time.Now()
-	wait := &pathWaiter{find: func(time.Time) ([]pipeline.Hop, *reservation, error) { return nil, nil, pipeline.ErrNoChain }}
+	wait := &pathWaiter{ctx: t.Context(), find: func(time.Time) ([]pipeline.Hop, *reservation, error) { return nil, nil, pipeline.ErrNoChain }}
 	wait.Team, wait.Work, wait.Arrived, wait.Target, wait.Deadline = "team", 800, now.Add(-time.Second), now.Add(2*time.Second), now.Add(time.Minute)
 	_, done := full.waitRoom("llm").enter(now, wait)
 	assert.Assert(t, !done)
@@ -65,7 +65,7 @@
 	assert.Assert(t, roomKept(idle, 1, "team") > 0)
 	assert.Equal(t, roomKept(idle, 0, "team"), 0.0)
 
-	fresh := &pathWaiter{find: wait.find, Waiting: wait.Waiting}
+	fresh := &pathWaiter{ctx: t.Context(), find: wait.find, Waiting: wait.Waiting}
 	fresh.Arrived = now
 	_, done = full.waitRoom("llm").enter(now, fresh)
 	assert.Assert(t, !done)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -72,6 +72,10 @@
 	s := &streamRequest{request: q, lastEventID: q.info.LastEvent}
 	q.budget(q.target).RecordRequest(time.Now())
 	for {
+		if clientconn.Check(ctx) != nil {
+			s.endAtDeadline()
+			return
+		}
 		hops, reserved, err := s.choosePath(ctx)
 		if err != nil {
 			s.giveUpWithoutPath(err)
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -65,7 +65,7 @@
 		return
 	}
 	for {
-		if q.timeLeft() <= 0 {
+		if q.timeLeft() <= 0 || clientconn.Check(ctx) != nil {
 			q.failTimeout()
 			return
 		}
--- a/relay/waitroom.go
+++ b/relay/waitroom.go
@@ -10,6 +10,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/sapphirefield/sapphirefield/admission"
+	"github.com/sapphirefield/sapphirefield/clientconn"
 	"github.com/sapphirefield/sapphirefield/pipeline"
 )
 
@@ -68,6 +69,8 @@
 // pathWaiter is a stream that waits for a path.
 type pathWaiter struct {
 	admission.Waiting
+	// ctx is that of the request.
+	ctx  context.Context
 	find pathFinder
 	// unservable is set if no path would have room for the stream even if nothing else
 	// ran. It is known once checked is set.
@@ -97,6 +100,7 @@
 
 // await returns a path for a new stream. It waits for one until w.StartBy().
 func (r *waitRoom) await(ctx context.Context, w *pathWaiter) ([]pipeline.Hop, *reservation, error) {
+	w.ctx = ctx
 	if result, done := r.enter(time.Now(), w); done {
 		return result.hops, result.reserved, result.err
 	}
@@ -189,6 +193,10 @@
 func (r *waitRoom) startOne(now time.Time) bool {
 	for _, candidate := range r.queue.Candidates(candidatesPerPass) {
 		w := r.waiters[candidate.ID]
+		if clientconn.Check(w.ctx) != nil {
+			// Its own goroutine ends it.
+			continue
+		}
 		hops, reserved, err := w.find(now)
 		if err != nil {
 			w.lastErr = err
--- a/relay/waitroom_test.go
+++ b/relay/waitroom_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -34,6 +35,7 @@
 
 func (t *testRoom) waiter(team string, now time.Time) *pathWaiter {
 	return &pathWaiter{
+		ctx:     context.Background(),
 		Waiting: admission.Waiting{Team: team, Arrived: now, Target: now.Add(2 * maxTestDelay), Deadline: now.Add(10 * maxTestDelay), Work: 1},
 		find: func(time.Time) ([]pipeline.Hop, *reservation, error) {
 			if t.free == 0 {
@@ -55,6 +57,38 @@
 	}
 }
 
+// Guards against a search for a path for a stream whose client has left: in a flood of
+// clients that leave, an entry spends its time on them, and ends the others' work late.
+func TestNoPathIsSearchedForClientThatLeft(t *testing.T) {
+	room := newTestRoom()
+	now := time.Unix(1000, 0)
+	ctx, leave := context.WithCancel(t.Context())
+	gone, stays := room.waiter("gone", now), room.waiter("stays", now)
+	gone.ctx = ctx
+	for _, w := range []*pathWaiter{gone, stays} {
+		_, done := room.enter(now, w)
+		assert.Assert(t, !done)
+	}
+	leave()
+	room.free = 2
+	room.tick(now.Add(passInterval))
+	assert.Assert(t, started(stays))
+	assert.Equal(t, room.free, 1, "capacity was taken for a client that has left")
+
+	// One that left before it was read does not wait at all, nor does a call.
+	for _, route := range []config.Route{streamRoute(true), unaryRoute(config.CallIdempotent)} {
+		e := newTestEntry(t, route, newBackend(t, respond(200, "answer")))
+		r := httptest.NewRequestWithContext(ctx, http.MethodPost, "/x", nil)
+		r.Host = "h"
+		r.Header.Set("Key", testKey)
+		func() {
+			defer func() { assert.Equal(t, recover(), http.ErrAbortHandler) }()
+			e.ServeHTTP(httptest.NewRecorder(), r)
+		}()
+		assert.Equal(t, e.requestMetrics.registry.Get("relay.clients_left.connecting"), nil)
+	}
+}
+
 // Guards against refusing streams during a burst although capacity returns a
 // moment later, and against a flooding team that takes all of it.
 func TestWaitingStreamsStartInTurn(t *testing.T) {
