--- a/daemon/relay_test.go
+++ b/daemon/relay_test.go
@@ -79,16 +79,27 @@
 	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
+// testPlatform is what an entry runs on.
+type testPlatform interface {
+	relay.Store
+	relay.EngineClient
+}
+
 // runTestRelay runs an entry on an idle platform until it has been shut down.
 func runTestRelay(t *testing.T, signals <-chan os.Signal) (client netip.AddrPort, ended <-chan error) {
+	return runTestRelayOn(t, idlePlatform{}, 8*time.Second, signals)
+}
+
+// runTestRelayOn runs an entry on a platform until it has been shut down.
+func runTestRelayOn(t *testing.T, platform testPlatform, grace time.Duration, signals <-chan os.Signal) (client netip.AddrPort, ended <-chan error) {
 	s := relay.Settings{
 		Instance: "e", Zone: "a", ClientAddr: freeAddress(t), ReadyAddr: freeAddress(t), MetricsAddr: freeAddress(t), PeerAddr: freeAddress(t),
-		GracePeriod: 8 * time.Second, RetryWindow: 10 * time.Second,
+		GracePeriod: grace, RetryWindow: 10 * time.Second,
 	}
 	result := make(chan error, 1)
 	go func() {
 		result <- RunRelay(t.Context(), RelayOptions{
-			Settings: s, Store: idlePlatform{}, Engines: idlePlatform{}, HeaderCodec: emptyHeaderCodec{}, ReadyPath: "/ready",
+			Settings: s, Store: platform, Engines: platform, HeaderCodec: emptyHeaderCodec{}, ReadyPath: "/ready",
 			LogWriter: io.Discard, LogLevel: log.InfoLevel, Signals: signals,
 		})
 	}()
--- a/daemon/stop_test.go
+++ b/daemon/stop_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -13,7 +12,6 @@
 	"testing"
 	"time"
 
-	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 
 	"github.com/sapphirefield/sapphirefield/config"
@@ -76,37 +74,24 @@
 func TestStoppingRelayAnswersAllRequests(t *testing.T) {
 	platform := newBusyPlatform(t)
 	signals := make(chan os.Signal, 1)
-	s := relay.Settings{
-		Instance: "e", Zone: "a", ClientAddr: freeAddress(t), ReadyAddr: freeAddress(t), MetricsAddr: freeAddress(t), PeerAddr: freeAddress(t),
-		GracePeriod: relayShutdownDelay + 2*time.Second, RetryWindow: 10 * time.Second,
-	}
-	ended := make(chan error, 1)
-	go func() {
-		ended <- RunRelay(t.Context(), RelayOptions{
-			Settings: s, Store: platform, Engines: platform, HeaderCodec: emptyHeaderCodec{}, ReadyPath: "/ready",
-			LogWriter: io.Discard, LogLevel: log.InfoLevel, Signals: signals,
-		})
-	}()
+	address, ended := runTestRelayOn(t, platform, relayShutdownDelay+2*time.Second, signals)
 	const call = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
-	early := dialUntil(t, s.ClientAddr)
+	early := dialUntil(t, address)
 	send := func(conn net.Conn) {
 		_, err := io.WriteString(conn, call)
 		assert.NilError(t, err)
 	}
 	send(early)
 	platform.awaitBegun(1)
-	unused := dialUntil(t, s.ClientAddr)
+	unused := dialUntil(t, address)
 	signals <- syscall.SIGTERM
 	time.Sleep(relayShutdownDelay + 500*time.Millisecond)
 
-	late := []net.Conn{unused}
-	for i, conn := range late {
-		send(conn)
-		response := readResponse(t, conn)
-		assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable, fmt.Sprint(i))
-		assert.Assert(t, response.Header.Get("Retry-After") != "")
-		assert.Assert(t, response.Close)
-	}
+	send(unused)
+	response := readResponse(t, unused)
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, response.Header.Get("Retry-After") != "")
+	assert.Assert(t, response.Close)
 	assert.Equal(t, platform.begun.Load(), int32(1), "a request that may outlast the stop was passed on")
 	// It may have run, so it is not refused.
 	assert.Equal(t, readResponse(t, early).StatusCode, http.StatusBadGateway)
--- a/relay/clientleft_test.go
+++ b/relay/clientleft_test.go
@@ -15,8 +15,6 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/sapphirefield/sapphirefield/config"
-	"github.com/sapphirefield/sapphirefield/membership"
-	"github.com/sapphirefield/sapphirefield/placement"
 )
 
 // departures are the ways in which a client leaves while its request is in progress.
@@ -146,20 +144,8 @@
 		})
 		s.backends = []*backend{head}
 		s.prepare = func(e *testEntry) {
-			// The second engine is lost once the stream runs, and another one holds its layers.
-			servers := map[string]Server{}
-			for id, layers := range map[string]placement.Range{"head": {First: 0, Limit: 4}, "dead": {First: 4, Limit: 8}, "spare": {First: 4, Limit: 8}} {
-				servers[id] = Server{
-					Instance: membership.Instance{ID: id, Service: "llm", Zone: "a", Address: head.address()},
-					Slots:    10, Accelerator: "gpu", Layers: layers,
-				}
-			}
-			lost := servers["dead"]
-			lost.Address = "127.0.0.1:1"
-			servers["dead"] = lost
-			e.fleet.setServers(time.Now(), servers)
-			e.fleet.reserve(map[string]usage{"spare": {requests: 5, tokens: 1e6}})
-			e.engines.stalled = []StalledRequest{{RequestID: "id-1", BlockedOn: lost.Address}}
+			e.useEnginesWithSpare(head)
+			e.engines.stalled = []StalledRequest{{RequestID: "id-1", BlockedOn: deadAddress}}
 			e.engines.onReroute = func() { close(rerouted) }
 		}
 		return s
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -574,36 +574,44 @@
 	})
 }
 
+// deadAddress is that of an engine that does not respond.
+const deadAddress = "127.0.0.1:1"
+
+// useEnginesWithSpare makes streams run through a first engine and one that is dead, whose
+// layers a third engine, which is not preferred, holds as well.
+func (e *testEntry) useEnginesWithSpare(head *backend) {
+	servers := map[string]Server{}
+	for id, layers := range map[string]placement.Range{"head": {First: 0, Limit: 4}, "dead": {First: 4, Limit: 8}, "spare": {First: 4, Limit: 8}} {
+		servers[id] = Server{
+			Instance: membership.Instance{ID: id, Service: "llm", Zone: "a", Address: head.address()},
+			Slots:    10, Accelerator: "gpu", Layers: layers,
+		}
+	}
+	lost := servers["dead"]
+	lost.Address = deadAddress
+	servers["dead"] = lost
+	e.fleet.setServers(time.Now(), servers)
+	e.fleet.reserve(map[string]usage{"spare": {requests: 5, tokens: 1e6}})
+}
+
 // testReroute runs a stream whose second engine stops, and expects it to
 // continue along another path once prepare has informed the entry of the dead
 // engine.
 func testReroute(t *testing.T, prepare func(e *testEntry, dead string)) {
 	t.Helper()
 	resume := make(chan struct{})
-	const dead = "127.0.0.1:1"
 	var e *testEntry
 	head := newBackend(t, func(_ *backend, r *http.Request, conn net.Conn) bool {
 		write(conn, streamHeader, r.Header.Get("Id"))
 		writeChunk(conn, event(1))
-		prepare(e, dead)
+		prepare(e, deadAddress)
 		<-resume
 		writeChunk(conn, event(2))
 		_, _ = io.WriteString(conn, "0\r\n\r\n")
 		return true
 	})
 	e = newTestEntry(t, streamRoute(true), head)
-	servers := map[string]Server{}
-	for id, layers := range map[string]placement.Range{"head": {First: 0, Limit: 4}, "dead": {First: 4, Limit: 8}, "spare": {First: 4, Limit: 8}} {
-		servers[id] = Server{
-			Instance: membership.Instance{ID: id, Service: "llm", Zone: "a", Address: head.address()},
-			Slots:    10, Accelerator: "gpu", Layers: layers,
-		}
-	}
-	lost := servers["dead"]
-	lost.Address = dead
-	servers["dead"] = lost
-	e.fleet.setServers(time.Now(), servers)
-	e.fleet.reserve(map[string]usage{"spare": {requests: 5, tokens: 1e6}})
+	e.useEnginesWithSpare(head)
 	e.engines.onReroute = func() { close(resume) }
 	_, body, err := e.send(t, http.MethodPost)
 	assert.NilError(t, err)
--- a/relay/stopping.go
+++ b/relay/stopping.go
@@ -12,8 +12,6 @@
 // not take; up to as much is added at random. Its client reaches another entry.
 const stoppingRetryAfter = 100 * time.Millisecond
 
-const stoppingDetail = "this instance is shutting down"
-
 // shutdown is the planned end of a process.
 type shutdown struct {
 	// limit is when the process ends whatever is in progress; nil while there is no end.
@@ -55,7 +53,7 @@
 
 func (q *request) stoppingProblem() *problem.Problem {
 	after := stoppingRetryAfter + time.Duration(q.fleet.randomFloat()*float64(stoppingRetryAfter))
-	return q.retryLater(problem.Overloaded, stoppingDetail, after)
+	return q.retryLater(problem.Overloaded, "this instance is shutting down", after)
 }
 
 // workContext returns the context of the work for a request, which ends at its deadline,
