review: case 2, streams cut off behind a lost engine look complete

Cause: a stream with neither a length nor chunks that ends between two events is complete if its first engine responds, also while another engine of its path is known to be lost and there is no other path. Added: review/2 with its claim and script; the earlier cases 2 and 3 are 3 and 4 now.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -7,4 +7,4 @@
   echo "build target/sapphired as deploy/system.toml says, and run review/build.sh" >&2
   exit 2
 fi
-exec bin/review-standin pipelined-stop -program target/sapphired -record "review/3/record.txt"
+exec bin/review-standin stop-while-starting -program target/sapphired -record "review/3/record.txt"
--- a/review/harness/standin/cases.go
+++ b/review/harness/standin/cases.go
@@ -18,6 +18,7 @@
 
 var cases = map[string]caseRun{
 	"crash-mid-answer":    crashMidAnswer,
+	"lost-stage":          lostStage,
 	"pipelined-stop":      pipelinedStop,
 	"stop-while-starting": stopWhileStarting,
 }
