daemon: a process without a configuration drains before it ends

Cause: the chart entry_shutdown led from "starting" by a signal to "closing" and "stopped". The process ended at once, whatever it had in progress. "Starting" was taken for a state without requests, but a load balancer that has too few ready entries uses all of them, and each request waits for the configuration for up to 0.5 s. The lifecycle is that of both roles, on and off the platform.

Change: a signal leads from "starting" to "unready", as from "serving", with no notice for the load balancer, which has never found the process ready. All that a shutdown does happens as in any other: limit, idle connections, listener, wait for what arrives. A first configuration that came before the signal counts as such.

--- a/daemon/lifecycle.go
+++ b/daemon/lifecycle.go
@@ -93,6 +93,13 @@
 			configured = nil
 			event = eventConfigured
 		case <-l.signals:
+			if isClosed(configured) {
+				// The load balancer may have found the process ready already.
+				configured = nil
+				if err := l.handleEvent(eventConfigured, delayTimer, drainTimer); err != nil {
+					return err
+				}
+			}
 			event = l.signalEvent()
 		case <-delayTimer.C:
 			event = eventShutdownDelayPassed
@@ -124,6 +131,15 @@
 	return timer
 }
 
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // signalEvent distinguishes the first signal from later ones.
 func (l *lifecycle) signalEvent() chart.Event {
 	if l.state == stateStarting || l.state == stateServing {
@@ -147,11 +163,16 @@
 		// The event has no effect in this state, such as a revision during a shutdown.
 		return nil
 	}
+	previous := l.state
 	l.state = next
 	l.onStateChange(next)
 	switch next {
 	case stateUnready:
-		delayTimer.Reset(l.shutdownDelay)
+		delay := l.shutdownDelay
+		if previous == stateStarting {
+			delay = 0 // the load balancer has never found the process ready
+		}
+		delayTimer.Reset(delay)
 		if l.drainTimeout > 0 {
 			drainTimer.Reset(l.drainTimeout)
 		}
--- a/daemon/lifecycle_test.go
+++ b/daemon/lifecycle_test.go
@@ -60,6 +60,44 @@
 	})
 }
 
+// Guards against a process that ends at a signal before it has a configuration, and drops
+// the requests that wait in it. No load balancer counts it as ready, so it does not wait
+// for the shutdown delay.
+func TestSignalBeforeConfigurationDrains(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &fakeDrainer{drained: make(chan struct{}), inProgress: 1}
+		signals := make(chan os.Signal, 2)
+		lc, states := testLifecycle(t, d, signals)
+		lc.configured, lc.drainTimeout = nil, time.Minute
+		done := make(chan error, 1)
+		go func() { done <- lc.run(t.Context()) }()
+		signals <- syscall.SIGTERM
+		time.Sleep(time.Millisecond)
+		synctest.Wait()
+		assert.Assert(t, d.drainCalled.Load(), "the process does not drain")
+		assert.Equal(t, len(done), 0, "the process ends while a request is in progress")
+		close(d.drained)
+		assert.NilError(t, <-done)
+		assert.DeepEqual(t, *states, []chart.State{stateUnready, stateDraining, stateClosing, stateStopped})
+	})
+}
+
+// Guards against a process that takes itself for one that has never been ready, because its
+// first configuration and the signal come at the same time.
+func TestSignalBesideFirstConfiguration(t *testing.T) {
+	for range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			d := &fakeDrainer{drained: make(chan struct{})}
+			signals := make(chan os.Signal, 2)
+			lc, states := testLifecycle(t, d, signals)
+			signals <- syscall.SIGTERM
+			close(d.drained)
+			assert.NilError(t, lc.run(t.Context()))
+			assert.Equal(t, (*states)[0], stateServing)
+		})
+	}
+}
+
 // Guards against a second signal that does not end the process at once, or does
 // not report the number of aborted requests.
 func TestSecondSignalStopsAtOnce(t *testing.T) {
--- a/daemon/relay_test.go
+++ b/daemon/relay_test.go
@@ -92,6 +92,11 @@
 
 // runTestRelayOn runs an entry on a platform until it has been shut down.
 func runTestRelayOn(t *testing.T, platform testPlatform, grace time.Duration, signals <-chan os.Signal) (client netip.AddrPort, ended <-chan error) {
+	return runLoggedRelay(t, platform, grace, signals, io.Discard)
+}
+
+// runLoggedRelay also keeps the entry's log.
+func runLoggedRelay(t *testing.T, platform testPlatform, grace time.Duration, signals <-chan os.Signal, logs io.Writer) (client netip.AddrPort, ended <-chan error) {
 	s := relay.Settings{
 		Instance: "e", Zone: "a", ClientAddr: freeAddress(t), ReadyAddr: freeAddress(t), MetricsAddr: freeAddress(t), PeerAddr: freeAddress(t),
 		GracePeriod: grace, RetryWindow: 10 * time.Second,
@@ -100,7 +105,7 @@
 	go func() {
 		result <- RunRelay(t.Context(), RelayOptions{
 			Settings: s, Store: platform, Engines: platform, HeaderCodec: emptyHeaderCodec{}, ReadyPath: "/ready",
-			LogWriter: io.Discard, LogLevel: log.InfoLevel, Signals: signals,
+			LogWriter: logs, LogLevel: log.InfoLevel, Signals: signals,
 		})
 	}()
 	return s.ClientAddr, result
--- a/daemon/stop_test.go
+++ b/daemon/stop_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"os"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -15,6 +18,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/sapphirefield/sapphirefield/config"
+	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/membership"
 	"github.com/sapphirefield/sapphirefield/relay"
 )
@@ -62,6 +66,72 @@
 	}, nil
 }
 
+// silentPlatform is a platform whose store does not answer.
+type silentPlatform struct{ idlePlatform }
+
+func (silentPlatform) ReadLatest(ctx context.Context, _ relay.Topic) (relay.RecordBatch, error) {
+	<-ctx.Done()
+	return relay.RecordBatch{}, ctx.Err()
+}
+
+// Guards against an entry that gets SIGTERM before it has a configuration, and closes the
+// connections of the requests that wait for one without an answer.
+func TestRelayStoppedBeforeConfigurationAnswersRequests(t *testing.T) {
+	signals := make(chan os.Signal, 1)
+	logs := &logLines{}
+	address, ended := runLoggedRelay(t, silentPlatform{}, 8*time.Second, signals, logs)
+	const arrived = len(testRequest) / 2
+	waiting, arriving := dialUntil(t, address), dialUntil(t, address)
+	_, err := io.WriteString(waiting, testRequest)
+	assert.NilError(t, err)
+	_, err = io.WriteString(arriving, testRequest[:arrived])
+	assert.NilError(t, err)
+	signals <- syscall.SIGTERM
+	_, err = io.WriteString(arriving, testRequest[arrived:])
+	assert.NilError(t, err)
+	assertRefused(t, readResponse(t, waiting))
+	assertRefused(t, readResponse(t, arriving))
+	assert.NilError(t, <-ended)
+	// In the test, requests outlive the process.
+	assert.Equal(t, logs.countBefore(logevent.RelayRequestFinished, logevent.ProcessStopped), 2)
+}
+
+// logLines collects log lines.
+type logLines struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+// Write implements io.Writer. It is called with whole lines.
+func (l *logLines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lines = append(l.lines, string(p))
+	return len(p), nil
+}
+
+// countBefore counts the lines of an event before the first one of another event.
+func (l *logLines) countBefore(counted, end logevent.Event) (n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, line := range l.lines {
+		switch {
+		case strings.Contains(line, fmt.Sprintf(`"event":%d,`, end)):
+			return n
+		case strings.Contains(line, fmt.Sprintf(`"event":%d,`, counted)):
+			n++
+		}
+	}
+	return n
+}
+
+// assertRefused checks that a request was not executed and may go to another entry.
+func assertRefused(t *testing.T, response *http.Response) {
+	t.Helper()
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, response.Header.Get("Retry-After") != "")
+}
+
 // awaitBegun waits until a number of calls has reached the server.
 func (p busyPlatform) awaitBegun(n int32) {
 	for p.begun.Load() < n {
@@ -89,8 +159,7 @@
 
 	send(unused)
 	response := readResponse(t, unused)
-	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
-	assert.Assert(t, response.Header.Get("Retry-After") != "")
+	assertRefused(t, response)
 	assert.Assert(t, response.Close)
 	assert.Equal(t, platform.begun.Load(), int32(1), "a request that may outlast the stop was passed on")
 	// It may have run, so it is not refused.
--- a/daemon/system_test.go
+++ b/daemon/system_test.go
@@ -741,3 +741,26 @@
 	assert.NilError(s.t, err)
 	return response
 }
+
+// Guards against a process that gets SIGTERM before it has a configuration and drops what
+// arrives at it: an entry the requests of clients, a sidecar the work of entries that have
+// one.
+func TestProcessesStoppedBeforeConfigurationDrain(t *testing.T) {
+	s := newSystem(t)
+	sidecar := s.startSidecar("orders-0", service, "  kind: plain\n  service: "+service+"\n", s.serve(s.plainServer.Handler()))
+	p := s.startEntry("entry-2")
+	s.eventually("entry-2 answers", func() (bool, string) {
+		status, body := s.get(p, "/readyz")
+		return status == http.StatusServiceUnavailable, body
+	})
+	arriving := s.startRequest(p)
+	p.signals <- syscall.SIGTERM
+	sidecar.signals <- syscall.SIGTERM
+	s.checkArrivingRequest(p, arriving)
+	for _, ended := range []*process{p, sidecar} {
+		<-ended.done
+		assert.NilError(t, ended.err)
+		line := `"message":"process is draining","id":"` + ended.id + `"`
+		assert.Assert(t, strings.Contains(s.logs.String(), line), "%s has not drained", ended.id)
+	}
+}
