relay: a process that ends refuses requests that wait to be admitted

Callers saw, by reading: where a stop comes to its limit, or a second signal ends it, requests that wait for the first configuration (up to 0.5 s), for the configuration after a pause (0.4 s) or for the rest of their body are not answered, since the process gives them 0.15 s only.

Cause: the end of requests reaches only what runs in a work context; the waits of admit looked at the client and the deadline alone.

Change: these waits end with the process, and the request is refused with a time after which it may come back. Nothing of it has been sent, so 503 is true.

--- a/relay/pause.go
+++ b/relay/pause.go
@@ -56,11 +56,12 @@
 }
 
 // confirmConfiguration reads the configuration again and ends the pause. Concurrent
-// calls share one read, which is not tied to the context of one request.
+// calls share one read, which is not tied to the context of one request but ends with the
+// process.
 func (e *Entry) confirmConfiguration() {
 	_, _, _ = e.pause.reload.Do("", func() (any, error) {
 		held := time.Duration(bootclock.Now().UnixNano() - e.pause.pulse.Load())
-		ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
+		ctx, cancel := context.WithTimeout(e.shutdown.ended, confirmTimeout)
 		defer cancel()
 		batch, err := e.store.ReadLatest(ctx, TopicConfiguration)
 		e.applyNewestConfiguration(batch.Records)
--- a/relay/request.go
+++ b/relay/request.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"net/http"
 	"os"
 	"strconv"
@@ -126,6 +127,9 @@
 		q.confirmConfiguration()
 	}
 	q.awaitStartup()
+	if q.shutdown.isEnded() {
+		return q.stoppingProblem()
+	}
 	q.revision = q.current.Load()
 	rev := q.revision
 	if rev == nil {
@@ -186,7 +190,7 @@
 	if q.info.Timeout > 0 {
 		limit = min(limit, time.Duration(float64(q.info.Timeout)*maxStartupWaitFraction))
 	}
-	for q.isStartingUp(time.Now()) && time.Since(q.started) < limit && q.r.Context().Err() == nil {
+	for q.isStartingUp(time.Now()) && time.Since(q.started) < limit && q.r.Context().Err() == nil && !q.shutdown.isEnded() {
 		sleep(q.r.Context(), startupCheckInterval)
 	}
 }
@@ -210,16 +214,17 @@
 	return int64(n + lineEnd)
 }
 
-// readBody reads the request's body until the deadline.
+// readBody reads the request's body until the deadline or the end of the process.
 func (q *request) readBody(limit int64) *problem.Problem {
 	if limit > 0 {
 		q.r.Body = http.MaxBytesReader(q.w, q.r.Body, limit)
 	}
-	timer := time.AfterFunc(time.Until(q.deadline), func() {
+	ctx, cancel := context.WithDeadline(q.shutdown.ended, q.deadline)
+	defer cancel()
+	defer context.AfterFunc(ctx, func() {
 		// Without support for deadlines, the connection's own timeouts remain.
 		_ = http.NewResponseController(q.w).SetReadDeadline(time.Unix(1, 0))
-	})
-	defer timer.Stop()
+	})()
 	body, err := q.bodyMemory.read(q.r.Body)
 	q.body = body
 	var tooLarge *http.MaxBytesError
