relay: a silent stream is given up only once another engine has accepted it

Cause: an engine that falls silent for a second was judged within 0.2 s, and all its streams were ended before anything was known of what follows. Whether another path has room and the retry budget a place was looked at, not taken, so many streams that left together were given the same place; and the other engine may refuse, or be silent as well. What found no place was broken off after 3 s, or failed with 502 if no event had been sent, though its own engine had gone on after one second. Before the first event not even another path was asked for, nor whether the stream may be repeated. Class: a decision by a check that is not the act.

Change: the successor takes path and budget and is sent beside the silent attempt, which ends only when the other engine has accepted; if its engine sends again before that, the successor is dropped. A stream that may not be repeated stays. The reason to leave holds until the next event, so the search goes on every 50 ms as before.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -64,26 +63,48 @@
 	progressSince, soundAt time.Time
 	// lossReported is set once the request is suspected of the loss of a later engine.
 	lossReported bool
+	// isSuccessor is set while the attempt is to take over from another one.
+	isSuccessor bool
 }
 
-// tryPath sends the request along a path and forwards its events.
-func (s *streamRequest) tryPath(ctx context.Context, hops []pipeline.Hop, reserved *reservation) (result attemptResult, err error) {
+func (s *streamRequest) newAttempt(hops []pipeline.Hop, reserved *reservation) *attempt {
 	a := &attempt{streamRequest: s, hops: hops, reserved: reserved, seenChanges: s.fleet.changes.Load()}
 	a.head = crashedEngine{hops[0].Engine, s.fleet.snapshot()[hops[0].Engine].StartTimeMillis}
+	return a
+}
+
+// tryPath sends the request along a path and forwards its events.
+func (s *streamRequest) tryPath(ctx context.Context, hops []pipeline.Hop, reserved *reservation) (result attemptResult, err error) {
+	a := s.newAttempt(hops, reserved)
 	defer func() { a.reserved.release() }()
 	s.path, s.zoneCrossings = pathString(hops), zoneCrossings(hops)
-	head, sent := hops[0], time.Now()
 	s.phase = phaseConnecting
-	a.x, err = s.pool.open(ctx, head.Address, s.buildOutbound(ForwardInfo{Instance: head.Engine, Path: hops, LastEvent: s.lastEventID}))
+	if result, err := a.start(ctx); err != nil {
+		return result, err
+	}
+	if a.x.response.StatusCode != http.StatusOK {
+		return s.forwardFailure(a.x)
+	}
+	if err := a.accept(); err != nil {
+		return mayHaveExecuted, err
+	}
+	return a.forwardEvents(ctx)
+}
+
+// start sends the request to the first engine of the path and reads the header of its
+// response, which is not a refusal if there is no error.
+func (a *attempt) start(ctx context.Context) (result attemptResult, err error) {
+	head, sent := a.hops[0], time.Now()
+	a.x, err = a.pool.open(ctx, head.Address, a.buildOutbound(ForwardInfo{Instance: head.Engine, Path: a.hops, LastEvent: a.lastEventID}))
 	if errors.Is(err, errNotSent) {
 		// The connection also fails when the client leaves or this process is held up.
-		s.avoid[head.Engine] = true
-		if ctx.Err() == nil && !s.pause.wasHeldUp(bootclock.Now()) && s.stallChecker.believes(err, head.Address) {
-			s.loseEngine(head.Engine, err)
+		a.avoid[head.Engine] = true
+		if ctx.Err() == nil && !a.pause.wasHeldUp(bootclock.Now()) && a.stallChecker.believes(err, head.Address) {
+			a.loseEngine(head.Engine, err)
 		}
 		return notSent, err
 	}
-	s.recordSent(sent)
+	a.recordSent(sent)
 	if err == nil {
 		a.watch = newEventWatch(ctx, a)
 		a.x.conn.watch = a.watch
@@ -92,21 +113,23 @@
 	if err != nil {
 		return a.abort(ctx, err)
 	}
-	s.observeResponse(head.Engine, s.info.ID, a.x)
+	a.observeResponse(head.Engine, a.info.ID, a.x)
 	if a.x.info.NotExecuted {
 		a.x.discard()
-		s.avoidFailedEngine(a.x, head)
+		a.avoidFailedEngine(a.x, head)
 		return notExecuted, errors.Errorf("engine answered %d for %q", a.x.response.StatusCode, a.x.info.FailedAddress)
 	}
-	if a.x.response.StatusCode != http.StatusOK {
-		return s.forwardFailure(a.x)
-	}
-	if err := s.checkStream(a.x); err != nil {
+	return answered, nil
+}
+
+// accept checks that a response with a success status is the stream that was asked for.
+func (a *attempt) accept() error {
+	if err := a.checkStream(a.x); err != nil {
 		a.x.discard()
-		return mayHaveExecuted, err
+		return err
 	}
-	s.fleet.acceptStages(hops, sent)
-	return a.forwardEvents(ctx)
+	a.fleet.acceptStages(a.hops, a.x.sentAt)
+	return nil
 }
 
 // abort ends an attempt without a complete response.
@@ -193,19 +216,6 @@
 	a.observeAnswered()
 }
 
-// mayGiveUp reports whether the entry may end the attempt on its own.
-func (a *attempt) mayGiveUp() bool { return !a.headerSent || a.canRetry() && a.hasAlternativePath() }
-
-// hasAlternativePath reports whether another attempt would find a path now.
-// Without one, this attempt is all that the client has.
-func (a *attempt) hasAlternativePath() bool {
-	req := a.pathRequest()
-	req.AnswerStarted = true
-	req.Exclude = maps.Clone(a.avoid)
-	req.Exclude[a.hops[0].Engine] = true
-	return a.fleet.hasPath(time.Now(), a.revision, a.target, req)
-}
-
 // rerouteAroundSuspects changes the path of a silent stream around engines
 // that were named as the cause of refusals and do not respond.
 func (a *attempt) rerouteAroundSuspects(ctx context.Context) error {
@@ -330,7 +340,7 @@
 func (a *attempt) canRetry() bool {
 	after := a.attempts
 	after.Count(retry.Unknown)
-	return a.streamLimits().Allow(after, retry.Unknown, a.route.Resumable) && a.budget(a.target).Left(time.Now()) >= 1
+	return a.streamLimits().Allow(after, retry.Unknown, a.route.Resumable && a.mayRepeat()) && a.budget(a.target).Left(time.Now()) >= 1
 }
 
 // applyReroute orders the first engine to switch to a path.
@@ -353,6 +363,7 @@
 	}
 	a.reserved.release()
 	a.reserved, a.hops, a.departAt = reserved, hops, time.Time{}
+	a.watch.reason = nil
 	a.path += ";" + pathString(hops)
 	a.zoneCrossings = zoneCrossings(hops)
 	return nil
@@ -424,7 +435,7 @@
 
 // read checks the path and reads bytes of the stream.
 func (a *attempt) read(ctx context.Context, buffer []byte) (int, error) {
-	if err := a.checkPath(ctx); err != nil && a.mayGiveUp() {
+	if err := a.checkPath(ctx); err != nil && a.mayGiveUp(ctx) {
 		return 0, err
 	}
 	return a.x.response.Body.Read(buffer)
--- a/relay/connection.go
+++ b/relay/connection.go
@@ -378,6 +378,16 @@
 	}
 }
 
+// detach ties the connection to another context. It reports false if the connection has
+// been closed by the end of the first one.
+func (x *exchange) detach(ctx context.Context) bool {
+	if !x.stopCancel() {
+		return false
+	}
+	x.stopCancel = context.AfterFunc(ctx, func() { x.conn.Close() })
+	return true
+}
+
 // close closes the connection, which makes the server stop its work.
 func (x *exchange) close() {
 	x.stopCancel()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -61,6 +61,8 @@
 	lastEventAt time.Time
 	// deliveredEvents counts the events sent to the client.
 	deliveredEvents int
+	// successor is the attempt that takes over from one that is given up, or nil.
+	successor *attempt
 }
 
 // serveStream sends a request along a path of engines and forwards events as
@@ -93,6 +95,11 @@
 			return
 		}
 		result, err := s.tryPath(ctx, hops, reserved)
+		for result != answered && s.successor != nil {
+			s.countAttempt(result)
+			s.logRecovery(err)
+			result, err = s.takeSuccessor().takeOver(ctx)
+		}
 		if result == answered {
 			return
 		}
