relay: a stream that ended with its connection waits out a pause of its engine

Callers saw, by a test: a whole stream without a length is broken off if its sound engine falls silent right after the end.

A crashed engine refuses the connection; a silent one answers later.

Evidence: TestStreamIsWholeThoughItsEnginePausesAfterwards failed before ("unexpected EOF"); the tests of crashed engines hold as before.

The client has all events by then; only the end is late.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -424,13 +424,29 @@
 	return a.headResponds(ctx)
 }
 
+// maxEndCheck bounds the wait for an engine whose stream has ended with its connection.
+// Clients have all events by then.
+const maxEndCheck = minPatience
+
 // headResponds reports whether the first engine is known to work. One that must not be
-// asked now is not.
+// asked now is not. A crashed engine refuses the connection, and one that has fallen
+// silent for a moment answers later.
 func (a *attempt) headResponds(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, a.stallChecker.timeout(time.Now()))
+	ctx, cancel := context.WithTimeout(ctx, maxEndCheck)
 	defer cancel()
-	_, err := a.engines.Status(ctx, a.hops[0].Address)
-	return !errors.Is(err, ErrNoResponse) && !errors.Is(err, errServerPaused) && !errors.Is(err, errServerLimited)
+	for {
+		askedAt := time.Now()
+		_, err := a.engines.Status(ctx, a.hops[0].Address)
+		if errors.Is(err, errServerPaused) || errors.Is(err, errServerLimited) {
+			return false
+		}
+		if !errors.Is(err, ErrNoResponse) {
+			return true
+		}
+		if ctx.Err() != nil || time.Since(askedAt) < stallTimeout {
+			return false
+		}
+	}
 }
 
 // read checks the path and reads bytes of the stream.
--- a/relay/pausingengine_test.go
+++ b/relay/pausingengine_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"maps"
@@ -90,6 +91,31 @@
 	return left
 }
 
+// pausingEngines answer status queries once a pause is over.
+type pausingEngines struct {
+	testEngines
+	until time.Time
+}
+
+func (e *pausingEngines) Status(ctx context.Context, _ string) (EngineStatus, error) {
+	sleep(ctx, min(time.Until(e.until), time.Second))
+	if time.Now().Before(e.until) {
+		return EngineStatus{}, ErrNoResponse
+	}
+	return EngineStatus{}, nil
+}
+
+// Guards against a whole stream that is broken off because its sound engine falls silent
+// right after the end, which only the end of its connection shows.
+func TestStreamIsWholeThoughItsEnginePausesAfterwards(t *testing.T) {
+	e := newTestEntry(t, streamRoute(false), newBackend(t, unframed(unframedStream, event(1)+event(2), false)))
+	e.Entry.engines = &pausingEngines{until: time.Now().Add(enginePause)}
+	e.stallChecker.startedAt = time.Now().Add(-settleTime)
+	_, body, err := e.send(t, http.MethodPost)
+	assert.NilError(t, err)
+	assert.Equal(t, body, eventsText(2))
+}
+
 // eventsUpTo sends the events after the last one named in the request, up to a given one.
 func eventsUpTo(n int) script {
 	return func(b *backend, r *http.Request, conn net.Conn) bool {
