relay: a call leaves a server that accepts no connection only for another one

Callers saw, by a test: an idempotent call gets 502 after 0.26 s if its only server is silent for a second and accepts no connection meanwhile, although the answer comes. Found on the related paths of the silent streams.

Cause: the watch of a call ended the attempt if a retry is allowed, not if there is a server for it.

Evidence: TestCallOutlastsPauseOfItsServer/idempotent failed before.

Change: the attempt goes on unless another server takes calls now.

--- a/relay/pausingengine_test.go
+++ b/relay/pausingengine_test.go
@@ -15,6 +15,8 @@
 
 	"gotest.tools/v3/assert"
 	is "gotest.tools/v3/assert/cmp"
+
+	"github.com/sapphirefield/sapphirefield/config"
 )
 
 // enginePause is how long a sound engine falls silent, its status queries included.
@@ -116,6 +118,24 @@
 	assert.Equal(t, body, eventsText(2))
 }
 
+// Guards against a call that is failed because its server, which accepts no connection
+// for a second either, is taken for crashed, although no other server could answer it.
+func TestCallOutlastsPauseOfItsServer(t *testing.T) {
+	for _, call := range []config.CallKind{config.CallIdempotent, config.CallAtMostOnce} {
+		t.Run(string(call), func(t *testing.T) {
+			t.Parallel()
+			b := newBackend(t, func(b *backend, r *http.Request, conn net.Conn) bool {
+				b.listener.Close()
+				time.Sleep(enginePause)
+				return respond(200, "done")(b, r, conn)
+			})
+			_, body, err := newTestEntry(t, unaryRoute(call), b).send(t, http.MethodPost)
+			assert.NilError(t, err)
+			assert.Equal(t, body, "done")
+		})
+	}
+}
+
 // eventsUpTo sends the events after the last one named in the request, up to a given one.
 func eventsUpTo(n int) script {
 	return func(b *backend, r *http.Request, conn net.Conn) bool {
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -66,7 +66,7 @@
 
 // watchSilence looks after a server that does not answer the request, until the returned
 // function is called. A server that accepts no connection gets no new requests. The
-// attempt ends if another one may follow; otherwise its answer is still waited for. A
+// attempt ends if another server may follow; otherwise its answer is still waited for. A
 // server that accepts connections may be busy: new requests prefer others, and the
 // attempt ends only once the rest of the request's time is needed for another one.
 func (q *request) watchSilence(ctx context.Context, server Server) (watched context.Context, stop func()) {
@@ -111,7 +111,7 @@
 	}
 	if crashed {
 		q.fleet.observe(time.Now(), server.ID, membership.ConnectionLost)
-		return q.mayRetryFailure()
+		return q.mayRetryFailure() && q.hasOtherServer()
 	}
 	if time.Since(sentAt) >= busyServiceTimes*q.callRoom(q.target).serviceTime() {
 		q.leaveUnanswered(server.ID, sentAt)
