relay: the watch of a silent server ends before its request goes on

Callers would see all requests of an entry end without an answer: Go ends a process whose goroutines use a map at the same time.

Cause: the timer of watchSilence reads the servers to avoid, and nothing waited for it before the request wrote to them.

Evidence: TestSilenceWatchEndsWithItsAttempt failed before (the check went on after the watch had been stopped).

Change: stopping the watch waits for a check that is under way, whose connection has been cancelled.

--- a/relay/silence.go
+++ b/relay/silence.go
@@ -75,9 +75,12 @@
 	q.fleet.recordSent(sentAt, server.ID)
 	delay := max(minSilence, silenceTargets*q.route.TargetLatency)
 	leaveAt := sentAt.Add(max(delay, q.timeLeft()/2))
+	var checking sync.Mutex
 	var timer *time.Timer
 	// It is started once the variable is set, which the function reads.
 	timer = time.AfterFunc(time.Hour, func() {
+		checking.Lock()
+		defer checking.Unlock()
 		if ctx.Err() != nil {
 			return
 		}
@@ -95,6 +98,9 @@
 	return ctx, func() {
 		timer.Stop()
 		cancel(nil)
+		// A check that is under way reads the request.
+		checking.Lock()
+		defer checking.Unlock()
 	}
 }
 
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -183,3 +185,23 @@
 		assert.Equal(t, hung.count(), 1)
 	}
 }
+
+// Guards against a watch that goes on beside its request after the attempt: both use the
+// request's servers, and Go ends a process that does so at the same time.
+func TestSilenceWatchEndsWithItsAttempt(t *testing.T) {
+	e := newTestEntry(t, unaryRoute(config.CallIdempotent), newBackend(t, hang))
+	probing := make(chan struct{})
+	var ended atomic.Bool
+	e.pool.dial = func(ctx context.Context, _ string) (net.Conn, error) {
+		close(probing)
+		<-ctx.Done()
+		time.Sleep(20 * time.Millisecond)
+		ended.Store(true)
+		return nil, ctx.Err()
+	}
+	q := &request{Entry: e.Entry, route: &config.Route{}, deadline: time.Now().Add(time.Minute), bootDeadline: bootclock.Now().Add(time.Minute)}
+	_, stop := q.watchSilence(t.Context(), e.fleet.snapshot()["s0"])
+	<-probing
+	stop()
+	assert.Assert(t, ended.Load(), "the watch goes on")
+}
