entry: buffered responses of all calls share a bounded memory

Cause: a response is buffered until it is whole, with a limit for each and none for all together. On the platform longer responses are passed on as they come.

Change: what all buffered responses hold beyond 256 KB each is at most 256 MB. A call whose response finds no memory ends as one that is too large does; small answers are never refused for the sake of large ones.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -73,6 +73,7 @@
 	activeRequests requestTracker
 	cachedIndex    atomic.Pointer[configIndex]
 	planner        plannerRole
+	responseMemory responseMemory
 
 	// ended is done once EndRequests has been called.
 	ended context.Context
--- a/entry/unary.go
+++ b/entry/unary.go
@@ -45,6 +45,7 @@
 		s.refuse(w, prob)
 		return
 	}
+	defer c.releaseMemory()
 	ctx, cancel := context.WithTimeout(r.Context(), c.timeout)
 	defer cancel()
 	response, prob := c.dispatch(ctx)
@@ -106,6 +107,8 @@
 	keyed      *keyedCall
 	request    *attempt.Request
 	exclude    map[string]bool
+	// heldMemory is what the call's responses count in the server's responseMemory.
+	heldMemory int64
 }
 
 func (s *Server) prepareCall(w http.ResponseWriter, r *http.Request) (*unaryCall, *problem.Problem) {
--- a/entry/unary_attempt.go
+++ b/entry/unary_attempt.go
@@ -67,7 +67,7 @@
 		a.response.begin(body.CallHead)
 	case *wire.WorkDown_CallBody:
 		a.response.appendBody(body.CallBody)
-		return a.response.isTooLarge(), false
+		return a.response.isTooLarge() || !a.call.holdMemory(len(a.response.body)), false
 	case *wire.WorkDown_CallEnd:
 		complete = a.response.isComplete(body.CallEnd)
 		// After a reconnect, the recalled response may follow an incomplete one.
