sidecar: an engine's answer to a batch is limited by what the batch can yield

Cause: one limit for every batch, made for the longest prompts.

Change: the limit follows from the steps: what a result may hold, twice the activation that comes in, or an activation for each token of a prompt. A batch with long prompts may still yield up to 512 MB, since the size of a model's activations is not known there; that part is open.

--- a/sidecar/engine.go
+++ b/sidecar/engine.go
@@ -28,10 +28,33 @@
 	cancelTimeout = time.Second
 	// maxResponseHeaderBytes limits the header of a backend server's response.
 	maxResponseHeaderBytes = 64 << 10
-	// maxEngineResponseBytes limits an engine's response to one batch.
+	// maxEngineResponseBytes limits an engine's response to one batch, whatever the batch.
 	maxEngineResponseBytes = 512 << 20
+	// maxCancelBytes limits an engine's response to a cancel, which nobody reads.
+	maxCancelBytes = 16 << 10
+	// resultBytes is what a result may hold beside its activation, and tokenBytes the
+	// activation of one token, far above those of the models in use.
+	resultBytes = 16 << 10
+	tokenBytes  = 64 << 10
+	// activationGrowth is how many times as large as its input a stage's activation may be.
+	activationGrowth = 2
 )
 
+// maxResultsBytes limits an engine's response to a batch by what its steps can yield. A
+// step with a prompt yields an activation for each of its tokens, which have a byte at
+// least.
+func maxResultsBytes(steps []*wire.EngineStep) int64 {
+	total := int64(resultBytes)
+	for _, step := range steps {
+		activation := activationGrowth * len(step.Activation)
+		if activation == 0 {
+			activation = (1 + len(step.Prompt) + len(step.Generated)) * tokenBytes
+		}
+		total += resultBytes + int64(activation)
+	}
+	return min(total, maxEngineResponseBytes)
+}
+
 // newEngineClient returns the client for the engine. Its requests are safe to
 // retry, so that it may reuse connections.
 func newEngineClient(opts Options) *http.Client {
@@ -153,7 +176,7 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	response, err := s.post(ctx, "/v1/steps", "application/x-protobuf", body)
+	response, err := s.post(ctx, "/v1/steps", "application/x-protobuf", body, maxResultsBytes(steps))
 	if err != nil {
 		return nil, err
 	}
@@ -164,7 +187,7 @@
 	return results, nil
 }
 
-func (s *Server) post(ctx context.Context, path, contentType string, body []byte) ([]byte, error) {
+func (s *Server) post(ctx context.Context, path, contentType string, body []byte, maxBytes int64) ([]byte, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.opts.Backend+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.WithStack(err)
@@ -177,7 +200,7 @@
 	}
 	s.observeResponse(resp, sentAt)
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxEngineResponseBytes))
+	data, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxBytes))
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
@@ -283,5 +306,5 @@
 	}
 	ctx, cancel := context.WithTimeout(s.background, cancelTimeout)
 	defer cancel()
-	_, _ = s.post(ctx, "/v1/cancel", "application/json", body)
+	_, _ = s.post(ctx, "/v1/cancel", "application/json", body, maxCancelBytes)
 }
