daemon: a listener that opens while its process drains is closed

Callers would see a connection closed without an answer: an entry that gets SIGTERM in the moment of its start opens its listener after the shutdown has closed what was there, and drops what it accepts when it ends.

Evidence: TestRelayStoppedBeforeItListens failed before (the entry accepted).

Change: one type holds the listener for the relay and for the entry, and closes it whether it opens before or after the shutdown. The logic stood twice.

--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -102,7 +101,36 @@
 type clientServer struct {
 	server   *http.Server
 	tracker  *connTracker
-	listener atomic.Pointer[net.Listener]
+	listener drainableListener
+}
+
+// drainableListener is a listener that a shutdown closes, before or after it has opened.
+type drainableListener struct {
+	mu       sync.Mutex
+	listener net.Listener
+	closed   bool
+}
+
+// open sets the listener, which is closed at once if that has been asked for.
+func (l *drainableListener) open(listener net.Listener) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.listener = listener
+	l.closeIfAsked()
+}
+
+// close stops accepting connections.
+func (l *drainableListener) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	l.closeIfAsked()
+}
+
+func (l *drainableListener) closeIfAsked() {
+	if l.closed && l.listener != nil {
+		_ = l.listener.Close() // fails only if it is closed already
+	}
 }
 
 func newClientServer(handler http.Handler) *clientServer {
@@ -120,7 +148,7 @@
 		return errors.WithStack(err)
 	}
 	listener = s.tracker.wrapListener(listener)
-	s.listener.Store(&listener)
+	s.listener.open(listener)
 	if tlsConfig != nil {
 		listener = tls.NewListener(listener, tlsConfig)
 	}
@@ -149,7 +177,5 @@
 // end with their current request.
 func (s *clientServer) closeGracefully() {
 	s.tracker.closeGracefully()
-	if listener := s.listener.Load(); listener != nil {
-		_ = (*listener).Close() // fails only if it is closed already
-	}
+	s.listener.close()
 }
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -58,14 +57,13 @@
 
 // relayProcess is a process with a relay.Entry.
 type relayProcess struct {
-	options      RelayOptions
-	logger       *log.Logger
-	registry     metrics.Registry
-	entry        *relay.Entry
-	clientServer *http.Server
-	connTracker  *connTracker
-	// clientListener is set once the entry accepts clients.
-	clientListener atomic.Pointer[net.Listener]
+	options        RelayOptions
+	logger         *log.Logger
+	registry       metrics.Registry
+	entry          *relay.Entry
+	clientServer   *http.Server
+	connTracker    *connTracker
+	clientListener drainableListener
 }
 
 // RunRelay runs a relay.Entry with its listeners until it has shut down.
@@ -128,9 +126,7 @@
 	case stateDraining:
 		// http.Server.Shutdown would drop requests that are read after it, so only the
 		// listener is closed.
-		if listener := p.clientListener.Load(); listener != nil {
-			_ = (*listener).Close() // fails only if it is closed already
-		}
+		p.clientListener.close()
 	}
 }
 
@@ -212,7 +208,7 @@
 	}
 	if server == p.clientServer {
 		listener = p.connTracker.wrapListener(listener)
-		p.clientListener.Store(&listener)
+		p.clientListener.open(listener)
 	}
 	server.ErrorLog = stdlog.New(io.Discard, "", 0)
 	stop := context.AfterFunc(ctx, func() { shutdown(ctx, server) })
--- a/daemon/stop_test.go
+++ b/daemon/stop_test.go
@@ -15,6 +15,8 @@
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
+	metrics "github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
 	"github.com/sapphirefield/sapphirefield/config"
@@ -166,3 +168,21 @@
 	assert.Equal(t, readResponse(t, early).StatusCode, http.StatusBadGateway)
 	<-ended
 }
+
+// Guards against an entry that gets SIGTERM in the moment of its start, opens its listener
+// afterwards, and drops what it accepts when it ends.
+func TestRelayStoppedBeforeItListens(t *testing.T) {
+	p := &relayProcess{entry: relay.New(relay.Options{Logger: &log.Logger{Level: log.PanicLevel}, Metrics: metrics.NewRegistry(), Random: newRandom()})}
+	p.connTracker = newConnTracker(func() (header, idle time.Duration) { return 0, 0 })
+	p.clientServer = &http.Server{Handler: p.entry}
+	p.onStateChange(stateDraining)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error)
+	address := freeAddress(t)
+	go func() { ended <- p.listenAndServe(ctx, address, p.clientServer) }()
+	time.Sleep(50 * time.Millisecond)
+	_, err := net.Dial("tcp4", address.String())
+	assert.ErrorIs(t, err, syscall.ECONNREFUSED)
+	cancel()
+	assert.ErrorIs(t, <-ended, context.Canceled)
+}
