daemon: a process that cuts requests off waits until their answers are written

Callers would see a connection closed without an answer where a stop comes to its limit: a request counts as ended when its handler returns, and http.Server sends the end of the answer after that.

Change: the wait at the end also looks at the connections that carry a request.

--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -87,10 +87,13 @@
 // answerCheckInterval is the time between two checks for requests that end.
 const answerCheckInterval = 5 * time.Millisecond
 
-// awaitAnswers waits for a while until no request is in progress.
-func awaitAnswers(work interface{ InProgress() int }, limit time.Duration) {
-	for until := time.Now().Add(limit); work.InProgress() > 0 && time.Now().Before(until); {
-		time.Sleep(answerCheckInterval)
+// awaitAnswers waits for a while until no request is in progress and no answer is being
+// written: http.Server sends the end of an answer after its handler has returned.
+func awaitAnswers(work interface{ InProgress() int }, tracker *connTracker, limit time.Duration) {
+	for until := time.Now().Add(limit); time.Now().Before(until); time.Sleep(answerCheckInterval) {
+		if work.InProgress() == 0 && tracker.requestsArriving() == 0 {
+			return
+		}
 	}
 }
 
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -123,7 +123,7 @@
 func (r *entryRole) endRequests() {
 	if server := r.entry(); server != nil {
 		server.EndRequests()
-		awaitAnswers(server, answerTime)
+		awaitAnswers(server, r.clients.tracker, answerTime)
 	}
 }
 
--- a/daemon/lifecycle_test.go
+++ b/daemon/lifecycle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"os"
 	"sync/atomic"
 	"syscall"
@@ -115,6 +116,30 @@
 	})
 }
 
+// Guards against a process that ends in the moment between the return of a request's
+// handler and the sending of its answer.
+func TestAnswersAreWrittenBeforeTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := newConnTracker(func() (header, idle time.Duration) { return 0, 0 })
+		local, remote := net.Pipe()
+		defer remote.Close()
+		answering := &trackedConn{Conn: local, timeouts: tracker.timeouts, active: true}
+		tracker.conns[answering] = struct{}{}
+		done := make(chan struct{})
+		go func() {
+			awaitAnswers(&fakeDrainer{}, tracker, time.Second)
+			close(done)
+		}()
+		time.Sleep(10 * answerCheckInterval)
+		synctest.Wait()
+		assert.Assert(t, !isClosed(done), "the process does not wait for the answer")
+		answering.setIdle()
+		time.Sleep(2 * answerCheckInterval)
+		synctest.Wait()
+		assert.Assert(t, isClosed(done))
+	})
+}
+
 // Guards against a drain that continues after its configured timeout.
 func TestDrainTimeout(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -138,7 +138,7 @@
 // endRequests ends the requests in progress and waits until they are answered.
 func (p *relayProcess) endRequests() {
 	p.entry.EndRequests()
-	awaitAnswers(p.entry, relayAnswerTime)
+	awaitAnswers(p.entry, p.connTracker, relayAnswerTime)
 }
 
 func (p *relayProcess) handleReloads(ctx context.Context) error {
