relay: a stream that waits for its successor goes on asking its engine

Left by, seen on reading it again: the watch of a stream whose first engine is known to answer nothing returned before the query for stalled engines, so that the loss of an engine was not found by streams that may not be repeated. Tests of package relay (streams, silence, stalls, crashes, with the race detector) passed on it.

--- a/relay/watch.go
+++ b/relay/watch.go
@@ -52,9 +52,10 @@
 // events rather than bytes, because a broken engine may send comments or parts
 // of an event without end.
 //
-// It abandons the attempt only once a successor has been accepted. A silent engine
-// may still continue, and the client disconnects by itself if it doesn't. A stream that still sends bytes, but no event, would keep such a
-// client and the engine busy until the deadline, so it is broken off.
+// It abandons the attempt only once a successor has been accepted. A silent engine may
+// still continue, and the client disconnects by itself if it doesn't. A stream that still
+// sends bytes, but no event, would keep such a client and the engine busy until the
+// deadline, so it is broken off.
 type eventWatch struct {
 	*attempt
 	ctx context.Context
@@ -132,7 +133,7 @@
 func (w *eventWatch) findReason() error {
 	reason := w.rerouteAroundSuspects(w.ctx)
 	if w.shouldMoveInTime() {
-		return errStreamStalled
+		reason = errStreamStalled
 	}
 	if !w.queryIsOver() {
 		return reason
