relay: a successor's limits are asked of package retry, its path is stated once

Found on reading the whole change again; behaviour is as before. mayGiveUp wrote the limits on refusals and unsent attempts out, which retry.Limits.Allow states, and built the same path request twice, with two copies of the servers to avoid.

--- a/relay/successor.go
+++ b/relay/successor.go
@@ -10,6 +10,7 @@
 
 	"github.com/sapphirefield/sapphirefield/netpeek"
 	"github.com/sapphirefield/sapphirefield/pipeline"
+	"github.com/sapphirefield/sapphirefield/retry"
 )
 
 // pauseCheckInterval is the time between two looks at a silent attempt while a successor is
@@ -30,13 +31,14 @@
 		return true
 	}
 	limits := a.streamLimits()
-	if a.attempts.Unsent >= limits.Unsent || a.attempts.Refused > limits.Refusals || !a.canRetry() {
+	if !limits.Allow(a.attempts, retry.Unsent, true) || !limits.Allow(a.attempts, retry.Refused, true) || !a.canRetry() {
 		return false
 	}
-	if a.hasInput() || !a.hasAlternativePath() {
+	if a.hasInput() {
 		return false
 	}
-	return a.startSuccessor(ctx)
+	req := a.alternativePath()
+	return a.fleet.hasPath(time.Now(), a.revision, a.target, req) && a.startSuccessor(ctx, req)
 }
 
 // hasInput reports whether the first engine has sent bytes that have not been read yet, or
@@ -45,11 +47,8 @@
 	return a.x.conn.reader.Buffered() > 0 || netpeek.Peek(a.x.conn.Conn) == netpeek.HasData
 }
 
-// hasAlternativePath reports whether another attempt would find a path now.
-func (a *attempt) hasAlternativePath() bool {
-	return a.fleet.hasPath(time.Now(), a.revision, a.target, a.alternativePath())
-}
-
+// alternativePath returns what another attempt asks for: the rest of the request through
+// another first engine.
 func (a *attempt) alternativePath() pipeline.RelayRequest {
 	req := a.pathRequest()
 	if req.AnswerStarted = a.headerSent; !a.headerSent {
@@ -60,10 +59,10 @@
 	return req
 }
 
-// startSuccessor starts another attempt beside this one, and reports whether its engine has
+// startSuccessor starts another attempt on a path beside this one, and reports whether its engine has
 // accepted it. It gives up as soon as this attempt goes on.
-func (a *attempt) startSuccessor(ctx context.Context) bool {
-	hops, reserved, err := a.fleet.choosePath(time.Now(), a.revision, a.target, a.team, a.alternativePath())
+func (a *attempt) startSuccessor(ctx context.Context, req pipeline.RelayRequest) bool {
+	hops, reserved, err := a.fleet.choosePath(time.Now(), a.revision, a.target, a.team, req)
 	if err != nil {
 		return false
 	}
