--- a/cmd/sapphiredev/main.go
+++ b/cmd/sapphiredev/main.go
@@ -15,6 +15,7 @@
 	"github.com/sapphirefield/sapphirefield/demo"
 	"github.com/sapphirefield/sapphirefield/demo/local"
 	"github.com/sapphirefield/sapphirefield/experiment/capacity"
+	"github.com/sapphirefield/sapphirefield/experiment/compare"
 	"github.com/sapphirefield/sapphirefield/experiment/control"
 	"github.com/sapphirefield/sapphirefield/experiment/fleet"
 	"github.com/sapphirefield/sapphirefield/experiment/load"
@@ -29,7 +30,7 @@
 		ShortUsage: "sapphiredev <subcommand> [flags]",
 		Subcommands: []*ffcli.Command{
 			demoCommand(), local.Command(), load.Command(),
-			fleet.Command(), overload.Command(), fuzz.Command(), capacity.Command(), control.Command(), soak.Command(),
+			fleet.Command(), overload.Command(), fuzz.Command(), capacity.Command(), control.Command(), soak.Command(), compare.Command(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
