--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/link"
 	"github.com/sapphirefield/sapphirefield/logevent"
+	"github.com/sapphirefield/sapphirefield/memlimit"
 	"github.com/sapphirefield/sapphirefield/wire"
 )
 
@@ -73,7 +74,8 @@
 	activeRequests requestTracker
 	cachedIndex    atomic.Pointer[configIndex]
 	planner        plannerRole
-	responseMemory responseMemory
+	// responseMemory counts the bytes of buffered responses beyond those that are free.
+	responseMemory memlimit.Counter
 
 	// ended is done once EndRequests has been called.
 	ended context.Context
--- a/entry/responsememory.go
+++ b/entry/responsememory.go
@@ -1,7 +1,5 @@
 package entry
 
-import "sync/atomic"
-
 const (
 	// maxResponseMemory bounds the memory of all buffered responses together. Broken servers
 	// that answer many calls without end would otherwise exhaust the process.
@@ -11,25 +9,13 @@
 	freeResponseBytes = 256 << 10
 )
 
-// responseMemory counts the bytes of buffered responses beyond those that are free.
-type responseMemory struct{ used atomic.Int64 }
-
-// grow changes what a response holds, and reports whether there is memory for it.
-func (m *responseMemory) grow(from, to int64) bool {
-	if m.used.Add(to-from) <= maxResponseMemory {
-		return true
-	}
-	m.used.Add(from - to)
-	return false
-}
-
 // holdMemory reports whether the call's response may grow to a size.
 func (c *unaryCall) holdMemory(size int) bool {
 	needed := int64(size - freeResponseBytes)
 	if needed <= c.heldMemory {
 		return true
 	}
-	if !c.server.responseMemory.grow(c.heldMemory, needed) {
+	if !c.server.responseMemory.Resize(c.heldMemory, needed, maxResponseMemory) {
 		return false
 	}
 	c.heldMemory = needed
@@ -38,6 +24,6 @@
 
 // releaseMemory ends the use of the call's response.
 func (c *unaryCall) releaseMemory() {
-	c.server.responseMemory.grow(c.heldMemory, 0)
+	c.server.responseMemory.Resize(c.heldMemory, 0, maxResponseMemory)
 	c.heldMemory = 0
 }
--- a/relay/body.go
+++ b/relay/body.go
@@ -2,10 +2,11 @@
 
 import (
 	"io"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/sapphirefield/sapphirefield/memlimit"
 )
 
 const (
@@ -23,7 +24,7 @@
 
 // bodyMemory counts the memory of request bodies, by the capacity of their
 // buffers.
-type bodyMemory struct{ used atomic.Int64 }
+type bodyMemory struct{ memlimit.Counter }
 
 // read reads a body. The returned buffer counts until it is released, also when
 // there is an error.
@@ -49,8 +50,7 @@
 func (m *bodyMemory) grow(body []byte) ([]byte, error) {
 	size := max(2*cap(body), minBodyBuffer)
 	// Both buffers exist during the copy.
-	if m.used.Add(int64(size)) > maxBodyMemory {
-		m.used.Add(-int64(size))
+	if !m.Resize(0, int64(size), maxBodyMemory) {
 		return body, errNoBodyMemory
 	}
 	grown := append(make([]byte, 0, size), body...)
@@ -59,4 +59,4 @@
 }
 
 // release ends the use of a body.
-func (m *bodyMemory) release(body []byte) { m.used.Add(-int64(cap(body))) }
+func (m *bodyMemory) release(body []byte) { m.Resize(int64(cap(body)), 0, maxBodyMemory) }
--- a/relay/body_test.go
+++ b/relay/body_test.go
@@ -25,14 +25,14 @@
 	body, err := m.read(iotest.HalfReader(bytes.NewReader(want)))
 	assert.NilError(t, err)
 	assert.DeepEqual(t, body, want)
-	assert.Equal(t, m.used.Load(), int64(cap(body)))
+	assert.Equal(t, m.Used(), int64(cap(body)))
 	m.release(body)
-	assert.Equal(t, m.used.Load(), int64(0))
+	assert.Equal(t, m.Used(), int64(0))
 
 	body, err = m.read(iotest.TimeoutReader(bytes.NewReader(want)))
 	assert.ErrorIs(t, err, iotest.ErrTimeout)
 	m.release(body)
-	assert.Equal(t, m.used.Load(), int64(0))
+	assert.Equal(t, m.Used(), int64(0))
 }
 
 // Guards against callers whose bodies exhaust the memory of the entry: they are
@@ -40,21 +40,21 @@
 func TestBodiesBeyondMemoryAreRefused(t *testing.T) {
 	b := newBackend(t, respond(200, "answer"))
 	e := newTestEntry(t, unaryRoute(config.CallAtMostOnce), b)
-	e.bodyMemory.used.Store(maxBodyMemory)
+	assert.Assert(t, e.bodyMemory.Resize(0, maxBodyMemory, maxBodyMemory))
 	response, body, err := e.send(t, http.MethodPost)
 	assert.NilError(t, err)
 	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
 	assert.Equal(t, response.Header.Get("Retry-After"), "0.5")
 	assert.Assert(t, strings.Contains(body, `"executed":"no"`))
 	assert.Equal(t, b.count(), 0)
-	assert.Equal(t, e.bodyMemory.used.Load(), int64(maxBodyMemory))
+	assert.Equal(t, e.bodyMemory.Used(), int64(maxBodyMemory))
 
-	e.bodyMemory.used.Store(0)
+	e.bodyMemory.Resize(maxBodyMemory, 0, maxBodyMemory)
 	response, _, err = e.send(t, http.MethodPost)
 	assert.NilError(t, err)
 	assert.Equal(t, response.StatusCode, http.StatusOK)
 	e.server.Close()
-	assert.Equal(t, e.bodyMemory.used.Load(), int64(0))
+	assert.Equal(t, e.bodyMemory.Used(), int64(0))
 }
 
 // Guards against a caller that never ends its body and so holds its request
