soak: the word of a leaving server is laid to the server that has said it

Either the check or the entry could be wrong.

Cause: the check. It laid the header of an answer to the server that ran the request last. A stream whose server breaks off, or is silent, runs at a second one; its client has the header of the first. The check then held each later request at the second server to be a violation.

Evidence: TestWordOfLeavingServerIsItsOwn failed on the check before ("executed on i-app-a-2, which had told e/1 4.0 s before": app-a-1 had said it).

The new check is as strict: servers name themselves in each answer, and the word counts for that server alone. A word whose server did not say it, or did not run the request, is now a violation of its own; before, nothing judged that.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -52,7 +52,7 @@
 }
 
 func (testCodec) ParseResponse(h http.Header) ResponseInfo {
-	return ResponseInfo{ID: h.Get("Id"), NotExecuted: h.Get("Not-Run") != "", Signed: h.Get("Signed") != "", FailedAddress: h.Get("Culprit"), RetryAfter: h.Get("Retry-After"), RateLimit: h.Get("Limit")}
+	return ResponseInfo{ID: h.Get("Id"), NotExecuted: h.Get("Not-Run") != "", Signed: h.Get("Signed") != "", FailedAddress: h.Get("Culprit"), RetryAfter: h.Get("Retry-After"), RateLimit: h.Get("Limit"), Leaving: h.Get("Leaving") != ""}
 }
 
 // testEngines returns configured reports and records reroutes.
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -133,7 +134,7 @@
 	served := c.checkResponse(clientRequest, response, string(body), err)
 	c.report.recordRequest(sentAt, served)
 	c.checkExecutions(clientRequest, c.entries[entryIndex], sentAt)
-	c.checkLeaving(clientRequest, c.entries[entryIndex], sentAt, response.Header.Get(platformtest.HeaderLeaving) != "")
+	c.checkLeaving(clientRequest, c.entries[entryIndex], sentAt, response.Header)
 	if served && strings.HasPrefix(clientRequest.Target, platformtest.PathAlternating) {
 		c.checkActiveRevision(clientRequest.ID, c.entries[entryIndex], processNumber, sentAt)
 	}
@@ -193,9 +194,24 @@
 	told map[string]map[string]time.Time // by process and server
 }
 
+// recordTold records that a process has been told by a server that it is leaving.
+func (t *leavingTracker) recordTold(process, server string) {
+	if t.told == nil {
+		t.told = map[string]map[string]time.Time{}
+	}
+	if t.told[process] == nil {
+		t.told[process] = map[string]time.Time{}
+	}
+	if t.told[process][server].IsZero() {
+		t.told[process][server] = time.Now()
+	}
+}
+
 // checkLeaving checks that a request was not sent to a server that had told the same
-// process long before that it is leaving, and records what this response tells.
-func (c *loadClient) checkLeaving(request platformtest.ClientRequest, e *entry, sentAt time.Time, saysLeaving bool) {
+// process long before that it is leaving, and records what this answer tells. The word must
+// be that of the server which names itself in the answer: the request may have run at others
+// too, before or after.
+func (c *loadClient) checkLeaving(request platformtest.ClientRequest, e *entry, sentAt time.Time, answer http.Header) {
 	executions := c.fleet.Executions(request.ID)
 	t := &c.leavingServers
 	t.mu.Lock()
@@ -206,18 +222,16 @@
 			c.report.addViolation("leaving", "%s: executed on %s, which had told %s %s before", request.ID, execution.Server, request.Entry, sentAt.Sub(at))
 		}
 	}
-	if !saysLeaving || len(executions) == 0 {
+	if answer.Get(platformtest.HeaderLeaving) == "" {
 		return
 	}
-	if t.told == nil {
-		t.told = map[string]map[string]time.Time{}
-	}
-	if t.told[request.Entry] == nil {
-		t.told[request.Entry] = map[string]time.Time{}
-	}
-	if server := executions[len(executions)-1].Server; t.told[request.Entry][server].IsZero() {
-		t.told[request.Entry][server] = time.Now()
+	server := answer.Get(platformtest.HeaderServer)
+	saidBy := func(execution platformtest.Execution) bool { return execution.Server == server && execution.Leaving }
+	if !slices.ContainsFunc(executions, saidBy) {
+		c.report.addViolation("leaving", "%s: the client was told by %s that %q is leaving, which did not say so", request.ID, request.Entry, server)
+		return
 	}
+	t.recordTold(request.Entry, server)
 }
 
 func expectedStream(request platformtest.ClientRequest) string {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -211,3 +211,49 @@
 	send()
 	assert.Equal(t, violations, 1)
 }
+
+// Guards against a check that lays the word of a leaving server to another one, at which the
+// request ran later, and against one that misses a false word.
+func TestWordOfLeavingServerIsItsOwn(t *testing.T) {
+	r := newTestRun()
+	r.fleet.OnViolation = func(string, string) {} // the requests come without an entry
+	c, e := r.newLoadClient(1), &entry{}
+	var servers []*platformtest.App
+	for range 2 {
+		app, err := r.fleet.StartApp(platformtest.ServiceA, "a", r.newRand(3), func(address string) string { return address })
+		assert.NilError(t, err)
+		defer app.Crash()
+		servers = append(servers, app)
+	}
+	leaving, staying := servers[0], servers[1]
+	leaving.StartLeaving()
+	send := func(id string, to *platformtest.App) (platformtest.ClientRequest, http.Header) {
+		request := platformtest.ClientRequest{ID: id, Method: http.MethodGet, Target: platformtest.PathIdempotent, Timeout: time.Second, Entry: "e/1"}
+		sent, err := request.HTTPRequest(t.Context(), "http://"+to.Address())
+		assert.NilError(t, err)
+		sent.Header.Set("X-Expect-Instance", to.ID())
+		response, err := http.DefaultClient.Do(sent)
+		assert.NilError(t, err)
+		response.Body.Close()
+		return request, response.Header
+	}
+	violations := func() int { return len(r.report.Violations()) }
+	request, answer := send("both", leaving)
+	send("both", staying)
+	c.checkLeaving(request, e, time.Now(), answer)
+	later := time.Now().Add(2 * drainPropagationLimit)
+	request, answer = send("staying", staying)
+	c.checkLeaving(request, e, later, answer)
+	assert.Equal(t, violations(), 0, "%v", r.report)
+
+	request, answer = send("leaving", leaving)
+	c.checkLeaving(request, e, later, answer)
+	assert.Equal(t, violations(), 1, "%v", r.report)
+	request, answer = send("false", staying)
+	for _, server := range []string{staying.ID(), leaving.ID(), ""} {
+		answer.Set(platformtest.HeaderLeaving, "1")
+		answer.Set(platformtest.HeaderServer, server)
+		c.checkLeaving(request, e, time.Now(), answer)
+	}
+	assert.Equal(t, violations(), 4, "%v", r.report)
+}
