relay: a stream ends with its time, whatever is still to be found out about its engine

Cause: an attempt that ends without its answer asks whether its engine has crashed, so that the next attempt is not the next crash. It waited for that without regard to the request's time: up to 0.48 s for one query, and for two of them if another stream's was under way. The engine changes, its connection ends shortly before the end of the time, and the stream goes on beyond it, with its room.

Evidence: TestNothingOutlivesTimeOfRequest, with an engine, server or client that does not answer at each place where a request waits, each with a time of 1 s and of 0.1 s. Without the change three of its cases went on for 0.38, 0.38 and 0.64 s after the end. All end in time now.

The request waits until its context ends, as everywhere else. What is found out for the fleet goes on without it, with copies of what it needs.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -138,7 +138,7 @@
 		a.x.close()
 	}
 	if ctx.Err() == nil {
-		a.reportCrash(err)
+		a.reportCrash(ctx, err)
 	} else if head, known := a.headServer(); known && a.soundAt.IsZero() {
 		a.reportLeft(head)
 	}
@@ -150,23 +150,24 @@
 
 // reportCrash suspects the prompt's parts if the first engine has crashed before it
 // answered for long. If the engine responds, its next record shows whether it has
-// restarted. Another attempt may follow, so it waits until that is known.
-func (a *attempt) reportCrash(err error) {
+// restarted. Another attempt may follow, so it waits until that is known, as long as the
+// request's time lasts.
+func (a *attempt) reportCrash(ctx context.Context, err error) {
 	parts := a.suspectParts()
 	if !a.soundAt.IsZero() || !a.crashes.hasUnknownPart(time.Now(), parts) {
 		return
 	}
-	if a.verifySuspect(a.head.id, a.hops[0].Address) {
-		a.crashes.recordCrash(time.Now(), a.info.ID, a.head, parts)
-		return
-	}
-	if a.stallChecker.startTimeMillis(a.hops[0].Address) > a.head.startTimeMillis {
-		a.crashes.recordCrash(time.Now(), a.info.ID, a.head, parts)
-		return
-	}
-	if head, known := a.headServer(); known && netpeek.IsConnectionEnd(err) {
-		a.crashes.recordEnd(time.Now(), head, a.info.ID, parts)
-	}
+	e, request, head, address := a.Entry, a.info.ID, a.head, a.hops[0].Address
+	server, known := a.headServer()
+	hasEnded := known && netpeek.IsConnectionEnd(err)
+	awaitWhile(ctx, func() {
+		switch {
+		case e.verifySuspect(head.id, address), e.stallChecker.startTimeMillis(address) > head.startTimeMillis:
+			e.crashes.recordCrash(time.Now(), request, head, parts)
+		case hasEnded:
+			e.crashes.recordEnd(time.Now(), server, request, parts)
+		}
+	})
 }
 
 // headServer returns the process of the first engine to which the request was sent.
--- a/relay/crashes_test.go
+++ b/relay/crashes_test.go
@@ -204,7 +204,7 @@
 		e.fleet.setServers(time.Now(), map[string]Server{"s": restarted})
 		q := &request{Entry: e, info: RequestInfo{PromptParts: []string{"part"}}, avoid: map[string]bool{}, contentPart: "content"}
 		a := &attempt{streamRequest: &streamRequest{request: q}, head: crashedEngine{"s", head.StartTimeMillis}, hops: []pipeline.Hop{{Engine: "s"}}}
-		a.reportCrash(io.EOF)
+		a.reportCrash(t.Context(), io.EOF)
 		time.Sleep(2 * decideInterval)
 		assert.Assert(t, e.crashes.active.Load())
 		cancel()
--- /dev/null
+++ b/relay/requestend_test.go
@@ -0,0 +1,244 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/phuslu/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/sapphirefield/sapphirefield/config"
+	"github.com/sapphirefield/sapphirefield/membership"
+	"github.com/sapphirefield/sapphirefield/pipeline"
+	"github.com/sapphirefield/sapphirefield/placement"
+)
+
+const (
+	// testRequestTime is a request's time in these tests, and lateTime how long after its
+	// begin something happens shortly before the end.
+	testRequestTime = time.Second
+	lateTime        = testRequestTime - 20*time.Millisecond
+	// endLimit is how long after its end a request may still be in progress.
+	endLimit = 100 * time.Millisecond
+	// testLimit is how long what never answers is waited for.
+	testLimit = time.Minute
+)
+
+// mutePlatform answers neither status queries nor orders, nor is its store read.
+type mutePlatform struct{ muteEngines }
+
+func (*mutePlatform) Reroute(ctx context.Context, _ Server, _ string, _ []pipeline.Hop) (OrderOutcome, error) {
+	<-ctx.Done()
+	return OrderUnknown, ctx.Err()
+}
+
+type muteStore struct{ *scriptedStore }
+
+func (muteStore) ReadLatest(ctx context.Context, _ Topic) (RecordBatch, error) {
+	<-ctx.Done()
+	return RecordBatch{}, ctx.Err()
+}
+
+// endingClient is a client that stops sending or reading.
+type endingClient struct {
+	header          http.Header
+	reads           bool
+	readEnd, sendBy chan struct{}
+	writeBy         time.Time
+}
+
+func newEndingClient() *endingClient {
+	return &endingClient{header: http.Header{}, reads: true, sendBy: make(chan struct{})}
+}
+
+func (c *endingClient) Header() http.Header { return c.header }
+func (c *endingClient) WriteHeader(int)     {}
+func (c *endingClient) Flush()              {}
+
+func (c *endingClient) Write(p []byte) (int, error) {
+	if c.reads {
+		return len(p), nil
+	}
+	wait := testLimit
+	if !c.writeBy.IsZero() {
+		wait = time.Until(c.writeBy)
+	}
+	time.Sleep(wait)
+	return 0, os.ErrDeadlineExceeded
+}
+
+func (c *endingClient) SetWriteDeadline(t time.Time) error {
+	c.writeBy = t
+	return nil
+}
+
+func (c *endingClient) SetReadDeadline(time.Time) error {
+	close(c.sendBy)
+	return nil
+}
+
+// unsentBody is a body that does not arrive.
+type unsentBody struct{ *endingClient }
+
+func (b unsentBody) Read([]byte) (int, error) {
+	<-b.sendBy
+	return 0, os.ErrDeadlineExceeded
+}
+
+// lateEnd sends an event, or the begin of a long answer, and ends the connection shortly
+// before the request's time is over.
+func lateEnd(head string) script {
+	return func(_ *backend, r *http.Request, conn net.Conn) bool {
+		write(conn, "%s", fmt.Sprintf(head, r.Header.Get("Id")))
+		time.Sleep(lateTime)
+		return false
+	}
+}
+
+const (
+	unframedHead = "HTTP/1.1 200 OK\nId: %s\nSigned: 1\nContent-Type: text/event-stream\n\n"
+	longHead     = "HTTP/1.1 200 OK\nId: %s\nSigned: 1\nContent-Length: 1000000\n\n"
+)
+
+// endless sends data without end.
+func endless(head, data string) script {
+	return func(_ *backend, r *http.Request, conn net.Conn) bool {
+		write(conn, "%s", fmt.Sprintf(head, r.Header.Get("Id")))
+		for i := 1; ; i++ {
+			if _, err := io.WriteString(conn, fmt.Sprintf(data, i)); err != nil {
+				return false
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+// Guards against a request that goes on after its time is over, because it waits for an
+// engine, a server, the store or its client.
+func TestNothingOutlivesTimeOfRequest(t *testing.T) {
+	stream, call := streamRoute(true), unaryRoute(config.CallIdempotent)
+	dialNever := func(e *Entry, _ *endingClient) {
+		e.pool.dial = func(ctx context.Context, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+	}
+	for name, test := range map[string]struct {
+		route   config.Route
+		handle  script
+		prepare func(e *Entry, c *endingClient)
+	}{
+		"engine accepts no connection":       {stream, hang, dialNever},
+		"engine is silent":                   {stream, hang, nil},
+		"engine is lost late":                {stream, lateEnd(streamHeader), nil},
+		"engine is lost late after an event": {stream, lateEnd(streamHeader + "10\nid: 1\ndata: xx\n\n\n"), nil},
+		"engine ends a stream late":          {stream, lateEnd(unframedHead + "id: 1\ndata: x\n\n"), nil},
+		"engine refuses":                     {stream, refuse, nil},
+		"engine ends each stream at once":    {stream, reset, nil},
+		"no engine":                          {stream, hang, func(e *Entry, _ *endingClient) { e.fleet.setServers(time.Now(), nil) }},
+		"engines have no room": {stream, hang, func(e *Entry, _ *endingClient) {
+			e.fleet.reserve(map[string]usage{"s0": {usedSlots: 10}, "s1": {usedSlots: 10}})
+		}},
+		"later engine is lost":         {stream, lateEnd(streamHeader), func(e *Entry, _ *endingClient) { e.loseLaterEngineLate() }},
+		"server accepts no connection": {call, hang, dialNever},
+		"server is silent":             {call, hang, nil},
+		"server is lost late":          {call, lateEnd(longHead), nil},
+		"server goes on without end":   {call, endless(longHead, strings.Repeat("x", 10)+"%d"), nil},
+		"servers refuse":               {call, refuse, nil},
+		"body does not arrive":         {call, hang, func(_ *Entry, c *endingClient) { c.readEnd = make(chan struct{}) }},
+	} {
+		for _, timeout := range []time.Duration{testRequestTime, testRequestTime / 10} {
+			t.Run(fmt.Sprintf("%s, %s", name, timeout), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					route := test.route
+					route.Timeout = timeout
+					e, client := newBubbleEntry(t, route, test.handle), newEndingClient()
+					if test.prepare != nil {
+						test.prepare(e, client)
+					}
+					over := serveUntilEnd(t, e, client)
+					assert.Assert(t, over <= timeout+endLimit, "went on for %s after its end", over-timeout)
+				})
+			})
+		}
+	}
+}
+
+// serveUntilEnd sends a request to an entry and returns how long it was in progress.
+func serveUntilEnd(t *testing.T, e *Entry, client *endingClient) time.Duration {
+	var body io.Reader = strings.NewReader("body")
+	if client.readEnd != nil {
+		body = unsentBody{client}
+	}
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://h/x", body)
+	assert.NilError(t, err)
+	r.RequestURI = r.URL.RequestURI()
+	r.Header.Set("Id", "id")
+	r.Header.Set("Key", testKey)
+	started := time.Now()
+	func() {
+		defer func() {
+			if p := recover(); p != nil && !errors.Is(p.(error), http.ErrAbortHandler) {
+				panic(p)
+			}
+		}()
+		e.ServeHTTP(client, r)
+	}()
+	over := time.Since(started)
+	time.Sleep(testLimit) // what goes on without the request
+	e.pool.closeExpired(time.Now().Add(time.Hour))
+	return over
+}
+
+// newBubbleEntry returns an entry for tests whose time is not real. Its two servers handle
+// requests with the same script; nothing else answers.
+func newBubbleEntry(t *testing.T, route config.Route, handle script) *Entry {
+	platform := &mutePlatform{}
+	e := New(Options{
+		Settings: Settings{Instance: "e", RetryRatio: 0.2, RetryExtra: 1000, RetryWindow: 10 * time.Second}, Store: muteStore{newScriptedStore()},
+		Engines: platform, HeaderCodec: testCodec{}, Logger: &log.Logger{Level: log.PanicLevel}, Random: rand.New(rand.NewPCG(1, 2)),
+	})
+	e.applyTestConfiguration(route)
+	servers := map[string]Server{}
+	for _, id := range []string{"s0", "s1"} {
+		servers[id] = Server{
+			Instance: membership.Instance{ID: id, Service: route.Targets[0].Backend, Zone: "a", Address: id},
+			Slots:    10, Accelerator: "gpu", Layers: placement.Range{First: 0, Limit: 8},
+		}
+	}
+	e.fleet.setServers(time.Now(), servers)
+	e.fleet.startedAt, e.stallChecker.startedAt = time.Now().Add(-settleTime), time.Now().Add(-settleTime)
+	e.pool.dial = func(context.Context, string) (net.Conn, error) {
+		ours, theirs := net.Pipe()
+		go (&backend{}).serve(theirs, handle)
+		return ours, nil
+	}
+	return e
+}
+
+// loseLaterEngineLate gives the model paths of two engines, of which the second is lost
+// shortly before the end of the request.
+func (e *Entry) loseLaterEngineLate() {
+	servers := e.fleet.snapshot()
+	for id, layers := range map[string]placement.Range{"s0": {First: 0, Limit: 4}, "s1": {First: 4, Limit: 8}, "s2": {First: 4, Limit: 8}} {
+		s := servers["s0"]
+		s.ID, s.Address, s.Layers = id, id, layers
+		servers[id] = s
+	}
+	e.fleet.setServers(time.Now(), servers)
+	time.AfterFunc(lateTime, func() {
+		for _, id := range []string{"s1", "s2"} {
+			e.fleet.markLost(time.Now(), id)
+		}
+	})
+}
--- a/relay/stopping.go
+++ b/relay/stopping.go
@@ -67,5 +67,19 @@
 	}
 }
 
+// awaitWhile runs work that is not for one request alone, and waits for it until ctx ends. The
+// work goes on then, so it must not use what belongs to the request.
+func awaitWhile(ctx context.Context, work func()) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		work()
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
 // isEnded reports whether the process ends, which cuts off all requests.
 func (s *shutdown) isEnded() bool { return s.ended.Err() != nil }
