relay: a client that does not read holds its request no longer than the request's time

A client that stops reading kept its request in progress, a planned stop waiting for it, and the room of the engines counted, until it left.

Cause: writes to clients had no limit. The end of the time closes the connection to the engine, but a handler that waits in a write does not notice.

Evidence: the four cases "client does not read" of TestNothingOutlivesTimeOfRequest, with a time of 1 s and of 0.1 s, went on for the whole minute that the test waits; TestClientThatDoesNotReadIsLeftInTime, on real sockets, still had the request after four times its time.

Writes now end with the request's time; a request whose time is over has 50 ms more for its last answer. net/http lifts the limit for the next request of the connection, which the second test checks. Refusals before the route and its time are known stay without a limit, as what a pipelining client has not read yet may fill the connection.

--- a/relay/request.go
+++ b/relay/request.go
@@ -156,6 +156,7 @@
 	}
 	timeout := q.route.EffectiveTimeout(q.info.Timeout)
 	q.deadline, q.bootDeadline = q.started.Add(timeout), bootclock.Now().Add(timeout)
+	q.limitWriting()
 	if p := q.refuseWhileStopping(); p != nil {
 		return p
 	}
@@ -268,12 +269,30 @@
 	if q.r.Context().Err() != nil && !q.bodyTimedOut {
 		q.outcome = outcomeClientGone
 	}
+	if !q.deadline.IsZero() {
+		q.limitWriting()
+	}
 	// The context also ends when a client closes only its sending side, and such a
 	// client still reads the response.
 	p.Write(q.w)
 	q.responded = true
 }
 
+// maxFinalWrite is how long after the end of its time a request still writes to its client.
+const maxFinalWrite = 50 * time.Millisecond
+
+// limitWriting ends writes to a client that does not read when the request's time is over.
+// They would hold the request, and the room of its engines, for as long as the client likes.
+// A request whose time is over already has time left for its last answer.
+func (q *request) limitWriting() {
+	end := time.Now()
+	if q.deadline.After(end) {
+		end = q.deadline
+	}
+	// Without support for deadlines, the end of the connection remains.
+	_ = http.NewResponseController(q.w).SetWriteDeadline(end.Add(maxFinalWrite))
+}
+
 // buildOutbound returns the request to send to a server.
 func (q *request) buildOutbound(info ForwardInfo) *outboundRequest {
 	header := endToEndHeader(q.r.Header)
--- a/relay/requestend_test.go
+++ b/relay/requestend_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"os"
 	"strings"
 	"testing"
@@ -133,6 +134,7 @@
 			return nil, ctx.Err()
 		}
 	}
+	noReading := func(_ *Entry, c *endingClient) { c.reads = false }
 	for name, test := range map[string]struct {
 		route   config.Route
 		handle  script
@@ -149,13 +151,17 @@
 		"engines have no room": {stream, hang, func(e *Entry, _ *endingClient) {
 			e.fleet.reserve(map[string]usage{"s0": {usedSlots: 10}, "s1": {usedSlots: 10}})
 		}},
-		"later engine is lost":         {stream, lateEnd(streamHeader), func(e *Entry, _ *endingClient) { e.loseLaterEngineLate() }},
-		"server accepts no connection": {call, hang, dialNever},
-		"server is silent":             {call, hang, nil},
-		"server is lost late":          {call, lateEnd(longHead), nil},
-		"server goes on without end":   {call, endless(longHead, strings.Repeat("x", 10)+"%d"), nil},
-		"servers refuse":               {call, refuse, nil},
-		"body does not arrive":         {call, hang, func(_ *Entry, c *endingClient) { c.readEnd = make(chan struct{}) }},
+		"later engine is lost":               {stream, lateEnd(streamHeader), func(e *Entry, _ *endingClient) { e.loseLaterEngineLate() }},
+		"client does not read the stream":    {stream, endless(streamHeader, "10\r\nid: %06d\ndata\n\n\r\n"), noReading},
+		"client does not read the answer":    {call, respond(200, strings.Repeat("x", 1000)), noReading},
+		"client does not read a long answer": {call, endless(longHead, strings.Repeat("x", 10000)+"%d"), noReading},
+		"client does not read a refusal":     {call, refuse, noReading},
+		"server accepts no connection":       {call, hang, dialNever},
+		"server is silent":                   {call, hang, nil},
+		"server is lost late":                {call, lateEnd(longHead), nil},
+		"server goes on without end":         {call, endless(longHead, strings.Repeat("x", 10)+"%d"), nil},
+		"servers refuse":                     {call, refuse, nil},
+		"body does not arrive":               {call, hang, func(_ *Entry, c *endingClient) { c.readEnd = make(chan struct{}) }},
 	} {
 		for _, timeout := range []time.Duration{testRequestTime, testRequestTime / 10} {
 			t.Run(fmt.Sprintf("%s, %s", name, timeout), func(t *testing.T) {
@@ -242,3 +248,42 @@
 		}
 	})
 }
+
+// Guards against a client that does not read and holds its request and the engine's room
+// beyond the request's time, and against one that is cut off by the end of an earlier request.
+func TestClientThatDoesNotReadIsLeftInTime(t *testing.T) {
+	route := streamRoute(true)
+	route.Timeout = testRequestTime / 2
+	e := newTestEntry(t, route, newBackend(t, endless(streamHeader, "10000\r\nid: %06d\ndata: "+strings.Repeat("x", 1<<16-19)+"\n\n\r\n")))
+	conn, err := net.Dial("tcp4", e.server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	write(conn, "POST /x HTTP/1.1\nHost: h\nId: id\nKey: %s\nContent-Length: 0\n\n", testKey)
+	for e.InProgress() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	for until := time.Now().Add(4 * route.Timeout); e.InProgress() > 0 && time.Now().Before(until); {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, e.InProgress(), 0)
+	assert.Equal(t, len(e.fleet.localUsage(time.Now())), 0)
+
+	e = newTestEntry(t, unaryRoute(config.CallIdempotent), newBackend(t, respond(200, "done")))
+	e.current.Load().Document.Routes[0].Timeout = route.Timeout
+	reused := 0
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if info.Reused {
+			reused++
+		}
+	}}
+	for range 2 {
+		request := e.newRequest(httptrace.WithClientTrace(t.Context(), trace), t, http.MethodPost, nil)
+		response, err := e.server.Client().Do(request)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		assert.NilError(t, err)
+		response.Body.Close()
+		time.Sleep(route.Timeout + 2*endLimit)
+	}
+	assert.Equal(t, reused, 1)
+}
