relay: a request waits for the configuration no longer than its time

After a pause of its process, a request waited up to 0.4 s for a store that does not answer, and just after the start of its process up to 0.5 s for servers, whatever its time was.

Cause: both waits come before the request's time is worked out. The first knew no time at all, the second the client's only.

Evidence: TestNothingOutlivesTimeOfRequest, "store is silent after a pause" and "no server is known yet", each with a time of 0.1 s: they went on for 0.3 and 0.4 s after the end.

Both waits end with what is known of the time: the client's limit, and the timeout of the route that the request would take by the known configuration. A request whose time ends before the configuration is confirmed is refused, as it was not judged by one.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -33,12 +33,13 @@
 	if err != nil {
 		last = -1
 	}
+	milliseconds, _ := strconv.Atoi(h.Get("Time")) // 0 if none is stated
 	var parts []string
 	if text := h.Get("Parts"); text != "" {
 		parts = strings.Split(text, ",")
 		parts = parts[:len(parts)-1]
 	}
-	return RequestInfo{ID: h.Get("Id"), Key: h.Get("Key"), LastEvent: last, PromptTokens: 100, ExpectedAnswerTokens: 50, PromptParts: parts}
+	return RequestInfo{ID: h.Get("Id"), Key: h.Get("Key"), LastEvent: last, PromptTokens: 100, ExpectedAnswerTokens: 50, PromptParts: parts, Timeout: time.Duration(milliseconds) * time.Millisecond}
 }
 
 func (testCodec) EncodeRequest(h http.Header, info ForwardInfo) {
--- a/relay/request.go
+++ b/relay/request.go
@@ -123,8 +123,8 @@
 
 // admit determines the route and the team and reads the body.
 func (q *request) admit() *problem.Problem {
-	if q.pause.wasHeldUp(bootclock.Now()) {
-		q.confirmConfiguration()
+	if q.pause.wasHeldUp(bootclock.Now()) && !q.awaitConfirmation() {
+		return q.retryLater(problem.NoBackend, "the configuration could not be read again in time", noConfigurationRetryAfter)
 	}
 	q.awaitStartup()
 	if q.shutdown.isEnded() {
@@ -174,6 +174,30 @@
 // read the configuration.
 const noConfigurationRetryAfter = 500 * time.Millisecond
 
+// knownTimeout returns the request's time as far as it is known before its route is: the
+// client's limit, and the timeout of the route that it would take now. It is 0 if neither is.
+func (q *request) knownTimeout() time.Duration {
+	if rev := q.current.Load(); rev != nil {
+		if route := rev.routes.Find(q.r.Host, q.r.URL.EscapedPath()); route != nil {
+			return route.EffectiveTimeout(q.info.Timeout)
+		}
+	}
+	return q.info.Timeout
+}
+
+// awaitConfirmation waits for the configuration after a pause of the process, and reports
+// whether it was read again, or the store found silent, within the request's time.
+func (q *request) awaitConfirmation() bool {
+	ctx, cancel := context.WithCancel(q.r.Context())
+	defer cancel()
+	if timeout := q.knownTimeout(); timeout > 0 {
+		ctx, cancel = context.WithDeadline(ctx, q.started.Add(timeout))
+		defer cancel()
+	}
+	awaitWhile(ctx, q.confirmConfiguration)
+	return ctx.Err() == nil
+}
+
 const (
 	// maxStartupWaitFraction bounds the wait for a process that has just started, as a
 	// fraction of the time that the client has.
@@ -188,8 +212,8 @@
 // entries restart at once, clients come back before that, and some come back only once.
 func (q *request) awaitStartup() {
 	limit := noConfigurationRetryAfter
-	if q.info.Timeout > 0 {
-		limit = min(limit, time.Duration(float64(q.info.Timeout)*maxStartupWaitFraction))
+	if timeout := q.knownTimeout(); timeout > 0 {
+		limit = min(limit, time.Duration(float64(timeout)*maxStartupWaitFraction))
 	}
 	for q.isStartingUp(time.Now()) && time.Since(q.started) < limit && q.r.Context().Err() == nil && !q.shutdown.isEnded() {
 		sleep(q.r.Context(), startupCheckInterval)
--- a/relay/requestend_test.go
+++ b/relay/requestend_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -18,6 +19,7 @@
 	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 
+	"github.com/sapphirefield/sapphirefield/bootclock"
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/membership"
 	"github.com/sapphirefield/sapphirefield/pipeline"
@@ -162,6 +164,9 @@
 		"server goes on without end":         {call, endless(longHead, strings.Repeat("x", 10)+"%d"), nil},
 		"servers refuse":                     {call, refuse, nil},
 		"body does not arrive":               {call, hang, func(_ *Entry, c *endingClient) { c.readEnd = make(chan struct{}) }},
+		"store is silent after a pause":      {call, hang, func(e *Entry, _ *endingClient) { e.pause.beat(bootclock.Now().Add(-2 * maxPulseAge)) }},
+		"no configuration yet":               {call, hang, func(e *Entry, _ *endingClient) { e.current.Store(nil); e.fleet.startedAt = time.Now() }},
+		"no server is known yet":             {call, hang, func(e *Entry, _ *endingClient) { e.fleet.setServers(time.Now(), nil); e.fleet.startedAt = time.Now() }},
 	} {
 		for _, timeout := range []time.Duration{testRequestTime, testRequestTime / 10} {
 			t.Run(fmt.Sprintf("%s, %s", name, timeout), func(t *testing.T) {
@@ -172,7 +177,7 @@
 					if test.prepare != nil {
 						test.prepare(e, client)
 					}
-					over := serveUntilEnd(t, e, client)
+					over := serveUntilEnd(t, e, client, timeout)
 					assert.Assert(t, over <= timeout+endLimit, "went on for %s after its end", over-timeout)
 				})
 			})
@@ -181,7 +186,7 @@
 }
 
 // serveUntilEnd sends a request to an entry and returns how long it was in progress.
-func serveUntilEnd(t *testing.T, e *Entry, client *endingClient) time.Duration {
+func serveUntilEnd(t *testing.T, e *Entry, client *endingClient, timeout time.Duration) time.Duration {
 	var body io.Reader = strings.NewReader("body")
 	if client.readEnd != nil {
 		body = unsentBody{client}
@@ -191,6 +196,9 @@
 	r.RequestURI = r.URL.RequestURI()
 	r.Header.Set("Id", "id")
 	r.Header.Set("Key", testKey)
+	if e.current.Load() == nil {
+		r.Header.Set("Time", strconv.FormatInt(timeout.Milliseconds(), 10))
+	}
 	started := time.Now()
 	func() {
 		defer func() {
