relay: a long answer that its client has in part stays with its server

Cause: the watch for silent servers, which sends an idempotent call to another server, went on after the first 64 KB had been passed on. Nothing can follow then, so its end of the attempt was the end of the answer: after 0.25 s if the server accepted no connection either (its link stands still, or its listener does), and in any case after half of the call's time, even without a silence.

Now the exchange is detached from the watch before the first byte goes to the client; if the watch ended it just before, the call goes to another server as before. The watch goes on finding out whether the server accepts connections, for other calls.

Evidence: TestLongAnswerOutlastsPauseOfItsServer, 432 cases (calls of each kind and streams that fail with a plain answer; length, chunks, end of connection; pauses of 0.5, 1.2 and 2.5 s at 0.1, 0.6 and 0.95 of the body; with and without another server; the server accepting connections meanwhile or not).

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -83,7 +83,7 @@
 		return result, err
 	}
 	if a.x.response.StatusCode != http.StatusOK {
-		return s.forwardFailure(a.x)
+		return s.forwardFailure(ctx, a.x)
 	}
 	if err := a.accept(); err != nil {
 		return mayHaveExecuted, err
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -266,7 +266,7 @@
 		q.recordRefusal(server, x)
 		return notExecuted, errors.Errorf("server answered %d", x.response.StatusCode)
 	}
-	result, err := q.forwardResponse(x)
+	result, err := q.forwardResponse(ctx, x)
 	switch {
 	case result == answered:
 		q.callRoom(q.target).recordAnswer(time.Since(sentAt))
@@ -309,7 +309,7 @@
 // forwardResponse forwards a complete response. If the response breaks off
 // before its first byte was forwarded, the client has received nothing and the
 // request may be retried.
-func (q *request) forwardResponse(x *exchange) (attemptResult, error) {
+func (q *request) forwardResponse(ctx context.Context, x *exchange) (attemptResult, error) {
 	if impliesNotExecuted(x.response.StatusCode) || !x.info.Signed {
 		x.discard()
 		return mayHaveExecuted, errors.Errorf("server answered %d without a promise or signature", x.response.StatusCode)
@@ -323,6 +323,11 @@
 		x.release()
 		return mayHaveExecuted, errors.Errorf("server answered %d", x.response.StatusCode)
 	}
+	// No other server can complete what the client has of a long answer, so the watch for
+	// silent servers no longer ends it.
+	if len(body) > maxBufferedResponse && !x.detach(ctx) {
+		return mayHaveExecuted, errServerSilent
+	}
 	q.copyHeader(x)
 	q.phase = phaseAnswering
 	q.outcome, q.status, q.firstByte = outcomeAnswered, x.response.StatusCode, time.Now()
