daemon: a planned stop answers requests that were read together with the one before

Cause: http.Server reads ahead. The tracker took a connection for idle as soon as a response had ended, also if http.Server held the next request already. A stop then set a read deadline in the past and kept it there, so that http.Server's look for the end of the connection failed and ended the request's context, as if the client had left. requestsArriving and awaitAnswers did not see such a request either, so the process could end beside it. By the same cause, the beginning of a request that http.Server held got the idle timeout in place of the header timeout.

Change: after a response, a connection counts as in use until http.Server shows what it holds: it sets the header timeout if it holds the beginning of a request, and reads into an empty buffer if it holds nothing. Only then it is idle, and a stop closes it. A connection that a stop is about to close counts as in use until it is closed, since a request may arrive in that moment. The same holds over TLS, but for the first three bytes of a request, which TLS hides.

Tests changed: TestArrivedRequestKeepsIdleConnection and TestAnswersAreWrittenBeforeTheEnd took the end of a response for the moment at which a connection is idle, which is the fault. They now let the server read for the next request first, and the former also checks the moment before and a connection that is closed.

--- a/daemon/idle.go
+++ b/daemon/idle.go
@@ -34,12 +34,28 @@
 }
 
 // trackedConn records whether a request is in progress on its connection.
+//
+// http.Server reads ahead: with the end of a request it may have read the next ones. What
+// it holds shows in what it does once a response has ended: it sets the idle timeout, and
+// then sets the header timeout if it holds the beginning of a request, or reads if it does not.
 type trackedConn struct {
 	net.Conn
 	timeouts func() (header, idle time.Duration)
 	mu       sync.Mutex
 	// active is set from the first byte of a request until its response has ended.
 	active bool
+	// answered is set from the end of a response until it shows whether http.Server
+	// holds the next request.
+	answered bool
+	// idleTimeoutSet is set once http.Server has set the idle timeout after a response.
+	idleTimeoutSet bool
+	// encrypted is set if TLS reads from the connection, in sizes of its own.
+	encrypted bool
+	// bufferSize is the size of the first read. http.Server reads a request in smaller
+	// parts only if it holds the beginning already.
+	bufferSize int
+	// closing is set if the connection must be closed as soon as it is idle.
+	closing bool
 	// used is set once the connection has carried a request.
 	used bool
 	// expired is set when the connection must not start another request.
@@ -131,8 +147,10 @@
 		return
 	}
 	switch state {
+	case http.StateNew:
+		c.setEncrypted(conn)
 	case http.StateActive:
-		c.setMultiplexed(usesHTTP2(conn))
+		c.setActive(usesHTTP2(conn))
 	case http.StateIdle:
 		c.setIdle()
 		if t.isClosing() {
@@ -159,12 +177,23 @@
 	return ok && secure.ConnectionState().NegotiatedProtocol == "h2"
 }
 
-func (c *trackedConn) setMultiplexed(on bool) {
+func (c *trackedConn) setEncrypted(conn net.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.multiplexed = on
+	_, c.encrypted = conn.(*tls.Conn)
 }
 
+// setActive records that http.Server has read the header of a request.
+func (c *trackedConn) setActive(multiplexed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.multiplexed = multiplexed
+	c.beginRequest()
+}
+
+// beginRequest records that a request has begun to arrive. c.mu is held.
+func (c *trackedConn) beginRequest() { c.active, c.answered = true, false }
+
 func (t *connTracker) isClosing() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -186,10 +215,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.active, c.used = false, true
+	c.answered, c.idleTimeoutSet = true, false
 }
 
 // requestsArriving returns the number of connections on which a request has begun
-// to arrive and whose response has not ended.
+// to arrive and whose response has not ended. Those that are about to be closed count: a
+// request may have arrived in that moment.
 func (t *connTracker) requestsArriving() (n int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -204,15 +235,26 @@
 func (c *trackedConn) isArriving() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.multiplexed && (c.active || netpeek.Peek(c.Conn) == netpeek.HasData)
+	return !c.multiplexed && (c.active || c.answered || c.expired || netpeek.Peek(c.Conn) == netpeek.HasData)
 }
 
 // expireIfIdle makes the pending read of the next request fail, upon which the
-// server closes the connection. A request whose bytes have arrived is read.
+// server closes the connection. A request whose bytes have arrived is read. A connection
+// that is not idle is closed once it is.
 func (c *trackedConn) expireIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.active || !c.used || c.multiplexed || netpeek.Peek(c.Conn) == netpeek.HasData {
+	c.closing = true
+	c.expire()
+}
+
+// expire does the work of expireIfIdle. c.mu is held.
+func (c *trackedConn) expire() {
+	if c.active || c.answered || !c.used || c.multiplexed {
+		return
+	}
+	if netpeek.Peek(c.Conn) == netpeek.HasData {
+		c.beginRequest()
 		return
 	}
 	c.expired = true
@@ -222,6 +264,7 @@
 
 // Read marks the connection as active when bytes of a request arrive.
 func (c *trackedConn) Read(p []byte) (int, error) {
+	c.beginRead(len(p))
 	n, err := c.Conn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.reviveIfArriving() {
 		n, err = c.Conn.Read(p)
@@ -229,11 +272,31 @@
 	if n > 0 {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.active = true
+		c.beginRequest()
+		_ = c.revive() // fails only on a connection that is closed already
 	}
 	return n, err
 }
 
+// beginRead finds out from the first read after a response whether http.Server holds the
+// beginning of a request. If it does not, the connection is idle.
+func (c *trackedConn) beginRead(size int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.bufferSize == 0 {
+		c.bufferSize = size
+	}
+	if !c.answered {
+		return
+	}
+	c.answered = false
+	if size < c.bufferSize && !c.encrypted {
+		c.beginRequest()
+	} else if c.closing {
+		c.expire()
+	}
+}
+
 // reviveIfArriving keeps an expired connection open for a request that has arrived
 // in the moment of its expiry.
 func (c *trackedConn) reviveIfArriving() bool {
@@ -242,8 +305,17 @@
 	if !c.expired || netpeek.Peek(c.Conn) != netpeek.HasData {
 		return false
 	}
+	c.beginRequest()
+	return c.revive() == nil
+}
+
+// revive ends the expiry of a connection. c.mu is held.
+func (c *trackedConn) revive() error {
+	if !c.expired {
+		return nil
+	}
 	c.expired = false
-	return c.Conn.SetReadDeadline(time.Time{}) == nil
+	return c.Conn.SetReadDeadline(time.Time{})
 }
 
 // SetReadDeadline leaves the deadline of an expired idle connection unchanged.
@@ -252,9 +324,13 @@
 func (c *trackedConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.expired && !c.active {
+	if c.expired {
 		return nil
 	}
+	if c.answered && c.idleTimeoutSet {
+		c.beginRequest()
+	}
+	c.idleTimeoutSet = true
 	if timeout := c.timeout(); timeout > 0 && t.After(time.Now()) {
 		t = time.Now().Add(timeout)
 	}
--- a/daemon/idle_test.go
+++ b/daemon/idle_test.go
@@ -137,6 +137,9 @@
 	c, client := tcpPair(t)
 	tracker.conns[c] = struct{}{}
 	tracker.connState(c, http.StateIdle)
+	assert.Equal(t, tracker.requestsArriving(), 1, "http.Server may hold the next request")
+	c.beginRead(10)
+	assert.Equal(t, tracker.requestsArriving(), 0)
 	_, err := io.WriteString(client, "GET")
 	assert.NilError(t, err)
 	for netpeek.Peek(c.Conn) != netpeek.HasData {
@@ -151,7 +154,8 @@
 
 	// The same if the request arrives in the moment of the expiry.
 	tracker.connState(c, http.StateIdle)
-	assert.Equal(t, tracker.requestsArriving(), 0)
+	c.beginRead(10)
+	assert.Assert(t, c.expired)
 	_, err = io.WriteString(client, "PUT")
 	assert.NilError(t, err)
 	for netpeek.Peek(c.Conn) != netpeek.HasData {
@@ -160,6 +164,28 @@
 	n, err = c.Read(make([]byte, 10))
 	assert.NilError(t, err)
 	assert.Equal(t, n, 3)
+	assert.Equal(t, tracker.requestsArriving(), 1)
+
+	// A connection without a request is closed and does not hold up the process.
+	tracker.connState(c, http.StateIdle)
+	_, err = c.Read(make([]byte, 10))
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	tracker.connState(c, http.StateClosed)
+	assert.Equal(t, tracker.requestsArriving(), 0)
+}
+
+// Guards against a request that is cut off by the idle timeout because http.Server has
+// read its beginning with the request before.
+func TestHeaderTimeoutAppliesToHeldRequest(t *testing.T) {
+	c, client := pipeConn()
+	c.timeouts = func() (header, idle time.Duration) { return time.Hour, time.Millisecond }
+	c.setIdle()
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(time.Hour))) // idle timeout
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(time.Hour))) // header timeout
+	time.Sleep(5 * time.Millisecond)
+	go func() { _, _ = io.WriteString(client, "x") }()
+	_, err := c.Read(make([]byte, 1))
+	assert.NilError(t, err)
 }
 
 // Guards against resetting connections that the kernel has established when a
--- a/daemon/lifecycle_test.go
+++ b/daemon/lifecycle_test.go
@@ -134,6 +134,7 @@
 		synctest.Wait()
 		assert.Assert(t, !isClosed(done), "the process does not wait for the answer")
 		answering.setIdle()
+		go func() { _, _ = answering.Read(make([]byte, 1)) }() // for the next request
 		time.Sleep(2 * answerCheckInterval)
 		synctest.Wait()
 		assert.Assert(t, isClosed(done))
