relay: a long answer that breaks off gives its server's capacity back

Cause: forwardLong ends the request with a panic if an answer breaks off after a part of it has been passed on, which skipped the release of the reservation in serveUnary. It is now deferred in the one place that uses it.

Evidence: TestBrokenLongAnswerGivesCapacityBack failed before (one server still had load) and passes now.

--- a/relay/unary.go
+++ b/relay/unary.go
@@ -80,8 +80,7 @@
 			return
 		}
 		sleep(ctx, server.wait)
-		result, err := q.tryServer(ctx, server.Server)
-		server.reserved.release()
+		result, err := q.tryReserved(ctx, server)
 		if result == answered {
 			return
 		}
@@ -113,6 +112,13 @@
 	}
 }
 
+// tryReserved sends the request to a server and gives the reservation back, also when the
+// response breaks off, which ends the request with a panic.
+func (q *request) tryReserved(ctx context.Context, server chosenServer) (attemptResult, error) {
+	defer server.reserved.release()
+	return q.tryServer(ctx, server.Server)
+}
+
 // nextStep decides what follows an attempt without an answer, if another one is allowed.
 func (q *request) nextStep(result attemptResult) admission.CallStep {
 	now := time.Now()
--- a/relay/unframed_test.go
+++ b/relay/unframed_test.go
@@ -5,7 +5,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -120,3 +122,16 @@
 func (e *silentEngines) Status(context.Context, string) (EngineStatus, error) {
 	return EngineStatus{}, e.cause
 }
+
+// Guards against a server that counts as busier for good because a long answer broke off.
+func TestBrokenLongAnswerGivesCapacityBack(t *testing.T) {
+	const header = "HTTP/1.1 200 OK\nId: %s\nSigned: 1\n\n"
+	b := newBackend(t, unframed(header, strings.Repeat("x", 2*maxBufferedResponse), true))
+	e := newTestEntry(t, unaryRoute(config.CallAtMostOnce), b)
+	_, _, err := e.send(t, http.MethodPost)
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	for e.InProgress() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, len(e.fleet.localUsage(time.Now())), 0)
+}
