relay: an answer without a length is whole only if its server still works

Cause: forwardResponse and forwardLong took each end without an error for the end of the answer. The system of a killed process closes its connections in order, so that an answer that ends with its connection always ends that way. Streams asked their engine, calls asked nobody.

Now such an answer counts as whole only if package answerend says so: the server is asked for a connection, on which nothing is sent. A refused one, or another process at the address, means that the answer has broken off: it is repeated where that is allowed, ends as unknown otherwise, and ends without its last chunk if the client has more than 64 KB of it. A server that accepts none at once is asked again for up to 2 s (0.25 s if another one may answer), so that one that is silent for a second costs no answer. Answers that state their end cost nothing, others one connection and 20 ms; no request is sent, so pauses, rate limits and status checks are not touched.

decisions_test.go holds package answerend to be pure as well.

--- a/decisions_test.go
+++ b/decisions_test.go
@@ -25,7 +25,7 @@
 // packages to be deterministic.
 func TestDecisionsArePure(t *testing.T) {
 	packages := []string{
-		"admission", "attempt", "burn", "claim", "condition", "configlog", "eventstream", "lease", "membership", "order", "pipeline", "placement", "planner", "quarantine", "ratelimit", "retry",
+		"admission", "answerend", "attempt", "burn", "claim", "condition", "configlog", "eventstream", "lease", "membership", "order", "pipeline", "placement", "planner", "quarantine", "ratelimit", "retry",
 	}
 	for _, dir := range packages {
 		files, err := filepath.Glob(dir + "/*.go")
--- a/faultmatrix/faultmatrix.go
+++ b/faultmatrix/faultmatrix.go
@@ -288,7 +288,7 @@
 		FirstStage:  both("TestUnframedStreams", "engine sends streams without chunks"),
 		LaterStage:  never("an entry reads nothing from a later engine"),
 		Idempotent:  both("TestUnframedAnswers", "application sends responses without a length"),
-		AtMostOnce:  tests("TestUnframedAnswers"),
+		AtMostOnce:  tests("TestUnframedAnswers", "TestAnswerOfCrashedServerIsNotWhole"),
 		Keyed:       tests("TestTruncatedResponse"),
 		Status:      tests("TestUnframedAndBrokenEngineAnswers"),
 		Order:       tests("TestUnframedAndBrokenEngineAnswers"),
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -63,13 +63,16 @@
 	progressSince, soundAt time.Time
 	// lossReported is set once the request is suspected of the loss of a later engine.
 	lossReported bool
+	// startTimes are those of the engines of the path, as the processes that they were when
+	// the request was sent along it.
+	startTimes []int64
 	// isSuccessor is set while the attempt is to take over from another one.
 	isSuccessor bool
 }
 
 func (s *streamRequest) newAttempt(hops []pipeline.Hop, reserved *reservation) *attempt {
-	a := &attempt{streamRequest: s, hops: hops, reserved: reserved, seenChanges: s.fleet.changes.Load()}
-	a.head = crashedEngine{hops[0].Engine, s.fleet.snapshot()[hops[0].Engine].StartTimeMillis}
+	a := &attempt{streamRequest: s, hops: hops, reserved: reserved, seenChanges: s.fleet.changes.Load(), startTimes: s.fleet.startTimesOf(hops)}
+	a.head = crashedEngine{hops[0].Engine, a.startTimes[0]}
 	return a
 }
 
@@ -83,7 +86,7 @@
 		return result, err
 	}
 	if a.x.response.StatusCode != http.StatusOK {
-		return s.forwardFailure(a.x)
+		return s.forwardFailure(ctx, a.x, a.stageServer(0))
 	}
 	if err := a.accept(); err != nil {
 		return mayHaveExecuted, err
@@ -363,6 +366,7 @@
 	}
 	a.reserved.release()
 	a.reserved, a.hops, a.departAt = reserved, hops, time.Time{}
+	a.startTimes = a.fleet.startTimesOf(hops)
 	a.watch.reason = nil
 	a.path += ";" + pathString(hops)
 	a.zoneCrossings = zoneCrossings(hops)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -429,12 +429,12 @@
 
 // forwardFailure forwards a response that is not a stream. Once events have
 // been sent to the client, a failure can only lead to another attempt.
-func (s *streamRequest) forwardFailure(x *exchange) (attemptResult, error) {
+func (s *streamRequest) forwardFailure(ctx context.Context, x *exchange, server Server) (attemptResult, error) {
 	if s.headerSent {
 		x.discard()
 		return mayHaveExecuted, errors.Errorf("engine answered %d", x.response.StatusCode)
 	}
-	return s.forwardResponse(x)
+	return s.forwardResponse(ctx, x, server)
 }
 
 // zoneCrossings returns the number of links between zones that a path uses.
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -266,7 +266,7 @@
 		q.recordRefusal(server, x)
 		return notExecuted, errors.Errorf("server answered %d", x.response.StatusCode)
 	}
-	result, err := q.forwardResponse(x)
+	result, err := q.forwardResponse(ctx, x, server)
 	switch {
 	case result == answered:
 		q.callRoom(q.target).recordAnswer(time.Since(sentAt))
@@ -309,7 +309,7 @@
 // forwardResponse forwards a complete response. If the response breaks off
 // before its first byte was forwarded, the client has received nothing and the
 // request may be retried.
-func (q *request) forwardResponse(x *exchange) (attemptResult, error) {
+func (q *request) forwardResponse(ctx context.Context, x *exchange, server Server) (attemptResult, error) {
 	if impliesNotExecuted(x.response.StatusCode) || !x.info.Signed {
 		x.discard()
 		return mayHaveExecuted, errors.Errorf("server answered %d without a promise or signature", x.response.StatusCode)
@@ -323,11 +323,16 @@
 		x.release()
 		return mayHaveExecuted, errors.Errorf("server answered %d", x.response.StatusCode)
 	}
+	isLong := len(body) > maxBufferedResponse
+	if !isLong && !q.isWholeCall(ctx, x, server, q.endCheckTime()) {
+		x.close()
+		return mayHaveExecuted, &exchangeError{errBrokenOff, io.ErrUnexpectedEOF}
+	}
 	q.copyHeader(x)
 	q.phase = phaseAnswering
 	q.outcome, q.status, q.firstByte = outcomeAnswered, x.response.StatusCode, time.Now()
-	if len(body) > maxBufferedResponse {
-		return answered, q.forwardLong(x, body)
+	if isLong {
+		return answered, q.forwardLong(ctx, x, server, body)
 	}
 	x.release()
 	q.writeBuffered(x.response, body)
@@ -370,7 +375,7 @@
 
 // forwardLong streams a long response to the client. If it breaks off, the
 // client's connection is closed, so that the response does not look complete.
-func (q *request) forwardLong(x *exchange, prefix []byte) error {
+func (q *request) forwardLong(ctx context.Context, x *exchange, server Server, prefix []byte) error {
 	if x.response.ContentLength >= 0 {
 		setContentLength(q.w.Header(), x.response.ContentLength)
 	}
@@ -379,6 +384,9 @@
 	if err == nil {
 		err = copyLimited(q.w, x.response.Body, maxResponseBytes-int64(len(prefix)))
 	}
+	if err == nil && !q.isWholeCall(ctx, x, server, maxEndCheck) {
+		err = errBrokenOff
+	}
 	if err != nil {
 		x.close()
 		q.outcome, q.detail = outcomeAborted, err.Error()
