--- a/relay/unary.go
+++ b/relay/unary.go
@@ -272,7 +272,7 @@
 		q.recordRefusal(server, x)
 		return notExecuted, errors.Errorf("server answered %d", x.response.StatusCode)
 	}
-	result, err := q.forwardResponse(ctx, x)
+	result, err := q.forwardResponse(ctx, x, server)
 	switch {
 	case result == answered:
 		q.callRoom(q.target).recordAnswer(time.Since(sentAt))
@@ -315,7 +315,7 @@
 // forwardResponse forwards a complete response. If the response breaks off
 // before its first byte was forwarded, the client has received nothing and the
 // request may be retried.
-func (q *request) forwardResponse(ctx context.Context, x *exchange) (attemptResult, error) {
+func (q *request) forwardResponse(ctx context.Context, x *exchange, server Server) (attemptResult, error) {
 	if impliesNotExecuted(x.response.StatusCode) || !x.info.Signed {
 		x.discard()
 		return mayHaveExecuted, errors.Errorf("server answered %d without a promise or signature", x.response.StatusCode)
@@ -329,16 +329,21 @@
 		x.release()
 		return mayHaveExecuted, errors.Errorf("server answered %d", x.response.StatusCode)
 	}
-	// No other server can complete what the client has of a long answer, so the watch for
+	isLong := len(body) > maxBufferedResponse
+	switch {
+	// No other server can complete what the client gets of a long answer, so the watch for
 	// silent servers no longer ends it.
-	if len(body) > maxBufferedResponse && !x.detach(ctx) {
+	case isLong && !x.detach(ctx):
 		return mayHaveExecuted, errServerSilent
+	case !isLong && !q.isWholeCall(ctx, x, server, q.endCheckTime()):
+		x.close()
+		return mayHaveExecuted, &exchangeError{errBrokenOff, io.ErrUnexpectedEOF}
 	}
 	q.copyHeader(x)
 	q.phase = phaseAnswering
 	q.outcome, q.status, q.firstByte = outcomeAnswered, x.response.StatusCode, time.Now()
-	if len(body) > maxBufferedResponse {
-		return answered, q.forwardLong(x, body)
+	if isLong {
+		return answered, q.forwardLong(ctx, x, server, body)
 	}
 	x.release()
 	q.writeBuffered(x.response, body)
@@ -381,7 +386,7 @@
 
 // forwardLong streams a long response to the client. If it breaks off, the
 // client's connection is closed, so that the response does not look complete.
-func (q *request) forwardLong(x *exchange, prefix []byte) error {
+func (q *request) forwardLong(ctx context.Context, x *exchange, server Server, prefix []byte) error {
 	if x.response.ContentLength >= 0 {
 		setContentLength(q.w.Header(), x.response.ContentLength)
 	}
@@ -390,6 +395,9 @@
 	if err == nil {
 		err = copyLimited(q.w, x.response.Body, maxResponseBytes-int64(len(prefix)))
 	}
+	if err == nil && !q.isWholeCall(ctx, x, server, maxEndCheck) {
+		err = errBrokenOff
+	}
 	if err != nil {
 		x.close()
 		q.outcome, q.detail = outcomeAborted, err.Error()
