relay: a stream without a length is whole only if every engine of its path works

What callers saw: an engine in the middle of a path crashed and no other held its layers.

Cause: the first engine cuts such streams off between two events, by closing their connections. The entry asked that engine alone whether it works, and it does.

Now each later engine is asked too, for a connection on which nothing is sent, all at the same time and beside the status query to the first one. The stream is not whole if one is known to be lost, was lost since the last event (also if the path has been changed since: the first engine may have cut the stream off before), or is named by the first engine as one that its requests wait for, as an engine is that accepts connections and does nothing more. A first engine that has restarted does not count as the one that answered. A later engine that accepts no connection for a second costs no stream.

--- a/faultmatrix/faultmatrix.go
+++ b/faultmatrix/faultmatrix.go
@@ -286,7 +286,7 @@
 	},
 	UnframedAnswer: {
 		FirstStage:  both("TestUnframedStreams", "engine sends streams without chunks"),
-		LaterStage:  never("an entry reads nothing from a later engine"),
+		LaterStage:  tests("TestUnframedStreamIsNotWholeWithoutLaterEngine"),
 		Idempotent:  both("TestUnframedAnswers", "application sends responses without a length"),
 		AtMostOnce:  tests("TestUnframedAnswers", "TestAnswerOfCrashedServerIsNotWhole"),
 		Keyed:       tests("TestTruncatedResponse"),
--- a/relay/answerend.go
+++ b/relay/answerend.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -15,7 +17,11 @@
 )
 
 const (
-	// maxRepeatableEndCheck is maxEndCheck for a call that another server may answer.
+	// maxEndCheck bounds the wait for a server whose answer has ended with its connection,
+	// if the request may not be repeated or the client has all events by then. A server
+	// that has fallen silent for a moment answers later.
+	maxEndCheck = minPatience
+	// maxRepeatableEndCheck is the same for a call that another server may answer.
 	maxRepeatableEndCheck = minSilence
 	// endCheckInterval is the time between two questions.
 	endCheckInterval = 100 * time.Millisecond
@@ -80,6 +86,61 @@
 	}
 }
 
+// isWhole reports whether a stream that has ended in order is complete. One that ends with
+// its connection looks the same if an engine of its path has crashed between two events, so
+// all are asked whether they are there. If the stream was complete all the same, another
+// attempt finds nothing left to send.
+func (a *attempt) isWhole(ctx context.Context, err error, insideEvent bool) bool {
+	evidence := answerend.Evidence{End: a.x.end(err), InsideEvent: insideEvent, NoEvent: a.progressSince.IsZero()}
+	if evidence.End.NeedsProcesses() && !insideEvent && !evidence.NoEvent {
+		evidence.Processes = a.askEngines(ctx)
+	}
+	return evidence.IsWhole()
+}
+
+// askEngines finds out whether the engines of the path still work, all at the same time. No
+// engine is asked if one of them is known to be lost.
+func (a *attempt) askEngines(ctx context.Context) []answerend.Process {
+	if lost, _ := a.fleet.unusable(a.hops[1:]); a.stageLost || len(lost) > 0 {
+		return []answerend.Process{answerend.Crashed}
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxEndCheck)
+	defer cancel()
+	processes := make([]answerend.Process, len(a.hops))
+	var asking sync.WaitGroup
+	for stage := 1; stage < len(a.hops); stage++ {
+		asking.Go(func() { processes[stage] = a.askServer(ctx, a.stageServer(stage)) })
+	}
+	processes[0] = a.askHead(ctx)
+	asking.Wait()
+	return processes
+}
+
+// askHead finds out whether the first engine works and waits for no other one of the path.
+// One that must not be asked now is not known to. A crashed engine refuses the connection,
+// and one that has fallen silent for a moment answers later.
+func (a *attempt) askHead(ctx context.Context) answerend.Process {
+	for {
+		askedAt := time.Now()
+		status, err := a.engines.Status(ctx, a.hops[0].Address)
+		blocked := slices.ContainsFunc(a.hops[1:], func(h pipeline.Hop) bool { return slices.Contains(stalledAddresses(status), h.Address) })
+		switch {
+		case errors.Is(err, errServerPaused) || errors.Is(err, errServerLimited):
+			return answerend.Unknown
+		case errors.Is(err, ErrNoResponse) && ctx.Err() == nil && time.Since(askedAt) < stallTimeout:
+			return answerend.Crashed
+		case a.startTimes[0] > 0 && status.StartTimeMillis > a.startTimes[0]:
+			return answerend.Restarted
+		case !errors.Is(err, ErrNoResponse) && !blocked:
+			return answerend.Alive
+		}
+		sleep(ctx, endCheckInterval)
+		if ctx.Err() != nil {
+			return answerend.Unknown
+		}
+	}
+}
+
 // stageServer returns an engine of the path as the process that it was when the request was
 // sent along the path.
 func (a *attempt) stageServer(stage int) Server {
--- a/relay/answerend_test.go
+++ b/relay/answerend_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -13,6 +15,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/sapphirefield/sapphirefield/config"
+	"github.com/sapphirefield/sapphirefield/membership"
+	"github.com/sapphirefield/sapphirefield/pipeline"
+	"github.com/sapphirefield/sapphirefield/placement"
 )
 
 const unframedCall = "HTTP/1.1 200 OK\nId: %s\nSigned: 1\n\n"
@@ -107,6 +112,74 @@
 	assert.Equal(t, response.StatusCode, http.StatusBadGateway)
 }
 
+// usePathWithSpare makes an entry prefer a path of two engines over a third engine.
+func (e *testEntry) usePathWithSpare(head, later, spare *backend) {
+	servers := map[string]Server{}
+	for id, s := range map[string]Server{
+		"head":  {Instance: membership.Instance{Address: head.address()}, Layers: placement.Range{First: 0, Limit: 4}},
+		"later": {Instance: membership.Instance{Address: later.address()}, Layers: placement.Range{First: 4, Limit: 8}},
+		"spare": {Instance: membership.Instance{Address: spare.address()}, Layers: placement.Range{First: 0, Limit: 8}},
+	} {
+		s.ID, s.Service, s.Zone, s.Slots, s.Accelerator = id, "llm", "a", 10, "gpu"
+		servers[id] = s
+	}
+	e.fleet.setServers(time.Now(), servers)
+	e.fleet.reserve(map[string]usage{"spare": {requests: 5, tokens: 1e6}})
+}
+
+// Guards against a stream that looks complete because its first engine works, although a
+// later one of its path does not, for which the first one has cut it off.
+func TestUnframedStreamIsNotWholeWithoutLaterEngine(t *testing.T) {
+	for name, lose := range map[string]func(e *testEntry, later *backend){
+		"crashed": func(_ *testEntry, later *backend) { later.listener.Close() },
+		"hangs, though it accepts connections": func(e *testEntry, later *backend) {
+			e.engines.mu.Lock()
+			defer e.engines.mu.Unlock()
+			e.engines.stalled = []StalledRequest{{RequestID: "id-0", BlockedOn: later.address()}}
+		},
+		"lost, and the path was changed": func(e *testEntry, _ *backend) { e.fleet.markLost(time.Now(), "later") },
+	} {
+		for _, resumable := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, resumable %t", name, resumable), func(t *testing.T) {
+				t.Parallel()
+				later, spare := newBackend(t, nil), newBackend(t, events(1, true))
+				var e *testEntry
+				head := newBackend(t, func(b *backend, r *http.Request, conn net.Conn) bool {
+					unframed(unframedStream, event(1), false)(b, r, conn)
+					time.Sleep(stallCheckDelay)
+					lose(e, later)
+					time.Sleep(2 * stallCheckDelay)
+					return false
+				})
+				e = newTestEntry(t, streamRoute(resumable), head)
+				e.usePathWithSpare(head, later, spare)
+				_, body, err := e.send(t, http.MethodGet)
+				if resumable {
+					assert.NilError(t, err)
+					assert.Equal(t, body, event(1)+event(2))
+				} else {
+					assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+				}
+				assert.Equal(t, head.count(), 1)
+			})
+		}
+	}
+}
+
+// Guards against a whole stream that is broken off because a later engine, which is sound,
+// accepts no connection for a second after the end.
+func TestUnframedStreamIsWholeThoughLaterEnginePausesAfterwards(t *testing.T) {
+	later := newBackend(t, nil)
+	head := newBackend(t, unframed(unframedStream, event(1)+event(2), false))
+	e := newTestEntry(t, streamRoute(false), head)
+	e.usePathWithSpare(head, later, newBackend(t, nil))
+	e.pool.dial = pausesAfterFirst(e.pool.dial)
+	_, body, err := e.send(t, http.MethodGet)
+	assert.NilError(t, err)
+	assert.Equal(t, body, eventsText(2))
+	assert.Equal(t, head.count(), 1)
+}
+
 // Guards against questions to servers whose answers state their end, and against more than
 // one connection for another.
 func TestOnlyAnswersWithoutLengthCostAConnection(t *testing.T) {
@@ -131,3 +204,38 @@
 		})
 	}
 }
+
+// BenchmarkEndOfAnswer measures what the decision costs a request: each call, a call whose
+// server is asked, and the start times that each attempt of a stream notes.
+func BenchmarkEndOfAnswer(b *testing.B) {
+	e := newStoreEntry(newScriptedStore())
+	servers, hops := map[string]Server{}, []pipeline.Hop{}
+	for id := range 4 {
+		s := testServer(strconv.Itoa(id), id, id+1)
+		servers[s.ID] = s
+		hops = append(hops, pipeline.Hop{Engine: s.ID})
+	}
+	e.fleet.setServers(time.Now(), servers)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(b, err)
+	defer listener.Close()
+	server := Server{Instance: membership.Instance{Address: listener.Addr().String()}}
+	q := &request{Entry: e}
+	for name, length := range map[string]int64{"call with a length": 100, "call without a length": -1} {
+		b.Run(name, func(b *testing.B) {
+			x := &exchange{response: &http.Response{ContentLength: length}}
+			b.ReportAllocs()
+			for b.Loop() {
+				if !q.isWholeCall(b.Context(), x, server, maxEndCheck) {
+					b.Fatal("not whole")
+				}
+			}
+		})
+	}
+	b.Run("attempt of a stream", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			e.fleet.startTimesOf(hops)
+		}
+	})
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -66,6 +66,9 @@
 	// startTimes are those of the engines of the path, as the processes that they were when
 	// the request was sent along it.
 	startTimes []int64
+	// stageLost is set once a later engine of the path has been lost, until the next event:
+	// the first engine may have cut the stream off meanwhile.
+	stageLost bool
 	// isSuccessor is set while the attempt is to take over from another one.
 	isSuccessor bool
 }
@@ -268,6 +271,7 @@
 	case slices.Contains(lost, head):
 		return errPathLost
 	case len(lost) > 0:
+		a.stageLost = true
 		err := a.reroute(ctx)
 		if err != nil {
 			a.recheckAt = time.Now().Add(rerouteRetryDelay)
@@ -399,11 +403,12 @@
 		}
 		if progress {
 			a.watch.recordProgress()
+			a.stageLost = false
 			a.recordSound(a.lastEventAt)
 		}
 		switch {
 		case err == nil:
-		case errors.Is(err, io.EOF) && splitter.Pending() == 0 && a.isWhole(ctx):
+		case errors.Is(err, io.EOF) && a.isWhole(ctx, err, splitter.Pending() > 0):
 			if !a.progressSince.IsZero() {
 				a.observeSoundStream(time.Now())
 			}
@@ -414,45 +419,6 @@
 	}
 }
 
-// isWhole reports whether a stream that has ended after a whole event is complete.
-// One that ends with its connection looks the same if its engine has crashed between
-// two events, so the engine is asked whether it is there. If the stream was complete
-// all the same, another attempt finds nothing left to send.
-func (a *attempt) isWhole(ctx context.Context) bool {
-	switch {
-	case a.x.hasFramedBody():
-		return true
-	case a.progressSince.IsZero():
-		return false
-	}
-	return a.headResponds(ctx)
-}
-
-// maxEndCheck bounds the wait for an engine whose stream has ended with its connection.
-// Clients have all events by then.
-const maxEndCheck = minPatience
-
-// headResponds reports whether the first engine is known to work. One that must not be
-// asked now is not. A crashed engine refuses the connection, and one that has fallen
-// silent for a moment answers later.
-func (a *attempt) headResponds(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, maxEndCheck)
-	defer cancel()
-	for {
-		askedAt := time.Now()
-		_, err := a.engines.Status(ctx, a.hops[0].Address)
-		if errors.Is(err, errServerPaused) || errors.Is(err, errServerLimited) {
-			return false
-		}
-		if !errors.Is(err, ErrNoResponse) {
-			return true
-		}
-		if ctx.Err() != nil || time.Since(askedAt) < stallTimeout {
-			return false
-		}
-	}
-}
-
 // read checks the path and reads bytes of the stream.
 func (a *attempt) read(ctx context.Context, buffer []byte) (int, error) {
 	if err := a.checkPath(ctx); err != nil && a.mayGiveUp(ctx) {
