relay: what a client gets without a whole answer is decided in one place

Calls and streams decided it each for themselves, in five functions: refuseOrFail, refuseOrFailWith, failTimeout, giveUpOn and endAtDeadline, and whether a request may be repeated in three places. Both ask package answerend now (endWithout, isRepeatable). What clients get is the same; the log says of a stream that a planned stop broke off that the instance was shutting down, where it said that the time was over.

--- a/relay/answerend.go
+++ b/relay/answerend.go
@@ -12,8 +12,10 @@
 	"github.com/pkg/errors"
 
 	"github.com/sapphirefield/sapphirefield/answerend"
+	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/membership"
 	"github.com/sapphirefield/sapphirefield/pipeline"
+	"github.com/sapphirefield/sapphirefield/problem"
 )
 
 const (
@@ -40,6 +42,57 @@
 	return answerend.Closed
 }
 
+// requestKind returns what may follow an answer of the route that is not whole.
+func requestKind(route *config.Route) answerend.Kind {
+	switch {
+	case route.Resumable:
+		return answerend.ResumableStream
+	case route.CallKind == config.CallStream:
+		return answerend.Stream
+	case route.CallKind == config.CallIdempotent:
+		return answerend.Idempotent
+	}
+	return answerend.AtMostOnce
+}
+
+// isRepeatable reports whether the request may be sent again although a server may have run
+// it.
+func (q *request) isRepeatable() bool { return requestKind(q.route).Repeats() && q.mayRepeat() }
+
+// endWithout ends a request that gets no whole answer, after its last attempt. The refusal
+// is for a client that has got nothing of an answer, if no server has run the request.
+func (q *request) endWithout(end answerend.End, refusal *problem.Problem) {
+	r := answerend.Request{Kind: requestKind(q.route), PassedOn: !q.firstByte.IsZero(), NotRun: !q.maybeExecuted, NoRetry: true}
+	switch answerend.Decide(r, answerend.Evidence{End: end}) {
+	case answerend.Nobody:
+		q.outcome, q.detail = outcomeClientGone, refusal.Detail
+	case answerend.BrokenOff:
+		// The client's connection is closed, so that the answer does not look complete.
+		q.outcome, q.detail = outcomeAborted, refusal.Detail
+		panic(http.ErrAbortHandler)
+	case answerend.Refused:
+		q.refuse(refusal)
+	default:
+		code := problem.OutcomeUnknown
+		if end == answerend.TimeOver {
+			code = problem.DeadlineExceeded
+		}
+		q.fail(code, refusal.Detail)
+	}
+}
+
+// endUnfinished ends a request whose time is over, whose client has left or whose process ends.
+func (q *request) endUnfinished() {
+	switch {
+	case q.r.Context().Err() != nil:
+		q.endWithout(answerend.ClientLeft, &problem.Problem{})
+	case q.shutdown.isEnded():
+		q.endWithout(answerend.Stopped, q.stoppingProblem())
+	default:
+		q.endWithout(answerend.TimeOver, &problem.Problem{Detail: "the time for this request is over"})
+	}
+}
+
 // isWholeCall reports whether the answer of a server is whole, once it has ended in order.
 // A server is asked only if nothing else shows it.
 func (q *request) isWholeCall(ctx context.Context, x *exchange, server Server, wait time.Duration) bool {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -347,7 +347,7 @@
 func (a *attempt) canRetry() bool {
 	after := a.attempts
 	after.Count(retry.Unknown)
-	return a.streamLimits().Allow(after, retry.Unknown, a.route.Resumable && a.mayRepeat()) && a.budget(a.target).Left(time.Now()) >= 1
+	return a.streamLimits().Allow(after, retry.Unknown, a.isRepeatable()) && a.budget(a.target).Left(time.Now()) >= 1
 }
 
 // applyReroute orders the first engine to switch to a path.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sapphirefield/sapphirefield/admission"
+	"github.com/sapphirefield/sapphirefield/answerend"
 	"github.com/sapphirefield/sapphirefield/clientconn"
 	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/logevent"
@@ -75,7 +76,7 @@
 	q.budget(q.target).RecordRequest(time.Now())
 	for {
 		if clientconn.Check(ctx) != nil {
-			s.endAtDeadline()
+			s.endUnfinished()
 			return
 		}
 		hops, reserved, err := s.choosePath(ctx)
@@ -85,7 +86,7 @@
 		}
 		if s.timeLeft() <= 0 {
 			reserved.release()
-			s.endAtDeadline()
+			s.endUnfinished()
 			return
 		}
 		// It may have been blocked while it waited.
@@ -105,11 +106,10 @@
 		}
 		if clientconn.Check(ctx) != nil {
 			q.maybeExecuted = q.maybeExecuted || result == mayHaveExecuted
-			s.endAtDeadline()
+			s.endUnfinished()
 			return
 		}
-		repeatable := q.route.Resumable && q.mayRepeat()
-		if !q.allowRetry(ctx, result, q.streamLimits(), repeatable, s.maxWait()) ||
+		if !q.allowRetry(ctx, result, q.streamLimits(), s.maxWait()) ||
 			result == notExecuted && !s.pauseAfterRefusal(ctx) {
 			s.giveUp(errorDetail(err), refusedRetryAfter)
 			return
@@ -150,7 +150,7 @@
 // giveUpWithoutPath ends a request for which no path was found in time.
 func (s *streamRequest) giveUpWithoutPath(err error) {
 	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
-		s.endAtDeadline()
+		s.endUnfinished()
 		return
 	}
 	s.recordNoPath()
@@ -303,39 +303,14 @@
 	s.giveUpOn(s.retryLater(problem.NoBackend, detail, after))
 }
 
-// giveUpOn ends a request with a refusal, or with a failure if it may have been
-// executed.
+// giveUpOn ends a request with a refusal, unless its client has left or a server may have
+// run it.
 func (s *streamRequest) giveUpOn(refusal *problem.Problem) {
-	switch {
-	case s.r.Context().Err() != nil:
-		s.outcome, s.detail = outcomeClientGone, refusal.Detail
-	case s.headerSent:
-		s.abortResponse(refusal.Detail)
-	case s.maybeExecuted:
-		s.fail(problem.OutcomeUnknown, refusal.Detail)
-	default:
-		s.refuse(refusal)
-	}
-}
-
-// endAtDeadline ends a request whose deadline has passed or whose client has
-// disconnected.
-func (s *streamRequest) endAtDeadline() {
+	end := answerend.Cut
 	if s.r.Context().Err() != nil {
-		s.outcome = outcomeClientGone
-		return
-	}
-	if s.headerSent {
-		s.abortResponse("the time for this request is over")
+		end = answerend.ClientLeft
 	}
-	s.failTimeout()
-}
-
-// abortResponse closes the client's connection, so that the stream does not
-// look complete.
-func (s *streamRequest) abortResponse(detail string) {
-	s.outcome, s.detail = outcomeAborted, detail
-	panic(http.ErrAbortHandler)
+	s.endWithout(end, refusal)
 }
 
 // markEngineLost records that an engine does not respond and excludes it from
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sapphirefield/sapphirefield/admission"
+	"github.com/sapphirefield/sapphirefield/answerend"
 	"github.com/sapphirefield/sapphirefield/bootclock"
 	"github.com/sapphirefield/sapphirefield/clientconn"
 	"github.com/sapphirefield/sapphirefield/config"
@@ -66,12 +67,12 @@
 	}
 	for {
 		if q.timeLeft() <= 0 || clientconn.Check(ctx) != nil {
-			q.failTimeout()
+			q.endUnfinished()
 			return
 		}
 		// It may have been blocked since the last attempt.
 		if p := q.blocked(); p != nil {
-			q.refuseOrFailWith(q.maybeExecuted, p)
+			q.endWithout(answerend.Cut, p)
 			return
 		}
 		server, found := q.fleet.chooseServer(time.Now(), q.target, q.avoid, q.maxLimitWait())
@@ -88,17 +89,16 @@
 		q.avoid[server.ID] = true
 		if clientconn.Check(ctx) != nil {
 			q.maybeExecuted = q.maybeExecuted || result == mayHaveExecuted
-			q.failTimeout()
+			q.endUnfinished()
 			return
 		}
 		step := q.nextStep(result)
-		repeatable := q.route.CallKind != config.CallAtMostOnce && q.mayRepeat()
 		if step == admission.EndCall {
 			// Another attempt would not help, so none is taken from the retry budget.
 			q.countAttempt(result)
 		}
-		if step == admission.EndCall || !q.allowRetry(ctx, result, q.unaryLimits(), repeatable, 0) {
-			q.refuseOrFail(q.maybeExecuted, errorDetail(err), q.callRetryAfter())
+		if step == admission.EndCall || !q.allowRetry(ctx, result, q.unaryLimits(), 0) {
+			q.refuseOrFail(errorDetail(err), q.callRetryAfter())
 			return
 		}
 		q.phase = phaseWaiting
@@ -131,10 +131,10 @@
 // endWaiting ends a call whose turn did not come in time.
 func (q *request) endWaiting() {
 	if q.timeLeft() <= 0 || q.r.Context().Err() != nil || q.shutdown.isEnded() {
-		q.failTimeout()
+		q.endUnfinished()
 		return
 	}
-	q.refuseOrFail(q.maybeExecuted, "all servers are full", q.callRetryAfter())
+	q.refuseOrFail("all servers are full", q.callRetryAfter())
 }
 
 // callRetryAfter returns the Retry-After time of a call that is refused: after those that
@@ -161,7 +161,7 @@
 		wait = min(wait, maxLimitRetryAfter)
 		after, detail = wait+time.Duration(q.fleet.randomFloat()*float64(wait)), "the servers' rate limits leave no room"
 	}
-	q.refuseOrFail(q.maybeExecuted, detail, after)
+	q.refuseOrFail(detail, after)
 }
 
 func errorDetail(err error) string {
@@ -185,9 +185,9 @@
 
 // allowRetry counts an attempt and decides whether another one follows. It
 // waits up to maxWait for the retry budget.
-func (q *request) allowRetry(ctx context.Context, result attemptResult, limits retry.Limits, repeatable bool, maxWait time.Duration) bool {
+func (q *request) allowRetry(ctx context.Context, result attemptResult, limits retry.Limits, maxWait time.Duration) bool {
 	outcome := q.countAttempt(result)
-	if !limits.Allow(q.attempts, outcome, repeatable) {
+	if !limits.Allow(q.attempts, outcome, q.isRepeatable()) {
 		return false
 	}
 	if result == notSent {
@@ -203,33 +203,9 @@
 	return true
 }
 
-// refuseOrFail sends the final response when no server responded.
-func (q *request) refuseOrFail(maybeExecuted bool, detail string, after time.Duration) {
-	q.refuseOrFailWith(maybeExecuted, q.retryLater(problem.NoBackend, detail, after))
-}
-
-// refuseOrFailWith sends a refusal, or a failure with the same detail if a server may
-// have executed the request.
-func (q *request) refuseOrFailWith(maybeExecuted bool, refusal *problem.Problem) {
-	if maybeExecuted {
-		q.fail(problem.OutcomeUnknown, refusal.Detail)
-		return
-	}
-	q.refuse(refusal)
-}
-
-// failTimeout ends a request whose deadline has passed, whose client has
-// disconnected or whose process ends.
-func (q *request) failTimeout() {
-	switch {
-	case q.r.Context().Err() != nil:
-		q.outcome = outcomeClientGone
-		return
-	case q.shutdown.isEnded():
-		q.refuseOrFailWith(q.maybeExecuted, q.stoppingProblem())
-		return
-	}
-	q.fail(problem.DeadlineExceeded, "the time for this request is over")
+// refuseOrFail ends a request for which no server responded.
+func (q *request) refuseOrFail(detail string, after time.Duration) {
+	q.endWithout(answerend.Cut, q.retryLater(problem.NoBackend, detail, after))
 }
 
 // tryServer sends the request to one server and forwards its response.
