--- a/relay/answerend.go
+++ b/relay/answerend.go
@@ -4,18 +4,26 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
+	"sync"
 	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/sapphirefield/sapphirefield/answerend"
+	"github.com/sapphirefield/sapphirefield/config"
 	"github.com/sapphirefield/sapphirefield/membership"
 	"github.com/sapphirefield/sapphirefield/pipeline"
+	"github.com/sapphirefield/sapphirefield/problem"
 )
 
 const (
-	// maxRepeatableEndCheck is maxEndCheck for a call that another server may answer.
+	// maxEndCheck bounds the wait for a server whose answer has ended with its connection,
+	// if the request may not be repeated or the client has all events by then. A server
+	// that has fallen silent for a moment answers later.
+	maxEndCheck = minPatience
+	// maxRepeatableEndCheck is the same for a call that another server may answer.
 	maxRepeatableEndCheck = minSilence
 	// endCheckInterval is the time between two questions.
 	endCheckInterval = 100 * time.Millisecond
@@ -34,6 +42,57 @@
 	return answerend.Closed
 }
 
+// requestKind returns what may follow an answer of the route that is not whole.
+func requestKind(route *config.Route) answerend.Kind {
+	switch {
+	case route.Resumable:
+		return answerend.ResumableStream
+	case route.CallKind == config.CallStream:
+		return answerend.Stream
+	case route.CallKind == config.CallIdempotent:
+		return answerend.Idempotent
+	}
+	return answerend.AtMostOnce
+}
+
+// isRepeatable reports whether the request may be sent again although a server may have run
+// it.
+func (q *request) isRepeatable() bool { return requestKind(q.route).Repeats() && q.mayRepeat() }
+
+// endWithout ends a request that gets no whole answer, after its last attempt. The refusal
+// is for a client that has got nothing of an answer, if no server has run the request.
+func (q *request) endWithout(end answerend.End, refusal *problem.Problem) {
+	r := answerend.Request{Kind: requestKind(q.route), PassedOn: !q.firstByte.IsZero(), NotRun: !q.maybeExecuted, NoRetry: true}
+	switch answerend.Decide(r, answerend.Evidence{End: end}) {
+	case answerend.Nobody:
+		q.outcome, q.detail = outcomeClientGone, refusal.Detail
+	case answerend.BrokenOff:
+		// The client's connection is closed, so that the answer does not look complete.
+		q.outcome, q.detail = outcomeAborted, refusal.Detail
+		panic(http.ErrAbortHandler)
+	case answerend.Refused:
+		q.refuse(refusal)
+	default:
+		code := problem.OutcomeUnknown
+		if end == answerend.TimeOver {
+			code = problem.DeadlineExceeded
+		}
+		q.fail(code, refusal.Detail)
+	}
+}
+
+// endUnfinished ends a request whose time is over, whose client has left or whose process ends.
+func (q *request) endUnfinished() {
+	switch {
+	case q.r.Context().Err() != nil:
+		q.endWithout(answerend.ClientLeft, &problem.Problem{})
+	case q.shutdown.isEnded():
+		q.endWithout(answerend.Stopped, q.stoppingProblem())
+	default:
+		q.endWithout(answerend.TimeOver, &problem.Problem{Detail: "the time for this request is over"})
+	}
+}
+
 // isWholeCall reports whether the answer of a server is whole, once it has ended in order.
 // A server is asked only if nothing else shows it.
 func (q *request) isWholeCall(ctx context.Context, x *exchange, server Server, wait time.Duration) bool {
@@ -80,6 +139,61 @@
 	}
 }
 
+// isWhole reports whether a stream that has ended in order is complete. One that ends with
+// its connection looks the same if an engine of its path has crashed between two events, so
+// all are asked whether they are there. If the stream was complete all the same, another
+// attempt finds nothing left to send.
+func (a *attempt) isWhole(ctx context.Context, err error, insideEvent bool) bool {
+	evidence := answerend.Evidence{End: a.x.end(err), InsideEvent: insideEvent, NoEvent: a.progressSince.IsZero()}
+	if evidence.End.NeedsProcesses() && !insideEvent && !evidence.NoEvent {
+		evidence.Processes = a.askEngines(ctx)
+	}
+	return evidence.IsWhole()
+}
+
+// askEngines finds out whether the engines of the path still work, all at the same time. No
+// engine is asked if one of them is known to be lost.
+func (a *attempt) askEngines(ctx context.Context) []answerend.Process {
+	if lost, _ := a.fleet.unusable(a.hops[1:]); a.stageLost || len(lost) > 0 {
+		return []answerend.Process{answerend.Crashed}
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxEndCheck)
+	defer cancel()
+	processes := make([]answerend.Process, len(a.hops))
+	var asking sync.WaitGroup
+	for stage := 1; stage < len(a.hops); stage++ {
+		asking.Go(func() { processes[stage] = a.askServer(ctx, a.stageServer(stage)) })
+	}
+	processes[0] = a.askHead(ctx)
+	asking.Wait()
+	return processes
+}
+
+// askHead finds out whether the first engine works and waits for no other one of the path.
+// One that must not be asked now is not known to. A crashed engine refuses the connection,
+// and one that has fallen silent for a moment answers later.
+func (a *attempt) askHead(ctx context.Context) answerend.Process {
+	for {
+		askedAt := time.Now()
+		status, err := a.engines.Status(ctx, a.hops[0].Address)
+		blocked := slices.ContainsFunc(a.hops[1:], func(h pipeline.Hop) bool { return slices.Contains(stalledAddresses(status), h.Address) })
+		switch {
+		case errors.Is(err, errServerPaused) || errors.Is(err, errServerLimited):
+			return answerend.Unknown
+		case errors.Is(err, ErrNoResponse) && ctx.Err() == nil && time.Since(askedAt) < stallTimeout:
+			return answerend.Crashed
+		case a.startTimes[0] > 0 && status.StartTimeMillis > a.startTimes[0]:
+			return answerend.Restarted
+		case !errors.Is(err, ErrNoResponse) && !blocked:
+			return answerend.Alive
+		}
+		sleep(ctx, endCheckInterval)
+		if ctx.Err() != nil {
+			return answerend.Unknown
+		}
+	}
+}
+
 // stageServer returns an engine of the path as the process that it was when the request was
 // sent along the path.
 func (a *attempt) stageServer(stage int) Server {
