daemon: a request read together with the one before is not taken for idle

Cause: a connection counts as active from the first byte that is read from it after an answer. Bytes of the next request that were read together with the one before count for nothing, so its header got the idle timeout, and a planned stop took the connection for idle while its body was read.

Now the second deadline that http.Server sets after an answer marks the start of a request: the first one is for the pause, the next one for the header, and it is set only once bytes of the request are there. The new test failed before (not arriving).

What remains: of a request of which fewer than four bytes came with the one before, nothing shows before the rest arrives; it has the idle timeout for that, as before.

--- a/daemon/idle.go
+++ b/daemon/idle.go
@@ -44,6 +44,8 @@
 	used bool
 	// expired is set when the connection must not start another request.
 	expired bool
+	// awaiting is set while the deadline between two requests is in force.
+	awaiting bool
 	// multiplexed is set for HTTP/2, whose connections carry frames between requests.
 	// http.Server.Shutdown ends them without dropping a request.
 	multiplexed bool
@@ -185,7 +187,7 @@
 func (c *trackedConn) setIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.active, c.used = false, true
+	c.active, c.used, c.awaiting = false, true, false
 }
 
 // requestsArriving returns the number of connections on which a request has begun
@@ -229,7 +231,7 @@
 	if n > 0 {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.active = true
+		c.active, c.awaiting = true, false
 	}
 	return n, err
 }
@@ -252,6 +254,7 @@
 func (c *trackedConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.noteDeadline()
 	if c.expired && !c.active {
 		return nil
 	}
@@ -261,6 +264,16 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// noteDeadline notices the start of a request whose first bytes were read together with the
+// request before: between requests, http.Server sets one deadline, the next one is for the
+// header.
+func (c *trackedConn) noteDeadline() {
+	if c.awaiting {
+		c.active, c.expired = true, false
+	}
+	c.awaiting = c.used && !c.active
+}
+
 // timeout returns the idle timeout between requests and the header timeout otherwise.
 func (c *trackedConn) timeout() time.Duration {
 	header, idle := c.timeouts()
--- a/daemon/idle_test.go
+++ b/daemon/idle_test.go
@@ -190,3 +190,26 @@
 	_, err = listener.Accept()
 	assert.ErrorIs(t, err, net.ErrClosed)
 }
+
+// Guards against a request that is taken for the pause before it, because its first bytes
+// were read together with the request before: the idle timeout ended its header and a
+// planned stop its body.
+func TestPipelinedRequestIsNotIdle(t *testing.T) {
+	c, client := tcpPair(t)
+	c.timeouts = func() (header, idle time.Duration) { return time.Hour, time.Millisecond }
+	for _, closing := range []bool{false, true} {
+		c.setIdle()
+		if closing {
+			c.expireIfIdle()
+		}
+		// As http.Server does: the second one once the next request has begun.
+		assert.NilError(t, c.SetReadDeadline(time.Now().Add(time.Hour)))
+		assert.NilError(t, c.SetReadDeadline(time.Now().Add(time.Hour)))
+		assert.Assert(t, c.isArriving())
+		time.Sleep(5 * time.Millisecond)
+		_, err := io.WriteString(client, "x")
+		assert.NilError(t, err)
+		_, err = c.Read(make([]byte, 1))
+		assert.NilError(t, err)
+	}
+}
