daemon: bytes of a request that have arrived outlast the timeout of their connection

Clients on kept channels, and on new ones, got a reset where the idle or header timeout of the connection passed in the moment in which a request arrived: its bytes were there, and the close dropped them. A configuration with shorter timeouts makes it more frequent. No handler had begun any of these requests.

Causes: a read that ends at its deadline reports the timeout even if bytes have arrived by then; only connections that a planned stop had expired were looked at again. And the idle timeout still ran once the first bytes of a request had been read, so one whose first bytes came in a piece of their own was dropped within its header time.

Now a read that ends at one of the two timeouts reads what has arrived, and the header timeout replaces the idle one with the first byte. A header that drips gains 10 ms.

--- a/daemon/idle.go
+++ b/daemon/idle.go
@@ -46,6 +46,8 @@
 	expired bool
 	// awaiting is set while the deadline between two requests is in force.
 	awaiting bool
+	// timed is set while a header or idle timeout limits the reads.
+	timed bool
 	// multiplexed is set for HTTP/2, whose connections carry frames between requests.
 	// http.Server.Shutdown ends them without dropping a request.
 	multiplexed bool
@@ -229,23 +231,43 @@
 		n, err = c.Conn.Read(p)
 	}
 	if n > 0 {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.active, c.awaiting = true, false
+		c.beginRequest()
 	}
 	return n, err
 }
 
-// reviveIfArriving keeps an expired connection open for a request that has arrived
-// in the moment of its expiry.
+// revivalTime is for reading bytes that have arrived by the moment of a timeout.
+const revivalTime = 10 * time.Millisecond
+
+// reviveIfArriving keeps a connection open for bytes that have arrived by the moment of
+// its expiry or of its timeout. The kernel would drop them, with the request.
 func (c *trackedConn) reviveIfArriving() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.expired || netpeek.Peek(c.Conn) != netpeek.HasData {
+	if !c.expired && !c.timed || netpeek.Peek(c.Conn) != netpeek.HasData {
 		return false
 	}
 	c.expired = false
-	return c.Conn.SetReadDeadline(time.Time{}) == nil
+	return c.Conn.SetReadDeadline(time.Now().Add(revivalTime)) == nil
+}
+
+// beginRequest marks the connection as active. The header timeout replaces the idle timeout
+// with the first byte of a request.
+func (c *trackedConn) beginRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	began := !c.active && !c.multiplexed
+	c.active, c.awaiting = true, false
+	if !began {
+		return
+	}
+	header, _ := c.timeouts()
+	if header <= 0 {
+		header = headerTimeout
+	}
+	c.timed = true
+	// It fails only on a connection that is closed already.
+	_ = c.Conn.SetReadDeadline(time.Now().Add(header))
 }
 
 // SetReadDeadline leaves the deadline of an expired idle connection unchanged.
@@ -258,7 +280,8 @@
 	if c.expired && !c.active {
 		return nil
 	}
-	if timeout := c.timeout(); timeout > 0 && t.After(time.Now()) {
+	c.timed = t.After(time.Now())
+	if timeout := c.timeout(); timeout > 0 && c.timed {
 		t = time.Now().Add(timeout)
 	}
 	return c.Conn.SetReadDeadline(t)
--- a/daemon/idle_test.go
+++ b/daemon/idle_test.go
@@ -213,3 +213,36 @@
 		assert.NilError(t, err)
 	}
 }
+
+// Guards against bytes of a request that have arrived by the moment at which a timeout of
+// their connection passes, and are dropped with it, idle or in a header.
+func TestArrivedBytesOutlastTimeout(t *testing.T) {
+	for _, used := range []bool{true, false} {
+		c, client := tcpPair(t)
+		c.timeouts = func() (header, idle time.Duration) { return time.Millisecond, time.Millisecond }
+		if used {
+			c.setIdle()
+		}
+		assert.NilError(t, c.SetReadDeadline(time.Now().Add(time.Hour)))
+		time.Sleep(5 * time.Millisecond)
+		send := func(text string) {
+			_, err := io.WriteString(client, text)
+			assert.NilError(t, err)
+			for netpeek.Peek(c.Conn) != netpeek.HasData {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		send("GET")
+		n, err := c.Read(make([]byte, 10))
+		assert.NilError(t, err)
+		assert.Equal(t, n, 3)
+		_, err = c.Read(make([]byte, 10))
+		assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+
+		// http.Server ends its own reads so, whatever has arrived.
+		send("/")
+		assert.NilError(t, c.SetReadDeadline(time.Unix(1, 0)))
+		_, err = c.Read(make([]byte, 10))
+		assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	}
+}
