relay: a call waits for a head that pauses, and ends one that drips

Callers of calls that may run once, and of idempotent ones with no other server, got 502 after 2.0 s, where their server fell silent inside the head of its answer, or between a 103 and the answer, and went on after 2.5 s. Their time lasted longer.

Cause: one limit for two things. A header had 2 s from its first to its last byte, so that a broken server cannot hold a call byte by byte; a sound one that pauses met it too.

Now the 2 s are the time in which bytes keep coming: a gap between two parts counts 0.1 s at most. A pause is limited by the time of the request (an idempotent call still leaves for another server after half of it), a head byte by byte ends as early as before for gaps up to 0.1 s, and after 20 parts for longer ones. The limits on bytes and on 1xx responses are unchanged; streams have their watch.

--- a/faultmatrix/faultmatrix.go
+++ b/faultmatrix/faultmatrix.go
@@ -207,8 +207,8 @@
 	ServerPauses: {
 		FirstStage:  tests("TestStreamOutlastsPauseOfItsEngine", "TestStreamsLeaveSilentEngineOnlyWithPlaceElsewhere"),
 		LaterStage:  tests("TestStreamOutlastsPauseOfLaterEngine"),
-		Idempotent:  tests("TestCallOutlastsPauseOfItsServer", "TestLongAnswerOutlastsPauseOfItsServer"),
-		AtMostOnce:  tests("TestCallOutlastsPauseOfItsServer", "TestLongAnswerOutlastsPauseOfItsServer"),
+		Idempotent:  tests("TestCallOutlastsPauseOfItsServer", "TestCallOutlastsPauseInItsHead", "TestLongAnswerOutlastsPauseOfItsServer"),
+		AtMostOnce:  tests("TestCallOutlastsPauseOfItsServer", "TestCallOutlastsPauseInItsHead", "TestLongAnswerOutlastsPauseOfItsServer"),
 		Keyed:       open("not played; a call waits for its server until its timeout"),
 		Status:      tests("TestStreamIsWholeThoughItsEnginePausesAfterwards"),
 		Order:       tests("TestOrderOutcomes"),
--- a/relay/connection.go
+++ b/relay/connection.go
@@ -38,8 +38,12 @@
 	maxHeaderBytes = 16 << 10
 	// maxInformational bounds the informational responses before a response.
 	maxInformational = 8
-	// headerTimeout bounds the time from the first to the last byte of a header.
+	// headerTimeout bounds the time in which the bytes of a header keep coming. A broken
+	// server may send them one by one.
 	headerTimeout = 2 * time.Second
+	// maxHeaderGap is what the time between two parts of a header counts at most. A sound
+	// server may pause for longer, and the time of its request limits that.
+	maxHeaderGap = 100 * time.Millisecond
 	// discardTimeout bounds the wait for the rest of a response that nobody
 	// needs. It is only read so that its connection can be reused.
 	discardTimeout = 50 * time.Millisecond
@@ -63,8 +67,7 @@
 	expires time.Time
 	// refused are the IDs of requests that were refused over the connection.
 	refused []string
-	// header limits the bytes and the time of a header that is being read; nil
-	// otherwise.
+	// header limits a header that is being read; nil otherwise.
 	header *headerLimit
 	// received is the number of bytes received.
 	received int64
@@ -84,7 +87,10 @@
 // headerLimit is what a server may still send of a response header.
 type headerLimit struct {
 	bytesLeft int
-	started   bool
+	// timeLeft is how long bytes may keep coming, not counting pauses.
+	timeLeft time.Duration
+	// receivedAt is when the last bytes came.
+	receivedAt time.Time
 }
 
 // readWatch limits how long the reads of a response wait. Its connection calls
@@ -95,14 +101,18 @@
 	check() error
 }
 
-var errHeaderTooLarge = errors.New("response header is too large")
+// Errors of a header without end.
+var (
+	errHeaderTooLarge = errors.New("response header is too large")
+	errHeaderTooSlow  = errors.New("response header comes too slowly")
+)
 
 // Read reads from the server within the limits in force. The buffered reader of
 // the connection reads through it.
 func (c *connection) Read(p []byte) (int, error) {
 	if c.header != nil {
-		if c.header.bytesLeft <= 0 {
-			return 0, errHeaderTooLarge
+		if err := c.header.check(); err != nil {
+			return 0, err
 		}
 		p = p[:min(len(p), c.header.bytesLeft)]
 	}
@@ -111,8 +121,9 @@
 	if n > 0 && c.onRead != nil {
 		c.onRead()
 	}
-	if c.header != nil {
-		return n, c.countHeaderBytes(n, err)
+	// A watch limits the time by itself.
+	if n > 0 && c.header != nil {
+		c.header.count(time.Now(), n, c.watch == nil)
 	}
 	return n, err
 }
@@ -136,24 +147,24 @@
 	return c.Conn.Read(p)
 }
 
-// countHeaderBytes starts the time limit of a header with its first byte. A
-// watch limits the time by itself.
-func (c *connection) countHeaderBytes(n int, err error) error {
-	c.header.bytesLeft -= n
-	if err != nil || n == 0 || c.header.started || c.watch != nil {
-		return err
+// check reports whether more of the header may come.
+func (l *headerLimit) check() error {
+	switch {
+	case l.bytesLeft <= 0:
+		return errHeaderTooLarge
+	case l.timeLeft <= 0:
+		return errHeaderTooSlow
 	}
-	c.header.started = true
-	return c.Conn.SetReadDeadline(time.Now().Add(headerTimeout))
+	return nil
 }
 
-// endHeader lifts the limits for headers.
-func (c *connection) endHeader() error {
-	c.header = nil
-	if c.watch != nil {
-		return nil
+// count counts received bytes, and the time that they took if that is limited.
+func (l *headerLimit) count(now time.Time, n int, timed bool) {
+	l.bytesLeft -= n
+	if timed && !l.receivedAt.IsZero() {
+		l.timeLeft -= min(now.Sub(l.receivedAt), maxHeaderGap)
 	}
-	return c.Conn.SetReadDeadline(time.Time{})
+	l.receivedAt = now
 }
 
 // isReusable reports whether a pooled connection is open and has no unread bytes,
@@ -305,7 +316,7 @@
 
 // readFinalHeader reads the header of a final (non-1xx) response.
 func (x *exchange) readFinalHeader(codec HeaderCodec, request *http.Request) error {
-	x.conn.header = &headerLimit{bytesLeft: maxHeaderBytes}
+	x.conn.header = &headerLimit{bytesLeft: maxHeaderBytes, timeLeft: headerTimeout}
 	for range maxInformational + 1 {
 		response, err := http.ReadResponse(x.conn.reader, request)
 		if err != nil {
@@ -316,7 +327,8 @@
 				response.Body = &chunkReader{reader: x.conn.reader}
 			}
 			x.response, x.info = response, codec.ParseResponse(response.Header)
-			return x.conn.endHeader()
+			x.conn.header = nil
+			return nil
 		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			return errors.New("server switched protocols")
--- a/relay/longanswer_test.go
+++ b/relay/longanswer_test.go
@@ -126,3 +126,68 @@
 	clients.Wait()
 	answers.check(t)
 }
+
+// pauseInHead sends an answer and falls silent before a part of it, which is in its head or
+// in what comes before that.
+func (a cutAnswer) pauseInHead(before, at string, pause time.Duration) script {
+	return func(_ *backend, r *http.Request, conn net.Conn) bool {
+		text := before + fmt.Sprintf(a.head, r.Header.Get("Id")) + a.body
+		n := strings.Index(text, at)
+		_, _ = io.WriteString(conn, text[:n]) // a failed write shows in the client's answer
+		time.Sleep(pause)
+		_, _ = io.WriteString(conn, text[n:])
+		return a.framed
+	}
+}
+
+// Guards against a call that is failed because its server, which is sound, falls silent
+// inside the head of its answer: the limit is for heads that come without end.
+func TestCallOutlastsPauseInItsHead(t *testing.T) {
+	const earlyHints = "HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n"
+	var answers answerCounter
+	var clients sync.WaitGroup
+	for _, call := range []config.CallKind{config.CallIdempotent, config.CallAtMostOnce} {
+		for framing, answer := range cutAnswers(unaryRoute(call)) {
+			for _, before := range []string{"", earlyHints} {
+				// After the first byte, in the status, in a field, before the body, and between heads.
+				for _, at := range []string{"TTP/1.1 200", "200 OK", "igned", "the whole", "HTTP/1.1 200"} {
+					for _, pause := range []time.Duration{1200 * time.Millisecond, 2500 * time.Millisecond} {
+						for _, alone := range []bool{true, false} {
+							backends := []*backend{newBackend(t, answer.pauseInHead(before, at, pause))}
+							if !alone {
+								backends = append(backends, newBackend(t, answer.pauseInHead("", "the whole", 0)))
+							}
+							e := newTestEntry(t, unaryRoute(call), backends...)
+							e.preferFirst()
+							r := e.newRequest(t.Context(), t, http.MethodPost, strings.NewReader("body"))
+							name := fmt.Sprintf("%s, %s, %v before %q, after %q, alone %t", call, framing, pause, at, before, alone)
+							clients.Go(func() { answers.count(name, http.StatusOK, answer.whole, e.server.Client(), r) })
+						}
+					}
+				}
+			}
+		}
+	}
+	clients.Wait()
+	answers.check(t)
+}
+
+// Guards against a head that comes byte by byte and holds a call that may run once until
+// its time is over.
+func TestDrippingHeadEndsCall(t *testing.T) {
+	for _, gap := range []time.Duration{20 * time.Millisecond, 180 * time.Millisecond} {
+		t.Run(gap.String(), func(t *testing.T) {
+			t.Parallel()
+			b := newBackend(t, func(_ *backend, r *http.Request, conn net.Conn) bool {
+				write(conn, "HTTP/1.1 200 OK\nId: %s\nDrip: ", r.Header.Get("Id"))
+				for err := error(nil); err == nil; time.Sleep(gap) {
+					_, err = io.WriteString(conn, "x")
+				}
+				return false
+			})
+			response, _, err := newTestEntry(t, unaryRoute(config.CallAtMostOnce), b).send(t, http.MethodPost)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, http.StatusBadGateway)
+		})
+	}
+}
