sidecar: a test of calls whose server pauses in its answer

A pause of 2.5 s before each byte of an answer (length and chunks, with and without a 103 before; the head included) costs no answer: the sidecar waits until the call's time is over.

--- a/faultmatrix/faultmatrix.go
+++ b/faultmatrix/faultmatrix.go
@@ -212,7 +212,7 @@
 		Keyed:       open("not played; a call waits for its server until its timeout"),
 		Status:      tests("TestStreamIsWholeThoughItsEnginePausesAfterwards"),
 		Order:       tests("TestOrderOutcomes"),
-		OffPlatform: open("not played; the stages of an engine that is silent for 0.3 s are run again elsewhere"),
+		OffPlatform: open("calls: `TestPlainCallOutlastsPauseOfItsServer`; the stages of an engine that is silent for 0.3 s are run again elsewhere"),
 	},
 	NoAnswers: {
 		FirstStage:  both("TestNewStreamsAvoidEngineThatAnswersNothing", "engine answers no requests"),
--- a/sidecar/cuthead_test.go
+++ b/sidecar/cuthead_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -58,3 +59,50 @@
 		assert.Assert(t, failed, "cut at %d of %d: no failure", cut, len(text))
 	}
 }
+
+// Guards against a call that is failed because its server, which is sound, falls silent in
+// the middle of its answer.
+func TestPlainCallOutlastsPauseOfItsServer(t *testing.T) {
+	const body = "the whole body"
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+	const earlyHints = "HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n"
+	for framing, answer := range map[string]string{
+		"length": fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body),
+		"chunks": fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body),
+	} {
+		for _, text := range []string{answer, earlyHints + answer} {
+			t.Run(framing, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { testPausingAnswer(t, text) })
+			})
+		}
+	}
+}
+
+// testPausingAnswer pauses before each byte of an answer.
+func testPausingAnswer(t *testing.T, text string) {
+	const pause = 2500 * time.Millisecond
+	var at int
+	s := startPlainSidecar(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(conn, text[:at])
+		time.Sleep(pause)
+		_, _ = io.WriteString(conn, text[at:])
+	}))
+	queue := link.NewQueue[*wire.WorkDown](1 << 16)
+	s.attachEntry(&wire.Hello{Id: "entry-0", Incarnation: "i"}, queue)
+	for at = range len(text) {
+		s.call(5 * at) // of entry-0
+		time.Sleep(2 * pause)
+		synctest.Wait()
+		frames, _ := queue.Take()
+		complete := false
+		for _, frame := range frames {
+			complete = complete || frame.GetCallEnd() != nil
+		}
+		assert.Assert(t, complete, "a pause at %d of %d: no complete answer", at, len(text))
+	}
+}
