--- a/daemon/idle.go
+++ b/daemon/idle.go
@@ -54,12 +54,16 @@
 	// bufferSize is the size of the first read. http.Server reads a request in smaller
 	// parts only if it holds the beginning already.
 	bufferSize int
+	// pipelined is set once http.Server held a request while it answered the one before.
+	pipelined bool
 	// closing is set if the connection must be closed as soon as it is idle.
 	closing bool
 	// used is set once the connection has carried a request.
 	used bool
 	// expired is set when the connection must not start another request.
 	expired bool
+	// timed is set while a header or idle timeout limits the reads.
+	timed bool
 	// multiplexed is set for HTTP/2, whose connections carry frames between requests.
 	// http.Server.Shutdown ends them without dropping a request.
 	multiplexed bool
@@ -211,6 +215,21 @@
 	}
 }
 
+// beginHeldRequest records that http.Server holds the beginning of a request. c.mu is held.
+func (c *trackedConn) beginHeldRequest() error {
+	c.pipelined = true
+	return c.beginHeader()
+}
+
+// ClosesWhenIdle reports whether the connection is closed in a stop without an announcement.
+// Its client sends requests without waiting for answers: those that http.Server holds
+// would be dropped by an answer that announces the close.
+func (c *trackedConn) ClosesWhenIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pipelined && c.closing
+}
+
 func (c *trackedConn) setIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -254,7 +273,7 @@
 		return
 	}
 	if netpeek.Peek(c.Conn) == netpeek.HasData {
-		c.beginRequest()
+		_ = c.beginHeader() // fails only on a connection that is closed already
 		return
 	}
 	c.expired = true
@@ -270,14 +289,22 @@
 		n, err = c.Conn.Read(p)
 	}
 	if n > 0 {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.beginRequest()
-		_ = c.revive() // fails only on a connection that is closed already
+		c.recordBytes()
 	}
 	return n, err
 }
 
+// recordBytes records that bytes of a request have been read.
+func (c *trackedConn) recordBytes() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.active || c.multiplexed {
+		c.beginRequest()
+		return
+	}
+	_ = c.beginHeader() // fails only on a connection that is closed already
+}
+
 // beginRead finds out from the first read after a response whether http.Server holds the
 // beginning of a request. If it does not, the connection is idle.
 func (c *trackedConn) beginRead(size int) {
@@ -291,31 +318,41 @@
 	}
 	c.answered = false
 	if size < c.bufferSize && !c.encrypted {
-		c.beginRequest()
+		_ = c.beginHeldRequest() // fails only on a connection that is closed already
 	} else if c.closing {
 		c.expire()
 	}
 }
 
-// reviveIfArriving keeps an expired connection open for a request that has arrived
-// in the moment of its expiry.
+// revivalTime is for reading bytes that have arrived by the moment of a timeout.
+const revivalTime = 10 * time.Millisecond
+
+// reviveIfArriving keeps a connection open for bytes that have arrived by the moment of
+// its expiry or of its timeout. The kernel would drop them, with the request. A timeout that
+// the server has been told is final: it may take a part of a line for a whole one.
 func (c *trackedConn) reviveIfArriving() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.expired || netpeek.Peek(c.Conn) != netpeek.HasData {
+	if !c.expired && !c.timed || netpeek.Peek(c.Conn) != netpeek.HasData {
+		c.timed = false
 		return false
 	}
-	c.beginRequest()
-	return c.revive() == nil
+	if !c.active {
+		return c.beginHeader() == nil
+	}
+	return c.Conn.SetReadDeadline(time.Now().Add(revivalTime)) == nil
 }
 
-// revive ends the expiry of a connection. c.mu is held.
-func (c *trackedConn) revive() error {
-	if !c.expired {
-		return nil
+// beginHeader records that a request has begun to arrive. The header timeout replaces the
+// idle timeout, and the expiry of a connection that a stop is about to close. c.mu is held.
+func (c *trackedConn) beginHeader() error {
+	c.beginRequest()
+	c.expired, c.timed = false, true
+	header, _ := c.timeouts()
+	if header <= 0 {
+		header = headerTimeout
 	}
-	c.expired = false
-	return c.Conn.SetReadDeadline(time.Time{})
+	return c.Conn.SetReadDeadline(time.Now().Add(header))
 }
 
 // SetReadDeadline leaves the deadline of an expired idle connection unchanged.
@@ -328,10 +365,12 @@
 		return nil
 	}
 	if c.answered && c.idleTimeoutSet {
+		c.pipelined = true
 		c.beginRequest()
 	}
 	c.idleTimeoutSet = true
-	if timeout := c.timeout(); timeout > 0 && t.After(time.Now()) {
+	c.timed = t.After(time.Now())
+	if timeout := c.timeout(); timeout > 0 && c.timed {
 		t = time.Now().Add(timeout)
 	}
 	return c.Conn.SetReadDeadline(t)
--- a/daemon/idle_test.go
+++ b/daemon/idle_test.go
@@ -216,3 +216,59 @@
 	_, err = listener.Accept()
 	assert.ErrorIs(t, err, net.ErrClosed)
 }
+
+// Guards against a request that is taken for the pause before it, because its first bytes
+// were read together with the request before: the idle timeout ended its header and a
+// planned stop its body.
+func TestPipelinedRequestIsNotIdle(t *testing.T) {
+	c, client := tcpPair(t)
+	c.timeouts = func() (header, idle time.Duration) { return time.Hour, time.Millisecond }
+	for _, closing := range []bool{false, true} {
+		c.setIdle()
+		if closing {
+			c.expireIfIdle()
+		}
+		// As http.Server does: the second one once the next request has begun.
+		assert.NilError(t, c.SetReadDeadline(time.Now().Add(time.Hour)))
+		assert.NilError(t, c.SetReadDeadline(time.Now().Add(time.Hour)))
+		assert.Assert(t, c.isArriving())
+		time.Sleep(5 * time.Millisecond)
+		_, err := io.WriteString(client, "x")
+		assert.NilError(t, err)
+		_, err = c.Read(make([]byte, 1))
+		assert.NilError(t, err)
+	}
+}
+
+// Guards against bytes of a request that have arrived by the moment at which a timeout of
+// their connection passes, and are dropped with it, idle or in a header.
+func TestArrivedBytesOutlastTimeout(t *testing.T) {
+	for _, used := range []bool{true, false} {
+		c, client := tcpPair(t)
+		c.timeouts = func() (header, idle time.Duration) { return time.Millisecond, time.Millisecond }
+		if used {
+			c.setIdle()
+		}
+		assert.NilError(t, c.SetReadDeadline(time.Now().Add(time.Hour)))
+		time.Sleep(5 * time.Millisecond)
+		send := func(text string) {
+			_, err := io.WriteString(client, text)
+			assert.NilError(t, err)
+			for netpeek.Peek(c.Conn) != netpeek.HasData {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		send("GET")
+		n, err := c.Read(make([]byte, 10))
+		assert.NilError(t, err)
+		assert.Equal(t, n, 3)
+		_, err = c.Read(make([]byte, 10))
+		assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+
+		// http.Server ends its own reads so, whatever has arrived.
+		send("/")
+		assert.NilError(t, c.SetReadDeadline(time.Unix(1, 0)))
+		_, err = c.Read(make([]byte, 10))
+		assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	}
+}
