--- a/faultmatrix/faultmatrix.go
+++ b/faultmatrix/faultmatrix.go
@@ -205,10 +205,10 @@
 		OffPlatform: tests("TestHungStage", "TestSilentLink"),
 	},
 	ServerPauses: {
-		FirstStage:  tests("TestStreamOutlastsPauseOfItsEngine", "TestStreamsLeaveSilentEngineOnlyWithPlaceElsewhere"),
+		FirstStage:  tests("TestStreamOutlastsPauseOfItsEngine", "TestRequestOutlastsPauseInHeadOfAnswer", "TestStreamsLeaveSilentEngineOnlyWithPlaceElsewhere"),
 		LaterStage:  tests("TestStreamOutlastsPauseOfLaterEngine"),
-		Idempotent:  tests("TestCallOutlastsPauseOfItsServer", "TestCallOutlastsPauseInItsHead", "TestLongAnswerOutlastsPauseOfItsServer"),
-		AtMostOnce:  tests("TestCallOutlastsPauseOfItsServer", "TestCallOutlastsPauseInItsHead", "TestLongAnswerOutlastsPauseOfItsServer"),
+		Idempotent:  tests("TestCallOutlastsPauseOfItsServer", "TestRequestOutlastsPauseInHeadOfAnswer", "TestLongAnswerOutlastsPauseOfItsServer", "TestLongAnswerMayTakeItsTime"),
+		AtMostOnce:  tests("TestCallOutlastsPauseOfItsServer", "TestRequestOutlastsPauseInHeadOfAnswer", "TestLongAnswerOutlastsPauseOfItsServer"),
 		Keyed:       open("not played; a call waits for its server until its timeout"),
 		Status:      tests("TestStreamIsWholeThoughItsEnginePausesAfterwards"),
 		Order:       tests("TestOrderOutcomes"),
--- a/relay/longanswer_test.go
+++ b/relay/longanswer_test.go
@@ -127,6 +127,26 @@
 	answers.check(t)
 }
 
+// Guards against a long answer that is cut because it takes over half of its call's time,
+// although its server never falls silent.
+func TestLongAnswerMayTakeItsTime(t *testing.T) {
+	steady := newBackend(t, func(_ *backend, r *http.Request, conn net.Conn) bool {
+		head, body := frameBody(http.StatusOK, "length", longBody)
+		write(conn, strings.ReplaceAll(head, "\r\n", "\n"), r.Header.Get("Id"))
+		for part := len(body) / 30; body != ""; body = body[min(part, len(body)):] {
+			_, _ = io.WriteString(conn, body[:min(part, len(body))])
+			time.Sleep(100 * time.Millisecond)
+		}
+		return true
+	})
+	route := unaryRoute(config.CallIdempotent)
+	e := newTestEntry(t, route, steady, newBackend(t, respond(http.StatusOK, "another answer")))
+	e.preferFirst()
+	_, body, err := e.send(t, http.MethodPost)
+	assert.NilError(t, err)
+	assert.Assert(t, body == longBody, "%d of %d bytes", len(body), len(longBody))
+}
+
 // pauseInHead sends an answer and falls silent before a part of it, which is in its head or
 // in what comes before that.
 func (a cutAnswer) pauseInHead(before, at string, pause time.Duration) script {
@@ -140,27 +160,30 @@
 	}
 }
 
-// Guards against a call that is failed because its server, which is sound, falls silent
-// inside the head of its answer: the limit is for heads that come without end.
-func TestCallOutlastsPauseInItsHead(t *testing.T) {
+// Guards against a call or stream that is failed because its server, which is sound, falls
+// silent inside the head of its answer: the limit is for heads that come without end.
+func TestRequestOutlastsPauseInHeadOfAnswer(t *testing.T) {
 	const earlyHints = "HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n"
 	var answers answerCounter
 	var clients sync.WaitGroup
-	for _, call := range []config.CallKind{config.CallIdempotent, config.CallAtMostOnce} {
-		for framing, answer := range cutAnswers(unaryRoute(call)) {
+	for kind, route := range map[string]config.Route{
+		"idempotent": unaryRoute(config.CallIdempotent), "at most once": unaryRoute(config.CallAtMostOnce),
+		"stream": streamRoute(false), "resumable stream": streamRoute(true),
+	} {
+		for framing, answer := range cutAnswers(route) {
 			for _, before := range []string{"", earlyHints} {
 				// After the first byte, in the status, in a field, before the body, and between heads.
-				for _, at := range []string{"TTP/1.1 200", "200 OK", "igned", "the whole", "HTTP/1.1 200"} {
+				for _, at := range []string{"TTP/1.1 200", "200 OK", "igned", "\r\n\r\n", "HTTP/1.1 200"} {
 					for _, pause := range []time.Duration{1200 * time.Millisecond, 2500 * time.Millisecond} {
 						for _, alone := range []bool{true, false} {
 							backends := []*backend{newBackend(t, answer.pauseInHead(before, at, pause))}
 							if !alone {
-								backends = append(backends, newBackend(t, answer.pauseInHead("", "the whole", 0)))
+								backends = append(backends, newBackend(t, answer.pauseInHead("", "HTTP", 0)))
 							}
-							e := newTestEntry(t, unaryRoute(call), backends...)
+							e := newTestEntry(t, route, backends...)
 							e.preferFirst()
 							r := e.newRequest(t.Context(), t, http.MethodPost, strings.NewReader("body"))
-							name := fmt.Sprintf("%s, %s, %v before %q, after %q, alone %t", call, framing, pause, at, before, alone)
+							name := fmt.Sprintf("%s, %s, %v before %q, after %q, alone %t", kind, framing, pause, at, before, alone)
 							clients.Go(func() { answers.count(name, http.StatusOK, answer.whole, e.server.Client(), r) })
 						}
 					}
