relay: a new process begins with what the one before it has taken of the retry budget

Cause, by a test: each process has its share of the fixed part of the budget from its start on.

Change: entries tell each other what they have taken beyond what their requests earn (retry.Budget.Spent), remember it (retry.Ledger, pure), and tell the process that follows under the same name, as long as that counts. It charges its budget with the most that one of them tells, at the time when that was heard. No message more is sent; messages to entries that read version 7 get 2 to 3 bytes longer while nothing was spent. Older programs get the versions that they read. Log event 2046 shows what was inherited.

Not known are retries after the last message, and those of a fleet whose entries all stopped within the window.

Tests changed: the round trip of messages and the bound of their size are checked in the newest version, with the new fields; FuzzDecodeMessage has seeds of it.

--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -42,6 +42,7 @@
 	CallWaited                Event = 2036
 	RoomKept                  Event = 2040
 	RoomReleased              Event = 2041
+	RetriesInherited          Event = 2046
 	StreamNotAwaited          Event = 2031
 	EngineRefuses             Event = 2050
 	ServersChanged            Event = 2060
@@ -123,6 +124,7 @@
 	{CallWaited, log.InfoLevel, "call waited because the servers of its service had refused calls", ""},
 	{RoomKept, log.InfoLevel, "less urgent streams leave room to more urgent ones", "See docs/OPERATIONS.md, section on ranks; add engines if the line stays without its counterpart."},
 	{RoomReleased, log.InfoLevel, "room kept for more urgent streams given back", ""},
+	{RetriesInherited, log.InfoLevel, "retries of an earlier process of this entry count against its budget", ""},
 	{StreamNotAwaited, log.InfoLevel, "stream refused while it waited for a path", ""},
 	{StreamRerouted, log.InfoLevel, "stream's path changed", ""},
 	{ServerChanged, log.InfoLevel, "backend server changed", ""},
--- a/relay/directory_test.go
+++ b/relay/directory_test.go
@@ -444,7 +444,7 @@
 	e.directory.apply(update{records: records, complete: true})
 	e.directory.markRead(bootclock.Now())
 	m := p.message(1)
-	assert.Assert(t, len(m.encode(demandVersion)) <= maxDatagram)
+	assert.Assert(t, len(m.encode(newestVersion)) <= maxDatagram)
 	assert.Equal(t, m.watchAge, notWatching)
 	assert.Equal(t, p.message(2).watchAge, notWatching, "a single lost message must not hide it")
 
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -53,6 +53,10 @@
 
 	budgetsMu sync.Mutex
 	budgets   map[string]*lockedBudget
+	// inherited is what earlier processes of this entry had spent, by service.
+	inherited map[uint64]inheritedRetries
+	// ledger is what other entries have spent. It has budgetsMu.
+	ledger *retry.Ledger
 
 	waitRoomsMu sync.Mutex
 	waitRooms   map[string]*waitRoom
@@ -97,7 +101,8 @@
 		settings: o.Settings, store: o.Store, engines: engines, headerCodec: o.HeaderCodec, logger: o.Logger,
 		logLimiter: newLogLimiter(), requestMetrics: requestMetrics, fleet: fleet, pool: newPool(), stallChecker: newStallChecker(engines, o.Logger),
 		backoff:    func() *retry.Backoff { return retry.NewBackoff(storeRetryBase, storeRetryLimit, seeds.newSource()) },
-		configured: make(chan struct{}), budgets: map[string]*lockedBudget{}, waitRooms: map[string]*waitRoom{}, callRooms: map[string]*callRoom{}, inFlight: newInFlightCounter(),
+		configured: make(chan struct{}), budgets: map[string]*lockedBudget{}, inherited: map[uint64]inheritedRetries{}, ledger: retry.NewLedger(o.Settings.RetryWindow),
+		waitRooms: map[string]*waitRoom{}, callRooms: map[string]*callRoom{}, inFlight: newInFlightCounter(),
 		newerRevision: make(chan struct{}, 1), sendNow: make(trigger, 1), registerAgain: make(trigger, 1),
 		shutdown: newShutdown(),
 	}
@@ -245,72 +250,6 @@
 	}
 }
 
-// lockedBudget is a retry budget for concurrent use.
-type lockedBudget struct {
-	mu     sync.Mutex
-	budget *retry.Budget
-}
-
-// RecordRequest counts a request.
-func (b *lockedBudget) RecordRequest(now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.budget.RecordRequest(now)
-}
-
-// Take counts a retry if the budget allows it.
-func (b *lockedBudget) Take(now time.Time, overloaded bool) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.budget.Take(now, overloaded)
-}
-
-// TakeLeaving counts a retry if the budget allows it and has more left than a fraction.
-func (b *lockedBudget) TakeLeaving(now time.Time, fraction float64) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.budget.TakeLeaving(now, fraction)
-}
-
-// Left returns how many retries the budget still allows.
-func (b *lockedBudget) Left(now time.Time) float64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.budget.Available(now)
-}
-
-const (
-	// budgetShare is the share of the permitted retries that entries use. The rest
-	// is a margin for time windows that are not aligned with those of the budget.
-	budgetShare = 0.7
-	// assumedEntries is the number of entries among which the fixed part of the
-	// retries is divided until the store provides the actual number.
-	assumedEntries = 8
-)
-
-// budget returns the retry budget of a service. The fixed part is divided by
-// the number of entries registered in the store, including those that are
-// gone.
-func (e *Entry) budget(service string) *lockedBudget {
-	e.budgetsMu.Lock()
-	defer e.budgetsMu.Unlock()
-	b := e.budgets[service]
-	if b == nil {
-		b = &lockedBudget{budget: retry.NewBudget(retry.BudgetOptions{
-			Fraction: e.settings.RetryRatio * budgetShare, Window: e.settings.RetryWindow,
-		})}
-		e.budgets[service] = b
-	}
-	b.setMinimum(e.settings.RetryExtra * budgetShare / float64(e.entryCount()))
-	return b
-}
-
-func (b *lockedBudget) setMinimum(minimum float64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.budget.SetMinimum(minimum)
-}
-
 // entryCount returns the number of entries that may retry requests.
 func (e *Entry) entryCount() int {
 	if n := int(e.knownEntries.Load()); n > 0 {
--- a/relay/fuzz_test.go
+++ b/relay/fuzz_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/sapphirefield/sapphirefield/demand"
+	"github.com/sapphirefield/sapphirefield/retry"
 )
 
 // byteConn is a connection that carries fixed bytes.
@@ -93,8 +94,15 @@
 	f.Add(appendDemand(message{}.appendState([]byte{messageVersion}), report))
 	f.Add(appendDemand(message{}.appendState([]byte{demandVersion}), demand.Report{1: {{Refused: 2 * demand.MaxTokens}}}))
 	f.Add(binary.AppendUvarint(message{}.appendState([]byte{demandVersion}), 1<<62))
+	f.Add(message{spent: retry.Spending{1: 2}, legacies: []processLegacy{{1, retry.Legacy{Service: 1, Retries: 3, Age: time.Second}}}}.encode(spendingVersion))
+	f.Add(binary.AppendUvarint(appendDemand(message{}.appendState([]byte{spendingVersion}), nil), 1<<62))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		m, err := decodeMessage(data)
+		for _, l := range m.legacies {
+			if l.Retries < 0 || l.Retries > maxReportedRetries || l.Age < 0 || l.Age > time.Hour {
+				t.Fatalf("took %+v, %v", l, err)
+			}
+		}
 		for _, loads := range m.demand {
 			for _, l := range loads {
 				if err != nil || min(l.Waiting, l.Started, l.Refused, l.Denied) < 0 || max(l.Waiting, l.Started, l.Refused, l.Denied) > demand.MaxTokens || len(loads) > demand.MaxUrgencies {
--- a/relay/message.go
+++ b/relay/message.go
@@ -10,6 +10,7 @@
 	"github.com/sapphirefield/sapphirefield/demand"
 	"github.com/sapphirefield/sapphirefield/quarantine"
 	"github.com/sapphirefield/sapphirefield/ratelimit"
+	"github.com/sapphirefield/sapphirefield/retry"
 )
 
 // message is the state that an entry sends to the others a few times per
@@ -46,6 +47,16 @@
 	gifts []ratelimit.Gift
 	// demand is the work that waits at the sender, was started and was refused.
 	demand demand.Report
+	// spent is what the sender has taken out of the retry budgets, and legacies what it has
+	// heard that earlier processes of entries had.
+	spent    retry.Spending
+	legacies []processLegacy
+}
+
+// processLegacy is what earlier processes of an entry had spent, for its process now.
+type processLegacy struct {
+	To uint64
+	retry.Legacy
 }
 
 // notWatching is the watchAge of an entry that is not the watcher.
@@ -58,6 +69,13 @@
 	// demandVersion is the version of messages that end with a report of demand. They
 	// are sent only to entries that read them.
 	demandVersion = 6
+	// spendingVersion is the version of messages that also end with what was taken out of
+	// the retry budgets. All messages to entries that read it have it.
+	spendingVersion = 7
+	// newestVersion is the newest version that this program reads.
+	newestVersion = spendingVersion
+	// maxReportedRetries bounds the retries that other entries report, far above real ones.
+	maxReportedRetries = 1e6
 	// demandUnit is the number of tokens in which demand is stated.
 	demandUnit = 16
 )
@@ -65,8 +83,11 @@
 var errMalformedMessage = errors.New("malformed message from another entry")
 
 // encode encodes the message in a version that an entry reads: an older one gets it
-// without the demand.
+// without the demand or without what was taken out of the retry budgets.
 func (m message) encode(version int) []byte {
+	if version >= spendingVersion {
+		return m.appendSpending(appendDemand(m.appendState([]byte{spendingVersion}), m.demand))
+	}
 	if version < demandVersion || len(m.demand) == 0 {
 		return m.appendState([]byte{messageVersion})
 	}
@@ -141,6 +162,23 @@
 	return out
 }
 
+func (m message) appendSpending(out []byte) []byte {
+	out = binary.AppendUvarint(out, uint64(len(m.spent)))
+	for service, retries := range m.spent {
+		out = appendRetries(binary.BigEndian.AppendUint64(out, service), retries)
+	}
+	out = binary.AppendUvarint(out, uint64(len(m.legacies)))
+	for _, l := range m.legacies {
+		out = appendRetries(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(out, l.To), l.Service), l.Retries)
+		out = binary.AppendUvarint(out, uint64(max(l.Age, 0).Milliseconds()))
+	}
+	return out
+}
+
+func appendRetries(out []byte, retries float64) []byte {
+	return binary.AppendUvarint(out, uint64(math.Ceil(min(retries, maxReportedRetries))))
+}
+
 func appendBytes(out, data []byte) []byte {
 	return append(binary.AppendUvarint(out, uint64(len(data))), data...)
 }
@@ -154,7 +192,7 @@
 }
 
 func decodeMessage(data []byte) (message, error) {
-	if len(data) == 0 || data[0] != messageVersion && data[0] != demandVersion {
+	if len(data) == 0 || data[0] < messageVersion || data[0] > newestVersion {
 		return message{}, errMalformedMessage
 	}
 	r := &messageReader{rest: data[1:]}
@@ -185,9 +223,12 @@
 	for n := r.count(); n > 0 && !r.failed; n-- {
 		m.gifts = append(m.gifts, ratelimit.Gift{To: r.uint64(), Process: r.uint64(), Number: r.uvarint(), Left: time.Duration(r.uvarint()) * time.Millisecond})
 	}
-	if data[0] == demandVersion {
+	if m.version >= demandVersion {
 		m.demand = r.demand()
 	}
+	if m.version >= spendingVersion {
+		m.spent, m.legacies = r.spending(), r.legacies()
+	}
 	if r.failed || len(r.rest) > 0 {
 		return message{}, errMalformedMessage
 	}
@@ -289,6 +330,29 @@
 	return tokens
 }
 
+func (r *messageReader) spending() retry.Spending {
+	spent := retry.Spending{}
+	for n := r.count(); n > 0 && !r.failed; n-- {
+		service := r.uint64()
+		spent[service] = r.retries()
+	}
+	return spent
+}
+
+func (r *messageReader) legacies() (legacies []processLegacy) {
+	for n := r.count(); n > 0 && !r.failed; n-- {
+		legacies = append(legacies, processLegacy{r.uint64(), retry.Legacy{Service: r.uint64(), Retries: r.retries(), Age: r.age()}})
+	}
+	return legacies
+}
+
+func (r *messageReader) retries() float64 { return float64(min(r.uvarint(), maxReportedRetries)) }
+
+// age reads a time span in milliseconds. An hour or more is long past for all uses.
+func (r *messageReader) age() time.Duration {
+	return time.Duration(min(r.uvarint(), uint64(time.Hour.Milliseconds()))) * time.Millisecond
+}
+
 func (r *messageReader) usage() usage {
 	return usage{
 		requests: int(r.uvarint()), usedSlots: int(r.uvarint()), tokens: float64(r.uvarint()), layerTokens: float64(r.uvarint()),
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -121,7 +121,7 @@
 }
 
 func (p *peers) writeRecord(ctx context.Context) error {
-	value, err := json.Marshal(entryRecord{p.settings.PeerAddr, p.settings.Zone, demandVersion, p.startNanos})
+	value, err := json.Marshal(entryRecord{p.settings.PeerAddr, p.settings.Zone, newestVersion, p.startNanos})
 	if err != nil {
 		return err
 	}
@@ -211,6 +211,7 @@
 	p.crashes.applyPeerEvidence(time.Now(), m.evidence)
 	p.applyPeerLimits(m.sender, m.limits)
 	p.demand.observe(time.Now(), m.sender, m.demand)
+	p.applyPeerSpending(time.Now(), m, processID(p.settings.Instance, p.startNanos))
 	p.fleet.applyPeerSlots(time.Now(), processID(m.sender, m.startNanos), processID(p.settings.Instance, p.startNanos), m)
 	if m.revision > p.Revision() {
 		select {
@@ -239,7 +240,10 @@
 	}
 	address.heard = m.startNanos
 	if m.version >= demandVersion {
-		// Whoever sends this version reads it.
+		// Whoever sends this version reads it, and may read a newer one.
+		if address.startNanos == m.startNanos {
+			m.version = max(m.version, address.version)
+		}
 		address.version, address.startNanos = m.version, m.startNanos
 	}
 	p.addresses[m.sender] = address
@@ -312,6 +316,7 @@
 		sender: p.settings.Instance, startNanos: p.startNanos, sequence: sequence, revision: p.Revision(), term: p.leaseTerm.Load(),
 		watchAge: notWatching, servers: p.fleet.localUsage(now), suspects: p.fleet.suspectHashes(now),
 		evidence: p.crashes.evidence(now), limits: p.fleet.limitReports(now), demand: p.demand.report(now),
+		spent: p.spentRetries(now), legacies: p.retryLegacies(now),
 	}
 	m.wants, m.gifts = p.fleet.slotExchange(now)
 	if p.isWatcher() {
@@ -327,14 +332,14 @@
 // broadcast sends a message to all other entries. Send errors are ignored,
 // because the next message follows soon.
 func (p *peers) broadcast(m message) {
-	state, withDemand := m.encode(messageVersion), m.encode(demandVersion)
+	encoded := map[int][]byte{}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, address := range p.addresses {
-		data := state
-		if address.messageVersion() >= demandVersion {
-			data = withDemand
+		version := min(address.messageVersion(), newestVersion)
+		if encoded[version] == nil {
+			encoded[version] = m.encode(version)
 		}
-		_, _ = p.conn.WriteToUDPAddrPort(data, address.AddrPort)
+		_, _ = p.conn.WriteToUDPAddrPort(encoded[version], address.AddrPort)
 	}
 }
--- a/relay/usage.go
+++ b/relay/usage.go
@@ -176,6 +176,7 @@
 		return false
 	}
 	m.changes, m.suspects, m.evidence, m.limits, m.wants, m.gifts, m.demand = nil, nil, evidence{}, nil, nil, nil, nil
+	m.spent, m.legacies = nil, nil
 	p.expire(now)
 	// expire may have removed the load of the previous message.
 	if previous := p.byEntry[m.sender]; known && !previous.silent {
--- a/relay/usage_test.go
+++ b/relay/usage_test.go
@@ -13,6 +13,7 @@
 	"github.com/sapphirefield/sapphirefield/pipeline"
 	"github.com/sapphirefield/sapphirefield/placement"
 	"github.com/sapphirefield/sapphirefield/quarantine"
+	"github.com/sapphirefield/sapphirefield/retry"
 )
 
 // Guards against values that change between encoding and decoding, and against
@@ -44,7 +45,13 @@
 			m.changes = append(m.changes, r)
 		}
 		m.evidence, m.demand = drawEvidence(t), drawDemand(t)
-		data := m.encode(demandVersion)
+		m.spent = rapid.MapOfN(rapid.Uint64(), rapid.Map(rapid.IntRange(0, maxReportedRetries), func(n int) float64 { return float64(n) }), 0, 3).Draw(t, "spent")
+		for range rapid.IntRange(0, 3).Draw(t, "legacies") {
+			m.legacies = append(m.legacies, processLegacy{rapid.Uint64().Draw(t, "to"), retry.Legacy{
+				Service: rapid.Uint64().Draw(t, "service"), Retries: 7, Age: time.Duration(rapid.IntRange(0, 10000).Draw(t, "legacy age")) * time.Millisecond,
+			}})
+		}
+		data := m.encode(newestVersion)
 		got, err := decodeMessage(data)
 		assert.NilError(t, err)
 		assert.Equal(t, got.sender, m.sender)
@@ -55,6 +62,8 @@
 		assert.DeepEqual(t, got.evidence.suspicions, m.evidence.suspicions)
 		assert.DeepEqual(t, got.evidence.sound, m.evidence.sound)
 		assert.DeepEqual(t, got.evidence.blocks, m.evidence.blocks)
+		assert.DeepEqual(t, got.spent, m.spent)
+		assert.DeepEqual(t, got.legacies, m.legacies)
 		assert.Equal(t, len(got.demand), len(m.demand))
 		for model, loads := range m.demand {
 			assert.DeepEqual(t, got.demand[model], loads)
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -99,6 +99,17 @@
 	return left
 }
 
+// Spent returns how many retries of the window were taken beyond those that requests earn.
+func (b *Budget) Spent(now time.Time) float64 { return max(b.minimum-b.Available(now), 0) }
+
+// Charge counts retries that others have taken out of this budget, age ago.
+func (b *Budget) Charge(now time.Time, age time.Duration, retries float64) {
+	b.advance(now)
+	if buckets := int64(max(age, 0) / b.bucketWidth); buckets < windowBuckets {
+		b.buckets[(b.currentIndex-buckets)%windowBuckets].retries += max(retries, 0)
+	}
+}
+
 func (b *Budget) currentCounts() *bucketCounts {
 	return &b.buckets[b.currentIndex%windowBuckets]
 }
