daemon: a stop drops no request behind a pipelined one

Cause: while it stops, the entry announces the close of each connection in the next answer. An answer that does so drops what http.Server holds.

Change: on a connection whose client is known not to wait for answers, the answers in a stop announce nothing; the connection is closed once it is idle, as others are that wait.

Evidence: TestRelayStoppedDuringFirstOfPipelinedRequestsAnswersAll failed before and passed 5 of 5 times now.

Still open: two requests that are read together after the stop has begun, on a connection that has not shown this before; and entries off the platform, which close idle connections only once they have drained.

--- a/clientconn/clientconn.go
+++ b/clientconn/clientconn.go
@@ -75,21 +75,36 @@
 
 type requestKey struct{}
 
+// selfClosing is a connection that may close itself once no request is left on it.
+type selfClosing interface{ ClosesWhenIdle() bool }
+
 // socket is the connection of a client below everything that wraps it.
 type socket struct {
 	net.Conn
 	// encrypted is set if http.Server reads decrypted bytes, so that its looking for the
 	// end of the connection does not reach Conn.Read.
 	encrypted bool
+	outer     selfClosing
+}
+
+// ClosesWhenIdle reports whether the connection of a request's client closes itself once
+// no request is left on it, so that no answer should announce its close.
+func ClosesWhenIdle(ctx context.Context) bool {
+	client, ok := ctx.Value(connKey{}).(*socket)
+	return ok && client.outer != nil && client.outer.ClosesWhenIdle()
 }
 
 // WithConn is the ConnContext of an http.Server whose requests call NewContext.
 func WithConn(ctx context.Context, conn net.Conn) context.Context {
 	_, encrypted := conn.(*tls.Conn)
+	var closing selfClosing
 	for {
+		if c, ok := conn.(selfClosing); ok {
+			closing = c
+		}
 		outer, ok := conn.(interface{ NetConn() net.Conn })
 		if !ok {
-			return context.WithValue(ctx, connKey{}, &socket{conn, encrypted})
+			return context.WithValue(ctx, connKey{}, &socket{conn, encrypted, closing})
 		}
 		conn = outer.NetConn()
 	}
--- a/daemon/idle.go
+++ b/daemon/idle.go
@@ -54,6 +54,8 @@
 	// bufferSize is the size of the first read. http.Server reads a request in smaller
 	// parts only if it holds the beginning already.
 	bufferSize int
+	// pipelined is set once http.Server held a request while it answered the one before.
+	pipelined bool
 	// closing is set if the connection must be closed as soon as it is idle.
 	closing bool
 	// used is set once the connection has carried a request.
@@ -211,6 +213,21 @@
 	}
 }
 
+// beginHeldRequest records that http.Server holds the beginning of a request. c.mu is held.
+func (c *trackedConn) beginHeldRequest() {
+	c.beginRequest()
+	c.pipelined = true
+}
+
+// ClosesWhenIdle reports whether the connection is closed in a stop without an announcement.
+// Its client sends requests without waiting for answers: those that http.Server holds
+// would be dropped by an answer that announces the close.
+func (c *trackedConn) ClosesWhenIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pipelined && c.closing
+}
+
 func (c *trackedConn) setIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -291,7 +308,7 @@
 	}
 	c.answered = false
 	if size < c.bufferSize && !c.encrypted {
-		c.beginRequest()
+		c.beginHeldRequest()
 	} else if c.closing {
 		c.expire()
 	}
@@ -328,7 +345,7 @@
 		return nil
 	}
 	if c.answered && c.idleTimeoutSet {
-		c.beginRequest()
+		c.beginHeldRequest()
 	}
 	c.idleTimeoutSet = true
 	if timeout := c.timeout(); timeout > 0 && t.After(time.Now()) {
--- a/daemon/pipelined_test.go
+++ b/daemon/pipelined_test.go
@@ -9,7 +9,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -147,3 +149,24 @@
 		}
 	}
 }
+
+// Guards against an entry that gets SIGTERM during the first of some requests that were read
+// together, says that it closes the connection, and drops the last ones.
+func TestRelayStoppedDuringFirstOfPipelinedRequestsAnswersAll(t *testing.T) {
+	signals := make(chan os.Signal, 1)
+	address, ended := runLoggedRelay(t, silentPlatform{}, 8*time.Second, signals, io.Discard)
+	conn := dialUntil(t, address)
+	_, err := io.WriteString(conn, testRequest+testRequest+testRequest)
+	assert.NilError(t, err)
+	time.Sleep(100 * time.Millisecond) // until the first one waits for the configuration
+	signals <- syscall.SIGTERM
+	answers := bufio.NewReader(conn)
+	for range 3 {
+		response, err := http.ReadResponse(answers, nil)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		assert.NilError(t, err)
+		assertRefused(t, response)
+	}
+	assert.NilError(t, <-ended)
+}
--- a/relay/request.go
+++ b/relay/request.go
@@ -101,7 +101,7 @@
 	q.client = watchClient(ctx)
 	defer q.logFinished()
 	defer func() { e.bodyMemory.release(q.body) }()
-	if e.isDraining() {
+	if e.isDraining() && !clientconn.ClosesWhenIdle(ctx) {
 		w.Header().Set("Connection", "close")
 	}
 	if p := q.admit(); p != nil {
