soak: the test of the leaving word names no header of the platform

TestPlatformNamesStayInThisFolder failed on: soak_test.go named the header in which an entry states the server that it means. The stand-ins' package sets it now.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -231,7 +231,7 @@
 		request := platformtest.ClientRequest{ID: id, Method: http.MethodGet, Target: platformtest.PathIdempotent, Timeout: time.Second, Entry: "e/1"}
 		sent, err := request.HTTPRequest(t.Context(), "http://"+to.Address())
 		assert.NilError(t, err)
-		sent.Header.Set("X-Expect-Instance", to.ID())
+		platformtest.AddressTo(sent.Header, to.ID())
 		response, err := http.DefaultClient.Do(sent)
 		assert.NilError(t, err)
 		response.Body.Close()
