relay: test that each request is answered at the end of its process

What clients could see before: at a planned stop, a stream whose engine had just ended its connection got neither an answer nor a refusal.

TestEachRequestIsAnsweredAtEndOfProcess ends the process while a request waits at each of the places of TestNothingOutlivesTimeOfRequest.

--- a/relay/requestend_test.go
+++ b/relay/requestend_test.go
@@ -58,15 +58,16 @@
 	reads           bool
 	readEnd, sendBy chan struct{}
 	writeBy         time.Time
+	status          int
 }
 
 func newEndingClient() *endingClient {
 	return &endingClient{header: http.Header{}, reads: true, sendBy: make(chan struct{})}
 }
 
-func (c *endingClient) Header() http.Header { return c.header }
-func (c *endingClient) WriteHeader(int)     {}
-func (c *endingClient) Flush()              {}
+func (c *endingClient) Header() http.Header    { return c.header }
+func (c *endingClient) WriteHeader(status int) { c.status = status }
+func (c *endingClient) Flush()                 {}
 
 func (c *endingClient) Write(p []byte) (int, error) {
 	if c.reads {
@@ -126,9 +127,15 @@
 	}
 }
 
-// Guards against a request that goes on after its time is over, because it waits for an
-// engine, a server, the store or its client.
-func TestNothingOutlivesTimeOfRequest(t *testing.T) {
+// endCase is what a request waits for.
+type endCase struct {
+	route   config.Route
+	handle  script
+	prepare func(e *Entry, c *endingClient)
+}
+
+// endCases has each place where a request waits.
+func endCases() map[string]endCase {
 	stream, call := streamRoute(true), unaryRoute(config.CallIdempotent)
 	dialNever := func(e *Entry, _ *endingClient) {
 		e.pool.dial = func(ctx context.Context, _ string) (net.Conn, error) {
@@ -137,11 +144,7 @@
 		}
 	}
 	noReading := func(_ *Entry, c *endingClient) { c.reads = false }
-	for name, test := range map[string]struct {
-		route   config.Route
-		handle  script
-		prepare func(e *Entry, c *endingClient)
-	}{
+	return map[string]endCase{
 		"engine accepts no connection":       {stream, hang, dialNever},
 		"engine is silent":                   {stream, hang, nil},
 		"engine is lost late":                {stream, lateEnd(streamHeader), nil},
@@ -167,7 +170,13 @@
 		"store is silent after a pause":      {call, hang, func(e *Entry, _ *endingClient) { e.pause.beat(bootclock.Now().Add(-2 * maxPulseAge)) }},
 		"no configuration yet":               {call, hang, func(e *Entry, _ *endingClient) { e.current.Store(nil); e.fleet.startedAt = time.Now() }},
 		"no server is known yet":             {call, hang, func(e *Entry, _ *endingClient) { e.fleet.setServers(time.Now(), nil); e.fleet.startedAt = time.Now() }},
-	} {
+	}
+}
+
+// Guards against a request that goes on after its time is over, because it waits for an
+// engine, a server, the store or its client.
+func TestNothingOutlivesTimeOfRequest(t *testing.T) {
+	for name, test := range endCases() {
 		for _, timeout := range []time.Duration{testRequestTime, testRequestTime / 10} {
 			t.Run(fmt.Sprintf("%s, %s", name, timeout), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
@@ -185,6 +194,32 @@
 	}
 }
 
+// Guards against a request that gets no answer at the end of its process, because it waits
+// for something then.
+func TestEachRequestIsAnsweredAtEndOfProcess(t *testing.T) {
+	for name, test := range endCases() {
+		for _, end := range []time.Duration{testRequestTime, testRequestTime / 5} {
+			t.Run(fmt.Sprintf("%s, %s", name, end), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					route := test.route
+					route.Timeout = testLimit
+					e, client := newBubbleEntry(t, route, test.handle), newEndingClient()
+					if test.prepare != nil {
+						test.prepare(e, client)
+					}
+					time.AfterFunc(end, e.EndRequests)
+					if !client.reads {
+						return // its connection ends with the process
+					}
+					over := serveUntilEnd(t, e, client, route.Timeout)
+					assert.Assert(t, over <= end+endLimit, "went on for %s", over-end)
+					assert.Assert(t, client.status != 0, "no answer")
+				})
+			})
+		}
+	}
+}
+
 // serveUntilEnd sends a request to an entry and returns how long it was in progress.
 func serveUntilEnd(t *testing.T, e *Entry, client *endingClient, timeout time.Duration) time.Duration {
 	var body io.Reader = strings.NewReader("body")
