--- a/faultmatrix/faultmatrix.go
+++ b/faultmatrix/faultmatrix.go
@@ -386,7 +386,7 @@
 	},
 	ClientLink: {
 		FirstStage:  both("TestClientDisconnectEndsAttempt", "client link delayed", "client link reset", "client link stalled", "client link responses stalled"),
-		LaterStage:  tests("TestClientDisconnectEndsAttempt"),
+		LaterStage:  tests("TestClientDisconnectEndsAttempt", "TestClientThatDoesNotReadIsLeftInTime"),
 		Idempotent:  both("TestHalfClosedClientGetsNoEmptyResponse", "client link delayed", "client link reset", "client link stalled"),
 		AtMostOnce:  both("TestUnfinishedBodyIsRefusedAtDeadline", "client link delayed", "client link reset", "client link stalled"),
 		Keyed:       tests("TestClientDisconnectsDuringCall"),
