relay: a request whose body is whole as its time or its process ends is refused

What clients could see: neither an answer nor a refusal, if the last byte of a body was read in the moment in which the process ended its requests, or the request's time was over.

Cause: the end sets a read deadline, so that the read of the body returns. If the body is whole just then, http.Server takes the expired deadline for the end of the client and ends the request's context, and the entry answers nothing to a client that has left.

Evidence: the case "body arrives at the last moment" of TestEachRequestIsAnsweredAtEndOfProcess, in which the client's stand-in ends the context as http.Server does, had no answer. Such a request is refused now, like one whose body is not whole: nothing was sent.

--- a/relay/request.go
+++ b/relay/request.go
@@ -246,11 +246,15 @@
 	}
 	ctx, cancel := context.WithDeadline(q.shutdown.ended, q.deadline)
 	defer cancel()
-	defer context.AfterFunc(ctx, func() {
+	stop := context.AfterFunc(ctx, func() {
 		// Without support for deadlines, the connection's own timeouts remain.
 		_ = http.NewResponseController(q.w).SetReadDeadline(time.Unix(1, 0))
-	})()
+	})
 	body, err := q.bodyMemory.read(q.r.Body)
+	if !stop() && err == nil {
+		// http.Server takes the deadline for the end of the client.
+		err = os.ErrDeadlineExceeded
+	}
 	q.body = body
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/relay/requestend_test.go
+++ b/relay/requestend_test.go
@@ -54,11 +54,13 @@
 
 // endingClient is a client that stops sending or reading.
 type endingClient struct {
-	header          http.Header
-	reads           bool
-	readEnd, sendBy chan struct{}
-	writeBy         time.Time
-	status          int
+	header     http.Header
+	reads      bool
+	sends      sending
+	sendBy     chan struct{}
+	endContext context.CancelFunc
+	writeBy    time.Time
+	status     int
 }
 
 func newEndingClient() *endingClient {
@@ -86,19 +88,33 @@
 	return nil
 }
 
+// SetReadDeadline ends the request's context, as http.Server does once the deadline is over.
 func (c *endingClient) SetReadDeadline(time.Time) error {
 	close(c.sendBy)
+	c.endContext()
 	return nil
 }
 
-// unsentBody is a body that does not arrive.
+// unsentBody is a body that does not arrive, or only as its time ends.
 type unsentBody struct{ *endingClient }
 
 func (b unsentBody) Read([]byte) (int, error) {
 	<-b.sendBy
+	if b.sends == atTheEnd {
+		return 0, io.EOF
+	}
 	return 0, os.ErrDeadlineExceeded
 }
 
+// sending is when a client sends the body of its request.
+type sending int
+
+const (
+	atOnce sending = iota
+	never
+	atTheEnd
+)
+
 // lateEnd sends an event, or the begin of a long answer, and ends the connection shortly
 // before the request's time is over.
 func lateEnd(head string) script {
@@ -166,7 +182,8 @@
 		"server is lost late":                {call, lateEnd(longHead), nil},
 		"server goes on without end":         {call, endless(longHead, strings.Repeat("x", 10)+"%d"), nil},
 		"servers refuse":                     {call, refuse, nil},
-		"body does not arrive":               {call, hang, func(_ *Entry, c *endingClient) { c.readEnd = make(chan struct{}) }},
+		"body does not arrive":               {call, hang, func(_ *Entry, c *endingClient) { c.sends = never }},
+		"body arrives at the last moment":    {call, hang, func(_ *Entry, c *endingClient) { c.sends = atTheEnd }},
 		"store is silent after a pause":      {call, hang, func(e *Entry, _ *endingClient) { e.pause.beat(bootclock.Now().Add(-2 * maxPulseAge)) }},
 		"no configuration yet":               {call, hang, func(e *Entry, _ *endingClient) { e.current.Store(nil); e.fleet.startedAt = time.Now() }},
 		"no server is known yet":             {call, hang, func(e *Entry, _ *endingClient) { e.fleet.setServers(time.Now(), nil); e.fleet.startedAt = time.Now() }},
@@ -223,10 +240,13 @@
 // serveUntilEnd sends a request to an entry and returns how long it was in progress.
 func serveUntilEnd(t *testing.T, e *Entry, client *endingClient, timeout time.Duration) time.Duration {
 	var body io.Reader = strings.NewReader("body")
-	if client.readEnd != nil {
+	if client.sends != atOnce {
 		body = unsentBody{client}
 	}
-	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://h/x", body)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	client.endContext = cancel
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://h/x", body)
 	assert.NilError(t, err)
 	r.RequestURI = r.URL.RequestURI()
 	r.Header.Set("Id", "id")
