answerend: one reading of how an answer states its end, also for sidecars

The relay's exchanges, its pool of connections and the sidecars each read it from the header for themselves. They use answerend.InOrder now. An answer to HEAD without a length has no body, so that its connection may be used again. A sidecar goes on refusing answers that end with their connection.

--- a/answerend/answerend.go
+++ b/answerend/answerend.go
@@ -31,6 +31,18 @@
 	ClientLeft
 )
 
+// InOrder returns the end of an answer that was read to its end without an error. The
+// length is negative if none is stated; an answer to HEAD has no body.
+func InOrder(length int64, chunked, hasBody bool) End {
+	switch {
+	case chunked && hasBody:
+		return LastChunk
+	case length >= 0 || !hasBody:
+		return LengthReached
+	}
+	return Closed
+}
+
 // NeedsProcesses reports whether it depends on the processes whether the answer is whole.
 // Only then is it worth asking them.
 func (e End) NeedsProcesses() bool { return e == Closed }
--- a/answerend/answerend_test.go
+++ b/answerend/answerend_test.go
@@ -45,6 +45,24 @@
 	}
 }
 
+func TestEndOfAnswerInOrder(t *testing.T) {
+	for _, c := range []struct {
+		length           int64
+		chunked, hasBody bool
+		want             End
+	}{
+		{0, false, true, LengthReached},
+		{10, false, true, LengthReached},
+		{10, false, false, LengthReached},
+		{-1, false, false, LengthReached},
+		{-1, true, false, LengthReached},
+		{-1, true, true, LastChunk},
+		{-1, false, true, Closed},
+	} {
+		assert.Equal(t, InOrder(c.length, c.chunked, c.hasBody), c.want, "%+v", c)
+	}
+}
+
 // brokenTable says what the client gets by kind of request, in order of kinds, after an
 // answer that is not whole.
 var brokenTable = map[string][4]Outcome{
--- a/relay/answerend.go
+++ b/relay/answerend.go
@@ -31,15 +31,10 @@
 
 // end returns how the body of the response has ended, after a read has returned an error.
 func (x *exchange) end(err error) answerend.End {
-	switch {
-	case !errors.Is(err, io.EOF):
+	if !errors.Is(err, io.EOF) {
 		return answerend.Cut
-	case len(x.response.TransferEncoding) > 0:
-		return answerend.LastChunk
-	case x.response.ContentLength >= 0 || x.response.Body == http.NoBody:
-		return answerend.LengthReached
 	}
-	return answerend.Closed
+	return answerend.InOrder(x.response.ContentLength, len(x.response.TransferEncoding) > 0, x.response.Body != http.NoBody)
 }
 
 // requestKind returns what may follow an answer of the route that is not whole.
--- a/relay/answerend_test.go
+++ b/relay/answerend_test.go
@@ -166,6 +166,22 @@
 	}
 }
 
+// Guards against a stream that looks complete because another process than the one that
+// began it says that it works.
+func TestUnframedStreamOfRestartedEngineIsNotWhole(t *testing.T) {
+	e := newTestEntry(t, streamRoute(false), newBackend(t, unframed(unframedStream, event(1), false)))
+	servers := withoutServer(e.fleet.snapshot(), "")
+	began := servers["s0"]
+	began.StartTimeMillis = 1
+	servers["s0"] = began
+	e.fleet.setServers(time.Now(), servers)
+	for _, startTime := range []int64{1, 2} {
+		e.Entry.engines = &startedEngines{startTimeMillis: startTime}
+		_, _, err := e.send(t, http.MethodGet)
+		assert.Equal(t, err == nil, startTime == 1, "%d: %v", startTime, err)
+	}
+}
+
 // Guards against a whole stream that is broken off because a later engine, which is sound,
 // accepts no connection for a second after the end.
 func TestUnframedStreamIsWholeThoughLaterEnginePausesAfterwards(t *testing.T) {
--- a/relay/connection.go
+++ b/relay/connection.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sapphirefield/sapphirefield/answerend"
 	"github.com/sapphirefield/sapphirefield/netpeek"
 )
 
@@ -362,7 +363,7 @@
 // hasFramedBody reports whether the end of the body is framed rather than
 // indicated by closing the connection.
 func (x *exchange) hasFramedBody() bool {
-	return x.response.ContentLength >= 0 || len(x.response.TransferEncoding) > 0
+	return x.end(io.EOF) != answerend.Closed
 }
 
 // requestWritten reports whether the whole request has been written.
--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"github.com/sapphirefield/sapphirefield/answerend"
 	"github.com/sapphirefield/sapphirefield/attempt"
 	"github.com/sapphirefield/sapphirefield/link"
 	"github.com/sapphirefield/sapphirefield/wire"
@@ -227,10 +228,10 @@
 // checkDelimited rejects a response that is delimited only by the end of the
 // connection, because a truncated one could not be detected.
 func checkDelimited(resp *http.Response) error {
-	if resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Request.Method == http.MethodHead {
-		return nil
+	if answerend.InOrder(resp.ContentLength, len(resp.TransferEncoding) > 0, resp.Request.Method != http.MethodHead).NeedsProcesses() {
+		return errUndelimitedResponse
 	}
-	return errUndelimitedResponse
+	return nil
 }
 
 // relayResponse sends a response to the entry in chunks, followed by the length
