relay: an idle connection to a server shows that it still works after its answer

The question after the end is reset too, so a call that may run once waited 2 s and ended as unknown although its answer was whole.

--- a/relay/answerend.go
+++ b/relay/answerend.go
@@ -109,22 +109,29 @@
 	return maxEndCheck
 }
 
-// askServer finds out whether the process that has answered still works. It opens a
-// connection and sends nothing, so that it costs the server no slot, and one that has asked
-// for a pause gets no request. It waits for one that accepts no connection: it may be silent
-// for a moment, or have too many. A refused connection shows that nothing listens.
+// askServer finds out whether the process that has answered still works. An idle
+// connection that stays open shows it. Otherwise it opens one and sends nothing, so that a
+// server that has asked for a pause gets no request. It waits for one that accepts no
+// connection: it may be silent for a moment, or have too many. A refused connection shows
+// that nothing listens.
 func (e *Entry) askServer(ctx context.Context, server Server) answerend.Process {
+	works := e.pool.keepsIdle(ctx, server.Address)
 	for {
-		ends, err := e.pool.probe(ctx, server.Address)
+		var err error
+		if !works {
+			var ends bool
+			ends, err = e.pool.probe(ctx, server.Address)
+			works = err == nil && !ends
+		}
 		now, known := e.fleet.byAddress(server.Address)
 		switch {
 		case known && (now.ID != server.ID || endedExchange{server: server}.hasRestarted(now)):
 			return answerend.Restarted
 		case errors.Is(err, syscall.ECONNREFUSED):
 			return answerend.Crashed
-		case err == nil && !ends && e.fleet.isLeaving(server.ID):
+		case works && e.fleet.isLeaving(server.ID):
 			return answerend.Leaving
-		case err == nil && !ends:
+		case works:
 			return answerend.Alive
 		}
 		sleep(ctx, endCheckInterval)
--- a/relay/answerend_test.go
+++ b/relay/answerend_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -221,6 +222,48 @@
 	}
 }
 
+// Guards against a whole answer that is broken off, and a connection that is paid, because
+// its server is asked for another connection although an idle one shows that it works; and
+// against one that is taken for open after a crash.
+func TestIdleConnectionShowsWhetherServerWorks(t *testing.T) {
+	for name, crash := range map[string]bool{"works, but resets further connections": false, "crashed": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var conns []net.Conn
+			b := newBackend(t, func(b *backend, r *http.Request, conn net.Conn) bool {
+				if !crash {
+					return unframed(unframedCall, "all", false)(b, r, conn)
+				}
+				cutOff(unframedCall, "all")(b, r, conn)
+				conn.Close()
+				for _, c := range conns {
+					c.Close()
+				}
+				return false
+			})
+			e := newTestEntry(t, unaryRoute(config.CallAtMostOnce), b)
+			// One for the request and one that stays idle.
+			listener, err := net.Listen("tcp4", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer listener.Close()
+			near, err := net.Dial("tcp4", listener.Addr().String())
+			assert.NilError(t, err)
+			far, err := listener.Accept()
+			assert.NilError(t, err)
+			conns = append(conns, far)
+			defer far.Close()
+			request, err := e.pool.dial(t.Context(), b.address())
+			assert.NilError(t, err)
+			e.pool.put(b.address(), newConnection(near), time.Minute)
+			e.pool.put(b.address(), newConnection(request), time.Minute)
+			e.pool.dial = func(context.Context, string) (net.Conn, error) { return nil, syscall.ECONNRESET }
+			response, body, err := e.send(t, http.MethodPost)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode == http.StatusOK && body == "all", !crash)
+		})
+	}
+}
+
 // BenchmarkEndOfAnswer measures what the decision costs a request: each call, a call whose
 // server is asked, and the start times that each attempt of a stream notes.
 func BenchmarkEndOfAnswer(b *testing.B) {
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/sapphirefield/sapphirefield/clientconn"
+	"github.com/sapphirefield/sapphirefield/netpeek"
 )
 
 // pool holds idle connections by address.
@@ -79,6 +80,22 @@
 	return nil
 }
 
+// keepsIdle reports whether a connection to an address that was idle at the beginning stays
+// open for a moment. If the process at its other end dies, its system closes them all.
+func (p *pool) keepsIdle(ctx context.Context, address string) bool {
+	p.mu.Lock()
+	var c *connection
+	if list := p.idle[address]; len(list) > 0 {
+		c = list[len(list)-1]
+	}
+	p.mu.Unlock()
+	if c == nil {
+		return false
+	}
+	sleep(ctx, crashProbeHold)
+	return ctx.Err() == nil && netpeek.Peek(c.Conn) != netpeek.Unknown && !netpeek.HungUp(c.Conn)
+}
+
 func (p *pool) put(address string, c *connection, idleTime time.Duration) {
 	c.expires = time.Now().Add(idleTime)
 	p.mu.Lock()
