relay: an entry that has missed a change of the servers' records reads for itself

Change: the watcher's messages carry the number of changes that it has told. An entry that hears that it has grown over a gap that may have held all messages of a change (watcherMessage.misses, pure) reads the records within 0.4 s, and once more, since a read that was under way may have begun before the change. Messages that are missed while nothing changes cause no read, and no message is added; they get 1 to 2 bytes longer.

--- a/relay/directory.go
+++ b/relay/directory.go
@@ -30,6 +30,10 @@
 	maxLoggedChanges = 200
 )
 
+// readsAfterMiss is how often the records are read after a change was missed: a read that
+// is under way may have begun before the change.
+const readsAfterMiss = 2
+
 // directory is an entry's copy of the servers' records. It is safe for
 // concurrent use.
 type directory struct {
@@ -53,6 +57,12 @@
 	pendingChanges map[string]*outgoingChange
 	// tooManyChangesAt is when there were last more changes than messages can carry.
 	tooManyChangesAt time.Time
+	// announced counts the changes that this entry has told others.
+	announced uint64
+	// heard is the last message of the watcher, and readsDue how often the records must be
+	// read because its messages showed that this entry has missed a change.
+	heard    watcherMessage
+	readsDue int
 	// changesInUpdate counts the servers that the current update has changed.
 	changesInUpdate int
 }
@@ -127,6 +137,7 @@
 	changed := d.applyRecord(r)
 	if changed {
 		d.pendingChanges[r.Key] = &outgoingChange{r, changeSends}
+		d.announced++
 	}
 	return changed
 }
@@ -192,6 +203,49 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.lastRead = now
+	d.readsDue = max(d.readsDue-1, 0)
+}
+
+// watcherMessage is what tells a message of the watcher from the one before it.
+type watcherMessage struct {
+	sender               string
+	startNanos, sequence int64
+	announced            uint64
+}
+
+// misses reports whether a change may have been announced only in messages between two:
+// each is sent in changeSends messages.
+func (m watcherMessage) misses(next watcherMessage) bool {
+	return m.sender == next.sender && m.startNanos == next.startNanos && next.sequence-m.sequence > changeSends && next.announced != m.announced
+}
+
+// observeWatcher finds out from a message whether this entry has missed a change.
+func (d *directory) observeWatcher(m message) {
+	if m.watchAge > maxWatchAge {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	next := watcherMessage{m.sender, m.startNanos, m.sequence, m.announced}
+	if d.heard.misses(next) {
+		d.readsDue = readsAfterMiss
+	}
+	d.heard = next
+}
+
+// hasMissedChange reports whether the records must be read for a change that was missed.
+func (d *directory) hasMissedChange() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.readsDue > 0
+}
+
+// announcedChanges counts the changes that this entry has told others. Those of a message
+// may be newer.
+func (d *directory) announcedChanges() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.announced
 }
 
 // observeOutage records that the store has answered for the first time after an outage. The
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -392,5 +392,5 @@
 // heard of, so one more read of this entry's own leaves no gap.
 func (e *Entry) readsItself(last watcherTerm) bool {
 	watcher, known := e.freshWatcher()
-	return e.isWatcher() || !known || watcher != last
+	return e.isWatcher() || !known || watcher != last || e.directory.hasMissedChange()
 }
--- a/relay/message.go
+++ b/relay/message.go
@@ -51,6 +51,8 @@
 	// heard that earlier processes of entries had.
 	spent    retry.Spending
 	legacies []processLegacy
+	// announced counts the servers' changes that the sender has sent as the watcher.
+	announced uint64
 }
 
 // processLegacy is what earlier processes of an entry had spent, for its process now.
@@ -172,7 +174,7 @@
 		out = appendRetries(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(out, l.To), l.Service), l.Retries)
 		out = binary.AppendUvarint(out, uint64(max(l.Age, 0).Milliseconds()))
 	}
-	return out
+	return binary.AppendUvarint(out, m.announced)
 }
 
 func appendRetries(out []byte, retries float64) []byte {
@@ -227,7 +229,7 @@
 		m.demand = r.demand()
 	}
 	if m.version >= spendingVersion {
-		m.spent, m.legacies = r.spending(), r.legacies()
+		m.spent, m.legacies, m.announced = r.spending(), r.legacies(), r.uvarint()
 	}
 	if r.failed || len(r.rest) > 0 {
 		return message{}, errMalformedMessage
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -207,6 +207,7 @@
 		return
 	}
 	p.directory.applyPeerChanges(m.changes)
+	p.directory.observeWatcher(m)
 	p.fleet.applyPeerSuspects(time.Now(), m.suspects)
 	p.crashes.applyPeerEvidence(time.Now(), m.evidence)
 	p.applyPeerLimits(m.sender, m.limits)
@@ -320,6 +321,7 @@
 	}
 	m.wants, m.gifts = p.fleet.slotExchange(now)
 	if p.isWatcher() {
+		m.announced = p.directory.announcedChanges()
 		if changes, complete := p.directory.nextChanges(); complete {
 			m.watchAge, m.changes = p.directory.readAge(bootclock.Now()), changes
 		}
--- a/relay/usage_test.go
+++ b/relay/usage_test.go
@@ -51,6 +51,7 @@
 				Service: rapid.Uint64().Draw(t, "service"), Retries: 7, Age: time.Duration(rapid.IntRange(0, 10000).Draw(t, "legacy age")) * time.Millisecond,
 			}})
 		}
+		m.announced = rapid.Uint64().Draw(t, "announced")
 		data := m.encode(newestVersion)
 		got, err := decodeMessage(data)
 		assert.NilError(t, err)
@@ -63,6 +64,7 @@
 		assert.DeepEqual(t, got.evidence.sound, m.evidence.sound)
 		assert.DeepEqual(t, got.evidence.blocks, m.evidence.blocks)
 		assert.DeepEqual(t, got.spent, m.spent)
+		assert.Equal(t, got.announced, m.announced)
 		assert.DeepEqual(t, got.legacies, m.legacies)
 		assert.Equal(t, len(got.demand), len(m.demand))
 		for model, loads := range m.demand {
