soak: the end of each request is judged: answered, refused, lost or broken off

A request without a response was only counted, and a stream that ended early under a 200 passed.

soak/answers.go decides from what the client saw, from unplanned disruptions of the entry (kill, freeze, client link; planned stops, reloads, new configurations and the store excuse nothing) and from the soundness of the servers that ran the request and of the engines of their paths, which the stand-ins tell. A silence of about a second excuses nothing. Three violations: answer lost, answer broken off, failed at sound servers. A request that no server ran counts as lost only on a channel that its process has accepted and that stays open for loss-slack-ms after its last byte; one that crosses a close is counted apart.

Fault kinds: engines, application servers and the store silent for 0.9 to 1.3 s (no connection is closed); entries asked to stop in turn; "configuration changes" now comes as a series that shortens and lengthens the route, header and idle timeouts, moves weights and adds keys and 2,000 routes.

The short soak was not run yet.

--- a/faultmatrix/faultmatrix.go
+++ b/faultmatrix/faultmatrix.go
@@ -205,10 +205,10 @@
 		OffPlatform: tests("TestHungStage", "TestSilentLink"),
 	},
 	ServerPauses: {
-		FirstStage:  tests("TestStreamOutlastsPauseOfItsEngine", "TestStreamsLeaveSilentEngineOnlyWithPlaceElsewhere"),
+		FirstStage:  Cell{Tests: []string{"TestStreamOutlastsPauseOfItsEngine", "TestStreamsLeaveSilentEngineOnlyWithPlaceElsewhere"}, Soak: []string{"engines silent for a second"}},
 		LaterStage:  tests("TestStreamOutlastsPauseOfLaterEngine"),
-		Idempotent:  tests("TestCallOutlastsPauseOfItsServer"),
-		AtMostOnce:  tests("TestCallOutlastsPauseOfItsServer"),
+		Idempotent:  both("TestCallOutlastsPauseOfItsServer", "application servers silent for a second"),
+		AtMostOnce:  both("TestCallOutlastsPauseOfItsServer", "application servers silent for a second"),
 		Keyed:       open("not played; a call waits for its server until its timeout"),
 		Status:      tests("TestStreamIsWholeThoughItsEnginePausesAfterwards"),
 		Order:       tests("TestOrderOutcomes"),
@@ -375,7 +375,7 @@
 		OffPlatform: tests("TestMachineOutage"),
 	},
 	SilentStore: {
-		FirstStage:  both("TestServersAfterOutage", "store silent"),
+		FirstStage:  both("TestServersAfterOutage", "store silent", "store silent for a second"),
 		LaterStage:  both("TestServersAfterOutage", "store silent"),
 		Idempotent:  both("TestChangesAfterSilentStore", "store silent"),
 		AtMostOnce:  both("TestChangesAfterSilentStore", "store silent"),
@@ -465,7 +465,7 @@
 		OffPlatform: tests("TestEntriesShareCrashes"),
 	},
 	PlannedStop: {
-		FirstStage:  both("TestRelayAwaitsArrivingRequest", "entry asked to stop"),
+		FirstStage:  both("TestRelayAwaitsArrivingRequest", "entry asked to stop", "entries asked to stop in turn"),
 		LaterStage:  soak("entry asked to stop"),
 		Idempotent:  both("TestRelayClosesIdleConnectionsOnShutdown", "entry asked to stop"),
 		AtMostOnce:  Cell{Tests: []string{"TestClosedListenerReturnsWaitingConnections", "TestStoppingRelayAnswersAllRequests", "TestRelayStoppedBeforeConfigurationAnswersRequests"}, Soak: []string{"entry asked to stop"}},
--- /dev/null
+++ b/soak/answers_test.go
@@ -0,0 +1,55 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against answers that are lost or broken off without a violation, and against
+// violations where the rules allow an end.
+func TestEndsOfRequestsAreJudged(t *testing.T) {
+	now := time.Now()
+	type change func(*evidence)
+	status := func(status int, complete bool) change {
+		return func(e *evidence) { e.status, e.complete = status, complete }
+	}
+	after := func(d time.Duration) change { return func(e *evidence) { e.endedAt = now.Add(d) } }
+	stopped := func(before time.Duration) change { return func(e *evidence) { e.stoppedAt = now.Add(-before) } }
+	signed, unsound := func(e *evidence) { e.fromServer = true }, func(e *evidence) { e.serversSound = false }
+	disrupted, notRun := func(e *evidence) { e.entryDisrupted = true }, func(e *evidence) { e.executed = false }
+	kept, unwritten := func(e *evidence) { e.keptChannel = true }, func(e *evidence) { e.lastByteAt = time.Time{} }
+	for _, test := range []struct {
+		want    verdict
+		changes []change
+	}{
+		{verdictAnswered, []change{status(200, true), signed}},
+		{verdictAnswered, []change{status(502, true), signed}},
+		{verdictRefused, []change{status(503, true)}},
+		{verdictLost, nil},
+		{verdictLost, []change{stopped(time.Second), after(time.Second)}},
+		{verdictLost, []change{stopped(4 * time.Second), after(2 * time.Second)}},
+		{verdictLost, []change{notRun, after(readTime + time.Millisecond)}},
+		{verdictLost, []change{notRun, kept, stopped(time.Second), after(readTime + time.Millisecond)}},
+		{verdictUnread, []change{notRun, kept, after(readTime)}},
+		{verdictUnread, []change{notRun, stopped(time.Second), after(time.Second)}},
+		{verdictUnread, []change{notRun, unwritten, after(time.Second)}},
+		{verdictExcused, []change{stopped(2 * time.Second), after(lastOfGrace - 2*time.Second)}},
+		{verdictExcused, []change{disrupted}},
+		{verdictExcused, []change{unsound}},
+		{verdictExcused, []change{after(requestTimeout)}},
+		{verdictBrokenOff, []change{status(200, false), signed}},
+		{verdictExcused, []change{status(200, false), signed, unsound}},
+		{verdictFailed, []change{status(502, true)}},
+		{verdictFailed, []change{status(504, true)}},
+		{verdictExcused, []change{status(502, true), unsound}},
+		{verdictExcused, []change{status(502, true), notRun}},
+	} {
+		e := evidence{clientView: clientView{sentAt: now, lastByteAt: now}, endedAt: now.Add(50 * time.Millisecond), executed: true, serversSound: true}
+		for _, change := range test.changes {
+			change(&e)
+		}
+		assert.Check(t, e.judge() == test.want, "%+v: %s, want %s", e, e.judge(), test.want)
+	}
+}
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -120,16 +120,22 @@
 	if err != nil {
 		panic(err)
 	}
+	request, observed := observe(request, sentAt)
 	response, err := c.httpClients[entryIndex].Do(request)
 	if err != nil {
 		if ctx.Err() == nil {
 			c.report.count("no response")
 			c.report.recordRequest(sentAt, false)
+			c.checkAnswer(clientRequest, c.entries[entryIndex], observed)
 		}
 		return false
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
+	if ctx.Err() == nil {
+		observed.status, observed.complete, observed.fromServer = response.StatusCode, err == nil, platformtest.IsResponseTo(response.Header, clientRequest.ID)
+		c.checkAnswer(clientRequest, c.entries[entryIndex], observed)
+	}
 	served := c.checkResponse(clientRequest, response, string(body), err)
 	c.report.recordRequest(sentAt, served)
 	c.checkExecutions(clientRequest, c.entries[entryIndex], sentAt)
--- a/soak/entry.go
+++ b/soak/entry.go
@@ -32,9 +32,12 @@
 	command    *exec.Cmd
 	exited     chan struct{}
 	startCount int
-	// lastFaultEnd is when the last fault on the entry ended.
-	lastFaultEnd time.Time
-	activeFaults int
+	// stoppedAt is when the entry was last asked to stop.
+	stoppedAt time.Time
+
+	// faults are all faults on the entry, unplanned those that are neither planned work
+	// nor the store's.
+	faults, unplanned platformtest.Disruptions
 }
 
 // start writes the settings file and starts the process.
@@ -104,32 +107,38 @@
 }
 
 // beginFault and endFault mark the start and the end of a fault on the entry.
-func (e *entry) beginFault() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.activeFaults++
+func (e *entry) beginFault() { e.faults.Begin() }
+func (e *entry) endFault()   { e.faults.End() }
+
+// beginUnplanned marks the start of an unplanned fault; the returned function marks its end.
+func (e *entry) beginUnplanned() func() {
+	e.faults.Begin()
+	e.unplanned.Begin()
+	return func() {
+		e.unplanned.End()
+		e.faults.End()
+	}
 }
 
-func (e *entry) endFault() {
+// askToStop sends SIGTERM.
+func (e *entry) askToStop() {
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.activeFaults--
-	e.lastFaultEnd = time.Now()
+	e.stoppedAt = time.Now()
+	e.mu.Unlock()
+	e.signal(syscall.SIGTERM)
 }
 
-// activeFaultCount returns the number of faults in progress on the entry.
-func (e *entry) activeFaultCount() int {
+func (e *entry) lastStop() time.Time {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.activeFaults
+	return e.stoppedAt
 }
 
+// activeFaultCount returns the number of faults in progress on the entry.
+func (e *entry) activeFaultCount() int { return e.faults.Active() }
+
 // faultFreeSince reports whether the entry has had no fault since t.
-func (e *entry) faultFreeSince(t time.Time) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.activeFaults == 0 && e.lastFaultEnd.Before(t)
-}
+func (e *entry) faultFreeSince(t time.Time) bool { return e.faults.NoneSince(t) }
 
 // processName names the entry's current process.
 func (e *entry) processName() string {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -32,8 +32,7 @@
 	}},
 	{"entry paused", func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
 		e := r.randomEntry(random)
-		e.beginFault()
-		defer e.endFault()
+		defer e.beginUnplanned()()
 		e.signal(syscall.SIGSTOP)
 		sleep(ctx, d)
 		e.signal(syscall.SIGCONT)
@@ -67,6 +66,7 @@
 	}},
 	{"engine unresponsive", func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
 		engine := pickStandIn(r, &r.engines, random).server
+		defer disrupt(engine)()
 		engine.SetUnresponsive(true)
 		sleep(ctx, d)
 		engine.SetUnresponsive(false)
@@ -118,7 +118,28 @@
 	{"application sends without end", appFault(platformtest.AppFault{EndlessRate: 0.3})},
 	{"application drips", appFault(platformtest.AppFault{DripRate: 0.3})},
 	{"application responds twice", appFault(platformtest.AppFault{LateResponseRate: 0.4})},
-	{"configuration changes", func(r *soakRun, _ context.Context, _ *rand.Rand, _ time.Duration) { r.publish() }},
+	{"engines silent for a second", silence(func(r *soakRun, random *rand.Rand) *proxy { return pickStandIn(r, &r.engines, random).proxy })},
+	{"application servers silent for a second", silence(func(r *soakRun, random *rand.Rand) *proxy { return pickStandIn(r, &r.apps, random).proxy })},
+	{"store silent for a second", func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
+		for _, e := range r.entries {
+			e.beginFault()
+			defer e.endFault()
+		}
+		silence(func(r *soakRun, random *rand.Rand) *proxy { return r.randomEntry(random).storeProxy })(r, ctx, random, d)
+	}},
+	{"entries asked to stop in turn", func(r *soakRun, ctx context.Context, _ *rand.Rand, d time.Duration) {
+		for _, e := range r.entries {
+			r.restart(ctx, e, syscall.SIGTERM, d/4)
+		}
+	}},
+	{"configuration changes", func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
+		for end := time.Now().Add(d); ctx.Err() == nil; {
+			r.publish(randomVariant(random))
+			if sleep(ctx, changeInterval); time.Now().After(end) {
+				return
+			}
+		}
+	}},
 }
 
 const (
@@ -128,6 +149,8 @@
 	minFaultDuration  = 200 * time.Millisecond
 	maxFaultDuration  = 2500 * time.Millisecond
 	meanFaultInterval = 500 * time.Millisecond
+	// changeInterval is the time between two changes of the configuration.
+	changeInterval = 700 * time.Millisecond
 	// drainDuration is the minimum time that a draining server continues to serve.
 	drainDuration = 2500 * time.Millisecond
 	// exitTimeout is how long a process may take to exit after SIGTERM.
@@ -178,10 +201,15 @@
 func (r *soakRun) restart(ctx context.Context, e *entry, sig syscall.Signal, downtime time.Duration) {
 	e.beginFault()
 	defer e.endFault()
+	if sig == syscall.SIGKILL {
+		defer e.beginUnplanned()()
+	}
 	e.restarting.Lock()
 	defer e.restarting.Unlock()
-	e.signal(sig)
-	if sig == syscall.SIGKILL {
+	if sig == syscall.SIGTERM {
+		e.askToStop()
+	} else {
+		e.signal(sig)
 		e.signal(syscall.SIGCONT) // resumes a paused process
 	}
 	if !e.waitExit(exitTimeout) && sig == syscall.SIGTERM && e.activeFaultCount() == 1 {
@@ -193,22 +221,21 @@
 	}
 }
 
-// entryLinkFault returns a fault on one of the proxies of a random entry.
-func entryLinkFault(link func(*entry) *proxy, mode proxyMode) func(*soakRun, context.Context, *rand.Rand, time.Duration) {
+func clientLinkFault(mode proxyMode) func(*soakRun, context.Context, *rand.Rand, time.Duration) {
 	return func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
 		e := r.randomEntry(random)
-		e.beginFault()
-		defer e.endFault()
-		link(e).applyMode(ctx, mode, d)
+		defer e.beginUnplanned()()
+		e.clientProxy.applyMode(ctx, mode, d)
 	}
 }
 
-func clientLinkFault(mode proxyMode) func(*soakRun, context.Context, *rand.Rand, time.Duration) {
-	return entryLinkFault(func(e *entry) *proxy { return e.clientProxy }, mode)
-}
-
 func storeLinkFault(mode proxyMode) func(*soakRun, context.Context, *rand.Rand, time.Duration) {
-	return entryLinkFault(func(e *entry) *proxy { return e.storeProxy }, mode)
+	return func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
+		e := r.randomEntry(random)
+		e.beginFault()
+		defer e.endFault()
+		e.storeProxy.applyMode(ctx, mode, d)
+	}
 }
 
 func storeFault(f platformtest.StoreFault) func(*soakRun, context.Context, *rand.Rand, time.Duration) {
@@ -225,7 +252,41 @@
 
 func engineLinkFault(mode proxyMode) func(*soakRun, context.Context, *rand.Rand, time.Duration) {
 	return func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
-		pickStandIn(r, &r.engines, random).proxy.applyMode(ctx, mode, d)
+		engine := pickStandIn(r, &r.engines, random)
+		if mode != modeDelay {
+			defer disrupt(engine.server)()
+		}
+		engine.proxy.applyMode(ctx, mode, d)
+	}
+}
+
+// disrupt marks the start of a server's disruption; the returned function marks its end.
+func disrupt(s server) func() {
+	s.Disruptions().Begin()
+	return s.Disruptions().End
+}
+
+const (
+	// minSilence and maxSilence bound a silence of a sound server, and maxSilent how many
+	// servers of a kind fall silent at once.
+	minSilence = 900 * time.Millisecond
+	maxSilence = 1300 * time.Millisecond
+	maxSilent  = 3
+)
+
+// silence returns a fault: the links of some proxies stand still for about a second
+// and go on; nothing is closed.
+func silence(pick func(*soakRun, *rand.Rand) *proxy) func(*soakRun, context.Context, *rand.Rand, time.Duration) {
+	return func(r *soakRun, ctx context.Context, random *rand.Rand, _ time.Duration) {
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		for range 1 + random.IntN(maxSilent) {
+			p, d := pick(r, random), minSilence+time.Duration(random.Int64N(int64(maxSilence-minSilence)))
+			// Beside another fault of the link it would last longer.
+			if p.currentMode() == modeForward {
+				wg.Go(func() { p.applyMode(ctx, modeStall, d) })
+			}
+		}
 	}
 }
 
@@ -233,6 +294,7 @@
 func engineHangFault(requests, status bool) func(*soakRun, context.Context, *rand.Rand, time.Duration) {
 	return func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
 		engine := pickStandIn(r, &r.engines, random).server
+		defer disrupt(engine)()
 		engine.SetHanging(requests, status)
 		sleep(ctx, d)
 		engine.SetHanging(false, false)
@@ -249,6 +311,10 @@
 func appFault(f platformtest.AppFault) func(*soakRun, context.Context, *rand.Rand, time.Duration) {
 	return func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
 		app := pickStandIn(r, &r.apps, random).server
+		// A response without a length is no fault of its server.
+		if f.UnframedRate == 0 {
+			defer disrupt(app)()
+		}
 		app.SetFault(f)
 		sleep(ctx, d)
 		app.SetFault(platformtest.AppFault{})
--- a/soak/revisions.go
+++ b/soak/revisions.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -35,12 +36,44 @@
 	revision int64
 }
 
+const (
+	// minRouteTimeout is longer than the time that clients give their requests.
+	minRouteTimeout = requestTimeout + 500*time.Millisecond
+	maxRouteTimeout = 20 * time.Second
+	// minIdleTimeout and maxIdleTimeout bound the time that clients' idle connections stay
+	// open, and minHeaderTimeout and maxHeaderTimeout the time to send a header.
+	minIdleTimeout, maxIdleTimeout     = 100 * time.Millisecond, 20 * time.Second
+	minHeaderTimeout, maxHeaderTimeout = 200 * time.Millisecond, 10 * time.Second
+	// A large revision has largeRoutes routes and largeKeys keys beyond those in use.
+	largeRoutes, largeKeys = 2000, 500
+	largeFraction          = 0.3
+)
+
+// randomVariant returns a variant of the configuration; each timeout is the shortest or the
+// longest one.
+func randomVariant(random *rand.Rand) platformtest.ConfigurationVariant {
+	choose := func(short, long time.Duration) time.Duration {
+		if random.IntN(2) == 0 {
+			return short
+		}
+		return long
+	}
+	v := platformtest.ConfigurationVariant{
+		RouteTimeout: choose(minRouteTimeout, maxRouteTimeout), HeaderTimeout: choose(minHeaderTimeout, maxHeaderTimeout),
+		IdleTimeout: choose(minIdleTimeout, maxIdleTimeout), SplitWeight: random.Float64(), ExtraKeys: random.IntN(largeKeys),
+	}
+	if random.Float64() < largeFraction {
+		v.ExtraRoutes = largeRoutes
+	}
+	return v
+}
+
 // publish writes the next configuration revision to the store.
-func (r *soakRun) publish() {
+func (r *soakRun) publish(variant platformtest.ConfigurationVariant) {
 	r.revisions.mu.Lock()
 	defer r.revisions.mu.Unlock()
 	revision := int64(len(r.revisions.ackTimes)) + 1
-	r.store.PutConfiguration(platformtest.Configuration(revision, zones))
+	r.store.PutConfiguration(platformtest.VariedConfiguration(revision, zones, variant))
 	r.revisions.ackTimes = append(r.revisions.ackTimes, time.Now())
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -91,6 +91,8 @@
 	// leavingServers is what servers have told the entries.
 	leavingServers leavingTracker
 	crashes        crashTracker
+	// lateJudgements are those of requests that have ended without an answer.
+	lateJudgements sync.WaitGroup
 
 	mu      sync.Mutex
 	engines standIns[*platformtest.Engine]
@@ -155,6 +157,7 @@
 	r.checkStoreReturns()
 	cancel()
 	wg.Wait()
+	r.lateJudgements.Wait()
 	r.checkNotExecuted()
 	r.crashes.check(r.report)
 	return r.report, nil
@@ -174,7 +177,7 @@
 	server := &http.Server{Handler: r.store.Handler()}
 	go func() { _ = server.Serve(listener) }() // returns when the soak ends
 	context.AfterFunc(ctx, func() { server.Close() })
-	r.publish()
+	r.publish(platformtest.ConfigurationVariant{RouteTimeout: maxRouteTimeout})
 	for i := range r.Engines {
 		if err := r.startEngine(zones[i%len(zones)], platformtest.Accelerators[i%len(platformtest.Accelerators)]); err != nil {
 			return err
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -112,7 +112,7 @@
 	r := newTestRun()
 	e := &entry{settings: platformtest.EntrySettings{Name: "e"}}
 	for range 3 {
-		r.publish()
+		r.publish(platformtest.ConfigurationVariant{RouteTimeout: maxRouteTimeout})
 	}
 	tracker := &r.revisions
 	tracker.observed = map[process][]revisionObservation{{"e", 0}: {{time.Now().Add(-time.Second), 3}}}
--- a/soak/standins.go
+++ b/soak/standins.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/sapphirefield/sapphirefield/platform/platformtest"
 )
 
 // server is a stand-in server that faults can crash or drain.
@@ -15,6 +17,7 @@
 	StartLeaving()
 	SetPause(d time.Duration)
 	SetRateLimit(rate float64)
+	Disruptions() *platformtest.Disruptions
 }
 
 // standIn is a stand-in server and the proxy through which entries reach it.
