soak: every fourth client pipelines, excuses are told apart, several faults can be chosen

Requests that are read together with the one before were never played. Requests behind an answer that announces the channel's end count as unread unless a server ran them.

The report counts ends without an answer by what excuses them.

--- a/soak/answers.go
+++ b/soak/answers.go
@@ -16,8 +16,14 @@
 const (
 	verdictAnswered verdict = "answered"
 	verdictRefused  verdict = "refused"
-	// verdictExcused: no complete answer, and the rules allow it.
-	verdictExcused verdict = "ended with an excuse"
+	// Ends without a complete answer that the rules allow: the process was killed, frozen or
+	// cut off; the time was over; a server was still at work at the end of a planned stop; a
+	// server broke off or was cut off; a failure of a request that no server has run.
+	verdictDisrupted  verdict = "without an answer, entry disrupted"
+	verdictTimeOver   verdict = "without an answer, time over"
+	verdictEndOfGrace verdict = "without an answer, end of grace period"
+	verdictUnsound    verdict = "without an answer, server unsound"
+	verdictNotRun     verdict = "failed before it ran"
 	// verdictUnread: no process is known to have read the request.
 	verdictUnread    verdict = "closed unread"
 	verdictLost      verdict = "answer lost"
@@ -48,6 +54,8 @@
 	// keptChannel: the process has answered on the same channel before, so it has
 	// accepted it.
 	keptChannel bool
+	// closeAnnounced: the answer before it on the channel was the last one.
+	closeAnnounced bool
 	// status is 0 without an answer. A complete answer ended as its framing says.
 	status               int
 	complete, fromServer bool
@@ -74,12 +82,18 @@
 		return verdictRefused
 	case e.complete && !failed:
 		return verdictAnswered
-	case e.entryDisrupted, e.endedAt.Sub(e.sentAt) >= requestTimeout, e.isCutAtEndOfGrace():
-		return verdictExcused
+	case e.entryDisrupted:
+		return verdictDisrupted
+	case e.endedAt.Sub(e.sentAt) >= requestTimeout:
+		return verdictTimeOver
+	case e.isCutAtEndOfGrace():
+		return verdictEndOfGrace
 	case !e.executed && e.status == 0:
 		return e.judgeNotPassedOn()
-	case !e.executed, !e.serversSound:
-		return verdictExcused
+	case !e.executed:
+		return verdictNotRun
+	case !e.serversSound:
+		return verdictUnsound
 	case e.status == 0:
 		return verdictLost
 	case failed:
@@ -91,7 +105,7 @@
 // judgeNotPassedOn judges a request that no server ran and that got no answer. While a
 // process stops, a channel may end that it never accepted, unless it is a kept one.
 func (e evidence) judgeNotPassedOn() verdict {
-	accepted := e.keptChannel || e.stoppedAt.IsZero()
+	accepted := (e.keptChannel || e.stoppedAt.IsZero()) && !e.closeAnnounced
 	if accepted && !e.lastByteAt.IsZero() && e.endedAt.Sub(e.lastByteAt) > readTime {
 		return verdictLost
 	}
@@ -104,8 +118,14 @@
 
 // observedRequest collects what a client sees of its request.
 type observedRequest struct {
-	mu sync.Mutex
-	clientView
+	mu   sync.Mutex
+	seen clientView
+}
+
+func (o *observedRequest) view() clientView {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.seen
 }
 
 // emptyBody is a body that the HTTP client does not know to be empty, so that it does
@@ -117,17 +137,17 @@
 
 // observe adds hooks to a request that collect what its client sees.
 func observe(request *http.Request, sentAt time.Time) (*http.Request, *observedRequest) {
-	o := &observedRequest{clientView: clientView{sentAt: sentAt}}
+	o := &observedRequest{seen: clientView{sentAt: sentAt}}
 	set := func(change func()) {
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		change()
 	}
 	trace := &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { set(func() { o.keptChannel = info.Reused }) },
+		GotConn: func(info httptrace.GotConnInfo) { set(func() { o.seen.keptChannel = info.Reused }) },
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
 			if info.Err == nil {
-				set(func() { o.lastByteAt = time.Now() })
+				set(func() { o.seen.lastByteAt = time.Now() })
 			}
 		},
 	}
@@ -144,10 +164,8 @@
 const lateRunTime = maxSilence + 200*time.Millisecond
 
 // checkAnswer judges a request whose channel or answer has just ended.
-func (c *loadClient) checkAnswer(request platformtest.ClientRequest, e *entry, o *observedRequest) {
-	o.mu.Lock()
-	found := evidence{clientView: o.clientView, endedAt: time.Now(), entryDisrupted: !e.unplanned.NoneSince(o.sentAt.Add(-disruptionTail))}
-	o.mu.Unlock()
+func (c *loadClient) checkAnswer(request platformtest.ClientRequest, e *entry, view clientView) {
+	found := evidence{clientView: view, endedAt: time.Now(), entryDisrupted: !e.unplanned.NoneSince(view.sentAt.Add(-disruptionTail))}
 	if stop := e.lastStop(); found.sentAt.Sub(stop) < maxExitTime {
 		found.stoppedAt = stop
 	}
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -60,13 +60,15 @@
 	return indices
 }
 
-// loadClient sends requests one at a time over keep-alive connections.
+// loadClient sends requests over keep-alive connections, one at a time or pipelined.
 type loadClient struct {
 	*soakRun
 	id          int
 	random      *rand.Rand
 	httpClients []*http.Client
 	sent        int
+	// channel is that of a client that pipelines, or nil.
+	channel *channel
 }
 
 func (r *soakRun) newLoadClient(id int) *loadClient {
@@ -89,18 +91,21 @@
 		if entry < 0 {
 			entry = ready[c.random.IntN(len(ready))]
 		}
-		if !c.sendRequest(ctx, entry) {
+		send := c.sendRequest
+		if c.id%pipelineEvery == pipelineEvery-1 {
+			send = c.sendPipelined
+		}
+		if !send(ctx, entry) {
 			entry = -1
 		}
 		sleep(ctx, time.Duration(c.random.ExpFloat64()*float64(meanThinkTime)))
 	}
 }
 
-// sendRequest sends a random request and reports whether it got a complete
-// response with status 200.
-func (c *loadClient) sendRequest(ctx context.Context, entryIndex int) bool {
+// randomRequest returns the client's next request.
+func (c *loadClient) randomRequest(e *entry) platformtest.ClientRequest {
 	c.sent++
-	clientRequest := platformtest.ClientRequest{ID: fmt.Sprintf("%d-%d", c.id, c.sent), Timeout: requestTimeout, Method: http.MethodPost}
+	clientRequest := platformtest.ClientRequest{ID: fmt.Sprintf("%d-%d", c.id, c.sent), Timeout: requestTimeout, Method: http.MethodPost, Entry: e.processName()}
 	switch c.random.IntN(4) {
 	case 0:
 		clientRequest.Target = platformtest.PathStream + "?n=" + clientRequest.ID
@@ -112,38 +117,55 @@
 	default:
 		clientRequest.Target, clientRequest.Method = platformtest.PathAlternating+clientRequest.ID, http.MethodGet
 	}
-	sentAt, processNumber := time.Now(), c.entries[entryIndex].processNumber()
-	clientRequest.Entry = c.entries[entryIndex].processName()
+	return clientRequest
+}
+
+// sendRequest sends a random request and reports whether it got a complete
+// response with status 200.
+func (c *loadClient) sendRequest(ctx context.Context, entryIndex int) bool {
+	e := c.entries[entryIndex]
+	sentAt, processNumber := time.Now(), e.processNumber()
+	clientRequest := c.randomRequest(e)
 	requestCtx, cancel := context.WithTimeout(ctx, requestTimeout+time.Second)
 	defer cancel()
-	request, err := clientRequest.HTTPRequest(requestCtx, "http://"+c.entries[entryIndex].clientProxy.address())
+	request, err := clientRequest.HTTPRequest(requestCtx, "http://"+e.clientProxy.address())
 	if err != nil {
 		panic(err)
 	}
 	request, observed := observe(request, sentAt)
 	response, err := c.httpClients[entryIndex].Do(request)
-	if err != nil {
+	var body []byte
+	view := observed.view()
+	if err == nil {
+		defer response.Body.Close()
+		body, err = io.ReadAll(response.Body)
+		view = observed.view()
+		view.status, view.complete, view.fromServer = response.StatusCode, err == nil, platformtest.IsResponseTo(response.Header, clientRequest.ID)
+	}
+	c.checkEnd(ctx, clientRequest, e, processNumber, view, response, string(body), err)
+	return err == nil && response.StatusCode == http.StatusOK
+}
+
+// checkEnd checks a request that has ended; response is nil if there is none. The end of
+// the soak, which ends ctx, ends requests too.
+func (c *loadClient) checkEnd(ctx context.Context, request platformtest.ClientRequest, e *entry, processNumber int, view clientView, response *http.Response, body string, bodyErr error) {
+	if ctx.Err() == nil {
+		c.checkAnswer(request, e, view)
+	}
+	if response == nil {
 		if ctx.Err() == nil {
 			c.report.count("no response")
-			c.report.recordRequest(sentAt, false)
-			c.checkAnswer(clientRequest, c.entries[entryIndex], observed)
+			c.report.recordRequest(view.sentAt, false)
 		}
-		return false
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	if ctx.Err() == nil {
-		observed.status, observed.complete, observed.fromServer = response.StatusCode, err == nil, platformtest.IsResponseTo(response.Header, clientRequest.ID)
-		c.checkAnswer(clientRequest, c.entries[entryIndex], observed)
+		return
 	}
-	served := c.checkResponse(clientRequest, response, string(body), err)
-	c.report.recordRequest(sentAt, served)
-	c.checkExecutions(clientRequest, c.entries[entryIndex], sentAt)
-	c.checkLeaving(clientRequest, c.entries[entryIndex], sentAt, response.Header.Get(platformtest.HeaderLeaving) != "")
-	if served && strings.HasPrefix(clientRequest.Target, platformtest.PathAlternating) {
-		c.checkActiveRevision(clientRequest.ID, c.entries[entryIndex], processNumber, sentAt)
+	served := c.checkResponse(request, response, body, bodyErr)
+	c.report.recordRequest(view.sentAt, served)
+	c.checkExecutions(request, e, view.sentAt)
+	c.checkLeaving(request, e, view.sentAt, response.Header.Get(platformtest.HeaderLeaving) != "")
+	if served && strings.HasPrefix(request.Target, platformtest.PathAlternating) {
+		c.checkActiveRevision(request.ID, e, processNumber, view.sentAt)
 	}
-	return err == nil && response.StatusCode == http.StatusOK
 }
 
 // checkResponse compares a response with the expected one and with the executions
--- a/soak/command.go
+++ b/soak/command.go
@@ -25,7 +25,7 @@
 	flags.IntVar(&o.Clients, "callers", 24, "number of clients")
 	flags.DurationVar(&o.FaultDuration, "faults", 15*time.Second, "how long faults are injected")
 	flags.DurationVar(&o.SettleDuration, "calm", 6*time.Second, "how long the soak goes on after the time allowed for recovery")
-	flags.StringVar(&o.Only, "only", "", "name of the only fault to inject, as in the reports; empty for all")
+	flags.StringVar(&o.Only, "only", "", "names of the only faults to inject, as in the reports, separated by commas; empty for all")
 	flags.DurationVar(&o.Gap, "gap", 0, "time before the first fault and after the end of each; 0 for faults that overlap")
 	flags.IntVar(&o.AddressBlock, "lane", 0, "block of loopback addresses; soaks that run at the same time need different ones")
 	return &ffcli.Command{
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/sapphirefield/sapphirefield/platform/platformtest"
 )
 
@@ -118,7 +122,7 @@
 	{"application sends without end", appFault(platformtest.AppFault{EndlessRate: 0.3})},
 	{"application drips", appFault(platformtest.AppFault{DripRate: 0.3})},
 	{"application responds twice", appFault(platformtest.AppFault{LateResponseRate: 0.4})},
-	{"engines silent for a second", silence(func(r *soakRun, random *rand.Rand) *proxy { return pickStandIn(r, &r.engines, random).proxy })},
+	{"engines silent for a second", silence(streamingEngine)},
 	{"application servers silent for a second", silence(func(r *soakRun, random *rand.Rand) *proxy { return pickStandIn(r, &r.apps, random).proxy })},
 	{"store silent for a second", func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
 		for _, e := range r.entries {
@@ -177,13 +181,31 @@
 	}
 }
 
-func (r *soakRun) chooseFault(random *rand.Rand) fault {
-	for _, f := range faults {
-		if f.name == r.Only {
-			return f
+// onlyFaults returns the faults with the given names, separated by commas, or all of them.
+func onlyFaults(names string) (chosen []fault, err error) {
+	if names == "" {
+		return faults, nil
+	}
+	for _, name := range strings.Split(names, ",") {
+		i := slices.IndexFunc(faults, func(f fault) bool { return f.name == name })
+		if i < 0 {
+			return nil, errors.Errorf("only names %q, which is no fault", name)
 		}
+		chosen = append(chosen, faults[i])
 	}
-	return faults[random.IntN(len(faults))]
+	return chosen, nil
+}
+
+func (r *soakRun) chooseFault(random *rand.Rand) fault {
+	chosen, err := onlyFaults(r.Only)
+	if err != nil {
+		panic(err) // checked before the soak
+	}
+	if len(chosen) == 1 {
+		// The seeds of a single fault draw nothing for its choice.
+		return chosen[0]
+	}
+	return chosen[random.IntN(len(chosen))]
 }
 
 // checkStarted records a violation if a process or stand-in could not be started.
@@ -274,6 +296,20 @@
 	maxSilent  = 3
 )
 
+// streamingEngine returns the proxy of a random engine that serves streams, or of any if
+// none does: the silence of another one shows little.
+func streamingEngine(r *soakRun, random *rand.Rand) *proxy {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	i := random.IntN(len(r.engines))
+	for j := range r.engines {
+		if m := r.engines[(i+j)%len(r.engines)]; m.server.HasStreams() {
+			return m.proxy
+		}
+	}
+	return r.engines[i].proxy
+}
+
 // silence returns a fault: the links of some proxies stand still for about a second
 // and go on; nothing is closed.
 func silence(pick func(*soakRun, *rand.Rand) *proxy) func(*soakRun, context.Context, *rand.Rand, time.Duration) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -9,7 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -33,7 +33,7 @@
 	// FaultDuration is how long faults are injected, Calm how long the soak continues after
 	// the time allowed for recovery.
 	FaultDuration, SettleDuration time.Duration
-	// Only is the name of the only fault to inject, or empty for all.
+	// Only names the only faults to inject, separated by commas; empty for all.
 	Only string
 	// Gap is the time before the first fault and after the end of each, or 0 for faults
 	// that overlap.
@@ -57,12 +57,11 @@
 		return errors.Errorf("engines is %d; must be at least 3", o.Engines)
 	case o.Clients < 1:
 		return errors.Errorf("callers is %d; must be at least 1", o.Clients)
-	case o.Only != "" && !slices.ContainsFunc(faults, func(f fault) bool { return f.name == o.Only }):
-		return errors.Errorf("only is %q, which is no fault", o.Only)
 	case o.AddressBlock < 0 || o.AddressBlock > maxLane:
 		return errors.Errorf("lane is %d; must be 0 to %d", o.AddressBlock, maxLane)
 	}
-	return nil
+	_, err := onlyFaults(o.Only)
+	return err
 }
 
 const (
@@ -284,7 +283,7 @@
 		from := at.Add(returnLimit)
 		requests := r.report.requestsBetween(from, from.Add(returnWindow))
 		r.report.countRequests("after a return of the store", requests)
-		if r.Only != "" && float64(requests.served) < minServedFraction*float64(requests.sent) {
+		if r.Only != "" && !strings.Contains(r.Only, ",") && float64(requests.served) < minServedFraction*float64(requests.sent) {
 			r.report.addViolation("store return", "%d of %d requests served from %s after it on", requests.served, requests.sent, returnLimit)
 		}
 	}
