--- a/soak/answers.go
+++ b/soak/answers.go
@@ -54,8 +54,9 @@
 	// keptChannel: the process has answered on the same channel before, so it has
 	// accepted it.
 	keptChannel bool
-	// closeAnnounced: the answer before it on the channel was the last one.
-	closeAnnounced bool
+	// channelOver: the answer before it on the channel was broken off, missing or said that
+	// no other one follows. A request that crosses a close and is not passed on is not lost.
+	channelOver bool
 	// status is 0 without an answer. A complete answer ended as its framing says.
 	status               int
 	complete, fromServer bool
@@ -105,7 +106,7 @@
 // judgeNotPassedOn judges a request that no server ran and that got no answer. While a
 // process stops, a channel may end that it never accepted, unless it is a kept one.
 func (e evidence) judgeNotPassedOn() verdict {
-	accepted := (e.keptChannel || e.stoppedAt.IsZero()) && !e.closeAnnounced
+	accepted := (e.keptChannel || e.stoppedAt.IsZero()) && !e.channelOver
 	if accepted && !e.lastByteAt.IsZero() && e.endedAt.Sub(e.lastByteAt) > readTime {
 		return verdictLost
 	}
--- a/soak/answers_test.go
+++ b/soak/answers_test.go
@@ -20,6 +20,7 @@
 	signed, unsound := func(e *evidence) { e.fromServer = true }, func(e *evidence) { e.serversSound = false }
 	disrupted, notRun := func(e *evidence) { e.entryDisrupted = true }, func(e *evidence) { e.executed = false }
 	kept, unwritten := func(e *evidence) { e.keptChannel = true }, func(e *evidence) { e.lastByteAt = time.Time{} }
+	behind := func(e *evidence) { e.channelOver = true }
 	for _, test := range []struct {
 		want    verdict
 		changes []change
@@ -35,6 +36,8 @@
 		{verdictUnread, []change{notRun, kept, after(readTime)}},
 		{verdictUnread, []change{notRun, stopped(time.Second), after(time.Second)}},
 		{verdictUnread, []change{notRun, unwritten, after(time.Second)}},
+		{verdictUnread, []change{notRun, kept, behind, after(time.Second)}},
+		{verdictLost, []change{kept, behind}},
 		{verdictEndOfGrace, []change{stopped(2 * time.Second), after(lastOfGrace - 2*time.Second)}},
 		{verdictDisrupted, []change{disrupted}},
 		{verdictUnsound, []change{unsound}},
@@ -53,3 +56,12 @@
 		assert.Check(t, e.judge() == test.want, "%+v: %s, want %s", e, e.judge(), test.want)
 	}
 }
+
+// Guards against a soak that plays other faults than it was asked for.
+func TestOnlyNamedFaultsAreChosen(t *testing.T) {
+	chosen, err := onlyFaults("entry killed,configuration changes")
+	assert.NilError(t, err)
+	assert.Equal(t, len(chosen), 2)
+	_, err = onlyFaults("entry killed,no such fault")
+	assert.ErrorContains(t, err, "no such fault")
+}
--- a/soak/pipeline.go
+++ b/soak/pipeline.go
@@ -53,10 +53,10 @@
 		view.lastByteAt = time.Now()
 	}
 	for _, request := range requests {
-		view.keptChannel = c.channel.answered && !view.closeAnnounced
+		view.keptChannel = c.channel.answered
 		view = c.readAnswer(ctx, request, e, processNumber, view)
 	}
-	if view.status == 0 || !view.complete || view.closeAnnounced {
+	if view.channelOver {
 		c.channel.Close()
 		c.channel = nil
 		return false
@@ -80,20 +80,19 @@
 // readAnswer reads the answer to a request that has been sent and judges it. After an
 // answer that is missing, broken off or announces the channel's end, no other one follows.
 func (c *loadClient) readAnswer(ctx context.Context, request platformtest.ClientRequest, e *entry, processNumber int, view clientView) clientView {
-	hasEnded := view.closeAnnounced || view.status != 0 && !view.complete
 	view.status, view.complete, view.fromServer = 0, false, false
 	var response *http.Response
 	var body []byte
 	var err error
-	if !hasEnded {
+	if !view.channelOver {
 		response, err = http.ReadResponse(c.channel.reader, &http.Request{Method: request.Method})
 	}
 	if response != nil {
 		body, err = io.ReadAll(response.Body)
 		c.channel.answered = true
 		view.status, view.complete, view.fromServer = response.StatusCode, err == nil, platformtest.IsResponseTo(response.Header, request.ID)
-		view.closeAnnounced = response.Close
 	}
 	c.checkEnd(ctx, request, e, processNumber, view, response, string(body), err)
+	view.channelOver = view.channelOver || !view.complete || response.Close
 	return view
 }
