daemon: a failing test: a planned stop ends a request that was read with the one before it

Callers that pipeline saw their channel end without an answer, right after SIGTERM and after a server had run the request; one stream was broken off.

The entry's log of such a request says caller_gone 0.1 to 0.3 ms after its begin (2008). http.Server read its bytes together with the request before it, so the connection's own reads never mark it active and the kernel has nothing of it: expireIfIdle sets a deadline in the past, the background read fails, and the request's context ends.

--- a/daemon/idle_test.go
+++ b/daemon/idle_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -162,6 +163,42 @@
 	assert.Equal(t, n, 3)
 }
 
+// Guards against a planned stop that ends a request which was read together with the one
+// before it: the kernel has no bytes of it any more, so its connection seems to be idle.
+func TestRequestReadWithTheOneBeforeOutlastsStop(t *testing.T) {
+	const workTime = 50 * time.Millisecond
+	begun, release := make(chan struct{}, 2), make(chan struct{})
+	s := newClientServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// The answer's header is on its way before the stop, so that it does not announce the end.
+		w.Header().Set("Content-Length", "2")
+		assert.Check(t, http.NewResponseController(w).Flush() == nil)
+		begun <- struct{}{}
+		<-release
+		select {
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		case <-time.After(workTime):
+		}
+		_, _ = io.WriteString(w, "ok") // the client's read fails otherwise
+	}))
+	address := freeAddress(t)
+	go func() { _ = s.listenAndServe(t.Context(), address.String(), nil) }()
+	conn := dialUntil(t, address)
+	_, err := io.WriteString(conn, testRequest+testRequest)
+	assert.NilError(t, err)
+	<-begun
+	s.closeGracefully()
+	close(release)
+	reader := bufio.NewReader(conn)
+	for range 2 {
+		response, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err)
+		body, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(body), "ok")
+	}
+}
+
 // Guards against resetting connections that the kernel has established when a
 // listener is closed: clients have sent requests on them.
 func TestClosedListenerReturnsWaitingConnections(t *testing.T) {
