--- a/soak/answers_test.go
+++ b/soak/answers_test.go
@@ -1,10 +1,13 @@
 package soak
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/sapphirefield/sapphirefield/platform/platformtest"
 )
 
 // Guards against answers that are lost or broken off without a violation, and against
@@ -65,3 +68,30 @@
 	_, err = onlyFaults("entry killed,no such fault")
 	assert.ErrorContains(t, err, "no such fault")
 }
+
+// Guards against servers that count as sound although they were disrupted or have crashed.
+func TestDisruptedServersAreUnsound(t *testing.T) {
+	r := newTestRun()
+	app, err := r.fleet.StartApp(platformtest.ServiceA, "a", r.newRand(3), func(address string) string { return address })
+	assert.NilError(t, err)
+	defer app.Crash()
+	c := platformtest.ClientRequest{ID: "x", Method: http.MethodGet, Target: platformtest.PathIdempotent, Timeout: time.Second}
+	request, err := c.HTTPRequest(t.Context(), "http://"+app.Address())
+	assert.NilError(t, err)
+	request.Header.Set("X-Expect-Instance", app.ID())
+	sentAt := time.Now()
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	response.Body.Close()
+	executions := r.fleet.Executions("x")
+	assert.Equal(t, len(executions), 1)
+	isSound := func(since time.Time) bool { return r.fleet.AllSoundSince(executions, since) }
+	assert.Assert(t, isSound(sentAt))
+	end := disrupt(app)
+	assert.Assert(t, !isSound(time.Now()))
+	end()
+	assert.Assert(t, !isSound(sentAt))
+	assert.Assert(t, isSound(time.Now().Add(time.Millisecond)))
+	app.Crash()
+	assert.Assert(t, !isSound(time.Now().Add(time.Millisecond)))
+}
