--- a/soak/faults.go
+++ b/soak/faults.go
@@ -294,6 +294,8 @@
 	minSilence = 900 * time.Millisecond
 	maxSilence = 1300 * time.Millisecond
 	maxSilent  = 3
+	// silenceRounds is how often others fall silent, one round after another.
+	silenceRounds = 3
 )
 
 // streamingEngine returns the proxy of a random engine that serves streams, or of any if
@@ -314,14 +316,16 @@
 // and go on; nothing is closed.
 func silence(pick func(*soakRun, *rand.Rand) *proxy) func(*soakRun, context.Context, *rand.Rand, time.Duration) {
 	return func(r *soakRun, ctx context.Context, random *rand.Rand, _ time.Duration) {
-		var wg sync.WaitGroup
-		defer wg.Wait()
-		for range 1 + random.IntN(maxSilent) {
-			p, d := pick(r, random), minSilence+time.Duration(random.Int64N(int64(maxSilence-minSilence)))
-			// Beside another fault of the link it would last longer.
-			if p.currentMode() == modeForward {
-				wg.Go(func() { p.applyMode(ctx, modeStall, d) })
+		for range silenceRounds {
+			var wg sync.WaitGroup
+			for range 1 + random.IntN(maxSilent) {
+				p, d := pick(r, random), minSilence+time.Duration(random.Int64N(int64(maxSilence-minSilence)))
+				// Beside another fault of the link it would last longer.
+				if p.currentMode() == modeForward {
+					wg.Go(func() { p.applyMode(ctx, modeStall, d) })
+				}
 			}
+			wg.Wait()
 		}
 	}
 }
