--- a/soak/pipeline.go
+++ b/soak/pipeline.go
@@ -7,8 +7,11 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/sapphirefield/sapphirefield/platform/platformtest"
 )
 
@@ -17,6 +20,8 @@
 	// before it has read their answers.
 	pipelineEvery = 4
 	maxPipelined  = 3
+	// closeCheckTime is how long a client looks whether its kept channel has been closed.
+	closeCheckTime = time.Millisecond
 )
 
 // channel is a client's connection to an entry, kept until it ends.
@@ -64,11 +69,22 @@
 	return true
 }
 
+// isOpen reports whether the entry has not closed the channel yet.
+func (c *channel) isOpen() bool {
+	_ = c.SetReadDeadline(time.Now().Add(closeCheckTime)) // the read fails too
+	_, err := c.reader.Peek(1)
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // openChannel opens a channel unless there is one, and reports whether there is one.
 func (c *loadClient) openChannel(e *entry) bool {
-	if c.channel != nil {
+	if c.channel != nil && c.channel.isOpen() {
 		return true
 	}
+	if c.channel != nil {
+		c.channel.Close()
+		c.channel = nil
+	}
 	conn, err := net.Dial("tcp4", e.clientProxy.address())
 	if err != nil {
 		return false
