--- a/soak/faults.go
+++ b/soak/faults.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/sapphirefield/sapphirefield/platform/platformtest"
 )
 
@@ -32,8 +36,7 @@
 	}},
 	{"entry paused", func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
 		e := r.randomEntry(random)
-		e.beginFault()
-		defer e.endFault()
+		defer e.beginUnplanned()()
 		e.signal(syscall.SIGSTOP)
 		sleep(ctx, d)
 		e.signal(syscall.SIGCONT)
@@ -67,6 +70,7 @@
 	}},
 	{"engine unresponsive", func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
 		engine := pickStandIn(r, &r.engines, random).server
+		defer disrupt(engine)()
 		engine.SetUnresponsive(true)
 		sleep(ctx, d)
 		engine.SetUnresponsive(false)
@@ -118,7 +122,28 @@
 	{"application sends without end", appFault(platformtest.AppFault{EndlessRate: 0.3})},
 	{"application drips", appFault(platformtest.AppFault{DripRate: 0.3})},
 	{"application responds twice", appFault(platformtest.AppFault{LateResponseRate: 0.4})},
-	{"configuration changes", func(r *soakRun, _ context.Context, _ *rand.Rand, _ time.Duration) { r.publish() }},
+	{"engines silent for a second", silence(streamingEngine)},
+	{"application servers silent for a second", silence(func(r *soakRun, random *rand.Rand) *proxy { return pickStandIn(r, &r.apps, random).proxy })},
+	{"store silent for a second", func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
+		for _, e := range r.entries {
+			e.beginFault()
+			defer e.endFault()
+		}
+		silence(func(r *soakRun, random *rand.Rand) *proxy { return r.randomEntry(random).storeProxy })(r, ctx, random, d)
+	}},
+	{"entries asked to stop in turn", func(r *soakRun, ctx context.Context, _ *rand.Rand, d time.Duration) {
+		for _, e := range r.entries {
+			r.restart(ctx, e, syscall.SIGTERM, d/4)
+		}
+	}},
+	{"configuration changes", func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
+		for end := time.Now().Add(d); ctx.Err() == nil; {
+			r.publish(randomVariant(random))
+			if sleep(ctx, changeInterval); time.Now().After(end) {
+				return
+			}
+		}
+	}},
 }
 
 const (
@@ -128,6 +153,8 @@
 	minFaultDuration  = 200 * time.Millisecond
 	maxFaultDuration  = 2500 * time.Millisecond
 	meanFaultInterval = 500 * time.Millisecond
+	// changeInterval is the time between two changes of the configuration.
+	changeInterval = 700 * time.Millisecond
 	// drainDuration is the minimum time that a draining server continues to serve.
 	drainDuration = 2500 * time.Millisecond
 	// exitTimeout is how long a process may take to exit after SIGTERM.
@@ -154,13 +181,31 @@
 	}
 }
 
-func (r *soakRun) chooseFault(random *rand.Rand) fault {
-	for _, f := range faults {
-		if f.name == r.Only {
-			return f
+// onlyFaults returns the faults with the given names, separated by commas, or all of them.
+func onlyFaults(names string) (chosen []fault, err error) {
+	if names == "" {
+		return faults, nil
+	}
+	for _, name := range strings.Split(names, ",") {
+		i := slices.IndexFunc(faults, func(f fault) bool { return f.name == name })
+		if i < 0 {
+			return nil, errors.Errorf("only names %q, which is no fault", name)
 		}
+		chosen = append(chosen, faults[i])
+	}
+	return chosen, nil
+}
+
+func (r *soakRun) chooseFault(random *rand.Rand) fault {
+	chosen, err := onlyFaults(r.Only)
+	if err != nil {
+		panic(err) // checked before the soak
+	}
+	if len(chosen) == 1 {
+		// The seeds of a single fault draw nothing for its choice.
+		return chosen[0]
 	}
-	return faults[random.IntN(len(faults))]
+	return chosen[random.IntN(len(chosen))]
 }
 
 // checkStarted records a violation if a process or stand-in could not be started.
@@ -178,10 +223,15 @@
 func (r *soakRun) restart(ctx context.Context, e *entry, sig syscall.Signal, downtime time.Duration) {
 	e.beginFault()
 	defer e.endFault()
+	if sig == syscall.SIGKILL {
+		defer e.beginUnplanned()()
+	}
 	e.restarting.Lock()
 	defer e.restarting.Unlock()
-	e.signal(sig)
-	if sig == syscall.SIGKILL {
+	if sig == syscall.SIGTERM {
+		e.askToStop()
+	} else {
+		e.signal(sig)
 		e.signal(syscall.SIGCONT) // resumes a paused process
 	}
 	if !e.waitExit(exitTimeout) && sig == syscall.SIGTERM && e.activeFaultCount() == 1 {
@@ -193,22 +243,21 @@
 	}
 }
 
-// entryLinkFault returns a fault on one of the proxies of a random entry.
-func entryLinkFault(link func(*entry) *proxy, mode proxyMode) func(*soakRun, context.Context, *rand.Rand, time.Duration) {
+func clientLinkFault(mode proxyMode) func(*soakRun, context.Context, *rand.Rand, time.Duration) {
 	return func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
 		e := r.randomEntry(random)
-		e.beginFault()
-		defer e.endFault()
-		link(e).applyMode(ctx, mode, d)
+		defer e.beginUnplanned()()
+		e.clientProxy.applyMode(ctx, mode, d)
 	}
 }
 
-func clientLinkFault(mode proxyMode) func(*soakRun, context.Context, *rand.Rand, time.Duration) {
-	return entryLinkFault(func(e *entry) *proxy { return e.clientProxy }, mode)
-}
-
 func storeLinkFault(mode proxyMode) func(*soakRun, context.Context, *rand.Rand, time.Duration) {
-	return entryLinkFault(func(e *entry) *proxy { return e.storeProxy }, mode)
+	return func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
+		e := r.randomEntry(random)
+		e.beginFault()
+		defer e.endFault()
+		e.storeProxy.applyMode(ctx, mode, d)
+	}
 }
 
 func storeFault(f platformtest.StoreFault) func(*soakRun, context.Context, *rand.Rand, time.Duration) {
@@ -225,7 +274,59 @@
 
 func engineLinkFault(mode proxyMode) func(*soakRun, context.Context, *rand.Rand, time.Duration) {
 	return func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
-		pickStandIn(r, &r.engines, random).proxy.applyMode(ctx, mode, d)
+		engine := pickStandIn(r, &r.engines, random)
+		if mode != modeDelay {
+			defer disrupt(engine.server)()
+		}
+		engine.proxy.applyMode(ctx, mode, d)
+	}
+}
+
+// disrupt marks the start of a server's disruption; the returned function marks its end.
+func disrupt(s server) func() {
+	s.Disruptions().Begin()
+	return s.Disruptions().End
+}
+
+const (
+	// minSilence and maxSilence bound a silence of a sound server, and maxSilent how many
+	// servers of a kind fall silent at once.
+	minSilence = 900 * time.Millisecond
+	maxSilence = 1300 * time.Millisecond
+	maxSilent  = 3
+	// silenceRounds is how often others fall silent, one round after another.
+	silenceRounds = 3
+)
+
+// streamingEngine returns the proxy of a random engine that serves streams, or of any if
+// none does: the silence of another one shows little.
+func streamingEngine(r *soakRun, random *rand.Rand) *proxy {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	i := random.IntN(len(r.engines))
+	for j := range r.engines {
+		if m := r.engines[(i+j)%len(r.engines)]; m.server.HasStreams() {
+			return m.proxy
+		}
+	}
+	return r.engines[i].proxy
+}
+
+// silence returns a fault: the links of some proxies stand still for about a second
+// and go on; nothing is closed.
+func silence(pick func(*soakRun, *rand.Rand) *proxy) func(*soakRun, context.Context, *rand.Rand, time.Duration) {
+	return func(r *soakRun, ctx context.Context, random *rand.Rand, _ time.Duration) {
+		for range silenceRounds {
+			var wg sync.WaitGroup
+			for range 1 + random.IntN(maxSilent) {
+				p, d := pick(r, random), minSilence+time.Duration(random.Int64N(int64(maxSilence-minSilence)))
+				// Beside another fault of the link it would last longer.
+				if p.currentMode() == modeForward {
+					wg.Go(func() { p.applyMode(ctx, modeStall, d) })
+				}
+			}
+			wg.Wait()
+		}
 	}
 }
 
@@ -233,6 +334,7 @@
 func engineHangFault(requests, status bool) func(*soakRun, context.Context, *rand.Rand, time.Duration) {
 	return func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
 		engine := pickStandIn(r, &r.engines, random).server
+		defer disrupt(engine)()
 		engine.SetHanging(requests, status)
 		sleep(ctx, d)
 		engine.SetHanging(false, false)
@@ -249,6 +351,10 @@
 func appFault(f platformtest.AppFault) func(*soakRun, context.Context, *rand.Rand, time.Duration) {
 	return func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
 		app := pickStandIn(r, &r.apps, random).server
+		// A response without a length is no fault of its server.
+		if f.UnframedRate == 0 {
+			defer disrupt(app)()
+		}
 		app.SetFault(f)
 		sleep(ctx, d)
 		app.SetFault(platformtest.AppFault{})
