--- a/soak/answers_test.go
+++ b/soak/answers_test.go
@@ -78,7 +78,7 @@
 	c := platformtest.ClientRequest{ID: "x", Method: http.MethodGet, Target: platformtest.PathIdempotent, Timeout: time.Second}
 	request, err := c.HTTPRequest(t.Context(), "http://"+app.Address())
 	assert.NilError(t, err)
-	request.Header.Set("X-Expect-Instance", app.ID())
+	platformtest.AddressTo(request.Header, app.ID())
 	sentAt := time.Now()
 	response, err := http.DefaultClient.Do(request)
 	assert.NilError(t, err)
