daemon: listeners of tests have an address of their process

TestClientServerNoticesThatClientLeaves hung once for 10 minutes beside tests of other processes. Cause: freeAddress gives a port of 127.0.0.1 back before the test listens on it; another process may take it meanwhile, and the test's client speaks to that one.

--- a/daemon/relay_test.go
+++ b/daemon/relay_test.go
@@ -73,7 +73,10 @@
 func (emptyHeaderCodec) ParseResponse(http.Header) relay.ResponseInfo { return relay.ResponseInfo{} }
 
 func freeAddress(t *testing.T) netip.AddrPort {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	// Another process may take a port of 127.0.0.1 before the test listens there.
+	pid := os.Getpid()
+	own := netip.AddrFrom4([4]byte{127, 200 + byte(pid>>16)%50, byte(pid >> 8), byte(pid)})
+	listener, err := net.Listen("tcp4", netip.AddrPortFrom(own, 0).String())
 	assert.NilError(t, err)
 	defer listener.Close()
 	return netip.MustParseAddrPort(listener.Addr().String())
