soak: a request alone on an idle channel was read only if its process says so

Requests behind others on their channel are judged as before, and so are all whose process has left out lines.

--- a/soak/answers.go
+++ b/soak/answers.go
@@ -54,6 +54,8 @@
 	// keptChannel: the process has answered on the same channel before, so it has
 	// accepted it.
 	keptChannel bool
+	// alone: no other request was in progress on the channel when this one was sent.
+	alone bool
 	// channelOver: the answer before it on the channel was broken off, missing or said that
 	// no other one follows. A request that crosses a close and is not passed on is not lost.
 	channelOver bool
@@ -69,6 +71,9 @@
 	// executed: a server ran the request. serversSound: all that ran it, and the
 	// engines of their paths, were sound from the sending on.
 	executed, serversSound bool
+	// unlogged: the process has not written that the request has ended, as it does for all
+	// that it has read, but for those that it holds behind another one.
+	unlogged bool
 	// entryDisrupted: an unplanned disruption of the entry excuses it.
 	entryDisrupted bool
 	// stoppedAt is the last planned stop of the entry before the end, or zero.
@@ -104,9 +109,10 @@
 }
 
 // judgeNotPassedOn judges a request that no server ran and that got no answer. While a
-// process stops, a channel may end that it never accepted, unless it is a kept one.
+// process stops, a channel may end that it never accepted, unless it is a kept one. A
+// request that crosses the close of an idle channel has not been read.
 func (e evidence) judgeNotPassedOn() verdict {
-	accepted := (e.keptChannel || e.stoppedAt.IsZero()) && !e.channelOver
+	accepted := (e.keptChannel || e.stoppedAt.IsZero()) && !e.channelOver && !(e.alone && e.unlogged)
 	if accepted && !e.lastByteAt.IsZero() && e.endedAt.Sub(e.lastByteAt) > readTime {
 		return verdictLost
 	}
@@ -138,7 +144,7 @@
 
 // observe adds hooks to a request that collect what its client sees.
 func observe(request *http.Request, sentAt time.Time) (*http.Request, *observedRequest) {
-	o := &observedRequest{seen: clientView{sentAt: sentAt}}
+	o := &observedRequest{seen: clientView{sentAt: sentAt, alone: true}}
 	set := func(change func()) {
 		o.mu.Lock()
 		defer o.mu.Unlock()
@@ -165,7 +171,7 @@
 const lateRunTime = maxSilence + 200*time.Millisecond
 
 // checkAnswer judges a request whose channel or answer has just ended.
-func (c *loadClient) checkAnswer(request platformtest.ClientRequest, e *entry, view clientView) {
+func (c *loadClient) checkAnswer(request platformtest.ClientRequest, e *entry, processNumber int, view clientView) {
 	found := evidence{clientView: view, endedAt: time.Now(), entryDisrupted: !e.unplanned.NoneSince(view.sentAt.Add(-disruptionTail))}
 	if stop := e.lastStop(); found.sentAt.Sub(stop) < maxExitTime {
 		found.stoppedAt = stop
@@ -178,6 +184,9 @@
 		time.Sleep(lateRunTime)
 		executions := c.fleet.Executions(request.ID)
 		found.executed, found.serversSound = len(executions) > 0, c.fleet.AllSoundSince(executions, found.sentAt)
+		if found.judge().isViolation() {
+			found.unlogged = e.hasNotLogged(processNumber, request.ID)
+		}
 		c.recordVerdict(request, found, executions)
 	})
 }
--- a/soak/answers_test.go
+++ b/soak/answers_test.go
@@ -24,6 +24,7 @@
 	disrupted, notRun := func(e *evidence) { e.entryDisrupted = true }, func(e *evidence) { e.executed = false }
 	kept, unwritten := func(e *evidence) { e.keptChannel = true }, func(e *evidence) { e.lastByteAt = time.Time{} }
 	behind := func(e *evidence) { e.channelOver = true }
+	alone, unlogged := func(e *evidence) { e.alone = true }, func(e *evidence) { e.unlogged = true }
 	for _, test := range []struct {
 		want    verdict
 		changes []change
@@ -37,6 +38,10 @@
 		{verdictLost, []change{notRun, after(readTime + time.Millisecond)}},
 		{verdictLost, []change{notRun, kept, stopped(time.Second), after(readTime + time.Millisecond)}},
 		{verdictUnread, []change{notRun, kept, after(readTime)}},
+		{verdictUnread, []change{notRun, kept, alone, unlogged, after(time.Second)}},
+		{verdictLost, []change{notRun, kept, alone, after(time.Second)}},
+		{verdictLost, []change{notRun, kept, unlogged, after(time.Second)}},
+		{verdictLost, []change{kept, alone, unlogged, after(time.Second)}},
 		{verdictUnread, []change{notRun, stopped(time.Second), after(time.Second)}},
 		{verdictUnread, []change{notRun, unwritten, after(time.Second)}},
 		{verdictUnread, []change{notRun, kept, behind, after(time.Second)}},
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -151,7 +151,7 @@
 // the soak, which ends ctx, ends requests too.
 func (c *loadClient) checkEnd(ctx context.Context, request platformtest.ClientRequest, e *entry, processNumber int, view clientView, response *http.Response, body string, bodyErr error) {
 	if ctx.Err() == nil {
-		c.checkAnswer(request, e, view)
+		c.checkAnswer(request, e, processNumber, view)
 	}
 	if response == nil {
 		if ctx.Err() == nil {
--- a/soak/entry.go
+++ b/soak/entry.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"os"
@@ -12,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/platform"
 	"github.com/sapphirefield/sapphirefield/platform/platformtest"
 )
@@ -49,7 +51,7 @@
 	if err := os.WriteFile(file, []byte(e.settings.YAML()), 0o600); err != nil {
 		return errors.Wrap(err, "settings")
 	}
-	logs, err := os.Create(filepath.Join(e.folder, fmt.Sprintf("%s.%d.log", e.settings.Name, e.startCount)))
+	logs, err := os.Create(e.logFile(e.startCount))
 	if err != nil {
 		return errors.Wrap(err, "logs")
 	}
@@ -140,6 +142,22 @@
 // faultFreeSince reports whether the entry has had no fault since t.
 func (e *entry) faultFreeSince(t time.Time) bool { return e.faults.NoneSince(t) }
 
+// logFile returns the path of the log of one of the entry's processes.
+func (e *entry) logFile(processNumber int) string {
+	return filepath.Join(e.folder, fmt.Sprintf("%s.%d.log", e.settings.Name, processNumber))
+}
+
+// hasNotLogged reports whether a process has written no line of a request, and has left out
+// no lines of requests.
+func (e *entry) hasNotLogged(processNumber int, request string) bool {
+	lines, err := os.ReadFile(e.logFile(processNumber))
+	if err != nil {
+		return false
+	}
+	leftOut := fmt.Appendf(nil, `"event":%d`, logevent.LogLinesSkipped)
+	return !bytes.Contains(lines, leftOut) && !bytes.Contains(lines, fmt.Appendf(nil, `"request":%q`, request))
+}
+
 // processName names the entry's current process.
 func (e *entry) processName() string {
 	return fmt.Sprintf("%s/%d", e.settings.Name, e.processNumber())
--- a/soak/pipeline.go
+++ b/soak/pipeline.go
@@ -53,7 +53,7 @@
 	sentAt := time.Now()
 	_ = c.channel.SetDeadline(sentAt.Add(requestTimeout + time.Second)) // fails only on a closed connection
 	_, err := c.channel.Write(buffer.Bytes())
-	view := clientView{sentAt: sentAt}
+	view := clientView{sentAt: sentAt, alone: true}
 	if err == nil {
 		view.lastByteAt = time.Now()
 	}
@@ -109,6 +109,7 @@
 		view.status, view.complete, view.fromServer = response.StatusCode, err == nil, platformtest.IsResponseTo(response.Header, request.ID)
 	}
 	c.checkEnd(ctx, request, e, processNumber, view, response, string(body), err)
+	view.alone = false
 	view.channelOver = view.channelOver || !view.complete || response.Close
 	return view
 }
