daemon, clientconn: a long line in parts is read, an empty line after a body is no request

(1) A header line over 4 KiB that leaves one byte of http.Server's buffer free was never read: each read of one byte was taken for the look for a hang-up. Reads of a header are told apart now: the tracker knows them by their timeout. (2) With the merge, the empty line that some clients send after a body counted as the beginning of a request, so a stop waited for the header timeout: two held bytes are taken for it now. (3) By reading: a connection that pipelines announces no close from the first moment of a stop on, not only once the stop has come to it.

--- a/clientconn/clientconn.go
+++ b/clientconn/clientconn.go
@@ -13,6 +13,7 @@
 	"crypto/tls"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -23,6 +24,8 @@
 type Conn struct {
 	net.Conn
 	raw syscall.RawConn
+	// readsHeader is set while http.Server reads the header of a request.
+	readsHeader atomic.Bool
 }
 
 // Wrap returns a Conn, or conn itself if it has no socket that can be looked at.
@@ -39,13 +42,17 @@
 }
 
 // watchReadSize is the size of the reads by which http.Server looks for the end of the
-// connection while a request is in progress. It reads requests in larger parts.
+// connection while a request is in progress. It reads requests in larger parts, but for a
+// header that leaves one byte of its buffer free.
 const watchReadSize = 1
 
+// SetReadsHeader tells whether http.Server reads the header of a request.
+func (c *Conn) SetReadsHeader(on bool) { c.readsHeader.Store(on) }
+
 // Read reads bytes of requests. A read that looks for the end of the connection returns
 // only then, whatever arrives before; those bytes are left for the next request.
 func (c *Conn) Read(p []byte) (int, error) {
-	if len(p) != watchReadSize {
+	if len(p) != watchReadSize || c.readsHeader.Load() {
 		return c.Conn.Read(p)
 	}
 	if err := netpeek.AwaitHangUp(c.raw); err != nil {
--- a/daemon/idle.go
+++ b/daemon/idle.go
@@ -227,7 +227,7 @@
 func (c *trackedConn) ClosesWhenIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.pipelined && c.closing
+	return c.pipelined
 }
 
 func (c *trackedConn) setIdle() {
@@ -305,6 +305,10 @@
 	_ = c.beginHeader() // fails only on a connection that is closed already
 }
 
+// emptyLine is the length of the empty line that some clients send after a body and
+// http.Server skips.
+const emptyLine = 2
+
 // beginRead finds out from the first read after a response whether http.Server holds the
 // beginning of a request. If it does not, the connection is idle.
 func (c *trackedConn) beginRead(size int) {
@@ -317,7 +321,7 @@
 		return
 	}
 	c.answered = false
-	if size < c.bufferSize && !c.encrypted {
+	if held := c.bufferSize - size; held > 0 && held != emptyLine && !c.encrypted {
 		_ = c.beginHeldRequest() // fails only on a connection that is closed already
 	} else if c.closing {
 		c.expire()
@@ -370,6 +374,9 @@
 	}
 	c.idleTimeoutSet = true
 	c.timed = t.After(time.Now())
+	if conn, ok := c.Conn.(*clientconn.Conn); ok {
+		conn.SetReadsHeader(c.timed)
+	}
 	if timeout := c.timeout(); timeout > 0 && c.timed {
 		t = time.Now().Add(timeout)
 	}
