relay: the end of the time for a body does not hit the next request; bounded legacies

(1) The read deadline for a body could come into force only after its answer, for the next request on the connection, which then failed. The answer closes the connection if the deadline was on its way. (2) The legacies of 400 entries with 10 services did not fit into a datagram, and the message was lost. TestLegaciesOfLargeFleetFitIntoMessages failed before.

--- a/relay/budget.go
+++ b/relay/budget.go
@@ -111,12 +111,18 @@
 	return spent
 }
 
+// maxLegacies bounds the legacies of a message, which must fit into a datagram. The ledger
+// tells them in another order each time, so all are told in turn.
+const maxLegacies = 1000
+
 // retryLegacies returns what processes of other entries should know of those before them.
 func (e *Entry) retryLegacies(now time.Time) (legacies []processLegacy) {
 	e.budgetsMu.Lock()
 	defer e.budgetsMu.Unlock()
 	e.ledger.Legacies(now, func(name string, process int64, l retry.Legacy) {
-		legacies = append(legacies, processLegacy{processID(name, process), l})
+		if len(legacies) < maxLegacies {
+			legacies = append(legacies, processLegacy{processID(name, process), l})
+		}
 	})
 	return legacies
 }
--- a/relay/budget_test.go
+++ b/relay/budget_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
+
+	"github.com/sapphirefield/sapphirefield/retry"
 )
 
 // budgetFleet are entries that hear each other's messages.
@@ -124,3 +126,22 @@
 	}
 	assert.Equal(t, f.entries[0].budget(budgetService).Left(time.Now()), before)
 }
+
+// Guards against messages that do not fit into a datagram, and are lost with all that they
+// say, once the entries of a large fleet have restarted.
+func TestLegaciesOfLargeFleetFitIntoMessages(t *testing.T) {
+	const entries, services = 400, 10
+	f := budgetFleet{entries: make([]*peers, 1)}
+	f.start(0)
+	e, now := f.entries[0], time.Now()
+	for process := int64(1); process <= 2; process++ {
+		for i := range entries {
+			spent := retry.Spending{}
+			for service := range uint64(services) {
+				spent[service<<56] = 3
+			}
+			e.ledger.Observe(now, fmt.Sprint("other-", i), process, spent)
+		}
+	}
+	assert.Assert(t, len(e.message(now.UnixNano()).encode(newestVersion)) <= maxDatagram)
+}
--- a/relay/request.go
+++ b/relay/request.go
@@ -251,9 +251,13 @@
 		_ = http.NewResponseController(q.w).SetReadDeadline(time.Unix(1, 0))
 	})
 	body, err := q.bodyMemory.read(q.r.Body)
-	if !stop() && err == nil {
-		// http.Server takes the deadline for the end of the client.
-		err = os.ErrDeadlineExceeded
+	if !stop() {
+		// The deadline may come into force only now, for the next request on the connection.
+		q.w.Header().Set("Connection", "close")
+		if err == nil {
+			// http.Server takes the deadline for the end of the client.
+			err = os.ErrDeadlineExceeded
+		}
 	}
 	q.body = body
 	var tooLarge *http.MaxBytesError
