--- a/relay/requestend_test.go
+++ b/relay/requestend_test.go
@@ -150,6 +150,16 @@
 	prepare func(e *Entry, c *endingClient)
 }
 
+// start returns an entry and a client for the case, whose requests have the given time.
+func (c endCase) start(t *testing.T, timeout time.Duration) (*Entry, *endingClient) {
+	c.route.Timeout = timeout
+	e, client := newBubbleEntry(t, c.route, c.handle), newEndingClient()
+	if c.prepare != nil {
+		c.prepare(e, client)
+	}
+	return e, client
+}
+
 // endCases has each place where a request waits.
 func endCases() map[string]endCase {
 	stream, call := streamRoute(true), unaryRoute(config.CallIdempotent)
@@ -197,12 +207,7 @@
 		for _, timeout := range []time.Duration{testRequestTime, testRequestTime / 10} {
 			t.Run(fmt.Sprintf("%s, %s", name, timeout), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					route := test.route
-					route.Timeout = timeout
-					e, client := newBubbleEntry(t, route, test.handle), newEndingClient()
-					if test.prepare != nil {
-						test.prepare(e, client)
-					}
+					e, client := test.start(t, timeout)
 					over := serveUntilEnd(t, e, client, timeout)
 					assert.Assert(t, over <= timeout+endLimit, "went on for %s after its end", over-timeout)
 				})
@@ -218,17 +223,12 @@
 		for _, end := range []time.Duration{testRequestTime, testRequestTime / 5} {
 			t.Run(fmt.Sprintf("%s, %s", name, end), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					route := test.route
-					route.Timeout = testLimit
-					e, client := newBubbleEntry(t, route, test.handle), newEndingClient()
-					if test.prepare != nil {
-						test.prepare(e, client)
-					}
+					e, client := test.start(t, testLimit)
 					time.AfterFunc(end, e.EndRequests)
 					if !client.reads {
 						return // its connection ends with the process
 					}
-					over := serveUntilEnd(t, e, client, route.Timeout)
+					over := serveUntilEnd(t, e, client, testLimit)
 					assert.Assert(t, over <= end+endLimit, "went on for %s", over-end)
 					assert.Assert(t, client.status != 0, "no answer")
 				})
