soak: one mark of a fault, one fault on an entry's link, faults chosen once

The change had split the fault on an entry's link into two copies, marked faults in two ways (begin and end, or begin with an end to call), repeated the mark of all entries, and read the names of -only again for each fault, with a panic for what had been checked. Begin returns its end everywhere now.

--- a/soak/entry.go
+++ b/soak/entry.go
@@ -108,17 +108,15 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// beginFault and endFault mark the start and the end of a fault on the entry.
-func (e *entry) beginFault() { e.faults.Begin() }
-func (e *entry) endFault()   { e.faults.End() }
-
-// beginUnplanned marks the start of an unplanned fault; the returned function marks its end.
-func (e *entry) beginUnplanned() func() {
-	e.faults.Begin()
-	e.unplanned.Begin()
+// beginFault marks the start of a fault on the entry; the returned function marks its end.
+func (e *entry) beginFault() (end func()) { return e.faults.Begin() }
+
+// beginUnplanned does the same for an unplanned fault.
+func (e *entry) beginUnplanned() (end func()) {
+	endFault, endUnplanned := e.faults.Begin(), e.unplanned.Begin()
 	return func() {
-		e.unplanned.End()
-		e.faults.End()
+		endUnplanned()
+		endFault()
 	}
 }
 
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -55,10 +55,7 @@
 	{"store loses responses", storeFault(platformtest.StoreFault{LostResponseRate: 0.4})},
 	{"store log compacted", func(r *soakRun, _ context.Context, _ *rand.Rand, _ time.Duration) { r.store.Compact() }},
 	{"store restored from an older copy", func(r *soakRun, ctx context.Context, _ *rand.Rand, d time.Duration) {
-		for _, e := range r.entries {
-			e.beginFault()
-			defer e.endFault()
-		}
+		defer r.beginFaultOnAll()()
 		r.store.SetFault(platformtest.StoreFault{RefuseRate: 1})
 		sleep(ctx, d/4)
 		r.store.Restore(d, 3*heartbeatInterval)
@@ -125,10 +122,7 @@
 	{"engines silent for a second", silence(streamingEngine)},
 	{"application servers silent for a second", silence(func(r *soakRun, random *rand.Rand) *proxy { return pickStandIn(r, &r.apps, random).proxy })},
 	{"store silent for a second", func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
-		for _, e := range r.entries {
-			e.beginFault()
-			defer e.endFault()
-		}
+		defer r.beginFaultOnAll()()
 		silence(func(r *soakRun, random *rand.Rand) *proxy { return r.randomEntry(random).storeProxy })(r, ctx, random, d)
 	}},
 	{"entries asked to stop in turn", func(r *soakRun, ctx context.Context, _ *rand.Rand, d time.Duration) {
@@ -197,15 +191,11 @@
 }
 
 func (r *soakRun) chooseFault(random *rand.Rand) fault {
-	chosen, err := onlyFaults(r.Only)
-	if err != nil {
-		panic(err) // checked before the soak
-	}
-	if len(chosen) == 1 {
+	if len(r.chosen) == 1 {
 		// The seeds of a single fault draw nothing for its choice.
-		return chosen[0]
+		return r.chosen[0]
 	}
-	return chosen[random.IntN(len(chosen))]
+	return r.chosen[random.IntN(len(r.chosen))]
 }
 
 // checkStarted records a violation if a process or stand-in could not be started.
@@ -221,8 +211,7 @@
 
 // restart ends an entry's process with a signal and starts a new one after downtime.
 func (r *soakRun) restart(ctx context.Context, e *entry, sig syscall.Signal, downtime time.Duration) {
-	e.beginFault()
-	defer e.endFault()
+	defer e.beginFault()()
 	if sig == syscall.SIGKILL {
 		defer e.beginUnplanned()()
 	}
@@ -243,29 +232,40 @@
 	}
 }
 
-func clientLinkFault(mode proxyMode) func(*soakRun, context.Context, *rand.Rand, time.Duration) {
-	return func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
-		e := r.randomEntry(random)
-		defer e.beginUnplanned()()
-		e.clientProxy.applyMode(ctx, mode, d)
+// beginFaultOnAll marks the start of a fault on all entries; the returned function marks its
+// end.
+func (r *soakRun) beginFaultOnAll() (end func()) {
+	var ends []func()
+	for _, e := range r.entries {
+		ends = append(ends, e.beginFault())
+	}
+	return func() {
+		for _, end := range ends {
+			end()
+		}
 	}
 }
 
-func storeLinkFault(mode proxyMode) func(*soakRun, context.Context, *rand.Rand, time.Duration) {
+// entryLinkFault returns a fault on one of the proxies of a random entry, which begin marks.
+func entryLinkFault(link func(*entry) *proxy, begin func(*entry) func(), mode proxyMode) func(*soakRun, context.Context, *rand.Rand, time.Duration) {
 	return func(r *soakRun, ctx context.Context, random *rand.Rand, d time.Duration) {
 		e := r.randomEntry(random)
-		e.beginFault()
-		defer e.endFault()
-		e.storeProxy.applyMode(ctx, mode, d)
+		defer begin(e)()
+		link(e).applyMode(ctx, mode, d)
 	}
 }
 
+func clientLinkFault(mode proxyMode) func(*soakRun, context.Context, *rand.Rand, time.Duration) {
+	return entryLinkFault(func(e *entry) *proxy { return e.clientProxy }, (*entry).beginUnplanned, mode)
+}
+
+func storeLinkFault(mode proxyMode) func(*soakRun, context.Context, *rand.Rand, time.Duration) {
+	return entryLinkFault(func(e *entry) *proxy { return e.storeProxy }, (*entry).beginFault, mode)
+}
+
 func storeFault(f platformtest.StoreFault) func(*soakRun, context.Context, *rand.Rand, time.Duration) {
 	return func(r *soakRun, ctx context.Context, _ *rand.Rand, d time.Duration) {
-		for _, e := range r.entries {
-			e.beginFault()
-			defer e.endFault()
-		}
+		defer r.beginFaultOnAll()()
 		r.store.SetFault(f)
 		sleep(ctx, d)
 		r.store.SetFault(platformtest.StoreFault{})
@@ -283,10 +283,7 @@
 }
 
 // disrupt marks the start of a server's disruption; the returned function marks its end.
-func disrupt(s server) func() {
-	s.Disruptions().Begin()
-	return s.Disruptions().End
-}
+func disrupt(s server) (end func()) { return s.Disruptions().Begin() }
 
 const (
 	// minSilence and maxSilence bound a silence of a sound server, and maxSilent how many
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -60,8 +59,7 @@
 	case o.AddressBlock < 0 || o.AddressBlock > maxLane:
 		return errors.Errorf("lane is %d; must be 0 to %d", o.AddressBlock, maxLane)
 	}
-	_, err := onlyFaults(o.Only)
-	return err
+	return nil
 }
 
 const (
@@ -90,6 +88,8 @@
 	// leavingServers is what servers have told the entries.
 	leavingServers leavingTracker
 	crashes        crashTracker
+	// chosen are the faults to inject.
+	chosen []fault
 	// lateJudgements are those of requests that have ended without an answer.
 	lateJudgements sync.WaitGroup
 
@@ -119,12 +119,16 @@
 	if err := o.check(); err != nil {
 		return nil, err
 	}
+	chosen, err := onlyFaults(o.Only)
+	if err != nil {
+		return nil, err
+	}
 	claim, err := o.claimBlock()
 	if err != nil {
 		return nil, err
 	}
 	defer claim.Close()
-	r := &soakRun{Options: o, report: newReport(o.Seed), loadBalancer: &loadBalancer{failedChecks: make([]int, o.Entries)}}
+	r := &soakRun{Options: o, chosen: chosen, report: newReport(o.Seed), loadBalancer: &loadBalancer{failedChecks: make([]int, o.Entries)}}
 	r.store = platformtest.NewStore(r.newRand(1))
 	r.fleet = platformtest.NewFleet(r.store, heartbeatInterval, func(invariant, detail string) { r.report.addViolation(invariant, "%s", detail) })
 	parent := ctx
@@ -283,7 +287,7 @@
 		from := at.Add(returnLimit)
 		requests := r.report.requestsBetween(from, from.Add(returnWindow))
 		r.report.countRequests("after a return of the store", requests)
-		if r.Only != "" && !strings.Contains(r.Only, ",") && float64(requests.served) < minServedFraction*float64(requests.sent) {
+		if len(r.chosen) == 1 && float64(requests.served) < minServedFraction*float64(requests.sent) {
 			r.report.addViolation("store return", "%d of %d requests served from %s after it on", requests.served, requests.sent, returnLimit)
 		}
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -120,9 +120,9 @@
 	assert.Equal(t, tracker.observedBefore(process{"e", 1}, time.Now()), int64(1))
 	tracker.ackTimes[1] = time.Now().Add(-5 * time.Second)
 	assert.Equal(t, tracker.acknowledgedBefore(time.Now().Add(-activationLimit)), int64(2))
-	e.beginFault()
+	end := e.beginFault()
 	assert.Assert(t, !e.faultFreeSince(time.Now()))
-	e.endFault()
+	end()
 	assert.Assert(t, e.faultFreeSince(time.Now().Add(time.Millisecond)))
 }
 
