--- a/experiment/compare/figures.go
+++ b/experiment/compare/figures.go
@@ -36,14 +36,11 @@
 	return figure, nil
 }
 
-// ErrNoFigure means that a play has not printed a figure.
-var ErrNoFigure = errors.New("the pattern finds nothing")
-
 // read returns the figure that a play has printed.
 func (f Figure) read(output []byte) (float64, error) {
 	matches := f.Pattern.FindAllSubmatch(output, -1)
 	if len(matches) == 0 {
-		return 0, errors.Wrapf(ErrNoFigure, "figure %q", f.Name)
+		return 0, errors.Errorf("figure %q: the pattern finds nothing", f.Name)
 	}
 	value, err := strconv.ParseFloat(string(matches[len(matches)-1][1]), 64)
 	return value, errors.Wrapf(err, "figure %q", f.Name)
--- a/experiment/compare/plan.go
+++ b/experiment/compare/plan.go
@@ -94,10 +94,7 @@
 	return result
 }
 
-// timeLeft estimates how long the other pairs take.
+// timeLeft estimates how long the other pairs take, once some are done.
 func timeLeft(elapsed time.Duration, done, total int) time.Duration {
-	if done == 0 {
-		return 0
-	}
 	return elapsed / time.Duration(done) * time.Duration(total-done)
 }
