--- a/review/standin2/engine.go
+++ b/review/standin2/engine.go
@@ -31,6 +31,8 @@
 	over bool
 	// draining is set while it leaves, ended once it is gone.
 	draining, ended bool
+	// crashes reports whether a request crashes the engine when it begins; nil means none does.
+	crashes func(r *http.Request) bool
 	// streams are the requests that began at this engine, by ID.
 	streams map[string]*stream
 }
--- a/review/standin2/stream.go
+++ b/review/standin2/stream.go
@@ -149,7 +149,12 @@
 	s := &stream{path: path}
 	e.mu.Lock()
 	e.streams[id] = s
+	crashes := e.crashes
 	e.mu.Unlock()
+	if crashes != nil && crashes(r) {
+		e.crash()
+		panic(http.ErrAbortHandler)
+	}
 	defer func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
@@ -201,6 +206,11 @@
 // readStream sends a request for a stream and reads its events. It returns their number, and
 // whether the stream ended as complete.
 func readStream(address, path, id string) (events int, whole bool, err error) {
+	return readStreamOf(address, path, id, "5c1e07a2:40,"+id+":360")
+}
+
+// readStreamOf is readStream for a prompt with the given parts.
+func readStreamOf(address, path, id, parts string) (events int, whole bool, err error) {
 	conn, err := net.DialTimeout("tcp4", address, time.Second)
 	if err != nil {
 		return 0, false, err
@@ -208,7 +218,7 @@
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
 	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: %s\r\nX-Model: m\r\nX-Token-Count: 400,100\r\n"+
-		"X-Prompt-Prefix: 5c1e07a2:40,%s:360\r\nX-Deadline-Ms: 20000\r\nX-Key: key-1\r\nContent-Length: 2\r\n\r\nhi", path, id, id)
+		"X-Prompt-Prefix: %s\r\nX-Deadline-Ms: 20000\r\nX-Key: key-1\r\nContent-Length: 2\r\n\r\nhi", path, id, parts)
 	if err != nil {
 		return 0, false, err
 	}
