--- a/review/standin2/main.go
+++ b/review/harness2/standin/main.go
@@ -1,4 +1,4 @@
-// Command standin2 runs the scripts of the review: it starts entries as processes with the
+// Command standin runs the scripts of the review: it starts entries as processes with the
 // command of the deploy file, stand-ins of the platform and its servers, and clients.
 package main
 
@@ -39,7 +39,7 @@
 		return 0
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin2 CASE RECORD")
+		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
 		return exitNotRun
 	}
 	w, err := newWorld(os.Args[2])
