relay: an answer without a length is whole only once its request is written

Callers saw: a server answers a long upload at once with a 200 that has no length, sends part of the body and resets the connection while the upload is still being written.

Cause: a system tells the reset of a connection once, to whichever asks first. If that is the goroutine that writes the upload, the read beside it finds the end of the file, as after a close in order. The error of the write was looked at only to decide on reuse, and by then the server had been asked, was alive, and the answer was whole.

Change: answerend takes how the request was sent as evidence. An answer that ends with its connection is whole only if the whole request is known to be written without an error. The relay waits for that within the time in which it asks the server, since a sound server may close its sending side only and read on. The result of the write is kept, where it was taken out of a channel by the first who asked. What follows is decided as for any answer that broke off.

Tests changed: answerend's tables state that the request was sent, and have the cases where it was not; its random play draws resets that only the write was told.

--- a/answerend/answerend.go
+++ b/answerend/answerend.go
@@ -16,8 +16,9 @@
 	LengthReached End = iota + 1
 	// LastChunk means that the chunk that ends the body has arrived.
 	LastChunk
-	// Closed means that the server's side closed the connection in order, under an answer
-	// with neither a length nor chunks. The system of a crashed server closes it as well.
+	// Closed means that the connection was read to its end without an error, under an answer
+	// with neither a length nor chunks. The system of a crashed server closes it as well, and
+	// a reset looks the same if the write of the request has got its error.
 	Closed
 	// Cut means a reset, a close before the stated end, or bytes that are no answer.
 	Cut
@@ -43,8 +44,8 @@
 	return Closed
 }
 
-// NeedsProcesses reports whether it depends on the processes whether the answer is whole.
-// Only then is it worth asking them.
+// NeedsProcesses reports whether it depends on the processes, and on the write of the request,
+// whether the answer is whole. Only then is it worth waiting for them.
 func (e End) NeedsProcesses() bool { return e == Closed }
 
 // Process is what is known, after the end of an answer, about a process that it came from.
@@ -68,6 +69,9 @@
 // Evidence is what is known about the end of an answer.
 type Evidence struct {
 	End End
+	// RequestSent is set once the whole request has been written without an error. A system
+	// tells a reset once, to the write or to the read that asks first.
+	RequestSent bool
 	// InsideEvent is set for a stream that ended inside an event, and NoEvent for one
 	// that ended before its first event.
 	InsideEvent, NoEvent bool
@@ -83,7 +87,7 @@
 		return false
 	case e.End == LengthReached, e.End == LastChunk:
 		return true
-	case e.End != Closed, e.NoEvent, len(e.Processes) == 0:
+	case e.End != Closed, !e.RequestSent, e.NoEvent, len(e.Processes) == 0:
 		return false
 	}
 	return !slices.ContainsFunc(e.Processes, func(p Process) bool { return p != Alive && p != Leaving })
--- a/answerend/answerend_test.go
+++ b/answerend/answerend_test.go
@@ -30,17 +30,19 @@
 	for _, end := range ends {
 		for _, head := range processes {
 			want := isWholeTable[end][head]
-			assert.Equal(t, Evidence{End: end, Processes: []Process{head}}.IsWhole(), want, "%d %d", end, head)
+			assert.Equal(t, Evidence{End: end, RequestSent: true, Processes: []Process{head}}.IsWhole(), want, "%d %d", end, head)
 			for _, later := range processes {
-				path := Evidence{End: end, Processes: []Process{head, later}}
+				path := Evidence{End: end, RequestSent: true, Processes: []Process{head, later}}
 				assert.Equal(t, path.IsWhole(), want && isWholeTable[end][later], "%d %d %d", end, head, later)
 				path.InsideEvent = true
 				assert.Assert(t, !path.IsWhole())
 				path.InsideEvent, path.NoEvent = false, true
 				assert.Equal(t, path.IsWhole(), want && end != Closed)
+				path.NoEvent, path.RequestSent = false, false
+				assert.Equal(t, path.IsWhole(), want && isWholeTable[end][later] && end != Closed)
 			}
 		}
-		assert.Equal(t, Evidence{End: end}.IsWhole(), isWholeTable[end][Unknown])
+		assert.Equal(t, Evidence{End: end, RequestSent: true}.IsWhole(), isWholeTable[end][Unknown])
 		assert.Equal(t, end.NeedsProcesses(), end == Closed)
 	}
 }
@@ -79,7 +81,7 @@
 		for i, kind := range kinds {
 			for _, r := range requestsOf(kind) {
 				for _, process := range processes {
-					e := Evidence{End: end, Processes: []Process{process}}
+					e := Evidence{End: end, RequestSent: true, Processes: []Process{process}}
 					row := map[bool]string{true: "has not run", false: "ran"}[r.NotRun]
 					if !r.NotRun {
 						row += map[bool]string{true: ", some passed on", false: ", nothing passed on"}[r.PassedOn]
@@ -122,7 +124,7 @@
 
 // drawAnswer draws an answer of a path and its end. A process that has died is not seen as
 // alive: the one case in which it is, another process that was back before it was asked,
-// cannot be known.
+// cannot be known. A reset of which the write of the request was told looks like a close.
 func drawAnswer(t *rapid.T) serverAnswer {
 	complete := rapid.Bool().Draw(t, "complete")
 	died := make([]bool, rapid.IntRange(1, 4).Draw(t, "number of processes"))
@@ -131,11 +133,15 @@
 		died[i] = rapid.Bool().Draw(t, fmt.Sprintf("died %d", i))
 		anyDied = anyDied || died[i]
 	}
-	e := Evidence{InsideEvent: !complete && rapid.Bool().Draw(t, "inside an event")}
+	resetInWrite := !complete && rapid.Bool().Draw(t, "reset in the write")
+	e := Evidence{
+		InsideEvent: !complete && rapid.Bool().Draw(t, "inside an event"),
+		RequestSent: !resetInWrite && rapid.Bool().Draw(t, "request sent"),
+	}
 	possible := []End{Closed, Cut, Silent, TimeOver, Stopped, ClientLeft}
 	if complete {
 		possible = ends
-	} else if !anyDied && !e.InsideEvent {
+	} else if !anyDied && !e.InsideEvent && !resetInWrite {
 		// A server that works closes an answer without a length between two events only
 		// once it is complete.
 		possible = possible[1:]
@@ -199,7 +205,7 @@
 }
 
 func BenchmarkDecide(b *testing.B) {
-	evidence := Evidence{End: Closed, Processes: []Process{Alive, Alive, Leaving, Alive}}
+	evidence := Evidence{End: Closed, RequestSent: true, Processes: []Process{Alive, Alive, Leaving, Alive}}
 	b.ReportAllocs()
 	for b.Loop() {
 		if Decide(Request{Kind: ResumableStream, PassedOn: true}, evidence) != Whole {
--- a/relay/answerend.go
+++ b/relay/answerend.go
@@ -19,9 +19,10 @@
 )
 
 const (
-	// maxEndCheck bounds the wait for a server whose answer has ended with its connection,
-	// if the request may not be repeated or the client has all events by then. A server
-	// that has fallen silent for a moment answers later.
+	// maxEndCheck bounds the wait for the end of the request's write and for the server if
+	// an answer has ended with its connection, and the request may not be repeated or the
+	// client has all events by then. A server that has fallen silent for a moment answers
+	// later.
 	maxEndCheck = minPatience
 	// maxRepeatableEndCheck is the same for a call that another server may answer.
 	maxRepeatableEndCheck = minSilence
@@ -89,13 +90,15 @@
 }
 
 // isWholeCall reports whether the answer of a server is whole, once it has ended in order.
-// A server is asked only if nothing else shows it.
+// A server is asked only if nothing else shows it, and only once the request is written.
 func (q *request) isWholeCall(ctx context.Context, x *exchange, server Server) bool {
 	evidence := answerend.Evidence{End: x.end(io.EOF)}
 	if evidence.End.NeedsProcesses() {
 		ctx, cancel := context.WithTimeout(ctx, q.endCheckTime())
 		defer cancel()
-		evidence.Processes = []answerend.Process{q.askServer(ctx, server)}
+		if evidence.RequestSent = x.awaitRequestWritten(ctx); evidence.RequestSent {
+			evidence.Processes = []answerend.Process{q.askServer(ctx, server)}
+		}
 	}
 	return evidence.IsWhole()
 }
@@ -142,12 +145,16 @@
 
 // isWhole reports whether a stream that has ended in order is complete. One that ends with
 // its connection looks the same if an engine of its path has crashed between two events, so
-// all are asked whether they are there. If the stream was complete all the same, another
+// all are asked whether they are there, once the request is written. If the stream was complete all the same, another
 // attempt finds nothing left to send.
 func (a *attempt) isWhole(ctx context.Context, err error, insideEvent bool) bool {
 	evidence := answerend.Evidence{End: a.x.end(err), InsideEvent: insideEvent, NoEvent: a.progressSince.IsZero()}
 	if evidence.End.NeedsProcesses() && !insideEvent && !evidence.NoEvent {
-		evidence.Processes = a.askEngines(ctx)
+		ctx, cancel := context.WithTimeout(ctx, maxEndCheck)
+		defer cancel()
+		if evidence.RequestSent = a.x.awaitRequestWritten(ctx); evidence.RequestSent {
+			evidence.Processes = a.askEngines(ctx)
+		}
 	}
 	return evidence.IsWhole()
 }
@@ -158,8 +165,6 @@
 	if lost, _ := a.fleet.unusable(a.hops[1:]); a.stageLost || len(lost) > 0 {
 		return []answerend.Process{answerend.Crashed}
 	}
-	ctx, cancel := context.WithTimeout(ctx, maxEndCheck)
-	defer cancel()
 	processes := make([]answerend.Process, len(a.hops))
 	var asking sync.WaitGroup
 	for stage := 1; stage < len(a.hops); stage++ {
--- a/relay/connection.go
+++ b/relay/connection.go
@@ -254,7 +254,9 @@
 	unexpectedData bool
 	// stopCancel detaches the connection from the client's context.
 	stopCancel func() bool
-	writeDone  chan error
+	// written is closed once the write of the request has ended, with writeErr as its result.
+	written  chan struct{}
+	writeErr error
 }
 
 // open connects to a server and writes a request. The error wraps errNotSent
@@ -265,7 +267,7 @@
 	if err != nil {
 		return nil, &exchangeError{errNotSent, err}
 	}
-	x := &exchange{pool: p, address: address, conn: conn, request: o, sentAt: time.Now()}
+	x := &exchange{pool: p, address: address, conn: conn, request: o, sentAt: time.Now(), written: make(chan struct{})}
 	x.stopCancel = context.AfterFunc(ctx, func() { conn.Close() })
 	if err := conn.SetDeadline(time.Time{}); err != nil {
 		x.close()
@@ -311,17 +313,19 @@
 	return errors.Wrap(errNoResponse, "answers to other requests")
 }
 
+// write writes the request. It does not wait until a long body is written: the server may
+// answer before that.
 func (x *exchange) write(o *outboundRequest) error {
 	header := o.encode()
 	if o.hasInlineBody() {
-		_, err := x.conn.Write(append(header, o.body...))
-		return err
+		defer close(x.written)
+		_, x.writeErr = x.conn.Write(append(header, o.body...))
+		return x.writeErr
 	}
-	x.writeDone = make(chan error, 1)
 	go func() {
+		defer close(x.written)
 		buffers := net.Buffers{header, o.body}
-		_, err := buffers.WriteTo(x.conn.Conn)
-		x.writeDone <- err
+		_, x.writeErr = buffers.WriteTo(x.conn.Conn)
 	}()
 	return nil
 }
@@ -371,7 +375,7 @@
 	if !x.stopCancel() {
 		return
 	}
-	reusable := x.request.id != "" && !x.unexpectedData && !x.response.Close && x.conn.reader.Buffered() == 0 && x.hasFramedBody() && x.requestWritten()
+	reusable := x.request.id != "" && !x.unexpectedData && !x.response.Close && x.conn.reader.Buffered() == 0 && x.hasFramedBody() && x.isRequestWritten()
 	if x.info.NotExecuted {
 		x.conn.refused = append(x.conn.refused, x.request.id)
 	}
@@ -389,17 +393,17 @@
 	return x.end(io.EOF) != answerend.Closed
 }
 
-// requestWritten reports whether the whole request has been written.
-func (x *exchange) requestWritten() bool {
-	if x.writeDone == nil {
-		return true
-	}
+// isRequestWritten reports whether the whole request has been written without an error.
+func (x *exchange) isRequestWritten() bool { return isClosed(x.written) && x.writeErr == nil }
+
+// awaitRequestWritten is isRequestWritten once the write has ended, or ctx. A server that has
+// answered may go on to read the request.
+func (x *exchange) awaitRequestWritten(ctx context.Context) bool {
 	select {
-	case err := <-x.writeDone:
-		return err == nil
-	default:
-		return false
+	case <-x.written:
+	case <-ctx.Done():
 	}
+	return x.isRequestWritten()
 }
 
 // detach ties the connection to another context. It reports false if the connection has
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -137,6 +137,12 @@
 type script func(b *backend, r *http.Request, conn net.Conn) bool
 
 func newBackend(t *testing.T, handle script) *backend {
+	return newRawBackend(t, func(b *backend, conn net.Conn) { b.serve(conn, handle) })
+}
+
+// newRawBackend returns a server whose connections are served by a function, which closes
+// them.
+func newRawBackend(t *testing.T, serve func(b *backend, conn net.Conn)) *backend {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	b := &backend{listener: listener, gone: make(chan struct{}, 10)}
@@ -147,7 +153,7 @@
 			if err != nil {
 				return
 			}
-			go b.serve(conn, handle)
+			go serve(b, conn)
 		}
 	}()
 	return b
@@ -164,15 +170,20 @@
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
-		b.mu.Lock()
-		b.requests = append(b.requests, r)
-		b.mu.Unlock()
+		b.record(r)
 		if !handle(b, r, conn) {
 			return
 		}
 	}
 }
 
+// record counts a request that has arrived.
+func (b *backend) record(r *http.Request) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.requests = append(b.requests, r)
+}
+
 func (b *backend) count() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
