netpeek: a look at a connection leaves the error of a reset to the read

Callers saw: an engine sends part of a stream without a length, falls silent and resets the connection while the entry starts a successor at another engine. If that one refuses, the client of a resumable stream got the part as the whole stream.

Cause: the entry looks every 5 ms whether the silent engine has sent something, by a recv with MSG_PEEK. A system tells a reset once, to that recv as well as to a read. The read after it finds the end of the file, the engine is asked and is alive.

Change: Peek asks poll first, which changes nothing on a socket. It reads ahead only where there are bytes or the peer has closed its side in order, after which no reset is told. A broken connection has ended, also with unread bytes before that. A poll that a signal of the runtime interrupts is repeated: HungUp took that for a connection that is open.

--- a/netpeek/hangup.go
+++ b/netpeek/hangup.go
@@ -4,6 +4,7 @@
 	"net"
 	"syscall"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -29,8 +30,20 @@
 func AwaitHangUp(raw syscall.RawConn) error { return raw.Read(hasHungUp) }
 
 func hasHungUp(fd uintptr) bool {
-	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	events, err := poll(int(fd), unix.POLLRDHUP)
 	// If it fails, the end of the connection shows only once all bytes are read.
-	n, err := unix.Poll(fds, 0)
-	return err == nil && n > 0
+	return err == nil && events != 0
+}
+
+// poll returns which of some events a socket shows now, and errors and hang-ups in any case.
+// It changes nothing on the socket.
+func poll(fd int, events int16) (int16, error) {
+	fds := []unix.PollFd{{Fd: int32(fd), Events: events}}
+	for {
+		_, err := unix.Poll(fds, 0)
+		// A signal of the runtime interrupts the call although it does not wait.
+		if !errors.Is(err, unix.EINTR) {
+			return fds[0].Revents, err
+		}
+	}
 }
--- a/netpeek/netpeek.go
+++ b/netpeek/netpeek.go
@@ -6,6 +6,7 @@
 	"syscall"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 // State is what a read from a connection would find.
@@ -23,7 +24,11 @@
 	Unknown
 )
 
-// Peek returns the state of a connection. It does not wait.
+// Peek returns the state of a connection. It does not wait. A connection that is broken has
+// ended, also if there are unread bytes before that.
+//
+// The error of a reset is left for the read that follows: a system tells it once, and whoever
+// asks second finds the end of the connection, as after a close in order.
 func Peek(conn net.Conn) State {
 	raw, ok := conn.(syscall.Conn)
 	if !ok {
@@ -35,18 +40,29 @@
 	}
 	state := Ended
 	// Control is used because Read fails on a connection whose deadline has passed.
-	err = control.Control(func(fd uintptr) {
-		var one [1]byte
-		n, _, recvErr := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case errors.Is(recvErr, syscall.EAGAIN):
-			state = Quiet
-		case recvErr == nil && n > 0:
-			state = HasData
-		}
-	})
+	err = control.Control(func(fd uintptr) { state = peek(int(fd)) })
 	if err != nil {
 		return Ended
 	}
 	return state
 }
+
+func peek(fd int) State {
+	events, err := poll(fd, unix.POLLIN|unix.POLLRDHUP)
+	switch {
+	case err != nil || events&(unix.POLLERR|unix.POLLHUP|unix.POLLNVAL) != 0:
+		return Ended
+	case events == 0:
+		return Quiet
+	}
+	// There are bytes, or the peer has closed its side in order: no later reset shows here.
+	var one [1]byte
+	n, _, err := unix.Recvfrom(fd, one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	switch {
+	case errors.Is(err, unix.EAGAIN):
+		return Quiet
+	case err == nil && n > 0:
+		return HasData
+	}
+	return Ended
+}
--- a/netpeek/netpeek_test.go
+++ b/netpeek/netpeek_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -79,3 +80,28 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// A look must leave the error of a reset to the read that follows, which would find the end
+// of the connection in its place.
+func TestPeekLeavesErrorOfReset(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	for _, unread := range []string{"", "x"} {
+		client, err := net.Dial("tcp4", listener.Addr().String())
+		assert.NilError(t, err)
+		server, err := listener.Accept()
+		assert.NilError(t, err)
+		defer server.Close()
+		_, err = io.WriteString(client, unread)
+		assert.NilError(t, err)
+		assert.NilError(t, client.(*net.TCPConn).SetLinger(0))
+		assert.NilError(t, client.Close())
+		await(server, Ended)
+		assert.Assert(t, HungUp(server))
+		assert.Equal(t, Peek(server), Ended)
+		read, err := io.ReadAll(server)
+		assert.Equal(t, string(read), unread)
+		assert.ErrorIs(t, err, syscall.ECONNRESET)
+	}
+}
--- a/relay/earlyanswer_test.go
+++ b/relay/earlyanswer_test.go
@@ -255,3 +255,30 @@
 		return dial(ctx, address)
 	}
 }
+
+// Guards against a stream that looks complete although its engine has reset it: while the
+// engine was silent, the entry had looked for bytes of it without reading them, and the
+// system told the reset to that look only.
+func TestStreamResetWhileItIsLookedAtIsNotWhole(t *testing.T) {
+	t.Parallel()
+	resets, isReset, refused := make(chan struct{}), make(chan struct{}), atomic.Bool{}
+	silent := newBackend(t, func(b *backend, r *http.Request, conn net.Conn) bool {
+		unframed(unframedStream, event(1), false)(b, r, conn)
+		<-resets
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+		close(isReset)
+		return false
+	})
+	other := newBackend(t, func(b *backend, r *http.Request, conn net.Conn) bool {
+		if refused.Swap(true) {
+			return eventsUpTo(3)(b, r, conn)
+		}
+		close(resets)
+		<-isReset
+		time.Sleep(4 * pauseCheckInterval)
+		return refuse(b, r, conn)
+	})
+	_, body, err := newPausingEntry(t, true, silent, other).send(t, http.MethodPost)
+	assert.Assert(t, err != nil || body == eventsText(3), "complete with %q", body)
+}
