relay: an answer with a status under 100 is no answer

Cause: http.ReadResponse takes any three characters that read as a number of at least 0 for a status, "+20" and "-00" as well. The relay took all under 200 for informational responses, which have no body, and read on: in the body.

Change: package answerhead finds heads that are no answer although net/http accepts them, so that all readers of answers can share it; the relay asks it for each head. A status under 100 or a switch of protocols, which the relay refused before, ends the exchange: the connection is closed, and what follows is decided as for any answer that broke off. Statuses from 600 on are still passed on, since clients take them for errors of the server (TestStatusAboveKnownClassesIsPassedOn, as before).

--- /dev/null
+++ b/answerhead/answerhead.go
@@ -0,0 +1,27 @@
+// Package answerhead finds heads of answers that are no answer in HTTP/1.1, although the
+// parser of net/http accepts them. What follows such a head cannot be trusted: neither its
+// fields nor where its body ends.
+package answerhead
+
+import (
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// minStatus is the lowest status. The parser of net/http accepts any three characters that
+// it can read as a number of at least 0.
+const minStatus = http.StatusContinue
+
+// Check returns why the head of a response is no answer, or nil. A response may be an
+// informational one. A status above the known classes passes: clients take it for an error.
+func Check(response *http.Response) error {
+	switch {
+	case response.StatusCode < minStatus:
+		return errors.Errorf("answer with the status %.3q", response.Status)
+	case response.StatusCode == http.StatusSwitchingProtocols:
+		// No request asks for another protocol.
+		return errors.New("server switched protocols")
+	}
+	return nil
+}
--- /dev/null
+++ b/answerhead/answerhead_test.go
@@ -0,0 +1,26 @@
+package answerhead
+
+import (
+	"bufio"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// accepts reports whether both net/http and Check take a head for that of an answer.
+func accepts(head string) bool {
+	response, err := http.ReadResponse(bufio.NewReader(strings.NewReader(head+"\r\n\r\n")), nil)
+	return err == nil && Check(response) == nil
+}
+
+// Guards against an answer whose status is no status.
+func TestStatus(t *testing.T) {
+	for status, want := range map[string]bool{
+		"100": true, "103": true, "199": true, "200": true, "204": true, "304": true, "404": true, "503": true, "599": true, "600": true, "999": true,
+		"101": false, "000": false, "001": false, "010": false, "099": false, "+20": false, "-00": false, "+99": false, "-1": false, "20": false, "2000": false, "": false,
+	} {
+		assert.Equal(t, accepts("HTTP/1.1 "+status+" X"), want, status)
+	}
+}
--- a/relay/connection.go
+++ b/relay/connection.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sapphirefield/sapphirefield/answerend"
+	"github.com/sapphirefield/sapphirefield/answerhead"
 	"github.com/sapphirefield/sapphirefield/netpeek"
 )
 
@@ -338,6 +339,9 @@
 		if err != nil {
 			return err
 		}
+		if err := answerhead.Check(response); err != nil {
+			return err
+		}
 		if response.StatusCode >= http.StatusOK {
 			if len(response.TransferEncoding) > 0 && response.Body != http.NoBody {
 				response.Body = &chunkReader{reader: x.conn.reader}
@@ -346,9 +350,6 @@
 			x.conn.header = nil
 			return nil
 		}
-		if response.StatusCode == http.StatusSwitchingProtocols {
-			return errors.New("server switched protocols")
-		}
 	}
 	return errors.New("too many informational responses")
 }
