answerhead: clients of net/http take no status under 100, or a switch of protocols, for an answer

Callers saw (by reading the other readers of answers, and by tests): net/http's client passes a status under 100 and a 101 on, and those who judge a status by "less than 300" or "no error" took them for a success. - sidecar: a plain call got a head with status 0, 20, 99 or 101; an engine counted as one that works, and its steps as run, by an empty answer with such a status. - orders: an order counted as accepted. - logservice: an append counted as done, at the offset in the body; records were believed. - platform: an append counted as certainly without effect, an order as refused, although both may have been carried out.

Change: answerhead.Do sends a request and checks the head of the response; all clients of the product use it, the sidecar's plain calls check what their transport returns. Such a response is an error of the call, as bytes that are no HTTP: the outcome is unknown, an engine that is asked has not answered.

--- a/answerhead/answerhead.go
+++ b/answerhead/answerhead.go
@@ -25,3 +25,17 @@
 	}
 	return nil
 }
+
+// Do sends a request once, as the client does, and fails if the head of the response is no
+// answer.
+func Do(client *http.Client, request *http.Request) (*http.Response, error) {
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	if err := Check(response); err != nil {
+		_ = response.Body.Close() // the answer is dropped
+		return nil, err
+	}
+	return response, nil
+}
--- a/ctl/opsclient/opsclient.go
+++ b/ctl/opsclient/opsclient.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/sapphirefield/sapphirefield/answerhead"
 )
 
 // Flags holds the flags shared by all commands that send requests to processes.
@@ -87,7 +89,7 @@
 		}
 		request.SetBasicAuth("operator", c.password)
 	}
-	response, err := c.client.Do(request)
+	response, err := answerhead.Do(c.client, request)
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
--- a/logservice/logservice_test.go
+++ b/logservice/logservice_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
+
+	"github.com/sapphirefield/sapphirefield/standin/rawhttp"
 )
 
 func newTestServer(t *testing.T, handler http.HandlerFunc) *httptest.Server {
@@ -149,3 +151,19 @@
 		})
 	}
 }
+
+// Guards against an append that counts as done, or records that are believed, because of
+// bytes that are no answer.
+func TestHeadThatIsNoAnswerLeavesOutcomeUnknown(t *testing.T) {
+	const body = `{"offset": 9, "first": 1, "next": 2}`
+	for _, head := range []string{
+		"HTTP/1.1 000 X\nContent-Length: %d\n\n", "HTTP/1.1 099 X\nContent-Length: %d\n\n", "HTTP/1.1 101 Switching Protocols\nContent-Length: %d\n\n",
+	} {
+		server := newTestServer(t, rawhttp.Answer(fmt.Sprintf(head, len(body))+body))
+		log := NewLog(server.URL, server.Client())
+		_, err := log.Append(t.Context(), "control", nil)
+		assert.Assert(t, errors.Is(err, ErrUnknownOutcome), "%s: %v", head, err)
+		_, err = log.Read(t.Context(), "control", 1, 0)
+		assert.Assert(t, errors.Is(err, ErrUnavailable), "%s: %v", head, err)
+	}
+}
--- a/orders/engine.go
+++ b/orders/engine.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sapphirefield/sapphirefield/answerhead"
 	"github.com/sapphirefield/sapphirefield/order"
 )
 
@@ -86,7 +87,7 @@
 	if err != nil {
 		return order.Observed{}, errors.WithStack(err)
 	}
-	response, err := e.client.Do(request)
+	response, err := answerhead.Do(e.client, request)
 	if err != nil {
 		return order.Observed{}, errors.WithStack(err)
 	}
@@ -116,7 +117,7 @@
 		return order.OrderRejected{ID: g.ID}, errors.WithStack(err)
 	}
 	request.Header.Set("Content-Type", "application/json")
-	response, err := e.client.Do(request)
+	response, err := answerhead.Do(e.client, request)
 	if err != nil {
 		return classifySendError(g, err), errors.WithStack(err)
 	}
--- a/orders/engine_test.go
+++ b/orders/engine_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/sapphirefield/sapphirefield/order"
+	"github.com/sapphirefield/sapphirefield/standin/rawhttp"
 )
 
 // Guards against an order that reaches a second server because the engine, or
@@ -25,3 +26,20 @@
 	_, _ = client.sendOrder(t.Context(), order.SendOrder{})
 	assert.Equal(t, calls.Load(), int64(1))
 }
+
+// Guards against an order that counts as accepted or refused, or a state that is believed,
+// because of bytes that are no answer.
+func TestHeadThatIsNoAnswerLeavesOrderUnconfirmed(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 000 X\nContent-Length: 2\n\n", "HTTP/1.1 099 X\nContent-Length: 2\n\n", "HTTP/1.1 101 Switching Protocols\nContent-Length: 2\n\n",
+	} {
+		server := httptest.NewServer(rawhttp.Answer(head + "{}"))
+		defer server.Close()
+		client := newEngineClient(server.URL, (&net.Dialer{}).DialContext)
+		input, err := client.sendOrder(t.Context(), order.SendOrder{})
+		assert.Assert(t, err != nil)
+		assert.Equal(t, input, order.Input(order.OrderUnconfirmed{}), head)
+		_, err = client.readState(t.Context())
+		assert.Assert(t, err != nil)
+	}
+}
--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sapphirefield/sapphirefield/answerend"
+	"github.com/sapphirefield/sapphirefield/answerhead"
 	"github.com/sapphirefield/sapphirefield/attempt"
 	"github.com/sapphirefield/sapphirefield/link"
 	"github.com/sapphirefield/sapphirefield/wire"
@@ -182,6 +183,10 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
+	if err := answerhead.Check(resp); err != nil {
+		_ = resp.Body.Close() // the answer is dropped
+		return nil, err
+	}
 	s.observeResponse(resp, sentAt)
 	return resp, nil
 }
--- a/sidecar/engine.go
+++ b/sidecar/engine.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/sapphirefield/sapphirefield/answerhead"
 	"github.com/sapphirefield/sapphirefield/attempt"
 	"github.com/sapphirefield/sapphirefield/logevent"
 	"github.com/sapphirefield/sapphirefield/wire"
@@ -194,7 +195,7 @@
 	}
 	req.Header.Set("Content-Type", contentType)
 	sentAt := time.Now()
-	resp, err := s.engineClient.Do(req)
+	resp, err := answerhead.Do(s.engineClient, req)
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
--- a/sidecar/watchdog.go
+++ b/sidecar/watchdog.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sapphirefield/sapphirefield/answerhead"
 	"github.com/sapphirefield/sapphirefield/wire"
 )
 
@@ -131,7 +132,7 @@
 	if err != nil {
 		return nil
 	}
-	resp, err := s.engineClient.Do(req)
+	resp, err := answerhead.Do(s.engineClient, req)
 	if err != nil {
 		return nil
 	}
--- a/transfer/transfer.go
+++ b/transfer/transfer.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/sapphirefield/sapphirefield/answerhead"
 )
 
 // minProgress is the number of bytes of a body that must arrive in each stall time. A
@@ -67,7 +69,7 @@
 			}
 		}()
 	}
-	response, err := client.Do(request.WithContext(ctx))
+	response, err := answerhead.Do(client, request.WithContext(ctx))
 	close(begun)
 	if err != nil {
 		return Response{}, cause(ctx, err)
