answerhead: an answer with a blank in the name of a field is no answer

The client got it as an answer: with "Transfer-Encoding : chunked" a 200 with the raw chunks as its body, with "Content-Length : 5" a body that ended with its connection, with "X-Odd : 5" or "X Odd: 5" the answer without that line.

Cause: the parser of net/http refuses all bytes that no name may have, but for a blank: such a line is a field of its own, "Content-Length ", which says nothing of the body and is dropped when the answer is passed on.

Evidence: TestFieldNameThatIsNoNameIsNoAnswer (relay: six lines with a blank, each before a head with a length, without one and with chunks, and in a 103) failed for all six with each of the four kinds of request, 24 cases. Control bytes, a tab, bytes over 127 and separators in a name, a name that is empty, a line without a colon and a blank before the first name were refused before; their cases stay in the test.

Change: answerhead.Check, which all of them ask for each head, refuses a name with a blank. Names of all other allowed bytes, folded lines, missing reasons and line feeds alone pass as before (TestOddHeadOfSoundAnswerIsPassedOn). The fuzz test of responses checks names too.

After: all of these pass.

--- a/answerhead/answerhead.go
+++ b/answerhead/answerhead.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"github.com/pkg/errors"
 )
@@ -23,6 +24,13 @@
 		// No request asks for another protocol.
 		return errors.New("server switched protocols")
 	}
+	for name := range response.Header {
+		// The parser of net/http refuses all other bytes that no name may have. It takes a
+		// line like "Content-Length : 5" for a field that it does not know.
+		if strings.Contains(name, " ") {
+			return errors.Errorf("answer with a blank in the field name %.40q", name)
+		}
+	}
 	return nil
 }
 
--- a/answerhead/answerhead_test.go
+++ b/answerhead/answerhead_test.go
@@ -24,3 +24,14 @@
 		assert.Equal(t, accepts("HTTP/1.1 "+status+" X"), want, status)
 	}
 }
+
+// Guards against an answer with a field whose name is none, and against a sound answer that
+// is refused for an odd name.
+func TestFieldNames(t *testing.T) {
+	for name, want := range map[string]bool{
+		"X-Odd": true, "x_odd.1": true, "!#$%&'*+-.^_`|~": true,
+		"X-Odd ": false, "X Odd": false, " X-Odd": false, "X-Odd\t": false, "X-\x00": false, "X-\x01": false, "X-\x7f": false, "X-\xe9": false, "X(Odd)": false, "": false,
+	} {
+		assert.Equal(t, accepts("HTTP/1.1 200 OK\r\n"+name+": 1"), want, name)
+	}
+}
--- a/ctl/opsclient/opsclient_test.go
+++ b/ctl/opsclient/opsclient_test.go
@@ -11,6 +11,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/sapphirefield/sapphirefield/standin/rawhttp"
 )
 
 func newClient(t *testing.T, args ...string) *Client {
@@ -51,3 +53,14 @@
 	_, err := newClient(t, "-password-file", file).Get(context.Background(), "192.0.2.1:8445", "/status", 100)
 	assert.ErrorContains(t, err, "https or to a loopback address only")
 }
+
+// Guards against a part of an answer, or what is no part of it, that an operator sees as the
+// whole, because the head is no answer.
+func TestHeadThatIsNoAnswerIsRefused(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 000 X", "HTTP/1.1 200 OK\nTransfer-Encoding : chunked", "HTTP/1.1 200 OK\nX Odd: 1"} {
+		server := httptest.NewServer(rawhttp.Answer(head + "\n\n4\ntext\n0\n\n"))
+		defer server.Close()
+		data, err := newClient(t).Get(context.Background(), server.URL, "/status", 100)
+		assert.Assert(t, err != nil, "%s: %q", head, data)
+	}
+}
--- a/orders/engine_test.go
+++ b/orders/engine_test.go
@@ -32,6 +32,7 @@
 func TestHeadThatIsNoAnswerLeavesOrderUnconfirmed(t *testing.T) {
 	for _, head := range []string{
 		"HTTP/1.1 000 X\nContent-Length: 2\n\n", "HTTP/1.1 099 X\nContent-Length: 2\n\n", "HTTP/1.1 101 Switching Protocols\nContent-Length: 2\n\n",
+		"HTTP/1.1 200 OK\nContent-Length : 2\n\n", "HTTP/1.1 200 OK\nX Odd: 1\nContent-Length: 2\n\n",
 	} {
 		server := httptest.NewServer(rawhttp.Answer(head + "{}"))
 		defer server.Close()
--- a/relay/fuzz_test.go
+++ b/relay/fuzz_test.go
@@ -55,6 +55,7 @@
 		"HTTP/1.1 200 OK\r\nId: id-1\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n4\r\nmine\r\n0\r\n\r\n",
 		"HTTP/1.0 200 OK\nId: id-1\n\nuntil the end",
 		"HTTP/1.1 101 Switching Protocols\r\nId: id-1\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nId: id-1\r\nContent-Length : 4\r\n\r\nmine",
 		"HTTP/1.1 000 X\r\nId: id-1\r\nContent-Length: 40\r\n\r\n" + responseTo("id-1", "mine"),
 		"HTTP/1.1 200 OK\r\nId: " + strings.Repeat("x", 2*maxHeaderBytes),
 	} {
@@ -72,6 +73,11 @@
 			}
 			return
 		}
+		for name := range x.response.Header {
+			if strings.Contains(name, " ") {
+				t.Fatalf("took the field name %q", name)
+			}
+		}
 		if x.info.ID != "id-1" || x.response.StatusCode < http.StatusOK {
 			t.Fatalf("took %+v with status %d", x.info, x.response.StatusCode)
 		}
--- a/relay/oddhead_test.go
+++ b/relay/oddhead_test.go
@@ -119,3 +119,25 @@
 		assert.Equal(t, body, "text")
 	})
 }
+
+// Guards against an answer that is passed on although the name of a field in its head is no
+// name: the line would be dropped, and with it what it says of the body.
+func TestFieldNameThatIsNoNameIsNoAnswer(t *testing.T) {
+	lines := []string{
+		// net/http accepts blanks in names.
+		"Transfer-Encoding : chunked", "Content-Length : 3", "X-Odd : 5", "X Odd: 5", "X-Odd  : 5", "Set Cookie: a",
+		"X-Odd\t: 5", "X\x00Odd: 5", "\x01X-Odd: 5", "X-Odd\r: 5", "X-Odd\x7f: 5", "X\tOdd: 5", "X-\xe9: 5", "X(Odd): 5", "X-Odd", ": 5",
+	}
+	forEachKind(t, lines, func(t *testing.T, route config.Route, line string) {
+		sound, body := soundAnswer(route, 1)
+		length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
+		unframed := strings.Replace(sound, length, "", 1)
+		chunks := strings.Replace(unframed, body, fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body), 1)
+		const afterStatus = "HTTP/1.1 200 OK\r\n"
+		for _, text := range []string{sound, unframed, chunks} {
+			checkNoAnswer(t, route, strings.Replace(text, afterStatus, afterStatus+line+"\r\n", 1))
+		}
+		checkNoAnswer(t, route, "HTTP/1.1 103 Early Hints\r\n"+line+"\r\n\r\n"+sound)
+		checkNoAnswer(t, route, "HTTP/1.1 200 OK\r\n "+strings.TrimPrefix(sound, afterStatus))
+	})
+}
--- a/sidecar/oddhead_test.go
+++ b/sidecar/oddhead_test.go
@@ -20,6 +20,7 @@
 var noAnswers = []string{
 	"HTTP/1.1 000 X\nContent-Length: %d\n\n", "HTTP/1.1 099 X\nContent-Length: %d\n\n", "HTTP/1.1 +20 X\nContent-Length: %d\n\n",
 	"HTTP/1.1 101 Switching Protocols\nContent-Length: %d\n\n",
+	"HTTP/1.1 200 OK\nContent-Length: %d\nX-Odd : 5\n\n", "HTTP/1.1 200 OK\nX Odd: 5\nContent-Length: %d\n\n",
 }
 
 // Guards against an answer of a backend server that is passed on although its head is none.
