sidecar: an engine's answer without a length is whole only with a result for each step

Callers saw (by asking of each reader of answers whether one without a length can be taken for whole): nothing yet; an engine that answers a batch without a length and is cut between two results, by a crash or a reset of which net/http's writer was told, left the other requests of the batch without theirs, and counted as one that works.

Cause: a list of results that ends early is a list as well, so that protobuf accepts it.

Change: such an answer needs a result for each step, as docs/design.md says that it has. If not, the batch fails as for any broken answer. Answers with a length or chunks are as before, as their cut is seen.

The other readers need nothing here: plain calls of the sidecar refuse all answers without a length (TestTruncatedResponse); orders, appends and status queries end with JSON that shows a cut; reads of the store have no upload, and a read that was cut between two records goes on after the last one.

Tests changed: the stand-in of answers byte by byte takes the head and the body apart, since protobuf has line feeds.

--- a/ctl/opsclient/opsclient_test.go
+++ b/ctl/opsclient/opsclient_test.go
@@ -58,7 +58,7 @@
 // whole, because the head is no answer.
 func TestHeadThatIsNoAnswerIsRefused(t *testing.T) {
 	for _, head := range []string{"HTTP/1.1 000 X", "HTTP/1.1 200 OK\nTransfer-Encoding : chunked", "HTTP/1.1 200 OK\nX Odd: 1"} {
-		server := httptest.NewServer(rawhttp.Answer(head + "\n\n4\ntext\n0\n\n"))
+		server := httptest.NewServer(rawhttp.Answer(head+"\n\n4\ntext\n0\n\n", ""))
 		defer server.Close()
 		data, err := newClient(t).Get(context.Background(), server.URL, "/status", 100)
 		assert.Assert(t, err != nil, "%s: %q", head, data)
--- a/logservice/logservice_test.go
+++ b/logservice/logservice_test.go
@@ -160,7 +160,7 @@
 		"HTTP/1.1 000 X\nContent-Length: %d\n\n", "HTTP/1.1 099 X\nContent-Length: %d\n\n", "HTTP/1.1 101 Switching Protocols\nContent-Length: %d\n\n",
 		"HTTP/1.1 200 OK\nContent-Length : %d\n\n", "HTTP/1.1 200 OK\nX Odd: 1\nContent-Length: %d\n\n",
 	} {
-		server := newTestServer(t, rawhttp.Answer(fmt.Sprintf(head, len(body))+body))
+		server := newTestServer(t, rawhttp.Answer(fmt.Sprintf(head, len(body)), body))
 		log := NewLog(server.URL, server.Client())
 		_, err := log.Append(t.Context(), "control", nil)
 		assert.Assert(t, errors.Is(err, ErrUnknownOutcome), "%s: %v", head, err)
--- a/orders/engine_test.go
+++ b/orders/engine_test.go
@@ -34,7 +34,7 @@
 		"HTTP/1.1 000 X\nContent-Length: 2\n\n", "HTTP/1.1 099 X\nContent-Length: 2\n\n", "HTTP/1.1 101 Switching Protocols\nContent-Length: 2\n\n",
 		"HTTP/1.1 200 OK\nContent-Length : 2\n\n", "HTTP/1.1 200 OK\nX Odd: 1\nContent-Length: 2\n\n",
 	} {
-		server := httptest.NewServer(rawhttp.Answer(head + "{}"))
+		server := httptest.NewServer(rawhttp.Answer(head, "{}"))
 		defer server.Close()
 		client := newEngineClient(server.URL, (&net.Dialer{}).DialContext)
 		input, err := client.sendOrder(t.Context(), order.SendOrder{})
--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -228,12 +228,17 @@
 
 var errUndelimitedResponse = errors.New("answer of the backend server has neither a length nor chunks, so that it cannot be known to be whole")
 
+// endOf returns how the body of a response ends if it is read without an error.
+func endOf(resp *http.Response) answerend.End {
+	return answerend.InOrder(resp.ContentLength, len(resp.TransferEncoding) > 0, resp.Request.Method != http.MethodHead)
+}
+
 var errResponseTooLarge = errors.New("answer of the backend server is too large")
 
 // checkDelimited rejects a response that is delimited only by the end of the
 // connection, because a truncated one could not be detected.
 func checkDelimited(resp *http.Response) error {
-	if answerend.InOrder(resp.ContentLength, len(resp.TransferEncoding) > 0, resp.Request.Method != http.MethodHead).NeedsProcesses() {
+	if endOf(resp).NeedsProcesses() {
 		return errUndelimitedResponse
 	}
 	return nil
--- a/sidecar/engine.go
+++ b/sidecar/engine.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/sapphirefield/sapphirefield/answerend"
 	"github.com/sapphirefield/sapphirefield/answerhead"
 	"github.com/sapphirefield/sapphirefield/attempt"
 	"github.com/sapphirefield/sapphirefield/logevent"
@@ -182,33 +183,43 @@
 		return nil, err
 	}
 	results := new(wire.EngineResults)
-	if err := proto.Unmarshal(response, results); err != nil {
+	if err := proto.Unmarshal(response.body, results); err != nil {
 		return nil, errors.Wrap(err, "decode engine results")
 	}
+	if response.end.NeedsProcesses() && len(results.Results) < len(steps) {
+		// The first part of a list of results is one too.
+		return nil, errors.Wrapf(errUndelimitedResponse, "%d results for %d steps", len(results.Results), len(steps))
+	}
 	return results, nil
 }
 
-func (s *Server) post(ctx context.Context, path, contentType string, body []byte, maxBytes int64) ([]byte, error) {
+// engineResponse is the body of an engine's response and how it has ended.
+type engineResponse struct {
+	body []byte
+	end  answerend.End
+}
+
+func (s *Server) post(ctx context.Context, path, contentType string, body []byte, maxBytes int64) (engineResponse, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.opts.Backend+path, bytes.NewReader(body))
 	if err != nil {
-		return nil, errors.WithStack(err)
+		return engineResponse{}, errors.WithStack(err)
 	}
 	req.Header.Set("Content-Type", contentType)
 	sentAt := time.Now()
 	resp, err := answerhead.Do(s.engineClient, req)
 	if err != nil {
-		return nil, errors.WithStack(err)
+		return engineResponse{}, errors.WithStack(err)
 	}
 	s.observeResponse(resp, sentAt)
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxBytes))
 	if err != nil {
-		return nil, errors.WithStack(err)
+		return engineResponse{}, errors.WithStack(err)
 	}
 	if resp.StatusCode >= http.StatusBadRequest {
-		return nil, errors.Errorf("engine answered %s to %s", resp.Status, path)
+		return engineResponse{}, errors.Errorf("engine answered %s to %s", resp.Status, path)
 	}
-	return data, nil
+	return engineResponse{data, endOf(resp)}, nil
 }
 
 // handleEngineFailure reports all attempts as failed, because none can continue
--- a/sidecar/oddhead_test.go
+++ b/sidecar/oddhead_test.go
@@ -29,7 +29,7 @@
 	for _, head := range noAnswers {
 		t.Run(head, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := startPlainSidecar(t, rawhttp.Answer(fmt.Sprintf(head, len(body))+body))
+				s := startPlainSidecar(t, rawhttp.Answer(fmt.Sprintf(head, len(body)), body))
 				queue := link.NewQueue[*wire.WorkDown](1 << 16)
 				s.attachEntry(&wire.Hello{Id: "entry-0", Incarnation: "i"}, queue)
 				s.call(0)
@@ -55,7 +55,7 @@
 	const load = `{"progress": 1}`
 	for _, head := range noAnswers {
 		t.Run(head, func(t *testing.T) {
-			empty, loaded := httptest.NewServer(rawhttp.Answer(fmt.Sprintf(head, 0))), httptest.NewServer(rawhttp.Answer(fmt.Sprintf(head, len(load))+load))
+			empty, loaded := httptest.NewServer(rawhttp.Answer(fmt.Sprintf(head, 0), "")), httptest.NewServer(rawhttp.Answer(fmt.Sprintf(head, len(load)), load))
 			defer empty.Close()
 			defer loaded.Close()
 			s := New(Options{ID: "s", Backend: empty.URL, Logger: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}})
--- a/standin/rawhttp/rawhttp.go
+++ b/standin/rawhttp/rawhttp.go
@@ -7,10 +7,11 @@
 	"strings"
 )
 
-// Answer returns a handler that answers each request with a text, whether or not that is an
-// answer in HTTP, and closes the connection. Line feeds are sent as line ends of HTTP.
-func Answer(text string) http.HandlerFunc {
-	text = strings.ReplaceAll(text, "\n", "\r\n")
+// Answer returns a handler that answers each request with a head and a body, whether or not
+// they are an answer in HTTP, and closes the connection. Line feeds of the head are sent as line
+// ends of HTTP.
+func Answer(head, body string) http.HandlerFunc {
+	text := strings.ReplaceAll(head, "\n", "\r\n") + body
 	return func(w http.ResponseWriter, r *http.Request) {
 		// Unread bytes would make the system reset the connection.
 		_, _ = io.Copy(io.Discard, r.Body)
