relay: a broken answer resets the connection of an HTTP/1.0 client

Callers saw: an answer that broke off after its first bytes had gone on (a long one, or a stream) looked complete to a client of HTTP/1.0.

Cause: such a client gets no chunks, so that an answer of unknown length ends with its connection, and the entry closed that in order. A process that ended in the middle left the same to its system.

Change: while a request of HTTP/1.0 is in progress, its connection is set to be reset by its close, whoever closes it. Once a complete answer has been written, a close is in order again; otherwise the socket is closed below TLS, whose close would tell the client that all is in order. Clients of HTTP/1.1 see a missing last chunk, as before.

--- a/clientconn/clientconn.go
+++ b/clientconn/clientconn.go
@@ -17,6 +17,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/sapphirefield/sapphirefield/netpeek"
 )
 
@@ -78,6 +80,45 @@
 	return Wrap(conn), nil
 }
 
+// ResetUnlessWhole makes the system reset the connection of a request's client when it is closed,
+// by this process or by its end, so that an answer whose end is that of its connection does not
+// look complete. The returned function is called at the end of the request. If the answer is not
+// whole, it closes the connection; otherwise a close is in order again.
+func ResetUnlessWhole(ctx context.Context) (end func(whole bool)) {
+	client, ok := ctx.Value(connKey{}).(*socket)
+	if !ok {
+		return func(bool) {}
+	}
+	client.setResetOnClose(true)
+	return func(whole bool) {
+		if whole {
+			client.setResetOnClose(false)
+			return
+		}
+		// The close of an encrypted connection would tell its client that it is in order.
+		_ = client.Conn.Close() // fails only if it is closed already
+	}
+}
+
+// setResetOnClose sets whether the system drops what is unsent and resets the connection when
+// it is closed.
+func (s *socket) setResetOnClose(on bool) {
+	raw, ok := s.Conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return
+	}
+	linger := unix.Linger{}
+	if on {
+		linger.Onoff = 1
+	}
+	// Control fails on a closed connection only.
+	_ = control.Control(func(fd uintptr) { _ = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &linger) })
+}
+
 type connKey struct{}
 
 type requestKey struct{}
--- a/clientconn/clientconn_test.go
+++ b/clientconn/clientconn_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -39,6 +40,11 @@
 		}
 		s.ended <- ctx.Err()
 	}))
+	s.start(t, encrypted)
+	return s
+}
+
+func (s *testServer) start(t *testing.T, encrypted bool) {
 	s.Listener, s.Config.ConnContext = NewListener(s.Listener), WithConn
 	if encrypted {
 		s.StartTLS()
@@ -46,7 +52,6 @@
 		s.Start()
 	}
 	t.Cleanup(s.Close)
-	return s
 }
 
 // dial returns a connection of a client and the socket below it.
@@ -123,3 +128,31 @@
 		}
 	}
 }
+
+// Guards against a part of an answer that looks whole because the connection that ends it is
+// closed in order, in plain text and over TLS, by the request or with the process.
+func TestUnfinishedAnswerResetsConnection(t *testing.T) {
+	const part = "the first part"
+	for name, finish := range map[string]func(client net.Conn, end func(whole bool)){
+		"whole":     func(_ net.Conn, end func(bool)) { end(true) },
+		"not whole": func(_ net.Conn, end func(bool)) { end(false) },
+		// The system closes the sockets of a process that has ended.
+		"end of the process": func(client net.Conn, _ func(bool)) { _ = client.Close() },
+	} {
+		for _, encrypted := range []bool{false, true} {
+			s := &testServer{}
+			s.Server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				end := ResetUnlessWhole(r.Context())
+				_, _ = io.WriteString(w, part)
+				_ = http.NewResponseController(w).Flush()
+				finish(r.Context().Value(connKey{}).(*socket).Conn, end)
+			}))
+			s.start(t, encrypted)
+			conn, _ := s.dial(t)
+			send(t, conn, "GET / HTTP/1.0\r\nHost: h\r\n\r\n")
+			answer, err := io.ReadAll(conn)
+			assert.Equal(t, err == nil, name == "whole", "%s, TLS: %v: %v", name, encrypted, err)
+			assert.Assert(t, err != nil || strings.HasSuffix(string(answer), part))
+		}
+	}
+}
--- a/relay/request.go
+++ b/relay/request.go
@@ -102,6 +102,11 @@
 	q.client = watchClient(ctx)
 	defer q.logFinished()
 	defer q.releaseBody()
+	if !r.ProtoAtLeast(1, 1) {
+		// Without chunks, the end of the connection ends an answer of unknown length.
+		end := clientconn.ResetUnlessWhole(ctx)
+		defer func() { end(q.responded) }()
+	}
 	if e.isDraining() && !clientconn.ClosesWhenIdle(ctx) {
 		w.Header().Set("Connection", "close")
 	}
