--- a/faultmatrix/faultmatrix.go
+++ b/faultmatrix/faultmatrix.go
@@ -52,7 +52,9 @@
 	LateSecondRefusal
 	ErrorInStream
 	UnframedAnswer
+	EarlyAnswerReset
 	BrokenBytes
+	InvalidHead
 	CutHead
 	LostAnswer
 	ServerError
@@ -83,7 +85,9 @@
 	"503 with Retry-After", "a server states a rate limit", "a server is silent", "a sound server falls silent for a second and goes on",
 	"a server accepts requests and answers none, its status is good", "status queries hang while requests are served", "a server is slow",
 	"bytes that are no answer, without end or slowly", "a late second answer", "an earlier refusal once more",
-	"an error where a stream that has begun goes on", "an answer without a length", "broken bytes",
+	"an error where a stream that has begun goes on", "an answer without a length",
+	"an answer without a length to an upload that is not read, and a reset", "broken bytes",
+	"an answer with a status that is none, or with a field name that is none",
 	"a server stops in the middle of an answer's head",
 	"an answer is lost", "a server fails requests", "an address is used by another server", "an odd entry among those of the servers",
 	"the store comes back older",
@@ -304,6 +308,26 @@
 		Order:       tests("TestOrderOutcomes"),
 		OffPlatform: tests("TestTruncatedResponse"),
 	},
+	EarlyAnswerReset: {
+		FirstStage:  tests("TestEarlyAnswerThatIsResetIsNotWhole", "TestAnswerWithoutLengthSaysNothingUntilRequestIsWritten", "TestStreamResetWhileItIsLookedAtIsNotWhole"),
+		LaterStage:  never("an entry reads nothing from a later engine"),
+		Idempotent:  tests("TestEarlyAnswerThatIsResetIsNotWhole", "TestAnswerWithoutLengthSaysNothingUntilRequestIsWritten"),
+		AtMostOnce:  tests("TestEarlyAnswerThatIsResetIsNotWhole", "TestAnswerWithoutLengthSaysNothingUntilRequestIsWritten"),
+		Keyed:       tests("TestTruncatedResponse"),
+		Status:      never("a query has no body"),
+		Order:       never("an order is written together with its header, and the status line says all"),
+		OffPlatform: tests("TestTruncatedResponse", "TestCutResultsOfEngineAreNotWhole"),
+	},
+	InvalidHead: {
+		FirstStage:  tests("TestStatusThatIsNoAnswer", "TestFieldNameThatIsNoNameIsNoAnswer"),
+		LaterStage:  never("an entry reads nothing from a later engine"),
+		Idempotent:  tests("TestStatusThatIsNoAnswer", "TestFieldNameThatIsNoNameIsNoAnswer"),
+		AtMostOnce:  tests("TestStatusThatIsNoAnswer", "TestFieldNameThatIsNoNameIsNoAnswer"),
+		Keyed:       tests("TestHeadThatIsNoAnswerFailsCall"),
+		Status:      tests("TestUnframedAndBrokenEngineAnswers"),
+		Order:       tests("TestUnframedAndBrokenEngineAnswers", "TestHeadThatIsNoAnswerLeavesOrderUnconfirmed"),
+		OffPlatform: tests("TestHeadThatIsNoAnswerFailsCall", "TestHeadThatIsNoAnswerSaysNothingOfEngine"),
+	},
 	CutHead: {
 		FirstStage:  tests("TestAnswerCutInItsHeadIsNotComplete"),
 		LaterStage:  never("an entry reads nothing from a later engine"),
