relay: an answer of HTTP/1.0 that states chunks is no answer

Callers saw: an engine in trouble sent an answer of HTTP/1.0 with "Transfer-Encoding: chunked". The client got a 200 with the raw chunks as its body, and no answer if it was a stream.

Cause: the parser of net/http drops Transfer-Encoding from a response of HTTP/1.0, without an error and without a trace. HTTP says that the framing of such a message is to be taken for faulty.

Evidence: TestChunksInHTTP10AreNoAnswer in its first form, HTTP/1.0 with each of three other lines and each of the four kinds of request, failed in 10 of 12 cases: calls got a 200 with the chunks, streams no answer. (Streams that also stated a length were refused.)

Change: the relay reads the version first and has such a head parsed as one of HTTP/1.1, which shows the field; with it the response is no answer. HTTP/0.9, where answers have no head, is none for all readers (answerhead). Answers of HTTP/1.0 with a length, or that end with their connection, are passed on as before, and connections kept as before. An error before the version is complete is returned as it is, since another read might find the end of the connection in its place (TestErrorWithinVersionIsKept).

After: the test passes (also with HTTP/0.9); relay's tests of heads, chunks and ends and TestOddHeadOfSoundAnswerIsPassedOn, now with HTTP/1.0 and without a length too, pass under the race detector.

--- a/answerhead/answerhead.go
+++ b/answerhead/answerhead.go
@@ -18,6 +18,8 @@
 // informational one. A status above the known classes passes: clients take it for an error.
 func Check(response *http.Response) error {
 	switch {
+	case response.ProtoMajor == 0:
+		return errors.Errorf("answer with the version %.10q", response.Proto)
 	case response.StatusCode < minStatus:
 		return errors.Errorf("answer with the status %.3q", response.Status)
 	case response.StatusCode == http.StatusSwitchingProtocols:
--- a/answerhead/answerhead_test.go
+++ b/answerhead/answerhead_test.go
@@ -35,3 +35,10 @@
 		assert.Equal(t, accepts("HTTP/1.1 200 OK\r\n"+name+": 1"), want, name)
 	}
 }
+
+// Guards against an answer of a version in which answers have no head.
+func TestVersions(t *testing.T) {
+	for version, want := range map[string]bool{"HTTP/1.0": true, "HTTP/1.1": true, "HTTP/1.2": true, "HTTP/0.9": false, "HTTP/0.0": false, "HTTP/1": false, "http/1.1": false} {
+		assert.Equal(t, accepts(version+" 200 OK"), want, version)
+	}
+}
--- a/relay/answerend.go
+++ b/relay/answerend.go
@@ -145,8 +145,8 @@
 
 // isWhole reports whether a stream that has ended in order is complete. One that ends with
 // its connection looks the same if an engine of its path has crashed between two events, so
-// all are asked whether they are there, once the request is written. If the stream was complete all the same, another
-// attempt finds nothing left to send.
+// all are asked whether they are there, once the request is written. If the stream was
+// complete all the same, another attempt finds nothing left to send.
 func (a *attempt) isWhole(ctx context.Context, err error, insideEvent bool) bool {
 	evidence := answerend.Evidence{End: a.x.end(err), InsideEvent: insideEvent, NoEvent: a.progressSince.IsZero()}
 	if evidence.End.NeedsProcesses() && !insideEvent && !evidence.NoEvent {
--- a/relay/chunks.go
+++ b/relay/chunks.go
@@ -61,7 +61,7 @@
 // Close implements io.Closer; the connection is closed by its owner.
 func (c *chunkReader) Close() error { return nil }
 
-// truncated returns the error of a body that ends before its last chunk.
+// truncated returns the error of a header or a body that ends too early.
 func truncated(err error) error {
 	if errors.Is(err, io.EOF) {
 		return io.ErrUnexpectedEOF
--- a/relay/connection.go
+++ b/relay/connection.go
@@ -14,7 +14,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/sapphirefield/sapphirefield/answerend"
-	"github.com/sapphirefield/sapphirefield/answerhead"
 	"github.com/sapphirefield/sapphirefield/netpeek"
 )
 
@@ -331,29 +330,6 @@
 	return nil
 }
 
-// readFinalHeader reads the header of a final (non-1xx) response.
-func (x *exchange) readFinalHeader(codec HeaderCodec, request *http.Request) error {
-	x.conn.header = &headerLimit{bytesLeft: maxHeaderBytes, timeLeft: headerTimeout}
-	for range maxInformational + 1 {
-		response, err := http.ReadResponse(x.conn.reader, request)
-		if err != nil {
-			return err
-		}
-		if err := answerhead.Check(response); err != nil {
-			return err
-		}
-		if response.StatusCode >= http.StatusOK {
-			if len(response.TransferEncoding) > 0 && response.Body != http.NoBody {
-				response.Body = &chunkReader{reader: x.conn.reader}
-			}
-			x.response, x.info = response, codec.ParseResponse(response.Header)
-			x.conn.header = nil
-			return nil
-		}
-	}
-	return errors.New("too many informational responses")
-}
-
 // discard reads the rest of a response that is not needed, so that its
 // connection can be reused. It closes the connection if the rest is long or
 // does not arrive soon.
--- a/relay/oddhead_test.go
+++ b/relay/oddhead_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -93,7 +94,7 @@
 // Guards against a sound answer that is refused for its odd head.
 func TestOddHeadOfSoundAnswerIsPassedOn(t *testing.T) {
 	heads := []string{
-		"HTTP/1.1 200\r\n", "HTTP/1.1 200 \r\n", "HTTP/1.1 200 A long reason\r\n", "HTTP/1.1 200 OK\n",
+		"HTTP/1.0 200 OK\r\n", "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n", "HTTP/1.1 200\r\n", "HTTP/1.1 200 \r\n", "HTTP/1.1 200 A long reason\r\n", "HTTP/1.1 200 OK\n",
 		"HTTP/1.1 200 OK\r\nx-lower_case: 1\r\n", "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09aZ: 1\r\n",
 		"HTTP/1.1 200 OK\r\nX-Odd:no blank\r\nX-Empty:\r\nX-Blanks: \t 1 \t\r\n", "HTTP/1.1 200 OK\r\nX-Folded: a\r\n  b\r\n",
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\nHTTP/1.1 200 OK\r\n",
@@ -101,10 +102,13 @@
 	forEachKind(t, heads, func(t *testing.T, route config.Route, head string) {
 		sound, want := soundAnswer(route, 1)
 		text := strings.Replace(sound, "HTTP/1.1 200 OK\r\n", head, 1)
-		response, body, err := newTestEntry(t, route, newBackend(t, answerBytes(text))).send(t, http.MethodPost)
-		assert.NilError(t, err)
-		assert.Equal(t, response.StatusCode, http.StatusOK)
-		assert.Equal(t, body, want)
+		unframed := strings.Replace(text, fmt.Sprintf("Content-Length: %d\r\n", len(want)), "", 1)
+		for _, answer := range []string{text, unframed} {
+			response, body, err := newTestEntry(t, route, newBackend(t, answerBytes(answer))).send(t, http.MethodPost)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, http.StatusOK)
+			assert.Equal(t, body, want)
+		}
 	})
 }
 
@@ -141,3 +145,44 @@
 		checkNoAnswer(t, route, "HTTP/1.1 200 OK\r\n "+strings.TrimPrefix(sound, afterStatus))
 	})
 }
+
+// Guards against chunks that are passed on as they are: an answer of HTTP/1.0 has none, so that
+// one which states them leaves open where its body ends.
+func TestChunksInHTTP10AreNoAnswer(t *testing.T) {
+	forEachKind(t, []string{"", "Content-Length: 5\r\n", "Connection: keep-alive\r\n"}, func(t *testing.T, route config.Route, line string) {
+		sound, body := soundAnswer(route, 1)
+		head := strings.Replace(sound, fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body), line+"Transfer-Encoding: chunked\r\n\r\n", 1)
+		chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+		for _, version := range []string{"HTTP/1.0", "HTTP/0.9"} {
+			checkNoAnswer(t, route, strings.Replace(head, "HTTP/1.1", version, 1)+chunks)
+		}
+	})
+}
+
+// onceFailing is a connection that fails once, as a reset one or one that is watched does, and
+// then ends.
+type onceFailing struct {
+	text string
+	err  error
+}
+
+func (r *onceFailing) Read(p []byte) (int, error) {
+	if n := copy(p, r.text); n > 0 {
+		r.text = r.text[n:]
+		return n, nil
+	}
+	err := r.err
+	r.err = io.EOF
+	return 0, err
+}
+
+// Guards against an error of the connection that is lost, or looked for twice, because it
+// comes before the version of the header is complete.
+func TestErrorWithinVersionIsKept(t *testing.T) {
+	for n := range len(http11) {
+		_, err := readHeader(bufio.NewReader(&onceFailing{http11[:n], errServerSilent}), nil)
+		assert.ErrorIs(t, err, errServerSilent, "%d", n)
+		_, err = readHeader(bufio.NewReader(&onceFailing{http11[:n], io.EOF}), nil)
+		assert.ErrorIs(t, err, io.ErrUnexpectedEOF, "%d", n)
+	}
+}
