relay, answerhead: no channel for a request that is written at once, one way to send and check

Found on reading the change again. The sidecar's plain calls checked the head of an answer and dropped it by the same lines as answerhead.Do, which takes what sends the request now, a client's Do or a transport's RoundTrip. Behaviour as before: tests of answerhead, transfer, orders, logservice, platform, sidecar, opsclient and relay's tests of heads and ends pass under the race detector.

--- a/answerhead/answerhead.go
+++ b/answerhead/answerhead.go
@@ -36,10 +36,10 @@
 	return nil
 }
 
-// Do sends a request once, as the client does, and fails if the head of the response is no
-// answer.
-func Do(client *http.Client, request *http.Request) (*http.Response, error) {
-	response, err := client.Do(request)
+// Do sends a request by a client's Do or a transport's RoundTrip, and fails if the head of the
+// response is no answer.
+func Do(send func(*http.Request) (*http.Response, error), request *http.Request) (*http.Response, error) {
+	response, err := send(request)
 	if err != nil {
 		return nil, err
 	}
--- a/ctl/opsclient/opsclient.go
+++ b/ctl/opsclient/opsclient.go
@@ -89,7 +89,7 @@
 		}
 		request.SetBasicAuth("operator", c.password)
 	}
-	response, err := answerhead.Do(c.client, request)
+	response, err := answerhead.Do(c.client.Do, request)
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
--- a/logservice/log.go
+++ b/logservice/log.go
@@ -95,7 +95,7 @@
 		return 0, errors.Wrap(ErrRejected, err.Error())
 	}
 	request.Header.Set("Content-Type", "application/octet-stream")
-	response, err := answerhead.Do(l.client, request)
+	response, err := answerhead.Do(l.client.Do, request)
 	switch {
 	case err != nil && !connected:
 		return 0, errors.Wrap(ErrUnavailable, err.Error())
--- a/orders/engine.go
+++ b/orders/engine.go
@@ -87,7 +87,7 @@
 	if err != nil {
 		return order.Observed{}, errors.WithStack(err)
 	}
-	response, err := answerhead.Do(e.client, request)
+	response, err := answerhead.Do(e.client.Do, request)
 	if err != nil {
 		return order.Observed{}, errors.WithStack(err)
 	}
@@ -117,7 +117,7 @@
 		return order.OrderRejected{ID: g.ID}, errors.WithStack(err)
 	}
 	request.Header.Set("Content-Type", "application/json")
-	response, err := answerhead.Do(e.client, request)
+	response, err := answerhead.Do(e.client.Do, request)
 	if err != nil {
 		return classifySendError(g, err), errors.WithStack(err)
 	}
--- a/relay/connection.go
+++ b/relay/connection.go
@@ -254,7 +254,8 @@
 	unexpectedData bool
 	// stopCancel detaches the connection from the client's context.
 	stopCancel func() bool
-	// written is closed once the write of the request has ended, with writeErr as its result.
+	// written is closed once the write of a long request has ended, with writeErr as its
+	// result. It is nil for a request that was written at once.
 	written  chan struct{}
 	writeErr error
 }
@@ -267,7 +268,7 @@
 	if err != nil {
 		return nil, &exchangeError{errNotSent, err}
 	}
-	x := &exchange{pool: p, address: address, conn: conn, request: o, sentAt: time.Now(), written: make(chan struct{})}
+	x := &exchange{pool: p, address: address, conn: conn, request: o, sentAt: time.Now()}
 	x.stopCancel = context.AfterFunc(ctx, func() { conn.Close() })
 	if err := conn.SetDeadline(time.Time{}); err != nil {
 		x.close()
@@ -318,10 +319,10 @@
 func (x *exchange) write(o *outboundRequest) error {
 	header := o.encode()
 	if o.hasInlineBody() {
-		defer close(x.written)
-		_, x.writeErr = x.conn.Write(append(header, o.body...))
-		return x.writeErr
+		_, err := x.conn.Write(append(header, o.body...))
+		return err
 	}
+	x.written = make(chan struct{})
 	go func() {
 		defer close(x.written)
 		buffers := net.Buffers{header, o.body}
@@ -371,14 +372,18 @@
 }
 
 // isRequestWritten reports whether the whole request has been written without an error.
-func (x *exchange) isRequestWritten() bool { return isClosed(x.written) && x.writeErr == nil }
+func (x *exchange) isRequestWritten() bool {
+	return x.written == nil || isClosed(x.written) && x.writeErr == nil
+}
 
 // awaitRequestWritten is isRequestWritten once the write has ended, or ctx. A server that has
 // answered may go on to read the request.
 func (x *exchange) awaitRequestWritten(ctx context.Context) bool {
-	select {
-	case <-x.written:
-	case <-ctx.Done():
+	if x.written != nil {
+		select {
+		case <-x.written:
+		case <-ctx.Done():
+		}
 	}
 	return x.isRequestWritten()
 }
--- a/relay/responseheader.go
+++ b/relay/responseheader.go
@@ -45,7 +45,8 @@
 	isHTTP10 := string(version) == http10
 	if isHTTP10 {
 		// The parser of net/http drops Transfer-Encoding from a response of HTTP/1.0, so that
-		// raw chunks would be its body. What it knows in HTTP/1.1 shows here.
+		// raw chunks would be its body. The version is replaced in the reader's buffer, so
+		// that the field shows.
 		copy(version, http11)
 	}
 	response, err := http.ReadResponse(reader, request)
--- a/sidecar/call.go
+++ b/sidecar/call.go
@@ -179,14 +179,10 @@
 		req.Header.Add(h.Name, h.Value)
 	}
 	sentAt := time.Now()
-	resp, err := s.callTransport.RoundTrip(req)
+	resp, err := answerhead.Do(s.callTransport.RoundTrip, req)
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	if err := answerhead.Check(resp); err != nil {
-		_ = resp.Body.Close() // the answer is dropped
-		return nil, err
-	}
 	s.observeResponse(resp, sentAt)
 	return resp, nil
 }
--- a/sidecar/engine.go
+++ b/sidecar/engine.go
@@ -206,7 +206,7 @@
 	}
 	req.Header.Set("Content-Type", contentType)
 	sentAt := time.Now()
-	resp, err := answerhead.Do(s.engineClient, req)
+	resp, err := answerhead.Do(s.engineClient.Do, req)
 	if err != nil {
 		return engineResponse{}, errors.WithStack(err)
 	}
--- a/sidecar/watchdog.go
+++ b/sidecar/watchdog.go
@@ -132,7 +132,7 @@
 	if err != nil {
 		return nil
 	}
-	resp, err := answerhead.Do(s.engineClient, req)
+	resp, err := answerhead.Do(s.engineClient.Do, req)
 	if err != nil {
 		return nil
 	}
--- a/transfer/transfer.go
+++ b/transfer/transfer.go
@@ -69,7 +69,7 @@
 			}
 		}()
 	}
-	response, err := answerhead.Do(client, request.WithContext(ctx))
+	response, err := answerhead.Do(client.Do, request.WithContext(ctx))
 	close(begun)
 	if err != nil {
 		return Response{}, cause(ctx, err)
