tests: the invalid heads and the kinds of request stand in one place

Five tests of readers of answers had lists of the same heads that are no answer, each a little different; all use one list of eight now, so that each reader is tried with at least what it was before. Without the check of heads, the tests of all five packages fail.

--- a/ctl/opsclient/opsclient_test.go
+++ b/ctl/opsclient/opsclient_test.go
@@ -57,8 +57,9 @@
 // Guards against a part of an answer, or what is no part of it, that an operator sees as the
 // whole, because the head is no answer.
 func TestHeadThatIsNoAnswerIsRefused(t *testing.T) {
-	for _, head := range []string{"HTTP/1.1 000 X", "HTTP/1.1 200 OK\nTransfer-Encoding : chunked", "HTTP/1.1 200 OK\nX Odd: 1"} {
-		server := httptest.NewServer(rawhttp.Answer(head+"\n\n4\ntext\n0\n\n", ""))
+	const body = "4\r\ntext\r\n0\r\n\r\n"
+	for _, head := range rawhttp.InvalidHeads(len(body)) {
+		server := httptest.NewServer(rawhttp.Answer(head, body))
 		defer server.Close()
 		data, err := newClient(t).Get(context.Background(), server.URL, "/status", 100)
 		assert.Assert(t, err != nil, "%s: %q", head, data)
--- a/logservice/logservice_test.go
+++ b/logservice/logservice_test.go
@@ -156,11 +156,8 @@
 // bytes that are no answer.
 func TestHeadThatIsNoAnswerLeavesOutcomeUnknown(t *testing.T) {
 	const body = `{"offset": 9, "first": 1, "next": 2}`
-	for _, head := range []string{
-		"HTTP/1.1 000 X\nContent-Length: %d\n\n", "HTTP/1.1 099 X\nContent-Length: %d\n\n", "HTTP/1.1 101 Switching Protocols\nContent-Length: %d\n\n",
-		"HTTP/1.1 200 OK\nContent-Length : %d\n\n", "HTTP/1.1 200 OK\nX Odd: 1\nContent-Length: %d\n\n",
-	} {
-		server := newTestServer(t, rawhttp.Answer(fmt.Sprintf(head, len(body)), body))
+	for _, head := range rawhttp.InvalidHeads(len(body)) {
+		server := newTestServer(t, rawhttp.Answer(head, body))
 		log := NewLog(server.URL, server.Client())
 		_, err := log.Append(t.Context(), "control", nil)
 		assert.Assert(t, errors.Is(err, ErrUnknownOutcome), "%s: %v", head, err)
--- a/orders/engine_test.go
+++ b/orders/engine_test.go
@@ -30,11 +30,9 @@
 // Guards against an order that counts as accepted or refused, or a state that is believed,
 // because of bytes that are no answer.
 func TestHeadThatIsNoAnswerLeavesOrderUnconfirmed(t *testing.T) {
-	for _, head := range []string{
-		"HTTP/1.1 000 X\nContent-Length: 2\n\n", "HTTP/1.1 099 X\nContent-Length: 2\n\n", "HTTP/1.1 101 Switching Protocols\nContent-Length: 2\n\n",
-		"HTTP/1.1 200 OK\nContent-Length : 2\n\n", "HTTP/1.1 200 OK\nX Odd: 1\nContent-Length: 2\n\n",
-	} {
-		server := httptest.NewServer(rawhttp.Answer(head, "{}"))
+	const body = "{}"
+	for _, head := range rawhttp.InvalidHeads(len(body)) {
+		server := httptest.NewServer(rawhttp.Answer(head, body))
 		defer server.Close()
 		client := newEngineClient(server.URL, (&net.Dialer{}).DialContext)
 		input, err := client.sendOrder(t.Context(), order.SendOrder{})
--- a/relay/cuthead_test.go
+++ b/relay/cuthead_test.go
@@ -57,10 +57,7 @@
 // of its head or body, whatever comes before the head, however the body is framed and the
 // connection ends, and whether another server is asked.
 func TestAnswerCutInItsHeadIsNotComplete(t *testing.T) {
-	for kind, route := range map[string]config.Route{
-		"idempotent": unaryRoute(config.CallIdempotent), "at most once": unaryRoute(config.CallAtMostOnce),
-		"stream": streamRoute(false), "resumable stream": streamRoute(true),
-	} {
+	for kind, route := range requestKinds {
 		for framing, answer := range cutAnswers(route) {
 			for beforeName, before := range map[string]string{
 				"nothing": "", "103": "HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n", "100": "HTTP/1.1 100 Continue\r\n\r\n",
--- a/relay/earlyanswer_test.go
+++ b/relay/earlyanswer_test.go
@@ -20,12 +20,6 @@
 	"github.com/sapphirefield/sapphirefield/config"
 )
 
-// requestKinds are routes for each kind of request.
-var requestKinds = map[string]config.Route{
-	"idempotent": unaryRoute(config.CallIdempotent), "at most once": unaryRoute(config.CallAtMostOnce),
-	"stream": streamRoute(false), "resumable stream": streamRoute(true),
-}
-
 // earlyEnd ends the connection of a server that has answered before it has read the
 // body of the request.
 type earlyEnd func(conn *net.TCPConn, body io.Reader)
--- a/relay/longanswer_test.go
+++ b/relay/longanswer_test.go
@@ -172,10 +172,7 @@
 	const earlyHints = "HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n"
 	var answers answerCounter
 	var clients sync.WaitGroup
-	for kind, route := range map[string]config.Route{
-		"idempotent": unaryRoute(config.CallIdempotent), "at most once": unaryRoute(config.CallAtMostOnce),
-		"stream": streamRoute(false), "resumable stream": streamRoute(true),
-	} {
+	for kind, route := range requestKinds {
 		for framing, answer := range cutAnswers(route) {
 			for _, before := range []string{"", earlyHints} {
 				// After the first byte, in the status, in a field, before the body, and between heads.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -317,6 +317,12 @@
 	return r
 }
 
+// requestKinds are routes for each kind of request.
+var requestKinds = map[string]config.Route{
+	"idempotent": unaryRoute(config.CallIdempotent), "at most once": unaryRoute(config.CallAtMostOnce),
+	"stream": streamRoute(false), "resumable stream": streamRoute(true),
+}
+
 // newRequest returns a request of a client with an ID of its own.
 func (e *testEntry) newRequest(ctx context.Context, t *testing.T, method string, body io.Reader) *http.Request {
 	t.Helper()
--- a/sidecar/cuthead_test.go
+++ b/sidecar/cuthead_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/sapphirefield/sapphirefield/link"
+	"github.com/sapphirefield/sapphirefield/standin/rawhttp"
 	"github.com/sapphirefield/sapphirefield/wire"
 )
 
@@ -36,14 +37,7 @@
 
 func testCutAnswer(t *testing.T, text string) {
 	var cut int
-	s := startPlainSidecar(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		conn, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return
-		}
-		defer conn.Close()
-		_, _ = io.WriteString(conn, text[:cut])
-	}))
+	s := startPlainSidecar(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { rawhttp.Answer("", text[:cut])(w, r) }))
 	queue := link.NewQueue[*wire.WorkDown](1 << 16)
 	s.attachEntry(&wire.Hello{Id: "entry-0", Incarnation: "i"}, queue)
 	for cut = range len(text) {
--- a/sidecar/oddhead_test.go
+++ b/sidecar/oddhead_test.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"fmt"
 	"io"
 	"net/http/httptest"
 	"testing"
@@ -16,20 +15,13 @@
 	"github.com/sapphirefield/sapphirefield/wire"
 )
 
-// noAnswers are heads that are no answer, with the field of a body that follows.
-var noAnswers = []string{
-	"HTTP/1.1 000 X\nContent-Length: %d\n\n", "HTTP/1.1 099 X\nContent-Length: %d\n\n", "HTTP/1.1 +20 X\nContent-Length: %d\n\n",
-	"HTTP/1.1 101 Switching Protocols\nContent-Length: %d\n\n",
-	"HTTP/1.1 200 OK\nContent-Length: %d\nX-Odd : 5\n\n", "HTTP/1.1 200 OK\nX Odd: 5\nContent-Length: %d\n\n",
-}
-
 // Guards against an answer of a backend server that is passed on although its head is none.
 func TestHeadThatIsNoAnswerFailsCall(t *testing.T) {
 	const body = "the body"
-	for _, head := range noAnswers {
+	for _, head := range rawhttp.InvalidHeads(len(body)) {
 		t.Run(head, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := startPlainSidecar(t, rawhttp.Answer(fmt.Sprintf(head, len(body)), body))
+				s := startPlainSidecar(t, rawhttp.Answer(head, body))
 				queue := link.NewQueue[*wire.WorkDown](1 << 16)
 				s.attachEntry(&wire.Hello{Id: "entry-0", Incarnation: "i"}, queue)
 				s.call(0)
@@ -53,9 +45,10 @@
 // because of bytes that are no answer.
 func TestHeadThatIsNoAnswerSaysNothingOfEngine(t *testing.T) {
 	const load = `{"progress": 1}`
-	for _, head := range noAnswers {
+	withLoad := rawhttp.InvalidHeads(len(load))
+	for i, head := range rawhttp.InvalidHeads(0) {
 		t.Run(head, func(t *testing.T) {
-			empty, loaded := httptest.NewServer(rawhttp.Answer(fmt.Sprintf(head, 0), "")), httptest.NewServer(rawhttp.Answer(fmt.Sprintf(head, len(load)), load))
+			empty, loaded := httptest.NewServer(rawhttp.Answer(head, "")), httptest.NewServer(rawhttp.Answer(withLoad[i], load))
 			defer empty.Close()
 			defer loaded.Close()
 			s := New(Options{ID: "s", Backend: empty.URL, Logger: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}})
